--- /dev/null
+++ b/internal/wire/instance.go
@@ -0,0 +1,296 @@
+package wire
+
+import (
+	"fmt"
+	"math"
+	"strconv"
+	"strings"
+
+	"nettlefold/mixer"
+)
+
+// instance is one mixer with the ids and timer references by which the wire knows what it holds.
+type instance struct {
+	host     *host
+	name     string
+	m        *mixer.Mixer
+	tariffs  map[string]int
+	lookups  map[string]*held
+	byNumber map[int64]*held
+	parts    map[string]*heldPart
+	timers   map[int64]mixer.Due
+	lastRef  int64
+}
+
+// held is a lookup that has no final answer yet.
+type held struct {
+	h      *mixer.Lookup
+	id     string
+	number int64
+	fetch  bool
+	parts  []string
+}
+
+// heldPart is a part that may still get an outcome.
+type heldPart struct {
+	of    *held
+	index int
+	out   int // forwards without an outcome
+	ended bool
+}
+
+// guard turns a failure inside the mixer into the message that declares it broken.
+func (i *instance) guard(call func()) {
+	defer func() {
+		if r := recover(); r != nil {
+			text := strings.NewReplacer("\n", " ", "\t", " ", "\r", " ").Replace(fmt.Sprint(r))
+			i.say("give_in", text)
+		}
+	}()
+	call()
+}
+
+func (i *instance) announce(f *fields) func() {
+	form := f.text("Form")
+	f.whole("Gen")
+	if form == "refused" {
+		return func() { i.m.ListRefused(i.host.now) }
+	}
+	sheet := f.whole("Sheet")
+	rows, ok := i.host.sheets[sheet]
+	if !ok {
+		f.bad("Sheet", strconv.FormatInt(sheet, 10))
+	}
+	switch form {
+	case "changes":
+		return func() { i.m.Listed(i.host.now, rows, false, false) }
+	case "all":
+		return func() { i.m.Listed(i.host.now, rows, true, false) }
+	case "remembered":
+		return func() { i.m.Listed(i.host.now, rows, true, true) }
+	}
+	f.bad("Form", form)
+	return nil
+}
+
+func (i *instance) take(f *fields) func() {
+	id, grade := f.text("Corr"), f.text("Grade")
+	f.text("Realm")
+	key := uint64(0)
+	if s := f.text("Object"); s != "-" {
+		k, err := strconv.ParseUint(s, 10, 64)
+		if err != nil {
+			f.bad("Object", s)
+		}
+		key = k
+	}
+	notAfter, effort := f.time("NotAfterMs"), f.timeOr("EffortMs", 0)
+	number, slice, amount, bits := f.whole("WholeNo"), f.whole("Slice"), f.float("Amount"), f.whole("Bits")
+	tariff, ok := i.tariffs[grade]
+	if !ok {
+		f.bad("Grade", grade)
+	}
+	if bits&1 == 0 {
+		effort = 0
+	}
+	if slice < 0 {
+		if amount < 1 || amount != math.Trunc(amount) {
+			f.bad("Amount", strconv.FormatFloat(amount, 'g', -1, 64))
+		}
+		return func() {
+			l := &held{id: id, number: number, fetch: i.m.SecondStep(tariff)}
+			i.lookups[id], i.byNumber[number] = l, l
+			l.h = i.m.Take(i.host.now, mixer.Ask{
+				ID: id, Tariff: tariff, NotAfter: notAfter, Parts: int(amount), Again: bits&2 != 0})
+		}
+	}
+	return func() {
+		l := i.byNumber[number]
+		if l == nil {
+			return // its lookup has ended within this batch
+		}
+		i.parts[id] = &heldPart{of: l, index: len(l.parts)}
+		l.parts = append(l.parts, id)
+		l.h.AddPart(i.host.now, mixer.Piece{ID: id, Slice: int(slice), Weight: amount, Key: key, Effort: effort})
+	}
+}
+
+var outcomes = map[int64]mixer.Outcome{
+	0: mixer.Satisfied, 255: mixer.Errored, 254: mixer.Bounced, 253: mixer.TimedOut,
+	252: mixer.Unreached, 251: mixer.Reset, 250: mixer.Cancelled, 249: mixer.Moot,
+}
+
+func (f *fields) outcome(field string) mixer.Outcome {
+	n := f.whole(field)
+	o, ok := outcomes[n]
+	if !ok {
+		f.bad(field, strconv.FormatInt(n, 10))
+	}
+	return o
+}
+
+// load reads a load report; values it does not know are skipped.
+func (f *fields) load(field string) (l mixer.Load) {
+	s := f.text(field)
+	if s == "-" || f.err != nil {
+		return l
+	}
+	for _, pair := range strings.Split(s, ",") {
+		name, v, ok := strings.Cut(pair, ":")
+		if !ok {
+			f.bad(field, pair)
+			return l
+		}
+		var to *float64
+		switch name {
+		case "rif":
+			to = &l.Held
+		case "q":
+			to = &l.Waiting
+		case "busy":
+			to = &l.Busy
+		case "lat_ms":
+			to = &l.Latency
+		default:
+			continue
+		}
+		*to = f.number(field, v)
+		l.Has = true
+	}
+	return l
+}
+
+func (i *instance) settled(f *fields) func() {
+	id, copy, over, took := f.text("Corr"), f.whole("Copy"), f.bool("Over"), f.time("DurationMs")
+	result := f.outcome("Result")
+	f.text("Searcher")
+	load := f.load("Gauge")
+	return func() {
+		p := i.parts[id]
+		if p == nil {
+			return
+		}
+		p.out--
+		i.letGo(id, p)
+		p.of.h.Outcome(i.host.now, p.index, int(copy), result, took, over, load)
+	}
+}
+
+func (i *instance) due(f *fields) func() {
+	ref := f.whole("Ref")
+	return func() {
+		whose := i.timers[ref]
+		delete(i.timers, ref)
+		if whose != nil {
+			whose.Due(i.host.now)
+		}
+	}
+}
+
+func (i *instance) sampled(f *fields) func() {
+	s, o, took := f.text("Searcher"), f.outcome("Result"), f.time("DurationMs")
+	load := f.load("Gauge")
+	return func() { i.m.Probed(i.host.now, s, o, took, load) }
+}
+
+func (i *instance) dropped(f *fields) func() {
+	id := f.text("Corr")
+	return func() {
+		if l := i.lookups[id]; l != nil {
+			i.end(id)
+			l.h.Gone(i.host.now)
+		}
+	}
+}
+
+// end forgets a lookup; its parts stay known until their forwards have had their outcomes.
+func (i *instance) end(id string) {
+	l := i.lookups[id]
+	if l == nil {
+		return
+	}
+	delete(i.lookups, id)
+	delete(i.byNumber, l.number)
+	for _, part := range l.parts {
+		if p := i.parts[part]; p != nil {
+			p.ended = true
+			i.letGo(part, p)
+		}
+	}
+}
+
+func (i *instance) letGo(id string, p *heldPart) {
+	if p.ended && p.out == 0 {
+		delete(i.parts, id)
+	}
+}
+
+// say writes one action.
+func (i *instance) say(message string, values ...string) {
+	w := i.host.out
+	w.WriteString(message)
+	w.WriteByte('\t')
+	w.WriteString(i.name)
+	for _, v := range values {
+		w.WriteByte('\t')
+		w.WriteString(v)
+	}
+	w.WriteByte('\n')
+}
+
+func millis(ns int64) string { return strconv.FormatFloat(float64(ns)/1e6, 'f', -1, 64) }
+
+func bit(b bool) string {
+	if b {
+		return "1"
+	}
+	return "0"
+}
+
+// What follows is the mixer's floor.
+
+func (i *instance) Forward(part, searcher string, within int64) {
+	if p := i.parts[part]; p != nil {
+		p.out++
+	}
+	i.say("assign", part, searcher, millis(within))
+}
+
+func (i *instance) Cancel(part string, forward int) {
+	i.say("stop_attempt", part, strconv.Itoa(forward))
+}
+
+func (i *instance) Answer(lookup string, whole bool) {
+	i.say("gather_up", lookup, bit(whole))
+	if l := i.lookups[lookup]; l != nil && l.fetch {
+		l.fetch = false // a second step follows
+		return
+	}
+	i.end(lookup)
+}
+
+func (i *instance) Bounce(lookup string, wait int64) {
+	i.say("reject", lookup, millis(wait))
+	i.end(lookup)
+}
+
+func (i *instance) Fail(lookup string) {
+	i.say("abort", lookup)
+	i.end(lookup)
+}
+
+func (i *instance) Drop(part string) { i.say("abort", part) }
+
+func (i *instance) Probe(searcher string) { i.say("ping", searcher) }
+
+func (i *instance) Timer(after int64, whose mixer.Due) {
+	i.lastRef++
+	i.timers[i.lastRef] = whose
+	i.say("set_timer", millis(after), strconv.FormatInt(i.lastRef, 10))
+}
+
+func (i *instance) Subscribe() { i.say("watch", "1") }
+
+func (i *instance) AskList() { i.say("lookup") }
+
+func (i *instance) Note(text string) { i.say("debug", text) }
--- /dev/null
+++ b/mixer/types.go
@@ -0,0 +1,157 @@
+package mixer
+
+import "math"
+
+// Effect says whether a lookup of a tariff may run more than once.
+type Effect int
+
+const (
+	Repeatable Effect = iota // may run again
+	Tagged                   // a repeat is known by its mark and dropped for a while
+	OnceOnly                 // must never run twice
+)
+
+// Outcome says how one forward ended.
+type Outcome int
+
+const (
+	Satisfied Outcome = iota // its answer is in
+	Errored                  // the searcher returned an error
+	Bounced                  // turned away unseen
+	TimedOut                 // no answer in time
+	Unreached                // no connection was made
+	Reset                    // the connection broke
+	Cancelled                // withdrawn by the mixer
+	Moot                     // never sent
+)
+
+// NeverRan tells whether the outcome proves that the forward did no work.
+func (o Outcome) NeverRan() bool { return o == Bounced || o == Unreached || o == Moot }
+
+// Tariff is what the charter says of one sort of lookup. Times are nanoseconds.
+type Tariff struct {
+	Name         string
+	Expected     int64   // full revenue within this
+	Patience     int64   // the client's wait over all its tries
+	Effect       Effect  // whether it may run again
+	RepeatFor    int64   // tagged: how long repeats are dropped
+	Revenue      float64 // of a whole answer
+	LateRevenue  float64 // share of it earned after the expected time
+	CompleteFrom float64 // weight of the first step that makes it whole
+	LeastShare   float64 // least weight of any answer
+	Partial      float64 // revenue of an answer that is not whole, times share over CompleteFrom
+	SecondStep   int     // parts of the second step, 0 for none
+}
+
+// Charter is what a mixer is told once, at its start.
+type Charter struct {
+	Tariffs []Tariff
+	Zone    string // where this mixer stands
+	Mixers  int    // how many there are
+
+	Cells, Reach int // slice s is held by cells s to s+Reach-1, modulo Cells
+	PerCall      int // parts one call may carry
+	WarmKeys     bool
+
+	ListAsked bool  // the list comes only when asked for
+	AskWithin int64 // a mixer that has not asked for so long counts as told
+
+	MaxForwards         int // for one part
+	MaxOpen             int // lookups and parts held at once
+	MayCopy, MayCancel  bool
+	MayProbe, MayAdvise bool
+	MaxAdvice           int64 // longest wait a client heeds
+
+	AnswerSlack  int64 // a final answer may come this much after the client's time
+	ColdFrom     float64
+	ColdFor      int64
+	FallMultiple float64
+	FallFor      int64
+
+	BudgetFor   int64 // 0: no forward budget
+	BudgetFree  float64
+	BudgetShare float64
+
+	CrossPrice, WastePrice, LatePrice float64
+	WholeGoal, WindowGoal, TariffGoal float64
+}
+
+// Status is what the list says of a searcher.
+type Status int
+
+const (
+	Live Status = iota
+	Draining
+	Dead
+)
+
+// Entry is one line of the list.
+type Entry struct {
+	Searcher string
+	Started  int64 // 0: long ago
+	Cell     int
+	Zone     string
+	Status   Status
+}
+
+// Ask is a lookup as it is taken.
+type Ask struct {
+	ID       string
+	Tariff   int   // row of the charter
+	NotAfter int64 // when the client leaves
+	Parts    int   // parts of its first step
+	Again    bool  // the client has asked before
+}
+
+// Piece is one part as it is handed over.
+type Piece struct {
+	ID     string
+	Slice  int
+	Weight float64
+	Key    uint64
+	Effort int64 // expected work, 0: not told
+}
+
+// Load is what a searcher reports of itself; Has tells which values came.
+type Load struct {
+	Has                          bool
+	Held, Waiting, Busy, Latency float64
+}
+
+// Due is whoever a timer was set for.
+type Due interface{ Due(now int64) }
+
+// Floor is how the mixer acts. Every call takes effect at the time of the call that led to it.
+type Floor interface {
+	Forward(part, searcher string, within int64)
+	Cancel(part string, forward int)
+	Answer(lookup string, whole bool)
+	Bounce(lookup string, wait int64)
+	Fail(lookup string)
+	Drop(part string) // gives up an unasked part
+	Probe(searcher string)
+	Timer(after int64, whose Due)
+	Subscribe()
+	AskList()
+	Note(text string)
+}
+
+// Decay is a sum whose terms lose half their size every half-life.
+type Decay struct {
+	sum float64
+	at  int64
+}
+
+// Add brings the sum up to date and adds x.
+func (d *Decay) Add(now int64, x float64, half int64) {
+	d.sum = d.Read(now, half) + x
+	d.at = now
+}
+
+// Read gives the sum as of now.
+func (d *Decay) Read(now int64, half int64) float64 {
+	if d.sum == 0 {
+		return 0
+	}
+	return d.sum * math.Exp2(-float64(now-d.at)/float64(half))
+}
