--- a/mixer/mixer.go
+++ b/mixer/mixer.go
@@ -45,12 +45,13 @@
 	listed    int           // searchers now live
 	suspects  int           // of them, suspect
 
-	firsts, copies Decay   // first forwards to warm searchers, copies
-	budgetTaken    []int64 // when lookups and parts were taken, within the budget's window
-	budgetSpent    []int64 // when further forwards were made
-	asking         bool
-	refusals       int
-	warm           int
+	sent, copies Decay   // forwards, copies among them
+	borne        Decay   // forwards that warm searchers answered
+	budgetTaken  []int64 // when lookups and parts were taken, within the budget's window
+	budgetSpent  []int64 // when further forwards were made
+	asking       bool
+	refusals     int
+	warm         int
 }
 
 // row is what is kept of a tariff: how long its forwards take.
@@ -270,6 +271,9 @@
 	case Satisfied:
 		s.heard, s.strikes = now, 0
 		s.trust()
+		if m.frac(now, s) == 1 {
+			m.borne.Add(now, 1, halfLife)
+		}
 		r := &m.rows[f.part.l.ask.Tariff]
 		if mean, _ := r.typical(now); mean > 0 {
 			s.slow.Add(now, float64(took)/mean, halfLife)
@@ -290,6 +294,11 @@
 	}
 }
 
+// perSecond is the rate at which warm searchers lately answered this mixer.
+func (m *Mixer) perSecond(now int64) float64 {
+	return m.borne.Read(now, halfLife) * math.Ln2 / float64(halfLife) * 1e9
+}
+
 // typical gives the mean and deviation of the tariff's recent forwards, 0 when none were seen.
 func (r *row) typical(now int64) (mean, dev float64) {
 	n := r.n.Read(now, halfLife)
@@ -347,10 +356,10 @@
 }
 
 // coldGap is the least time between two parts this mixer sends to a searcher with frac of its capacity.
-// A warm one bears at least the parts this mixer sends it and as many from each other mixer, and at
+// A warm one bears at least the parts it answers this mixer and as many from each other mixer, and at
 // least one part in the time one usually takes; of frac times that, times the multiple, coldMargin is used.
 func (m *Mixer) coldGap(now int64, frac float64) int64 {
-	rate := m.firsts.Read(now, halfLife) * math.Ln2 / float64(halfLife) / float64(max(1, m.warm))
+	rate := m.perSecond(now) / 1e9 / float64(max(1, m.warm))
 	for i := range m.rows {
 		if mean, _ := m.rows[i].typical(now); mean > 0 {
 			rate = max(rate, 1/mean/float64(m.c.Mixers))
@@ -475,7 +484,7 @@
 func (m *Mixer) mayCopy(now int64, l *Lookup) bool {
 	mean, _ := m.rows[l.ask.Tariff].typical(now)
 	ease := max(0, 1-2.5*mean/float64(l.t.Expected))
-	return m.copies.Read(now, halfLife)+1 <= 1+copyShare*ease*m.firsts.Read(now, halfLife) && ease > 0
+	return m.copies.Read(now, halfLife)+1 <= 1+copyShare*ease*m.sent.Read(now, halfLife) && ease > 0
 }
 
 // pick water-fills one forward: of all parts not yet served and all their holders it takes the least
@@ -607,9 +616,8 @@
 	}
 	if frac := m.frac(now, s); frac < 1 {
 		s.coldAt = now + m.coldGap(now, frac)
-	} else {
-		m.firsts.Add(now, 1, halfLife)
 	}
+	m.sent.Add(now, 1, halfLife)
 	p.forwards = append(p.forwards, f)
 	s.out = append(s.out, f)
 	return f
