Turn away at taking what cannot be in time, by forwards out over their rate of return

Cause: each deployment jammed in overload; work came back after its expected time and was sent again.

--- a/mixer/mixer.go
+++ b/mixer/mixer.go
@@ -28,6 +28,7 @@
 	testLast    = 8000 * ms // ns; a searcher that was away is missed for at most this long
 	coldMargin  = 0.5       // of the multiple a cold searcher bears, what the mixers allow themselves
 	copyShare   = 0.15      // copies for each first forward when idle; more do not shorten lookups further
+	room        = 0.35      // of the expected time, what a forward may be predicted to take when a lookup is taken
 	lookAgain   = 50 * ms   // ns; pause before a part that no holder may take is looked at again
 	endMargin   = 8 * ms    // ns; an ending is sent this early, to arrive in time
 	askFirst    = 500 * ms  // ns; first wait after a refused list call, doubled up to a third of AskWithin
@@ -220,10 +221,47 @@
 	l.parts = append(l.parts, &part{Piece: p, l: l})
 	if len(l.parts) == l.expect {
 		l.planned = true
+		if l.step == 0 && l.hopeless(now) {
+			l.giveUp(now, 0)
+			return
+		}
 		l.review(now)
 	}
 }
 
+// hopeless decides at taking whether the lookup can still be satisfied. It guards against overload of any
+// cause: work that comes too late would only keep other work from being in time.
+func (l *Lookup) hopeless(now int64) bool {
+	steps := 1.0
+	if l.t.SecondStep > 0 {
+		steps = 2
+	}
+	return l.m.predicted(now)*steps > room*float64(min(l.t.Expected, l.ask.NotAfter-now))
+}
+
+// predicted is the time a new forward is likely to take: the forwards out over the rate at which they
+// lately came back. It leads what finished forwards show, since a jam shows in the count at once.
+func (m *Mixer) predicted(now int64) float64 {
+	m.census(now)
+	out, n, sum := 0, 0.0, 0.0
+	for _, cell := range m.cells {
+		for _, s := range cell {
+			if !s.suspect {
+				out += s.parts
+			}
+		}
+	}
+	for i := range m.rows {
+		n += m.rows[i].n.Read(now, halfLife)
+		sum += m.rows[i].sum.Read(now, halfLife)
+	}
+	if n < 1 {
+		return 0
+	}
+	rate := max(n*math.Ln2/float64(halfLife), float64(m.listed-m.suspects)/float64(m.c.Mixers)*n/sum)
+	return float64(out) / rate
+}
+
 // Gone is told that the client left.
 func (l *Lookup) Gone(now int64) { l.ended = true }
 
