--- a/mixer/mixer.go
+++ b/mixer/mixer.go
@@ -28,7 +28,7 @@
 	testLast    = 8000 * ms // ns; a searcher that was away is missed for at most this long
 	coldMargin  = 0.5       // of the multiple a cold searcher bears, what the mixers allow themselves
 	copyShare   = 0.15      // copies for each first forward when idle; more do not shorten lookups further
-	room        = 0.35      // of the expected time, what a forward may be predicted to take when a lookup is taken
+	room        = 0.5       // of the expected time, what a forward may be predicted to take when a lookup is taken
 	lookAgain   = 50 * ms   // ns; pause before a part that no holder may take is looked at again
 	endMargin   = 8 * ms    // ns; an ending is sent this early, to arrive in time
 	askFirst    = 500 * ms  // ns; first wait after a refused list call, doubled up to a third of AskWithin
