--- a/mixer/mixer.go
+++ b/mixer/mixer.go
@@ -366,6 +366,19 @@
 	}
 }
 
+// hearken judges searchers by what is out there, not by the list: a forward out for several times what its
+// tariff's forwards take, with nothing heard since it was sent, makes its searcher suspect. It guards
+// against hangs, lost machines and cut links alike; a single very heavy part can wrong a sound searcher
+// for about a second.
+func (m *Mixer) hearken(now int64, p *part) {
+	mean, _ := m.rows[p.l.ask.Tariff].typical(now)
+	for _, f := range p.forwards {
+		if !f.done && !f.s.suspect && f.s.heard < f.sent && mean > 0 && float64(now-f.sent) > silentTimes*mean {
+			m.distrust(now, f.s)
+		}
+	}
+}
+
 // frac is the least share of its capacity a searcher has now.
 func (m *Mixer) frac(now int64, s *searcher) float64 {
 	if s.started == 0 || m.c.ColdFor == 0 || now-s.started >= m.c.ColdFor {
@@ -435,6 +448,11 @@
 		return
 	}
 	m.census(now)
+	for _, p := range step {
+		if !p.in {
+			m.hearken(now, p)
+		}
+	}
 	live, onTime := in, in
 	next := l.end
 	for _, p := range step {
@@ -484,8 +502,12 @@
 	for _, f := range picks {
 		m.floor.Forward(f.part.ID, f.s.id, l.end-now)
 	}
-	if len(picks) > 0 {
+	for _, f := range picks {
 		next = min(next, l.lateAt(now, now))
+		if f.s.suspect { // a test: its wait grows until an answer comes
+			m.distrust(now, f.s)
+			next = now
+		}
 	}
 	l.rouse(now, max(next, now+1))
 }
@@ -548,8 +570,10 @@
 				if len(p.forwards) > 0 {
 					key[1] = 1
 				}
-				if s.suspect && !m.overruled() {
-					key[0] = 1
+				if s.suspect && now >= s.testAt {
+					key[0] = -1 // the one test, backed by a copy as soon as the lookup is looked at again
+				} else if s.suspect && !m.overruled() {
+					key[0] = 1 // nobody better holds it
 				}
 				c := slices.Compare(key[:], bestKey[:])
 				if best == nil || c < 0 || c == 0 && m.rng.Intn(2) == 0 {
@@ -572,7 +596,7 @@
 	if s.status != Live || now < s.coldAt && m.frac(now, s) < 1 {
 		return false
 	}
-	return !s.suspect || m.overruled() || now >= s.testAt && len(s.out) == 0
+	return !s.suspect || m.overruled() || now >= s.testAt || len(s.out) == 0
 }
 
 // count is water-filling's level: calls out, one joined counting once, and failures that still weigh.
