Predict each part at its best holder, not by one fleet figure

Cause: a hot key on few slices, or a slow searcher, does not show in the fleet's rate of return. The same figure orders equals in the choice.

--- a/mixer/mixer.go
+++ b/mixer/mixer.go
@@ -14,6 +14,7 @@
 	"math"
 	"math/rand"
 	"slices"
+	"strings"
 )
 
 const (
@@ -28,7 +29,8 @@
 	testLast    = 8000 * ms // ns; a searcher that was away is missed for at most this long
 	coldMargin  = 0.5       // of the multiple a cold searcher bears, what the mixers allow themselves
 	copyShare   = 0.15      // copies for each first forward when idle; more do not shorten lookups further
-	room        = 0.5       // of the expected time, what a forward may be predicted to take when a lookup is taken
+	room        = 0.5       // of the expected time, what a lookup may be predicted to take when it is taken
+	lean        = 3.0       // calls; how much of the fleet's figure is blended into a searcher's own
 	lookAgain   = 50 * ms   // ns; pause before a part that no holder may take is looked at again
 	endMargin   = 8 * ms    // ns; an ending is sent this early, to arrive in time
 	askFirst    = 500 * ms  // ns; first wait after a refused list call, doubled up to a third of AskWithin
@@ -47,6 +49,7 @@
 	suspects  int           // of them, suspect
 
 	sent, copies Decay   // forwards, copies among them
+	took, ahead  Decay   // as for each searcher
 	borne        Decay   // forwards that warm searchers answered
 	budgetTaken  []int64 // when lookups and parts were taken, within the budget's window
 	budgetSpent  []int64 // when further forwards were made
@@ -60,23 +63,23 @@
 
 // searcher is one machine of the list.
 type searcher struct {
-	id      string
-	cell    int
-	near    bool
-	status  Status
-	started int64
-	calls   int // this mixer's calls out: the count that water-filling levels
-	parts   int // parts in them
-	call    *call
-	ghost   Decay // failed forwards that still weigh on the count
-	slow, n Decay // durations over what the tariff's forwards usually take
-	heard   int64 // last answer of any kind
-	strikes int
-	suspect bool
-	wait    int64 // before the next test
-	testAt  int64
-	coldAt  int64 // when it may be sent the next part while cold
-	out     []*forward
+	id          string
+	cell        int
+	near        bool
+	status      Status
+	started     int64
+	calls       int // this mixer's calls out: the count that water-filling levels
+	parts       int // parts in them
+	call        *call
+	ghost       Decay // failed forwards that still weigh on the count
+	took, ahead Decay // time its answers took, and calls out when they were asked for
+	heard       int64 // last answer of any kind
+	strikes     int
+	suspect     bool
+	wait        int64 // before the next test
+	testAt      int64
+	coldAt      int64 // when it may be sent the next part while cold
+	out         []*forward
 }
 
 // call is what travels together to one searcher.
@@ -160,7 +163,7 @@
 		s.status = e.Status
 		if s.started != e.Started { // a new process: nothing known of the old one holds
 			s.started, s.strikes = e.Started, 0
-			s.ghost, s.slow, s.n = Decay{}, Decay{}, Decay{}
+			s.ghost, s.took, s.ahead = Decay{}, Decay{}, Decay{}
 			s.trust()
 		}
 	}
@@ -203,6 +206,7 @@
 // Take takes a lookup. It is planned once its parts have come.
 func (m *Mixer) Take(now int64, a Ask) *Lookup {
 	t := &m.c.Tariffs[a.Tariff]
+	m.slide(now)
 	m.budgetTaken = append(m.budgetTaken, now)
 	l := &Lookup{m: m, ask: a, t: t, expect: a.Parts, need: t.CompleteFrom, end: a.NotAfter}
 	if t.LateRevenue == 0 {
@@ -230,36 +234,39 @@
 }
 
 // hopeless decides at taking whether the lookup can still be satisfied. It guards against overload of any
-// cause: work that comes too late would only keep other work from being in time.
+// cause, of the fleet or of a few slices: work that comes too late would only keep other work from being
+// in time.
 func (l *Lookup) hopeless(now int64) bool {
+	m := l.m
+	times := make([]float64, len(l.parts))
+	for i, p := range l.parts {
+		times[i] = math.Inf(1)
+		for j := range m.c.Reach {
+			for _, s := range m.cells[(p.Slice+j)%m.c.Cells] {
+				if m.eligible(now, s) {
+					times[i] = min(times[i], m.unit(now, s)*float64(s.calls+1))
+				}
+			}
+		}
+	}
+	slices.Sort(times)
+	n := int(math.Ceil(l.need*float64(len(times)) - tiny))
 	steps := 1.0
 	if l.t.SecondStep > 0 {
 		steps = 2
 	}
-	return l.m.predicted(now)*steps > room*float64(min(l.t.Expected, l.ask.NotAfter-now))
+	return n > 0 && times[n-1]*steps > room*float64(min(l.t.Expected, l.ask.NotAfter-now))
 }
 
-// predicted is the time a new forward is likely to take: the forwards out over the rate at which they
-// lately came back. It leads what finished forwards show, since a jam shows in the count at once.
-func (m *Mixer) predicted(now int64) float64 {
-	m.census(now)
-	out, n, sum := 0, 0.0, 0.0
-	for _, cell := range m.cells {
-		for _, s := range cell {
-			if !s.suspect {
-				out += s.parts
-			}
-		}
-	}
-	for i := range m.rows {
-		n += m.rows[i].n.Read(now, halfLife)
-		sum += m.rows[i].sum.Read(now, halfLife)
-	}
-	if n < 1 {
+// unit is what forwards to s lately took for each call out with them, leaning on the fleet's figure where
+// s has shown little. Times the calls a new forward joins, it is the time that forward is likely to take.
+func (m *Mixer) unit(now int64, s *searcher) float64 {
+	n := m.ahead.Read(now, halfLife)
+	if n == 0 {
 		return 0
 	}
-	rate := max(n*math.Ln2/float64(halfLife), float64(m.listed-m.suspects)/float64(m.c.Mixers)*n/sum)
-	return float64(out) / rate
+	fleet := m.took.Read(now, halfLife) / n
+	return (lean*fleet + s.took.Read(now, halfLife)) / (lean + s.ahead.Read(now, halfLife))
 }
 
 // Gone is told that the client left.
@@ -313,9 +320,9 @@
 			m.borne.Add(now, 1, halfLife)
 		}
 		r := &m.rows[f.part.l.ask.Tariff]
-		if mean, _ := r.typical(now); mean > 0 {
-			s.slow.Add(now, float64(took)/mean, halfLife)
-			s.n.Add(now, 1, halfLife)
+		for _, d := range []struct{ took, ahead *Decay }{{&m.took, &m.ahead}, {&s.took, &s.ahead}} {
+			d.took.Add(now, float64(took), halfLife)
+			d.ahead.Add(now, float64(f.count), halfLife)
 		}
 		x := float64(took)
 		r.n.Add(now, 1, halfLife)
@@ -332,11 +339,6 @@
 	}
 }
 
-// perSecond is the rate at which warm searchers lately answered this mixer.
-func (m *Mixer) perSecond(now int64) float64 {
-	return m.borne.Read(now, halfLife) * math.Ln2 / float64(halfLife) * 1e9
-}
-
 // typical gives the mean and deviation of the tariff's recent forwards, 0 when none were seen.
 func (r *row) typical(now int64) (mean, dev float64) {
 	n := r.n.Read(now, halfLife)
@@ -410,7 +412,7 @@
 // A warm one bears at least the parts it answers this mixer and as many from each other mixer, and at
 // least one part in the time one usually takes; of frac times that, times the multiple, coldMargin is used.
 func (m *Mixer) coldGap(now int64, frac float64) int64 {
-	rate := m.perSecond(now) / 1e9 / float64(max(1, m.warm))
+	rate := m.borne.Read(now, halfLife) * math.Ln2 / float64(halfLife) / float64(max(1, m.warm))
 	for i := range m.rows {
 		if mean, _ := m.rows[i].typical(now); mean > 0 {
 			rate = max(rate, 1/mean/float64(m.c.Mixers))
@@ -423,6 +425,14 @@
 	return int64(1 / allowed)
 }
 
+// slide drops what has left the budget's window; at its edge what was spent still counts, what was taken
+// no longer does.
+func (m *Mixer) slide(now int64) {
+	from := now - m.c.BudgetFor
+	m.budgetTaken = slices.DeleteFunc(m.budgetTaken, func(t int64) bool { return t <= from })
+	m.budgetSpent = slices.DeleteFunc(m.budgetSpent, func(t int64) bool { return t < from })
+}
+
 // review is the one place where a lookup moves on: it answers, ends, forwards, and sets the next look.
 func (l *Lookup) review(now int64) {
 	m := l.m
@@ -491,14 +501,8 @@
 		picks = append(picks, f)
 		onTime += f.part.Weight
 	}
-	slices.SortStableFunc(picks, func(a, b *forward) int { // what goes to one searcher goes together
-		if a.s.id < b.s.id {
-			return -1
-		} else if a.s.id > b.s.id {
-			return 1
-		}
-		return 0
-	})
+	// What goes to one searcher goes together.
+	slices.SortStableFunc(picks, func(a, b *forward) int { return strings.Compare(a.s.id, b.s.id) })
 	for _, f := range picks {
 		m.floor.Forward(f.part.ID, f.s.id, l.end-now)
 	}
@@ -606,8 +610,7 @@
 
 // burden orders equals: how long parts lately took there, against their tariff's mean.
 func (m *Mixer) burden(now int64, s *searcher) float64 {
-	slow := (1 + s.slow.Read(now, halfLife)) / (1 + s.n.Read(now, halfLife))
-	return slow * float64(s.parts+1) / m.frac(now, s)
+	return m.unit(now, s) * float64(s.parts+1) / m.frac(now, s)
 }
 
 // tried tells whether a forward of the part is out at s, or failed there.
@@ -649,13 +652,9 @@
 
 // budgetAllows keeps further forwards within the charter's budget, over every window.
 func (m *Mixer) budgetAllows(now int64) bool {
-	if m.c.BudgetFor == 0 {
-		return true
-	}
-	from := now - m.c.BudgetFor
-	m.budgetTaken = slices.DeleteFunc(m.budgetTaken, func(t int64) bool { return t <= from })
-	m.budgetSpent = slices.DeleteFunc(m.budgetSpent, func(t int64) bool { return t < from })
-	return float64(len(m.budgetSpent)+1) <= m.c.BudgetFree+m.c.BudgetShare*float64(len(m.budgetTaken))
+	m.slide(now)
+	most := m.c.BudgetFree + m.c.BudgetShare*float64(len(m.budgetTaken))
+	return m.c.BudgetFor == 0 || float64(len(m.budgetSpent)+1) <= most
 }
 
 // send books one forward; review puts it out.
@@ -672,9 +671,7 @@
 	s.parts++
 	f := &forward{part: p, s: s, call: s.call, count: s.calls, sent: now}
 	if len(p.forwards) > 0 {
-		if m.c.BudgetFor > 0 {
-			m.budgetSpent = append(m.budgetSpent, now)
-		}
+		m.budgetSpent = append(m.budgetSpent, now)
 	}
 	if frac := m.frac(now, s); frac < 1 {
 		s.coldAt = now + m.coldGap(now, frac)
