--- a/mixer/mixer.go
+++ b/mixer/mixer.go
@@ -116,6 +116,7 @@
 	step    int // first part of the step at hand
 	expect  int // parts once the step is complete
 	need    float64
+	wanted  int64 // when its full revenue ends
 	end     int64 // when it is given up
 	wake    int64
 	whole   bool // first step was whole
@@ -209,10 +210,15 @@
 	m.slide(now)
 	m.budgetTaken = append(m.budgetTaken, now)
 	l := &Lookup{m: m, ask: a, t: t, expect: a.Parts, need: t.CompleteFrom, end: a.NotAfter}
-	if t.LateRevenue == 0 {
-		l.end = min(l.end, now+t.Expected)
+	asked := now
+	if a.Again { // it has waited since its first try, whose patience is what NotAfter leaves
+		asked = min(now, a.NotAfter-t.Patience)
+	}
+	l.wanted = min(a.NotAfter, asked+t.Expected) - endMargin
+	l.end = l.wanted
+	if t.LateRevenue > 0 {
+		l.end = a.NotAfter - endMargin
 	}
-	l.end -= endMargin
 	return l
 }
 
@@ -255,7 +261,7 @@
 	if l.t.SecondStep > 0 {
 		steps = 2
 	}
-	return n > 0 && times[n-1]*steps > room*float64(min(l.t.Expected, l.ask.NotAfter-now))
+	return n > 0 && times[n-1]*steps > room*max(float64(l.wanted-now), l.t.LateRevenue*float64(l.end-now))
 }
 
 // unit is what forwards to s lately took for each call out with them, leaning on the fleet's figure where
