--- a/mixer/mixer.go
+++ b/mixer/mixer.go
@@ -23,7 +23,7 @@
 	halfLife    = 4000 * ms // ns; sums follow a change of load within seconds, yet hold some tens of forwards
 	ghostHalf   = 2000 * ms // ns; a failed forward weighs on the count about as long as a queue takes to drain
 	lateSpread  = 2.5       // deviations above the mean from which a forward is late: about 1 in 50 when sound
-	silentTimes = 4.0       // means out unanswered, with nothing else heard, that make a searcher suspect
+	silentTimes = 2.5       // means out unanswered, with nothing else heard, that make a searcher suspect
 	strikesOut  = 3         // failures in a row that make a searcher suspect
 	testFirst   = 1000 * ms // ns; first wait before a suspect is tested, doubled to testLast
 	testLast    = 8000 * ms // ns; a searcher that was away is missed for at most this long
