--- a/mixer/mixer.go
+++ b/mixer/mixer.go
@@ -74,6 +74,7 @@
 	ghost       Decay // failed forwards that still weigh on the count
 	took, ahead Decay // time its answers took, and calls out when they were asked for
 	heard       int64 // last answer of any kind
+	probed      int64 // when last probed
 	strikes     int
 	suspect     bool
 	wait        int64 // before the next test
@@ -201,8 +202,12 @@
 	}
 }
 
-// Probed is told the result of a probe; none are sent yet.
-func (m *Mixer) Probed(now int64, id string, o Outcome, took int64, load Load) {}
+// Probed is told the result of a probe. An answer only shows a process: the searcher may still hang.
+func (m *Mixer) Probed(now int64, id string, o Outcome, took int64, load Load) {
+	if s := m.searchers[id]; s != nil && o != Satisfied {
+		m.distrust(now, s)
+	}
+}
 
 // Take takes a lookup. It is planned once its parts have come.
 func (m *Mixer) Take(now int64, a Ask) *Lookup {
@@ -377,12 +382,19 @@
 // hearken judges searchers by what is out there, not by the list: a forward out for several times what its
 // tariff's forwards take, with nothing heard since it was sent, makes its searcher suspect. It guards
 // against hangs, lost machines and cut links alike; a single very heavy part can wrong a sound searcher
-// for about a second.
+// for about a second. Where probes are allowed, one is asked first.
 func (m *Mixer) hearken(now int64, p *part) {
 	mean, _ := m.rows[p.l.ask.Tariff].typical(now)
 	for _, f := range p.forwards {
-		if !f.done && !f.s.suspect && f.s.heard < f.sent && mean > 0 && float64(now-f.sent) > silentTimes*mean {
-			m.distrust(now, f.s)
+		s, silent := f.s, float64(now-f.sent)/silentTimes
+		if f.done || s.suspect || s.heard > f.sent || mean == 0 || silent < mean {
+			continue
+		}
+		if !m.c.MayProbe || silent > 2*mean {
+			m.distrust(now, s)
+		} else if s.probed < f.sent {
+			s.probed = now
+			m.floor.Probe(s.id)
 		}
 	}
 }
