--- a/mixer/mixer.go
+++ b/mixer/mixer.go
@@ -91,13 +91,14 @@
 
 // forward is one try of a part.
 type forward struct {
-	part  *part
-	s     *searcher
-	call  *call
-	count int // calls out at the searcher with it
-	sent  int64
-	done  bool
-	ran   bool // may have run
+	part    *part
+	s       *searcher
+	call    *call
+	count   int   // calls out at the searcher with it
+	process int64 // the searcher's start when it was sent
+	sent    int64
+	done    bool
+	ran     bool // may have run
 }
 
 type part struct {
@@ -542,10 +543,11 @@
 	}
 }
 
-// lastOut gives when the newest forward still out was sent, 0 if none is; those out at suspects do not count.
+// lastOut gives when the newest forward still out was sent, 0 if none is. Those out at suspects do not
+// count, nor those whose process is gone from the list or has been replaced since.
 func (p *part) lastOut() (sent int64) {
 	for _, f := range p.forwards {
-		if !f.done && !f.s.suspect {
+		if !f.done && !f.s.suspect && f.s.status != Dead && f.process == f.s.started {
 			sent = max(sent, f.sent)
 		}
 	}
@@ -687,7 +689,7 @@
 	s.call.size++
 	s.call.left++
 	s.parts++
-	f := &forward{part: p, s: s, call: s.call, count: s.calls, sent: now}
+	f := &forward{part: p, s: s, call: s.call, count: s.calls, process: s.started, sent: now}
 	if len(p.forwards) > 0 {
 		m.budgetSpent = append(m.budgetSpent, now)
 	}
