--- a/mixer/mixer.go
+++ b/mixer/mixer.go
@@ -222,9 +222,6 @@
 	}
 	l.wanted = min(a.NotAfter, asked+t.Expected) - endMargin
 	l.end = l.wanted
-	if t.LateRevenue > 0 {
-		l.end = a.NotAfter - endMargin
-	}
 	return l
 }
 
