--- a/mixer/mixer.go
+++ b/mixer/mixer.go
@@ -222,6 +222,9 @@
 	}
 	l.wanted = min(a.NotAfter, asked+t.Expected) - endMargin
 	l.end = l.wanted
+	if t.LateRevenue > 0 {
+		l.end = a.NotAfter - endMargin
+	}
 	return l
 }
 
@@ -469,7 +472,7 @@
 		l.answer(now, l.step == 0 || l.whole)
 		return
 	}
-	if now >= l.end {
+	if now >= l.end || now >= l.wanted && l.hopeless(now) {
 		l.giveUp(now, in)
 		return
 	}
@@ -481,6 +484,9 @@
 	}
 	live, onTime := in, in
 	next := l.end
+	if now < l.wanted {
+		next = l.wanted
+	}
 	for _, p := range step {
 		if p.in {
 			continue
