--- a/mixer/mixer.go
+++ b/mixer/mixer.go
@@ -32,7 +32,6 @@
 	room        = 0.5       // of the time left, what a lookup may be predicted to take when it is taken
 	copyShare   = 0.15      // copies for each forward when idle; more do not shorten lookups further
 	copyEase    = 2.5       // how fast that share fades as forwards take more of the expected time
-	copyLeast   = 0.1       // of copyShare, what is left under any load: too little to feed it
 	lookAgain   = 50 * ms   // ns; pause before a part that no holder may take is looked at again
 	endMargin   = 8 * ms    // ns; an ending is sent this early, to arrive in time
 	askFirst    = 500 * ms  // ns; first wait after a refused list call, doubled up to a third of AskWithin
@@ -493,8 +492,8 @@
 // against the expected time, so that copies never feed an overload.
 func (m *Mixer) mayCopy(now int64, l *Lookup) bool {
 	mean, _ := m.typical(now, l)
-	ease := max(copyLeast, 1-copyEase*mean/float64(l.t.Expected))
-	return m.copies.Read(now, halfLife) <= copyShare*ease*m.sent.Read(now, halfLife)
+	ease := 1 - copyEase*mean/float64(l.t.Expected)
+	return ease > 0 && m.copies.Read(now, halfLife) <= copyShare*ease*m.sent.Read(now, halfLife)
 }
 
 // holders goes through the searchers that may be picked for a part.
