--- a/mixer/mixer.go
+++ b/mixer/mixer.go
@@ -385,7 +385,13 @@
 // warm one bears at least what it answers this mixer, and as much for each other mixer; and at least one
 // part in the time that one takes. The gap lets through coldMargin of frac times that, times the multiple.
 func (m *Mixer) coldGap(now int64, frac float64) int64 {
-	rate := m.borne.Read(now, halfLife) * math.Ln2 / float64(halfLife) / float64(max(1, m.live))
+	warm := 0
+	for _, s := range m.searchers {
+		if s.status == Live && m.frac(now, s) == 1 {
+			warm++
+		}
+	}
+	rate := m.borne.Read(now, halfLife) * math.Ln2 / float64(halfLife) / float64(max(1, warm))
 	for i := range m.rows {
 		if n, sum := m.rows[i].n.Read(now, halfLife), m.rows[i].sum.Read(now, halfLife); sum > 0 {
 			rate = max(rate, n/sum/float64(m.c.Mixers))
