--- a/mixer/mixer.go
+++ b/mixer/mixer.go
@@ -35,6 +35,7 @@
 	lookAgain   = 50 * ms   // ns; pause before a part that no holder may take is looked at again
 	endMargin   = 8 * ms    // ns; an ending is sent this early, to arrive in time
 	askFirst    = 500 * ms  // ns; first wait after a refused list call, doubled up to a third of AskWithin
+	crossing    = 10.0      // share of a forward's time that a price of 1 on crossing zones is worth
 	tiny        = 1e-6      // weights may fall short by rounding
 )
 
@@ -537,6 +538,9 @@
 			}
 			key := [5]float64{2: float64(s.calls) + math.Round(s.ghost.Read(now, ghostHalf)), 4: float64(p.Effort)}
 			key[3] = m.unit(now, s) * float64(s.parts+1) / m.frac(now, s)
+			if !s.near { // weighed against time by what crossing costs
+				key[3] *= 1 + crossing*m.c.CrossPrice
+			}
 			if len(p.forwards) > 0 {
 				key[1] = 1
 			}
