--- a/mixer/mixer.go
+++ b/mixer/mixer.go
@@ -23,6 +23,7 @@
 	halfLife    = 4000 * ms // ns; sums follow a change of load within seconds, yet hold some tens of forwards
 	ghostHalf   = 2000 * ms // ns; a failed forward weighs on the count about as long as a queue takes to drain
 	lean        = 3.0       // calls; how much of the fleet's figure is blended into a searcher's own
+	clip        = 3.0       // means; a longer forward counts as this long
 	lateSpread  = 2.5       // deviations above the mean from which a forward is late: 1 in 50 when all is well
 	silentTimes = 2.5       // means out with nothing heard since that make a searcher suspect
 	strikesOut  = 3         // failures in a row that make a searcher suspect
@@ -305,6 +306,9 @@
 		if m.frac(now, s) == 1 {
 			m.borne.Add(now, 1, halfLife)
 		}
+		if mean, _ := m.typical(now, f.part.l); mean > 0 { // a few very heavy parts do not make a fleet slow
+			took = min(took, int64(clip*mean))
+		}
 		for _, p := range []*pace{&m.pace, &s.pace} {
 			p.took.Add(now, float64(took), halfLife)
 			p.ahead.Add(now, float64(f.count), halfLife)
