--- a/mixer/mixer.go
+++ b/mixer/mixer.go
@@ -20,25 +20,23 @@
 const (
 	ms = int64(1_000_000)
 
-	halfLife    = 4000 * ms  // ns; sums follow a change of load within seconds, yet hold some tens of forwards
-	ghostHalf   = 2000 * ms  // ns; a failed forward weighs on the count about as long as a queue takes to drain
-	lean        = 3.0        // calls; how much of the fleet's figure is blended into a searcher's own
-	lateSpread  = 2.5        // deviations above the mean from which a forward is late: 1 in 50 when all is well
-	silentTimes = 2.5        // means out with nothing heard since that make a searcher suspect
-	strikesOut  = 3          // failures in a row that make a searcher suspect
-	testFirst   = 1000 * ms  // ns; first wait before a suspect is tested, doubled up to testLast
-	testLast    = 8000 * ms  // ns; a searcher that is back is missed for at most about this long
-	coldMargin  = 0.5        // of what a cold searcher bears, the part that the mixers together allow themselves
-	room        = 0.5        // of the time left, what a lookup may be predicted to take when it is taken
-	fairHalf    = 10000 * ms // ns; a tariff is badly served over tens of seconds, not over one bad moment
-	mostFavour  = 1.5        // how much more of its time one tariff's lookups may be predicted to take than the mean
-	copyShare   = 0.15       // copies for each forward when idle; more do not shorten lookups further
-	copyEase    = 2.5        // how fast that share fades as forwards take more of the expected time
-	lookAgain   = 50 * ms    // ns; pause before a part that no holder may take is looked at again
-	endMargin   = 8 * ms     // ns; an ending is sent this early, to arrive in time
-	askFirst    = 500 * ms   // ns; first wait after a refused list call, doubled up to a third of AskWithin
-	crossing    = 10.0       // share of a forward's time that a price of 1 on crossing zones is worth
-	tiny        = 1e-6       // weights may fall short by rounding
+	halfLife    = 4000 * ms // ns; sums follow a change of load within seconds, yet hold some tens of forwards
+	ghostHalf   = 2000 * ms // ns; a failed forward weighs on the count about as long as a queue takes to drain
+	lean        = 3.0       // calls; how much of the fleet's figure is blended into a searcher's own
+	lateSpread  = 2.5       // deviations above the mean from which a forward is late: 1 in 50 when all is well
+	silentTimes = 2.5       // means out with nothing heard since that make a searcher suspect
+	strikesOut  = 3         // failures in a row that make a searcher suspect
+	testFirst   = 1000 * ms // ns; first wait before a suspect is tested, doubled up to testLast
+	testLast    = 8000 * ms // ns; a searcher that is back is missed for at most about this long
+	coldMargin  = 0.5       // of what a cold searcher bears, the part that the mixers together allow themselves
+	room        = 0.5       // of the time left, what a lookup may be predicted to take when it is taken
+	copyShare   = 0.15      // copies for each forward when idle; more do not shorten lookups further
+	copyEase    = 2.5       // how fast that share fades as forwards take more of the expected time
+	lookAgain   = 50 * ms   // ns; pause before a part that no holder may take is looked at again
+	endMargin   = 8 * ms    // ns; an ending is sent this early, to arrive in time
+	askFirst    = 500 * ms  // ns; first wait after a refused list call, doubled up to a third of AskWithin
+	crossing    = 10.0      // share of a forward's time that a price of 1 on crossing zones is worth
+	tiny        = 1e-6      // weights may fall short by rounding
 )
 
 // Mixer is one mixer. It shares nothing with others.
@@ -59,8 +57,8 @@
 	refusals     int
 }
 
-// row is what is kept of a tariff: how long its forwards take, and the revenue asked for and earned.
-type row struct{ n, sum, squares, asked, earned Decay }
+// row is what is kept of a tariff: how long its forwards take.
+type row struct{ n, sum, squares Decay }
 
 // pace is how long forwards took, and how many calls were out where they went.
 type pace struct{ took, ahead Decay }
@@ -213,7 +211,6 @@
 	t := &m.c.Tariffs[a.Tariff]
 	m.slide(now)
 	m.taken = append(m.taken, now)
-	m.rows[a.Tariff].asked.Add(now, t.Revenue, fairHalf)
 	asked := now
 	if a.Again { // it has waited since its first try; NotAfter is what its patience leaves
 		asked = min(now, a.NotAfter-t.Patience)
@@ -257,39 +254,7 @@
 	if l.t.SecondStep > 0 {
 		time *= 2
 	}
-	return time > room*m.favour(now, l.ask.Tariff)*float64(l.end-now)
-}
-
-// favour weighs a tariff's claim on what the fleet can do against the others', by the charter's goals: what
-// an answer adds to all revenue, and to the worst-served tariff if it is that one, for the forwards' time it
-// takes. It is above 1 for what should be turned away last.
-func (m *Mixer) favour(now int64, tariff int) float64 {
-	all, worst, least := 0.0, 0, math.Inf(1)
-	for i := range m.rows {
-		asked := m.rows[i].asked.Read(now, fairHalf)
-		all += asked
-		if share := m.rows[i].earned.Read(now, fairHalf) / asked; share < least {
-			worst, least = i, share
-		}
-	}
-	mine, gains, works := 1.0, 0.0, 0.0
-	for i := range m.rows {
-		r := &m.rows[i]
-		gain := m.c.WholeGoal / all
-		if i == worst {
-			gain += m.c.TariffGoal / r.asked.Read(now, fairHalf)
-		}
-		gain *= r.earned.Read(now, fairHalf)
-		work := r.sum.Read(now, halfLife)
-		gains, works = gains+gain, works+work
-		if i == tariff {
-			mine = gain / work
-		}
-	}
-	if f := mine * works / gains; f > 0 {
-		return min(max(f, 1/mostFavour), mostFavour)
-	}
-	return 1
+	return time > room*float64(l.end-now)
 }
 
 // unit is what forwards to s lately took for each call out with them, leaning on the fleet's figure where
@@ -657,7 +622,6 @@
 	l.m.floor.Answer(l.ask.ID, whole)
 	if l.step > 0 || l.t.SecondStep == 0 {
 		l.ended = true
-		l.m.rows[l.ask.Tariff].earned.Add(now, l.t.Revenue, fairHalf)
 		return
 	}
 	in := 0
