Rules checked after every step of random worlds, beside plain cases

Found by them and answered: a partial first step was given as a final answer where a second step follows; the cold allowance was too wide after warm searchers had left; what is out at a machine listed as gone waited for the next look; a silent searcher whose parts others rescued was never judged, now its time-outs are.

--- a/internal/wire/instance.go
+++ b/internal/wire/instance.go
@@ -279,8 +279,6 @@
 	i.end(lookup)
 }
 
-func (i *instance) Drop(part string) { i.say("abort", part) }
-
 func (i *instance) Probe(searcher string) { i.say("ping", searcher) }
 
 func (i *instance) Timer(after int64, whose mixer.Due) {
@@ -291,6 +289,4 @@
 
 func (i *instance) Subscribe() { i.say("watch", "1") }
 
-func (i *instance) AskList() { i.say("lookup") }
-
 func (i *instance) Note(text string) { i.say("debug", text) }
--- a/mixer/mixer.go
+++ b/mixer/mixer.go
@@ -50,7 +50,6 @@
 	live, suspects int           // searchers listed live, suspects among them
 
 	pace         pace    // of the whole fleet
-	borne        Decay   // forwards that warm searchers answered
 	sent, copies Decay   // forwards, copies among them
 	taken, spent []int64 // when lookups and parts were taken and further forwards made, for the budget
 	asking       bool    // a list call is out or the subscription runs
@@ -73,6 +72,7 @@
 	call         *call // the newest
 	ghost        Decay // failed forwards that still weigh on the count
 	pace         pace  // of its answers
+	borne        Decay // answers while warm
 	heard        int64 // last answer of any kind
 	probed       int64 // last probe
 	strikes      int   // failures in a row
@@ -161,7 +161,14 @@
 		s.near, s.status = e.Zone == m.c.Zone, e.Status
 		if s.started != e.Started { // a new process: nothing learnt of the old one holds
 			s.started, s.strikes, s.suspect, s.wait = e.Started, 0, false, 0
-			s.ghost, s.pace = Decay{}, pace{}
+			s.ghost, s.borne, s.pace = Decay{}, Decay{}, pace{}
+		}
+	}
+	for _, cell := range m.cells {
+		for _, s := range cell {
+			if len(s.out) > 0 && s.out[0].lost() {
+				s.rouse(now)
+			}
 		}
 	}
 	m.recount()
@@ -281,6 +288,9 @@
 func (l *Lookup) Outcome(now int64, i, copy int, o Outcome, took int64, over bool, load Load) {
 	p := l.parts[i]
 	f := p.forwards[copy]
+	if o == TimedOut {
+		l.m.hearken(now, p)
+	}
 	f.done, f.ran = true, !o.NeverRan()
 	l.m.settle(now, f, o, took)
 	if l.ended || p.in {
@@ -303,7 +313,7 @@
 		s.heard, s.strikes, s.suspect, s.wait = now, 0, false, 0
 		m.recount()
 		if m.frac(now, s) == 1 {
-			m.borne.Add(now, 1, halfLife)
+			s.borne.Add(now, 1, halfLife)
 		}
 		for _, p := range []*pace{&m.pace, &s.pace} {
 			p.took.Add(now, float64(took), halfLife)
@@ -364,6 +374,11 @@
 	}
 	s.suspect = true
 	m.recount()
+	s.rouse(now)
+}
+
+// rouse has the lookups looked at again whose parts may be lost at s.
+func (s *searcher) rouse(now int64) {
 	for _, f := range s.out {
 		if !f.part.l.ended {
 			f.part.l.rouse(now, now)
@@ -386,13 +401,16 @@
 // warm one bears at least what it answers this mixer, and as much for each other mixer; and at least one
 // part in the time that one takes. The gap lets through coldMargin of frac times that, times the multiple.
 func (m *Mixer) coldGap(now int64, frac float64) int64 {
-	warm := 0
-	for _, s := range m.searchers {
-		if s.status == Live && m.frac(now, s) == 1 {
-			warm++
+	warm, borne := 0.0, 0.0
+	for _, cell := range m.cells {
+		for _, s := range cell {
+			if s.status == Live && m.frac(now, s) == 1 {
+				warm++
+				borne += s.borne.Read(now, halfLife)
+			}
 		}
 	}
-	rate := m.borne.Read(now, halfLife) * math.Ln2 / float64(halfLife) / float64(max(1, warm))
+	rate := borne * math.Ln2 / float64(halfLife) / max(1, warm)
 	for i := range m.rows {
 		if n, sum := m.rows[i].n.Read(now, halfLife), m.rows[i].sum.Read(now, halfLife); sum > 0 {
 			rate = max(rate, n/sum/float64(m.c.Mixers))
@@ -639,7 +657,8 @@
 // nothing may have run that must not run twice, else a failure.
 func (l *Lookup) giveUp(now int64, in float64) {
 	l.ended = true
-	if l.t.LeastShare < l.t.CompleteFrom && in >= l.t.LeastShare && l.t.Partial > 0 {
+	final := l.step > 0 || l.t.SecondStep == 0 // any other answer would only start the second step
+	if final && l.t.LeastShare < l.t.CompleteFrom && in >= l.t.LeastShare && l.t.Partial > 0 {
 		l.m.floor.Answer(l.ask.ID, false)
 		return
 	}
--- /dev/null
+++ b/mixer/mixer_test.go
@@ -0,0 +1,621 @@
+package mixer
+
+import (
+	"container/heap"
+	"fmt"
+	"math"
+	"math/rand"
+	"testing"
+)
+
+// world plays the searchers and clients around one mixer in simulated time. It is the mixer's floor, and
+// checks the rules and the legality of every action as it comes.
+type world struct {
+	t        testing.TB
+	rng      *rand.Rand
+	now      int64
+	seq      int
+	queue    events
+	c        Charter
+	m        *Mixer
+	told     map[string]Entry // the list as the mixer was last told
+	box      map[string]*box
+	lookups  map[string]*seen
+	parts    map[string]*seenPart
+	forwards []int64 // further ones
+	taken    []int64
+	cold     map[string][]int64 // when parts were sent to a searcher told to be cold
+	answers  int
+	refusing bool
+}
+
+// box is one searcher as it really is.
+type box struct {
+	free   [2]int64 // when each core is done
+	broken int      // 0 sound, 1 silent, 2 fails at once, 3 unreachable
+}
+
+type seen struct {
+	h             *Lookup
+	t             Tariff
+	notAfter      int64
+	steps         [][]string
+	ended, gone   bool
+	answeredWhole bool
+}
+
+type seenPart struct {
+	l         *seen
+	index     int
+	slice     int
+	weight    float64
+	sent      []int64
+	done, ran []bool
+	in        bool
+}
+
+type event struct {
+	at  int64
+	seq int
+	do  func()
+}
+
+type events []event
+
+func (e events) Len() int { return len(e) }
+func (e events) Less(i, j int) bool {
+	return e[i].at < e[j].at || e[i].at == e[j].at && e[i].seq < e[j].seq
+}
+func (e events) Swap(i, j int) { e[i], e[j] = e[j], e[i] }
+func (e *events) Push(x any)   { *e = append(*e, x.(event)) }
+func (e *events) Pop() any {
+	old := *e
+	x := old[len(old)-1]
+	*e = old[:len(old)-1]
+	return x
+}
+
+func (w *world) after(d int64, do func()) {
+	w.seq++
+	heap.Push(&w.queue, event{w.now + max(d, 1), w.seq, do})
+}
+
+// run plays all events until a time.
+func (w *world) run(until int64) {
+	for len(w.queue) > 0 && w.queue[0].at <= until {
+		e := heap.Pop(&w.queue).(event)
+		w.now = e.at
+		e.do()
+	}
+	w.now = until
+}
+
+func newWorld(t testing.TB, seed int64, c Charter) *world {
+	w := &world{t: t, rng: rand.New(rand.NewSource(seed)), now: 1e15, c: c, told: map[string]Entry{},
+		box: map[string]*box{}, lookups: map[string]*seen{}, parts: map[string]*seenPart{}, cold: map[string][]int64{}}
+	w.m = New(w.now, c, seed, w)
+	return w
+}
+
+// list tells the mixer of searchers.
+func (w *world) list(full bool, rows ...Entry) {
+	if full {
+		for id, e := range w.told {
+			e.Status = Dead
+			w.told[id] = e
+		}
+	}
+	for _, e := range rows {
+		if old, ok := w.told[e.Searcher]; ok && old.Started != e.Started {
+			delete(w.cold, e.Searcher)
+		}
+		w.told[e.Searcher] = e
+		if w.box[e.Searcher] == nil {
+			w.box[e.Searcher] = &box{}
+		}
+	}
+	w.m.Listed(w.now, rows, full, false)
+}
+
+// take hands over a lookup with parts of equal weight on slices in a row.
+func (w *world) take(tariff, parts, slice int, patience int64, again bool) *seen {
+	id := fmt.Sprint("l", len(w.lookups))
+	l := &seen{t: w.c.Tariffs[tariff], notAfter: w.now + patience}
+	w.lookups[id] = l
+	w.taken = append(w.taken, w.now)
+	l.h = w.m.Take(w.now, Ask{ID: id, Tariff: tariff, NotAfter: l.notAfter, Parts: parts, Again: again})
+	w.hand(l, id, parts, slice)
+	return l
+}
+
+func (w *world) hand(l *seen, id string, parts, slice int) {
+	step := len(l.steps)
+	l.steps = append(l.steps, nil)
+	index := 0
+	for _, s := range l.steps {
+		index += len(s)
+	}
+	for i := range parts {
+		part := fmt.Sprint(id, "s", step, "p", i)
+		w.parts[part] = &seenPart{l: l, index: index + i, slice: (slice + i) % w.c.Cells, weight: 1 / float64(parts)}
+		l.steps[step] = append(l.steps[step], part)
+		w.taken = append(w.taken, w.now)
+		l.h.AddPart(w.now, Piece{ID: part, Slice: (slice + i) % w.c.Cells, Weight: 1 / float64(parts)})
+	}
+}
+
+func (w *world) Forward(part, searcher string, within int64) {
+	p, e := w.parts[part], w.told[searcher]
+	if p == nil || p.l.ended || p.in {
+		w.t.Fatalf("forward of part %s, which is not open", part)
+	}
+	if _, ok := w.told[searcher]; !ok || e.Status != Live {
+		w.t.Fatalf("forward of %s to %s, which is not listed live", part, searcher)
+	}
+	if d := (e.Cell - p.slice + w.c.Cells) % w.c.Cells; d >= w.c.Reach {
+		w.t.Fatalf("forward of %s to %s, which does not hold slice %d", part, searcher, p.slice)
+	}
+	if len(p.sent) >= w.c.MaxForwards {
+		w.t.Fatalf("forward %d of %s, most are %d", len(p.sent)+1, part, w.c.MaxForwards)
+	}
+	for i := range p.sent {
+		if !p.done[i] && !w.c.MayCopy {
+			w.t.Fatalf("copy of %s, none are allowed", part)
+		}
+		if may := !p.done[i] || p.ran[i]; may && p.l.t.Effect == OnceOnly {
+			w.t.Fatalf("once-only part %s sent again", part)
+		} else if may && p.l.t.Effect == Tagged && w.now > p.sent[i]+p.l.t.RepeatFor {
+			w.t.Fatalf("tagged part %s sent again after its window", part)
+		}
+	}
+	if len(p.sent) > 0 {
+		w.forwards = append(w.forwards, w.now)
+		w.budget()
+	}
+	w.coldCheck(searcher, e)
+	i := len(p.sent)
+	p.sent, p.done, p.ran = append(p.sent, w.now), append(p.done, false), append(p.ran, true)
+	o, took := w.serve(w.box[searcher], within)
+	w.after(took, func() {
+		p.done[i], p.ran[i] = true, !o.NeverRan()
+		if o == Satisfied && !p.l.ended {
+			p.in = true
+		}
+		p.l.h.Outcome(w.now, p.index, i, o, took, p.in || p.l.ended, Load{})
+	})
+}
+
+// serve says how a forward to a searcher will end, and when.
+func (w *world) serve(b *box, within int64) (Outcome, int64) {
+	switch b.broken {
+	case 1:
+		return TimedOut, within
+	case 2:
+		return []Outcome{Errored, Bounced, Reset}[w.rng.Intn(3)], 2 * ms
+	case 3:
+		return Unreached, min(within, 250*ms)
+	}
+	core := 0
+	if b.free[1] < b.free[0] {
+		core = 1
+	}
+	b.free[core] = max(b.free[core], w.now) + 50*ms + w.rng.Int63n(100*ms)
+	if took := b.free[core] - w.now; took <= within {
+		return Satisfied, took
+	}
+	return TimedOut, within
+}
+
+// budget checks rule 6 over the window that ends now.
+func (w *world) budget() {
+	spent, taken := 0, 0
+	for _, at := range w.forwards {
+		if at >= w.now-w.c.BudgetFor {
+			spent++
+		}
+	}
+	for _, at := range w.taken {
+		if at > w.now-w.c.BudgetFor {
+			taken++
+		}
+	}
+	if most := w.c.BudgetFree + w.c.BudgetShare*float64(taken); w.c.BudgetFor > 0 && float64(spent) > most {
+		w.t.Fatalf("%d further forwards in the budget's window, most are %g", spent, most)
+	}
+}
+
+// coldCheck checks rule 4 for this mixer's share: the boxes bear 20 parts a second when warm.
+func (w *world) coldCheck(searcher string, e Entry) {
+	age := w.now - e.Started
+	if e.Started == 0 || age >= w.c.ColdFor {
+		return
+	}
+	w.cold[searcher] = append(w.cold[searcher], w.now)
+	in := 0.0
+	for _, at := range w.cold[searcher] {
+		if at > w.now-w.c.FallFor {
+			in++
+		}
+	}
+	frac := w.c.ColdFrom + (1-w.c.ColdFrom)*float64(age)/float64(w.c.ColdFor)
+	bears := w.c.FallMultiple * frac * 20 * float64(w.c.FallFor) / 1e9 / float64(w.c.Mixers)
+	if in > 1+bears {
+		w.t.Fatalf("cold searcher %s sent %g parts within %d ns, it bears %g", searcher, in, w.c.FallFor, bears)
+	}
+}
+
+func (w *world) end(id, how string) *seen {
+	l := w.lookups[id]
+	if l == nil || l.ended {
+		w.t.Fatalf("%s of lookup %s, which is not open", how, id)
+	}
+	if w.now > l.notAfter {
+		w.t.Fatalf("%s of lookup %s after its time", how, id)
+	}
+	l.ended = true
+	return l
+}
+
+func (w *world) Answer(id string, whole bool) {
+	l := w.end(id, "answer")
+	in, all := 0.0, true
+	for _, part := range l.steps[len(l.steps)-1] {
+		if w.parts[part].in {
+			in += w.parts[part].weight
+		} else {
+			all = false
+		}
+	}
+	if in < l.t.LeastShare-1e-4 && (len(l.steps) == 1 || l.t.LeastShare < l.t.CompleteFrom) || len(l.steps) == 2 &&
+		!all && l.t.LeastShare >= l.t.CompleteFrom {
+		w.t.Fatalf("answer of %s from %g of its parts", id, in)
+	}
+	first := len(l.steps) == 1
+	if whole && (first && in < l.t.CompleteFrom-1e-4 || !first && !(all && l.answeredWhole)) {
+		w.t.Fatalf("answer of %s marked whole with %g of its parts", id, in)
+	}
+	l.answeredWhole = whole
+	w.answers++
+	if first && l.t.SecondStep > 0 {
+		l.ended = false
+		n := 0
+		for _, part := range l.steps[0] {
+			if w.parts[part].in {
+				n++
+			}
+		}
+		w.after(5*ms, func() {
+			if !l.ended {
+				w.hand(l, id, min(n, l.t.SecondStep), w.rng.Intn(w.c.Cells))
+			}
+		})
+	}
+}
+
+func (w *world) Bounce(id string, wait int64) {
+	l := w.end(id, "bounce")
+	for _, step := range l.steps {
+		for _, part := range step {
+			p := w.parts[part]
+			for i := range p.sent {
+				if l.t.Effect == OnceOnly && (!p.done[i] || p.ran[i]) {
+					w.t.Fatalf("bounce of once-only lookup %s, part %s may have run", id, part)
+				}
+			}
+		}
+	}
+	if wait < 0 || wait > w.c.MaxAdvice {
+		w.t.Fatalf("bounce of %s advises %d ns", id, wait)
+	}
+}
+
+func (w *world) Fail(id string) { w.end(id, "failure") }
+
+func (w *world) Cancel(part string, forward int) {
+	if p := w.parts[part]; !w.c.MayCancel || p == nil || forward >= len(p.sent) {
+		w.t.Fatalf("cancel of forward %d of %s", forward, part)
+	}
+}
+
+func (w *world) Probe(searcher string) {
+	if !w.c.MayProbe {
+		w.t.Fatalf("probe of %s, none are allowed", searcher)
+	}
+	o, took := Satisfied, 2*ms
+	if w.box[searcher].broken != 0 {
+		o, took = TimedOut, 250*ms
+	}
+	w.after(took, func() { w.m.Probed(w.now, searcher, o, took, Load{}) })
+}
+
+func (w *world) Timer(after int64, whose Due) {
+	if after <= 0 {
+		w.t.Fatalf("timer after %d ns", after)
+	}
+	w.after(after, func() { whose.Due(w.now) })
+}
+
+func (w *world) Subscribe() {
+	w.after(20*ms, func() {
+		if w.refusing {
+			w.m.ListRefused(w.now)
+		}
+	})
+}
+
+func (w *world) Note(string) {}
+
+// charter draws legal settings.
+func charter(rng *rand.Rand) Charter {
+	c := Charter{
+		Mixers: 1 + rng.Intn(4), Cells: 3 + rng.Intn(6), PerCall: 1 + rng.Intn(8), ListAsked: rng.Intn(2) == 0,
+		AskWithin: 10000 * ms, MaxForwards: 1 + rng.Intn(5), MayCopy: rng.Intn(3) > 0, MayCancel: rng.Intn(2) == 0,
+		MayProbe: rng.Intn(2) == 0, MayAdvise: true, MaxAdvice: 1000 * ms, ColdFrom: 0.1 + 0.4*rng.Float64(),
+		ColdFor: 10000 * ms, FallMultiple: 2 + rng.Float64(), FallFor: int64(1+rng.Intn(3)) * 1000 * ms,
+	}
+	c.Reach = 1 + rng.Intn(3)
+	if rng.Intn(2) == 0 {
+		c.BudgetFor, c.BudgetFree, c.BudgetShare = 2000*ms, float64(rng.Intn(5)), 0.3*rng.Float64()
+	}
+	for i := range 3 {
+		t := Tariff{Effect: Effect(i), Expected: 800 * ms, Patience: 2000 * ms, RepeatFor: int64(rng.Intn(1000)) * ms,
+			Revenue: 1, LateRevenue: float64(rng.Intn(2)) * 0.3, CompleteFrom: 1, Partial: 0.9, SecondStep: rng.Intn(2) * 3}
+		if rng.Intn(2) == 0 {
+			t.CompleteFrom = 0.6
+		}
+		t.LeastShare = t.CompleteFrom * float64(1+rng.Intn(2)) / 2
+		c.Tariffs = append(c.Tariffs, t)
+	}
+	return c
+}
+
+// FuzzRules drives the mixer through a random world; the world checks the rules after every step.
+func FuzzRules(f *testing.F) {
+	for seed := range int64(60) {
+		f.Add(seed)
+	}
+	f.Fuzz(func(t *testing.T, seed int64) {
+		rng := rand.New(rand.NewSource(seed))
+		w := newWorld(t, seed, charter(rng))
+		var all []Entry
+		for i := range 3 * w.c.Cells {
+			e := Entry{Searcher: fmt.Sprint("box", i), Cell: i % w.c.Cells}
+			if rng.Intn(4) == 0 {
+				e.Started = w.now - rng.Int63n(20000*ms)
+			}
+			all = append(all, e)
+		}
+		w.list(true, all...)
+		for range 600 {
+			i := rng.Intn(len(all))
+			e := &all[i]
+			switch rng.Intn(40) {
+			case 0:
+				w.box[e.Searcher].broken = rng.Intn(4)
+			case 1:
+				e.Status = Status(rng.Intn(3))
+				w.list(false, *e)
+			case 2:
+				e.Status, e.Started = Live, w.now
+				w.list(false, *e)
+			case 3:
+				w.list(true, all[rng.Intn(3):]...)
+			case 4:
+				w.refusing = !w.refusing
+				w.m.ListRefused(w.now)
+			case 5:
+				for id, l := range w.lookups {
+					if !l.ended && id[len(id)-1] == '7' {
+						l.ended, l.gone = true, true
+						l.h.Gone(w.now)
+					}
+				}
+			default:
+				patience := []int64{2000 * ms, 1500 * ms, 300 * ms, 5 * ms}[rng.Intn(4)]
+				w.take(rng.Intn(3), 1+rng.Intn(7), rng.Intn(w.c.Cells), patience, rng.Intn(5) == 0)
+			}
+			w.run(w.now + rng.Int63n(60*ms))
+		}
+		w.run(w.now + 10000*ms)
+		for id, l := range w.lookups {
+			if !l.ended {
+				t.Errorf("lookup %s has no final answer", id)
+			}
+		}
+		for id, s := range w.m.searchers {
+			if s.calls != 0 || s.parts != 0 || len(s.out) != 0 {
+				t.Errorf("searcher %s still counts %d calls, %d parts", id, s.calls, s.parts)
+			}
+		}
+	})
+}
+
+// plain gives settings without surprises: two cells, three searchers each, one tariff.
+func plain(change func(*Charter)) Charter {
+	c := Charter{Mixers: 1, Cells: 2, Reach: 1, PerCall: 1, MaxForwards: 3, MayCopy: true, ColdFrom: 0.2,
+		ColdFor: 10000 * ms, FallMultiple: 2, FallFor: 1000 * ms, Tariffs: []Tariff{{Expected: 2000 * ms,
+			Patience: 4000 * ms, Revenue: 1, CompleteFrom: 1, LeastShare: 1}}}
+	if change != nil {
+		change(&c)
+	}
+	return c
+}
+
+func boxes(n, cells int) (rows []Entry) {
+	for i := range n {
+		rows = append(rows, Entry{Searcher: fmt.Sprint("box", i), Cell: i % cells})
+	}
+	return rows
+}
+
+// counts gives the calls out at each searcher of boxes.
+func (w *world) counts() (c []int) {
+	for i := range len(w.box) {
+		c = append(c, w.m.searchers[fmt.Sprint("box", i)].calls)
+	}
+	return c
+}
+
+func TestLeastCountedFirst(t *testing.T) {
+	w := newWorld(t, 1, plain(func(c *Charter) { c.Cells = 1 }))
+	w.list(true, boxes(3, 1)...)
+	for i, want := range []int{1, 2, 3, 6} {
+		w.take(0, []int{1, 1, 1, 3}[i], 0, 4000*ms, false)
+		sum, most := 0, 0
+		for _, n := range w.counts() {
+			sum, most = sum+n, max(most, n)
+		}
+		if sum != want || most != (want+2)/3 {
+			t.Errorf("after lookup %d counts are %v, want %d spread evenly", i, w.counts(), want)
+		}
+	}
+}
+
+func TestAnyOfAsksJustEnough(t *testing.T) {
+	w := newWorld(t, 2, plain(func(c *Charter) { c.Tariffs[0].CompleteFrom, c.Tariffs[0].LeastShare = 0.6, 0.6 }))
+	w.list(true, boxes(6, 2)...)
+	l := w.take(0, 10, 0, 4000*ms, false)
+	sent := 0
+	for _, id := range l.steps[0] {
+		sent += len(w.parts[id].sent)
+	}
+	w.run(w.now + 2000*ms)
+	if sent != 6 || !l.answeredWhole {
+		t.Errorf("asked %d of 10 parts, want 6; answered whole: %t", sent, l.answeredWhole)
+	}
+}
+
+func TestPartsShareACall(t *testing.T) {
+	w := newWorld(t, 3, plain(func(c *Charter) { c.Cells, c.PerCall = 1, 4 }))
+	w.list(true, boxes(1, 1)...)
+	w.take(0, 6, 0, 4000*ms, false)
+	if s := w.m.searchers["box0"]; s.calls != 2 || s.parts != 6 {
+		t.Errorf("6 parts to one searcher made %d calls with %d parts, want 2 with 6", s.calls, s.parts)
+	}
+}
+
+func TestSecondStep(t *testing.T) {
+	w := newWorld(t, 4, plain(func(c *Charter) { c.Tariffs[0].SecondStep = 5 }))
+	w.list(true, boxes(6, 2)...)
+	l := w.take(0, 3, 0, 4000*ms, false)
+	w.run(w.now + 2000*ms)
+	if len(l.steps) != 2 || len(l.steps[1]) != 3 || !l.ended || w.answers != 2 {
+		t.Errorf("steps %v, %d answers", l.steps, w.answers)
+	}
+}
+
+// warmUp serves lookups one by one, so that the mixer knows what forwards take.
+func (w *world) warmUp(n int) {
+	for range n {
+		w.take(0, 2, 0, 4000*ms, false)
+		w.run(w.now + 300*ms)
+	}
+}
+
+func TestFastFailureDrawsNoPicks(t *testing.T) {
+	w := newWorld(t, 5, plain(func(c *Charter) { c.Cells = 1 }))
+	w.list(true, boxes(3, 1)...)
+	w.warmUp(10)
+	w.box["box1"].broken = 2
+	asked := 0
+	for range 20 {
+		l := w.take(0, 3, 0, 4000*ms, false)
+		w.run(w.now + 300*ms)
+		for _, id := range l.steps[0] {
+			asked += len(w.parts[id].sent) - 1
+		}
+		if !l.answeredWhole {
+			t.Error("a lookup was not served")
+		}
+	}
+	if asked > 10 {
+		t.Errorf("%d forwards failed in 20 lookups beside two sound searchers", asked)
+	}
+}
+
+func TestSilentSearcherIsLeft(t *testing.T) {
+	for _, probes := range []bool{false, true} {
+		w := newWorld(t, 6, plain(func(c *Charter) { c.Cells, c.MayProbe = 1, probes }))
+		w.list(true, boxes(3, 1)...)
+		w.warmUp(10)
+		w.box["box1"].broken = 1
+		late := 0
+		for range 20 {
+			l := w.take(0, 3, 0, 4000*ms, false)
+			start := w.now
+			for !l.ended && w.now < start+2000*ms {
+				w.run(w.now + 20*ms)
+			}
+			if w.now-start > 400*ms {
+				late++
+			}
+		}
+		if late > 3 || !w.m.searchers["box1"].suspect {
+			t.Errorf("probes %t: %d of 20 lookups waited for a silent searcher", probes, late)
+		}
+		w.box["box1"].broken = 0
+		w.warmUp(60)
+		if w.m.searchers["box1"].suspect {
+			t.Errorf("probes %t: a searcher that answers again is still suspect", probes)
+		}
+	}
+}
+
+func TestOverloadIsTurnedAwayAtOnce(t *testing.T) {
+	w := newWorld(t, 7, plain(nil))
+	w.list(true, boxes(6, 2)...)
+	w.warmUp(5)
+	served, started := 0, map[*seen]int64{}
+	for range 600 { // three times what six searchers bear
+		l := w.take(0, 4, 0, 4000*ms, false)
+		started[l] = w.now
+		w.run(w.now + 11*ms)
+	}
+	w.run(w.now + 5000*ms)
+	for l := range started {
+		if l.answeredWhole {
+			served++
+		}
+	}
+	if most := 600 / 3; served < most*3/4 {
+		t.Errorf("%d of 600 lookups served, %d could be", served, most)
+	}
+}
+
+func TestMarkedRepeatOutOfTimeIsTurnedAway(t *testing.T) {
+	w := newWorld(t, 8, plain(nil))
+	w.list(true, boxes(6, 2)...)
+	if l := w.take(0, 2, 0, 1500*ms, true); !l.ended || l.answeredWhole {
+		t.Error("a repeat whose expected time has passed was taken")
+	}
+	if l := w.take(0, 2, 0, 3500*ms, true); l.ended {
+		t.Error("a repeat with time left was turned away")
+	}
+}
+
+func TestLostWithItsProcess(t *testing.T) {
+	w := newWorld(t, 9, plain(func(c *Charter) { c.Cells = 1 }))
+	w.list(true, boxes(2, 1)...)
+	w.box["box0"].broken, w.box["box1"].broken = 1, 1
+	l := w.take(0, 1, 0, 4000*ms, false)
+	p := w.parts[l.steps[0][0]]
+	gone := 0
+	if w.counts()[1] == 1 {
+		gone = 1
+	}
+	w.box[fmt.Sprint("box", 1-gone)].broken = 0
+	w.list(true, boxes(2, 1)[1-gone])
+	w.run(w.now + 200*ms)
+	if len(p.sent) != 2 || !l.answeredWhole {
+		t.Errorf("%d forwards of a part whose searcher is gone, answered: %t", len(p.sent), l.answeredWhole)
+	}
+}
+
+func TestDecay(t *testing.T) {
+	var d Decay
+	d.Add(0, 8, 1000)
+	d.Add(1000, 1, 1000)
+	if got := d.Read(2000, 1000); math.Abs(got-2.5) > 1e-9 {
+		t.Errorf("8 after two half-lives and 1 after one give %g, want 2.5", got)
+	}
+}
--- a/mixer/types.go
+++ b/mixer/types.go
@@ -128,11 +128,9 @@
 	Answer(lookup string, whole bool)
 	Bounce(lookup string, wait int64)
 	Fail(lookup string)
-	Drop(part string) // gives up an unasked part
 	Probe(searcher string)
 	Timer(after int64, whose Due)
 	Subscribe()
-	AskList()
 	Note(text string)
 }
 
