--- a/mixer/mixer.go
+++ b/mixer/mixer.go
@@ -120,7 +120,6 @@
 	need    float64
 	end     int64 // when its full revenue ends; it is given up then
 	wake    int64 // when it is looked at next
-	whole   bool  // the first step was
 	planned bool  // the step's parts have come
 	ended   bool
 }
@@ -433,7 +432,7 @@
 		}
 	}
 	if l.planned && in >= l.need-tiny {
-		l.answer(now, l.step == 0 || l.whole)
+		l.answer(now)
 		return
 	}
 	if now >= l.end {
@@ -635,9 +634,9 @@
 	return f
 }
 
-// answer gives what is in. A second step's parts then come to the same handle.
-func (l *Lookup) answer(now int64, whole bool) {
-	l.m.floor.Answer(l.ask.ID, whole)
+// answer gives a whole answer. A second step's parts then come to the same handle.
+func (l *Lookup) answer(now int64) {
+	l.m.floor.Answer(l.ask.ID, true)
 	if l.step > 0 || l.t.SecondStep == 0 {
 		l.ended = true
 		return
@@ -648,7 +647,7 @@
 			in++
 		}
 	}
-	l.step, l.whole, l.planned = len(l.parts), whole, false
+	l.step, l.planned = len(l.parts), false
 	l.expect, l.need = len(l.parts)+min(l.t.SecondStep, in), 1
 	l.rouse(now, l.end)
 }
