--- a/mixer/mixer.go
+++ b/mixer/mixer.go
@@ -222,7 +222,9 @@
 		asked = min(now, a.NotAfter-t.Patience)
 	}
 	end := min(a.NotAfter, asked+t.Expected) - endMargin
-	return &Lookup{m: m, ask: a, t: t, expect: a.Parts, need: t.CompleteFrom, end: end}
+	l := &Lookup{m: m, ask: a, t: t, expect: a.Parts, need: t.CompleteFrom, end: end}
+	l.rouse(now, end) // whatever else is lost, parts that never come or a late timer, this look ends it
+	return l
 }
 
 // AddPart hands over one part of the step at hand.
@@ -649,7 +651,6 @@
 	}
 	l.step, l.planned = len(l.parts), false
 	l.expect, l.need = len(l.parts)+min(l.t.SecondStep, in), 1
-	l.rouse(now, l.end)
 }
 
 // giveUp ends a lookup at once with what honesty allows: an answer from the least share, a bounce where
--- a/mixer/mixer_test.go
+++ b/mixer/mixer_test.go
@@ -27,6 +27,7 @@
 	cold     map[string][]int64 // when parts were sent to a searcher told to be cold
 	answers  int
 	refusing bool
+	lag      int64 // before a second step's parts come
 }
 
 // box is one searcher as it really is.
@@ -92,7 +93,7 @@
 
 func newWorld(t testing.TB, seed int64, c Charter) *world {
 	w := &world{t: t, rng: rand.New(rand.NewSource(seed)), now: 1e15, c: c, told: map[string]Entry{},
-		box: map[string]*box{}, lookups: map[string]*seen{}, parts: map[string]*seenPart{}, cold: map[string][]int64{}}
+		box: map[string]*box{}, lookups: map[string]*seen{}, parts: map[string]*seenPart{}, cold: map[string][]int64{}, lag: 5 * ms}
 	w.m = New(w.now, c, seed, w)
 	return w
 }
@@ -284,7 +285,7 @@
 				n++
 			}
 		}
-		w.after(5*ms, func() {
+		w.after(w.lag, func() {
 			if !l.ended {
 				w.hand(l, id, min(n, l.t.SecondStep), w.rng.Intn(w.c.Cells))
 			}
@@ -377,6 +378,7 @@
 	f.Fuzz(func(t *testing.T, seed int64) {
 		rng := rand.New(rand.NewSource(seed))
 		w := newWorld(t, seed, charter(rng))
+		w.lag = []int64{5, 300, 5000}[rng.Intn(3)] * ms
 		var all []Entry
 		for i := range 3 * w.c.Cells {
 			e := Entry{Searcher: fmt.Sprint("box", i), Cell: i % w.c.Cells}
@@ -498,7 +500,7 @@
 	w := newWorld(t, 4, plain(func(c *Charter) { c.Tariffs[0].SecondStep = 5 }))
 	w.list(true, boxes(6, 2)...)
 	l := w.take(0, 3, 0, 4000*ms, false)
-	w.run(w.now + 2000*ms)
+	w.run(w.now + 4000*ms)
 	if len(l.steps) != 2 || len(l.steps[1]) != 3 || !l.ended || w.answers != 2 {
 		t.Errorf("steps %v, %d answers", l.steps, w.answers)
 	}
