--- a/mixer/mixer.go
+++ b/mixer/mixer.go
@@ -253,7 +253,8 @@
 	for i, p := range l.parts {
 		times[i] = math.Inf(1)
 		m.holders(now, p, func(s *searcher) {
-			times[i] = min(times[i], m.unit(now, s)*float64(s.calls+1))
+			wait := float64(max(0, s.coldAt-now))
+			times[i] = min(times[i], wait+m.unit(now, s)*float64(s.calls+1)/m.frac(now, s))
 		})
 	}
 	slices.Sort(times)
@@ -522,14 +523,11 @@
 	return ease > 0 && m.copies.Read(now, halfLife) <= copyShare*ease*m.sent.Read(now, halfLife)
 }
 
-// holders goes through the searchers that may be picked for a part.
+// holders goes through the searchers that may serve a part, now or when their cold allowance next does.
 func (m *Mixer) holders(now int64, p *part, each func(*searcher)) {
 	for j := range m.c.Reach {
 		for _, s := range m.cells[(p.Slice+j)%m.c.Cells] {
-			if s.status != Live || now < s.coldAt && m.frac(now, s) < 1 {
-				continue
-			}
-			if !s.suspect || m.overruled() || now >= s.testAt || len(s.out) == 0 {
+			if s.status == Live && (!s.suspect || m.overruled() || now >= s.testAt || len(s.out) == 0) {
 				each(s)
 			}
 		}
@@ -552,7 +550,8 @@
 			continue
 		}
 		m.holders(now, p, func(s *searcher) {
-			if slices.ContainsFunc(p.forwards, func(f *forward) bool { return f.s == s }) {
+			tried := slices.ContainsFunc(p.forwards, func(f *forward) bool { return f.s == s })
+			if tried || now < s.coldAt {
 				return
 			}
 			key := [5]float64{2: float64(s.calls) + math.Round(s.ghost.Read(now, ghostHalf)), 4: float64(p.Effort)}
