--- a/mixer/mixer.go
+++ b/mixer/mixer.go
@@ -28,7 +28,7 @@
 	strikesOut  = 3         // failures in a row that make a searcher suspect
 	testFirst   = 1000 * ms // ns; first wait before a suspect is tested, doubled up to testLast
 	testLast    = 8000 * ms // ns; a searcher that is back is missed for at most about this long
-	coldMargin  = 0.5       // of what a cold searcher bears, the part that the mixers together allow themselves
+	coldMargin  = 0.8       // of what a cold searcher bears, the part that the mixers together allow themselves
 	room        = 0.5       // of the time left, what a lookup may be predicted to take when it is taken
 	copyShare   = 0.15      // copies for each forward when idle; more do not shorten lookups further
 	copyEase    = 2.5       // how fast that share fades as forwards take more of the expected time
@@ -78,7 +78,7 @@
 	strikes      int   // failures in a row
 	suspect      bool  // not to be picked but for a test
 	wait, testAt int64 // before the next test, and when that is
-	coldAt       int64 // when it may be sent the next part while cold
+	sentAt       int64 // when it was last sent a part
 	out          []*forward
 }
 
@@ -159,7 +159,7 @@
 		}
 		s.near, s.status = e.Zone == m.c.Zone, e.Status
 		if s.started != e.Started { // a new process: nothing learnt of the old one holds
-			s.started, s.strikes, s.suspect, s.wait = e.Started, 0, false, 0
+			s.started, s.strikes, s.suspect, s.wait, s.sentAt = e.Started, 0, false, 0, 0
 			s.ghost, s.borne, s.pace = Decay{}, Decay{}, pace{}
 		}
 	}
@@ -253,7 +253,7 @@
 	for i, p := range l.parts {
 		times[i] = math.Inf(1)
 		m.holders(now, p, func(s *searcher) {
-			wait := float64(max(0, s.coldAt-now))
+			wait := float64(m.coldWait(now, s))
 			times[i] = min(times[i], wait+m.unit(now, s)*float64(s.calls+1)/m.frac(now, s))
 		})
 	}
@@ -399,10 +399,15 @@
 	return m.c.ColdFrom + (1-m.c.ColdFrom)*max(0, float64(now-s.started)/float64(m.c.ColdFor))
 }
 
-// coldGap is the least time between two parts this mixer sends to a searcher with frac of its capacity. A
-// warm one bears at least what it answers this mixer, and as much for each other mixer; and at least one
-// part in the time that one takes. The gap lets through coldMargin of frac times that, times the multiple.
-func (m *Mixer) coldGap(now int64, frac float64) int64 {
+// coldWait is how long s must still be spared while cold: the gap between two parts of this mixer lets
+// through coldMargin of what s bears. A warm searcher bears at least what it answers this mixer and as much
+// for each other one, and at least a part in the time that one takes; s bears frac times that, times the
+// multiple.
+func (m *Mixer) coldWait(now int64, s *searcher) int64 {
+	frac := m.frac(now, s)
+	if frac == 1 || s.sentAt == 0 {
+		return 0
+	}
 	warm, borne := 0.0, 0.0
 	for _, cell := range m.cells {
 		for _, s := range cell {
@@ -418,8 +423,11 @@
 			rate = max(rate, n/sum/float64(m.c.Mixers))
 		}
 	}
-	allowed := rate * frac * m.c.FallMultiple * coldMargin
-	return int64(1 / max(allowed, 1/float64(max(m.c.ColdFor, ms))))
+	gap := float64(m.c.ColdFor)
+	if allowed := rate * frac * m.c.FallMultiple * coldMargin; allowed > 0 {
+		gap = min(gap, 1/allowed)
+	}
+	return max(0, s.sentAt+int64(gap)-now)
 }
 
 // review is the one place where a lookup moves on: it answers, ends, forwards, and sets the next look.
@@ -551,7 +559,7 @@
 		}
 		m.holders(now, p, func(s *searcher) {
 			tried := slices.ContainsFunc(p.forwards, func(f *forward) bool { return f.s == s })
-			if tried || now < s.coldAt {
+			if tried || m.coldWait(now, s) > 0 {
 				return
 			}
 			key := [5]float64{2: float64(s.calls) + math.Round(s.ghost.Read(now, ghostHalf)), 4: float64(p.Effort)}
@@ -625,9 +633,7 @@
 	if len(p.forwards) > 0 {
 		m.spent = append(m.spent, now)
 	}
-	if frac := m.frac(now, s); frac < 1 {
-		s.coldAt = now + m.coldGap(now, frac)
-	}
+	s.sentAt = now
 	m.sent.Add(now, 1, halfLife)
 	f := &forward{part: p, s: s, call: s.call, count: s.calls, process: s.started, sent: now}
 	p.forwards = append(p.forwards, f)
