--- a/mixer/mixer.go
+++ b/mixer/mixer.go
@@ -261,7 +261,7 @@
 	n := int(math.Ceil(l.need*float64(len(times)) - tiny))
 	time := times[max(n, 1)-1]
 	if l.t.SecondStep > 0 {
-		time *= 2
+		time *= 1.5
 	}
 	return time > room*float64(l.end-now)
 }
