--- a/mixer/mixer.go
+++ b/mixer/mixer.go
@@ -29,7 +29,7 @@
 	testFirst   = 1000 * ms // ns; first wait before a suspect is tested, doubled up to testLast
 	testLast    = 8000 * ms // ns; a searcher that is back is missed for at most about this long
 	coldMargin  = 0.8       // of what a cold searcher bears, the part that the mixers together allow themselves
-	room        = 0.8       // of the time left, what a lookup may be predicted to take when it is taken
+	room        = 0.5       // of the time left, what a lookup may be predicted to take when it is taken
 	copyShare   = 0.15      // copies for each forward when idle; more do not shorten lookups further
 	copyEase    = 2.5       // how fast that share fades as forwards take more of the expected time
 	lookAgain   = 50 * ms   // ns; pause before a part that no holder may take is looked at again
@@ -56,9 +56,8 @@
 	refusals     int
 }
 
-// row is what is kept of a tariff: how long its forwards take, and how long its lookups were predicted to take
-// and took.
-type row struct{ n, sum, squares, told, lasted Decay }
+// row is what is kept of a tariff: how long its forwards take.
+type row struct{ n, sum, squares Decay }
 
 // pace is how long forwards took, and how many calls were out where they went.
 type pace struct{ took, ahead Decay }
@@ -120,10 +119,8 @@
 	expect  int // parts there are once the step is complete
 	need    float64
 	end     int64 // when its full revenue ends; it is given up then
-	taken   int64
-	told    float64 // how long its slowest part was predicted to take
-	wake    int64   // when it is looked at next
-	planned bool    // the step's parts have come
+	wake    int64 // when it is looked at next
+	planned bool  // the step's parts have come
 	ended   bool
 }
 
@@ -225,7 +222,7 @@
 		asked = min(now, a.NotAfter-t.Patience)
 	}
 	end := min(a.NotAfter, asked+t.Expected) - endMargin
-	l := &Lookup{m: m, ask: a, t: t, expect: a.Parts, need: t.CompleteFrom, end: end, taken: now}
+	l := &Lookup{m: m, ask: a, t: t, expect: a.Parts, need: t.CompleteFrom, end: end}
 	l.rouse(now, end) // whatever else is lost, parts that never come or a late timer, this look ends it
 	return l
 }
@@ -262,12 +259,11 @@
 	}
 	slices.Sort(times)
 	n := int(math.Ceil(l.need*float64(len(times)) - tiny))
-	l.told = times[max(n, 1)-1]
-	ratio, r := 1.0, &m.rows[l.ask.Tariff]
-	if told := r.told.Read(now, halfLife); told > 0 {
-		ratio = r.lasted.Read(now, halfLife) / told
+	time := times[max(n, 1)-1]
+	if l.t.SecondStep > 0 {
+		time *= 2
 	}
-	return l.told*ratio > room*float64(l.end-now)
+	return time > room*float64(l.end-now)
 }
 
 // unit is what forwards to s lately took for each call out with them, leaning on the fleet's figure where
@@ -650,11 +646,6 @@
 	l.m.floor.Answer(l.ask.ID, true)
 	if l.step > 0 || l.t.SecondStep == 0 {
 		l.ended = true
-		if l.told < float64(l.t.Patience) {
-			r := &l.m.rows[l.ask.Tariff]
-			r.told.Add(now, l.told, halfLife)
-			r.lasted.Add(now, float64(now-l.taken), halfLife)
-		}
 		return
 	}
 	in := 0
