--- a/mixer/mixer.go
+++ b/mixer/mixer.go
@@ -30,6 +30,7 @@
 	testLast    = 8000 * ms // ns; a searcher that is back is missed for at most about this long
 	coldMargin  = 0.8       // of what a cold searcher bears, the part that the mixers together allow themselves
 	room        = 0.5       // of the time left, what a lookup may be predicted to take when it is taken
+	adviceShare = 0.2       // of the time left, the wait advised to a client turned away at taking
 	copyShare   = 0.15      // copies for each forward when idle; more do not shorten lookups further
 	copyEase    = 2.5       // how fast that share fades as forwards take more of the expected time
 	lookAgain   = 50 * ms   // ns; pause before a part that no holder may take is looked at again
@@ -675,5 +676,9 @@
 			}
 		}
 	}
-	l.m.floor.Bounce(l.ask.ID, 0)
+	wait := int64(0)
+	if l.m.c.MayAdvise && now < l.end { // back while there is time, and not all at once
+		wait = min(l.m.c.MaxAdvice, int64(adviceShare*float64(l.end-now)*(0.5+l.m.rng.Float64())))
+	}
+	l.m.floor.Bounce(l.ask.ID, wait)
 }
