--- a/mixer/mixer.go
+++ b/mixer/mixer.go
@@ -29,7 +29,7 @@
 	testFirst   = 1000 * ms // ns; first wait before a suspect is tested, doubled up to testLast
 	testLast    = 8000 * ms // ns; a searcher that is back is missed for at most about this long
 	coldMargin  = 0.8       // of what a cold searcher bears, the part that the mixers together allow themselves
-	room        = 0.62      // of the time left, what a lookup may be predicted to take when it is taken
+	room        = 0.42      // of the time left, what a lookup may be predicted to take when it is taken
 	adviceShare = 0.08      // of the time left, the wait advised to a client turned away at taking
 	copyShare   = 0.15      // copies for each forward when idle; more do not shorten lookups further
 	copyEase    = 2.5       // how fast that share fades as forwards take more of the expected time
