Admission bound at 0.42 of the time left, a second step counted 0.6 of the first

Cause: jams that tip while a half of the time left is allowed, and two-step lookups turned away though they would have lasted under half their time.

--- a/mixer/mixer.go
+++ b/mixer/mixer.go
@@ -29,7 +29,8 @@
 	testFirst   = 1000 * ms // ns; first wait before a suspect is tested, doubled up to testLast
 	testLast    = 8000 * ms // ns; a searcher that is back is missed for at most about this long
 	coldMargin  = 0.8       // of what a cold searcher bears, the part that the mixers together allow themselves
-	room        = 0.42      // of the time left, what a lookup may be predicted to take when it is taken
+	room        = 0.42      // of the time left, what a lookup may be predicted to take; 0.35 idles, 0.62 jams
+	secondStep  = 1.6       // of the first, how long both steps take: the second asks less of each part
 	adviceShare = 0.08      // of the time left, the wait advised to a client turned away at taking
 	copyShare   = 0.15      // copies for each forward when idle; more do not shorten lookups further
 	copyEase    = 2.5       // how fast that share fades as forwards take more of the expected time
@@ -262,7 +263,7 @@
 	n := int(math.Ceil(l.need*float64(len(times)) - tiny))
 	time := times[max(n, 1)-1]
 	if l.t.SecondStep > 0 {
-		time *= 2
+		time *= secondStep
 	}
 	return time > room*float64(l.end-now)
 }
