--- a/mixer/mixer.go
+++ b/mixer/mixer.go
@@ -26,6 +26,7 @@
 	lateSpread  = 2.5       // deviations above the mean from which a forward is late: 1 in 50 when all is well
 	silentTimes = 2.5       // means out with nothing heard since that make a searcher suspect
 	strikesOut  = 3         // failures in a row that make a searcher suspect
+	heldUp      = 50 * ms   // ns; a timer this late shows a stall of the mixer itself
 	testFirst   = 1000 * ms // ns; first wait before a suspect is tested, doubled up to testLast
 	testLast    = 8000 * ms // ns; a searcher that is back is missed for at most about this long
 	coldMargin  = 0.8       // of what a cold searcher bears, the part that the mixers together allow themselves
@@ -54,6 +55,7 @@
 	pace         pace    // of the whole fleet
 	sent, copies Decay   // forwards, copies among them
 	taken, spent []int64 // when lookups and parts were taken and further forwards made, for the budget
+	fair         int64   // until then searchers are not judged
 	asking       bool    // a list call is out or the subscription runs
 	refusals     int
 }
@@ -209,7 +211,7 @@
 
 // Probed is told the result of a probe. An answer shows a process, no more: the searcher may still hang.
 func (m *Mixer) Probed(now int64, id string, o Outcome, took int64, load Load) {
-	if s := m.searchers[id]; s != nil && o != Satisfied {
+	if s := m.searchers[id]; s != nil && o != Satisfied && s.heard < s.probed && now >= m.fair {
 		m.distrust(now, s)
 	}
 }
@@ -282,8 +284,12 @@
 // Gone is told that the client left.
 func (l *Lookup) Gone(now int64) { l.ended = true }
 
-// Due looks at the lookup again.
+// Due looks at the lookup again. Where that comes late it is this mixer that was held up, not the searchers,
+// whose answers may lie behind the same hold-up: for a moment nobody is judged.
 func (l *Lookup) Due(now int64) {
+	if l.wake > 0 && now > l.wake+heldUp {
+		l.m.fair = now + lookAgain
+	}
 	l.wake = 0
 	l.review(now)
 }
@@ -355,6 +361,9 @@
 // probes are allowed one is asked first, and believed half the time.
 func (m *Mixer) hearken(now int64, p *part) {
 	mean, _ := m.typical(now, p.l)
+	if now < m.fair {
+		return
+	}
 	for _, f := range p.forwards {
 		s, silent := f.s, float64(now-f.sent)/silentTimes
 		if f.done || s.suspect || s.heard > f.sent || mean == 0 || silent < mean {
