Suspicion holds however many are suspect

Cause: one mixer heard nothing from 19 of 29 searchers, all outside its own room; with over half suspect it went on sending to them. The rank already lets suspects serve where nobody better holds a slice, so the overruling goes. It could harm where a mixer wrongly suspects most of a fleet and floods the rest; the count and admission then bound it.

--- a/mixer/mixer.go
+++ b/mixer/mixer.go
@@ -44,13 +44,12 @@
 
 // Mixer is one mixer. It shares nothing with others.
 type Mixer struct {
-	c              Charter
-	floor          Floor
-	rng            *rand.Rand
-	rows           []row
-	searchers      map[string]*searcher
-	cells          [][]*searcher // by cell, in the order first listed
-	live, suspects int           // searchers listed live, suspects among them
+	c         Charter
+	floor     Floor
+	rng       *rand.Rand
+	rows      []row
+	searchers map[string]*searcher
+	cells     [][]*searcher // by cell, in the order first listed
 
 	pace         pace    // of the whole fleet
 	sent, copies Decay   // forwards, copies among them
@@ -174,19 +173,6 @@
 			}
 		}
 	}
-	m.recount()
-}
-
-func (m *Mixer) recount() {
-	m.live, m.suspects = 0, 0
-	for _, s := range m.searchers {
-		if s.status == Live {
-			m.live++
-			if s.suspect {
-				m.suspects++
-			}
-		}
-	}
 }
 
 // ListRefused is told that a list call failed or the subscription broke. It is asked for again after a
@@ -321,7 +307,6 @@
 	switch o {
 	case Satisfied:
 		s.heard, s.strikes, s.suspect, s.wait = now, 0, false, 0
-		m.recount()
 		if m.frac(now, s) == 1 {
 			s.borne.Add(now, 1, halfLife)
 		}
@@ -386,7 +371,6 @@
 		return
 	}
 	s.suspect = true
-	m.recount()
 	s.rouse(now)
 }
 
@@ -399,9 +383,6 @@
 	}
 }
 
-// overruled: with over half the fleet suspect it is load or the network, and serving goes on.
-func (m *Mixer) overruled() bool { return 2*m.suspects > m.live }
-
 // frac is the least share of its capacity a searcher has now.
 func (m *Mixer) frac(now int64, s *searcher) float64 {
 	if s.started == 0 || now-s.started >= m.c.ColdFor {
@@ -546,7 +527,7 @@
 func (m *Mixer) holders(now int64, p *part, each func(*searcher)) {
 	for j := range m.c.Reach {
 		for _, s := range m.cells[(p.Slice+j)%m.c.Cells] {
-			if s.status == Live && (!s.suspect || m.overruled() || now >= s.testAt || len(s.out) == 0) {
+			if s.status == Live && (!s.suspect || now >= s.testAt || len(s.out) == 0) {
 				each(s)
 			}
 		}
@@ -583,7 +564,7 @@
 			}
 			if s.suspect && now >= s.testAt {
 				key[0] = -1 // the one test, backed by a copy as soon as the lookup is looked at again
-			} else if s.suspect && !m.overruled() {
+			} else if s.suspect {
 				key[0] = 1 // nobody better holds it
 			}
 			c := slices.Compare(key[:], least[:])
