--- a/mixer/mixer.go
+++ b/mixer/mixer.go
@@ -20,26 +20,27 @@
 const (
 	ms = int64(1_000_000)
 
-	halfLife    = 4000 * ms // ns; sums follow a change of load within seconds, yet hold some tens of forwards
-	ghostHalf   = 2000 * ms // ns; a failed forward weighs on the count about as long as a queue takes to drain
-	lean        = 3.0       // calls; how much of the fleet's figure is blended into a searcher's own
-	lateSpread  = 2.5       // deviations above the mean from which a forward is late: 1 in 50 when all is well
-	silentTimes = 2.5       // means out with nothing heard since that make a searcher suspect
-	strikesOut  = 3         // failures in a row that make a searcher suspect
-	heldUp      = 50 * ms   // ns; a timer this late shows a stall of the mixer itself
-	testFirst   = 1000 * ms // ns; first wait before a suspect is tested, doubled up to testLast
-	testLast    = 8000 * ms // ns; a searcher that is back is missed for at most about this long
-	coldMargin  = 0.8       // of what a cold searcher bears, the part that the mixers together allow themselves
-	room        = 0.42      // of the time left, what a lookup may be predicted to take; 0.35 idles, 0.62 jams
-	secondStep  = 1.6       // of the first, how long both steps take: the second asks less of each part
-	adviceShare = 0.08      // of the time left, the wait advised to a client turned away at taking
-	copyShare   = 0.15      // copies for each forward when idle; more do not shorten lookups further
-	copyEase    = 2.5       // how fast that share fades as forwards take more of the expected time
-	lookAgain   = 50 * ms   // ns; pause before a part that no holder may take is looked at again
-	endMargin   = 8 * ms    // ns; an ending is sent this early, to arrive in time
-	askFirst    = 500 * ms  // ns; first wait after a refused list call, doubled up to a third of AskWithin
-	crossing    = 10.0      // share of a forward's time that a price of 1 on crossing zones is worth
-	tiny        = 1e-6      // weights may fall short by rounding
+	halfLife    = 4000 * ms  // ns; sums follow a change of load within seconds, yet hold some tens of forwards
+	ghostHalf   = 2000 * ms  // ns; a failed forward weighs on the count about as long as a queue takes to drain
+	lean        = 3.0        // calls; how much of the fleet's figure is blended into a searcher's own
+	lateSpread  = 2.5        // deviations above the mean from which a forward is late: 1 in 50 when all is well
+	silentTimes = 2.5        // means out with nothing heard since that make a searcher suspect
+	strikesOut  = 3          // failures in a row that make a searcher suspect
+	heldUp      = 50 * ms    // ns; a timer this late shows a stall of the mixer itself
+	testFirst   = 1000 * ms  // ns; first wait before a suspect is tested, doubled up to testLast
+	testLast    = 8000 * ms  // ns; a searcher that is back is missed for at most about this long
+	bearHalf    = 60000 * ms // ns; machines change slowly, a jam or a lull lasts less
+	coldMargin  = 0.8        // of what a cold searcher bears, the part that the mixers together allow themselves
+	room        = 0.42       // of the time left, what a lookup may be predicted to take; 0.35 idles, 0.62 jams
+	secondStep  = 1.6        // of the first, how long both steps take: the second asks less of each part
+	adviceShare = 0.08       // of the time left, the wait advised to a client turned away at taking
+	copyShare   = 0.15       // copies for each forward when idle; more do not shorten lookups further
+	copyEase    = 2.5        // how fast that share fades as forwards take more of the expected time
+	lookAgain   = 50 * ms    // ns; pause before a part that no holder may take is looked at again
+	endMargin   = 8 * ms     // ns; an ending is sent this early, to arrive in time
+	askFirst    = 500 * ms   // ns; first wait after a refused list call, doubled up to a third of AskWithin
+	crossing    = 10.0       // share of a forward's time that a price of 1 on crossing zones is worth
+	tiny        = 1e-6       // weights may fall short by rounding
 )
 
 // Mixer is one mixer. It shares nothing with others.
@@ -54,6 +55,7 @@
 	pace         pace    // of the whole fleet
 	sent, copies Decay   // forwards, copies among them
 	taken, spent []int64 // when lookups and parts were taken and further forwards made, for the budget
+	bears        Decay   // parts per ns this mixer may count on of a warm searcher
 	fair         int64   // until then searchers are not judged
 	asking       bool    // a list call is out or the subscription runs
 	refusals     int
@@ -318,6 +320,7 @@
 		r.n.Add(now, 1, halfLife)
 		r.sum.Add(now, float64(took), halfLife)
 		r.squares.Add(now, float64(took)*float64(took), halfLife)
+		m.measure(now)
 	case Errored, Bounced, Unreached, Reset:
 		// Guards against a searcher that fails fast, whose count near zero would draw every pick; one that
 		// turns away for overload is spared the same way.
@@ -392,14 +395,23 @@
 }
 
 // coldWait is how long s must still be spared while cold: the gap between two parts of this mixer lets
-// through coldMargin of what s bears. A warm searcher bears at least what it answers this mixer and as much
-// for each other one, and at least a part in the time that one takes; s bears frac times that, times the
-// multiple.
+// through coldMargin of what s bears now, which is frac of what a warm searcher bears, times the multiple.
 func (m *Mixer) coldWait(now int64, s *searcher) int64 {
 	frac := m.frac(now, s)
 	if frac == 1 || s.sentAt == 0 {
 		return 0
 	}
+	gap := float64(m.c.ColdFor)
+	if allowed := m.bears.Read(now, bearHalf) * frac * m.c.FallMultiple * coldMargin; allowed > 0 {
+		gap = min(gap, 1/allowed)
+	}
+	return max(0, s.sentAt+int64(gap)-now)
+}
+
+// measure learns this mixer's share of what a warm searcher bears: at least what the warm ones answer it on
+// the average, and one part in the time that one takes, shared by all mixers. What they bore once they can
+// bear again, so that a jam, in which little is answered in time, does not keep newcomers idle.
+func (m *Mixer) measure(now int64) {
 	warm, borne := 0.0, 0.0
 	for _, cell := range m.cells {
 		for _, s := range cell {
@@ -415,11 +427,9 @@
 			rate = max(rate, n/sum/float64(m.c.Mixers))
 		}
 	}
-	gap := float64(m.c.ColdFor)
-	if allowed := rate * frac * m.c.FallMultiple * coldMargin; allowed > 0 {
-		gap = min(gap, 1/allowed)
+	if rate > m.bears.Read(now, bearHalf) {
+		m.bears = Decay{rate, now}
 	}
-	return max(0, s.sentAt+int64(gap)-now)
 }
 
 // review is the one place where a lookup moves on: it answers, ends, forwards, and sets the next look.
