--- a/internal/wire/charter.go
+++ b/internal/wire/charter.go
@@ -97,16 +97,13 @@
 		Cells:        s.count("FamilyInfo.Sets", true, 1),
 		Reach:        s.count("FamilyInfo.Width", true, 1),
 		PerCall:      max(1, s.count("FamilyInfo.PerCall", false, 0)),
-		WarmKeys:     s.flag("FamilyInfo.WarmKeys"),
 		AskWithin:    s.ms("Guarantees.AskWithinMs", false),
 		MaxForwards:  s.count("PolicyLimits.MaxAttempts", true, 1),
-		MaxOpen:      s.count("PolicyLimits.MaxOpen", false, 0),
 		MayCopy:      s.flag("PolicyLimits.MayDuplicate"),
 		MayCancel:    s.flag("PolicyLimits.Cancel"),
 		MayProbe:     s.flag("PolicyLimits.Probing"),
 		MayAdvise:    s.flag("PolicyLimits.RetryAfter"),
 		MaxAdvice:    s.ms("PolicyLimits.MaxRetryAfterMs", false),
-		AnswerSlack:  s.ms("Guarantees.AnswerSlackMs", false),
 		ColdFrom:     s.float("Guarantees.ColdFrom", true, 0, 1),
 		ColdFor:      s.ms("Guarantees.ColdMs", true),
 		FallMultiple: s.float("Guarantees.FallMultiple", true, 0, 1e6),
@@ -115,11 +112,6 @@
 		BudgetFree:   s.float("Guarantees.MinExtra", false, 0, 1e9),
 		BudgetShare:  s.float("Guarantees.ResendRatio", false, 0, 1e6),
 		CrossPrice:   s.float("Fees.CrossZone", false, -1e6, 1e6),
-		WastePrice:   s.float("Fees.Waste", false, -1e6, 1e6),
-		LatePrice:    s.float("Fees.LateFail", false, -1e6, 1e6),
-		WholeGoal:    s.float("ScoringMix.Whole", false, 0, 1e6),
-		WindowGoal:   s.float("ScoringMix.WorstWindow", false, 0, 1e6),
-		TariffGoal:   s.float("ScoringMix.WorstClass", false, 0, 1e6),
 	}
 	switch mode := s.all["MembershipMode"]; mode {
 	case "pushed":
@@ -133,13 +125,10 @@
 	for i := range n {
 		at := "Profiles." + strconv.Itoa(i) + "."
 		t := mixer.Tariff{
-			Name:        s.all[at+"Name"],
-			Expected:    s.ms(at+"AimMs", true),
-			Patience:    s.ms(at+"DeadlineMs", true),
-			RepeatFor:   s.ms(at+"KeyTtlMs", false),
-			Revenue:     s.float(at+"Value", false, 0, 1e9),
-			LateRevenue: s.float(at+"LateWorth", false, 0, 1),
-			SecondStep:  int(s.column("FamilyInfo.FetchParts", i, 0, 0, 1e6)),
+			Expected:   s.ms(at+"AimMs", true),
+			Patience:   s.ms(at+"DeadlineMs", true),
+			RepeatFor:  s.ms(at+"KeyTtlMs", false),
+			SecondStep: int(s.column("FamilyInfo.FetchParts", i, 0, 0, 1e6)),
 		}
 		t.CompleteFrom = s.column("FamilyInfo.CompleteFrom", i, 1, 0, 1)
 		t.LeastShare = s.column("FamilyInfo.LeastShare", i, t.CompleteFrom, 0, 1)
@@ -154,13 +143,14 @@
 		default:
 			s.bad(at+"Effect", e)
 		}
-		if t.Name == "" {
+		name := s.all[at+"Name"]
+		if name == "" {
 			s.bad(at+"Name", "(missing)")
 		}
 		if s.err != nil {
 			break
 		}
-		names[t.Name] = i
+		names[name] = i
 		c.Tariffs = append(c.Tariffs, t)
 	}
 	return c, names, s.err
--- a/internal/wire/instance.go
+++ b/internal/wire/instance.go
@@ -76,13 +76,10 @@
 func (i *instance) take(f *fields) func() {
 	id, grade := f.text("Corr"), f.text("Grade")
 	f.text("Realm")
-	key := uint64(0)
 	if s := f.text("Object"); s != "-" {
-		k, err := strconv.ParseUint(s, 10, 64)
-		if err != nil {
+		if _, err := strconv.ParseUint(s, 10, 64); err != nil {
 			f.bad("Object", s)
 		}
-		key = k
 	}
 	notAfter, effort := f.time("NotAfterMs"), f.timeOr("EffortMs", 0)
 	number, slice, amount, bits := f.whole("WholeNo"), f.whole("Slice"), f.float("Amount"), f.whole("Bits")
@@ -111,7 +108,7 @@
 		}
 		i.parts[id] = &heldPart{of: l, index: len(l.parts)}
 		l.parts = append(l.parts, id)
-		l.h.AddPart(i.host.now, mixer.Piece{ID: id, Slice: int(slice), Weight: amount, Key: key, Effort: effort})
+		l.h.AddPart(i.host.now, mixer.Piece{ID: id, Slice: int(slice), Weight: amount, Effort: effort})
 	}
 }
 
@@ -129,42 +126,27 @@
 	return o
 }
 
-// load reads a load report; values it does not know are skipped.
-func (f *fields) load(field string) (l mixer.Load) {
+// load checks a load report; no decision reads one, and values it does not know are skipped.
+func (f *fields) load(field string) {
 	s := f.text(field)
 	if s == "-" || f.err != nil {
-		return l
+		return
 	}
 	for _, pair := range strings.Split(s, ",") {
-		name, v, ok := strings.Cut(pair, ":")
+		_, v, ok := strings.Cut(pair, ":")
 		if !ok {
 			f.bad(field, pair)
-			return l
-		}
-		var to *float64
-		switch name {
-		case "rif":
-			to = &l.Held
-		case "q":
-			to = &l.Waiting
-		case "busy":
-			to = &l.Busy
-		case "lat_ms":
-			to = &l.Latency
-		default:
-			continue
+			return
 		}
-		*to = f.number(field, v)
-		l.Has = true
+		f.number(field, v)
 	}
-	return l
 }
 
 func (i *instance) settled(f *fields) func() {
 	id, copy, over, took := f.text("Corr"), f.whole("Copy"), f.bool("Over"), f.time("DurationMs")
 	result := f.outcome("Result")
 	f.text("Searcher")
-	load := f.load("Gauge")
+	f.load("Gauge")
 	return func() {
 		p := i.parts[id]
 		if p == nil {
@@ -172,7 +154,7 @@
 		}
 		p.out--
 		i.letGo(id, p)
-		p.of.h.Outcome(i.host.now, p.index, int(copy), result, took, over, load)
+		p.of.h.Outcome(i.host.now, p.index, int(copy), result, took, over)
 	}
 }
 
@@ -188,9 +170,10 @@
 }
 
 func (i *instance) sampled(f *fields) func() {
-	s, o, took := f.text("Searcher"), f.outcome("Result"), f.time("DurationMs")
-	load := f.load("Gauge")
-	return func() { i.m.Probed(i.host.now, s, o, took, load) }
+	s, o := f.text("Searcher"), f.outcome("Result")
+	f.time("DurationMs")
+	f.load("Gauge")
+	return func() { i.m.Probed(i.host.now, s, o) }
 }
 
 func (i *instance) dropped(f *fields) func() {
--- a/mixer/mixer.go
+++ b/mixer/mixer.go
@@ -198,7 +198,7 @@
 }
 
 // Probed is told the result of a probe. An answer shows a process, no more: the searcher may still hang.
-func (m *Mixer) Probed(now int64, id string, o Outcome, took int64, load Load) {
+func (m *Mixer) Probed(now int64, id string, o Outcome) {
 	if s := m.searchers[id]; s != nil && o != Satisfied && s.heard < s.probed && now >= m.fair {
 		m.distrust(now, s)
 	}
@@ -283,7 +283,7 @@
 }
 
 // Outcome is told how a forward of part i ended.
-func (l *Lookup) Outcome(now int64, i, copy int, o Outcome, took int64, over bool, load Load) {
+func (l *Lookup) Outcome(now int64, i, copy int, o Outcome, took int64, over bool) {
 	p := l.parts[i]
 	f := p.forwards[copy]
 	if o == TimedOut {
--- a/mixer/mixer_test.go
+++ b/mixer/mixer_test.go
@@ -167,7 +167,7 @@
 		if o == Satisfied && !p.l.ended {
 			p.in = true
 		}
-		p.l.h.Outcome(w.now, p.index, i, o, took, p.in || p.l.ended, Load{})
+		p.l.h.Outcome(w.now, p.index, i, o, took, p.in || p.l.ended)
 	})
 }
 
@@ -311,7 +311,7 @@
 	if w.box[searcher].broken != 0 {
 		o, took = TimedOut, 250*ms
 	}
-	w.after(took, func() { w.m.Probed(w.now, searcher, o, took, Load{}) })
+	w.after(took, func() { w.m.Probed(w.now, searcher, o) })
 }
 
 func (w *world) Timer(after int64, whose Due) {
@@ -345,7 +345,7 @@
 	}
 	for i := range 3 {
 		t := Tariff{Effect: Effect(i), Expected: 800 * ms, Patience: 2000 * ms, RepeatFor: int64(rng.Intn(1000)) * ms,
-			Revenue: 1, LateRevenue: float64(rng.Intn(2)) * 0.3, CompleteFrom: 1, Partial: 0.9, SecondStep: rng.Intn(2) * 3}
+			CompleteFrom: 1, Partial: 0.9, SecondStep: rng.Intn(2) * 3}
 		if rng.Intn(2) == 0 {
 			t.CompleteFrom = 0.6
 		}
@@ -421,7 +421,7 @@
 func plain(change func(*Charter)) Charter {
 	c := Charter{Mixers: 1, Cells: 2, Reach: 1, PerCall: 1, MaxForwards: 3, MayCopy: true, ColdFrom: 0.2,
 		ColdFor: 10000 * ms, FallMultiple: 2, FallFor: 1000 * ms, Tariffs: []Tariff{{Expected: 2000 * ms,
-			Patience: 4000 * ms, Revenue: 1, CompleteFrom: 1, LeastShare: 1}}}
+			Patience: 4000 * ms, CompleteFrom: 1, LeastShare: 1}}}
 	if change != nil {
 		change(&c)
 	}
--- a/mixer/types.go
+++ b/mixer/types.go
@@ -30,13 +30,10 @@
 
 // Tariff is what the charter says of one sort of lookup. Times are nanoseconds.
 type Tariff struct {
-	Name         string
 	Expected     int64   // full revenue within this
 	Patience     int64   // the client's wait over all its tries
 	Effect       Effect  // whether it may run again
 	RepeatFor    int64   // tagged: how long repeats are dropped
-	Revenue      float64 // of a whole answer
-	LateRevenue  float64 // share of it earned after the expected time
 	CompleteFrom float64 // weight of the first step that makes it whole
 	LeastShare   float64 // least weight of any answer
 	Partial      float64 // revenue of an answer that is not whole, times share over CompleteFrom
@@ -51,18 +48,15 @@
 
 	Cells, Reach int // slice s is held by cells s to s+Reach-1, modulo Cells
 	PerCall      int // parts one call may carry
-	WarmKeys     bool
 
 	ListAsked bool  // the list comes only when asked for
 	AskWithin int64 // a mixer that has not asked for so long counts as told
 
 	MaxForwards         int // for one part
-	MaxOpen             int // lookups and parts held at once
 	MayCopy, MayCancel  bool
 	MayProbe, MayAdvise bool
 	MaxAdvice           int64 // longest wait a client heeds
 
-	AnswerSlack  int64 // a final answer may come this much after the client's time
 	ColdFrom     float64
 	ColdFor      int64
 	FallMultiple float64
@@ -72,8 +66,7 @@
 	BudgetFree  float64
 	BudgetShare float64
 
-	CrossPrice, WastePrice, LatePrice float64
-	WholeGoal, WindowGoal, TariffGoal float64
+	CrossPrice float64 // of a forward that crosses zones, in units of all revenue a part
 }
 
 // Status is what the list says of a searcher.
@@ -108,16 +101,9 @@
 	ID     string
 	Slice  int
 	Weight float64
-	Key    uint64
 	Effort int64 // expected work, 0: not told
 }
 
-// Load is what a searcher reports of itself; Has tells which values came.
-type Load struct {
-	Has                          bool
-	Held, Waiting, Busy, Latency float64
-}
-
 // Due is whoever a timer was set for.
 type Due interface{ Due(now int64) }
 
