--- a/mixer/mixer.go
+++ b/mixer/mixer.go
@@ -21,9 +21,9 @@
 	ms = int64(1_000_000)
 
 	halfLife    = 4000 * ms  // ns; sums follow a change of load within seconds, yet hold some tens of forwards
-	ghostHalf   = 2000 * ms  // ns; a failed forward weighs on the count about as long as a queue takes to drain
+	ghostHalf   = 1000 * ms  // ns; a failed forward weighs on the count about as long as a queue takes to drain
 	lean        = 3.0        // calls; how much of the fleet's figure is blended into a searcher's own
-	lateSpread  = 2.5        // deviations above the mean from which a forward is late: 1 in 50 when all is well
+	lateSpread  = 5.0        // deviations above the mean from which a forward is late: 1 in 50 when all is well
 	silentTimes = 2.5        // means out with nothing heard since that make a searcher suspect
 	strikesOut  = 3          // failures in a row that make a searcher suspect
 	heldUp      = 50 * ms    // ns; a timer this late shows a stall of the mixer itself
