--- a/mixer/mixer.go
+++ b/mixer/mixer.go
@@ -34,7 +34,7 @@
 	room        = 0.42       // of the time left, what a lookup may be predicted to take; 0.35 idles, 0.62 jams
 	secondStep  = 1.6        // of the first, how long both steps take: the second asks less of each part
 	adviceShare = 0.08       // of the time left, the wait advised to a client turned away at taking
-	copyShare   = 0.15       // copies for each forward when idle; more do not shorten lookups further
+	copyShare   = 0.0        // copies for each forward when idle; more do not shorten lookups further
 	copyEase    = 2.5        // how fast that share fades as forwards take more of the expected time
 	lookAgain   = 50 * ms    // ns; pause before a part that no holder may take is looked at again
 	endMargin   = 8 * ms     // ns; an ending is sent this early, to arrive in time
