Forwards are late at four deviations, failures weigh on the count for half a second

Cause: copies of parts that were merely slow took room from others in every jam, and where resets fall on all searchers alike the ghosts of two seconds shut out sound ones.

--- a/mixer/mixer.go
+++ b/mixer/mixer.go
@@ -21,9 +21,9 @@
 	ms = int64(1_000_000)
 
 	halfLife    = 4000 * ms  // ns; sums follow a change of load within seconds, yet hold some tens of forwards
-	ghostHalf   = 1000 * ms  // ns; a failed forward weighs on the count about as long as a queue takes to drain
+	ghostHalf   = 500 * ms   // ns; a failed forward weighs on the count for a second or so; 4 s shuts out sound ones
 	lean        = 3.0        // calls; how much of the fleet's figure is blended into a searcher's own
-	lateSpread  = 5.0        // deviations above the mean from which a forward is late: 1 in 50 when all is well
+	lateSpread  = 4.0        // deviations above the mean from which a forward is late; at 1.25 copies feed jams
 	silentTimes = 2.5        // means out with nothing heard since that make a searcher suspect
 	strikesOut  = 3          // failures in a row that make a searcher suspect
 	heldUp      = 50 * ms    // ns; a timer this late shows a stall of the mixer itself
@@ -34,7 +34,7 @@
 	room        = 0.42       // of the time left, what a lookup may be predicted to take; 0.35 idles, 0.62 jams
 	secondStep  = 1.6        // of the first, how long both steps take: the second asks less of each part
 	adviceShare = 0.08       // of the time left, the wait advised to a client turned away at taking
-	copyShare   = 0.0        // copies for each forward when idle; more do not shorten lookups further
+	copyShare   = 0.15       // copies for each forward when idle; more do not shorten lookups further
 	copyEase    = 2.5        // how fast that share fades as forwards take more of the expected time
 	lookAgain   = 50 * ms    // ns; pause before a part that no holder may take is looked at again
 	endMargin   = 8 * ms     // ns; an ending is sent this early, to arrive in time
