--- a/mixer/mixer.go
+++ b/mixer/mixer.go
@@ -25,7 +25,7 @@
 	lean        = 3.0        // calls; how much of the fleet's figure is blended into a searcher's own
 	lateSpread  = 4.0        // deviations above the mean from which a forward is late; at 1.25 copies feed jams
 	silentTimes = 2.5        // means out with nothing heard since that make a searcher suspect
-	strikesOut  = 3          // failures in a row that make a searcher suspect
+	strikesOut  = 3          // failures in a row that make a searcher suspect; sparse traffic outlives ghostHalf
 	heldUp      = 50 * ms    // ns; a timer this late shows a stall of the mixer itself
 	testFirst   = 1000 * ms  // ns; first wait before a suspect is tested, doubled up to testLast
 	testLast    = 8000 * ms  // ns; a searcher that is back is missed for at most about this long
