--- a/mixer/mixer.go
+++ b/mixer/mixer.go
@@ -80,6 +80,7 @@
 	borne        Decay // answers while warm
 	heard        int64 // last answer of any kind
 	probed       int64 // last probe
+	served       int64 // when the newest forward that it answered was sent
 	strikes      int   // failures in a row
 	suspect      bool  // not to be picked but for a test
 	wait, testAt int64 // before the next test, and when that is
@@ -104,8 +105,14 @@
 	done, ran bool // has its outcome; may have run
 }
 
-// lost tells whether no answer is waited for any more, though none has come.
-func (f *forward) lost() bool { return f.s.suspect || f.s.status == Dead || f.process != f.s.started }
+// lost tells whether no answer is waited for any more, though none has come: its searcher is suspect, its
+// process is gone, or what was sent there a usual time after it has been answered. The last guards against
+// requests or answers lost on the way; it can double the work of very heavy parts.
+func (f *forward) lost(now int64) bool {
+	mean, _ := f.part.l.m.typical(now, f.part.l)
+	overtaken := mean > 0 && f.s.served > f.sent+int64(mean)
+	return f.s.suspect || f.s.status == Dead || f.process != f.s.started || overtaken
+}
 
 type part struct {
 	Piece
@@ -170,7 +177,7 @@
 	}
 	for _, cell := range m.cells {
 		for _, s := range cell {
-			if len(s.out) > 0 && s.out[0].lost() {
+			if len(s.out) > 0 && s.out[0].lost(now) {
 				s.rouse(now)
 			}
 		}
@@ -309,6 +316,7 @@
 	switch o {
 	case Satisfied:
 		s.heard, s.strikes, s.suspect, s.wait = now, 0, false, 0
+		s.served = max(s.served, f.sent)
 		if m.frac(now, s) == 1 {
 			s.borne.Add(now, 1, halfLife)
 		}
@@ -458,7 +466,7 @@
 			continue
 		}
 		m.hearken(now, p)
-		if sent := p.lastOut(); sent > 0 {
+		if sent := p.lastOut(now); sent > 0 {
 			live += p.Weight
 			if at := l.lateAt(now, sent); at > now {
 				onTime += p.Weight
@@ -507,9 +515,9 @@
 }
 
 // lastOut gives when the newest forward that may still bring an answer was sent, 0 if there is none.
-func (p *part) lastOut() (sent int64) {
+func (p *part) lastOut(now int64) (sent int64) {
 	for _, f := range p.forwards {
-		if !f.done && !f.lost() {
+		if !f.done && !f.lost(now) {
 			sent = max(sent, f.sent)
 		}
 	}
@@ -556,7 +564,7 @@
 		if p.in || p.over || !l.maySend(now, p) {
 			continue
 		}
-		if out := p.lastOut(); out > 0 && (!copy || l.lateAt(now, out) > now) {
+		if out := p.lastOut(now); out > 0 && (!copy || l.lateAt(now, out) > now) {
 			continue
 		}
 		m.holders(now, p, func(s *searcher) {
--- a/mixer/mixer_test.go
+++ b/mixer/mixer_test.go
@@ -592,3 +592,20 @@
 		t.Error("a part out at a searcher that is gone was not sent elsewhere at once")
 	}
 }
+
+func TestOvertakenPartIsSentAgain(t *testing.T) {
+	w := newWorld(t, 10, plain(func(c *Charter) { c.Cells = 1 }))
+	w.list(true, boxes(2, 1)...)
+	w.warmUp(10)
+	w.box["box0"].broken, w.box["box1"].broken = 1, 1
+	l := w.take(0, 1, 0, 4000*ms, false)
+	w.box["box0"].broken, w.box["box1"].broken = 0, 0 // one message lost on the way, nothing else
+	start := w.now
+	for !l.ended {
+		w.take(0, 2, 0, 4000*ms, false)
+		w.run(w.now + 100*ms)
+	}
+	if w.now-start > 500*ms || !l.answeredWhole {
+		t.Errorf("a lost message held its lookup for %d ms", (w.now-start)/ms)
+	}
+}
