--- a/mixer/mixer_test.go
+++ b/mixer/mixer_test.go
@@ -598,6 +598,7 @@
 	w.list(true, boxes(2, 1)...)
 	w.warmUp(10)
 	w.box["box0"].broken, w.box["box1"].broken = 1, 1
+	w.m.copies.Add(w.now, 1e6, halfLife) // no allowance is left for what is merely late
 	l := w.take(0, 1, 0, 4000*ms, false)
 	w.box["box0"].broken, w.box["box1"].broken = 0, 0 // one message lost on the way, nothing else
 	start := w.now
