--- a/mixer/mixer_test.go
+++ b/mixer/mixer_test.go
@@ -610,3 +610,18 @@
 		t.Errorf("a lost message held its lookup for %d ms", (w.now-start)/ms)
 	}
 }
+
+func TestHeldUpMixerJudgesNobody(t *testing.T) {
+	w := newWorld(t, 11, plain(func(c *Charter) { c.Cells, c.MayProbe = 1, true }))
+	w.list(true, boxes(2, 1)...)
+	w.warmUp(10)
+	l := w.take(0, 2, 0, 4000*ms, false)
+	w.now += 1500 * ms // the mixer stands still; its timer comes before the answers that wait for it
+	l.h.Due(w.now)
+	w.m.Probed(w.now, "box0", TimedOut)
+	for id, s := range w.m.searchers {
+		if s.suspect || s.probed > 0 {
+			t.Errorf("%s is blamed for a stall of the mixer", id)
+		}
+	}
+}
