--- a/mixer/mixer.go
+++ b/mixer/mixer.go
@@ -21,7 +21,7 @@
 	ms = int64(1_000_000)
 
 	halfLife    = 4000 * ms  // ns; sums follow a change of load within seconds, yet hold some tens of forwards
-	ghostHalf   = 500 * ms   // ns; a failed forward weighs on the count for a second or so; 4 s shuts out sound ones
+	ghostHalf   = 500 * ms   // ns; a failed forward weighs on the count for a second; 4 s shuts out sound ones
 	lean        = 3.0        // calls; how much of the fleet's figure is blended into a searcher's own
 	lateSpread  = 4.0        // deviations above the mean from which a forward is late; at 1.25 copies feed jams
 	silentTimes = 2.5        // means out with nothing heard since that make a searcher suspect
