--- a/mixer/mixer.go
+++ b/mixer/mixer.go
@@ -175,12 +175,17 @@
 			s.ghost, s.borne, s.pace = Decay{}, Decay{}, pace{}
 		}
 	}
-	for _, cell := range m.cells {
-		for _, s := range cell {
+	for i, cell := range m.cells {
+		m.cells[i] = slices.DeleteFunc(cell, func(s *searcher) bool {
 			if len(s.out) > 0 && s.out[0].lost(now) {
 				s.rouse(now)
 			}
-		}
+			gone := s.status == Dead && len(s.out) == 0 // replaced machines must not pile up
+			if gone {
+				delete(m.searchers, s.id)
+			}
+			return gone
+		})
 	}
 }
 
@@ -354,7 +359,7 @@
 // hearken judges searchers by what is out there, not by the list: a forward out for several times what its
 // tariff's forwards take, with nothing heard since it was sent, makes its searcher suspect. It guards
 // against hangs, lost machines and cut links alike. A very heavy part can wrong a sound searcher, so where
-// probes are allowed one is asked first, and believed half the time.
+// probes are allowed one is asked first, and an answer to it is believed for as long again.
 func (m *Mixer) hearken(now int64, p *part) {
 	mean, _ := m.typical(now, p.l)
 	if now < m.fair {
