Adapter: one table from events to calls, one reader of bounded numbers; tests share a warmed world

What was there twice: the event names listed before the switch on them, and the parsing of a bounded number for a setting and for an item of a list. The settings' fault is carried as it is, without an error type to unwrap.

--- a/internal/wire/charter.go
+++ b/internal/wire/charter.go
@@ -1,28 +1,35 @@
 package wire
 
 import (
-	"fmt"
 	"strconv"
 	"strings"
 
 	"nettlefold/mixer"
 )
 
-// settingError names a setting that is missing or out of range.
-type settingError struct{ key, value string }
-
-func (e *settingError) Error() string { return fmt.Sprintf("setting %s: %q", e.key, e.value) }
+// badSetting is a setting that is missing or out of range.
+type badSetting struct{ key, value string }
 
 // settings reads path=value pairs and keeps the first fault.
 type settings struct {
-	all map[string]string
-	err error
+	all   map[string]string
+	fault *badSetting
 }
 
 func (s *settings) bad(key, value string) {
-	if s.err == nil {
-		s.err = &settingError{key, value}
+	if s.fault == nil {
+		s.fault = &badSetting{key, value}
+	}
+}
+
+// number reads v, the value of key or one item of it, within lo and hi.
+func (s *settings) number(key, v string, lo, hi float64) float64 {
+	x, err := strconv.ParseFloat(v, 64)
+	if err != nil || !(x >= lo && x <= hi) {
+		s.bad(key, v)
+		return 0
 	}
+	return x
 }
 
 // float reads a number within lo and hi; with need false an absent one is zero.
@@ -34,12 +41,7 @@
 		}
 		return 0
 	}
-	x, err := strconv.ParseFloat(v, 64)
-	if err != nil || !(x >= lo && x <= hi) {
-		s.bad(key, v)
-		return 0
-	}
-	return x
+	return s.number(key, v, lo, hi)
 }
 
 func (s *settings) ms(key string, need bool) int64 { return nanos(s.float(key, need, 0, 1e12)) }
@@ -74,20 +76,16 @@
 		s.bad(key, v)
 		return def
 	}
-	x, err := strconv.ParseFloat(items[i], 64)
-	if err != nil || !(x >= lo && x <= hi) {
-		s.bad(key, v)
-	}
-	return x
+	return s.number(key, items[i], lo, hi)
 }
 
 // readCharter turns the settings of an init line into a charter and the rows of its tariffs by name.
-func readCharter(pairs []string) (mixer.Charter, map[string]int, error) {
+func readCharter(pairs []string) (mixer.Charter, map[string]int, *badSetting) {
 	s := &settings{all: map[string]string{}}
 	for _, p := range pairs {
 		k, v, ok := strings.Cut(p, "=")
 		if !ok {
-			return mixer.Charter{}, nil, &settingError{"setting without a value", clip(p)}
+			return mixer.Charter{}, nil, &badSetting{"setting without a value", clip(p)}
 		}
 		s.all[k] = v
 	}
@@ -147,11 +145,11 @@
 		if name == "" {
 			s.bad(at+"Name", "(missing)")
 		}
-		if s.err != nil {
+		if s.fault != nil {
 			break
 		}
 		names[name] = i
 		c.Tariffs = append(c.Tariffs, t)
 	}
-	return c, names, s.err
+	return c, names, s.fault
 }
--- a/internal/wire/host.go
+++ b/internal/wire/host.go
@@ -4,8 +4,6 @@
 
 import (
 	"bufio"
-	"encoding/base64"
-	"errors"
 	"fmt"
 	"io"
 	"strconv"
@@ -100,6 +98,19 @@
 	return h.out.Flush()
 }
 
+// calls reads the events of an instance, each into the call it stands for.
+var calls = map[string]func(*instance, *fields) func(){
+	"announce": (*instance).announce,
+	"req":      (*instance).take,
+	"settled":  (*instance).settled,
+	"tick_due": (*instance).due,
+	"sampled":  (*instance).sampled,
+	"dropped":  (*instance).dropped,
+	"mail":     (*instance).mail,
+	"started":  (*instance).started,
+	"retire":   (*instance).retire,
+}
+
 // event makes one call of one line.
 func (h *host) event(f *fields) error {
 	switch f.message {
@@ -107,8 +118,9 @@
 		return h.list(f)
 	case "init":
 		return h.start(f)
-	case "announce", "req", "settled", "tick_due", "mail", "sampled", "retire", "started", "dropped":
-	default:
+	}
+	read := calls[f.message]
+	if read == nil {
 		return &fault{f.line, f.message, "unknown message", clip(f.message)}
 	}
 	name := f.text("Mixer")
@@ -119,43 +131,11 @@
 	if f.err != nil {
 		return f.err
 	}
-	var call func()
-	switch f.message {
-	case "announce":
-		call = i.announce(f)
-	case "req":
-		call = i.take(f)
-	case "settled":
-		call = i.settled(f)
-	case "tick_due":
-		call = i.due(f)
-	case "sampled":
-		call = i.sampled(f)
-	case "dropped":
-		call = i.dropped(f)
-	case "mail":
-		f.whole("Author")
-		if msg := f.text("Msg"); f.err == nil && msg != "-" {
-			if _, err := base64.StdEncoding.DecodeString(msg); err != nil {
-				f.bad("Msg", msg)
-			}
-		}
-	case "started":
-		f.text("Corr")
-		f.time("DurationMs")
-		f.text("Searcher")
-		f.whole("Copy")
-	case "retire":
-		if f.err == nil {
-			delete(h.instances, name)
-		}
-	}
+	call := read(i, f)
 	if f.err != nil {
 		return f.err
 	}
-	if call != nil {
-		i.guard(call)
-	}
+	i.guard(call)
 	return nil
 }
 
@@ -210,13 +190,9 @@
 	if f.err != nil {
 		return f.err
 	}
-	ch, names, err := readCharter(f.rest())
-	if err != nil {
-		var bad *settingError
-		if errors.As(err, &bad) {
-			return &fault{f.line, f.message, bad.key, bad.value}
-		}
-		return err
+	ch, names, bad := readCharter(f.left)
+	if bad != nil {
+		return &fault{f.line, f.message, bad.key, bad.value}
 	}
 	i := &instance{
 		host: h, name: name, tariffs: names,
@@ -246,8 +222,6 @@
 	}
 }
 
-func (f *fields) rest() []string { return f.left }
-
 // text takes the next value as it stands.
 func (f *fields) text(field string) string {
 	if len(f.left) == 0 {
--- a/internal/wire/instance.go
+++ b/internal/wire/instance.go
@@ -1,6 +1,7 @@
 package wire
 
 import (
+	"encoding/base64"
 	"fmt"
 	"math"
 	"strconv"
@@ -186,6 +187,30 @@
 	}
 }
 
+// mail checks a message from another mixer; mixers here share nothing, so it has no effect.
+func (i *instance) mail(f *fields) func() {
+	f.whole("Author")
+	if msg := f.text("Msg"); msg != "-" {
+		if _, err := base64.StdEncoding.DecodeString(msg); err != nil {
+			f.bad("Msg", msg)
+		}
+	}
+	return func() {}
+}
+
+// started checks the start of a streamed answer; no tariff streams, so it has no effect.
+func (i *instance) started(f *fields) func() {
+	f.text("Corr")
+	f.time("DurationMs")
+	f.text("Searcher")
+	f.whole("Copy")
+	return func() {}
+}
+
+func (i *instance) retire(f *fields) func() {
+	return func() { delete(i.host.instances, i.name) }
+}
+
 // end forgets a lookup; its parts stay known until their forwards have had their outcomes.
 func (i *instance) end(id string) {
 	l := i.lookups[id]
--- a/mixer/mixer_test.go
+++ b/mixer/mixer_test.go
@@ -38,7 +38,7 @@
 	t             Tariff
 	notAfter      int64
 	steps         [][]string
-	ended, gone   bool
+	ended         bool
 	answeredWhole bool
 }
 
@@ -484,6 +484,14 @@
 	}
 }
 
+// warmed gives a world of one cell whose mixer knows what forwards to its boxes take.
+func warmed(t *testing.T, seed int64, n int, probes bool) *world {
+	w := newWorld(t, seed, plain(func(c *Charter) { c.Cells, c.MayProbe = 1, probes }))
+	w.list(true, boxes(n, 1)...)
+	w.warmUp(10)
+	return w
+}
+
 // warmUp serves lookups one by one, so that the mixer knows what forwards take.
 func (w *world) warmUp(n int) {
 	for range n {
@@ -493,9 +501,7 @@
 }
 
 func TestFastFailureDrawsNoPicks(t *testing.T) {
-	w := newWorld(t, 5, plain(func(c *Charter) { c.Cells = 1 }))
-	w.list(true, boxes(3, 1)...)
-	w.warmUp(10)
+	w := warmed(t, 5, 3, false)
 	w.box["box1"].broken = 2
 	asked := 0
 	for range 20 {
@@ -515,9 +521,7 @@
 
 func TestSilentSearcherIsLeft(t *testing.T) {
 	for _, probes := range []bool{false, true} {
-		w := newWorld(t, 6, plain(func(c *Charter) { c.Cells, c.MayProbe = 1, probes }))
-		w.list(true, boxes(3, 1)...)
-		w.warmUp(10)
+		w := warmed(t, 6, 3, probes)
 		w.box["box1"].broken = 1
 		late := 0
 		for range 20 {
@@ -582,9 +586,7 @@
 }
 
 func TestOvertakenPartIsSentAgain(t *testing.T) {
-	w := newWorld(t, 10, plain(func(c *Charter) { c.Cells = 1 }))
-	w.list(true, boxes(2, 1)...)
-	w.warmUp(10)
+	w := warmed(t, 10, 2, false)
 	w.box["box0"].broken, w.box["box1"].broken = 1, 1
 	w.m.copies.Add(w.now, 1e6, halfLife) // no allowance is left for what is merely late
 	l := w.take(0, 1, 0, 4000*ms, false)
@@ -600,9 +602,7 @@
 }
 
 func TestHeldUpMixerJudgesNobody(t *testing.T) {
-	w := newWorld(t, 11, plain(func(c *Charter) { c.Cells, c.MayProbe = 1, true }))
-	w.list(true, boxes(2, 1)...)
-	w.warmUp(10)
+	w := warmed(t, 11, 2, true)
 	l := w.take(0, 2, 0, 4000*ms, false)
 	w.now += 1500 * ms // the mixer stands still; its timer comes before the answers that wait for it
 	l.h.Due(w.now)
