Cold searchers: each mixer saves up for one part, from a chance start

Cause: the first part for a newcomer was free, so with some sixty mixers a searcher just started got sixty parts within a second, four times what it could do; the allowance then ran by equal gaps that chance bunches up where many mixers share it. Now every mixer starts at a chance point of saving up for one part, and the rate leaves room for three deviations of what chance adds where there are more mixers than parts in a window. The walk over the fleet at each answer and at each change of the list is gone with it. It should also guard against lists that show many restarts at once; it can leave newcomers idle where they are the only holders left.

--- a/mixer/mixer.go
+++ b/mixer/mixer.go
@@ -31,6 +31,7 @@
 	testLast    = 8000 * ms  // ns; a searcher that is back is missed for at most about this long
 	bearHalf    = 60000 * ms // ns; machines change slowly, a jam or a lull lasts less
 	coldMargin  = 0.8        // of what a cold searcher bears, the part that the mixers together allow themselves
+	coldSpread  = 3.0        // deviations that chance may add to what many mixers send in one window
 	room        = 0.42       // of the time left, what a lookup may be predicted to take; 0.35 idles, 0.62 jams
 	secondStep  = 1.6        // of the first, how long both steps take: the second asks less of each part
 	adviceShare = 0.08       // of the time left, the wait advised to a client turned away at taking
@@ -55,6 +56,8 @@
 	pace         pace    // of the whole fleet
 	sent, copies Decay   // forwards, copies among them
 	taken, spent []int64 // when lookups and parts were taken and further forwards made, for the budget
+	borne        Decay   // answers of warm searchers
+	live         int     // searchers listed live
 	bears        Decay   // parts per ns this mixer may count on of a warm searcher
 	fair         int64   // until then searchers are not judged
 	asking       bool    // a list call is out or the subscription runs
@@ -70,21 +73,22 @@
 // searcher is one machine of the list.
 type searcher struct {
 	id           string
+	cell         int
 	near         bool // in this mixer's zone
 	status       Status
 	started      int64
-	calls, parts int   // this mixer's calls out, which water-filling levels, and the parts in them
-	call         *call // the newest
-	ghost        Decay // failed forwards that still weigh on the count
-	pace         pace  // of its answers
-	borne        Decay // answers while warm
-	heard        int64 // last answer of any kind
-	probed       int64 // last probe
-	served       int64 // when the newest forward that it answered was sent
-	strikes      int   // failures in a row
-	suspect      bool  // not to be picked but for a test
-	wait, testAt int64 // before the next test, and when that is
-	sentAt       int64 // when it was last sent a part
+	calls, parts int     // this mixer's calls out, which water-filling levels, and the parts in them
+	call         *call   // the newest
+	ghost        Decay   // failed forwards that still weigh on the count
+	pace         pace    // of its answers
+	heard        int64   // last answer of any kind
+	probed       int64   // last probe
+	served       int64   // when the newest forward that it answered was sent
+	strikes      int     // failures in a row
+	suspect      bool    // not to be picked but for a test
+	wait, testAt int64   // before the next test, and when that is
+	credit       float64 // cold: of one part, how much may be sent, and up to when that was reckoned
+	creditAt     int64
 	out          []*forward
 }
 
@@ -154,8 +158,13 @@
 	if !remembered {
 		m.refusals = 0
 	}
+	var moved []*searcher
 	if full {
-		for _, s := range m.searchers {
+		m.live = 0
+		for _, cell := range m.cells {
+			moved = append(moved, cell...)
+		}
+		for _, s := range moved {
 			s.status = Dead
 		}
 	}
@@ -165,27 +174,38 @@
 			if e.Status == Dead || e.Cell < 0 || e.Cell >= m.c.Cells {
 				continue
 			}
-			s = &searcher{id: e.Searcher, started: e.Started}
+			s = &searcher{id: e.Searcher, cell: e.Cell, status: Dead, credit: m.rng.Float64(), creditAt: now}
+			s.started = e.Started
 			m.searchers[e.Searcher] = s
 			m.cells[e.Cell] = append(m.cells[e.Cell], s)
 		}
+		if s.status == Live {
+			m.live--
+		}
 		s.near, s.status = e.Zone == m.c.Zone, e.Status
+		if s.status == Live {
+			m.live++
+		}
 		if s.started != e.Started { // a new process: nothing learnt of the old one holds
-			s.started, s.strikes, s.suspect, s.wait, s.sentAt = e.Started, 0, false, 0, 0
-			s.ghost, s.borne, s.pace = Decay{}, Decay{}, pace{}
+			s.started, s.strikes, s.suspect, s.wait = e.Started, 0, false, 0
+			s.ghost, s.pace = Decay{}, pace{}
+			s.credit, s.creditAt = m.rng.Float64(), now
 		}
+		moved = append(moved, s)
 	}
-	for i, cell := range m.cells {
-		m.cells[i] = slices.DeleteFunc(cell, func(s *searcher) bool {
-			if len(s.out) > 0 && s.out[0].lost(now) {
-				s.rouse(now)
-			}
-			gone := s.status == Dead && len(s.out) == 0 // replaced machines must not pile up
-			if gone {
-				delete(m.searchers, s.id)
-			}
-			return gone
-		})
+	for _, s := range moved {
+		if len(s.out) > 0 && s.out[0].lost(now) {
+			s.rouse(now)
+		}
+		m.forget(s)
+	}
+}
+
+// forget drops a searcher that is gone once nothing is out there: replaced machines must not pile up.
+func (m *Mixer) forget(s *searcher) {
+	if s.status == Dead && len(s.out) == 0 && m.searchers[s.id] == s {
+		delete(m.searchers, s.id)
+		m.cells[s.cell] = slices.DeleteFunc(m.cells[s.cell], func(o *searcher) bool { return o == s })
 	}
 }
 
@@ -318,12 +338,13 @@
 		s.calls--
 	}
 	s.out = slices.DeleteFunc(s.out, func(g *forward) bool { return g == f })
+	m.forget(s)
 	switch o {
 	case Satisfied:
 		s.heard, s.strikes, s.suspect, s.wait = now, 0, false, 0
 		s.served = max(s.served, f.sent)
 		if m.frac(now, s) == 1 {
-			s.borne.Add(now, 1, halfLife)
+			m.borne.Add(now, 1, halfLife)
 		}
 		for _, p := range []*pace{&m.pace, &s.pace} {
 			p.took.Add(now, float64(took), halfLife)
@@ -407,34 +428,34 @@
 	return m.c.ColdFrom + (1-m.c.ColdFrom)*max(0, float64(now-s.started)/float64(m.c.ColdFor))
 }
 
-// coldWait is how long s must still be spared while cold: the gap between two parts of this mixer lets
-// through coldMargin of what s bears now, which is frac of what a warm searcher bears, times the multiple.
+// coldWait is how long s must still be spared while cold. This mixer saves up for one part at a time, at its
+// own part of what all mixers together may send, and starts at a chance point of the way: else every mixer
+// has a first part for a newcomer at once.
 func (m *Mixer) coldWait(now int64, s *searcher) int64 {
-	frac := m.frac(now, s)
-	if frac == 1 || s.sentAt == 0 {
+	if m.frac(now, s) == 1 {
 		return 0
 	}
-	gap := float64(m.c.ColdFor)
-	if allowed := m.bears.Read(now, bearHalf) * frac * m.c.FallMultiple * coldMargin; allowed > 0 {
-		gap = min(gap, 1/allowed)
-	}
-	return max(0, s.sentAt+int64(gap)-now)
+	s.credit = min(1, s.credit+m.coldRate((s.creditAt+now)/2, s)*float64(now-s.creditAt))
+	s.creditAt = now
+	warm := float64(s.started + m.c.ColdFor - now)
+	return int64(min(warm, (1-s.credit)/m.coldRate(now, s)))
+}
+
+// coldRate is how many parts per ns this mixer may send to s while cold. All mixers together may send what
+// fills coldMargin of a window, which is frac of what a warm searcher bears, times the multiple. What many
+// send is spread by chance, so they aim lower by coldSpread deviations; a few cannot exceed one part each.
+func (m *Mixer) coldRate(now int64, s *searcher) float64 {
+	mixers, window := float64(m.c.Mixers), float64(max(m.c.FallFor, ms))
+	most := m.bears.Read(now, bearHalf) * mixers * m.frac(now, s) * m.c.FallMultiple * coldMargin * window
+	spread := math.Sqrt(most+coldSpread*coldSpread/4) - coldSpread/2
+	return max(spread*spread, min(most, mixers*math.Floor((most+1)/mixers))) / mixers / window
 }
 
 // measure learns this mixer's share of what a warm searcher bears: at least what the warm ones answer it on
 // the average, and one part in the time that one takes, shared by all mixers. What they bore once they can
 // bear again, so that a jam, in which little is answered in time, does not keep newcomers idle.
 func (m *Mixer) measure(now int64) {
-	warm, borne := 0.0, 0.0
-	for _, cell := range m.cells {
-		for _, s := range cell {
-			if s.status == Live && m.frac(now, s) == 1 {
-				warm++
-				borne += s.borne.Read(now, halfLife)
-			}
-		}
-	}
-	rate := borne * math.Ln2 / float64(halfLife) / max(1, warm)
+	rate := m.borne.Read(now, halfLife) * math.Ln2 / float64(halfLife) / float64(max(1, m.live))
 	for i := range m.rows {
 		if n, sum := m.rows[i].n.Read(now, halfLife), m.rows[i].sum.Read(now, halfLife); sum > 0 {
 			rate = max(rate, n/sum/float64(m.c.Mixers))
@@ -648,7 +669,7 @@
 	if len(p.forwards) > 0 {
 		m.spent = append(m.spent, now)
 	}
-	s.sentAt = now
+	s.credit = 0
 	m.sent.Add(now, 1, halfLife)
 	f := &forward{part: p, s: s, call: s.call, count: s.calls, process: s.started, sent: now}
 	p.forwards = append(p.forwards, f)
--- a/mixer/mixer_test.go
+++ b/mixer/mixer_test.go
@@ -613,3 +613,32 @@
 		}
 	}
 }
+
+func TestManyMixersSpareANewcomer(t *testing.T) {
+	var sent []int64
+	for seed := range int64(60) {
+		w := newWorld(t, 100+seed, plain(func(c *Charter) { c.Cells, c.Mixers = 1, 60 }))
+		w.list(true, boxes(2, 1)...)
+		for range 5 {
+			w.take(0, 2, 0, 4000*ms, false)
+			w.run(w.now + 6000*ms)
+		}
+		w.list(false, Entry{Searcher: "box2", Started: w.now})
+		for range 3 { // all mixers would use it at once
+			w.take(0, 3, 0, 4000*ms, false)
+			w.run(w.now + 3000*ms)
+		}
+		sent = append(sent, w.cold["box2"]...)
+	}
+	slices.Sort(sent)
+	for i, at := range sent {
+		age := at - 1e15 - 30000*ms
+		bears := 2 * 20 * (0.2 + 0.8*float64(age)/float64(10000*ms))
+		if j, _ := slices.BinarySearch(sent, at-1000*ms); float64(i+1-j) > 1+bears {
+			t.Fatalf("%d parts within a second %d ms after its start, it bears %.1f", i+1-j, age/ms, bears)
+		}
+	}
+	if len(sent) < 10 {
+		t.Errorf("a newcomer was sent %d parts while cold", len(sent))
+	}
+}
