Idle connections closed where they lose more than new ones; silence added up over forwards

Forwards lost on idle connections are now held against those lost on new ones; where more is lost what lies idle is closed before a send. Where connecting fails (links slowed for one mixer), new ones lose as much and it stays off. What forwards have waited since the last answer is added up and has to reach eight means; failures count three means each. It should also guard against balancers between that forget connections; it costs handshakes.

--- a/internal/wire/charter.go
+++ b/internal/wire/charter.go
@@ -99,7 +99,6 @@
 		MaxForwards:  s.count("PolicyLimits.MaxAttempts", true, 1),
 		MayCopy:      s.flag("PolicyLimits.MayDuplicate"),
 		MayCancel:    s.flag("PolicyLimits.Cancel"),
-		MayProbe:     s.flag("PolicyLimits.Probing"),
 		MayAdvise:    s.flag("PolicyLimits.RetryAfter"),
 		MaxAdvice:    s.ms("PolicyLimits.MaxRetryAfterMs", false),
 		ColdFrom:     s.float("Guarantees.ColdFrom", true, 0, 1),
--- a/internal/wire/instance.go
+++ b/internal/wire/instance.go
@@ -170,11 +170,13 @@
 	}
 }
 
+// sampled checks the result of a probe; none are sent, so it has no effect.
 func (i *instance) sampled(f *fields) func() {
-	s, o := f.text("Searcher"), f.outcome("Result")
+	f.text("Searcher")
+	f.outcome("Result")
 	f.time("DurationMs")
 	f.load("Gauge")
-	return func() { i.m.Probed(i.host.now, s, o) }
+	return func() {}
 }
 
 func (i *instance) dropped(f *fields) func() {
@@ -287,7 +289,7 @@
 	i.end(lookup)
 }
 
-func (i *instance) Probe(searcher string) { i.say("ping", searcher) }
+func (i *instance) CloseIdle(searcher string) { i.say("close_idle", searcher) }
 
 func (i *instance) Timer(after int64, whose mixer.Due) {
 	i.lastRef++
--- a/mixer/mixer.go
+++ b/mixer/mixer.go
@@ -24,9 +24,9 @@
 	ghostHalf   = 500 * ms   // ns; a failed forward weighs on the count for a second; 4 s shuts out sound ones
 	lean        = 3.0        // calls; how much of the fleet's figure is blended into a searcher's own
 	lateSpread  = 4.0        // deviations above the mean from which a forward is late; at 1.25 copies feed jams
-	silentTimes = 2.5        // means out with nothing heard since that make a searcher suspect
-	strikesOut  = 3          // failures in a row that make a searcher suspect; sparse traffic outlives ghostHalf
-	heldUp      = 50 * ms    // ns; a timer this late shows a stall of the mixer itself
+	silentTimes = 8.0        // means that forwards wait in all, unanswered, that make a searcher suspect
+	failedTimes = 3.0        // means for which a failure counts: three in a row tell
+	lineLate    = 2.5        // means after which a forward without any answer since counts as lost on its line
 	testFirst   = 1000 * ms  // ns; first wait before a suspect is tested, doubled up to testLast
 	testLast    = 8000 * ms  // ns; a searcher that is back is missed for at most about this long
 	bearHalf    = 60000 * ms // ns; machines change slowly, a jam or a lull lasts less
@@ -41,6 +41,8 @@
 	endMargin   = 8 * ms     // ns; an ending is sent this early, to arrive in time
 	askFirst    = 500 * ms   // ns; first wait after a refused list call, doubled up to a third of AskWithin
 	crossing    = 10.0       // share of a forward's time that a price of 1 on crossing zones is worth
+	lineHalf    = 8000 * ms  // ns; how long what was learnt of idle connections holds
+	lineLost    = 1.0        // forwards lost on idle connections, beyond what new ones lose, that close them
 	tiny        = 1e-6       // weights may fall short by rounding
 )
 
@@ -49,27 +51,21 @@
 	c         Charter
 	floor     Floor
 	rng       *rand.Rand
-	rows      []row
+	rows      []Spread // by tariff, how long its forwards take
 	searchers map[string]*searcher
 	cells     [][]*searcher // by cell, in the order first listed
 
-	pace         pace    // of the whole fleet
+	pace         Ratio   // of the whole fleet: how long forwards took, over the calls out where they went
 	sent, copies Decay   // forwards, copies among them
+	idle, anew   Ratio   // forwards lost over sent, on connections that had lain idle, on those opened anew
 	taken, spent []int64 // when lookups and parts were taken and further forwards made, for the budget
 	borne        Decay   // answers of warm searchers
 	live         int     // searchers listed live
 	bears        Decay   // parts per ns this mixer may count on of a warm searcher
-	fair         int64   // until then searchers are not judged
 	asking       bool    // a list call is out or the subscription runs
 	refusals     int
 }
 
-// row is what is kept of a tariff: how long its forwards take.
-type row struct{ n, sum, squares Decay }
-
-// pace is how long forwards took, and how many calls were out where they went.
-type pace struct{ took, ahead Decay }
-
 // searcher is one machine of the list.
 type searcher struct {
 	id           string
@@ -80,11 +76,10 @@
 	calls, parts int     // this mixer's calls out, which water-filling levels, and the parts in them
 	call         *call   // the newest
 	ghost        Decay   // failed forwards that still weigh on the count
-	pace         pace    // of its answers
+	pace         Ratio   // of its answers
 	heard        int64   // last answer of any kind
-	probed       int64   // last probe
+	unheard      int64   // what forwards sent since have waited in vain
 	served       int64   // when the newest forward that it answered was sent
-	strikes      int     // failures in a row
 	suspect      bool    // not to be picked but for a test
 	wait, testAt int64   // before the next test, and when that is
 	credit       float64 // cold: of one part, how much may be sent, and up to when that was reckoned
@@ -106,7 +101,8 @@
 	count     int   // calls out there, with its own
 	process   int64 // start of the process it went to
 	sent      int64
-	done, ran bool // has its outcome; may have run
+	done, ran bool   // has its outcome; may have run
+	line      *Ratio // nil where the connection was in use, or once counted as lost
 }
 
 // lost tells whether no answer is waited for any more, though none has come: its searcher is suspect, its
@@ -114,7 +110,7 @@
 // requests or answers lost on the way; it can double the work of very heavy parts.
 func (f *forward) lost(now int64) bool {
 	mean, _ := f.part.l.m.typical(now, f.part.l)
-	overtaken := mean > 0 && f.s.served > f.sent+int64(mean)
+	overtaken := f.s.served > f.sent+int64(mean)
 	return f.s.suspect || f.s.status == Dead || f.process != f.s.started || overtaken
 }
 
@@ -143,7 +139,7 @@
 // New makes a mixer.
 func New(now int64, c Charter, seed int64, floor Floor) *Mixer {
 	m := &Mixer{c: c, floor: floor, rng: rand.New(rand.NewSource(seed)), searchers: map[string]*searcher{}}
-	m.rows, m.cells = make([]row, len(c.Tariffs)), make([][]*searcher, c.Cells)
+	m.rows, m.cells = make([]Spread, len(c.Tariffs)), make([][]*searcher, c.Cells)
 	if c.ListAsked {
 		m.Due(now)
 	}
@@ -187,8 +183,8 @@
 			m.live++
 		}
 		if s.started != e.Started { // a new process: nothing learnt of the old one holds
-			s.started, s.strikes, s.suspect, s.wait = e.Started, 0, false, 0
-			s.ghost, s.pace = Decay{}, pace{}
+			s.started, s.unheard, s.suspect, s.wait = e.Started, 0, false, 0
+			s.ghost, s.pace = Decay{}, Ratio{}
 			s.credit, s.creditAt = m.rng.Float64(), now
 		}
 		moved = append(moved, s)
@@ -229,13 +225,6 @@
 	}
 }
 
-// Probed is told the result of a probe. An answer shows a process, no more: the searcher may still hang.
-func (m *Mixer) Probed(now int64, id string, o Outcome) {
-	if s := m.searchers[id]; s != nil && o != Satisfied && s.heard < s.probed && now >= m.fair {
-		m.distrust(now, s)
-	}
-}
-
 // Take takes a lookup. It is planned once its parts have come.
 func (m *Mixer) Take(now int64, a Ask) *Lookup {
 	t := &m.c.Tariffs[a.Tariff]
@@ -293,23 +282,14 @@
 // unit is what forwards to s lately took for each call out with them, leaning on the fleet's figure where
 // s has shown little. Times the calls that a new forward joins, it is the time it is likely to take.
 func (m *Mixer) unit(now int64, s *searcher) float64 {
-	n := m.pace.ahead.Read(now, halfLife)
-	if n == 0 {
-		return 0
-	}
-	fleet := m.pace.took.Read(now, halfLife) / n
-	return (lean*fleet + s.pace.took.Read(now, halfLife)) / (lean + s.pace.ahead.Read(now, halfLife))
+	return s.pace.Read(now, halfLife, m.pace.Read(now, halfLife, 0, 0), lean)
 }
 
 // Gone is told that the client left.
 func (l *Lookup) Gone(now int64) { l.ended = true }
 
-// Due looks at the lookup again. Where that comes late it is this mixer that was held up, not the searchers,
-// whose answers may lie behind the same hold-up: for a moment nobody is judged.
+// Due looks at the lookup again.
 func (l *Lookup) Due(now int64) {
-	if l.wake > 0 && now > l.wake+heldUp {
-		l.m.fair = now + lookAgain
-	}
 	l.wake = 0
 	l.review(now)
 }
@@ -338,64 +318,63 @@
 		s.calls--
 	}
 	s.out = slices.DeleteFunc(s.out, func(g *forward) bool { return g == f })
+	unheard := o == TimedOut && s.heard <= f.sent
+	if unheard {
+		s.unheard += took
+	}
+	if unheard || o == Reset || o == Unreached {
+		f.miss(now)
+	}
 	m.forget(s)
 	switch o {
 	case Satisfied:
-		s.heard, s.strikes, s.suspect, s.wait = now, 0, false, 0
+		s.heard, s.unheard, s.suspect, s.wait = now, 0, false, 0
 		s.served = max(s.served, f.sent)
 		if m.frac(now, s) == 1 {
 			m.borne.Add(now, 1, halfLife)
 		}
-		for _, p := range []*pace{&m.pace, &s.pace} {
-			p.took.Add(now, float64(took), halfLife)
-			p.ahead.Add(now, float64(f.count), halfLife)
-		}
-		r := &m.rows[f.part.l.ask.Tariff]
-		r.n.Add(now, 1, halfLife)
-		r.sum.Add(now, float64(took), halfLife)
-		r.squares.Add(now, float64(took)*float64(took), halfLife)
+		m.pace.Add(now, float64(took), float64(f.count), halfLife)
+		s.pace.Add(now, float64(took), float64(f.count), halfLife)
+		m.rows[f.part.l.ask.Tariff].Add(now, float64(took), halfLife)
 		m.measure(now)
 	case Errored, Bounced, Unreached, Reset:
 		// Guards against a searcher that fails fast, whose count near zero would draw every pick; one that
 		// turns away for overload is spared the same way.
-		s.heard = now
+		mean, _ := m.typical(now, f.part.l)
+		s.unheard += int64(failedTimes * mean)
 		s.ghost.Add(now, 1, ghostHalf)
-		if s.strikes++; s.strikes >= strikesOut {
-			m.distrust(now, s)
-		}
 	}
 }
 
-// typical gives mean and deviation of how long the tariff's forwards lately took, 0 when none did.
+// typical gives mean and deviation of how long the tariff's forwards lately took, a guess when none did.
 func (m *Mixer) typical(now int64, l *Lookup) (mean, dev float64) {
-	r := &m.rows[l.ask.Tariff]
-	n := r.n.Read(now, halfLife)
+	n, mean, dev := m.rows[l.ask.Tariff].Read(now, halfLife)
 	if n < tiny {
-		return 0, 0
+		return float64(l.t.Expected) / 8, 0
 	}
-	mean = r.sum.Read(now, halfLife) / n
-	return mean, math.Sqrt(max(0, r.squares.Read(now, halfLife)/n-mean*mean))
+	return mean, dev
 }
 
-// hearken judges searchers by what is out there, not by the list: a forward out for several times what its
-// tariff's forwards take, with nothing heard since it was sent, makes its searcher suspect. It guards
-// against hangs, lost machines and cut links alike. A very heavy part can wrong a sound searcher, so where
-// probes are allowed one is asked first, and an answer to it is believed for as long again.
+// hearken judges searchers by what is out there, not by the list: when the forwards to one since its last
+// answer have waited for several times what they take, all added up, it is suspect. It guards against
+// hangs, lost machines, cut links and searchers that fail at once alike. One forward alone may be slow or
+// heavy, and a mixer with little traffic hears nothing else meanwhile; so it has to wait for longer.
 func (m *Mixer) hearken(now int64, p *part) {
 	mean, _ := m.typical(now, p.l)
-	if now < m.fair {
-		return
-	}
 	for _, f := range p.forwards {
-		s, silent := f.s, float64(now-f.sent)/silentTimes
-		if f.done || s.suspect || s.heard > f.sent || mean == 0 || silent < mean {
-			continue
-		}
-		if !m.c.MayProbe || silent > 2*mean {
-			m.distrust(now, s)
-		} else if s.probed < f.sent {
-			s.probed = now
-			m.floor.Probe(s.id)
+		if s := f.s; !s.suspect && s.heard <= f.sent {
+			silence := s.unheard
+			for _, g := range s.out {
+				if g.sent >= s.heard {
+					silence += now - g.sent
+				}
+			}
+			if float64(now-f.sent) > lineLate*mean && !f.done {
+				f.miss(now)
+			}
+			if float64(silence) > silentTimes*mean {
+				m.distrust(now, s)
+			}
 		}
 	}
 }
@@ -457,8 +436,8 @@
 func (m *Mixer) measure(now int64) {
 	rate := m.borne.Read(now, halfLife) * math.Ln2 / float64(halfLife) / float64(max(1, m.live))
 	for i := range m.rows {
-		if n, sum := m.rows[i].n.Read(now, halfLife), m.rows[i].sum.Read(now, halfLife); sum > 0 {
-			rate = max(rate, n/sum/float64(m.c.Mixers))
+		if _, mean, _ := m.rows[i].Read(now, halfLife); mean > 0 {
+			rate = max(rate, 1/mean/float64(m.c.Mixers))
 		}
 	}
 	if rate > m.bears.Read(now, bearHalf) {
@@ -553,9 +532,6 @@
 // lateAt gives when a forward sent at a time is late against what the tariff's forwards lately took.
 func (l *Lookup) lateAt(now, sent int64) int64 {
 	mean, dev := l.m.typical(now, l)
-	if mean == 0 {
-		return sent + l.t.Expected/4
-	}
 	return sent + int64(mean+lateSpread*max(dev, mean/4))
 }
 
@@ -654,12 +630,37 @@
 	m.spent = slices.DeleteFunc(m.spent, func(t int64) bool { return t < from })
 }
 
+// connect closes what lies idle to s where idle connections lose more than new ones. It guards against
+// connections that are dropped unseen, which say nothing of the searcher. Where connecting is what fails, new
+// ones lose as much and are left alone.
+func (m *Mixer) connect(now int64, s *searcher) *Ratio {
+	share := m.anew.Read(now, lineHalf, 0, lean)
+	if m.idle.over.Read(now, lineHalf)-2*share*m.idle.under.Read(now, lineHalf) < lineLost {
+		return &m.idle
+	}
+	m.floor.CloseIdle(s.id)
+	return &m.anew
+}
+
+// miss counts a forward as lost on its connection.
+func (f *forward) miss(now int64) {
+	if f.line != nil {
+		f.line.Add(now, 1, 0, lineHalf)
+		f.line = nil
+	}
+}
+
 // send books one forward; review puts it out.
 func (l *Lookup) send(now int64, p *part, s *searcher) *forward {
 	m := l.m
 	if s.call == nil || s.call.at != now || s.call.size >= m.c.PerCall {
 		s.call = &call{at: now}
 	}
+	var line *Ratio
+	if s.calls == 0 {
+		line = m.connect(now, s)
+		line.Add(now, 0, 1, lineHalf)
+	}
 	if s.call.left == 0 {
 		s.calls++
 	}
@@ -671,7 +672,7 @@
 	}
 	s.credit = 0
 	m.sent.Add(now, 1, halfLife)
-	f := &forward{part: p, s: s, call: s.call, count: s.calls, process: s.started, sent: now}
+	f := &forward{part: p, s: s, call: s.call, count: s.calls, process: s.started, sent: now, line: line}
 	p.forwards = append(p.forwards, f)
 	s.out = append(s.out, f)
 	return f
@@ -684,14 +685,13 @@
 		l.ended = true
 		return
 	}
-	in := 0
+	l.step, l.planned = len(l.parts), false
+	l.expect, l.need = l.step, 1
 	for _, p := range l.parts {
-		if p.in {
-			in++
+		if p.in && l.expect < l.step+l.t.SecondStep {
+			l.expect++
 		}
 	}
-	l.step, l.planned = len(l.parts), false
-	l.expect, l.need = len(l.parts)+min(l.t.SecondStep, in), 1
 }
 
 // giveUp ends a lookup at once with what honesty allows: an answer from the least share, a bounce where
@@ -703,12 +703,11 @@
 		l.m.floor.Answer(l.ask.ID, false)
 		return
 	}
+	mayRun := func(f *forward) bool { return !f.done || f.ran }
 	for _, p := range l.parts {
-		for _, f := range p.forwards {
-			if l.t.Effect != Repeatable && (!f.done || f.ran) {
-				l.m.floor.Fail(l.ask.ID)
-				return
-			}
+		if l.t.Effect != Repeatable && slices.ContainsFunc(p.forwards, mayRun) {
+			l.m.floor.Fail(l.ask.ID)
+			return
 		}
 	}
 	wait := int64(0)
--- a/mixer/types.go
+++ b/mixer/types.go
@@ -52,10 +52,10 @@
 	ListAsked bool  // the list comes only when asked for
 	AskWithin int64 // a mixer that has not asked for so long counts as told
 
-	MaxForwards         int // for one part
-	MayCopy, MayCancel  bool
-	MayProbe, MayAdvise bool
-	MaxAdvice           int64 // longest wait a client heeds
+	MaxForwards        int // for one part
+	MayCopy, MayCancel bool
+	MayAdvise          bool
+	MaxAdvice          int64 // longest wait a client heeds
 
 	ColdFrom     float64
 	ColdFor      int64
@@ -114,7 +114,7 @@
 	Answer(lookup string, whole bool)
 	Bounce(lookup string, wait int64)
 	Fail(lookup string)
-	Probe(searcher string)
+	CloseIdle(searcher string) // its connections that are not in use
 	Timer(after int64, whose Due)
 	Subscribe()
 	Note(text string)
@@ -139,3 +139,40 @@
 	}
 	return d.sum * math.Exp2(-float64(now-d.at)/float64(half))
 }
+
+// Ratio is one decaying sum over another.
+type Ratio struct{ over, under Decay }
+
+// Add brings both sums up to date and adds to each.
+func (r *Ratio) Add(now int64, over, under float64, half int64) {
+	r.over.Add(now, over, half)
+	r.under.Add(now, under, half)
+}
+
+// Read gives the ratio as of now, leaning on a value with a weight.
+func (r *Ratio) Read(now int64, half int64, on, weight float64) float64 {
+	over, under := r.over.Read(now, half)+on*weight, r.under.Read(now, half)+weight
+	if under == 0 {
+		return 0
+	}
+	return over / under
+}
+
+// Spread is the mean and deviation of decaying terms.
+type Spread struct{ n, sum, squares Decay }
+
+// Add brings the sums up to date and adds x.
+func (s *Spread) Add(now int64, x float64, half int64) {
+	s.n.Add(now, 1, half)
+	s.sum.Add(now, x, half)
+	s.squares.Add(now, x*x, half)
+}
+
+// Read gives how many terms weigh in as of now, and their mean and deviation.
+func (s *Spread) Read(now int64, half int64) (n, mean, dev float64) {
+	if n = s.n.Read(now, half); n == 0 {
+		return 0, 0, 0
+	}
+	mean = s.sum.Read(now, half) / n
+	return n, mean, math.Sqrt(max(0, s.squares.Read(now, half)/n-mean*mean))
+}
