A searcher's pace is kept for 16 s, and time-outs, failures and waits out there count in it

A mixer meets each searcher every few seconds at most; a memory of 4 s held one answer, and a searcher that never answers in time left no trace in it at all. Its own figures now fade in 16 s, lean less on the fleet's, a time-out counts as twice its wait, a failure as three usual times, and what is out there counts by its wait. All of it only orders equals and tells admission, as before. It should also guard against ageing and links slowed for one mixer; it could spare a searcher that has recovered for some seconds too long.

--- a/mixer/mixer.go
+++ b/mixer/mixer.go
@@ -22,7 +22,9 @@
 
 	halfLife    = 4000 * ms  // ns; sums follow a change of load within seconds, yet hold some tens of forwards
 	ghostHalf   = 500 * ms   // ns; a failed forward weighs on the count for a second; 4 s shuts out sound ones
-	lean        = 3.0        // calls; how much of the fleet's figure is blended into a searcher's own
+	paceHalf    = 16000 * ms // ns; a searcher's own pace: sparse mixers meet each only every ten seconds or so
+	lean        = 1.5        // calls; how much of the fleet's figure is blended into a searcher's own
+	lostTimes   = 2.0        // how much longer a forward is held to take than it waited before it timed out
 	lateSpread  = 4.0        // deviations above the mean from which a forward is late; at 1.25 copies feed jams
 	silentTimes = 8.0        // means that forwards wait in all, unanswered, that make a searcher suspect
 	failedTimes = 3.0        // means for which a failure counts: three in a row tell
@@ -170,8 +172,7 @@
 			if e.Status == Dead || e.Cell < 0 || e.Cell >= m.c.Cells {
 				continue
 			}
-			s = &searcher{id: e.Searcher, cell: e.Cell, status: Dead, credit: m.rng.Float64(), creditAt: now}
-			s.started = e.Started
+			s = &searcher{id: e.Searcher, cell: e.Cell, status: Dead, started: e.Started - 1} // met as a new process
 			m.searchers[e.Searcher] = s
 			m.cells[e.Cell] = append(m.cells[e.Cell], s)
 		}
@@ -184,8 +185,7 @@
 		}
 		if s.started != e.Started { // a new process: nothing learnt of the old one holds
 			s.started, s.unheard, s.suspect, s.wait = e.Started, 0, false, 0
-			s.ghost, s.pace = Decay{}, Ratio{}
-			s.credit, s.creditAt = m.rng.Float64(), now
+			s.ghost, s.pace, s.credit, s.creditAt = Decay{}, Ratio{}, m.rng.Float64(), now
 		}
 		moved = append(moved, s)
 	}
@@ -280,9 +280,14 @@
 }
 
 // unit is what forwards to s lately took for each call out with them, leaning on the fleet's figure where
-// s has shown little. Times the calls that a new forward joins, it is the time it is likely to take.
+// s has shown little, and at least what the oldest one out there has waited. Times the calls that a new
+// forward joins, it is the time it is likely to take.
 func (m *Mixer) unit(now int64, s *searcher) float64 {
-	return s.pace.Read(now, halfLife, m.pace.Read(now, halfLife, 0, 0), lean)
+	unit := s.pace.Read(now, paceHalf, m.pace.Read(now, halfLife, 0, 0), lean)
+	if len(s.out) > 0 {
+		unit = max(unit, float64(now-s.out[0].sent)/float64(s.out[0].count))
+	}
+	return unit
 }
 
 // Gone is told that the client left.
@@ -318,15 +323,17 @@
 		s.calls--
 	}
 	s.out = slices.DeleteFunc(s.out, func(g *forward) bool { return g == f })
-	unheard := o == TimedOut && s.heard <= f.sent
-	if unheard {
-		s.unheard += took
-	}
-	if unheard || o == Reset || o == Unreached {
+	m.forget(s)
+	if o == Reset || o == Unreached || o == TimedOut && s.heard <= f.sent {
 		f.miss(now)
 	}
-	m.forget(s)
 	switch o {
+	case TimedOut:
+		// Guards against searchers too slow to answer in time, no answer of which ever tells how slow.
+		s.pace.Add(now, lostTimes*float64(took), float64(f.count), paceHalf)
+		if s.heard <= f.sent {
+			s.unheard += took
+		}
 	case Satisfied:
 		s.heard, s.unheard, s.suspect, s.wait = now, 0, false, 0
 		s.served = max(s.served, f.sent)
@@ -334,7 +341,7 @@
 			m.borne.Add(now, 1, halfLife)
 		}
 		m.pace.Add(now, float64(took), float64(f.count), halfLife)
-		s.pace.Add(now, float64(took), float64(f.count), halfLife)
+		s.pace.Add(now, float64(took), float64(f.count), paceHalf)
 		m.rows[f.part.l.ask.Tariff].Add(now, float64(took), halfLife)
 		m.measure(now)
 	case Errored, Bounced, Unreached, Reset:
@@ -342,6 +349,7 @@
 		// turns away for overload is spared the same way.
 		mean, _ := m.typical(now, f.part.l)
 		s.unheard += int64(failedTimes * mean)
+		s.pace.Add(now, failedTimes*mean*float64(f.count), float64(f.count), paceHalf)
 		s.ghost.Add(now, 1, ghostHalf)
 	}
 }
--- a/mixer/mixer_test.go
+++ b/mixer/mixer_test.go
@@ -191,21 +191,17 @@
 	return TimedOut, within
 }
 
+// since counts the times after one; they come in order.
+func since(times []int64, after int64) float64 {
+	i, _ := slices.BinarySearch(times, after+1)
+	return float64(len(times) - i)
+}
+
 // budget checks rule 6 over the window that ends now.
 func (w *world) budget() {
-	spent, taken := 0, 0
-	for _, at := range w.forwards {
-		if at >= w.now-w.c.BudgetFor {
-			spent++
-		}
-	}
-	for _, at := range w.taken {
-		if at > w.now-w.c.BudgetFor {
-			taken++
-		}
-	}
-	if most := w.c.BudgetFree + w.c.BudgetShare*float64(taken); w.c.BudgetFor > 0 && float64(spent) > most {
-		w.t.Fatalf("%d further forwards in the budget's window, most are %g", spent, most)
+	spent, taken := since(w.forwards, w.now-w.c.BudgetFor-1), since(w.taken, w.now-w.c.BudgetFor)
+	if most := w.c.BudgetFree + w.c.BudgetShare*taken; w.c.BudgetFor > 0 && spent > most {
+		w.t.Fatalf("%g further forwards in the budget's window, most are %g", spent, most)
 	}
 }
 
@@ -216,12 +212,7 @@
 		return
 	}
 	w.cold[searcher] = append(w.cold[searcher], w.now)
-	in := 0.0
-	for _, at := range w.cold[searcher] {
-		if at > w.now-w.c.FallFor {
-			in++
-		}
-	}
+	in := since(w.cold[searcher], w.now-w.c.FallFor)
 	frac := w.c.ColdFrom + (1-w.c.ColdFrom)*float64(age)/float64(w.c.ColdFor)
 	bears := w.c.FallMultiple * frac * 20 * float64(w.c.FallFor) / 1e9
 	if in > 1+bears {
@@ -243,14 +234,13 @@
 
 func (w *world) Answer(id string, whole bool) {
 	l := w.end(id, "answer")
-	in, all := 0.0, true
+	in, n := 0.0, 0
 	for _, part := range l.steps[len(l.steps)-1] {
 		if w.parts[part].in {
-			in += w.parts[part].weight
-		} else {
-			all = false
+			in, n = in+w.parts[part].weight, n+1
 		}
 	}
+	all := n == len(l.steps[len(l.steps)-1])
 	if in < l.t.LeastShare-1e-4 && (len(l.steps) == 1 || l.t.LeastShare < l.t.CompleteFrom) || len(l.steps) == 2 &&
 		!all && l.t.LeastShare >= l.t.CompleteFrom {
 		w.t.Fatalf("answer of %s from %g of its parts", id, in)
@@ -263,12 +253,6 @@
 	w.answers++
 	if first && l.t.SecondStep > 0 {
 		l.ended = false
-		n := 0
-		for _, part := range l.steps[0] {
-			if w.parts[part].in {
-				n++
-			}
-		}
 		w.after(w.lag, func() {
 			if !l.ended {
 				w.hand(l, id, min(n, l.t.SecondStep), w.rng.Intn(w.c.Cells))
@@ -550,6 +534,25 @@
 	}
 }
 
+func TestTimeOutsAreRemembered(t *testing.T) {
+	w := warmed(t, 13, 3)
+	w.box["box1"].free = [2]int64{w.now + 3000*ms, w.now + 3000*ms}
+	w.take(0, 3, 0, 4000*ms, false)
+	w.run(w.now + 3000*ms)
+	for w.m.searchers["box1"].suspect {
+		w.warmUp(1)
+	}
+	again := 0
+	for range 10 {
+		w.take(0, 2, 0, 4000*ms, false)
+		again += w.counts()[1]
+		w.run(w.now + 300*ms)
+	}
+	if again > 2 {
+		t.Errorf("a searcher that timed out was the first choice %d of 10 times soon after", again)
+	}
+}
+
 func TestOverloadIsTurnedAwayAtOnce(t *testing.T) {
 	w := newWorld(t, 7, plain(nil))
 	w.list(true, boxes(6, 2)...)
@@ -598,7 +601,7 @@
 	w.box["box0"].broken, w.box["box1"].broken = 0, 0 // one message lost on the way, nothing else
 	start := w.now
 	for !l.ended {
-		w.take(0, 2, 0, 4000*ms, false)
+		w.take(0, 3, 0, 4000*ms, false)
 		w.run(w.now + 100*ms)
 	}
 	if w.now-start > 500*ms || !l.answeredWhole {
@@ -626,8 +629,8 @@
 	for i, at := range sent {
 		age := at - 1e15 - 30000*ms
 		bears := 2 * 20 * (0.2 + 0.8*float64(age)/float64(10000*ms))
-		if j, _ := slices.BinarySearch(sent, at-1000*ms); float64(i+1-j) > 1+bears {
-			t.Fatalf("%d parts within a second %d ms after its start, it bears %.1f", i+1-j, age/ms, bears)
+		if in := since(sent[:i+1], at-1000*ms); in > 1+bears {
+			t.Fatalf("%g parts within a second %d ms after its start, it bears %.1f", in, age/ms, bears)
 		}
 	}
 	if len(sent) < 10 {
