Waits of what is out only order equals

Cause: as part of the prediction at taking they turned away lookups in dense deployments, where something is always out.

--- a/mixer/mixer.go
+++ b/mixer/mixer.go
@@ -280,14 +280,9 @@
 }
 
 // unit is what forwards to s lately took for each call out with them, leaning on the fleet's figure where
-// s has shown little, and at least what the oldest one out there has waited. Times the calls that a new
-// forward joins, it is the time it is likely to take.
+// s has shown little. Times the calls that a new forward joins, it is the time it is likely to take.
 func (m *Mixer) unit(now int64, s *searcher) float64 {
-	unit := s.pace.Read(now, paceHalf, m.pace.Read(now, halfLife, 0, 0), lean)
-	if len(s.out) > 0 {
-		unit = max(unit, float64(now-s.out[0].sent)/float64(s.out[0].count))
-	}
-	return unit
+	return s.pace.Read(now, paceHalf, m.pace.Read(now, halfLife, 0, 0), lean)
 }
 
 // Gone is told that the client left.
@@ -583,7 +578,11 @@
 				return
 			}
 			key := [5]float64{2: float64(s.calls) + math.Round(s.ghost.Read(now, ghostHalf)), 4: float64(p.Effort)}
-			key[3] = m.unit(now, s) * float64(s.parts+1) / m.frac(now, s)
+			unit := m.unit(now, s)
+			if len(s.out) > 0 { // at least what the oldest out there has waited
+				unit = max(unit, float64(now-s.out[0].sent)/float64(s.out[0].count))
+			}
+			key[3] = unit * float64(s.parts+1) / m.frac(now, s)
 			if !s.near { // weighed against time by what crossing costs
 				key[3] *= 1 + crossing*m.c.CrossPrice
 			}
