Failures on the count and overtaken forwards are taken out

Cause: since time-outs and failures count in a searcher's own pace and in its silence, both overlap with it. Taken out; the plain case of a searcher that fails at once stays green.

--- a/mixer/mixer.go
+++ b/mixer/mixer.go
@@ -21,7 +21,6 @@
 	ms = int64(1_000_000)
 
 	halfLife    = 4000 * ms  // ns; sums follow a change of load within seconds, yet hold some tens of forwards
-	ghostHalf   = 500 * ms   // ns; a failed forward weighs on the count for a second; 4 s shuts out sound ones
 	paceHalf    = 16000 * ms // ns; a searcher's own pace: sparse mixers meet each only every ten seconds or so
 	lean        = 1.5        // calls; how much of the fleet's figure is blended into a searcher's own
 	lostTimes   = 2.0        // how much longer a forward is held to take than it waited before it timed out
@@ -77,11 +76,9 @@
 	started      int64
 	calls, parts int     // this mixer's calls out, which water-filling levels, and the parts in them
 	call         *call   // the newest
-	ghost        Decay   // failed forwards that still weigh on the count
 	pace         Ratio   // of its answers
 	heard        int64   // last answer of any kind
 	unheard      int64   // what forwards sent since have waited in vain
-	served       int64   // when the newest forward that it answered was sent
 	suspect      bool    // not to be picked but for a test
 	wait, testAt int64   // before the next test, and when that is
 	credit       float64 // cold: of one part, how much may be sent, and up to when that was reckoned
@@ -107,14 +104,9 @@
 	line      *Ratio // nil where the connection was in use, or once counted as lost
 }
 
-// lost tells whether no answer is waited for any more, though none has come: its searcher is suspect, its
-// process is gone, or what was sent there a usual time after it has been answered. The last guards against
-// requests or answers lost on the way; it can double the work of very heavy parts.
-func (f *forward) lost(now int64) bool {
-	mean, _ := f.part.l.m.typical(now, f.part.l)
-	overtaken := f.s.served > f.sent+int64(mean)
-	return f.s.suspect || f.s.status == Dead || f.process != f.s.started || overtaken
-}
+// lost tells whether no answer is waited for any more, though none has come: its searcher is suspect or its
+// process is gone.
+func (f *forward) lost() bool { return f.s.suspect || f.s.status == Dead || f.process != f.s.started }
 
 type part struct {
 	Piece
@@ -185,12 +177,12 @@
 		}
 		if s.started != e.Started { // a new process: nothing learnt of the old one holds
 			s.started, s.unheard, s.suspect, s.wait = e.Started, 0, false, 0
-			s.ghost, s.pace, s.credit, s.creditAt = Decay{}, Ratio{}, m.rng.Float64(), now
+			s.pace, s.credit, s.creditAt = Ratio{}, m.rng.Float64(), now
 		}
 		moved = append(moved, s)
 	}
 	for _, s := range moved {
-		if len(s.out) > 0 && s.out[0].lost(now) {
+		if len(s.out) > 0 && s.out[0].lost() {
 			s.rouse(now)
 		}
 		m.forget(s)
@@ -331,7 +323,6 @@
 		}
 	case Satisfied:
 		s.heard, s.unheard, s.suspect, s.wait = now, 0, false, 0
-		s.served = max(s.served, f.sent)
 		if m.frac(now, s) == 1 {
 			m.borne.Add(now, 1, halfLife)
 		}
@@ -341,11 +332,10 @@
 		m.measure(now)
 	case Errored, Bounced, Unreached, Reset:
 		// Guards against a searcher that fails fast, whose count near zero would draw every pick; one that
-		// turns away for overload is spared the same way.
+		// turns away for overload is spared the same way, as the slow one it is.
 		mean, _ := m.typical(now, f.part.l)
 		s.unheard += int64(failedTimes * mean)
 		s.pace.Add(now, failedTimes*mean*float64(f.count), float64(f.count), paceHalf)
-		s.ghost.Add(now, 1, ghostHalf)
 	}
 }
 
@@ -525,7 +515,7 @@
 // lastOut gives when the newest forward that may still bring an answer was sent, 0 if there is none.
 func (p *part) lastOut(now int64) (sent int64) {
 	for _, f := range p.forwards {
-		if !f.done && !f.lost(now) {
+		if !f.done && !f.lost() {
 			sent = max(sent, f.sent)
 		}
 	}
@@ -577,7 +567,7 @@
 			if tried || m.coldWait(now, s) > 0 {
 				return
 			}
-			key := [5]float64{2: float64(s.calls) + math.Round(s.ghost.Read(now, ghostHalf)), 4: float64(p.Effort)}
+			key := [5]float64{2: float64(s.calls), 4: float64(p.Effort)}
 			unit := m.unit(now, s)
 			if len(s.out) > 0 { // at least what the oldest out there has waited
 				unit = max(unit, float64(now-s.out[0].sent)/float64(s.out[0].count))
