Crossing zones weighs 16 times its price in time

Cause: with the leaning on the fleet down to 1.5 calls, noise in a searcher's own pace moved more parts across zones than time was won.

--- a/mixer/mixer.go
+++ b/mixer/mixer.go
@@ -42,7 +42,7 @@
 	zoneLost    = 3          // forwards lost in a row, with no answer from a whole zone, that make it silent
 	testShare   = 0.03       // of forwards, those that test suspects and silent zones; each may delay a lookup
 	askFirst    = 500 * ms   // ns; first wait after a refused list call, doubled up to a third of AskWithin
-	crossing    = 10.0       // share of a forward's time that a price of 1 on crossing zones is worth
+	crossing    = 16.0       // share of a forward's time that a price of 1 on crossing zones is worth
 	lineHalf    = 8000 * ms  // ns; how long what was learnt of idle connections holds
 	lineLost    = 1.0        // forwards lost on idle connections, beyond what new ones lose, that close them
 	tiny        = 1e-6       // weights may fall short by rounding
