At taking, shunned searchers do not count and stale paces fade towards the fleet's

And lookups were taken whose slices had no holder but suspects. A plain case now checks that a mixer that lost everybody serves again within seconds; without the fading it took a minute. It should also guard against tests that never come; it lets in more where a whole fleet is slow for long.

--- a/mixer/mixer.go
+++ b/mixer/mixer.go
@@ -1,9 +1,8 @@
 // Package mixer decides how lookups are served from many searchers.
 //
-// How it is called: New makes a mixer; Listed and ListRefused bring news of the list; Take takes a lookup
-// and gives its handle, AddPart hands over its parts, Outcome tells how a forward ended, Gone that the
-// client left; Due is called when a timer comes due. Calls carry the clock and come in its order. The
-// mixer acts through Floor; that interface and the plain types stand in types.go.
+// How it is called: New makes a mixer; Listed and ListRefused bring news of the list; Take takes a lookup and
+// gives its handle, AddPart hands over its parts, Outcome tells how a forward ended, Gone that the client has
+// left; Due is called when a timer comes due. Calls come in the clock's order. It acts by Floor, in types.go.
 //
 // The ordinary path is water-filling: exactly as many parts as make the answer whole, each to the holder
 // with the fewest calls of this mixer out, the count raised after each pick. docs/design.md says what is
@@ -84,6 +83,7 @@
 	calls, parts int     // this mixer's calls out, which water-filling levels, and the parts in them
 	call         *call   // the newest
 	pace         Ratio   // of its answers
+	pacedAt      int64   // when that was last added to
 	heard        int64   // last answer of any kind
 	unheard      int64   // what forwards sent since have waited in vain
 	suspect      bool    // not to be picked but for a test
@@ -115,8 +115,8 @@
 // lost tells whether no answer is waited for any more, though none has come: its searcher is suspect, its
 // process is gone, or its whole zone is silent.
 func (f *forward) lost() bool {
-	z := f.s.zone
-	return f.s.suspect || f.s.status == Dead || f.process != f.s.started || z.silent() && f.sent >= z.heard
+	s := f.s
+	return s.suspect || s.status == Dead || f.process != s.started || s.zone.silent() && f.sent >= s.zone.heard
 }
 
 func (f *forward) out() bool    { return !f.done }
@@ -255,16 +255,20 @@
 	}
 }
 
-// hopeless decides at taking whether the lookup can still be satisfied. It guards against overload of any
-// cause, of the fleet or of a few slices: work that comes too late only keeps other work from being in time.
+// hopeless decides at taking if the lookup can still be satisfied. It guards against overload, of the fleet
+// or of a few slices, whatever the cause: work that comes too late keeps other work from being in time.
 func (l *Lookup) hopeless(now int64) bool {
 	m := l.m
-	times := make([]float64, len(l.parts))
+	times, fleet := make([]float64, len(l.parts)), m.pace.Read(now, halfLife, 0, 0)
 	for i, p := range l.parts {
 		times[i] = math.Inf(1)
 		m.holders(now, p, func(s *searcher) {
-			took := m.unit(now, s) * float64(s.calls+1) / m.frac(now, s)
-			times[i] = min(times[i], float64(m.coldWait(now, s))+took)
+			// What was learnt of s long ago must not keep from it the lookups that would show it is well again.
+			unit := fleet + (m.unit(now, s)-fleet)*math.Exp2(-float64(now-s.pacedAt)/float64(halfLife))
+			if !m.shunned(now, s) {
+				took := unit * float64(s.calls+1) / m.frac(now, s)
+				times[i] = min(times[i], float64(m.coldWait(now, s))+took)
+			}
 		})
 	}
 	slices.Sort(times)
@@ -297,10 +301,7 @@
 	f := p.forwards[copy]
 	f.done, f.ran = true, !o.NeverRan()
 	l.m.settle(now, f, o, took)
-	if l.ended || p.in {
-		return
-	}
-	p.in, p.over = o == Satisfied, over
+	p.in, p.over = p.in || o == Satisfied, p.over || over
 	l.review(now)
 }
 
@@ -316,6 +317,7 @@
 	if o == Reset || o == Unreached || o == TimedOut && s.heard <= f.sent {
 		f.miss(now)
 	}
+	s.pacedAt = now
 	switch o {
 	case TimedOut:
 		// Guards against searchers too slow to answer in time, no answer of which ever tells how slow.
@@ -352,10 +354,9 @@
 	return mean, dev
 }
 
-// hearken judges searchers by what is out there, not by the list: when the forwards to one since its last
-// answer have waited for several times what they take, all added up, it is suspect. It guards against
-// hangs, lost machines, cut links and searchers that fail at once alike. One forward alone may be slow or
-// heavy, and a mixer with little traffic hears nothing else meanwhile; so it has to wait for longer.
+// hearken judges searchers not by the list: when the forwards to one since its last answer have waited, added
+// up, for several times what they take, it is suspect. It guards against hangs, lost machines, cut links and
+// quick failure alike. One forward alone may be slow or heavy and has to wait for longer than several.
 func (m *Mixer) hearken(now int64, p *part) {
 	mean, _ := m.typical(now, p.l)
 	for _, f := range p.forwards {
@@ -403,9 +404,8 @@
 	return m.c.ColdFrom + (1-m.c.ColdFrom)*max(0, float64(now-s.started)/float64(m.c.ColdFor))
 }
 
-// coldWait is how long s must still be spared while cold. This mixer saves up for one part at a time, at its
-// own part of what all mixers together may send, and starts at a chance point of the way: else every mixer
-// has a first part for a newcomer at once.
+// coldWait is how long s must still be spared while cold. This mixer saves up for one part at a time, from a
+// chance point of the way on: else every mixer has a first part for a newcomer at once.
 func (m *Mixer) coldWait(now int64, s *searcher) int64 {
 	if m.frac(now, s) == 1 {
 		return 0
@@ -426,9 +426,8 @@
 	return max(spread*spread, min(most, mixers*math.Floor((most+1)/mixers))) / mixers / window
 }
 
-// measure learns this mixer's share of what a warm searcher bears: at least what the warm ones answer it on
-// the average, and one part in the time that one takes, shared by all. What they bore once, before a jam,
-// they can bear again.
+// measure learns this mixer's share of what a warm searcher bears: at least what warm ones answer it on the
+// average, and one part in the time that one takes, shared. What they bore before a jam they can bear again.
 func (m *Mixer) measure(now int64) {
 	rate := m.borne.Read(now, halfLife) * math.Ln2 / float64(halfLife) / float64(len(m.searchers))
 	for i := range m.rows {
@@ -564,7 +563,6 @@
 func (l *Lookup) pick(now int64, copy bool) *forward {
 	m := l.m
 	var best *part
-	mayTest := m.tests.Read(now, halfLife) < testShare*m.sent.Read(now, halfLife)
 	var to *searcher
 	var least [5]float64
 	for _, p := range l.parts[l.step:] {
@@ -591,10 +589,10 @@
 			if len(p.forwards) > 0 {
 				key[1] = 1
 			}
-			if s.suspect && now >= s.testAt && mayTest {
-				key[0] = -1 // the one test, backed by a copy as soon as the lookup is looked at again
-			} else if s.suspect || s.zone.silent() && !mayTest {
+			if m.shunned(now, s) {
 				key[0] = 1 // nobody better holds it
+			} else if s.suspect {
+				key[0] = -1 // the one test, backed by a copy as soon as the lookup is looked at again
 			}
 			c := slices.Compare(key[:], least[:])
 			if best == nil || c < 0 || c == 0 && m.rng.Intn(2) == 0 {
@@ -608,6 +606,12 @@
 	return l.send(now, best, to)
 }
 
+// shunned tells whether s is suspect or in a silent zone, and not to be tested now.
+func (m *Mixer) shunned(now int64, s *searcher) bool {
+	tests := m.tests.Read(now, halfLife) >= max(0.5, testShare*m.sent.Read(now, halfLife)) // one in 4 s at least
+	return s.suspect && (tests || now < s.testAt) || s.zone.silent() && tests
+}
+
 // maySend keeps the rules on further forwards.
 func (l *Lookup) maySend(now int64, p *part) bool {
 	m := l.m
@@ -650,8 +654,7 @@
 }
 
 // miss counts a forward as lost on its connection and in its zone, the latter where others answer meanwhile.
-// It guards against a whole zone lost or cut off, where a mixer with little traffic would take half a minute
-// to find out searcher by searcher.
+// It guards against a zone lost, which a mixer with little traffic else meets searcher by searcher for long.
 func (f *forward) miss(now int64) {
 	if !f.missed && f.line != nil {
 		f.line.Add(now, 1, 0, lineHalf)
--- a/mixer/mixer_test.go
+++ b/mixer/mixer_test.go
@@ -35,22 +35,20 @@
 }
 
 type seen struct {
-	h             *Lookup
-	t             Tariff
-	notAfter      int64
-	steps         [][]string
-	ended         bool
-	answeredWhole bool
+	h                    *Lookup
+	t                    Tariff
+	notAfter             int64
+	steps                [][]string
+	ended, answeredWhole bool
 }
 
 type seenPart struct {
-	l         *seen
-	index     int
-	slice     int
-	weight    float64
-	sent      []int64
-	done, ran []bool
-	in        bool
+	l            *seen
+	index, slice int
+	weight       float64
+	sent         []int64
+	done, ran    []bool
+	in           bool
 }
 
 type event struct {
@@ -140,10 +138,9 @@
 		if !p.done[i] && !w.c.MayCopy {
 			w.t.Fatalf("copy of %s, none are allowed", part)
 		}
-		if may := !p.done[i] || p.ran[i]; may && p.l.t.Effect == OnceOnly {
-			w.t.Fatalf("once-only part %s sent again", part)
-		} else if may && p.l.t.Effect == Tagged && w.now > p.sent[i]+p.l.t.RepeatFor {
-			w.t.Fatalf("tagged part %s sent again after its window", part)
+		late := p.l.t.Effect == OnceOnly || p.l.t.Effect == Tagged && w.now > p.sent[i]+p.l.t.RepeatFor
+		if late && (!p.done[i] || p.ran[i]) {
+			w.t.Fatalf("part %s of effect %d sent again", part, p.l.t.Effect)
 		}
 	}
 	if len(p.sent) > 0 {
@@ -156,9 +153,7 @@
 	o, took := w.serve(w.box[searcher], within)
 	w.after(took, func() {
 		p.done[i], p.ran[i] = true, !o.NeverRan()
-		if o == Satisfied && !p.l.ended {
-			p.in = true
-		}
+		p.in = p.in || o == Satisfied && !p.l.ended
 		p.l.h.Outcome(w.now, p.index, i, o, took, p.in || p.l.ended)
 	})
 }
@@ -234,11 +229,10 @@
 		}
 	}
 	all := n == len(l.steps[len(l.steps)-1])
-	if in < l.t.LeastShare-1e-4 && (len(l.steps) == 1 || l.t.LeastShare < l.t.CompleteFrom) || len(l.steps) == 2 &&
-		!all && l.t.LeastShare >= l.t.CompleteFrom {
+	first, partly := len(l.steps) == 1, l.t.LeastShare < l.t.CompleteFrom
+	if in < l.t.LeastShare-1e-4 && (first || partly) || !first && !all && !partly {
 		w.t.Fatalf("answer of %s from %g of its parts", id, in)
 	}
-	first := len(l.steps) == 1
 	if whole && (first && in < l.t.CompleteFrom-1e-4 || !first && !(all && l.answeredWhole)) {
 		w.t.Fatalf("answer of %s marked whole with %g of its parts", id, in)
 	}
@@ -256,13 +250,11 @@
 
 func (w *world) Bounce(id string, wait int64) {
 	l := w.end(id, "bounce")
-	for _, step := range l.steps {
-		for _, part := range step {
-			p := w.parts[part]
-			for i := range p.sent {
-				if l.t.Effect == OnceOnly && (!p.done[i] || p.ran[i]) {
-					w.t.Fatalf("bounce of once-only lookup %s, part %s may have run", id, part)
-				}
+	for _, part := range slices.Concat(l.steps...) {
+		p := w.parts[part]
+		for i := range p.sent {
+			if l.t.Effect == OnceOnly && (!p.done[i] || p.ran[i]) {
+				w.t.Fatalf("bounce of once-only lookup %s, part %s may have run", id, part)
 			}
 		}
 	}
@@ -287,11 +279,9 @@
 }
 
 func (w *world) Subscribe() {
-	w.after(20*ms, func() {
-		if w.refusing {
-			w.m.ListRefused(w.now)
-		}
-	})
+	if w.refusing {
+		w.after(20*ms, func() { w.m.ListRefused(w.now) })
+	}
 }
 
 func (w *world) Note(string) {}
@@ -407,6 +397,13 @@
 	return rows
 }
 
+// start gives a world of n sound boxes with plain settings.
+func start(t testing.TB, seed int64, n int, change func(*Charter)) *world {
+	w := newWorld(t, seed, plain(change))
+	w.list(true, boxes(n, w.c.Cells)...)
+	return w
+}
+
 func (w *world) counts() (c []int, sum int) {
 	for i := range len(w.box) {
 		c = append(c, w.m.searchers[fmt.Sprint("box", i)].calls)
@@ -416,8 +413,7 @@
 }
 
 func TestLeastCountedFirst(t *testing.T) {
-	w := newWorld(t, 1, plain(func(c *Charter) { c.Cells = 1 }))
-	w.list(true, boxes(3, 1)...)
+	w := start(t, 1, 3, func(c *Charter) { c.Cells = 1 })
 	for i, want := range []int{1, 2, 3, 6} {
 		w.take(0, []int{1, 1, 1, 3}[i], 0, 4000*ms, false)
 		if counts, sum := w.counts(); sum != want || slices.Max(counts) != (want+2)/3 {
@@ -427,8 +423,7 @@
 }
 
 func TestAnyOfAsksJustEnough(t *testing.T) {
-	w := newWorld(t, 2, plain(func(c *Charter) { c.Tariffs[0].CompleteFrom, c.Tariffs[0].LeastShare = 0.6, 0.6 }))
-	w.list(true, boxes(6, 2)...)
+	w := start(t, 2, 6, func(c *Charter) { c.Tariffs[0].CompleteFrom, c.Tariffs[0].LeastShare = 0.6, 0.6 })
 	l := w.take(0, 10, 0, 4000*ms, false)
 	_, sent := w.counts()
 	w.run(w.now + 2000*ms)
@@ -438,8 +433,7 @@
 }
 
 func TestPartsShareACall(t *testing.T) {
-	w := newWorld(t, 3, plain(func(c *Charter) { c.Cells, c.PerCall = 1, 4 }))
-	w.list(true, boxes(1, 1)...)
+	w := start(t, 3, 1, func(c *Charter) { c.Cells, c.PerCall = 1, 4 })
 	w.take(0, 6, 0, 4000*ms, false)
 	if s := w.m.searchers["box0"]; s.calls != 2 || s.parts != 6 {
 		t.Errorf("6 parts to one searcher made %d calls with %d parts, want 2 with 6", s.calls, s.parts)
@@ -447,8 +441,7 @@
 }
 
 func TestSecondStep(t *testing.T) {
-	w := newWorld(t, 4, plain(func(c *Charter) { c.Tariffs[0].SecondStep = 5 }))
-	w.list(true, boxes(6, 2)...)
+	w := start(t, 4, 6, func(c *Charter) { c.Tariffs[0].SecondStep = 5 })
 	l := w.take(0, 3, 0, 4000*ms, false)
 	w.run(w.now + 4000*ms)
 	if len(l.steps) != 2 || len(l.steps[1]) != 3 || !l.ended || w.answers != 2 {
@@ -458,8 +451,7 @@
 
 // warmed gives a world of one cell whose mixer knows what forwards to its boxes take.
 func warmed(t *testing.T, seed int64, n int) *world {
-	w := newWorld(t, seed, plain(func(c *Charter) { c.Cells = 1 }))
-	w.list(true, boxes(n, 1)...)
+	w := start(t, seed, n, func(c *Charter) { c.Cells = 1 })
 	w.warmUp(10)
 	return w
 }
@@ -539,8 +531,7 @@
 }
 
 func TestOverloadIsTurnedAwayAtOnce(t *testing.T) {
-	w := newWorld(t, 7, plain(nil))
-	w.list(true, boxes(6, 2)...)
+	w := start(t, 7, 6, nil)
 	w.warmUp(5)
 	before := w.answers
 	for range 600 { // three times what six searchers bear
@@ -555,8 +546,7 @@
 }
 
 func TestMarkedRepeatOutOfTimeIsTurnedAway(t *testing.T) {
-	w := newWorld(t, 8, plain(nil))
-	w.list(true, boxes(6, 2)...)
+	w := start(t, 8, 6, nil)
 	if l := w.take(0, 2, 0, 1500*ms, true); !l.ended || l.answeredWhole {
 		t.Error("a repeat whose expected time has passed was taken")
 	}
@@ -581,8 +571,7 @@
 func TestManyMixersSpareANewcomer(t *testing.T) {
 	var sent []int64
 	for seed := range int64(60) {
-		w := newWorld(t, 100+seed, plain(func(c *Charter) { c.Cells, c.Mixers = 1, 60 }))
-		w.list(true, boxes(2, 1)...)
+		w := start(t, 100+seed, 2, func(c *Charter) { c.Cells, c.Mixers = 1, 60 })
 		for range 5 {
 			w.take(0, 2, 0, 4000*ms, false)
 			w.run(w.now + 6000*ms)
@@ -651,9 +640,20 @@
 	}
 }
 
+func TestAllLostComesBack(t *testing.T) {
+	w := warmed(t, 16, 4)
+	w.breakAll(1)
+	w.warmUp(100)
+	w.breakAll(0)
+	w.warmUp(40)
+	before := w.answers
+	if w.warmUp(10); w.answers < before+9 {
+		t.Errorf("%d of 10 lookups served 12 s after all searchers came back", w.answers-before)
+	}
+}
+
 func TestFailedForGoodEndsAtOnce(t *testing.T) {
-	w := newWorld(t, 15, plain(func(c *Charter) { c.Cells, c.MaxForwards = 1, 2 }))
-	w.list(true, boxes(3, 1)...)
+	w := start(t, 15, 3, func(c *Charter) { c.Cells, c.MaxForwards = 1, 2 })
 	w.breakAll(2)
 	l := w.take(0, 1, 0, 4000*ms, false)
 	if w.run(w.now + 100*ms); !l.ended {
