--- a/mixer/mixer.go
+++ b/mixer/mixer.go
@@ -30,7 +30,7 @@
 	testLast    = 8000 * ms  // ns; a searcher that is back is missed for at most about this long
 	bearHalf    = 60000 * ms // ns; machines change slowly, a jam or a lull lasts less
 	coldMargin  = 0.8        // of what a cold searcher bears, the part that the mixers together allow themselves
-	coldSpread  = 3.0        // deviations that chance may add to what many mixers send in one window
+	coldSpread  = 2.0        // deviations kept for what chance adds in a window; at 3 newcomers idle in releases
 	room        = 0.42       // of the time left, what a lookup may be predicted to take; 0.35 idles, 0.62 jams
 	secondStep  = 1.6        // of the first, how long both steps take: the second asks less of each part
 	adviceShare = 0.08       // of the time left, the wait advised to a client turned away at taking
