A forward out for five usual times with nothing heard since is sent again

Cause: since suspicion waits for eight means, a message lost on the way held its lookup until the copies' allowance had room. At three means the gain is smaller. It should also guard against work dropped in a searcher; it can double very heavy parts.

--- a/mixer/mixer.go
+++ b/mixer/mixer.go
@@ -24,6 +24,7 @@
 	lostTimes   = 2.0        // how much longer a forward is held to take than it waited before it timed out
 	lateSpread  = 4.0        // deviations above the mean from which a forward is late; at 1.25 copies feed jams
 	silentTimes = 8.0        // means that forwards wait in all, unanswered, that make a searcher suspect
+	goneTimes   = 5.0        // means after which one such forward is sent again; at 3 sound ones are, in jams
 	failedTimes = 3.0        // means for which a failure counts: three in a row tell
 	lineLate    = 2.5        // means after which a forward without any answer since counts as lost on its line
 	testFirst   = 1000 * ms  // ns; first wait before a suspect is tested, doubled up to testLast
@@ -94,29 +95,27 @@
 }
 
 // call is what travels together to one searcher.
-type call struct {
-	at         int64
-	size, left int
-}
+type call struct{ at, size, left int64 }
 
 // forward is one try of a part.
 type forward struct {
-	part      *part
-	s         *searcher
-	call      *call
-	count     int   // calls out there, with its own
-	process   int64 // start of the process it went to
-	sent      int64
-	done, ran bool   // has its outcome; may have run
-	line      *Ratio // nil where the connection was in use
-	missed    bool   // counted as lost
-}
-
-// lost tells whether no answer is waited for any more, though none has come: its searcher is suspect, its
-// process is gone, or its whole zone is silent.
+	part         *part
+	s            *searcher
+	call         *call
+	count        int   // calls out there, with its own
+	process      int64 // start of the process it went to
+	sent         int64
+	done, ran    bool   // has its outcome; may have run
+	line         *Ratio // nil where the connection was in use
+	missed, gone bool   // counted as lost on its line; waited for no more
+}
+
+// lost tells whether no answer is waited for any more, though none has come: it is out for long with nothing
+// heard since, its searcher is suspect, its process is gone, or its whole zone is silent.
 func (f *forward) lost() bool {
 	s := f.s
-	return s.suspect || s.status == Dead || f.process != s.started || s.zone.silent() && f.sent >= s.zone.heard
+	mute := s.zone.silent() && f.sent >= s.zone.heard
+	return f.gone || s.suspect || s.status == Dead || f.process != s.started || mute
 }
 
 func (f *forward) out() bool    { return !f.done }
@@ -272,8 +271,7 @@
 		})
 	}
 	slices.Sort(times)
-	n := int(math.Ceil(l.need*float64(len(times)) - tiny))
-	time := times[max(n, 1)-1]
+	time := times[max(int(math.Ceil(l.need*float64(len(times))-tiny)), 1)-1]
 	if l.t.SecondStep > 0 {
 		time *= secondStep
 	}
@@ -370,6 +368,7 @@
 			if float64(now-f.sent) > lineLate*mean && !f.done {
 				f.miss(now)
 			}
+			f.gone = f.gone || float64(now-f.sent) > goneTimes*mean
 			if float64(silence) > silentTimes*mean {
 				m.distrust(now, s)
 			}
@@ -668,7 +667,7 @@
 // send books one forward; review puts it out.
 func (l *Lookup) send(now int64, p *part, s *searcher) *forward {
 	m := l.m
-	if s.call == nil || s.call.at != now || s.call.size >= m.c.PerCall {
+	if s.call == nil || s.call.at != now || s.call.size >= int64(m.c.PerCall) {
 		s.call = &call{at: now}
 	}
 	var line *Ratio
