A cold fleet is begun on a guess of what a searcher bears

Cause: found reading: since the first part for a newcomer is no longer free, a mixer that starts beside a fleet all cold knew no pace, had no allowance and turned everything away until the fleet was warm; a plain case shows it (0 of 20 lookups served). One part in a quarter of the longest expected time is the guess until something is known. It could be too much where parts take longer than that on every core, until the first answers.

--- a/mixer/mixer.go
+++ b/mixer/mixer.go
@@ -10,6 +10,7 @@
 package mixer
 
 import (
+	"cmp"
 	"math"
 	"math/rand"
 	"slices"
@@ -148,6 +149,8 @@
 	m := &Mixer{c: c, floor: floor, rng: rand.New(rand.NewSource(seed))}
 	m.searchers, m.zones = map[string]*searcher{}, map[string]*zone{}
 	m.rows, m.cells = make([]Spread, len(c.Tariffs)), make([][]*searcher, c.Cells)
+	t := slices.MaxFunc(c.Tariffs, func(a, b Tariff) int { return cmp.Compare(a.Expected, b.Expected) })
+	m.bears = Decay{4 / float64(max(t.Expected, ms)) / float64(c.Mixers), now} // a guess, to begin a cold fleet
 	if c.ListAsked {
 		m.Due(now)
 	}
@@ -389,9 +392,7 @@
 // rouse has the lookups looked at again whose parts may be lost at s.
 func (s *searcher) rouse(now int64) {
 	for _, f := range s.out {
-		if !f.part.l.ended {
-			f.part.l.rouse(now, now)
-		}
+		f.part.l.rouse(now, now)
 	}
 }
 
--- a/mixer/mixer_test.go
+++ b/mixer/mixer_test.go
@@ -286,15 +286,10 @@
 		ColdFor: 10000 * ms, FallMultiple: 2 + rng.Float64(), FallFor: int64(1+rng.Intn(3)) * 1000 * ms,
 	}
 	c.Reach = 1 + rng.Intn(3)
-	if rng.Intn(2) == 0 {
-		c.BudgetFor, c.BudgetFree, c.BudgetShare = 2000*ms, float64(rng.Intn(5)), 0.3*rng.Float64()
-	}
+	c.BudgetFor, c.BudgetFree, c.BudgetShare = 2000*ms*rng.Int63n(2), float64(rng.Intn(5)), 0.3*rng.Float64()
 	for i := range 3 {
 		t := Tariff{Effect: Effect(i), Expected: 800 * ms, Patience: 2000 * ms, RepeatFor: int64(rng.Intn(1000)) * ms,
-			CompleteFrom: 1, Partial: 0.9, SecondStep: rng.Intn(2) * 3}
-		if rng.Intn(2) == 0 {
-			t.CompleteFrom = 0.6
-		}
+			CompleteFrom: 1 - 0.4*float64(rng.Intn(2)), Partial: 0.9, SecondStep: rng.Intn(2) * 3}
 		t.LeastShare = t.CompleteFrom * float64(1+rng.Intn(2)) / 2
 		c.Tariffs = append(c.Tariffs, t)
 	}
@@ -320,8 +315,7 @@
 		}
 		w.list(true, all...)
 		for range 600 {
-			i := rng.Intn(len(all))
-			e := &all[i]
+			e := &all[rng.Intn(len(all))]
 			switch rng.Intn(40) {
 			case 0:
 				w.box[e.Searcher].broken = rng.Intn(4)
@@ -649,6 +643,14 @@
 	}
 }
 
+func TestColdFleetIsBegun(t *testing.T) {
+	w := newWorld(t, 17, plain(func(c *Charter) { c.Cells = 1 }))
+	w.list(true, Entry{Searcher: "box0", Started: w.now}, Entry{Searcher: "box1", Started: w.now})
+	if w.warmUp(20); w.answers < 5 {
+		t.Errorf("%d of 20 lookups served in 6 s by a fleet that starts", w.answers)
+	}
+}
+
 func TestFailedForGoodEndsAtOnce(t *testing.T) {
 	w := start(t, 15, 3, func(c *Charter) { c.Cells, c.MaxForwards = 1, 2 })
 	w.breakAll(2)
