Tuned values all in the constants block; a time kept twice is derived

Found reading the whole change again: four tuned values stood in the code (the guesses before anything is known, the share of losses that idle connections may have, the tests always allowed); when a searcher's pace was last added to is what the ratio itself keeps; whether a part is barred was reckoned twice, and the share of tests for every candidate though it is only read for suspects and silent zones; a comment on answers was out of date. One thing differs: a forward that was never sent no longer counts as news of a searcher's pace, as the comment on that time had it.

--- a/mixer/mixer.go
+++ b/mixer/mixer.go
@@ -30,6 +30,8 @@
 	lineLate    = 2.5        // means after which a forward without any answer since counts as lost on its line
 	testFirst   = 1000 * ms  // ns; first wait before a suspect is tested, doubled up to testLast
 	testLast    = 8000 * ms  // ns; a searcher that is back is missed for at most about this long
+	tookGuess   = 0.125      // of the expected time, what a forward is held to take until some have come
+	bearGuess   = 0.25       // of the longest, in which a warm one bears a part: a guess to begin a cold fleet
 	bearHalf    = 60000 * ms // ns; machines change slowly, a jam or a lull lasts less
 	coldMargin  = 0.8        // of what a cold searcher bears, the part that the mixers together allow themselves
 	coldSpread  = 2.0        // deviations kept for what chance adds in a window; at 3 newcomers idle in releases
@@ -41,10 +43,12 @@
 	lookAgain   = 50 * ms    // ns; pause before a part that no holder may take is looked at again
 	endMargin   = 8 * ms     // ns; an ending is sent this early, to arrive in time
 	zoneLost    = 3          // forwards lost in a row, with no answer from a whole zone, that make it silent
+	testFloor   = 0.5        // such tests that are always allowed, faded: one in four seconds or so
 	testShare   = 0.03       // of forwards, those that test suspects and silent zones; each may delay a lookup
 	askFirst    = 500 * ms   // ns; first wait after a refused list call, doubled up to a third of AskWithin
 	crossing    = 16.0       // share of a forward's time that a price of 1 on crossing zones is worth
 	lineHalf    = 8000 * ms  // ns; how long what was learnt of idle connections holds
+	lineTimes   = 2.0        // of what new connections lose, idle ones may: new ones are few to judge by
 	lineLost    = 1.0        // forwards lost on idle connections, beyond what new ones lose, that close them
 	tiny        = 1e-6       // weights may fall short by rounding
 )
@@ -63,8 +67,7 @@
 	sent, copies, tests Decay   // forwards, copies and tests among them
 	idle, anew          Ratio   // forwards lost over sent, on connections that lay idle, on new ones
 	taken, spent        []int64 // when lookups and parts were taken and further forwards made, for the budget
-	borne               Decay   // answers of warm searchers
-	bears               Decay   // parts per ns this mixer may count on of a warm searcher
+	borne, bears        Decay   // answers of warm searchers, parts per ns this mixer may count on of one
 	heard               int64   // last answer of any searcher
 	asking              bool    // a list call is out or the subscription runs
 	refusals            int
@@ -85,8 +88,7 @@
 	calls, parts int     // this mixer's calls out, which water-filling levels, and the parts in them
 	call         *call   // the newest
 	pace         Ratio   // of its answers
-	pacedAt      int64   // when that was last added to
-	heard        int64   // last answer of any kind
+	heard        int64   // last answer
 	unheard      int64   // what forwards sent since have waited in vain
 	suspect      bool    // not to be picked but for a test
 	wait, testAt int64   // before the next test, and when that is
@@ -108,7 +110,7 @@
 	sent         int64
 	done, ran    bool   // has its outcome; may have run
 	line         *Ratio // nil where the connection was in use
-	missed, gone bool   // counted as lost on its line; waited for no more
+	missed, gone bool   // counted as lost by line and zone; waited for no more
 }
 
 // lost tells whether no answer is waited for any more, though none has come: it is out for long with nothing
@@ -146,11 +148,10 @@
 
 // New makes a mixer.
 func New(now int64, c Charter, seed int64, floor Floor) *Mixer {
-	m := &Mixer{c: c, floor: floor, rng: rand.New(rand.NewSource(seed))}
-	m.searchers, m.zones = map[string]*searcher{}, map[string]*zone{}
-	m.rows, m.cells = make([]Spread, len(c.Tariffs)), make([][]*searcher, c.Cells)
+	m := &Mixer{c: c, floor: floor, rng: rand.New(rand.NewSource(seed)), rows: make([]Spread, len(c.Tariffs))}
+	m.cells, m.searchers, m.zones = make([][]*searcher, c.Cells), map[string]*searcher{}, map[string]*zone{}
 	t := slices.MaxFunc(c.Tariffs, func(a, b Tariff) int { return cmp.Compare(a.Expected, b.Expected) })
-	m.bears = Decay{4 / float64(max(t.Expected, ms)) / float64(c.Mixers), now} // a guess, to begin a cold fleet
+	m.bears = Decay{1 / (bearGuess * float64(max(t.Expected, ms))) / float64(c.Mixers), now}
 	if c.ListAsked {
 		m.Due(now)
 	}
@@ -265,9 +266,9 @@
 	for i, p := range l.parts {
 		times[i] = math.Inf(1)
 		m.holders(now, p, func(s *searcher) {
-			// What was learnt of s long ago must not keep from it the lookups that would show it is well again.
-			unit := fleet + (m.unit(now, s)-fleet)*math.Exp2(-float64(now-s.pacedAt)/float64(halfLife))
 			if !m.shunned(now, s) {
+				// What was learnt of s long ago must not keep from it the lookups that would show it is well again.
+				unit := fleet + (m.unit(now, s)-fleet)*math.Exp2(-float64(now-s.pace.under.at)/float64(halfLife))
 				took := unit * float64(s.calls+1) / m.frac(now, s)
 				times[i] = min(times[i], float64(m.coldWait(now, s))+took)
 			}
@@ -318,7 +319,6 @@
 	if o == Reset || o == Unreached || o == TimedOut && s.heard <= f.sent {
 		f.miss(now)
 	}
-	s.pacedAt = now
 	switch o {
 	case TimedOut:
 		// Guards against searchers too slow to answer in time, no answer of which ever tells how slow.
@@ -350,7 +350,7 @@
 func (m *Mixer) typical(now int64, l *Lookup) (mean, dev float64) {
 	n, mean, dev := m.rows[l.ask.Tariff].Read(now, halfLife)
 	if n < tiny {
-		return float64(l.t.Expected) / 8, 0
+		return tookGuess * float64(l.t.Expected), 0
 	}
 	return mean, dev
 }
@@ -608,15 +608,16 @@
 
 // shunned tells whether s is suspect or in a silent zone, and not to be tested now.
 func (m *Mixer) shunned(now int64, s *searcher) bool {
-	tests := m.tests.Read(now, halfLife) >= max(0.5, testShare*m.sent.Read(now, halfLife)) // one in 4 s at least
-	return s.suspect && (tests || now < s.testAt) || s.zone.silent() && tests
+	return (s.suspect || s.zone.silent()) && (s.suspect && now < s.testAt ||
+		m.tests.Read(now, halfLife) >= max(testFloor, testShare*m.sent.Read(now, halfLife)))
 }
 
 // maySend keeps the rules on further forwards.
 func (l *Lookup) maySend(now int64, p *part) bool {
 	m := l.m
-	if len(p.forwards) == 0 || l.barred(now, p) {
-		return !l.barred(now, p)
+	barred := l.barred(now, p)
+	if len(p.forwards) == 0 || barred {
+		return !barred
 	}
 	m.slide(now)
 	most := m.c.BudgetFree + m.c.BudgetShare*float64(len(m.taken))
@@ -645,7 +646,7 @@
 // connections dropped unseen, which say nothing of the searcher. Where connecting fails, new ones lose more.
 func (m *Mixer) connect(now int64, s *searcher) *Ratio {
 	line, share := &m.idle, m.anew.Read(now, lineHalf, 0, lean)
-	if line.over.Read(now, lineHalf)-2*share*line.under.Read(now, lineHalf) >= lineLost {
+	if line.over.Read(now, lineHalf)-lineTimes*share*line.under.Read(now, lineHalf) >= lineLost {
 		m.floor.CloseIdle(s.id)
 		line = &m.anew
 	}
@@ -699,8 +700,7 @@
 		l.ended = true
 		return
 	}
-	l.step, l.planned = len(l.parts), false
-	l.expect, l.need = l.step, 1
+	l.step, l.expect, l.need, l.planned = len(l.parts), len(l.parts), 1, false
 	for _, p := range l.parts {
 		if p.in && l.expect < l.step+l.t.SecondStep {
 			l.expect++
