--- a/internal/wire/charter.go
+++ b/internal/charter/charter.go
@@ -1,29 +1,114 @@
-package wire
+// Package charter reads the settings a mixer is given, from the bench's wire or from a real configuration, into
+// the module's Charter and the Limits of the real mixer.
+package charter
 
 import (
+	"bytes"
+	"encoding/json"
+	"fmt"
 	"strconv"
 	"strings"
 
 	"nettlefold/mixer"
 )
 
-// badSetting is a setting that is missing or out of range.
-type badSetting struct{ key, value string }
+// Terms are settings as the wire writes them, a value for each path.
+type Terms map[string]string
 
-// settings reads path=value pairs and keeps the first fault.
-type settings struct {
-	all   map[string]string
-	fault *badSetting
+// Fault is a setting that is missing or out of range.
+type Fault struct{ Key, Value string }
+
+func (f *Fault) Error() string { return fmt.Sprintf("setting %s: %q", f.Key, f.Value) }
+
+// Pairs reads settings written as path=value.
+func Pairs(pairs []string) (Terms, error) {
+	t := Terms{}
+	for _, p := range pairs {
+		k, v, ok := strings.Cut(p, "=")
+		if !ok {
+			return nil, &Fault{"setting without a value", p[:min(len(p), 80)]}
+		}
+		t[k] = v
+	}
+	return t, nil
+}
+
+// Nested reads settings written as one JSON object.
+func Nested(raw []byte) (Terms, error) {
+	d := json.NewDecoder(bytes.NewReader(raw))
+	d.UseNumber()
+	var all map[string]any
+	if err := d.Decode(&all); err != nil {
+		return nil, fmt.Errorf("settings: %w", err)
+	}
+	t := Terms{}
+	for k, v := range all {
+		t.flatten(k, v)
+	}
+	return t, nil
+}
+
+// flatten writes one value the way the wire does: objects by their paths, lists of objects by number, lists of
+// plain values in one.
+func (t Terms) flatten(path string, v any) {
+	switch v := v.(type) {
+	case map[string]any:
+		for k, w := range v {
+			t.flatten(path+"."+k, w)
+		}
+	case []any:
+		plain := make([]string, len(v))
+		for i, w := range v {
+			if _, ok := w.(map[string]any); ok {
+				t[path+".count"] = strconv.Itoa(len(v))
+				t.flatten(path+"."+strconv.Itoa(i), w)
+				continue
+			}
+			plain[i] = strings.NewReplacer(" ", "_", ",", "_").Replace(text(w))
+		}
+		t[path] = strings.Join(plain, ",")
+	default:
+		t[path] = text(v)
+	}
 }
 
-func (s *settings) bad(key, value string) {
+// text writes one plain value.
+func text(v any) string {
+	if v == nil {
+		return "-"
+	}
+	return fmt.Sprint(v)
+}
+
+// Nanos turns milliseconds into nanoseconds, by way of whole microseconds, which is what the clock counts.
+func Nanos(ms float64) int64 {
+	if ms < 0 {
+		return int64(ms*1000-0.5) * 1000
+	}
+	return int64(ms*1000+0.5) * 1000
+}
+
+// reader reads values and keeps the first fault.
+type reader struct {
+	all   Terms
+	fault *Fault
+}
+
+func (s *reader) err() error {
 	if s.fault == nil {
-		s.fault = &badSetting{key, value}
+		return nil
+	}
+	return s.fault
+}
+
+func (s *reader) bad(key, value string) {
+	if s.fault == nil {
+		s.fault = &Fault{key, value}
 	}
 }
 
 // number reads v, the value of key or one item of it, within lo and hi.
-func (s *settings) number(key, v string, lo, hi float64) float64 {
+func (s *reader) number(key, v string, lo, hi float64) float64 {
 	x, err := strconv.ParseFloat(v, 64)
 	if err != nil || !(x >= lo && x <= hi) {
 		s.bad(key, v)
@@ -33,7 +118,7 @@
 }
 
 // float reads a number within lo and hi; with need false an absent one is zero.
-func (s *settings) float(key string, need bool, lo, hi float64) float64 {
+func (s *reader) float(key string, need bool, lo, hi float64) float64 {
 	v, ok := s.all[key]
 	if !ok || v == "-" || v == "" {
 		if need {
@@ -44,9 +129,9 @@
 	return s.number(key, v, lo, hi)
 }
 
-func (s *settings) ms(key string, need bool) int64 { return nanos(s.float(key, need, 0, 1e12)) }
+func (s *reader) ms(key string, need bool) int64 { return Nanos(s.float(key, need, 0, 1e12)) }
 
-func (s *settings) count(key string, need bool, lo int) int {
+func (s *reader) count(key string, need bool, lo int) int {
 	x := s.float(key, need, float64(lo), 1e9)
 	if x != float64(int(x)) {
 		s.bad(key, s.all[key])
@@ -54,7 +139,7 @@
 	return int(x)
 }
 
-func (s *settings) flag(key string) bool {
+func (s *reader) flag(key string) bool {
 	switch v := s.all[key]; v {
 	case "true", "1", "True":
 		return true
@@ -66,7 +151,7 @@
 }
 
 // column reads item i of a list of plain values; where the whole key is absent, it is def.
-func (s *settings) column(key string, i int, def, lo, hi float64) float64 {
+func (s *reader) column(key string, i int, def, lo, hi float64) float64 {
 	v, ok := s.all[key]
 	if !ok || v == "" || v == "-" {
 		return def
@@ -79,16 +164,9 @@
 	return s.number(key, items[i], lo, hi)
 }
 
-// readCharter turns the settings of an init line into a charter and the rows of its tariffs by name.
-func readCharter(pairs []string) (mixer.Charter, map[string]int, *badSetting) {
-	s := &settings{all: map[string]string{}}
-	for _, p := range pairs {
-		k, v, ok := strings.Cut(p, "=")
-		if !ok {
-			return mixer.Charter{}, nil, &badSetting{"setting without a value", clip(p)}
-		}
-		s.all[k] = v
-	}
+// Charter gives what the module is told, and the rows of its tariffs by name.
+func (t Terms) Charter() (mixer.Charter, map[string]int, error) {
+	s := &reader{all: t}
 	c := mixer.Charter{
 		Zone:         s.all["Locality"],
 		Mixers:       s.count("NInstances", true, 1),
@@ -150,5 +228,5 @@
 		names[name] = i
 		c.Tariffs = append(c.Tariffs, t)
 	}
-	return c, names, s.fault
+	return c, names, s.err()
 }
--- /dev/null
+++ b/internal/charter/limits.go
@@ -0,0 +1,78 @@
+package charter
+
+import "time"
+
+// Limits are the sizes, counts and times the real mixer keeps to. They come from the platform or the settings
+// where these state them; the rest are bounds for safety that no sound peer meets.
+type Limits struct {
+	// The platform's.
+	Cores   float64
+	Memory  int64 // bytes
+	Sockets int   // descriptors
+
+	// The settings'.
+	Slices    int           // shards there are
+	Open      int           // lookups and parts held at once
+	Streams   int           // parts out on one connection
+	Connect   time.Duration // for a connection to come up
+	KeepAlive time.Duration // after which a searcher closes an idle connection
+	Patience  time.Duration // the longest of any tariff
+
+	// PROTOCOL's.
+	Body      int           // bytes of a client's request
+	Beat      time.Duration // between the empty lines of a silent watch
+	Arrivals  time.Duration // how long new connections still come after SIGTERM
+	KillAfter time.Duration // after SIGTERM, before SIGKILL may come
+
+	// Bounds for safety.
+	Header    int           // bytes of a client's header
+	Read      time.Duration // for a client's whole request
+	Write     time.Duration // for an answer, or for one frame
+	Frame     int           // bytes of a searcher's frame
+	Line      int           // bytes of one line of the list, or of the whole list
+	WatchLast time.Duration // longest wait before the watch is tried again
+	ID        int           // bytes of a lookup's id
+}
+
+// Limits gives the settings' limits, with PROTOCOL's and the bounds for safety.
+func (t Terms) Limits() (Limits, error) {
+	s := &reader{all: t}
+	l := Limits{
+		Slices:    s.count("FamilyInfo.Slabs", true, 1),
+		Open:      s.count("PolicyLimits.MaxOpen", true, 1),
+		Streams:   s.count("PolicyLimits.MaxStreams", true, 1),
+		Connect:   time.Duration(s.ms("PolicyLimits.ConnectTimeoutMs", true)),
+		KeepAlive: time.Duration(s.ms("PolicyLimits.KeepaliveMs", true)),
+		Body:      64 << 10,
+		Beat:      2 * time.Second,
+		Arrivals:  400 * time.Millisecond,
+		Header:    16 << 10,
+		Read:      5 * time.Second,
+		Write:     5 * time.Second,
+		Frame:     256 << 10,
+		Line:      8 << 20,
+		WatchLast: 4 * time.Second,
+		ID:        64,
+	}
+	if s.fault != nil {
+		return l, s.fault
+	}
+	c, _, err := t.Charter()
+	for _, tariff := range c.Tariffs {
+		l.Patience = max(l.Patience, time.Duration(tariff.Patience))
+	}
+	l.KillAfter = min(l.Patience, 3*time.Second) + 700*time.Millisecond
+	return l, err
+}
+
+// Idle is how long a connection to a searcher may lie idle: it is closed well before the searcher would.
+func (l Limits) Idle() time.Duration { return l.KeepAlive - l.KeepAlive/8 }
+
+// Sweep is how often idle connections are looked for.
+func (l Limits) Sweep() time.Duration { return max(l.KeepAlive/32, time.Millisecond) }
+
+// Lines is how many connections to searchers there may be: a quarter of the descriptors.
+func (l Limits) Lines() int { return max(1, l.Sockets/4) }
+
+// Clients is how many connections of clients are kept: what searchers, the list, the log and the runtime leave.
+func (l Limits) Clients() int { return max(1, l.Sockets-l.Lines()-32) }
--- /dev/null
+++ b/internal/protocol/config.go
@@ -0,0 +1,80 @@
+package protocol
+
+import (
+	"encoding/json"
+	"fmt"
+	"strconv"
+
+	"nettlefold/internal/charter"
+	"nettlefold/mixer"
+)
+
+// Config is what a mixer is started with.
+type Config struct {
+	Name, Listen, Discovery string
+	Seed                    int64
+	Charter                 mixer.Charter
+	Rows                    map[string]int
+	Limits                  charter.Limits
+	Known                   List
+}
+
+type config struct {
+	Name      string `json:"name"`
+	Listen    string `json:"listen"`
+	Discovery string `json:"discovery"`
+	Seed      string `json:"seed"`
+	Limits    struct {
+		Cores   float64 `json:"cores"`
+		Memory  float64 `json:"memory_mb"`
+		Sockets int     `json:"sockets"`
+	} `json:"limits"`
+	Known    json.RawMessage `json:"known"`
+	Settings json.RawMessage `json:"settings"`
+}
+
+// ReadConfig reads the platform's configuration.
+func ReadConfig(raw []byte) (Config, error) {
+	var in config
+	if err := json.Unmarshal(raw, &in); err != nil {
+		return Config{}, fmt.Errorf("configuration: %w", err)
+	}
+	c := Config{Name: in.Name, Listen: in.Listen, Discovery: in.Discovery}
+	for _, f := range []struct{ name, value string }{{"listen", c.Listen}, {"discovery", c.Discovery}} {
+		if f.value == "" {
+			return c, fmt.Errorf("configuration: %s: missing", f.name)
+		}
+	}
+	seed, err := strconv.ParseUint(in.Seed, 16, 64)
+	if err != nil {
+		return c, fmt.Errorf("configuration: seed: not hex of 64 bits: %q", clip(in.Seed))
+	}
+	c.Seed = int64(seed)
+	if !(in.Limits.Cores > 0 && in.Limits.Cores < 1e4) {
+		return c, fmt.Errorf("configuration: limits.cores: %v", in.Limits.Cores)
+	}
+	if !(in.Limits.Memory >= 1 && in.Limits.Memory < 1e9) {
+		return c, fmt.Errorf("configuration: limits.memory_mb: %v", in.Limits.Memory)
+	}
+	if in.Limits.Sockets < 1 {
+		return c, fmt.Errorf("configuration: limits.sockets: %d", in.Limits.Sockets)
+	}
+	terms, err := charter.Nested(in.Settings)
+	if err != nil {
+		return c, fmt.Errorf("configuration: %w", err)
+	}
+	if c.Charter, c.Rows, err = terms.Charter(); err != nil {
+		return c, fmt.Errorf("configuration: %w", err)
+	}
+	if c.Limits, err = terms.Limits(); err != nil {
+		return c, fmt.Errorf("configuration: %w", err)
+	}
+	c.Limits.Cores, c.Limits.Sockets = in.Limits.Cores, in.Limits.Sockets
+	c.Limits.Memory = int64(in.Limits.Memory * (1 << 20))
+	if len(in.Known) > 0 {
+		if c.Known, err = ReadList(in.Known); err != nil {
+			return c, fmt.Errorf("configuration: known: %w", err)
+		}
+	}
+	return c, nil
+}
--- /dev/null
+++ b/internal/protocol/frame.go
@@ -0,0 +1,112 @@
+package protocol
+
+import (
+	"bytes"
+	"encoding/binary"
+	"fmt"
+	"io"
+	"strconv"
+	"time"
+
+	"nettlefold/internal/routing"
+	"nettlefold/mixer"
+)
+
+// The letters of frames.
+const (
+	Query    = 'Q'
+	Withdraw = 'X'
+	Probe    = 'P'
+	Load     = 'L'
+	Answer   = 'A'
+	Fault    = 'E'
+)
+
+// Frame is one message between mixer and searcher.
+type Frame struct {
+	Letter byte
+	Rest   []byte
+}
+
+// Part is one part as a searcher is sent it.
+type Part struct {
+	ID     string
+	Slice  int
+	Within time.Duration // how long the mixer waits
+	Text   string
+}
+
+// Reply is what a searcher answers to a part.
+type Reply struct {
+	ID      string
+	Outcome routing.Outcome
+	Value   []byte
+}
+
+// ReadFrame reads one frame of at most so many bytes. Memory is taken only once its length has been seen to be sound.
+func ReadFrame(r io.Reader, most int) (Frame, error) {
+	var head [5]byte
+	if _, err := io.ReadFull(r, head[:4]); err != nil {
+		return Frame{}, err
+	}
+	n := binary.LittleEndian.Uint32(head[:4])
+	if n < 1 || n > uint32(most) {
+		return Frame{}, fmt.Errorf("frame: length %d is not within 1 to %d", n, most)
+	}
+	whole := make([]byte, n)
+	if _, err := io.ReadFull(r, whole); err != nil {
+		if err == io.EOF {
+			err = io.ErrUnexpectedEOF
+		}
+		return Frame{}, fmt.Errorf("frame: cut off within its %d bytes: %w", n, err)
+	}
+	return Frame{whole[0], whole[1:]}, nil
+}
+
+// AppendFrame writes one frame.
+func AppendFrame(to []byte, letter byte, rest []byte) []byte {
+	to = binary.LittleEndian.AppendUint32(to, uint32(1+len(rest)))
+	to = append(to, letter)
+	return append(to, rest...)
+}
+
+// AppendCall writes the frame of one call.
+func AppendCall(to []byte, parts []Part) []byte {
+	var rest []byte
+	for _, p := range parts {
+		rest = append(rest, p.ID...)
+		rest = append(rest, ' ')
+		rest = strconv.AppendInt(rest, int64(p.Slice), 10)
+		rest = append(rest, " d="...)
+		rest = strconv.AppendInt(rest, max(0, p.Within.Milliseconds()), 10)
+		rest = append(rest, ' ')
+		rest = strconv.AppendInt(rest, int64(len(p.Text)), 10)
+		rest = append(rest, '\n')
+		rest = append(rest, p.Text...)
+	}
+	return AppendFrame(to, Query, rest)
+}
+
+var ends = map[string]routing.Outcome{"ok": mixer.Satisfied, "err": mixer.Errored, "busy": mixer.Bounced}
+
+// ReadReply reads the rest of an answer's frame.
+func ReadReply(rest []byte) (Reply, error) {
+	line, value, ok := bytes.Cut(rest, []byte{'\n'})
+	words := bytes.Split(line, []byte{' '})
+	if !ok || len(words) != 4 || len(words[0]) == 0 {
+		return Reply{}, fmt.Errorf("answer: line %q is not ID END SCORE REPORT", clip(string(line)))
+	}
+	end, ok := ends[string(words[1])]
+	if !ok {
+		return Reply{}, fmt.Errorf("answer: unknown end %q", clip(string(words[1])))
+	}
+	return Reply{string(words[0]), end, value}, nil
+}
+
+// ProbeAnswer gives the rest that answers a searcher's probe: the mixer is well, and reports no load.
+func ProbeAnswer(letter byte) []byte {
+	if letter == Load {
+		return []byte("-")
+	}
+	return []byte("ok")
+}
--- /dev/null
+++ b/internal/transport/door.go
@@ -0,0 +1,89 @@
+package transport
+
+import (
+	"context"
+	"net"
+	"net/http"
+	"sync/atomic"
+	"time"
+)
+
+type connKey struct{}
+
+// client is one connection of a client. It keeps when the request at hand was first seen.
+type client struct {
+	net.Conn
+	seen  atomic.Int64 // Unix ns of the first bytes of the request at hand, 0 between requests
+	state http.ConnState
+	since time.Time // of the state
+}
+
+// Read notes when a request's first bytes are seen.
+func (c *client) Read(b []byte) (int, error) {
+	n, err := c.Conn.Read(b)
+	if n > 0 {
+		c.seen.CompareAndSwap(0, time.Now().UnixNano())
+	}
+	return n, err
+}
+
+// arrived gives the earliest moment at which the request at hand is known to have been on its way.
+func arrived(ctx context.Context) time.Time {
+	now := time.Now()
+	if c, ok := ctx.Value(connKey{}).(*client); ok {
+		if at := c.seen.Load(); at > 0 {
+			return now.Add(-time.Duration(max(0, now.UnixNano()-at)))
+		}
+	}
+	return now
+}
+
+// between tells that the request at hand is done with.
+func between(ctx context.Context) {
+	if c, ok := ctx.Value(connKey{}).(*client); ok {
+		c.seen.Store(0)
+	}
+}
+
+// door lets clients in. Where all places are taken it closes the connection that has been idle longest, so that
+// one which has been accepted never waits unread.
+type door struct {
+	net.Listener
+	s *Server
+}
+
+func (d *door) Accept() (net.Conn, error) {
+	nc, err := d.Listener.Accept()
+	if err != nil {
+		return nil, err
+	}
+	c := &client{Conn: nc, since: time.Now()}
+	s := d.s
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if len(s.conns) >= s.Limits.Clients() {
+		var idlest *client
+		for _, o := range s.conns {
+			if o.state == http.StateIdle && (idlest == nil || o.since.Before(idlest.since)) {
+				idlest = o
+			}
+		}
+		if idlest != nil {
+			idlest.Close()
+			delete(s.conns, idlest)
+		}
+	}
+	s.conns[c] = c
+	return c, nil
+}
+
+// state follows the connections. Between requests the time of the next is not known yet.
+func (s *Server) state(nc net.Conn, state http.ConnState) {
+	c := nc.(*client)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	c.state, c.since = state, time.Now()
+	if state == http.StateClosed || state == http.StateHijacked {
+		delete(s.conns, c)
+	}
+}
--- /dev/null
+++ b/internal/transport/searchers.go
@@ -0,0 +1,421 @@
+package transport
+
+import (
+	"bufio"
+	"context"
+	"errors"
+	"fmt"
+	"log/slog"
+	"net"
+	"sync"
+	"time"
+
+	"nettlefold/internal/charter"
+	"nettlefold/internal/protocol"
+	"nettlefold/internal/routing"
+	"nettlefold/mixer"
+)
+
+// Parcel is one forward on its way to a searcher.
+type Parcel struct {
+	Forward *routing.Forward
+	Part    protocol.Part // Within is told when it is written
+	line    *line         // that carries it
+	written bool          // with the last byte of its frame
+}
+
+// Searchers holds the connections to all searchers.
+type Searchers struct {
+	lim charter.Limits
+	log *slog.Logger
+	ctx context.Context
+	end context.CancelFunc
+	wg  sync.WaitGroup
+
+	mu    sync.Mutex
+	all   map[string]*searcher
+	lines int
+}
+
+// searcher is one machine of the list with the connections to it.
+type searcher struct {
+	name, address string
+	gone          bool
+	lines         []*line
+}
+
+// line is one connection, from before it is up until its last goroutine has ended.
+type line struct {
+	to     *searcher
+	nc     net.Conn
+	began  time.Time // when it began to be made; its process is not younger
+	used   time.Time // last written to or read from
+	queue  [][]*Parcel
+	raw    [][]byte // frames that are no calls
+	out    map[string]*Parcel
+	wake   chan struct{}
+	closed bool
+	cancel context.CancelFunc
+}
+
+// NewSearchers starts without any searcher. Close must be called at the end.
+func NewSearchers(lim charter.Limits, log *slog.Logger) *Searchers {
+	s := &Searchers{lim: lim, log: log, all: map[string]*searcher{}}
+	s.ctx, s.end = context.WithCancel(context.Background())
+	s.wg.Add(1)
+	go s.sweep()
+	return s
+}
+
+// Close ends all connections and waits for their goroutines.
+func (s *Searchers) Close() {
+	s.end()
+	s.mu.Lock()
+	var lines []*line
+	for _, to := range s.all {
+		lines = append(lines, to.lines...)
+	}
+	s.mu.Unlock()
+	for _, l := range lines {
+		s.drop(l, errClosing)
+	}
+	s.wg.Wait()
+}
+
+var (
+	errClosing = errors.New("closing")
+	errIdle    = errors.New("idle")
+	errOld     = errors.New("the searcher has restarted or moved")
+)
+
+// Listed takes news of where searchers are. Connections to a process that is no more are closed.
+func (s *Searchers) Listed(list protocol.List) {
+	var old []*line
+	s.mu.Lock()
+	if list.Whole {
+		for _, to := range s.all {
+			to.gone = true
+		}
+	}
+	for _, m := range list.Members {
+		to := s.all[m.Searcher]
+		if to == nil {
+			to = &searcher{name: m.Searcher}
+			s.all[m.Searcher] = to
+		}
+		to.gone = m.Status == mixer.Dead
+		moved := m.Address != "" && m.Address != to.address
+		if m.Address != "" {
+			to.address = m.Address
+		}
+		for _, l := range to.lines {
+			if moved || l.began.Before(m.Since) {
+				old = append(old, l)
+			}
+		}
+	}
+	for name, to := range s.all {
+		if to.gone && len(to.lines) == 0 {
+			delete(s.all, name)
+		}
+	}
+	s.mu.Unlock()
+	for _, l := range old {
+		s.drop(l, errOld)
+	}
+}
+
+// Send puts out one call. With fresh set, idle connections to the searcher are closed before.
+func (s *Searchers) Send(name string, fresh bool, call []*Parcel) {
+	s.mu.Lock()
+	to := s.all[name]
+	if to == nil || s.ctx.Err() != nil {
+		s.mu.Unlock()
+		report(call, mixer.Unreached)
+		return
+	}
+	var idle []*line
+	var best *line
+	for _, l := range to.lines {
+		live := l.live()
+		if fresh && live == 0 && l.nc != nil {
+			idle = append(idle, l)
+		} else if best == nil && live+len(call) <= max(s.lim.Streams, len(call)) && l.takes(call) {
+			best = l
+		}
+	}
+	if best == nil {
+		if s.lines >= s.lim.Lines() {
+			s.mu.Unlock()
+			s.log.Warn("no descriptor left for a connection", "searcher", name, "connections", s.lim.Lines())
+			report(call, mixer.Unreached)
+			return
+		}
+		best = s.open(to)
+	}
+	for _, p := range call {
+		p.line = best
+		best.out[p.Part.ID] = p
+	}
+	best.queue = append(best.queue, call)
+	best.rouse()
+	s.mu.Unlock()
+	for _, l := range idle {
+		s.drop(l, errIdle)
+	}
+}
+
+// Withdraw tells the searcher that a part is given up.
+func (s *Searchers) Withdraw(p *Parcel) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if l := p.line; l != nil && !l.closed && p.written {
+		l.raw = append(l.raw, protocol.AppendFrame(nil, protocol.Withdraw, []byte(p.Part.ID)))
+		l.rouse()
+	}
+}
+
+func report(call []*Parcel, o routing.Outcome) {
+	for _, p := range call {
+		p.Forward.Report(o, nil)
+	}
+}
+
+// live counts the parts that are waited for.
+func (l *line) live() (n int) {
+	for _, p := range l.out {
+		if !p.Forward.Over() {
+			n++
+		}
+	}
+	return n
+}
+
+// takes tells whether answers to the call could be told apart from those still to come.
+func (l *line) takes(call []*Parcel) bool {
+	for _, p := range call {
+		if l.out[p.Part.ID] != nil {
+			return false
+		}
+	}
+	return true
+}
+
+func (l *line) rouse() {
+	select {
+	case l.wake <- struct{}{}:
+	default:
+	}
+}
+
+// open begins a connection. The lock is held.
+func (s *Searchers) open(to *searcher) *line {
+	now := time.Now()
+	l := &line{to: to, began: now, used: now, out: map[string]*Parcel{}, wake: make(chan struct{}, 1)}
+	ctx, cancel := context.WithCancel(s.ctx)
+	l.cancel = cancel
+	to.lines = append(to.lines, l)
+	s.lines++
+	s.wg.Add(1)
+	go s.serve(ctx, l, to.address)
+	return l
+}
+
+// serve makes the connection and writes to it until it ends. It is the connection's one writer.
+func (s *Searchers) serve(ctx context.Context, l *line, address string) {
+	defer s.wg.Done()
+	defer l.cancel()
+	d := net.Dialer{Timeout: s.lim.Connect, KeepAlive: -1}
+	nc, err := d.DialContext(ctx, "tcp", address)
+	if err != nil {
+		s.drop(l, err)
+		return
+	}
+	s.mu.Lock()
+	if l.closed {
+		s.mu.Unlock()
+		nc.Close()
+		return
+	}
+	l.nc = nc
+	s.mu.Unlock()
+	s.wg.Add(1)
+	go s.listen(l, nc)
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-l.wake:
+		}
+		s.mu.Lock()
+		queue, raw := l.queue, l.raw
+		l.queue, l.raw = nil, nil
+		s.mu.Unlock()
+		for _, call := range queue {
+			if err = s.write(l, nc, call); err != nil {
+				break
+			}
+		}
+		for _, frame := range raw {
+			if err == nil {
+				_, err = s.put(nc, frame)
+			}
+		}
+		if err != nil {
+			s.drop(l, fmt.Errorf("write: %w", err))
+			return
+		}
+	}
+}
+
+// write puts out what of a call may still leave, as one frame.
+func (s *Searchers) write(l *line, nc net.Conn, call []*Parcel) error {
+	var parts []protocol.Part
+	var left []*Parcel
+	now := time.Now()
+	for _, p := range call {
+		if p.Forward.Leave() {
+			p.Part.Within = p.Forward.Deadline.Sub(now)
+			parts = append(parts, p.Part)
+			left = append(left, p)
+		}
+	}
+	if len(parts) == 0 {
+		s.forget(l, call)
+		return nil
+	}
+	frame := protocol.AppendCall(nil, parts)
+	n, err := s.put(nc, frame)
+	s.mu.Lock()
+	for _, p := range left {
+		p.written = n == len(frame)
+	}
+	l.used = time.Now()
+	s.mu.Unlock()
+	return err
+}
+
+// forget takes off the line what never left.
+func (s *Searchers) forget(l *line, call []*Parcel) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for _, p := range call {
+		if l.out[p.Part.ID] == p {
+			delete(l.out, p.Part.ID)
+		}
+	}
+}
+
+func (s *Searchers) put(nc net.Conn, frame []byte) (int, error) {
+	nc.SetWriteDeadline(time.Now().Add(s.lim.Write))
+	return nc.Write(frame)
+}
+
+// listen reads from the connection until it ends.
+func (s *Searchers) listen(l *line, nc net.Conn) {
+	defer s.wg.Done()
+	in := bufio.NewReader(nc)
+	for {
+		f, err := protocol.ReadFrame(in, s.lim.Frame)
+		if err == nil {
+			err = s.got(l, f)
+		}
+		if err != nil {
+			s.drop(l, err)
+			return
+		}
+	}
+}
+
+// got takes one frame of a searcher.
+func (s *Searchers) got(l *line, f protocol.Frame) error {
+	switch f.Letter {
+	case protocol.Answer:
+		r, err := protocol.ReadReply(f.Rest)
+		if err != nil {
+			return err
+		}
+		s.mu.Lock()
+		p := l.out[r.ID]
+		delete(l.out, r.ID)
+		l.used = time.Now()
+		s.mu.Unlock()
+		if p != nil {
+			p.Forward.Report(r.Outcome, r.Value)
+		}
+	case protocol.Probe, protocol.Load:
+		if len(f.Rest) > 0 {
+			return fmt.Errorf("frame %c: an answer to a probe, but none was sent", f.Letter)
+		}
+		s.mu.Lock()
+		l.raw = append(l.raw, protocol.AppendFrame(nil, f.Letter, protocol.ProbeAnswer(f.Letter)))
+		l.rouse()
+		s.mu.Unlock()
+	case protocol.Fault:
+		return fmt.Errorf("the searcher could not use a frame: %q", f.Rest[:min(len(f.Rest), 80)])
+	default:
+		return fmt.Errorf("frame: unknown letter %q", f.Letter)
+	}
+	return nil
+}
+
+// drop ends a connection, once, and tells the outcome of all that was out on it.
+func (s *Searchers) drop(l *line, why error) {
+	s.mu.Lock()
+	if l.closed {
+		s.mu.Unlock()
+		return
+	}
+	l.closed = true
+	l.cancel()
+	s.lines--
+	for i, o := range l.to.lines {
+		if o == l {
+			l.to.lines = append(l.to.lines[:i:i], l.to.lines[i+1:]...)
+			break
+		}
+	}
+	if l.nc != nil {
+		l.nc.Close()
+	}
+	var reset, unreached []*Parcel
+	for _, p := range l.out {
+		if p.written {
+			reset = append(reset, p)
+		} else {
+			unreached = append(unreached, p)
+		}
+	}
+	l.out, l.queue, l.raw = nil, nil, nil
+	s.mu.Unlock()
+	s.log.Debug("connection closed", "searcher", l.to.name, "why", why, "reset", len(reset), "unreached", len(unreached))
+	report(reset, mixer.Reset)
+	report(unreached, mixer.Unreached)
+}
+
+// sweep closes connections before the searcher would, who counts from the last byte that it has seen.
+func (s *Searchers) sweep() {
+	defer s.wg.Done()
+	every := time.NewTicker(s.lim.Sweep())
+	defer every.Stop()
+	for {
+		select {
+		case <-s.ctx.Done():
+			return
+		case <-every.C:
+		}
+		var idle []*line
+		s.mu.Lock()
+		for _, to := range s.all {
+			for _, l := range to.lines {
+				if l.nc != nil && l.live() == 0 && time.Since(l.used) >= s.lim.Idle() {
+					idle = append(idle, l)
+				}
+			}
+		}
+		s.mu.Unlock()
+		for _, l := range idle {
+			s.drop(l, errIdle)
+		}
+	}
+}
--- /dev/null
+++ b/internal/transport/server.go
@@ -0,0 +1,169 @@
+// Package transport moves bytes: an HTTP server for clients, connections to searchers, the watch on the list.
+package transport
+
+import (
+	"context"
+	"errors"
+	"io"
+	"log/slog"
+	"net"
+	"net/http"
+	"runtime/debug"
+	"strconv"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"nettlefold/internal/charter"
+	"nettlefold/internal/protocol"
+	"nettlefold/internal/routing"
+)
+
+// Server serves clients.
+type Server struct {
+	Router    *routing.Router
+	Searchers *Searchers
+	Tariffs   map[string]int
+	Limits    charter.Limits
+	Log       *slog.Logger
+
+	ready    atomic.Bool
+	leaving  atomic.Bool
+	http     *http.Server
+	listener net.Listener
+
+	mu    sync.Mutex
+	conns map[net.Conn]*client
+}
+
+// Ready lets the health check succeed.
+func (s *Server) Ready() { s.ready.Store(true) }
+
+// Serve serves clients until Leave is called.
+func (s *Server) Serve(l net.Listener) error {
+	s.listener, s.conns = l, map[net.Conn]*client{}
+	mux := http.NewServeMux()
+	mux.HandleFunc("GET "+protocol.PathHealth, s.health)
+	mux.HandleFunc("POST "+protocol.PathLookup, s.lookup)
+	s.http = &http.Server{
+		Handler:           s.guard(mux),
+		ReadHeaderTimeout: s.Limits.Read,
+		ReadTimeout:       s.Limits.Read,
+		IdleTimeout:       -1,
+		MaxHeaderBytes:    s.Limits.Header,
+		ConnState:         s.state,
+		ConnContext:       func(ctx context.Context, c net.Conn) context.Context { return context.WithValue(ctx, connKey{}, c) },
+		ErrorLog:          slog.NewLogLogger(s.Log.Handler(), slog.LevelDebug),
+	}
+	err := s.http.Serve(&door{l, s})
+	if errors.Is(err, http.ErrServerClosed) {
+		return nil
+	}
+	return err
+}
+
+// Leave ends service: at once health fails and answers end their connections; new connections are taken for as
+// long as they still come; then what is open is answered. What the context cuts off is left unanswered.
+func (s *Server) Leave(ctx context.Context) error {
+	s.leaving.Store(true)
+	select {
+	case <-ctx.Done():
+	case <-time.After(s.Limits.Arrivals + s.Limits.Arrivals/4):
+	}
+	return s.http.Shutdown(ctx)
+}
+
+// guard keeps a panic to the request it came up in.
+func (s *Server) guard(next http.Handler) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		defer func() {
+			if p := recover(); p != nil {
+				s.Log.Error("panic in a request", "path", r.URL.Path, "panic", p, "stack", string(debug.Stack()))
+				w.WriteHeader(http.StatusInternalServerError)
+			}
+		}()
+		if s.leaving.Load() {
+			w.Header().Set("Connection", "close")
+		}
+		next.ServeHTTP(w, r)
+		between(r.Context()) // the answer goes out once this returns
+	})
+}
+
+func (s *Server) health(w http.ResponseWriter, r *http.Request) {
+	if !s.ready.Load() || s.leaving.Load() {
+		http.Error(w, "not serving", http.StatusServiceUnavailable)
+	}
+}
+
+// lookup serves one lookup, from its request to its answer.
+func (s *Server) lookup(w http.ResponseWriter, r *http.Request) {
+	seen := arrived(r.Context())
+	raw, err := io.ReadAll(http.MaxBytesReader(w, r.Body, int64(s.Limits.Body)))
+	if big := (*http.MaxBytesError)(nil); errors.As(err, &big) {
+		http.Error(w, "body: over "+strconv.Itoa(s.Limits.Body)+" bytes", http.StatusRequestEntityTooLarge)
+		return
+	} else if err != nil {
+		http.Error(w, "body: "+err.Error(), http.StatusBadRequest)
+		return
+	}
+	l, err := protocol.ReadLookup(r.Header, raw, seen, s.Tariffs, s.Limits)
+	if err != nil {
+		http.Error(w, err.Error(), http.StatusBadRequest)
+		return
+	}
+	ticket, err := s.Router.Take(l.Lookup)
+	switch {
+	case errors.Is(err, routing.ErrTaken):
+		http.Error(w, err.Error(), http.StatusConflict)
+		return
+	case err != nil:
+		http.Error(w, err.Error(), http.StatusServiceUnavailable)
+		return
+	}
+	out := map[*routing.Forward]*Parcel{}
+	for {
+		step, err := ticket.Pick(r.Context())
+		if err != nil {
+			return // the client has gone
+		}
+		for _, f := range step.Withdrawn {
+			s.Searchers.Withdraw(out[f])
+		}
+		for _, c := range step.Calls {
+			call := make([]*Parcel, len(c.Forwards))
+			for i, f := range c.Forwards {
+				slice := l.Parts[f.Part].Slice
+				call[i] = &Parcel{Forward: f, Part: protocol.Part{ID: routing.PartID(l.ID, slice), Slice: slice, Text: l.Text}}
+				out[f] = call[i]
+			}
+			s.Searchers.Send(c.Searcher, c.Fresh, call)
+		}
+		if step.Final != nil {
+			s.answer(w, l, *step.Final)
+			return
+		}
+	}
+}
+
+// answer writes the final answer of a lookup.
+func (s *Server) answer(w http.ResponseWriter, l protocol.Lookup, f routing.Final) {
+	switch f.Verdict {
+	case routing.Answered:
+		body, err := protocol.WriteAnswer(l, f)
+		if err != nil {
+			http.Error(w, err.Error(), http.StatusInternalServerError)
+			return
+		}
+		w.Header().Set("Content-Type", "application/json")
+		w.Header().Set("Content-Length", strconv.Itoa(len(body)))
+		w.Write(body)
+	case routing.Bounced:
+		if f.Wait > 0 {
+			w.Header().Set("Retry-After", protocol.WriteWait(f.Wait))
+		}
+		http.Error(w, "turned away, asking again is harmless", http.StatusServiceUnavailable)
+	default:
+		http.Error(w, "failed", http.StatusBadGateway)
+	}
+}
--- a/internal/wire/host.go
+++ b/internal/wire/host.go
@@ -4,11 +4,13 @@
 
 import (
 	"bufio"
+	"errors"
 	"fmt"
 	"io"
 	"strconv"
 	"strings"
 
+	"nettlefold/internal/charter"
 	"nettlefold/mixer"
 )
 
@@ -190,9 +192,14 @@
 	if f.err != nil {
 		return f.err
 	}
-	ch, names, bad := readCharter(f.left)
-	if bad != nil {
-		return &fault{f.line, f.message, bad.key, bad.value}
+	terms, err := charter.Pairs(f.left)
+	var ch mixer.Charter
+	var names map[string]int
+	if err == nil {
+		ch, names, err = terms.Charter()
+	}
+	if bad := (*charter.Fault)(nil); errors.As(err, &bad) {
+		return &fault{f.line, f.message, bad.Key, clip(bad.Value)}
 	}
 	i := &instance{
 		host: h, name: name, tariffs: names,
@@ -266,7 +273,7 @@
 }
 
 // time reads milliseconds as whole nanoseconds.
-func (f *fields) time(field string) int64 { return nanos(f.number(field, f.text(field))) }
+func (f *fields) time(field string) int64 { return charter.Nanos(f.number(field, f.text(field))) }
 
 // timeOr is time for a value that may be absent.
 func (f *fields) timeOr(field string, absent int64) int64 {
@@ -274,7 +281,7 @@
 	if s == "-" {
 		return absent
 	}
-	return nanos(f.number(field, s))
+	return charter.Nanos(f.number(field, s))
 }
 
 func (f *fields) bool(field string) bool {
@@ -284,11 +291,3 @@
 	}
 	return s == "1"
 }
-
-// nanos turns milliseconds into nanoseconds, by way of whole microseconds, which is what the clock counts.
-func nanos(ms float64) int64 {
-	if ms < 0 {
-		return int64(ms*1000-0.5) * 1000
-	}
-	return int64(ms*1000+0.5) * 1000
-}
