--- /dev/null
+++ b/cmd/nettlefold/helper_test.go
@@ -0,0 +1,301 @@
+package main
+
+import (
+	"bytes"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"strings"
+	"sync"
+	"syscall"
+	"testing"
+	"time"
+
+	"nettlefold/example/toy"
+)
+
+var binary string
+
+func TestMain(m *testing.M) {
+	dir, err := os.MkdirTemp("", "nettlefold")
+	if err != nil {
+		panic(err)
+	}
+	binary = filepath.Join(dir, "nettlefold")
+	if out, err := exec.Command("go", "build", "-o", binary, ".").CombinedOutput(); err != nil {
+		panic(string(out))
+	}
+	code := m.Run()
+	os.RemoveAll(dir)
+	os.Exit(code)
+}
+
+// object is a JSON object of a configuration.
+type object map[string]any
+
+// world is the program with the searchers and the list that it speaks to.
+type world struct {
+	t         *testing.T
+	searchers []*toy.Searcher // two for each of two cells
+	list      *toy.List
+	listAt    *httptest.Server
+	settings  object
+	limits    object
+	addr      string
+	cmd       *exec.Cmd
+	log       syncBuffer
+	ended     chan error
+	client    *http.Client
+}
+
+// syncBuffer is a log that may be read while it is written.
+type syncBuffer struct {
+	mu  sync.Mutex
+	buf bytes.Buffer
+}
+
+func (b *syncBuffer) Write(p []byte) (int, error) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.buf.Write(p)
+}
+
+func (b *syncBuffer) String() string {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.buf.String()
+}
+
+// prepare makes searchers, which may be changed until the program is started, and the list.
+func prepare(t *testing.T) *world {
+	w := &world{t: t, list: &toy.List{Beat: 100 * time.Millisecond}, client: &http.Client{Transport: &http.Transport{}}}
+	w.listAt = httptest.NewServer(w.list)
+	t.Cleanup(w.listAt.Close)
+	t.Cleanup(w.listAt.CloseClientConnections)
+	for i := range 4 {
+		s := &toy.Searcher{Name: fmt.Sprintf("s%d", i), Zone: "z", Cell: i / 2, Took: 5 * time.Millisecond}
+		w.searchers = append(w.searchers, s)
+	}
+	w.limits = object{"cores": 1.0, "memory_mb": 192, "sockets": 1024}
+	w.settings = object{
+		"Locality": "z", "NInstances": 1, "MembershipMode": "pushed",
+		"FamilyInfo": object{"Sets": 2, "Width": 1, "Slabs": 8, "PerCall": 4, "CompleteFrom": []float64{1, 0.5},
+			"LeastShare": []float64{1, 0.5}, "ClassPartial": []float64{0, 0}, "FetchParts": []int{0, 0}},
+		"PolicyLimits": object{"MaxAttempts": 3, "MayDuplicate": true, "Cancel": true, "RetryAfter": true,
+			"MaxRetryAfterMs": 500.0, "MaxOpen": 100, "MaxStreams": 100, "ConnectTimeoutMs": 250.0, "KeepaliveMs": 30000.0},
+		"Guarantees": object{"ColdFrom": 0.2, "ColdMs": 1000.0, "FallMultiple": 2.0, "FallMs": 1000.0},
+		"Profiles": []object{
+			{"Name": "all", "AimMs": 1000.0, "DeadlineMs": 2000.0, "Effect": "retryable"},
+			{"Name": "half", "AimMs": 1000.0, "DeadlineMs": 2000.0, "Effect": "retryable"}},
+	}
+	return w
+}
+
+func (w *world) of(path string) object { return w.settings[path].(object) }
+
+// whole gives the list as it stands, with what has changed.
+func (w *world) whole(index int64, change func(i int, m *toy.Member)) toy.Message {
+	m := toy.Message{Index: index, Snapshot: true}
+	for i, s := range w.searchers {
+		e := s.Entry("SERVING")
+		if change != nil {
+			change(i, &e)
+		}
+		m.Endpoints = append(m.Endpoints, e)
+	}
+	return m
+}
+
+// changed gives a change of one searcher.
+func changed(index int64, m toy.Member) toy.Message {
+	return toy.Message{Index: index, Endpoints: []toy.Member{m}}
+}
+
+// launch starts the searchers, and the program without waiting for it.
+func (w *world) launch() {
+	w.t.Helper()
+	for _, s := range w.searchers {
+		if err := s.Start(); err != nil {
+			w.t.Fatal(err)
+		}
+		w.t.Cleanup(s.Stop)
+	}
+	free, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		w.t.Fatal(err)
+	}
+	w.addr = free.Addr().String()
+	free.Close()
+	raw, err := json.Marshal(object{
+		"name": "n0", "listen": w.addr, "discovery": w.listAt.Listener.Addr().String(), "seed": "8c1f30d27a5be964",
+		"limits": w.limits, "known": w.whole(1, nil), "settings": w.settings})
+	if err != nil {
+		w.t.Fatal(err)
+	}
+	path := filepath.Join(w.t.TempDir(), "config.json")
+	if err := os.WriteFile(path, raw, 0o600); err != nil {
+		w.t.Fatal(err)
+	}
+	w.cmd = exec.Command(binary)
+	w.cmd.Env = append(os.Environ(), "LB_CONFIG="+path)
+	w.cmd.Stderr = &w.log
+	if err := w.cmd.Start(); err != nil {
+		w.t.Fatal(err)
+	}
+	w.ended = make(chan error, 1)
+	go func() { w.ended <- w.cmd.Wait() }()
+	w.t.Cleanup(func() {
+		w.cmd.Process.Kill()
+		if w.t.Failed() {
+			w.t.Log("the program's log:\n" + w.log.String())
+		}
+	})
+}
+
+// start starts the program and waits until it is healthy.
+func (w *world) start() *world {
+	w.t.Helper()
+	w.launch()
+	w.until("health", func() bool { return w.health() == http.StatusOK })
+	return w
+}
+
+func (w *world) health() int {
+	resp, err := w.client.Get("http://" + w.addr + "/_health")
+	if err != nil {
+		return 0
+	}
+	resp.Body.Close()
+	return resp.StatusCode
+}
+
+// until waits for something to become true.
+func (w *world) until(what string, is func() bool) {
+	w.t.Helper()
+	for end := time.Now().Add(5 * time.Second); !is(); time.Sleep(5 * time.Millisecond) {
+		if time.Now().After(end) {
+			w.t.Fatalf("never: %s", what)
+		}
+	}
+}
+
+// reply is what came back for a lookup.
+type reply struct {
+	status   int
+	head     http.Header
+	Complete bool
+	Hits     []struct {
+		Shard int
+		Doc   string
+	}
+	text    string
+	closing bool // the connection ends with it
+}
+
+// request makes a lookup's request.
+func (w *world) request(id, lane, remaining string, body string) *http.Request {
+	req, err := http.NewRequest("POST", "http://"+w.addr+"/api", strings.NewReader(body))
+	if err != nil {
+		w.t.Fatal(err)
+	}
+	for name, v := range map[string]string{"X-Txn": id, "X-Lane": lane, "X-Remaining-Ms": remaining} {
+		if v != "" {
+			req.Header.Set(name, v)
+		}
+	}
+	return req
+}
+
+// do sends a request.
+func (w *world) do(req *http.Request) (r reply, err error) {
+	resp, err := w.client.Do(req)
+	if err != nil {
+		return r, err
+	}
+	defer resp.Body.Close()
+	var b bytes.Buffer
+	if _, err := b.ReadFrom(resp.Body); err != nil {
+		return r, err
+	}
+	r.status, r.head, r.text, r.closing = resp.StatusCode, resp.Header, b.String(), resp.Close
+	if r.status == http.StatusOK {
+		err = json.Unmarshal(b.Bytes(), &r)
+	}
+	return r, err
+}
+
+// shards makes a lookup's body with parts of equal weight.
+func shards(text string, slices ...int) string {
+	parts := make([]string, len(slices))
+	for i, s := range slices {
+		parts[i] = fmt.Sprintf(`{"shard":%d,"weight":%v}`, s, 1/float64(len(slices)))
+	}
+	return fmt.Sprintf(`{"shards":[%s],"q":%q}`, strings.Join(parts, ","), text)
+}
+
+// ask sends a lookup, and checks that each hit is what a searcher found, and each part there once.
+func (w *world) ask(id, lane string, slices ...int) reply {
+	w.t.Helper()
+	text := "text of " + id
+	r, err := w.do(w.request(id, lane, "2000", shards(text, slices...)))
+	if err != nil {
+		w.t.Errorf("lookup %s: %v", id, err)
+	}
+	seen := map[int]bool{}
+	for _, h := range r.Hits {
+		if want := (toy.Part{Text: text, Slice: h.Shard}).Value(); h.Doc != want || seen[h.Shard] {
+			w.t.Errorf("lookup %s: part %d has value %q, once before %v, want %q", id, h.Shard, h.Doc, seen[h.Shard], want)
+		}
+		seen[h.Shard] = true
+	}
+	return r
+}
+
+// satisfied asks so many lookups of every part and tells how many were answered whole.
+func (w *world) satisfied(name string, n int) (whole int) {
+	w.t.Helper()
+	for i := range n {
+		if r := w.ask(fmt.Sprintf("%s%d", name, i), "all", 0, 1, 2, 3); r.status == http.StatusOK && r.Complete {
+			whole++
+		}
+	}
+	return whole
+}
+
+// exit waits for the program to end and gives its exit code.
+func (w *world) exit(within time.Duration) int {
+	w.t.Helper()
+	select {
+	case err := <-w.ended:
+		var code *exec.ExitError
+		if errors.As(err, &code) {
+			return code.ExitCode()
+		}
+		return 0
+	case <-time.After(within):
+		w.t.Fatalf("still running after %v", within)
+		return -1
+	}
+}
+
+func (w *world) signal() {
+	if err := w.cmd.Process.Signal(syscall.SIGTERM); err != nil {
+		w.t.Fatal(err)
+	}
+}
+
+// calls gives the parts of each call that a searcher has got, by lookup ids alike.
+func calls(s *toy.Searcher) (n int) {
+	for _, f := range s.Frames() {
+		if f[0] == 'Q' {
+			n++
+		}
+	}
+	return n
+}
--- a/cmd/nettlefold/main.go
+++ b/cmd/nettlefold/main.go
@@ -77,9 +77,10 @@
 	var wg sync.WaitGroup
 	defer wg.Wait()
 	defer cancel()
-	watch := &transport.Watch{Discovery: c.Discovery, Version: c.Known.Version, Limits: c.Limits, Log: log, Listed: listed}
+	watch := &transport.Watch{Discovery: c.Discovery, Known: c.Known, Limits: c.Limits, Log: log, Listed: listed}
 	wg.Go(func() { watch.Run(work) })
 	wg.Go(func() { router.Run(work) })
+	server.Open()
 	served := make(chan error, 1)
 	wg.Go(func() { served <- server.Serve(listener) })
 	log.Info("serving", "name", c.Name, "listen", c.Listen, "searchers", len(c.Known.Members), "version", c.Known.Version)
@@ -90,9 +91,7 @@
 	}
 	began := time.Now()
 	log.Info("leaving")
-	last, done := context.WithTimeout(context.Background(), c.Limits.KillAfter-c.Limits.Arrivals/4)
-	defer done()
-	if err := server.Leave(last); err != nil {
+	if err := server.Leave(); err != nil {
 		log.Warn("left with lookups unanswered", "error", err)
 	}
 	log.Info("left", "after", time.Since(began).Round(time.Millisecond))
--- /dev/null
+++ b/cmd/nettlefold/main_test.go
@@ -0,0 +1,559 @@
+package main
+
+import (
+	"bufio"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"nettlefold/example/toy"
+)
+
+func TestLookupsAreServed(t *testing.T) {
+	w := prepare(t).start()
+	if r := w.ask("a1", "all", 0, 1, 2, 3); r.status != 200 || !r.Complete || len(r.Hits) != 4 {
+		t.Errorf("all parts: %+v", r)
+	}
+	if r := w.ask("a2", "half", 0, 1, 2, 3); r.status != 200 || !r.Complete || len(r.Hits) != 2 {
+		t.Errorf("any half of the parts: %+v", r)
+	}
+	parts := 0
+	for _, s := range w.searchers {
+		for _, f := range s.Frames() {
+			var id, slice, list string
+			var length int
+			head, text, _ := strings.Cut(f[1:], "\n")
+			if n, err := fmt.Sscan(head, &id, &slice, &list, &length); n != 4 || err != nil {
+				t.Fatalf("frame %q: %v", f, err)
+			}
+			if text = text[:length]; f[0] != 'Q' || text != "text of "+id[:2] || id[2:] != "."+slice {
+				t.Errorf("frame %q", f)
+			}
+			var within int
+			if _, err := fmt.Sscanf(list, "d=%d", &within); err != nil || within < 900 || within > 1000 {
+				t.Errorf("frame %q: waits %d ms, of 1000 expected", f, within)
+			}
+			parts += strings.Count(f, " d=")
+		}
+	}
+	if parts != 6 {
+		t.Errorf("%d parts were sent, want exactly 4 and 2", parts)
+	}
+}
+
+func TestPartsShareAFrame(t *testing.T) {
+	w := prepare(t)
+	w.searchers = []*toy.Searcher{w.searchers[0], w.searchers[2]}
+	w.start()
+	w.ask("a", "all", 0, 1, 2, 3, 4, 5, 6, 7)
+	for _, s := range w.searchers {
+		if n := calls(s); n != 1 {
+			t.Errorf("%s got its four parts in %d calls, want 1", s.Name, n)
+		}
+	}
+}
+
+func TestBadRequestsAreNamed(t *testing.T) {
+	w := prepare(t).start()
+	good := shards("x", 0, 1)
+	for _, c := range []struct {
+		id, lane, left, body string
+		status               int
+		want                 string
+	}{
+		{"", "all", "500", good, 400, "X-Txn: missing"},
+		{"a b", "all", "500", good, 400, "X-Txn: byte 0x20"},
+		{strings.Repeat("a", 65), "all", "500", good, 400, "X-Txn: 65 bytes"},
+		{"b1", "none", "500", good, 400, `X-Lane: unknown "none"`},
+		{"b1", "all", "", good, 400, "X-Remaining-Ms"},
+		{"b1", "all", "soon", good, 400, `X-Remaining-Ms: not a time in milliseconds: "soon"`},
+		{"b1", "all", "500", "{", 400, "body: "},
+		{"b1", "all", "500", good + good, 400, "body: more than one"},
+		{"b1", "all", "500", `{"shards":[{"shard":0,"weight":1}]}`, 400, "body: q: missing"},
+		{"b1", "all", "500", `{"q":"x"}`, 400, "body: shards: none"},
+		{"b1", "all", "500", shards("x", 0, 8), 400, "shards[1]: shard: 8"},
+		{"b1", "all", "500", shards("x", -1), 400, "shards[0]: shard: -1"},
+		{"b1", "all", "500", shards("x", 2, 2), 400, "shards[1]: shard: 2 is named twice"},
+		{"b1", "all", "500", `{"q":"x","shards":[{"shard":0}]}`, 400, "shards[0]: weight: missing"},
+		{"b1", "all", "500", `{"q":"x","shards":[{"shard":0,"weight":-1}]}`, 400, "shards[0]: weight: -1"},
+		{"b1", "all", "500", `{"q":"x","shards":[{"weight":1}]}`, 400, "shards[0]: shard: missing"},
+		{"b1", "all", "500", `{"q":"` + strings.Repeat("x", 64<<10) + `"}`, 413, "body: over"},
+	} {
+		r, err := w.do(w.request(c.id, c.lane, c.left, c.body))
+		if err != nil || r.status != c.status || !strings.Contains(r.text, c.want) {
+			t.Errorf("%s, %s, %s, %.80q is answered %d %q, %v, want %d %q", c.id, c.lane, c.left, c.body, r.status, r.text, err, c.status, c.want)
+		}
+	}
+	for _, raw := range []string{
+		"POST /api HTTP/1.1\r\nHost: x\r\nTransfer-Encoding: chunked\r\n\r\nzz\r\n",
+		"POST /api HTTP/1.1\r\nHost: x\r\nX-Filler: " + strings.Repeat("x", 64<<10) + "\r\n\r\n",
+		"GET /api HTTP/1.1\r\nHost: x\r\nConnection: close\r\n\r\n",
+		"nonsense\r\n\r\n",
+	} {
+		nc, err := net.Dial("tcp", w.addr)
+		if err != nil {
+			t.Fatal(err)
+		}
+		nc.SetDeadline(time.Now().Add(5 * time.Second))
+		io.WriteString(nc, raw)
+		status := ""
+		if line, err := bufio.NewReader(nc).ReadString('\n'); err == nil {
+			status = strings.Fields(line)[1]
+		}
+		if !strings.HasPrefix(status, "4") {
+			t.Errorf("%.60q is answered %q, want a 4xx", raw, status)
+		}
+		nc.Close()
+	}
+	if n := w.satisfied("after", 1); n != 1 {
+		t.Error("no lookup is served after bad requests")
+	}
+}
+
+// TestTroubledSearcher has one of two holders misbehave: every lookup must be served all the same.
+func TestTroubledSearcher(t *testing.T) {
+	frame := func(letter byte, rest string) func(toy.Part) {
+		return func(p toy.Part) { p.Conn.Frame(letter, strings.ReplaceAll(rest, "ID", p.ID)) }
+	}
+	for name, c := range map[string]struct {
+		handle func(toy.Part)
+		log    string
+	}{
+		"error":           {frame('A', "ID err 0 -\n"), ""},
+		"busy":            {frame('A', "ID busy 0 -\n"), ""},
+		"silent":          {func(toy.Part) {}, ""},
+		"reset":           {func(p toy.Part) { p.Conn.Close() }, ""},
+		"cut off":         {func(p toy.Part) { p.Conn.Write([]byte{40, 0, 0, 0, 'A', 'x'}); p.Conn.Close() }, ""},
+		"overlong":        {func(p toy.Part) { p.Conn.Write([]byte{0, 0, 0, 127, 'A'}) }, "length 2130706432"},
+		"empty frame":     {func(p toy.Part) { p.Conn.Write([]byte{0, 0, 0, 0}) }, "length 0"},
+		"unknown letter":  {frame('Z', "hm"), "unknown letter"},
+		"bad line":        {frame('A', "ID ok\n"), `is not ID END SCORE REPORT`},
+		"unknown end":     {frame('A', "ID fine 0 -\n"), "unknown end"},
+		"unused frame":    {frame('E', "what is this"), "what is this"},
+		"stranger's part": {frame('A', "nobody.0 ok 1 -\nno value"), ""},
+		"twice": {func(p toy.Part) {
+			p.Answer("ok", p.Value())
+			p.Answer("ok", "again")
+		}, ""},
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			w := prepare(t)
+			w.searchers[0].Handle = c.handle
+			w.start()
+			if n := w.satisfied("a", 20); n != 20 {
+				t.Errorf("%d of 20 lookups were answered whole", n)
+			}
+			if calls(w.searchers[0]) == 0 {
+				t.Error("the troubled searcher was never tried")
+			}
+			if !strings.Contains(w.log.String(), c.log) {
+				t.Errorf("the log does not say %q", c.log)
+			}
+		})
+	}
+}
+
+func TestKilledSearcherComesBack(t *testing.T) {
+	w := prepare(t).start()
+	w.satisfied("a", 4)
+	w.searchers[0].Stop()
+	if n := w.satisfied("b", 20); n != 20 {
+		t.Errorf("%d of 20 lookups were answered whole beside a killed searcher", n)
+	}
+	if err := w.searchers[0].Start(); err != nil {
+		t.Fatal(err)
+	}
+	e := w.searchers[0].Entry("SERVING")
+	e.Since = float64(time.Now().Add(-2 * time.Second).UnixMilli())
+	w.list.Say(changed(2, e))
+	before := calls(w.searchers[0])
+	w.until("the searcher is used again", func() bool {
+		w.satisfied(fmt.Sprint("c", time.Now().UnixNano()), 1)
+		return calls(w.searchers[0]) > before
+	})
+}
+
+// TestOldConnectionsAreLeft restarts and moves a searcher that keeps its old connections open and silent.
+func TestOldConnectionsAreLeft(t *testing.T) {
+	w := prepare(t).start()
+	w.satisfied("a", 8)
+	old := w.searchers[0]
+	if old.Conns() == 0 {
+		t.Fatal("no connection to begin with")
+	}
+	e := old.Entry("SERVING")
+	e.Since = float64(time.Now().UnixMilli() + 1)
+	w.list.Say(changed(2, e))
+	w.until("connections to the old process are closed", func() bool { return old.Conns() == 0 })
+	next := &toy.Searcher{Name: old.Name, Zone: "z"}
+	if err := next.Start(); err != nil {
+		t.Fatal(err)
+	}
+	defer next.Stop()
+	w.list.Say(changed(3, next.Entry("SERVING")))
+	w.until("the new address is used", func() bool {
+		w.satisfied(fmt.Sprint("b", time.Now().UnixNano()), 1)
+		return calls(next) > 0
+	})
+	before := calls(old)
+	if n := w.satisfied("c", 8); n != 8 || calls(old) > before {
+		t.Error("the old address was used after the list had named the new one")
+	}
+}
+
+func TestDrainingSearcherGetsNothing(t *testing.T) {
+	w := prepare(t).start()
+	w.satisfied("a", 4)
+	for index, status := range []string{"DRAINING", "DELETED"} {
+		s := w.searchers[index]
+		w.list.SayOnce("not a list") // the watch is made anew, and hears what it has missed
+		w.list.Say(changed(int64(2+index), s.Entry(status)))
+		w.until(status+" is heard", func() bool {
+			before := calls(s)
+			w.satisfied(fmt.Sprint("b", time.Now().UnixNano()), 6)
+			return calls(s) == before
+		})
+		before := calls(s)
+		if n := w.satisfied(status, 10); index == 0 && n != 10 {
+			t.Errorf("%d of 10 lookups were answered whole", n)
+		}
+		if calls(s) > before {
+			t.Errorf("a searcher that is %s got something new", status)
+		}
+	}
+	w.until("connections to a searcher that is gone are closed", func() bool { return w.searchers[1].Conns() == 0 })
+}
+
+// TestListThatMisbehaves has the list lie, go back, break off and die; the last one that was sound is kept.
+func TestListThatMisbehaves(t *testing.T) {
+	w := prepare(t).start()
+	w.list.Say(w.whole(7, func(i int, m *toy.Member) {
+		if i == 0 {
+			m.Status = "DANCING"
+		}
+	}))
+	w.until("the unknown state is logged", func() bool { return strings.Contains(w.log.String(), "DANCING") })
+	w.list.SayOnce(`{"index":5,"endpoints":[{"name":"s1","group":0,"address":"x","status":"DRAINING"}]}`)
+	w.until("the version that goes back is logged", func() bool { return strings.Contains(w.log.String(), "version 5 after 7") })
+	before := calls(w.searchers[0])
+	if n := w.satisfied("a", 12); n != 12 || calls(w.searchers[0]) == before {
+		t.Errorf("%d of 12 lookups were answered whole, the searcher of unknown state had %d calls", n, calls(w.searchers[0])-before)
+	}
+	at := w.listAt.Listener.Addr().String()
+	w.listAt.CloseClientConnections()
+	w.listAt.Close()
+	if n := w.satisfied("b", 5); n != 5 {
+		t.Errorf("%d of 5 lookups were answered whole without a list", n)
+	}
+	l, err := net.Listen("tcp", at)
+	if err != nil {
+		t.Fatal(err)
+	}
+	list := &toy.List{}
+	list.Say(w.whole(9, func(i int, m *toy.Member) {
+		if i == 1 {
+			m.Status = "DRAINING"
+		}
+	}))
+	back := httptest.NewUnstartedServer(list)
+	back.Listener.Close()
+	back.Listener = l
+	back.Start()
+	defer back.Close()
+	defer back.CloseClientConnections()
+	w.until("the list that is back is heard", func() bool {
+		before := calls(w.searchers[1])
+		w.satisfied(fmt.Sprint("c", time.Now().UnixNano()), 6)
+		return calls(w.searchers[1]) == before
+	})
+}
+
+func TestClientThatLeavesFreesItsPlace(t *testing.T) {
+	w := prepare(t)
+	w.of("PolicyLimits")["MaxOpen"] = 7
+	hold := make(chan toy.Part, 100)
+	for _, s := range w.searchers {
+		s.Handle = func(p toy.Part) { hold <- p }
+	}
+	w.start()
+	nc, err := net.Dial("tcp", w.addr)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer nc.Close()
+	w.request("a", "all", "2000", shards("text of a", 0, 1, 2, 3)).Write(nc)
+	var held []toy.Part
+	for range 4 {
+		held = append(held, <-hold)
+	}
+	if r := w.ask("a", "all", 0); r.status != http.StatusConflict {
+		t.Errorf("an id that is open is answered %d, want 409", r.status)
+	}
+	if r := w.ask("b", "all", 0, 1); r.status != http.StatusServiceUnavailable {
+		t.Errorf("a lookup beyond the limit is answered %d, want 503", r.status)
+	}
+	nc.Close()
+	got := make(chan reply, 1)
+	w.until("the place of the client that left is free", func() bool {
+		go func() { got <- w.ask("a", "all", 0, 1, 2, 3) }()
+		select {
+		case p := <-hold:
+			held = append(held, p)
+			return true
+		case r := <-got:
+			return r.status == http.StatusOK
+		}
+	})
+	for _, p := range held[:4] { // answers to the lookup that was left do not serve the one with its id
+		p.Answer("ok", "late")
+	}
+	for range 3 {
+		held = append(held, <-hold)
+	}
+	for _, p := range held[4:] {
+		p.Answer("ok", p.Value())
+	}
+	if r := <-got; r.status != http.StatusOK || len(r.Hits) != 4 {
+		t.Errorf("the lookup after it: %+v", r)
+	}
+}
+
+func TestIdleConnectionsAreClosedFirst(t *testing.T) {
+	w := prepare(t)
+	w.of("PolicyLimits")["KeepaliveMs"] = 800.0
+	w.start()
+	w.satisfied("a", 4)
+	used := time.Now()
+	for _, s := range w.searchers {
+		if s.Conns() == 0 {
+			t.Error("no connection to begin with")
+		}
+	}
+	w.until("idle connections are closed", func() bool {
+		n := 0
+		for _, s := range w.searchers {
+			n += s.Conns()
+		}
+		return n == 0
+	})
+	if after := time.Since(used); after < 500*time.Millisecond || after > 800*time.Millisecond {
+		t.Errorf("closed after %v, want well before 800 ms but not at once", after)
+	}
+	if n := w.satisfied("b", 4); n != 4 {
+		t.Errorf("%d of 4 lookups were answered whole afterwards", n)
+	}
+}
+
+func TestConnectionsCarryOnlySoMany(t *testing.T) {
+	w := prepare(t)
+	w.of("PolicyLimits")["MaxStreams"] = 2
+	w.of("FamilyInfo")["PerCall"] = 1
+	for _, s := range w.searchers {
+		s.Took = 300 * time.Millisecond
+	}
+	w.searchers = []*toy.Searcher{w.searchers[0], w.searchers[2]}
+	w.start()
+	if r := w.ask("a", "all", 0, 1, 2, 3, 4, 5, 6, 7); !r.Complete {
+		t.Errorf("%+v", r)
+	}
+	for _, s := range w.searchers {
+		if n := s.Conns(); n != 2 {
+			t.Errorf("four parts at once went to %s on %d connections, want 2", s.Name, n)
+		}
+	}
+}
+
+func TestProbesAreAnswered(t *testing.T) {
+	w := prepare(t)
+	w.searchers[0].Accepted = func(c *toy.Conn) {
+		c.Frame('P', "")
+		c.Frame('L', "")
+	}
+	w.start()
+	w.satisfied("a", 6)
+	w.until("both probes are answered", func() bool {
+		all := strings.Join(w.searchers[0].Frames(), "|")
+		return strings.Contains(all, "Pok") && strings.Contains(all, "L-")
+	})
+}
+
+// TestFullHouse has more clients connect than there are descriptors for. The newest must be served, and searchers
+// reached.
+func TestFullHouse(t *testing.T) {
+	w := prepare(t)
+	w.limits["sockets"] = 64
+	w.start()
+	for range 100 {
+		nc, err := net.Dial("tcp", w.addr)
+		if err != nil {
+			t.Fatal(err)
+		}
+		defer nc.Close()
+	}
+	if n := w.satisfied("a", 5); n != 5 {
+		t.Errorf("%d of 5 lookups were answered whole", n)
+	}
+	files, err := os.ReadDir(fmt.Sprintf("/proc/%d/fd", w.cmd.Process.Pid))
+	if err != nil || len(files) > 64 {
+		t.Errorf("%d descriptors are open, %v, want 64 at most", len(files), err)
+	}
+}
+
+// TestLeavingUnderLoad has SIGTERM come while clients go on: none may be lost.
+func TestLeavingUnderLoad(t *testing.T) {
+	w := prepare(t)
+	for _, s := range w.searchers {
+		s.Took = 100 * time.Millisecond
+	}
+	w.start()
+	var wg sync.WaitGroup
+	stop := make(chan struct{})
+	answers, closing := make(chan reply, 10000), make(chan bool, 10000)
+	for k := range 8 {
+		wg.Go(func() {
+			client := &http.Client{Transport: &http.Transport{DisableKeepAlives: k%2 == 0}}
+			mine := &world{t: t, addr: w.addr, client: client}
+			for n := 0; ; n++ {
+				select {
+				case <-stop:
+					return
+				default:
+					r, err := mine.do(mine.request(fmt.Sprintf("c%d.%d", k, n), "all", "2000", shards("x", 0, 1)))
+					if err != nil {
+						t.Errorf("client %d, lookup %d: %v", k, n, err)
+						return
+					}
+					answers <- r
+					closing <- r.closing
+				}
+			}
+		})
+	}
+	time.Sleep(300 * time.Millisecond)
+	w.signal()
+	time.Sleep(50 * time.Millisecond)
+	if code := w.health(); code != http.StatusServiceUnavailable {
+		t.Errorf("health is %d while leaving, want 503", code)
+	}
+	time.Sleep(250 * time.Millisecond) // new connections still come
+	close(stop)
+	wg.Wait()
+	if code := w.exit(2 * time.Second); code != 0 {
+		t.Errorf("exit code %d, want 0", code)
+	}
+	close(answers)
+	close(closing)
+	n, last := 0, false
+	for r := range answers {
+		if n++; r.status != 200 {
+			t.Errorf("lookup answered %d %q", r.status, r.text)
+		}
+	}
+	for c := range closing {
+		last = last || c
+	}
+	if n < 20 || !last {
+		t.Errorf("%d lookups answered, one with Connection: close %v", n, last)
+	}
+}
+
+// TestLeavingWithUnusedConnections sees to it that a client which never says anything does not hold the mixer up.
+func TestLeavingWithUnusedConnections(t *testing.T) {
+	w := prepare(t).start()
+	nc, err := net.Dial("tcp", w.addr)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer nc.Close()
+	w.satisfied("a", 1)
+	w.signal()
+	if code := w.exit(1500 * time.Millisecond); code != 0 {
+		t.Errorf("exit code %d, want 0", code)
+	}
+}
+
+// TestLeavingBeforeTheKill has a lookup open for longer than there is time to leave: it fails, but is answered.
+func TestLeavingBeforeTheKill(t *testing.T) {
+	w := prepare(t)
+	w.settings["Profiles"] = []object{{"Name": "all", "AimMs": 60000.0, "DeadlineMs": 60000.0, "Effect": "retryable"},
+		{"Name": "half", "AimMs": 1000.0, "DeadlineMs": 1000.0, "Effect": "retryable"}}
+	for _, s := range w.searchers {
+		s.Handle = func(toy.Part) {}
+	}
+	w.start()
+	got := make(chan reply, 1)
+	go func() {
+		r, _ := w.do(w.request("a", "all", "60000", shards("x", 0)))
+		got <- r
+	}()
+	w.until("the part is sent", func() bool { return calls(w.searchers[0])+calls(w.searchers[1]) > 0 })
+	began := time.Now()
+	w.signal()
+	code := w.exit(5 * time.Second)
+	if took := time.Since(began); code != 0 || took > 3700*time.Millisecond {
+		t.Errorf("exit code %d after %v, want 0 before SIGKILL may come", code, took)
+	}
+	if r := <-got; r.status != http.StatusBadGateway {
+		t.Errorf("the lookup is answered %d, want 502", r.status)
+	}
+}
+
+func TestBadConfigurationIsNamed(t *testing.T) {
+	for want, change := range map[string]func(w *world){
+		"Guarantees.ColdFrom":      func(w *world) { w.of("Guarantees")["ColdFrom"] = 2 },
+		"PolicyLimits.MaxStreams":  func(w *world) { delete(w.of("PolicyLimits"), "MaxStreams") },
+		"limits.memory_mb":         func(w *world) { w.limits["memory_mb"] = 0 },
+		"limits.sockets":           func(w *world) { w.limits["sockets"] = -4 },
+		"FamilyInfo.FetchParts is": func(w *world) { w.of("FamilyInfo")["FetchParts"] = []int{0, 3} },
+	} {
+		w := prepare(t)
+		change(w)
+		w.launch()
+		if code := w.exit(5 * time.Second); code != 1 || !strings.Contains(w.log.String(), want) {
+			t.Errorf("exit code %d, log %q, want 1 and %q named", code, w.log.String(), want)
+		}
+	}
+}
+
+// TestExample does what the example's page says.
+func TestExample(t *testing.T) {
+	dir := t.TempDir()
+	player := filepath.Join(dir, "example")
+	if out, err := exec.Command("go", "build", "-o", player, "../../example").CombinedOutput(); err != nil {
+		t.Fatalf("%v: %s", err, out)
+	}
+	path := "../../example/config.json"
+	raw, err := os.ReadFile(path)
+	if err != nil {
+		t.Fatal(err)
+	}
+	var config struct{ Listen string }
+	if err := json.Unmarshal(raw, &config); err != nil {
+		t.Fatal(err)
+	}
+	w := &world{t: t, client: http.DefaultClient, addr: config.Listen}
+	for _, cmd := range []*exec.Cmd{exec.Command(player, "-config", path), exec.Command(binary)} {
+		cmd.Env = append(os.Environ(), "LB_CONFIG="+path)
+		cmd.Stderr = &w.log
+		if err := cmd.Start(); err != nil {
+			t.Fatal(err)
+		}
+		defer func() {
+			cmd.Process.Kill()
+			cmd.Wait()
+		}()
+	}
+	w.until("health", func() bool { return w.health() == 200 })
+	w.until("a lookup is served", func() bool { return w.ask(fmt.Sprint("a", time.Now().UnixNano()), "any-half", 0, 1, 2, 3).Complete })
+}
--- a/internal/charter/limits.go
+++ b/internal/charter/limits.go
@@ -30,7 +30,7 @@
 	Write     time.Duration // for an answer, or for one frame
 	Frame     int           // bytes of a searcher's frame
 	Line      int           // bytes of one line of the list, or of the whole list
-	WatchLast time.Duration // longest wait before the watch is tried again
+	WatchLast time.Duration // longest wait before the watch is tried again; the agent is on this machine, asking is free
 	ID        int           // bytes of a lookup's id
 }
 
@@ -51,7 +51,7 @@
 		Write:     5 * time.Second,
 		Frame:     256 << 10,
 		Line:      8 << 20,
-		WatchLast: 4 * time.Second,
+		WatchLast: time.Second,
 		ID:        64,
 	}
 	if s.fault != nil {
@@ -71,8 +71,20 @@
 // Sweep is how often idle connections are looked for.
 func (l Limits) Sweep() time.Duration { return max(l.KeepAlive/32, time.Millisecond) }
 
-// Lines is how many connections to searchers there may be: a quarter of the descriptors.
-func (l Limits) Lines() int { return max(1, l.Sockets/4) }
+// spare are the descriptors kept for the runtime, the log, the listener and the list.
+const spare = 32
 
-// Clients is how many connections of clients are kept: what searchers, the list, the log and the runtime leave.
-func (l Limits) Clients() int { return max(1, l.Sockets-l.Lines()-32) }
+// Lines is how many connections to searchers there may be.
+func (l Limits) Lines() int { return max(1, (l.Sockets-spare)/2) }
+
+// Clients is how many connections of clients there may be.
+func (l Limits) Clients() int { return max(1, l.Sockets-spare-l.Lines()) }
+
+// Silence is how long a watch may be silent: an empty line comes each beat.
+func (l Limits) Silence() time.Duration { return 3 * l.Beat }
+
+// Linger is how long after SIGTERM new connections are taken, somewhat longer than they come.
+func (l Limits) Linger() time.Duration { return l.Arrivals + l.Arrivals/4 }
+
+// Leave is how long after SIGTERM lookups may still be answered, somewhat before SIGKILL may come.
+func (l Limits) Leave() time.Duration { return l.KillAfter - l.Arrivals/2 }
--- a/internal/protocol/frame.go
+++ b/internal/protocol/frame.go
@@ -43,6 +43,14 @@
 	Value   []byte
 }
 
+// BadFrame is a frame that breaks the protocol.
+type BadFrame struct{ text string }
+
+func (b *BadFrame) Error() string { return b.text }
+
+// Bad says what is wrong with a frame.
+func Bad(format string, args ...any) error { return &BadFrame{fmt.Sprintf(format, args...)} }
+
 // ReadFrame reads one frame of at most so many bytes. Memory is taken only once its length has been seen to be sound.
 func ReadFrame(r io.Reader, most int) (Frame, error) {
 	var head [5]byte
@@ -51,7 +59,7 @@
 	}
 	n := binary.LittleEndian.Uint32(head[:4])
 	if n < 1 || n > uint32(most) {
-		return Frame{}, fmt.Errorf("frame: length %d is not within 1 to %d", n, most)
+		return Frame{}, Bad("frame: length %d is not within 1 to %d", n, most)
 	}
 	whole := make([]byte, n)
 	if _, err := io.ReadFull(r, whole); err != nil {
@@ -94,11 +102,11 @@
 	line, value, ok := bytes.Cut(rest, []byte{'\n'})
 	words := bytes.Split(line, []byte{' '})
 	if !ok || len(words) != 4 || len(words[0]) == 0 {
-		return Reply{}, fmt.Errorf("answer: line %q is not ID END SCORE REPORT", clip(string(line)))
+		return Reply{}, Bad("answer: line %q is not ID END SCORE REPORT", clip(string(line)))
 	}
 	end, ok := ends[string(words[1])]
 	if !ok {
-		return Reply{}, fmt.Errorf("answer: unknown end %q", clip(string(words[1])))
+		return Reply{}, Bad("answer: unknown end %q", clip(string(words[1])))
 	}
 	return Reply{string(words[0]), end, value}, nil
 }
--- a/internal/protocol/list.go
+++ b/internal/protocol/list.go
@@ -32,9 +32,12 @@
 	Version int64
 	Whole   bool
 	Members []Member
-	Skipped []string // what is wrong with members that could not be read
+	Skipped []Skipped // members that could not be read
 }
 
+// Skipped is a member of the list that nothing can be made of.
+type Skipped struct{ Searcher, Fault string }
+
 type list struct {
 	Index    *int64 `json:"index"`
 	Snapshot bool   `json:"snapshot"`
@@ -76,7 +79,7 @@
 			fault = fmt.Sprintf("since_ms: %v", m.Since)
 		}
 		if fault != "" {
-			out.Skipped = append(out.Skipped, fmt.Sprintf("endpoints[%d] %s: %s", i, clip(m.Name), fault))
+			out.Skipped = append(out.Skipped, Skipped{m.Name, fmt.Sprintf("endpoints[%d]: %s", i, fault)})
 			continue
 		}
 		e := Member{Address: m.Address}
--- /dev/null
+++ b/internal/protocol/protocol_test.go
@@ -0,0 +1,224 @@
+package protocol
+
+import (
+	"bytes"
+	"encoding/binary"
+	"encoding/json"
+	"errors"
+	"io"
+	"net/http"
+	"os"
+	"strings"
+	"testing"
+	"time"
+
+	"nettlefold/internal/charter"
+	"nettlefold/internal/routing"
+	"nettlefold/mixer"
+)
+
+var limits = charter.Limits{Slices: 10, ID: 16}
+
+func head(id, lane, left string) http.Header {
+	return http.Header{"X-Txn": {id}, "X-Lane": {lane}, "X-Remaining-Ms": {left}, "X-Resent": {"1"}}
+}
+
+func FuzzReadLookup(f *testing.F) {
+	f.Add("a", "t", "480", `{"shards":[{"shard":3,"weight":0.5,"cost":9000},{"shard":9,"weight":0.5}],"q":"c41e77d0"}`)
+	f.Add("a", "t", "-1", `{"shards":[{"shard":1e3,"weight":1}],"q":""}`)
+	f.Add("a\n", "t", "1e400", `{"shards":[{"shard":3,"weight":1e-400}],"q":"\u0000"}`)
+	f.Add("", "", "NaN", `{"shards":null}`)
+	seen := time.Unix(1e9, 0)
+	f.Fuzz(func(t *testing.T, id, lane, left, body string) {
+		l, err := ReadLookup(head(id, lane, left), []byte(body), seen, map[string]int{"t": 0}, limits)
+		if err != nil {
+			return
+		}
+		used := map[int]bool{}
+		for _, p := range l.Parts {
+			if p.Slice < 0 || p.Slice >= limits.Slices || used[p.Slice] || !(p.Weight > 0) || p.Effort < 0 {
+				t.Errorf("part %+v was let in", p)
+			}
+			used[p.Slice] = true
+		}
+		if len(l.Parts) == 0 || l.ID == "" || strings.ContainsAny(l.ID, " \n\t\r") || l.Expires.Before(seen) {
+			t.Errorf("lookup %+v was let in", l)
+		}
+	})
+}
+
+func TestLookupAndAnswer(t *testing.T) {
+	raw := `{"shards":[{"shard":3,"weight":0.5,"cost":9000.5,"key":"00ff"},{"shard":9,"weight":0.25},` +
+		`{"shard":0,"weight":0.25}],"q":"c\n<é","new":1}`
+	seen := time.Unix(1e9, 0)
+	l, err := ReadLookup(head("9b1f", "t", "480"), []byte(raw), seen, map[string]int{"t": 0}, limits)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if l.ID != "9b1f" || l.Tariff != "t" || !l.Again || l.Text != "c\n<é" || !l.Expires.Equal(seen.Add(480*time.Millisecond)) {
+		t.Errorf("%+v", l)
+	}
+	if p := l.Parts[0]; len(l.Parts) != 3 || p != (routing.Part{Slice: 3, Weight: 0.5, Effort: 9000500}) {
+		t.Errorf("parts %+v", l.Parts)
+	}
+	got, err := WriteAnswer(l, routing.Final{Whole: true, Hits: []routing.Hit{{Part: 0, Value: []byte("5b<e")}, {Part: 2, Value: []byte("a\"")}}})
+	want := `{"complete":true,"hits":[{"shard":3,"doc":"5b<e"},{"shard":0,"doc":"a\""}]}`
+	if err != nil || strings.TrimSpace(string(got)) != want {
+		t.Errorf("answer %s, %v, want %s", got, err, want)
+	}
+	if got, _ := WriteAnswer(l, routing.Final{}); strings.TrimSpace(string(got)) != `{"complete":false,"hits":[]}` {
+		t.Errorf("an answer without parts is %s", got)
+	}
+	if got := WriteWait(250 * time.Millisecond); got != "0.250" {
+		t.Errorf("a wait is written %q", got)
+	}
+}
+
+func FuzzFrames(f *testing.F) {
+	f.Add(AppendFrame(nil, Answer, []byte("a.3 ok 1840277719 -\n5be2")))
+	f.Add(AppendFrame(nil, Answer, []byte("a.3 ok 1\n")))
+	f.Add(AppendCall(nil, []Part{{"a.3", 3, 240 * time.Millisecond, "c41e77d0"}}))
+	f.Add([]byte{255, 255, 255, 255, 'A'})
+	f.Add([]byte{0, 0, 0, 0})
+	f.Add([]byte{9, 0, 0, 0, 'A', 'x'})
+	f.Fuzz(func(t *testing.T, raw []byte) {
+		in := bytes.NewReader(raw)
+		for {
+			frame, err := ReadFrame(in, 1000)
+			if err != nil {
+				bad := new(BadFrame)
+				if !errors.Is(err, io.EOF) && !errors.Is(err, io.ErrUnexpectedEOF) && !errors.As(err, &bad) {
+					t.Errorf("error %v", err)
+				}
+				return
+			}
+			if len(frame.Rest) >= 1000 {
+				t.Errorf("a rest of %d bytes", len(frame.Rest))
+			}
+			r, err := ReadReply(frame.Rest)
+			if err == nil && (r.ID == "" || r.Outcome != mixer.Satisfied && r.Outcome != mixer.Errored && r.Outcome != mixer.Bounced) {
+				t.Errorf("reply %+v of %q", r, frame.Rest)
+			}
+		}
+	})
+}
+
+func TestFramesAsWritten(t *testing.T) {
+	got := AppendCall(nil, []Part{{"9b.3", 3, 240500 * time.Microsecond, "c41e77d0"}, {"9b.4", 4, -time.Second, "a\nb"}})
+	rest := "9b.3 3 d=240 8\nc41e77d09b.4 4 d=0 3\na\nb"
+	if binary.LittleEndian.Uint32(got) != uint32(len(rest)+1) || string(got[4:]) != "Q"+rest {
+		t.Errorf("call %q", got)
+	}
+	r, err := ReadReply([]byte("9b.3 ok 1840277719 -\n5be2\nx"))
+	if err != nil || r.ID != "9b.3" || r.Outcome != mixer.Satisfied || string(r.Value) != "5be2\nx" {
+		t.Errorf("reply %+v, %v", r, err)
+	}
+	for text, want := range map[string]routing.Outcome{"a.1 err 0 -\n": mixer.Errored, "a.1 busy 0 -\n": mixer.Bounced} {
+		if r, err := ReadReply([]byte(text)); err != nil || r.Outcome != want {
+			t.Errorf("%q is %+v, %v", text, r, err)
+		}
+	}
+}
+
+func FuzzReadList(f *testing.F) {
+	f.Add(`{"index":41,"snapshot":true,"endpoints":[{"name":"s","address":"a:1","group":3,"status":"SERVING","since_ms":5.5}]}`)
+	f.Add(`{"index":1e30}`)
+	f.Add(`{"index":4,"endpoints":[{"name":"","group":1},{"name":"x","status":"LOST"},{"name":"y","status":"DELETED","since_ms":-1}]}`)
+	f.Fuzz(func(t *testing.T, raw string) {
+		l, err := ReadList([]byte(raw))
+		if err != nil {
+			return
+		}
+		for _, m := range l.Members {
+			if m.Searcher == "" || m.Status != mixer.Dead && m.Address == "" || m.Started < 0 || (m.Started == 0) != m.Since.IsZero() {
+				t.Errorf("member %+v was let in", m)
+			}
+		}
+	})
+}
+
+func TestListAsRead(t *testing.T) {
+	l, err := ReadList([]byte(`{"index":43,"snapshot":false,"endpoints":[
+		{"name":"a","address":"1:1","zone":"z","type":"m","group":3,"status":"DRAINING","weight":1.0,"since_ms":1790000000123},
+		{"name":"b","address":"1:2","zone":"z","group":0,"status":"SERVING","since_ms":0},
+		{"name":"c","address":"1:2","zone":"z","group":0,"status":"WELL","since_ms":0},
+		{"name":"d","address":"1:2","zone":"z","status":"SERVING","since_ms":0}]}`))
+	if err != nil || l.Version != 43 || l.Whole || len(l.Skipped) != 2 {
+		t.Fatalf("%+v, %v", l, err)
+	}
+	want := []routing.Entry{
+		{Searcher: "a", Started: 1790000000123e6, Cell: 3, Zone: "z", Status: mixer.Draining},
+		{Searcher: "b", Zone: "z"}}
+	if got := l.Entries(); len(got) != 2 || got[0] != want[0] || got[1] != want[1] {
+		t.Errorf("%+v, want %+v", got, want)
+	}
+}
+
+// example gives the example's configuration with one value changed.
+func example(t testing.TB, old, new string) []byte {
+	raw, err := os.ReadFile("../../example/config.json")
+	if err != nil {
+		t.Fatal(err)
+	}
+	if !bytes.Contains(raw, []byte(old)) {
+		t.Fatalf("the example has no %s", old)
+	}
+	return bytes.Replace(raw, []byte(old), []byte(new), 1)
+}
+
+func FuzzReadConfig(f *testing.F) {
+	f.Add(example(f, "", ""))
+	f.Add([]byte(`{"listen":"a","discovery":"b","seed":"0","limits":{"cores":1,"memory_mb":1,"sockets":9},"settings":{"Profiles":[3]}}`))
+	f.Add([]byte(`{"listen":"a","discovery":"b","seed":"0","limits":{"cores":1,"memory_mb":1,"sockets":9},"settings":[]}`))
+	f.Fuzz(func(t *testing.T, raw []byte) {
+		c, err := ReadConfig(raw)
+		if err == nil && (len(c.Charter.Tariffs) == 0 || c.Limits.Open < 1 || c.Limits.Memory < 1 || c.Limits.KillAfter <= 0) {
+			t.Errorf("configuration %+v was let in", c)
+		}
+	})
+}
+
+func TestConfigFaultsAreNamed(t *testing.T) {
+	c, err := ReadConfig(example(t, "", ""))
+	if err != nil || c.Seed != -0x73e0cf2d85a4169c || len(c.Known.Members) != 4 || c.Charter.Cells != 2 || c.Limits.Slices != 8 {
+		t.Errorf("%+v, %v", c, err)
+	}
+	for _, f := range []struct{ old, new, want string }{
+		{`"listen":"`, `"listen":"","was":"`, "listen: missing"},
+		{`"8c1f30d27a5be964"`, `"xyz"`, `seed: not hex of 64 bits: "xyz"`},
+		{`"cores":1.0`, `"cores":0`, "limits.cores: 0"},
+		{`"memory_mb":192`, `"memory_mb":-3`, "limits.memory_mb: -3"},
+		{`"sockets":1024`, `"sockets":0`, "limits.sockets: 0"},
+		{`"Slabs":8`, `"Slabs":"many"`, `setting FamilyInfo.Slabs: "many"`},
+		{`"MaxOpen":200`, `"MaxOpen":1.5`, `setting PolicyLimits.MaxOpen: "1.5"`},
+		{`"CompleteFrom":[1.0,0.5]`, `"CompleteFrom":[1.0,7]`, `setting FamilyInfo.CompleteFrom: "7"`},
+		{`"Effect":"retryable"`, `"Effect":"loud"`, `setting Profiles.0.Effect: "loud"`},
+		{`"index":1`, `"was":1`, "known: list: index: missing"},
+		{`"settings":{`, `"settings":[],"was":{`, "settings"},
+	} {
+		_, err := ReadConfig(example(t, f.old, f.new))
+		if err == nil || !strings.Contains(err.Error(), f.want) {
+			t.Errorf("with %s: %v, want %q", f.new, err, f.want)
+		}
+	}
+}
+
+// TestSettingsReadAlike holds the configuration's settings against the same as the bench's wire writes them.
+func TestSettingsReadAlike(t *testing.T) {
+	var all struct{ Settings json.RawMessage }
+	if err := json.Unmarshal(example(t, "", ""), &all); err != nil {
+		t.Fatal(err)
+	}
+	nested, err := charter.Nested(all.Settings)
+	if err != nil {
+		t.Fatal(err)
+	}
+	for key, want := range map[string]string{
+		"Locality": "here", "NInstances": "1", "FamilyInfo.CompleteFrom": "1.0,0.5", "PolicyLimits.MayDuplicate": "true",
+		"PolicyLimits.KeepaliveMs": "30000.0", "Profiles.count": "2", "Profiles.1.Name": "any-half",
+	} {
+		if nested[key] != want {
+			t.Errorf("%s is %q, on the wire %q", key, nested[key], want)
+		}
+	}
+}
--- a/internal/routing/router.go
+++ b/internal/routing/router.go
@@ -77,11 +77,15 @@
 // at gives a time of the module's clock as the system's.
 func (r *Router) at(t int64) time.Time { return r.anchor.Add(time.Duration(t - r.unix)) }
 
-// call makes one call to the module, and then those that came up within it. A panic inside ends the lookup it was
-// for, as failed, and nothing else.
+// call makes one call to the module, for whatever it concerns.
 func (r *Router) call(whose any, do func(now int64)) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
+	r.run(whose, do)
+}
+
+// run makes one call, and then those that came up within it. The lock is held.
+func (r *Router) run(whose any, do func(now int64)) {
 	r.guard(whose, do)
 	for len(r.next) > 0 {
 		do, r.next = r.next[0], r.next[1:]
@@ -89,6 +93,7 @@
 	}
 }
 
+// guard keeps a panic inside the module to the lookup that the call was for, which ends as failed.
 func (r *Router) guard(whose any, do func(now int64)) {
 	defer func() {
 		if p := recover(); p != nil {
@@ -125,21 +130,17 @@
 
 // Tick runs what has come due and says when the next is, the zero time if nothing is awaited.
 func (r *Router) Tick() time.Time {
-	for {
-		r.mu.Lock()
-		if len(r.timers) == 0 {
-			r.mu.Unlock()
-			return time.Time{}
-		}
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	for len(r.timers) > 0 {
 		first := r.timers[0]
 		if at := r.at(first.at); time.Now().Before(at) {
-			r.mu.Unlock()
 			return at
 		}
 		heap.Pop(&r.timers)
-		r.mu.Unlock()
-		r.call(first.whose, first.whose.Due)
+		r.run(first.whose, first.whose.Due)
 	}
+	return time.Time{}
 }
 
 // Run ticks until the context ends.
--- a/internal/routing/ticket.go
+++ b/internal/routing/ticket.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"slices"
 	"strconv"
 	"time"
 
@@ -260,7 +259,7 @@
 	f.done = true
 	s := f.slot
 	if o == mixer.Satisfied && !s.in {
-		s.in, s.value = true, slices.Clone(value)
+		s.in, s.value = true, value
 	}
 	s.t.l.Outcome(now, s.index, f.copy, o, now-f.at, s.in || s.t.ended)
 }
--- a/internal/transport/door.go
+++ b/internal/transport/door.go
@@ -18,6 +18,9 @@
 	since time.Time // of the state
 }
 
+// free tells whether no request has begun on it. The server's lock is held.
+func (c *client) free() bool { return c.state != http.StateActive && c.seen.Load() == 0 }
+
 // Read notes when a request's first bytes are seen.
 func (c *client) Read(b []byte) (int, error) {
 	n, err := c.Conn.Read(b)
@@ -45,7 +48,7 @@
 	}
 }
 
-// door lets clients in. Where all places are taken it closes the connection that has been idle longest, so that
+// door lets clients in. Where all places are taken it closes the connection that has been unused longest, so that
 // one which has been accepted never waits unread.
 type door struct {
 	net.Listener
@@ -61,29 +64,49 @@
 	s := d.s
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if len(s.conns) >= s.Limits.Clients() {
-		var idlest *client
-		for _, o := range s.conns {
-			if o.state == http.StateIdle && (idlest == nil || o.since.Before(idlest.since)) {
-				idlest = o
-			}
-		}
-		if idlest != nil {
-			idlest.Close()
-			delete(s.conns, idlest)
+	for len(s.conns) >= s.Limits.Clients() {
+		if o := s.unused(); o != nil {
+			delete(s.conns, o)
+			o.Close()
+		} else {
+			s.room.Wait() // all are being answered
 		}
 	}
-	s.conns[c] = c
+	s.conns[c] = true
 	return c, nil
 }
 
-// state follows the connections. Between requests the time of the next is not known yet.
+// unused gives the connection that has been without a request for longest, those that had one before first. The
+// lock is held.
+func (s *Server) unused() (best *client) {
+	for o := range s.conns {
+		if o.free() && (best == nil || o.state > best.state ||
+			o.state == best.state && o.since.Before(best.since)) {
+			best = o
+		}
+	}
+	return best
+}
+
+// closeUnused closes the connections without a request.
+func (s *Server) closeUnused() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for o := range s.conns {
+		if o.free() {
+			o.Close()
+		}
+	}
+}
+
+// state follows the connections.
 func (s *Server) state(nc net.Conn, state http.ConnState) {
 	c := nc.(*client)
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	c.state, c.since = state, time.Now()
-	if state == http.StateClosed || state == http.StateHijacked {
+	if state == http.StateClosed {
 		delete(s.conns, c)
 	}
+	s.room.Broadcast()
 }
--- a/internal/transport/searchers.go
+++ b/internal/transport/searchers.go
@@ -114,11 +114,6 @@
 			}
 		}
 	}
-	for name, to := range s.all {
-		if to.gone && len(to.lines) == 0 {
-			delete(s.all, name)
-		}
-	}
 	s.mu.Unlock()
 	for _, l := range old {
 		s.drop(l, errOld)
@@ -140,7 +135,7 @@
 		live := l.live()
 		if fresh && live == 0 && l.nc != nil {
 			idle = append(idle, l)
-		} else if best == nil && live+len(call) <= max(s.lim.Streams, len(call)) && l.takes(call) {
+		} else if best == nil && live+len(call) <= s.lim.Streams && !l.worn(s.lim) && l.takes(call) {
 			best = l
 		}
 	}
@@ -191,6 +186,9 @@
 	return n
 }
 
+// worn tells whether so many parts on the connection were given up and never answered that it may be stuck.
+func (l *line) worn(lim charter.Limits) bool { return len(l.out) >= 2*lim.Streams }
+
 // takes tells whether answers to the call could be told apart from those still to come.
 func (l *line) takes(call []*Parcel) bool {
 	for _, p := range call {
@@ -345,16 +343,19 @@
 		}
 	case protocol.Probe, protocol.Load:
 		if len(f.Rest) > 0 {
-			return fmt.Errorf("frame %c: an answer to a probe, but none was sent", f.Letter)
+			return protocol.Bad("frame %c: an answer to a probe, but none was sent", f.Letter)
 		}
 		s.mu.Lock()
+		defer s.mu.Unlock()
+		if len(l.raw) >= s.lim.Streams {
+			return protocol.Bad("frame %c: %d probes unanswered", f.Letter, len(l.raw))
+		}
 		l.raw = append(l.raw, protocol.AppendFrame(nil, f.Letter, protocol.ProbeAnswer(f.Letter)))
 		l.rouse()
-		s.mu.Unlock()
 	case protocol.Fault:
-		return fmt.Errorf("the searcher could not use a frame: %q", f.Rest[:min(len(f.Rest), 80)])
+		return protocol.Bad("the searcher could not use a frame: %q", f.Rest[:min(len(f.Rest), 80)])
 	default:
-		return fmt.Errorf("frame: unknown letter %q", f.Letter)
+		return protocol.Bad("frame: unknown letter %q", f.Letter)
 	}
 	return nil
 }
@@ -388,12 +389,17 @@
 	}
 	l.out, l.queue, l.raw = nil, nil, nil
 	s.mu.Unlock()
-	s.log.Debug("connection closed", "searcher", l.to.name, "why", why, "reset", len(reset), "unreached", len(unreached))
+	level := slog.LevelDebug
+	if bad := (*protocol.BadFrame)(nil); errors.As(why, &bad) {
+		level = slog.LevelWarn
+	}
+	s.log.Log(s.ctx, level, "connection to a searcher ended", "searcher", l.to.name, "why", why, "reset", len(reset), "unreached", len(unreached))
 	report(reset, mixer.Reset)
 	report(unreached, mixer.Unreached)
 }
 
-// sweep closes connections before the searcher would, who counts from the last byte that it has seen.
+// sweep closes connections that are of no more use, until the end. Idle ones go before the searcher would close
+// them, who counts from the last byte that it has seen.
 func (s *Searchers) sweep() {
 	defer s.wg.Done()
 	every := time.NewTicker(s.lim.Sweep())
@@ -406,9 +412,13 @@
 		}
 		var idle []*line
 		s.mu.Lock()
-		for _, to := range s.all {
+		for name, to := range s.all {
+			if to.gone && len(to.lines) == 0 {
+				delete(s.all, name)
+			}
 			for _, l := range to.lines {
-				if l.nc != nil && l.live() == 0 && time.Since(l.used) >= s.lim.Idle() {
+				done := to.gone || l.worn(s.lim) || time.Since(l.used) >= s.lim.Idle()
+				if done && l.nc != nil && l.live() == 0 {
 					idle = append(idle, l)
 				}
 			}
--- a/internal/transport/server.go
+++ b/internal/transport/server.go
@@ -27,21 +27,25 @@
 	Limits    charter.Limits
 	Log       *slog.Logger
 
-	ready    atomic.Bool
-	leaving  atomic.Bool
-	http     *http.Server
-	listener net.Listener
+	ready   atomic.Bool
+	leaving atomic.Bool
+	http    *http.Server
+	cut     context.CancelFunc // ends what is open
 
 	mu    sync.Mutex
-	conns map[net.Conn]*client
+	conns map[*client]bool
+	room  *sync.Cond // a connection has ended
 }
 
 // Ready lets the health check succeed.
 func (s *Server) Ready() { s.ready.Store(true) }
 
-// Serve serves clients until Leave is called.
-func (s *Server) Serve(l net.Listener) error {
-	s.listener, s.conns = l, map[net.Conn]*client{}
+// Open prepares to serve.
+func (s *Server) Open() {
+	s.conns = map[*client]bool{}
+	s.room = sync.NewCond(&s.mu)
+	base, cut := context.WithCancel(context.Background())
+	s.cut = cut
 	mux := http.NewServeMux()
 	mux.HandleFunc("GET "+protocol.PathHealth, s.health)
 	mux.HandleFunc("POST "+protocol.PathLookup, s.lookup)
@@ -51,10 +55,16 @@
 		ReadTimeout:       s.Limits.Read,
 		IdleTimeout:       -1,
 		MaxHeaderBytes:    s.Limits.Header,
+		BaseContext:       func(net.Listener) context.Context { return base },
 		ConnState:         s.state,
 		ConnContext:       func(ctx context.Context, c net.Conn) context.Context { return context.WithValue(ctx, connKey{}, c) },
 		ErrorLog:          slog.NewLogLogger(s.Log.Handler(), slog.LevelDebug),
 	}
+	s.http.RegisterOnShutdown(s.closeUnused)
+}
+
+// Serve serves clients until Leave is called.
+func (s *Server) Serve(l net.Listener) error {
 	err := s.http.Serve(&door{l, s})
 	if errors.Is(err, http.ErrServerClosed) {
 		return nil
@@ -63,14 +73,21 @@
 }
 
 // Leave ends service: at once health fails and answers end their connections; new connections are taken for as
-// long as they still come; then what is open is answered. What the context cuts off is left unanswered.
-func (s *Server) Leave(ctx context.Context) error {
+// long as they still come; then what is open is answered. What is open when the time to leave ends has failed.
+func (s *Server) Leave() error {
 	s.leaving.Store(true)
-	select {
-	case <-ctx.Done():
-	case <-time.After(s.Limits.Arrivals + s.Limits.Arrivals/4):
+	began := time.Now()
+	time.Sleep(s.Limits.Linger())
+	ctx, done := context.WithTimeout(context.Background(), time.Until(began.Add(s.Limits.Leave())))
+	defer done()
+	err := s.http.Shutdown(ctx)
+	if err != nil {
+		s.cut()
+		last, done := context.WithTimeout(context.Background(), s.Limits.Arrivals/4)
+		defer done()
+		err = errors.Join(err, s.http.Shutdown(last))
 	}
-	return s.http.Shutdown(ctx)
+	return err
 }
 
 // guard keeps a panic to the request it came up in.
@@ -125,7 +142,8 @@
 	for {
 		step, err := ticket.Pick(r.Context())
 		if err != nil {
-			return // the client has gone
+			http.Error(w, "given up", http.StatusBadGateway) // the client has gone, or the mixer has to
+			return
 		}
 		for _, f := range step.Withdrawn {
 			s.Searchers.Withdraw(out[f])
@@ -148,6 +166,7 @@
 
 // answer writes the final answer of a lookup.
 func (s *Server) answer(w http.ResponseWriter, l protocol.Lookup, f routing.Final) {
+	http.NewResponseController(w).SetWriteDeadline(time.Now().Add(s.Limits.Write))
 	switch f.Verdict {
 	case routing.Answered:
 		body, err := protocol.WriteAnswer(l, f)
--- a/internal/transport/watch.go
+++ b/internal/transport/watch.go
@@ -13,34 +13,41 @@
 
 	"nettlefold/internal/charter"
 	"nettlefold/internal/protocol"
+	"nettlefold/mixer"
 )
 
 // Watch follows the list and hands on its news in order.
 type Watch struct {
-	Discovery string // address
-	Version   int64  // of the list that is known
+	Discovery string        // address
+	Known     protocol.List // the list to begin with
 	Limits    charter.Limits
 	Log       *slog.Logger
 	Listed    func(protocol.List)
+
+	version int64
+	members map[string]protocol.Member // as they last were
 }
 
 // Run holds a watch until the context ends, and makes it anew after growing, jittered waits.
 func (w *Watch) Run(ctx context.Context) {
 	client := &http.Client{Transport: &http.Transport{DisableKeepAlives: true, Proxy: nil,
 		DialContext: (&net.Dialer{Timeout: w.Limits.Read, KeepAlive: -1}).DialContext}}
+	w.version, w.members = w.Known.Version, map[string]protocol.Member{}
+	w.keep(w.Known)
 	fails := 0
 	for ctx.Err() == nil {
+		began := time.Now()
 		news, err := w.follow(ctx, client)
 		if ctx.Err() != nil {
 			return
 		}
-		if news {
+		if news || time.Since(began) >= w.Limits.Silence() {
 			fails = 0
 		}
 		wait := min(w.Limits.Beat/16<<min(fails, 10), w.Limits.WatchLast)
 		wait = wait/2 + rand.N(wait)
 		fails++
-		w.Log.Warn("watch on the list ended", "version", w.Version, "error", err, "again in", wait)
+		w.Log.Warn("watch on the list ended", "version", w.version, "error", err, "again in", wait)
 		select {
 		case <-ctx.Done():
 		case <-time.After(wait):
@@ -52,10 +59,9 @@
 func (w *Watch) follow(ctx context.Context, client *http.Client) (news bool, err error) {
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
-	// An empty line comes each beat; a watch that is silent for several is dead.
-	silent := time.AfterFunc(w.silence(), cancel)
+	silent := time.AfterFunc(w.Limits.Silence(), cancel) // a dead agent says nothing
 	defer silent.Stop()
-	req, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+w.Discovery+protocol.PathWatch(w.Version), nil)
+	req, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+w.Discovery+protocol.PathWatch(w.version), nil)
 	if err != nil {
 		return false, err
 	}
@@ -70,7 +76,7 @@
 	in := bufio.NewScanner(resp.Body)
 	in.Buffer(nil, w.Limits.Line)
 	for in.Scan() {
-		silent.Reset(w.silence())
+		silent.Reset(w.Limits.Silence())
 		if len(in.Bytes()) == 0 {
 			news = true
 			continue
@@ -90,19 +96,34 @@
 	return news, io.EOF
 }
 
-func (w *Watch) silence() time.Duration { return 3 * w.Limits.Beat }
-
 // take hands on one message. Changes that go back mean that discovery has lost its count: all is asked for anew.
 func (w *Watch) take(list protocol.List) error {
-	for _, fault := range list.Skipped {
-		w.Log.Warn("list: left out", "version", list.Version, "fault", fault)
-	}
-	if !list.Whole && list.Version < w.Version {
-		last := w.Version
-		w.Version = 0
+	if !list.Whole && list.Version < w.version {
+		last := w.version
+		w.version = 0
 		return fmt.Errorf("changes of version %d after %d", list.Version, last)
 	}
-	w.Version = list.Version
+	for _, s := range list.Skipped {
+		w.Log.Warn("list: a searcher is kept as it was", "version", list.Version, "searcher", s.Searcher, "fault", s.Fault)
+		if m, ok := w.members[s.Searcher]; ok {
+			list.Members = append(list.Members, m)
+		}
+	}
+	w.version = list.Version
+	w.keep(list)
 	w.Listed(list)
 	return nil
 }
+
+// keep remembers the list for members that cannot be read later.
+func (w *Watch) keep(list protocol.List) {
+	if list.Whole {
+		clear(w.members)
+	}
+	for _, m := range list.Members {
+		w.members[m.Searcher] = m
+		if m.Status == mixer.Dead {
+			delete(w.members, m.Searcher)
+		}
+	}
+}
