A watch that keeps failing is logged once; more tests over sockets

A dead list's agent had a line a second in the log; now one when the watch ends and one when it is back. Tests added: time counted from a request's first byte, marked repeats, advice only where allowed, slow requests let go after 5 s.

--- a/cmd/nettlefold/helper_test.go
+++ b/cmd/nettlefold/helper_test.go
@@ -5,7 +5,6 @@
 	"encoding/json"
 	"errors"
 	"fmt"
-	"net"
 	"net/http"
 	"net/http/httptest"
 	"os"
@@ -13,6 +12,7 @@
 	"path/filepath"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"syscall"
 	"testing"
 	"time"
@@ -20,7 +20,10 @@
 	"nettlefold/example/toy"
 )
 
-var binary string
+var (
+	binary   string
+	launched atomic.Int32
+)
 
 func TestMain(m *testing.M) {
 	dir, err := os.MkdirTemp("", "nettlefold")
@@ -126,12 +129,8 @@
 		}
 		w.t.Cleanup(s.Stop)
 	}
-	free, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		w.t.Fatal(err)
-	}
-	w.addr = free.Addr().String()
-	free.Close()
+	n := launched.Add(1) // an address of its own on the loopback, which no other test can take meanwhile
+	w.addr = fmt.Sprintf("127.77.%d.%d:18080", n/250, 1+n%250)
 	raw, err := json.Marshal(object{
 		"name": "n0", "listen": w.addr, "discovery": w.listAt.Listener.Addr().String(), "seed": "8c1f30d27a5be964",
 		"limits": w.limits, "known": w.whole(1, nil), "settings": w.settings})
--- a/cmd/nettlefold/main_test.go
+++ b/cmd/nettlefold/main_test.go
@@ -51,6 +51,84 @@
 	}
 }
 
+// TestTimeIsCountedFromTheClient sends a request slowly, and one that says it is a repeat.
+func TestTimeIsCountedFromTheClient(t *testing.T) {
+	w := prepare(t).start()
+	waits := func() (ms int) {
+		for _, s := range w.searchers {
+			for _, f := range s.Frames() {
+				_, list, _ := strings.Cut(f, " d=")
+				fmt.Sscan(list, &ms)
+			}
+		}
+		return ms
+	}
+	body := shards("x", 0)
+	nc, err := net.Dial("tcp", w.addr)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer nc.Close()
+	fmt.Fprintf(nc, "POST /api HTTP/1.1\r\nHost: x\r\nX-Txn: a\r\nX-Lane: all\r\nX-Remaining-Ms: 800\r\nContent-Length: %d\r\n\r\n", len(body))
+	time.Sleep(300 * time.Millisecond)
+	io.WriteString(nc, body)
+	w.until("the part is sent", func() bool { return waits() > 0 })
+	if ms := waits(); ms > 500 {
+		t.Errorf("a part of a request that took 300 of its 800 ms to come waits %d ms", ms)
+	}
+	again := w.request("b", "all", "1200", shards("x", 1)) // 800 of 2000 ms are over, so 200 of 1000 are left
+	again.Header.Set("X-Resent", "1")
+	before := len(w.searchers[2].Frames()) + len(w.searchers[3].Frames())
+	if r, err := w.do(again); err != nil || r.status != 200 || before != 0 {
+		t.Fatalf("%+v, %v, %d frames before", r, err, before)
+	}
+	if ms := waits(); ms > 200 {
+		t.Errorf("a part of a repeat waits %d ms, of 200 left", ms)
+	}
+}
+
+// TestAdviceIsGivenWhereAllowed has nobody left to serve, so that lookups are turned away at once.
+func TestAdviceIsGivenWhereAllowed(t *testing.T) {
+	for _, allowed := range []bool{true, false} {
+		w := prepare(t)
+		w.of("PolicyLimits")["RetryAfter"] = allowed
+		w.start()
+		w.list.Say(w.whole(2, func(_ int, m *toy.Member) { m.Status = "DRAINING" }))
+		var r reply
+		w.until("lookups are turned away", func() bool {
+			r = w.ask(fmt.Sprint("a", time.Now().UnixNano()), "all", 0, 1)
+			return r.status == http.StatusServiceUnavailable
+		})
+		var wait float64
+		fmt.Sscan(r.head.Get("Retry-After"), &wait)
+		if allowed != (wait > 0 && wait <= 0.5) {
+			t.Errorf("allowed %v, Retry-After %q", allowed, r.head.Get("Retry-After"))
+		}
+	}
+}
+
+// TestSlowClientsAreLetGo has a client begin a request and never end it.
+func TestSlowClientsAreLetGo(t *testing.T) {
+	t.Parallel()
+	w := prepare(t).start()
+	open := map[string]net.Conn{}
+	for _, begun := range []string{"POST /api HTT", "POST /api HTTP/1.1\r\nHost: x\r\nContent-Length: 9\r\n\r\n{"} {
+		nc, err := net.Dial("tcp", w.addr)
+		if err != nil {
+			t.Fatal(err)
+		}
+		defer nc.Close()
+		io.WriteString(nc, begun)
+		nc.SetDeadline(time.Now().Add(8 * time.Second))
+		open[begun] = nc
+	}
+	for begun, nc := range open {
+		if _, err := io.ReadAll(nc); err != nil {
+			t.Errorf("after %q the connection is still open: %v", begun, err)
+		}
+	}
+}
+
 func TestPartsShareAFrame(t *testing.T) {
 	w := prepare(t)
 	w.searchers = []*toy.Searcher{w.searchers[0], w.searchers[2]}
--- a/internal/transport/watch.go
+++ b/internal/transport/watch.go
@@ -24,6 +24,7 @@
 	Log       *slog.Logger
 	Listed    func(protocol.List)
 
+	fails   int // watches in a row that brought nothing
 	version int64
 	members map[string]protocol.Member // as they last were
 }
@@ -34,20 +35,23 @@
 		DialContext: (&net.Dialer{Timeout: w.Limits.Read, KeepAlive: -1}).DialContext}}
 	w.version, w.members = w.Known.Version, map[string]protocol.Member{}
 	w.keep(w.Known)
-	fails := 0
 	for ctx.Err() == nil {
 		began := time.Now()
-		news, err := w.follow(ctx, client)
+		err := w.follow(ctx, client)
 		if ctx.Err() != nil {
 			return
 		}
-		if news || time.Since(began) >= w.Limits.Silence() {
-			fails = 0
+		if time.Since(began) >= w.Limits.Silence() {
+			w.fails = 0 // the wait was long enough
 		}
-		wait := min(w.Limits.Beat/16<<min(fails, 10), w.Limits.WatchLast)
+		wait := min(w.Limits.Beat/16<<min(w.fails, 10), w.Limits.WatchLast)
 		wait = wait/2 + rand.N(wait)
-		fails++
-		w.Log.Warn("watch on the list ended", "version", w.version, "error", err, "again in", wait)
+		level := slog.LevelDebug
+		if w.fails == 0 {
+			level = slog.LevelWarn
+		}
+		w.fails++
+		w.Log.Log(ctx, level, "watch on the list ended", "version", w.version, "error", err, "again in", wait)
 		select {
 		case <-ctx.Done():
 		case <-time.After(wait):
@@ -55,45 +59,46 @@
 	}
 }
 
-// follow holds one watch for as long as it lasts. It tells whether it brought anything.
-func (w *Watch) follow(ctx context.Context, client *http.Client) (news bool, err error) {
+// follow holds one watch for as long as it lasts.
+func (w *Watch) follow(ctx context.Context, client *http.Client) error {
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	silent := time.AfterFunc(w.Limits.Silence(), cancel) // a dead agent says nothing
 	defer silent.Stop()
 	req, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+w.Discovery+protocol.PathWatch(w.version), nil)
 	if err != nil {
-		return false, err
+		return err
 	}
 	resp, err := client.Do(req)
 	if err != nil {
-		return false, err
+		return err
 	}
 	defer resp.Body.Close()
 	if resp.StatusCode != http.StatusOK {
-		return false, fmt.Errorf("status %s", resp.Status)
+		return fmt.Errorf("status %s", resp.Status)
 	}
 	in := bufio.NewScanner(resp.Body)
 	in.Buffer(nil, w.Limits.Line)
 	for in.Scan() {
 		silent.Reset(w.Limits.Silence())
-		if len(in.Bytes()) == 0 {
-			news = true
-			continue
-		}
-		list, err := protocol.ReadList(in.Bytes())
-		if err != nil {
-			return news, err
+		if len(in.Bytes()) > 0 {
+			list, err := protocol.ReadList(in.Bytes())
+			if err != nil {
+				return err
+			}
+			if err := w.take(list); err != nil {
+				return err
+			}
 		}
-		if err := w.take(list); err != nil {
-			return news, err
+		if w.fails > 0 {
+			w.Log.Info("watch on the list is back", "version", w.version)
 		}
-		news = true
+		w.fails = 0
 	}
 	if err := in.Err(); err != nil {
-		return news, err
+		return err
 	}
-	return news, io.EOF
+	return io.EOF
 }
 
 // take hands on one message. Changes that go back mean that discovery has lost its count: all is asked for anew.
