--- a/cmd/nettlefold/main_test.go
+++ b/cmd/nettlefold/main_test.go
@@ -69,13 +69,25 @@
 		t.Fatal(err)
 	}
 	defer nc.Close()
-	fmt.Fprintf(nc, "POST /api HTTP/1.1\r\nHost: x\r\nX-Txn: a\r\nX-Lane: all\r\nX-Remaining-Ms: 800\r\nContent-Length: %d\r\n\r\n", len(body))
-	time.Sleep(300 * time.Millisecond)
-	io.WriteString(nc, body)
+	for _, piece := range []string{"POST /api HTTP/1.1\r\nHost: x\r\nX-Txn: a\r\n",
+		fmt.Sprintf("X-Lane: all\r\nX-Remaining-Ms: 800\r\nContent-Length: %d\r\n\r\n", len(body)), body} {
+		io.WriteString(nc, piece)
+		time.Sleep(150 * time.Millisecond)
+	}
 	w.until("the part is sent", func() bool { return waits() > 0 })
 	if ms := waits(); ms > 500 {
 		t.Errorf("a part of a request that took 300 of its 800 ms to come waits %d ms", ms)
 	}
+	kept := bufio.NewReader(nc)
+	if r, err := http.ReadResponse(kept, nil); err != nil {
+		t.Fatal(err)
+	} else if _, err := io.ReadAll(r.Body); err != nil {
+		t.Fatal(err)
+	}
+	w.request("c", "all", "400", shards("x", 0)).Write(nc)
+	if r, err := http.ReadResponse(kept, nil); err != nil || r.StatusCode != 200 {
+		t.Errorf("the next request on a connection that is 450 ms old: %v, %v", r, err)
+	}
 	again := w.request("b", "all", "1200", shards("x", 1)) // 800 of 2000 ms are over, so 200 of 1000 are left
 	again.Header.Set("X-Resent", "1")
 	before := len(w.searchers[2].Frames()) + len(w.searchers[3].Frames())
@@ -242,6 +254,35 @@
 	}
 }
 
+// TestOnceOnlyIsNotSentTwice has one of two holders break each connection when it has read a part, or refuse all.
+func TestOnceOnlyIsNotSentTwice(t *testing.T) {
+	for _, refuses := range []bool{false, true} {
+		w := prepare(t)
+		w.settings["Profiles"].([]object)[0]["Effect"] = "fragile"
+		w.searchers[0].Handle = func(p toy.Part) { p.Conn.Close() }
+		w.start()
+		if refuses {
+			w.searchers[0].Stop()
+		}
+		failed := 0
+		for i := range 12 {
+			switch r := w.ask(fmt.Sprint("a", i), "all", 0); r.status {
+			case http.StatusOK:
+			case http.StatusBadGateway:
+				failed++
+			default:
+				t.Errorf("lookup %d is answered %d", i, r.status)
+			}
+		}
+		if sent := calls(w.searchers[0]) + calls(w.searchers[1]); sent != 12 {
+			t.Errorf("refused %v: 12 parts were sent %d times", refuses, sent)
+		}
+		if broken := calls(w.searchers[0]); failed != broken || refuses == (broken > 0) {
+			t.Errorf("refused %v: %d lookups failed, %d parts broke off", refuses, failed, broken)
+		}
+	}
+}
+
 func TestKilledSearcherComesBack(t *testing.T) {
 	w := prepare(t).start()
 	w.satisfied("a", 4)
@@ -479,6 +520,7 @@
 		}
 		defer nc.Close()
 	}
+	w.client = &http.Client{Transport: &http.Transport{DisableKeepAlives: true}}
 	if n := w.satisfied("a", 5); n != 5 {
 		t.Errorf("%d of 5 lookups were answered whole", n)
 	}
--- a/internal/routing/router_test.go
+++ b/internal/routing/router_test.go
@@ -24,6 +24,7 @@
 	all    []*Forward
 	ok     map[string]bool // parts whose answer was reported while their lookup was open
 	ends   map[*Ticket]time.Time
+	times  map[int64]*Ticket // of reviews that sent something
 	number int
 }
 
@@ -46,7 +47,7 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	g := &rig{t: t, r: r, rng: rand.New(rand.NewSource(seed)), ok: map[string]bool{}, ends: map[*Ticket]time.Time{}}
+	g := &rig{t: t, r: r, rng: rand.New(rand.NewSource(seed)), ok: map[string]bool{}, ends: map[*Ticket]time.Time{}, times: map[int64]*Ticket{}}
 	g.list(true)
 	return g
 }
@@ -115,6 +116,12 @@
 			if len(c.Forwards) == 0 || len(c.Forwards) > perCall {
 				g.t.Errorf("a call of %d parts, at most %d", len(c.Forwards), perCall)
 			}
+			g.mu.Lock()
+			if o := g.times[c.at]; o != nil && o != t {
+				g.t.Error("reviews of two lookups at one time")
+			}
+			g.times[c.at] = t
+			g.mu.Unlock()
 			for _, f := range c.Forwards {
 				if f.at != c.Forwards[0].at {
 					g.t.Error("forwards of two reviews in one call")
