--- a/cmd/nettlefold/main_test.go
+++ b/cmd/nettlefold/main_test.go
@@ -315,6 +315,10 @@
 	e.Since = float64(time.Now().UnixMilli() + 1)
 	w.list.Say(changed(2, e))
 	w.until("connections to the old process are closed", func() bool { return old.Conns() == 0 })
+	w.until("the new process is used", func() bool {
+		w.satisfied(fmt.Sprint("r", time.Now().UnixNano()), 1)
+		return old.Conns() > 0
+	})
 	next := &toy.Searcher{Name: old.Name, Zone: "z"}
 	if err := next.Start(); err != nil {
 		t.Fatal(err)
@@ -520,7 +524,7 @@
 		}
 		defer nc.Close()
 	}
-	w.client = &http.Client{Transport: &http.Transport{DisableKeepAlives: true}}
+	w.client = &http.Client{Transport: &http.Transport{DisableKeepAlives: true}, Timeout: 2 * time.Second}
 	if n := w.satisfied("a", 5); n != 5 {
 		t.Errorf("%d of 5 lookups were answered whole", n)
 	}
