--- a/cmd/nettlefold/main_test.go
+++ b/cmd/nettlefold/main_test.go
@@ -259,13 +259,15 @@
 	for _, refuses := range []bool{false, true} {
 		w := prepare(t)
 		w.settings["Profiles"].([]object)[0]["Effect"] = "fragile"
+		w.limits["cores"] = 4 // the break may be seen before the write has returned
 		w.searchers[0].Handle = func(p toy.Part) { p.Conn.Close() }
 		w.start()
 		if refuses {
 			w.searchers[0].Stop()
 		}
 		failed := 0
-		for i := range 12 {
+		const lookups = 200
+		for i := range lookups {
 			switch r := w.ask(fmt.Sprint("a", i), "all", 0); r.status {
 			case http.StatusOK:
 			case http.StatusBadGateway:
@@ -274,8 +276,8 @@
 				t.Errorf("lookup %d is answered %d", i, r.status)
 			}
 		}
-		if sent := calls(w.searchers[0]) + calls(w.searchers[1]); sent != 12 {
-			t.Errorf("refused %v: 12 parts were sent %d times", refuses, sent)
+		if sent := calls(w.searchers[0]) + calls(w.searchers[1]); sent != lookups {
+			t.Errorf("refused %v: %d parts were sent %d times", refuses, lookups, sent)
 		}
 		if broken := calls(w.searchers[0]); failed != broken || refuses == (broken > 0) {
 			t.Errorf("refused %v: %d lookups failed, %d parts broke off", refuses, failed, broken)
--- a/internal/charter/limits.go
+++ b/internal/charter/limits.go
@@ -49,7 +49,7 @@
 		Header:    16 << 10,
 		Read:      5 * time.Second,
 		Write:     5 * time.Second,
-		Frame:     256 << 10,
+		Frame:     64 << 10,
 		Line:      8 << 20,
 		WatchLast: time.Second,
 		ID:        64,
--- a/internal/transport/searchers.go
+++ b/internal/transport/searchers.go
@@ -7,6 +7,7 @@
 	"fmt"
 	"log/slog"
 	"net"
+	"slices"
 	"sync"
 	"time"
 
@@ -21,9 +22,18 @@
 	Forward *routing.Forward
 	Part    protocol.Part // Within is told when it is written
 	line    *line         // that carries it
-	written bool          // with the last byte of its frame
+	state   state         // of its frame
 }
 
+// state is how far a frame has come. Once it is being written only the writer can tell what became of it.
+type state int
+
+const (
+	queued state = iota
+	writing
+	written // with its last byte
+)
+
 // Searchers holds the connections to all searchers.
 type Searchers struct {
 	lim charter.Limits
@@ -32,6 +42,8 @@
 	end context.CancelFunc
 	wg  sync.WaitGroup
 
+	short sync.Once // logs that connections run short
+
 	mu    sync.Mutex
 	all   map[string]*searcher
 	lines int
@@ -139,13 +151,20 @@
 			best = l
 		}
 	}
-	if best == nil {
-		if s.lines >= s.lim.Lines() {
+	if best == nil && s.lines-len(idle) >= s.lim.Lines() {
+		spare := s.idlest()
+		if spare == nil {
 			s.mu.Unlock()
-			s.log.Warn("no descriptor left for a connection", "searcher", name, "connections", s.lim.Lines())
+			s.short.Do(func() {
+				s.log.Warn("more connections to searchers are needed than there are descriptors for",
+					"connections", s.lim.Lines(), "searcher", name)
+			})
 			report(call, mixer.Unreached)
 			return
 		}
+		idle = append(idle, spare)
+	}
+	if best == nil {
 		best = s.open(to)
 	}
 	for _, p := range call {
@@ -164,7 +183,7 @@
 func (s *Searchers) Withdraw(p *Parcel) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if l := p.line; l != nil && !l.closed && p.written {
+	if l := p.line; l != nil && !l.closed && p.state == written {
 		l.raw = append(l.raw, protocol.AppendFrame(nil, protocol.Withdraw, []byte(p.Part.ID)))
 		l.rouse()
 	}
@@ -176,6 +195,18 @@
 	}
 }
 
+// idlest gives the connection that has been idle longest, nil if none is. The lock is held.
+func (s *Searchers) idlest() (best *line) {
+	for _, to := range s.all {
+		for _, l := range to.lines {
+			if l.nc != nil && l.live() == 0 && (best == nil || l.used.Before(best.used)) {
+				best = l
+			}
+		}
+	}
+	return best
+}
+
 // live counts the parts that are waited for.
 func (l *line) live() (n int) {
 	for _, p := range l.out {
@@ -278,30 +309,37 @@
 			left = append(left, p)
 		}
 	}
-	if len(parts) == 0 {
-		s.forget(l, call)
+	s.mu.Lock()
+	for _, p := range call {
+		if l.out[p.Part.ID] == p && !slices.Contains(left, p) {
+			delete(l.out, p.Part.ID)
+		}
+	}
+	for _, p := range left {
+		p.state = writing
+	}
+	closed := l.closed
+	s.mu.Unlock()
+	if closed || len(left) == 0 {
 		return nil
 	}
 	frame := protocol.AppendCall(nil, parts)
 	n, err := s.put(nc, frame)
+	became, outcome := queued, mixer.Unreached
+	if n == len(frame) {
+		became, outcome = written, mixer.Reset
+	}
 	s.mu.Lock()
 	for _, p := range left {
-		p.written = n == len(frame)
+		p.state = became
 	}
 	l.used = time.Now()
+	closed = l.closed
 	s.mu.Unlock()
-	return err
-}
-
-// forget takes off the line what never left.
-func (s *Searchers) forget(l *line, call []*Parcel) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	for _, p := range call {
-		if l.out[p.Part.ID] == p {
-			delete(l.out, p.Part.ID)
-		}
+	if closed { // the connection ended meanwhile, and left these to be told here
+		report(left, outcome)
 	}
+	return err
 }
 
 func (s *Searchers) put(nc net.Conn, frame []byte) (int, error) {
@@ -360,7 +398,8 @@
 	return nil
 }
 
-// drop ends a connection, once, and tells the outcome of all that was out on it.
+// drop ends a connection, once, and tells the outcome of all that was out on it but for what is being written: a
+// searcher may have it whole before the writer knows.
 func (s *Searchers) drop(l *line, why error) {
 	s.mu.Lock()
 	if l.closed {
@@ -381,10 +420,11 @@
 	}
 	var reset, unreached []*Parcel
 	for _, p := range l.out {
-		if p.written {
-			reset = append(reset, p)
-		} else {
+		switch p.state {
+		case queued:
 			unreached = append(unreached, p)
+		case written:
+			reset = append(reset, p)
 		}
 	}
 	l.out, l.queue, l.raw = nil, nil, nil
