--- a/cmd/nettlefold/helper_test.go
+++ b/cmd/nettlefold/helper_test.go
@@ -290,7 +290,16 @@
 	}
 }
 
-// calls gives the parts of each call that a searcher has got, by lookup ids alike.
+// files counts the program's descriptors.
+func (w *world) files() int {
+	all, err := os.ReadDir(fmt.Sprintf("/proc/%d/fd", w.cmd.Process.Pid))
+	if err != nil {
+		w.t.Fatal(err)
+	}
+	return len(all)
+}
+
+// calls counts the calls that a searcher has got.
 func calls(s *toy.Searcher) (n int) {
 	for _, f := range s.Frames() {
 		if f[0] == 'Q' {
--- a/cmd/nettlefold/main_test.go
+++ b/cmd/nettlefold/main_test.go
@@ -530,12 +530,31 @@
 	if n := w.satisfied("a", 5); n != 5 {
 		t.Errorf("%d of 5 lookups were answered whole", n)
 	}
-	files, err := os.ReadDir(fmt.Sprintf("/proc/%d/fd", w.cmd.Process.Pid))
-	if err != nil || len(files) > 64 {
-		t.Errorf("%d descriptors are open, %v, want 64 at most", len(files), err)
+	if n := w.files(); n > 64 {
+		t.Errorf("%d descriptors are open, want 64 at most", n)
 	}
 }
 
+// TestNothingIsLeftOpen has clients and searchers come and go, and counts descriptors.
+func TestNothingIsLeftOpen(t *testing.T) {
+	w := prepare(t)
+	w.searchers[0].Handle = func(p toy.Part) { p.Conn.Close() }
+	w.start()
+	w.satisfied("a", 20)
+	before := w.files()
+	w.client = &http.Client{Transport: &http.Transport{DisableKeepAlives: true}}
+	for i := range 30 {
+		nc, err := net.Dial("tcp", w.addr)
+		if err != nil {
+			t.Fatal(err)
+		}
+		w.request(fmt.Sprint("left", i), "all", "2000", shards("x", 0, 1)).Write(nc)
+		nc.Close()
+		w.satisfied(fmt.Sprint("b", i), 3)
+	}
+	w.until("all that was opened is closed", func() bool { return w.files() <= before+2 })
+}
+
 // TestLeavingUnderLoad has SIGTERM come while clients go on: none may be lost.
 func TestLeavingUnderLoad(t *testing.T) {
 	w := prepare(t)
--- a/internal/routing/router_test.go
+++ b/internal/routing/router_test.go
@@ -258,50 +258,57 @@
 	}
 }
 
+// take takes a lookup of so many parts.
+func (g *rig) take(id string, parts int) *Ticket {
+	g.t.Helper()
+	l := Lookup{ID: id, Tariff: "all", Expires: time.Now().Add(time.Second)}
+	for i := range parts {
+		l.Parts = append(l.Parts, Part{Slice: i, Weight: 1 / float64(parts)})
+	}
+	t, err := g.r.Take(l)
+	if err != nil {
+		g.t.Fatal(err)
+	}
+	return t
+}
+
+// pick gives the next step.
+func (g *rig) pick(t *Ticket) Step {
+	g.t.Helper()
+	ctx, cancel := context.WithTimeout(context.Background(), 5*time.Second)
+	defer cancel()
+	step, err := t.Pick(ctx)
+	if err != nil {
+		g.t.Fatal(err)
+	}
+	return step
+}
+
 // TestPanicEndsOneLookup guards against a failure in the module for one lookup that would end them all.
 func TestPanicEndsOneLookup(t *testing.T) {
 	g := newRig(t, 1)
-	take := func(id string) *Ticket {
-		ticket, err := g.r.Take(Lookup{ID: id, Tariff: "all", Expires: time.Now().Add(time.Second), Parts: []Part{{Weight: 1}}})
-		if err != nil {
-			t.Fatal(err)
-		}
-		return ticket
-	}
-	a, b := take("a"), take("b")
+	a, b := g.take("a", 1), g.take("b", 1)
 	if _, err := g.r.Take(Lookup{ID: "a"}); !errors.Is(err, ErrTaken) {
 		t.Errorf("a second lookup of one id: %v", err)
 	}
 	g.r.call(a.l, func(int64) { panic("as a test") })
-	if step, err := a.Pick(t.Context()); err != nil || step.Final == nil || step.Final.Verdict != Failed {
-		t.Errorf("the lookup it came up in: %+v, %v", step, err)
+	if step := g.pick(a); step.Final == nil || step.Final.Verdict != Failed {
+		t.Errorf("the lookup it came up in: %+v", step)
 	}
-	step, err := b.Pick(t.Context())
-	if err != nil || len(step.Calls) != 1 {
-		t.Fatalf("the other lookup: %+v, %v", step, err)
-	}
-	f := step.Calls[0].Forwards[0]
+	f := g.pick(b).Calls[0].Forwards[0]
 	f.Leave()
 	f.Report(mixer.Satisfied, []byte("v"))
-	if step, err := b.Pick(t.Context()); err != nil || step.Final == nil || step.Final.Verdict != Answered {
-		t.Errorf("the other lookup: %+v, %v", step, err)
+	if step := g.pick(b); step.Final == nil || step.Final.Verdict != Answered {
+		t.Errorf("the other lookup: %+v", step)
 	}
 }
 
 // TestWithdrawal plays a module that withdraws: what has left is withdrawn at the searcher, what has not never leaves.
 func TestWithdrawal(t *testing.T) {
 	g := newRig(t, 1)
-	ticket, err := g.r.Take(Lookup{ID: "a", Tariff: "all", Expires: time.Now().Add(time.Second),
-		Parts: []Part{{Slice: 0, Weight: 0.5}, {Slice: 1, Weight: 0.5}}})
-	if err != nil {
-		t.Fatal(err)
-	}
-	step, err := ticket.Pick(t.Context())
-	if err != nil {
-		t.Fatal(err)
-	}
+	ticket := g.take("a", 2)
 	var fs []*Forward
-	for _, c := range step.Calls {
+	for _, c := range g.pick(ticket).Calls {
 		fs = append(fs, c.Forwards...)
 	}
 	fs[0].Leave()
@@ -310,9 +317,8 @@
 			floor{g.r}.Cancel(f.slot.id, f.copy)
 		}
 	})
-	step, err = ticket.Pick(t.Context())
-	if err != nil || len(step.Withdrawn) != 1 || step.Withdrawn[0] != fs[0] {
-		t.Errorf("withdrawn: %+v, %v", step, err)
+	if step := g.pick(ticket); len(step.Withdrawn) != 1 || step.Withdrawn[0] != fs[0] {
+		t.Errorf("withdrawn: %+v", step)
 	}
 	if !fs[0].Over() || !fs[1].Over() || fs[1].Leave() {
 		t.Error("a withdrawn forward has no outcome or may leave")
@@ -325,16 +331,7 @@
 	g.r.call(nil, func(int64) { floor{g.r}.CloseIdle("s0") })
 	fresh := map[string]int{}
 	for i := range 12 {
-		ticket, err := g.r.Take(Lookup{ID: fmt.Sprint(i), Tariff: "all", Expires: time.Now().Add(time.Second),
-			Parts: []Part{{Slice: 0, Weight: 0.5}, {Slice: 1, Weight: 0.5}}})
-		if err != nil {
-			t.Fatal(err)
-		}
-		step, err := ticket.Pick(t.Context())
-		if err != nil {
-			t.Fatal(err)
-		}
-		for _, c := range step.Calls {
+		for _, c := range g.pick(g.take(fmt.Sprint(i), 2)).Calls {
 			if c.Fresh {
 				fresh[c.Searcher]++
 			}
