A connection let in last cannot hold the mixer's end up

Seen reading: unused connections were closed once, when the listener closes; one accepted at that moment was missed, and net/http waits 5 s for such. Lines at fault: RegisterOnShutdown(closeUnused). Now they are closed until the end. TestLeavingWithUnusedConnections is red where they are not closed at all; the moment itself could not be brought about in a test.

--- a/internal/transport/server.go
+++ b/internal/transport/server.go
@@ -61,7 +61,6 @@
 		ConnContext:       func(ctx context.Context, c net.Conn) context.Context { return context.WithValue(ctx, connKey{}, c) },
 		ErrorLog:          slog.NewLogLogger(s.Log.Handler(), slog.LevelDebug),
 	}
-	s.http.RegisterOnShutdown(s.closeUnused)
 }
 
 // Serve serves clients until Leave is called.
@@ -81,16 +80,31 @@
 	time.Sleep(s.Limits.Linger())
 	ctx, done := context.WithTimeout(context.Background(), time.Until(began.Add(s.Limits.Leave())))
 	defer done()
-	err := s.http.Shutdown(ctx)
+	err := s.shut(ctx)
 	if err != nil {
 		s.cut()
 		last, done := context.WithTimeout(context.Background(), s.Limits.Arrivals/4)
 		defer done()
-		err = errors.Join(err, s.http.Shutdown(last))
+		err = errors.Join(err, s.shut(last))
 	}
 	return err
 }
 
+// shut closes the listener and waits for what is open. It closes unused connections again and again, since net/http
+// waits for new ones for long and one may have been let in last.
+func (s *Server) shut(ctx context.Context) error {
+	done := make(chan error, 1)
+	go func() { done <- s.http.Shutdown(ctx) }()
+	for {
+		select {
+		case err := <-done:
+			return err
+		case <-time.After(s.Limits.Arrivals / 16):
+			s.closeUnused()
+		}
+	}
+}
+
 // guard keeps a panic to the request it came up in.
 func (s *Server) guard(next http.Handler) http.Handler {
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
