--- a/cmd/nettlefold/main_test.go
+++ b/cmd/nettlefold/main_test.go
@@ -535,6 +535,28 @@
 	}
 }
 
+// TestFewConnections has fewer connections allowed than there are searchers: the one idle longest gives way.
+func TestFewConnections(t *testing.T) {
+	w := prepare(t)
+	w.limits["sockets"] = 36
+	w.start()
+	for i := range 30 {
+		if r := w.ask(fmt.Sprint("a", i), "all", 0, 1); !r.Complete {
+			t.Errorf("lookup %d: %+v", i, r)
+		}
+	}
+	open := 0
+	for _, s := range w.searchers {
+		if calls(s) == 0 {
+			t.Errorf("%s got nothing", s.Name)
+		}
+		open += s.Conns()
+	}
+	if open > 2 {
+		t.Errorf("%d connections to searchers are open, want 2 at most", open)
+	}
+}
+
 // TestNothingIsLeftOpen has clients and searchers come and go, and counts descriptors.
 func TestNothingIsLeftOpen(t *testing.T) {
 	w := prepare(t)
