The charter is read once at start; a connection is taken off by the standard library

Found reading the whole change again: Limits read the charter a second time for the longest patience alone, and drop removed a connection by a loop of its own. Behaviour as before.

--- a/internal/charter/limits.go
+++ b/internal/charter/limits.go
@@ -1,6 +1,10 @@
 package charter
 
-import "time"
+import (
+	"time"
+
+	"nettlefold/mixer"
+)
 
 // Limits are the sizes, counts and times the real mixer keeps to. They come from the platform or the settings
 // where these state them; the rest are bounds for safety that no sound peer meets.
@@ -34,8 +38,8 @@
 	ID        int           // bytes of a lookup's id
 }
 
-// Limits gives the settings' limits, with PROTOCOL's and the bounds for safety.
-func (t Terms) Limits() (Limits, error) {
+// Limits gives the settings' limits, with PROTOCOL's and the bounds for safety. The charter is that of the same terms.
+func (t Terms) Limits(c mixer.Charter) (Limits, error) {
 	s := &reader{all: t}
 	l := Limits{
 		Slices:    s.count("FamilyInfo.Slabs", true, 1),
@@ -54,15 +58,11 @@
 		WatchLast: time.Second,
 		ID:        64,
 	}
-	if s.fault != nil {
-		return l, s.fault
-	}
-	c, _, err := t.Charter()
 	for _, tariff := range c.Tariffs {
 		l.Patience = max(l.Patience, time.Duration(tariff.Patience))
 	}
 	l.KillAfter = min(l.Patience, 3*time.Second) + 700*time.Millisecond
-	return l, err
+	return l, s.err()
 }
 
 // Idle is how long a connection to a searcher may lie idle: it is closed well before the searcher would.
--- a/internal/protocol/config.go
+++ b/internal/protocol/config.go
@@ -66,7 +66,7 @@
 	if c.Charter, c.Rows, err = terms.Charter(); err != nil {
 		return c, fmt.Errorf("configuration: %w", err)
 	}
-	if c.Limits, err = terms.Limits(); err != nil {
+	if c.Limits, err = terms.Limits(c.Charter); err != nil {
 		return c, fmt.Errorf("configuration: %w", err)
 	}
 	c.Limits.Cores, c.Limits.Sockets = in.Limits.Cores, in.Limits.Sockets
--- a/internal/transport/searchers.go
+++ b/internal/transport/searchers.go
@@ -409,12 +409,7 @@
 	l.closed = true
 	l.cancel()
 	s.lines--
-	for i, o := range l.to.lines {
-		if o == l {
-			l.to.lines = append(l.to.lines[:i:i], l.to.lines[i+1:]...)
-			break
-		}
-	}
+	l.to.lines = slices.DeleteFunc(l.to.lines, func(o *line) bool { return o == l })
 	if l.nc != nil {
 		l.nc.Close()
 	}
