Lookups are let in as the platform counts what is open

Counted until the lookup's end, up to 115 were open, so that is not how it counts. At fault: Router.Take, which let nothing go beyond MaxOpen, and close, which counted all parts up to the end. Now Take asks for fewer than MaxOpen open, and a part that is in counts no more.

--- a/internal/charter/limits.go
+++ b/internal/charter/limits.go
@@ -16,7 +16,7 @@
 
 	// The settings'.
 	Slices    int           // shards there are
-	Open      int           // lookups and parts held at once
+	Open      int           // lookups and parts open from which on no lookup is let in
 	Streams   int           // parts out on one connection
 	Connect   time.Duration // for a connection to come up
 	KeepAlive time.Duration // after which a searcher closes an idle connection
--- a/internal/routing/router.go
+++ b/internal/routing/router.go
@@ -33,14 +33,14 @@
 	log     *slog.Logger
 	charter mixer.Charter
 	rows    map[string]int
-	most    int // lookups and parts open at once
+	most    int // open lookups and parts from which on no lookup is let in
 	anchor  time.Time
 	unix    int64 // the anchor as Unix time, ns
 
 	mu      sync.Mutex
 	last    int64 // when the module was last called
 	m       *mixer.Mixer
-	open    int
+	open    int // lookups, and parts of theirs that are not in
 	tickets map[string]*Ticket
 	slots   map[string]*slot
 	stale   map[string]bool // searchers whose idle connections are to be closed before the next call
--- a/internal/routing/ticket.go
+++ b/internal/routing/ticket.go
@@ -102,7 +102,7 @@
 			err = ErrTaken
 			return
 		}
-		if r.open+1+len(l.Parts) > r.most {
+		if r.open >= r.most { // as the platform counts, which lets in the one that goes beyond
 			return
 		}
 		err = nil
@@ -209,9 +209,12 @@
 // close forgets the lookup; what it had not handed out yet is never sent.
 func (t *Ticket) close() {
 	t.ended = true
-	t.r.open -= 1 + len(t.slots)
+	t.r.open--
 	delete(t.r.tickets, t.id)
 	for _, s := range t.slots {
+		if !s.in {
+			t.r.open--
+		}
 		delete(t.r.slots, s.id)
 		for _, f := range s.forwards {
 			if !f.left {
@@ -261,8 +264,9 @@
 	}
 	f.done = true
 	s := f.slot
-	if o == mixer.Satisfied && !s.in {
+	if o == mixer.Satisfied && !s.in && !s.t.ended {
 		s.in, s.value = true, value
+		s.t.r.open--
 	}
 	s.t.l.Outcome(now, s.index, f.copy, o, now-f.at, s.in || s.t.ended)
 }
