Test of a frame cut off after each of its bytes

Open until now: a connection that breaks within a frame's write. A once-only part goes to the other holder for every cut before the last byte and fails after it, whether the reader or the writer sees the break first.

--- a/internal/transport/transport_test.go
+++ b/internal/transport/transport_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"io"
 	"log/slog"
+	"net"
 	"net/http"
 	"net/http/httptest"
 	"strings"
@@ -12,8 +13,77 @@
 
 	"nettlefold/internal/charter"
 	"nettlefold/internal/protocol"
+	"nettlefold/internal/routing"
+	"nettlefold/mixer"
 )
 
+// breaking is a connection that takes so many bytes and then breaks.
+type breaking struct {
+	net.Conn
+	after int
+	broke func() // before the writer knows
+}
+
+func (b *breaking) Write(raw []byte) (int, error) {
+	b.broke()
+	if b.after < len(raw) {
+		return b.after, io.ErrClosedPipe
+	}
+	return len(raw), nil
+}
+
+// TestFrameCutOff breaks a connection after each byte of a frame. A once-only part may go to the other holder
+// until the last byte is out, and never after.
+func TestFrameCutOff(t *testing.T) {
+	quiet := slog.New(slog.NewTextHandler(io.Discard, nil))
+	c := mixer.Charter{
+		Tariffs: []mixer.Tariff{{Expected: 1e9, Patience: 1e9, CompleteFrom: 1, LeastShare: 1, Effect: mixer.OnceOnly}},
+		Mixers:  1, Cells: 1, Reach: 1, PerCall: 1, MaxForwards: 3, ColdFrom: 1, FallMultiple: 1, FallFor: 1e9,
+	}
+	ctx, cancel := context.WithTimeout(t.Context(), 30*time.Second)
+	defer cancel()
+	part := protocol.Part{ID: "a.0", Text: "some text"}
+	frame := len(protocol.AppendCall(nil, []protocol.Part{{ID: part.ID, Text: part.Text, Within: 990 * time.Millisecond}}))
+	for _, first := range []bool{false, true} { // whether the reader sees it before the writer does
+		for cut := range frame + 1 {
+			r, err := routing.New(c, map[string]int{"t": 0}, 10, 1, quiet)
+			if err != nil {
+				t.Fatal(err)
+			}
+			r.Listed([]routing.Entry{{Searcher: "s"}, {Searcher: "other"}}, true)
+			ticket, err := r.Take(routing.Lookup{ID: "a", Tariff: "t", Expires: time.Now().Add(time.Second), Parts: []routing.Part{{Weight: 1}}})
+			if err != nil {
+				t.Fatal(err)
+			}
+			pick := func() routing.Step {
+				step, err := ticket.Pick(ctx)
+				if err != nil {
+					t.Fatal(err)
+				}
+				return step
+			}
+			call := pick().Calls[0]
+			s := NewSearchers(charter.Limits{KeepAlive: time.Hour, Write: time.Minute, Streams: 1}, quiet)
+			near, _ := net.Pipe()
+			parcel := &Parcel{Forward: call.Forwards[0], Part: part}
+			l := &line{to: &searcher{}, nc: near, cancel: func() {}, out: map[string]*Parcel{part.ID: parcel}}
+			parcel.line = l
+			s.write(l, &breaking{near, cut, func() {
+				if first {
+					s.drop(l, io.EOF)
+				}
+			}}, []*Parcel{parcel})
+			s.drop(l, io.EOF)
+			step := pick()
+			again := len(step.Calls) == 1 && step.Calls[0].Searcher != call.Searcher
+			if failed := step.Final != nil && step.Final.Verdict == routing.Failed; again != (cut < frame) || failed != (cut == frame) {
+				t.Errorf("after %d of %d bytes, seen by the reader first %v: sent again %v, failed %v", cut, frame, first, again, failed)
+			}
+			s.Close()
+		}
+	}
+}
+
 // TestSilentWatchIsMadeAnew has an agent take the first watch and say nothing, as a cut-off one does.
 func TestSilentWatchIsMadeAnew(t *testing.T) {
 	asked := make(chan string, 10)
