Test that no goroutine piles up or outlives the program

Run in the test's own process with clients that leave, a searcher that breaks off and a silent one; turns red if a dropped connection keeps its reader or its writer.

--- a/cmd/nettlefold/helper_test.go
+++ b/cmd/nettlefold/helper_test.go
@@ -120,8 +120,8 @@
 	return toy.Message{Index: index, Endpoints: []toy.Member{m}}
 }
 
-// launch starts the searchers, and the program without waiting for it.
-func (w *world) launch() {
+// configure starts the searchers and writes the program's configuration, to a file whose path it gives.
+func (w *world) configure() string {
 	w.t.Helper()
 	for _, s := range w.searchers {
 		if err := s.Start(); err != nil {
@@ -141,6 +141,13 @@
 	if err := os.WriteFile(path, raw, 0o600); err != nil {
 		w.t.Fatal(err)
 	}
+	return path
+}
+
+// launch starts the searchers, and the program without waiting for it.
+func (w *world) launch() {
+	w.t.Helper()
+	path := w.configure()
 	w.cmd = exec.Command(binary)
 	w.cmd.Env = append(os.Environ(), "LB_CONFIG="+path)
 	w.cmd.Stderr = &w.log
--- a/cmd/nettlefold/main_test.go
+++ b/cmd/nettlefold/main_test.go
@@ -2,15 +2,21 @@
 
 import (
 	"bufio"
+	"bytes"
+	"context"
 	"encoding/json"
 	"fmt"
 	"io"
+	"log/slog"
 	"net"
 	"net/http"
 	"net/http/httptest"
 	"os"
 	"os/exec"
 	"path/filepath"
+	"runtime"
+	"runtime/debug"
+	"runtime/pprof"
 	"strings"
 	"sync"
 	"testing"
@@ -595,6 +601,58 @@
 	w.until("all that was opened is closed", func() bool { return w.files() <= before+2 })
 }
 
+// TestEveryGoroutineEnds runs the program in this process, with clients that leave, a searcher that breaks off and
+// one that is silent: no goroutines pile up, and none is left when it has ended.
+func TestEveryGoroutineEnds(t *testing.T) {
+	w := prepare(t)
+	w.searchers[0].Handle = func(p toy.Part) { p.Conn.Close() }
+	w.searchers[2].Handle = func(toy.Part) {}
+	path := w.configure()
+	defer runtime.GOMAXPROCS(runtime.GOMAXPROCS(0))
+	defer debug.SetMemoryLimit(debug.SetMemoryLimit(-1))
+	running := func() (n int) {
+		var all bytes.Buffer
+		pprof.Lookup("goroutine").WriteTo(&all, 2)
+		for _, stack := range strings.Split(all.String(), "\n\n") {
+			if strings.Contains(stack, "internal/transport.") || strings.Contains(stack, "internal/routing.") {
+				n++
+			}
+		}
+		return n
+	}
+	ctx, leave := context.WithCancel(t.Context())
+	defer leave()
+	ended := make(chan error, 1)
+	go func() { ended <- run(ctx, path, slog.New(slog.NewTextHandler(&w.log, nil))) }()
+	w.until("health", func() bool { return w.health() == http.StatusOK })
+	for round := range 3 {
+		for i := range 20 {
+			hurried, cancel := context.WithTimeout(ctx, 3*time.Millisecond)
+			w.do(w.request(fmt.Sprintf("left%d.%d", round, i), "all", "2000", shards("x", 0, 1, 2, 3)).WithContext(hurried))
+			cancel()
+			w.ask(fmt.Sprintf("a%d.%d", round, i), "half", 0, 1, 2, 3)
+		}
+		w.client.CloseIdleConnections()
+		w.until("goroutines are as few as connections ask for", func() bool {
+			open := 0
+			for _, s := range w.searchers {
+				open += s.Conns()
+			}
+			return running() <= 2*open+4 // a reader and a writer each, the list's watch, ticks, the sweep, the server
+		})
+	}
+	leave()
+	select {
+	case err := <-ended:
+		if err != nil {
+			t.Error(err)
+		}
+	case <-time.After(5 * time.Second):
+		t.Fatal("still running")
+	}
+	w.until("every goroutine has ended", func() bool { return running() == 0 })
+}
+
 // TestLeavingUnderLoad has SIGTERM come while clients go on: none may be lost.
 func TestLeavingUnderLoad(t *testing.T) {
 	w := prepare(t)
