--- a/internal/routing/router.go
+++ b/internal/routing/router.go
@@ -202,7 +202,7 @@
 	if s == nil {
 		return // its lookup has ended; the module does not send for such
 	}
-	f := &Forward{slot: s, copy: len(s.forwards), at: r.last, Part: s.index, Deadline: r.at(r.last + within)}
+	f := &Forward{slot: s, copy: len(s.forwards), at: r.last, Part: s.index, ID: s.id, Until: r.at(r.last + within)}
 	s.forwards = append(s.forwards, f)
 	s.t.assign(searcher, f)
 	r.set(r.last+within, f)
--- a/internal/routing/router_test.go
+++ b/internal/routing/router_test.go
@@ -149,7 +149,7 @@
 	}
 	weight, seen := 0.0, map[int]bool{}
 	for _, h := range f.Hits {
-		id := PartID(l.ID, l.Parts[h.Part].Slice)
+		id := partID(l.ID, l.Parts[h.Part].Slice)
 		if !g.ok[id] || seen[h.Part] || string(h.Value) != "value of "+id {
 			g.t.Errorf("part %s in the answer: %q, answered %v, once before %v", id, h.Value, g.ok[id], seen[h.Part])
 		}
@@ -192,7 +192,7 @@
 		f.Report(mixer.Reset, nil)
 	case 3: // never
 	default:
-		id := PartID(l.ID, l.Parts[f.Part].Slice)
+		id := partID(l.ID, l.Parts[f.Part].Slice)
 		g.mu.Lock()
 		g.ok[id] = true
 		g.mu.Unlock()
--- a/internal/routing/ticket.go
+++ b/internal/routing/ticket.go
@@ -86,7 +86,8 @@
 // Forward is one try of a part. It has exactly one outcome, also after its lookup has ended.
 type Forward struct {
 	Part       int       // of its lookup
-	Deadline   time.Time // when it is waited for no more
+	ID         string    // of that part
+	Until      time.Time // when it is waited for no more
 	slot       *slot
 	copy       int
 	at         int64
@@ -109,7 +110,7 @@
 		r.open += 1 + len(l.Parts)
 		r.tickets[l.ID] = t
 		for i, p := range l.Parts {
-			s := &slot{t: t, id: PartID(l.ID, p.Slice), index: i}
+			s := &slot{t: t, id: partID(l.ID, p.Slice), index: i}
 			t.slots = append(t.slots, s)
 			r.slots[s.id] = s
 		}
@@ -123,8 +124,8 @@
 	return t, err
 }
 
-// PartID names a part by its lookup and slice.
-func PartID(lookup string, slice int) string { return lookup + "." + strconv.Itoa(slice) }
+// partID names a part by its lookup and slice.
+func partID(lookup string, slice int) string { return lookup + "." + strconv.Itoa(slice) }
 
 // Pick blocks until there is something to do for the lookup. Where the context ends first, as it does when the
 // client has gone, the lookup ends without an answer.
--- a/internal/transport/searchers.go
+++ b/internal/transport/searchers.go
@@ -304,7 +304,7 @@
 	now := time.Now()
 	for _, p := range call {
 		if p.Forward.Leave() {
-			p.Part.Within = p.Forward.Deadline.Sub(now)
+			p.Part.Within = p.Forward.Until.Sub(now)
 			parts = append(parts, p.Part)
 			left = append(left, p)
 		}
@@ -428,7 +428,8 @@
 	if bad := (*protocol.BadFrame)(nil); errors.As(why, &bad) {
 		level = slog.LevelWarn
 	}
-	s.log.Log(s.ctx, level, "connection to a searcher ended", "searcher", l.to.name, "why", why, "reset", len(reset), "unreached", len(unreached))
+	s.log.Log(s.ctx, level, "connection to a searcher ended", "searcher", l.to.name, "why", why,
+		"reset", len(reset), "unreached", len(unreached))
 	report(reset, mixer.Reset)
 	report(unreached, mixer.Unreached)
 }
--- a/internal/transport/server.go
+++ b/internal/transport/server.go
@@ -171,8 +171,7 @@
 		for _, c := range step.Calls {
 			call := make([]*Parcel, len(c.Forwards))
 			for i, f := range c.Forwards {
-				slice := l.Parts[f.Part].Slice
-				call[i] = &Parcel{Forward: f, Part: protocol.Part{ID: routing.PartID(l.ID, slice), Slice: slice, Text: l.Text}}
+				call[i] = &Parcel{Forward: f, Part: protocol.Part{ID: f.ID, Slice: l.Parts[f.Part].Slice, Text: l.Text}}
 				out[f] = call[i]
 			}
 			s.Searchers.Send(c.Searcher, c.Fresh, call)
