--- a/cmd/nettlefold/helper_test.go
+++ b/cmd/nettlefold/helper_test.go
@@ -13,7 +13,6 @@
 	"strings"
 	"sync"
 	"sync/atomic"
-	"syscall"
 	"testing"
 	"time"
 
@@ -291,8 +290,8 @@
 	}
 }
 
-func (w *world) signal() {
-	if err := w.cmd.Process.Signal(syscall.SIGTERM); err != nil {
+func (w *world) signal(sig os.Signal) {
+	if err := w.cmd.Process.Signal(sig); err != nil {
 		w.t.Fatal(err)
 	}
 }
--- a/cmd/nettlefold/main_test.go
+++ b/cmd/nettlefold/main_test.go
@@ -5,6 +5,7 @@
 	"bytes"
 	"context"
 	"encoding/json"
+	"errors"
 	"fmt"
 	"io"
 	"log/slog"
@@ -19,6 +20,7 @@
 	"runtime/pprof"
 	"strings"
 	"sync"
+	"syscall"
 	"testing"
 	"time"
 
@@ -57,6 +59,23 @@
 	}
 }
 
+// TestLongAnswer has values that no buffer on the way holds at once.
+func TestLongAnswer(t *testing.T) {
+	w := prepare(t)
+	long := strings.Repeat("0123456789abcdef", 2000)
+	for _, s := range w.searchers {
+		s.Handle = func(p toy.Part) { p.Answer("ok", long) }
+	}
+	w.start()
+	r, err := w.do(w.request("a", "all", "2000", shards("x", 0, 1, 2, 3)))
+	if err != nil || len(r.Hits) != 4 || r.Hits[0].Doc != long || r.Hits[3].Doc != long {
+		t.Errorf("status %d, %d hits, %v", r.status, len(r.Hits), err)
+	}
+	if n := r.head.Get("Content-Length"); n != fmt.Sprint(len(r.text)) {
+		t.Errorf("an answer of %d bytes says that it has %q", len(r.text), n)
+	}
+}
+
 // TestTimeIsCountedFromTheClient sends a request slowly, and one that says it is a repeat.
 func TestTimeIsCountedFromTheClient(t *testing.T) {
 	w := prepare(t).start()
@@ -291,6 +310,67 @@
 	}
 }
 
+// TestConnectionNeverComesUp has one of two holders let nobody in, as a machine does that is cut off. A part that
+// waits for it in vain has never run, so a once-only one goes to the other holder as soon as that is known.
+func TestConnectionNeverComesUp(t *testing.T) {
+	w := prepare(t)
+	w.settings["Profiles"].([]object)[0]["Effect"] = "fragile"
+	fd, err := syscall.Socket(syscall.AF_INET, syscall.SOCK_STREAM|syscall.SOCK_CLOEXEC, 0)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer syscall.Close(fd)
+	if err := errors.Join(syscall.Bind(fd, &syscall.SockaddrInet4{Addr: [4]byte{127, 0, 0, 1}}), syscall.Listen(fd, 0)); err != nil {
+		t.Fatal(err)
+	}
+	at, err := syscall.Getsockname(fd)
+	if err != nil {
+		t.Fatal(err)
+	}
+	full := fmt.Sprint("127.0.0.1:", at.(*syscall.SockaddrInet4).Port)
+	for { // fill its queue, then nothing more comes up
+		nc, err := net.DialTimeout("tcp", full, 100*time.Millisecond)
+		if err != nil {
+			break
+		}
+		defer nc.Close()
+	}
+	w.start()
+	e := w.searchers[0].Entry("SERVING")
+	e.Address = full
+	w.list.Say(changed(2, e))
+	w.until("the searcher that is cut off is tried", func() bool {
+		began := time.Now()
+		r := w.ask(fmt.Sprint("a", began.UnixNano()), "all", 0, 2)
+		took := time.Since(began)
+		if r.status != http.StatusOK || took > 700*time.Millisecond {
+			t.Errorf("answered %d after %v", r.status, took)
+		}
+		return took > 200*time.Millisecond // 250 are allowed for connecting
+	})
+}
+
+// TestHealthWaitsForASearcher starts with an empty list: the mixer is healthy once it has heard of one to ask.
+func TestHealthWaitsForASearcher(t *testing.T) {
+	w := prepare(t)
+	later := w.searchers[0]
+	w.searchers = nil
+	w.launch()
+	w.until("health is told", func() bool { return w.health() != 0 })
+	if code := w.health(); code != http.StatusServiceUnavailable {
+		t.Errorf("health is %d without a searcher, want 503", code)
+	}
+	if err := later.Start(); err != nil {
+		t.Fatal(err)
+	}
+	defer later.Stop()
+	w.list.Say(changed(2, later.Entry("SERVING")))
+	w.until("health", func() bool { return w.health() == http.StatusOK })
+	if r := w.ask("a", "all", 0); r.status != http.StatusOK {
+		t.Errorf("answered %d", r.status)
+	}
+}
+
 func TestKilledSearcherComesBack(t *testing.T) {
 	w := prepare(t).start()
 	w.satisfied("a", 4)
@@ -625,6 +705,9 @@
 	ended := make(chan error, 1)
 	go func() { ended <- run(ctx, path, slog.New(slog.NewTextHandler(&w.log, nil))) }()
 	w.until("health", func() bool { return w.health() == http.StatusOK })
+	if procs, memory := runtime.GOMAXPROCS(0), debug.SetMemoryLimit(-1); procs != 1 || memory <= 0 || memory >= 192<<20 {
+		t.Errorf("the runtime knows of %d cores and %d bytes, of 1 and 192 MB", procs, memory)
+	}
 	for round := range 3 {
 		for i := range 20 {
 			hurried, cancel := context.WithTimeout(ctx, 3*time.Millisecond)
@@ -684,7 +767,7 @@
 		})
 	}
 	time.Sleep(300 * time.Millisecond)
-	w.signal()
+	w.signal(syscall.SIGTERM)
 	time.Sleep(50 * time.Millisecond)
 	heard := time.Now()
 	if code := w.health(); code != http.StatusServiceUnavailable {
@@ -715,16 +798,18 @@
 
 // TestLeavingWithUnusedConnections sees to it that a client which never says anything does not hold the mixer up.
 func TestLeavingWithUnusedConnections(t *testing.T) {
-	w := prepare(t).start()
-	nc, err := net.Dial("tcp", w.addr)
-	if err != nil {
-		t.Fatal(err)
-	}
-	defer nc.Close()
-	w.satisfied("a", 1)
-	w.signal()
-	if code := w.exit(1500 * time.Millisecond); code != 0 {
-		t.Errorf("exit code %d, want 0", code)
+	for _, sig := range []os.Signal{syscall.SIGTERM, syscall.SIGINT} {
+		w := prepare(t).start()
+		nc, err := net.Dial("tcp", w.addr)
+		if err != nil {
+			t.Fatal(err)
+		}
+		defer nc.Close()
+		w.satisfied("a", 1)
+		w.signal(sig)
+		if code := w.exit(1500 * time.Millisecond); code != 0 {
+			t.Errorf("%v: exit code %d, want 0", sig, code)
+		}
 	}
 }
 
@@ -744,7 +829,7 @@
 	}()
 	w.until("the part is sent", func() bool { return calls(w.searchers[0])+calls(w.searchers[1]) > 0 })
 	began := time.Now()
-	w.signal()
+	w.signal(syscall.SIGTERM)
 	code := w.exit(5 * time.Second)
 	if took := time.Since(began); code != 0 || took > 3700*time.Millisecond {
 		t.Errorf("exit code %d after %v, want 0 before SIGKILL may come", code, took)
--- a/internal/transport/transport_test.go
+++ b/internal/transport/transport_test.go
@@ -11,12 +11,86 @@
 	"testing"
 	"time"
 
+	"nettlefold/example/toy"
 	"nettlefold/internal/charter"
 	"nettlefold/internal/protocol"
 	"nettlefold/internal/routing"
 	"nettlefold/mixer"
 )
 
+// TestWishesReachTheSearcher gives up a part that is out, and has idle connections closed before the next one.
+func TestWishesReachTheSearcher(t *testing.T) {
+	quiet := slog.New(slog.NewTextHandler(io.Discard, nil))
+	c := mixer.Charter{Tariffs: []mixer.Tariff{{Expected: 5e9, Patience: 5e9, CompleteFrom: 1, LeastShare: 1}},
+		Mixers: 1, Cells: 1, Reach: 1, PerCall: 1, MaxForwards: 1, ColdFrom: 1, FallMultiple: 1, FallFor: 1e9}
+	r, err := routing.New(c, map[string]int{"t": 0}, 100, 1, quiet)
+	if err != nil {
+		t.Fatal(err)
+	}
+	r.Listed([]routing.Entry{{Searcher: "s"}}, true)
+	far := &toy.Searcher{}
+	if err := far.Start(); err != nil {
+		t.Fatal(err)
+	}
+	defer far.Stop()
+	s := NewSearchers(charter.Limits{KeepAlive: time.Hour, Connect: time.Second, Write: time.Second, Streams: 9, Sockets: 99, Frame: 999}, quiet)
+	defer s.Close()
+	s.Listed(protocol.List{Members: []protocol.Member{{Entry: routing.Entry{Searcher: "s"}, Address: far.Address}}})
+	seen := func(frame string) bool {
+		for _, f := range far.Frames() {
+			if strings.HasPrefix(f, frame) {
+				return true
+			}
+		}
+		return false
+	}
+	until := func(what string, is func() bool) {
+		t.Helper()
+		for end := time.Now().Add(5 * time.Second); !is(); time.Sleep(time.Millisecond) {
+			if time.Now().After(end) {
+				t.Fatalf("never: %s", what)
+			}
+		}
+	}
+	send := func(id string, fresh bool) *Parcel {
+		ticket, err := r.Take(routing.Lookup{ID: id, Tariff: "t", Expires: time.Now().Add(5 * time.Second), Parts: []routing.Part{{Weight: 1}}})
+		if err != nil {
+			t.Fatal(err)
+		}
+		step, err := ticket.Pick(t.Context())
+		if err != nil || len(step.Calls) != 1 {
+			t.Fatal(step, err)
+		}
+		p := &Parcel{Forward: step.Calls[0].Forwards[0], Part: protocol.Part{ID: id + ".0"}}
+		s.Send("s", fresh, []*Parcel{p})
+		return p
+	}
+	first := send("a", false)
+	until("the first is answered", first.Forward.Over)
+	second := send("b", false)
+	until("the second is answered", second.Forward.Over)
+	if far.Conns() != 1 || first.line != second.line {
+		t.Errorf("%d connections for two parts one after the other, want 1", far.Conns())
+	}
+	far.Handle = func(toy.Part) {}
+	third := send("c", true)
+	if third.line == first.line {
+		t.Error("an idle connection was used though it was to be closed")
+	}
+	until("the idle connection is closed", func() bool { return far.Conns() == 1 })
+	until("the third is out", func() bool {
+		s.mu.Lock()
+		defer s.mu.Unlock()
+		return third.state == written
+	})
+	s.Withdraw(second) // its connection is no more
+	s.Withdraw(third)
+	until("the third is given up at the searcher", func() bool { return seen("Xc.0") })
+	if seen("Xb.0") {
+		t.Error("a part on a connection that is closed was given up on another")
+	}
+}
+
 // breaking is a connection that takes so many bytes and then breaks.
 type breaking struct {
 	net.Conn
@@ -95,7 +169,10 @@
 			<-r.Context().Done()
 			return
 		}
-		io.WriteString(w, `{"index":9,"snapshot":true,"endpoints":[]}`+"\n")
+		for _, piece := range []string{"\n" + `{"index":9,"snap`, `shot":true,"endpoints":[]}` + "\n\n"} { // chunks cut a line
+			io.WriteString(w, piece)
+			w.(http.Flusher).Flush()
+		}
 	}))
 	defer agent.Close()
 	defer agent.CloseClientConnections() // else a watch that is never given up would keep it
