A forward that was only late is taken back from the losses of idle connections

At fault: miss, which counts a forward as lost on its connection once it has waited for 2.5 usual times, and settle, which did not take that back when the answer came. Now it does, as far as it still weighs in (Ratio.Undo).

It should also guard against closing connections in a jam; it cannot harm where idle ones are dropped, as nothing ever comes back on these.

--- a/mixer/mixer.go
+++ b/mixer/mixer.go
@@ -102,15 +102,16 @@
 
 // forward is one try of a part.
 type forward struct {
-	part         *part
-	s            *searcher
-	call         *call
-	count        int   // calls out there, with its own
-	process      int64 // start of the process it went to
-	sent         int64
-	done, ran    bool   // has its outcome; may have run
-	line         *Ratio // nil where the connection was in use
-	missed, gone bool   // counted as lost by line and zone; waited for no more
+	part      *part
+	s         *searcher
+	call      *call
+	count     int   // calls out there, with its own
+	process   int64 // start of the process it went to
+	sent      int64
+	done, ran bool   // has its outcome; may have run
+	gone      bool   // waited for no more
+	line      *Ratio // nil where the connection was in use
+	missed    int64  // when it was counted as lost by line and zone, 0 if it was not
 }
 
 // lost tells whether no answer is waited for any more, though none has come: it is out for long with nothing
@@ -180,9 +181,7 @@
 			m.searchers[e.Searcher] = s
 			m.cells[e.Cell] = append(m.cells[e.Cell], s)
 		}
-		if m.zones[e.Zone] == nil {
-			m.zones[e.Zone] = &zone{}
-		}
+		m.zones[e.Zone] = cmp.Or(m.zones[e.Zone], &zone{})
 		s.zone, s.status = m.zones[e.Zone], e.Status
 		if s.started != e.Started { // a new process: nothing learnt of the old one holds
 			s.started, s.unheard, s.suspect, s.wait = e.Started, 0, false, 0
@@ -330,6 +329,9 @@
 	case Satisfied:
 		s.heard, s.unheard, s.suspect, s.wait = now, 0, false, 0
 		m.heard, s.zone.heard, s.zone.missed = now, now, 0
+		if f.missed > 0 && f.line != nil { // only late: else heavy parts on sound days cost a connection each
+			f.line.Undo(now, f.missed, 1, lineHalf)
+		}
 		if m.frac(now, s) == 1 {
 			m.borne.Add(now, 1, halfLife)
 		}
@@ -577,7 +579,7 @@
 			if tried || m.coldWait(now, s) > 0 {
 				return
 			}
-			key := [5]float64{2: float64(s.calls), 4: float64(p.Effort)}
+			key := [5]float64{1: float64(min(1, len(p.forwards))), 2: float64(s.calls), 4: float64(p.Effort)}
 			unit := m.unit(now, s)
 			if len(s.out) > 0 { // at least what the oldest out there has waited
 				unit = max(unit, float64(now-s.out[0].sent)/float64(s.out[0].count))
@@ -586,9 +588,6 @@
 			if s.zone != m.zones[m.c.Zone] { // weighed against time by what crossing costs
 				key[3] *= 1 + crossing*m.c.CrossPrice
 			}
-			if len(p.forwards) > 0 {
-				key[1] = 1
-			}
 			if m.shunned(now, s) {
 				key[0] = 1 // nobody better holds it
 			} else if s.suspect {
@@ -657,13 +656,13 @@
 // miss counts a forward as lost on its connection and in its zone, the latter where others answer meanwhile.
 // It guards against a zone lost, which a mixer with little traffic else meets searcher by searcher for long.
 func (f *forward) miss(now int64) {
-	if !f.missed && f.line != nil {
+	if f.missed == 0 && f.line != nil {
 		f.line.Add(now, 1, 0, lineHalf)
 	}
-	if z := f.s.zone; !f.missed && z.heard <= f.sent && f.sent < f.part.l.m.heard {
+	if z := f.s.zone; f.missed == 0 && z.heard <= f.sent && f.sent < f.part.l.m.heard {
 		z.missed++
 	}
-	f.missed = true
+	f.missed = cmp.Or(f.missed, now)
 }
 
 // send books one forward; review puts it out.
--- a/mixer/mixer_test.go
+++ b/mixer/mixer_test.go
@@ -22,7 +22,7 @@
 	parts           map[string]*seenPart
 	forwards, taken []int64           // when further ones were made, when lookups and parts came
 	cold            map[Entry][]int64 // when parts were sent to a process told to be cold
-	answers         int
+	answers, closed int
 	refusing        bool
 }
 
@@ -260,7 +260,10 @@
 	w.t.Fatalf("forward %d of %s withdrawn", forward, part)
 }
 
-func (w *world) CloseIdle(searcher string) { w.box[searcher].used = 0 }
+func (w *world) CloseIdle(searcher string) {
+	w.box[searcher].used = 0
+	w.closed++
+}
 
 func (w *world) Timer(after int64, whose Due) {
 	if after <= 0 {
@@ -603,6 +606,23 @@
 	}
 }
 
+// TestLateIsNotLost has every eighth part take long, on sound searchers: that says nothing of their connections.
+func TestLateIsNotLost(t *testing.T) {
+	w := warmed(t, 17, 3)
+	for i := range 160 {
+		if i%8 == 0 {
+			for _, b := range w.box {
+				b.free = [2]int64{w.now + 500*ms, w.now + 500*ms}
+			}
+		}
+		w.take(0, 1, 0, 4000*ms, false)
+		w.run(w.now + 800*ms)
+	}
+	if w.closed > 8 {
+		t.Errorf("idle connections were closed %d times, though none was dropped", w.closed)
+	}
+}
+
 func TestSilentZoneIsLeft(t *testing.T) {
 	w := newWorld(t, 14, plain(func(c *Charter) { c.Cells = 20 }))
 	rows := boxes(40, 20)
--- a/mixer/types.go
+++ b/mixer/types.go
@@ -149,6 +149,11 @@
 	r.under.Add(now, under, half)
 }
 
+// Undo takes back what was added over at a time, as far as it still weighs in.
+func (r *Ratio) Undo(now, at int64, over float64, half int64) {
+	r.over.Add(now, -over*math.Exp2(-float64(now-at)/float64(half)), half)
+}
+
 // Read gives the ratio as of now, leaning on a value with a weight.
 func (r *Ratio) Read(now int64, half int64, on, weight float64) float64 {
 	over, under := r.over.Read(now, half)+on*weight, r.under.Read(now, half)+weight
