--- a/internal/transport/transport_test.go
+++ b/internal/transport/transport_test.go
@@ -1,6 +1,7 @@
 package transport
 
 import (
+	"bytes"
 	"context"
 	"io"
 	"log/slog"
@@ -8,6 +9,7 @@
 	"net/http"
 	"net/http/httptest"
 	"strings"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -205,6 +207,32 @@
 	<-ended
 }
 
+// TestFailingWatchIsAskedForLessOften has an agent that fails each time: the waits grow, and one line at WARN says so.
+func TestFailingWatchIsAskedForLessOften(t *testing.T) {
+	var asked atomic.Int32
+	agent := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		asked.Add(1)
+		w.WriteHeader(http.StatusBadGateway)
+	}))
+	defer agent.Close()
+	var log bytes.Buffer
+	w := &Watch{
+		Discovery: agent.Listener.Addr().String(),
+		Limits:    charter.Limits{Beat: 80 * time.Millisecond, Read: time.Second, Line: 1 << 10, WatchLast: 200 * time.Millisecond},
+		Log:       slog.New(slog.NewTextHandler(&log, nil)),
+	}
+	ctx, cancel := context.WithTimeout(t.Context(), time.Second)
+	defer cancel()
+	w.Run(ctx)
+	// Waits of 5, 10, 20, 40, 80, 160 and 200 ms, each from half as long to half as long again.
+	if n := asked.Load(); n < 4 || n > 20 {
+		t.Errorf("asked %d times in a second", n)
+	}
+	if n := strings.Count(log.String(), "level=WARN"); n != 1 {
+		t.Errorf("%d lines at WARN:\n%s", n, log.String())
+	}
+}
+
 func TestPanicEndsOneRequest(t *testing.T) {
 	s := &Server{Log: slog.New(slog.NewTextHandler(io.Discard, nil))}
 	server := httptest.NewServer(s.guard(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
