--- a/cmd/nettlefold/main_test.go
+++ b/cmd/nettlefold/main_test.go
@@ -335,10 +335,22 @@
 		}
 		defer nc.Close()
 	}
-	w.start()
-	e := w.searchers[0].Entry("SERVING")
-	e.Address = full
-	w.list.Say(changed(2, e))
+	all := w.searchers
+	w.searchers = nil
+	w.launch() // without a searcher, so that health tells when the list below has been heard
+	w.searchers = all
+	for _, s := range all {
+		if err := s.Start(); err != nil {
+			t.Fatal(err)
+		}
+		defer s.Stop()
+	}
+	w.list.Say(w.whole(2, func(i int, m *toy.Member) {
+		if i == 0 {
+			m.Address = full
+		}
+	}))
+	w.until("health", func() bool { return w.health() == http.StatusOK })
 	w.until("the searcher that is cut off is tried", func() bool {
 		began := time.Now()
 		r := w.ask(fmt.Sprint("a", began.UnixNano()), "all", 0, 2)
