--- a/cmd/nettlefold/helper_test.go
+++ b/cmd/nettlefold/helper_test.go
@@ -119,8 +119,8 @@
 	return toy.Message{Index: index, Endpoints: []toy.Member{m}}
 }
 
-// configure starts the searchers and writes the program's configuration, to a file whose path it gives.
-func (w *world) configure() string {
+// play starts the searchers.
+func (w *world) play() {
 	w.t.Helper()
 	for _, s := range w.searchers {
 		if err := s.Start(); err != nil {
@@ -128,6 +128,20 @@
 		}
 		w.t.Cleanup(s.Stop)
 	}
+}
+
+// conns counts the connections that searchers have open.
+func (w *world) conns() (n int) {
+	for _, s := range w.searchers {
+		n += s.Conns()
+	}
+	return n
+}
+
+// configure starts the searchers and writes the program's configuration, to a file whose path it gives.
+func (w *world) configure() string {
+	w.t.Helper()
+	w.play()
 	n := launched.Add(1) // an address of its own on the loopback, which no other test can take meanwhile
 	w.addr = fmt.Sprintf("127.77.%d.%d:18080", n/250, 1+n%250)
 	raw, err := json.Marshal(object{
