SIGHUP reads the configuration anew and follows discovery to its new address

Now SIGHUP is heard before all else, the file is checked whole, the watch moves at once (also out of a silent one or a wait) and takes the whole list of the new address first, since its versions need not be those heard so far. What else has changed is named as needing a restart.

--- a/cmd/nettlefold/helper_test.go
+++ b/cmd/nettlefold/helper_test.go
@@ -50,6 +50,7 @@
 	settings  object
 	limits    object
 	addr      string
+	path      string // of the configuration
 	cmd       *exec.Cmd
 	log       syncBuffer
 	ended     chan error
@@ -77,9 +78,7 @@
 // prepare makes searchers, which may be changed until the program is started, and the list.
 func prepare(t *testing.T) *world {
 	w := &world{t: t, list: &toy.List{Beat: 100 * time.Millisecond}, client: &http.Client{Transport: &http.Transport{}}}
-	w.listAt = httptest.NewServer(w.list)
-	t.Cleanup(w.listAt.Close)
-	t.Cleanup(w.listAt.CloseClientConnections)
+	w.listAt = w.serveList(w.list)
 	for i := range 4 {
 		s := &toy.Searcher{Name: fmt.Sprintf("s%d", i), Zone: "z", Cell: i / 2, Took: 5 * time.Millisecond}
 		w.searchers = append(w.searchers, s)
@@ -144,17 +143,31 @@
 	w.play()
 	n := launched.Add(1) // an address of its own on the loopback, which no other test can take meanwhile
 	w.addr = fmt.Sprintf("127.77.%d.%d:18080", n/250, 1+n%250)
+	w.path = filepath.Join(w.t.TempDir(), "config.json")
+	w.write(w.listAt)
+	return w.path
+}
+
+// write writes the program's configuration, with discovery at a server.
+func (w *world) write(discovery *httptest.Server) {
+	w.t.Helper()
 	raw, err := json.Marshal(object{
-		"name": "n0", "listen": w.addr, "discovery": w.listAt.Listener.Addr().String(), "seed": "8c1f30d27a5be964",
+		"name": "n0", "listen": w.addr, "discovery": discovery.Listener.Addr().String(), "seed": "8c1f30d27a5be964",
 		"limits": w.limits, "known": w.whole(1, nil), "settings": w.settings})
 	if err != nil {
 		w.t.Fatal(err)
 	}
-	path := filepath.Join(w.t.TempDir(), "config.json")
-	if err := os.WriteFile(path, raw, 0o600); err != nil {
+	if err := os.WriteFile(w.path, raw, 0o600); err != nil {
 		w.t.Fatal(err)
 	}
-	return path
+}
+
+// serveList serves another list until the test ends.
+func (w *world) serveList(h http.Handler) *httptest.Server {
+	at := httptest.NewServer(h)
+	w.t.Cleanup(at.Close)
+	w.t.Cleanup(at.CloseClientConnections)
+	return at
 }
 
 // launch starts the searchers, and the program without waiting for it.
--- a/cmd/nettlefold/main.go
+++ b/cmd/nettlefold/main.go
@@ -22,6 +22,8 @@
 )
 
 func main() {
+	hup := make(chan os.Signal, 1) // before all else: unheard, it ends the program
+	signal.Notify(hup, syscall.SIGHUP)
 	level := new(slog.LevelVar)
 	log := slog.New(slog.NewTextHandler(os.Stderr, &slog.HandlerOptions{Level: level}))
 	if text := os.Getenv("NETTLEFOLD_LOG"); text != "" {
@@ -32,21 +34,45 @@
 	}
 	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
 	defer stop()
-	if err := run(ctx, os.Getenv("LB_CONFIG"), log); err != nil {
+	if err := run(ctx, hup, os.Getenv("LB_CONFIG"), log); err != nil {
 		fmt.Fprintln(os.Stderr, "nettlefold:", err)
 		os.Exit(1)
 	}
 }
 
-// run serves until the context ends and what was taken has been answered.
-func run(ctx context.Context, path string, log *slog.Logger) error {
+// configured reads the configuration.
+func configured(path string) (protocol.Config, error) {
 	raw, err := os.ReadFile(path)
 	if err != nil {
-		return fmt.Errorf("LB_CONFIG: %w", err)
+		return protocol.Config{}, fmt.Errorf("LB_CONFIG: %w", err)
 	}
 	c, err := protocol.ReadConfig(raw)
 	if err != nil {
-		return fmt.Errorf("%s: %w", path, err)
+		return c, fmt.Errorf("%s: %w", path, err)
+	}
+	return c, nil
+}
+
+// reload reads the configuration anew. Discovery is followed to where it is now, also where that is the same
+// address; all else is fixed at start, and what of it has changed is named.
+func reload(c protocol.Config, path string, watch *transport.Watch, log *slog.Logger) {
+	anew, err := configured(path)
+	if err != nil {
+		log.Error("configuration is kept as it was", "error", err)
+		return
+	}
+	if names := c.Differs(anew); len(names) > 0 {
+		log.Warn("configuration has changes that need a restart", "fields", names)
+	}
+	watch.Move(anew.Discovery)
+	log.Info("configuration is read anew", "discovery", anew.Discovery)
+}
+
+// run serves until the context ends and what was taken has been answered.
+func run(ctx context.Context, hup <-chan os.Signal, path string, log *slog.Logger) error {
+	c, err := configured(path)
+	if err != nil {
+		return err
 	}
 	runtime.GOMAXPROCS(max(1, int(math.Ceil(c.Limits.Cores))))
 	debug.SetMemoryLimit(c.Limits.Memory / 4 * 3)
@@ -87,10 +113,14 @@
 	served := make(chan error, 1)
 	wg.Go(func() { served <- server.Serve(listener) })
 	log.Info("serving", "name", c.Name, "listen", c.Listen, "searchers", len(c.Known.Members), "version", c.Known.Version)
-	select {
-	case err := <-served:
-		return err
-	case <-ctx.Done():
+	for ctx.Err() == nil {
+		select {
+		case err := <-served:
+			return err
+		case <-hup:
+			reload(c, path, watch, log)
+		case <-ctx.Done():
+		}
 	}
 	began := time.Now()
 	log.Info("leaving")
--- a/cmd/nettlefold/main_test.go
+++ b/cmd/nettlefold/main_test.go
@@ -698,7 +698,7 @@
 	ctx, leave := context.WithCancel(t.Context())
 	defer leave()
 	ended := make(chan error, 1)
-	go func() { ended <- run(ctx, path, slog.New(slog.NewTextHandler(&w.log, nil))) }()
+	go func() { ended <- run(ctx, nil, path, slog.New(slog.NewTextHandler(&w.log, nil))) }()
 	w.until("health", func() bool { return w.health() == http.StatusOK })
 	if procs, memory := runtime.GOMAXPROCS(0), debug.SetMemoryLimit(-1); procs != 1 || memory <= 0 || memory >= 192<<20 {
 		t.Errorf("the runtime knows of %d cores and %d bytes, of 1 and 192 MB", procs, memory)
@@ -727,6 +727,82 @@
 	w.until("every goroutine has ended", func() bool { return running() == 0 })
 }
 
+// TestReload has SIGHUP name other discoveries while lookups go on: the list follows each, whose versions start
+// anew, also from one that is silent; a file that is no use changes nothing; none of it costs a lookup.
+func TestReload(t *testing.T) {
+	w := prepare(t).start()
+	load, stop := context.WithCancel(t.Context())
+	var wg sync.WaitGroup
+	for i := range 3 {
+		wg.Go(func() {
+			for n := 0; load.Err() == nil; n++ {
+				if r := w.ask(fmt.Sprintf("load%d.%d", i, n), "all", 0, 1, 2, 3); r.status != http.StatusOK || !r.Complete {
+					t.Errorf("lookup %d of %d: status %d", n, i, r.status)
+				}
+			}
+		})
+	}
+	idle := func(i int) bool { // whether the searcher is asked nothing any more
+		before := calls(w.searchers[i])
+		time.Sleep(100 * time.Millisecond)
+		return calls(w.searchers[i]) == before
+	}
+	without := func(index int64, gone int) *httptest.Server {
+		m := w.whole(index, nil)
+		m.Endpoints = append(m.Endpoints[:gone:gone], m.Endpoints[gone+1:]...)
+		list := &toy.List{Beat: 100 * time.Millisecond}
+		list.Say(m)
+		return w.serveList(list)
+	}
+	w.list.Say(changed(41, w.searchers[0].Entry("DRAINING")))
+	w.until("the first list is heard", func() bool { return idle(0) })
+
+	w.write(without(3, 2)) // its versions are lower, it has the first searcher back and lacks the third
+	w.signal(syscall.SIGHUP)
+	w.until("the second list is heard", func() bool { return !idle(0) && idle(2) })
+
+	hung := make(chan struct{}, 10)
+	w.write(w.serveList(http.HandlerFunc(func(_ http.ResponseWriter, r *http.Request) {
+		hung <- struct{}{}
+		<-r.Context().Done()
+	})))
+	w.signal(syscall.SIGHUP)
+	<-hung
+	if idle(0) || !idle(2) {
+		t.Error("the list was not kept while discovery is silent")
+	}
+	w.limits["memory_mb"] = 100
+	w.write(without(3, 1))
+	w.signal(syscall.SIGHUP)
+	w.until("the fourth list is heard", func() bool { return idle(1) && !idle(2) })
+	if !strings.Contains(w.log.String(), "fields=[limits]") {
+		t.Error("the field that needs a restart is not named")
+	}
+	for _, c := range []struct{ text, want string }{
+		{`{"name":"n0","listen":"127.0.0.1:1"`, "unexpected end"},
+		{`{"name":"n0","listen":"127.0.0.1:1","discovery":"127.0.0.1:99999"}`, `discovery: port: \"99999\"`},
+	} {
+		if err := os.WriteFile(w.path, []byte(c.text), 0o600); err != nil {
+			t.Fatal(err)
+		}
+		w.signal(syscall.SIGHUP)
+		w.until("a file that is no use is named: "+c.want, func() bool { return strings.Contains(w.log.String(), c.want) })
+	}
+	if !idle(1) || idle(2) {
+		t.Error("the list was not kept with a file that is no use")
+	}
+	stop()
+	wg.Wait()
+	w.signal(syscall.SIGTERM)
+	for range 20 {
+		w.signal(syscall.SIGHUP)
+		time.Sleep(5 * time.Millisecond)
+	}
+	if code := w.exit(5 * time.Second); code != 0 {
+		t.Errorf("exit code %d", code)
+	}
+}
+
 // TestLeavingUnderLoad has SIGTERM come while clients go on: none may be lost.
 func TestLeavingUnderLoad(t *testing.T) {
 	w := prepare(t)
--- a/example/toy/toy.go
+++ b/example/toy/toy.go
@@ -9,6 +9,7 @@
 	"hash/fnv"
 	"net"
 	"net/http"
+	"slices"
 	"strconv"
 	"strings"
 	"sync"
@@ -243,8 +244,35 @@
 	return l.said, l.changed
 }
 
-// ServeHTTP serves a watch.
+// whole gives the list as all that was said makes it.
+func (l *List) whole() Message {
+	said, _ := l.next()
+	all := Message{Snapshot: true, Endpoints: []Member{}}
+	for _, line := range said {
+		var m Message
+		if line.index == 0 || json.Unmarshal([]byte(line.text), &m) != nil {
+			continue
+		}
+		if m.Snapshot {
+			all.Endpoints = nil
+		}
+		for _, e := range m.Endpoints {
+			all.Endpoints = slices.DeleteFunc(all.Endpoints, func(o Member) bool { return o.Name == e.Name })
+			if e.Status != "DELETED" {
+				all.Endpoints = append(all.Endpoints, e)
+			}
+		}
+		all.Index = m.Index
+	}
+	return all
+}
+
+// ServeHTTP serves the list, or a watch on it.
 func (l *List) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	if r.FormValue("follow") == "" {
+		json.NewEncoder(w).Encode(l.whole())
+		return
+	}
 	beat := l.Beat
 	if beat == 0 {
 		beat = 2 * time.Second
--- a/internal/protocol/config.go
+++ b/internal/protocol/config.go
@@ -3,6 +3,8 @@
 import (
 	"encoding/json"
 	"fmt"
+	"net"
+	"slices"
 	"strconv"
 
 	"nettlefold/internal/charter"
@@ -17,6 +19,8 @@
 	Rows                    map[string]int
 	Limits                  charter.Limits
 	Known                   List
+
+	terms map[string]string // everything but discovery and known, as written
 }
 
 type config struct {
@@ -44,6 +48,11 @@
 		if f.value == "" {
 			return c, fmt.Errorf("configuration: %s: missing", f.name)
 		}
+		if _, port, err := net.SplitHostPort(f.value); err != nil {
+			return c, fmt.Errorf("configuration: %s: %w", f.name, err)
+		} else if _, err := strconv.ParseUint(port, 10, 16); err != nil {
+			return c, fmt.Errorf("configuration: %s: port: %q", f.name, clip(port))
+		}
 	}
 	seed, err := strconv.ParseUint(in.Seed, 16, 64)
 	if err != nil {
@@ -71,6 +80,10 @@
 	}
 	c.Limits.Cores, c.Limits.Sockets = in.Limits.Cores, in.Limits.Sockets
 	c.Limits.Memory = int64(in.Limits.Memory * (1 << 20))
+	c.terms = map[string]string{"name": c.Name, "listen": c.Listen, "seed": in.Seed, "limits": fmt.Sprint(in.Limits)}
+	for key, v := range terms {
+		c.terms["settings."+key] = v
+	}
 	if len(in.Known) > 0 {
 		if c.Known, err = ReadList(in.Known); err != nil {
 			return c, fmt.Errorf("configuration: known: %w", err)
@@ -78,3 +91,19 @@
 	}
 	return c, nil
 }
+
+// Differs names what of another configuration this one has otherwise, but for discovery and the list as last known.
+func (c Config) Differs(other Config) (names []string) {
+	for name, v := range c.terms {
+		if w, ok := other.terms[name]; !ok || v != w {
+			names = append(names, name)
+		}
+	}
+	for name := range other.terms {
+		if _, ok := c.terms[name]; !ok {
+			names = append(names, name)
+		}
+	}
+	slices.Sort(names)
+	return names
+}
--- a/internal/transport/watch.go
+++ b/internal/transport/watch.go
@@ -9,6 +9,7 @@
 	"math/rand/v2"
 	"net"
 	"net/http"
+	"sync"
 	"time"
 
 	"nettlefold/internal/charter"
@@ -18,7 +19,7 @@
 
 // Watch follows the list and hands on its news in order.
 type Watch struct {
-	Discovery string        // address
+	Discovery string        // address to begin with
 	Known     protocol.List // the list to begin with
 	Limits    charter.Limits
 	Log       *slog.Logger
@@ -27,6 +28,34 @@
 	fails   int // watches in a row that brought nothing
 	version int64
 	members map[string]protocol.Member // as they last were
+	lost    bool                       // what the version counts is not known: the whole list comes first
+
+	mu  sync.Mutex
+	to  string             // address that was moved to last, "" if none was
+	cut context.CancelFunc // ends the watch at hand and the wait after it
+}
+
+// Move has the watch go on at another address, at once, whatever state it is in. The list is kept until that
+// address has told the whole of its own, whose versions need not be those heard so far.
+func (w *Watch) Move(address string) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.to = address
+	if w.cut != nil {
+		w.cut()
+	}
+}
+
+// turn begins the next watch: its context ends with a move, one that has been made meanwhile is done first.
+func (w *Watch) turn(ctx context.Context) (context.Context, context.CancelFunc) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if w.to != "" {
+		w.Log.Info("watch on the list moves", "from", w.Discovery, "to", w.to)
+		w.Discovery, w.to, w.lost, w.fails = w.to, "", true, 0
+	}
+	ctx, w.cut = context.WithCancel(ctx)
+	return ctx, w.cut
 }
 
 // Run holds a watch until the context ends, and makes it anew after growing, jittered waits.
@@ -37,9 +66,10 @@
 	w.keep(w.Known)
 	for ctx.Err() == nil {
 		began := time.Now()
-		err := w.follow(ctx, client)
-		if ctx.Err() != nil {
-			return
+		turn, cut := w.turn(ctx)
+		err := w.follow(turn, client)
+		if turn.Err() != nil {
+			continue
 		}
 		if time.Since(began) >= w.Limits.Silence() {
 			w.fails = 0 // the wait was long enough
@@ -53,9 +83,10 @@
 		w.fails++
 		w.Log.Log(ctx, level, "watch on the list ended", "version", w.version, "error", err, "again in", wait)
 		select {
-		case <-ctx.Done():
+		case <-turn.Done():
 		case <-time.After(wait):
 		}
+		cut()
 	}
 }
 
@@ -65,19 +96,31 @@
 	defer cancel()
 	silent := time.AfterFunc(w.Limits.Silence(), cancel) // a dead agent says nothing
 	defer silent.Stop()
-	req, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+w.Discovery+protocol.PathWatch(w.version), nil)
-	if err != nil {
-		return err
+	if w.lost {
+		body, err := w.get(ctx, client, protocol.PathList)
+		if err != nil {
+			return err
+		}
+		raw, err := io.ReadAll(io.LimitReader(body, int64(w.Limits.Line)))
+		body.Close()
+		if err != nil {
+			return err
+		}
+		list, err := protocol.ReadList(raw)
+		if err != nil {
+			return err
+		}
+		list.Whole = true
+		if err := w.take(list); err != nil {
+			return err
+		}
 	}
-	resp, err := client.Do(req)
+	body, err := w.get(ctx, client, protocol.PathWatch(w.version))
 	if err != nil {
 		return err
 	}
-	defer resp.Body.Close()
-	if resp.StatusCode != http.StatusOK {
-		return fmt.Errorf("status %s", resp.Status)
-	}
-	in := bufio.NewScanner(resp.Body)
+	defer body.Close()
+	in := bufio.NewScanner(body)
 	in.Buffer(nil, w.Limits.Line)
 	for in.Scan() {
 		silent.Reset(w.Limits.Silence())
@@ -101,12 +144,28 @@
 	return io.EOF
 }
 
+// get asks discovery for something.
+func (w *Watch) get(ctx context.Context, client *http.Client, path string) (io.ReadCloser, error) {
+	req, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+w.Discovery+path, nil)
+	if err != nil {
+		return nil, err
+	}
+	resp, err := client.Do(req)
+	if err != nil {
+		return nil, err
+	}
+	if resp.StatusCode != http.StatusOK {
+		resp.Body.Close()
+		return nil, fmt.Errorf("status %s", resp.Status)
+	}
+	return resp.Body, nil
+}
+
 // take hands on one message. Changes that go back mean that discovery has lost its count: all is asked for anew.
 func (w *Watch) take(list protocol.List) error {
 	if !list.Whole && list.Version < w.version {
-		last := w.version
-		w.version = 0
-		return fmt.Errorf("changes of version %d after %d", list.Version, last)
+		w.lost = true
+		return fmt.Errorf("changes of version %d after %d", list.Version, w.version)
 	}
 	for _, s := range list.Skipped {
 		w.Log.Warn("list: a searcher is kept as it was", "version", list.Version, "searcher", s.Searcher, "fault", s.Fault)
@@ -114,7 +173,7 @@
 			list.Members = append(list.Members, m)
 		}
 	}
-	w.version = list.Version
+	w.version, w.lost = list.Version, w.lost && !list.Whole
 	w.keep(list)
 	w.Listed(list)
 	return nil
