While leaving, clients are served on the connections they have until 0.65 s are over

The mixer ended each connection with its first answer after SIGTERM, and new ones found nobody. Excluded: lookups lost at the end (none unanswered in the log), the list (level at both). PROTOCOL has clients stay on open connections, and what comes within 0.7 s keeps all its time.

--- a/internal/charter/limits.go
+++ b/internal/charter/limits.go
@@ -26,6 +26,7 @@
 	Body      int           // bytes of a client's request
 	Beat      time.Duration // between the empty lines of a silent watch
 	Arrivals  time.Duration // how long new connections still come after SIGTERM
+	Taken     time.Duration // after SIGTERM, up to which requests are let in that need not be answered before SIGKILL
 	KillAfter time.Duration // after SIGTERM, before SIGKILL may come
 
 	// Bounds for safety.
@@ -50,6 +51,7 @@
 		Body:      64 << 10,
 		Beat:      2 * time.Second,
 		Arrivals:  400 * time.Millisecond,
+		Taken:     700 * time.Millisecond,
 		Header:    16 << 10,
 		Read:      5 * time.Second,
 		Write:     5 * time.Second,
@@ -61,7 +63,7 @@
 	for _, tariff := range c.Tariffs {
 		l.Patience = max(l.Patience, time.Duration(tariff.Patience))
 	}
-	l.KillAfter = min(l.Patience, 3*time.Second) + 700*time.Millisecond
+	l.KillAfter = min(l.Patience, 3*time.Second) + l.Taken
 	return l, s.err()
 }
 
@@ -83,8 +85,9 @@
 // Silence is how long a watch may be silent: an empty line comes each beat.
 func (l Limits) Silence() time.Duration { return 3 * l.Beat }
 
-// Linger is how long after SIGTERM new connections are taken, somewhat longer than they come.
-func (l Limits) Linger() time.Duration { return l.Arrivals + l.Arrivals/4 }
+// Linger is how long after SIGTERM clients are served as before: longer than new connections come, and as long as
+// what is taken has all its time before SIGKILL.
+func (l Limits) Linger() time.Duration { return l.Taken - l.Arrivals/8 }
 
 // Leave is how long after SIGTERM lookups may still be answered, somewhat before SIGKILL may come.
 func (l Limits) Leave() time.Duration { return l.KillAfter - l.Arrivals/2 }
--- a/internal/transport/server.go
+++ b/internal/transport/server.go
@@ -72,8 +72,9 @@
 	return err
 }
 
-// Leave ends service: at once health fails and answers end their connections; new connections are taken for as
-// long as they still come; then what is open is answered. What is open when the time to leave ends has failed.
+// Leave ends service: at once health fails; clients are served on for a while, on the connections they have too,
+// since for those that come meanwhile there may be no other mixer; then connections end with their answers and
+// what is open is answered. What is open when the time to leave ends has failed.
 func (s *Server) Leave() error {
 	s.leaving.Store(true)
 	began := time.Now()
@@ -114,19 +115,11 @@
 				w.WriteHeader(http.StatusInternalServerError)
 			}
 		}()
-		s.closing(w)
 		next.ServeHTTP(w, r)
 		between(r.Context()) // the answer goes out once this returns
 	})
 }
 
-// closing has the answer end its connection if the mixer is leaving.
-func (s *Server) closing(w http.ResponseWriter) {
-	if s.leaving.Load() {
-		w.Header().Set("Connection", "close")
-	}
-}
-
 func (s *Server) health(w http.ResponseWriter, r *http.Request) {
 	if !s.ready.Load() || s.leaving.Load() {
 		http.Error(w, "not serving", http.StatusServiceUnavailable)
@@ -185,7 +178,6 @@
 
 // answer writes the final answer of a lookup.
 func (s *Server) answer(w http.ResponseWriter, l protocol.Lookup, f routing.Final) {
-	s.closing(w)
 	switch f.Verdict {
 	case routing.Answered:
 		body, err := protocol.WriteAnswer(l, f)
