Requests are read strictly, hidden ones refused, places go to clients that ask

Now the connection's bytes are followed (protocol/stream.go): two lengths or more than one request at a time end it with a 4xx or after the answer. The first request has 2 s from the connection's start. Where places run out, whoever has been silent or half-way for 0.25 s loses his first; a client that asked once and stayed is let go after 4 s idle.

Tests fail without.

--- a/cmd/nettlefold/main_test.go
+++ b/cmd/nettlefold/main_test.go
@@ -191,7 +191,14 @@
 		{strings.Repeat("a", 65), "all", "500", good, 400, "X-Txn: 65 bytes"},
 		{"b1", "none", "500", good, 400, `X-Lane: unknown "none"`},
 		{"b1", "all", "", good, 400, "X-Remaining-Ms"},
-		{"b1", "all", "soon", good, 400, `X-Remaining-Ms: not a time in milliseconds: "soon"`},
+		{"b1", "all", "soon", good, 400, `X-Remaining-Ms: not whole milliseconds: "soon"`},
+		{"b1", "all", "1e2", good, 400, "X-Remaining-Ms"},
+		{"b1", "all", "-5", good, 400, "X-Remaining-Ms"},
+		{"b1", "all", "500", strings.Replace(good, "0.5", "0.75", 1), 400, "shards: weights add up to 1.25"},
+		{"b1", "all", "500", strings.Replace(good, "shards", "Shards", 1), 400, "body: shards: none"},
+		{"b1", "all", "500", strings.Replace(good, `"q"`, `"q":"y","q"`, 1), 400, "body: q: told twice"},
+		{"b1", "all", "500", strings.Replace(good, `"x"`, "\"\xff\"", 1), 400, "body: not UTF-8"},
+		{"b1", "all", "500", strings.Replace(good, `"x"`, `"\ud800"`, 1), 400, "body: q: half a character"},
 		{"b1", "all", "500", "{", 400, "body: "},
 		{"b1", "all", "500", good + good, 400, "body: more than one"},
 		{"b1", "all", "500", `{"shards":[{"shard":0,"weight":1}]}`, 400, "body: q: missing"},
@@ -214,6 +221,8 @@
 		"POST /api HTTP/1.1\r\nHost: x\r\nX-Filler: " + strings.Repeat("x", 64<<10) + "\r\n\r\n",
 		"GET /api HTTP/1.1\r\nHost: x\r\nConnection: close\r\n\r\n",
 		"nonsense\r\n\r\n",
+		"POST /api HTTP/1.1\r\nHost: x\r\nContent-Length: 60000000\r\n\r\n",
+		"POST /api HTTP/1.0\r\nHost: x\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\n",
 	} {
 		nc, err := net.Dial("tcp", w.addr)
 		if err != nil {
@@ -235,6 +244,60 @@
 	}
 }
 
+// TestHiddenRequests has one request hold another, by two lengths or behind it: the first is refused or answered, the
+// connection ends, and nothing of the second reaches a searcher.
+func TestHiddenRequests(t *testing.T) {
+	w := prepare(t).start()
+	lookup := func(id, extra, body string) string {
+		return fmt.Sprintf("POST /api HTTP/1.1\r\nHost: x\r\nX-Txn: %s\r\nX-Lane: all\r\nX-Remaining-Ms: 900\r\n%s\r\n\r\n%s", id, extra, body)
+	}
+	body := shards("text of a", 0)
+	length := fmt.Sprint("Content-Length: ", len(body))
+	hidden := lookup("hidden", length, body)
+	chunked := fmt.Sprintf("%x\r\n%s\r\n0\r\n\r\n", len(body), body)
+	for _, c := range []struct{ raw, later, want string }{
+		{lookup("a1", length+"\r\nTransfer-Encoding: chunked", chunked+hidden), "", "400"},
+		{lookup("a2", "Transfer-Encoding: chunked\r\n"+length, chunked+hidden), "", "400"},
+		{lookup("a3", length, body+hidden), "", "400"},
+		{lookup("a4", "Transfer-Encoding: chunked", chunked+hidden), "", "400"},
+		{lookup("a5", length, body), hidden, "200"},
+		{lookup("a6", "Transfer-Encoding: chunked", chunked), "", "200"},
+	} {
+		for _, s := range w.searchers {
+			s.Took = 50 * time.Millisecond
+		}
+		nc, err := net.Dial("tcp", w.addr)
+		if err != nil {
+			t.Fatal(err)
+		}
+		nc.SetDeadline(time.Now().Add(3 * time.Second))
+		io.WriteString(nc, c.raw)
+		if c.later != "" {
+			w.until("the first is served", func() bool { return calls(w.searchers[0])+calls(w.searchers[1]) > 0 })
+			io.WriteString(nc, c.later)
+		}
+		in := bufio.NewReader(nc)
+		resp, err := http.ReadResponse(in, nil)
+		if err != nil || !strings.HasPrefix(resp.Status, c.want) {
+			t.Fatalf("%.300q is answered %+v, %v, want %s", c.raw, resp, err, c.want)
+		}
+		io.Copy(io.Discard, resp.Body)
+		if c.raw == lookup("a6", "Transfer-Encoding: chunked", chunked) {
+			continue // nothing is hidden there
+		}
+		if more, err := io.ReadAll(in); len(more) > 0 || errors.Is(err, os.ErrDeadlineExceeded) {
+			t.Errorf("%.300q: after the first answer came %q, %v", c.raw, more, err)
+		}
+	}
+	for _, s := range w.searchers {
+		for _, f := range s.Frames() {
+			if strings.Contains(f, "hidden") {
+				t.Errorf("a hidden request has reached %s: %q", s.Name, f)
+			}
+		}
+	}
+}
+
 // TestTroubledSearcher has one of two holders misbehave: every lookup must be served all the same.
 func TestTroubledSearcher(t *testing.T) {
 	frame := func(letter byte, rest string) func(toy.Part) {
@@ -600,26 +663,43 @@
 	})
 }
 
-// TestFullHouse has more clients connect than there are descriptors for. The newest must be served, and searchers
-// reached.
+// TestFullHouse has more clients connect than there are descriptors for, some with half a request. The newest must be
+// served, and the connection of one that has been served is kept before theirs. All of theirs are closed in time.
 func TestFullHouse(t *testing.T) {
 	w := prepare(t)
 	w.limits["sockets"] = 64
 	w.start()
-	for range 100 {
+	w.client = &http.Client{Transport: &http.Transport{}, Timeout: 2 * time.Second}
+	w.satisfied("first", 2)
+	usual := 0
+	w.client.Transport.(*http.Transport).DialContext = func(ctx context.Context, network, addr string) (net.Conn, error) {
+		usual++
+		return (&net.Dialer{}).DialContext(ctx, network, addr)
+	}
+	began := time.Now()
+	var rude []net.Conn
+	for i := range 100 {
 		nc, err := net.Dial("tcp", w.addr)
 		if err != nil {
 			t.Fatal(err)
 		}
 		defer nc.Close()
+		io.WriteString(nc, []string{"", "POST /api HT", "POST /api HTTP/1.1\r\nHost: x\r\nContent-Length: 9\r\n\r\n{"}[i%3])
+		rude = append(rude, nc)
+		time.Sleep(20 * time.Millisecond)
 	}
-	w.client = &http.Client{Transport: &http.Transport{DisableKeepAlives: true}, Timeout: 2 * time.Second}
-	if n := w.satisfied("a", 5); n != 5 {
-		t.Errorf("%d of 5 lookups were answered whole", n)
+	if n := w.satisfied("a", 5); n != 5 || usual != 0 {
+		t.Errorf("%d of 5 lookups were answered whole, on %d new connections", n, usual)
 	}
 	if n := w.files(); n > 64 {
 		t.Errorf("%d descriptors are open, want 64 at most", n)
 	}
+	for _, nc := range rude {
+		nc.SetDeadline(began.Add(5 * time.Second))
+		if _, err := io.ReadAll(nc); errors.Is(err, os.ErrDeadlineExceeded) {
+			t.Fatal("a client that never asks is still connected")
+		}
+	}
 }
 
 // TestFewConnections has fewer connections allowed than there are searchers: one that lies idle gives way. Two
@@ -712,7 +792,7 @@
 		}
 		w.client.CloseIdleConnections()
 		w.until("goroutines are as few as connections ask for", func() bool {
-			return running() <= 2*w.conns()+4 // a reader and a writer each, the list's watch, ticks, the sweep, the server
+			return running() <= 2*w.conns()+5 // a reader and a writer each, the list's watch, ticks, the sweeps, the server
 		})
 	}
 	leave()
--- a/internal/charter/limits.go
+++ b/internal/charter/limits.go
@@ -31,7 +31,10 @@
 
 	// Bounds for safety.
 	Header    int           // bytes of a client's header
-	Read      time.Duration // for a client's whole request
+	Read      time.Duration // for a client's whole request, from its connection's start if it is the first
+	Prompt    time.Duration // in which a sound client's request comes whole; longer ones are the first to lose their place
+	Once      time.Duration // in which a client that has asked once asks again
+	Kept      time.Duration // in which one that has asked more often does
 	Write     time.Duration // for an answer, or for one frame
 	Frame     int           // bytes of a searcher's frame
 	Line      int           // bytes of one line of the list, or of the whole list
@@ -53,7 +56,10 @@
 		Arrivals:  400 * time.Millisecond,
 		Taken:     700 * time.Millisecond,
 		Header:    16 << 10,
-		Read:      5 * time.Second,
+		Read:      2 * time.Second,
+		Prompt:    250 * time.Millisecond,
+		Once:      4 * time.Second,
+		Kept:      time.Minute,
 		Write:     5 * time.Second,
 		Frame:     64 << 10,
 		Line:      8 << 20,
--- a/internal/protocol/lookup.go
+++ b/internal/protocol/lookup.go
@@ -4,14 +4,18 @@
 
 import (
 	"bytes"
+	"cmp"
 	"encoding/json"
 	"errors"
 	"fmt"
 	"io"
 	"math"
 	"net/http"
+	"slices"
 	"strconv"
+	"strings"
 	"time"
+	"unicode/utf8"
 
 	"nettlefold/internal/charter"
 	"nettlefold/internal/routing"
@@ -34,71 +38,225 @@
 	Text string
 }
 
-type body struct {
-	Shards []struct {
-		Shard  *int     `json:"shard"`
-		Weight *float64 `json:"weight"`
-		Cost   *float64 `json:"cost"`
-	} `json:"shards"`
-	Text *string `json:"q"`
-}
-
-// ReadLookup reads a client's request, the first of which was seen at a time.
+// ReadLookup reads a client's request, the first of which was seen at a time. It takes nothing that PROTOCOL does not have:
+// what is let through reaches searchers, and one that cannot read it ends a connection that others share.
 func ReadLookup(head http.Header, raw []byte, seen time.Time, tariffs map[string]int, lim charter.Limits) (Lookup, error) {
 	l := Lookup{}
-	l.ID, l.Tariff, l.Again = head.Get(headID), head.Get(headTariff), head.Get(headAgain) == "1"
+	var remaining, again string
+	for _, h := range []struct {
+		name string
+		to   *string
+	}{{headID, &l.ID}, {headTariff, &l.Tariff}, {headRemaining, &remaining}, {headAgain, &again}} {
+		switch all := head.Values(h.name); len(all) {
+		case 0:
+		case 1:
+			*h.to = all[0]
+		default:
+			return l, fmt.Errorf("%s: told %d times", h.name, len(all))
+		}
+	}
 	if err := checkID(l.ID, lim.ID); err != nil {
 		return l, err
 	}
 	if _, ok := tariffs[l.Tariff]; !ok {
 		return l, fmt.Errorf("%s: unknown %q", headTariff, clip(l.Tariff))
 	}
-	left, err := strconv.ParseFloat(head.Get(headRemaining), 64)
-	if err != nil || !(left >= 0 && left <= 1e9) {
-		return l, fmt.Errorf("%s: not a time in milliseconds: %q", headRemaining, clip(head.Get(headRemaining)))
+	if again != "" && again != "1" {
+		return l, fmt.Errorf("%s: %q", headAgain, clip(again))
 	}
-	l.Expires = seen.Add(time.Duration(charter.Nanos(left)))
-	var b body
-	d := json.NewDecoder(bytes.NewReader(raw))
-	if err := d.Decode(&b); err != nil {
+	l.Again = again == "1"
+	left, err := strconv.ParseUint(remaining, 10, 32)
+	if err != nil {
+		return l, fmt.Errorf("%s: not whole milliseconds: %q", headRemaining, clip(remaining))
+	}
+	l.Expires = seen.Add(time.Duration(left) * time.Millisecond)
+	if err := l.readBody(raw, lim); err != nil {
 		return l, fmt.Errorf("body: %w", err)
 	}
-	if _, err := d.Token(); err != io.EOF {
-		return l, errors.New("body: more than one JSON value")
-	}
-	if b.Text == nil {
-		return l, errors.New("body: q: missing")
-	}
-	l.Text = *b.Text
-	if len(b.Shards) == 0 {
-		return l, errors.New("body: shards: none")
-	}
-	seenSlice := make(map[int]bool, len(b.Shards))
-	for i, s := range b.Shards {
-		at := fmt.Sprintf("body: shards[%d]", i)
-		switch {
-		case s.Shard == nil:
-			return l, fmt.Errorf("%s: shard: missing", at)
-		case *s.Shard < 0 || *s.Shard >= lim.Slices:
-			return l, fmt.Errorf("%s: shard: %d is not within 0 to %d", at, *s.Shard, lim.Slices-1)
-		case seenSlice[*s.Shard]:
-			return l, fmt.Errorf("%s: shard: %d is named twice", at, *s.Shard)
-		case s.Weight == nil:
-			return l, fmt.Errorf("%s: weight: missing", at)
-		case !(*s.Weight > 0 && *s.Weight <= 1):
-			return l, fmt.Errorf("%s: weight: %v is not above 0 and up to 1", at, *s.Weight)
+	return l, nil
+}
+
+// readBody reads the parts and their text.
+func (l *Lookup) readBody(raw []byte, lim charter.Limits) error {
+	if !utf8.Valid(raw) {
+		return errors.New("not UTF-8")
+	}
+	d := json.NewDecoder(bytes.NewReader(raw))
+	d.UseNumber()
+	told := false
+	err := object(d, func(key string) error {
+		switch key {
+		case "q":
+			told = true
+			return text(d, &l.Text)
+		case "shards":
+			return array(d, func() error {
+				at := fmt.Sprintf("shards[%d]: ", len(l.Parts))
+				p, err := readPart(d, lim)
+				if err == nil && slices.ContainsFunc(l.Parts, func(o routing.Part) bool { return o.Slice == p.Slice }) {
+					err = fmt.Errorf("shard: %d is named twice", p.Slice)
+				}
+				if err != nil {
+					return fmt.Errorf("%s%w", at, err)
+				}
+				l.Parts = append(l.Parts, p)
+				return nil
+			})
 		}
-		p := routing.Part{Slice: *s.Shard, Weight: *s.Weight}
-		if s.Cost != nil {
-			if !(*s.Cost >= 0 && *s.Cost <= 1e12) {
-				return l, fmt.Errorf("%s: cost: %v", at, *s.Cost)
+		return d.Decode(&json.RawMessage{}) // something newer
+	})
+	if err != nil {
+		return err
+	}
+	if _, err := d.Token(); err != io.EOF {
+		return errors.New("more than one JSON value")
+	}
+	if lost := strings.Count(l.Text, "\ufffd"); lost > 0 && lost > bytes.Count(raw, []byte("\ufffd"))+
+		bytes.Count(bytes.ToLower(raw), []byte(`\ufffd`)) {
+		return errors.New("q: half a character")
+	}
+	switch {
+	case !told:
+		return errors.New("q: missing")
+	case len(l.Parts) == 0:
+		return errors.New("shards: none")
+	}
+	sum := 0.0
+	for _, p := range l.Parts {
+		sum += p.Weight
+	}
+	if math.Abs(sum-1) > rounding*float64(len(l.Parts)) {
+		return fmt.Errorf("shards: weights add up to %v", sum)
+	}
+	return nil
+}
+
+// rounding is how far each weight may be from what it stands for: they are written with a few digits.
+const rounding = 1e-3
+
+// readPart reads one part.
+func readPart(d *json.Decoder, lim charter.Limits) (p routing.Part, err error) {
+	shard, weight := -1, -1.0
+	err = object(d, func(key string) error {
+		switch key {
+		case "shard":
+			n, err := number(d, key)
+			if err != nil {
+				return err
+			}
+			if shard, err = strconv.Atoi(n); err != nil || shard < 0 || shard >= lim.Slices {
+				return fmt.Errorf("shard: %s is not within 0 to %d", clip(n), lim.Slices-1)
+			}
+		case "weight":
+			n, err := number(d, key)
+			if err != nil {
+				return err
+			}
+			if weight, err = strconv.ParseFloat(n, 64); err != nil || !(weight > 0 && weight <= 1) {
+				return fmt.Errorf("weight: %s is not above 0 and up to 1", clip(n))
+			}
+		case "cost":
+			n, err := number(d, key)
+			if err != nil {
+				return err
+			}
+			micros, err := strconv.ParseFloat(n, 64)
+			if err != nil || !(micros >= 0 && micros <= 1e12) {
+				return fmt.Errorf("cost: %s", clip(n))
 			}
-			p.Effort = time.Duration(math.Round(*s.Cost * 1000))
+			p.Effort = time.Duration(math.Round(micros * 1000))
+		case "key":
+			var v string
+			if err := text(d, &v); err != nil {
+				return fmt.Errorf("key: %w", err)
+			}
+			if _, err := strconv.ParseUint(v, 16, 64); err != nil || len(v) != 16 {
+				return fmt.Errorf("key: not 16 hex digits: %q", clip(v))
+			}
+		default:
+			return d.Decode(&json.RawMessage{})
 		}
-		seenSlice[*s.Shard] = true
-		l.Parts = append(l.Parts, p)
+		return nil
+	})
+	switch {
+	case err != nil:
+	case shard < 0:
+		err = errors.New("shard: missing")
+	case weight < 0:
+		err = errors.New("weight: missing")
 	}
-	return l, nil
+	p.Slice, p.Weight = shard, weight
+	return p, err
+}
+
+// object reads an object, each key of which may stand once, in just these letters.
+func object(d *json.Decoder, member func(key string) error) error {
+	if t, err := d.Token(); err != nil || t != json.Delim('{') {
+		return fmt.Errorf("not an object: %w", cmp.Or(err, errForm))
+	}
+	var keys []string
+	for d.More() {
+		t, err := d.Token()
+		if err != nil {
+			return err
+		}
+		key := t.(string) // the decoder lets nothing else stand here
+		if slices.Contains(keys, key) {
+			return fmt.Errorf("%s: told twice", clip(key))
+		}
+		if keys = append(keys, key); len(keys) > mostKeys {
+			return errors.New("too many keys")
+		}
+		if err := member(key); err != nil {
+			return err
+		}
+	}
+	_, err := d.Token()
+	return err
+}
+
+// mostKeys is how many keys an object may have: those there are and some newer ones.
+const mostKeys = 32
+
+var errForm = errors.New("another sort of value")
+
+// array reads an array.
+func array(d *json.Decoder, item func() error) error {
+	if t, err := d.Token(); err != nil || t != json.Delim('[') {
+		return fmt.Errorf("not an array: %w", cmp.Or(err, errForm))
+	}
+	for d.More() {
+		if err := item(); err != nil {
+			return err
+		}
+	}
+	_, err := d.Token()
+	return err
+}
+
+func text(d *json.Decoder, to *string) error {
+	t, err := d.Token()
+	if err != nil {
+		return err
+	}
+	s, ok := t.(string)
+	if !ok {
+		return fmt.Errorf("not a text: %w", errForm)
+	}
+	*to = s
+	return nil
+}
+
+func number(d *json.Decoder, key string) (string, error) {
+	t, err := d.Token()
+	if err != nil {
+		return "", err
+	}
+	n, ok := t.(json.Number)
+	if !ok {
+		return "", fmt.Errorf("%s: not a number: %w", key, errForm)
+	}
+	return string(n), nil
 }
 
 // checkID sees to it that an id can stand in a line of a frame.
--- a/internal/protocol/protocol_test.go
+++ b/internal/protocol/protocol_test.go
@@ -11,6 +11,7 @@
 	"strings"
 	"testing"
 	"time"
+	"unicode/utf8"
 
 	"nettlefold/internal/charter"
 	"nettlefold/internal/routing"
@@ -41,6 +42,13 @@
 			}
 			used[p.Slice] = true
 		}
+		sum := 0.0
+		for _, p := range l.Parts {
+			sum += p.Weight
+		}
+		if sum < 0.98 || sum > 1.02 || !utf8.ValidString(l.Text) {
+			t.Errorf("weights add up to %v, text %q", sum, l.Text)
+		}
 		if len(l.Parts) == 0 || l.ID == "" || strings.ContainsAny(l.ID, " \n\t\r") || l.Expires.Before(seen) {
 			t.Errorf("lookup %+v was let in", l)
 		}
@@ -48,7 +56,7 @@
 }
 
 func TestLookupAndAnswer(t *testing.T) {
-	raw := `{"shards":[{"shard":3,"weight":0.5,"cost":9000.5,"key":"00ff"},{"shard":9,"weight":0.25},` +
+	raw := `{"shards":[{"shard":3,"weight":0.5,"cost":9000.5,"key":"5be2a07c19f04d63"},{"shard":9,"weight":0.25},` +
 		`{"shard":0,"weight":0.25}],"q":"c\n<é","new":1}`
 	seen := time.Unix(1e9, 0)
 	l, err := ReadLookup(head("9b1f", "t", "480"), []byte(raw), seen, map[string]int{"t": 0}, limits)
@@ -74,6 +82,43 @@
 	}
 }
 
+// FuzzStream feeds a connection's bytes in two pieces: what is made of them does not hang on where they are cut.
+func FuzzStream(f *testing.F) {
+	post := "POST /api HTTP/1.1\r\nHost: x\r\n"
+	for raw, want := range map[string]string{
+		post + "Content-Length: 5\r\n\r\nhello":                                                     "",
+		post + "Transfer-Encoding: chunked\r\n\r\n5;a=b\r\nhello\r\n0\r\nTrail: er\r\n\r\n":         "",
+		"\r\nGET /_health HTTP/1.1\nHost: x\n\n":                                                    "",
+		post + "content-length: 5\r\nTRANSFER-Encoding: chunked\r\n\r\n0\r\n\r\n" + post:            "both",
+		post + "Transfer-Encoding: chunked\r\nContent-Length: 5\r\n\r\n":                            "both",
+		post + "Content-Length: 5\r\nContent-Length: 5\r\n\r\nhello":                                "not one length",
+		post + "Content-Length: -5\r\n\r\n":                                                         "not one length",
+		post + "Content-Length: 99999999999999999999\r\n\r\n":                                       "not one length",
+		post + "Content-Length: 5\r\n\r\nhello" + post:                                              "more than one",
+		post + "Transfer-Encoding: chunked\r\n\r\nzz\r\n":                                           "without a length",
+		post + "X: " + strings.Repeat("Content-Length: 5\r", 99) + "\r\nContent-Length: 1\r\n\r\na": "",
+	} {
+		f.Add([]byte(raw), 40)
+		s := Stream{}
+		if s.Feed([]byte(raw)); !strings.Contains(s.Fault, want) || (want == "") != (s.Whole && s.Fault == "") {
+			f.Errorf("%.90q: whole %v, fault %q, want %q", raw, s.Whole, s.Fault, want)
+		}
+		if s.Next(); want == "" && (s.Begun() || s.Whole) {
+			f.Errorf("%.90q: the next request is not waited for", raw)
+		}
+	}
+	f.Fuzz(func(t *testing.T, raw []byte, cut int) {
+		at := min(max(cut, 0), len(raw))
+		one, two := Stream{}, Stream{}
+		one.Feed(raw)
+		two.Feed(raw[:at])
+		two.Feed(raw[at:])
+		if one.Fault != two.Fault || one.Whole != two.Whole || len(two.line) > lineKept {
+			t.Errorf("%q: %+v, cut at %d %+v", raw, one, at, two)
+		}
+	})
+}
+
 func FuzzFrames(f *testing.F) {
 	f.Add(AppendFrame(nil, Answer, []byte("a.3 ok 1840277719 -\n5be2")))
 	f.Add(AppendFrame(nil, Answer, []byte("a.3 ok 1\n")))
--- a/internal/transport/door.go
+++ b/internal/transport/door.go
@@ -4,52 +4,106 @@
 	"context"
 	"net"
 	"net/http"
-	"sync/atomic"
+	"sync"
 	"time"
+
+	"nettlefold/internal/protocol"
 )
 
 type connKey struct{}
 
-// client is one connection of a client. It keeps when the request at hand was first seen.
+// client is one connection of a client. It follows its bytes, and keeps when the request at hand was first seen.
 type client struct {
 	net.Conn
-	seen  atomic.Int64 // Unix ns of the first bytes of the request at hand, 0 between requests
+
+	mu     sync.Mutex
+	stream protocol.Stream
+	seen   time.Time // the first bytes of the request at hand
+	asked  int       // requests that have come in whole
+
+	// The server's lock holds for these.
 	state http.ConnState
 	since time.Time // of the state
 }
 
-// free tells whether no request has begun on it. The server's lock is held.
-func (c *client) free() bool { return c.state != http.StateActive && c.seen.Load() == 0 }
-
-// Read notes when a request's first bytes are seen.
+// Read notes what comes.
 func (c *client) Read(b []byte) (int, error) {
 	n, err := c.Conn.Read(b)
 	if n > 0 {
-		c.seen.CompareAndSwap(0, time.Now().UnixNano())
+		c.mu.Lock()
+		if !c.stream.Begun() {
+			c.seen = time.Now()
+		}
+		was := c.stream.Whole
+		if c.stream.Feed(b[:n]); !was && c.stream.Whole {
+			c.asked++
+		}
+		c.mu.Unlock()
 	}
 	return n, err
 }
 
+// Write notes that a request which is in whole is being answered: what comes from now on is the next.
+func (c *client) Write(b []byte) (int, error) {
+	c.mu.Lock()
+	c.stream.Next()
+	c.mu.Unlock()
+	return c.Conn.Write(b)
+}
+
 // arrived gives the earliest moment at which the request at hand is known to have been on its way.
-func arrived(ctx context.Context) time.Time {
-	now := time.Now()
-	if c, ok := ctx.Value(connKey{}).(*client); ok {
-		if at := c.seen.Load(); at > 0 {
-			return now.Add(-time.Duration(max(0, now.UnixNano()-at)))
-		}
-	}
-	return now
+func (c *client) arrived() time.Time {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.seen
 }
 
-// between tells that the request at hand is done with.
-func between(ctx context.Context) {
-	if c, ok := ctx.Value(connKey{}).(*client); ok {
-		c.seen.Store(0)
+// fault gives what is wrong with the connection's bytes, "" if nothing is.
+func (c *client) fault() string {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.stream.Fault
+}
+
+// use is what a connection of a client is taken up with, that which is given up first for another's place foremost.
+type use int
+
+const (
+	stuck    use = iota // longer without a whole request than a sound client leaves it
+	unneeded            // asked once, long ago
+	idle
+	silent   // new, nothing has come yet
+	incoming // some of a request has come
+	busy     // its request is being served
+)
+
+// use tells what the connection is taken up with, and since when. The server's lock is held.
+func (c *client) use(s *Server) (use, time.Time) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	begun, fresh, prompt := c.stream.Begun(), c.asked == 0, s.Limits.Prompt
+	since := c.since
+	if begun && !fresh {
+		since = c.seen
 	}
+	long := time.Since(since)
+	switch {
+	case begun && c.stream.Whole || !begun && c.state == http.StateActive:
+		return busy, since
+	case (begun || fresh) && long > prompt:
+		return stuck, since
+	case begun:
+		return incoming, since
+	case fresh:
+		return silent, since
+	case c.asked == 1 && long > s.Limits.Once || long > s.Limits.Kept:
+		return unneeded, since
+	}
+	return idle, since
 }
 
-// door lets clients in. Where all places are taken it closes the connection that has been unused longest, so that
-// one which has been accepted never waits unread.
+// door lets clients in. Where all places are taken it closes a connection that is in no use, so that one which has
+// been accepted never waits unread.
 type door struct {
 	net.Listener
 	s *Server
@@ -65,7 +119,7 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	for len(s.conns) >= s.Limits.Clients() {
-		if o := s.unused(); o != nil {
+		if o := s.spare(); o != nil {
 			delete(s.conns, o)
 			o.Close()
 		} else {
@@ -76,29 +130,43 @@
 	return c, nil
 }
 
-// unused gives the connection that has been without a request for longest, those that had one before first. The
-// lock is held.
-func (s *Server) unused() (best *client) {
+// spare gives the connection to be given up first, the longest in its use of those in the same, nil if all are
+// being answered. The lock is held.
+func (s *Server) spare() (best *client) {
+	least, from := busy, time.Time{}
 	for o := range s.conns {
-		if o.free() && (best == nil || o.state > best.state ||
-			o.state == best.state && o.since.Before(best.since)) {
-			best = o
+		if u, since := o.use(s); u < least || u == least && u < busy && since.Before(from) {
+			best, least, from = o, u, since
 		}
 	}
 	return best
 }
 
-// closeUnused closes the connections without a request.
-func (s *Server) closeUnused() {
+// closeUnused closes the connections that are unneeded, with all set also those on which no request is coming.
+func (s *Server) closeUnused(all bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	for o := range s.conns {
-		if o.free() {
+		if u, _ := o.use(s); u == unneeded || all && u < incoming {
 			o.Close()
 		}
 	}
 }
 
+// sweep closes unneeded connections until the context ends.
+func (s *Server) sweep(ctx context.Context) {
+	every := time.NewTicker(s.Limits.Prompt)
+	defer every.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-every.C:
+			s.closeUnused(false)
+		}
+	}
+}
+
 // state follows the connections.
 func (s *Server) state(nc net.Conn, state http.ConnState) {
 	c := nc.(*client)
--- a/internal/transport/server.go
+++ b/internal/transport/server.go
@@ -2,6 +2,7 @@
 package transport
 
 import (
+	"cmp"
 	"context"
 	"errors"
 	"io"
@@ -49,6 +50,7 @@
 	mux := http.NewServeMux()
 	mux.HandleFunc("GET "+protocol.PathHealth, s.health)
 	mux.HandleFunc("POST "+protocol.PathLookup, s.lookup)
+	mux.HandleFunc("/", func(w http.ResponseWriter, _ *http.Request) { refuse(w, http.StatusNotFound, "no such place") })
 	s.http = &http.Server{
 		Handler:           s.guard(mux),
 		ReadHeaderTimeout: s.Limits.Read,
@@ -65,6 +67,11 @@
 
 // Serve serves clients until Leave is called.
 func (s *Server) Serve(l net.Listener) error {
+	ctx, cancel := context.WithCancel(context.Background())
+	var wg sync.WaitGroup
+	defer wg.Wait()
+	defer cancel()
+	wg.Go(func() { s.sweep(ctx) })
 	err := s.http.Serve(&door{l, s})
 	if errors.Is(err, http.ErrServerClosed) {
 		return nil
@@ -101,7 +108,7 @@
 		case err := <-done:
 			return err
 		case <-time.After(s.Limits.Arrivals / 16):
-			s.closeUnused()
+			s.closeUnused(true)
 		}
 	}
 }
@@ -116,10 +123,15 @@
 			}
 		}()
 		next.ServeHTTP(w, r)
-		between(r.Context()) // the answer goes out once this returns
 	})
 }
 
+// refuse answers what cannot be served, and ends the connection: what follows on it may not be a request.
+func refuse(w http.ResponseWriter, status int, why string) {
+	w.Header().Set("Connection", "close")
+	http.Error(w, why, status)
+}
+
 func (s *Server) health(w http.ResponseWriter, r *http.Request) {
 	if !s.ready.Load() || s.leaving.Load() {
 		http.Error(w, "not serving", http.StatusServiceUnavailable)
@@ -128,16 +140,28 @@
 
 // lookup serves one lookup, from its request to its answer.
 func (s *Server) lookup(w http.ResponseWriter, r *http.Request) {
-	seen := arrived(r.Context())
+	c := r.Context().Value(connKey{}).(*client)
+	if why := c.fault(); why != "" || !r.ProtoAtLeast(1, 1) {
+		refuse(w, http.StatusBadRequest, cmp.Or(why, "not HTTP/1.1"))
+		return
+	}
+	if r.ContentLength > int64(s.Limits.Body) {
+		refuse(w, http.StatusRequestEntityTooLarge, "body: over "+strconv.Itoa(s.Limits.Body)+" bytes")
+		return
+	}
 	raw, err := io.ReadAll(http.MaxBytesReader(w, r.Body, int64(s.Limits.Body)))
 	if big := (*http.MaxBytesError)(nil); errors.As(err, &big) {
-		http.Error(w, "body: over "+strconv.Itoa(s.Limits.Body)+" bytes", http.StatusRequestEntityTooLarge)
+		refuse(w, http.StatusRequestEntityTooLarge, "body: over "+strconv.Itoa(s.Limits.Body)+" bytes")
 		return
 	} else if err != nil {
-		http.Error(w, "body: "+err.Error(), http.StatusBadRequest)
+		refuse(w, http.StatusBadRequest, "body: "+err.Error())
+		return
+	}
+	if why := c.fault(); why != "" {
+		refuse(w, http.StatusBadRequest, why)
 		return
 	}
-	l, err := protocol.ReadLookup(r.Header, raw, seen, s.Tariffs, s.Limits)
+	l, err := protocol.ReadLookup(r.Header, raw, c.arrived(), s.Tariffs, s.Limits)
 	if err != nil {
 		http.Error(w, err.Error(), http.StatusBadRequest)
 		return
@@ -170,6 +194,9 @@
 			s.Searchers.Send(c.Searcher, c.Fresh, call)
 		}
 		if step.Final != nil {
+			if c.fault() != "" {
+				w.Header().Set("Connection", "close")
+			}
 			s.answer(w, l, *step.Final)
 			return
 		}
