A spoilt answer costs one failure, its connection at once, and nothing more is sent there

Now one part has errored, the others there are withdrawn and sent anew, a strange id ends the connection, a second copy lets it serve out what it has, a frame that has begun has 250 ms and keeps new parts off meanwhile. Letters are judged before memory is taken, values have to be UTF-8.

--- a/internal/charter/limits.go
+++ b/internal/charter/limits.go
@@ -36,6 +36,7 @@
 	Once      time.Duration // in which a client that has asked once asks again
 	Kept      time.Duration // in which one that has asked more often does
 	Write     time.Duration // for an answer, or for one frame
+	Rest      time.Duration // for a searcher's frame that has begun to come, as long as a connection may take
 	Frame     int           // bytes of a searcher's frame
 	Line      int           // bytes of one line of the list, or of the whole list
 	WatchLast time.Duration // longest wait before the watch is tried again; the agent is on this machine, asking is free
@@ -66,6 +67,7 @@
 		WatchLast: time.Second,
 		ID:        64,
 	}
+	l.Rest = l.Connect
 	for _, tariff := range c.Tariffs {
 		l.Patience = max(l.Patience, time.Duration(tariff.Patience))
 	}
--- a/internal/protocol/frame.go
+++ b/internal/protocol/frame.go
@@ -1,12 +1,14 @@
 package protocol
 
 import (
+	"bufio"
 	"bytes"
 	"encoding/binary"
 	"fmt"
 	"io"
 	"strconv"
 	"time"
+	"unicode/utf8"
 
 	"nettlefold/internal/routing"
 	"nettlefold/mixer"
@@ -51,7 +53,7 @@
 // Bad says what is wrong with a frame.
 func Bad(format string, args ...any) error { return &BadFrame{fmt.Sprintf(format, args...)} }
 
-// ReadFrame reads one frame of at most so many bytes. Memory is taken only once its length has been seen to be sound.
+// ReadFrame reads one frame of at most so many bytes. Memory is taken only once length and letter have been seen to be sound.
 func ReadFrame(r io.Reader, most int) (Frame, error) {
 	var head [5]byte
 	if _, err := io.ReadFull(r, head[:4]); err != nil {
@@ -61,14 +63,32 @@
 	if n < 1 || n > uint32(most) {
 		return Frame{}, Bad("frame: length %d is not within 1 to %d", n, most)
 	}
-	whole := make([]byte, n)
-	if _, err := io.ReadFull(r, whole); err != nil {
-		if err == io.EOF {
-			err = io.ErrUnexpectedEOF
-		}
+	_, err := io.ReadFull(r, head[4:])
+	if err == nil && bytes.IndexByte([]byte{Query, Withdraw, Probe, Load, Answer, Fault}, head[4]) < 0 {
+		return Frame{}, Bad("frame: unknown letter %q", head[4])
+	}
+	rest := []byte(nil)
+	if err == nil && n > 1 {
+		rest = make([]byte, n-1)
+		_, err = io.ReadFull(r, rest)
+	}
+	if err == io.EOF {
+		err = io.ErrUnexpectedEOF
+	}
+	if err != nil {
 		return Frame{}, fmt.Errorf("frame: cut off within its %d bytes: %w", n, err)
 	}
-	return Frame{whole[0], whole[1:]}, nil
+	return Frame{head[4], rest}, nil
+}
+
+// Waits tells whether the next frame has come in whole, or is known not to be one.
+func Waits(in *bufio.Reader, most int) bool {
+	head, err := in.Peek(min(4, in.Buffered()))
+	if err != nil || len(head) < 4 {
+		return false
+	}
+	n := binary.LittleEndian.Uint32(head)
+	return n > uint32(most) || int(n) <= in.Buffered()-4
 }
 
 // AppendFrame writes one frame.
@@ -97,18 +117,26 @@
 
 var ends = map[string]routing.Outcome{"ok": mixer.Satisfied, "err": mixer.Errored, "busy": mixer.Bounced}
 
-// ReadReply reads the rest of an answer's frame.
+// ReadReply reads the rest of an answer's frame. Where it cannot be used, the reply has the id at least if that could be
+// read. The report is not used, so one that cannot be read is no fault.
 func ReadReply(rest []byte) (Reply, error) {
 	line, value, ok := bytes.Cut(rest, []byte{'\n'})
-	words := bytes.Split(line, []byte{' '})
+	words := bytes.SplitN(line, []byte{' '}, 4)
+	r := Reply{ID: string(words[0])}
 	if !ok || len(words) != 4 || len(words[0]) == 0 {
-		return Reply{}, Bad("answer: line %q is not ID END SCORE REPORT", clip(string(line)))
+		return r, Bad("answer: line %q is not ID END SCORE REPORT", clip(string(line)))
+	}
+	if r.Outcome, ok = ends[string(words[1])]; !ok {
+		return r, Bad("answer: unknown end %q", clip(string(words[1])))
+	}
+	if _, err := strconv.ParseFloat(string(words[2]), 64); err != nil {
+		return r, Bad("answer: score %q is no number", clip(string(words[2])))
 	}
-	end, ok := ends[string(words[1])]
-	if !ok {
-		return Reply{}, Bad("answer: unknown end %q", clip(string(words[1])))
+	if !utf8.Valid(value) {
+		return r, Bad("answer: value %q is not UTF-8", clip(string(value)))
 	}
-	return Reply{string(words[0]), end, value}, nil
+	r.Value = value
+	return r, nil
 }
 
 // ProbeAnswer gives the rest that answers a searcher's probe: the mixer is well, and reports no load.
--- a/internal/routing/router_test.go
+++ b/internal/routing/router_test.go
@@ -225,7 +225,7 @@
 			time.Sleep(3 * time.Second)
 			g.check()
 			for _, f := range g.all {
-				if !f.done {
+				if !f.done.Load() {
 					t.Error("a forward has no outcome")
 				}
 			}
--- a/internal/routing/ticket.go
+++ b/internal/routing/ticket.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"strconv"
+	"sync/atomic"
 	"time"
 
 	"nettlefold/mixer"
@@ -85,13 +86,14 @@
 
 // Forward is one try of a part. It has exactly one outcome, also after its lookup has ended.
 type Forward struct {
-	Part       int       // of its lookup
-	ID         string    // of that part
-	Until      time.Time // when it is waited for no more
-	slot       *slot
-	copy       int
-	at         int64
-	left, done bool
+	Part  int       // of its lookup
+	ID    string    // of that part
+	Until time.Time // when it is waited for no more
+	slot  *slot
+	copy  int
+	at    int64
+	left  bool
+	done  atomic.Bool
 }
 
 // Take takes a lookup. Pick must then be called until it gives a final answer or an error.
@@ -175,7 +177,7 @@
 
 // withdraw gives up one forward, which the searcher is told if it may have it.
 func (t *Ticket) withdraw(f *Forward) {
-	if f.done {
+	if f.done.Load() {
 		return
 	}
 	o := mixer.Moot
@@ -231,18 +233,14 @@
 func (f *Forward) Leave() bool {
 	may := false
 	f.slot.t.r.call(f, func(now int64) {
-		may = !f.done
+		may = !f.done.Load()
 		f.left = may
 	})
 	return may
 }
 
-// Over tells whether the forward has had its outcome.
-func (f *Forward) Over() bool {
-	f.slot.t.r.mu.Lock()
-	defer f.slot.t.r.mu.Unlock()
-	return f.done
-}
+// Over tells whether the forward has had its outcome. It needs no lock: connections ask it for each part on them.
+func (f *Forward) Over() bool { return f.done.Load() }
 
 // Report tells the outcome of the forward, with the value where it is satisfied. Any after the first is ignored.
 func (f *Forward) Report(o Outcome, value []byte) {
@@ -260,10 +258,10 @@
 
 // settle tells the module the outcome, once.
 func (f *Forward) settle(now int64, o Outcome, value []byte) {
-	if f.done {
+	if f.done.Load() {
 		return
 	}
-	f.done = true
+	f.done.Store(true)
 	s := f.slot
 	if o == mixer.Satisfied && !s.in && !s.t.ended {
 		s.in, s.value = true, value
--- a/internal/transport/searchers.go
+++ b/internal/transport/searchers.go
@@ -7,6 +7,7 @@
 	"fmt"
 	"log/slog"
 	"net"
+	"os"
 	"slices"
 	"sync"
 	"time"
@@ -65,6 +66,9 @@
 	queue  [][]*Parcel
 	raw    [][]byte // frames that are no calls
 	out    map[string]*Parcel
+	last   string // id of the newest answer
+	halted bool   // carries no more new parts, for good or until a frame that has begun is whole
+	spent  bool   // halted for good
 	wake   chan struct{}
 	closed bool
 	cancel context.CancelFunc
@@ -98,8 +102,17 @@
 	errClosing = errors.New("closing")
 	errIdle    = errors.New("idle")
 	errOld     = errors.New("the searcher has restarted or moved")
+	errSpent   = errors.New("more than the answers has come")
 )
 
+// spoilt is the error of an answer that cannot be used. The searcher is there, its work may have been done.
+type spoilt struct {
+	error
+	id string // of the part, "" if that cannot be told
+}
+
+func (e *spoilt) Unwrap() error { return e.error }
+
 // Listed takes news of where searchers are. Connections to a process that is no more are closed.
 func (s *Searchers) Listed(list protocol.List) {
 	var old []*line
@@ -147,7 +160,7 @@
 		live := l.live()
 		if fresh && live == 0 && l.nc != nil {
 			idle = append(idle, l)
-		} else if best == nil && live+len(call) <= s.lim.Streams && !l.worn(s.lim) && l.takes(call) {
+		} else if best == nil && live+len(call) <= s.lim.Streams && !l.halted && !l.worn(s.lim) && l.takes(call) {
 			best = l
 		}
 	}
@@ -352,7 +365,7 @@
 	defer s.wg.Done()
 	in := bufio.NewReader(nc)
 	for {
-		f, err := protocol.ReadFrame(in, s.lim.Frame)
+		f, err := s.frame(l, nc, in)
 		if err == nil {
 			err = s.got(l, f)
 		}
@@ -363,21 +376,67 @@
 	}
 }
 
+// frame waits for the next frame. One that has begun has to go on: meanwhile nothing new is sent on the connection, since
+// what has begun may be no frame at all, and where nothing is waited for it is none.
+func (s *Searchers) frame(l *line, nc net.Conn, in *bufio.Reader) (protocol.Frame, error) {
+	if _, err := in.Peek(1); err != nil {
+		return protocol.Frame{}, err
+	}
+	if protocol.Waits(in, s.lim.Frame) {
+		return protocol.ReadFrame(in, s.lim.Frame)
+	}
+	s.mu.Lock()
+	l.halted = true
+	idle := l.live() == 0
+	s.mu.Unlock()
+	if idle {
+		return protocol.Frame{}, errSpent
+	}
+	nc.SetReadDeadline(time.Now().Add(s.lim.Rest))
+	f, err := protocol.ReadFrame(in, s.lim.Frame)
+	if errors.Is(err, os.ErrDeadlineExceeded) {
+		err = &spoilt{protocol.Bad("frame: stopped for %v", s.lim.Rest), ""}
+	}
+	nc.SetReadDeadline(time.Time{})
+	s.mu.Lock()
+	l.halted = l.spent
+	s.mu.Unlock()
+	return f, err
+}
+
 // got takes one frame of a searcher.
 func (s *Searchers) got(l *line, f protocol.Frame) error {
 	switch f.Letter {
 	case protocol.Answer:
 		r, err := protocol.ReadReply(f.Rest)
 		if err != nil {
-			return err
+			return &spoilt{err, r.ID}
 		}
 		s.mu.Lock()
 		p := l.out[r.ID]
-		delete(l.out, r.ID)
+		if p != nil && p.state == queued {
+			p = nil
+		}
+		again := p == nil && r.ID == l.last
+		if p != nil {
+			delete(l.out, r.ID)
+			l.last = r.ID
+		} else {
+			l.halted, l.spent = true, true
+		}
 		l.used = time.Now()
+		idle := l.live() == 0
 		s.mu.Unlock()
-		if p != nil {
+		switch {
+		case p != nil:
 			p.Forward.Report(r.Outcome, r.Value)
+			if l.spent && idle {
+				return errSpent
+			}
+		case idle:
+			return errSpent
+		case !again: // in place of the answer to one of those that are out
+			return &spoilt{protocol.Bad("answer: %q is not out on this connection", r.ID), ""}
 		}
 	case protocol.Probe, protocol.Load:
 		if len(f.Rest) > 0 {
@@ -393,13 +452,14 @@
 	case protocol.Fault:
 		return protocol.Bad("the searcher could not use a frame: %q", f.Rest[:min(len(f.Rest), 80)])
 	default:
-		return protocol.Bad("frame: unknown letter %q", f.Letter)
+		return protocol.Bad("frame: letter %q is not a searcher's", f.Letter)
 	}
 	return nil
 }
 
 // drop ends a connection, once, and tells the outcome of all that was out on it but for what is being written: a
-// searcher may have it whole before the writer knows.
+// searcher may have it whole before the writer knows. Of a spoilt answer one part has failed, as far as can be told the
+// one that was out longest; the others are withdrawn for it.
 func (s *Searchers) drop(l *line, why error) {
 	s.mu.Lock()
 	if l.closed {
@@ -422,6 +482,11 @@
 			reset = append(reset, p)
 		}
 	}
+	outcome, withdrawn := mixer.Reset, []*Parcel(nil)
+	if bad := (*protocol.BadFrame)(nil); errors.As(why, &bad) && len(reset) > 0 {
+		outcome = mixer.Errored
+		reset, withdrawn = blame(why, reset)
+	}
 	l.out, l.queue, l.raw = nil, nil, nil
 	s.mu.Unlock()
 	level := slog.LevelDebug
@@ -429,11 +494,30 @@
 		level = slog.LevelWarn
 	}
 	s.log.Log(s.ctx, level, "connection to a searcher ended", "searcher", l.to.name, "why", why,
-		"reset", len(reset), "unreached", len(unreached))
-	report(reset, mixer.Reset)
+		"failed", len(reset), "withdrawn", len(withdrawn), "unreached", len(unreached))
+	report(reset, outcome)
+	report(withdrawn, mixer.Cancelled)
 	report(unreached, mixer.Unreached)
 }
 
+// blame parts the forward that a spoilt answer is for from the others.
+func blame(why error, out []*Parcel) (failed, others []*Parcel) {
+	worst, id := 0, ""
+	if e := (*spoilt)(nil); errors.As(why, &e) {
+		id = e.id
+	}
+	for i, p := range out {
+		if p.Part.ID == id {
+			worst = i
+			break
+		}
+		if p.Forward.Until.Before(out[worst].Forward.Until) {
+			worst = i
+		}
+	}
+	return out[worst : worst+1 : worst+1], append(out[:worst:worst], out[worst+1:]...)
+}
+
 // sweep closes connections that are of no more use, until the end. Idle ones go before the searcher would close
 // them, who counts from the last byte that it has seen.
 func (s *Searchers) sweep() {
@@ -453,7 +537,7 @@
 				delete(s.all, name)
 			}
 			for _, l := range to.lines {
-				done := to.gone || l.worn(s.lim) || time.Since(l.used) >= s.lim.Idle()
+				done := to.gone || l.spent || l.worn(s.lim) || time.Since(l.used) >= s.lim.Idle()
 				if done && l.nc != nil && l.live() == 0 {
 					idle = append(idle, l)
 				}
--- a/internal/transport/transport_test.go
+++ b/internal/transport/transport_test.go
@@ -125,6 +125,83 @@
 	}
 }
 
+// TestSpoiltAnswers has a searcher answer one of two parts on a connection in every unsound way, and once in good
+// ways that bring too much. A spoilt one costs the other part a prompt new try, too much costs it nothing; in either
+// case nothing new goes out on the connection, and no value of it is believed that does not belong there.
+func TestSpoiltAnswers(t *testing.T) {
+	raw := func(b ...byte) func(toy.Part) { return func(p toy.Part) { p.Conn.Write(b) } }
+	frame := func(letter byte, rest string) func(toy.Part) {
+		return func(p toy.Part) { p.Conn.Frame(letter, strings.ReplaceAll(rest, "ID", p.ID)) }
+	}
+	good := func(more func(toy.Part)) func(toy.Part) {
+		return func(p toy.Part) {
+			p.Answer("ok", p.Value())
+			more(p)
+		}
+	}
+	for name, c := range map[string]struct {
+		handle func(toy.Part)
+		sound  bool
+	}{
+		"noise":                 {raw([]byte("%&xyzxyz")...), false},
+		"a few bytes":           {raw(7), false},
+		"a line without end":    {raw(append([]byte{200, 0, 0, 0, 'A'}, bytes.Repeat([]byte("x"), 90)...)...), false},
+		"3 GB":                  {raw(0, 0, 0, 192, 'A', 'a'), false},
+		"too short":             {raw(0, 0, 0, 0), false},
+		"a bad letter":          {frame('#', "ID ok 1 -\nvalue"), false},
+		"a bad end":             {frame('A', "ID okay 1 -\nvalue"), false},
+		"a bad score":           {frame('A', "ID ok one -\nvalue"), false},
+		"a bad line":            {frame('A', "ID ok\nvalue"), false},
+		"a bad value":           {frame('A', "ID ok 1 -\n\xff\xfe"), false},
+		"another id":            {frame('A', "zz.0 ok 1 -\nvalue"), false},
+		"a second copy":         {good(frame('A', "ID ok 1 -\nagain")), true},
+		"a report without form": {frame('A', "ID ok 1 {load: \x00 9\nvalue"), true},
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			parts := make(chan toy.Part, 9)
+			far := &toy.Searcher{Handle: func(p toy.Part) { parts <- p }}
+			if err := far.Start(); err != nil {
+				t.Fatal(err)
+			}
+			defer far.Stop()
+			r := router(t, mixer.Repeatable, "s", "other")
+			s := NewSearchers(charter.Limits{KeepAlive: time.Hour, Connect: time.Second, Rest: 100 * time.Millisecond,
+				Write: time.Second, Streams: 9, Sockets: 99, Frame: 999}, quiet)
+			defer s.Close()
+			s.Listed(protocol.List{Members: []protocol.Member{{Entry: routing.Entry{Searcher: "s"}, Address: far.Address}}})
+			var tickets []*routing.Ticket
+			send := func(id string) *Parcel {
+				ticket := take(t, r, id)
+				tickets = append(tickets, ticket)
+				p := &Parcel{Forward: pick(t, ticket).Calls[0].Forwards[0], Part: protocol.Part{ID: id + ".0"}}
+				s.Send("s", false, []*Parcel{p})
+				return p
+			}
+			a := send("a")
+			b := send("b")
+			first, second := <-parts, <-parts
+			began := time.Now()
+			c.handle(first)
+			step := pick(t, tickets[0])
+			if answered := step.Final != nil && step.Final.Verdict == routing.Answered; answered != c.sound {
+				t.Errorf("the part's lookup goes on with %+v, answered ought to be %v", step, c.sound)
+			}
+			if c.sound {
+				time.Sleep(20 * time.Millisecond)
+				second.Answer("ok", "other")
+			}
+			step = pick(t, tickets[1])
+			if answered := step.Final != nil && string(step.Final.Hits[0].Value) == "other"; answered != c.sound || time.Since(began) > time.Second {
+				t.Errorf("the other part's lookup goes on after %v with %+v", time.Since(began), step)
+			}
+			if next := send("c"); name != "a report without form" && next.line == a.line || a.line != b.line {
+				t.Errorf("new parts go out on the same connection: %v, the first two: %v", next.line == a.line, a.line == b.line)
+			}
+		})
+	}
+}
+
 // breaking is a connection that takes so many bytes and then breaks.
 type breaking struct {
 	net.Conn
