--- a/internal/transport/transport_test.go
+++ b/internal/transport/transport_test.go
@@ -247,7 +247,8 @@
 	}
 }
 
-// TestSilentWatchIsMadeAnew has an agent take the first watch and say nothing, as a cut-off one does.
+// TestSilentWatchIsMadeAnew has an agent take the first watch and say nothing, as a cut-off one does, and end the second
+// with a line that cannot be read: what that had to tell is in the whole list.
 func TestSilentWatchIsMadeAnew(t *testing.T) {
 	asked := make(chan string, 10)
 	first := true
@@ -258,7 +259,11 @@
 			<-r.Context().Done()
 			return
 		}
-		for _, piece := range []string{"\n" + `{"index":9,"snap`, `shot":true,"endpoints":[]}` + "\n\n"} { // chunks cut a line
+		if r.URL.Path == protocol.PathList && r.FormValue("follow") == "" {
+			io.WriteString(w, `{"index":12,"snapshot":true,"endpoints":[]}`)
+			return
+		}
+		for _, piece := range []string{"\n" + `{"index":9,"snap`, `shot":true,"endpoints":[]}` + "\n\n{\n"} { // chunks cut a line
 			io.WriteString(w, piece)
 			w.(http.Flusher).Flush()
 		}
@@ -277,7 +282,7 @@
 		w.Run(ctx)
 		close(ended)
 	}()
-	for i, want := range []string{"since=4", "since=4", "since=9"} {
+	for i, want := range []string{"since=4", "since=4", "/members", "since=12"} {
 		select {
 		case got := <-asked:
 			if !strings.HasSuffix(got, want) {
--- a/internal/transport/watch.go
+++ b/internal/transport/watch.go
@@ -127,6 +127,7 @@
 		if len(in.Bytes()) > 0 {
 			list, err := protocol.ReadList(in.Bytes())
 			if err != nil {
+				w.lost = true // what it had to tell is not known
 				return err
 			}
 			if err := w.take(list); err != nil {
