A silent connection is left, and a suspect searcher is tested on a new one

A probe logged outcomes, suspicions and the state at each turning away: all 117 were at moments when every holder of a slice was suspect, s- for one from 4.1 s to beyond 10 s, each test timing out like the forward before it. Few errors, no resets, answers took 3 ms a call: the searchers were well. Lines: Send in transport/searchers.go chose the same connection for every test, which the network had let fall silent; send in the module did not ask for another. Excluded: the cold allowance (0 at all), load (calls 0 to 6), the budget.

Now a connection takes nothing new once a part has waited there for all its time with nothing heard, and a suspect's test asks for a fresh one, past all that are silent.

--- a/internal/transport/searchers.go
+++ b/internal/transport/searchers.go
@@ -24,6 +24,7 @@
 	Part    protocol.Part // Within is told when it is written
 	line    *line         // that carries it
 	state   state         // of its frame
+	sent    time.Time     // when that was written
 }
 
 // state is how far a frame has come. Once it is being written only the writer can tell what became of it.
@@ -63,6 +64,7 @@
 	nc     net.Conn
 	began  time.Time // when it began to be made; its process is not younger
 	used   time.Time // last written to or read from
+	heard  time.Time // last read from
 	queue  [][]*Parcel
 	raw    [][]byte // frames that are no calls
 	out    map[string]*Parcel
@@ -145,7 +147,8 @@
 	}
 }
 
-// Send puts out one call. With fresh set, idle connections to the searcher are closed before.
+// Send puts out one call. With fresh set, idle connections to the searcher are closed before, and one that has not been
+// heard of since a part went out there is not used.
 func (s *Searchers) Send(name string, fresh bool, call []*Parcel) {
 	s.mu.Lock()
 	to := s.all[name]
@@ -158,9 +161,13 @@
 	var best *line
 	for _, l := range to.lines {
 		live := l.live()
+		silent, whole := l.silent()
+		if whole {
+			l.halted, l.spent = true, true
+		}
 		if fresh && live == 0 && l.nc != nil {
 			idle = append(idle, l)
-		} else if best == nil && live+len(call) <= s.lim.Streams && !l.halted && !l.worn(s.lim) && l.takes(call) {
+		} else if best == nil && live+len(call) <= s.lim.Streams && !l.halted && !(fresh && silent) && !l.worn(s.lim) && l.takes(call) {
 			best = l
 		}
 	}
@@ -230,6 +237,18 @@
 	return n
 }
 
+// silent tells whether nothing has come since a part went out that is not answered, and whether the whole wait for it has
+// passed so: the connection may be lost though its searcher is well, which shows on another.
+func (l *line) silent() (silent, whole bool) {
+	for _, p := range l.out {
+		if p.state == written && l.heard.Before(p.sent) {
+			silent = true
+			whole = whole || time.Now().After(p.Forward.Until)
+		}
+	}
+	return silent, whole
+}
+
 // worn tells whether so many parts on the connection were given up and never answered that it may be stuck.
 func (l *line) worn(lim charter.Limits) bool { return len(l.out) >= 2*lim.Streams }
 
@@ -343,10 +362,10 @@
 		became, outcome = written, mixer.Reset
 	}
 	s.mu.Lock()
+	l.used = time.Now()
 	for _, p := range left {
-		p.state = became
+		p.state, p.sent = became, now // an answer may have come already
 	}
-	l.used = time.Now()
 	closed = l.closed
 	s.mu.Unlock()
 	if closed { // the connection ended meanwhile, and left these to be told here
@@ -425,6 +444,7 @@
 			l.halted, l.spent = true, true
 		}
 		l.used = time.Now()
+		l.heard = l.used
 		idle := l.live() == 0
 		s.mu.Unlock()
 		switch {
--- a/internal/transport/transport_test.go
+++ b/internal/transport/transport_test.go
@@ -202,6 +202,49 @@
 	}
 }
 
+// TestSilentConnection has a searcher's first connection fall silent and all others serve. A call that asks for a fresh one
+// is sent past it at once; any other is from when a part has waited there in vain for all its time.
+func TestSilentConnection(t *testing.T) {
+	var first atomic.Pointer[toy.Conn]
+	far := &toy.Searcher{Accepted: func(c *toy.Conn) { first.CompareAndSwap(nil, c) }}
+	far.Handle = func(p toy.Part) {
+		if p.Conn != first.Load() {
+			p.Answer("ok", p.Value())
+		}
+	}
+	if err := far.Start(); err != nil {
+		t.Fatal(err)
+	}
+	defer far.Stop()
+	r := router(t, mixer.Repeatable, "s")
+	s := NewSearchers(charter.Limits{KeepAlive: time.Second, Connect: time.Second, Write: time.Second, Streams: 9, Sockets: 99, Frame: 999}, quiet)
+	defer s.Close()
+	s.Listed(protocol.List{Members: []protocol.Member{{Entry: routing.Entry{Searcher: "s"}, Address: far.Address}}})
+	send := func(id string, fresh bool) (*Parcel, *routing.Ticket) {
+		ticket := take(t, r, id)
+		p := &Parcel{Forward: pick(t, ticket).Calls[0].Forwards[0], Part: protocol.Part{ID: id + ".0"}}
+		s.Send("s", fresh, []*Parcel{p})
+		return p, ticket
+	}
+	a, _ := send("a", false)
+	for end := time.Now().Add(5 * time.Second); len(far.Frames()) == 0 && time.Now().Before(end); {
+		time.Sleep(time.Millisecond)
+	}
+	time.Sleep(10 * time.Millisecond)
+	if b, _ := send("b", false); b.line != a.line {
+		t.Error("a connection is not used any more while its part has time left")
+	}
+	if c, ticket := send("c", true); c.line == a.line || pick(t, ticket).Final == nil {
+		t.Error("a fresh connection was asked for, but the silent one is used")
+	}
+	s.mu.Lock()
+	a.Forward.Until = time.Now().Add(-time.Millisecond)
+	s.mu.Unlock()
+	if d, ticket := send("d", false); d.line == a.line || pick(t, ticket).Final == nil {
+		t.Error("the silent connection is used although a part has waited there in vain")
+	}
+}
+
 // breaking is a connection that takes so many bytes and then breaks.
 type breaking struct {
 	net.Conn
--- a/mixer/mixer.go
+++ b/mixer/mixer.go
@@ -205,8 +205,7 @@
 	}
 }
 
-// ListRefused is told that a list call failed or the subscription broke. It is asked for again after a
-// growing wait, jittered so that mixers do not return together.
+// ListRefused is told that a list call failed. It is asked for again after a growing, jittered wait.
 func (m *Mixer) ListRefused(now int64) {
 	wait := askFirst << min(m.refusals, 6)
 	if m.c.AskWithin > 0 {
@@ -672,7 +671,9 @@
 		s.call = &call{at: now}
 	}
 	var line *Ratio
-	if s.calls == 0 {
+	if s.suspect { // on a connection that fell silent a test would tell nothing of its searcher
+		m.floor.CloseIdle(s.id)
+	} else if s.calls == 0 {
 		line = m.connect(now, s)
 	}
 	if s.call.left == 0 {
--- a/mixer/mixer_test.go
+++ b/mixer/mixer_test.go
@@ -487,7 +487,11 @@
 		t.Errorf("%d of 20 lookups waited for a silent searcher", late)
 	}
 	w.box["box1"].broken = 0
+	before := w.closed
 	w.warmUp(60)
+	if w.closed == before {
+		t.Error("it was tested on a connection that may be silent by itself")
+	}
 	if w.m.searchers["box1"].suspect {
 		t.Errorf("a searcher that answers again is still suspect")
 	}
