Suspects are tested by shares of the expected time, not by fixed seconds

A probe logged outcomes and suspicions: six of thirteen searchers answer many parts with errors from 85 to 92 s, 3 in a row make them suspect, the one sound holder of a cell then jams (16 calls out, busy, timed out) and is suspect too, and each is tested only after 1 to 8 s: from 92.5 s on no forward fails any more, yet 46% of lookups are turned away until 97 s. Lines: distrust, testFirst and testLast.

--- a/mixer/mixer.go
+++ b/mixer/mixer.go
@@ -28,8 +28,8 @@
 	goneTimes   = 5.0        // means after which one such forward is sent again; at 3 sound ones are, in jams
 	failedTimes = 3.0        // means for which a failure counts: three in a row tell
 	lineLate    = 2.5        // means after which a forward without any answer since counts as lost on its line
-	testFirst   = 1000 * ms  // ns; first wait before a suspect is tested, doubled up to testLast
-	testLast    = 8000 * ms  // ns; a searcher that is back is missed for at most about this long
+	testFirst   = 0.4        // of the longest expected time, before a suspect is first tested, doubled up to testLast
+	testLast    = 3.2        // of the same; a searcher that is back is missed for at most about this long
 	tookGuess   = 0.125      // of the expected time, what a forward is held to take until some have come
 	bearGuess   = 0.25       // of the longest, in which a warm one bears a part: a guess to begin a cold fleet
 	bearHalf    = 60000 * ms // ns; machines change slowly, a jam or a lull lasts less
@@ -70,6 +70,7 @@
 	borne, bears        Decay   // answers of warm searchers, parts per ns this mixer may count on of one
 	heard               int64   // last answer of any searcher
 	asking              bool    // a list call is out or the subscription runs
+	long                float64 // ns, the longest expected time
 	refusals            int
 }
 
@@ -152,7 +153,8 @@
 	m := &Mixer{c: c, floor: floor, rng: rand.New(rand.NewSource(seed)), rows: make([]Spread, len(c.Tariffs))}
 	m.cells, m.searchers, m.zones = make([][]*searcher, c.Cells), map[string]*searcher{}, map[string]*zone{}
 	t := slices.MaxFunc(c.Tariffs, func(a, b Tariff) int { return cmp.Compare(a.Expected, b.Expected) })
-	m.bears = Decay{1 / (bearGuess * float64(max(t.Expected, ms))) / float64(c.Mixers), now}
+	m.long = float64(max(t.Expected, ms))
+	m.bears = Decay{1 / (bearGuess * m.long) / float64(c.Mixers), now}
 	if c.ListAsked {
 		m.Due(now)
 	}
@@ -382,7 +384,7 @@
 
 // distrust keeps a searcher from being picked, but for a test now and then, until it answers.
 func (m *Mixer) distrust(now int64, s *searcher) {
-	s.wait = min(max(2*s.wait, testFirst), testLast)
+	s.wait = int64(min(max(2*float64(s.wait), testFirst*m.long), testLast*m.long))
 	s.testAt = now + s.wait/2 + m.rng.Int63n(s.wait)
 	if !s.suspect {
 		s.suspect = true
@@ -539,8 +541,7 @@
 	return sent + int64(mean+lateSpread*max(dev, mean/4))
 }
 
-// mayCopy is the allowance for forwards beyond what failed. It fades as forwards come to take longer
-// against the expected time, so that copies never feed an overload.
+// mayCopy is the allowance for copies. It fades as forwards take more of the expected time, lest they feed a jam.
 func (m *Mixer) mayCopy(now int64, l *Lookup) bool {
 	mean, _ := m.typical(now, l)
 	ease := 1 - copyEase*mean/float64(l.t.Expected)
@@ -632,8 +633,7 @@
 	return p.over || len(p.forwards) >= l.m.c.MaxForwards || slices.ContainsFunc(p.forwards, once)
 }
 
-// slide drops what has left the budget's window; at its edge what was spent still counts, what was taken
-// no longer does.
+// slide drops what has left the budget's window; at its edge what was spent still counts.
 func (m *Mixer) slide(now int64) {
 	from := now - m.c.BudgetFor
 	m.taken = slices.DeleteFunc(m.taken, func(t int64) bool { return t <= from })
