--- a/mixer/mixer.go
+++ b/mixer/mixer.go
@@ -28,8 +28,8 @@
 	goneTimes   = 5.0        // means after which one such forward is sent again; at 3 sound ones are, in jams
 	failedTimes = 3.0        // means for which a failure counts: three in a row tell
 	lineLate    = 2.5        // means after which a forward without any answer since counts as lost on its line
-	testFirst   = 0.4        // of the longest expected time, before a suspect is first tested, doubled up to testLast
-	testLast    = 3.2        // of the same; a searcher that is back is missed for at most about this long
+	testFirst   = 0.4        // of the longest expected time, before a suspect's first test; then doubled
+	testLast    = 3.2        // of the same, at most; a searcher that is back is missed for about this long
 	tookGuess   = 0.125      // of the expected time, what a forward is held to take until some have come
 	bearGuess   = 0.25       // of the longest, in which a warm one bears a part: a guess to begin a cold fleet
 	bearHalf    = 60000 * ms // ns; machines change slowly, a jam or a lull lasts less
@@ -541,7 +541,7 @@
 	return sent + int64(mean+lateSpread*max(dev, mean/4))
 }
 
-// mayCopy is the allowance for copies. It fades as forwards take more of the expected time, lest they feed a jam.
+// mayCopy is the allowance for copies. It fades as forwards take more of the expected time, or jams are fed.
 func (m *Mixer) mayCopy(now int64, l *Lookup) bool {
 	mean, _ := m.typical(now, l)
 	ease := 1 - copyEase*mean/float64(l.t.Expected)
