--- a/mixer/mixer_test.go
+++ b/mixer/mixer_test.go
@@ -497,6 +497,30 @@
 	}
 }
 
+// TestSuspectsAreTestedInTime has a searcher fail for a while, on fleets of two paces: it is back within a share of the
+// expected time, however long that is.
+func TestSuspectsAreTestedInTime(t *testing.T) {
+	for seed := range int64(12) {
+		expected := []int64{1000 * ms, 4000 * ms}[seed%2]
+		w := start(t, seed, 1, func(c *Charter) { c.Cells, c.Tariffs[0].Expected = 1, expected })
+		w.warmUp(10)
+		w.box["box0"].broken = 2
+		w.late(1, 1500*ms)
+		w.box["box0"].broken = 0
+		if !w.m.searchers["box0"].suspect {
+			t.Fatal("a searcher that always fails is not suspect")
+		}
+		from := w.now
+		for w.m.searchers["box0"].suspect && w.now < from+20000*ms {
+			w.take(0, 1, 0, 4000*ms, false)
+			w.run(w.now + 50*ms)
+		}
+		if took := w.now - from; took > 5*expected {
+			t.Errorf("a searcher that is well again is missed for %d ms, expected time %d ms", took/ms, expected/ms)
+		}
+	}
+}
+
 func TestSlowPartIsNoSilence(t *testing.T) {
 	w := warmed(t, 11, 1)
 	w.box["box0"].free = [2]int64{w.now + 500*ms, w.now + 500*ms} // five times what forwards take
