An error is little silence, and a last resort is no test

Half of what six of thirteen searchers answer are errors, within 2 ms; three in a row, which is one triple in eight, made each suspect, and the one sound holder of a cell jammed. Forwards to suspects as a last resort, where nobody better holds the part, were counted as tests, and each doubled the wait (review).

Excluded: the cold allowance, the budget, load.

--- a/mixer/mixer.go
+++ b/mixer/mixer.go
@@ -27,6 +27,7 @@
 	silentTimes = 8.0        // means that forwards wait in all, unanswered, that make a searcher suspect
 	goneTimes   = 5.0        // means after which one such forward is sent again; at 3 sound ones are, in jams
 	failedTimes = 3.0        // means for which a failure counts: three in a row tell
+	erredTimes  = 1.0        // means for which an error counts: it is there and may serve the next one
 	lineLate    = 2.5        // means after which a forward without any answer since counts as lost on its line
 	testFirst   = 0.4        // of the longest expected time, before a suspect's first test; then doubled
 	testLast    = 3.2        // of the same, at most; a searcher that is back is missed for about this long
@@ -341,10 +342,11 @@
 		m.rows[f.part.l.ask.Tariff].Add(now, float64(took), halfLife)
 		m.measure(now)
 	case Errored, Bounced, Unreached, Reset:
-		// Guards against a searcher that fails fast, whose count near zero would draw every pick; one that
-		// turns away for overload is spared the same way, as the slow one it is.
+		// Guards against one that fails fast, whose count near zero would draw every pick, or turns away.
 		mean, _ := m.typical(now, f.part.l)
-		s.unheard += int64(failedTimes * mean)
+		if s.unheard += int64(failedTimes * mean); o == Errored {
+			s.unheard -= int64((failedTimes - erredTimes) * mean)
+		}
 		s.pace.Add(now, failedTimes*mean*float64(f.count), float64(f.count), paceHalf)
 	}
 }
@@ -358,9 +360,8 @@
 	return mean, dev
 }
 
-// hearken judges searchers not by the list: when the forwards to one since its last answer have waited, added
-// up, for several times what they take, it is suspect. It guards against hangs, lost machines, cut links and
-// quick failure alike. One forward alone may be slow or heavy and has to wait for longer than several.
+// hearken judges searchers not by the list: when forwards to one since its last answer have waited, added up,
+// for several times what they take, it is suspect. One alone may be slow or heavy and has to wait longer.
 func (m *Mixer) hearken(now int64, p *part) {
 	mean, _ := m.typical(now, p.l)
 	for _, f := range p.forwards {
@@ -382,7 +383,7 @@
 	}
 }
 
-// distrust keeps a searcher from being picked, but for a test now and then, until it answers.
+// distrust keeps a searcher from being picked, but for a test, until it answers.
 func (m *Mixer) distrust(now int64, s *searcher) {
 	s.wait = int64(min(max(2*float64(s.wait), testFirst*m.long), testLast*m.long))
 	s.testAt = now + s.wait/2 + m.rng.Int63n(s.wait)
@@ -392,7 +393,6 @@
 	}
 }
 
-// rouse has the lookups looked at again whose parts may be lost at s.
 func (s *searcher) rouse(now int64) {
 	for _, f := range s.out {
 		f.part.l.rouse(now, now)
@@ -506,18 +506,20 @@
 	for _, f := range picks {
 		m.floor.Forward(f.part.ID, f.s.id, l.end-now)
 		next = min(next, l.lateAt(now, now))
-		if f.s.suspect || f.s.zone.silent() {
+		test := f.s.suspect && !m.shunned(now, f.s) // no last resort: those would use up the tests
+		if test || f.s.zone.silent() {
 			m.tests.Add(now, 1, halfLife)
 		}
-		if f.s.suspect { // a test: the wait for the next one grows until an answer comes
-			m.distrust(now, f.s)
+		if f.s.suspect {
 			next = now
+			if test {
+				m.distrust(now, f.s)
+			}
 		}
 	}
 	l.rouse(now, next)
 }
 
-// rouse sees to it that the lookup is looked at again at a time.
 func (l *Lookup) rouse(now, at int64) {
 	if at = max(at, now+1); l.wake == 0 || at < l.wake {
 		l.wake = at
@@ -611,7 +613,6 @@
 		m.tests.Read(now, halfLife) >= max(testFloor, testShare*m.sent.Read(now, halfLife)))
 }
 
-// maySend keeps the rules on further forwards.
 func (l *Lookup) maySend(now int64, p *part) bool {
 	m := l.m
 	barred := l.barred(now, p)
@@ -633,7 +634,6 @@
 	return p.over || len(p.forwards) >= l.m.c.MaxForwards || slices.ContainsFunc(p.forwards, once)
 }
 
-// slide drops what has left the budget's window; at its edge what was spent still counts.
 func (m *Mixer) slide(now int64) {
 	from := now - m.c.BudgetFor
 	m.taken = slices.DeleteFunc(m.taken, func(t int64) bool { return t <= from })
