--- a/mixer/mixer_test.go
+++ b/mixer/mixer_test.go
@@ -29,8 +29,9 @@
 // box is one searcher as it really is.
 type box struct {
 	free   [2]int64 // when each core is done
-	broken int      // 0 sound, 1 silent, 2 fails at once, 3 unreachable, 4 drops connections that lie idle
-	used   int64    // when its connection was last in use, 0 where none is open
+	broken int      // 0 sound, 1 silent, 2 fails at once, 3 unreachable, 4 drops connections that lie idle,
+	// 5 errs half of the time
+	used int64 // when its connection was last in use, 0 where none is open
 }
 
 type seen struct {
@@ -165,6 +166,10 @@
 		return []Outcome{Errored, Bounced, Reset}[w.rng.Intn(3)], 2 * ms
 	case 3:
 		return Unreached, min(within, 250*ms)
+	case 5:
+		if w.rng.Intn(2) == 0 {
+			return Errored, 2 * ms
+		}
 	}
 	used := b.used
 	if b.used = w.now; b.broken == 4 && used > 0 && w.now-used > 1000*ms {
@@ -321,7 +326,7 @@
 			e := &all[rng.Intn(len(all))]
 			switch rng.Intn(40) {
 			case 0:
-				w.box[e.Searcher].broken = rng.Intn(4)
+				w.box[e.Searcher].broken = rng.Intn(6)
 			case 1:
 				e.Status = Status(rng.Intn(3))
 				w.list(false, *e)
@@ -521,6 +526,34 @@
 	}
 }
 
+// TestErringHoldersServeOn has three of four holders err half of the time, at a load that the fourth cannot bear alone: what
+// they do answer is not passed over, and once they are well none is.
+func TestErringHoldersServeOn(t *testing.T) {
+	var lost [2]int
+	for seed := range int64(6) {
+		w := warmed(t, seed, 4)
+		for phase, how := range []int{5, 0} {
+			for _, box := range []string{"box0", "box1", "box2"} {
+				w.box[box].broken = how
+			}
+			var all []*seen
+			for range 250 {
+				all = append(all, w.take(0, 1, 0, 4000*ms, false))
+				w.run(w.now + 20*ms)
+			}
+			w.run(w.now + 2000*ms)
+			for _, l := range all {
+				if !l.answeredWhole {
+					lost[phase]++
+				}
+			}
+		}
+	}
+	if lost[0] > 120 || lost[1] > 3 {
+		t.Errorf("of 1500 lookups %d were not served while holders err, and %d of 1500 after", lost[0], lost[1])
+	}
+}
+
 func TestSlowPartIsNoSilence(t *testing.T) {
 	w := warmed(t, 11, 1)
 	w.box["box0"].free = [2]int64{w.now + 500*ms, w.now + 500*ms} // five times what forwards take
