--- a/mixer/mixer_test.go
+++ b/mixer/mixer_test.go
@@ -554,6 +554,21 @@
 	}
 }
 
+// TestLastResortIsNoTest has one holder fail always and the other half of the time, so that many parts go to the first because
+// nobody else is left. That is no test: it must not use up those that find it well again.
+func TestLastResortIsNoTest(t *testing.T) {
+	w, over := warmed(t, 6, 2), 0.0
+	w.box["box0"].broken, w.box["box1"].broken = 2, 5
+	for range 250 {
+		w.take(0, 1, 0, 4000*ms, false)
+		w.run(w.now + 40*ms)
+		over = max(over, w.m.tests.Read(w.now, halfLife)-max(testFloor, testShare*w.m.sent.Read(w.now, halfLife)))
+	}
+	if over > 1 {
+		t.Errorf("%.1f tests more were counted than are allowed", over)
+	}
+}
+
 func TestSlowPartIsNoSilence(t *testing.T) {
 	w := warmed(t, 11, 1)
 	w.box["box0"].free = [2]int64{w.now + 500*ms, w.now + 500*ms} // five times what forwards take
