A crowd that only connects takes the places of its own kind

A probe logged every answer: the mixers turn none away then, so they fail before they are read; places are 176 of 384 descriptors, and full. Lines: spare and unused in door.go gave up idle connections of usual clients, and after 0.25 s none of the crowd was older. Now new silent connections go before any that has served, and only sound requests count as having asked.

--- a/internal/transport/door.go
+++ b/internal/transport/door.go
@@ -19,7 +19,7 @@
 	mu     sync.Mutex
 	stream protocol.Stream
 	seen   time.Time // the first bytes of the request at hand
-	asked  int       // requests that have come in whole
+	asked  int       // sound requests that have come
 
 	// The server's lock holds for these.
 	state http.ConnState
@@ -34,10 +34,7 @@
 		if !c.stream.Begun() {
 			c.seen = time.Now()
 		}
-		was := c.stream.Whole
-		if c.stream.Feed(b[:n]); !was && c.stream.Whole {
-			c.asked++
-		}
+		c.stream.Feed(b[:n])
 		c.mu.Unlock()
 	}
 	return n, err
@@ -51,6 +48,13 @@
 	return c.Conn.Write(b)
 }
 
+// sound notes that the request at hand is one that clients send.
+func (c *client) sound() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.asked++
+}
+
 // arrived gives the earliest moment at which the request at hand is known to have been on its way.
 func (c *client) arrived() time.Time {
 	c.mu.Lock()
@@ -66,38 +70,42 @@
 }
 
 // use is what a connection of a client is taken up with, that which is given up first for another's place foremost.
+// Sound clients send as soon as they are connected and come back on connections that have served them, so those go
+// last: a crowd that only connects takes the places of its own kind.
 type use int
 
 const (
-	stuck    use = iota // longer without a whole request than a sound client leaves it
+	stuck    use = iota // longer without a sound request, or the rest of one, than a sound client leaves it
 	unneeded            // asked once, long ago
-	idle
-	silent   // new, nothing has come yet
-	incoming // some of a request has come
-	busy     // its request is being served
+	silent              // new, nothing has come yet
+	once                // idle after one request
+	idle                // idle after several
+	incoming            // some of a request has come
+	busy                // its request is being served
 )
 
 // use tells what the connection is taken up with, and since when. The server's lock is held.
 func (c *client) use(s *Server) (use, time.Time) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	begun, fresh, prompt := c.stream.Begun(), c.asked == 0, s.Limits.Prompt
-	since := c.since
-	if begun && !fresh {
+	begun, since := c.stream.Begun(), c.since
+	if begun && c.asked > 0 {
 		since = c.seen
 	}
 	long := time.Since(since)
 	switch {
 	case begun && c.stream.Whole || !begun && c.state == http.StateActive:
 		return busy, since
-	case (begun || fresh) && long > prompt:
-		return stuck, since
-	case begun:
+	case begun && long <= s.Limits.Prompt:
 		return incoming, since
-	case fresh:
+	case begun || c.asked == 0 && (c.state == http.StateIdle || long > s.Limits.Prompt):
+		return stuck, since
+	case c.asked == 0:
 		return silent, since
 	case c.asked == 1 && long > s.Limits.Once || long > s.Limits.Kept:
 		return unneeded, since
+	case c.asked == 1:
+		return once, since
 	}
 	return idle, since
 }
@@ -147,7 +155,8 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	for o := range s.conns {
-		if u, _ := o.use(s); u == unneeded || all && u < incoming {
+		u, since := o.use(s)
+		if u == unneeded || u == stuck && time.Since(since) > s.Limits.Once || all && u < incoming {
 			o.Close()
 		}
 	}
--- a/internal/transport/server.go
+++ b/internal/transport/server.go
@@ -133,6 +133,7 @@
 }
 
 func (s *Server) health(w http.ResponseWriter, r *http.Request) {
+	r.Context().Value(connKey{}).(*client).sound()
 	if !s.ready.Load() || s.leaving.Load() {
 		http.Error(w, "not serving", http.StatusServiceUnavailable)
 	}
@@ -166,6 +167,7 @@
 		http.Error(w, err.Error(), http.StatusBadRequest)
 		return
 	}
+	c.sound()
 	ticket, err := s.Router.Take(l.Lookup)
 	switch {
 	case errors.Is(err, routing.ErrTaken):
