--- a/cmd/nettlefold/main_test.go
+++ b/cmd/nettlefold/main_test.go
@@ -702,6 +702,25 @@
 	}
 }
 
+// TestStayingClientsMakeRoom has clients ask once each and keep their connections: they are closed before they hold the third
+// of the descriptors that the platform allows to clients, the longest idle first, and none unanswered.
+func TestStayingClientsMakeRoom(t *testing.T) {
+	w := prepare(t)
+	w.limits["sockets"] = 240
+	w.start()
+	before := w.files()
+	for i := range 100 {
+		w.client = &http.Client{Transport: &http.Transport{}}
+		defer w.client.CloseIdleConnections()
+		if r := w.ask(fmt.Sprint("a", i), "all", 0, 1); !r.Complete {
+			t.Fatalf("lookup %d: %+v", i, r)
+		}
+	}
+	if n := w.files() - before - w.conns(); n > 62 {
+		t.Errorf("%d connections of clients are open, want 60 of 240 descriptors", n)
+	}
+}
+
 // TestFewConnections has fewer connections allowed than there are searchers: one that lies idle gives way. Two
 // lookups of one slice at a time, held until both are out, need both of its holders.
 func TestFewConnections(t *testing.T) {
--- a/internal/charter/limits.go
+++ b/internal/charter/limits.go
@@ -90,6 +90,10 @@
 // Clients is how many connections of clients there may be.
 func (l Limits) Clients() int { return max(1, l.Sockets-spare-l.Lines()) }
 
+// Staying is how many connections of clients there may be while some lie idle. The platform lets clients hold a third of
+// the descriptors, and one that stays for nothing must not be in the way of another's first request.
+func (l Limits) Staying() int { return min(max(1, l.Sockets/4), l.Clients()) }
+
 // Silence is how long a watch may be silent: an empty line comes each beat.
 func (l Limits) Silence() time.Duration { return 3 * l.Beat }
 
--- a/internal/transport/door.go
+++ b/internal/transport/door.go
@@ -126,12 +126,15 @@
 	s := d.s
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	for len(s.conns) >= s.Limits.Clients() {
-		if o := s.spare(); o != nil {
+	for len(s.conns) >= s.Limits.Staying() {
+		full := len(s.conns) >= s.Limits.Clients()
+		if o := s.spare(full); o != nil {
 			delete(s.conns, o)
 			o.Close()
-		} else {
+		} else if full {
 			s.room.Wait() // all are being answered
+		} else {
+			break
 		}
 	}
 	s.conns[c] = true
@@ -139,11 +142,15 @@
 }
 
 // spare gives the connection to be given up first, the longest in its use of those in the same, nil if all are
-// being answered. The lock is held.
-func (s *Server) spare() (best *client) {
+// being answered. Only where all places are taken it is one whose first request may be on its way. The lock is held.
+func (s *Server) spare(full bool) (best *client) {
 	least, from := busy, time.Time{}
 	for o := range s.conns {
-		if u, since := o.use(s); u < least || u == least && u < busy && since.Before(from) {
+		u, since := o.use(s)
+		if !full && (u == silent || u == incoming) {
+			continue
+		}
+		if u < least || u == least && u < busy && since.Before(from) {
 			best, least, from = o, u, since
 		}
 	}
