--- a/cmd/nettlefold/helper_test.go
+++ b/cmd/nettlefold/helper_test.go
@@ -142,7 +142,7 @@
 	w.t.Helper()
 	w.play()
 	w.list.Say(w.whole(1, nil)) // as known from the start
-	n := launched.Add(1) // an address of its own on the loopback, which no other test can take meanwhile
+	n := launched.Add(1)        // an address of its own on the loopback, which no other test can take meanwhile
 	w.addr = fmt.Sprintf("127.77.%d.%d:18080", n/250, 1+n%250)
 	w.path = filepath.Join(w.t.TempDir(), "config.json")
 	w.write(w.listAt)
