--- a/internal/transport/searchers.go
+++ b/internal/transport/searchers.go
@@ -531,7 +531,8 @@
 			worst = i
 			break
 		}
-		if p.Forward.Until.Before(out[worst].Forward.Until) {
+		over, worse := p.Forward.Over(), out[worst].Forward.Over() // nothing can be told of those any more
+		if worse && !over || worse == over && p.Forward.Until.Before(out[worst].Forward.Until) {
 			worst = i
 		}
 	}
--- a/internal/transport/transport_test.go
+++ b/internal/transport/transport_test.go
@@ -245,6 +245,22 @@
 	}
 }
 
+// TestBlame has a spoilt answer without an id on a connection with a part that has been given up: one still out is blamed.
+func TestBlame(t *testing.T) {
+	r := router(t, mixer.Repeatable, "s")
+	var out []*Parcel
+	for _, id := range []string{"a", "b", "c"} {
+		out = append(out, &Parcel{Forward: pick(t, take(t, r, id)).Calls[0].Forwards[0], Part: protocol.Part{ID: id + ".0"}})
+	}
+	out[0].Forward.Report(mixer.TimedOut, nil)
+	for id, want := range map[string]string{"": "b.0", "c.0": "c.0"} {
+		failed, others := blame(&spoilt{protocol.Bad("noise"), id}, out)
+		if len(failed) != 1 || len(others) != 2 || failed[0].Part.ID != want {
+			t.Errorf("a spoilt answer to %q is blamed on %d parts, %+v first, want %s", id, len(failed), failed[0].Part, want)
+		}
+	}
+}
+
 // breaking is a connection that takes so many bytes and then breaks.
 type breaking struct {
 	net.Conn
