--- a/internal/transport/server.go
+++ b/internal/transport/server.go
@@ -142,24 +142,9 @@
 // lookup serves one lookup, from its request to its answer.
 func (s *Server) lookup(w http.ResponseWriter, r *http.Request) {
 	c := r.Context().Value(connKey{}).(*client)
-	if why := c.fault(); why != "" || !r.ProtoAtLeast(1, 1) {
-		refuse(w, http.StatusBadRequest, cmp.Or(why, "not HTTP/1.1"))
-		return
-	}
-	if r.ContentLength > int64(s.Limits.Body) {
-		refuse(w, http.StatusRequestEntityTooLarge, "body: over "+strconv.Itoa(s.Limits.Body)+" bytes")
-		return
-	}
-	raw, err := io.ReadAll(http.MaxBytesReader(w, r.Body, int64(s.Limits.Body)))
-	if big := (*http.MaxBytesError)(nil); errors.As(err, &big) {
-		refuse(w, http.StatusRequestEntityTooLarge, "body: over "+strconv.Itoa(s.Limits.Body)+" bytes")
-		return
-	} else if err != nil {
-		refuse(w, http.StatusBadRequest, "body: "+err.Error())
-		return
-	}
-	if why := c.fault(); why != "" {
-		refuse(w, http.StatusBadRequest, why)
+	raw, status, why := s.body(w, r, c)
+	if why != "" {
+		refuse(w, status, why)
 		return
 	}
 	l, err := protocol.ReadLookup(r.Header, raw, c.arrived(), s.Tariffs, s.Limits)
@@ -205,6 +190,25 @@
 	}
 }
 
+// body reads a request's body, or says with which status and why the request is refused. What is wrong with the bytes is
+// asked before, since a body told in two ways is not read, and after, since more than the body may have come.
+func (s *Server) body(w http.ResponseWriter, r *http.Request, c *client) (raw []byte, status int, why string) {
+	over := "body: over " + strconv.Itoa(s.Limits.Body) + " bytes"
+	if why := c.fault(); why != "" || !r.ProtoAtLeast(1, 1) {
+		return nil, http.StatusBadRequest, cmp.Or(why, "not HTTP/1.1")
+	}
+	if r.ContentLength > int64(s.Limits.Body) {
+		return nil, http.StatusRequestEntityTooLarge, over
+	}
+	raw, err := io.ReadAll(http.MaxBytesReader(w, r.Body, int64(s.Limits.Body)))
+	if big := (*http.MaxBytesError)(nil); errors.As(err, &big) {
+		return nil, http.StatusRequestEntityTooLarge, over
+	} else if err != nil {
+		return nil, http.StatusBadRequest, "body: " + err.Error()
+	}
+	return raw, http.StatusBadRequest, c.fault()
+}
+
 // answer writes the final answer of a lookup.
 func (s *Server) answer(w http.ResponseWriter, l protocol.Lookup, f routing.Final) {
 	switch f.Verdict {
