Sharing decisions, and the module's use of what other mixers say and lend

Need: one mixer cannot see which searchers the others have found out, nor which cold searchers they leave idle (docs/gap.md).

--- /dev/null
+++ b/internal/lab/fleet/world.go
@@ -0,0 +1,403 @@
+// Package fleet plays many mixers and their searchers in model time: the real module and the real sharing decisions of
+// each mixer, searchers as queues, a list that tells late, and a shared store with its troubles. One seed, one history.
+//
+// Searchers: each has cores that serve one part at a time, first come first served; a part's work is drawn from a gamma
+// law of shape 2 (light tail, as the operators' settings have for sound searchers). A process that starts bears ColdFrom of
+// its capacity, growing evenly to all of it over ColdFor. One that is sent more than FallMultiple of what it bears, by all
+// mixers together for FallFor, falls over and stays down. That is the rule of the operators' pages, reckoned per window.
+package fleet
+
+import (
+	"container/heap"
+	"fmt"
+	"math"
+	"math/rand"
+
+	"nettlefold/internal/sharing"
+	"nettlefold/mixer"
+)
+
+const ms = int64(1_000_000)
+
+// Setup says what is played. Times are ns of model time.
+type Setup struct {
+	Seed      int64
+	Mixers    int
+	Zones     int // mixers and searchers are spread over them in turn
+	Searchers int // spread over the cells in turn
+	Charter   mixer.Charter
+	Parts     int                  // of a lookup, on slices in a row from a random one
+	Rates     []float64            // lookups a second, by mixer
+	Work      int64                // mean work of a part
+	Cores     int                  // of a searcher
+	Net       int64                // one way; twice that across zones
+	Shared    bool                 // mixers speak by the store
+	Reaches   func(mixer int) bool // which mixers reach the store, nil: all
+	ListLate  int64                // the most a mixer is told late of the list
+}
+
+// World is one history.
+type World struct {
+	Setup
+	Now       int64
+	Mixers    []*Node
+	Searchers []*Searcher
+	Store     *Store
+	Lookups   []*Lookup                   // all that were taken
+	Trace     func(node int, what string) // of every action of a module, if set
+
+	rng   *rand.Rand
+	queue queue
+	count int64
+}
+
+// Node is one mixer.
+type Node struct {
+	w       *World
+	Index   int
+	Name    string
+	Zone    string
+	M       *mixer.Mixer
+	Board   *sharing.Board
+	Circuit *sharing.Circuit
+	Paused  bool                    // takes part in nothing that is shared; what it wrote before may still land
+	Liar    func(*sharing.Sheet)    // changes what it tells
+	Broken  func(searcher int) bool // its line to these searchers loses all
+	rng     *rand.Rand
+	lookups map[string]*Lookup
+	parts   map[string]*part
+	number  int
+	life    uint64
+	Bytes   int // written to and read from the store
+}
+
+// Searcher is one searcher as it really is.
+type Searcher struct {
+	Index   int
+	Name    string
+	Zone    string
+	Cell    int
+	Started int64
+	Status  mixer.Status
+	Slower  float64 // work takes so many times as long
+	Silent  bool
+	Down    bool // fell over
+	Falls   int
+	process int
+	free    []int64
+	cold    []int64 // when parts were sent to the process while cold
+	sent    []int64 // all parts sent, while recorded
+	Fair    float64 // parts that cold processes were sent
+	Bore    float64 // parts that they could have been sent, within today's bound
+}
+
+// Lookup is one lookup and how it ended.
+type Lookup struct {
+	Node     int
+	At, End  int64 // taken and ended
+	Expected int64
+	Answered bool
+	Whole    bool
+	Bounced  bool
+	Ended    bool
+	h        *mixer.Lookup
+	t        *mixer.Tariff
+	parts    int
+}
+
+// InTime tells whether it was answered whole within its expected time.
+func (l *Lookup) InTime() bool { return l.Answered && l.Whole && l.End-l.At <= l.Expected }
+
+type part struct {
+	l     *Lookup
+	index int
+	sent  int
+	in    bool
+}
+
+type event struct {
+	at, number int64
+	do         func()
+}
+
+type queue []event
+
+func (q queue) Len() int { return len(q) }
+func (q queue) Less(i, j int) bool {
+	return q[i].at < q[j].at || q[i].at == q[j].at && q[i].number < q[j].number
+}
+func (q queue) Swap(i, j int) { q[i], q[j] = q[j], q[i] }
+func (q *queue) Push(x any)   { *q = append(*q, x.(event)) }
+func (q *queue) Pop() any {
+	last := (*q)[len(*q)-1]
+	(*q)[len(*q)-1] = event{}
+	*q = (*q)[:len(*q)-1]
+	return last
+}
+
+// After books what happens later; what is due at one time keeps its order.
+func (w *World) After(d int64, do func()) {
+	w.count++
+	heap.Push(&w.queue, event{w.Now + max(d, 1), w.count, do})
+}
+
+// Run plays all events up to a time.
+func (w *World) Run(until int64) {
+	for len(w.queue) > 0 && w.queue[0].at <= until {
+		e := heap.Pop(&w.queue).(event)
+		w.Now = e.at
+		e.do()
+	}
+	w.Now = until
+}
+
+// New makes a world at a start time, with all searchers warm and listed.
+func New(s Setup) *World {
+	w := &World{Setup: s, Now: 1_000_000_000_000 * ms, rng: rand.New(rand.NewSource(s.Seed)), Store: newStore()}
+	for i := range s.Searchers {
+		w.Searchers = append(w.Searchers, &Searcher{Index: i, Name: fmt.Sprintf("s%d", i), Zone: w.zone(i / s.Charter.Cells),
+			Cell: i % s.Charter.Cells, Slower: 1, free: make([]int64, s.Cores)})
+	}
+	for i := range s.Mixers {
+		n := &Node{w: w, Index: i, Name: fmt.Sprintf("m%d", i), Zone: w.zone(i)}
+		w.Mixers = append(w.Mixers, n)
+		n.Start()
+		if i < len(s.Rates) && s.Rates[i] > 0 {
+			arrive := rand.New(rand.NewSource(s.Seed*1000 + int64(i)))
+			w.arrivals(n, arrive, s.Rates[i])
+		}
+	}
+	return w
+}
+
+func (w *World) zone(i int) string { return string(rune('a' + i%max(w.Zones, 1))) }
+
+// Start starts a mixer anew: it knows nothing but the list.
+func (n *Node) Start() {
+	w := n.w
+	n.life++
+	n.rng = rand.New(rand.NewSource(w.Seed*7919 + int64(n.Index)*31 + int64(n.life)))
+	n.lookups, n.parts = map[string]*Lookup{}, map[string]*part{}
+	c := w.Charter
+	c.Zone, c.Mixers = n.Zone, w.Setup.Mixers
+	n.M = mixer.New(w.Now, c, w.Seed+int64(n.Index)*104729+int64(n.life), floor{n})
+	var rows []mixer.Entry
+	for _, s := range w.Searchers {
+		rows = append(rows, s.entry())
+	}
+	n.M.Listed(w.Now, rows, true)
+	if w.Shared {
+		n.share()
+	}
+}
+
+func (s *Searcher) entry() mixer.Entry {
+	return mixer.Entry{Searcher: s.Name, Started: s.Started, Cell: s.Cell, Zone: s.Zone, Status: s.Status}
+}
+
+// Tell has every mixer told how a searcher stands now, each late by its own chance.
+func (w *World) Tell(s *Searcher) {
+	e := s.entry()
+	for _, n := range w.Mixers {
+		w.After(1+w.rng.Int63n(max(w.ListLate, 1)), func() {
+			n.M.Listed(w.Now, []mixer.Entry{e}, false)
+			n.retell()
+		})
+	}
+}
+
+// Restart ends a searcher's process after a drain and starts a cold one in its place.
+func (w *World) Restart(s *Searcher, drain int64) {
+	s.Status = mixer.Draining
+	w.Tell(s)
+	w.After(drain, func() {
+		s.process++
+		s.Started, s.Status, s.Down, s.cold = w.Now, mixer.Live, false, nil
+		clear(s.free)
+		w.Tell(s)
+	})
+}
+
+// Frac is the share of its capacity that a searcher has.
+func (w *World) Frac(s *Searcher) float64 {
+	if s.Started == 0 || w.Now-s.Started >= w.Charter.ColdFor {
+		return 1
+	}
+	return w.Charter.ColdFrom + (1-w.Charter.ColdFrom)*float64(w.Now-s.Started)/float64(w.Charter.ColdFor)
+}
+
+// Bears is how many parts per ns a warm searcher bears.
+func (w *World) Bears() float64 { return float64(w.Cores) / float64(w.Work) }
+
+// arrivals has lookups come to a mixer at random, so many a second.
+func (w *World) arrivals(n *Node, rng *rand.Rand, rate float64) {
+	var next func()
+	next = func() {
+		n.take(rng)
+		w.After(int64(rng.ExpFloat64()/rate*1e9), next)
+	}
+	w.After(int64(rng.ExpFloat64()/rate*1e9), next)
+}
+
+func (n *Node) take(rng *rand.Rand) {
+	w := n.w
+	slice := rng.Intn(w.Charter.Cells)
+	n.number++
+	id := fmt.Sprintf("%d.%d", n.life, n.number)
+	t := &w.Charter.Tariffs[0]
+	l := &Lookup{Node: n.Index, At: w.Now, Expected: t.Expected, t: t, parts: w.Parts}
+	w.Lookups = append(w.Lookups, l)
+	n.lookups[id] = l
+	l.h = n.M.Take(w.Now, mixer.Ask{ID: id, NotAfter: w.Now + t.Patience, Parts: w.Parts})
+	for i := range w.Parts {
+		p := mixer.Piece{ID: fmt.Sprintf("%s/%d", id, i), Slice: (slice + i) % w.Charter.Cells, Weight: 1 / float64(w.Parts)}
+		n.parts[p.ID] = &part{l: l, index: i}
+		l.h.AddPart(w.Now, p)
+	}
+}
+
+// floor is how one mixer's module acts.
+type floor struct{ *Node }
+
+func (n floor) trace(what string) {
+	if n.w.Trace != nil {
+		n.w.Trace(n.Index, fmt.Sprintf("%d %s", n.w.Now, what))
+	}
+}
+
+func (n floor) Forward(id, searcher string, within int64) {
+	n.trace("forward " + id + " to " + searcher)
+	w, p, m := n.w, n.parts[id], n.M
+	copy, l := p.sent, p.l
+	p.sent++
+	var s *Searcher
+	for _, o := range w.Searchers {
+		if o.Name == searcher {
+			s = o
+			break
+		}
+	}
+	outcome := func(after int64, o mixer.Outcome) {
+		began := w.Now
+		w.After(after, func() {
+			if n.M != m {
+				return // the mixer that waited is no more
+			}
+			in := o == mixer.Satisfied && !l.Ended
+			p.in = p.in || in
+			l.h.Outcome(w.Now, p.index, copy, o, w.Now-began, p.in || l.Ended)
+		})
+	}
+	if n.Broken != nil && n.Broken(s.Index) {
+		outcome(within, mixer.TimedOut)
+		return
+	}
+	net := w.Net
+	if s.Zone != n.Zone {
+		net *= 2
+	}
+	if s.Silent || s.Down {
+		w.book(s)
+		outcome(within, mixer.TimedOut)
+		return
+	}
+	if s.Status == mixer.Dead {
+		outcome(2*net, mixer.Unreached)
+		return
+	}
+	w.book(s)
+	if s.Down {
+		outcome(within, mixer.TimedOut)
+		return
+	}
+	// The work is drawn here, so that one history has one draw for each part sent.
+	work := (w.rng.ExpFloat64() + w.rng.ExpFloat64()) / 2 * float64(w.Work) * s.Slower / w.Frac(s)
+	first := 0
+	for i := range s.free {
+		if s.free[i] < s.free[first] {
+			first = i
+		}
+	}
+	done := max(s.free[first], w.Now+net) + int64(work)
+	s.free[first] = done
+	if took := done + net - w.Now; took <= within {
+		outcome(took, mixer.Satisfied)
+	} else {
+		outcome(within, mixer.TimedOut)
+	}
+}
+
+// book counts a part sent to a cold process, and has the process fall over where all mixers together send it too much.
+func (w *World) book(s *Searcher) {
+	frac := w.Frac(s)
+	if frac == 1 {
+		return
+	}
+	s.Fair++
+	s.cold = append(s.cold, w.Now)
+	for s.cold[0] <= w.Now-w.Charter.FallFor {
+		s.cold = s.cold[1:]
+	}
+	if most := w.Charter.FallMultiple * frac * w.Bears() * float64(w.Charter.FallFor); float64(len(s.cold)) > most && !s.Down {
+		s.Down = true
+		s.Falls++
+	}
+}
+
+func (n floor) end(id string) *Lookup {
+	l := n.lookups[id]
+	if l == nil || l.Ended {
+		panic("fleet: a lookup that is not open was ended: " + id)
+	}
+	l.Ended, l.End = true, n.w.Now
+	delete(n.lookups, id)
+	for i := range l.parts {
+		delete(n.parts, fmt.Sprintf("%s/%d", id, i))
+	}
+	return l
+}
+
+func (n floor) Answer(id string, whole bool) {
+	n.trace(fmt.Sprint("answer ", id, whole))
+	l := n.end(id)
+	l.Answered, l.Whole = true, whole
+}
+
+func (n floor) Bounce(id string, wait int64) {
+	n.trace("bounce " + id)
+	n.end(id).Bounced = true
+}
+
+func (n floor) Fail(id string) {
+	n.trace("fail " + id)
+	n.end(id)
+}
+
+func (n floor) Cancel(string, int) {}
+func (n floor) CloseIdle(string)   {}
+func (n floor) Subscribe()         {}
+func (n floor) Note(string)        {}
+func (n floor) Timer(after int64, whose mixer.Due) {
+	m := n.M
+	n.w.After(after, func() {
+		if n.M == m || m == nil {
+			whose.Due(n.w.Now)
+		}
+	})
+}
+
+// InTime gives the share of lookups taken within two times that were answered whole in their expected time.
+func (w *World) InTime(from, to int64) float64 {
+	all, in := 0, 0
+	for _, l := range w.Lookups {
+		if l.At >= from && l.At < to {
+			if all++; l.InTime() {
+				in++
+			}
+		}
+	}
+	if all == 0 {
+		return math.NaN()
+	}
+	return float64(in) / float64(all)
+}
--- a/internal/routing/router.go
+++ b/internal/routing/router.go
@@ -47,6 +47,7 @@
 	timers  timers
 	count   int64
 	next    []func(now int64) // calls that came up within a call
+	told    []Word            // what other mixers say, as last handed over
 	kick    chan struct{}
 }
 
@@ -125,7 +126,10 @@
 
 // Listed takes news of the list: changes, or with full set all of it.
 func (r *Router) Listed(rows []Entry, full bool) {
-	r.call(nil, func(now int64) { r.m.Listed(now, rows, full) })
+	r.call(nil, func(now int64) {
+		r.m.Listed(now, rows, full)
+		r.m.Told(now, r.told)
+	})
 }
 
 // Tick runs what has come due and says when the next is, the zero time if nothing is awaited.
--- /dev/null
+++ b/internal/routing/share.go
@@ -0,0 +1,45 @@
+package routing
+
+import "nettlefold/mixer"
+
+// Word, Own and Standing are the module's, for the layers above.
+type (
+	Word     = mixer.Word
+	Own      = mixer.Own
+	Standing = mixer.Standing
+)
+
+// Tell gives what this mixer knows of each listed searcher by itself, and the module's time of it. What is said of
+// the least cold allowance holds for the time given, in ns.
+func (r *Router) Tell(within int64) (now int64, all []Own) {
+	r.call(nil, func(at int64) {
+		now = at
+		all = make([]Own, 0, len(r.told))
+		r.m.Tell(at, within, func(o Own) { all = append(all, o) })
+	})
+	return now, all
+}
+
+// Told hands over what other mixers say and lend, in place of all that was handed over before. It is kept for searchers
+// that are listed later, or listed anew, since what was lent of a process must not be forgotten with its line of the list.
+func (r *Router) Told(words []Word) {
+	r.call(nil, func(now int64) {
+		r.told = words
+		r.m.Told(now, words)
+	})
+}
+
+// Hold keeps the mixer's own cold allowances back from now on for a time, in ns.
+func (r *Router) Hold(within int64) { r.call(nil, func(now int64) { r.m.Hold(now + within) }) }
+
+// Now gives the module's time, for what is timed beside it.
+func (r *Router) Now() (now int64) {
+	r.call(nil, func(at int64) { now = at })
+	return now
+}
+
+// Standing gives how a searcher stands with this mixer and why, false where it is not listed.
+func (r *Router) Standing(searcher string) (st Standing, listed bool) {
+	r.call(nil, func(now int64) { st, listed = r.m.Standing(now, searcher) })
+	return st, listed
+}
--- /dev/null
+++ b/internal/sharing/board.go
@@ -0,0 +1,378 @@
+package sharing
+
+import (
+	"cmp"
+	"errors"
+	"math"
+	"slices"
+
+	"nettlefold/mixer"
+)
+
+const (
+	standsOut = 1.5         // times the fleet's pace from which a searcher is told of
+	quorum    = 2           // other mixers that must say a thing: one with a broken line is none
+	answered  = 1000 * ms   // ns since an answer within which a mixer vouches for a searcher
+	fadeHalf  = 4000 * ms   // ns; what stands behind a word weighs half as much after it
+	enough    = 0.5         // calls that must still weigh behind a mixer's word on pace
+	stale     = 60_000 * ms // ns after which a mixer that says nothing is forgotten
+	headroom  = 1.5         // of what a lender itself has used of late, what it keeps
+	least     = 0.02        // of a share, the smallest loan
+	needs     = 0.9         // of its share in use from which a mixer asks for more
+	generous  = 2.0         // times what is asked for that all lenders together offer
+)
+
+// Counts are what a board did, for metrics. All but the last three only grow.
+type Counts struct {
+	Sheets, Garbage, Foreign, Stale     uint64 // heard: sound ones, unreadable, of another version, gone back
+	Told, Believed, Overruled, Outvoted uint64 // rows told; words believed; of those, with newer own evidence; too few say it
+	Lent, Borrowed, Late, Misaddressed  uint64 // loans given; used; that came after their end; for another life
+	Others, Rows, Loans                 int    // mixers heard of late, rows of their sheets, loans in force here
+}
+
+// Board is one mixer's view of what all say. It is not safe for use by two at once.
+type Board struct {
+	name, zone string
+	life       uint64
+	number     uint64
+	terms      terms
+	held       int64             // until then its own share may still be lent from an earlier life, and is not lent
+	made       [16]int64         // when the last sheets were made, by number
+	since      map[process]int64 // when own suspicion began
+	others     map[string]*other
+	ledger     ledger
+	counts     Counts
+}
+
+// other is what is kept of another mixer.
+type other struct {
+	sheet *Sheet
+	seen  int64 // when that sheet was first seen
+	lives []uint64
+	rows  map[process]*Row
+}
+
+// terms are the times that keep loans within what their lender gives up.
+type terms struct {
+	use, giveUp int64 // ns, for which a borrower uses a loan, and a lender gives it up
+	hold        int64 // ns, for which a mixer that starts keeps its share back
+}
+
+var sound = terms{use: int64(borrowedPart * float64(Lease)), giveUp: GivenUp, hold: GivenUp}
+
+// GivenUp is for how long, in ns, a lender gives up what it lends. A mixer that starts holds its share back as long.
+const GivenUp = int64(lentPart * float64(Lease))
+
+// NewBoard makes the board of a mixer that starts now. Life is drawn anew at each start; the caller has the module hold
+// its own cold allowances back for GivenUp.
+func NewBoard(now int64, name, zone string, life uint64) *Board {
+	return &Board{name: name, zone: zone, life: max(life, 1), terms: sound, held: now + sound.hold,
+		since: map[process]int64{}, others: map[string]*other{}, ledger: newLedger()}
+}
+
+// Counts gives what the board did up to now.
+func (b *Board) Counts(now int64) Counts {
+	c := b.counts
+	for _, o := range b.others {
+		if b.fresh(now, o) {
+			c.Others++
+			c.Rows += len(o.rows)
+		}
+	}
+	c.Loans = b.ledger.live(now)
+	return c
+}
+
+// Newest gives how old the newest sheet of another mixer is, in ns, -1 where there is none.
+func (b *Board) Newest(now int64) int64 {
+	age := int64(-1)
+	for _, o := range b.others {
+		if age < 0 || now-o.seen < age {
+			age = now - o.seen
+		}
+	}
+	return age
+}
+
+func (b *Board) fresh(now int64, o *other) bool { return now-o.seen < Lease }
+
+// Heard takes what the store holds of one mixer. A sheet that was seen before, or comes before one that was, changes
+// nothing: a store that is restored from an older state has nothing counted twice.
+func (b *Board) Heard(now int64, raw []byte) error {
+	s, err := ReadSheet(raw)
+	switch {
+	case err == nil:
+	case errors.Is(err, ErrVersion):
+		b.counts.Foreign++
+		return err
+	default:
+		b.counts.Garbage++
+		return err
+	}
+	if s.Mixer == b.name {
+		return nil
+	}
+	o := b.others[s.Mixer]
+	if o == nil {
+		b.forget(now)
+		if len(b.others) >= maxOthers {
+			return nil
+		}
+		o = &other{}
+		b.others[s.Mixer] = o
+	}
+	if old := o.sheet; old != nil {
+		if s.Life == old.Life && s.Number <= old.Number || s.Life != old.Life && slices.Contains(o.lives, s.Life) {
+			if s.Life != old.Life || s.Number != old.Number {
+				b.counts.Stale++
+			}
+			return nil
+		}
+		if s.Life != old.Life {
+			o.lives = append(o.lives, old.Life)
+			o.lives = o.lives[max(0, len(o.lives)-maxLives):]
+		}
+	}
+	o.sheet, o.seen, o.rows = s, now, make(map[process]*Row, len(s.Rows))
+	for i := range s.Rows {
+		r := &s.Rows[i]
+		p := process{r.Searcher, r.Started}
+		o.rows[p] = r
+		for _, l := range r.Loans {
+			if l.To == b.name {
+				b.borrow(now, p, s.Mixer, l)
+			}
+		}
+	}
+	b.counts.Sheets++
+	return nil
+}
+
+// forget drops mixers that have said nothing for long.
+func (b *Board) forget(now int64) {
+	for name, o := range b.others {
+		if now-o.seen > stale {
+			delete(b.others, name)
+		}
+	}
+}
+
+// borrow takes a loan. It counts from when the sheet that asked for it was made, which was before its lender gave it:
+// so it ends here before it ends there, whatever the clocks show and however late it comes.
+func (b *Board) borrow(now int64, p process, lender string, l Loan) {
+	if l.Life != b.life || l.Number > b.number || l.Number+uint64(len(b.made)) <= b.number {
+		b.counts.Misaddressed++
+		return
+	}
+	until := b.made[l.Number%uint64(len(b.made))] + b.terms.use
+	if until <= now {
+		b.counts.Late++
+		return
+	}
+	if b.ledger.borrow(now, p, lender, l.Rate, until) {
+		b.counts.Borrowed++
+	}
+}
+
+// Compose makes the next sheet from what this mixer knows by itself, and gives away what it says it lends: Words must be
+// handed to the module before the sheet is written anywhere.
+func (b *Board) Compose(now int64, all []mixer.Own) *Sheet {
+	b.number++
+	b.made[b.number%uint64(len(b.made))] = now
+	s := &Sheet{Version: version, Mixer: b.name, Zone: b.zone, Life: b.life, Number: b.number}
+	mentioned, asks := b.mentioned(now), b.asks(now)
+	type urgent struct {
+		row  Row
+		rank float64
+	}
+	var rows []urgent
+	since := make(map[process]int64)
+	for i := range all {
+		o := &all[i]
+		p := process{o.Searcher, o.Started}
+		r := Row{Searcher: o.Searcher, Started: o.Started}
+		rank := 0.0
+		if o.Suspect {
+			since[p] = now
+			if at, ok := b.since[p]; ok {
+				since[p] = at
+			}
+			r.Suspect, rank = (now-since[p])/ms+1, 3
+		}
+		if o.Heard > 0 {
+			r.Heard = (now-o.Heard)/ms + 1
+		}
+		if o.Weight >= enough && o.Slow > 0 {
+			r.Slow, r.Weight = float32(o.Slow), float32(o.Weight)
+		}
+		if o.Slow >= standsOut && o.Weight >= enough {
+			rank = max(rank, 1+min(1, o.Slow/100))
+		}
+		if mentioned[p] && (o.Heard > 0 && now-o.Heard < 2*Lease) {
+			rank = max(rank, 2.5) // one who knows better is heard
+		}
+		if o.Cold {
+			if o.Want > needs*o.Rate {
+				r.Ask = o.Want
+				rank = max(rank, 4)
+			}
+			if asked := asks[p]; len(asked) > 0 && now >= b.held {
+				if r.Loans = b.lend(now, p, o, asked); len(r.Loans) > 0 {
+					rank = 5
+				}
+			}
+		}
+		if rank > 0 {
+			rows = append(rows, urgent{r, rank})
+		}
+	}
+	b.since = since
+	slices.SortStableFunc(rows, func(x, y urgent) int { return cmp.Compare(y.rank, x.rank) })
+	loans := 0
+	for _, u := range rows[:min(len(rows), maxRows)] {
+		if loans+len(u.row.Loans) > maxGrants {
+			u.row.Loans = nil // given away for nothing; the lender's share comes back with the lease
+		}
+		loans += len(u.row.Loans)
+		s.Rows = append(s.Rows, u.row)
+	}
+	b.counts.Told += uint64(len(s.Rows))
+	return s
+}
+
+// mentioned gives the processes of which others say something bad.
+func (b *Board) mentioned(now int64) map[process]bool {
+	bad := map[process]bool{}
+	for _, o := range b.others {
+		if b.fresh(now, o) {
+			for p, r := range o.rows {
+				if r.Suspect > 0 || r.Slow >= standsOut {
+					bad[p] = true
+				}
+			}
+		}
+	}
+	return bad
+}
+
+// teller is one mixer's word on one process.
+type teller struct {
+	zone   string
+	row    *Row
+	heard  int64 // when the sheet was seen
+	weight float64
+}
+
+// Words gives what is to be believed now, and what is lent and borrowed, for each process that any of it concerns, in
+// the order of their names. Own is what this mixer knows by itself.
+func (b *Board) Words(now int64, all []mixer.Own) []mixer.Word {
+	said := map[process][]teller{}
+	for _, o := range b.others {
+		if !b.fresh(now, o) {
+			continue
+		}
+		for p, r := range o.rows {
+			age := float64(now-o.seen) + float64(r.Heard)*float64(ms)
+			said[p] = append(said[p], teller{o.sheet.Zone, r, o.seen, float64(r.Weight) * math.Exp2(-age/float64(fadeHalf))})
+		}
+	}
+	own := make(map[process]*mixer.Own, len(all))
+	for i := range all {
+		own[process{all[i].Searcher, all[i].Started}] = &all[i]
+	}
+	var words []mixer.Word
+	for p, tellers := range said {
+		if own[p] == nil {
+			continue // not listed here, or another process
+		}
+		if w := b.judge(now, p, tellers); w.Until > 0 {
+			b.counts.Believed++
+			if own[p].Heard > w.At {
+				b.counts.Overruled++
+			}
+			words = append(words, w)
+		}
+	}
+	words = b.ledger.settle(now, words)
+	slices.SortFunc(words, func(x, y mixer.Word) int {
+		return cmp.Or(cmp.Compare(x.Searcher, y.Searcher), cmp.Compare(x.Started, y.Started))
+	})
+	return words
+}
+
+// believed tells whether the mixers that say a thing are enough: two or more, and of two zones unless this mixer's own is
+// one of them, since a line that is broken between zones is broken for all of a zone.
+func (b *Board) believed(tellers []teller) bool {
+	if len(tellers) < quorum {
+		return false
+	}
+	near := 0
+	for _, t := range tellers {
+		if t.zone == b.zone {
+			near++
+		}
+		if t.zone != tellers[0].zone {
+			return true
+		}
+	}
+	return near >= quorum
+}
+
+// judge makes one word of what others say of a process; Until is 0 where nothing is believed.
+func (b *Board) judge(now int64, p process, tellers []teller) mixer.Word {
+	w := mixer.Word{Searcher: p.searcher, Started: p.started}
+	var pace, silent, well []teller
+	oldest := int64(math.MaxInt64)
+	for _, t := range tellers {
+		if t.row.Slow > 0 && t.weight >= enough {
+			pace = append(pace, t)
+		}
+		if t.row.Suspect > 0 {
+			silent = append(silent, t)
+			w.Suspecting++
+		} else if t.row.Heard > 0 && t.row.Heard*ms+now-t.heard < answered {
+			well = append(well, t)
+		}
+		oldest = min(oldest, t.heard)
+	}
+	if b.believed(pace) {
+		w.Slow, w.Weight = median(pace)
+		for _, t := range pace {
+			w.At = max(w.At, t.heard-t.row.Heard*ms)
+		}
+	} else if len(pace) > 0 {
+		b.counts.Outvoted++
+	}
+	switch {
+	case b.believed(silent) && len(silent) > len(well):
+		w.Silent = true
+		for _, t := range silent {
+			w.At = max(w.At, t.heard)
+		}
+	case b.believed(well) && len(well) > len(silent):
+		w.Sound = true
+	case len(silent) > 0:
+		b.counts.Outvoted++
+	}
+	if w.Slow > 0 || w.Silent || w.Sound || w.Suspecting > 0 {
+		w.Until = oldest + Lease
+	}
+	return w
+}
+
+// median gives the pace that half of the weight says is not exceeded, and all the weight. No one mixer can move it far.
+func median(tellers []teller) (slow, weight float64) {
+	slices.SortFunc(tellers, func(x, y teller) int { return cmp.Compare(x.row.Slow, y.row.Slow) })
+	// Each mixer weighs up to the same, or one with much traffic would speak for all.
+	weigh := func(t teller) float64 { return min(t.weight, 4) }
+	for _, t := range tellers {
+		weight += weigh(t)
+	}
+	sum := 0.0
+	for _, t := range tellers {
+		if sum += weigh(t); sum >= weight/2 {
+			return float64(t.row.Slow), weight
+		}
+	}
+	return 0, 0
+}
--- a/mixer/mixer.go
+++ b/mixer/mixer.go
@@ -2,7 +2,8 @@
 //
 // How it is called: New makes a mixer; Listed and ListRefused bring news of the list; Take takes a lookup and
 // gives its handle, AddPart hands over its parts, Outcome tells how a forward ended, Gone that the client has
-// left; Due is called when a timer comes due. Calls come in the clock's order. It acts by Floor, in types.go.
+// left; Due is called when a timer comes due; Told brings what other mixers say. Calls come in the clock's
+// order. It acts by Floor, in types.go.
 //
 // The ordinary path is water-filling: exactly as many parts as make the answer whole, each to the holder
 // with the fewest calls of this mixer out, the count raised after each pick. docs/design.md says what is
@@ -51,10 +52,11 @@
 	lineHalf    = 8000 * ms  // ns; how long what was learnt of idle connections holds
 	lineTimes   = 2.0        // of what new connections lose, idle ones may: new ones are few to judge by
 	lineLost    = 1.0        // forwards lost on idle connections, beyond what new ones lose, that close them
+	wordMost    = 12.0       // calls that others' word weighs at most; 4 leave old answers in front
 	tiny        = 1e-6       // weights may fall short by rounding
 )
 
-// Mixer is one mixer. It shares nothing with others.
+// Mixer is one mixer. It shares nothing with others but by Told and Tell.
 type Mixer struct {
 	c         Charter
 	floor     Floor
@@ -73,6 +75,7 @@
 	asking              bool    // a list call is out or the subscription runs
 	long                float64 // ns, the longest expected time
 	refusals            int
+	held                int64 // until then its own cold allowance may still be lent from before its start
 }
 
 // zone is what is known of a place: its last answer, and how many forwards sent since were lost.
@@ -97,6 +100,8 @@
 	credit       float64 // cold: of one part, how much may be sent, and up to when that was reckoned
 	creditAt     int64
 	out          []*forward
+	word         Word  // of others, on the process named there
+	want         Decay // cold: forwards sent there, and those that would have been with credit
 }
 
 // call is what travels together to one searcher.
@@ -188,7 +193,7 @@
 		s.zone, s.status = m.zones[e.Zone], e.Status
 		if s.started != e.Started { // a new process: nothing learnt of the old one holds
 			s.started, s.unheard, s.suspect, s.wait = e.Started, 0, false, 0
-			s.pace, s.credit, s.creditAt = Ratio{}, m.rng.Float64(), now
+			s.pace, s.credit, s.creditAt, s.want = Ratio{}, m.rng.Float64(), now, Decay{}
 		}
 		moved = append(moved, s)
 	}
@@ -208,6 +213,44 @@
 	}
 }
 
+// Told takes what other mixers say and lend. All of it ends by itself: who hears no more is as one alone.
+func (m *Mixer) Told(now int64, words []Word) {
+	for _, w := range words {
+		if s := m.searchers[w.Searcher]; s != nil && s.started == w.Started {
+			if w.Lent+w.Away+s.word.Lent+s.word.Away > 0 {
+				m.coldWait(now, s) // first what was lent and borrowed up to now
+			}
+			if w.Sound && !s.word.Sound && s.suspect {
+				s.wait, s.testAt = 0, now // it is back for others: the first who may should see for itself
+			}
+			s.word = w
+		}
+	}
+}
+
+// Hold keeps the mixer's own cold allowance back for a while. It guards against a mixer started anew that
+// would spend what it lent before.
+func (m *Mixer) Hold(until int64) { m.held = until }
+
+// said gives what others say of the process that runs, nothing once it is old.
+func (s *searcher) said(now int64) (w Word) {
+	if s.word.Started == s.started && now < s.word.Until {
+		w = s.word
+	}
+	return w
+}
+
+// doubted tells whether others hold s silent, and it has not answered this mixer since.
+func (s *searcher) doubted(now int64) bool {
+	w := s.said(now)
+	return w.Silent && s.heard < w.At
+}
+
+// due tells whether a suspect may be tested. Mixers that suspect it together test it as often as one alone.
+func (s *searcher) due(now int64) bool {
+	return now >= s.testAt+s.wait*int64(s.said(now).Suspecting)
+}
+
 // ListRefused is told that a list call failed. It is asked for again after a growing, jittered wait.
 func (m *Mixer) ListRefused(now int64) {
 	wait := askFirst << min(m.refusals, 6)
@@ -285,8 +328,15 @@
 
 // unit is what forwards to s lately took for each call out with them, leaning on the fleet's figure where
 // s has shown little. Times the calls that a new forward joins, it is the time it is likely to take.
+// What others say of it stands for the fleet's, and weighs more while newer than what s showed this mixer.
 func (m *Mixer) unit(now int64, s *searcher) float64 {
-	return s.pace.Read(now, paceHalf, m.pace.Read(now, halfLife, 0, 0), lean)
+	on, weight := m.pace.Read(now, halfLife, 0, 0), lean
+	if w := s.said(now); w.Slow > 0 {
+		if on *= w.Slow; s.heard < w.At {
+			weight += min(w.Weight, wordMost)
+		}
+	}
+	return s.pace.Read(now, paceHalf, on, weight)
 }
 
 // Gone is told that the client left.
@@ -413,18 +463,36 @@
 	if m.frac(now, s) == 1 {
 		return 0
 	}
-	s.credit = min(1, s.credit+m.coldRate((s.creditAt+now)/2, s)*float64(now-s.creditAt))
-	s.creditAt = now
-	warm := float64(s.started + m.c.ColdFor - now)
-	return int64(min(warm, (1-s.credit)/m.coldRate(now, s)))
+	own, w := m.coldRate((s.creditAt+now)/2, s), s.word
+	if w.Started != s.started {
+		w = Word{}
+	}
+	over := func(until int64) float64 { return float64(max(0, min(now, until)-s.creditAt)) }
+	gain := own*float64(now-max(s.creditAt, min(now, m.held))) - min(own, w.Away)*over(w.AwayUntil)
+	s.credit = min(1, s.credit+max(0, gain)+w.Lent*over(w.LentUntil))
+	if s.creditAt = now; s.credit >= 1 {
+		return 0
+	}
+	rate := m.coldRate(now, s)
+	if now < w.AwayUntil { // what is lent comes later, if it does
+		rate = max(0, rate-w.Away)
+	}
+	if now < w.LentUntil {
+		rate += w.Lent
+	}
+	return int64(min(float64(s.started+m.c.ColdFor-now), (1-s.credit)/rate))
 }
 
 // coldRate is how many parts per ns this mixer may send to s while cold. All mixers together may send what
 // fills coldMargin of a window, which is frac of what a warm searcher bears, times the multiple. What many
 // send is spread by chance, so they aim lower by coldSpread deviations; a few cannot exceed one part each.
 func (m *Mixer) coldRate(now int64, s *searcher) float64 {
+	return m.coldRateOf(m.bears.Read(now, bearHalf), now, s)
+}
+
+func (m *Mixer) coldRateOf(bears float64, now int64, s *searcher) float64 {
 	mixers, window := float64(m.c.Mixers), float64(max(m.c.FallFor, ms))
-	most := m.bears.Read(now, bearHalf) * mixers * m.frac(now, s) * m.c.FallMultiple * coldMargin * window
+	most := bears * mixers * m.frac(now, s) * m.c.FallMultiple * coldMargin * window
 	spread := math.Sqrt(most+coldSpread*coldSpread/4) - coldSpread/2
 	return max(spread*spread, min(most, mixers*math.Floor((most+1)/mixers))) / mixers / window
 }
@@ -554,7 +622,7 @@
 func (m *Mixer) holders(now int64, p *part, each func(*searcher)) {
 	for j := range m.c.Reach {
 		for _, s := range m.cells[(p.Slice+j)%m.c.Cells] {
-			if s.status == Live && (!s.suspect || now >= s.testAt || len(s.out) == 0) {
+			if s.status == Live && (!s.suspect || s.due(now) || len(s.out) == 0) {
 				each(s)
 			}
 		}
@@ -567,8 +635,8 @@
 func (l *Lookup) pick(now int64, copy bool) *forward {
 	m := l.m
 	var best *part
-	var to *searcher
-	var least [5]float64
+	var to, want *searcher // want is cold and would be picked if it had credit
+	var least, wanted [5]float64
 	for _, p := range l.parts[l.step:] {
 		if p.in || !l.maySend(now, p) {
 			continue
@@ -578,7 +646,7 @@
 		}
 		m.holders(now, p, func(s *searcher) {
 			tried := slices.ContainsFunc(p.forwards, func(f *forward) bool { return f.s == s })
-			if tried || m.coldWait(now, s) > 0 {
+			if tried {
 				return
 			}
 			key := [5]float64{1: float64(min(1, len(p.forwards))), 2: float64(s.calls), 4: float64(p.Effort)}
@@ -595,12 +663,21 @@
 			} else if s.suspect {
 				key[0] = -1 // the one test, backed by a copy as soon as the lookup is looked at again
 			}
+			if m.coldWait(now, s) > 0 {
+				if want == nil || slices.Compare(key[:], wanted[:]) < 0 {
+					want, wanted = s, key
+				}
+				return
+			}
 			c := slices.Compare(key[:], least[:])
 			if best == nil || c < 0 || c == 0 && m.rng.Intn(2) == 0 {
 				best, to, least = p, s, key
 			}
 		})
 	}
+	if want != nil && (best == nil || slices.Compare(wanted[:], least[:]) < 0) {
+		want.want.Add(now, 1, halfLife)
+	}
 	if best == nil {
 		return nil
 	}
@@ -609,7 +686,10 @@
 
 // shunned tells whether s is suspect or in a silent zone, and not to be tested now.
 func (m *Mixer) shunned(now int64, s *searcher) bool {
-	return (s.suspect || s.zone.silent()) && (s.suspect && now < s.testAt ||
+	if !s.suspect && s.doubted(now) {
+		return true // those who found out test it
+	}
+	return (s.suspect || s.zone.silent()) && (s.suspect && !s.due(now) ||
 		m.tests.Read(now, halfLife) >= max(testFloor, testShare*m.sent.Read(now, halfLife)))
 }
 
@@ -686,6 +766,7 @@
 		m.spent = append(m.spent, now)
 	}
 	s.credit = 0
+	s.want.Add(now, 1, halfLife)
 	m.sent.Add(now, 1, halfLife)
 	f := &forward{part: p, s: s, call: s.call, count: s.calls, process: s.started, sent: now, line: line}
 	p.forwards = append(p.forwards, f)
--- /dev/null
+++ b/mixer/telling.go
@@ -0,0 +1,70 @@
+package mixer
+
+import "math"
+
+// Own is what this mixer knows of one process of a searcher by itself. Nothing that others said is in it.
+type Own struct {
+	Searcher     string
+	Started      int64 // of the process
+	Heard        int64 // its last answer, 0: none
+	Pace, Weight float64
+	Slow         float64 // Pace over the fleet's, 0 where either is not known
+	Suspect      bool
+	Cold         bool
+	Rate, Least  float64 // parts per ns of its own cold allowance, now and at the least within the time asked for
+	Want         float64 // parts per ns lately sent there while cold, or that would have been with more
+}
+
+// Tell goes through the listed searchers, cell by cell. Least holds for the time given, in ns.
+func (m *Mixer) Tell(now, within int64, each func(Own)) {
+	fleet := m.pace.Read(now, halfLife, 0, 0)
+	for _, cell := range m.cells {
+		for _, s := range cell {
+			if s.status != Live {
+				continue
+			}
+			o := Own{Searcher: s.id, Started: s.started, Heard: s.heard, Suspect: s.suspect, Weight: s.pace.under.Read(now, paceHalf)}
+			if o.Weight > tiny {
+				o.Pace = s.pace.Read(now, paceHalf, 0, 0)
+				if fleet > 0 {
+					o.Slow = o.Pace / fleet
+				}
+			}
+			if o.Cold = m.frac(now, s) < 1; o.Cold {
+				o.Rate = m.coldRate(now, s)
+				o.Least = m.coldRateOf(m.bears.Read(now+within, bearHalf), now, s) // it grows warmer meanwhile
+				o.Want = s.want.Read(now, halfLife) * math.Ln2 / float64(halfLife)
+			}
+			each(o)
+		}
+	}
+}
+
+// Standing is how a searcher stands with this mixer and why. It answers why it was passed over.
+type Standing struct {
+	Own
+	Status           Status
+	Calls, Parts     int     // out there
+	Unit, Fleet      float64 // ns a call, with what others say, and the fleet's
+	Doubted, Shunned bool    // others hold it silent; it is picked last
+	ZoneSilent       bool
+	TestIn           int64 // ns until a suspect is due for a test
+	ColdWait         int64 // ns until its cold allowance has a part
+	Word             Word  // what others say, none once it is old
+}
+
+// Standing gives how a searcher stands, false where it is not listed.
+func (m *Mixer) Standing(now int64, searcher string) (Standing, bool) {
+	s := m.searchers[searcher]
+	if s == nil {
+		return Standing{}, false
+	}
+	st := Standing{Status: s.status, Calls: s.calls, Parts: s.parts, Unit: m.unit(now, s), Fleet: m.pace.Read(now, halfLife, 0, 0),
+		Doubted: s.doubted(now), Shunned: m.shunned(now, s), ZoneSilent: s.zone.silent(), ColdWait: m.coldWait(now, s), Word: s.said(now)}
+	if s.suspect {
+		st.TestIn = max(0, s.testAt+s.wait*int64(st.Word.Suspecting)-now)
+	}
+	st.Own = Own{Searcher: s.id, Started: s.started, Heard: s.heard, Suspect: s.suspect, Cold: m.frac(now, s) < 1,
+		Pace: s.pace.Read(now, paceHalf, 0, 0), Weight: s.pace.under.Read(now, paceHalf)}
+	return st, true
+}
--- a/mixer/types.go
+++ b/mixer/types.go
@@ -87,6 +87,22 @@
 	Status   Status
 }
 
+// Word is what other mixers are believed to say of one process of a searcher, and what of cold allowances is lent.
+// Times are of this mixer's clock.
+type Word struct {
+	Searcher   string
+	Started    int64   // of the process
+	At, Until  int64   // when the newest that stands behind it was seen, and when it is no longer believed
+	Slow       float64 // its pace over the fleet's, 0: nothing is said
+	Weight     float64 // calls that stand behind that
+	Silent     bool    // it does not answer others
+	Sound      bool    // it does
+	Suspecting int     // other mixers that suspect and test it
+
+	Lent, Away           float64 // parts per ns of the cold allowance, borrowed from others and lent to them
+	LentUntil, AwayUntil int64
+}
+
 // Ask is a lookup as it is taken.
 type Ask struct {
 	ID       string
