A mixer lends its whole cold share, saved part included, to those who ask

Now a mixer with no use for its share, quiet there for a window, lends it whole: the one part it may save up is then free, and one of the two deviations kept for chance goes with the rate. Words on pace are believed only after two rounds, when those who know better have told: told by the unlucky alone they were biased.

--- a/internal/lab/fleet/world.go
+++ b/internal/lab/fleet/world.go
@@ -28,6 +28,7 @@
 	Charter   mixer.Charter
 	Parts     int                  // of a lookup, on slices in a row from a random one
 	Rates     []float64            // lookups a second, by mixer
+	Home      float64              // share of a mixer\'s lookups that begin at the slice of its region: its number modulo the cells
 	Work      int64                // mean work of a part
 	Cores     int                  // of a searcher
 	Net       int64                // one way; twice that across zones
@@ -242,6 +243,9 @@
 func (n *Node) take(rng *rand.Rand) {
 	w := n.w
 	slice := rng.Intn(w.Charter.Cells)
+	if rng.Float64() < w.Home {
+		slice = n.Index % w.Charter.Cells
+	}
 	n.number++
 	id := fmt.Sprintf("%d.%d", n.life, n.number)
 	t := &w.Charter.Tariffs[0]
--- a/internal/routing/share.go
+++ b/internal/routing/share.go
@@ -9,8 +9,8 @@
 	Standing = mixer.Standing
 )
 
-// Tell gives what this mixer knows of each listed searcher by itself, and the module's time of it. What is said of
-// the least cold allowance holds for the time given, in ns.
+// Tell gives what this mixer knows of each listed searcher by itself, and the module's time of it. What its cold
+// allowances are worth to a borrower holds for the time given, in ns.
 func (r *Router) Tell(within int64) (now int64, all []Own) {
 	r.call(nil, func(at int64) {
 		now = at
--- a/internal/sharing/board.go
+++ b/internal/sharing/board.go
@@ -16,10 +16,10 @@
 	fadeHalf  = 4000 * ms   // ns; what stands behind a word weighs half as much after it
 	enough    = 0.5         // calls that must still weigh behind a mixer's word on pace
 	stale     = 60_000 * ms // ns after which a mixer that says nothing is forgotten
-	headroom  = 1.5         // of what a lender itself has used of late, what it keeps
+	idles     = 0.3         // of its share in use up to which a mixer lends it
 	least     = 0.02        // of a share, the smallest loan
 	needs     = 0.9         // of its share in use from which a mixer asks for more
-	generous  = 2.0         // times what is asked for that all lenders together offer
+	hearing   = 2 * Round   // ns between the first bad word on pace and its being believed: who knows better has told by then
 )
 
 // Counts are what a board did, for metrics. All but the last three only grow.
@@ -40,6 +40,7 @@
 	made       [16]int64         // when the last sheets were made, by number
 	since      map[process]int64 // when own suspicion began
 	others     map[string]*other
+	first      map[process]int64 // when others first said something bad of it, without a pause since
 	ledger     ledger
 	counts     Counts
 }
@@ -67,7 +68,7 @@
 // its own cold allowances back for GivenUp.
 func NewBoard(now int64, name, zone string, life uint64) *Board {
 	return &Board{name: name, zone: zone, life: max(life, 1), terms: sound, held: now + sound.hold,
-		since: map[process]int64{}, others: map[string]*other{}, ledger: newLedger()}
+		since: map[process]int64{}, others: map[string]*other{}, first: map[process]int64{}, ledger: newLedger()}
 }
 
 // Counts gives what the board did up to now.
@@ -208,7 +209,7 @@
 		if o.Slow >= standsOut && o.Weight >= enough {
 			rank = max(rank, 1+min(1, o.Slow/100))
 		}
-		if mentioned[p] && (o.Heard > 0 && now-o.Heard < 2*Lease) {
+		if mentioned[p] > 0 && (o.Heard > 0 && now-o.Heard < 2*Lease) {
 			rank = max(rank, 2.5) // one who knows better is heard
 		}
 		if o.Cold {
@@ -240,18 +241,24 @@
 	return s
 }
 
-// mentioned gives the processes of which others say something bad.
-func (b *Board) mentioned(now int64) map[process]bool {
-	bad := map[process]bool{}
+// mentioned gives the processes of which others say something bad, with the time since when they do.
+func (b *Board) mentioned(now int64) map[process]int64 {
+	bad := map[process]int64{}
 	for _, o := range b.others {
 		if b.fresh(now, o) {
 			for p, r := range o.rows {
 				if r.Suspect > 0 || r.Slow >= standsOut {
-					bad[p] = true
+					bad[p] = now
 				}
 			}
 		}
 	}
+	for p := range bad {
+		if at, ok := b.first[p]; ok {
+			bad[p] = at
+		}
+	}
+	b.first = bad
 	return bad
 }
 
@@ -266,6 +273,7 @@
 // Words gives what is to be believed now, and what is lent and borrowed, for each process that any of it concerns, in
 // the order of their names. Own is what this mixer knows by itself.
 func (b *Board) Words(now int64, all []mixer.Own) []mixer.Word {
+	b.mentioned(now)
 	said := map[process][]teller{}
 	for _, o := range b.others {
 		if !b.fresh(now, o) {
@@ -335,7 +343,7 @@
 		}
 		oldest = min(oldest, t.heard)
 	}
-	if b.believed(pace) {
+	if at, ok := b.first[p]; b.believed(pace) && ok && now-at >= hearing {
 		w.Slow, w.Weight = median(pace)
 		for _, t := range pace {
 			w.At = max(w.At, t.heard-t.row.Heard*ms)
--- a/internal/sharing/lease.go
+++ b/internal/sharing/lease.go
@@ -11,13 +11,14 @@
 // time. The ledger keeps what of these rates is lent and borrowed. Three things make the sum of all no more than if each
 // kept its own, without trust in the store:
 //
-//   - a lender gives its rate up at the moment it decides to lend, before anything is written, and for longer by its own
-//     clock than any borrower may use it;
+//   - a lender gives its share up, with the part that it has saved up, at the moment it decides to lend, before anything is
+//     written, and for longer by its own clock than any borrower may use it;
 //   - a loan answers one sheet of one life of its borrower, and runs from when that sheet was made: which was before it was
 //     lent. A loan that is late, read twice, restored or for an earlier life of the borrower is worth nothing more;
 //   - a mixer that starts does not use its own share until what an earlier life may have lent has run out.
 //
-// A rate is lent, not parts: what each mixer may have saved up stays one part, so loans never add to a burst.
+// A rate is lent, not parts: what a mixer may save up stays one part. In a window each mixer alone may send one part and
+// its rate; a lender's rate and part together are never less than what its borrowers get for them there.
 type ledger struct {
 	lent     map[process]map[string][]loan // by borrower
 	borrowed map[process]map[string]loan   // by lender, the newest
@@ -58,28 +59,22 @@
 	return asks
 }
 
-// lend divides what this mixer does not use of its share among those who ask, by what they want. The share that counts is
-// the least it will be while any of it is lent.
+// lend divides this mixer's share among those who ask, by what they want, where it has no use for it itself and has sent
+// nothing there for a whole window: the part that it could have saved up is then in no window with what a borrower sends.
 func (b *Board) lend(now int64, p process, own *mixer.Own, asks []ask) (loans []Loan) {
-	spare := own.Least - min(own.Least, headroom*own.Want)
-	if spare < least*own.Least {
+	if !own.Quiet || own.Want > idles*own.Rate {
 		return nil
 	}
-	lenders, want := max(1, b.counted(now)-len(asks)), 0.0
+	want := 0.0
 	for _, a := range asks {
 		want += a.want
 	}
-	if want <= 0 {
-		return nil
-	}
-	// Not more than is of use: others lend too.
-	offer := min(spare, generous*want/float64(lenders))
 	away := b.ledger.away(now, p)
 	for _, a := range asks {
-		rate, has := offer*a.want/want, b.ledger.awayTo(now, p, a.name)
+		rate, has := own.Loan*a.want/want, b.ledger.awayTo(now, p, a.name)
 		// What was lent before still runs. The same borrower may count the new loan in its place, others may not.
-		rate = min(rate, has+max(0, own.Least-away))
-		if rate < least*own.Least/float64(len(asks)) {
+		rate = min(rate, has+max(0, own.Loan-away))
+		if rate < least*own.Loan/float64(len(asks)) {
 			continue
 		}
 		away += max(0, rate-has)
@@ -90,17 +85,6 @@
 	return loans
 }
 
-// counted gives how many mixers are heard of, with this one.
-func (b *Board) counted(now int64) int {
-	n := 1
-	for _, o := range b.others {
-		if b.fresh(now, o) {
-			n++
-		}
-	}
-	return n
-}
-
 // lend books a loan to a borrower.
 func (l *ledger) lend(now int64, p process, to string, rate float64, until int64) {
 	if l.lent[p] == nil {
@@ -189,7 +173,6 @@
 	}
 	for p, of := range l.lent {
 		w := word(p)
-		w.Away = l.away(now, p)
 		for _, loans := range of {
 			for _, o := range loans {
 				w.AwayUntil = max(w.AwayUntil, o.until)
--- a/mixer/mixer.go
+++ b/mixer/mixer.go
@@ -52,6 +52,7 @@
 	lineHalf    = 8000 * ms  // ns; how long what was learnt of idle connections holds
 	lineTimes   = 2.0        // of what new connections lose, idle ones may: new ones are few to judge by
 	lineLost    = 1.0        // forwards lost on idle connections, beyond what new ones lose, that close them
+	lentSpread  = 1.0        // deviations, of those kept for chance, that are lent: a steady rate needs less
 	wordMost    = 12.0       // calls that others' word weighs at most; 4 leave old answers in front
 	tiny        = 1e-6       // weights may fall short by rounding
 )
@@ -99,6 +100,7 @@
 	wait, testAt int64   // before the next test, and when that is
 	credit       float64 // cold: of one part, how much may be sent, and up to when that was reckoned
 	creditAt     int64
+	sentAt       int64 // last forward
 	out          []*forward
 	word         Word  // of others, on the process named there
 	want         Decay // cold: forwards sent there, and those that would have been with credit
@@ -217,9 +219,12 @@
 func (m *Mixer) Told(now int64, words []Word) {
 	for _, w := range words {
 		if s := m.searchers[w.Searcher]; s != nil && s.started == w.Started {
-			if w.Lent+w.Away+s.word.Lent+s.word.Away > 0 {
+			if w.Lent+s.word.Lent > 0 || max(w.AwayUntil, s.word.AwayUntil) > 0 {
 				m.coldWait(now, s) // first what was lent and borrowed up to now
 			}
+			if now < w.AwayUntil {
+				s.credit = 0 // what was saved up is lent too
+			}
 			if w.Sound && !s.word.Sound && s.suspect {
 				s.wait, s.testAt = 0, now // it is back for others: the first who may should see for itself
 			}
@@ -468,33 +473,35 @@
 		w = Word{}
 	}
 	over := func(until int64) float64 { return float64(max(0, min(now, until)-s.creditAt)) }
-	gain := own*float64(now-max(s.creditAt, min(now, m.held))) - min(own, w.Away)*over(w.AwayUntil)
-	s.credit = min(1, s.credit+max(0, gain)+w.Lent*over(w.LentUntil))
+	back := max(s.creditAt, min(now, max(m.held, w.AwayUntil))) // from when on its own share is not lent
+	s.credit = min(1, s.credit+own*float64(now-back)+w.Lent*over(w.LentUntil))
 	if s.creditAt = now; s.credit >= 1 {
 		return 0
 	}
 	rate := m.coldRate(now, s)
-	if now < w.AwayUntil { // what is lent comes later, if it does
-		rate = max(0, rate-w.Away)
-	}
 	if now < w.LentUntil {
 		rate += w.Lent
 	}
-	return int64(min(float64(s.started+m.c.ColdFor-now), (1-s.credit)/rate))
+	return int64(min(float64(s.started+m.c.ColdFor-now), (1-s.credit)/rate+float64(max(0, w.AwayUntil-now))))
 }
 
 // coldRate is how many parts per ns this mixer may send to s while cold. All mixers together may send what
 // fills coldMargin of a window, which is frac of what a warm searcher bears, times the multiple. What many
 // send is spread by chance, so they aim lower by coldSpread deviations; a few cannot exceed one part each.
 func (m *Mixer) coldRate(now int64, s *searcher) float64 {
-	return m.coldRateOf(m.bears.Read(now, bearHalf), now, s)
+	rate, _ := m.coldShare(m.bears.Read(now, bearHalf), now, s)
+	return rate
 }
 
-func (m *Mixer) coldRateOf(bears float64, now int64, s *searcher) float64 {
+// coldShare gives that rate, and what of it and of its room for chance it is worth to a borrower: who lends
+// sends nothing itself, so its one part saved up is free in each window, and a borrower's steady rate needs
+// less room for chance.
+func (m *Mixer) coldShare(bears float64, now int64, s *searcher) (rate, loan float64) {
 	mixers, window := float64(m.c.Mixers), float64(max(m.c.FallFor, ms))
 	most := bears * mixers * m.frac(now, s) * m.c.FallMultiple * coldMargin * window
 	spread := math.Sqrt(most+coldSpread*coldSpread/4) - coldSpread/2
-	return max(spread*spread, min(most, mixers*math.Floor((most+1)/mixers))) / mixers / window
+	rate = max(spread*spread, min(most, mixers*math.Floor((most+1)/mixers))) / mixers / window
+	return rate, max(rate, min(spread*(spread+lentSpread)/mixers/window, rate+1/window))
 }
 
 // measure learns this mixer's share of what a warm searcher bears: at least what warm ones answer it on the
@@ -767,6 +774,7 @@
 	}
 	s.credit = 0
 	s.want.Add(now, 1, halfLife)
+	s.sentAt = now
 	m.sent.Add(now, 1, halfLife)
 	f := &forward{part: p, s: s, call: s.call, count: s.calls, process: s.started, sent: now, line: line}
 	p.forwards = append(p.forwards, f)
--- a/mixer/telling.go
+++ b/mixer/telling.go
@@ -11,11 +11,12 @@
 	Slow         float64 // Pace over the fleet's, 0 where either is not known
 	Suspect      bool
 	Cold         bool
-	Rate, Least  float64 // parts per ns of its own cold allowance, now and at the least within the time asked for
+	Rate, Loan   float64 // parts per ns of its own cold allowance now, and what it is worth to a borrower for the time asked for
 	Want         float64 // parts per ns lately sent there while cold, or that would have been with more
+	Quiet        bool    // nothing was sent there for as long as a cold searcher's window
 }
 
-// Tell goes through the listed searchers, cell by cell. Least holds for the time given, in ns.
+// Tell goes through the listed searchers, cell by cell. Loan holds for the time given, in ns.
 func (m *Mixer) Tell(now, within int64, each func(Own)) {
 	fleet := m.pace.Read(now, halfLife, 0, 0)
 	for _, cell := range m.cells {
@@ -32,7 +33,8 @@
 			}
 			if o.Cold = m.frac(now, s) < 1; o.Cold {
 				o.Rate = m.coldRate(now, s)
-				o.Least = m.coldRateOf(m.bears.Read(now+within, bearHalf), now, s) // it grows warmer meanwhile
+				_, o.Loan = m.coldShare(m.bears.Read(now+within, bearHalf), now, s) // it grows warmer meanwhile
+				o.Quiet = now-s.sentAt > m.c.FallFor
 				o.Want = s.want.Read(now, halfLife) * math.Ln2 / float64(halfLife)
 			}
 			each(o)
--- a/mixer/types.go
+++ b/mixer/types.go
@@ -99,8 +99,9 @@
 	Sound      bool    // it does
 	Suspecting int     // other mixers that suspect and test it
 
-	Lent, Away           float64 // parts per ns of the cold allowance, borrowed from others and lent to them
-	LentUntil, AwayUntil int64
+	Lent      float64 // parts per ns of their cold allowances that others lend
+	LentUntil int64
+	AwayUntil int64 // until then this mixer's own cold allowance is lent, with what it has saved up
 }
 
 // Ask is a lookup as it is taken.
