Command line, own settings in XML with a schema, and the store's client

Need: a shared store has to be set, checked and watched without the platform's JSON. nettlefold gains sub-commands (kong); without arguments it serves as before.

--- a/cmd/nettlefold/main.go
+++ b/cmd/nettlefold/main.go
@@ -1,132 +1,134 @@
-// Command nettlefold is one mixer on real sockets.
+// Command nettlefold is one mixer on real sockets. Without arguments it serves.
 package main
 
 import (
 	"context"
+	"encoding/json"
 	"fmt"
 	"log/slog"
-	"math"
-	"net"
 	"os"
 	"os/signal"
-	"runtime"
 	"runtime/debug"
-	"sync"
 	"syscall"
-	"time"
+
+	"github.com/alecthomas/kong"
 
 	"nettlefold/internal/protocol"
-	"nettlefold/internal/routing"
-	"nettlefold/internal/transport"
-	"nettlefold/mixer"
+	"nettlefold/internal/settings"
 )
 
-func main() {
-	hup := make(chan os.Signal, 1) // before all else: unheard, it ends the program
-	signal.Notify(hup, syscall.SIGHUP)
+// arguments are the command line.
+type arguments struct {
+	Serve   serveCommand   `cmd:"" default:"withargs" help:"Serve lookups until SIGTERM or SIGINT. The default."`
+	Check   checkCommand   `cmd:"" help:"Check files as a start would, and say what is wrong."`
+	Explain explainCommand `cmd:"" help:"Print the settings in force, defaults too, as one JSON document."`
+	Version versionCommand `cmd:"" help:"Print what was built from what."`
+}
+
+// sources are where settings come from.
+type sources struct {
+	Config   string `short:"c" env:"LB_CONFIG" help:"The platform's configuration, JSON." placeholder:"FILE"`
+	Settings string `short:"s" env:"NETTLEFOLD_SETTINGS" help:"Our own settings, XML as in deploy/nettlefold.xsd." placeholder:"FILE"`
+}
+
+type serveCommand struct {
+	sources
+	Log string `env:"NETTLEFOLD_LOG" help:"Level of the log, before that of the settings." placeholder:"LEVEL"`
+}
+
+// Run serves.
+func (a *serveCommand) Run(hup chan os.Signal) error {
+	own, err := settings.Load(a.Settings)
+	if err != nil {
+		return err
+	}
 	level := new(slog.LevelVar)
-	log := slog.New(slog.NewTextHandler(os.Stderr, &slog.HandlerOptions{Level: level}))
-	if text := os.Getenv("NETTLEFOLD_LOG"); text != "" {
-		if err := level.UnmarshalText([]byte(text)); err != nil {
-			fmt.Fprintln(os.Stderr, "nettlefold: NETTLEFOLD_LOG:", err)
-			os.Exit(2)
+	level.Set(own.Logging.Level)
+	if a.Log != "" {
+		if err := level.UnmarshalText([]byte(a.Log)); err != nil {
+			return fmt.Errorf("NETTLEFOLD_LOG: %w", err)
 		}
 	}
+	options := &slog.HandlerOptions{Level: level}
+	log := slog.New(slog.NewTextHandler(os.Stderr, options))
+	if own.Logging.JSON {
+		log = slog.New(slog.NewJSONHandler(os.Stderr, options))
+	}
 	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
 	defer stop()
-	if err := run(ctx, hup, os.Getenv("LB_CONFIG"), log); err != nil {
-		fmt.Fprintln(os.Stderr, "nettlefold:", err)
-		os.Exit(1)
-	}
+	return run(ctx, hup, paths{a.Config, a.Settings}, own, log)
 }
 
-// configured reads the configuration.
-func configured(path string) (protocol.Config, error) {
-	raw, err := os.ReadFile(path)
-	if err != nil {
-		return protocol.Config{}, fmt.Errorf("LB_CONFIG: %w", err)
-	}
-	c, err := protocol.ReadConfig(raw)
-	if err != nil {
-		return c, fmt.Errorf("%s: %w", path, err)
-	}
-	return c, nil
+type checkCommand struct {
+	Files []string `arg:"" help:"Files: our own settings (.xml), configurations of the platform (any other)."`
 }
 
-// reload reads the configuration anew. Discovery is followed to where it is now, also where that is the same
-// address; all else is fixed at start, and what of it has changed is named.
-func reload(c protocol.Config, path string, watch *transport.Watch, log *slog.Logger) {
-	anew, err := configured(path)
-	if err != nil {
-		log.Error("configuration is kept as it was", "error", err)
-		return
-	}
-	if names := c.Differs(anew); len(names) > 0 {
-		log.Warn("configuration has changes that need a restart", "fields", names)
+// Run checks each file whole.
+func (a *checkCommand) Run() error {
+	for _, path := range a.Files {
+		var err error
+		if len(path) > 4 && path[len(path)-4:] == ".xml" {
+			_, err = settings.Load(path)
+		} else {
+			_, err = configured(path)
+		}
+		if err != nil {
+			return err
+		}
+		fmt.Println(path, "is sound")
 	}
-	watch.Move(anew.Discovery)
-	log.Info("configuration is read anew", "discovery", anew.Discovery)
+	return nil
 }
 
-// run serves until the context ends and what was taken has been answered.
-func run(ctx context.Context, hup <-chan os.Signal, path string, log *slog.Logger) error {
-	c, err := configured(path)
+type explainCommand struct{ sources }
+
+// Run prints the settings in force.
+func (a *explainCommand) Run() error {
+	own, err := settings.Load(a.Settings)
 	if err != nil {
 		return err
 	}
-	runtime.GOMAXPROCS(max(1, int(math.Ceil(c.Limits.Cores))))
-	debug.SetMemoryLimit(c.Limits.Memory / 4 * 3)
-	router, err := routing.New(c.Charter, c.Rows, c.Limits.Open, c.Seed, log)
-	if err != nil {
-		return fmt.Errorf("%s: %w", path, err)
-	}
-	listener, err := net.Listen("tcp", c.Listen)
+	c, err := configured(a.Config)
 	if err != nil {
 		return err
 	}
-	searchers := transport.NewSearchers(c.Limits, log)
-	defer searchers.Close()
-	server := &transport.Server{Router: router, Searchers: searchers, Tariffs: c.Rows, Limits: c.Limits, Log: log}
-	listed := func(l protocol.List) {
-		searchers.Listed(l)
-		router.Listed(l.Entries(), l.Whole)
-		for _, m := range l.Members {
-			if m.Status == mixer.Live {
-				server.Ready()
-			}
-		}
-	}
-	for _, s := range c.Known.Skipped {
-		log.Warn("known list: a searcher is left out", "searcher", s.Searcher, "fault", s.Fault)
-	}
-	c.Known.Whole = true
-	listed(c.Known)
+	out := json.NewEncoder(os.Stdout)
+	out.SetIndent("", "  ")
+	return out.Encode(explained(c, own))
+}
 
-	work, cancel := context.WithCancel(context.Background())
-	var wg sync.WaitGroup
-	defer wg.Wait()
-	defer cancel()
-	watch := &transport.Watch{Discovery: c.Discovery, Known: c.Known, Limits: c.Limits, Log: log, Listed: listed}
-	wg.Go(func() { watch.Run(work) })
-	wg.Go(func() { router.Run(work) })
-	server.Open()
-	served := make(chan error, 1)
-	wg.Go(func() { served <- server.Serve(listener) })
-	log.Info("serving", "name", c.Name, "listen", c.Listen, "searchers", len(c.Known.Members), "version", c.Known.Version)
-	for ctx.Err() == nil {
-		select {
-		case err := <-served:
-			return err
-		case <-hup:
-			reload(c, path, watch, log)
-		case <-ctx.Done():
-		}
+// explained gives all settings in force as one document. Secrets are files, and are named, not shown.
+func explained(c protocol.Config, own settings.Settings) any {
+	return struct {
+		Name, Listen, Discovery string
+		Charter, Limits, Own    any
+		Tariffs                 map[string]int
+	}{c.Name, c.Listen, c.Discovery, c.Charter, c.Limits, own, c.Rows}
+}
+
+type versionCommand struct{}
+
+// Run prints the build.
+func (versionCommand) Run() error {
+	info, ok := debug.ReadBuildInfo()
+	if !ok {
+		return fmt.Errorf("built without build information")
 	}
-	began := time.Now()
-	log.Info("leaving")
-	if err := server.Leave(); err != nil {
-		log.Warn("left with lookups unanswered", "error", err)
+	fmt.Println("nettlefold", info.Main.Version, info.GoVersion)
+	for _, d := range info.Deps {
+		fmt.Println(" ", d.Path, d.Version)
 	}
-	log.Info("left", "after", time.Since(began).Round(time.Millisecond))
 	return nil
 }
+
+func main() {
+	hup := make(chan os.Signal, 1) // before all else: unheard, it ends the program
+	signal.Notify(hup, syscall.SIGHUP)
+	var a arguments
+	command := kong.Parse(&a, kong.Name("nettlefold"), kong.Description("One mixer: one lookup served from many searchers."),
+		kong.UsageOnError(), kong.Bind(hup))
+	if err := command.Run(); err != nil {
+		fmt.Fprintln(os.Stderr, "nettlefold:", err)
+		os.Exit(1)
+	}
+}
--- a/cmd/nettlefold/main_test.go
+++ b/cmd/nettlefold/main_test.go
@@ -25,6 +25,7 @@
 	"time"
 
 	"nettlefold/example/toy"
+	"nettlefold/internal/settings"
 )
 
 func TestLookupsAreServed(t *testing.T) {
@@ -797,7 +798,9 @@
 	ctx, leave := context.WithCancel(t.Context())
 	defer leave()
 	ended := make(chan error, 1)
-	go func() { ended <- run(ctx, nil, path, slog.New(slog.NewTextHandler(&w.log, nil))) }()
+	go func() {
+		ended <- run(ctx, nil, paths{config: path}, settings.Settings{}, slog.New(slog.NewTextHandler(&w.log, nil)))
+	}()
 	w.until("health", func() bool { return w.health() == http.StatusOK })
 	if procs, memory := runtime.GOMAXPROCS(0), debug.SetMemoryLimit(-1); procs != 1 || memory <= 0 || memory >= 192<<20 {
 		t.Errorf("the runtime knows of %d cores and %d bytes, of 1 and 192 MB", procs, memory)
--- /dev/null
+++ b/cmd/nettlefold/serve.go
@@ -0,0 +1,189 @@
+package main
+
+import (
+	"context"
+	"fmt"
+	"log/slog"
+	"math"
+	"net"
+	"os"
+	"runtime"
+	"runtime/debug"
+	"sync"
+	"time"
+
+	"nettlefold/internal/admin"
+	"nettlefold/internal/protocol"
+	"nettlefold/internal/routing"
+	"nettlefold/internal/settings"
+	"nettlefold/internal/store"
+	"nettlefold/internal/transport"
+	"nettlefold/mixer"
+)
+
+// configured reads the configuration.
+func configured(path string) (protocol.Config, error) {
+	raw, err := os.ReadFile(path)
+	if err != nil {
+		return protocol.Config{}, fmt.Errorf("LB_CONFIG: %w", err)
+	}
+	c, err := protocol.ReadConfig(raw)
+	if err != nil {
+		return c, fmt.Errorf("%s: %w", path, err)
+	}
+	return c, nil
+}
+
+// reload reads the configuration anew. Discovery is followed to where it is now, also where that is the same
+// address; all else is fixed at start, and what of it has changed is named.
+func reload(c protocol.Config, path string, watch *transport.Watch, log *slog.Logger) {
+	anew, err := configured(path)
+	if err != nil {
+		log.Error("configuration is kept as it was", "error", err)
+		return
+	}
+	if names := c.Differs(anew); len(names) > 0 {
+		log.Warn("configuration has changes that need a restart", "fields", names)
+	}
+	watch.Move(anew.Discovery)
+	log.Info("configuration is read anew", "discovery", anew.Discovery)
+}
+
+// paths are where the platform's configuration and our own settings are, the latter "" where there are none.
+type paths struct{ config, settings string }
+
+// keeper makes what shares with other mixers, nil where no store is set.
+func keeper(c protocol.Config, s *settings.Store, router *routing.Router, log *slog.Logger) (*store.Keeper, *store.Client, error) {
+	if s == nil {
+		return nil, nil, nil
+	}
+	o := store.Options{Address: s.Address, Site: s.Site, Mixer: c.Name, Timeout: s.Timeout, User: s.User, Protocol: s.Protocol}
+	if s.PasswordFile != "" {
+		o.Password = func() (string, error) { return store.Secret(s.PasswordFile) }
+		if _, err := o.Password(); err != nil {
+			return nil, nil, fmt.Errorf("store/login: password-file: %w", err)
+		}
+	}
+	if t := s.TLS; t != nil {
+		server := t.Server
+		if server == "" {
+			server, _, _ = net.SplitHostPort(s.Address)
+		}
+		var err error
+		if o.TLS, err = store.Secured(t.Authorities, t.Certificate, t.Key, server); err != nil {
+			return nil, nil, fmt.Errorf("store/tls: %w", err)
+		}
+	}
+	client := store.New(o)
+	k := store.NewKeeper(router, client, c.Name, c.Charter.Zone, c.Seed, log)
+	k.Switch(s.Enabled)
+	return k, client, nil
+}
+
+// resettle reads our own settings anew. Whether the store is used is followed at once; all else takes a restart.
+func resettle(own settings.Settings, path string, k *store.Keeper, log *slog.Logger) {
+	if path == "" {
+		return
+	}
+	anew, err := settings.Load(path)
+	if err != nil {
+		log.Error("settings are kept as they were", "error", err)
+		return
+	}
+	if names := own.Differs(anew); len(names) > 0 {
+		log.Warn("settings have changes that need a restart", "elements", names)
+	}
+	if k != nil {
+		k.Switch(anew.Store != nil && anew.Store.Enabled)
+	}
+}
+
+// run serves until the context ends and what was taken has been answered.
+func run(ctx context.Context, hup <-chan os.Signal, at paths, own settings.Settings, log *slog.Logger) error {
+	path := at.config
+	c, err := configured(path)
+	if err != nil {
+		return err
+	}
+	runtime.GOMAXPROCS(max(1, int(math.Ceil(c.Limits.Cores))))
+	debug.SetMemoryLimit(c.Limits.Memory / 4 * 3)
+	router, err := routing.New(c.Charter, c.Rows, c.Limits.Open, c.Seed, log)
+	if err != nil {
+		return fmt.Errorf("%s: %w", path, err)
+	}
+	listener, err := net.Listen("tcp", c.Listen)
+	if err != nil {
+		return err
+	}
+	searchers := transport.NewSearchers(c.Limits, log)
+	defer searchers.Close()
+	server := &transport.Server{Router: router, Searchers: searchers, Tariffs: c.Rows, Limits: c.Limits, Log: log}
+	listed := func(l protocol.List) {
+		searchers.Listed(l)
+		router.Listed(l.Entries(), l.Whole)
+		for _, m := range l.Members {
+			if m.Status == mixer.Live {
+				server.Ready()
+			}
+		}
+	}
+	for _, s := range c.Known.Skipped {
+		log.Warn("known list: a searcher is left out", "searcher", s.Searcher, "fault", s.Fault)
+	}
+	c.Known.Whole = true
+	listed(c.Known)
+
+	shares, client, err := keeper(c, own.Store, router, log)
+	if err != nil {
+		listener.Close()
+		return fmt.Errorf("%s: %w", at.settings, err)
+	}
+	work, cancel := context.WithCancel(context.Background())
+	var wg sync.WaitGroup
+	defer wg.Wait()
+	defer cancel()
+	watch := &transport.Watch{Discovery: c.Discovery, Known: c.Known, Limits: c.Limits, Log: log, Listed: listed}
+	wg.Go(func() { watch.Run(work) })
+	wg.Go(func() { router.Run(work) })
+	if shares != nil {
+		defer client.Close()
+		wg.Go(func() { shares.Run(work) })
+	}
+	if own.Admin != "" {
+		l, err := net.Listen("tcp", own.Admin)
+		if err != nil {
+			listener.Close()
+			return fmt.Errorf("%s: listeners/admin: %w", at.settings, err)
+		}
+		answers := &admin.Server{Router: router, Explain: func() any { return explained(c, own) }, Log: log}
+		if shares != nil {
+			answers.Keeper = shares
+		}
+		wg.Go(func() {
+			if err := answers.Serve(work, l); err != nil {
+				log.Error("admin listener", "error", err)
+			}
+		})
+	}
+	server.Open()
+	served := make(chan error, 1)
+	wg.Go(func() { served <- server.Serve(listener) })
+	log.Info("serving", "name", c.Name, "listen", c.Listen, "searchers", len(c.Known.Members), "version", c.Known.Version)
+	for ctx.Err() == nil {
+		select {
+		case err := <-served:
+			return err
+		case <-hup:
+			reload(c, path, watch, log)
+			resettle(own, at.settings, shares, log)
+		case <-ctx.Done():
+		}
+	}
+	began := time.Now()
+	log.Info("leaving")
+	if err := server.Leave(); err != nil {
+		log.Warn("left with lookups unanswered", "error", err)
+	}
+	log.Info("left", "after", time.Since(began).Round(time.Millisecond))
+	return nil
+}
--- /dev/null
+++ b/internal/admin/admin.go
@@ -0,0 +1,156 @@
+// Package admin answers questions about a mixer on a listener of its own: figures for a collector, how sharing stands, and
+// why a searcher is passed over. It takes no orders, and none of it is on a lookup's path.
+package admin
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"log/slog"
+	"net"
+	"net/http"
+	"time"
+
+	"github.com/VictoriaMetrics/metrics"
+
+	"nettlefold/internal/routing"
+	"nettlefold/internal/store"
+	"nettlefold/mixer"
+)
+
+// Asked is what is asked of the mixer.
+type Asked interface {
+	Standing(searcher string) (routing.Standing, bool)
+}
+
+// Server answers. Keeper is nil where there is no shared store.
+type Server struct {
+	Router  Asked
+	Keeper  interface{ State() store.State }
+	Explain func() any // the settings in force
+	Log     *slog.Logger
+}
+
+// Serve answers on a listener until the context ends.
+func (s *Server) Serve(ctx context.Context, l net.Listener) error {
+	h := &http.Server{Handler: s.Handler(), ReadTimeout: 2 * time.Second, WriteTimeout: 5 * time.Second, MaxHeaderBytes: 8 << 10}
+	stop := context.AfterFunc(ctx, func() { h.Close() })
+	defer stop()
+	if err := h.Serve(l); ctx.Err() == nil {
+		return err
+	}
+	return nil
+}
+
+// Handler gives the answers by path.
+func (s *Server) Handler() http.Handler {
+	set := s.figures()
+	mux := http.NewServeMux()
+	mux.HandleFunc("GET /metrics", func(w http.ResponseWriter, r *http.Request) {
+		w.Header().Set("Content-Type", "text/plain; version=0.0.4")
+		set.WritePrometheus(w)
+		metrics.WriteProcessMetrics(w)
+	})
+	mux.HandleFunc("GET /sharing", func(w http.ResponseWriter, r *http.Request) {
+		if s.Keeper == nil {
+			http.Error(w, "no shared store is set", http.StatusNotFound)
+			return
+		}
+		reply(w, s.Keeper.State())
+	})
+	mux.HandleFunc("GET /settings", func(w http.ResponseWriter, r *http.Request) { reply(w, s.Explain()) })
+	mux.HandleFunc("GET /why", func(w http.ResponseWriter, r *http.Request) {
+		name := r.FormValue("searcher")
+		st, ok := s.Router.Standing(name)
+		if !ok {
+			http.Error(w, fmt.Sprintf("searcher %.80q is not listed", name), http.StatusNotFound)
+			return
+		}
+		reply(w, struct {
+			Reasons  []string
+			Standing routing.Standing
+		}{Reasons(st), st})
+	})
+	return mux
+}
+
+func reply(w http.ResponseWriter, v any) {
+	w.Header().Set("Content-Type", "application/json")
+	json.NewEncoder(w).Encode(v)
+}
+
+// Reasons says in words why a searcher is passed over just now, nothing where it is not.
+func Reasons(st routing.Standing) (why []string) {
+	say := func(format string, args ...any) { why = append(why, fmt.Sprintf(format, args...)) }
+	second := func(ns int64) string { return time.Duration(ns).Round(time.Millisecond).String() }
+	switch st.Status {
+	case mixer.Draining:
+		say("the list says that it is draining")
+	case mixer.Dead:
+		say("the list says that it is gone")
+	}
+	if st.Suspect {
+		say("it has not answered this mixer; the next test is due in %s", second(st.TestIn))
+	}
+	if st.ZoneSilent {
+		say("nothing in its zone answers this mixer")
+	}
+	if st.Doubted {
+		say("%d other mixers say that it does not answer, and it has not answered this one since", st.Word.Suspecting)
+	}
+	if st.ColdWait > 0 {
+		say("it is cold and this mixer's allowance has a part for it in %s", second(st.ColdWait))
+	}
+	if st.Word.AwayUntil > 0 {
+		say("this mixer's allowance for it is lent to others")
+	}
+	if st.Fleet > 0 && st.Unit > 1.5*st.Fleet {
+		whose := "this mixer's own forwards"
+		if st.Word.Slow > 1.5 {
+			whose += fmt.Sprintf(" and other mixers' (%.1f times the fleet's pace)", st.Word.Slow)
+		}
+		say("it comes after its equals: a forward takes %.1f times the fleet's pace there, by %s", st.Unit/st.Fleet, whose)
+	}
+	if st.Calls > 0 {
+		say("%d calls of this mixer are out there, and the least counted comes first", st.Calls)
+	}
+	return why
+}
+
+// figures are the gauges of sharing, read when they are asked for.
+func (s *Server) figures() *metrics.Set {
+	set := metrics.NewSet()
+	if s.Keeper == nil {
+		return set
+	}
+	gauge := func(name string, read func(store.State) float64) {
+		set.NewGauge("nettlefold_sharing_"+name, func() float64 { return read(s.Keeper.State()) })
+	}
+	flag := func(b bool) float64 {
+		if b {
+			return 1
+		}
+		return 0
+	}
+	gauge("on", func(t store.State) float64 { return flag(t.On) })
+	gauge("circuit_open", func(t store.State) float64 { return flag(t.Open) })
+	gauge("circuit_trips_total", func(t store.State) float64 { return float64(t.Trips) })
+	gauge("rounds_total", func(t store.State) float64 { return float64(t.Rounds) })
+	gauge("rounds_failed_total", func(t store.State) float64 { return float64(t.Failed) })
+	gauge("exchange_seconds", func(t store.State) float64 { return t.Took.Seconds() })
+	gauge("newest_word_seconds", func(t store.State) float64 { return t.Newest.Seconds() })
+	gauge("mixers_heard", func(t store.State) float64 { return float64(t.Others) })
+	gauge("rows_heard", func(t store.State) float64 { return float64(t.Counts.Rows) })
+	gauge("loans_in_force", func(t store.State) float64 { return float64(t.Loans) })
+	for name, read := range map[string]func(store.State) uint64{
+		"sheets_total": func(t store.State) uint64 { return t.Sheets }, "sheets_garbage_total": func(t store.State) uint64 { return t.Garbage },
+		"sheets_foreign_total": func(t store.State) uint64 { return t.Foreign }, "sheets_stale_total": func(t store.State) uint64 { return t.Stale },
+		"rows_told_total": func(t store.State) uint64 { return t.Told }, "words_believed_total": func(t store.State) uint64 { return t.Believed },
+		"words_overruled_total": func(t store.State) uint64 { return t.Overruled }, "words_outvoted_total": func(t store.State) uint64 { return t.Outvoted },
+		"loans_given_total": func(t store.State) uint64 { return t.Lent }, "loans_taken_total": func(t store.State) uint64 { return t.Borrowed },
+		"loans_late_total": func(t store.State) uint64 { return t.Late }, "loans_misaddressed_total": func(t store.State) uint64 { return t.Misaddressed },
+	} {
+		gauge(name, func(t store.State) float64 { return float64(read(t)) })
+	}
+	return set
+}
--- /dev/null
+++ b/internal/settings/settings_test.go
@@ -0,0 +1,155 @@
+package settings
+
+import (
+	"errors"
+	"fmt"
+	"os"
+	"path/filepath"
+	"strings"
+	"testing"
+	"time"
+
+	xsdvalidate "github.com/terminalstatic/go-xsd-validate"
+	"pgregory.net/rapid"
+)
+
+// schema is the published one, as a validator reads it. The program itself has no part of that validator.
+func schema(t *testing.T) *xsdvalidate.XsdHandler {
+	t.Helper()
+	if err := xsdvalidate.Init(); err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(xsdvalidate.Cleanup)
+	h, err := xsdvalidate.NewXsdHandlerUrl("../../deploy/nettlefold.xsd", xsdvalidate.ParsErrDefault)
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(h.Free)
+	return h
+}
+
+// agree has the program and the schema judge a document, and gives what the program says.
+func agree(t interface{ Fatalf(string, ...any) }, h *xsdvalidate.XsdHandler, doc string) error {
+	_, mine := Read([]byte(doc))
+	theirs := h.ValidateMem([]byte(doc), xsdvalidate.ParsErrDefault)
+	if (mine == nil) != (theirs == nil) {
+		t.Fatalf("the program says %v, the schema %v, of\n%s", mine, theirs, doc)
+	}
+	return mine
+}
+
+func TestProgramAndSchemaAgreeOnFiles(t *testing.T) {
+	h := schema(t)
+	files, _ := filepath.Glob("testdata/*/*.xml")
+	files = append(files, "../../deploy/nettlefold.xml")
+	if len(files) < 20 {
+		t.Fatalf("only %d files", len(files))
+	}
+	for _, path := range files {
+		raw, err := os.ReadFile(path)
+		if err != nil {
+			t.Fatal(err)
+		}
+		if strings.Contains(string(raw), "<!DOCTYPE") {
+			if _, err := Read(raw); err == nil || !strings.Contains(err.Error(), "document type") {
+				t.Errorf("%s: %v, want it refused for its document type", path, err)
+			}
+			continue
+		}
+		if err := agree(t, h, string(raw)); (err == nil) != !strings.Contains(path, "/bad/") {
+			t.Errorf("%s: %v", path, err)
+		}
+	}
+}
+
+// TestProgramAndSchemaAgreeOnAny draws documents of the settings' elements and attributes, right, wrong, missing, twice and
+// in the wrong place.
+func TestProgramAndSchemaAgreeOnAny(t *testing.T) {
+	h := schema(t)
+	good := 0
+	rapid.Check(t, func(t *rapid.T) {
+		values := map[string][]string{
+			"format": {"text", "json", "xml"}, "level": {"debug", "info", "INFO"}, "address": {"127.0.0.1:1", "[::1]:65535", "host:0", "host:65536", ":80"},
+			"site": {"main", "a b", ""}, "enabled": {"yes", "no", "true"}, "timeout-ms": {"20", "200", "19", "201", " 50"},
+			"protocol": {"2", "3", "4"}, "user": {"mixer", "ü"}, "password-file": {"/a", "/a b", strings.Repeat("x", 1024), strings.Repeat("x", 1025)},
+			"authorities": {"/ca"}, "server": {"s.internal"}, "certificate": {"/c"}, "key": {"/k"},
+		}
+		attributes := map[string][]string{"logging": {"format", "level"}, "admin": {"address"}, "login": {"user", "password-file"},
+			"store": {"address", "site", "enabled", "timeout-ms", "protocol"}, "tls": {"authorities", "server"}, "identity": {"certificate", "key"}}
+		within := map[string][]string{"nettlefold": {"logging", "listeners", "store"}, "listeners": {"admin"}, "store": {"login", "tls"}, "tls": {"identity"}}
+		odd := rapid.IntRange(0, 3).Draw(t, "odd") == 0 // most documents are nearly right
+		rare := func(what string) bool { return odd && rapid.IntRange(0, 9).Draw(t, what) == 0 }
+		var write func(name string) string
+		write = func(name string) string {
+			var b strings.Builder
+			b.WriteString("<" + name)
+			if name == "nettlefold" {
+				b.WriteString(` xmlns="` + Namespace + `"`)
+			}
+			for _, a := range attributes[name] {
+				if rare("leave") {
+					continue
+				}
+				v := values[a][0]
+				if rare("value") {
+					v = rapid.SampledFrom(values[a]).Draw(t, a)
+				}
+				fmt.Fprintf(&b, " %s=%q", a, v)
+			}
+			if rare("more") {
+				b.WriteString(` other="1"`)
+			}
+			b.WriteString(">")
+			for _, e := range within[name] {
+				for n := rapid.IntRange(0, 1).Draw(t, "with "+e); n > 0; n-- {
+					b.WriteString(write(e))
+					if rare("twice") {
+						b.WriteString(write(e))
+					}
+				}
+			}
+			if rare("text") {
+				b.WriteString(rapid.SampledFrom([]string{"x", " ", "<other/>", "<!-- -->"}).Draw(t, "text"))
+			}
+			b.WriteString("</" + name + ">")
+			return b.String()
+		}
+		if agree(t, h, write("nettlefold")) == nil {
+			good++
+		}
+	})
+	if good < 10 {
+		t.Errorf("only %d good documents were drawn", good)
+	}
+}
+
+func TestExampleIsReadWhole(t *testing.T) {
+	s, err := Load("../../deploy/nettlefold.xml")
+	if err != nil {
+		t.Fatal(err)
+	}
+	st := s.Store
+	if !s.Logging.JSON || s.Admin != "127.0.0.1:19090" || st == nil || st.Site != "main" || !st.Enabled || st.Timeout != 200*time.Millisecond ||
+		st.Protocol != 3 || st.User != "mixer" || st.PasswordFile == "" || st.TLS == nil || st.TLS.Server != "store.internal" {
+		t.Errorf("%+v %+v", s, st)
+	}
+	if s, err := Load(""); err != nil || s.Store != nil || s.Admin != "" {
+		t.Errorf("no file: %+v, %v", s, err)
+	}
+}
+
+func TestFaultsNameLineElementAndValue(t *testing.T) {
+	for doc, want := range map[string]string{
+		"<nettlefold xmlns='urn:nettlefold:settings:1'>\n\n<store site='a' address='nowhere'/></nettlefold>": `line 3: nettlefold/store: address: "nowhere"`,
+		"<nettlefold xmlns='urn:nettlefold:settings:1'><store site='a'/></nettlefold>":                       `nettlefold/store: address: missing`,
+		"<nettlefold xmlns='urn:nettlefold:settings:1'><shop/></nettlefold>":                                 `unknown element "shop"`,
+		"<nettlefold/>": `unknown element "nettlefold" of namespace ""`,
+		"":              "no element nettlefold",
+	} {
+		_, err := Read([]byte(doc))
+		var f *Fault
+		if !errors.As(err, &f) || !strings.Contains(err.Error(), want) {
+			t.Errorf("%q: %v, want %s", doc, err, want)
+		}
+	}
+}
