nettlelab measure shared-store; loans go by traffic, words outweigh what is older

A slow searcher was passed over by nine of ten after 2.9 s (alone 8.3 s): tellers blended old answers in and own older answers outweighed the word.

--- /dev/null
+++ b/cmd/nettlelab/main.go
@@ -0,0 +1,52 @@
+// Command nettlelab demonstrates and measures nettlefold, so that the mixer's own program stays lean.
+package main
+
+import (
+	"fmt"
+	"os"
+	"strings"
+	"time"
+
+	"github.com/alecthomas/kong"
+
+	"nettlefold/internal/lab/measure"
+)
+
+type arguments struct {
+	Demo    demoCommand    `cmd:"" help:"A toy world, a mixer and some lookups, with the answers printed."`
+	Measure measureCommand `cmd:"" help:"Play what the project claims, print the table, and fail if a claim does."`
+}
+
+type measureCommand struct {
+	Name  string `arg:"" help:"One of: ${measurements}."`
+	Quick bool   `help:"Fewer seeds; ends within 50 s."`
+}
+
+// Run measures.
+func (a *measureCommand) Run() error {
+	do := measure.Measurements[a.Name]
+	if do == nil {
+		return fmt.Errorf("no measurement %q; there are: %s", a.Name, strings.Join(measure.Names(), ", "))
+	}
+	began := time.Now()
+	r, err := do(a.Quick)
+	if err != nil {
+		return err
+	}
+	failed := r.Print(os.Stdout)
+	fmt.Println("took", time.Since(began).Round(time.Second))
+	if failed > 0 {
+		return fmt.Errorf("%d claims fail", failed)
+	}
+	return nil
+}
+
+func main() {
+	var a arguments
+	command := kong.Parse(&a, kong.Name("nettlelab"), kong.Description("Demonstrations and measurements of nettlefold."),
+		kong.UsageOnError(), kong.Vars{"measurements": strings.Join(measure.Names(), ", ")})
+	if err := command.Run(); err != nil {
+		fmt.Fprintln(os.Stderr, "nettlelab:", err)
+		os.Exit(1)
+	}
+}
--- a/internal/lab/fleet/store.go
+++ b/internal/lab/fleet/store.go
@@ -18,8 +18,9 @@
 }
 
 type entry struct {
-	raw []byte
-	end int64
+	raw   []byte
+	sheet *sharing.Sheet // as read from raw, once for all that read it
+	end   int64
 }
 
 func newStore() *Store { return &Store{Delay: ms, keys: map[string]entry{}} }
@@ -36,7 +37,7 @@
 func (s *Store) Restore(now int64) {
 	s.Clear()
 	for k, e := range s.kept {
-		s.keys[k] = entry{e.raw, now + sharing.Lease}
+		s.keys[k] = entry{e.raw, e.sheet, now + sharing.Lease}
 	}
 }
 
@@ -108,11 +109,15 @@
 	}
 	board, delay, drops := n.Board, s.Delay, s.Drops
 	w.After(max(delay/2, 1), func() { // when the store carries it out
-		s.keys[n.Name] = entry{raw, w.Now + 2*sharing.Lease}
-		var read [][]byte
+		read, err := sharing.ReadSheet(raw)
+		if err != nil {
+			panic(err)
+		}
+		s.keys[n.Name] = entry{raw, read, w.Now + 2*sharing.Lease}
+		var all []entry
 		for _, name := range s.names(w.Now) {
 			if name != n.Name {
-				read = append(read, s.keys[name].raw)
+				all = append(all, s.keys[name])
 			}
 		}
 		n.Bytes += len(raw)
@@ -122,9 +127,9 @@
 			if !ok || n.Board != board || n.Paused {
 				return
 			}
-			for _, raw := range read {
-				n.Bytes += len(raw)
-				n.Board.Heard(w.Now, raw)
+			for _, e := range all {
+				n.Bytes += len(e.raw)
+				n.Board.Receive(w.Now, e.sheet)
 			}
 			n.retell()
 		})
--- /dev/null
+++ b/internal/lab/measure/measure.go
@@ -0,0 +1,96 @@
+// Package measure plays what the project claims of itself and says whether it holds. Each measurement prints a table and
+// gives its claims; a claim that fails makes it fail.
+package measure
+
+import (
+	"fmt"
+	"io"
+	"runtime"
+	"slices"
+	"sync"
+	"text/tabwriter"
+)
+
+// Claim is one thing that has to hold.
+type Claim struct {
+	What  string
+	Holds bool
+}
+
+// Result is what a measurement found.
+type Result struct {
+	Size   string // what was played
+	Header []string
+	Rows   [][]string
+	Claims []Claim
+}
+
+// Measurements are those there are, by name.
+var Measurements = map[string]func(quick bool) (Result, error){
+	"shared-store": SharedStore,
+}
+
+// Names gives their names in order.
+func Names() (names []string) {
+	for name := range Measurements {
+		names = append(names, name)
+	}
+	slices.Sort(names)
+	return names
+}
+
+// Print writes a result, and gives how many claims fail.
+func (r Result) Print(w io.Writer) (failed int) {
+	fmt.Fprintln(w, r.Size)
+	t := tabwriter.NewWriter(w, 0, 4, 2, ' ', 0)
+	line := func(cells []string) {
+		for _, c := range cells {
+			fmt.Fprint(t, c, "\t")
+		}
+		fmt.Fprintln(t)
+	}
+	line(r.Header)
+	for _, row := range r.Rows {
+		line(row)
+	}
+	t.Flush()
+	for _, c := range r.Claims {
+		verdict := "holds"
+		if !c.Holds {
+			verdict = "FAILS"
+			failed++
+		}
+		fmt.Fprintf(w, "%s: %s\n", verdict, c.What)
+	}
+	return failed
+}
+
+// parallel does n things, as many at once as there are cores. Each keeps to its own place, so the order does not matter.
+func parallel(n int, do func(i int)) {
+	var wg sync.WaitGroup
+	places := make(chan struct{}, runtime.GOMAXPROCS(0))
+	for i := range n {
+		places <- struct{}{}
+		wg.Go(func() {
+			do(i)
+			<-places
+		})
+	}
+	wg.Wait()
+}
+
+func mean(values []float64) (sum float64) {
+	for _, v := range values {
+		sum += v
+	}
+	return sum / float64(max(len(values), 1))
+}
+
+// quantile gives the value that a share of the values does not exceed.
+func quantile(values []float64, share float64) float64 {
+	if len(values) == 0 {
+		return 0
+	}
+	sorted := slices.Sorted(slices.Values(values))
+	return sorted[min(len(sorted)-1, int(share*float64(len(sorted))))]
+}
--- a/internal/sharing/board.go
+++ b/internal/sharing/board.go
@@ -16,7 +16,7 @@
 	fadeHalf  = 4000 * ms   // ns; what stands behind a word weighs half as much after it
 	enough    = 0.5         // calls that must still weigh behind a mixer's word on pace
 	stale     = 60_000 * ms // ns after which a mixer that says nothing is forgotten
-	idles     = 0.3         // of its share in use up to which a mixer lends it
+	unlike    = 3.0         // times a lender's own traffic in a cell that a borrower must have; alike ones differ by chance
 	least     = 0.02        // of a share, the smallest loan
 	needs     = 0.9         // of its share in use from which a mixer asks for more
 	hearing   = 2 * Round   // ns between the first bad word on pace and its being believed: who knows better has told by then
@@ -103,21 +103,25 @@
 	s, err := ReadSheet(raw)
 	switch {
 	case err == nil:
+		b.Receive(now, s)
 	case errors.Is(err, ErrVersion):
 		b.counts.Foreign++
-		return err
 	default:
 		b.counts.Garbage++
-		return err
 	}
+	return err
+}
+
+// Receive takes a sheet that has been read, and keeps it; boards may share one.
+func (b *Board) Receive(now int64, s *Sheet) {
 	if s.Mixer == b.name {
-		return nil
+		return
 	}
 	o := b.others[s.Mixer]
 	if o == nil {
 		b.forget(now)
 		if len(b.others) >= maxOthers {
-			return nil
+			return
 		}
 		o = &other{}
 		b.others[s.Mixer] = o
@@ -127,7 +131,7 @@
 			if s.Life != old.Life || s.Number != old.Number {
 				b.counts.Stale++
 			}
-			return nil
+			return
 		}
 		if s.Life != old.Life {
 			o.lives = append(o.lives, old.Life)
@@ -146,7 +150,6 @@
 		}
 	}
 	b.counts.Sheets++
-	return nil
 }
 
 // forget drops mixers that have said nothing for long.
@@ -214,7 +217,7 @@
 		}
 		if o.Cold {
 			if o.Want > needs*o.Rate {
-				r.Ask = o.Want
+				r.Ask = o.Traffic
 				rank = max(rank, 4)
 			}
 			if asked := asks[p]; len(asked) > 0 && now >= b.held {
--- a/internal/sharing/lease.go
+++ b/internal/sharing/lease.go
@@ -59,10 +59,13 @@
 	return asks
 }
 
-// lend divides this mixer's share among those who ask, by what they want, where it has no use for it itself and has sent
-// nothing there for a whole window: the part that it could have saved up is then in no window with what a borrower sends.
+// lend divides this mixer's share among those who ask and have far more traffic there, by that traffic, where it has sent
+// nothing there for a whole window. Traffic is that of the cell, also from before the process started: what is wanted of a
+// newcomer itself tells too late, as all seem idle at first. After a quiet window the part that the lender could have saved
+// up is in no window with what a borrower sends.
 func (b *Board) lend(now int64, p process, own *mixer.Own, asks []ask) (loans []Loan) {
-	if !own.Quiet || own.Want > idles*own.Rate {
+	asks = slices.DeleteFunc(asks, func(a ask) bool { return a.want < unlike*own.Traffic })
+	if !own.Quiet || len(asks) == 0 {
 		return nil
 	}
 	want := 0.0
--- a/internal/sharing/lease_test.go
+++ b/internal/sharing/lease_test.go
@@ -93,7 +93,7 @@
 func own(want bool) []mixer.Own {
 	o := mixer.Own{Searcher: "s", Started: 7, Cold: true, Rate: 1, Loan: 1, Quiet: true}
 	if want {
-		o.Want = 10
+		o.Want, o.Traffic = 10, 10
 	}
 	return []mixer.Own{o}
 }
--- a/mixer/mixer.go
+++ b/mixer/mixer.go
@@ -93,7 +93,7 @@
 	started      int64
 	calls, parts int     // this mixer's calls out, which water-filling levels, and the parts in them
 	call         *call   // the newest
-	pace         Ratio   // of its answers
+	pace, told   Ratio   // of its answers, and of the newest, which others are told
 	heard        int64   // last answer
 	unheard      int64   // what forwards sent since have waited in vain
 	suspect      bool    // not to be picked but for a test
@@ -103,7 +103,7 @@
 	sentAt       int64 // last forward
 	out          []*forward
 	word         Word  // of others, on the process named there
-	want         Decay // cold: forwards sent there, and those that would have been with credit
+	want, sent   Decay // cold: forwards sent there, and those that would have been with credit; all forwards
 }
 
 // call is what travels together to one searcher.
@@ -195,7 +195,7 @@
 		s.zone, s.status = m.zones[e.Zone], e.Status
 		if s.started != e.Started { // a new process: nothing learnt of the old one holds
 			s.started, s.unheard, s.suspect, s.wait = e.Started, 0, false, 0
-			s.pace, s.credit, s.creditAt, s.want = Ratio{}, m.rng.Float64(), now, Decay{}
+			s.pace, s.told, s.want, s.credit, s.creditAt = Ratio{}, Ratio{}, Decay{}, m.rng.Float64(), now
 		}
 		moved = append(moved, s)
 	}
@@ -333,12 +333,12 @@
 
 // unit is what forwards to s lately took for each call out with them, leaning on the fleet's figure where
 // s has shown little. Times the calls that a new forward joins, it is the time it is likely to take.
-// What others say of it stands for the fleet's, and weighs more while newer than what s showed this mixer.
+// What others say of it stands for the fleet's, and weighs more than what s showed this mixer before.
 func (m *Mixer) unit(now int64, s *searcher) float64 {
 	on, weight := m.pace.Read(now, halfLife, 0, 0), lean
 	if w := s.said(now); w.Slow > 0 {
 		if on *= w.Slow; s.heard < w.At {
-			weight += min(w.Weight, wordMost)
+			weight += min(w.Weight, wordMost) + s.pace.under.Read(now, paceHalf)
 		}
 	}
 	return s.pace.Read(now, paceHalf, on, weight)
@@ -378,7 +378,7 @@
 	switch o {
 	case TimedOut:
 		// Guards against searchers too slow to answer in time, no answer of which ever tells how slow.
-		s.pace.Add(now, lostTimes*float64(took), float64(f.count), paceHalf)
+		s.learn(now, lostTimes*float64(took), f.count)
 		if s.heard <= f.sent {
 			s.unheard += took
 			m.hearken(now, f.part)
@@ -393,7 +393,7 @@
 			m.borne.Add(now, 1, halfLife)
 		}
 		m.pace.Add(now, float64(took), float64(f.count), halfLife)
-		s.pace.Add(now, float64(took), float64(f.count), paceHalf)
+		s.learn(now, float64(took), f.count)
 		m.rows[f.part.l.ask.Tariff].Add(now, float64(took), halfLife)
 		m.measure(now)
 	case Errored, Bounced, Unreached, Reset:
@@ -402,10 +402,15 @@
 		if s.unheard += int64(failedTimes * mean); o == Errored {
 			s.unheard -= int64((failedTimes - erredTimes) * mean)
 		}
-		s.pace.Add(now, failedTimes*mean*float64(f.count), float64(f.count), paceHalf)
+		s.learn(now, failedTimes*mean*float64(f.count), f.count)
 	}
 }
 
+func (s *searcher) learn(now int64, time float64, calls int) {
+	s.pace.Add(now, time, float64(calls), paceHalf)
+	s.told.Add(now, time, float64(calls), halfLife)
+}
+
 // typical gives mean and deviation of how long the tariff's forwards lately took, a guess when none did.
 func (m *Mixer) typical(now int64, l *Lookup) (mean, dev float64) {
 	n, mean, dev := m.rows[l.ask.Tariff].Read(now, halfLife)
@@ -774,6 +779,7 @@
 	}
 	s.credit = 0
 	s.want.Add(now, 1, halfLife)
+	s.sent.Add(now, 1, paceHalf)
 	s.sentAt = now
 	m.sent.Add(now, 1, halfLife)
 	f := &forward{part: p, s: s, call: s.call, count: s.calls, process: s.started, sent: now, line: line}
--- a/mixer/telling.go
+++ b/mixer/telling.go
@@ -13,6 +13,7 @@
 	Cold         bool
 	Rate, Loan   float64 // parts per ns of its own cold allowance now, and what it is worth to a borrower for the time asked for
 	Want         float64 // parts per ns lately sent there while cold, or that would have been with more
+	Traffic      float64 // parts per ns lately sent to each live searcher of its cell: what it would use of a warm one
 	Quiet        bool    // nothing was sent there for as long as a cold searcher's window
 }
 
@@ -20,13 +21,20 @@
 func (m *Mixer) Tell(now, within int64, each func(Own)) {
 	fleet := m.pace.Read(now, halfLife, 0, 0)
 	for _, cell := range m.cells {
+		traffic, live := 0.0, 0
+		for _, s := range cell {
+			traffic += s.sent.Read(now, paceHalf)
+			if s.status == Live {
+				live++
+			}
+		}
 		for _, s := range cell {
 			if s.status != Live {
 				continue
 			}
-			o := Own{Searcher: s.id, Started: s.started, Heard: s.heard, Suspect: s.suspect, Weight: s.pace.under.Read(now, paceHalf)}
+			o := Own{Searcher: s.id, Started: s.started, Heard: s.heard, Suspect: s.suspect, Weight: s.told.under.Read(now, halfLife)}
 			if o.Weight > tiny {
-				o.Pace = s.pace.Read(now, paceHalf, 0, 0)
+				o.Pace = s.told.Read(now, halfLife, 0, 0)
 				if fleet > 0 {
 					o.Slow = o.Pace / fleet
 				}
@@ -34,6 +42,7 @@
 			if o.Cold = m.frac(now, s) < 1; o.Cold {
 				o.Rate = m.coldRate(now, s)
 				_, o.Loan = m.coldShare(m.bears.Read(now+within, bearHalf), now, s) // it grows warmer meanwhile
+				o.Traffic = traffic / float64(live) * math.Ln2 / float64(paceHalf)
 				o.Quiet = now-s.sentAt > m.c.FallFor
 				o.Want = s.want.Read(now, halfLife) * math.Ln2 / float64(halfLife)
 			}
