--- /dev/null
+++ b/cmd/nettlefold/sharing_test.go
@@ -0,0 +1,129 @@
+package main
+
+import (
+	"encoding/json"
+	"fmt"
+	"io"
+	"net/http"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"strings"
+	"syscall"
+	"testing"
+	"time"
+
+	"nettlefold/internal/lab/standin"
+)
+
+// settled writes our own settings and has the program started with them.
+func (w *world) settled(t *testing.T, admin, store string, enabled string) string {
+	path := filepath.Join(t.TempDir(), "own.xml")
+	w.settle(t, path, admin, store, enabled)
+	t.Setenv("NETTLEFOLD_SETTINGS", path)
+	return path
+}
+
+func (w *world) settle(t *testing.T, path, admin, store, enabled string) {
+	t.Helper()
+	doc := fmt.Sprintf(`<nettlefold xmlns="urn:nettlefold:settings:1"><logging format="json"/><listeners><admin address="%s"/></listeners>
+		<store address="%s" site="t" enabled="%s"/></nettlefold>`, admin, store, enabled)
+	if err := os.WriteFile(path, []byte(doc), 0o600); err != nil {
+		t.Fatal(err)
+	}
+}
+
+func fetch(url string) string {
+	r, err := http.Get(url)
+	if err != nil {
+		return err.Error()
+	}
+	defer r.Body.Close()
+	raw, _ := io.ReadAll(r.Body)
+	return string(raw)
+}
+
+func TestSharesByTheStoreAndIsTurnedOffLive(t *testing.T) {
+	store := &standin.Server{}
+	if err := store.Start(""); err != nil {
+		t.Fatal(err)
+	}
+	defer store.Stop()
+	w := prepare(t)
+	const admin = "127.78.1.1:19090"
+	path := w.settled(t, admin, store.Address(), "yes")
+	w.start()
+	sheets := func() int { return store.Commands()["set"] }
+	w.until("sheets in the store", func() bool { return sheets() > 2 })
+	var state struct{ On, Open bool }
+	if err := json.Unmarshal([]byte(fetch("http://"+admin+"/sharing")), &state); err != nil || !state.On || state.Open {
+		t.Errorf("%+v, %v", state, err)
+	}
+	for path, want := range map[string]string{
+		"/metrics": "nettlefold_sharing_rounds_total", "/why?searcher=s0": "Standing", "/why?searcher=nobody": "not listed", "/settings": "PasswordFile",
+	} {
+		if got := fetch("http://" + admin + path); !strings.Contains(got, want) {
+			t.Errorf("%s: %.200s, want %s", path, got, want)
+		}
+	}
+	w.settle(t, path, admin, store.Address(), "no")
+	w.cmd.Process.Signal(syscall.SIGHUP)
+	w.until("sharing is off", func() bool { return strings.Contains(fetch("http://"+admin+"/sharing"), `"On":false`) })
+	n := sheets()
+	time.Sleep(600 * time.Millisecond)
+	if sheets() > n+1 {
+		t.Errorf("%d sheets more after it was turned off", sheets()-n)
+	}
+	if !strings.Contains(w.log.String(), `"msg":"sharing is switched"`) {
+		t.Errorf("log: %s", w.log.String())
+	}
+}
+
+func TestAStalledStoreDelaysNoLookup(t *testing.T) {
+	store := &standin.Server{}
+	if err := store.Start(""); err != nil {
+		t.Fatal(err)
+	}
+	defer store.Stop()
+	store.Trouble(standin.Troubles{Stall: true})
+	w := prepare(t)
+	w.settled(t, "127.78.1.2:19090", store.Address(), "yes")
+	w.start()
+	for i := range 20 {
+		began := time.Now()
+		if r := w.ask(fmt.Sprint("stalled", i), "all", 0, 1, 2, 3); r.status != http.StatusOK || !r.Complete {
+			t.Fatalf("%d %s", r.status, r.text)
+		}
+		if took := time.Since(began); took > 150*time.Millisecond {
+			t.Errorf("a lookup took %v beside a stalled store", took)
+		}
+	}
+}
+
+func TestCommandLine(t *testing.T) {
+	out := func(env string, args ...string) (string, error) {
+		cmd := exec.Command(binary, args...)
+		cmd.Env = append(os.Environ(), "LB_CONFIG="+env)
+		raw, err := cmd.CombinedOutput()
+		return string(raw), err
+	}
+	for _, c := range []struct {
+		args []string
+		want string
+		ok   bool
+	}{
+		{[]string{"version"}, "nettlefold", true},
+		{[]string{"check", "../../deploy/nettlefold.xml", "../../example/config.json"}, "is sound", true},
+		{[]string{"check", "../../internal/settings/testdata/bad/port.xml"}, "nettlefold/store: address", false},
+		{[]string{"check", "../../deploy/balancer.toml"}, "configuration", false},
+		{[]string{"explain"}, `"Expected"`, true},
+		{[]string{"explain", "-s", "../../deploy/nettlefold.xml"}, `"Site": "main"`, true},
+		{[]string{"serve", "-s", "../../internal/settings/testdata/bad/twice.xml"}, "stands twice", false},
+		{[]string{"shop"}, "unexpected argument shop", false},
+	} {
+		got, err := out("../../example/config.json", c.args...)
+		if !strings.Contains(got, c.want) || (err == nil) != c.ok {
+			t.Errorf("%v: %v, %.300s", c.args, err, got)
+		}
+	}
+}
--- a/internal/lab/standin/keyspace.go
+++ b/internal/lab/standin/keyspace.go
@@ -211,3 +211,6 @@
 	k.keys[args[0]] = v
 	return simple("OK")
 }
+
+// Texts gives a set's members in order.
+func (s set) Texts() []string { return s }
--- a/internal/sharing/board.go
+++ b/internal/sharing/board.go
@@ -14,6 +14,7 @@
 	quorum    = 2           // other mixers that must say a thing: one with a broken line is none
 	answered  = 1000 * ms   // ns since an answer within which a mixer vouches for a searcher
 	fadeHalf  = 4000 * ms   // ns; what stands behind a word weighs half as much after it
+	voice     = 4.0         // calls that one mixer's word on pace weighs at the most
 	enough    = 0.5         // calls that must still weigh behind a mixer's word on pace
 	stale     = 60_000 * ms // ns after which a mixer that says nothing is forgotten
 	unlike    = 3.0         // times a lender's own traffic in a cell that a borrower must have; alike ones differ by chance
@@ -371,19 +372,12 @@
 	return w
 }
 
-// median gives the pace that half of the weight says is not exceeded, and all the weight. No one mixer can move it far.
+// median gives the pace that half of the mixers do not say is exceeded, the lower of two, and the weight behind all. Each
+// mixer is one voice, however much stands behind it by its own word: a liar among two or three moves nothing.
 func median(tellers []teller) (slow, weight float64) {
 	slices.SortFunc(tellers, func(x, y teller) int { return cmp.Compare(x.row.Slow, y.row.Slow) })
-	// Each mixer weighs up to the same, or one with much traffic would speak for all.
-	weigh := func(t teller) float64 { return min(t.weight, 4) }
 	for _, t := range tellers {
-		weight += weigh(t)
+		weight += min(t.weight, voice)
 	}
-	sum := 0.0
-	for _, t := range tellers {
-		if sum += weigh(t); sum >= weight/2 {
-			return float64(t.row.Slow), weight
-		}
-	}
-	return 0, 0
+	return float64(tellers[(len(tellers)-1)/2].row.Slow), weight
 }
--- /dev/null
+++ b/internal/store/store_test.go
@@ -0,0 +1,370 @@
+package store
+
+import (
+	"context"
+	"crypto/ecdsa"
+	"crypto/elliptic"
+	"crypto/rand"
+	"crypto/tls"
+	"crypto/x509"
+	"encoding/pem"
+	"errors"
+	"io"
+	"log/slog"
+	"math/big"
+	"net"
+	"os"
+	"path/filepath"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"nettlefold/internal/lab/standin"
+	"nettlefold/internal/routing"
+	"nettlefold/internal/sharing"
+)
+
+func serve(t *testing.T, s *standin.Server) *standin.Server {
+	t.Helper()
+	if err := s.Start(""); err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(s.Stop)
+	return s
+}
+
+func client(t *testing.T, s *standin.Server, mixer string, change func(*Options)) *Client {
+	t.Helper()
+	o := Options{Address: s.Address(), Site: "site", Mixer: mixer, Timeout: 200 * time.Millisecond, Protocol: 3}
+	if change != nil {
+		change(&o)
+	}
+	c := New(o)
+	t.Cleanup(func() { c.Close() })
+	return c
+}
+
+// exchange has a client exchange until it reads so many sheets.
+func exchange(t *testing.T, c *Client, sheet string, want int) [][]byte {
+	t.Helper()
+	for range 2 * registerBy {
+		sheets, err := c.Exchange(t.Context(), []byte(sheet))
+		if err != nil {
+			t.Fatal(err)
+		}
+		if len(sheets) == want {
+			return sheets
+		}
+	}
+	t.Fatalf("never %d sheets", want)
+	return nil
+}
+
+func TestMixersOfOneSiteReadEachOther(t *testing.T) {
+	for _, protocol := range []int{2, 3} {
+		s := serve(t, &standin.Server{})
+		set := func(o *Options) { o.Protocol = protocol }
+		a, b := client(t, s, "a", set), client(t, s, "b", set)
+		elsewhere := client(t, s, "c", func(o *Options) { o.Site = "other" })
+		exchange(t, elsewhere, "of c", 0)
+		exchange(t, a, "of a", 0)
+		if got := exchange(t, b, "of b", 1); string(got[0]) != "of a" {
+			t.Errorf("RESP%d: b reads %q", protocol, got)
+		}
+		if got := exchange(t, a, "of a, later", 1); string(got[0]) != "of b" {
+			t.Errorf("RESP%d: a reads %q", protocol, got)
+		}
+	}
+}
+
+func TestEveryKeyEndsByItself(t *testing.T) {
+	s := serve(t, &standin.Server{})
+	exchange(t, client(t, s, "a", nil), "of a", 0)
+	if n := s.Keys().Len(time.Now()); n != 2 {
+		t.Errorf("%d keys, want a sheet and the names", n)
+	}
+	if n := s.Keys().Len(time.Now().Add(membersLast + time.Second)); n != 0 {
+		t.Errorf("%d keys are left after a minute", n)
+	}
+}
+
+func TestAMixerThatIsGoneIsForgotten(t *testing.T) {
+	s := serve(t, &standin.Server{})
+	a := client(t, s, "a", nil)
+	exchange(t, client(t, s, "gone", nil), "of gone", 0)
+	exchange(t, a, "of a", 1)
+	keys := s.Keys()
+	keys.Do(time.Now(), []string{"del", "nettlefold:1:{site}:sheet:gone"})
+	s.Set(keys)
+	a.Exchange(t.Context(), []byte("of a")) // its connection has ended
+	for range 2*registerBy + 1 {
+		if _, err := a.Exchange(t.Context(), []byte("of a")); err != nil {
+			t.Fatal(err)
+		}
+	}
+	if got := s.Keys().Do(time.Now(), []string{"smembers", "nettlefold:1:{site}:mixers"}); strings.Contains(strings.Join(stringsOf(got), " "), "gone") {
+		t.Errorf("names: %v", got)
+	}
+}
+
+func stringsOf(v any) (all []string) {
+	for _, m := range v.(interface{ Texts() []string }).Texts() {
+		all = append(all, m)
+	}
+	return all
+}
+
+func TestOversizedValuesArePassedOver(t *testing.T) {
+	s := serve(t, &standin.Server{})
+	a, b := client(t, s, "a", nil), client(t, s, "b", nil)
+	exchange(t, a, strings.Repeat("x", maxValue+1), 0)
+	for range registerBy + 1 {
+		if got, err := b.Exchange(t.Context(), []byte("of b")); err != nil || len(got) != 0 {
+			t.Fatalf("%d sheets, %v", len(got), err)
+		}
+	}
+	if b.Stats.Oversized == 0 {
+		t.Error("not counted")
+	}
+}
+
+func TestAStoreInTroubleIsAnErrorInTime(t *testing.T) {
+	for what, trouble := range map[string]standin.Troubles{
+		"stalled": {Stall: true}, "slow": {Slow: 5 * time.Second}, "just late": {Slow: 210 * time.Millisecond},
+		"without replies": {Drop: true}, "refusing": {Refuse: true}, "loading": {Loads: true},
+	} {
+		s := serve(t, &standin.Server{})
+		c := client(t, s, "a", nil)
+		exchange(t, c, "of a", 0)
+		s.Trouble(trouble)
+		for range 3 {
+			began := time.Now()
+			_, err := c.Exchange(t.Context(), []byte("of a"))
+			if took := time.Since(began); err == nil || took > 600*time.Millisecond {
+				t.Errorf("%s: %v after %v", what, err, took)
+			}
+		}
+		s.Trouble(standin.Troubles{})
+		for range 3 { // what is left of the trouble on its connection may cost one
+			if _, err := c.Exchange(t.Context(), []byte("of a")); err == nil {
+				break
+			}
+		}
+		if _, err := c.Exchange(t.Context(), []byte("of a")); err != nil {
+			t.Errorf("%s: not back: %v", what, err)
+		}
+	}
+	s := serve(t, &standin.Server{})
+	c := client(t, s, "a", nil)
+	exchange(t, c, "of a", 0)
+	address := s.Address()
+	s.Stop()
+	if _, err := c.Exchange(t.Context(), nil); err == nil {
+		t.Error("a store that has ended answers")
+	}
+	if err := s.Start(address); err != nil {
+		t.Fatal(err)
+	}
+	if _, err := c.Exchange(t.Context(), []byte("of a")); err != nil {
+		t.Errorf("restarted: %v", err)
+	}
+}
+
+func TestLoginAndSecrets(t *testing.T) {
+	const secret = "correct horse"
+	path := filepath.Join(t.TempDir(), "password")
+	if err := os.WriteFile(path, []byte(secret+"\n"), 0o600); err != nil {
+		t.Fatal(err)
+	}
+	password := func() (string, error) { return Secret(path) }
+	s := serve(t, &standin.Server{User: "mixer", Password: secret})
+	exchange(t, client(t, s, "a", func(o *Options) { o.User, o.Password = "mixer", password }), "of a", 0)
+	for what, set := range map[string]func(*Options){
+		"no login":     nil,
+		"another user": func(o *Options) { o.User, o.Password = "other", password },
+		"wrong password": func(o *Options) {
+			o.User, o.Password = "mixer", func() (string, error) { return "wrong " + secret, nil }
+		},
+	} {
+		_, err := client(t, s, "b", set).Exchange(t.Context(), nil)
+		if err == nil || strings.Contains(err.Error(), secret) {
+			t.Errorf("%s: %v", what, err)
+		}
+	}
+	if err := os.Chmod(path, 0o640); err != nil {
+		t.Fatal(err)
+	}
+	if _, err := Secret(path); !errors.Is(err, ErrReadable) || strings.Contains(err.Error(), secret) {
+		t.Errorf("a file that others may read: %v", err)
+	}
+	if _, err := Secret(path + "x"); err == nil {
+		t.Error("a file that is not there")
+	}
+}
+
+func TestTLS(t *testing.T) {
+	key, err := ecdsa.GenerateKey(elliptic.P256(), rand.Reader)
+	if err != nil {
+		t.Fatal(err)
+	}
+	template := &x509.Certificate{SerialNumber: big.NewInt(1), NotBefore: time.Now().Add(-time.Hour), NotAfter: time.Now().Add(time.Hour),
+		DNSNames: []string{"store.internal"}, IsCA: true, BasicConstraintsValid: true, KeyUsage: x509.KeyUsageCertSign | x509.KeyUsageDigitalSignature}
+	raw, err := x509.CreateCertificate(rand.Reader, template, template, &key.PublicKey, key)
+	if err != nil {
+		t.Fatal(err)
+	}
+	authorities := filepath.Join(t.TempDir(), "ca.pem")
+	if err := os.WriteFile(authorities, pem.EncodeToMemory(&pem.Block{Type: "CERTIFICATE", Bytes: raw}), 0o600); err != nil {
+		t.Fatal(err)
+	}
+	s := serve(t, &standin.Server{Listener: func(l net.Listener) net.Listener {
+		return tls.NewListener(l, &tls.Config{Certificates: []tls.Certificate{{Certificate: [][]byte{raw}, PrivateKey: key}}})
+	}})
+	for server, sound := range map[string]bool{"store.internal": true, "other.internal": false} {
+		trust, err := Secured(authorities, "", "", server)
+		if err != nil {
+			t.Fatal(err)
+		}
+		_, err = client(t, s, "a", func(o *Options) { o.TLS = trust }).Exchange(t.Context(), []byte("of a"))
+		if (err == nil) != sound {
+			t.Errorf("as %s: %v", server, err)
+		}
+	}
+	if _, err := client(t, s, "a", nil).Exchange(t.Context(), nil); err == nil {
+		t.Error("plain to a store with TLS")
+	}
+	if _, err := Secured(authorities+"x", "", "", ""); err == nil {
+		t.Error("authorities that are not there")
+	}
+}
+
+func TestCommandsStayWithinTwentyASecond(t *testing.T) {
+	s := serve(t, &standin.Server{})
+	for _, name := range []string{"x", "y"} {
+		exchange(t, client(t, s, name, nil), "of "+name, map[string]int{"x": 0, "y": 1}[name])
+	}
+	c := client(t, s, "a", nil)
+	rounds := int(10 * time.Second / time.Duration(sharing.Round))
+	for range rounds {
+		if _, err := c.Exchange(t.Context(), []byte("of a")); err != nil {
+			t.Fatal(err)
+		}
+	}
+	if perSecond := float64(c.Stats.Commands) / 10; perSecond > 20 || perSecond < 4 {
+		t.Errorf("%.1f commands a second", perSecond)
+	}
+}
+
+// fakes of the module's side and of the store, for the keeper.
+type fakeRouter struct {
+	mu    sync.Mutex
+	now   int64
+	told  [][]routing.Word
+	order []string
+	held  int64
+	all   []routing.Own
+}
+
+func (r *fakeRouter) Tell(int64) (int64, []routing.Own) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.now += int64(250 * time.Millisecond)
+	return r.now, r.all
+}
+func (r *fakeRouter) Told(w []routing.Word) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.told = append(r.told, w)
+	r.order = append(r.order, "told")
+}
+func (r *fakeRouter) Hold(within int64) { r.held = within }
+func (r *fakeRouter) Now() int64 {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.now
+}
+
+type fakeStore struct {
+	r      *fakeRouter
+	answer func() ([][]byte, error)
+	calls  int
+}
+
+func (s *fakeStore) Exchange(context.Context, []byte) ([][]byte, error) {
+	s.calls++
+	s.r.mu.Lock()
+	s.r.order = append(s.r.order, "written")
+	s.r.mu.Unlock()
+	return s.answer()
+}
+
+func quietLog() *slog.Logger { return slog.New(slog.NewTextHandler(io.Discard, nil)) }
+
+// asking is the sheet of a mixer that asks for the share of a cold searcher.
+func asking(t *testing.T, number uint64) []byte {
+	raw, err := (&sharing.Sheet{Version: 1, Mixer: "other", Zone: "z", Life: 5, Number: number,
+		Rows: []sharing.Row{{Searcher: "s", Started: 7, Ask: 100}}}).Append()
+	if err != nil {
+		t.Fatal(err)
+	}
+	return raw
+}
+
+func TestWhatIsLentIsGivenUpBeforeItIsWritten(t *testing.T) {
+	r := &fakeRouter{all: []routing.Own{{Searcher: "s", Started: 7, Cold: true, Rate: 1, Loan: 1, Quiet: true}}}
+	number := uint64(0)
+	st := &fakeStore{r: r, answer: func() ([][]byte, error) { number++; return [][]byte{asking(t, number)}, nil }}
+	k := NewKeeper(r, st, "me", "z", 1, quietLog())
+	if r.held != sharing.GivenUp {
+		t.Errorf("own shares are held back for %d ns at start, want %d", r.held, sharing.GivenUp)
+	}
+	lent := -1
+	for i := 0; i < 30 && lent < 0; i++ {
+		r.order, r.told = nil, nil
+		k.Round(t.Context())
+		if len(r.order) == 0 || r.order[0] != "told" {
+			t.Fatalf("round %d: %v", i, r.order)
+		}
+		if k.State().Lent > 0 {
+			lent = i
+			if len(r.told[0]) != 1 || r.told[0][0].AwayUntil == 0 {
+				t.Fatalf("lent, and the module was told %+v before it was written", r.told[0])
+			}
+		}
+	}
+	if lent < 0 {
+		t.Fatal("nothing was lent")
+	}
+	// Switched off, what is lent stays given up; nothing is written.
+	calls := st.calls
+	k.Switch(false)
+	r.told = nil
+	k.Round(t.Context())
+	if st.calls != calls || len(r.told) != 1 || len(r.told[0]) != 1 || r.told[0][0].AwayUntil == 0 || k.State().On {
+		t.Errorf("switched off: %d exchanges more, told %+v", st.calls-calls, r.told)
+	}
+}
+
+func TestKeeperOpensItsCircuitAndWaitsForNobodyElse(t *testing.T) {
+	r := &fakeRouter{}
+	entered, leave := make(chan bool), make(chan bool)
+	st := &fakeStore{r: r, answer: func() ([][]byte, error) { entered <- true; <-leave; return nil, errors.New("away") }}
+	k := NewKeeper(r, st, "me", "z", 1, quietLog())
+	for range 3 {
+		done := make(chan bool)
+		go func() { k.Round(t.Context()); done <- true }()
+		<-entered
+		k.State() // while the store is waited for, nothing else is
+		k.Switch(true)
+		leave <- true
+		<-done
+	}
+	if s := k.State(); !s.Open || s.Failed != 3 {
+		t.Errorf("%+v", s)
+	}
+	k.Round(t.Context())
+	if st.calls != 3 {
+		t.Error("asked while the circuit is open")
+	}
+}
