--- /dev/null
+++ b/internal/admin/admin_test.go
@@ -0,0 +1,83 @@
+package admin
+
+import (
+	"io"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"testing"
+	"time"
+
+	"nettlefold/internal/routing"
+	"nettlefold/internal/sharing"
+	"nettlefold/internal/store"
+	"nettlefold/mixer"
+)
+
+func TestReasonsNameWhatKeepsASearcherBack(t *testing.T) {
+	second := int64(time.Second)
+	base := routing.Standing{Unit: 1, Fleet: 1}
+	for want, change := range map[string]func(*routing.Standing){
+		"draining":                   func(s *routing.Standing) { s.Status = mixer.Draining },
+		"gone":                       func(s *routing.Standing) { s.Status = mixer.Dead },
+		"next test is due in 2s":     func(s *routing.Standing) { s.Suspect, s.TestIn = true, 2*second },
+		"nothing in its zone":        func(s *routing.Standing) { s.ZoneSilent = true },
+		"3 other mixers":             func(s *routing.Standing) { s.Doubted, s.Word.Suspecting = true, 3 },
+		"has a part for it in 1.5s":  func(s *routing.Standing) { s.ColdWait = 3 * second / 2 },
+		"lent to others":             func(s *routing.Standing) { s.Word.AwayUntil = 1 },
+		"4.0 times the fleet's pace": func(s *routing.Standing) { s.Unit = 4 },
+		"other mixers' (9.0 times":   func(s *routing.Standing) { s.Unit, s.Word.Slow = 4, 9 },
+		"2 calls of this mixer":      func(s *routing.Standing) { s.Calls = 2 },
+	} {
+		st := base
+		change(&st)
+		if got := Reasons(st); len(got) != 1 || !strings.Contains(got[0], want) {
+			t.Errorf("%q, want %q", got, want)
+		}
+	}
+	if got := Reasons(base); len(got) != 0 {
+		t.Errorf("a sound searcher is passed over for %q", got)
+	}
+}
+
+type asked struct{}
+
+func (asked) Standing(name string) (routing.Standing, bool) { return routing.Standing{}, name == "s" }
+
+type kept struct{}
+
+func (kept) State() store.State {
+	return store.State{Counts: sharing.Counts{Lent: 7, Others: 3}, On: true, Open: true, Newest: 1500 * time.Millisecond}
+}
+
+func TestAnswers(t *testing.T) {
+	get := func(s *Server, path string) (int, string) {
+		w := httptest.NewRecorder()
+		s.Handler().ServeHTTP(w, httptest.NewRequest(http.MethodGet, path, nil))
+		raw, _ := io.ReadAll(w.Result().Body)
+		return w.Code, string(raw)
+	}
+	alone := &Server{Router: asked{}, Explain: func() any { return "in force" }}
+	shares := &Server{Router: asked{}, Keeper: kept{}, Explain: alone.Explain}
+	for _, c := range []struct {
+		s    *Server
+		path string
+		code int
+		want string
+	}{
+		{alone, "/sharing", 404, "no shared store"}, {alone, "/settings", 200, "in force"}, {alone, "/metrics", 200, "process_"},
+		{alone, "/why?searcher=s", 200, "Standing"}, {alone, "/why?searcher=x", 404, `"x" is not listed`}, {alone, "/other", 404, ""},
+		{shares, "/sharing", 200, `"Lent":7`}, {shares, "/metrics", 200, "nettlefold_sharing_loans_given_total 7\n"},
+		{shares, "/metrics", 200, "nettlefold_sharing_circuit_open 1\n"}, {shares, "/metrics", 200, "nettlefold_sharing_newest_word_seconds 1.5\n"},
+		{shares, "/metrics", 200, "nettlefold_sharing_mixers_heard 3\n"},
+	} {
+		if code, got := get(c.s, c.path); code != c.code || !strings.Contains(got, c.want) {
+			t.Errorf("%s: %d %.200s, want %d with %s", c.path, code, got, c.code, c.want)
+		}
+	}
+	w := httptest.NewRecorder()
+	shares.Handler().ServeHTTP(w, httptest.NewRequest(http.MethodPost, "/sharing", nil))
+	if w.Code != http.StatusMethodNotAllowed {
+		t.Errorf("an order is answered with %d", w.Code)
+	}
+}
--- a/internal/lab/fleet/scenes.go
+++ b/internal/lab/fleet/scenes.go
@@ -3,6 +3,7 @@
 import (
 	"math"
 
+	"nettlefold/internal/sharing"
 	"nettlefold/mixer"
 )
 
@@ -168,6 +169,21 @@
 		w.After(30_000*ms, func() { w.Store.Restore(w.Now) })
 		w.After(40_000*ms, func() { w.Store.Restore(w.Now) })
 	},
+	"stale writers": func(w *World) { // two mixers' sheets of ten seconds ago land again and again, as of paused writers
+		var land func()
+		land = func() {
+			for _, n := range w.Mixers[:2] {
+				old := w.Store.keys[n.Name]
+				w.After(10_000*ms, func() {
+					if old.raw != nil {
+						w.Store.keys[n.Name] = entry{old.raw, old.sheet, w.Now + sharing.Lease}
+					}
+				})
+			}
+			w.After(500*ms, land)
+		}
+		land()
+	},
 	"half reach it": func(w *World) { w.Reaches = func(i int) bool { return i%2 == 0 } },
 	"mixers pause 10 s": func(w *World) {
 		for i := range w.Mixers {
--- a/internal/lab/measure/measure.go
+++ b/internal/lab/measure/measure.go
@@ -5,6 +5,7 @@
 import (
 	"fmt"
 	"io"
+	"math"
 	"runtime"
 	"slices"
 	"sync"
@@ -86,6 +87,19 @@
 	return sum / float64(max(len(values), 1))
 }
 
+// standardError gives that of the values' mean.
+func standardError(values []float64) float64 {
+	m, sum := mean(values), 0.0
+	for _, v := range values {
+		sum += (v - m) * (v - m)
+	}
+	n := float64(len(values))
+	return math.Sqrt(sum / max(n-1, 1) / max(n, 1))
+}
+
+// notBelow tells whether gains, one a seed, are not below nothing by more than chance makes of them: two standard errors.
+func notBelow(gains []float64) bool { return mean(gains) >= -2*standardError(gains) }
+
 // quantile gives the value that a share of the values does not exceed.
 func quantile(values []float64, share float64) float64 {
 	if len(values) == 0 {
--- a/internal/sharing/lease.go
+++ b/internal/sharing/lease.go
@@ -88,6 +88,28 @@
 	return loans
 }
 
+// Confirm takes loans out of a sheet whose process was sent to after the sheet was made and before its share was given up: the
+// lender's own part would be in one window with what its borrowers send. All is told as it stands after that. What is taken
+// out stays given up, for nothing. It tells whether any was.
+func Confirm(s *Sheet, all []mixer.Own) bool {
+	quiet := make(map[process]bool, len(all))
+	for i := range all {
+		quiet[process{all[i].Searcher, all[i].Started}] = all[i].Quiet
+	}
+	out := false
+	for i := range s.Rows {
+		if r := &s.Rows[i]; len(r.Loans) > 0 && !quiet[process{r.Searcher, r.Started}] {
+			r.Loans, out = nil, true
+		}
+	}
+	return out
+}
+
+// Lends tells whether a sheet has any loan.
+func (s *Sheet) Lends() bool {
+	return slices.ContainsFunc(s.Rows, func(r Row) bool { return len(r.Loans) > 0 })
+}
+
 // lend books a loan to a borrower.
 func (l *ledger) lend(now int64, p process, to string, rate float64, until int64) {
 	if l.lent[p] == nil {
--- a/internal/store/keeper.go
+++ b/internal/store/keeper.go
@@ -100,6 +100,11 @@
 	if !may {
 		return
 	}
+	if sheet.Lends() {
+		if _, all = k.router.Tell(sharing.GivenUp); sharing.Confirm(sheet, all) {
+			k.log.Debug("a loan is not told: its searcher was sent to meanwhile")
+		}
+	}
 	raw, err := sheet.Append()
 	if err != nil {
 		k.log.Error("sheet", "error", err)
