The pace others tell is that of the mixers answered last

The median of what 22 mixers told was 1.9 times the fleet's pace: most of them last met it before it turned slow, and counted as those who had just.

--- a/internal/sharing/board.go
+++ b/internal/sharing/board.go
@@ -348,6 +348,7 @@
 		}
 		oldest = min(oldest, t.heard)
 	}
+	pace = newest(pace)
 	if at, ok := b.first[p]; b.believed(pace) && ok && now-at >= hearing {
 		w.Slow, w.Weight = median(pace)
 		for _, t := range pace {
@@ -373,10 +374,20 @@
 	return w
 }
 
+// newest gives the third of the tellers whose searcher answered them last, three at the least. What the others know is of
+// before it changed: among many it would hold the median where it was for seconds.
+func newest(tellers []teller) []teller {
+	at := func(t teller) int64 { return t.heard - t.row.Heard*ms }
+	slices.SortFunc(tellers, func(x, y teller) int {
+		return cmp.Or(cmp.Compare(at(y), at(x)), cmp.Compare(x.row.Slow, y.row.Slow), cmp.Compare(x.weight, y.weight))
+	})
+	return tellers[:min(len(tellers), max(quorum+1, (len(tellers)+2)/3))]
+}
+
 // median gives the pace that half of the mixers do not say is exceeded, the lower of two, and the weight behind all. Each
 // mixer is one voice, however much stands behind it by its own word: a liar among two or three moves nothing.
 func median(tellers []teller) (slow, weight float64) {
-	slices.SortFunc(tellers, func(x, y teller) int { return cmp.Compare(x.row.Slow, y.row.Slow) })
+	slices.SortStableFunc(tellers, func(x, y teller) int { return cmp.Compare(x.row.Slow, y.row.Slow) })
 	for _, t := range tellers {
 		weight += min(t.weight, voice)
 	}
