A mixer's life is drawn from the system; what was written twice or unused goes

It is drawn from the system now; the test fails with the seed (one life of three). Without change of behaviour: the bounds on a sheet and on mixers stand once, in internal/sharing; words are not made again after an exchange that failed; the store's client closes after its last round; unused fields go.

--- a/cmd/nettlefold/main.go
+++ b/cmd/nettlefold/main.go
@@ -8,6 +8,7 @@
 	"log/slog"
 	"os"
 	"os/signal"
+	"path/filepath"
 	"runtime/debug"
 	"syscall"
 
@@ -67,7 +68,7 @@
 func (a *checkCommand) Run() error {
 	for _, path := range a.Files {
 		var err error
-		if len(path) > 4 && path[len(path)-4:] == ".xml" {
+		if filepath.Ext(path) == ".xml" {
 			_, err = settings.Load(path)
 		} else {
 			_, err = configured(path)
--- a/cmd/nettlefold/serve.go
+++ b/cmd/nettlefold/serve.go
@@ -146,8 +146,10 @@
 	wg.Go(func() { watch.Run(work) })
 	wg.Go(func() { router.Run(work) })
 	if shares != nil {
-		defer client.Close()
-		wg.Go(func() { shares.Run(work) })
+		wg.Go(func() {
+			shares.Run(work)
+			client.Close() // not before: a round under way would take it for a store that is away
+		})
 	}
 	if own.Admin != "" {
 		l, err := net.Listen("tcp", own.Admin)
@@ -155,7 +157,7 @@
 			listener.Close()
 			return fmt.Errorf("%s: listeners/admin: %w", at.settings, err)
 		}
-		answers := &admin.Server{Router: router, Explain: func() any { return explained(c, own) }, Log: log}
+		answers := &admin.Server{Router: router, Explain: func() any { return explained(c, own) }}
 		if shares != nil {
 			answers.Keeper = shares
 		}
--- a/internal/admin/admin.go
+++ b/internal/admin/admin.go
@@ -6,7 +6,6 @@
 	"context"
 	"encoding/json"
 	"fmt"
-	"log/slog"
 	"net"
 	"net/http"
 	"time"
@@ -28,7 +27,6 @@
 	Router  Asked
 	Keeper  interface{ State() store.State }
 	Explain func() any // the settings in force
-	Log     *slog.Logger
 }
 
 // Serve answers on a listener until the context ends.
--- a/internal/lab/fleet/world.go
+++ b/internal/lab/fleet/world.go
@@ -64,7 +64,6 @@
 	Paused  bool                    // takes part in nothing that is shared; what it wrote before may still land
 	Liar    func(*sharing.Sheet)    // changes what it tells
 	Broken  func(searcher int) bool // its line to these searchers loses all
-	rng     *rand.Rand
 	lookups map[string]*Lookup
 	parts   map[string]*part
 	number  int
@@ -87,9 +86,7 @@
 	process int
 	free    []int64
 	cold    []int64 // when parts were sent to the process while cold
-	sent    []int64 // all parts sent, while recorded
 	Fair    float64 // parts that cold processes were sent
-	Bore    float64 // parts that they could have been sent, within today's bound
 }
 
 // Lookup is one lookup and how it ended.
@@ -177,7 +174,6 @@
 func (n *Node) Start() {
 	w := n.w
 	n.life++
-	n.rng = rand.New(rand.NewSource(w.Seed*7919 + int64(n.Index)*31 + int64(n.life)))
 	n.lookups, n.parts = map[string]*Lookup{}, map[string]*part{}
 	c := w.Charter
 	c.Zone, c.Mixers = n.Zone, w.Setup.Mixers
--- a/internal/sharing/board.go
+++ b/internal/sharing/board.go
@@ -121,7 +121,7 @@
 	o := b.others[s.Mixer]
 	if o == nil {
 		b.forget(now)
-		if len(b.others) >= maxOthers {
+		if len(b.others) >= MaxOthers {
 			return
 		}
 		o = &other{}
--- a/internal/sharing/board_test.go
+++ b/internal/sharing/board_test.go
@@ -286,7 +286,7 @@
 	if held[200] > 8<<20 || round[200] > 200*maxRows*48 {
 		t.Errorf("200 mixers: %d bytes held, %d carried a round", held[200], round[200])
 	}
-	if float64(held[200]) > 2.4*float64(held[100]) || round[200] > 2*round[100]+maxSheet {
+	if float64(held[200]) > 2.4*float64(held[100]) || round[200] > 2*round[100]+MaxSheet {
 		t.Errorf("it grows faster than linearly: %v, %v", held, round)
 	}
 }
--- a/internal/sharing/sheet.go
+++ b/internal/sharing/sheet.go
@@ -23,12 +23,14 @@
 	lentPart     = 1.02 // of it, by the lender's: clocks may run 1% apart, and these 4%
 
 	version   = 1
-	maxName   = 64       // bytes of a mixer's, zone's or searcher's name
-	maxRows   = 64       // rows of one sheet: what stands out, the most pressing first
-	maxGrants = 256      // loans of one sheet
-	maxSheet  = 32 << 10 // bytes of one sheet
-	maxOthers = 1024     // mixers whose sheets are kept
-	maxLives  = 4        // earlier lives of one mixer that are not taken for new ones
+	maxName   = 64  // bytes of a mixer's, zone's or searcher's name
+	maxRows   = 64  // rows of one sheet: what stands out, the most pressing first
+	maxGrants = 256 // loans of one sheet
+	// MaxSheet is how many bytes of one sheet are taken.
+	MaxSheet = 32 << 10
+	// MaxOthers is how many mixers are read, and their sheets kept.
+	MaxOthers = 1024
+	maxLives  = 4 // earlier lives of one mixer that are not taken for new ones
 )
 
 // Sheet is all that a mixer says at one time. It stands for all that it said before.
@@ -83,15 +85,15 @@
 // Append writes a sheet.
 func (s *Sheet) Append() ([]byte, error) {
 	raw, err := cbor.Marshal(s)
-	if err == nil && len(raw) > maxSheet {
-		err = fmt.Errorf("sheet of %d bytes, most are %d", len(raw), maxSheet)
+	if err == nil && len(raw) > MaxSheet {
+		err = fmt.Errorf("sheet of %d bytes, most are %d", len(raw), MaxSheet)
 	}
 	return raw, err
 }
 
 // ReadSheet reads a sheet whole or says why it is none: ErrVersion or ErrGarbage, with what is at fault.
 func ReadSheet(raw []byte) (*Sheet, error) {
-	if len(raw) > maxSheet {
+	if len(raw) > MaxSheet {
 		return nil, fmt.Errorf("%w: %d bytes", ErrGarbage, len(raw))
 	}
 	var head struct {
--- a/internal/store/client.go
+++ b/internal/store/client.go
@@ -15,13 +15,11 @@
 	"time"
 
 	"github.com/redis/go-redis/v9"
+
+	"nettlefold/internal/sharing"
 )
 
 const (
-	// MaxMixers is how many mixers of a site are read at the most.
-	MaxMixers = 1024
-
-	maxValue    = 32 << 10 // bytes of one value that is taken
 	sheetLasts  = 4 * time.Second
 	membersLast = time.Minute
 	registerBy  = 8 // rounds between two readings of who there is
@@ -156,7 +154,7 @@
 			switch text, ok := v.(string); {
 			case !ok:
 				gone = append(gone, c.names[i])
-			case len(text) > maxValue:
+			case len(text) > sharing.MaxSheet:
 				c.Stats.Oversized++
 			default:
 				sheets = append(sheets, []byte(text))
@@ -166,7 +164,7 @@
 	if register {
 		c.names = c.names[:0]
 		for _, name := range members.Val() {
-			if name != c.o.Mixer && len(c.names) < MaxMixers {
+			if name != c.o.Mixer && len(c.names) < sharing.MaxOthers {
 				c.names = append(c.names, name)
 			}
 		}
--- a/internal/store/keeper.go
+++ b/internal/store/keeper.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+	crand "crypto/rand"
+	"encoding/binary"
 	"log/slog"
 	"math/rand"
 	"sync"
@@ -42,12 +44,20 @@
 }
 
 // NewKeeper makes the keeper of a mixer that starts now, and has the module hold back what an earlier life may have lent.
-// Seed is of the platform's, new with each start; with the name it makes the life that loans are addressed to.
+// Seed spreads its rounds and tries. The life that loans are addressed to is drawn from the system instead: a configuration may
+// give one seed twice, and a loan to an earlier life would then be taken for one to this.
 func NewKeeper(router Router, store Exchanger, name, zone string, seed int64, log *slog.Logger) *Keeper {
 	rng := rand.New(rand.NewSource(seed ^ 0x5ea1))
 	router.Hold(sharing.GivenUp)
 	return &Keeper{router: router, store: store, log: log, rng: rng, circuit: sharing.NewCircuit(rng.Float64),
-		board: sharing.NewBoard(router.Now(), name, zone, rng.Uint64())}
+		board: sharing.NewBoard(router.Now(), name, zone, newLife())}
+}
+
+// newLife draws what tells one life of a mixer from all others.
+func newLife() uint64 {
+	var raw [8]byte
+	crand.Read(raw[:]) // never fails
+	return binary.LittleEndian.Uint64(raw[:])
 }
 
 // Run shares until the context ends.
@@ -131,13 +141,15 @@
 			}
 		}
 	}
-	words = k.board.Words(now, all)
-	off = k.off
+	heard := err == nil && !late && !k.off
+	if heard {
+		words = k.board.Words(now, all)
+	}
 	k.mu.Unlock()
 	if open != was {
 		k.log.Warn("circuit to the store", "open", open, "took", took, "error", err)
 	}
-	if err == nil && !late && !off {
+	if heard {
 		k.router.Told(words)
 	}
 }
--- a/internal/store/store_test.go
+++ b/internal/store/store_test.go
@@ -119,7 +119,7 @@
 func TestOversizedValuesArePassedOver(t *testing.T) {
 	s := serve(t, &standin.Server{})
 	a, b := client(t, s, "a", nil), client(t, s, "b", nil)
-	exchange(t, a, strings.Repeat("x", maxValue+1), 0)
+	exchange(t, a, strings.Repeat("x", sharing.MaxSheet+1), 0)
 	for range registerBy + 1 {
 		if got, err := b.Exchange(t.Context(), []byte("of b")); err != nil || len(got) != 0 {
 			t.Fatalf("%d sheets, %v", len(got), err)
@@ -404,3 +404,20 @@
 		t.Error("asked while the circuit is open")
 	}
 }
+
+func TestALifeIsNewAlsoWithTheSameSeed(t *testing.T) {
+	lives := map[uint64]bool{}
+	for range 3 { // the same mixer, started again with the same configuration
+		r := &fakeRouter{}
+		st := &fakeStore{r: r, answer: func() ([][]byte, error) { return nil, nil }}
+		NewKeeper(r, st, "me", "z", 1, quietLog()).Round(t.Context())
+		s, err := sharing.ReadSheet(st.sheet)
+		if err != nil {
+			t.Fatal(err)
+		}
+		lives[s.Life] = true
+	}
+	if len(lives) != 3 {
+		t.Errorf("three starts have %d lives", len(lives))
+	}
+}
--- a/internal/twophase/run.go
+++ b/internal/twophase/run.go
@@ -39,12 +39,13 @@
 type Do int
 
 const (
-	Question   Do  = iota // ask about a part, at any searcher of its slice but Avoid
-	Get                   // fetch a part
-	End                   // answer the lookup now; nothing is sent for it after that
-	questions2 = 2        // questions on one part at the most: a second word is had once
+	Question Do = iota // ask about a part, at any searcher of its slice but Avoid
+	Get                // fetch a part
+	End                // answer the lookup now; nothing is sent for it after that
 )
 
+const questions = 2 // on one part at the most: a second word is had once
+
 // Action is what is to be done next.
 type Action struct {
 	Do    Do
@@ -159,7 +160,7 @@
 	case w == No:
 		// Guards against a searcher that says 'empty' before it has loaded: it needs a second word, of another.
 		s.said, s.denied = append(s.said, from), true
-		if s.asked < questions2 && now < r.plan.AskUntil {
+		if s.asked < questions && now < r.plan.AskUntil {
 			r.Seconds++
 			return []Action{s.question(part)}
 		}
