The trail by which a repeated life exceeds the sum is a test

A trail of thirteen steps does: a loan to the earlier life is read by the next one, whose first sheet has the same number, and rates add up to more than all own; with a new life they do not.

--- a/internal/sharing/lease_test.go
+++ b/internal/sharing/lease_test.go
@@ -284,3 +284,35 @@
 		}
 	}
 }
+
+// TestAStartThatGoesByItsOldLifeExceeds follows one trail, thirteen steps long, which the search does not reach within its
+// states: a loan to a mixer's earlier life is read by the next one, whose first sheet has the same number.
+func TestAStartThatGoesByItsOldLifeExceeds(t *testing.T) {
+	trail := []string{"m0 makes a sheet, wants true", "m0's sheet lands", "m1 reads", "m1 makes a sheet, wants false", "m1's sheet lands",
+		"m0 starts anew", "time passes", "time passes", "m0 makes a sheet, wants true", "m0 reads", "time passes", "time passes", "time passes"}
+	for _, same := range []bool{true, false} {
+		f := &flaws{terms: sound, wants: []bool{true, false}, sameLife: same, crashes: 1}
+		s := &state{store: make([][]byte, 2), kept: make([][]byte, 2)}
+		for i := range 2 {
+			s.peers = append(s.peers, f.start(i, 0, 0))
+		}
+		s.at += 3000 * ms
+		most := 0.0
+		for _, step := range trail {
+			var next *state
+			f.steps(s, func(name string, n *state) {
+				if name == step {
+					next = n
+				}
+			})
+			if next == nil {
+				t.Fatalf("no step %q", step)
+			}
+			s = next
+			most = max(most, f.sum(s))
+		}
+		if exceeds := most > 2+1e-9; exceeds != same {
+			t.Errorf("the same life %v: rates add up to %v of 2", same, most)
+		}
+	}
+}
