--- a/cmd/nettlefold/helper_test.go
+++ b/cmd/nettlefold/helper_test.go
@@ -19,23 +19,16 @@
 	"nettlefold/example/toy"
 )
 
-var (
-	binary   string
-	launched atomic.Int32
-)
+// binary is the program as the platform builds it.
+const binary = "../../bin/nettlefold"
+
+var launched atomic.Int32
 
 func TestMain(m *testing.M) {
-	dir, err := os.MkdirTemp("", "nettlefold")
-	if err != nil {
-		panic(err)
-	}
-	binary = filepath.Join(dir, "nettlefold")
-	if out, err := exec.Command("go", "build", "-o", binary, ".").CombinedOutput(); err != nil {
+	if out, err := exec.Command("sh", "../../deploy/build").CombinedOutput(); err != nil {
 		panic(string(out))
 	}
-	code := m.Run()
-	os.RemoveAll(dir)
-	os.Exit(code)
+	os.Exit(m.Run())
 }
 
 // object is a JSON object of a configuration.
