Weights written with a few digits add up to one, so lookups of all parts can be whole

What ended them was review's check that enough parts are left: "hope 0.999996 of 1 0.083333 0.083333 ...", twelve parts of 0.083333 against a whole of 1 - 1e-6. Three or six parts of six digits are within that, seven and more need not be. The cause is in readBody, which takes weights as written although they stand for shares of one whole: it lets in sums that are off by their rounding. It divides by the sum now; the module stays.

TestRoundedWeights (three parts of 0.3333 are bounced without the mend); the fuzz test of lookups wants sums of one. At NETTLEFOLD_LOG=debug each lookup can be followed by its id: taken, forward, outcome, final; else one check of a flag.

--- a/cmd/nettlefold/main_test.go
+++ b/cmd/nettlefold/main_test.go
@@ -61,6 +61,15 @@
 }
 
 // TestLongAnswer has values that no buffer on the way holds at once.
+// Weights are written with a few digits, so all of them may fall short of the whole.
+func TestRoundedWeights(t *testing.T) {
+	w := prepare(t).start()
+	body := `{"shards":[{"shard":0,"weight":0.3333},{"shard":1,"weight":0.3333},{"shard":2,"weight":0.3333}],"q":"x"}`
+	if r, err := w.do(w.request("a1", "all", "1000", body)); err != nil || r.status != 200 || !r.Complete || len(r.Hits) != 3 {
+		t.Errorf("three thirds: %+v, %v", r, err)
+	}
+}
+
 func TestLongAnswer(t *testing.T) {
 	w := prepare(t)
 	long := strings.Repeat("0123456789abcdef", 2000)
--- a/internal/protocol/lookup.go
+++ b/internal/protocol/lookup.go
@@ -128,6 +128,9 @@
 	if math.Abs(sum-1) > rounding*float64(len(l.Parts)) {
 		return fmt.Errorf("shards: weights add up to %v", sum)
 	}
+	for i := range l.Parts {
+		l.Parts[i].Weight /= sum // guards against twelve parts of 0.0833, all of which are never the whole
+	}
 	return nil
 }
 
--- a/internal/protocol/protocol_test.go
+++ b/internal/protocol/protocol_test.go
@@ -6,6 +6,7 @@
 	"encoding/json"
 	"errors"
 	"io"
+	"math"
 	"net/http"
 	"os"
 	"strings"
@@ -46,7 +47,7 @@
 		for _, p := range l.Parts {
 			sum += p.Weight
 		}
-		if sum < 0.98 || sum > 1.02 || !utf8.ValidString(l.Text) {
+		if math.Abs(sum-1) > 1e-9 || !utf8.ValidString(l.Text) {
 			t.Errorf("weights add up to %v, text %q", sum, l.Text)
 		}
 		if len(l.Parts) == 0 || l.ID == "" || strings.ContainsAny(l.ID, " \n\t\r") || l.Expires.Before(seen) {
--- a/internal/routing/router.go
+++ b/internal/routing/router.go
@@ -31,6 +31,7 @@
 // Router is one mixer's module with all that it needs to be called.
 type Router struct {
 	log     *slog.Logger
+	debug   bool // each step of each lookup is logged, with its id
 	charter mixer.Charter
 	rows    map[string]int
 	most    int // open lookups and parts from which on no lookup is let in
@@ -62,7 +63,7 @@
 	}
 	now := time.Now()
 	r := &Router{
-		log: log, charter: c, rows: rows, most: most, anchor: now, unix: now.UnixNano(),
+		log: log, debug: log.Enabled(context.Background(), slog.LevelDebug), charter: c, rows: rows, most: most, anchor: now, unix: now.UnixNano(),
 		tickets: map[string]*Ticket{}, slots: map[string]*slot{}, stale: map[string]bool{}, kick: make(chan struct{}, 1),
 	}
 	r.call(nil, func(now int64) { r.m = mixer.New(now, c, seed, floor{r}) })
@@ -210,6 +211,9 @@
 	f := &Forward{slot: s, copy: len(s.forwards), at: r.last, Part: s.index, ID: s.id, Until: r.at(r.last + within)}
 	s.forwards = append(s.forwards, f)
 	s.t.assign(searcher, f)
+	if r.debug {
+		r.log.Debug("forward", "part", part, "searcher", searcher, "copy", f.copy, "within", time.Duration(within))
+	}
 	r.set(r.last+within, f)
 }
 
--- a/internal/routing/ticket.go
+++ b/internal/routing/ticket.go
@@ -116,6 +116,9 @@
 			t.slots = append(t.slots, s)
 			r.slots[s.id] = s
 		}
+		if r.debug {
+			r.log.Debug("taken", "lookup", l.ID, "tariff", l.Tariff, "parts", len(l.Parts), "left", time.Until(l.Expires), "again", l.Again)
+		}
 		notAfter := r.unix + int64(l.Expires.Sub(r.anchor))
 		t.l = r.m.Take(now, mixer.Ask{
 			ID: l.ID, Tariff: r.rows[l.Tariff], NotAfter: notAfter, Parts: len(l.Parts), Again: l.Again})
@@ -203,6 +206,9 @@
 // end gives the lookup its final answer.
 func (t *Ticket) end(f Final) {
 	if !t.ended {
+		if t.r.debug {
+			t.r.log.Debug("final", "lookup", t.id, "verdict", f.Verdict, "whole", f.Whole, "hits", len(f.Hits), "wait", f.Wait)
+		}
 		t.close()
 		t.step.Final = &f
 		t.wake()
@@ -263,6 +269,9 @@
 	}
 	f.done.Store(true)
 	s := f.slot
+	if s.t.r.debug {
+		s.t.r.log.Debug("outcome", "part", s.id, "copy", f.copy, "outcome", o, "left", f.left, "took", time.Duration(now-f.at))
+	}
 	if o == mixer.Satisfied && !s.in && !s.t.ended {
 		s.in, s.value = true, value
 		s.t.r.open--
