What is still out of a lookup that ends is withdrawn at the searchers

From the log of one mixer:

Nobody tells the searchers: work for lookups given up stays in their queues, before work that could still be in time, and every one of some 300 mixers adds to it. At fault: giveUp and answer, which leave what is out to its own end (giveUp bounces 798 lookups early on one part whose three holders were full, with eleven parts left out).

giveUp and answer withdraw what is out, where the settings allow it. The wait of a withdrawn forward counts as silence, and as a time-out in the pace where it was longer than usual.

TestEndedLookupsAreWithdrawn fails without it; the world of the module's tests plays withdrawals and their legality.

--- a/mixer/mixer.go
+++ b/mixer/mixer.go
@@ -126,8 +126,7 @@
 // lost tells whether no answer is waited for any more, though none has come: it is out for long with nothing
 // heard since, its searcher is suspect, its process is gone, or its whole zone is silent.
 func (f *forward) lost() bool {
-	s := f.s
-	mute := s.zone.silent() && f.sent >= s.zone.heard
+	s, mute := f.s, f.s.zone.silent() && f.sent >= f.s.zone.heard
 	return f.gone || s.suspect || s.status == Dead || f.process != s.started || mute
 }
 
@@ -376,9 +375,11 @@
 		f.miss(now)
 	}
 	switch o {
-	case TimedOut:
+	case TimedOut, Cancelled:
 		// Guards against searchers too slow to answer in time, no answer of which ever tells how slow.
-		s.learn(now, lostTimes*float64(took), f.count)
+		if mean, _ := m.typical(now, f.part.l); o == TimedOut || float64(took) > mean {
+			s.learn(now, lostTimes*float64(took), f.count)
+		}
 		if s.heard <= f.sent {
 			s.unheard += took
 			m.hearken(now, f.part)
@@ -706,8 +707,7 @@
 }
 
 func (l *Lookup) maySend(now int64, p *part) bool {
-	m := l.m
-	barred := l.barred(now, p)
+	m, barred := l.m, l.barred(now, p)
 	if len(p.forwards) == 0 || barred {
 		return !barred
 	}
@@ -788,8 +788,20 @@
 	return f
 }
 
+// withdraw gives up what is still out of a lookup that ends: it would hold searchers' time that others need.
+func (l *Lookup) withdraw() {
+	for _, p := range l.parts {
+		for i, f := range p.forwards {
+			if l.m.c.MayCancel && f.out() {
+				l.m.floor.Cancel(p.ID, i)
+			}
+		}
+	}
+}
+
 // answer gives a whole answer. A second step's parts then come to the same handle.
 func (l *Lookup) answer(now int64) {
+	l.withdraw()
 	l.m.floor.Answer(l.ask.ID, true)
 	if l.step > 0 || l.t.SecondStep == 0 {
 		l.ended = true
@@ -807,6 +819,7 @@
 // nothing may have run that must not run twice, else a failure.
 func (l *Lookup) giveUp(now int64, in float64) {
 	l.ended = true
+	l.withdraw()
 	final := l.step > 0 || l.t.SecondStep == 0 // any other answer would only start the second step
 	if final && l.t.LeastShare < l.t.CompleteFrom && in >= l.t.LeastShare && l.t.Partial > 0 {
 		l.m.floor.Answer(l.ask.ID, false)
--- a/mixer/mixer_test.go
+++ b/mixer/mixer_test.go
@@ -152,6 +152,9 @@
 	p.sent, p.done, p.ran = append(p.sent, w.now), append(p.done, false), append(p.ran, true)
 	o, took := w.serve(w.box[searcher], within)
 	w.after(took, func() {
+		if p.done[i] {
+			return // withdrawn
+		}
 		p.done[i], p.ran[i] = true, !o.NeverRan()
 		p.in = p.in || o == Satisfied && !p.l.ended
 		p.l.h.Outcome(w.now, p.index, i, o, took, p.in || p.l.ended)
@@ -262,7 +265,13 @@
 func (w *world) Fail(id string) { w.end(id, "failure") }
 
 func (w *world) Cancel(part string, forward int) {
-	w.t.Fatalf("forward %d of %s withdrawn", forward, part)
+	p := w.parts[part]
+	if !w.c.MayCancel || p.done[forward] {
+		w.t.Fatalf("forward %d of %s withdrawn, allowed %v, out %v", forward, part, w.c.MayCancel, !p.done[forward])
+	}
+	p.done[forward] = true // it may have run
+	took := w.now - p.sent[forward]
+	w.after(0, func() { p.l.h.Outcome(w.now, p.index, forward, Cancelled, took, p.in || p.l.ended) })
 }
 
 func (w *world) CloseIdle(searcher string) {
@@ -768,3 +777,20 @@
 		t.Error("a lookup with a part that has no forward left is sat on")
 	}
 }
+
+// Nothing is left out at searchers once its lookup has ended, neither by an answer nor given up: in a jam it would take the time
+// of lookups that can still be in time.
+func TestEndedLookupsAreWithdrawn(t *testing.T) {
+	for _, allowed := range []bool{true, false} {
+		w := start(t, 1, 2, func(c *Charter) { c.MayCancel, c.MaxForwards = allowed, 1 })
+		w.box["box0"].broken, w.box["box1"].broken = 3, 1 // one fails for good while the other is still waited for
+		l := w.take(0, 2, 0, 4000*ms, false)
+		for !l.ended {
+			w.run(w.queue[0].at)
+		}
+		w.run(w.now + ms)
+		if out := len(w.m.searchers["box1"].out); l.answeredWhole || (out == 0) != allowed {
+			t.Errorf("withdrawals allowed %v: %d forwards are out at a silent searcher", allowed, out)
+		}
+	}
+}
