--- a/cmd/nettlefold/main_test.go
+++ b/cmd/nettlefold/main_test.go
@@ -18,6 +18,7 @@
 	"runtime"
 	"runtime/debug"
 	"runtime/pprof"
+	"slices"
 	"strings"
 	"sync"
 	"syscall"
@@ -70,6 +71,24 @@
 	}
 }
 
+// A lookup that ends takes with it what searchers still hold of it.
+func TestEndedLookupIsWithdrawn(t *testing.T) {
+	w := prepare(t)
+	w.of("PolicyLimits")["MaxAttempts"] = 1
+	for _, s := range w.searchers[:2] {
+		s.Handle = func(toy.Part) {} // cell 0 never answers
+	}
+	w.start()
+	w.searchers[2].Stop()
+	w.searchers[3].Stop()
+	if r := w.ask("a1", "all", 0, 1); r.status != 503 {
+		t.Fatalf("with one of two cells gone: %+v", r)
+	}
+	w.until("the searcher is told that the part is given up", func() bool {
+		return slices.Contains(slices.Concat(w.searchers[0].Frames(), w.searchers[1].Frames()), "Xa1.0")
+	})
+}
+
 func TestLongAnswer(t *testing.T) {
 	w := prepare(t)
 	long := strings.Repeat("0123456789abcdef", 2000)
