Sizes of the list order equals, and customers beyond their share are turned away first

Change: what the fleet's forwards took is kept per size and read for each searcher by its own (unit, hopeless, Tell). At taking, the share of the time left that a lookup may be predicted to take shrinks by what a lookup of its customer is worth on the average: what is within the allowance counts whole, the rest by OverShareWorth. The count decides as before. Settings Weights (nominal and rough are sizes, live and none are not), OverShareWorth and Tenants are read, checked and named in faults; the real mixer takes the list's weight and the header X-Org too, and behaves as before where the settings have none. An unreadable weight is as good as none; an unknown customer gets a 400.

--- a/cmd/nettlefold/main.go
+++ b/cmd/nettlefold/main.go
@@ -103,8 +103,8 @@
 	return struct {
 		Name, Listen, Discovery string
 		Charter, Limits, Own    any
-		Tariffs                 map[string]int
-	}{c.Name, c.Listen, c.Discovery, c.Charter, c.Limits, own, c.Rows}
+		Tariffs, Customers      map[string]int
+	}{c.Name, c.Listen, c.Discovery, c.Charter, c.Limits, own, c.Rows, c.Customers}
 }
 
 type versionCommand struct{}
--- a/cmd/nettlefold/serve.go
+++ b/cmd/nettlefold/serve.go
@@ -117,7 +117,7 @@
 	}
 	searchers := transport.NewSearchers(c.Limits, log)
 	defer searchers.Close()
-	server := &transport.Server{Router: router, Searchers: searchers, Tariffs: c.Rows, Limits: c.Limits, Log: log}
+	server := &transport.Server{Router: router, Searchers: searchers, Tariffs: c.Rows, Customers: c.Customers, Limits: c.Limits, Log: log}
 	listed := func(l protocol.List) {
 		searchers.Listed(l)
 		router.Listed(l.Entries(), l.Whole)
--- a/internal/charter/charter.go
+++ b/internal/charter/charter.go
@@ -164,6 +164,39 @@
 	return s.number(key, items[i], lo, hi)
 }
 
+// customers reads the allowances, and checks what else is told of customers.
+func (s *reader) customers() (allowances []float64) {
+	if s.all["Tenants.count"] == "" {
+		return nil
+	}
+	names, shares := map[string]bool{}, 0.0
+	for i := range s.count("Tenants.count", true, 0) {
+		at := "Tenants." + strconv.Itoa(i) + "."
+		name := s.all[at+"Name"]
+		if name == "" || name == "-" || names[name] { // missing, or told twice
+			s.bad(at+"Name", name)
+		}
+		names[name] = true
+		if shares += s.float(at+"Share", true, 0, 1); shares > 1+1e-3 {
+			s.bad(at+"Share", s.all[at+"Share"])
+		}
+		allowances = append(allowances, s.float(at+"AllowancePerS", true, 0, 1e9))
+		if s.fault != nil {
+			return nil
+		}
+	}
+	return allowances
+}
+
+// Customers gives the rows of the customers by name, from 1 on. The terms have passed as a charter.
+func (t Terms) Customers() map[string]int {
+	rows := map[string]int{}
+	for i := 0; t["Tenants."+strconv.Itoa(i)+".Name"] != ""; i++ {
+		rows[t["Tenants."+strconv.Itoa(i)+".Name"]] = i + 1
+	}
+	return rows
+}
+
 // Charter gives what the module is told, and the rows of its tariffs by name.
 func (t Terms) Charter() (mixer.Charter, map[string]int, error) {
 	s := &reader{all: t}
@@ -188,6 +221,15 @@
 		BudgetShare:  s.float("Guarantees.ResendRatio", false, 0, 1e6),
 		CrossPrice:   s.float("Fees.CrossZone", false, -1e6, 1e6),
 	}
+	switch w := s.all["Weights"]; w {
+	case "nominal", "rough":
+		c.Sized = true
+	case "", "-", "none", "live": // what varies with load is no size
+	default:
+		s.bad("Weights", w)
+	}
+	c.OverWorth = s.column("OverShareWorth", 0, 1, 0, 1)
+	c.Allowances = s.customers()
 	switch mode := s.all["MembershipMode"]; mode {
 	case "pushed":
 	case "on_request":
--- a/internal/protocol/config.go
+++ b/internal/protocol/config.go
@@ -16,7 +16,7 @@
 	Name, Listen, Discovery string
 	Seed                    int64
 	Charter                 mixer.Charter
-	Rows                    map[string]int
+	Rows, Customers         map[string]int // tariffs; customers, from 1 on
 	Limits                  charter.Limits
 	Known                   List
 
@@ -75,6 +75,7 @@
 	if c.Charter, c.Rows, err = terms.Charter(); err != nil {
 		return c, fmt.Errorf("configuration: %w", err)
 	}
+	c.Customers = terms.Customers()
 	if c.Limits, err = terms.Limits(c.Charter); err != nil {
 		return c, fmt.Errorf("configuration: %w", err)
 	}
--- a/internal/protocol/list.go
+++ b/internal/protocol/list.go
@@ -42,12 +42,13 @@
 	Index    *int64 `json:"index"`
 	Snapshot bool   `json:"snapshot"`
 	Members  []struct {
-		Name    string  `json:"name"`
-		Address string  `json:"address"`
-		Zone    string  `json:"zone"`
-		Cell    *int    `json:"group"`
-		Status  string  `json:"status"`
-		Since   float64 `json:"since_ms"`
+		Name    string          `json:"name"`
+		Address string          `json:"address"`
+		Zone    string          `json:"zone"`
+		Cell    *int            `json:"group"`
+		Status  string          `json:"status"`
+		Since   float64         `json:"since_ms"`
+		Size    json.RawMessage `json:"weight"`
 	} `json:"endpoints"`
 }
 
@@ -83,6 +84,9 @@
 			continue
 		}
 		e := Member{Address: m.Address}
+		if size, err := strconv.ParseFloat(string(m.Size), 64); err == nil && size > 0 && size < 1e9 {
+			e.Size = size // one that cannot be read is as good as none: the searcher serves all the same
+		}
 		e.Searcher, e.Zone, e.Cell, e.Status, e.Started = m.Name, m.Zone, *m.Cell, state, charter.Nanos(m.Since)
 		if m.Since > 0 {
 			e.Since = time.Unix(0, e.Started)
--- a/internal/protocol/lookup.go
+++ b/internal/protocol/lookup.go
@@ -30,6 +30,7 @@
 	headTariff    = "X-Lane"
 	headRemaining = "X-Remaining-Ms"
 	headAgain     = "X-Resent"
+	headCustomer  = "X-Org" // by the names on the sockets; the page itself has none for it
 )
 
 // Lookup is a client's request: what the module is told of it, and the text that each part carries.
@@ -40,13 +41,14 @@
 
 // ReadLookup reads a client's request, the first of which was seen at a time. It takes nothing that PROTOCOL does not have:
 // what is let through reaches searchers, and one that cannot read it ends a connection that others share.
-func ReadLookup(head http.Header, raw []byte, seen time.Time, tariffs map[string]int, lim charter.Limits) (Lookup, error) {
+func ReadLookup(head http.Header, raw []byte, seen time.Time, tariffs, customers map[string]int,
+	lim charter.Limits) (Lookup, error) {
 	l := Lookup{}
-	var remaining, again string
+	var remaining, again, customer string
 	for _, h := range []struct {
 		name string
 		to   *string
-	}{{headID, &l.ID}, {headTariff, &l.Tariff}, {headRemaining, &remaining}, {headAgain, &again}} {
+	}{{headID, &l.ID}, {headTariff, &l.Tariff}, {headRemaining, &remaining}, {headAgain, &again}, {headCustomer, &customer}} {
 		switch all := head.Values(h.name); len(all) {
 		case 0:
 		case 1:
@@ -65,6 +67,9 @@
 		return l, fmt.Errorf("%s: %q", headAgain, clip(again))
 	}
 	l.Again = again == "1"
+	if l.Customer = customers[customer]; len(customers) > 0 && customer != "" && l.Customer == 0 {
+		return l, fmt.Errorf("%s: unknown %q", headCustomer, clip(customer))
+	}
 	left, err := strconv.ParseUint(remaining, 10, 32)
 	if err != nil {
 		return l, fmt.Errorf("%s: not whole milliseconds: %q", headRemaining, clip(remaining))
--- a/internal/protocol/protocol_test.go
+++ b/internal/protocol/protocol_test.go
@@ -32,7 +32,7 @@
 	f.Add("", "", "NaN", `{"shards":null}`)
 	seen := time.Unix(1e9, 0)
 	f.Fuzz(func(t *testing.T, id, lane, left, body string) {
-		l, err := ReadLookup(head(id, lane, left), []byte(body), seen, map[string]int{"t": 0}, limits)
+		l, err := ReadLookup(head(id, lane, left), []byte(body), seen, map[string]int{"t": 0}, nil, limits)
 		if err != nil {
 			return
 		}
@@ -60,7 +60,7 @@
 	raw := `{"shards":[{"shard":3,"weight":0.5,"cost":9000.5,"key":"5be2a07c19f04d63"},{"shard":9,"weight":0.25},` +
 		`{"shard":0,"weight":0.25}],"q":"c\n<é","new":1}`
 	seen := time.Unix(1e9, 0)
-	l, err := ReadLookup(head("9b1f", "t", "480"), []byte(raw), seen, map[string]int{"t": 0}, limits)
+	l, err := ReadLookup(head("9b1f", "t", "480"), []byte(raw), seen, map[string]int{"t": 0}, nil, limits)
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -185,15 +185,15 @@
 
 func TestListAsRead(t *testing.T) {
 	l, err := ReadList([]byte(`{"index":43,"snapshot":false,"endpoints":[
-		{"name":"a","address":"1:1","zone":"z","type":"m","group":3,"status":"DRAINING","weight":1.0,"since_ms":1790000000123},
-		{"name":"b","address":"1:2","zone":"z","group":0,"status":"SERVING","since_ms":0},
+		{"name":"a","address":"1:1","zone":"z","type":"m","group":3,"status":"DRAINING","weight":1.5,"since_ms":1790000000123},
+		{"name":"b","address":"1:2","zone":"z","group":0,"status":"SERVING","weight":"big","since_ms":0},
 		{"name":"c","address":"1:2","zone":"z","group":0,"status":"WELL","since_ms":0},
 		{"name":"d","address":"1:2","zone":"z","status":"SERVING","since_ms":0}]}`))
 	if err != nil || l.Version != 43 || l.Whole || len(l.Skipped) != 2 {
 		t.Fatalf("%+v, %v", l, err)
 	}
 	want := []routing.Entry{
-		{Searcher: "a", Started: 1790000000123e6, Cell: 3, Zone: "z", Status: mixer.Draining},
+		{Searcher: "a", Started: 1790000000123e6, Cell: 3, Zone: "z", Size: 1.5, Status: mixer.Draining},
 		{Searcher: "b", Zone: "z"}}
 	if got := l.Entries(); len(got) != 2 || got[0] != want[0] || got[1] != want[1] {
 		t.Errorf("%+v, want %+v", got, want)
@@ -241,6 +241,13 @@
 		{`"Effect":"retryable"`, `"Effect":"loud"`, `setting Profiles.0.Effect: "loud"`},
 		{`"index":1`, `"was":1`, "known: list: index: missing"},
 		{`"settings":{`, `"settings":[],"was":{`, "settings"},
+		{`"NInstances":1`, `"NInstances":1,"Weights":"heavy"`, `setting Weights: "heavy"`},
+		{`"NInstances":1`, `"NInstances":1,"OverShareWorth":1.5`, `setting OverShareWorth: "1.5"`},
+		{`"NInstances":1`, `"NInstances":1,` + customers("-0.1", "b", "5"), `setting Tenants.1.Share: "-0.1"`},
+		{`"NInstances":1`, `"NInstances":1,` + customers("0.5", "b", "5"), `setting Tenants.1.Share: "0.5"`},
+		{`"NInstances":1`, `"NInstances":1,` + customers("0.4", "a", "5"), `setting Tenants.1.Name: "a"`},
+		{`"NInstances":1`, `"NInstances":1,` + customers("0.4", "", "5"), `setting Tenants.1.Name: ""`},
+		{`"NInstances":1`, `"NInstances":1,` + customers("0.4", "b", "-1"), `setting Tenants.1.AllowancePerS: "-1"`},
 	} {
 		_, err := ReadConfig(example(t, f.old, f.new))
 		if err == nil || !strings.Contains(err.Error(), f.want) {
@@ -249,6 +256,45 @@
 	}
 }
 
+// customers gives settings with two customers, the second as told.
+func customers(share, name, allowance string) string {
+	return `"Tenants":[{"Name":"a","Share":0.6,"AllowancePerS":7.5},{"Name":"` + name + `","Share":` + share +
+		`,"AllowancePerS":` + allowance + `}]`
+}
+
+// Settings that know customers and sizes reach the charter; a lookup names its customer or none, never an unknown one.
+func TestCustomersAreKnown(t *testing.T) {
+	c, err := ReadConfig(example(t, `"NInstances":1`, `"NInstances":1,"Weights":"nominal","OverShareWorth":0.1,`+customers("0.4", "b", "5")))
+	if err != nil || !c.Charter.Sized || c.Charter.OverWorth != 0.1 || len(c.Charter.Allowances) != 2 || c.Charter.Allowances[1] != 5 {
+		t.Fatalf("%+v, %v", c.Charter, err)
+	}
+	plain, err := ReadConfig(example(t, "", ""))
+	if err != nil || plain.Charter.Sized || plain.Charter.OverWorth != 1 || len(plain.Charter.Allowances)+len(plain.Customers) > 0 {
+		t.Fatalf("%+v, %v", plain.Charter, err)
+	}
+	for _, f := range []struct {
+		customer string
+		known    map[string]int
+		want     int
+		fault    string
+	}{
+		{"b", c.Customers, 2, ""}, {"", c.Customers, 0, ""}, {"who", c.Customers, 0, `X-Org: unknown "who"`}, {"who", plain.Customers, 0, ""},
+	} {
+		h := head("a", "t", "480")
+		if f.customer != "" {
+			h.Set("X-Org", f.customer)
+		}
+		l, err := ReadLookup(h, []byte(`{"shards":[{"shard":3,"weight":1}],"q":""}`), time.Unix(1e9, 0), map[string]int{"t": 0}, f.known, limits)
+		if got := ""; err != nil {
+			if got = err.Error(); got != f.fault {
+				t.Errorf("customer %q: %v, want %q", f.customer, err, f.fault)
+			}
+		} else if l.Customer != f.want || f.fault != "" {
+			t.Errorf("customer %q is row %d, want %d and fault %q", f.customer, l.Customer, f.want, f.fault)
+		}
+	}
+}
+
 // TestSettingsReadAlike holds the configuration's settings against the same as the bench's wire writes them.
 func TestSettingsReadAlike(t *testing.T) {
 	var all struct{ Settings json.RawMessage }
--- a/internal/routing/ticket.go
+++ b/internal/routing/ticket.go
@@ -16,6 +16,8 @@
 	Expires time.Time // when the client leaves
 	Again   bool      // the client has asked before
 	Parts   []Part
+
+	Customer int // row of the customers from 1 on, 0: not told
 }
 
 // Part is one part of a lookup.
@@ -121,7 +123,7 @@
 		}
 		notAfter := r.unix + int64(l.Expires.Sub(r.anchor))
 		t.l = r.m.Take(now, mixer.Ask{
-			ID: l.ID, Tariff: r.rows[l.Tariff], NotAfter: notAfter, Parts: len(l.Parts), Again: l.Again})
+			ID: l.ID, Tariff: r.rows[l.Tariff], NotAfter: notAfter, Parts: len(l.Parts), Again: l.Again, Customer: l.Customer})
 		for i, p := range l.Parts {
 			t.l.AddPart(now, mixer.Piece{ID: t.slots[i].id, Slice: p.Slice, Weight: p.Weight, Effort: int64(p.Effort)})
 		}
--- a/internal/transport/server.go
+++ b/internal/transport/server.go
@@ -25,6 +25,7 @@
 	Router    *routing.Router
 	Searchers *Searchers
 	Tariffs   map[string]int
+	Customers map[string]int // rows by name, none where the settings have none
 	Limits    charter.Limits
 	Log       *slog.Logger
 
@@ -147,7 +148,7 @@
 		refuse(w, status, why)
 		return
 	}
-	l, err := protocol.ReadLookup(r.Header, raw, c.arrived(), s.Tariffs, s.Limits)
+	l, err := protocol.ReadLookup(r.Header, raw, c.arrived(), s.Tariffs, s.Customers, s.Limits)
 	if err != nil {
 		http.Error(w, err.Error(), http.StatusBadRequest)
 		return
--- a/internal/wire/host.go
+++ b/internal/wire/host.go
@@ -164,7 +164,7 @@
 			return &fault{r.line, r.message, "list ends early, expected", "row"}
 		}
 		e := mixer.Entry{Started: r.timeOr("StartTimeMs", 0), Cell: int(r.whole("Place")), Searcher: r.text("Searcher")}
-		r.float("Nominal")
+		e.Size = r.float("Nominal")
 		r.text("Shape")
 		e.Zone = r.text("Campus")
 		switch st := r.text("Status"); st {
@@ -202,7 +202,7 @@
 		return &fault{f.line, f.message, bad.Key, clip(bad.Value)}
 	}
 	i := &instance{
-		host: h, name: name, tariffs: names,
+		host: h, name: name, tariffs: names, customers: terms.Customers(),
 		lookups: map[string]*held{}, parts: map[string]*heldPart{}, byNumber: map[int64]*held{}, timers: map[int64]mixer.Due{},
 	}
 	for _, t := range ch.Tariffs {
--- a/internal/wire/instance.go
+++ b/internal/wire/instance.go
@@ -16,6 +16,7 @@
 	name       string
 	m          *mixer.Mixer
 	tariffs    map[string]int
+	customers  map[string]int
 	secondStep []bool // by tariff, whether its lookups have one
 	lookups    map[string]*held
 	byNumber   map[int64]*held
@@ -75,7 +76,12 @@
 
 func (i *instance) take(f *fields) func() {
 	id, grade := f.text("Corr"), f.text("Grade")
-	f.text("Realm")
+	customer := 0
+	if realm := f.text("Realm"); realm != "-" && realm != "0" && len(i.customers) > 0 {
+		if customer = i.customers[realm]; customer == 0 {
+			f.bad("Realm", realm)
+		}
+	}
 	if s := f.text("Object"); s != "-" {
 		if _, err := strconv.ParseUint(s, 10, 64); err != nil {
 			f.bad("Object", s)
@@ -98,7 +104,7 @@
 			l := &held{id: id, number: number, fetch: i.secondStep[tariff]}
 			i.lookups[id], i.byNumber[number] = l, l
 			l.h = i.m.Take(i.host.now, mixer.Ask{
-				ID: id, Tariff: tariff, NotAfter: notAfter, Parts: int(amount), Again: bits&2 != 0})
+				ID: id, Tariff: tariff, NotAfter: notAfter, Parts: int(amount), Again: bits&2 != 0, Customer: customer})
 		}
 	}
 	return func() {
--- a/internal/wire/wire_test.go
+++ b/internal/wire/wire_test.go
@@ -49,6 +49,9 @@
 		{strings.Replace(start, "Profiles.0.AimMs=500\t", "", 1), `line 2: init: Profiles.0.AimMs: "(missing)"`},
 		{strings.Replace(start, "ColdFrom=0.2", "ColdFrom=2", 1), `line 2: init: Guarantees.ColdFrom: "2"`},
 		{start + "mark\t1\nreq\tm\tl1\tt\t-\t-\tlater\t-\t4\t-1\t1\t0\n", `line 8: req: NotAfterMs: "later"`},
+		{strings.Replace(start, "New.Setting=x", "Tenants.count=1\tTenants.0.Name=a\tTenants.0.Share=1\tTenants.0.AllowancePerS=9", 1) +
+			"mark\t1\nreq\tm\tl1\tt\twho\t-\t1900\t-\t4\t-1\t1\t0\n", `line 8: req: Realm: "who"`},
+		{strings.Replace(start, "New.Setting=x", "Weights=heavy", 1), `line 2: init: Weights: "heavy"`},
 		{start + "mark\t1\nsettled\tm\tp1\t0\t1\t90.5\t0\n", `line 8: settled: Searcher: "(missing)"`},
 		{start + "mark\t1\nsettled\tm\tp1\t0\t1\t90.5\t7\tbox\t-\n", `line 8: settled: Result: "7"`},
 	} {
--- a/mixer/mixer.go
+++ b/mixer/mixer.go
@@ -1,9 +1,8 @@
 // Package mixer decides how lookups are served from many searchers.
 //
-// How it is called: New makes a mixer; Listed and ListRefused bring news of the list; Take takes a lookup and
-// gives its handle, AddPart hands over its parts, Outcome tells how a forward ended, Gone that the client has
-// left; Due is called when a timer comes due; Told brings what other mixers say. Calls come in the clock's
-// order. It acts by Floor, in types.go.
+// How it is called: New makes a mixer; Listed and ListRefused bring news of the list; Take gives a lookup's
+// handle, AddPart hands over its parts, Outcome tells how a forward ended, Gone that the client has left; Due
+// comes with a timer, Told with what other mixers say. Calls come in the clock's order. It acts by Floor.
 //
 // The ordinary path is water-filling: exactly as many parts as make the answer whole, each to the holder
 // with the fewest calls of this mixer out, the count raised after each pick. docs/design.md says what is
@@ -56,6 +55,7 @@
 	wordMost    = 12.0       // calls that others' word weighs at most; 4 leave old answers in front
 	lastChance  = 2.5        // means that are left, when a part that may have one forward out goes elsewhere
 	backTimes   = 0.7        // of the time left, what it may be predicted to take there
+	shareLean   = 1.0        // lookups, held in a customer's favour and against it: each mixer sees few of it
 	tiny        = 1e-6       // weights may fall short by rounding
 )
 
@@ -68,7 +68,7 @@
 	searchers map[string]*searcher
 	cells     [][]*searcher // by cell, in the order first listed
 
-	pace                Ratio // of the whole fleet: how long forwards took, over the calls out where they went
+	pace                Ratio // of the whole fleet: how long forwards took, times size, over the calls out there
 	zones               map[string]*zone
 	sent, copies, tests Decay   // forwards, copies and tests among them
 	idle, anew          Ratio   // forwards lost over sent, on connections that lay idle, on new ones
@@ -78,7 +78,8 @@
 	asking              bool    // a list call is out or the subscription runs
 	long                float64 // ns, the longest expected time
 	refusals            int
-	held                int64 // until then its own cold allowance may still be lent from before its start
+	customers           []Decay // lookups taken of each, the first of those who are not told
+	held                int64   // until then its own cold allowance may still be lent from before its start
 }
 
 // zone is what is known of a place: its last answer, and how many forwards sent since were lost.
@@ -90,6 +91,7 @@
 type searcher struct {
 	id           string
 	cell         int
+	size         float64 // by the list, 1 where that does not tell
 	zone         *zone
 	status       Status
 	started      int64
@@ -164,6 +166,7 @@
 // New makes a mixer.
 func New(now int64, c Charter, seed int64, floor Floor) *Mixer {
 	m := &Mixer{c: c, floor: floor, rng: rand.New(rand.NewSource(seed)), rows: make([]Spread, len(c.Tariffs))}
+	m.customers = make([]Decay, 1+len(c.Allowances))
 	m.cells, m.searchers, m.zones = make([][]*searcher, c.Cells), map[string]*searcher{}, map[string]*zone{}
 	t := slices.MaxFunc(c.Tariffs, func(a, b Tariff) int { return cmp.Compare(a.Expected, b.Expected) })
 	m.long = float64(max(t.Expected, ms))
@@ -197,9 +200,12 @@
 			m.cells[e.Cell] = append(m.cells[e.Cell], s)
 		}
 		m.zones[e.Zone] = cmp.Or(m.zones[e.Zone], &zone{})
-		s.zone, s.status = m.zones[e.Zone], e.Status
+		s.zone, s.status, s.size = m.zones[e.Zone], e.Status, 1
+		if m.c.Sized && e.Size > 0 {
+			s.size = e.Size
+		}
 		if s.started != e.Started { // a new process: nothing learnt of the old one holds
-			s.started, s.unheard, s.suspect, s.wait = e.Started, 0, false, 0
+			s.started, s.unheard, s.suspect, s.wait, s.word = e.Started, 0, false, 0, Word{}
 			s.pace, s.told, s.want, s.credit, s.creditAt = Ratio{}, Ratio{}, Decay{}, m.rng.Float64(), now
 		}
 		moved = append(moved, s)
@@ -244,7 +250,7 @@
 
 // said gives what others say of the process that runs, nothing once it is old.
 func (s *searcher) said(now int64) (w Word) {
-	if s.word.Started == s.started && now < s.word.Until {
+	if now < s.word.Until {
 		w = s.word
 	}
 	return w
@@ -284,6 +290,7 @@
 	t := &m.c.Tariffs[a.Tariff]
 	m.slide(now)
 	m.taken = append(m.taken, now)
+	m.customers[a.Customer].Add(now, 1, halfLife)
 	asked := now
 	if a.Again { // it has waited since its first try; NotAfter is what its patience leaves
 		asked = min(now, a.NotAfter-t.Patience)
@@ -317,12 +324,19 @@
 func (l *Lookup) hopeless(now int64) bool {
 	m := l.m
 	times, fleet := make([]float64, len(l.parts)), m.pace.Read(now, halfLife, 0, 0)
+	worth := 1.0
+	if c := l.ask.Customer; c > 0 { // who goes beyond its share is turned away first
+		fair := m.c.Allowances[c-1] / float64(m.c.Mixers) / 1e9 * float64(halfLife) / math.Ln2
+		over := (m.customers[c].Read(now, halfLife) + shareLean) / (fair + shareLean)
+		worth = m.c.OverWorth + (1-m.c.OverWorth)/max(1, over)
+	}
 	for i, p := range l.parts {
 		times[i] = math.Inf(1)
 		m.holders(now, p, func(s *searcher) {
 			if !m.shunned(now, s) {
 				// What was learnt of s long ago must not keep from it the lookups that would show it is well again.
-				unit := fleet + (m.unit(now, s)-fleet)*math.Exp2(-float64(now-s.pace.under.at)/float64(halfLife))
+				on := fleet / s.size
+				unit := on + (m.unit(now, s)-on)*math.Exp2(-float64(now-s.pace.under.at)/float64(halfLife))
 				took := unit * float64(s.calls+1) / m.frac(now, s)
 				times[i] = min(times[i], float64(m.coldWait(now, s))+took)
 			}
@@ -333,14 +347,14 @@
 	if l.t.SecondStep > 0 {
 		time *= secondStep
 	}
-	return time > room*float64(l.end-now)
+	return time > room*worth*float64(l.end-now)
 }
 
 // unit is what forwards to s lately took for each call out with them, leaning on the fleet's figure where
 // s has shown little. Times the calls that a new forward joins, it is the time it is likely to take.
 // What others say of it stands for the fleet's, and weighs more than what s showed this mixer before.
 func (m *Mixer) unit(now int64, s *searcher) float64 {
-	on, weight := m.pace.Read(now, halfLife, 0, 0), lean
+	on, weight := m.pace.Read(now, halfLife, 0, 0)/s.size, lean
 	if w := s.said(now); w.Slow > 0 {
 		if on *= w.Slow; s.heard < w.At {
 			weight += min(w.Weight, wordMost) + s.pace.under.Read(now, paceHalf)
@@ -401,7 +415,7 @@
 		if m.frac(now, s) == 1 {
 			m.borne.Add(now, 1, halfLife)
 		}
-		m.pace.Add(now, float64(took), float64(f.count), halfLife)
+		m.pace.Add(now, float64(took)*s.size, float64(f.count), halfLife)
 		s.learn(now, float64(took), f.count)
 		m.rows[f.part.l.ask.Tariff].Add(now, float64(took), halfLife)
 		m.measure(now)
@@ -483,9 +497,6 @@
 		return 0
 	}
 	own, w := m.coldRate((s.creditAt+now)/2, s), s.word
-	if w.Started != s.started {
-		w = Word{}
-	}
 	over := func(until int64) float64 { return float64(max(0, min(now, until)-s.creditAt)) }
 	back := max(s.creditAt, min(now, max(m.held, w.AwayUntil))) // from when on its own share is not lent
 	s.credit = min(1, s.credit+own*float64(now-back)+w.Lent*over(w.LentUntil))
@@ -527,9 +538,7 @@
 			rate = max(rate, 1/mean/float64(m.c.Mixers))
 		}
 	}
-	if rate > m.bears.Read(now, bearHalf) {
-		m.bears = Decay{rate, now}
-	}
+	m.bears = Decay{max(rate, m.bears.Read(now, bearHalf)), now}
 }
 
 // review is the one place where a lookup moves on: it answers, ends, forwards, and sets the next look.
@@ -548,10 +557,6 @@
 		l.answer(now)
 		return
 	}
-	if now >= l.end {
-		l.giveUp(now, in)
-		return
-	}
 	live, onTime, next, hope := in, in, l.end, in
 	for _, p := range step {
 		if p.in {
@@ -569,18 +574,14 @@
 			}
 		}
 	}
-	if hope < l.need-tiny { // enough parts have failed for good; the client may still be served elsewhere
+	if now >= l.end || hope < l.need-tiny { // where enough parts have failed for good, others may still serve it
 		l.giveUp(now, in)
 		return
 	}
 	var picks []*forward
 	for onTime < l.need-tiny {
 		copy := live >= l.need-tiny // all that is needed is out, but some of it is late
-		var p *part
-		var to *searcher
-		if !copy || m.mayCopy(now, l) {
-			p, to = l.pick(now, copy)
-		}
+		p, to := l.pick(now, copy)
 		if p == nil {
 			next = min(next, now+lookAgain)
 			break
@@ -590,7 +591,10 @@
 		} else {
 			live += p.Weight
 		}
-		if !p.recall(m) {
+		if f := p.bound(); f != nil { // sent again when its withdrawal is in
+			f.recalled = true
+			m.floor.Cancel(p.ID, len(p.forwards)-1)
+		} else {
 			picks = append(picks, l.send(now, p, to))
 		}
 	}
@@ -631,27 +635,13 @@
 	return sent
 }
 
-// mayRecall tells whether a part may go elsewhere though it is out. Where two of its forwards may not be out at once
-// that gives up an answer which may be near, and work that may go on: it is left as the last chance while one can come.
-func (l *Lookup) mayRecall(now int64, p *part) bool {
-	i := slices.IndexFunc(p.forwards, (*forward).out)
-	if l.m.c.MayCopy || i < 0 || p.forwards[i].cut() {
-		return true
+// bound gives what is out of a part where that keeps it from going elsewhere, as two may not be out at once.
+func (p *part) bound() *forward {
+	n := len(p.forwards) - 1
+	if p.l.m.c.MayCopy || n < 0 || p.forwards[n].done {
+		return nil
 	}
-	mean, _ := l.m.typical(now, l)
-	return float64(l.end-now) <= lastChance*mean
-}
-
-// recall withdraws what is out of a part that may not have two forwards out at once, and tells whether anything
-// was. The part is sent again when its withdrawal is in.
-func (p *part) recall(m *Mixer) (any bool) {
-	for i, f := range p.forwards {
-		if !m.c.MayCopy && f.out() {
-			any, f.recalled = true, true
-			m.floor.Cancel(p.ID, i)
-		}
-	}
-	return any
+	return p.forwards[n]
 }
 
 // lateAt gives when a forward sent at a time is late against what the tariff's forwards lately took.
@@ -682,20 +672,26 @@
 // count, and the count rises with the pick. Unasked parts come before repeats, equals are ordered by what
 // is known beyond the count, and then by chance.
 func (l *Lookup) pick(now int64, copy bool) (best *part, to *searcher) {
-	m := l.m
+	m, left := l.m, float64(l.end-now)
+	if copy && !m.mayCopy(now, l) {
+		return nil, nil
+	}
+	mean, _ := m.typical(now, l)
 	var want *searcher // want is cold and would be picked if it had credit
 	var least, wanted [5]float64
 	for _, p := range l.parts[l.step:] {
 		if p.in || !l.maySend(now, p) {
 			continue
 		}
-		if out := p.lastOut(now); out > 0 && (!copy || l.lateAt(now, out) > now) || !l.mayRecall(now, p) {
+		if out := p.lastOut(now); out > 0 && (!copy || l.lateAt(now, out) > now) {
 			continue
 		}
-		waits := !m.c.MayCopy && slices.ContainsFunc(p.forwards, (*forward).out)
+		bound := p.bound()
+		if bound != nil && !bound.cut() && left > lastChance*mean {
+			continue // its answer may be near, and what is withdrawn may be worked on all the same
+		}
 		m.holders(now, p, func(s *searcher) {
-			tried := slices.ContainsFunc(p.forwards, func(f *forward) bool { return f.s == s })
-			if tried {
+			if slices.ContainsFunc(p.forwards, func(f *forward) bool { return f.s == s }) {
 				return
 			}
 			key := [5]float64{1: float64(min(1, len(p.forwards))), 2: float64(s.calls), 4: float64(p.Effort)}
@@ -704,7 +700,7 @@
 				unit = max(unit, float64(now-s.out[0].sent)/float64(s.out[0].count))
 			}
 			key[3] = unit * float64(s.parts+1) / m.frac(now, s)
-			if waits && (m.shunned(now, s) || key[3] > backTimes*float64(l.end-now)) {
+			if bound != nil && (m.shunned(now, s) || key[3] > backTimes*left) {
 				return // no better than where it is
 			}
 			if s.zone != m.zones[m.c.Zone] { // weighed against time by what crossing costs
@@ -750,7 +746,7 @@
 	m.slide(now)
 	most := m.c.BudgetFree + m.c.BudgetShare*float64(len(m.taken))
 	return (m.c.BudgetFor == 0 || float64(len(m.spent)+1) <= most) &&
-		(m.c.MayCopy || m.c.MayCancel || !slices.ContainsFunc(p.forwards, (*forward).out))
+		(m.c.MayCancel || p.bound() == nil)
 }
 
 // barred tells whether no forward of a part is left, or none that the rules on effects allow.
--- a/mixer/mixer_test.go
+++ b/mixer/mixer_test.go
@@ -41,6 +41,7 @@
 	notAfter             int64
 	steps                [][]string
 	ended, answeredWhole bool
+	wait                 int64 // advised by its bounce
 }
 
 type seenPart struct {
@@ -258,7 +259,7 @@
 			}
 		}
 	}
-	if wait < 0 || wait > w.c.MaxAdvice {
+	if l.wait = wait; wait < 0 || wait > w.c.MaxAdvice {
 		w.t.Fatalf("bounce of %s advises %d ns", id, wait)
 	}
 }
--- a/mixer/telling.go
+++ b/mixer/telling.go
@@ -36,7 +36,7 @@
 			if o.Weight > tiny {
 				o.Pace = s.told.Read(now, halfLife, 0, 0)
 				if fleet > 0 {
-					o.Slow = o.Pace / fleet
+					o.Slow = o.Pace * s.size / fleet
 				}
 			}
 			if o.Cold = m.frac(now, s) < 1; o.Cold {
@@ -70,7 +70,7 @@
 	if s == nil {
 		return Standing{}, false
 	}
-	st := Standing{Status: s.status, Calls: s.calls, Parts: s.parts, Unit: m.unit(now, s), Fleet: m.pace.Read(now, halfLife, 0, 0),
+	st := Standing{Status: s.status, Calls: s.calls, Parts: s.parts, Unit: m.unit(now, s), Fleet: m.pace.Read(now, halfLife, 0, 0) / s.size,
 		Doubted: s.doubted(now), Shunned: m.shunned(now, s), ZoneSilent: s.zone.silent(), ColdWait: m.coldWait(now, s), Word: s.said(now)}
 	if s.suspect {
 		st.TestIn = max(0, s.testAt+s.wait*int64(st.Word.Suspecting)-now)
--- a/mixer/types.go
+++ b/mixer/types.go
@@ -67,6 +67,10 @@
 	BudgetShare float64
 
 	CrossPrice float64 // of a forward that crosses zones, in units of all revenue a part
+
+	Allowances []float64 // by customer, lookups per second at all mixers that are within its share
+	OverWorth  float64   // of a lookup beyond them, as a share of its revenue
+	Sized      bool      // the list tells how large a searcher is
 }
 
 // Status is what the list says of a searcher.
@@ -84,6 +88,7 @@
 	Started  int64 // 0: long ago
 	Cell     int
 	Zone     string
+	Size     float64 // against others, where the list tells it
 	Status   Status
 }
 
@@ -111,6 +116,7 @@
 	NotAfter int64 // when the client leaves
 	Parts    int   // parts of its first step
 	Again    bool  // the client has asked before
+	Customer int   // row of the charter's allowances from 1 on, 0: not told
 }
 
 // Piece is one part as it is handed over.
