Lookups are turned away at 0.33 of the time left in place of 0.42

Where no copy may save a late part, and nine to twenty parts have to be in, the time of the slowest lies further above the one predicted. Its old bound, that 0.35 idles, was measured before ended lookups were withdrawn.

--- a/mixer/mixer.go
+++ b/mixer/mixer.go
@@ -36,7 +36,7 @@
 	bearHalf    = 60000 * ms // ns; machines change slowly, a jam or a lull lasts less
 	coldMargin  = 0.8        // of what a cold searcher bears, the part that the mixers together allow themselves
 	coldSpread  = 2.0        // deviations kept for what chance adds in a window; at 3 newcomers idle in releases
-	room        = 0.42       // of the time left, what a lookup may be predicted to take; 0.35 idles, 0.62 jams
+	room        = 0.33       // of the time left, what a lookup may be predicted to take; 0.2 idles, 0.42 jams
 	secondStep  = 1.6        // of the first, how long both steps take: the second asks less of each part
 	adviceShare = 0.08       // of the time left, the wait advised to a client turned away at taking
 	copyShare   = 0.15       // copies for each forward when idle; more do not shorten lookups further
