What a mixer has learnt of the searchers is kept from one process to the next, where set

Need: the move replaces every mixer, and each would have to meet every slow searcher anew. Where it is set, the process that leaves writes how long forwards took at each process of a searcher and in the fleet (Keep); the one that starts takes it over for processes that still run (Resume), where it fades as anything learnt does. What depends on the number of mixers, on tariffs or on the moment starts afresh.

--- a/cmd/nettlefold/helper_test.go
+++ b/cmd/nettlefold/helper_test.go
@@ -43,7 +43,8 @@
 	settings  object
 	limits    object
 	addr      string
-	path      string // of the configuration
+	path      string                     // of the configuration
+	known     func(i int, m *toy.Member) // what the configuration's list has otherwise
 	cmd       *exec.Cmd
 	log       syncBuffer
 	ended     chan error
@@ -147,7 +148,7 @@
 	w.t.Helper()
 	raw, err := json.Marshal(object{
 		"name": "n0", "listen": w.addr, "discovery": discovery.Listener.Addr().String(), "seed": "8c1f30d27a5be964",
-		"limits": w.limits, "known": w.whole(1, nil), "settings": w.settings})
+		"limits": w.limits, "known": w.whole(1, w.known), "settings": w.settings})
 	if err != nil {
 		w.t.Fatal(err)
 	}
--- /dev/null
+++ b/cmd/nettlefold/learnt_test.go
@@ -0,0 +1,102 @@
+package main
+
+import (
+	"fmt"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"strings"
+	"sync"
+	"syscall"
+	"testing"
+	"time"
+
+	"nettlefold/example/toy"
+)
+
+// again starts the program anew, as it was started before.
+func (w *world) again() {
+	w.t.Helper()
+	before := w.cmd
+	w.cmd = exec.Command(binary)
+	w.cmd.Env, w.cmd.Stderr = before.Env, &w.log
+	if err := w.cmd.Start(); err != nil {
+		w.t.Fatal(err)
+	}
+	go func() { w.ended <- w.cmd.Wait() }()
+	w.until("health", func() bool { return w.health() == 200 })
+}
+
+// TestSwitchKeepsWhatIsLearnt plays the switch from one process to the next: lookups are answered from the first second on, the
+// searcher that was slow is left at once, one that starts cold just then gets no more than it bears, and a record that is cut
+// off is refused with its reason and costs nothing.
+func TestSwitchKeepsWhatIsLearnt(t *testing.T) {
+	w := prepare(t)
+	dir := t.TempDir()
+	file, own := filepath.Join(dir, "learnt.json"), filepath.Join(dir, "own.xml")
+	doc := fmt.Sprintf(`<nettlefold xmlns="urn:nettlefold:settings:1"><learnt file="%s"/></nettlefold>`, file)
+	if err := os.WriteFile(own, []byte(doc), 0o600); err != nil {
+		t.Fatal(err)
+	}
+	t.Setenv("NETTLEFOLD_SETTINGS", own)
+	w.searchers[0].Took = 8 * time.Millisecond // slow, not so late that it is held silent
+	w.start()
+	if !strings.Contains(w.log.String(), "the start is cold") {
+		t.Error("a first start does not say that it has no record")
+	}
+	var wg sync.WaitGroup
+	for i := range 24 { // some at once, so that all searchers are met
+		wg.Go(func() { w.ask(fmt.Sprint("a", i), "all", 0, 1, 2, 3) })
+		time.Sleep(3 * time.Millisecond)
+	}
+	wg.Wait()
+	turn := func() {
+		w.signal(syscall.SIGTERM)
+		if code := w.exit(5 * time.Second); code != 0 {
+			t.Fatalf("left with %d", code)
+		}
+	}
+	turn()
+	since := float64(time.Now().UnixMilli())
+	w.known = func(i int, m *toy.Member) {
+		if i == 2 { // a process that has just started, of which the record knows another
+			m.Since = since
+		}
+	}
+	w.list.Say(w.whole(2, w.known))
+	w.write(w.listAt)
+	slow, cold := calls(w.searchers[0]), calls(w.searchers[2])
+	w.again()
+	if !strings.Contains(w.log.String(), "learnt figures are taken over") || !strings.Contains(w.log.String(), "processes=4 met=3") {
+		t.Error("what was learnt is not taken over by the three of four processes that still run")
+	}
+	first := calls(w.searchers[0]) - slow
+	for i := range 8 {
+		w.ask(fmt.Sprint("b", i), "all", 0)
+	}
+	if got := calls(w.searchers[0]) - slow - first; got > 2 {
+		t.Errorf("%d of the first 8 parts went to the slow searcher", got)
+	}
+	began := time.Now()
+	if n := w.satisfied("c", 20); n != 20 {
+		t.Errorf("%d of 20 lookups served after the switch", n)
+	}
+	if most, got := 2+int(time.Since(began).Seconds()*400), calls(w.searchers[2])-cold; got > most {
+		t.Errorf("%d calls to a searcher that has just started, at most %d are held to be safe", got, most)
+	}
+	turn()
+	raw, err := os.ReadFile(file)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if err := os.WriteFile(file, raw[:len(raw)/2], 0o600); err != nil {
+		t.Fatal(err)
+	}
+	w.again()
+	if !strings.Contains(w.log.String(), "truncated") {
+		t.Error("a record that is cut off is not refused by name")
+	}
+	if n := w.satisfied("d", 10); n != 10 {
+		t.Errorf("%d of 10 lookups served without a record", n)
+	}
+}
--- a/cmd/nettlefold/serve.go
+++ b/cmd/nettlefold/serve.go
@@ -13,6 +13,7 @@
 	"time"
 
 	"nettlefold/internal/admin"
+	"nettlefold/internal/learnt"
 	"nettlefold/internal/protocol"
 	"nettlefold/internal/routing"
 	"nettlefold/internal/settings"
@@ -98,6 +99,21 @@
 	}
 }
 
+// resume takes over what the process before has learnt. A record that is not sound, or not of now and here, is refused whole,
+// and the mixer starts as without one.
+func resume(path string, c protocol.Config, router *routing.Router, log *slog.Logger) {
+	if path == "" {
+		return
+	}
+	at, kept, err := learnt.Read(path, time.Now(), learnt.ShapeOf(c.Charter))
+	if err != nil {
+		log.Warn("learnt figures are refused, the start is cold", "file", path, "reason", err)
+		return
+	}
+	met := router.Resume(at, kept)
+	log.Info("learnt figures are taken over", "processes", len(kept.Process), "met", met, "age", time.Since(at).Round(time.Millisecond))
+}
+
 // run serves until the context ends and what was taken has been answered.
 func run(ctx context.Context, hup <-chan os.Signal, at paths, own settings.Settings, log *slog.Logger) error {
 	path := at.config
@@ -132,6 +148,7 @@
 	}
 	c.Known.Whole = true
 	listed(c.Known)
+	resume(own.Learnt, c, router, log)
 
 	shares, client, err := keeper(c, own.Store, router, log)
 	if err != nil {
@@ -186,6 +203,14 @@
 	if err := server.Leave(); err != nil {
 		log.Warn("left with lookups unanswered", "error", err)
 	}
+	if own.Learnt != "" {
+		at, kept := router.Keep()
+		if err := learnt.Write(own.Learnt, at, learnt.ShapeOf(c.Charter), kept); err != nil {
+			log.Error("learnt figures are not kept", "error", err)
+		} else {
+			log.Info("learnt figures are kept", "file", own.Learnt, "processes", len(kept.Process))
+		}
+	}
 	log.Info("left", "after", time.Since(began).Round(time.Millisecond))
 	return nil
 }
--- a/internal/routing/router.go
+++ b/internal/routing/router.go
@@ -134,6 +134,18 @@
 	})
 }
 
+// Keep gives what the module has learnt that is worth keeping, and the time at which it holds.
+func (r *Router) Keep() (at time.Time, k mixer.Kept) {
+	r.call(nil, func(now int64) { at, k = time.Unix(0, now), r.m.Keep(now) })
+	return at, k
+}
+
+// Resume has the module take what another process kept at a time, and gives the number of searchers' processes met again.
+func (r *Router) Resume(at time.Time, k mixer.Kept) (met int) {
+	r.call(nil, func(int64) { met = r.m.Resume(at.UnixNano(), k) })
+	return met
+}
+
 // Tick runs what has come due and says when the next is, the zero time if nothing is awaited.
 func (r *Router) Tick() time.Time {
 	r.mu.Lock()
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -26,6 +26,7 @@
 	Logging Logging
 	Admin   string // where to listen for metrics and questions, "": nowhere
 	Store   *Store // nil: none, and the mixer is alone
+	Learnt  string // file in which what is learnt is kept from one process to the next, "": it is not
 }
 
 // Logging says how the log is written.
@@ -56,6 +57,9 @@
 	if s.Admin != other.Admin {
 		names = append(names, "listeners/admin")
 	}
+	if s.Learnt != other.Learnt {
+		names = append(names, "learnt")
+	}
 	plain := func(st *Store) (all Store, t TLS) {
 		if st != nil {
 			all = *st
@@ -122,6 +126,7 @@
 		"listeners": {within: map[string]*element{
 			"admin": {attributes: map[string]attribute{"address": need(address, func(s *Settings, v string) { s.Admin = v })}},
 		}},
+		"learnt": {attributes: map[string]attribute{"file": need(path, func(s *Settings, v string) { s.Learnt = v })}},
 		"store": {
 			attributes: map[string]attribute{
 				"address":    need(address, func(s *Settings, v string) { s.store().Address = v }),
--- a/mixer/shape_test.go
+++ b/mixer/shape_test.go
@@ -80,3 +80,31 @@
 		}
 	}
 }
+
+// What a mixer has learnt of a slow searcher holds for the one that comes after it, where the same process runs.
+func TestWhatIsKeptIsTakenOver(t *testing.T) {
+	w := start(t, 7, 2, func(c *Charter) { c.Cells = 1 })
+	w.box["box0"].far = 600 * ms
+	w.warmUp(10)
+	k := w.m.Keep(w.now)
+	slow := [2]int{}
+	for seed := range int64(10) {
+		for kept := range slow {
+			v := newWorld(t, seed, w.c)
+			v.list(true, boxes(2, 1)...)
+			if kept == 1 && v.m.Resume(v.now, k) != 2 {
+				t.Error("processes that still run are not met again")
+			}
+			v.take(0, 1, 0, 4000*ms, false)
+			slow[kept] += v.m.searchers["box0"].parts
+		}
+	}
+	if slow[0] == 0 || slow[1] > 0 {
+		t.Errorf("of 10 first parts the slow one got %d with nothing kept, %d with what was", slow[0], slow[1])
+	}
+	v := newWorld(t, 1, w.c)
+	v.list(true, Entry{Searcher: "box0", Started: 1}, Entry{Searcher: "box1"})
+	if met := v.m.Resume(v.now, k); met != 1 || v.m.searchers["box0"].pace.under.sum > 0 {
+		t.Errorf("%d processes met, %v is held of one that is not the same", met, v.m.searchers["box0"].pace)
+	}
+}
--- a/mixer/telling.go
+++ b/mixer/telling.go
@@ -79,3 +79,43 @@
 		Pace: s.pace.Read(now, paceHalf, 0, 0), Weight: s.pace.under.Read(now, paceHalf)}
 	return st, true
 }
+
+// Kept is what a mixer has learnt that means the same to another of the same shape, as its clocks and sizes do.
+type Kept struct {
+	Fleet   Pace   // of all forwards, times the searchers' sizes
+	Process []Pace // of each process that answered
+}
+
+// Pace is how long forwards took, in ns, over the calls that were out with them, as it weighs at one time.
+type Pace struct {
+	Searcher    string `json:",omitempty"`
+	Started     int64  // of the process
+	Took, Calls float64
+}
+
+// Keep gives what is worth keeping. What is held against searchers, silence and failures, and what depends on the number of
+// mixers and on tariffs is not in it.
+func (m *Mixer) Keep(now int64) Kept {
+	k := Kept{Fleet: Pace{Took: m.pace.over.Read(now, halfLife), Calls: m.pace.under.Read(now, halfLife)}}
+	for _, cell := range m.cells {
+		for _, s := range cell {
+			if calls := s.pace.under.Read(now, paceHalf); s.status == Live && !s.suspect && calls > tiny {
+				k.Process = append(k.Process, Pace{s.id, s.started, s.pace.over.Read(now, paceHalf), calls})
+			}
+		}
+	}
+	return k
+}
+
+// Resume takes what another kept at a time, as far as the processes still run. It fades from then on as what is learnt does. It
+// gives the number of processes that were met again.
+func (m *Mixer) Resume(at int64, k Kept) (met int) {
+	m.pace = Ratio{Decay{k.Fleet.Took, at}, Decay{k.Fleet.Calls, at}}
+	for _, p := range k.Process {
+		if s := m.searchers[p.Searcher]; s != nil && s.started == p.Started {
+			s.pace = Ratio{Decay{p.Took, at}, Decay{p.Calls, at}}
+			met++
+		}
+	}
+	return met
+}
