The test of the switch fails where nothing is taken over

Measured: without Resume it fails in five of six plays; with it it passes in 18 of 18, ten of them with all cores busy.

--- a/cmd/nettlefold/learnt_test.go
+++ b/cmd/nettlefold/learnt_test.go
@@ -39,7 +39,7 @@
 		t.Fatal(err)
 	}
 	t.Setenv("NETTLEFOLD_SETTINGS", own)
-	w.searchers[0].Took = 8 * time.Millisecond // slow, not so late that it is held silent
+	w.searchers[0].Took = 10 * time.Millisecond // slow, not so late that it is held silent
 	w.start()
 	if !strings.Contains(w.log.String(), "the start is cold") {
 		t.Error("a first start does not say that it has no record")
@@ -70,11 +70,10 @@
 	if !strings.Contains(w.log.String(), "learnt figures are taken over") || !strings.Contains(w.log.String(), "processes=4 met=3") {
 		t.Error("what was learnt is not taken over by the three of four processes that still run")
 	}
-	first := calls(w.searchers[0]) - slow
 	for i := range 8 {
 		w.ask(fmt.Sprint("b", i), "all", 0)
 	}
-	if got := calls(w.searchers[0]) - slow - first; got > 2 {
+	if got := calls(w.searchers[0]) - slow; got > 0 {
 		t.Errorf("%d of the first 8 parts went to the slow searcher", got)
 	}
 	began := time.Now()
