--- a/mixer/mixer_test.go
+++ b/mixer/mixer_test.go
@@ -102,7 +102,8 @@
 	l := &seen{t: w.c.Tariffs[tariff], notAfter: w.now + patience}
 	w.lookups[id] = l
 	w.taken = append(w.taken, w.now)
-	l.h = w.m.Take(w.now, Ask{ID: id, Tariff: tariff, NotAfter: l.notAfter, Parts: parts, Again: again})
+	who := len(w.lookups) % (1 + len(w.c.Allowances))
+	l.h = w.m.Take(w.now, Ask{ID: id, Tariff: tariff, NotAfter: l.notAfter, Parts: parts, Again: again, Customer: who})
 	w.hand(l, id, parts, slice)
 	return l
 }
@@ -312,6 +313,7 @@
 		t.LeastShare = t.CompleteFrom * float64(1+rng.Intn(2)) / 2
 		c.Tariffs = append(c.Tariffs, t)
 	}
+	c.Sized, c.OverWorth, c.Allowances = rng.Intn(2) == 0, rng.Float64(), []float64{5, 0}[:rng.Intn(3)]
 	return c
 }
 
@@ -330,7 +332,7 @@
 	w.lag = []int64{5, 300, 5000}[rng.Intn(3)] * ms
 	var all []Entry
 	for i := range 3 * w.c.Cells {
-		e := Entry{Searcher: fmt.Sprint("box", i), Cell: i % w.c.Cells}
+		e := Entry{Searcher: fmt.Sprint("box", i), Cell: i % w.c.Cells, Size: float64(i % 4)}
 		if rng.Intn(4) == 0 {
 			e.Started = w.now - rng.Int63n(20000*ms)
 		}
