The module in eight files of one concern each, decisions call by call as before

Need: mixer.go had 871 lines, more than a reader takes in at once. It was the only file of the module, so that a mend of one concern was hard to see. All else is moved to the letter.

--- /dev/null
+++ b/mixer/admission.go
@@ -0,0 +1,70 @@
+package mixer
+
+import (
+	"math"
+	"slices"
+)
+
+// Take takes a lookup. It is planned once its parts have come.
+func (m *Mixer) Take(now int64, a Ask) *Lookup {
+	t := &m.c.Tariffs[a.Tariff]
+	m.slide(now)
+	m.taken = append(m.taken, now)
+	m.customers[a.Customer].Add(now, 1, halfLife)
+	asked := now
+	if a.Again { // it has waited since its first try; NotAfter is what its patience leaves
+		asked = min(now, a.NotAfter-t.Patience)
+	}
+	end := min(a.NotAfter, asked+t.Expected) - endMargin
+	l := &Lookup{m: m, ask: a, t: t, expect: a.Parts, need: t.CompleteFrom, end: end}
+	l.rouse(now, end) // whatever else is lost, parts that never come or a late timer, this look ends it
+	return l
+}
+
+// AddPart hands over one part of the step at hand.
+func (l *Lookup) AddPart(now int64, p Piece) {
+	l.m.taken = append(l.m.taken, now)
+	if l.ended {
+		return
+	}
+	l.parts = append(l.parts, &part{Piece: p, l: l})
+	if l.planned = len(l.parts) >= l.expect; !l.planned {
+		return
+	}
+	if l.step == 0 && l.hopeless(now) {
+		l.giveUp(now, 0)
+	} else {
+		l.review(now)
+	}
+}
+
+// hopeless decides at taking if the lookup can still be satisfied. It guards against overload, of the fleet
+// or of a few slices, whatever the cause: work that comes too late keeps other work from being in time.
+func (l *Lookup) hopeless(now int64) bool {
+	m := l.m
+	times, fleet := make([]float64, len(l.parts)), m.pace.Read(now, halfLife, 0, 0)
+	worth := 1.0
+	if c := l.ask.Customer; c > 0 { // who goes beyond its share is turned away first
+		fair := m.c.Allowances[c-1] / float64(m.c.Mixers) / 1e9 * float64(halfLife) / math.Ln2
+		over := (m.customers[c].Read(now, halfLife) + shareLean) / (fair + shareLean)
+		worth = m.c.OverWorth + (1-m.c.OverWorth)/max(1, over)
+	}
+	for i, p := range l.parts {
+		times[i] = math.Inf(1)
+		m.holders(now, p, func(s *searcher) {
+			if !m.shunned(now, s) {
+				// What was learnt of s long ago must not keep from it the lookups that would show it is well again.
+				on := fleet / s.size
+				unit := on + (m.unit(now, s)-on)*math.Exp2(-float64(now-s.pace.under.at)/float64(halfLife))
+				took := unit * float64(s.calls+1) / m.frac(now, s)
+				times[i] = min(times[i], float64(m.coldWait(now, s))+took)
+			}
+		})
+	}
+	slices.Sort(times)
+	time := times[max(int(math.Ceil(l.need*float64(len(times))-tiny)), 1)-1]
+	if l.t.SecondStep > 0 {
+		time *= secondStep
+	}
+	return time > room*worth*float64(l.end-now)
+}
--- /dev/null
+++ b/mixer/learn.go
@@ -0,0 +1,77 @@
+package mixer
+
+import "slices"
+
+// settle takes a forward off its searcher's count and learns from it.
+func (m *Mixer) settle(now int64, f *forward, o Outcome, took int64) {
+	s := f.s
+	s.parts--
+	if f.call.left--; f.call.left == 0 {
+		s.calls--
+	}
+	s.out = slices.DeleteFunc(s.out, func(g *forward) bool { return g == f })
+	m.forget(s)
+	if o == Reset || o == Unreached || o == TimedOut && s.heard <= f.sent {
+		f.miss(now)
+	}
+	switch o {
+	case TimedOut, Cancelled:
+		// Guards against searchers too slow to answer in time, no answer of which ever tells how slow.
+		if mean, _ := m.typical(now, f.part.l); o == TimedOut || float64(took) > mean {
+			s.learn(now, lostTimes*float64(took), f.count)
+		}
+		if s.heard <= f.sent {
+			s.unheard += took
+			m.hearken(now, f.part)
+		}
+	case Satisfied:
+		s.heard, s.unheard, s.suspect, s.wait = now, 0, false, 0
+		if mean, _ := m.typical(now, f.part.l); float64(took) <= lineLate*mean { // a late one tells no zone well
+			m.heard, s.zone.heard, s.zone.missed = now, now, 0
+		}
+		if f.missed > 0 && f.line != nil { // only late: else heavy parts on sound days cost a connection each
+			f.line.Undo(now, f.missed, 1, lineHalf)
+		}
+		if m.frac(now, s) == 1 {
+			m.borne.Add(now, 1, halfLife)
+		}
+		m.pace.Add(now, float64(took)*s.size, float64(f.count), halfLife)
+		s.learn(now, float64(took), f.count)
+		m.rows[f.part.l.ask.Tariff].Add(now, float64(took), halfLife)
+		m.measure(now)
+	case Errored, Bounced, Unreached, Reset:
+		// Guards against one that fails fast, whose count near zero would draw every pick, or turns away.
+		mean, _ := m.typical(now, f.part.l)
+		if s.unheard += int64(failedTimes * mean); o == Errored {
+			s.unheard -= int64((failedTimes - erredTimes) * mean)
+		}
+		s.learn(now, failedTimes*mean*float64(f.count), f.count)
+	}
+}
+
+func (s *searcher) learn(now int64, time float64, calls int) {
+	s.pace.Add(now, time, float64(calls), paceHalf)
+	s.told.Add(now, time, float64(calls), halfLife)
+}
+
+// typical gives mean and deviation of how long the tariff's forwards lately took, a guess when none did.
+func (m *Mixer) typical(now int64, l *Lookup) (mean, dev float64) {
+	n, mean, dev := m.rows[l.ask.Tariff].Read(now, halfLife)
+	if n < tiny {
+		return tookGuess * float64(l.t.Expected), 0
+	}
+	return mean, dev
+}
+
+// unit is what forwards to s lately took for each call out with them, leaning on the fleet's figure where
+// s has shown little. Times the calls that a new forward joins, it is the time it is likely to take.
+// What others say of it stands for the fleet's, and weighs more than what s showed this mixer before.
+func (m *Mixer) unit(now int64, s *searcher) float64 {
+	on, weight := m.pace.Read(now, halfLife, 0, 0)/s.size, lean
+	if w := s.said(now); w.Slow > 0 {
+		if on *= w.Slow; s.heard < w.At {
+			weight += min(w.Weight, wordMost) + s.pace.under.Read(now, paceHalf)
+		}
+	}
+	return s.pace.Read(now, paceHalf, on, weight)
+}
