A silent watch is opened anew after one beat; the list is read wherever lines break

Ruled out: two watches at once after SIGHUP (one goroutine holds the only one), a whole list that is cut short (is refused and asked for again), a message over the bound.

Changed: protocol.News takes messages one after another from an encoding/json decoder, and tells of empty lines, of whole messages and of their first bytes. Bytes of a message are no life: it has 2 s to come whole, twice as long after each that has not, up to 16 s. A silent watch is replaced at once after 2.25 s; a try that says nothing after 0.2 s, later after a 32nd of the silence, at most after 2.25 s: 30 tries in an outage of 7 s, under 120 in one of 40 s. From the second silent one on it is the whole list that is asked for, which an agent gives also when nothing has changed.

--- a/internal/charter/limits.go
+++ b/internal/charter/limits.go
@@ -38,7 +38,7 @@
 	Write     time.Duration // for an answer, or for one frame
 	Rest      time.Duration // for a searcher's frame that has begun to come, as long as a connection may take
 	Frame     int           // bytes of a searcher's frame
-	Line      int           // bytes of one line of the list, or of the whole list
+	Line      int           // bytes of one message of the list
 	WatchLast time.Duration // longest wait before the watch is tried again; the agent is on this machine, asking is free
 	ID        int           // bytes of a lookup's id
 }
@@ -94,8 +94,16 @@
 // the descriptors, and one that stays for nothing must not be in the way of another's first request.
 func (l Limits) Staying() int { return min(max(1, l.Sockets/4), l.Clients()) }
 
-// Silence is how long a watch may be silent: an empty line comes each beat.
-func (l Limits) Silence() time.Duration { return 3 * l.Beat }
+// Silence is how long a watch may be silent: an empty line comes each beat. One that is silent for longer is broken, and what
+// it misses counts as told three beats after it fell silent.
+func (l Limits) Silence() time.Duration { return l.Beat + l.Beat/8 }
+
+// Asked is how long discovery may take for its first word once asked, after it has been silent for so long. The agent is on
+// this machine and replies at once, and one that is silent is silent for good on what it was asked then. Much longer
+// silence is given longer, in case the agent is slow and not away.
+func (l Limits) Asked(silent time.Duration) time.Duration {
+	return max(l.Read/10, min(silent/32, l.Silence()))
+}
 
 // Linger is how long after SIGTERM clients are served as before: longer than new connections come, and as long as
 // what is taken has all its time before SIGKILL.
--- a/internal/transport/watch.go
+++ b/internal/transport/watch.go
@@ -1,8 +1,8 @@
 package transport
 
 import (
-	"bufio"
 	"context"
+	"errors"
 	"fmt"
 	"io"
 	"log/slog"
@@ -21,11 +21,15 @@
 type Watch struct {
 	Discovery string        // address to begin with
 	Known     protocol.List // the list to begin with
+	Fresh     bool          // the known list may be of another discovery, whose versions say nothing: all is asked for first
 	Limits    charter.Limits
 	Log       *slog.Logger
 	Listed    func(protocol.List)
 
-	fails   int // watches in a row that brought nothing
+	dial    func(ctx context.Context, network, address string) (net.Conn, error) // for tests
+	fails   int                                                                  // watches in a row that brought nothing
+	slow    int                                                                  // watches in a row that ended in a message
+	alive   time.Time                                                            // when discovery last gave a sign of life
 	version int64
 	members map[string]protocol.Member // as they last were
 	lost    bool                       // what the version counts is not known: the whole list comes first
@@ -52,30 +56,48 @@
 	defer w.mu.Unlock()
 	if w.to != "" {
 		w.Log.Info("watch on the list moves", "from", w.Discovery, "to", w.to)
-		w.Discovery, w.to, w.lost, w.fails = w.to, "", true, 0
+		w.Discovery, w.to, w.lost, w.fails, w.slow, w.alive = w.to, "", true, 0, 0, time.Now()
 	}
 	ctx, w.cut = context.WithCancel(ctx)
 	return ctx, w.cut
 }
 
-// Run holds a watch until the context ends, and makes it anew after growing, jittered waits.
+// Why we end a watch.
+var (
+	errSilent = errors.New("silent")
+	errSlow   = errors.New("a message does not come whole")
+)
+
+// Run holds a watch until the context ends, never more than one. One that has fallen silent is broken and stays so, even when
+// discovery is back: the next one takes its place at once. So does one after a watch that discovery has ended, since what
+// the agent has counts as told; only those that bring nothing wait for longer and longer, with jitter.
 func (w *Watch) Run(ctx context.Context) {
-	client := &http.Client{Transport: &http.Transport{DisableKeepAlives: true, Proxy: nil,
-		DialContext: (&net.Dialer{Timeout: w.Limits.Read, KeepAlive: -1}).DialContext}}
-	w.version, w.members = w.Known.Version, map[string]protocol.Member{}
+	if w.dial == nil {
+		w.dial = (&net.Dialer{Timeout: w.Limits.Read, KeepAlive: -1}).DialContext
+	}
+	client := &http.Client{Transport: &http.Transport{DisableKeepAlives: true, Proxy: nil, DialContext: w.dial}}
+	w.version, w.members, w.lost, w.alive = w.Known.Version, map[string]protocol.Member{}, w.Fresh, time.Now()
 	w.keep(w.Known)
 	for ctx.Err() == nil {
 		began := time.Now()
 		turn, cut := w.turn(ctx)
 		err := w.follow(turn, client)
 		if turn.Err() != nil {
+			cut()
 			continue
 		}
-		if time.Since(began) >= w.Limits.Silence() {
-			w.fails = 0 // the wait was long enough
-		}
 		wait := min(w.Limits.Beat/16<<min(w.fails, 10), w.Limits.WatchLast)
 		wait = wait/2 + rand.N(wait)
+		switch {
+		case err == errSilent:
+			w.lost = w.lost || w.fails > 0 // a watch may wait for a change with its first word, the whole list does not
+			wait = 0                       // it has taken its time
+		case err == errSlow:
+			w.slow++
+			wait = 0
+		case w.fails == 0 && time.Since(began) > wait:
+			wait = 0
+		}
 		level := slog.LevelDebug
 		if w.fails == 0 {
 			level = slog.LevelWarn
@@ -90,59 +112,73 @@
 	}
 }
 
-// follow holds one watch for as long as it lasts.
-func (w *Watch) follow(ctx context.Context, client *http.Client) error {
-	ctx, cancel := context.WithCancel(ctx)
-	defer cancel()
-	silent := time.AfterFunc(w.Limits.Silence(), cancel) // a dead agent says nothing
+// heard notes a sign of life.
+func (w *Watch) heard() {
+	if w.fails > 0 {
+		w.Log.Info("watch on the list is back", "version", w.version)
+	}
+	w.fails, w.alive = 0, time.Now()
+}
+
+// follow holds one watch for as long as it lasts. Bytes of a message are no sign of life, only a whole one is: it has a time
+// to come in, which is longer after each that has not.
+func (w *Watch) follow(ctx context.Context, client *http.Client) (err error) {
+	ctx, cancel := context.WithCancelCause(ctx)
+	defer cancel(nil)
+	silent := time.AfterFunc(w.Limits.Asked(time.Since(w.alive)), func() { cancel(errSilent) })
 	defer silent.Stop()
-	if w.lost {
-		body, err := w.get(ctx, client, protocol.PathList)
-		if err != nil {
-			return err
+	var late *time.Timer
+	defer func() {
+		if late != nil {
+			late.Stop()
 		}
-		raw, err := io.ReadAll(io.LimitReader(body, int64(w.Limits.Line)))
-		body.Close()
-		if err != nil {
-			return err
+		if ctx.Err() != nil {
+			err = context.Cause(ctx)
 		}
-		list, err := protocol.ReadList(raw)
-		if err != nil {
-			return err
+	}()
+	heard := func(begun bool) {
+		if begun {
+			silent.Stop()
+			late = time.AfterFunc(w.Limits.Read<<min(w.slow, 3), func() { cancel(errSlow) })
+			return
 		}
-		list.Whole = true
-		if err := w.take(list); err != nil {
-			return err
+		if late != nil {
+			late.Stop()
+			late = nil
 		}
+		silent.Reset(w.Limits.Silence())
+		w.heard()
 	}
-	body, err := w.get(ctx, client, protocol.PathWatch(w.version))
-	if err != nil {
-		return err
-	}
-	defer body.Close()
-	in := bufio.NewScanner(body)
-	in.Buffer(nil, w.Limits.Line)
-	for in.Scan() {
+	read := func(path string, one bool) error {
+		body, err := w.get(ctx, client, path)
+		if err != nil {
+			return err
+		}
+		defer body.Close()
 		silent.Reset(w.Limits.Silence())
-		if len(in.Bytes()) > 0 {
-			list, err := protocol.ReadList(in.Bytes())
+		news := protocol.NewNews(body, w.Limits.Line)
+		news.Heard = heard
+		for {
+			list, err := news.Next()
 			if err != nil {
-				w.lost = true // what it had to tell is not known
+				w.lost = w.lost || ctx.Err() == nil && err != io.EOF // what it had to tell is not known
 				return err
 			}
-			if err := w.take(list); err != nil {
+			if ctx.Err() != nil {
+				return ctx.Err() // moved: the address before has nothing more to say
+			}
+			list.Whole = list.Whole || one
+			if err := w.take(list); err != nil || one {
 				return err
 			}
 		}
-		if w.fails > 0 {
-			w.Log.Info("watch on the list is back", "version", w.version)
-		}
-		w.fails = 0
 	}
-	if err := in.Err(); err != nil {
-		return err
+	if w.lost {
+		if err := read(protocol.PathList, true); err != nil {
+			return err
+		}
 	}
-	return io.EOF
+	return read(protocol.PathWatch(w.version), false)
 }
 
 // get asks discovery for something.
