A start asks discovery for the whole list before it serves, for half a second at most

Seen: a process that starts on an old list serves on it at once and asks beside that (run in serve.go started the watch and the server together), though what the agent has counts as told from its first moment. With an agent that takes 100 ms for an answer, the searcher that it calls draining got 13 calls of 12 lookups. The known list's version may also be that of another discovery, after a move: changes since it say nothing, and the drain was never heard.

Changed: the watch is begun first, with the whole list. Clients wait meanwhile in the listener's queue, at most 0.5 s (Limits.First): a silent agent may be so for long, and the known list is better than none. Figures learnt by the process before are taken over after that, on the list that then holds.

--- a/cmd/nettlefold/serve.go
+++ b/cmd/nettlefold/serve.go
@@ -127,6 +127,17 @@
 	log.Info("learnt figures are kept", "file", path, "processes", len(kept.Process))
 }
 
+// follow runs a watch and gives what is closed once its first news have been handed on.
+func follow(ctx context.Context, wg *sync.WaitGroup, watch *transport.Watch) <-chan struct{} {
+	heard, first, listed := make(chan struct{}), sync.Once{}, watch.Listed
+	watch.Listed = func(l protocol.List) {
+		listed(l)
+		first.Do(func() { close(heard) })
+	}
+	wg.Go(func() { watch.Run(ctx) })
+	return heard
+}
+
 // run serves until the context ends and what was taken has been answered.
 func run(ctx context.Context, hup <-chan os.Signal, at paths, own settings.Settings, log *slog.Logger) error {
 	path := at.config
@@ -161,8 +172,6 @@
 	}
 	c.Known.Whole = true
 	listed(c.Known)
-	resume(own.Learnt, c, router, log)
-
 	shares, client, err := keeper(c, own.Store, router, log)
 	if err != nil {
 		listener.Close()
@@ -172,8 +181,8 @@
 	var wg sync.WaitGroup
 	defer wg.Wait()
 	defer cancel()
-	watch := &transport.Watch{Discovery: c.Discovery, Known: c.Known, Limits: c.Limits, Log: log, Listed: listed}
-	wg.Go(func() { watch.Run(work) })
+	watch := &transport.Watch{Discovery: c.Discovery, Known: c.Known, Fresh: true, Limits: c.Limits, Log: log, Listed: listed}
+	asked := follow(work, &wg, watch)
 	wg.Go(func() { router.Run(work) })
 	if shares != nil {
 		wg.Go(func() {
@@ -197,10 +206,19 @@
 			}
 		})
 	}
+	// What the agent has counts as told from this process's first moment, and the known list may be old. Who comes meanwhile
+	// waits in the listener's queue. A silent agent is not waited for for long: the known list is better than none.
+	select {
+	case <-asked:
+	case <-time.After(c.Limits.First):
+		log.Warn("discovery does not answer, the known list is served on", "version", c.Known.Version)
+	case <-ctx.Done():
+	}
+	resume(own.Learnt, c, router, log)
 	server.Open()
 	served := make(chan error, 1)
 	wg.Go(func() { served <- server.Serve(listener) })
-	log.Info("serving", "name", c.Name, "listen", c.Listen, "searchers", len(c.Known.Members), "version", c.Known.Version)
+	log.Info("serving", "name", c.Name, "listen", c.Listen, "known", len(c.Known.Members), "version", c.Known.Version)
 	for ctx.Err() == nil {
 		select {
 		case err := <-served:
--- a/internal/charter/limits.go
+++ b/internal/charter/limits.go
@@ -39,6 +39,7 @@
 	Rest      time.Duration // for a searcher's frame that has begun to come, as long as a connection may take
 	Frame     int           // bytes of a searcher's frame
 	Line      int           // bytes of one message of the list
+	First     time.Duration // a start waits for discovery's first answer
 	WatchLast time.Duration // longest wait before the watch is tried again; the agent is on this machine, asking is free
 	ID        int           // bytes of a lookup's id
 }
@@ -64,6 +65,7 @@
 		Write:     5 * time.Second,
 		Frame:     64 << 10,
 		Line:      8 << 20,
+		First:     500 * time.Millisecond,
 		WatchLast: time.Second,
 		ID:        64,
 	}
