While leaving, a request that has been read is answered before its connection ends

Seen: read against the rule that a mixer may close a connection only where it has not read a request, shut closed idle connections by Shutdown of net/http. That takes a connection for idle until it has parsed the head of the next request (closeIdleConns goes by StateIdle; StateActive is set after readRequest). A request that had been read, whole, but not parsed found its connection closed, and was served into nothing. closeUnused looked at the bytes, but let go of the connection's lock between looking and closing, as did the closing of spare connections where all places are taken.

A connection is closed under the lock under which its bytes are counted, and what is read after that is no request: its client sends it again, and it would run twice. Answers of this time say that they are the last on their connection.

--- a/cmd/nettlefold/serve.go
+++ b/cmd/nettlefold/serve.go
@@ -197,9 +197,9 @@
 			}
 		})
 	}
-	server.Open()
+	server.Open(listener)
 	served := make(chan error, 1)
-	wg.Go(func() { served <- server.Serve(listener) })
+	wg.Go(func() { served <- server.Serve() })
 	log.Info("serving", "name", c.Name, "listen", c.Listen, "searchers", len(c.Known.Members), "version", c.Known.Version)
 	for ctx.Err() == nil {
 		select {
--- a/internal/transport/door.go
+++ b/internal/transport/door.go
@@ -20,26 +20,43 @@
 	stream protocol.Stream
 	seen   time.Time // the first bytes of the request at hand
 	asked  int       // sound requests that have come
+	over   bool      // closed for being in no use
 
 	// The server's lock holds for these.
 	state http.ConnState
 	since time.Time // of the state
 }
 
-// Read notes what comes.
+// Read notes what comes. What crosses the connection's end is not read: its client sends it again, and it would run twice.
 func (c *client) Read(b []byte) (int, error) {
 	n, err := c.Conn.Read(b)
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.over {
+		return 0, net.ErrClosed
+	}
 	if n > 0 {
-		c.mu.Lock()
 		if !c.stream.Begun() {
 			c.seen = time.Now()
 		}
 		c.stream.Feed(b[:n])
-		c.mu.Unlock()
 	}
 	return n, err
 }
 
+// end closes the connection if it is still in no more use than told, and says whether it is. It guards against closing
+// one whose request has just been read: that would get no answer.
+func (c *client) end(s *Server, most use) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if u, _ := c.taken(s); u > most {
+		return false
+	}
+	c.over = true
+	c.Close()
+	return true
+}
+
 // Write notes that a request which is in whole is being answered: what comes from now on is the next.
 func (c *client) Write(b []byte) (int, error) {
 	c.mu.Lock()
@@ -88,6 +105,11 @@
 func (c *client) use(s *Server) (use, time.Time) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	return c.taken(s)
+}
+
+// taken is use under both locks.
+func (c *client) taken(s *Server) (use, time.Time) {
 	begun, since := c.stream.Begun(), c.since
 	if begun && c.asked > 0 {
 		since = c.seen
@@ -128,9 +150,10 @@
 	defer s.mu.Unlock()
 	for len(s.conns) >= s.Limits.Staying() {
 		full := len(s.conns) >= s.Limits.Clients()
-		if o := s.spare(full); o != nil {
-			delete(s.conns, o)
-			o.Close()
+		if o, u := s.spare(full); o != nil {
+			if o.end(s, u) {
+				delete(s.conns, o)
+			}
 		} else if full {
 			s.room.Wait() // all are being answered
 		} else {
@@ -143,7 +166,7 @@
 
 // spare gives the connection to be given up first, the longest in its use of those in the same, nil if all are
 // being answered. Only where all places are taken it is one whose first request may be on its way. The lock is held.
-func (s *Server) spare(full bool) (best *client) {
+func (s *Server) spare(full bool) (best *client, least use) {
 	least, from := busy, time.Time{}
 	for o := range s.conns {
 		u, since := o.use(s)
@@ -154,7 +177,7 @@
 			best, least, from = o, u, since
 		}
 	}
-	return best
+	return best, least
 }
 
 // closeUnused closes the connections that are unneeded, with all set also those on which no request is coming.
@@ -164,7 +187,7 @@
 	for o := range s.conns {
 		u, since := o.use(s)
 		if u == unneeded || u == stuck && time.Since(since) > s.Limits.Once || all && u < incoming {
-			o.Close()
+			o.end(s, u)
 		}
 	}
 }
--- a/internal/transport/server.go
+++ b/internal/transport/server.go
@@ -31,7 +31,9 @@
 
 	ready   atomic.Bool
 	leaving atomic.Bool
+	ending  atomic.Bool // connections end with their answers
 	http    *http.Server
+	door    *door
 	cut     context.CancelFunc // ends what is open
 
 	mu    sync.Mutex
@@ -42,8 +44,9 @@
 // Ready lets the health check succeed.
 func (s *Server) Ready() { s.ready.Store(true) }
 
-// Open prepares to serve.
-func (s *Server) Open() {
+// Open prepares to serve clients that come to a listener.
+func (s *Server) Open(l net.Listener) {
+	s.door = &door{l, s}
 	s.conns = map[*client]bool{}
 	s.room = sync.NewCond(&s.mu)
 	base, cut := context.WithCancel(context.Background())
@@ -67,14 +70,14 @@
 }
 
 // Serve serves clients until Leave is called.
-func (s *Server) Serve(l net.Listener) error {
+func (s *Server) Serve() error {
 	ctx, cancel := context.WithCancel(context.Background())
 	var wg sync.WaitGroup
 	defer wg.Wait()
 	defer cancel()
 	wg.Go(func() { s.sweep(ctx) })
-	err := s.http.Serve(&door{l, s})
-	if errors.Is(err, http.ErrServerClosed) {
+	err := s.http.Serve(s.door)
+	if s.ending.Load() {
 		return nil
 	}
 	return err
@@ -99,17 +102,19 @@
 	return err
 }
 
-// shut closes the listener and waits for what is open. It closes unused connections again and again, since net/http
-// waits for new ones for long and one may have been let in last.
+// shut closes the listener and waits for what is open, and closes each connection once no request is coming on it. It does
+// without Shutdown of net/http, which takes a connection for idle until it has parsed a request's head: what had been read
+// was left without an answer.
 func (s *Server) shut(ctx context.Context) error {
-	done := make(chan error, 1)
-	go func() { done <- s.http.Shutdown(ctx) }()
-	for {
-		select {
-		case err := <-done:
-			return err
-		case <-time.After(s.Limits.Arrivals / 16):
-			s.closeUnused(true)
+	s.ending.Store(true)
+	s.door.Close()
+	for ; ; time.Sleep(s.Limits.Arrivals / 16) {
+		s.closeUnused(true)
+		s.mu.Lock()
+		open := len(s.conns)
+		s.mu.Unlock()
+		if open == 0 || ctx.Err() != nil {
+			return ctx.Err()
 		}
 	}
 }
@@ -182,7 +187,7 @@
 			s.Searchers.Send(c.Searcher, c.Fresh, call)
 		}
 		if step.Final != nil {
-			if c.fault() != "" {
+			if c.fault() != "" || s.ending.Load() {
 				w.Header().Set("Connection", "close")
 			}
 			s.answer(w, l, *step.Final)
