--- a/cmd/nettlefold/serve.go
+++ b/cmd/nettlefold/serve.go
@@ -215,9 +215,9 @@
 	case <-ctx.Done():
 	}
 	resume(own.Learnt, c, router, log)
-	server.Open()
+	server.Open(listener)
 	served := make(chan error, 1)
-	wg.Go(func() { served <- server.Serve(listener) })
+	wg.Go(func() { served <- server.Serve() })
 	log.Info("serving", "name", c.Name, "listen", c.Listen, "known", len(c.Known.Members), "version", c.Known.Version)
 	for ctx.Err() == nil {
 		select {
