The test of learnt figures waits for the log's lines, which come by a pipe

The line on what is taken over is now written just before health is 200, and was once not there yet on a busy machine.

--- a/cmd/nettlefold/learnt_test.go
+++ b/cmd/nettlefold/learnt_test.go
@@ -32,9 +32,7 @@
 	w.of("Guarantees")["ColdMs"], w.of("Guarantees")["ColdFrom"], w.of("Guarantees")["FallMultiple"] = 10000.0, 0.05, 1.0
 	w.searchers[0].Took = 10 * time.Millisecond // slow, not so late that it is held silent
 	w.start()
-	if !strings.Contains(w.log.String(), "the start is cold") {
-		t.Error("a first start does not say that it has no record")
-	}
+	w.until("a first start says that it has no record", func() bool { return strings.Contains(w.log.String(), "the start is cold") })
 	var wg sync.WaitGroup
 	for i := range 24 { // some at once, so that all searchers are met
 		wg.Go(func() { w.ask(fmt.Sprint("a", i), "all", 0, 1, 2, 3) })
@@ -77,9 +75,9 @@
 	slow, cold := calls(w.searchers[0]), calls(w.searchers[2])
 	w.execute()
 	w.healthy()
-	if !strings.Contains(w.log.String(), "learnt figures are taken over") || !strings.Contains(w.log.String(), "processes=4 met=3") {
-		t.Error("what was learnt is not taken over by the three of four processes that still run")
-	}
+	w.until("what was learnt is taken over by the three of four processes that still run", func() bool { // the log comes by a pipe
+		return strings.Contains(w.log.String(), `"learnt figures are taken over" processes=4 met=3`)
+	})
 	for i := range 8 {
 		w.ask(fmt.Sprint("b", i), "all", 0)
 	}
@@ -104,9 +102,7 @@
 	}
 	w.execute()
 	w.healthy()
-	if !strings.Contains(w.log.String(), "truncated") {
-		t.Error("a record that is cut off is not refused by name")
-	}
+	w.until("a record that is cut off is refused by name", func() bool { return strings.Contains(w.log.String(), "truncated") })
 	if n := w.satisfied("d", 10); n != 10 {
 		t.Errorf("%d of 10 lookups served without a record", n)
 	}
