--- /dev/null
+++ b/cmd/nettlefold/leaving_test.go
@@ -0,0 +1,180 @@
+package main
+
+import (
+	"bytes"
+	"context"
+	"fmt"
+	"log/slog"
+	"net"
+	"net/http"
+	"os"
+	"runtime"
+	"runtime/debug"
+	"runtime/pprof"
+	"strings"
+	"sync"
+	"syscall"
+	"testing"
+	"time"
+
+	"nettlefold/example/toy"
+	"nettlefold/internal/settings"
+)
+
+// TestEveryGoroutineEnds runs the program in this process, with clients that leave, a searcher that breaks off and
+// one that is silent: no goroutines pile up, and none is left when it has ended.
+func TestEveryGoroutineEnds(t *testing.T) {
+	w := prepare(t)
+	w.searchers[0].Handle = func(p toy.Part) { p.Conn.Close() }
+	w.searchers[2].Handle = func(toy.Part) {}
+	path := w.configure()
+	defer runtime.GOMAXPROCS(runtime.GOMAXPROCS(0))
+	defer debug.SetMemoryLimit(debug.SetMemoryLimit(-1))
+	running := func() (n int) {
+		var all bytes.Buffer
+		pprof.Lookup("goroutine").WriteTo(&all, 2)
+		for _, stack := range strings.Split(all.String(), "\n\n") {
+			if strings.Contains(stack, "internal/transport.") || strings.Contains(stack, "internal/routing.") {
+				n++
+			}
+		}
+		return n
+	}
+	ctx, leave := context.WithCancel(t.Context())
+	defer leave()
+	ended := make(chan error, 1)
+	go func() {
+		ended <- run(ctx, nil, paths{config: path}, settings.Settings{}, slog.New(slog.NewTextHandler(&w.log, nil)))
+	}()
+	w.until("health", func() bool { return w.health() == http.StatusOK })
+	if procs, memory := runtime.GOMAXPROCS(0), debug.SetMemoryLimit(-1); procs != 1 || memory <= 0 || memory >= 192<<20 {
+		t.Errorf("the runtime knows of %d cores and %d bytes, of 1 and 192 MB", procs, memory)
+	}
+	for round := range 3 {
+		for i := range 20 {
+			hurried, cancel := context.WithTimeout(ctx, 3*time.Millisecond)
+			w.do(w.request(fmt.Sprintf("left%d.%d", round, i), "all", "2000", shards("x", 0, 1, 2, 3)).WithContext(hurried))
+			cancel()
+			w.ask(fmt.Sprintf("a%d.%d", round, i), "half", 0, 1, 2, 3)
+		}
+		w.client.CloseIdleConnections()
+		w.until("goroutines are as few as connections ask for", func() bool {
+			return running() <= 2*w.conns()+5 // a reader and a writer each, the list's watch, ticks, the sweeps, the server
+		})
+	}
+	leave()
+	select {
+	case err := <-ended:
+		if err != nil {
+			t.Error(err)
+		}
+	case <-time.After(5 * time.Second):
+		t.Fatal("still running")
+	}
+	w.until("every goroutine has ended", func() bool { return running() == 0 })
+}
+
+// TestLeavingUnderLoad has SIGTERM come while clients go on: none may be lost.
+func TestLeavingUnderLoad(t *testing.T) {
+	w := prepare(t)
+	for _, s := range w.searchers {
+		s.Took = 200 * time.Millisecond
+	}
+	all := w.settings["Profiles"].([]object)[0]
+	all["AimMs"], all["DeadlineMs"] = 10000.0, 10000.0 // so that none is turned away for its time
+	w.start()
+	var wg sync.WaitGroup
+	stop := make(chan struct{})
+	answers := make(chan reply, 10000)
+	for k := range 8 {
+		wg.Go(func() {
+			client := &http.Client{Transport: &http.Transport{DisableKeepAlives: k%2 == 0}}
+			mine := &world{t: t, addr: w.addr, client: client}
+			for n := 0; ; n++ {
+				select {
+				case <-stop:
+					return
+				default:
+					r, err := mine.do(mine.request(fmt.Sprintf("c%d.%d", k, n), "all", "10000", shards("x", 0, 1)))
+					if err != nil {
+						t.Errorf("client %d, lookup %d: %v", k, n, err)
+						return
+					}
+					r.at, r.closing = time.Now(), r.closing && k%2 == 1 // the others asked for it
+					answers <- r
+				}
+			}
+		})
+	}
+	time.Sleep(300 * time.Millisecond)
+	w.signal(syscall.SIGTERM)
+	time.Sleep(50 * time.Millisecond)
+	heard := time.Now()
+	if code := w.health(); code != http.StatusServiceUnavailable {
+		t.Errorf("health is %d while leaving, want 503", code)
+	}
+	time.Sleep(250 * time.Millisecond) // new connections still come
+	close(stop)
+	wg.Wait()
+	if code := w.exit(2 * time.Second); code != 0 {
+		t.Errorf("exit code %d, want 0", code)
+	}
+	close(answers)
+	n, late := 0, 0
+	for r := range answers {
+		if n++; r.status != 200 {
+			t.Errorf("lookup answered %d %q", r.status, r.text)
+		}
+		if r.at.After(heard) {
+			if late++; r.closing {
+				t.Error("an answer given soon after SIGTERM ends its connection, where there may be no other mixer")
+			}
+		}
+	}
+	if n < 16 || late < 8 {
+		t.Errorf("%d lookups answered, %d while leaving", n, late)
+	}
+}
+
+// TestLeavingWithUnusedConnections sees to it that a client which never says anything does not hold the mixer up.
+func TestLeavingWithUnusedConnections(t *testing.T) {
+	for _, sig := range []os.Signal{syscall.SIGTERM, syscall.SIGINT} {
+		w := prepare(t).start()
+		nc, err := net.Dial("tcp", w.addr)
+		if err != nil {
+			t.Fatal(err)
+		}
+		defer nc.Close()
+		w.satisfied("a", 1)
+		w.signal(sig)
+		if code := w.exit(1500 * time.Millisecond); code != 0 {
+			t.Errorf("%v: exit code %d, want 0", sig, code)
+		}
+	}
+}
+
+// TestLeavingBeforeTheKill has a lookup open for longer than there is time to leave: it fails, but is answered.
+func TestLeavingBeforeTheKill(t *testing.T) {
+	w := prepare(t)
+	w.settings["Profiles"] = []object{{"Name": "all", "AimMs": 60000.0, "DeadlineMs": 60000.0, "Effect": "retryable"},
+		{"Name": "half", "AimMs": 1000.0, "DeadlineMs": 1000.0, "Effect": "retryable"}}
+	for _, s := range w.searchers {
+		s.Handle = func(toy.Part) {}
+	}
+	w.start()
+	got := make(chan reply, 1)
+	go func() {
+		r, _ := w.do(w.request("a", "all", "60000", shards("x", 0)))
+		got <- r
+	}()
+	w.until("the part is sent", func() bool { return calls(w.searchers[0])+calls(w.searchers[1]) > 0 })
+	began := time.Now()
+	w.signal(syscall.SIGTERM)
+	code := w.exit(5 * time.Second)
+	if took := time.Since(began); code != 0 || took > 3700*time.Millisecond {
+		t.Errorf("exit code %d after %v, want 0 before SIGKILL may come", code, took)
+	}
+	if r := <-got; r.status != http.StatusBadGateway {
+		t.Errorf("the lookup is answered %d, want 502", r.status)
+	}
+}
--- /dev/null
+++ b/cmd/nettlefold/list_test.go
@@ -0,0 +1,181 @@
+package main
+
+import (
+	"context"
+	"fmt"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"os"
+	"strings"
+	"sync"
+	"syscall"
+	"testing"
+	"time"
+
+	"nettlefold/example/toy"
+)
+
+// TestHealthWaitsForASearcher starts with an empty list: the mixer is healthy once it has heard of one to ask.
+func TestHealthWaitsForASearcher(t *testing.T) {
+	w := prepare(t)
+	later := w.searchers[0]
+	w.searchers = nil
+	w.launch()
+	w.until("health is told", func() bool { return w.health() != 0 })
+	if code := w.health(); code != http.StatusServiceUnavailable {
+		t.Errorf("health is %d without a searcher, want 503", code)
+	}
+	if err := later.Start(); err != nil {
+		t.Fatal(err)
+	}
+	defer later.Stop()
+	w.list.Say(changed(2, later.Entry("SERVING")))
+	w.until("health", func() bool { return w.health() == http.StatusOK })
+	if r := w.ask("a", "all", 0); r.status != http.StatusOK {
+		t.Errorf("answered %d", r.status)
+	}
+}
+
+func TestDrainingSearcherGetsNothing(t *testing.T) {
+	w := prepare(t).start()
+	w.satisfied("a", 4)
+	for index, status := range []string{"DRAINING", "DELETED"} {
+		s := w.searchers[index]
+		w.list.SayOnce("not a list") // the watch is made anew, and hears what it has missed
+		w.list.Say(changed(int64(2+index), s.Entry(status)))
+		w.until(status+" is heard", func() bool {
+			before := calls(s)
+			w.satisfied(fmt.Sprint("b", time.Now().UnixNano()), 6)
+			return calls(s) == before
+		})
+		before := calls(s)
+		if n := w.satisfied(status, 10); index == 0 && n != 10 {
+			t.Errorf("%d of 10 lookups were answered whole", n)
+		}
+		if calls(s) > before {
+			t.Errorf("a searcher that is %s got something new", status)
+		}
+	}
+	w.until("connections to a searcher that is gone are closed", func() bool { return w.searchers[1].Conns() == 0 })
+}
+
+// TestListThatMisbehaves has the list lie, go back, break off and die; the last one that was sound is kept.
+func TestListThatMisbehaves(t *testing.T) {
+	w := prepare(t).start()
+	w.list.Say(w.whole(7, func(i int, m *toy.Member) {
+		if i == 0 {
+			m.Status = "DANCING"
+		}
+	}))
+	w.until("the unknown state is logged", func() bool { return strings.Contains(w.log.String(), "DANCING") })
+	w.list.SayOnce(`{"index":5,"endpoints":[{"name":"s1","group":0,"address":"x","status":"DRAINING"}]}`)
+	w.until("the version that goes back is logged", func() bool { return strings.Contains(w.log.String(), "version 5 after 7") })
+	before := calls(w.searchers[0])
+	if n := w.satisfied("a", 12); n != 12 || calls(w.searchers[0]) == before {
+		t.Errorf("%d of 12 lookups were answered whole, the searcher of unknown state had %d calls", n, calls(w.searchers[0])-before)
+	}
+	at := w.listAt.Listener.Addr().String()
+	w.listAt.CloseClientConnections()
+	w.listAt.Close()
+	if n := w.satisfied("b", 5); n != 5 {
+		t.Errorf("%d of 5 lookups were answered whole without a list", n)
+	}
+	l, err := net.Listen("tcp", at)
+	if err != nil {
+		t.Fatal(err)
+	}
+	list := &toy.List{}
+	list.Say(w.whole(9, func(i int, m *toy.Member) {
+		if i == 1 {
+			m.Status = "DRAINING"
+		}
+	}))
+	back := httptest.NewUnstartedServer(list)
+	back.Listener.Close()
+	back.Listener = l
+	back.Start()
+	defer back.Close()
+	defer back.CloseClientConnections()
+	w.until("the list that is back is heard", func() bool {
+		before := calls(w.searchers[1])
+		w.satisfied(fmt.Sprint("c", time.Now().UnixNano()), 6)
+		return calls(w.searchers[1]) == before
+	})
+}
+
+// TestReload has SIGHUP name other discoveries while lookups go on: the list follows each, whose versions start
+// anew, also from one that is silent; a file that is no use changes nothing; none of it costs a lookup.
+func TestReload(t *testing.T) {
+	w := prepare(t).start()
+	load, stop := context.WithCancel(t.Context())
+	var wg sync.WaitGroup
+	for i := range 3 {
+		wg.Go(func() {
+			for n := 0; load.Err() == nil; n++ {
+				if r := w.ask(fmt.Sprintf("load%d.%d", i, n), "all", 0, 1, 2, 3); r.status != http.StatusOK || !r.Complete {
+					t.Errorf("lookup %d of %d: status %d", n, i, r.status)
+				}
+			}
+		})
+	}
+	idle := func(i int) bool { // whether the searcher is asked nothing any more
+		before := calls(w.searchers[i])
+		time.Sleep(100 * time.Millisecond)
+		return calls(w.searchers[i]) == before
+	}
+	without := func(index int64, gone int) *httptest.Server {
+		m := w.whole(index, nil)
+		m.Endpoints = append(m.Endpoints[:gone:gone], m.Endpoints[gone+1:]...)
+		list := &toy.List{Beat: 100 * time.Millisecond}
+		list.Say(m)
+		return w.serveList(list)
+	}
+	w.list.Say(changed(41, w.searchers[0].Entry("DRAINING")))
+	w.until("the first list is heard", func() bool { return idle(0) })
+
+	w.write(without(3, 2)) // its versions are lower, it has the first searcher back and lacks the third
+	w.signal(syscall.SIGHUP)
+	w.until("the second list is heard", func() bool { return !idle(0) && idle(2) })
+
+	hung := make(chan struct{}, 10)
+	w.write(w.serveList(http.HandlerFunc(func(_ http.ResponseWriter, r *http.Request) {
+		hung <- struct{}{}
+		<-r.Context().Done()
+	})))
+	w.signal(syscall.SIGHUP)
+	<-hung
+	if idle(0) || !idle(2) {
+		t.Error("the list was not kept while discovery is silent")
+	}
+	w.limits["memory_mb"] = 100
+	w.write(without(3, 1))
+	w.signal(syscall.SIGHUP)
+	w.until("the fourth list is heard", func() bool { return idle(1) && !idle(2) })
+	if !strings.Contains(w.log.String(), "fields=[limits]") {
+		t.Error("the field that needs a restart is not named")
+	}
+	for _, c := range []struct{ text, want string }{
+		{`{"name":"n0","listen":"127.0.0.1:1"`, "unexpected end"},
+		{`{"name":"n0","listen":"127.0.0.1:1","discovery":"127.0.0.1:99999"}`, `discovery: port: \"99999\"`},
+	} {
+		if err := os.WriteFile(w.path, []byte(c.text), 0o600); err != nil {
+			t.Fatal(err)
+		}
+		w.signal(syscall.SIGHUP)
+		w.until("a file that is no use is named: "+c.want, func() bool { return strings.Contains(w.log.String(), c.want) })
+	}
+	if !idle(1) || idle(2) {
+		t.Error("the list was not kept with a file that is no use")
+	}
+	stop()
+	wg.Wait()
+	w.signal(syscall.SIGTERM)
+	for range 20 {
+		w.signal(syscall.SIGHUP)
+		time.Sleep(5 * time.Millisecond)
+	}
+	if code := w.exit(5 * time.Second); code != 0 {
+		t.Errorf("exit code %d", code)
+	}
+}
--- /dev/null
+++ b/mixer/rules_test.go
@@ -0,0 +1,93 @@
+package mixer
+
+import (
+	"fmt"
+	"math/rand"
+	"testing"
+)
+
+// charter draws legal settings.
+func charter(rng *rand.Rand) Charter {
+	c := Charter{
+		Mixers: 1 + rng.Intn(4), Cells: 3 + rng.Intn(6), PerCall: 1 + rng.Intn(8), ListAsked: rng.Intn(2) == 0,
+		AskWithin: 10000 * ms, MaxForwards: 1 + rng.Intn(5), MayCopy: rng.Intn(3) > 0, MayCancel: rng.Intn(2) == 0,
+		MayAdvise: true, MaxAdvice: 1000 * ms, ColdFrom: 0.1 + 0.4*rng.Float64(),
+		ColdFor: 10000 * ms, FallMultiple: 2 + rng.Float64(), FallFor: int64(1+rng.Intn(3)) * 1000 * ms,
+	}
+	c.Reach = 1 + rng.Intn(3)
+	c.BudgetFor, c.BudgetFree, c.BudgetShare = 2000*ms*rng.Int63n(2), float64(rng.Intn(5)), 0.3*rng.Float64()
+	for i := range 3 {
+		t := Tariff{Effect: Effect(i), Expected: 800 * ms, Patience: 2000 * ms, RepeatFor: int64(rng.Intn(1000)) * ms,
+			CompleteFrom: 1 - 0.4*float64(rng.Intn(2)), Partial: 0.9, SecondStep: rng.Intn(2) * 3}
+		t.LeastShare = t.CompleteFrom * float64(1+rng.Intn(2)) / 2
+		c.Tariffs = append(c.Tariffs, t)
+	}
+	c.Sized, c.OverWorth, c.Allowances = rng.Intn(2) == 0, rng.Float64(), []float64{5, 0}[:rng.Intn(3)]
+	return c
+}
+
+// FuzzRules drives the mixer through a random world; the world checks the rules after every step.
+func FuzzRules(f *testing.F) {
+	for seed := range int64(60) {
+		f.Add(seed)
+	}
+	f.Fuzz(func(t *testing.T, seed int64) { random(t, seed, func(*world, []Entry) {}) })
+}
+
+// random drives a mixer through a random world; each is called before every step. It gives the world at its end.
+func random(t *testing.T, seed int64, each func(w *world, all []Entry)) *world {
+	rng := rand.New(rand.NewSource(seed))
+	w := newWorld(t, seed, charter(rng))
+	w.lag = []int64{5, 300, 5000}[rng.Intn(3)] * ms
+	var all []Entry
+	for i := range 3 * w.c.Cells {
+		e := Entry{Searcher: fmt.Sprint("box", i), Cell: i % w.c.Cells, Size: float64(i % 4)}
+		if rng.Intn(4) == 0 {
+			e.Started = w.now - rng.Int63n(20000*ms)
+		}
+		all = append(all, e)
+	}
+	w.list(true, all...)
+	for range 600 {
+		e := &all[rng.Intn(len(all))]
+		switch rng.Intn(40) {
+		case 0:
+			w.box[e.Searcher].broken = rng.Intn(6)
+		case 1:
+			e.Status = Status(rng.Intn(3))
+			w.list(false, *e)
+		case 2:
+			e.Status, e.Started = Live, w.now
+			w.list(false, *e)
+		case 3:
+			w.list(true, all[rng.Intn(3):]...)
+		case 4:
+			w.refusing = !w.refusing
+			w.m.ListRefused(w.now)
+		case 5:
+			for id, l := range w.lookups {
+				if !l.ended && id[len(id)-1] == '7' {
+					l.ended = true
+					l.h.Gone(w.now)
+				}
+			}
+		default:
+			patience := []int64{2000 * ms, 1500 * ms, 300 * ms, 5 * ms}[rng.Intn(4)]
+			w.take(rng.Intn(3), 1+rng.Intn(7), rng.Intn(w.c.Cells), patience, rng.Intn(5) == 0)
+		}
+		each(w, all)
+		w.run(w.now + rng.Int63n(60*ms))
+	}
+	w.run(w.now + 10000*ms)
+	for id, l := range w.lookups {
+		if !l.ended {
+			t.Errorf("lookup %s has no final answer", id)
+		}
+	}
+	for id, s := range w.m.searchers {
+		if s.calls != 0 || s.parts != 0 || len(s.out) != 0 {
+			t.Errorf("searcher %s still counts %d calls, %d parts", id, s.calls, s.parts)
+		}
+	}
+	return w
+}
