What is known of the whole fleet fades at taking too: a mixer that met a jam does not stay shut

Checked and ruled out: restarts alone (five tenths by 8 s, 2 of 1009 turned away); nothing learnt at the start (0 to 2 s old mixers do as well as old ones in the same second). At fault: hopeless counts a holder that has shown nothing lately at the fleet's figure, a ratio that does not fade. Over 0.33 of the expected time all is hopeless, nothing is sent and nothing learnt. Change: the fleet's figure fades at taking with the time since its newest answer, as a searcher's does there already. A new test serves 0 of 40 lookups in the 12 s after a jam without it, at least 20 with it.

--- a/mixer/mixer.go
+++ b/mixer/mixer.go
@@ -334,9 +334,9 @@
 		times[i] = math.Inf(1)
 		m.holders(now, p, func(s *searcher) {
 			if !m.shunned(now, s) {
-				// What was learnt of s long ago must not keep from it the lookups that would show it is well again.
+				// What was learnt long ago, of s or of all, must not keep away the lookups that would show it is over.
 				on := fleet / s.size
-				unit := on + (m.unit(now, s)-on)*math.Exp2(-float64(now-s.pace.under.at)/float64(halfLife))
+				unit := on*m.pace.Fade(now, halfLife) + (m.unit(now, s)-on)*s.pace.Fade(now, halfLife)
 				took := unit * float64(s.calls+1) / m.frac(now, s)
 				times[i] = min(times[i], float64(m.coldWait(now, s))+took)
 			}
--- a/mixer/types.go
+++ b/mixer/types.go
@@ -186,6 +186,11 @@
 	return over / under
 }
 
+// Fade gives what is left of 1 since the newest terms were added.
+func (r *Ratio) Fade(now int64, half int64) float64 {
+	return math.Exp2(-float64(now-r.under.at) / float64(half))
+}
+
 // Spread is the mean and deviation of decaying terms.
 type Spread struct{ n, sum, squares Decay }
 
