--- a/cmd/nettlefold/helper_test.go
+++ b/cmd/nettlefold/helper_test.go
@@ -5,6 +5,7 @@
 	"encoding/json"
 	"errors"
 	"fmt"
+	"net"
 	"net/http"
 	"net/http/httptest"
 	"os"
@@ -222,6 +223,36 @@
 	}
 }
 
+// asking is until, with a lookup of every part before each look.
+func (w *world) asking(what string, is func() bool) {
+	w.t.Helper()
+	w.until(what, func() bool {
+		w.satisfied(fmt.Sprint("u", time.Now().UnixNano()), 1)
+		return is()
+	})
+}
+
+// unused waits until lookups go on without the searcher.
+func (w *world) unused(what string, s *toy.Searcher) {
+	w.t.Helper()
+	w.until(what, func() bool {
+		before := calls(s)
+		w.satisfied(fmt.Sprint("n", time.Now().UnixNano()), 6)
+		return calls(s) == before
+	})
+}
+
+// dial connects to the program until the test ends.
+func (w *world) dial() net.Conn {
+	w.t.Helper()
+	nc, err := net.Dial("tcp", w.addr)
+	if err != nil {
+		w.t.Fatal(err)
+	}
+	w.t.Cleanup(func() { nc.Close() })
+	return nc
+}
+
 // reply is what came back for a lookup.
 type reply struct {
 	status   int
--- a/internal/protocol/protocol_test.go
+++ b/internal/protocol/protocol_test.go
@@ -235,6 +235,8 @@
 		{`"cores":1.0`, `"cores":0`, "limits.cores: 0"},
 		{`"memory_mb":192`, `"memory_mb":-3`, "limits.memory_mb: -3"},
 		{`"sockets":1024`, `"sockets":0`, "limits.sockets: 0"},
+		{`"ColdFrom":0.2`, `"ColdFrom":2`, `setting Guarantees.ColdFrom: "2"`},
+		{`"MaxStreams":`, `"Streams":`, "setting PolicyLimits.MaxStreams"},
 		{`"Slabs":8`, `"Slabs":"many"`, `setting FamilyInfo.Slabs: "many"`},
 		{`"MaxOpen":200`, `"MaxOpen":1.5`, `setting PolicyLimits.MaxOpen: "1.5"`},
 		{`"CompleteFrom":[1.0,0.5]`, `"CompleteFrom":[1.0,7]`, `setting FamilyInfo.CompleteFrom: "7"`},
