Settings of the fleet: sites, quorum, addresses, routes, key, bounds

What: element fleet in our XML, held to the schema by the tests of both; doubled sites, joins and routes and an unknown site are faults of both, by xs:key and keyref. Fewer than three sites are refused unless alone="yes": of two, the one left is no majority. That alone no schema can say; Load says it with line and values.

--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -10,6 +10,7 @@
 	"io"
 	"log/slog"
 	"os"
+	"reflect"
 	"regexp"
 	"strconv"
 	"strings"
@@ -27,6 +28,8 @@
 	Admin   string // where to listen for metrics and questions, "": nowhere
 	Store   *Store // nil: none, and the mixer is alone
 	Learnt  string // file in which what is learnt is kept from one process to the next, "": it is not
+	Fleet   *Fleet // nil: none, and the mixer talks to no other
+	fleetAt int    // line of it
 }
 
 // Logging says how the log is written.
@@ -75,6 +78,9 @@
 	if a != b || at != bt {
 		names = append(names, "store")
 	}
+	if !reflect.DeepEqual(s.Fleet, other.Fleet) {
+		names = append(names, "fleet")
+	}
 	return names
 }
 
@@ -95,10 +101,12 @@
 	path    = `[!-~]{1,1000}[!-~]{0,24}` // 1,024; more than 1,000 of one take two
 )
 
-// element is what may stand in a file: attributes with their forms, and elements within, each at most once.
+// element is what may stand in a file: attributes with their forms, and elements within, each at most once unless it is many.
 type element struct {
 	attributes map[string]attribute
 	within     map[string]*element
+	many       bool
+	whole      func(s *Settings, line int) error // judges it when all of it is read
 }
 
 type attribute struct {
@@ -127,6 +135,7 @@
 			"admin": {attributes: map[string]attribute{"address": need(address, func(s *Settings, v string) { s.Admin = v })}},
 		}},
 		"learnt": {attributes: map[string]attribute{"file": need(path, func(s *Settings, v string) { s.Learnt = v })}},
+		"fleet":  fleetElement(),
 		"store": {
 			attributes: map[string]attribute{
 				"address":    need(address, func(s *Settings, v string) { s.store().Address = v }),
@@ -192,6 +201,9 @@
 		return Settings{}, fmt.Errorf("%s: over %d bytes", path, maxFile)
 	}
 	s, err := Read(raw)
+	if err == nil {
+		err = s.quorum()
+	}
 	if err != nil {
 		return Settings{}, fmt.Errorf("%s: %w", path, err)
 	}
@@ -306,7 +318,7 @@
 			if inner == nil || t.Name.Space != Namespace {
 				return r.fault("unknown element %q", clip(t.Name.Local))
 			}
-			if within[t.Name.Local] {
+			if within[t.Name.Local] && !inner.many {
 				return r.fault("element %s stands twice", t.Name.Local)
 			}
 			within[t.Name.Local] = true
@@ -317,6 +329,12 @@
 				return err
 			}
 		case xml.EndElement:
+			if e.whole != nil {
+				line, _ := r.d.InputPos()
+				if err := e.whole(r.out, line); err != nil {
+					return r.fault("%v", err)
+				}
+			}
 			r.path = r.path[:len(r.path)-1]
 			return nil
 		case xml.CharData:
--- a/internal/settings/settings_test.go
+++ b/internal/settings/settings_test.go
@@ -5,6 +5,8 @@
 	"fmt"
 	"os"
 	"path/filepath"
+	"reflect"
+	"slices"
 	"strings"
 	"testing"
 	"time"
@@ -41,7 +43,7 @@
 func TestProgramAndSchemaAgreeOnFiles(t *testing.T) {
 	h := schema(t)
 	files, _ := filepath.Glob("testdata/*/*.xml")
-	files = append(files, "../../deploy/nettlefold.xml")
+	files = append(files, "../../deploy/nettlefold.xml", "../../deploy/fleet.xml")
 	if len(files) < 20 {
 		t.Fatalf("only %d files", len(files))
 	}
@@ -73,10 +75,13 @@
 			"site": {"main", "a b", ""}, "enabled": {"yes", "no", "true"}, "timeout-ms": {"20", "200", "19", "201", " 50"},
 			"protocol": {"2", "3", "4"}, "user": {"mixer", "ü"}, "password-file": {"/a", "/a b", strings.Repeat("x", 1024), strings.Repeat("x", 1025)},
 			"authorities": {"/ca"}, "server": {"s.internal"}, "certificate": {"/c"}, "key": {"/k"},
+			"listen": {"127.0.0.1:7946", "7946"}, "name": {"main", "a", ""}, "alone": {"yes", "no", "1"}, "key-file": {"/k", " "}, "group": {"g", "g h"},
+			"forget": {"1h", "5s", "4s", "1d", "-1m", "99999s", "10000m"}, "members": {"2", "9999", "1", "02", "10000"}, "to": {"m1", "m 1"},
 		}
 		attributes := map[string][]string{"logging": {"format", "level"}, "admin": {"address"}, "login": {"user", "password-file"},
-			"store": {"address", "site", "enabled", "timeout-ms", "protocol"}, "tls": {"authorities", "server"}, "identity": {"certificate", "key"}}
-		within := map[string][]string{"nettlefold": {"logging", "listeners", "store"}, "listeners": {"admin"}, "store": {"login", "tls"}, "tls": {"identity"}}
+			"store": {"address", "site", "enabled", "timeout-ms", "protocol"}, "tls": {"authorities", "server"}, "identity": {"certificate", "key"},
+			"fleet": {"listen", "site", "alone", "key-file", "group", "forget", "members"}, "site": {"name"}, "join": {"address"}, "route": {"to", "address"}}
+		within := map[string][]string{"nettlefold": {"logging", "listeners", "fleet", "store"}, "fleet": {"site", "join", "route"}, "listeners": {"admin"}, "store": {"login", "tls"}, "tls": {"identity"}}
 		odd := rapid.IntRange(0, 3).Draw(t, "odd") == 0 // most documents are nearly right
 		rare := func(what string) bool { return odd && rapid.IntRange(0, 9).Draw(t, what) == 0 }
 		var write func(name string) string
@@ -136,17 +141,44 @@
 	if s, err := Load(""); err != nil || s.Store != nil || s.Admin != "" {
 		t.Errorf("no file: %+v, %v", s, err)
 	}
+	s, err = Load("../../deploy/fleet.xml")
+	if err != nil {
+		t.Fatal(err)
+	}
+	want := &Fleet{Listen: "127.0.0.1:7946", Site: "a", Sites: []string{"a", "b", "c"}, Join: []string{"127.0.1.1:7946", "127.0.2.1:7946"},
+		Routes: map[string]string{"mixer-c1": "127.0.3.1:7947"}, Group: "nettlefold", KeyFile: "/etc/nettlefold/fleet.key", Forget: time.Hour, Members: 1024}
+	if !reflect.DeepEqual(s.Fleet, want) {
+		t.Errorf("%+v, want %+v", s.Fleet, want)
+	}
+	if got := s.Differs(Settings{}); !slices.Contains(got, "fleet") {
+		t.Errorf("without its fleet it differs in %q", got)
+	}
 }
 
 func TestFaultsNameLineElementAndValue(t *testing.T) {
+	fleet := func(attributes, within string) string {
+		return "<nettlefold xmlns='urn:nettlefold:settings:1'>\n<fleet listen='127.0.0.1:7946' " + attributes + ">" + within + "</fleet></nettlefold>"
+	}
+	two := "<site name='a'/><site name='b'/>"
 	for doc, want := range map[string]string{
+		fleet("", two):                                                          `line 2: nettlefold/fleet: site: ["a" "b"]: no majority is left`,
+		fleet("alone='no' site='a'", two):                                       `no majority is left`,
+		fleet("site='z'", two+"<site name='c'/>"):                               `line 2: nettlefold/fleet: site: "z" is none of the sites ["a" "b" "c"]`,
+		fleet("", two+"<site name='b'/>"):                                       `line 2: nettlefold/fleet: site: name: "b" stands twice`,
+		fleet("", "<site name='a'/><site name='a b'/>"):                         `line 2: nettlefold/fleet/site: name: "a b"`,
+		fleet("forget='4s'", two):                                               `nettlefold/fleet: forget: "4s"`,
+		fleet("", "<route to='m' address='h:1'/><route address='h:2' to='m'/>"): `nettlefold/fleet/route: to: "m" stands twice`,
 		"<nettlefold xmlns='urn:nettlefold:settings:1'>\n\n<store site='a' address='nowhere'/></nettlefold>": `line 3: nettlefold/store: address: "nowhere"`,
 		"<nettlefold xmlns='urn:nettlefold:settings:1'><store site='a'/></nettlefold>":                       `nettlefold/store: address: missing`,
 		"<nettlefold xmlns='urn:nettlefold:settings:1'><shop/></nettlefold>":                                 `unknown element "shop"`,
 		"<nettlefold/>": `unknown element "nettlefold" of namespace ""`,
 		"":              "no element nettlefold",
 	} {
-		_, err := Read([]byte(doc))
+		path := filepath.Join(t.TempDir(), "own.xml")
+		if err := os.WriteFile(path, []byte(doc), 0o600); err != nil {
+			t.Fatal(err)
+		}
+		_, err := Load(path)
 		var f *Fault
 		if !errors.As(err, &f) || !strings.Contains(err.Error(), want) {
 			t.Errorf("%q: %v, want %s", doc, err, want)
