The program takes part in a fleet where one is set; GET /fleet tells of it

What: gather starts the roster, run owns its goroutine and ends it with a goodbye when all that was taken is answered. Unknown site, key file and addresses end the start with element and value. Unset, nothing is started: no goroutine, no UDP socket (tests).

--- /dev/null
+++ b/cmd/nettlefold/fleet_test.go
@@ -0,0 +1,149 @@
+package main
+
+import (
+	"bufio"
+	"context"
+	"encoding/json"
+	"fmt"
+	"log/slog"
+	"net/http"
+	"os"
+	"path/filepath"
+	"runtime"
+	"strings"
+	"syscall"
+	"testing"
+	"time"
+
+	"nettlefold/internal/fleet/roster"
+	"nettlefold/internal/protocol"
+	"nettlefold/internal/settings"
+	"nettlefold/mixer"
+)
+
+// packets counts the UDP sockets that the program has open.
+func (w *world) packets() (n int) {
+	w.t.Helper()
+	proc := fmt.Sprintf("/proc/%d", w.cmd.Process.Pid)
+	mine := map[string]bool{}
+	all, err := os.ReadDir(proc + "/fd")
+	if err != nil {
+		w.t.Fatal(err)
+	}
+	for _, f := range all {
+		if to, err := os.Readlink(proc + "/fd/" + f.Name()); err == nil && strings.HasPrefix(to, "socket:[") {
+			mine[strings.Trim(to[len("socket:"):], "[]")] = true
+		}
+	}
+	for _, file := range []string{"/net/udp", "/net/udp6"} {
+		f, err := os.Open(proc + file)
+		if err != nil {
+			continue // no IPv6 there
+		}
+		for lines := bufio.NewScanner(f); lines.Scan(); {
+			if fields := strings.Fields(lines.Text()); len(fields) > 9 && mine[fields[9]] {
+				n++
+			}
+		}
+		f.Close()
+	}
+	return n
+}
+
+const threeSites = `<site name="x"/><site name="y"/><site name="z"/>`
+
+// TestTakesPartInTheFleet plays the program beside a roster of the test's own: they find each other under one key, the admin
+// listener says so, the program's end is a goodbye. Without a fleet the program has no socket for one.
+func TestTakesPartInTheFleet(t *testing.T) {
+	dir := t.TempDir()
+	own, key := filepath.Join(dir, "own.xml"), filepath.Join(dir, "key")
+	t.Setenv("NETTLEFOLD_SETTINGS", own)
+	const admin, listen = "127.78.3.1:19090", "127.78.3.1:17946"
+	settle := func(fleet string) {
+		doc := `<nettlefold xmlns="urn:nettlefold:settings:1"><listeners><admin address="` + admin + `"/></listeners>` + fleet + `</nettlefold>`
+		if err := os.WriteFile(own, []byte(doc), 0o600); err != nil {
+			t.Fatal(err)
+		}
+	}
+	settle("")
+	w := prepare(t).start()
+	if n, got := w.packets(), fetch("http://"+admin+"/fleet"); n != 0 || !strings.Contains(got, "no fleet is set") {
+		t.Errorf("without a fleet: %d UDP sockets, %s", n, got)
+	}
+	w.signal(syscall.SIGTERM)
+	w.exit(5 * time.Second)
+
+	if err := os.WriteFile(key, []byte(strings.Repeat("5a", 32)+"\n"), 0o600); err != nil {
+		t.Fatal(err)
+	}
+	settle(`<fleet listen="` + listen + `" key-file="` + key + `">` + threeSites + `</fleet>`)
+	w = prepare(t).start()
+	if n := w.packets(); n != 1 {
+		t.Errorf("%d UDP sockets, want one", n)
+	}
+	peer, err := roster.Start(roster.Options{Self: roster.Life{Name: "peer", Site: "x"}, Listen: "127.78.3.2:17946", Join: []string{listen},
+		Group: "nettlefold", Key: []byte(strings.Repeat("\x5a", 32))})
+	if err != nil {
+		t.Fatal(err)
+	}
+	ctx, stop := context.WithCancel(context.Background())
+	done := make(chan struct{})
+	go func() { peer.Run(ctx); close(done) }()
+	defer func() { stop(); <-done }()
+	var told struct {
+		Self    struct{ Name, Life, Site string }
+		Members []struct{ Name, State, Site string }
+		Tables  []any
+	}
+	w.until("the program tells of both", func() bool {
+		err := json.Unmarshal([]byte(fetch("http://"+admin+"/fleet")), &told)
+		return err == nil && len(told.Members) == 2 && told.Members[1].Name == "peer" && told.Members[1].State == "here"
+	})
+	if told.Self.Name != "n0" || told.Self.Site != "z" || len(told.Self.Life) != 16 || told.Members[1].Site != "x" || told.Tables == nil {
+		t.Errorf("%+v", told)
+	}
+	if r := w.ask("beside", "all", 0, 1, 2, 3); r.status != http.StatusOK || !r.Complete {
+		t.Errorf("%d %s", r.status, r.text)
+	}
+	w.signal(syscall.SIGTERM)
+	w.until("its goodbye", func() bool {
+		m := peer.Members()
+		return len(m) == 2 && m[0].State == roster.Gone && m[0].Why == roster.Goodbye
+	})
+	if code := w.exit(5 * time.Second); code != 0 {
+		t.Errorf("exit %d", code)
+	}
+}
+
+func TestBadFleetEndsTheStart(t *testing.T) {
+	dir := t.TempDir()
+	short, open := filepath.Join(dir, "short"), filepath.Join(dir, "open")
+	if err := os.WriteFile(short, []byte(strings.Repeat("a", 30)), 0o600); err != nil {
+		t.Fatal(err)
+	}
+	if err := os.WriteFile(open, []byte(strings.Repeat("a", 32)), 0o644); err != nil {
+		t.Fatal(err)
+	}
+	c := protocol.Config{Name: "n0", Charter: mixer.Charter{Zone: "z"}}
+	before := runtime.NumGoroutine()
+	if r, err := gather(c, nil, nil, slog.Default()); r != nil || err != nil || runtime.NumGoroutine() != before {
+		t.Errorf("without a fleet: %v, %v, %d goroutines, were %d", r, err, runtime.NumGoroutine(), before)
+	}
+	for want, change := range map[string]func(*settings.Fleet){
+		`fleet: site: "z" is none of the sites ["a" "b"]`:       func(f *settings.Fleet) { f.Sites = []string{"a", "b"} },
+		`fleet: key-file: ` + short + `: 15 bytes, want 16, 24`: func(f *settings.Fleet) { f.KeyFile = short },
+		`fleet: key-file: ` + open + `: mode`:                   func(f *settings.Fleet) { f.KeyFile = open },
+		`fleet: listen: "192.0.2.1:7946": `:                     func(f *settings.Fleet) { f.Listen = "192.0.2.1:7946" },
+		`fleet: advertise: ":7946": `:                           func(f *settings.Fleet) { f.Advertise = ":7946" },
+	} {
+		f := &settings.Fleet{Listen: "127.78.3.3:17946", Sites: []string{"x", "y", "z"}}
+		change(f)
+		r, err := gather(c, f, nil, slog.New(slog.DiscardHandler))
+		if r != nil {
+			r.Close()
+		}
+		if err == nil || !strings.Contains(err.Error(), want) {
+			t.Errorf("%v, want %s", err, want)
+		}
+	}
+}
--- a/cmd/nettlefold/serve.go
+++ b/cmd/nettlefold/serve.go
@@ -168,6 +168,11 @@
 		listener.Close()
 		return fmt.Errorf("%s: %w", at.settings, err)
 	}
+	fleet, err := gather(c, own.Fleet, nil, log)
+	if err != nil {
+		listener.Close()
+		return fmt.Errorf("%s: %w", at.settings, err)
+	}
 	work, cancel := context.WithCancel(context.Background())
 	var wg sync.WaitGroup
 	defer wg.Wait()
@@ -181,6 +186,9 @@
 			client.Close() // not before: a round under way would take it for a store that is away
 		})
 	}
+	if fleet != nil {
+		wg.Go(func() { fleet.Run(work) }) // its goodbye comes when all that was taken is answered
+	}
 	if own.Admin != "" {
 		l, err := net.Listen("tcp", own.Admin)
 		if err != nil {
@@ -191,6 +199,9 @@
 		if shares != nil {
 			answers.Keeper = shares
 		}
+		if fleet != nil {
+			answers.Fleet = &admin.Fleet{Roster: fleet}
+		}
 		wg.Go(func() {
 			if err := answers.Serve(work, l); err != nil {
 				log.Error("admin listener", "error", err)
--- a/internal/admin/admin.go
+++ b/internal/admin/admin.go
@@ -22,10 +22,11 @@
 	Standing(searcher string) (routing.Standing, bool)
 }
 
-// Server answers. Keeper is nil where there is no shared store.
+// Server answers. Keeper is nil where there is no shared store, Fleet where the mixer takes part in none.
 type Server struct {
 	Router  Asked
 	Keeper  interface{ State() store.State }
+	Fleet   *Fleet
 	Explain func() any // the settings in force
 }
 
@@ -56,6 +57,7 @@
 		}
 		reply(w, s.Keeper.State())
 	})
+	mux.HandleFunc("GET /fleet", s.fleet)
 	mux.HandleFunc("GET /settings", func(w http.ResponseWriter, r *http.Request) { reply(w, s.Explain()) })
 	mux.HandleFunc("GET /why", func(w http.ResponseWriter, r *http.Request) {
 		name := r.FormValue("searcher")
--- a/internal/fleet/roster/roster.go
+++ b/internal/fleet/roster/roster.go
@@ -102,7 +102,7 @@
 
 	ip, port, err := place(o.Listen)
 	if err != nil {
-		return nil, err
+		return nil, fmt.Errorf("listen: %q: %w", o.Listen, err)
 	}
 	c := r.config(o)
 	if c.Keyring, err = ring(o.Key); err != nil {
@@ -111,13 +111,13 @@
 	if o.Advertise != "" {
 		at, port, err := place(o.Advertise)
 		if err != nil {
-			return nil, fmt.Errorf("advertise: %w", err)
+			return nil, fmt.Errorf("advertise: %q: %w", o.Advertise, err)
 		}
 		c.AdvertiseAddr, c.AdvertisePort = at.String(), port
 	}
 	t, err := listen(ip, port, o.Routes, c.Logger)
 	if err != nil {
-		return nil, err
+		return nil, fmt.Errorf("listen: %q: %w", o.Listen, err)
 	}
 	c.Transport = t
 	c.BindAddr, c.BindPort = ip.String(), t.GetAutoBindPort()
