Keys of the fleet can be changed one mixer at a time; fewer pings of our own

Own pings at 64 a beat starved sixty rosters in one process; 16 a beat are enough for the fleets of the rig, and larger ones go in turn. A solo suspicion lasts at most twice the time of one that others confirm, four times before.

--- a/cmd/nettlefold/fleet.go
+++ b/cmd/nettlefold/fleet.go
@@ -26,21 +26,28 @@
 	if err := f.Has(site); err != nil {
 		return nil, fmt.Errorf("fleet: %w", err)
 	}
-	key, err := fleetKey(f.KeyFile)
+	keys, err := fleetKeys(f.KeyFile)
 	if err != nil {
 		return nil, fmt.Errorf("fleet: key-file: %w", err)
 	}
-	r, err := roster.Start(roster.Options{Self: roster.Life{Name: c.Name, Site: site, Build: build()}, Listen: f.Listen, Advertise: f.Advertise,
-		Join: f.Join, Routes: f.Routes, Group: f.Group, Key: key, Exchange: x, Log: log, Forget: f.Forget, MostMembers: f.Members})
+	o := roster.Options{Self: roster.Life{Name: c.Name, Site: site, Build: build()}, Listen: f.Listen, Advertise: f.Advertise,
+		Join: f.Join, Routes: f.Routes, Group: f.Group, Exchange: x, Log: log, Forget: f.Forget, MostMembers: f.Members}
+	if len(keys) > 0 {
+		o.Key, o.Others = keys[0], keys[1:]
+	}
+	r, err := roster.Start(o)
 	if err != nil {
 		return nil, fmt.Errorf("fleet: %w", err)
 	}
-	log.Info("takes part in the fleet", "site", site, "life", fmt.Sprintf("%016x", r.Self().Life), "address", r.Address(), "sealed", key != nil)
+	log.Info("takes part in the fleet", "site", site, "life", fmt.Sprintf("%016x", r.Self().Life), "address", r.Address(), "sealed", len(keys) > 0)
 	return r, nil
 }
 
-// fleetKey reads the key that seals what mixers tell each other: 16, 24 or 32 bytes in hex.
-func fleetKey(path string) ([]byte, error) {
+const mostKeys = 4 // in a file
+
+// fleetKeys reads the keys that seal what mixers tell each other, one a line, each of 16, 24 or 32 bytes in hex. The first seals,
+// all are taken.
+func fleetKeys(path string) (keys [][]byte, err error) {
 	if path == "" {
 		return nil, nil
 	}
@@ -48,15 +55,17 @@
 	if err != nil {
 		return nil, err
 	}
-	key, err := hex.DecodeString(strings.TrimSpace(text))
-	if err != nil {
-		return nil, fmt.Errorf("%s: not in hex", path) // the error itself would show a part of it
-	}
-	switch len(key) {
-	case 16, 24, 32:
-		return key, nil
+	for i, line := range strings.Fields(text) {
+		key, err := hex.DecodeString(line)
+		if err != nil {
+			return nil, fmt.Errorf("%s: key %d: not in hex", path, i+1) // the error itself would show a part of it
+		}
+		if n := len(key); n != 16 && n != 24 && n != 32 || i >= mostKeys {
+			return nil, fmt.Errorf("%s: key %d: %d bytes, want 16, 24 or 32, and at most %d keys", path, i+1, n, mostKeys)
+		}
+		keys = append(keys, key)
 	}
-	return nil, fmt.Errorf("%s: %d bytes, want 16, 24 or 32", path, len(key))
+	return keys, nil
 }
 
 // build names what this program was built from, "" where that is not known.
--- a/cmd/nettlefold/fleet_test.go
+++ b/cmd/nettlefold/fleet_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"bytes"
 	"context"
 	"encoding/json"
 	"fmt"
@@ -52,7 +53,7 @@
 
 const threeSites = `<site name="x"/><site name="y"/><site name="z"/>`
 
-// TestTakesPartInTheFleet plays the program beside a roster of the test's own: they find each other under one key, the admin
+// TestTakesPartInTheFleet plays the program beside a roster of the test's own: they find each other under keys half changed, the admin
 // listener says so, the program's end is a goodbye. Without a fleet the program has no socket for one.
 func TestTakesPartInTheFleet(t *testing.T) {
 	dir := t.TempDir()
@@ -73,7 +74,7 @@
 	w.signal(syscall.SIGTERM)
 	w.exit(5 * time.Second)
 
-	if err := os.WriteFile(key, []byte(strings.Repeat("5a", 32)+"\n"), 0o600); err != nil {
+	if err := os.WriteFile(key, []byte(strings.Repeat("5b", 16)+"\n"+strings.Repeat("5a", 32)+"\n"), 0o600); err != nil {
 		t.Fatal(err)
 	}
 	settle(`<fleet listen="` + listen + `" key-file="` + key + `">` + threeSites + `</fleet>`)
@@ -82,7 +83,7 @@
 		t.Errorf("%d UDP sockets, want one", n)
 	}
 	peer, err := roster.Start(roster.Options{Self: roster.Life{Name: "peer", Site: "x"}, Listen: "127.78.3.2:17946", Join: []string{listen},
-		Group: "nettlefold", Key: []byte(strings.Repeat("\x5a", 32))})
+		Group: "nettlefold", Key: bytes.Repeat([]byte{0x5a}, 32), Others: [][]byte{bytes.Repeat([]byte{0x5b}, 16)}})
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -130,11 +131,11 @@
 		t.Errorf("without a fleet: %v, %v, %d goroutines, were %d", r, err, runtime.NumGoroutine(), before)
 	}
 	for want, change := range map[string]func(*settings.Fleet){
-		`fleet: site: "z" is none of the sites ["a" "b"]`:       func(f *settings.Fleet) { f.Sites = []string{"a", "b"} },
-		`fleet: key-file: ` + short + `: 15 bytes, want 16, 24`: func(f *settings.Fleet) { f.KeyFile = short },
-		`fleet: key-file: ` + open + `: mode`:                   func(f *settings.Fleet) { f.KeyFile = open },
-		`fleet: listen: "192.0.2.1:7946": `:                     func(f *settings.Fleet) { f.Listen = "192.0.2.1:7946" },
-		`fleet: advertise: ":7946": `:                           func(f *settings.Fleet) { f.Advertise = ":7946" },
+		`fleet: site: "z" is none of the sites ["a" "b"]`:              func(f *settings.Fleet) { f.Sites = []string{"a", "b"} },
+		`fleet: key-file: ` + short + `: key 1: 15 bytes, want 16, 24`: func(f *settings.Fleet) { f.KeyFile = short },
+		`fleet: key-file: ` + open + `: mode`:                          func(f *settings.Fleet) { f.KeyFile = open },
+		`fleet: listen: "192.0.2.1:7946": `:                            func(f *settings.Fleet) { f.Listen = "192.0.2.1:7946" },
+		`fleet: advertise: ":7946": `:                                  func(f *settings.Fleet) { f.Advertise = ":7946" },
 	} {
 		f := &settings.Fleet{Listen: "127.78.3.3:17946", Sites: []string{"x", "y", "z"}}
 		change(f)
--- a/internal/fleet/roster/roster.go
+++ b/internal/fleet/roster/roster.go
@@ -33,6 +33,7 @@
 	Routes      map[string]string // by the name of a mixer: where it is reached instead of where it says
 	Group       string            // others of another group are not talked to
 	Key         []byte            // of 16, 24 or 32 bytes; nil: plain. Who has another key is not talked to
+	Others      [][]byte          // keys that are taken too, while the key is changed
 	Exchange    Exchange          // nil: only the roster itself is exchanged
 	Log         *slog.Logger
 	Forget      time.Duration // after which one who is cut off is forgotten; 0: an hour
@@ -105,7 +106,7 @@
 		return nil, fmt.Errorf("listen: %q: %w", o.Listen, err)
 	}
 	c := r.config(o)
-	if c.Keyring, err = ring(o.Key); err != nil {
+	if c.Keyring, err = ring(o.Key, o.Others); err != nil {
 		return nil, err
 	}
 	if o.Advertise != "" {
@@ -143,7 +144,7 @@
 	c.ProbeInterval, c.ProbeTimeout = r.beat, r.beat*3/5
 	c.GossipInterval, c.GossipNodes = r.beat/2, 3
 	c.PushPullInterval = 4 * r.beat // memberlist stretches it beyond 32 members
-	c.SuspicionMult, c.SuspicionMaxTimeoutMult = 3, 4
+	c.SuspicionMult, c.SuspicionMaxTimeoutMult = 3, 2
 	c.GossipToTheDeadTime = 40 * r.beat
 	c.TCPTimeout = 4 * r.beat
 	c.EnableCompression = false // states are short or already tight
@@ -161,11 +162,11 @@
 	return len(p), nil
 }
 
-func ring(key []byte) (*memberlist.Keyring, error) {
+func ring(key []byte, others [][]byte) (*memberlist.Keyring, error) {
 	if len(key) == 0 {
 		return nil, nil
 	}
-	return memberlist.NewKeyring(nil, key)
+	return memberlist.NewKeyring(others, key)
 }
 
 // place reads an address to listen on. A name is looked up: memberlist would take it for all addresses there are.
@@ -234,7 +235,10 @@
 			continue // dropped from memory
 		case c.State == Gone:
 			r.log.Info("a member is gone", append(what, "why", c.Why.String())...)
-		case c.Life.Life != r.self.Life:
+		case c.Life.Life == r.self.Life:
+		case c.State == Doubted || c.was == Doubted && c.State == Here:
+			r.log.Debug("a member's state", what...) // a lost packet or two
+		default:
 			r.log.Info("a member's state", what...)
 		}
 	}
--- a/internal/fleet/roster/run.go
+++ b/internal/fleet/roster/run.go
@@ -16,7 +16,7 @@
 	firstTry = 250 * time.Millisecond
 	lastTry  = 15 * time.Second
 	calmTry  = time.Minute // where nobody is missed: two halves that do not know of each other would never meet
-	mostPing = 64          // pings in one beat of ours; beyond as many members each waits for its turn
+	mostPing = 16          // pings in one beat of ours; beyond as many members each waits for its turn
 )
 
 // seek joins, and looks again for who is missed, until the context ends: for seeds that were never reached, and for lives that are
