--- a/internal/fleet/roster/ledger.go
+++ b/internal/fleet/roster/ledger.go
@@ -232,28 +232,27 @@
 		r.State, r.Why = Gone, Succeeded
 		out = append(out, change{Member: r.Member, was: was, conflict: was < CutOff && first.State < CutOff})
 	}
-	for l.dead() > l.most {
-		l.drop()
+	for l.dead() > l.most && l.drop() {
 	}
 	return out
 }
 
 func (l *ledger) dead() int { return len(l.rows) - l.living() }
 
-// drop makes room for one more that is gone: the one that has been so for longest is dropped, where there are most.
-func (l *ledger) drop() {
-	if l.dead() < l.most {
-		return
-	}
+// drop makes room for one more that is gone: the one that has been so for longest is dropped, where there are most. It says
+// whether it has.
+func (l *ledger) drop() bool {
 	oldest := -1
 	for i, r := range l.rows {
 		if r.State == Gone && r.Life.Life != l.self && (oldest < 0 || r.At < l.rows[oldest].At) {
 			oldest = i
 		}
 	}
-	if oldest >= 0 {
-		l.rows = slices.Delete(l.rows, oldest, oldest+1)
+	if oldest < 0 || l.dead() < l.most {
+		return false
 	}
+	l.rows = slices.Delete(l.rows, oldest, oldest+1)
+	return true
 }
 
 // tick forgets: who has been cut off for the set time counts as gone, who has been gone for as long is dropped.
@@ -271,8 +270,7 @@
 			i--
 		}
 	}
-	for l.dead() > l.most {
-		l.drop()
+	for l.dead() > l.most && l.drop() {
 	}
 	return out
 }
--- a/internal/fleet/roster/ledger_test.go
+++ b/internal/fleet/roster/ledger_test.go
@@ -154,4 +154,21 @@
 	if l.tick(1012); len(l.rows) != 2 { // this life and c
 		t.Errorf("held long after: %+v", l.members())
 	}
+	if l.step(1013, event{what: told, life: who, term: 1, age: forget}); len(l.rows) != 2 {
+		t.Errorf("hearsay goes round for ever: %+v", l.members())
+	}
+	// Of equal terms the later start counts, though its number is the lower; and where all places are taken, the forgotten one waits.
+	for _, e := range []event{{what: met, life: who, term: 3}, {what: met, life: next, term: 3}, {what: lost, life: far}} {
+		l.step(1014, e)
+	}
+	l.tick(3000)
+	l.most = 2
+	l.step(3001, event{what: met, life: far, term: 1})
+	var got []string
+	for _, m := range l.members() {
+		got = append(got, fmt.Sprint(m.Name, m.Life.Life, m.State, m.Why))
+	}
+	if want := []string{"b4 here ", "c6 gone forgotten", "self1 here "}; !slices.Equal(got, want) {
+		t.Errorf("%q, want %q", got, want)
+	}
 }
