--- a/cmd/nettlefold/fleet.go
+++ b/cmd/nettlefold/fleet.go
@@ -30,8 +30,9 @@
 	if err != nil {
 		return nil, fmt.Errorf("fleet: key-file: %w", err)
 	}
-	o := roster.Options{Self: roster.Life{Name: c.Name, Site: site, Build: build()}, Listen: f.Listen, Advertise: f.Advertise,
-		Join: f.Join, Routes: f.Routes, Group: f.Group, Exchange: x, Log: log, Forget: f.Forget, MostMembers: f.Members}
+	o := roster.Options{Self: roster.Life{Name: c.Name, Site: site, Build: build()}, Listen: f.Listen,
+		Advertise: f.Advertise, Join: f.Join, Routes: f.Routes, Group: f.Group, Exchange: x, Log: log,
+		Forget: f.Forget, MostMembers: f.Members}
 	if len(keys) > 0 {
 		o.Key, o.Others = keys[0], keys[1:]
 	}
@@ -39,7 +40,8 @@
 	if err != nil {
 		return nil, fmt.Errorf("fleet: %w", err)
 	}
-	log.Info("takes part in the fleet", "site", site, "life", fmt.Sprintf("%016x", r.Self().Life), "address", r.Address(), "sealed", len(keys) > 0)
+	log.Info("takes part in the fleet", "site", site, "life", fmt.Sprintf("%016x", r.Self().Life), "address", r.Address(),
+		"sealed", len(keys) > 0)
 	return r, nil
 }
 
@@ -61,7 +63,7 @@
 			return nil, fmt.Errorf("%s: key %d: not in hex", path, i+1) // the error itself would show a part of it
 		}
 		if n := len(key); n != 16 && n != 24 && n != 32 || i >= mostKeys {
-			return nil, fmt.Errorf("%s: key %d: %d bytes, want 16, 24 or 32, and at most %d keys", path, i+1, n, mostKeys)
+			return nil, fmt.Errorf("%s: key %d: %d bytes, want 16, 24 or 32, and %d keys at the most", path, i+1, n, mostKeys)
 		}
 		keys = append(keys, key)
 	}
--- a/cmd/nettlefold/fleet_test.go
+++ b/cmd/nettlefold/fleet_test.go
@@ -53,15 +53,17 @@
 
 const threeSites = `<site name="x"/><site name="y"/><site name="z"/>`
 
-// TestTakesPartInTheFleet plays the program beside a roster of the test's own: they find each other under keys half changed, the admin
-// listener says so, the program's end is a goodbye. Without a fleet the program has no socket for one.
+// TestTakesPartInTheFleet plays the program beside a roster of the test's own: they find each other under keys half
+// changed, the admin listener says so, the program's end is a goodbye. Without a fleet the program has no socket for one.
 func TestTakesPartInTheFleet(t *testing.T) {
 	dir := t.TempDir()
 	own, key := filepath.Join(dir, "own.xml"), filepath.Join(dir, "key")
 	t.Setenv("NETTLEFOLD_SETTINGS", own)
 	const admin, listen = "127.78.3.1:19090", "127.78.3.1:17946"
 	settle := func(fleet string) {
-		doc := `<nettlefold xmlns="urn:nettlefold:settings:1"><listeners><admin address="` + admin + `"/></listeners>` + fleet + `</nettlefold>`
+		doc := `<nettlefold xmlns="urn:nettlefold:settings:1"><listeners><admin address="` + admin +
+			`"/></listeners>` +
+			fleet + `</nettlefold>`
 		if err := os.WriteFile(own, []byte(doc), 0o600); err != nil {
 			t.Fatal(err)
 		}
@@ -82,8 +84,9 @@
 	if n := w.packets(); n != 1 {
 		t.Errorf("%d UDP sockets, want one", n)
 	}
-	peer, err := roster.Start(roster.Options{Self: roster.Life{Name: "peer", Site: "x"}, Listen: "127.78.3.2:17946", Join: []string{listen},
-		Group: "nettlefold", Key: bytes.Repeat([]byte{0x5a}, 32), Others: [][]byte{bytes.Repeat([]byte{0x5b}, 16)}})
+	peer, err := roster.Start(roster.Options{Self: roster.Life{Name: "peer", Site: "x"}, Listen: "127.78.3.2:17946",
+		Join: []string{listen}, Group: "nettlefold",
+		Key: bytes.Repeat([]byte{0x5a}, 32), Others: [][]byte{bytes.Repeat([]byte{0x5b}, 16)}})
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -100,7 +103,7 @@
 		err := json.Unmarshal([]byte(fetch("http://"+admin+"/fleet")), &told)
 		return err == nil && len(told.Members) == 2 && told.Members[1].Name == "peer" && told.Members[1].State == "here"
 	})
-	if told.Self.Name != "n0" || told.Self.Site != "z" || len(told.Self.Life) != 16 || told.Members[1].Site != "x" || told.Tables == nil {
+	if s := told.Self; s.Name != "n0" || s.Site != "z" || len(s.Life) != 16 || told.Members[1].Site != "x" || told.Tables == nil {
 		t.Errorf("%+v", told)
 	}
 	if r := w.ask("beside", "all", 0, 1, 2, 3); r.status != http.StatusOK || !r.Complete {
--- a/internal/admin/admin_test.go
+++ b/internal/admin/admin_test.go
@@ -56,8 +56,10 @@
 func (listed) Self() roster.Life { return roster.Life{Name: "me", Life: 0xa} }
 func (listed) Now() int64        { return int64(5 * time.Second) }
 func (listed) Members() []roster.Member {
-	return []roster.Member{{Life: roster.Life{Name: "me", Life: 0xa}}, {Life: roster.Life{Name: "you", Life: 0xb0, Site: "x"}, State: roster.CutOff,
-		Heard: int64(3 * time.Second), At: int64(4 * time.Second)}, {Life: roster.Life{Name: "old"}, State: roster.Gone, Why: roster.Goodbye}}
+	return []roster.Member{{Life: roster.Life{Name: "me", Life: 0xa}},
+		{Life: roster.Life{Name: "you", Life: 0xb0, Site: "x"}, State: roster.CutOff,
+			Heard: int64(3 * time.Second), At: int64(4 * time.Second)},
+		{Life: roster.Life{Name: "old"}, State: roster.Gone, Why: roster.Goodbye}}
 }
 
 func TestAnswers(t *testing.T) {
@@ -78,9 +80,11 @@
 	}{
 		{alone, "/sharing", 404, "no shared store"}, {alone, "/settings", 200, "in force"}, {alone, "/metrics", 200, "process_"},
 		{alone, "/why?searcher=s", 200, "Standing"}, {alone, "/why?searcher=x", 404, `"x" is not listed`}, {alone, "/other", 404, ""},
-		{alone, "/fleet", 404, "no fleet"}, {shares, "/fleet", 200, `"self":{"name":"me","life":"000000000000000a"`},
-		{shares, "/fleet", 200, `"name":"you","life":"00000000000000b0","site":"x","build":"","state":"cut off","term":0,"heard_ms":2000,"state_ms":1000}`},
-		{shares, "/fleet", 200, `"state":"gone","why":"goodbye","term":0,"heard_ms":-1`}, {shares, "/fleet", 200, `"tables":[{"name":"rights","state":7}]`},
+		{alone, "/fleet", 404, "no fleet"},
+		{shares, "/fleet", 200, `"self":{"name":"me","life":"000000000000000a"`},
+		{shares, "/fleet", 200, `b0","site":"x","build":"","state":"cut off","term":0,"heard_ms":2000,"state_ms":1000}`},
+		{shares, "/fleet", 200, `"state":"gone","why":"goodbye","term":0,"heard_ms":-1`},
+		{shares, "/fleet", 200, `"tables":[{"name":"rights","state":7}]`},
 		{shares, "/sharing", 200, `"Lent":7`}, {shares, "/metrics", 200, "nettlefold_sharing_loans_given_total 7\n"},
 		{shares, "/metrics", 200, "nettlefold_sharing_circuit_open 1\n"}, {shares, "/metrics", 200, "nettlefold_sharing_newest_word_seconds 1.5\n"},
 		{shares, "/metrics", 200, "nettlefold_sharing_mixers_heard 3\n"},
--- a/internal/admin/fleet.go
+++ b/internal/admin/fleet.go
@@ -52,8 +52,8 @@
 	now, self := f.Roster.Now(), f.Roster.Self()
 	ago := func(at int64) int64 { return max(0, time.Duration(now-at).Milliseconds()) }
 	for _, m := range f.Roster.Members() {
-		one := memberAnswer{Name: m.Name, Life: fmt.Sprintf("%016x", m.Life.Life), Site: m.Site, Build: m.Build, State: m.State.String(),
-			Why: m.Why.String(), Term: m.Term, Heard: -1, Since: ago(m.At)}
+		one := memberAnswer{Name: m.Name, Life: fmt.Sprintf("%016x", m.Life.Life), Site: m.Site, Build: m.Build,
+			State: m.State.String(), Why: m.Why.String(), Term: m.Term, Heard: -1, Since: ago(m.At)}
 		if m.Heard > 0 {
 			one.Heard = ago(m.Heard)
 		}
--- a/internal/fleet/roster/delegate.go
+++ b/internal/fleet/roster/delegate.go
@@ -47,7 +47,8 @@
 	}
 }
 
-// NotifyLeave is its word that somebody is dead or has left, which it does not tell apart here: a goodbye comes as news of its own.
+// NotifyLeave is its word that somebody is dead or has left, which it does not tell apart here: a goodbye comes as news of its
+// own.
 func (d delegate) NotifyLeave(n *memberlist.Node) {
 	if life, _, err := lifeOf(n.Name, n.Meta); err == nil {
 		d.r.step(event{what: lost, life: life})
@@ -105,7 +106,8 @@
 	r.mu.Lock()
 	now := r.now()
 	for _, m := range r.ledger.rest(mostRest) {
-		x.Rest = append(x.Rest, rest{Name: m.Name, Life: m.Life.Life, Meta: metaOf(m.Life, m.Term), Bye: m.Why == Goodbye, Age: now - m.At})
+		x.Rest = append(x.Rest, rest{Name: m.Name, Life: m.Life.Life, Meta: metaOf(m.Life, m.Term), Bye: m.Why == Goodbye,
+			Age: now - m.At})
 	}
 	r.mu.Unlock()
 	if r.exchange != nil {
--- a/internal/fleet/roster/ledger_test.go
+++ b/internal/fleet/roster/ledger_test.go
@@ -157,7 +157,7 @@
 	if l.step(1013, event{what: told, life: who, term: 1, age: forget}); len(l.rows) != 2 {
 		t.Errorf("hearsay goes round for ever: %+v", l.members())
 	}
-	// Of equal terms the later start counts, though its number is the lower; and where all places are taken, the forgotten one waits.
+	// Of equal terms the later start counts, though its number is the lower; where all places are taken a forgotten one waits.
 	for _, e := range []event{{what: met, life: who, term: 3}, {what: met, life: next, term: 3}, {what: lost, life: far}} {
 		l.step(1014, e)
 	}
--- a/internal/fleet/roster/roster.go
+++ b/internal/fleet/roster/roster.go
@@ -75,8 +75,9 @@
 
 // Start listens. It joins nobody before Run.
 func Start(o Options) (*Roster, error) {
-	if o.Self.Name == "" || len(o.Self.Name) > mostText || len(o.Self.Site) > mostText || len(o.Self.Build) > mostText {
-		return nil, fmt.Errorf("name %.80q, site %.80q, build %.80q: a name, and at most %d bytes of each", o.Self.Name, o.Self.Site, o.Self.Build, mostText)
+	if s := o.Self; s.Name == "" || len(s.Name) > mostText || len(s.Site) > mostText || len(s.Build) > mostText {
+		return nil, fmt.Errorf("name %.80q, site %.80q, build %.80q: want a name, and at most %d bytes of each",
+			s.Name, s.Site, s.Build, mostText)
 	}
 	if o.Self.Life == 0 {
 		var raw [8]byte
--- a/internal/fleet/roster/roster_test.go
+++ b/internal/fleet/roster/roster_test.go
@@ -95,7 +95,9 @@
 	b := start(t, "b", func(o *Options) { joining(a)(o); o.Self.Site = "x" })
 	c := start(t, "c", joining(b))
 	for _, r := range []*one{a, b, c} {
-		until(t, "all see all", func() bool { return r.as(a.self) == "here" && r.as(b.self) == "here" && r.as(c.self) == "here" })
+		until(t, "all see all", func() bool {
+			return r.as(a.self) == "here" && r.as(b.self) == "here" && r.as(c.self) == "here"
+		})
 	}
 	<-changes
 	if m := a.Members()[1]; m.Site != "x" || m.Build != "v1" || m.Life != b.self {
@@ -131,7 +133,9 @@
 		o.Self.Since = 1 // its clock is decades behind: the term decides
 	})
 	for _, r := range []*one{a, c, again} {
-		until(t, "the new life is here, the old is gone", func() bool { return r.as(again.self) == "here" && r.as(b.self) == "gone succeeded" })
+		until(t, "the new life is here, the old is gone", func() bool {
+			return r.as(again.self) == "here" && r.as(b.self) == "gone succeeded"
+		})
 	}
 }
 
@@ -142,7 +146,9 @@
 	until(t, "the first has its term", func() bool { return a.as(first.self) == "here" && a.Members()[1].Term == 1 })
 	second := start(t, "b", joining(a))
 	for _, r := range []*one{a, first, second} {
-		until(t, "the second counts", func() bool { return r.as(first.self) == "gone succeeded" && r.as(second.self) == "here" })
+		until(t, "the second counts", func() bool {
+			return r.as(first.self) == "gone succeeded" && r.as(second.self) == "here"
+		})
 	}
 	if got := log.String(); !strings.Contains(got, "two processes run by one name") {
 		t.Errorf("log: %s", got)
@@ -188,8 +194,8 @@
 	}
 	until(t, "it is full", func() bool { return len(a.Members()) == 3 })
 	until(t, "others know all", func() bool { return len(others[0].Members()) == 5 && len(others[3].Members()) == 5 })
-	if n := len(a.Members()); n != 3 {
-		t.Errorf("%d members", n)
+	if n, m := len(a.Members()), a.ml.NumMembers(); n != 3 || m != 3 {
+		t.Errorf("%d members, %d of memberlist's", n, m)
 	}
 }
 
@@ -200,7 +206,9 @@
 	w := relay(t, b.Address())
 	a := start(t, "a", func(o *Options) { o.Join, o.Routes = []string{w.address}, map[string]string{"b": w.address} })
 	c := start(t, "c", joining(b))
-	until(t, "all are here", func() bool { return a.as(c.self) == "here" && a.as(b.self) == "here" && b.as(a.self) == "here" })
+	until(t, "all are here", func() bool {
+		return a.as(c.self) == "here" && a.as(b.self) == "here" && b.as(a.self) == "here"
+	})
 	w.cut(true)
 	until(t, "a does not hear b", func() bool { return a.as(b.self) != "here" })
 	if got := c.as(b.self); got != "here" {
--- a/internal/fleet/roster/run.go
+++ b/internal/fleet/roster/run.go
@@ -19,8 +19,8 @@
 	mostPing = 16          // pings in one beat of ours; beyond as many members each waits for its turn
 )
 
-// seek joins, and looks again for who is missed, until the context ends: for seeds that were never reached, and for lives that are
-// cut off, where they were. Memberlist itself gives up the dead after a while.
+// seek joins, and looks again for who is missed, until the context ends: for seeds that were never reached, and for lives that
+// are cut off, where they were. Memberlist itself gives up the dead after a while.
 func (r *Roster) seek(ctx context.Context) {
 	reached := make([]bool, len(r.join))
 	changes := r.Watch()
--- a/internal/settings/settings_test.go
+++ b/internal/settings/settings_test.go
@@ -75,13 +75,16 @@
 			"site": {"main", "a b", ""}, "enabled": {"yes", "no", "true"}, "timeout-ms": {"20", "200", "19", "201", " 50"},
 			"protocol": {"2", "3", "4"}, "user": {"mixer", "ü"}, "password-file": {"/a", "/a b", strings.Repeat("x", 1024), strings.Repeat("x", 1025)},
 			"authorities": {"/ca"}, "server": {"s.internal"}, "certificate": {"/c"}, "key": {"/k"},
-			"listen": {"127.0.0.1:7946", "7946"}, "name": {"main", "a", ""}, "alone": {"yes", "no", "1"}, "key-file": {"/k", " "}, "group": {"g", "g h"},
-			"forget": {"1h", "5s", "4s", "1d", "-1m", "99999s", "10000m"}, "members": {"2", "9999", "1", "02", "10000"}, "to": {"m1", "m 1"},
+			"listen": {"127.0.0.1:7946", "7946"}, "name": {"main", "a", ""}, "alone": {"yes", "no", "1"}, "key-file": {"/k", " "},
+			"group": {"g", "g h"}, "forget": {"1h", "5s", "4s", "1d", "-1m", "99999s", "10000m"}, "to": {"m1", "m 1"},
+			"members": {"2", "9999", "1", "02", "10000"},
 		}
 		attributes := map[string][]string{"logging": {"format", "level"}, "admin": {"address"}, "login": {"user", "password-file"},
 			"store": {"address", "site", "enabled", "timeout-ms", "protocol"}, "tls": {"authorities", "server"}, "identity": {"certificate", "key"},
-			"fleet": {"listen", "site", "alone", "key-file", "group", "forget", "members"}, "site": {"name"}, "join": {"address"}, "route": {"to", "address"}}
-		within := map[string][]string{"nettlefold": {"logging", "listeners", "fleet", "store"}, "fleet": {"site", "join", "route"}, "listeners": {"admin"}, "store": {"login", "tls"}, "tls": {"identity"}}
+			"fleet": {"listen", "site", "alone", "key-file", "group", "forget", "members"},
+			"site":  {"name"}, "join": {"address"}, "route": {"to", "address"}}
+		within := map[string][]string{"nettlefold": {"logging", "listeners", "fleet", "store"}, "fleet": {"site", "join", "route"},
+			"listeners": {"admin"}, "store": {"login", "tls"}, "tls": {"identity"}}
 		odd := rapid.IntRange(0, 3).Draw(t, "odd") == 0 // most documents are nearly right
 		rare := func(what string) bool { return odd && rapid.IntRange(0, 9).Draw(t, what) == 0 }
 		var write func(name string) string
@@ -145,8 +148,9 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	want := &Fleet{Listen: "127.0.0.1:7946", Site: "a", Sites: []string{"a", "b", "c"}, Join: []string{"127.0.1.1:7946", "127.0.2.1:7946"},
-		Routes: map[string]string{"mixer-c1": "127.0.3.1:7947"}, Group: "nettlefold", KeyFile: "/etc/nettlefold/fleet.key", Forget: time.Hour, Members: 1024}
+	want := &Fleet{Listen: "127.0.0.1:7946", Site: "a", Sites: []string{"a", "b", "c"}, Group: "nettlefold", Forget: time.Hour,
+		Join: []string{"127.0.1.1:7946", "127.0.2.1:7946"}, Routes: map[string]string{"mixer-c1": "127.0.3.1:7947"},
+		KeyFile: "/etc/nettlefold/fleet.key", Members: 1024}
 	if !reflect.DeepEqual(s.Fleet, want) {
 		t.Errorf("%+v, want %+v", s.Fleet, want)
 	}
@@ -157,7 +161,8 @@
 
 func TestFaultsNameLineElementAndValue(t *testing.T) {
 	fleet := func(attributes, within string) string {
-		return "<nettlefold xmlns='urn:nettlefold:settings:1'>\n<fleet listen='127.0.0.1:7946' " + attributes + ">" + within + "</fleet></nettlefold>"
+		return "<nettlefold xmlns='urn:nettlefold:settings:1'>\n<fleet listen='127.0.0.1:7946' " + attributes + ">" + within +
+			"</fleet></nettlefold>"
 	}
 	two := "<site name='a'/><site name='b'/>"
 	for doc, want := range map[string]string{
