--- a/internal/fleet/roster/ledger_test.go
+++ b/internal/fleet/roster/ledger_test.go
@@ -25,8 +25,8 @@
 // proven are the reasons that stand for good.
 func proven(m Member) bool { return m.State == Gone && m.Why >= Succeeded }
 
-// TestLedgerKeepsItsLaws plays events in any order: who is proven gone stays so while it is held, nobody is gone for silence before
-// its time, of settled lives of one name one counts at most, and the bounds hold.
+// TestLedgerKeepsItsLaws plays events in any order: who is proven gone stays so while it is held, nobody is gone for silence
+// before its time, of settled lives of one name one counts at most, and the bounds hold.
 func TestLedgerKeepsItsLaws(t *testing.T) {
 	const forget = 100
 	rapid.Check(t, func(t *rapid.T) {
--- a/internal/fleet/roster/roster.go
+++ b/internal/fleet/roster/roster.go
@@ -97,7 +97,8 @@
 		return n
 	}
 	r := &Roster{self: o.Self, log: o.Log, exchange: o.Exchange, began: time.Now(), join: o.Join, lookup: net.DefaultResolver,
-		most: or(o.MostMembers, 1024), mostState: or(o.MostState, 256<<10), beat: time.Duration(or(int(o.Beat), int(250*time.Millisecond))),
+		most: or(o.MostMembers, 1024), mostState: or(o.MostState, 256<<10),
+		beat:  time.Duration(or(int(o.Beat), int(250*time.Millisecond))),
 		inbox: make(chan news, mostQueue), settle: make(chan struct{}, 1), where: map[string]*net.UDPAddr{}}
 	r.ledger = newLedger(o.Self, r.most, int64(or(int(o.Forget), int(time.Hour))))
 	r.queue = &memberlist.TransmitLimitedQueue{RetransmitMult: 3, NumNodes: r.living}
