--- a/example/toy/toy.go
+++ b/example/toy/toy.go
@@ -20,10 +20,11 @@
 
 // Part is one part as a searcher receives it.
 type Part struct {
-	ID    string
-	Slice int
-	Text  string
-	Conn  *Conn
+	ID     string
+	Slice  int
+	Within time.Duration // how long the mixer waits for it
+	Text   string
+	Conn   *Conn
 }
 
 // Conn is one connection as a searcher sees it.
@@ -55,9 +56,11 @@
 type Searcher struct {
 	Name, Zone, Address string
 	Cell                int
-	Took                time.Duration // for a part
-	Handle              func(Part)    // in place of answering after Took
-	Accepted            func(*Conn)   // when a connection has come up
+	Took                time.Duration       // for a part
+	Handle              func(Part)          // in place of answering after Took
+	Accepted            func(*Conn)         // when a connection has come up
+	Withdrawn           func(*Conn, string) // when a part is given up, by its id
+	Ended               func(*Conn)         // when a connection has ended
 
 	mu       sync.Mutex
 	listener net.Listener
@@ -127,6 +130,9 @@
 		s.mu.Lock()
 		delete(s.conns, c)
 		s.mu.Unlock()
+		if s.Ended != nil {
+			s.Ended(c)
+		}
 	}()
 	for {
 		f, err := protocol.ReadFrame(c, 1<<20)
@@ -151,6 +157,10 @@
 					time.AfterFunc(s.Took, func() { p.Answer("ok", p.Value()) })
 				}
 			}
+		case protocol.Withdraw:
+			if s.Withdrawn != nil {
+				s.Withdrawn(c, string(f.Rest))
+			}
 		case protocol.Probe:
 			if len(f.Rest) == 0 {
 				c.Frame(protocol.Probe, "ok")
@@ -167,12 +177,15 @@
 		if !ok || len(words) != 4 {
 			return nil, fmt.Errorf("line %q", line)
 		}
+		list, waits := strings.CutPrefix(words[2], "d=")
+		within, err := strconv.ParseInt(list, 10, 32)
 		slice, err1 := strconv.Atoi(words[1])
 		length, err2 := strconv.Atoi(words[3])
-		if err1 != nil || err2 != nil || !strings.HasPrefix(words[2], "d=") || length < 0 || length > len(after) {
+		if !waits || err != nil || err1 != nil || err2 != nil || length < 0 || length > len(after) {
 			return nil, fmt.Errorf("line %q", line)
 		}
-		parts = append(parts, Part{ID: words[0], Slice: slice, Text: string(after[:length])})
+		parts = append(parts, Part{ID: words[0], Slice: slice, Within: time.Duration(within) * time.Millisecond,
+			Text: string(after[:length])})
 		rest = after[length:]
 	}
 	return parts, nil
@@ -244,8 +257,8 @@
 	return l.said, l.changed
 }
 
-// whole gives the list as all that was said makes it.
-func (l *List) whole() Message {
+// Whole gives the list as all that was said makes it.
+func (l *List) Whole() Message {
 	said, _ := l.next()
 	all := Message{Snapshot: true, Endpoints: []Member{}}
 	for _, line := range said {
@@ -270,7 +283,7 @@
 // ServeHTTP serves the list, or a watch on it.
 func (l *List) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	if r.FormValue("follow") == "" {
-		json.NewEncoder(w).Encode(l.whole())
+		json.NewEncoder(w).Encode(l.Whole())
 		return
 	}
 	beat := l.Beat
