--- a/cmd/nettlelab/several.go
+++ b/cmd/nettlelab/several.go
@@ -18,7 +18,7 @@
 	if err != nil {
 		return err
 	}
-	w, err := several.New(several.Setup{Program: program})
+	w, err := several.New(several.Setup{Program: program, Fleet: true})
 	if err != nil {
 		return err
 	}
--- a/internal/lab/several/make.go
+++ b/internal/lab/several/make.go
@@ -127,7 +127,7 @@
 			if made.udp, err = net.ListenUDP("udp", net.UDPAddrFromAddrPort(netip.MustParseAddrPort(at))); err != nil {
 				return err
 			}
-			m.routes[w.address(o.index, portGossip)] = at
+			m.routes[o.Name] = at
 			between[[2]string{m.Name, o.Name}] = made
 		}
 	}
@@ -170,12 +170,15 @@
 	if !w.Fleet {
 		return all
 	}
-	own, routes := w.address(m.index, portGossip), strings.Builder{}
+	within := strings.Builder{}
+	for _, site := range w.Sites {
+		fmt.Fprintf(&within, `<site name="%s"/>`, site)
+	}
 	for _, o := range w.Mixers {
 		if o != m {
-			to := w.address(o.index, portGossip)
-			fmt.Fprintf(&routes, `<route to="%s" address="%s"/>`, to, m.routes[to])
+			fmt.Fprintf(&within, `<route to="%s" address="%s"/><join address="%s"/>`, o.Name, m.routes[o.Name], m.routes[o.Name])
 		}
 	}
-	return all + fmt.Sprintf(`<fleet listen="%s" advertise="%s" site="%s">%s</fleet>`, own, own, m.Site, &routes)
+	alone := map[bool]string{true: "yes", false: "no"}[len(w.Sites) < 3] // as settings want it where no quorum is possible
+	return all + fmt.Sprintf(`<fleet listen="%s" site="%s" alone="%s">%s</fleet>`, w.address(m.index, portGossip), m.Site, alone, &within)
 }
--- a/internal/lab/several/process.go
+++ b/internal/lab/several/process.go
@@ -8,6 +8,7 @@
 	"os"
 	"os/exec"
 	"path/filepath"
+	"slices"
 	"sync"
 	"syscall"
 	"time"
@@ -29,9 +30,10 @@
 	w          *World
 	index      int
 	searchers  map[string]string // addresses by which it reaches them
-	routes     map[string]string // addresses by which it reaches the others' gossip, by those told
+	routes     map[string]string // addresses by which it reaches the others' gossip
 	cmd        *exec.Cmd
 	ended      chan error
+	halted     bool // by SIGSTOP
 	mu         sync.Mutex
 	began, put time.Time // its latest start, its latest SIGTERM
 }
@@ -109,12 +111,14 @@
 // Stop halts the process where it is; Continue has it go on.
 func (m *Mixer) Stop() error {
 	m.w.net.trouble(m.Name, true)
+	m.halted = true
 	return m.signal(syscall.SIGSTOP)
 }
 
 // Continue has the process go on.
 func (m *Mixer) Continue() error {
 	err := m.signal(syscall.SIGCONT)
+	m.halted = false
 	m.mu.Lock()
 	m.began = time.Now() // it has heard nothing until now
 	m.mu.Unlock()
@@ -183,6 +187,27 @@
 	return raw, err
 }
 
+// sees gives how a mixer sees the others: here, doubted, cut off or gone, that of the liveliest life of each name.
+func (m *Mixer) sees() (map[string]string, error) {
+	raw, err := m.Ask("/fleet")
+	if err != nil {
+		return nil, err
+	}
+	var told struct {
+		Members []struct{ Name, State string }
+	}
+	if err := json.Unmarshal(raw, &told); err != nil {
+		return nil, err
+	}
+	all, order := map[string]string{}, []string{"", "gone", "cut off", "doubted", "here"}
+	for _, o := range told.Members {
+		if slices.Index(order, o.State) > slices.Index(order, all[o.Name]) {
+			all[o.Name] = o.State
+		}
+	}
+	return all, nil
+}
+
 // Log gives the end of the process's log, over all its lives.
 func (m *Mixer) Log(most int) string {
 	raw, _ := os.ReadFile(filepath.Join(m.w.dir, m.Name+".log"))
--- a/internal/lab/several/several_test.go
+++ b/internal/lab/several/several_test.go
@@ -53,7 +53,7 @@
 	for name, plan := range map[string][]Step{"short": Short(), "long": Long()} {
 		t.Run(name, func(t *testing.T) {
 			t.Parallel()
-			if v := play(t, Setup{}, plan); len(v.Rules) > 0 {
+			if v := play(t, Setup{Fleet: true}, plan); len(v.Rules) > 0 {
 				t.Errorf("%d rules are broken", len(v.Rules))
 			}
 		})
--- a/internal/lab/several/steps.go
+++ b/internal/lab/several/steps.go
@@ -201,6 +201,27 @@
 	return Step{what, func(w *World) error { return w.Until(what, func() error { return holds(w) }) }}
 }
 
+// See waits until all mixers of a pattern that run see all of another in a state of the roster.
+func See(who, whom, state string) Step {
+	return Holds(fmt.Sprintf("mixers %s see %s: %s", who, whom, state), func(w *World) error {
+		for _, m := range w.Mixers {
+			if !matches(who, m.Name) || m.halted || !m.running() {
+				continue
+			}
+			states, err := m.sees()
+			if err != nil {
+				return err
+			}
+			for _, o := range w.Mixers {
+				if matches(whom, o.Name) && states[o.Name] != state {
+					return fmt.Errorf("%s sees %s: %s", m.Name, o.Name, states[o.Name])
+				}
+			}
+		}
+		return nil
+	})
+}
+
 // String says what a fault is.
 func (f Fault) String() string {
 	if f == (Fault{}) {
--- a/internal/lab/several/world.go
+++ b/internal/lab/several/world.go
@@ -5,7 +5,6 @@
 
 import (
 	"context"
-	"encoding/json"
 	"fmt"
 	"net"
 	"net/http"
@@ -240,12 +239,3 @@
 	}
 	os.RemoveAll(w.dir)
 }
-
-// Fleet asks a mixer how it sees the fleet.
-func (m *Mixer) Fleet(into any) error {
-	raw, err := m.Ask("/fleet")
-	if err != nil {
-		return err
-	}
-	return json.Unmarshal(raw, into)
-}
