--- a/internal/lab/several/plan.go
+++ b/internal/lab/several/plan.go
@@ -17,8 +17,8 @@
 func Long() []Step {
 	return []Step{
 		See("*", "*", "here"), Served("*", 10),
-		// From one other site alone: the third tells both that they live.
-		Cut("a", "b"), Served("*", 10), See("*", "*", "here"), Heal(),
+		// From one other site alone: they doubt each other again and again, and the third tells both that they live.
+		Cut("a", "b"), Served("*", 10), See("*", "*", "here|doubted"), Heal(), See("*", "*", "here"),
 		CutOneWay("b", "!b"), See("!b", "b", "cut off"), Served("a", 10), Heal(), See("*", "*", "here"),
 		Wire("b", "c", Fault{Delay: 100 * time.Millisecond, Lose: 0.2, Repeat: 0.2, Reorder: 0.2}), Served("*", 10), Heal(),
 		Stop("b"), See("!b", "b", "cut off"), Served("*", 10), Continue("b"), See("*", "*", "here"), Healthy("b"), Served("*", 5),
--- a/internal/lab/several/planted_test.go
+++ b/internal/lab/several/planted_test.go
@@ -1,6 +1,7 @@
 package several
 
 import (
+	"fmt"
 	"testing"
 	"time"
 )
@@ -30,18 +31,26 @@
 	}{
 		{"a lookup has one final answer", Setup{}, []Step{Wire("a-m0", "a-front", Fault{Again: true}), Served("b", 20)}},
 		{"a once-only part runs at most once", Setup{Change: lies("retryable"), Work: 100 * time.Millisecond, Rate: 30}, []Step{
-			Served("*", 10), Reset("*", "a-s*"), Served("*", 10), Reset("*", "b-s*"), Served("*", 10), Reset("*", "c-s*"), Served("*", 10)}},
+			Served("*", 10), Reset("*", "a-s*"), Served("*", 10), Reset("*", "b-s*"), Served("*", 10), Reset("*", "a-s*"), Served("*", 10)}},
 		{"a part is not sent twice at once", Setup{Change: func(_ string, s object) {
 			s["PolicyLimits"].(object)["MayDuplicate"] = true
 		}, Rate: 30}, []Step{Served("*", 20), Work("a", time.Second), Served("*", 40)}},
 		{"no cold searcher is pushed over", Setup{Rate: 20, FallMultiple: 0.05, ColdFor: 20 * time.Second, Change: func(_ string, s object) {
 			s["Guarantees"] = object{"ColdFrom": 1.0, "ColdMs": 1.0, "FallMultiple": 100.0, "FallMs": 1000.0}
-		}}, []Step{Served("*", 10), KillSearchers("*-s0"), StartSearchers("a-s0"), Served("*", 30)}},
+		}}, []Step{Served("*", 10), KillSearchers("*-s0"), StartSearchers("a-s0"), Holds("it falls", func(w *World) error {
+			s := w.Searchers[0]
+			s.mu.Lock()
+			defer s.mu.Unlock()
+			if !s.fallen {
+				return fmt.Errorf("%s stands", s.Name)
+			}
+			return nil
+		})}},
 		{"nothing new goes to a draining searcher", Setup{Grace: time.Millisecond}, []Step{Served("*", 10), untold, Served("*", 20)}},
 	} {
 		t.Run(c.rule, func(t *testing.T) {
 			t.Parallel()
-			c.setup.Mixers = 2
+			c.setup.Sites, c.setup.Mixers = []string{"a", "b"}, 2
 			if v := play(t, c.setup, c.plan); v.Rules[c.rule] == nil {
 				t.Errorf("not found")
 			}
--- a/internal/lab/several/process.go
+++ b/internal/lab/several/process.go
@@ -75,6 +75,8 @@
 	if err := cmd.Start(); err != nil {
 		return err
 	}
+	// Beside other tests the processes step back; no verdict hangs on how fast they are.
+	syscall.Setpriority(syscall.PRIO_PROCESS, cmd.Process.Pid, 10)
 	ended := make(chan error, 1)
 	go func() { ended <- cmd.Wait() }()
 	m.mu.Lock()
--- a/internal/lab/several/steps.go
+++ b/internal/lab/several/steps.go
@@ -3,6 +3,8 @@
 import (
 	"fmt"
 	"io"
+	"slices"
+	"strings"
 	"time"
 )
 
@@ -201,7 +203,7 @@
 	return Step{what, func(w *World) error { return w.Until(what, func() error { return holds(w) }) }}
 }
 
-// See waits until all mixers of a pattern that run see all of another in a state of the roster.
+// See waits until all mixers of a pattern that run see all of another in a state of the roster, or one of several parted by |.
 func See(who, whom, state string) Step {
 	return Holds(fmt.Sprintf("mixers %s see %s: %s", who, whom, state), func(w *World) error {
 		for _, m := range w.Mixers {
@@ -213,7 +215,7 @@
 				return err
 			}
 			for _, o := range w.Mixers {
-				if matches(whom, o.Name) && states[o.Name] != state {
+				if matches(whom, o.Name) && !slices.Contains(strings.Split(state, "|"), states[o.Name]) {
 					return fmt.Errorf("%s sees %s: %s", m.Name, o.Name, states[o.Name])
 				}
 			}
