--- a/internal/lab/several/book.go
+++ b/internal/lab/several/book.go
@@ -28,7 +28,7 @@
 // Counts are how lookups ended, as clients have it.
 type Counts struct {
 	Asked, Whole, Part, Refused, Failed int
-	Excused                             int // without an answer, while a fault lay between client and mixer
+	Excused                             int // without an answer: not taken, or a fault lay between client and mixer
 	Parts                               int // that came to searchers
 }
 
@@ -61,7 +61,8 @@
 }
 
 func newBook(w *World) *Book {
-	return &Book{w: w, lookups: map[string]*asked{}, parts: map[string][]*arrival{}, broken: map[string]*Broken{}, served: map[string]int{}}
+	return &Book{w: w, lookups: map[string]*asked{}, parts: map[string][]*arrival{}, broken: map[string]*Broken{},
+		served: map[string]int{}}
 }
 
 // Break notes that a rule was broken.
@@ -203,7 +204,8 @@
 			}
 		}
 		if l != nil && l.tariff == onceOnly && ran > 1 {
-			b.breaks("a once-only part runs at most once", "%s ran %d times, first at %s, then at %s", id, ran, all[0].searcher, all[1].searcher)
+			b.breaks("a once-only part runs at most once", "%s ran %d times, first at %s, then at %s", id, ran,
+				all[0].searcher, all[1].searcher)
 		}
 	}
 	return Verdict{b.counts, b.broken}
@@ -212,7 +214,7 @@
 // Print writes the verdict in a few lines, rules in the order of their names.
 func (v Verdict) Print(w io.Writer) {
 	c := v.Counts
-	fmt.Fprintf(w, "%d lookups: %d whole, %d in part, %d refused, %d failed, %d cut off or killed under way; %d parts at searchers\n",
+	fmt.Fprintf(w, "%d lookups: %d whole, %d in part, %d refused, %d failed, %d untaken or cut off; %d parts at searchers\n",
 		c.Asked, c.Whole, c.Part, c.Refused, c.Failed, c.Excused, c.Parts)
 	names := make([]string, 0, len(v.Rules))
 	for name := range v.Rules {
--- a/internal/lab/several/front.go
+++ b/internal/lab/several/front.go
@@ -202,7 +202,8 @@
 	return fmt.Sprintf("the connection ended before an answer began: %v", u.why)
 }
 
-// ask asks one mixer, on a connection at hand or a fresh one. Its error says why there was no answer; what is wrong with one is noted.
+// ask asks one mixer, on a connection at hand or a fresh one. Its error says why there was no answer; what is wrong with one is
+// noted.
 func (f *Front) ask(name, id string, l *asked, fresh bool) error {
 	f.mu.Lock()
 	var c *link
@@ -222,8 +223,8 @@
 	}
 	body := fmt.Sprintf(`{"shards":[%s],"q":%q}`, strings.Join(shares, ","), l.text)
 	c.SetDeadline(time.Now().Add(f.w.Patience + f.w.Slack))
-	_, err := fmt.Fprintf(c, "POST /api HTTP/1.1\r\nHost: mixers\r\nX-Txn: %s\r\nX-Lane: %s\r\nX-Remaining-Ms: %d\r\nContent-Length: %d\r\n\r\n%s",
-		id, l.tariff, f.w.Patience.Milliseconds(), len(body), body)
+	_, err := fmt.Fprintf(c, "POST /api HTTP/1.1\r\nHost: mixers\r\nX-Txn: %s\r\nX-Lane: %s\r\nX-Remaining-Ms: %d\r\n"+
+		"Content-Length: %d\r\n\r\n%s", id, l.tariff, f.w.Patience.Milliseconds(), len(body), body)
 	if err == nil {
 		_, err = c.in.Peek(1)
 	}
@@ -297,8 +298,9 @@
 	if l.tariff == anyHalf {
 		need = 0.5
 	}
-	if has < need-1e-4 || a.Complete && has < need-1e-4 {
-		b.Break("an answer has what its tariff needs", "%s at %s: %d of %d parts, complete %v", id, name, len(seen), len(l.slices), a.Complete)
+	if has < need-1e-4 {
+		b.Break("an answer has what its tariff needs", "%s at %s: %d of %d parts, complete %v", id, name,
+			len(seen), len(l.slices), a.Complete)
 	}
 	b.ended(func(c *Counts) {
 		if len(seen) == len(l.slices) {
--- a/internal/lab/several/make.go
+++ b/internal/lab/several/make.go
@@ -46,20 +46,22 @@
 	}
 	for k, site := range w.Sites {
 		for i := range w.Setup.Searchers {
-			s := &Searcher{Name: fmt.Sprintf("%s-s%d", site, i), Site: site, Cell: i % cells, w: w, free: make([]time.Time, w.Cores), work: w.Work}
+			s := &Searcher{Name: fmt.Sprintf("%s-s%d", site, i), Site: site, Cell: i % cells, w: w,
+				free: make([]time.Time, w.Cores), work: w.Work}
 			s.index = party(s.Name)
 			s.toy = &toy.Searcher{Name: s.Name, Zone: site, Cell: s.Cell, Address: w.address(s.index, portServe), Handle: s.handle,
 				Withdrawn: w.Book.gave, Ended: func(c *toy.Conn) { w.Book.gave(c, "") }}
 			w.Searchers = append(w.Searchers, s)
 		}
 		for i := range w.Setup.Mixers {
-			m := &Mixer{Name: fmt.Sprintf("%s-m%d", site, i), Site: site, w: w, searchers: map[string]string{}, routes: map[string]string{}}
+			m := &Mixer{Name: fmt.Sprintf("%s-m%d", site, i), Site: site, w: w,
+				searchers: map[string]string{}, routes: map[string]string{}}
 			m.index = party(m.Name)
 			m.Agent = &Agent{w: w, list: &toy.List{}, changed: make(chan struct{}), told: map[string]time.Time{}}
 			w.Mixers = append(w.Mixers, m)
 		}
-		f := &Front{Name: site + "-front", Site: site, w: w, mixers: map[string]string{}, well: map[string]bool{}, idle: map[string][]*link{},
-			rate: w.Setup.Rate, rng: rand.New(rand.NewSource(w.Seed*100 + int64(k)))}
+		f := &Front{Name: site + "-front", Site: site, w: w, mixers: map[string]string{}, well: map[string]bool{},
+			idle: map[string][]*link{}, rate: w.Setup.Rate, rng: rand.New(rand.NewSource(w.Seed*100 + int64(k)))}
 		f.index = party(f.Name)
 		w.Fronts = append(w.Fronts, f)
 	}
@@ -180,5 +182,6 @@
 		}
 	}
 	alone := map[bool]string{true: "yes", false: "no"}[len(w.Sites) < 3] // as settings want it where no quorum is possible
-	return all + fmt.Sprintf(`<fleet listen="%s" site="%s" alone="%s">%s</fleet>`, w.address(m.index, portGossip), m.Site, alone, &within)
+	own := w.address(m.index, portGossip)
+	return all + fmt.Sprintf(`<fleet listen="%s" site="%s" alone="%s">%s</fleet>`, own, m.Site, alone, &within)
 }
--- a/internal/lab/several/planted_test.go
+++ b/internal/lab/several/planted_test.go
@@ -31,13 +31,15 @@
 	}{
 		{"a lookup has one final answer", Setup{}, []Step{Wire("a-m0", "a-front", Fault{Again: true}), Served("b", 20)}},
 		{"a once-only part runs at most once", Setup{Change: lies("retryable"), Work: 100 * time.Millisecond, Rate: 30}, []Step{
-			Served("*", 10), Reset("*", "a-s*"), Served("*", 10), Reset("*", "b-s*"), Served("*", 10), Reset("*", "a-s*"), Served("*", 10)}},
+			Served("*", 10), Reset("*", "a-s*"), Served("*", 10), Reset("*", "b-s*"), Served("*", 10), Reset("*", "a-s*"),
+			Served("*", 10)}},
 		{"a part is not sent twice at once", Setup{Change: func(_ string, s object) {
 			s["PolicyLimits"].(object)["MayDuplicate"] = true
 		}, Rate: 30}, []Step{Served("*", 20), Work("a", time.Second), Served("*", 40)}},
-		{"no cold searcher is pushed over", Setup{Rate: 20, FallMultiple: 0.05, ColdFor: 20 * time.Second, Change: func(_ string, s object) {
-			s["Guarantees"] = object{"ColdFrom": 1.0, "ColdMs": 1.0, "FallMultiple": 100.0, "FallMs": 1000.0}
-		}}, []Step{Served("*", 10), KillSearchers("*-s0"), StartSearchers("a-s0"), Holds("it falls", func(w *World) error {
+		{"no cold searcher is pushed over", Setup{Rate: 20, FallMultiple: 0.05, ColdFor: 20 * time.Second,
+			Change: func(_ string, s object) {
+				s["Guarantees"] = object{"ColdFrom": 1.0, "ColdMs": 1.0, "FallMultiple": 100.0, "FallMs": 1000.0}
+			}}, []Step{Served("*", 10), KillSearchers("*-s0"), StartSearchers("a-s0"), Holds("it falls", func(w *World) error {
 			s := w.Searchers[0]
 			s.mu.Lock()
 			defer s.mu.Unlock()
--- a/internal/lab/several/process.go
+++ b/internal/lab/several/process.go
@@ -14,6 +14,7 @@
 	"time"
 
 	"nettlefold/example/toy"
+	"nettlefold/internal/settings"
 )
 
 // Ports of a party, each of which has an address of its own, and below those that the system hands out.
@@ -46,7 +47,8 @@
 // Start starts the process with the list as its agent has it. It does not wait until it is healthy.
 func (m *Mixer) Start() error {
 	w := m.w
-	config := object{"name": m.Name, "listen": w.address(m.index, portServe), "seed": fmt.Sprintf("%016x", w.Seed<<16+int64(m.index)),
+	config := object{"name": m.Name, "listen": w.address(m.index, portServe),
+		"seed":      fmt.Sprintf("%016x", w.Seed<<16+int64(m.index)),
 		"discovery": w.address(m.index, portAgent), "limits": object{"cores": 1.0, "memory_mb": 64, "sockets": 1024},
 		"known": m.Agent.list.Whole(), "settings": w.settings(m)}
 	raw, err := json.Marshal(config)
@@ -57,8 +59,8 @@
 	if err := os.WriteFile(paths[0], raw, 0o600); err != nil {
 		return err
 	}
-	own := fmt.Sprintf(`<nettlefold xmlns="urn:nettlefold:settings:1"><logging level="info"/><listeners><admin address="%s"/></listeners>%s</nettlefold>`,
-		w.address(m.index, portAdmin), w.fleet(m))
+	own := fmt.Sprintf(`<nettlefold xmlns="%s"><logging level="info"/><listeners><admin address="%s"/></listeners>%s</nettlefold>`,
+		settings.Namespace, w.address(m.index, portAdmin), w.fleet(m))
 	if err := os.WriteFile(paths[1], []byte(own), 0o600); err != nil {
 		return err
 	}
--- a/internal/lab/several/steps.go
+++ b/internal/lab/several/steps.go
@@ -20,7 +20,8 @@
 	for _, s := range plan {
 		err := s.Do(w)
 		c := w.Book.counted()
-		fmt.Fprintf(out, "%7.2fs  %-58s %5d asked %5d whole %4d refused or failed\n", time.Since(w.began).Seconds(), s.What, c.Asked, c.Whole, c.Refused+c.Failed)
+		fmt.Fprintf(out, "%7.2fs  %-58s %5d asked %5d whole %4d refused or failed\n",
+			time.Since(w.began).Seconds(), s.What, c.Asked, c.Whole, c.Refused+c.Failed)
 		if err != nil {
 			return fmt.Errorf("%s: %w", s.What, err)
 		}
