--- a/internal/lab/several/planted_test.go
+++ b/internal/lab/several/planted_test.go
@@ -24,18 +24,27 @@
 		}
 		return nil
 	}}
+	lose := Step{"connections of clients end, as if mixers ended them", func(w *World) error {
+		for _, wire := range w.net.wires {
+			if matches("*-front", wire.from) {
+				wire.reset()
+			}
+		}
+		return nil
+	}}
 	for _, c := range []struct {
 		rule  string
 		setup Setup
 		plan  []Step
 	}{
 		{"a lookup has one final answer", Setup{}, []Step{Wire("a-m0", "a-front", Fault{Again: true}), Served("b", 20)}},
+		{"a lookup has one final answer", Setup{Work: 400 * time.Millisecond, Cores: 64, Rate: 30}, []Step{Served("*", 10), lose, Served("*", 10)}},
 		{"a once-only part runs at most once", Setup{Change: lies("retryable"), Work: 100 * time.Millisecond, Rate: 30}, []Step{
 			Served("*", 10), Reset("*", "a-s*"), Served("*", 10), Reset("*", "b-s*"), Served("*", 10), Reset("*", "a-s*"),
 			Served("*", 10)}},
 		{"a part is not sent twice at once", Setup{Change: func(_ string, s object) {
 			s["PolicyLimits"].(object)["MayDuplicate"] = true
-		}, Rate: 30}, []Step{Served("*", 20), Work("a", time.Second), Served("*", 40)}},
+		}, Rate: 30}, []Step{Served("*", 20), Work("a", time.Second), Served("*", 90)}},
 		{"no cold searcher is pushed over", Setup{Rate: 20, FallMultiple: 0.05, ColdFor: 20 * time.Second,
 			Change: func(_ string, s object) {
 				s["Guarantees"] = object{"ColdFrom": 1.0, "ColdMs": 1.0, "FallMultiple": 100.0, "FallMs": 1000.0}
