A part given up while its frame is being written is told to the searcher

Withdraw told the searcher only of a frame whose write had returned; one that was being written, or had leave to go and waited for the lock, was left out and went out whole. So the searcher worked for nothing beside the copy. Now the withdrawal goes out after that frame, on the same connection. A test gives up a part at both moments; it fails without the change.

--- a/internal/transport/searchers.go
+++ b/internal/transport/searchers.go
@@ -25,6 +25,7 @@
 	line    *line         // that carries it
 	state   state         // of its frame
 	sent    time.Time     // when that was written
+	given   bool          // up, and what has left of it is told so
 }
 
 // state is how far a frame has come. Once it is being written only the writer can tell what became of it.
@@ -203,12 +204,20 @@
 func (s *Searchers) Withdraw(p *Parcel) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if l := p.line; l != nil && !l.closed && p.state == written {
-		l.raw = append(l.raw, protocol.AppendFrame(nil, protocol.Withdraw, []byte(p.Part.ID)))
-		l.rouse()
+	if l := p.line; l != nil && !l.closed {
+		p.given = true
+		if p.state != queued {
+			l.giveUp(p)
+		}
 	}
 }
 
+// giveUp has the writer tell that a part is given up, after what it is writing. The lock is held.
+func (l *line) giveUp(p *Parcel) {
+	l.raw = append(l.raw, protocol.AppendFrame(nil, protocol.Withdraw, []byte(p.Part.ID)))
+	l.rouse()
+}
+
 func report(call []*Parcel, o routing.Outcome) {
 	for _, p := range call {
 		p.Forward.Report(o, nil)
@@ -348,7 +357,9 @@
 		}
 	}
 	for _, p := range left {
-		p.state = writing
+		if p.state = writing; p.given { // after it had leave to go: the frame goes out with it
+			l.giveUp(p)
+		}
 	}
 	closed := l.closed
 	s.mu.Unlock()
--- a/internal/transport/transport_test.go
+++ b/internal/transport/transport_test.go
@@ -306,6 +306,32 @@
 	}
 }
 
+// TestGivenUpWhileItIsWritten gives up a part that has leave to go, before its frame is written and within that: the frame
+// comes whole, and the searcher is to be told after it, else it works beside the copy that goes elsewhere.
+func TestGivenUpWhileItIsWritten(t *testing.T) {
+	part := protocol.Part{ID: "a.0", Text: "some text"}
+	for _, within := range []bool{false, true} {
+		call := pick(t, take(t, router(t, mixer.Repeatable, "s"), "a")).Calls[0]
+		s := NewSearchers(charter.Limits{KeepAlive: time.Hour, Write: time.Minute, Streams: 1}, quiet)
+		near, _ := net.Pipe()
+		parcel := &Parcel{Forward: call.Forwards[0], Part: part}
+		l := &line{to: &searcher{}, nc: near, cancel: func() {}, out: map[string]*Parcel{part.ID: parcel}}
+		parcel.line = l
+		if !within {
+			s.Withdraw(parcel)
+		}
+		s.write(l, &breaking{near, 1000, func() {
+			if within {
+				s.Withdraw(parcel)
+			}
+		}}, []*Parcel{parcel})
+		if want := protocol.AppendFrame(nil, protocol.Withdraw, []byte(part.ID)); len(l.raw) != 1 || !bytes.Equal(l.raw[0], want) {
+			t.Errorf("given up while it is written %v: %q goes after it, want %q", within, l.raw, want)
+		}
+		s.Close()
+	}
+}
+
 // TestSilentWatchIsMadeAnew has an agent take the first watch and say nothing, as a cut-off one does, and end the second
 // with a line that cannot be read: what that had to tell is in the whole list.
 func TestSilentWatchIsMadeAnew(t *testing.T) {
