--- a/internal/transport/line.go
+++ b/internal/transport/line.go
@@ -170,7 +170,9 @@
 		}
 	}
 	for _, p := range left {
-		p.state = writing
+		if p.state = writing; p.given { // after it had leave to go: the frame goes out with it
+			l.giveUp(p)
+		}
 	}
 	closed := l.closed
 	s.mu.Unlock()
--- a/internal/transport/searchers.go
+++ b/internal/transport/searchers.go
@@ -19,6 +19,7 @@
 	line    *line         // that carries it
 	state   state         // of its frame
 	sent    time.Time     // when that was written
+	given   bool          // up, and what has left of it is told so
 }
 
 // state is how far a frame has come. Once it is being written only the writer can tell what became of it.
@@ -164,12 +165,20 @@
 func (s *Searchers) Withdraw(p *Parcel) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if l := p.line; l != nil && !l.closed && p.state == written {
-		l.raw = append(l.raw, protocol.AppendFrame(nil, protocol.Withdraw, []byte(p.Part.ID)))
-		l.rouse()
+	if l := p.line; l != nil && !l.closed {
+		p.given = true
+		if p.state != queued {
+			l.giveUp(p)
+		}
 	}
 }
 
+// giveUp has the writer tell that a part is given up, after what it is writing. The lock is held.
+func (l *line) giveUp(p *Parcel) {
+	l.raw = append(l.raw, protocol.AppendFrame(nil, protocol.Withdraw, []byte(p.Part.ID)))
+	l.rouse()
+}
+
 func report(call []*Parcel, o routing.Outcome) {
 	for _, p := range call {
 		p.Forward.Report(o, nil)
