--- a/internal/fleet/rights/rights.go
+++ b/internal/fleet/rights/rights.go
@@ -61,7 +61,7 @@
 	Floor   int64 // units that each life may use from its start on, always
 	Lease   int64 // ns for which a loan runs
 	Vote    int64 // ns for which a vote runs
-	Linger  int64 // ns that a use may outlast its right: until a searcher closes what a stopped process holds
+	Linger  int64 // ns that a use may outlast its right: until a searcher closes what a stopped process holds open
 }
 
 // Kind says what a move is.
@@ -192,9 +192,9 @@
 	fmt.Fprintf(h, "%+v", o)
 	part := func(x int64, f float64) int64 { return int64(f * float64(x)) }
 	return &Ledger{self: self, ward: ward, majority: o.Wards[ward].Seats/2 + 1, o: o, print: h.Sum64(), started: now,
-		terms: terms{use: part(o.Lease, use), giveUp: part(o.Lease, giveUp) + o.Linger,
+		terms: terms{use: part(o.Lease, use), giveUp: part(o.Lease+o.Linger, giveUp),
 			voteUse: part(o.Vote, use), voteGiveUp: part(o.Vote, giveUp),
-			start: part(o.Vote, giveUp), chair: part(o.Lease, giveUp) + o.Linger},
+			start: part(o.Vote, giveUp), chair: part(o.Lease+o.Linger, giveUp)},
 		sheets: map[uint64]*heard{}, passed: map[uint64]int64{}, claims: map[key]map[lender]claims{},
 		away: map[key]map[uint64]claims{}, given: map[key]map[uint64]loaned{}}, nil
 }
