The dead are not told of for ever: sheets carry how long they have been passed on

Change: the cover of a sheet carries its age, which adds up on the way; no right hangs on it. What swings leave free goes to those who should have more.

--- a/internal/fleet/rights/chair.go
+++ b/internal/fleet/rights/chair.go
@@ -96,6 +96,7 @@
 	id, number uint64
 	ward       int
 	ask, give  int64
+	fair       int64 // what it should have
 }
 
 // lend divides what the chair may lend of each resource, and puts the loans on the sheet.
@@ -219,6 +220,7 @@
 			if spare > 0 && a.give < a.ask { // what is left by whole units goes to the first
 				a.give, spare = a.give+1, spare-1
 			}
+			a.fair = a.give
 			has := l.given[k][a.id].amount
 			little := max(1, has/swing)
 			if has > 0 && a.give > 0 && (a.give < has && a.give >= has-little || short && a.give > has && a.give <= has+little) {
@@ -226,7 +228,12 @@
 			}
 			left = max(0, left-a.give)
 		}
-		if short { // a unit that swings leave free is none for the others, else it swings too
+		if short { // what is left as it is leaves some free: for those who should have more, and not for the others
+			for i := range all {
+				a := &all[i]
+				more := min(left, max(0, a.fair-a.give))
+				a.give, left = a.give+more, left-more
+			}
 			left = 0
 		}
 	}
--- a/internal/fleet/rights/rights.go
+++ b/internal/fleet/rights/rights.go
@@ -306,7 +306,7 @@
 // tidy forgets what has ended and who has long been silent.
 func (l *Ledger) tidy(now int64) {
 	for id, h := range l.sheets {
-		if now-h.seen > forget*max(l.o.Lease, l.o.Vote) {
+		if now-h.seen >= l.forgotten() {
 			delete(l.sheets, id)
 		}
 	}
@@ -329,6 +329,9 @@
 	}
 }
 
+// forgotten is how long after its last sheet a life is, in ns.
+func (l *Ledger) forgotten() int64 { return forget * max(l.o.Lease, l.o.Vote) }
+
 // Counts gives what was taken and what is held.
 func (l *Ledger) Counts() Counts {
 	c := l.counts
--- a/internal/fleet/rights/sheet.go
+++ b/internal/fleet/rights/sheet.go
@@ -12,6 +12,7 @@
 
 const (
 	version = 1
+	ms      = 1_000_000
 	// MaxSheet is how many bytes of one sheet are taken.
 	MaxSheet = 512 << 10
 	// MaxState is how many bytes of one state are taken.
@@ -50,13 +51,16 @@
 	Sheets  []enclosed `cbor:"2,keyasint"`
 }
 
+// enclosed is a sheet under its cover. Age is for how long, in ms, those who passed it on have known it: without that two who
+// forget at different times would tell each other of the dead for ever, each time as news. No right hangs on it.
 type enclosed struct {
 	_            struct{} `cbor:",toarray"`
 	Life, Number uint64
+	Age          uint64
 	Raw          []byte
 }
 
-// heard is the newest sheet of a life, and when it first came.
+// heard is the newest sheet of a life, and when the first of those who passed it on had it, by this life's clock.
 type heard struct {
 	sheet *Sheet
 	raw   []byte
@@ -94,7 +98,7 @@
 
 // Offer gives what this life knows, in at most so many bytes: its own sheet, those of the chairs, then the others from where the
 // last offer ended. What does not fit waits for its turn. It is nil where not even its own fits.
-func (l *Ledger) Offer(most int) []byte {
+func (l *Ledger) Offer(now int64, most int) []byte {
 	const around = 16 // bytes beside the sheets, and beside each
 	e, left := envelope{Version: version}, min(most, MaxState)-around
 	put := func(id uint64) bool {
@@ -103,7 +107,7 @@
 			return false
 		}
 		left -= len(h.raw) + 2*around
-		e.Sheets = append(e.Sheets, enclosed{Life: id, Number: h.sheet.Number, Raw: h.raw})
+		e.Sheets = append(e.Sheets, enclosed{Life: id, Number: h.sheet.Number, Age: uint64(max(0, now-h.seen)) / ms, Raw: h.raw})
 		return true
 	}
 	if l.sheets[l.self.ID] == nil || !put(l.self.ID) {
@@ -167,6 +171,10 @@
 		l.counts.Old++
 		return nil
 	}
+	if x.Age >= uint64(l.forgotten()/ms) {
+		l.counts.Old++
+		return nil
+	}
 	if len(x.Raw) > MaxSheet {
 		return fmt.Errorf("%d bytes", len(x.Raw))
 	}
@@ -187,7 +195,7 @@
 	if err := l.unsound(s); err != nil {
 		return err
 	}
-	l.sheets[x.Life] = &heard{s, x.Raw, now}
+	l.sheets[x.Life] = &heard{s, x.Raw, now - int64(x.Age)*ms}
 	l.counts.Taken++
 	l.borrow(now, s)
 	return nil
