One test that nothing is left over: goroutines and descriptors in the same play

Need: two tests played clients that leave and searchers that break off, one to count descriptors, the other goroutines. One play now has both kinds of clients, and counts both against the connections that are open.

--- a/cmd/nettlefold/client_test.go
+++ b/cmd/nettlefold/client_test.go
@@ -84,7 +84,7 @@
 	if n := w.satisfied("a", 5); n != 5 || usual != 0 {
 		t.Errorf("%d of 5 lookups were answered whole, on %d new connections", n, usual)
 	}
-	if n := w.files(); n > 64 {
+	if n := files(w.cmd.Process.Pid); n > 64 {
 		t.Errorf("%d descriptors are open, want 64 at most", n)
 	}
 	for _, nc := range rude {
@@ -101,7 +101,7 @@
 	w := prepare(t)
 	w.limits["sockets"] = 240
 	w.start()
-	before := w.files()
+	before := files(w.cmd.Process.Pid)
 	for i := range 100 {
 		w.client = &http.Client{Transport: &http.Transport{}}
 		defer w.client.CloseIdleConnections()
@@ -109,24 +109,7 @@
 			t.Fatalf("lookup %d: %+v", i, r)
 		}
 	}
-	if n := w.files() - before - w.conns(); n > 62 {
+	if n := files(w.cmd.Process.Pid) - before - w.conns(); n > 62 {
 		t.Errorf("%d connections of clients are open, want 60 of 240 descriptors", n)
 	}
 }
-
-// TestNothingIsLeftOpen has clients and searchers come and go, and counts descriptors.
-func TestNothingIsLeftOpen(t *testing.T) {
-	w := prepare(t)
-	w.searchers[0].Handle = func(p toy.Part) { p.Conn.Close() }
-	w.start()
-	w.satisfied("a", 20)
-	before := w.files()
-	w.client = &http.Client{Transport: &http.Transport{DisableKeepAlives: true}}
-	for i := range 30 {
-		nc := w.dial()
-		w.request(fmt.Sprint("left", i), "all", "2000", shards("x", 0, 1)).Write(nc)
-		nc.Close()
-		w.satisfied(fmt.Sprint("b", i), 3)
-	}
-	w.until("all that was opened is closed", func() bool { return w.files() <= before+2 })
-}
--- a/cmd/nettlefold/helper_test.go
+++ b/cmd/nettlefold/helper_test.go
@@ -356,12 +356,9 @@
 	}
 }
 
-// files counts the program's descriptors.
-func (w *world) files() int {
-	all, err := os.ReadDir(fmt.Sprintf("/proc/%d/fd", w.cmd.Process.Pid))
-	if err != nil {
-		w.t.Fatal(err)
-	}
+// files counts a process' descriptors.
+func files(pid int) int {
+	all, _ := os.ReadDir(fmt.Sprintf("/proc/%d/fd", pid))
 	return len(all)
 }
 
--- a/cmd/nettlefold/leaving_test.go
+++ b/cmd/nettlefold/leaving_test.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"log/slog"
 	"net/http"
+	"os"
 	"runtime"
 	"runtime/debug"
 	"runtime/pprof"
@@ -19,9 +20,9 @@
 	"nettlefold/internal/settings"
 )
 
-// TestEveryGoroutineEnds runs the program in this process, with clients that leave, a searcher that breaks off and
-// one that is silent: no goroutines pile up, and none is left when it has ended.
-func TestEveryGoroutineEnds(t *testing.T) {
+// TestNothingIsLeftOver runs the program in this process, with clients that leave, a searcher that breaks off and
+// one that is silent: no goroutines or descriptors pile up, and no goroutine is left when it has ended.
+func TestNothingIsLeftOver(t *testing.T) {
 	w := prepare(t)
 	w.searchers[0].Handle = func(p toy.Part) { p.Conn.Close() }
 	w.searchers[2].Handle = func(toy.Part) {}
@@ -44,7 +45,9 @@
 	go func() {
 		ended <- run(ctx, nil, paths{config: path}, settings.Settings{}, slog.New(slog.NewTextHandler(w.log, nil)))
 	}()
-	w.until("health", func() bool { return w.health() == http.StatusOK })
+	w.healthy()
+	w.client.CloseIdleConnections()
+	before := files(os.Getpid())
 	if procs, memory := runtime.GOMAXPROCS(0), debug.SetMemoryLimit(-1); procs != 1 || memory <= 0 || memory >= 192<<20 {
 		t.Errorf("the runtime knows of %d cores and %d bytes, of 1 and 192 MB", procs, memory)
 	}
@@ -53,11 +56,15 @@
 			hurried, cancel := context.WithTimeout(ctx, 3*time.Millisecond)
 			w.do(w.request(fmt.Sprintf("left%d.%d", round, i), "all", "2000", shards("x", 0, 1, 2, 3)).WithContext(hurried))
 			cancel()
+			nc := w.dial()
+			w.request(fmt.Sprintf("gone%d.%d", round, i), "all", "2000", shards("x", 0, 1)).Write(nc)
+			nc.Close()
 			w.ask(fmt.Sprintf("a%d.%d", round, i), "half", 0, 1, 2, 3)
 		}
 		w.client.CloseIdleConnections()
-		w.until("goroutines are as few as connections ask for", func() bool {
-			return running() <= 2*w.conns()+5 // a reader and a writer each, the list's watch, ticks, the sweeps, the server
+		w.until("goroutines and descriptors are as few as connections ask for", func() bool {
+			conns := w.conns()                                                      // each has a reader, a writer and two ends here
+			return running() <= 2*conns+5 && files(os.Getpid()) <= before+2*conns+2 // and the list's watch, ticks, sweeps, the server
 		})
 	}
 	leave()
