--- a/internal/fleet/rights/size_test.go
+++ b/internal/fleet/rights/size_test.go
@@ -72,37 +72,26 @@
 	if at >= chair.until || other.Usable(at, demand[6].Resource) < 2 {
 		b.Fatal("nothing is lent")
 	}
-	b.Run("chair's step", func(b *testing.B) {
-		for b.Loop() {
-			chair.Step(at, demand)
-		}
-		b.ReportMetric(float64(len(chair.sheets[chair.self.ID].raw)), "sheet-bytes")
-	})
-	b.Run("other's step", func(b *testing.B) {
-		for b.Loop() {
-			other.Step(at, demand)
-		}
-		b.ReportMetric(float64(len(other.sheets[other.self.ID].raw)), "sheet-bytes")
-	})
-	b.Run("offer of all", func(b *testing.B) {
-		for b.Loop() {
-			other.Offer(at, MaxState)
-		}
-		b.ReportMetric(float64(len(other.Offer(at, MaxState))), "state-bytes")
-	})
-	b.Run("take of all, nothing new", func(b *testing.B) {
-		for b.Loop() {
-			_ = other.Take(at, "", state)
-		}
-	})
-	b.Run("take of all, all new", func(b *testing.B) {
-		for b.Loop() {
-			b.StopTimer()
-			l, _ := New(0, Life{"new", "w0", 7}, o)
-			b.StartTimer()
-			if err := l.Take(at, "", state); err != nil {
-				b.Fatal(err)
+	for _, c := range []struct {
+		name  string
+		bytes int
+		do    func()
+	}{
+		{"chair's step", len(chair.sheets[chair.self.ID].raw), func() { chair.Step(at, demand) }},
+		{"other's step", len(other.sheets[other.self.ID].raw), func() { other.Step(at, demand) }},
+		{"offer of all", len(other.Offer(at, MaxState)), func() { other.Offer(at, MaxState) }},
+		{"take of all, nothing new", len(state), func() { _ = other.Take(at, "", state) }},
+		{"take of all, all new", len(state), func() {
+			if l, _ := New(0, Life{"new", "w0", 7}, o); l.Take(at, "", state) != nil {
+				b.Fatal("not taken")
 			}
-		}
-	})
+		}},
+	} {
+		b.Run(c.name, func(b *testing.B) {
+			for b.Loop() {
+				c.do()
+			}
+			b.ReportMetric(float64(c.bytes), "bytes")
+		})
+	}
 }
