A newcomer is predicted to take what parts take, not that over its share of capacity

Answers of cold searchers took 101, 93, 84 and 73 ms at shares of 0.2 to 0.4, 0.4 to 0.6 and so on, where 327, 292, 206 and 144 were predicted; warm ones took 160 in the jam. At fault: hopeless and, between equal counts, pick divided the time by frac. The share is kept already by what coldWait lets through, so nothing waits there; the fleet's figure is the jam's; and what a newcomer itself took was divided again. A lookup with a free newcomer for its part was hopeless, and a jammed warm holder came before a free newcomer. Change: both divisions are gone. What a cold searcher is sent, and when, is as it was.

--- a/mixer/lull_test.go
+++ b/mixer/lull_test.go
@@ -2,8 +2,8 @@
 
 import "testing"
 
-// A mixer that has met its fleet in a jam turns lookups away; with nothing answered since, it takes one to see
-// how the fleet is now, and from then on serves. What it learnt in the jam must not hold for good.
+// A mixer that has met its fleet in a jam turns lookups away; with nothing answered since, it takes one to
+// see how the fleet is now, and from then on serves. What it learnt in the jam must not hold for good.
 func TestJamThatIsOverIsFoundOut(t *testing.T) {
 	for seed := range int64(6) {
 		w := start(t, seed, 4, nil)
--- a/mixer/mixer.go
+++ b/mixer/mixer.go
@@ -337,7 +337,7 @@
 				// What was learnt long ago, of s or of all, must not keep away the lookups that would show it is over.
 				on := fleet / s.size
 				unit := on*m.pace.Fade(now, halfLife) + (m.unit(now, s)-on)*s.pace.Fade(now, halfLife)
-				took := unit * float64(s.calls+1) / m.frac(now, s)
+				took := unit * float64(s.calls+1)
 				times[i] = min(times[i], float64(m.coldWait(now, s))+took)
 			}
 		})
@@ -699,7 +699,7 @@
 			if len(s.out) > 0 { // at least what the oldest out there has waited
 				unit = max(unit, float64(now-s.out[0].sent)/float64(s.out[0].count))
 			}
-			key[3] = unit * float64(s.parts+1) / m.frac(now, s)
+			key[3] = unit * float64(s.parts+1)
 			if bound != nil && (m.shunned(now, s) || key[3] > backTimes*left) {
 				return // no better than where it is
 			}
