--- a/mixer/admission.go
+++ b/mixer/admission.go
@@ -56,7 +56,7 @@
 				// What was learnt long ago, of s or of all, must not keep away the lookups that would show it is over.
 				on := fleet / s.size
 				unit := on*m.pace.Fade(now, halfLife) + (m.unit(now, s)-on)*s.pace.Fade(now, halfLife)
-				took := unit * float64(s.calls+1) / m.frac(now, s)
+				took := unit * float64(s.calls+1)
 				times[i] = min(times[i], float64(m.coldWait(now, s))+took)
 			}
 		})
--- a/mixer/pick.go
+++ b/mixer/pick.go
@@ -33,7 +33,7 @@
 			if len(s.out) > 0 { // at least what the oldest out there has waited
 				unit = max(unit, float64(now-s.out[0].sent)/float64(s.out[0].count))
 			}
-			key[3] = unit * float64(s.parts+1) / m.frac(now, s)
+			key[3] = unit * float64(s.parts+1)
 			if bound != nil && (m.shunned(now, s) || key[3] > backTimes*left) {
 				return // no better than where it is
 			}
