--- a/internal/lab/several/front.go
+++ b/internal/lab/several/front.go
@@ -166,11 +166,15 @@
 	err, tried := f.ask(name, id, l, false), ""
 	if again := (*unread)(nil); errors.As(err, &again) && !f.w.Book.reached(id, name) {
 		tried = fmt.Sprintf(", after %s: %v", name, err)
+		first, asked := name, began
 		if other := f.choose(name); other != "" {
 			name = other
 		}
 		began = time.Now()
 		err = f.ask(name, id, l, true)
+		if first != name && f.w.Book.reached(id, first) && !f.w.net.troubled(f.Name, first, asked, began) {
+			f.w.Book.Break("a lookup has one final answer", "%s was put to searchers by %s, which then ended its connection", id, first)
+		}
 	}
 	if err == nil {
 		return
