The program judges whether sites are lost: own evidence, reports over the roster, GET /fleet

Where <fleet> is set with three sites or more, the decider of internal/fleet/siteloss runs as a table of the desk. It goes by what came of this mixer's forwards and connections in the last window, by what the list says and how old that is, and by the reports of others, which come by exchange and by gossip. Forwards seldom leave their own site, as crossing costs, so for a site that none were answered from in the newer half of the window a searcher is asked by a probe of the protocol, on a connection of its own: without it a mixer has no word on any site but its own.

What is guarded against: an offer on the desk that is older than four rounds is not told, nor is taken what comes in a round after a halt, as a process that was stopped would tell of then as of now; reports of a fleet with other sites in its settings are refused, as they name sites by number. Nothing runs, is listened on or looked at where <fleet> is not set.

--- a/cmd/nettlefold/serve.go
+++ b/cmd/nettlefold/serve.go
@@ -158,8 +158,15 @@
 	searchers := transport.NewSearchers(c.Limits, log)
 	defer searchers.Close()
 	server := &transport.Server{Router: router, Searchers: searchers, Tariffs: c.Rows, Customers: c.Customers, Limits: c.Limits, Log: log}
+	sites, err := newSites(c, own.Fleet, log)
+	if err != nil {
+		listener.Close()
+		return fmt.Errorf("%s: %w", at.settings, err)
+	}
+	sites.see(router)
 	listed := func(l protocol.List) {
 		searchers.Listed(l)
+		sites.listed(l)
 		router.Listed(l.Entries(), l.Whole)
 		for _, m := range l.Members {
 			if m.Status == mixer.Live {
@@ -177,7 +184,10 @@
 		listener.Close()
 		return fmt.Errorf("%s: %w", at.settings, err)
 	}
-	fleet, err := gather(c, own.Fleet, nil, log)
+	fleet, err := gather(c, own.Fleet, sites.exchange(), log)
+	if err == nil {
+		err = sites.join(fleet)
+	}
 	if err != nil {
 		listener.Close()
 		return fmt.Errorf("%s: %w", at.settings, err)
@@ -186,7 +196,7 @@
 	var wg sync.WaitGroup
 	defer wg.Wait()
 	defer cancel()
-	watch := &transport.Watch{Discovery: c.Discovery, Known: c.Known, Fresh: true, Limits: c.Limits, Log: log, Listed: listed}
+	watch := &transport.Watch{Discovery: c.Discovery, Known: c.Known, Fresh: true, Limits: c.Limits, Log: log, Listed: listed, Alive: sites.alive()}
 	asked := follow(work, &wg, watch)
 	wg.Go(func() { router.Run(work) })
 	if shares != nil {
@@ -197,6 +207,7 @@
 	}
 	if fleet != nil {
 		wg.Go(func() { fleet.Run(work) }) // its goodbye comes when all that was taken is answered
+		sites.run(work, &wg)
 	}
 	if own.Admin != "" {
 		l, err := net.Listen("tcp", own.Admin)
@@ -209,7 +220,7 @@
 			answers.Keeper = shares
 		}
 		if fleet != nil {
-			answers.Fleet = &admin.Fleet{Roster: fleet}
+			answers.Fleet = &admin.Fleet{Roster: fleet, Tables: sites.tables()}
 		}
 		wg.Go(func() {
 			if err := answers.Serve(work, l); err != nil {
--- a/internal/fleet/desk/desk.go
+++ b/internal/fleet/desk/desk.go
@@ -25,6 +25,7 @@
 	maxWorkers = 8
 	maxInbox   = 32      // states that wait for a table
 	maxWaiting = 8 << 20 // bytes of them
+	stale      = 4       // rounds, after which an offer is told no more
 	firstMost  = 8 << 10 // bytes that a table may offer until the first exchange tells how much room there is
 
 	// Round is how often each table has its round, ns.
@@ -82,6 +83,7 @@
 	queued  bool
 	running bool
 	offer   []byte
+	offered int64 // when it was made
 	most    int
 	stand   Standing
 	aside   atomic.Bool
@@ -230,7 +232,7 @@
 		s.stand.Slow++
 	}
 	if due {
-		s.offer = offer
+		s.offer, s.offered = offer, d.clock()
 		s.stand.Rounds++
 	}
 	if err != nil {
--- a/internal/fleet/desk/exchange.go
+++ b/internal/fleet/desk/exchange.go
@@ -42,7 +42,8 @@
 
 // Offer gives what the tables offered after their last rounds, in at most so many bytes. It also says how many bytes each may
 // offer next: an equal part each, and to those that fill theirs, in equal parts, what the others leave. A table that does not
-// fit, as the room has shrunk or another has grown, is left out this time; who comes first goes round.
+// fit, as the room has shrunk or another has grown, is left out this time; who comes first goes round. So is one whose last round
+// is long past: where this process was stopped, it would tell of then as of now.
 func (d *Desk) Offer(most int) []byte {
 	d.mu.Lock()
 	defer d.mu.Unlock()
@@ -53,7 +54,7 @@
 		s := d.slots[(d.turn+i)%len(d.slots)]
 		size := len(s.offer) + len(s.name) + each
 		switch {
-		case len(s.offer) == 0 || s.aside.Load():
+		case len(s.offer) == 0 || s.aside.Load() || d.clock()-s.offered > int64(stale*d.round):
 		case size > left:
 			s.stand.Out++
 		default:
@@ -72,6 +73,15 @@
 	return raw
 }
 
+// Said gives what Take takes, for one table alone: what is to be told by another way than an exchange.
+func Said(table string, of []byte) []byte {
+	raw, err := cbor.Marshal(state{Version: version, Parts: []part{{Table: table, Bytes: of}}})
+	if err != nil {
+		panic(err) // text and bytes only
+	}
+	return raw
+}
+
 // share divides room among the tables.
 func (d *Desk) share(room int) {
 	if len(d.slots) == 0 {
--- a/internal/fleet/roster/roster.go
+++ b/internal/fleet/roster/roster.go
@@ -24,6 +24,9 @@
 	Take(from string, state []byte) error // what another offered or said; it may come late, twice and in any order
 }
 
+// Beat is that of pings, where the options do not say another.
+const Beat = 250 * time.Millisecond
+
 // Options say how to take part.
 type Options struct {
 	Self        Life              // Life is drawn where it is 0, Since taken from the clock
@@ -39,7 +42,7 @@
 	Forget      time.Duration // after which one who is cut off is forgotten; 0: an hour
 	MostMembers int           // 0: 1,024
 	MostState   int           // bytes of Exchange's state; 0: 256 KiB
-	Beat        time.Duration // of pings; 0: 250 ms
+	Beat        time.Duration // of pings; 0: that of Beat
 }
 
 // Roster takes part in the fleet.
@@ -98,7 +101,7 @@
 	}
 	r := &Roster{self: o.Self, log: o.Log, exchange: o.Exchange, began: time.Now(), join: o.Join, lookup: net.DefaultResolver,
 		most: or(o.MostMembers, 1024), mostState: or(o.MostState, 256<<10),
-		beat:  time.Duration(or(int(o.Beat), int(250*time.Millisecond))),
+		beat:  time.Duration(or(int(o.Beat), int(Beat))),
 		inbox: make(chan news, mostQueue), settle: make(chan struct{}, 1), where: map[string]*net.UDPAddr{}}
 	r.ledger = newLedger(o.Self, r.most, int64(or(int(o.Forget), int(time.Hour))))
 	r.queue = &memberlist.TransmitLimitedQueue{RetransmitMult: 3, NumNodes: r.living}
--- a/internal/lab/several/process.go
+++ b/internal/lab/several/process.go
@@ -212,6 +212,38 @@
 	return all, nil
 }
 
+// judges gives how a mixer judges the sites: kind, and whether it is declared.
+func (m *Mixer) judges() (map[string]judged, error) {
+	raw, err := m.Ask("/fleet")
+	if err != nil {
+		return nil, err
+	}
+	var told struct {
+		Tables []struct {
+			Name  string
+			State json.RawMessage
+		}
+	}
+	if err := json.Unmarshal(raw, &told); err != nil {
+		return nil, err
+	}
+	all := map[string]judged{}
+	for _, t := range told.Tables {
+		var rows []judged
+		if t.Name == "sites" && json.Unmarshal(t.State, &rows) == nil { // before its first round it has no rows
+			for _, r := range rows {
+				all[r.Site] = r
+			}
+		}
+	}
+	return all, nil
+}
+
+type judged struct {
+	Site, Kind string
+	Declared   bool
+}
+
 // Log gives the end of the process's log, over all its lives.
 func (m *Mixer) Log(most int) string {
 	raw, _ := os.ReadFile(filepath.Join(m.w.dir, m.Name+".log"))
--- a/internal/routing/router.go
+++ b/internal/routing/router.go
@@ -28,8 +28,17 @@
 	ErrTaken = errors.New("a lookup of this id is open")
 )
 
+// Eyes see what comes of forwards, where somebody wants to know. They are called under the router's lock and do not block.
+type Eyes interface {
+	Spot(searcher string) int16 // what a searcher's outcomes are told for, below 0: they are not
+	Outcome(spot int16, o Outcome, took int64)
+	Asked() // a lookup was brought
+}
+
 // Router is one mixer's module with all that it needs to be called.
 type Router struct {
+	Eyes Eyes // nil: nobody looks. Set before the first lookup
+
 	log     *slog.Logger
 	debug   bool // each step of each lookup is logged, with its id
 	charter mixer.Charter
@@ -221,6 +230,9 @@
 		return // its lookup has ended; the module does not send for such
 	}
 	f := &Forward{slot: s, copy: len(s.forwards), at: r.last, Part: s.index, ID: s.id, Until: r.at(r.last + within)}
+	if f.spot = -1; r.Eyes != nil {
+		f.spot = r.Eyes.Spot(searcher)
+	}
 	s.forwards = append(s.forwards, f)
 	s.t.assign(searcher, f)
 	if r.debug {
--- a/internal/routing/ticket.go
+++ b/internal/routing/ticket.go
@@ -95,6 +95,7 @@
 	copy  int
 	at    int64
 	left  bool
+	spot  int16 // of its searcher
 	done  atomic.Bool
 }
 
@@ -103,6 +104,9 @@
 	t := &Ticket{r: r, id: l.ID, ready: make(chan struct{}, 1)}
 	err := ErrFull
 	r.call(t, func(now int64) {
+		if r.Eyes != nil {
+			r.Eyes.Asked()
+		}
 		if r.tickets[l.ID] != nil {
 			err = ErrTaken
 			return
@@ -271,6 +275,9 @@
 	}
 	f.done.Store(true)
 	s := f.slot
+	if f.spot >= 0 {
+		s.t.r.Eyes.Outcome(f.spot, o, now-f.at)
+	}
 	if s.t.r.debug {
 		s.t.r.log.Debug("outcome", "part", s.id, "copy", f.copy, "outcome", o, "left", f.left, "took", time.Duration(now-f.at))
 	}
--- a/internal/transport/watch.go
+++ b/internal/transport/watch.go
@@ -25,6 +25,7 @@
 	Limits    charter.Limits
 	Log       *slog.Logger
 	Listed    func(protocol.List)
+	Alive     func() // nil, or called with each sign of life
 
 	dial    func(ctx context.Context, network, address string) (net.Conn, error) // for tests
 	fails   int                                                                  // watches in a row that brought nothing
@@ -117,7 +118,9 @@
 	if w.fails > 0 {
 		w.Log.Info("watch on the list is back", "version", w.version)
 	}
-	w.fails, w.alive = 0, time.Now()
+	if w.fails, w.alive = 0, time.Now(); w.Alive != nil {
+		w.Alive()
+	}
 }
 
 // follow holds one watch for as long as it lasts. Bytes of a message are no sign of life, only a whole one is: it has a time
