--- a/cmd/nettlefold/fleet_test.go
+++ b/cmd/nettlefold/fleet_test.go
@@ -97,13 +97,20 @@
 	var told struct {
 		Self    struct{ Name, Life, Site string }
 		Members []struct{ Name, State, Site string }
-		Tables  []any
+		Tables  []struct {
+			Name  string
+			State any
+		}
 	}
 	w.until("the program tells of both", func() bool {
 		err := json.Unmarshal([]byte(fetch("http://"+admin+"/fleet")), &told)
-		return err == nil && len(told.Members) == 2 && told.Members[1].Name == "peer" && told.Members[1].State == "here"
+		return err == nil && len(told.Members) == 2 && told.Members[1].Name == "peer" && told.Members[1].State == "here" &&
+			len(told.Tables) == 1 && len(fmt.Sprint(told.Tables[0].State)) > 100 // its first round is over
 	})
-	if s := told.Self; s.Name != "n0" || s.Site != "z" || len(s.Life) != 16 || told.Members[1].Site != "x" || told.Tables == nil {
+	if rows, ok := told.Tables[0].State.([]any); told.Tables[0].Name != "sites" || !ok || len(rows) != 3 {
+		t.Errorf("%+v", told.Tables)
+	}
+	if s := told.Self; s.Name != "n0" || s.Site != "z" || len(s.Life) != 16 || told.Members[1].Site != "x" {
 		t.Errorf("%+v", told)
 	}
 	if r := w.ask("beside", "all", 0, 1, 2, 3); r.status != http.StatusOK || !r.Complete {
@@ -133,6 +140,21 @@
 	if r, err := gather(c, nil, nil, slog.Default()); r != nil || err != nil || runtime.NumGoroutine() != before {
 		t.Errorf("without a fleet: %v, %v, %d goroutines, were %d", r, err, runtime.NumGoroutine(), before)
 	}
+	none, err := newSites(c, nil, slog.Default())
+	two, err2 := newSites(c, &settings.Fleet{Sites: []string{"z", "y"}, Alone: true}, slog.Default())
+	if none != nil || two != nil || err != nil || err2 != nil || none.exchange() != nil || none.alive() != nil || runtime.NumGoroutine() != before {
+		t.Errorf("sites are judged without a fleet, or without a majority: %v %v %v %v", none, two, err, err2)
+	}
+	var many []string
+	for i := range 65 {
+		many = append(many, fmt.Sprint("z", i))
+	}
+	c.Charter.Tariffs = []mixer.Tariff{{Expected: 1}}
+	c.Limits.Beat = 1
+	_, err = newSites(c, &settings.Fleet{Sites: many, Site: "z1"}, slog.Default())
+	if err == nil || !strings.Contains(err.Error(), "fleet: sites: 65, 1 to 64 can be") {
+		t.Errorf("too many sites: %v", err)
+	}
 	for want, change := range map[string]func(*settings.Fleet){
 		`fleet: site: "z" is none of the sites ["a" "b"]`:              func(f *settings.Fleet) { f.Sites = []string{"a", "b"} },
 		`fleet: key-file: ` + short + `: key 1: 15 bytes, want 16, 24`: func(f *settings.Fleet) { f.KeyFile = short },
--- a/internal/fleet/desk/desk_test.go
+++ b/internal/fleet/desk/desk_test.go
@@ -287,3 +287,28 @@
 		t.Errorf("checked: %v; the wrong order gives %v and %v", lockOrder, err, inner)
 	}
 }
+
+// TestOldOffersAreNotTold has an offer lie for longer than rounds take, as it does where the process was stopped.
+func TestOldOffersAreNotTold(t *testing.T) {
+	now := int64(1)
+	h := &heap{name: "h", most: 3}
+	d, err := New(func() int64 { return now }, slog.New(slog.DiscardHandler), h)
+	if err != nil {
+		t.Fatal(err)
+	}
+	d.tick()
+	d.serve(<-d.ready)
+	now += stale * int64(Round)
+	if d.Offer(999) == nil {
+		t.Error("an offer of four rounds ago is left out")
+	}
+	if now++; d.Offer(999) != nil {
+		t.Error("an offer is told that is old")
+	}
+	if err := d.Take("x", Said("h", []byte{9})); err != nil {
+		t.Fatal(err)
+	}
+	if d.serve(<-d.ready); h.most != 9 {
+		t.Errorf("of what was said alone: %d", h.most)
+	}
+}
--- a/internal/fleet/sites/sites.go
+++ b/internal/fleet/sites/sites.go
@@ -132,7 +132,8 @@
 		return err
 	}
 	t.age(now)
-	t.kept = t.kept.Join(all)
+	self := t.fleet.Self().Life
+	t.kept = t.kept.Join(slices.DeleteFunc(all, func(r siteloss.Report) bool { return r.Life == self }))
 	return nil
 }
 
