--- a/internal/fleet/sites/sites_test.go
+++ b/internal/fleet/sites/sites_test.go
@@ -120,7 +120,12 @@
 	// first round after one.
 	old := tables[1].Offer(now, 999)
 	now += 10_000 * ms
-	tables[0].Take(now, "", old)
+	kept := tables[0].kept
+	tables[0].kept = nil
+	if tables[0].Take(now, "", old); tables[0].kept != nil {
+		t.Errorf("in the first round after a halt a life that nothing was known of is believed: %+v", tables[0].kept)
+	}
+	tables[0].kept = kept
 	tables[0].Round(now)
 	if k := tables[0].kept; len(k) != 1 || k[0].Age < 10_000*ms {
 		t.Errorf("after a halt: %+v", k)
