A site long silent is asked often enough to be seen as silent still

A line cut between two sites was once told after 24 s in place of 4. After eight probes in a row without an answer one went out a second, two within the window of 2 s, where three are needed to show silence: where the mixers there fell silent later than that, the site was held unsure. Now probes go by the window: eight within it, four where nothing answers for long.

--- a/internal/fleet/sites/eyes.go
+++ b/internal/fleet/sites/eyes.go
@@ -15,7 +15,7 @@
 	mostSearchers = 4096
 	mostAsking    = 16 // probes under way at once
 	mostAskingOne = 4  // of one site
-	doubted       = 8  // probes without an answer in a row, after which only each fourth round asks
+	doubted       = 8  // probes without an answer in a row, after which only each second round asks: four show still within a window
 )
 
 // seen is what came of a site's searchers within one bucket of time.
@@ -206,7 +206,7 @@
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	p := &e.places[site]
-	if len(p.live) == 0 || p.asking >= mostAskingOne || p.failed >= doubted && round%4 != 0 ||
+	if len(p.live) == 0 || p.asking >= mostAskingOne || p.failed >= doubted && round%2 != 0 ||
 		p.ring.sum(e.clock()/e.span-buckets/2).answered > 0 {
 		return ""
 	}
--- a/internal/fleet/sites/sites.go
+++ b/internal/fleet/sites/sites.go
@@ -228,7 +228,7 @@
 	var wg sync.WaitGroup
 	defer wg.Wait()
 	free := make(chan struct{}, mostAsking)
-	timer := time.NewTicker(time.Duration(t.terms.Every / 2))
+	timer := time.NewTicker(time.Duration(t.Eyes.span))
 	defer timer.Stop()
 	for round := int64(0); ; round++ {
 		select {
--- a/internal/fleet/sites/sites_test.go
+++ b/internal/fleet/sites/sites_test.go
@@ -186,6 +186,13 @@
 	if got := e.ask(a, 0); got != "" {
 		t.Errorf("asked beyond the bound: %q", got)
 	}
+	for round := range int64(doubted) {
+		e.asked(a, false, false, ms)
+		e.ask(a, 2*round)
+	}
+	if e.asked(a, false, false, ms); e.ask(a, 1) != "" || e.ask(a, 2) == "" {
+		t.Error("a site that has long been silent is not asked each second round")
+	}
 	e.asked(a, true, true, ms)
 	if got := e.ask(a, 0); got != "" {
 		t.Errorf("asked though it has just answered: %q", got)
@@ -198,7 +205,7 @@
 		<-ctx.Done()
 		return true, false
 	}
-	tables[1].terms.Every = ms
+	tables[1].Eyes.span = ms
 	ended := make(chan struct{})
 	go func() { tables[1].Run(ctx); close(ended) }()
 	for range 3 * mostAskingOne {
