--- a/cmd/nettlefold/serve.go
+++ b/cmd/nettlefold/serve.go
@@ -196,7 +196,8 @@
 	var wg sync.WaitGroup
 	defer wg.Wait()
 	defer cancel()
-	watch := &transport.Watch{Discovery: c.Discovery, Known: c.Known, Fresh: true, Limits: c.Limits, Log: log, Listed: listed, Alive: sites.alive()}
+	watch := &transport.Watch{Discovery: c.Discovery, Known: c.Known, Fresh: true, Limits: c.Limits, Log: log, Listed: listed,
+		Alive: sites.alive()}
 	asked := follow(work, &wg, watch)
 	wg.Go(func() { router.Run(work) })
 	if shares != nil {
