What must never be judged is looked for from a settled start on, and not where the rig stood still

On a machine with twenty times more to do than cores all six plays failed at their last step: sites had been declared without mixers or without searchers while 54 processes were starting, and searchers and wires, which are the rig's, had not run for seconds.

--- a/internal/lab/several/world.go
+++ b/internal/lab/several/world.go
@@ -73,6 +73,8 @@
 	wg      sync.WaitGroup
 	agents  []*http.Server
 	began   time.Time
+	settled time.Time // since when Never looks
+	pulse   pulse
 }
 
 func or[T comparable](v *T, otherwise T) {
@@ -104,6 +106,7 @@
 	w := &World{Setup: s, net: newNetwork(), parties: map[string]string{}, began: time.Now()}
 	w.Book = newBook(w)
 	w.ctx, w.cancel = context.WithCancel(context.Background())
+	w.wg.Go(func() { w.pulse.run(w) })
 	err := w.make()
 	if err == nil {
 		err = w.Until("all mixers are healthy", func() error { return w.Healthy("*") })
