--- a/internal/fleet/siteloss/demand.go
+++ b/internal/fleet/siteloss/demand.go
@@ -1,47 +1,41 @@
 package siteloss
 
-// Foresee gives the demand to plan for at one mixer from the moment that sites are out. Before is what it was asked when all
-// was sound, now what it is asked at present. Clients of the lost mixers come to the others, evenly, and try again when
-// turned away, up to so many tries: what comes already is not waited for, and what comes beyond it is not doubted.
-// The figures are those of the whole fleet: each mixer takes itself for an even share of those that are left.
-func Foresee(before, now []Flow, mixers, left int, tries float64) []Flow {
-	left = max(left, 1)
+import "math"
+
+// Foresee gives the demand to plan for from the moment that sites are out. Before is what the fleet was asked when all was
+// sound, now what it is asked at present by those that come for the first time, counted over a span in seconds. Clients of the
+// lost mixers come to the others, so the fleet is asked as before: that is not waited for. More is believed once it is more
+// than chance makes of it, two deviations; each tariff of a customer goes up as a whole.
+func Foresee(before, now []Flow, span float64) []Flow {
+	type sums struct{ before, now float64 }
+	of := map[class]*sums{}
+	sum := func(f Flow) *sums {
+		c := class{f.Tariff, f.Customer, f.Over, 0}
+		if of[c] == nil {
+			of[c] = &sums{}
+		}
+		return of[c]
+	}
+	for _, f := range before {
+		sum(f).before += f.Rate
+	}
+	for _, f := range now {
+		sum(f).now += f.Rate
+	}
 	out := make([]Flow, 0, min(len(now)+len(before), MaxFlows))
 	for _, f := range before {
-		f.Rate *= float64(mixers) * max(1, tries)
+		s := sum(f)
+		f.Rate *= max(1, (s.now-2*math.Sqrt(s.now/max(span, tiny)))/max(s.before, tiny))
 		out = append(out, f)
 	}
-	for _, f := range now {
-		f.Rate *= float64(left)
-		at := -1
-		for i := range out {
-			if out[i].same(f) {
-				at = i
-				break
-			}
-		}
-		switch {
-		case at >= 0:
-			out[at].Rate = max(out[at].Rate, f.Rate)
-		case len(out) < MaxFlows:
+	for _, f := range now { // of tariffs and customers that are new
+		if sum(f).before <= 0 && len(out) < MaxFlows {
 			out = append(out, f)
 		}
 	}
 	return out
 }
 
-func (f Flow) same(o Flow) bool {
-	if f.Tariff != o.Tariff || f.Customer != o.Customer || f.Over != o.Over || len(f.Slices) != len(o.Slices) {
-		return false
-	}
-	for i := range f.Slices {
-		if f.Slices[i] != o.Slices[i] {
-			return false
-		}
-	}
-	return true
-}
-
 // Bearing learns what each cell bears, in work a second at the whole fleet. Nobody tells it: it is what was served, and while
 // answers come in time it may be more, when they come late it is less.
 type Bearing struct {
@@ -53,6 +47,8 @@
 	bears float64
 	at    int64
 	known bool
+	calm  float64 // bears when answers last were in time
+	until int64   // holders went lately: what is late comes of that
 }
 
 // Served is what one cell did since the last call.
@@ -62,15 +58,17 @@
 	Holders float64 // of those that were there at the last call, what is left: 1 where none was lost
 }
 
-// NewBearing learns over a time, as that of an expected time.
+// NewBearing learns over a time.
 func NewBearing(cells int, half int64) *Bearing {
 	return &Bearing{cells: make([]bearing, cells), half: max(half, 1)}
 }
 
 const (
-	grows   = 0.10 // a half-life, while all is in time and what was served is near what it is thought to bear
-	shrink  = 0.15 // a half-life, while answers are late
-	toomuch = 0.10 // late answers that show that a cell bears less
+	near    = 0.90 // of what it is thought to bear: only who serves as much shows that it may bear more
+	grows   = 0.05 // a half-life, while all is in time and what was served is near what it is thought to bear
+	shrink  = 0.05 // a half-life, while answers are late
+	settles = 3    // half-lives after holders went in which nothing is learnt
+	toomuch = 0.15 // late answers, and lookups turned away all the same, that show that a cell bears less
 )
 
 // Learn takes what cells served.
@@ -86,11 +84,19 @@
 		}
 		steps := min(float64(now-c.at)/float64(b.half), 4)
 		c.at = now
-		c.bears *= min(max(s.Holders, 0), 1)
+		if s.Late <= toomuch {
+			c.calm = c.bears
+		}
+		if s.Holders < 1 { // what came late since they went says nothing of those that are left
+			c.bears = c.calm * max(s.Holders, 0)
+			c.calm = c.bears
+			c.until = now + settles*b.half
+		}
 		switch {
+		case now < c.until:
 		case s.Late > toomuch:
-			c.bears -= c.bears * shrink * steps * min(1, s.Late)
-		case s.Work >= 0.8*c.bears:
+			c.bears = max(s.Work, c.bears*(1-shrink*steps*min(1, s.Late))) // what it serves it bears
+		case s.Work >= near*c.bears:
 			c.bears = max(c.bears, s.Work) * (1 + grows*steps)
 		}
 	}
--- a/internal/fleet/siteloss/flow.go
+++ b/internal/fleet/siteloss/flow.go
@@ -17,6 +17,15 @@
 // are full. Kinds that are not short use none of these cells, so they lose nothing to the short ones.
 func (r Ring) borne(load []float64) (all bool, short []bool) {
 	n := r.Cells
+	if r.Reach == 1 {
+		short, all = make([]bool, n), true
+		for k := range n {
+			if load[k] > r.Bears[k]*(1+1e-7)+tiny*tiny {
+				short[k], all = true, false
+			}
+		}
+		return all, short
+	}
 	left, rest := make([]float64, n), make([]float64, n) // load not yet placed, room left
 	sent := make([]float64, n*r.Reach)                   // by kind and its holder
 	total := 0.0
@@ -113,6 +122,14 @@
 // most gives how much of more, up to a limit, is borne beside a load that is borne: each round goes down to what the
 // tightest cut of the round before allows.
 func (r Ring) most(load, more []float64, limit float64) float64 {
+	if r.Reach == 1 { // each kind has its own cell
+		for k, x := range more {
+			if x > 0 && load[k]+limit*x > r.Bears[k] {
+				limit = max(0, (r.Bears[k]-load[k])/x)
+			}
+		}
+		return limit
+	}
 	sum := make([]float64, r.Cells)
 	for range 4 * r.Cells {
 		for k := range sum {
--- a/internal/fleet/siteloss/pace.go
+++ b/internal/fleet/siteloss/pace.go
@@ -123,7 +123,7 @@
 	if l.Share >= 1 {
 		return true
 	}
-	_, at := math.Modf(float64(l.rank)*0.6180339887498949 + float64(searcher)*0.7548776662466927)
+	_, at := math.Modf(float64(l.rank)*golden + float64(searcher)*0.7548776662466927)
 	return at < l.Share
 }
 
@@ -138,7 +138,7 @@
 		return false
 	}
 	if p.saved == p.at && p.credit == 0 {
-		_, place := math.Modf(float64(p.terms.Rank+1) * 0.6180339887498949)
+		_, place := math.Modf(float64(p.terms.Rank+1) * golden)
 		p.credit = place
 	}
 	p.credit = min(1, p.credit+right*float64(now-p.saved)/float64(max(p.terms.Cold, 1)))
--- a/internal/fleet/siteloss/plan.go
+++ b/internal/fleet/siteloss/plan.go
@@ -27,6 +27,7 @@
 const (
 	MaxCells = 128
 	MaxFlows = 4096
+	saves    = 2.0 // lookups that a class may save up
 )
 
 // Flow is demand of one sort: lookups a second that ask these slices for a part each.
@@ -38,10 +39,22 @@
 	Work             float64 // of a part, seconds
 }
 
-// class is what is let in alike: a tariff of a customer, within or beyond its share.
+// class is what is let in alike: a tariff of a customer, within or beyond its share, of lookups that begin at one place. One
+// share for all places would go by the shortest of them.
 type class struct {
 	tariff, customer int
 	over             bool
+	place            int // kind of its first slice that is short
+}
+
+// class gives that of a lookup that touches a short slice.
+func (p *Plan) class(tariff, customer int, over bool, of []int) class {
+	for _, s := range of {
+		if k := p.ring.kind(s); p.short[k] {
+			return class{tariff, customer, over, k}
+		}
+	}
+	return class{tariff, customer, over, 0}
 }
 
 // share is how one class is let in where it touches a short slice.
@@ -49,6 +62,7 @@
 	let   float64 // of its lookups
 	whole float64 // of those: asked for as many parts as make it whole, the others for the least share
 
+	rate           float64 // lookups a second
 	credit, wholes float64 // what Admit has saved up
 }
 
@@ -104,7 +118,7 @@
 		if !p.touches(f.Slices) {
 			continue
 		}
-		c, t := class{f.Tariff, f.Customer, f.Over}, p.rules.Tariffs[f.Tariff]
+		c, t := p.class(f.Tariff, f.Customer, f.Over, f.Slices), p.rules.Tariffs[f.Tariff]
 		i, ok := at[c]
 		if !ok {
 			i = len(all)
@@ -203,7 +217,7 @@
 			s.whole = 1
 		}
 		s.let, s.whole = min(max(s.let, 0), 1), min(max(s.whole, 0), 1)
-		s.credit, s.wholes = 0.5, 0.5
+		s.rate, s.credit, s.wholes = f.rate, 0.5, 0.5
 		p.Worth += s.let * (s.whole*f.revenue + (1-s.whole)*f.part)
 		p.shares[f.class] = &s
 	}
@@ -268,28 +282,33 @@
 type Lookup struct {
 	Tariff, Customer int
 	Over             bool
+	Again            bool // its client was turned away before
 	Slices           []int
 }
 
 // Admit tells whether a lookup is let in, the share of its parts that is asked for (on short slices they are left out
 // first), and when one that is turned away may come again: 0 is not said. Each class saves up its share for every lookup that
-// comes and one is let in for a whole one saved, so shares hold over any stretch to within one lookup.
+// comes and one is let in for a whole one saved, so shares hold over any stretch to within one lookup. Who comes again was
+// counted the first time: it may use what is saved and adds nothing. Where none of a class is turned away, all may come again.
 func (p *Plan) Admit(l Lookup) (ok bool, ask float64, wait int64) {
 	if p == nil || !p.touches(l.Slices) {
 		return true, 1, 0
 	}
 	t := p.rules.Tariffs[l.Tariff]
-	s := p.shares[class{l.Tariff, l.Customer, l.Over}]
+	s := p.shares[p.class(l.Tariff, l.Customer, l.Over, l.Slices)]
 	if s == nil { // a class that was not seen when the plan was made: as others of its tariff, at the least share
 		return true, t.LeastShare, 0
 	}
-	if s.credit += s.let; s.credit < 1-tiny {
+	if !l.Again {
+		s.credit = min(s.credit+s.let, saves)
+	}
+	if s.credit < 1-tiny && s.let < 1-tiny {
 		p.turned++
 		// The golden ratio spreads any run of them evenly over the time in which the end may come.
-		_, at := math.Modf(float64(p.turned%(1<<32)) * (math.Sqrt(5) - 1) / 2)
+		_, at := math.Modf(float64(p.turned%(1<<32)) * golden)
 		return false, 0, min(p.Spread+int64(at*float64(p.Spread)), p.rules.MaxAdvice)
 	}
-	s.credit--
+	s.credit = max(0, s.credit-1)
 	if s.wholes += s.whole; s.wholes < 1-tiny {
 		return true, t.LeastShare, 0
 	}
@@ -297,15 +316,58 @@
 	return true, t.CompleteFrom, 0
 }
 
-// Let gives the share of a class that is let in, for the log and for tests.
-func (p *Plan) Let(tariff, customer int, over bool) float64 {
+// Follow has a plan go on where the one before it stood, so that shares hold across plans too. Where there is none, each
+// mixer begins at a place of its own: else all would let in their first lookups, or none.
+func (p *Plan) Follow(before *Plan, rank int) {
 	if p == nil {
+		return
+	}
+	for c, s := range p.shares {
+		if before != nil && before.shares[c] != nil {
+			s.credit, s.wholes = before.shares[c].credit, before.shares[c].wholes
+			continue
+		}
+		n := float64(rank) + float64(c.place+c.customer*7+c.tariff*31)*0.1
+		_, s.credit = math.Modf((n + 1) * golden)
+		_, s.wholes = math.Modf((n + 1) * golden * golden * 3)
+	}
+	if before != nil {
+		p.turned = before.turned
+	}
+}
+
+// golden spreads whole numbers evenly between 0 and 1 by what is left of their products with it.
+const golden = math.Phi - 1
+
+// Return takes back that a lookup was let in, where the module turned it away all the same.
+func (p *Plan) Return(l Lookup) {
+	if p == nil || !p.touches(l.Slices) {
+		return
+	}
+	if s := p.shares[p.class(l.Tariff, l.Customer, l.Over, l.Slices)]; s != nil {
+		s.credit = min(s.credit+1, saves)
+	}
+}
+
+// Let gives the share of a class that is let in, over all places, for the log and for tests.
+func (p *Plan) Let(tariff, customer int, over bool) float64 {
+	let, n := 0.0, 0.0
+	for k := range p.kinds() {
+		if s := p.shares[class{tariff, customer, over, k}]; s != nil {
+			let, n = let+s.let*s.rate, n+s.rate
+		}
+	}
+	if n == 0 {
 		return 1
 	}
-	if s := p.shares[class{tariff, customer, over}]; s != nil {
-		return s.let
+	return let / n
+}
+
+func (p *Plan) kinds() int {
+	if p == nil {
+		return 0
 	}
-	return 1
+	return p.ring.Cells
 }
 
 // Short tells whether a slice is short: parts on it are the first to be left out.
--- a/internal/fleet/siteloss/plan_test.go
+++ b/internal/fleet/siteloss/plan_test.go
@@ -56,12 +56,12 @@
 		for _, f := range flows {
 			if !p.touches(f.Slices) {
 				p.load(load, f, 1, f.Rate)
-				if ok, ask, _ := p.Admit(Lookup{f.Tariff, f.Customer, f.Over, f.Slices}); !ok || ask != 1 {
+				if ok, ask, _ := p.Admit(Lookup{f.Tariff, f.Customer, f.Over, false, f.Slices}); !ok || ask != 1 {
 					t.Fatal("a lookup of sound slices is touched")
 				}
 				continue
 			}
-			s, r := p.shares[class{f.Tariff, f.Customer, f.Over}], rules.Tariffs[f.Tariff]
+			s, r := p.shares[p.class(f.Tariff, f.Customer, f.Over, f.Slices)], rules.Tariffs[f.Tariff]
 			p.load(load, f, r.CompleteFrom, f.Rate*s.let*s.whole)
 			p.load(load, f, r.LeastShare, f.Rate*s.let*(1-s.whole))
 			refused = refused || s.let < 1-1e-6
--- a/internal/fleet/siteloss/solve.go
+++ b/internal/fleet/siteloss/solve.go
@@ -75,7 +75,7 @@
 // passes of exchanges at one size, and how many may be tried in all.
 const (
 	passes = 4
-	trials = 6000
+	trials = 6_000 // over the number of items: each costs as many steps
 )
 
 // exchange betters a solution by small moves.
@@ -112,7 +112,7 @@
 		from[j] = e.r.most(e.base, e.items[j].Load, e.best[j]+share*e.gap(j))
 		any = e.better(e.fillTo(from), -1) || any
 		for i := range e.items {
-			if i != j && e.best[i] > tiny && e.tried < trials {
+			if i != j && e.best[i] > tiny && e.tried*len(e.items) < trials {
 				from := slices.Clone(e.best)
 				from[i] *= 1 - share
 				any = e.better(from, j) || any
@@ -127,7 +127,7 @@
 	load := make([]float64, e.r.Cells)
 	for j := range e.items {
 		for i := range j {
-			if e.gap(i) < 1e-6 || e.gap(j) < 1e-6 || e.items[i].Class == e.items[j].Class || e.tried >= trials {
+			if e.gap(i) < 1e-6 || e.gap(j) < 1e-6 || e.items[i].Class == e.items[j].Class || e.tried*len(e.items) >= trials {
 				continue
 			}
 			from := make([]float64, len(e.items))
--- a/internal/fleet/siteloss/state.go
+++ b/internal/fleet/siteloss/state.go
@@ -65,8 +65,9 @@
 func (t Terms) memory() int64 { return 8 * t.Warming }          // how long a return counts as one that may not last
 func (t Terms) Window() int64 { return 2*t.Every + t.Expected } // what "lately" means in Evidence
 
-// Settles is the longest that a loss takes to be held by all, with sound lines: silence, its standing, one round to tell.
-func (t Terms) Settles() int64 { return max(t.quiet(), t.Expected) + t.hold() + 2*t.Every }
+// Settles is the longest that a loss takes to be held by all, with sound lines: silence, its standing, and a round each until
+// the last word of the lost is taken, until the silence is seen, until that is told, and until it is taken by others.
+func (t Terms) Settles() int64 { return max(t.quiet(), t.Expected) + t.hold() + 4*t.Every }
 
 // Check says what of the terms cannot be.
 func (t Terms) Check() error {
@@ -229,3 +230,6 @@
 func (s *State) woken(now int64) bool { return now-s.awake <= s.terms.fresh() && !s.flaw.pauseCounts }
 
 func (r *row) gone() bool { return r.view == Lost || r.view == MixersGone || r.view == SearchersGone }
+
+// Verdict gives what held of a site after the last step, for the log and for questions.
+func (s *State) Verdict(site int) Verdict { return s.rows[site].verdict }
--- a/internal/lab/measure/measure.go
+++ b/internal/lab/measure/measure.go
@@ -29,6 +29,7 @@
 // Measurements are those there are, by name.
 var Measurements = map[string]func(quick bool) (Result, error){
 	"shared-store": SharedStore,
+	"site-loss":    SiteLoss,
 }
 
 // Names gives their names in order.
