--- a/internal/fleet/siteloss/report_test.go
+++ b/internal/fleet/siteloss/report_test.go
@@ -17,7 +17,7 @@
 				views[i] = Kind(rapid.IntRange(0, int(kinds)-1).Draw(t, "view"))
 			}
 			rs = append(rs, Report{Life: life, Views: views, Seq: rapid.Uint64Range(1, 3).Draw(t, "seq"),
-				Age: rapid.Int64Range(0, 2).Draw(t, "age"),
+				Age:   rapid.Int64Range(0, 2).Draw(t, "age"),
 				Cells: make([]Load, rapid.IntRange(0, 2).Draw(t, "cells")), Asked: make([]float32, rapid.IntRange(0, 2).Draw(t, "asked"))})
 		}
 	}
