--- a/internal/fleet/siteloss/solve.go
+++ b/internal/fleet/siteloss/solve.go
@@ -75,7 +75,7 @@
 // passes of exchanges at one size, and how many may be tried in all.
 const (
 	passes = 4
-	trials = 6000
+	trials = 6_000 // over the number of items: each costs as many steps
 )
 
 // exchange betters a solution by small moves.
@@ -112,7 +112,7 @@
 		from[j] = e.r.most(e.base, e.items[j].Load, e.best[j]+share*e.gap(j))
 		any = e.better(e.fillTo(from), -1) || any
 		for i := range e.items {
-			if i != j && e.best[i] > tiny && e.tried < trials {
+			if i != j && e.best[i] > tiny && e.tried*len(e.items) < trials {
 				from := slices.Clone(e.best)
 				from[i] *= 1 - share
 				any = e.better(from, j) || any
@@ -127,7 +127,7 @@
 	load := make([]float64, e.r.Cells)
 	for j := range e.items {
 		for i := range j {
-			if e.gap(i) < 1e-6 || e.gap(j) < 1e-6 || e.items[i].Class == e.items[j].Class || e.tried >= trials {
+			if e.gap(i) < 1e-6 || e.gap(j) < 1e-6 || e.items[i].Class == e.items[j].Class || e.tried*len(e.items) >= trials {
 				continue
 			}
 			from := make([]float64, len(e.items))
@@ -154,7 +154,8 @@
 
 // fillUp adds items to what is taken already, in the order of their worth at prices, and tells what the first that does not
 // go whole is short of.
-func fillUp(r Ring, base []float64, items []Item, room, prices, from []float64, first int) (taken []float64, sum float64, short []bool) {
+func fillUp(r Ring, base []float64, items []Item, room, prices, from []float64, first int) (
+	taken []float64, sum float64, short []bool) {
 	order, worths := make([]int, len(items)), make([]float64, len(items))
 	load, left := slices.Clone(base), slices.Clone(room)
 	if taken = from; taken == nil {
@@ -226,7 +227,8 @@
 			more[k] = f.whole[k] - f.less[k]
 		}
 		room[2*i], room[2*i+1] = 1-scale*f.floor, scale*f.floor
-		items = append(items, Item{f.less, f.part, 1, 2 * i}, Item{f.whole, f.revenue, 1, 2 * i}, Item{more, f.revenue - f.part, 1, 2*i + 1})
+		items = append(items, Item{f.less, f.part, 1, 2 * i}, Item{f.whole, f.revenue, 1, 2 * i},
+			Item{more, f.revenue - f.part, 1, 2*i + 1})
 		worth += scale * f.floor * f.part
 	}
 	taken := by(p.ring, base, items, room)
--- a/internal/fleet/siteloss/state.go
+++ b/internal/fleet/siteloss/state.go
@@ -65,8 +65,9 @@
 func (t Terms) memory() int64 { return 8 * t.Warming }          // how long a return counts as one that may not last
 func (t Terms) Window() int64 { return 2*t.Every + t.Expected } // what "lately" means in Evidence
 
-// Settles is the longest that a loss takes to be held by all, with sound lines: silence, its standing, one round to tell.
-func (t Terms) Settles() int64 { return max(t.quiet(), t.Expected) + t.hold() + 2*t.Every }
+// Settles is the longest that a loss takes to be held by all, with sound lines: silence, its standing, and a round each until
+// the last word of the lost is taken, until the silence is seen, until that is told, and until it is taken by others.
+func (t Terms) Settles() int64 { return max(t.quiet(), t.Expected) + t.hold() + 4*t.Every }
 
 // Check says what of the terms cannot be.
 func (t Terms) Check() error {
@@ -164,15 +165,14 @@
 
 // State is a mixer's.
 type State struct {
-	terms   Terms
-	life    uint64
-	seq     uint64
-	rows    []row
-	started int64
-	last    int64
-	awake   int64 // since when this mixer runs without a pause
-	taken   int64 // when it last took back that a site is lost
-	flaw    faults
+	terms Terms
+	life  uint64
+	seq   uint64
+	rows  []row
+	last  int64
+	awake int64 // since when this mixer runs without a pause
+	taken int64 // when it last took back that a site is lost
+	flaw  faults
 }
 
 // New gives the state of a life that starts now.
@@ -180,7 +180,7 @@
 	if err := t.Check(); err != nil {
 		return nil, err
 	}
-	return &State{terms: t, life: life, rows: make([]row, t.Sites), started: now, last: now, awake: now, taken: now - t.fresh() - 1}, nil
+	return &State{terms: t, life: life, rows: make([]row, t.Sites), last: now, awake: now, taken: now - t.fresh() - 1}, nil
 }
 
 // Step takes what has come and gives what holds now. It is called about every Terms.Every.
@@ -229,3 +229,6 @@
 func (s *State) woken(now int64) bool { return now-s.awake <= s.terms.fresh() && !s.flaw.pauseCounts }
 
 func (r *row) gone() bool { return r.view == Lost || r.view == MixersGone || r.view == SearchersGone }
+
+// Verdict gives what held of a site after the last step, for the log and for questions.
+func (s *State) Verdict(site int) Verdict { return s.rows[site].verdict }
