--- a/internal/fleet/siteloss/demand.go
+++ b/internal/fleet/siteloss/demand.go
@@ -88,7 +88,7 @@
 			c.calm = c.bears
 		}
 		if s.Holders < 1 { // what came late since they went says nothing of those that are left
-			c.bears = c.calm * max(s.Holders, 0)
+			c.bears = max(c.calm, c.bears) * max(s.Holders, 0)
 			c.calm = c.bears
 			c.until = now + settles*b.half
 		}
