A mixer's own site is found in one place; comparisons by the library; slow tables counted as logged

On reading the whole change again. gather and newSites both chose the settings' site or else the platform's zone, and asked in two ways whether the fleet has it: ownSite and Fleet.Has serve both. Two orders of reports were compared by hand. The desk took a table's time twice, so that log and count could differ. Two tests of leaving set up the same world.

--- a/cmd/nettlefold/fleet.go
+++ b/cmd/nettlefold/fleet.go
@@ -1,6 +1,7 @@
 package main
 
 import (
+	"cmp"
 	"encoding/hex"
 	"fmt"
 	"log/slog"
@@ -19,10 +20,7 @@
 	if f == nil {
 		return nil, nil
 	}
-	site := f.Site
-	if site == "" {
-		site = c.Charter.Zone
-	}
+	site := ownSite(c, f)
 	if err := f.Has(site); err != nil {
 		return nil, fmt.Errorf("fleet: %w", err)
 	}
@@ -45,6 +43,9 @@
 	return r, nil
 }
 
+// ownSite is the site this mixer stands in: where the settings do not say, the zone of the platform's configuration.
+func ownSite(c protocol.Config, f *settings.Fleet) string { return cmp.Or(f.Site, c.Charter.Zone) }
+
 const mostKeys = 4 // in a file
 
 // fleetKeys reads the keys that seal what mixers tell each other, one a line, each of 16, 24 or 32 bytes in hex. The first seals,
--- a/cmd/nettlefold/open_connections_test.go
+++ b/cmd/nettlefold/open_connections_test.go
@@ -84,12 +84,7 @@
 // has its one answer, or its connection was closed before one came; then nothing of it was done, since the client sends it again.
 // For as long as the platform still sends new connections, none is closed.
 func TestRequestsAfterTheSignal(t *testing.T) {
-	w := prepare(t)
-	for _, s := range w.searchers {
-		s.Took = 150 * time.Millisecond
-	}
-	all := w.settings["Profiles"].([]object)[0]
-	all["AimMs"], all["DeadlineMs"] = 10000.0, 10000.0 // so that none is turned away for its time
+	w := unhurried(t, 150*time.Millisecond)
 	w.start()
 	var wg sync.WaitGroup
 	var senders []*sender
--- a/cmd/nettlefold/sites.go
+++ b/cmd/nettlefold/sites.go
@@ -4,7 +4,6 @@
 	"context"
 	"fmt"
 	"log/slog"
-	"slices"
 	"sync"
 	"time"
 
@@ -34,11 +33,8 @@
 	if f == nil || len(f.Sites) < leastSites {
 		return nil, nil
 	}
-	own := f.Site
-	if own == "" {
-		own = c.Charter.Zone
-	}
-	if !slices.Contains(f.Sites, own) {
+	own := ownSite(c, f)
+	if f.Has(own) != nil {
 		return nil, nil
 	}
 	began := time.Now()
--- a/internal/fleet/desk/desk.go
+++ b/internal/fleet/desk/desk.go
@@ -220,7 +220,8 @@
 			}
 		}
 	})
-	if took := time.Since(began); took > Slow {
+	took := time.Since(began)
+	if took > Slow {
 		d.log.Warn("a table of the fleet is slow", "table", s.name, "took", took)
 	}
 	d.mu.Lock()
@@ -228,7 +229,7 @@
 	s.running = false
 	s.stand.Taken += uint64(len(inbox) - bad)
 	s.stand.Bad += uint64(bad)
-	if time.Since(began) > Slow {
+	if took > Slow {
 		s.stand.Slow++
 	}
 	if due {
--- a/internal/fleet/sites/sites.go
+++ b/internal/fleet/sites/sites.go
@@ -3,6 +3,7 @@
 package sites
 
 import (
+	"cmp"
 	"context"
 	"encoding/binary"
 	"errors"
@@ -89,7 +90,7 @@
 // round, and are told as that much older: too old is harmless, too young is not.
 func (t *Table) Offer(now int64, most int) []byte {
 	all := t.kept.Older(now-t.aged+int64(desk.Round), t.terms)
-	slices.SortFunc(all, func(a, b siteloss.Report) int { return int(min(1, max(-1, a.Age-b.Age))) })
+	slices.SortFunc(all, func(a, b siteloss.Report) int { return cmp.Compare(a.Age, b.Age) })
 	for {
 		raw := t.written(all)
 		if len(raw) <= most {
@@ -109,12 +110,7 @@
 		return nil // no round yet
 	}
 	all := slices.Clone(of)
-	slices.SortFunc(all, func(a, b siteloss.Report) int {
-		if a.Life < b.Life {
-			return -1
-		}
-		return 1
-	})
+	slices.SortFunc(all, func(a, b siteloss.Report) int { return cmp.Compare(a.Life, b.Life) })
 	raw, err := all.Join(siteloss.Reports{own}).Append(binary.LittleEndian.AppendUint64(nil, t.stamp))
 	if err != nil {
 		panic(err) // numbers only
