Connections to searchers: none is ended with a part on it that was put there meanwhile

Close has the habit too but no fault, since nothing is sent any more by then. Listed dropped the connections of a searcher that had only moved, with its parts, and told what was lost before the module had the list: a lost part went on to a searcher that the same message names as draining. write asked Leave and then waited up to Limits.Write for room; a frame that came free late began an attempt after its lookup's end. A part written to a connection whose end had come but was not read yet ended as a reset.

What is chosen is claimed under the lock; sockets are closed and outcomes told after. Listed closes what is old to new parts and gives a function that ends it, which serve.go calls once the module has the list. A searcher that moved keeps its parts, but for those whose connection is not up. Withdraw and Abandon (for lookups that have ended) have the writer look again at a frame that is held up, and so does the end of the wait for its parts: one given up whole does not begin, or ends with its connection, unless another part is out there. Before a write to a connection with nothing out, a look without blocking tells whether it has ended. drop.go and write.go are split off line.go. got read spent without the lock: mended. Ruled out: a close over unread bytes, since at our closings nothing is awaited there, or the process is no more, or the connection has failed already; parts given up are given up by the closing as well as by their X.

Seen by reading only: got's look at spent. TestGivenUpWhileItIsWritten wanted a part given up before its frame to go out whole with its X after it; now nothing of it goes out, which is asked instead.

--- a/cmd/nettlefold/serve.go
+++ b/cmd/nettlefold/serve.go
@@ -165,9 +165,10 @@
 	}
 	sites.see(router)
 	listed := func(l protocol.List) {
-		searchers.Listed(l)
+		end := searchers.Listed(l)
 		sites.listed(l)
 		router.Listed(l.Entries(), l.Whole)
+		end()
 		for _, m := range l.Members {
 			if m.Status == mixer.Live {
 				server.Ready()
--- a/internal/transport/line.go
+++ b/internal/transport/line.go
@@ -5,15 +5,12 @@
 	"context"
 	"errors"
 	"fmt"
-	"log/slog"
 	"net"
 	"os"
-	"slices"
 	"time"
 
 	"nettlefold/internal/charter"
 	"nettlefold/internal/protocol"
-	"nettlefold/mixer"
 )
 
 // line is one connection, from before it is up until its last goroutine has ended.
@@ -24,11 +21,13 @@
 	used   time.Time // last written to or read from
 	heard  time.Time // last read from
 	queue  [][]*Parcel
-	raw    [][]byte // frames that are no calls
+	raw    [][]byte  // frames that are no calls
+	busy   []*Parcel // whose frame is being written
 	out    map[string]*Parcel
 	last   string // id of the newest answer
 	halted bool   // carries no more new parts, for good or until a frame that has begun is whole
 	spent  bool   // halted for good
+	old    bool   // its process is no more: nothing that waits is written
 	wake   chan struct{}
 	closed bool
 	cancel context.CancelFunc
@@ -41,14 +40,6 @@
 	errSpent   = errors.New("more than the answers has come")
 )
 
-// spoilt is the error of an answer that cannot be used. The searcher is there, its work may have been done.
-type spoilt struct {
-	error
-	id string // of the part, "" if that cannot be told
-}
-
-func (e *spoilt) Unwrap() error { return e.error }
-
 // live counts the parts that are waited for.
 func (l *line) live() (n int) {
 	for _, p := range l.out {
@@ -141,7 +132,7 @@
 		}
 		for _, frame := range raw {
 			if err == nil {
-				_, err = s.put(nc, frame)
+				err = s.put(nc, frame)
 			}
 		}
 		if err != nil {
@@ -151,58 +142,6 @@
 	}
 }
 
-// write puts out what of a call may still leave, as one frame.
-func (s *Searchers) write(l *line, nc net.Conn, call []*Parcel) error {
-	var parts []protocol.Part
-	var left []*Parcel
-	now := time.Now()
-	for _, p := range call {
-		if p.Forward.Leave() {
-			p.Part.Within = p.Forward.Until.Sub(now)
-			parts = append(parts, p.Part)
-			left = append(left, p)
-		}
-	}
-	s.mu.Lock()
-	for _, p := range call {
-		if l.out[p.Part.ID] == p && !slices.Contains(left, p) {
-			delete(l.out, p.Part.ID)
-		}
-	}
-	for _, p := range left {
-		if p.state = writing; p.given { // after it had leave to go: the frame goes out with it
-			l.giveUp(p)
-		}
-	}
-	closed := l.closed
-	s.mu.Unlock()
-	if closed || len(left) == 0 {
-		return nil
-	}
-	frame := protocol.AppendCall(nil, parts)
-	n, err := s.put(nc, frame)
-	became, outcome := queued, mixer.Unreached
-	if n == len(frame) {
-		became, outcome = written, mixer.Reset
-	}
-	s.mu.Lock()
-	l.used = time.Now()
-	for _, p := range left {
-		p.state, p.sent = became, now // an answer may have come already
-	}
-	closed = l.closed
-	s.mu.Unlock()
-	if closed { // the connection ended meanwhile, and left these to be told here
-		report(left, outcome)
-	}
-	return err
-}
-
-func (s *Searchers) put(nc net.Conn, frame []byte) (int, error) {
-	nc.SetWriteDeadline(time.Now().Add(s.lim.Write))
-	return nc.Write(frame)
-}
-
 // listen reads from the connection until it ends.
 func (s *Searchers) listen(l *line, nc net.Conn) {
 	defer s.wg.Done()
@@ -269,12 +208,13 @@
 		}
 		l.used = time.Now()
 		l.heard = l.used
-		idle := l.live() == 0
+		idle, spent := l.live() == 0, l.spent
+		l.prompt()
 		s.mu.Unlock()
 		switch {
 		case p != nil:
 			p.Forward.Report(r.Outcome, r.Value)
-			if l.spent && idle {
+			if spent && idle {
 				return errSpent
 			}
 		case idle:
@@ -300,65 +240,3 @@
 	}
 	return nil
 }
-
-// drop ends a connection, once, and tells the outcome of all that was out on it but for what is being written: a
-// searcher may have it whole before the writer knows. Of a spoilt answer one part has failed, as far as can be told the
-// one that was out longest; the others are withdrawn for it.
-func (s *Searchers) drop(l *line, why error) {
-	s.mu.Lock()
-	if l.closed {
-		s.mu.Unlock()
-		return
-	}
-	l.closed = true
-	l.cancel()
-	s.lines--
-	l.to.lines = slices.DeleteFunc(l.to.lines, func(o *line) bool { return o == l })
-	if l.nc != nil {
-		l.nc.Close()
-	}
-	var reset, unreached []*Parcel
-	for _, p := range l.out {
-		switch p.state {
-		case queued:
-			unreached = append(unreached, p)
-		case written:
-			reset = append(reset, p)
-		}
-	}
-	outcome, withdrawn := mixer.Reset, []*Parcel(nil)
-	if bad := (*protocol.BadFrame)(nil); errors.As(why, &bad) && len(reset) > 0 {
-		outcome = mixer.Errored
-		reset, withdrawn = blame(why, reset)
-	}
-	l.out, l.queue, l.raw = nil, nil, nil
-	s.mu.Unlock()
-	level := slog.LevelDebug
-	if bad := (*protocol.BadFrame)(nil); errors.As(why, &bad) {
-		level = slog.LevelWarn
-	}
-	s.log.Log(s.ctx, level, "connection to a searcher ended", "searcher", l.to.name, "why", why,
-		"failed", len(reset), "withdrawn", len(withdrawn), "unreached", len(unreached))
-	report(reset, outcome)
-	report(withdrawn, mixer.Cancelled)
-	report(unreached, mixer.Unreached)
-}
-
-// blame parts the forward that a spoilt answer is for from the others.
-func blame(why error, out []*Parcel) (failed, others []*Parcel) {
-	worst, id := 0, ""
-	if e := (*spoilt)(nil); errors.As(why, &e) {
-		id = e.id
-	}
-	for i, p := range out {
-		if p.Part.ID == id {
-			worst = i
-			break
-		}
-		over, worse := p.Forward.Over(), out[worst].Forward.Over() // nothing can be told of those any more
-		if worse && !over || worse == over && p.Forward.Until.Before(out[worst].Forward.Until) {
-			worst = i
-		}
-	}
-	return out[worst : worst+1 : worst+1], append(out[:worst:worst], out[worst+1:]...)
-}
--- a/internal/transport/searchers.go
+++ b/internal/transport/searchers.go
@@ -20,6 +20,7 @@
 	state   state         // of its frame
 	sent    time.Time     // when that was written
 	given   bool          // up, and what has left of it is told so
+	ended   bool          // its lookup has
 }
 
 // state is how far a frame has come. Once it is being written only the writer can tell what became of it.
@@ -70,16 +71,17 @@
 	for _, to := range s.all {
 		lines = append(lines, to.lines...)
 	}
+	all := s.claim(errClosing, lines...)
 	s.mu.Unlock()
-	for _, l := range lines {
-		s.drop(l, errClosing)
-	}
+	s.finish(all)
 	s.wg.Wait()
 }
 
-// Listed takes news of where searchers are. Connections to a process that is no more are closed.
-func (s *Searchers) Listed(list protocol.List) {
-	var old []*line
+// Listed takes news of where searchers are: from now on parts go there only. What it gives is to be called once those who
+// choose searchers have the news too, since they choose again for parts that are lost: it closes the connections to
+// processes that are no more. A process that has only moved keeps what it has; its connection goes with its last part.
+func (s *Searchers) Listed(list protocol.List) (end func()) {
+	var old, unused []*line
 	s.mu.Lock()
 	if list.Whole {
 		for _, to := range s.all {
@@ -98,14 +100,24 @@
 			to.address = m.Address
 		}
 		for _, l := range to.lines {
-			if moved || l.began.Before(m.Since) {
-				old = append(old, l)
+			l.old = l.old || l.began.Before(m.Since)
+			if l.old || moved {
+				l.halted, l.spent = true, true
+				if l.nc == nil || !l.old && l.live() == 0 { // nothing has gone to where it leads, or nothing is awaited
+					unused = append(unused, l)
+				} else if l.old {
+					old = append(old, l)
+				}
 			}
 		}
 	}
+	all := s.claim(errOld, unused...)
 	s.mu.Unlock()
-	for _, l := range old {
-		s.drop(l, errOld)
+	return func() {
+		s.finish(all)
+		for _, l := range old {
+			s.drop(l, errOld)
+		}
 	}
 }
 
@@ -133,10 +145,12 @@
 			best = l
 		}
 	}
-	if best == nil && s.lines-len(idle) >= s.lim.Lines() {
+	unused := s.claim(errIdle, idle...)
+	if best == nil && s.lines >= s.lim.Lines() {
 		spare := s.idlest()
 		if spare == nil {
 			s.mu.Unlock()
+			s.finish(unused)
 			s.short.Do(func() {
 				s.log.Warn("more connections to searchers are needed than there are descriptors for",
 					"connections", s.lim.Lines(), "searcher", name)
@@ -144,7 +158,7 @@
 			report(call, mixer.Unreached)
 			return
 		}
-		idle = append(idle, spare)
+		unused = append(unused, s.claim(errIdle, spare)...)
 	}
 	if best == nil {
 		best = s.open(to)
@@ -156,9 +170,7 @@
 	best.queue = append(best.queue, call)
 	best.rouse()
 	s.mu.Unlock()
-	for _, l := range idle {
-		s.drop(l, errIdle)
-	}
+	s.finish(unused)
 }
 
 // Withdraw tells the searcher that a part is given up.
@@ -167,13 +179,14 @@
 	defer s.mu.Unlock()
 	if l := p.line; l != nil && !l.closed {
 		p.given = true
-		if p.state != queued {
+		if p.state == written {
 			l.giveUp(p)
 		}
+		l.prompt()
 	}
 }
 
-// giveUp has the writer tell that a part is given up, after what it is writing. The lock is held.
+// giveUp has the writer tell that a part is given up that the searcher has. The lock is held.
 func (l *line) giveUp(p *Parcel) {
 	l.raw = append(l.raw, protocol.AppendFrame(nil, protocol.Withdraw, []byte(p.Part.ID)))
 	l.rouse()
@@ -222,9 +235,8 @@
 				}
 			}
 		}
+		all := s.claim(errIdle, idle...)
 		s.mu.Unlock()
-		for _, l := range idle {
-			s.drop(l, errIdle)
-		}
+		s.finish(all)
 	}
 }
--- a/internal/transport/searchers_test.go
+++ b/internal/transport/searchers_test.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"io"
+	"log/slog"
 	"net"
 	"slices"
 	"strings"
@@ -27,16 +28,21 @@
 
 // play starts a searcher s, beside others that are listed only.
 func play(t *testing.T, far *toy.Searcher, others ...string) *played {
+	t.Helper()
+	return playOn(t, far, quiet, router(t, mixer.Repeatable, append(others, "s")...))
+}
+
+func playOn(t *testing.T, far *toy.Searcher, log *slog.Logger, r *routing.Router) *played {
 	t.Helper()
 	if err := far.Start(); err != nil {
 		t.Fatal(err)
 	}
 	t.Cleanup(far.Stop)
-	s := NewSearchers(charter.Limits{KeepAlive: time.Hour, Connect: time.Second, Rest: 100 * time.Millisecond,
-		Write: time.Second, Streams: 9, Sockets: 99, Frame: 999}, quiet)
+	s := NewSearchers(charter.Limits{KeepAlive: 10 * time.Second, Connect: time.Second, Rest: 100 * time.Millisecond,
+		Write: 5 * time.Second, Streams: 9, Sockets: 99, Frame: 999}, log)
 	t.Cleanup(s.Close)
 	s.Listed(protocol.List{Members: []protocol.Member{{Entry: routing.Entry{Searcher: "s"}, Address: far.Address}}})
-	return &played{t, router(t, mixer.Repeatable, append(others, "s")...), s, far}
+	return &played{t, r, s, far}
 }
 
 // parcel has the first part of a new lookup picked.
@@ -54,6 +60,13 @@
 	return p, ticket
 }
 
+// is tells whether a part's frame has come so far.
+func (w *played) is(p *Parcel, want state) bool {
+	w.s.mu.Lock()
+	defer w.s.mu.Unlock()
+	return p.state == want
+}
+
 func (w *played) until(what string, is func() bool) {
 	w.t.Helper()
 	for end := time.Now().Add(5 * time.Second); !is(); time.Sleep(time.Millisecond) {
@@ -80,11 +93,7 @@
 		t.Error("an idle connection was used though it was to be closed")
 	}
 	w.until("the idle connection is closed", func() bool { return w.far.Conns() == 1 })
-	w.until("the third is out", func() bool {
-		w.s.mu.Lock()
-		defer w.s.mu.Unlock()
-		return third.state == written
-	})
+	w.until("the third is out", func() bool { return w.is(third, written) })
 	w.s.Withdraw(second) // its connection is no more
 	w.s.Withdraw(third)
 	w.until("the third is given up at the searcher", func() bool { return seen("Xc.0") })
@@ -243,8 +252,8 @@
 	}
 }
 
-// TestGivenUpWhileItIsWritten gives up a part that has leave to go, before its frame is written and within that: the frame
-// comes whole, and the searcher is to be told after it, else it works beside the copy that goes elsewhere.
+// TestGivenUpWhileItIsWritten gives up a part that has leave to go. Before its frame is written nothing of it goes out.
+// Within that the frame comes whole, and the searcher is to be told after it, else it works beside the copy that goes elsewhere.
 func TestGivenUpWhileItIsWritten(t *testing.T) {
 	part := protocol.Part{ID: "a.0", Text: "some text"}
 	for _, within := range []bool{false, true} {
@@ -257,13 +266,18 @@
 		if !within {
 			s.Withdraw(parcel)
 		}
-		s.write(l, &breaking{near, 1000, func() {
-			if within {
+		wrote := false
+		err := s.write(l, &breaking{near, 1000, func() {
+			if wrote = true; within {
 				s.Withdraw(parcel)
 			}
 		}}, []*Parcel{parcel})
-		if want := protocol.AppendFrame(nil, protocol.Withdraw, []byte(part.ID)); len(l.raw) != 1 || !bytes.Equal(l.raw[0], want) {
-			t.Errorf("given up while it is written %v: %q goes after it, want %q", within, l.raw, want)
+		var want [][]byte
+		if within {
+			want = [][]byte{protocol.AppendFrame(nil, protocol.Withdraw, []byte(part.ID))}
+		}
+		if wrote != within || err != nil || !slices.EqualFunc(l.raw, want, bytes.Equal) {
+			t.Errorf("given up while it is written %v: written %v, %v, %q goes after it, want %q", within, wrote, err, l.raw, want)
 		}
 		s.Close()
 	}
--- a/internal/transport/transport_test.go
+++ b/internal/transport/transport_test.go
@@ -22,10 +22,15 @@
 
 // router makes a router with searchers that all hold the one slice, and one tariff.
 func router(t *testing.T, effect mixer.Effect, searchers ...string) *routing.Router {
+	t.Helper()
+	return routerOf(t, effect, 3, searchers...)
+}
+
+func routerOf(t *testing.T, effect mixer.Effect, forwards int, searchers ...string) *routing.Router {
 	t.Helper()
 	c := mixer.Charter{
 		Tariffs: []mixer.Tariff{{Expected: 5e9, Patience: 5e9, CompleteFrom: 1, LeastShare: 1, Effect: effect}},
-		Mixers:  1, Cells: 1, Reach: 1, PerCall: 1, MaxForwards: 3, ColdFrom: 1, FallMultiple: 1, FallFor: 1e9,
+		Mixers:  1, Cells: 1, Reach: 1, PerCall: 1, MaxForwards: forwards, ColdFrom: 1, FallMultiple: 1, FallFor: 1e9,
 	}
 	r, err := routing.New(c, map[string]int{"t": 0}, 100, 1, quiet)
 	if err != nil {
