News are heard within 6 s behind calls that drip, hang or end; a start without a list gets ready

In Watch.follow a dripping message had 2, 4, 8, 16 s in a row, for good, since the count was never set back; a header gave a call another 2.25 s, a whole list too, and empty lines kept a whole list waiting for ever; after 72 s of silence each call had 2.25 s for its first word. So what waits behind calls that go wrong one after another waited for longer than 6 s. Health waited for a live member: with an empty known list and a silent discovery it was 503 for ever.

A list has 0.2 s (0.56 s after long silence) for its first byte, whatever header and empty lines come. Server.Ready is called 6 s after the start at the latest, in run's own loop (Limits.Ready): what discovery has counts as told by then.

TestStartWithoutAList has an agent that is silent or refuses.

--- a/cmd/nettlefold/serve.go
+++ b/cmd/nettlefold/serve.go
@@ -140,7 +140,7 @@
 
 // run serves until the context ends and what was taken has been answered.
 func run(ctx context.Context, hup <-chan os.Signal, at paths, own settings.Settings, log *slog.Logger) error {
-	path := at.config
+	start, path := time.Now(), at.config
 	c, err := configured(path)
 	if err != nil {
 		return err
@@ -242,10 +242,15 @@
 	served := make(chan error, 1)
 	wg.Go(func() { served <- server.Serve() })
 	log.Info("serving", "name", c.Name, "listen", c.Listen, "known", len(c.Known.Members), "version", c.Known.Version)
+	late := time.After(time.Until(start.Add(c.Limits.Ready)))
 	for ctx.Err() == nil {
 		select {
 		case err := <-served:
 			return err
+		case <-late: // discovery may be away for long: what comes is answered as it can be
+			if server.Ready() {
+				log.Warn("ready without a live searcher")
+			}
 		case <-hup:
 			reload(c, path, watch, log)
 			resettle(own, at.settings, shares, log)
--- a/cmd/nettlefold/start_test.go
+++ b/cmd/nettlefold/start_test.go
@@ -52,3 +52,35 @@
 		})
 	}
 }
+
+// TestStartWithoutAList starts on an empty list: an agent that is silent or away does not keep the process from being ready,
+// and a live list makes it ready at once.
+func TestStartWithoutAList(t *testing.T) {
+	for name, c := range map[string]struct{ from, by time.Duration }{
+		"silent": {5 * time.Second, 10 * time.Second}, "refused": {5 * time.Second, 10 * time.Second}, "live": {0, 3 * time.Second}} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			w := prepare(t)
+			if name == "silent" {
+				w.listAt = w.serveList(http.HandlerFunc(func(_ http.ResponseWriter, r *http.Request) { <-r.Context().Done() }))
+			}
+			w.empty = true
+			w.configure()
+			if name == "refused" {
+				w.listAt.Close()
+			}
+			began := time.Now()
+			w.execute()
+			t.Cleanup(func() { w.cmd.Process.Kill() })
+			for w.health() != http.StatusOK && time.Since(began) < c.by {
+				time.Sleep(5 * time.Millisecond)
+			}
+			if took := time.Since(began); took < c.from || took > c.by {
+				t.Errorf("ready after %v, want %v to %v\n%s", took, c.from, c.by, w.log.String())
+			}
+			if r, err := w.do(w.request("a", "all", "2000", shards("a", 0))); err != nil || (r.status == http.StatusOK) != (name == "live") {
+				t.Errorf("a lookup is answered %d, %v", r.status, err)
+			}
+		})
+	}
+}
--- a/internal/charter/limits.go
+++ b/internal/charter/limits.go
@@ -40,6 +40,7 @@
 	Frame     int           // bytes of a searcher's frame
 	Line      int           // bytes of one message of the list
 	First     time.Duration // a start waits for discovery's first answer
+	Ready     time.Duration // after its start a process is ready without a live searcher too: what discovery has counts as told by then
 	WatchLast time.Duration // longest wait before the watch is tried again; the agent is on this machine, asking is free
 	ID        int           // bytes of a lookup's id
 }
@@ -66,6 +67,7 @@
 		Frame:     64 << 10,
 		Line:      8 << 20,
 		First:     500 * time.Millisecond,
+		Ready:     6 * time.Second,
 		WatchLast: time.Second,
 		ID:        64,
 	}
@@ -102,11 +104,14 @@
 
 // Asked is how long discovery may take for its first word once asked, after it has been silent for so long. The agent is on
 // this machine and replies at once, and one that is silent is silent for good on what it was asked then. Much longer
-// silence is given longer, in case the agent is slow and not away.
+// silence is given longer, in case the agent is slow and not away, but not so long that three calls in vain take 6 s.
 func (l Limits) Asked(silent time.Duration) time.Duration {
-	return max(l.Read/10, min(silent/32, l.Silence()))
+	return max(l.Read/10, min(silent/32, l.Silence()/4))
 }
 
+// Whole is how long a message of the list may take to come whole before a whole list is asked for beside it.
+func (l Limits) Whole() time.Duration { return l.Read / 2 }
+
 // Linger is how long after SIGTERM clients are served as before: longer than new connections come, and as long as
 // what is taken has all its time before SIGKILL.
 func (l Limits) Linger() time.Duration { return l.Taken - l.Arrivals/8 }
--- a/internal/transport/server.go
+++ b/internal/transport/server.go
@@ -41,8 +41,8 @@
 	room  *sync.Cond // a connection has ended
 }
 
-// Ready lets the health check succeed.
-func (s *Server) Ready() { s.ready.Store(true) }
+// Ready lets the health check succeed, and tells whether it did not before.
+func (s *Server) Ready() bool { return !s.ready.Swap(true) }
 
 // Open prepares to serve clients that come to a listener.
 func (s *Server) Open(l net.Listener) {
