A message of the list that takes a second is not overtaken; the silent watch's test without a race

At Whole() = 1.0 s the timer and a message that takes just 1 s came at once: TestTheListsClock, 'an indented list' failed in some of 50 under -race. TestSilentWatchIsMadeAnew had a beat of 20 ms in real time and a plain bool that two requests used.

--- a/internal/charter/limits.go
+++ b/internal/charter/limits.go
@@ -109,8 +109,9 @@
 	return max(l.Read/10, min(silent/32, l.Silence()/4))
 }
 
-// Whole is how long a message of the list may take to come whole before a whole list is asked for beside it.
-func (l Limits) Whole() time.Duration { return l.Read / 2 }
+// Whole is how long a message of the list may take to come whole before a whole list is asked for beside it. A silent watch and two
+// that drip behind it are over within 6 s.
+func (l Limits) Whole() time.Duration { return l.Read/2 + l.Read/16 }
 
 // Linger is how long after SIGTERM clients are served as before: longer than new connections come, and as long as
 // what is taken has all its time before SIGKILL.
--- a/internal/transport/transport_test.go
+++ b/internal/transport/transport_test.go
@@ -66,11 +66,10 @@
 // whole list.
 func TestSilentWatchIsMadeAnew(t *testing.T) {
 	asked := make(chan string, 10)
-	first := true
+	var again atomic.Bool
 	agent := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		asked <- r.URL.String()
-		if first {
-			first = false
+		if !again.Swap(true) {
 			<-r.Context().Done()
 			return
 		}
@@ -88,7 +87,7 @@
 	heard := make(chan protocol.List, 10)
 	w := &Watch{
 		Discovery: agent.Listener.Addr().String(), Known: protocol.List{Version: 4},
-		Limits: charter.Limits{Beat: 20 * time.Millisecond, Read: time.Second, Line: 1 << 10, WatchLast: 20 * time.Millisecond},
+		Limits: charter.Limits{Beat: 500 * time.Millisecond, Read: 2 * time.Second, Line: 1 << 10, WatchLast: 20 * time.Millisecond},
 		Log:    quiet, Listed: func(l protocol.List) { heard <- l },
 	}
 	ctx, cancel := context.WithCancel(t.Context())
