SIGHUP at odd moments: tested before discovery's first answer, twice, behind a faulty file

No fault was found: the signal's channel holds one, and a reload reads the file as it then is; the wait for discovery's first answer holds a reload back for half a second at most.

--- a/cmd/nettlefold/list_test.go
+++ b/cmd/nettlefold/list_test.go
@@ -150,3 +150,58 @@
 		t.Errorf("exit code %d", code)
 	}
 }
+
+// TestReloadAtOddMoments has SIGHUP come before discovery's first answer, twice in a row, behind a file that is no use, and
+// while the old address refuses or a message of it is half read: the new address is followed within 4 s.
+func TestReloadAtOddMoments(t *testing.T) {
+	for name, c := range map[string]struct {
+		old   func(rw http.ResponseWriter, r *http.Request) // nil: it refuses
+		early bool
+	}{
+		"before the first answer": {func(_ http.ResponseWriter, r *http.Request) { <-r.Context().Done() }, true},
+		"while it refuses":        {nil, false},
+		"a message is half read": {func(rw http.ResponseWriter, r *http.Request) {
+			fmt.Fprint(rw, `{"index":7,`)
+			rw.(http.Flusher).Flush()
+			<-r.Context().Done()
+		}, false},
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			w := prepare(t)
+			asked := make(chan struct{}, 999)
+			w.listAt = w.serveList(http.HandlerFunc(func(rw http.ResponseWriter, r *http.Request) {
+				asked <- struct{}{}
+				c.old(rw, r)
+			}))
+			w.configure()
+			if c.old == nil {
+				w.listAt.Close()
+			}
+			w.execute()
+			defer func() { w.cmd.Process.Kill(); <-w.ended }() // before its discoveries close, which it would come back to
+			if c.old != nil {
+				<-asked
+			}
+			if !c.early {
+				w.healthy()
+			}
+			if err := os.WriteFile(w.path, []byte("{"), 0o600); err != nil {
+				t.Fatal(err)
+			}
+			w.signal(syscall.SIGHUP)
+			heard := make(chan struct{}, 99)
+			w.write(w.serveList(http.HandlerFunc(func(rw http.ResponseWriter, r *http.Request) {
+				heard <- struct{}{}
+				w.list.ServeHTTP(rw, r)
+			})))
+			w.signal(syscall.SIGHUP)
+			w.signal(syscall.SIGHUP)
+			select {
+			case <-heard:
+			case <-time.After(4 * time.Second):
+				t.Error("the new address is not followed\n" + w.log.String())
+			}
+		})
+	}
+}
