What is held up on its way when its query ends is called off

A frame that a blocked connection holds up could leave after the final answer, or after its client had gone: the handler never told the connections that the query had ended (Server.lookup). It does now, before the answer is written, by Searchers.Abandon; the crossing is forced in transport/write_test.go.

--- a/internal/transport/server.go
+++ b/internal/transport/server.go
@@ -177,6 +177,9 @@
 	out := map[*routing.Forward]*Parcel{}
 	for {
 		step, err := ticket.Pick(r.Context())
+		if err != nil || step.Final != nil {
+			s.Searchers.Abandon(out) // nothing held up on its way may leave any more
+		}
 		if err != nil {
 			http.Error(w, "given up", http.StatusBadGateway) // the client has gone, or the mixer has to
 			return
