--- a/mixer/cold.go
+++ b/mixer/cold.go
@@ -57,6 +57,6 @@
 		k, mean, _ := m.rows[i].Read(now, halfLife)
 		n, sum = n+k, sum+k*max(mean, float64(ms))
 	}
-	rate = max(rate, n/(sum+bearGuess*m.long)/float64(m.c.Mixers)) // few answers may all be of light parts
+	rate = max(rate, n/(sum+tookGuess*m.long)/float64(m.c.Mixers)) // few answers may all be of light parts
 	m.bears = Decay{max(rate, m.bears.Read(now, bearHalf)), now}
 }
