--- a/internal/transport/transport_test.go
+++ b/internal/transport/transport_test.go
@@ -22,10 +22,15 @@
 
 // router makes a router with searchers that all hold the one slice, and one tariff.
 func router(t *testing.T, effect mixer.Effect, searchers ...string) *routing.Router {
+	t.Helper()
+	return routerOf(t, effect, 3, searchers...)
+}
+
+func routerOf(t *testing.T, effect mixer.Effect, forwards int, searchers ...string) *routing.Router {
 	t.Helper()
 	c := mixer.Charter{
 		Tariffs: []mixer.Tariff{{Expected: 5e9, Patience: 5e9, CompleteFrom: 1, LeastShare: 1, Effect: effect}},
-		Mixers:  1, Cells: 1, Reach: 1, PerCall: 1, MaxForwards: 3, ColdFrom: 1, FallMultiple: 1, FallFor: 1e9,
+		Mixers:  1, Cells: 1, Reach: 1, PerCall: 1, MaxForwards: forwards, ColdFrom: 1, FallMultiple: 1, FallFor: 1e9,
 	}
 	r, err := routing.New(c, map[string]int{"t": 0}, 100, 1, quiet)
 	if err != nil {
@@ -61,15 +66,15 @@
 	return step
 }
 
-// TestSilentWatchIsMadeAnew has an agent take the first watch and say nothing, as a cut-off one does, and end the second
-// with a line that cannot be read: what that had to tell is in the whole list.
+// TestSilentWatchIsMadeAnew has an agent take the first watch and say nothing, as a cut-off one does: the whole list comes
+// next, which is never held back. The second watch ends with a line that cannot be read: what that had to tell is in the
+// whole list.
 func TestSilentWatchIsMadeAnew(t *testing.T) {
 	asked := make(chan string, 10)
-	first := true
+	var again atomic.Bool
 	agent := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		asked <- r.URL.String()
-		if first {
-			first = false
+		if !again.Swap(true) {
 			<-r.Context().Done()
 			return
 		}
@@ -77,7 +82,7 @@
 			io.WriteString(w, `{"index":12,"snapshot":true,"endpoints":[]}`)
 			return
 		}
-		for _, piece := range []string{"\n" + `{"index":9,"snap`, `shot":true,"endpoints":[]}` + "\n\n{\n"} { // chunks cut a line
+		for _, piece := range []string{"\n" + `{"index":15,"snap`, `shot":true,"endpoints":[]}` + "\n\n{\n"} { // chunks cut a line
 			io.WriteString(w, piece)
 			w.(http.Flusher).Flush()
 		}
@@ -87,7 +92,7 @@
 	heard := make(chan protocol.List, 10)
 	w := &Watch{
 		Discovery: agent.Listener.Addr().String(), Known: protocol.List{Version: 4},
-		Limits: charter.Limits{Beat: 20 * time.Millisecond, Read: time.Second, Line: 1 << 10, WatchLast: 20 * time.Millisecond},
+		Limits: charter.Limits{Beat: 500 * time.Millisecond, Read: 2 * time.Second, Line: 1 << 10, WatchLast: 20 * time.Millisecond},
 		Log:    quiet, Listed: func(l protocol.List) { heard <- l },
 	}
 	ctx, cancel := context.WithCancel(t.Context())
@@ -96,7 +101,7 @@
 		w.Run(ctx)
 		close(ended)
 	}()
-	for i, want := range []string{"since=4", "since=4", "/members", "since=12"} {
+	for i, want := range []string{"since=4", "/members", "since=12", "/members", "since=12"} {
 		select {
 		case got := <-asked:
 			if !strings.HasSuffix(got, want) {
@@ -106,8 +111,10 @@
 			t.Fatalf("watch %d is not asked for", i)
 		}
 	}
-	if l := <-heard; l.Version != 9 || !l.Whole {
-		t.Errorf("heard %+v", l)
+	for _, want := range []int64{12, 15, 12} {
+		if l := <-heard; l.Version != want || !l.Whole {
+			t.Errorf("heard %+v, want version %d", l, want)
+		}
 	}
 	cancel()
 	<-ended
