--- a/internal/charter/limits.go
+++ b/internal/charter/limits.go
@@ -90,11 +90,11 @@
 // spare are the descriptors kept for the runtime, the log, the listener and the list.
 const spare = 32
 
-// Lines is how many connections to searchers there may be.
-func (l Limits) Lines() int { return max(1, (l.Sockets-spare)/2) }
+// Conns is how many connections to searchers there may be.
+func (l Limits) Conns() int { return max(1, (l.Sockets-spare)/2) }
 
 // Clients is how many connections of clients there may be.
-func (l Limits) Clients() int { return max(1, l.Sockets-spare-l.Lines()) }
+func (l Limits) Clients() int { return max(1, l.Sockets-spare-l.Conns()) }
 
 // Staying is how many connections of clients there may be while some lie idle. The platform lets clients hold a third of
 // the descriptors, and one that stays for nothing must not be in the way of another's first request.
--- a/internal/transport/line.go
+++ b/internal/transport/conn.go
@@ -13,8 +13,8 @@
 	"nettlefold/internal/protocol"
 )
 
-// line is one connection, from before it is up until its last goroutine has ended.
-type line struct {
+// conn is one connection, from before it is up until its last goroutine has ended.
+type conn struct {
 	to     *searcher
 	nc     net.Conn
 	began  time.Time // when it began to be made; its process is not younger
@@ -41,7 +41,7 @@
 )
 
 // live counts the parts that are waited for.
-func (l *line) live() (n int) {
+func (l *conn) live() (n int) {
 	for _, p := range l.out {
 		if !p.Forward.Over() {
 			n++
@@ -52,7 +52,7 @@
 
 // silent tells whether nothing has come since a part went out that is not answered, and whether the whole wait for it has
 // passed so: the connection may be lost though its searcher is well, which shows on another.
-func (l *line) silent() (silent, whole bool) {
+func (l *conn) silent() (silent, whole bool) {
 	for _, p := range l.out {
 		if p.state == written && l.heard.Before(p.sent) {
 			silent = true
@@ -63,10 +63,10 @@
 }
 
 // worn tells whether so many parts on the connection were given up and never answered that it may be stuck.
-func (l *line) worn(lim charter.Limits) bool { return len(l.out) >= 2*lim.Streams }
+func (l *conn) worn(lim charter.Limits) bool { return len(l.out) >= 2*lim.Streams }
 
 // takes tells whether answers to the call could be told apart from those still to come.
-func (l *line) takes(call []*Parcel) bool {
+func (l *conn) takes(call []*Parcel) bool {
 	for _, p := range call {
 		if l.out[p.Part.ID] != nil {
 			return false
@@ -75,7 +75,7 @@
 	return true
 }
 
-func (l *line) rouse() {
+func (l *conn) rouse() {
 	select {
 	case l.wake <- struct{}{}:
 	default:
@@ -83,20 +83,20 @@
 }
 
 // open begins a connection. The lock is held.
-func (s *Searchers) open(to *searcher) *line {
+func (s *Searchers) open(to *searcher) *conn {
 	now := time.Now()
-	l := &line{to: to, began: now, used: now, out: map[string]*Parcel{}, wake: make(chan struct{}, 1)}
+	l := &conn{to: to, began: now, used: now, out: map[string]*Parcel{}, wake: make(chan struct{}, 1)}
 	ctx, cancel := context.WithCancel(s.ctx)
 	l.cancel = cancel
-	to.lines = append(to.lines, l)
-	s.lines++
+	to.conns = append(to.conns, l)
+	s.conns++
 	s.wg.Add(1)
 	go s.serve(ctx, l, to.address)
 	return l
 }
 
 // serve makes the connection and writes to it until it ends. It is the connection's one writer.
-func (s *Searchers) serve(ctx context.Context, l *line, address string) {
+func (s *Searchers) serve(ctx context.Context, l *conn, address string) {
 	defer s.wg.Done()
 	defer l.cancel()
 	d := net.Dialer{Timeout: s.lim.Connect, KeepAlive: -1}
@@ -143,7 +143,7 @@
 }
 
 // listen reads from the connection until it ends.
-func (s *Searchers) listen(l *line, nc net.Conn) {
+func (s *Searchers) listen(l *conn, nc net.Conn) {
 	defer s.wg.Done()
 	in := bufio.NewReader(nc)
 	for {
@@ -160,7 +160,7 @@
 
 // frame waits for the next frame. One that has begun has to go on: meanwhile nothing new is sent on the connection, since
 // what has begun may be no frame at all, and where nothing is waited for it is none.
-func (s *Searchers) frame(l *line, nc net.Conn, in *bufio.Reader) (protocol.Frame, error) {
+func (s *Searchers) frame(l *conn, nc net.Conn, in *bufio.Reader) (protocol.Frame, error) {
 	if _, err := in.Peek(1); err != nil {
 		return protocol.Frame{}, err
 	}
@@ -187,7 +187,7 @@
 }
 
 // got takes one frame of a searcher.
-func (s *Searchers) got(l *line, f protocol.Frame) error {
+func (s *Searchers) got(l *conn, f protocol.Frame) error {
 	switch f.Letter {
 	case protocol.Answer:
 		r, err := protocol.ReadReply(f.Rest)
--- a/internal/transport/drop.go
+++ b/internal/transport/drop.go
@@ -21,14 +21,14 @@
 // claimed is a connection that is done with. Nothing can come upon it any more; its socket is still to be closed, and what
 // became of its parts to be told.
 type claimed struct {
-	l                            *line
+	l                            *conn
 	why                          error
 	outcome                      routing.Outcome
 	failed, withdrawn, unreached []*Parcel
 }
 
 // drop ends a connection, once, and tells the outcome of all that was out on it.
-func (s *Searchers) drop(l *line, why error) {
+func (s *Searchers) drop(l *conn, why error) {
 	s.mu.Lock()
 	all := s.claim(why, l)
 	s.mu.Unlock()
@@ -39,15 +39,15 @@
 // no call may be put on one that is to be closed. Its parts get their outcome by finish but for what is being written: a
 // searcher may have it whole before the writer knows. Of a spoilt answer one part has failed, as far as can be told the
 // one that was out longest; the others are withdrawn for it.
-func (s *Searchers) claim(why error, lines ...*line) (all []claimed) {
-	for _, l := range lines {
+func (s *Searchers) claim(why error, conns ...*conn) (all []claimed) {
+	for _, l := range conns {
 		if l.closed {
 			continue
 		}
 		l.closed = true
 		l.cancel()
-		s.lines--
-		l.to.lines = slices.DeleteFunc(l.to.lines, func(o *line) bool { return o == l })
+		s.conns--
+		l.to.conns = slices.DeleteFunc(l.to.conns, func(o *conn) bool { return o == l })
 		e := claimed{l: l, why: why, outcome: mixer.Reset}
 		for _, p := range l.out {
 			switch p.state {
--- a/internal/transport/drop_test.go
+++ b/internal/transport/drop_test.go
@@ -42,7 +42,7 @@
 		},
 		"sweep": func(w *played) {
 			w.s.mu.Lock()
-			for _, l := range w.s.all["s"].lines {
+			for _, l := range w.s.all["s"].conns {
 				l.used = time.Now().Add(-time.Hour)
 			}
 			w.s.mu.Unlock()
@@ -88,7 +88,7 @@
 				}
 				return
 			}
-			if a.line == b.line || cross.line == a.line || cross.line == b.line {
+			if a.conn == b.conn || cross.conn == a.conn || cross.conn == b.conn {
 				t.Error("the call was put on a connection that was to be closed, or there was but one")
 			}
 			if step := pick(t, ticket); step.Final == nil || step.Final.Verdict != routing.Answered {
@@ -117,14 +117,14 @@
 			tell := w.s.Listed(protocol.List{Members: []protocol.Member{
 				{Entry: routing.Entry{Searcher: "s"}, Since: c.since, Address: w.far.Address + c.port}}})
 			w.s.mu.Lock() // as if it had been put there before the list came, and its turn came now
-			late.line, out.line.out[late.Part.ID] = out.line, late
+			late.conn, out.conn.out[late.Part.ID] = out.conn, late
 			w.s.mu.Unlock()
-			if err := w.s.write(out.line, out.line.nc, []*Parcel{late}); err != nil || w.is(late, written) == c.lost {
+			if err := w.s.write(out.conn, out.conn.nc, []*Parcel{late}); err != nil || w.is(late, written) == c.lost {
 				t.Errorf("the part that waits is written %v, %v", c.lost, err)
 			}
-			if next, _ := w.send("next", false); next.line == out.line || out.Forward.Over() || late.Forward.Over() {
+			if next, _ := w.send("next", false); next.conn == out.conn || out.Forward.Over() || late.Forward.Over() {
 				t.Errorf("new parts go out on the same connection %v, outcomes told before their time %v %v",
-					next.line == out.line, out.Forward.Over(), late.Forward.Over())
+					next.conn == out.conn, out.Forward.Over(), late.Forward.Over())
 			}
 			tell()
 			if out.Forward.Over() != c.lost || late.Forward.Over() != c.lost {
@@ -150,14 +150,14 @@
 	w.s.mu.Lock()
 	p, _ := parcel(t, w.r, "a")
 	to := w.s.all["s"]
-	l := &line{to: to, began: time.Now(), out: map[string]*Parcel{"a.0": p}, cancel: func() {}}
-	to.lines, w.s.lines = append(to.lines, l), w.s.lines+1
+	l := &conn{to: to, began: time.Now(), out: map[string]*Parcel{"a.0": p}, cancel: func() {}}
+	to.conns, w.s.conns = append(to.conns, l), w.s.conns+1
 	w.s.mu.Unlock()
 	tell := w.s.Listed(protocol.List{Members: []protocol.Member{{Entry: routing.Entry{Searcher: "s"}, Address: "127.0.0.1:1"}}})
 	if !l.closed || p.Forward.Over() {
 		t.Errorf("closed %v, its part over %v before the list is with all", l.closed, p.Forward.Over())
 	}
-	if tell(); !p.Forward.Over() || len(to.lines) > 0 {
-		t.Errorf("its part is over %v, %d connections are kept", p.Forward.Over(), len(to.lines))
+	if tell(); !p.Forward.Over() || len(to.conns) > 0 {
+		t.Errorf("its part is over %v, %d connections are kept", p.Forward.Over(), len(to.conns))
 	}
 }
--- a/internal/transport/searchers.go
+++ b/internal/transport/searchers.go
@@ -16,7 +16,7 @@
 type Parcel struct {
 	Forward *routing.Forward
 	Part    protocol.Part // Within is told when it is written
-	line    *line         // that carries it
+	conn    *conn         // that carries it
 	state   state         // of its frame
 	sent    time.Time     // when that was written
 	given   bool          // up, and what has left of it is told so
@@ -44,14 +44,14 @@
 
 	mu    sync.Mutex
 	all   map[string]*searcher
-	lines int
+	conns int
 }
 
 // searcher is one machine of the list with the connections to it.
 type searcher struct {
 	name, address string
 	gone          bool
-	lines         []*line
+	conns         []*conn
 }
 
 // NewSearchers starts without any searcher. Close must be called at the end.
@@ -67,11 +67,11 @@
 func (s *Searchers) Close() {
 	s.end()
 	s.mu.Lock()
-	var lines []*line
+	var conns []*conn
 	for _, to := range s.all {
-		lines = append(lines, to.lines...)
+		conns = append(conns, to.conns...)
 	}
-	all := s.claim(errClosing, lines...)
+	all := s.claim(errClosing, conns...)
 	s.mu.Unlock()
 	s.finish(all)
 	s.wg.Wait()
@@ -81,7 +81,7 @@
 // choose searchers have the news too, since they choose again for parts that are lost: it closes the connections to
 // processes that are no more. A process that has only moved keeps what it has; its connection goes with its last part.
 func (s *Searchers) Listed(list protocol.List) (end func()) {
-	var old, unused []*line
+	var old, unused []*conn
 	s.mu.Lock()
 	if list.Whole {
 		for _, to := range s.all {
@@ -99,7 +99,7 @@
 		if m.Address != "" {
 			to.address = m.Address
 		}
-		for _, l := range to.lines {
+		for _, l := range to.conns {
 			l.old = l.old || l.began.Before(m.Since)
 			if l.old || moved {
 				l.halted, l.spent = true, true
@@ -131,9 +131,9 @@
 		report(call, mixer.Unreached)
 		return
 	}
-	var idle []*line
-	var best *line
-	for _, l := range to.lines {
+	var idle []*conn
+	var best *conn
+	for _, l := range to.conns {
 		live := l.live()
 		silent, whole := l.silent()
 		if whole {
@@ -146,14 +146,14 @@
 		}
 	}
 	unused := s.claim(errIdle, idle...)
-	if best == nil && s.lines >= s.lim.Lines() {
+	if best == nil && s.conns >= s.lim.Conns() {
 		spare := s.idlest()
 		if spare == nil {
 			s.mu.Unlock()
 			s.finish(unused)
 			s.short.Do(func() {
 				s.log.Warn("more connections to searchers are needed than there are descriptors for",
-					"connections", s.lim.Lines(), "searcher", name)
+					"connections", s.lim.Conns(), "searcher", name)
 			})
 			report(call, mixer.Unreached)
 			return
@@ -164,7 +164,7 @@
 		best = s.open(to)
 	}
 	for _, p := range call {
-		p.line = best
+		p.conn = best
 		best.out[p.Part.ID] = p
 	}
 	best.queue = append(best.queue, call)
@@ -177,7 +177,7 @@
 func (s *Searchers) Withdraw(p *Parcel) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if l := p.line; l != nil && !l.closed {
+	if l := p.conn; l != nil && !l.closed {
 		p.given = true
 		if p.state == written {
 			l.giveUp(p)
@@ -187,7 +187,7 @@
 }
 
 // giveUp has the writer tell that a part is given up that the searcher has. The lock is held.
-func (l *line) giveUp(p *Parcel) {
+func (l *conn) giveUp(p *Parcel) {
 	l.raw = append(l.raw, protocol.AppendFrame(nil, protocol.Withdraw, []byte(p.Part.ID)))
 	l.rouse()
 }
@@ -199,9 +199,9 @@
 }
 
 // idlest gives the connection that has been idle longest, nil if none is. The lock is held.
-func (s *Searchers) idlest() (best *line) {
+func (s *Searchers) idlest() (best *conn) {
 	for _, to := range s.all {
-		for _, l := range to.lines {
+		for _, l := range to.conns {
 			if l.nc != nil && l.live() == 0 && (best == nil || l.used.Before(best.used)) {
 				best = l
 			}
@@ -222,13 +222,13 @@
 			return
 		case <-every.C:
 		}
-		var idle []*line
+		var idle []*conn
 		s.mu.Lock()
 		for name, to := range s.all {
-			if to.gone && len(to.lines) == 0 {
+			if to.gone && len(to.conns) == 0 {
 				delete(s.all, name)
 			}
-			for _, l := range to.lines {
+			for _, l := range to.conns {
 				done := to.gone || l.spent || l.worn(s.lim) || time.Since(l.used) >= s.lim.Idle()
 				if done && l.nc != nil && l.live() == 0 {
 					idle = append(idle, l)
--- a/internal/transport/searchers_test.go
+++ b/internal/transport/searchers_test.go
@@ -84,12 +84,12 @@
 	w.until("the first is answered", first.Forward.Over)
 	second, _ := w.send("b", false)
 	w.until("the second is answered", second.Forward.Over)
-	if w.far.Conns() != 1 || first.line != second.line {
+	if w.far.Conns() != 1 || first.conn != second.conn {
 		t.Errorf("%d connections for two parts one after the other, want 1", w.far.Conns())
 	}
 	w.far.Handle = func(toy.Part) {}
 	third, _ := w.send("c", true)
-	if third.line == first.line {
+	if third.conn == first.conn {
 		t.Error("an idle connection was used though it was to be closed")
 	}
 	w.until("the idle connection is closed", func() bool { return w.far.Conns() == 1 })
@@ -155,8 +155,8 @@
 			if answered := step.Final != nil && string(step.Final.Hits[0].Value) == "other"; answered != c.sound || time.Since(began) > time.Second {
 				t.Errorf("the other part's lookup goes on after %v with %+v", time.Since(began), step)
 			}
-			if next, _ := w.send("c", false); name != "a report without form" && next.line == a.line || a.line != b.line {
-				t.Errorf("new parts go out on the same connection: %v, the first two: %v", next.line == a.line, a.line == b.line)
+			if next, _ := w.send("c", false); name != "a report without form" && next.conn == a.conn || a.conn != b.conn {
+				t.Errorf("new parts go out on the same connection: %v, the first two: %v", next.conn == a.conn, a.conn == b.conn)
 			}
 		})
 	}
@@ -176,16 +176,16 @@
 	a, _ := w.send("a", false)
 	w.until("the first is out", func() bool { return len(far.Frames()) > 0 })
 	time.Sleep(10 * time.Millisecond)
-	if b, _ := w.send("b", false); b.line != a.line {
+	if b, _ := w.send("b", false); b.conn != a.conn {
 		t.Error("a connection is not used any more while its part has time left")
 	}
-	if c, ticket := w.send("c", true); c.line == a.line || pick(t, ticket).Final == nil {
+	if c, ticket := w.send("c", true); c.conn == a.conn || pick(t, ticket).Final == nil {
 		t.Error("a fresh connection was asked for, but the silent one is used")
 	}
 	w.s.mu.Lock()
 	a.Forward.Until = time.Now().Add(-time.Millisecond)
 	w.s.mu.Unlock()
-	if d, ticket := w.send("d", false); d.line == a.line || pick(t, ticket).Final == nil {
+	if d, ticket := w.send("d", false); d.conn == a.conn || pick(t, ticket).Final == nil {
 		t.Error("the silent connection is used although a part has waited there in vain")
 	}
 }
@@ -234,8 +234,8 @@
 			s := NewSearchers(charter.Limits{KeepAlive: time.Hour, Write: time.Minute, Streams: 1}, quiet)
 			near, _ := net.Pipe()
 			p := &Parcel{Forward: call.Forwards[0], Part: part}
-			l := &line{to: &searcher{}, nc: near, cancel: func() {}, out: map[string]*Parcel{part.ID: p}}
-			p.line = l
+			l := &conn{to: &searcher{}, nc: near, cancel: func() {}, out: map[string]*Parcel{part.ID: p}}
+			p.conn = l
 			s.write(l, &breaking{near, cut, func() {
 				if first {
 					s.drop(l, io.EOF)
@@ -261,8 +261,8 @@
 		s := NewSearchers(charter.Limits{KeepAlive: time.Hour, Write: time.Minute, Streams: 1}, quiet)
 		near, _ := net.Pipe()
 		parcel := &Parcel{Forward: call.Forwards[0], Part: part}
-		l := &line{to: &searcher{}, nc: near, cancel: func() {}, out: map[string]*Parcel{part.ID: parcel}}
-		parcel.line = l
+		l := &conn{to: &searcher{}, nc: near, cancel: func() {}, out: map[string]*Parcel{part.ID: parcel}}
+		parcel.conn = l
 		if !within {
 			s.Withdraw(parcel)
 		}
--- a/internal/transport/states_test.go
+++ b/internal/transport/states_test.go
@@ -40,7 +40,7 @@
 	rapid.Check(t, func(r *rapid.T) {
 		var mu sync.Mutex
 		var held []toy.Part
-		broken := map[*line]bool{} // connections whose parts may be lost
+		broken := map[*conn]bool{} // connections whose parts may be lost
 		far := &toy.Searcher{Handle: func(p toy.Part) {
 			mu.Lock()
 			defer mu.Unlock()
@@ -65,7 +65,7 @@
 		var spots []int
 		lose := func(id string) { // what is on the connection of a part, of any for ""
 			for _, p := range sent {
-				broken[p.line] = broken[p.line] || id == "" || p.Part.ID == id
+				broken[p.conn] = broken[p.conn] || id == "" || p.Part.ID == id
 			}
 		}
 		list := func(m protocol.Member) {
@@ -147,7 +147,7 @@
 				r.Fatalf("%s: outcomes %v", p.Part.ID, o)
 			case o[0].NeverRan() && strings.Contains(frames, "\nQ"+p.Part.ID+" "):
 				r.Fatalf("%s: outcome %v, but it is at the searcher", p.Part.ID, o[0])
-			case o[0] == mixer.Reset && !broken[p.line]:
+			case o[0] == mixer.Reset && !broken[p.conn]:
 				r.Fatalf("%s: lost by ourselves", p.Part.ID)
 			}
 		}
--- a/internal/transport/write.go
+++ b/internal/transport/write.go
@@ -26,14 +26,14 @@
 	defer s.mu.Unlock()
 	for _, p := range out {
 		p.ended = true
-		if p.line != nil {
-			p.line.prompt()
+		if p.conn != nil {
+			p.conn.prompt()
 		}
 	}
 }
 
 // prompt has the writer look again at a frame that is held up, where that may not be wanted any more. The lock is held.
-func (l *line) prompt() {
+func (l *conn) prompt() {
 	if len(l.busy) > 0 && !wanted(l.busy) {
 		l.nc.SetWriteDeadline(longAgo)
 	}
@@ -45,7 +45,7 @@
 }
 
 // alone tells whether no part but those being written would be lost with the connection. The lock is held.
-func (l *line) alone() bool {
+func (l *conn) alone() bool {
 	for _, p := range l.out {
 		if p.state == written && !p.Forward.Over() {
 			return false
@@ -55,7 +55,7 @@
 }
 
 // write puts out what of a call may still leave, as one frame.
-func (s *Searchers) write(l *line, nc net.Conn, call []*Parcel) error {
+func (s *Searchers) write(l *conn, nc net.Conn, call []*Parcel) error {
 	var parts []protocol.Part
 	var left []*Parcel
 	now := time.Now()
@@ -122,7 +122,7 @@
 
 // pass writes a frame of parts. Where all of them are given up while it is held up it goes no further: nothing of it has
 // left, or the connection goes with what has, unless others would be lost so. Then it has to be finished.
-func (s *Searchers) pass(l *line, nc net.Conn, frame []byte) (n int, err error) {
+func (s *Searchers) pass(l *conn, nc net.Conn, frame []byte) (n int, err error) {
 	end := time.Now().Add(s.lim.Write)
 	for {
 		s.mu.Lock()
--- a/internal/transport/write_test.go
+++ b/internal/transport/write_test.go
@@ -31,8 +31,8 @@
 			near, far := net.Pipe()
 			p, ticket := parcel(t, w.r, "a")
 			behind, _ := parcel(t, w.r, "behind")
-			l := &line{to: &searcher{}, nc: near, cancel: func() {}, out: map[string]*Parcel{"a.0": p, "behind.0": behind}}
-			p.line, behind.line = l, l
+			l := &conn{to: &searcher{}, nc: near, cancel: func() {}, out: map[string]*Parcel{"a.0": p, "behind.0": behind}}
+			p.conn, behind.conn = l, l
 			if how == "timed out" {
 				p.Forward.Until = time.Now().Add(50 * time.Millisecond)
 			}
@@ -92,7 +92,7 @@
 				far.(*net.TCPConn).SetReadBuffer(1 << 17)
 				far.SetReadDeadline(time.Now().Add(10 * time.Second))
 				w.until("the first is out", func() bool { return w.is(first, written) })
-				first.line.nc.(*net.TCPConn).SetWriteBuffer(1 << 17)
+				first.conn.nc.(*net.TCPConn).SetWriteBuffer(1 << 17)
 				protocol.ReadFrame(far, 1<<20)
 				if !c.beside {
 					far.Write(protocol.AppendFrame(nil, protocol.Answer, []byte("first.0 ok 1 -\nvalue")))
@@ -106,7 +106,7 @@
 				s.Send("s", false, []*Parcel{big})
 				w.until("it is held up", func() bool { return w.is(big, writing) })
 				io.ReadFull(far, make([]byte, 1))
-				if big.line != first.line {
+				if big.conn != first.conn {
 					t.Fatal("not on one connection")
 				}
 				behind, _ := w.send("behind", false)
@@ -164,7 +164,7 @@
 			ticket := take(t, router(t, mixer.OnceOnly, "s", "other"), "a")
 			call := pick(t, ticket).Calls[0]
 			p := &Parcel{Forward: call.Forwards[0], Part: protocol.Part{ID: "a.0"}}
-			l := &line{to: &searcher{}, nc: near, began: time.Now().Add(-time.Minute), used: time.Now(), cancel: func() {},
+			l := &conn{to: &searcher{}, nc: near, began: time.Now().Add(-time.Minute), used: time.Now(), cancel: func() {},
 				out: map[string]*Parcel{"a.0": p}}
 			c.end(far.(*net.TCPConn))
 			if c.known { // it has come as far as our side's kernel. A reset is told once, then as an end
