Doubt of a mixer's few answers is shared by all mixers: at 300 newcomers get again what they can bear

There half of the searchers are replaced while mixers restart, each of 300 has few answers at any time, and one answer's time counted in beside them holds all of them under what newcomers bear. But what few answers tell errs apart: over many mixers the sum is sound, the more so the more there are.

Change, mixer/cold.go, measure: the time counted in is coldSpread deviations of it over the root of the number of mixers (1.15 answers with 3, 0.12 with 300).

--- a/mixer/cold.go
+++ b/mixer/cold.go
@@ -49,14 +49,14 @@
 	return rate, max(rate, min(spread*(spread+lentSpread)/mixers/window, rate+1/window))
 }
 
-// measure learns this mixer's share of what a warm searcher bears: at least what warm ones answer it on the
-// average, and one part in the time that one takes, shared. What they bore before a jam they can bear again.
+// measure learns this mixer's share of what a warm searcher bears: at least what warm ones answer it, and one
+// part in the time that it takes, shared. Time is added against few answers of light parts; mixers err apart.
 func (m *Mixer) measure(now int64) {
 	rate, n, sum := m.borne.Read(now, halfLife)*math.Ln2/float64(halfLife)/float64(len(m.searchers)), 0.0, 0.0
 	for i := range m.rows { // all tariffs together: light parts alone would tell of a machine that bears more
 		k, mean, _ := m.rows[i].Read(now, halfLife)
 		n, sum = n+k, sum+k*max(mean, float64(ms))
 	}
-	rate = max(rate, n/(sum+tookGuess*m.long)/float64(m.c.Mixers)) // few answers may all be of light parts
-	m.bears = Decay{max(rate, m.bears.Read(now, bearHalf)), now}
+	rate = max(rate, n/(sum+coldSpread*tookGuess*m.long/math.Sqrt(float64(m.c.Mixers)))/float64(m.c.Mixers))
+	m.bears = Decay{max(rate, m.bears.Read(now, bearHalf)), now} // as before a jam, they can bear it again
 }
