Settles follows from the rounds: it runs from the last waking, and lost words add rounds

Ruled out: a fault of the decider; each step is where the table of times puts it. It was the bound, which named neither, and was loose where expected times are short (silence or an expected time, not what counts as lately).

--- a/internal/fleet/siteloss/state.go
+++ b/internal/fleet/siteloss/state.go
@@ -65,9 +65,13 @@
 func (t Terms) memory() int64 { return 8 * t.Warming }          // how long a return counts as one that may not last
 func (t Terms) Window() int64 { return 2*t.Every + t.Expected } // what "lately" means in Evidence
 
-// Settles is the longest that a loss takes to be held by all, with sound lines: silence, its standing, and a round each until
-// the last word of the lost is taken, until the silence is seen, until that is told, and until it is taken by others.
-func (t Terms) Settles() int64 { return max(t.quiet(), t.Expected) + t.hold() + 4*t.Every }
+// Settles is the longest that a loss takes to be held by all, with sound lines, from the loss or from the last waking of a mixer
+// that is left, whichever is later. Its mixers' last word is taken within a round and they are silent then, or its searchers'
+// last answer leaves what counts as lately; a round until that is seen; it has to stand; a round until others take that it is
+// said. Each report that is lost of those that first say it, one after the other, adds a round.
+func (t Terms) Settles() int64 {
+	return max(t.Every+t.quiet(), t.Window()) + t.Every + t.hold() + t.Every
+}
 
 // Check says what of the terms cannot be.
 func (t Terms) Check() error {
