Accept looks at every connection only where places run short; one way to a socket, bounded waits

From reading the whole change again: - door.Accept went through all connections on each accept, though few were open (spare came before the count).

--- a/internal/transport/client.go
+++ b/internal/transport/client.go
@@ -92,16 +92,13 @@
 // look tells without waiting what lies behind a request that has just come in whole. It guards against serving a client whose
 // request and close both lay unread. A byte of a next request is a fault, and is taken as such.
 func (c *client) look() {
-	sc, ok := c.Conn.(syscall.Conn)
-	if !ok {
-		return
-	}
-	raw, err := sc.SyscallConn()
-	if err != nil {
+	raw := rawConn(c.Conn)
+	if raw == nil {
 		return
 	}
 	var b [1]byte
-	n := 0
+	var n int
+	var err error
 	if raw.Read(func(fd uintptr) bool {
 		n, err = syscall.Read(int(fd), b[:])
 		return true
@@ -118,6 +115,16 @@
 	}
 }
 
+// rawConn gives access to a connection's socket, nil if it has none.
+func rawConn(nc net.Conn) syscall.RawConn {
+	if c, ok := nc.(syscall.Conn); ok {
+		if raw, err := c.SyscallConn(); err == nil {
+			return raw
+		}
+	}
+	return nil
+}
+
 // left tells whether the client has closed behind the request at hand.
 func (c *client) left() bool {
 	c.mu.Lock()
--- a/internal/transport/client_test.go
+++ b/internal/transport/client_test.go
@@ -72,6 +72,18 @@
 	return nc
 }
 
+// idle counts the connections that net/http holds for idle.
+func (s *serving) idle() (n int) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for c := range s.conns {
+		if c.state == http.StateIdle {
+			n++
+		}
+	}
+	return n
+}
+
 // sent tells whether a searcher has got a part of a request.
 func (s *serving) sent(id string) bool {
 	return slices.ContainsFunc(s.far, func(f *toy.Searcher) bool {
@@ -118,11 +130,11 @@
 		for on, n := <-s.l.(*gated).on, 0; n < 9; n++ {
 			on <- struct{}{}
 		}
-		for gone := false; !gone; time.Sleep(time.Millisecond) { // until the first connection has ended
+		until(t, "the first connection has ended", func() bool {
 			s.mu.Lock()
-			gone = len(s.conns) <= 1
-			s.mu.Unlock()
-		}
+			defer s.mu.Unlock()
+			return len(s.conns) <= 1
+		})
 		if s.sent("gone") {
 			t.Error("a request is sent on whose client had gone before it was accepted")
 		}
@@ -199,13 +211,7 @@
 			p := <-parts
 			if idle {
 				p.Answer("ok", "v")
-				for idle := false; !idle; time.Sleep(time.Millisecond) {
-					s.mu.Lock()
-					for c := range s.conns {
-						idle = c.state == http.StateIdle
-					}
-					s.mu.Unlock()
-				}
+				until(t, "the connection is idle", func() bool { return s.idle() == 1 })
 			}
 			nc.Write(request("crossing"))
 			if idle {
--- a/internal/transport/door.go
+++ b/internal/transport/door.go
@@ -72,14 +72,19 @@
 	c := &client{Conn: nc, drain: s.Limits.Drain, since: time.Now()}
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	for {
-		if len(s.conns) >= s.Limits.Clients() {
-			if o, u := s.spare(true); o != nil {
-				s.giveUp(o, u)
-			} else {
-				s.room.Wait() // all are being answered
+	for len(s.conns) >= s.Limits.Staying() {
+		full := len(s.conns) >= s.Limits.Clients()
+		if !full && s.staying() < s.Limits.Staying() {
+			break
+		}
+		if o, u := s.spare(full); o != nil {
+			if o.end(s, u) && full { // its descriptor is needed at once
+				o.Conn.Close()
+				delete(s.conns, o)
 			}
-		} else if o, u := s.spare(false); o == nil || s.staying() < s.Limits.Staying() || !o.end(s, u) {
+		} else if full {
+			s.room.Wait() // all are being answered
+		} else {
 			break
 		}
 	}
@@ -97,14 +102,6 @@
 	return n
 }
 
-// giveUp closes a connection at once for its descriptor, if it is still in no more use than told. The lock is held.
-func (s *Server) giveUp(c *client, most use) {
-	if c != nil && c.end(s, most) {
-		c.Conn.Close()
-		delete(s.conns, c)
-	}
-}
-
 // spare gives the connection to be given up first, the longest in its use of those in the same, nil if all are
 // being answered. Only where all places are taken it is one whose first request may be on its way, or that is closing.
 // The lock is held.
--- a/internal/transport/leaving_test.go
+++ b/internal/transport/leaving_test.go
@@ -84,16 +84,7 @@
 			t.Fatalf("first lookup: %d, closing %v, %v", status, closing, err)
 		}
 	}
-	for idle := 0; idle < len(cs); time.Sleep(time.Millisecond) {
-		idle = 0
-		s.mu.Lock()
-		for c := range s.conns {
-			if c.state == http.StateIdle {
-				idle++
-			}
-		}
-		s.mu.Unlock()
-	}
+	until(t, "both connections are idle", func() bool { return s.idle() == len(cs) })
 	l.hold.Store(true)
 	ask(cs[0], "crossing")
 	<-l.held
--- a/internal/transport/searchers_test.go
+++ b/internal/transport/searchers_test.go
@@ -69,11 +69,7 @@
 
 func (w *played) until(what string, is func() bool) {
 	w.t.Helper()
-	for end := time.Now().Add(5 * time.Second); !is(); time.Sleep(time.Millisecond) {
-		if time.Now().After(end) {
-			w.t.Fatalf("never: %s", what)
-		}
-	}
+	until(w.t, what, is)
 }
 
 // TestWishesReachTheSearcher gives up a part that is out, and has idle connections closed before the next one.
--- a/internal/transport/transport_test.go
+++ b/internal/transport/transport_test.go
@@ -20,6 +20,16 @@
 
 var quiet = slog.New(slog.NewTextHandler(io.Discard, nil))
 
+// until waits for something to become true.
+func until(t *testing.T, what string, is func() bool) {
+	t.Helper()
+	for end := time.Now().Add(5 * time.Second); !is(); time.Sleep(time.Millisecond) {
+		if time.Now().After(end) {
+			t.Fatalf("never: %s", what)
+		}
+	}
+}
+
 // router makes a router with searchers that all hold the one slice, and one tariff.
 func router(t *testing.T, effect mixer.Effect, searchers ...string) *routing.Router {
 	t.Helper()
--- a/internal/transport/write.go
+++ b/internal/transport/write.go
@@ -165,12 +165,8 @@
 // ended tells whether the other side is known to have ended the connection, though its reader has not seen it yet: what is
 // written then is lost for certain, and nobody could say that it has not run. The reader holds the socket for reading.
 func ended(nc net.Conn) (is bool) {
-	c, ok := nc.(syscall.Conn)
-	if !ok {
-		return false
-	}
-	raw, err := c.SyscallConn()
-	if err != nil {
+	raw := rawConn(nc)
+	if raw == nil {
 		return false
 	}
 	raw.Control(func(fd uintptr) {
