--- a/internal/charter/charter.go
+++ b/internal/charter/charter.go
@@ -164,6 +164,9 @@
 	return s.number(key, items[i], lo, hi)
 }
 
+// mostShares is what the customers' shares may add up to: all, and what rounding adds.
+const mostShares = 1 + 1e-3
+
 // customers reads the allowances, and checks what else is told of customers.
 func (s *reader) customers() (allowances []float64) {
 	if s.all["Tenants.count"] == "" {
@@ -177,7 +180,7 @@
 			s.bad(at+"Name", name)
 		}
 		names[name] = true
-		if shares += s.float(at+"Share", true, 0, 1); shares > 1+1e-3 {
+		if shares += s.float(at+"Share", true, 0, 1); shares > mostShares {
 			s.bad(at+"Share", s.all[at+"Share"])
 		}
 		allowances = append(allowances, s.float(at+"AllowancePerS", true, 0, 1e9))
--- a/internal/protocol/config.go
+++ b/internal/protocol/config.go
@@ -21,6 +21,7 @@
 	Known                   List
 
 	terms map[string]string // everything but discovery and known, as written
+	start charter.Terms     // the settings as written, which a version is laid over
 }
 
 type config struct {
@@ -75,7 +76,7 @@
 	if c.Charter, c.Rows, err = terms.Charter(); err != nil {
 		return c, fmt.Errorf("configuration: %w", err)
 	}
-	c.Customers = terms.Customers(c.Charter)
+	c.Customers, c.start = terms.Customers(c.Charter), terms
 	if c.Limits, err = terms.Limits(c.Charter); err != nil {
 		return c, fmt.Errorf("configuration: %w", err)
 	}
@@ -108,3 +109,24 @@
 	slices.Sort(names)
 	return names
 }
+
+// Revise gives the configuration with a version of the settings laid over those it was read with, never over a version before:
+// each is whole by itself. How a document is written, and what it may change, is said at charter.Terms.Lay. Of the limits only
+// Open follows: the longest deadline, and with it the time after SIGTERM, stay the start's, which no version may exceed. What
+// is wrong is a *charter.Fault with path and value; then the configuration is as before.
+func (c Config) Revise(document []byte) (Config, error) {
+	terms, err := c.start.Lay(document)
+	if err != nil {
+		return c, err
+	}
+	anew, _, err := terms.Charter()
+	if err != nil {
+		return c, err
+	}
+	limits, err := terms.Limits(anew)
+	if err != nil {
+		return c, err
+	}
+	c.Charter, c.Limits.Open = anew, limits.Open
+	return c, nil
+}
--- a/internal/routing/router.go
+++ b/internal/routing/router.go
@@ -43,13 +43,15 @@
 	debug   bool // each step of each lookup is logged, with its id
 	charter mixer.Charter
 	rows    map[string]int
-	most    int // open lookups and parts from which on no lookup is let in
 	anchor  time.Time
 	unix    int64 // the anchor as Unix time, ns
 
 	mu      sync.Mutex
 	last    int64 // when the module was last called
 	m       *mixer.Mixer
+	most    int   // open lookups and parts from which on no lookup is let in
+	advice  int64 // longest wait advised, of the version in force, and the greatest of all versions
+	longest int64
 	open    int // lookups, and parts of theirs that are not in
 	tickets map[string]*Ticket
 	slots   map[string]*slot
@@ -72,7 +74,8 @@
 	}
 	now := time.Now()
 	r := &Router{
-		log: log, debug: log.Enabled(context.Background(), slog.LevelDebug), charter: c, rows: rows, most: most, anchor: now, unix: now.UnixNano(),
+		log: log, debug: log.Enabled(context.Background(), slog.LevelDebug), charter: c, rows: rows, anchor: now, unix: now.UnixNano(),
+		most: most, advice: c.MaxAdvice, longest: c.MaxAdvice,
 		tickets: map[string]*Ticket{}, slots: map[string]*slot{}, stale: map[string]bool{}, kick: make(chan struct{}, 1),
 	}
 	r.call(nil, func(now int64) { r.m = mixer.New(now, c, seed, floor{r}) })
@@ -255,7 +258,7 @@
 
 func (r floor) Bounce(lookup string, wait int64) {
 	if t := r.tickets[lookup]; t != nil {
-		t.end(Final{Verdict: Bounced, Wait: time.Duration(wait)})
+		t.end(Final{Verdict: Bounced, Wait: time.Duration(min(wait, t.advice))})
 	}
 }
 
--- a/internal/routing/ticket.go
+++ b/internal/routing/ticket.go
@@ -67,13 +67,14 @@
 
 // Ticket stands for one open lookup.
 type Ticket struct {
-	r     *Router
-	l     *mixer.Lookup
-	id    string
-	slots []*slot
-	ended bool
-	step  Step
-	ready chan struct{}
+	r      *Router
+	l      *mixer.Lookup
+	id     string
+	slots  []*slot
+	advice int64 // longest wait advised, of the version it was taken under
+	ended  bool
+	step   Step
+	ready  chan struct{}
 }
 
 // slot is what is known of one part.
@@ -104,6 +105,7 @@
 	t := &Ticket{r: r, id: l.ID, ready: make(chan struct{}, 1)}
 	err := ErrFull
 	r.call(t, func(now int64) {
+		t.advice = r.advice
 		if r.Eyes != nil {
 			r.Eyes.Asked()
 		}
