--- a/cmd/nettlefold/sites.go
+++ b/cmd/nettlefold/sites.go
@@ -121,3 +121,10 @@
 		return shot
 	}}}
 }
+
+// adopt has the judge follow a version of the settings. How long lately is, and how long a probe may take, are the start's.
+func (s *siteWatch) adopt(c protocol.Config) {
+	if s != nil {
+		s.table.Eyes.Expect(siteTerms(c).Expected)
+	}
+}
--- a/internal/charter/version.go
+++ b/internal/charter/version.go
@@ -351,13 +351,18 @@
 	}
 }
 
-// byPath orders paths, rows by number.
+// byPath orders paths, at each step numbers first, by their size.
 func byPath(a, b string) int {
 	return slices.CompareFunc(strings.Split(a, "."), strings.Split(b, "."), func(a, b string) int {
-		x, err := strconv.Atoi(a)
-		y, wrong := strconv.Atoi(b)
-		if err == nil && wrong == nil && x != y {
-			return cmp.Compare(x, y)
+		x, noX := strconv.Atoi(a)
+		y, noY := strconv.Atoi(b)
+		switch {
+		case noX == nil && noY == nil:
+			return cmp.Or(cmp.Compare(x, y), strings.Compare(a, b))
+		case noX == nil:
+			return -1
+		case noY == nil:
+			return 1
 		}
 		return strings.Compare(a, b)
 	})
--- a/internal/fleet/sites/eyes.go
+++ b/internal/fleet/sites/eyes.go
@@ -90,6 +90,14 @@
 		places: make([]place, len(names)), searchers: map[string]searcher{}, heard: clock()}
 }
 
+// Expect takes the longest expected time, ns, of the settings now in force: what lasts longer is late. What was seen stays as it was
+// counted, and the window that of the start.
+func (e *Eyes) Expect(longest int64) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.expected = longest
+}
+
 // Spot gives the site of a searcher, below 0 where it is none of the fleet's.
 func (e *Eyes) Spot(name string) int16 {
 	e.mu.Lock()
--- a/internal/fleet/sites/sites_test.go
+++ b/internal/fleet/sites/sites_test.go
@@ -217,3 +217,20 @@
 		t.Errorf("%d are asked beyond the bound", len(asked))
 	}
 }
+
+// Through a version of the settings what lasts longer than its expected time is late or lost; what was seen before stays as counted.
+func TestEyesThroughAVersion(t *testing.T) {
+	now := 1000 * ms
+	tables, _ := world(t, &now)
+	e := tables[0].Eyes
+	site := e.Spot("sc")
+	for i, want := range []siteloss.Evidence{{Answered: 1}, {Answered: 2, Late: 1, Lost: 1}, {Answered: 3, Late: 1, Lost: 1}} {
+		e.Expect([]int64{1000 * ms, 400 * ms, 1000 * ms}[i])
+		e.Outcome(site, mixer.Satisfied, 500*ms)
+		e.Outcome(site, mixer.TimedOut, 500*ms)
+		want.Listed, want.Live = 1, 1
+		if all, _ := e.evidence(now); all[site] != want {
+			t.Errorf("version %d: %+v, want %+v", i, all[site], want)
+		}
+	}
+}
--- a/mixer/types.go
+++ b/mixer/types.go
@@ -40,7 +40,7 @@
 	SecondStep   int     // parts of the second step, 0 for none
 }
 
-// Charter is what a mixer is told once, at its start.
+// Charter is what a mixer is told at its start. Adopt says what of it may change while it serves.
 type Charter struct {
 	Tariffs []Tariff
 	Zone    string // where this mixer stands
