Settings of the control tier: region, window and the relays, off unless set

Mixers are to take versions of some settings in flight from relays of their region, so our XML has to say which region a mixer stands in, over what time its starts and returns are spread, and where the relays are. The element <control> says it (1 to 16 relays, names and addresses once each), the schema and the program agree on it by the tests that hold the two together, and faults name line, element and value. Without it settings.Control is nil.

--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -25,11 +25,12 @@
 // Settings are what an installation sets of nettlefold's own.
 type Settings struct {
 	Logging Logging
-	Admin   string // where to listen for metrics and questions, "": nowhere
-	Store   *Store // nil: none, and the mixer is alone
-	Learnt  string // file in which what is learnt is kept from one process to the next, "": it is not
-	Fleet   *Fleet // nil: none, and the mixer talks to no other
-	fleetAt int    // line of it
+	Admin   string   // where to listen for metrics and questions, "": nowhere
+	Store   *Store   // nil: none, and the mixer is alone
+	Learnt  string   // file in which what is learnt is kept from one process to the next, "": it is not
+	Fleet   *Fleet   // nil: none, and the mixer talks to no other
+	Control *Control // nil: none, and no settings are taken in flight
+	fleetAt int      // line of the fleet
 }
 
 // Logging says how the log is written.
@@ -81,6 +82,9 @@
 	if !reflect.DeepEqual(s.Fleet, other.Fleet) {
 		names = append(names, "fleet")
 	}
+	if !reflect.DeepEqual(s.Control, other.Control) {
+		names = append(names, "control")
+	}
 	return names
 }
 
@@ -134,8 +138,9 @@
 		"listeners": {within: map[string]*element{
 			"admin": {attributes: map[string]attribute{"address": need(address, func(s *Settings, v string) { s.Admin = v })}},
 		}},
-		"learnt": {attributes: map[string]attribute{"file": need(path, func(s *Settings, v string) { s.Learnt = v })}},
-		"fleet":  fleetElement(),
+		"learnt":  {attributes: map[string]attribute{"file": need(path, func(s *Settings, v string) { s.Learnt = v })}},
+		"fleet":   fleetElement(),
+		"control": controlElement(),
 		"store": {
 			attributes: map[string]attribute{
 				"address":    need(address, func(s *Settings, v string) { s.store().Address = v }),
--- a/internal/settings/settings_test.go
+++ b/internal/settings/settings_test.go
@@ -13,6 +13,8 @@
 
 	xsdvalidate "github.com/terminalstatic/go-xsd-validate"
 	"pgregory.net/rapid"
+
+	"nettlefold/internal/fleet/control"
 )
 
 // schema is the published one, as a validator reads it. The program itself has no part of that validator.
@@ -43,7 +45,7 @@
 func TestProgramAndSchemaAgreeOnFiles(t *testing.T) {
 	h := schema(t)
 	files, _ := filepath.Glob("testdata/*/*.xml")
-	files = append(files, "../../deploy/nettlefold.xml", "../../deploy/fleet.xml")
+	files = append(files, "../../deploy/nettlefold.xml", "../../deploy/fleet.xml", "../../deploy/control.xml")
 	if len(files) < 20 {
 		t.Fatalf("only %d files", len(files))
 	}
@@ -77,13 +79,15 @@
 			"authorities": {"/ca"}, "server": {"s.internal"}, "certificate": {"/c"}, "key": {"/k"},
 			"listen": {"127.0.0.1:7946", "7946"}, "name": {"main", "a", ""}, "alone": {"yes", "no", "1"}, "key-file": {"/k", " "},
 			"group": {"g", "g h"}, "forget": {"1h", "5s", "4s", "1d", "-1m", "99999s", "10000m"}, "to": {"m1", "m 1"},
-			"members": {"2", "9999", "1", "02", "10000"},
+			"members": {"2", "9999", "1", "02", "10000"}, "region": {"east", "a b"},
+			"window": {"10s", "1s", "600s", "10m", "0s", "601s", "11m", "1h", "010s"},
 		}
 		attributes := map[string][]string{"logging": {"format", "level"}, "admin": {"address"}, "login": {"user", "password-file"},
 			"store": {"address", "site", "enabled", "timeout-ms", "protocol"}, "tls": {"authorities", "server"}, "identity": {"certificate", "key"},
 			"fleet": {"listen", "site", "alone", "key-file", "group", "forget", "members"},
-			"site":  {"name"}, "join": {"address"}, "route": {"to", "address"}}
-		within := map[string][]string{"nettlefold": {"logging", "listeners", "fleet", "store"}, "fleet": {"site", "join", "route"},
+			"site":  {"name"}, "join": {"address"}, "route": {"to", "address"},
+			"control": {"region", "window"}, "relay": {"name", "region", "address"}}
+		within := map[string][]string{"nettlefold": {"logging", "listeners", "fleet", "control", "store"}, "control": {"relay"}, "fleet": {"site", "join", "route"},
 			"listeners": {"admin"}, "store": {"login", "tls"}, "tls": {"identity"}}
 		odd := rapid.IntRange(0, 3).Draw(t, "odd") == 0 // most documents are nearly right
 		rare := func(what string) bool { return odd && rapid.IntRange(0, 9).Draw(t, what) == 0 }
@@ -157,6 +161,23 @@
 	if got := s.Differs(Settings{}); !slices.Contains(got, "fleet") {
 		t.Errorf("without its fleet it differs in %q", got)
 	}
+	s, err = Load("../../deploy/control.xml")
+	if err != nil {
+		t.Fatal(err)
+	}
+	if c := s.Control; c.Region != "east" || c.Window != 10*time.Second || len(c.Relays) != 7 ||
+		c.Relays[6] != (control.Seat{Name: "r-7", Region: "south", Address: "127.0.0.7:7101"}) {
+		t.Errorf("%+v", c)
+	}
+	if r, err := s.Control.Seat("r-7"); err != nil || r != s.Control.Relays[6] {
+		t.Errorf("%v, %v", r, err)
+	}
+	if _, err := s.Control.Seat("r-8"); err == nil {
+		t.Error("r-8 is no relay")
+	}
+	if got := s.Differs(Settings{}); !slices.Contains(got, "control") {
+		t.Errorf("without its control it differs in %q", got)
+	}
 }
 
 func TestFaultsNameLineElementAndValue(t *testing.T) {
@@ -164,15 +185,25 @@
 		return "<nettlefold xmlns='urn:nettlefold:settings:1'>\n<fleet listen='127.0.0.1:7946' " + attributes + ">" + within +
 			"</fleet></nettlefold>"
 	}
+	tier := func(attributes, within string) string {
+		return "<nettlefold xmlns='urn:nettlefold:settings:1'>\n<control " + attributes + ">" + within + "</control></nettlefold>"
+	}
+	one := "<relay name='r-1' region='east' address='h:1'/>"
 	two := "<site name='a'/><site name='b'/>"
 	for doc, want := range map[string]string{
-		fleet("", two):                                                          `line 2: nettlefold/fleet: site: ["a" "b"]: no majority is left`,
-		fleet("alone='no' site='a'", two):                                       `no majority is left`,
-		fleet("site='z'", two+"<site name='c'/>"):                               `line 2: nettlefold/fleet: site: "z" is none of the sites ["a" "b" "c"]`,
-		fleet("", two+"<site name='b'/>"):                                       `line 2: nettlefold/fleet: site: name: "b" stands twice`,
-		fleet("", "<site name='a'/><site name='a b'/>"):                         `line 2: nettlefold/fleet/site: name: "a b"`,
-		fleet("forget='4s'", two):                                               `nettlefold/fleet: forget: "4s"`,
-		fleet("", "<route to='m' address='h:1'/><route address='h:2' to='m'/>"): `nettlefold/fleet/route: to: "m" stands twice`,
+		fleet("", two):                                                               `line 2: nettlefold/fleet: site: ["a" "b"]: no majority is left`,
+		fleet("alone='no' site='a'", two):                                            `no majority is left`,
+		fleet("site='z'", two+"<site name='c'/>"):                                    `line 2: nettlefold/fleet: site: "z" is none of the sites ["a" "b" "c"]`,
+		fleet("", two+"<site name='b'/>"):                                            `line 2: nettlefold/fleet: site: name: "b" stands twice`,
+		fleet("", "<site name='a'/><site name='a b'/>"):                              `line 2: nettlefold/fleet/site: name: "a b"`,
+		fleet("forget='4s'", two):                                                    `nettlefold/fleet: forget: "4s"`,
+		fleet("", "<route to='m' address='h:1'/><route address='h:2' to='m'/>"):      `nettlefold/fleet/route: to: "m" stands twice`,
+		tier("region='east'", one+"<relay name='r-1' region='west' address='h:2'/>"): `line 2: nettlefold/control/relay: name: "r-1" stands twice`,
+		tier("region='east'", one+"<relay name='r-2' region='west' address='h:1'/>"): `nettlefold/control/relay: address: "h:1" stands twice`,
+		tier("region='east'", "<relay name='r 1' region='west' address='h:1'/>"):     `nettlefold/control/relay: name: "r 1"`,
+		tier("region='east' window='1h'", one):                                       `line 2: nettlefold/control: window: "1h"`,
+		tier("", one):                                                                `line 2: nettlefold/control: region: missing`,
+		tier("region='east'", ""):                                                    `line 2: nettlefold/control: relay: missing`,
 		"<nettlefold xmlns='urn:nettlefold:settings:1'>\n\n<store site='a' address='nowhere'/></nettlefold>": `line 3: nettlefold/store: address: "nowhere"`,
 		"<nettlefold xmlns='urn:nettlefold:settings:1'><store site='a'/></nettlefold>":                       `nettlefold/store: address: missing`,
 		"<nettlefold xmlns='urn:nettlefold:settings:1'><shop/></nettlefold>":                                 `unknown element "shop"`,
