Decider of the control tier: table, sessions, followers and relays, not yet tested

The I/O of the tier needs the calls to code against. What is there: the table that joins by stamp, the relay's cursor of one follower and its pace, whom a mixer follows and when, numbers by a majority.

--- /dev/null
+++ b/internal/fleet/control/faults.go
@@ -0,0 +1,19 @@
+package control
+
+// faults are broken designs that only the tests' search plants, to show that it finds them. All are off in the program.
+type faults struct {
+	anyLife       bool // an index counts whatever life of a relay it is of
+	dropsSettings bool // a snapshot that lacks the settings row drops it, and its stamp
+	numberOnly    bool // stamps are compared by their number alone
+	noAuthor      bool // two stamps that differ in their author alone are equal
+	minority      bool // numbers are given without a majority
+	atOnce        bool // a relay that returned numbers before it has exchanged
+	below         bool // a relay numbers below what a mixer told
+	noLife        bool // the author is the relay's name alone, so that two lives number alike
+	again         bool // a mixer tries a rejected version again
+	takesRejected bool // a mixer counts a rejected version as in force
+	skips         bool // what changed during a snapshot is taken as told
+	midway        bool // a snapshot that broke off is taken as whole
+	rush          bool // a relay's loss is followed by a try at once, and relays take all who come
+	forgets       bool // what is gone is forgotten, and an index from before still counts
+}
--- /dev/null
+++ b/internal/fleet/control/give.go
@@ -0,0 +1,98 @@
+package control
+
+import (
+	"errors"
+	"fmt"
+	"strings"
+)
+
+// Reasons why no version is given, besides *NoMajority and *NotNewest.
+var (
+	ErrDocument = errors.New("the document is not an object of at most 32 KiB")
+	ErrFull     = errors.New("the greatest number is given; a new epoch begins anew")
+)
+
+// NoMajority says that a relay may not number now.
+type NoMajority struct {
+	Heard, Needed int   // relays, this one counted
+	After         int64 // ns, where it is the start that has to be waited for; else 0
+}
+
+func (n *NoMajority) Error() string {
+	if n.After > 0 {
+		return fmt.Sprintf("this relay has just started and knows no version; for %.1f s more its mixers may tell it one", float64(n.After)/1e9)
+	}
+	return fmt.Sprintf("%d of the relays are in contact and have told all they hold, %d are needed", n.Heard, n.Needed)
+}
+
+// NotNewest says that the version after which one was to be given is not the newest.
+type NotNewest struct{ Newest Stamp }
+
+func (n *NotNewest) Error() string {
+	return fmt.Sprintf("the newest version is %d.%d by %q", n.Newest.Epoch, n.Newest.Number, n.Newest.Author)
+}
+
+// Newest is the greatest stamp that this relay knows of: held, or told by a mixer here or at another relay.
+func (r *Relay) Newest() Stamp {
+	newest := r.table.Settings()
+	if r.flaw.below {
+		return newest
+	}
+	all := []Stamp{r.told}
+	for _, p := range r.peers {
+		all = append(all, p.standing.Told, p.standing.Holds)
+	}
+	for _, s := range all {
+		if s.Compare(newest) > 0 {
+			newest = s
+		}
+	}
+	return newest
+}
+
+// Give numbers a document: after the newest version that is known, in its epoch or a new one. Two relays may give the same number at
+// one moment; the greater author counts. An author is a relay's name and life, so no life numbers as another did. Where after is
+// set, it must have the newest one's epoch and number. Errors: *NoMajority, *NotNewest, ErrDocument, ErrFull.
+func (r *Relay) Give(now int64, document []byte, after *Stamp, newEpoch bool) (Row, error) {
+	names, need := r.Contact(now)
+	newest := r.Newest()
+	if len(names)+1 < need && !r.flaw.minority {
+		return Row{}, &NoMajority{Heard: len(names) + 1, Needed: need}
+	}
+	if wait := r.started + r.o.Wait - now; wait > 0 && newest == (Stamp{}) && !r.flaw.atOnce {
+		return Row{}, &NoMajority{len(names) + 1, need, wait}
+	}
+	if after != nil && (after.Epoch != newest.Epoch || after.Number != newest.Number) {
+		return Row{}, &NotNewest{newest}
+	}
+	s := Stamp{max(newest.Epoch, 1), newest.Number + 1, r.o.Name + "/" + r.o.Life}
+	if newEpoch {
+		s.Epoch, s.Number = newest.Epoch+1, 1
+	}
+	if r.flaw.noLife {
+		s.Author = r.o.Name
+	}
+	if !s.fits() {
+		return Row{}, ErrFull
+	}
+	row, _, ok := fit(Row{Kind: KindSettings, Name: SettingsName, Stamp: s, Body: document})
+	if !ok || !strings.HasPrefix(string(row.Body), "{") {
+		return Row{}, ErrDocument
+	}
+	r.table.Merge([]Row{row})
+	r.given = s
+	return row, nil
+}
+
+// Held counts the relays, this one among them, that hold a version or a greater one as far as is known here.
+func (r *Relay) Held(s Stamp) (relays int) {
+	if r.table.Settings().Compare(s) >= 0 {
+		relays++
+	}
+	for _, p := range r.peers {
+		if p.standing.Holds.Compare(s) >= 0 {
+			relays++
+		}
+	}
+	return relays
+}
--- /dev/null
+++ b/internal/fleet/control/heed.go
@@ -0,0 +1,120 @@
+package control
+
+import "errors"
+
+// ErrIndex says that a relay told changes without what was before them. The session counts as lost.
+var ErrIndex = errors.New("a relay tells changes since an index that was not asked for")
+
+// Beat says that the session in hand has said something without content.
+func (f *Follower) Beat(now int64) {
+	if f.open >= 0 {
+		f.heard, f.spoke, f.ever = now, now, true
+		if f.relay != nil {
+			f.relay.heard(now, f)
+		}
+	}
+}
+
+// Take takes a piece of the session in hand. It gives the version to be applied, nil without one (Applied or Refused says what
+// became of it), and the rows that are new here.
+func (f *Follower) Take(now int64, p Piece) (apply *Row, news []Row, err error) {
+	if f.open < 0 || f.drop {
+		return nil, nil, nil
+	}
+	switch {
+	case p.Snapshot:
+		f.named, f.index = map[key]bool{}, 0
+	case f.named == nil && (p.More || p.Index < f.index || f.index == 0 && !f.settled && !f.flaw.anyLife):
+		f.drop = true
+		return nil, nil, ErrIndex
+	}
+	if f.relay != nil {
+		news = f.relay.take(p.Rows)
+	} else {
+		news, _ = f.table.Merge(p.Rows)
+	}
+	if f.named != nil {
+		for _, r := range p.Rows {
+			f.named[key{r.Kind, r.Name}] = true
+		}
+		if !p.More {
+			if f.relay == nil { // what a relay holds it has of others too
+				f.table.keep(f.named)
+			}
+			f.named = nil
+		}
+	}
+	if f.named == nil || f.flaw.midway {
+		f.index, f.settled, f.seats[f.open].fails = p.Index, true, 0
+	}
+	f.Beat(now)
+	return f.due(), news, nil
+}
+
+// due gives the version to be applied: the one that is held, where it is greater than what is in force and than what was rejected.
+func (f *Follower) due() *Row {
+	r, ok := f.table.Get(KindSettings, SettingsName)
+	if !ok || f.relay != nil || f.flaw.compare(r.Stamp, f.inForce) <= 0 {
+		return nil
+	}
+	if f.flaw.compare(r.Stamp, f.rejected) <= 0 && !f.flaw.again {
+		return nil
+	}
+	return &r
+}
+
+// Applied says that a version is in force.
+func (f *Follower) Applied(now int64, s Stamp) {
+	if f.flaw.compare(s, f.inForce) > 0 {
+		f.inForce = s
+		f.changed(now)
+	}
+}
+
+// Refused says that a version would not be taken, and why. The one in force stays, and this one is not tried again.
+func (f *Follower) Refused(now int64, s Stamp, element, value string) {
+	if f.flaw.takesRejected {
+		f.inForce = s
+	}
+	f.rejected, f.element, f.value = s, clip(element), clip(value)
+	f.changed(now)
+}
+
+// clip bounds what is told of an element or a value.
+func clip(s string) string {
+	const most = 200
+	if len(s) > most {
+		return s[:most]
+	}
+	return s
+}
+
+func (f *Follower) changed(now int64) {
+	f.tell, f.tellAt, f.tells, f.version = true, now, 0, f.version+1
+}
+
+// InForce gives the stamps of the version in force and of the one last rejected.
+func (f *Follower) InForce() (inForce, rejected Stamp) { return f.inForce, f.rejected }
+
+// Self is what is to be told now, and a mark of it for Told.
+func (f *Follower) Self(now int64) (Self, uint64) {
+	s := f.o.Self
+	s.InForce, s.Rejected, s.Element, s.Value, s.Heard = f.inForce, f.rejected, f.element, f.value, f.before
+	if f.open >= 0 {
+		s.Relay = f.seats[f.open].Name
+	}
+	return s, f.version
+}
+
+// Told says whether the relay in hand took what was told. If not, it is told again after a wait that grows.
+func (f *Follower) Told(now int64, mark uint64, ok bool) {
+	switch {
+	case !ok:
+		f.tellAt = now + f.grown(f.tells)
+		f.tells++
+	case mark == f.version:
+		f.tell, f.tells = false, 0
+	default:
+		f.tellAt = now
+	}
+}
--- /dev/null
+++ b/internal/fleet/control/session.go
@@ -0,0 +1,101 @@
+package control
+
+// Bounds of a piece.
+const (
+	PieceBytes = 4 << 10 // of its rows as JSON; a single row that is larger goes alone
+	PieceRows  = 64
+)
+
+const headBytes = 100 // of a piece as JSON without its rows, at most
+
+// pace is a token bucket: what is spent beyond burst waits until the rate has paid for it. A piece goes as soon as no debt is left,
+// and its own size may be one.
+type pace struct {
+	rate, burst int64 // bytes a second, bytes
+	paid        int64 // ns when all that was spent is paid for
+}
+
+func (p *pace) wait(now int64) int64 {
+	p.paid = max(p.paid, now-p.burst*second/p.rate)
+	return max(p.paid-now, 0)
+}
+
+func (p *pace) spend(bytes int) { p.paid += int64(bytes) * second / p.rate }
+
+// Session is what a relay keeps of one follower: a place in the relay's table, and a pace. It has no queue.
+type Session struct {
+	Name  string // of the follower
+	Mixer bool   // else a relay
+
+	number   uint64 // of the relay's sessions
+	cursor   uint64 // all up to here is told
+	begun    bool   // the first piece has been given
+	whole    bool   // a snapshot is being told
+	end      uint64 // index at its start, used by a planted fault alone
+	settings Stamp  // of the settings row that was told last
+	pace     pace
+	flaw     faults
+}
+
+var allKinds = []string{KindSettings, KindRelay, KindZone}
+
+// NewSession begins a session. What was heard before counts from since on where known, else all is told.
+func NewSession(now int64, name string, mixer, known bool, since uint64) *Session {
+	s := &Session{Name: name, Mixer: mixer, cursor: since, pace: pace{Rate, 2 * PieceBytes, now - second}}
+	if !mixer {
+		s.pace.rate, s.pace.burst = RelayRate, 64<<10
+	}
+	if !known || since == 0 {
+		s.cursor, s.whole = 0, true
+	}
+	return s
+}
+
+// Next gives the piece to be told now. Without one it gives ns after which there may be one, 0 where nothing is to be told before
+// the table changes. The first piece of a session always comes, if empty. The settings row comes before all others.
+func (s *Session) Next(now int64, t *Table) (p Piece, ok bool, wait int64) {
+	if s.begun && s.cursor == t.index {
+		return Piece{}, false, 0
+	}
+	if wait = s.pace.wait(now); wait > 0 {
+		return Piece{}, false, wait
+	}
+	first := s.whole && !s.begun
+	if !(first || t.Known(s.cursor)) { // what has gone since is no longer known, also in the midst of a snapshot
+		s.cursor, s.whole, first = 0, true, true
+	}
+	if first {
+		s.end, s.settings, p.Snapshot = t.index, Stamp{}, true
+	}
+	room := PieceBytes
+	if e := t.rows[key{KindSettings, SettingsName}]; e != nil && (first || e.index > s.cursor && e.row.Stamp != s.settings) {
+		p.Rows, s.settings = append(p.Rows, e.row), e.row.Stamp
+		room -= e.size + 1
+	}
+	p.Index = s.cursor
+	if room > 0 {
+		rows, upto := t.Since(s.cursor, allKinds, PieceRows, room)
+		for _, r := range rows {
+			if r.Kind != KindSettings { // it has been told before
+				p.Rows = append(p.Rows, r)
+			}
+		}
+		if s.flaw.skips && s.whole && upto >= s.end {
+			upto = t.index
+		}
+		p.Index = upto
+	}
+	quiet := s.begun && !s.whole && len(p.Rows) == 0
+	s.cursor, s.begun = p.Index, true
+	p.More = s.whole && s.cursor < t.index
+	s.whole = p.More
+	if quiet {
+		return Piece{}, false, 0
+	}
+	size := headBytes
+	for _, r := range p.Rows {
+		size += t.rows[key{r.Kind, r.Name}].size + 1
+	}
+	s.pace.spend(size)
+	return p, true, 0
+}
