--- a/cmd/nettlefold/main.go
+++ b/cmd/nettlefold/main.go
@@ -23,6 +23,8 @@
 	Serve   serveCommand   `cmd:"" default:"withargs" help:"Serve lookups until SIGTERM or SIGINT. The default."`
 	Check   checkCommand   `cmd:"" help:"Check files as a start would, and say what is wrong."`
 	Explain explainCommand `cmd:"" help:"Print the settings in force, defaults too, as one JSON document."`
+	Relay   relayCommand   `cmd:"" help:"Be a relay of the control tier until SIGTERM or SIGINT."`
+	Give    giveCommand    `cmd:"" help:"Give the mixers a version of the settings that are taken in flight."`
 	Version versionCommand `cmd:"" help:"Print what was built from what."`
 }
 
@@ -43,21 +45,29 @@
 	if err != nil {
 		return err
 	}
+	log, err := logger(own, a.Log)
+	if err != nil {
+		return err
+	}
+	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
+	defer stop()
+	return run(ctx, hup, paths{a.Config, a.Settings}, own, log)
+}
+
+// logger makes the log that the settings ask for. A level of the command line goes before theirs.
+func logger(own settings.Settings, above string) (*slog.Logger, error) {
 	level := new(slog.LevelVar)
 	level.Set(own.Logging.Level)
-	if a.Log != "" {
-		if err := level.UnmarshalText([]byte(a.Log)); err != nil {
-			return fmt.Errorf("NETTLEFOLD_LOG: %w", err)
+	if above != "" {
+		if err := level.UnmarshalText([]byte(above)); err != nil {
+			return nil, fmt.Errorf("NETTLEFOLD_LOG: %w", err)
 		}
 	}
 	options := &slog.HandlerOptions{Level: level}
-	log := slog.New(slog.NewTextHandler(os.Stderr, options))
 	if own.Logging.JSON {
-		log = slog.New(slog.NewJSONHandler(os.Stderr, options))
+		return slog.New(slog.NewJSONHandler(os.Stderr, options)), nil
 	}
-	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
-	defer stop()
-	return run(ctx, hup, paths{a.Config, a.Settings}, own, log)
+	return slog.New(slog.NewTextHandler(os.Stderr, options)), nil
 }
 
 type checkCommand struct {
--- a/internal/fleet/desk/exchange.go
+++ b/internal/fleet/desk/exchange.go
@@ -82,6 +82,21 @@
 	return raw
 }
 
+// Heard gives what Said was told of a table, where that is not a desk's to take. Its errors are ErrState.
+func Heard(table string, raw []byte) ([]byte, error) {
+	st := state{}
+	if len(raw) > MaxState {
+		return nil, fmt.Errorf("%w: %d bytes", ErrState, len(raw))
+	}
+	if err := decoder.Unmarshal(raw, &st); err != nil {
+		return nil, fmt.Errorf("%w: %v", ErrState, err)
+	}
+	if st.Version != version || len(st.Parts) != 1 || st.Parts[0].Table != table {
+		return nil, fmt.Errorf("%w: version %d, %d parts, want %d and one for %q", ErrState, st.Version, len(st.Parts), version, table)
+	}
+	return st.Parts[0].Bytes, nil
+}
+
 // share divides room among the tables.
 func (d *Desk) share(room int) {
 	if len(d.slots) == 0 {
