Mixers follow the control tier where <control> is set, and put its versions in force

Unset, nothing listens and nothing runs: the program has its two listeners and no connection to a relay, and controlled gives nil.

--- a/cmd/nettlefold/fleet_test.go
+++ b/cmd/nettlefold/fleet_test.go
@@ -22,11 +22,10 @@
 	"nettlefold/mixer"
 )
 
-// packets counts the UDP sockets that the program has open.
-func (w *world) packets() (n int) {
+// owned gives the program's directory in /proc, and the sockets that it has open, by the system's numbers.
+func (w *world) owned() (proc string, mine map[string]bool) {
 	w.t.Helper()
-	proc := fmt.Sprintf("/proc/%d", w.cmd.Process.Pid)
-	mine := map[string]bool{}
+	proc, mine = fmt.Sprintf("/proc/%d", w.cmd.Process.Pid), map[string]bool{}
 	all, err := os.ReadDir(proc + "/fd")
 	if err != nil {
 		w.t.Fatal(err)
@@ -36,6 +35,13 @@
 			mine[strings.Trim(to[len("socket:"):], "[]")] = true
 		}
 	}
+	return proc, mine
+}
+
+// packets counts the UDP sockets that the program has open.
+func (w *world) packets() (n int) {
+	w.t.Helper()
+	proc, mine := w.owned()
 	for _, file := range []string{"/net/udp", "/net/udp6"} {
 		f, err := os.Open(proc + file)
 		if err != nil {
--- a/cmd/nettlefold/serve.go
+++ b/cmd/nettlefold/serve.go
@@ -193,6 +193,7 @@
 		listener.Close()
 		return fmt.Errorf("%s: %w", at.settings, err)
 	}
+	versions := controlled(c, own.Control, router, log)
 	work, cancel := context.WithCancel(context.Background())
 	var wg sync.WaitGroup
 	defer wg.Wait()
@@ -224,6 +225,9 @@
 		if fleet != nil {
 			answers.Fleet = &admin.Fleet{Roster: fleet, Tables: sites.tables()}
 		}
+		if versions != nil {
+			answers.Control = func() any { return versions.State() }
+		}
 		wg.Go(func() {
 			if err := answers.Serve(work, l); err != nil {
 				log.Error("admin listener", "error", err)
@@ -242,6 +246,13 @@
 	server.Open(listener)
 	served := make(chan error, 1)
 	wg.Go(func() { served <- server.Serve() })
+	if versions != nil {
+		wg.Go(func() {
+			if err := versions.Run(work); err != nil {
+				log.Error("control", "error", err)
+			}
+		})
+	}
 	log.Info("serving", "name", c.Name, "listen", c.Listen, "known", len(c.Known.Members), "version", c.Known.Version)
 	late := time.After(time.Until(start.Add(c.Limits.Ready)))
 	for ctx.Err() == nil {
--- a/internal/admin/admin.go
+++ b/internal/admin/admin.go
@@ -22,12 +22,14 @@
 	Standing(searcher string) (routing.Standing, bool)
 }
 
-// Server answers. Keeper is nil where there is no shared store, Fleet where the mixer takes part in none.
+// Server answers. Keeper is nil where there is no shared store, Fleet where the mixer takes part in none, Control where no relays
+// tell it of versions.
 type Server struct {
 	Router  Asked
 	Keeper  interface{ State() store.State }
 	Fleet   *Fleet
-	Explain func() any // the settings in force
+	Control func() any // how the mixer stands with the control tier
+	Explain func() any // the settings of the start
 }
 
 // Serve answers on a listener until the context ends.
@@ -58,6 +60,13 @@
 		reply(w, s.Keeper.State())
 	})
 	mux.HandleFunc("GET /fleet", s.fleet)
+	mux.HandleFunc("GET /control", func(w http.ResponseWriter, r *http.Request) {
+		if s.Control == nil {
+			http.Error(w, "no control is set", http.StatusNotFound)
+			return
+		}
+		reply(w, s.Control())
+	})
 	mux.HandleFunc("GET /settings", func(w http.ResponseWriter, r *http.Request) { reply(w, s.Explain()) })
 	mux.HandleFunc("GET /why", func(w http.ResponseWriter, r *http.Request) {
 		name := r.FormValue("searcher")
--- a/internal/admin/admin_test.go
+++ b/internal/admin/admin_test.go
@@ -71,6 +71,7 @@
 	}
 	alone := &Server{Router: asked{}, Explain: func() any { return "in force" }}
 	shares := &Server{Router: asked{}, Keeper: kept{}, Explain: alone.Explain}
+	shares.Control = func() any { return map[string]string{"relay": "r-1"} }
 	shares.Fleet = &Fleet{Roster: listed{}, Tables: []Table{{"rights", func() any { return 7 }}}}
 	for _, c := range []struct {
 		s    *Server
@@ -80,7 +81,8 @@
 	}{
 		{alone, "/sharing", 404, "no shared store"}, {alone, "/settings", 200, "in force"}, {alone, "/metrics", 200, "process_"},
 		{alone, "/why?searcher=s", 200, "Standing"}, {alone, "/why?searcher=x", 404, `"x" is not listed`}, {alone, "/other", 404, ""},
-		{alone, "/fleet", 404, "no fleet"},
+		{alone, "/fleet", 404, "no fleet"}, {alone, "/control", 404, "no control is set"},
+		{shares, "/control", 200, `{"relay":"r-1"}`},
 		{shares, "/fleet", 200, `"self":{"name":"me","life":"000000000000000a"`},
 		{shares, "/fleet", 200, `b0","site":"x","build":"","state":"cut off","term":0,"heard_ms":2000,"state_ms":1000}`},
 		{shares, "/fleet", 200, `"state":"gone","why":"goodbye","term":0,"heard_ms":-1`},
