--- a/internal/fleet/control/heed.go
+++ b/internal/fleet/control/heed.go
@@ -1,6 +1,9 @@
 package control
 
-import "errors"
+import (
+	"errors"
+	"strings"
+)
 
 // ErrIndex says that a relay told changes without what was before them. The session counts as lost.
 var ErrIndex = errors.New("a relay tells changes since an index that was not asked for")
@@ -31,6 +34,11 @@
 	if f.relay != nil {
 		news = f.relay.take(p.Rows)
 	} else {
+		for _, r := range p.Rows {
+			if r.Kind != KindSettings { // as its relay says, which joins them; one that returned counts its own anew
+				f.table.drop(key{r.Kind, r.Name})
+			}
+		}
 		news, _ = f.table.Merge(p.Rows)
 	}
 	if f.named != nil {
@@ -82,11 +90,7 @@
 
 // clip bounds what is told of an element or a value.
 func clip(s string) string {
-	const most = 200
-	if len(s) > most {
-		return s[:most]
-	}
-	return s
+	return strings.ToValidUTF8(s[:min(len(s), MaxName)], "")
 }
 
 func (f *Follower) changed(now int64) {
--- a/internal/fleet/control/members.go
+++ b/internal/fleet/control/members.go
@@ -38,7 +38,7 @@
 			return nil, &Busy{"more sessions of relays than there are relays", Away}
 		}
 	} else if !r.flaw.rush {
-		if r.mixers >= r.o.Sessions || len(r.members) >= r.o.Sessions+r.o.NewPerS {
+		if r.mixers >= r.o.Sessions || r.members[name] == nil && len(r.members) >= 2*r.o.Sessions {
 			return nil, &Busy{fmt.Sprintf("this relay's share of %d sessions is taken", r.o.Sessions), Away}
 		}
 		if r.opens.wait(now) > 0 {
@@ -83,10 +83,16 @@
 	}
 }
 
+func (m *member) away(now int64) bool { return m.sessions == 0 && now-m.left >= Away }
+
 // sweep forgets mixers that have had no session for Away.
 func (r *Relay) sweep(now int64) {
+	if now-r.swept < second/2 {
+		return
+	}
+	r.swept = now
 	for name, m := range r.members {
-		if m.sessions == 0 && now-m.left >= Away {
+		if m.away(now) {
 			delete(r.members, name)
 		}
 	}
@@ -95,7 +101,7 @@
 // Said takes what a mixer tells of itself. ErrUnknown: it has had no session here for Away. What breaks a bound is refused.
 func (r *Relay) Said(now int64, s Self) error {
 	m := r.members[s.Name]
-	if m == nil || m.sessions == 0 && now-m.left >= Away {
+	if m == nil || m.away(now) {
 		return ErrUnknown
 	}
 	for _, text := range []string{s.Region, s.Zone, s.Element, s.Value, s.Relay} {
--- a/internal/fleet/control/relay.go
+++ b/internal/fleet/control/relay.go
@@ -11,6 +11,8 @@
 const (
 	Away    = 5 * second // a relay or mixer not heard for so long does not count as there
 	Remakes = second     // between two makings of a relay's own rows
+
+	MaxSeats = 16 // relays
 )
 
 // RelayOptions describe a relay. Zero bounds stand for those of a relay that has all mixers.
@@ -74,6 +76,7 @@
 	mixers   int    // sessions of mixers
 	opens    pace   // of new ones, in sessions
 	members  map[string]*member
+	swept    int64
 
 	told       Stamp // the greatest that a mixer told
 	given      Stamp // the last given here
@@ -88,8 +91,9 @@
 // NewRelay gives a relay that knows nothing.
 func NewRelay(now int64, o RelayOptions) (*Relay, error) {
 	at := slices.IndexFunc(o.Seats, func(s Seat) bool { return s.Name == o.Name })
-	if at < 0 || o.Life == "" {
-		return nil, fmt.Errorf("a relay needs a seat and a life: %q, %q", o.Name, o.Life)
+	if at < 0 || o.Life == "" || len(o.Name)+1+len(o.Life) > MaxAuthor || len(o.Seats) > MaxSeats {
+		return nil, fmt.Errorf("a relay needs one of %d seats at most and a life, of %d bytes with its name at most: %q, %q", MaxSeats,
+			MaxAuthor-1, o.Name, o.Life)
 	}
 	o.Sessions, o.NewPerS = cmp.Or(o.Sessions, 8192), cmp.Or(o.NewPerS, 1024)
 	r := &Relay{o: o, self: o.Seats[at], table: NewTable(o.Limits), started: now, sessions: map[uint64]*Session{},
--- a/internal/fleet/control/rows.go
+++ b/internal/fleet/control/rows.go
@@ -14,8 +14,8 @@
 )
 
 // Step remakes the relay's own rows, at most once a second, and at once where it holds another version. Only those that say
-// something else are told anew, as far as their pace allows: all relays' own rows together fill at most half of what a mixer is told, so
-// that whoever follows catches up. It tells whether anything changed, and ns until it is due again.
+// something else are told anew, the longest unchanged first, as far as their pace allows: all relays' own rows together fill at most
+// half of what a mixer is told, so that whoever follows catches up. It tells whether anything changed, and ns until it is due again.
 func (r *Relay) Step(now int64) (changed bool, wait int64) {
 	holds := r.last().Holds != r.table.Settings()
 	if r.remade && now-r.made < Remakes && !holds {
@@ -23,20 +23,26 @@
 	}
 	r.sweep(now)
 	r.made, r.remade = now, true
-	before := r.table.index
-	r.say(now, Row{Kind: KindRelay, Name: r.o.Name, Body: body(r.standing(now))}, true)
-	zones := r.zones()
-	for _, row := range r.table.Rows(KindZone) { // the longest unchanged first
-		if _, ok := zones[row.Name]; row.Author == r.o.Name && !ok {
-			r.say(now, Row{Kind: KindZone, Name: row.Name, Gone: true}, false)
-		} else if ok {
-			r.say(now, Row{Kind: KindZone, Name: row.Name, Body: body(zones[row.Name])}, false)
+	rows := append(r.zones(now), Row{Kind: KindRelay, Name: r.o.Name, Body: body(r.standing(now))})
+	index := func(row Row) uint64 {
+		if e := r.table.rows[key{row.Kind, row.Name}]; e != nil && !(holds && row.Kind == KindRelay) {
+			return e.index
 		}
+		return 0
 	}
-	for _, name := range slices.Sorted(maps.Keys(zones)) {
-		r.say(now, Row{Kind: KindZone, Name: name, Body: body(zones[name])}, false)
+	slices.SortStableFunc(rows, func(a, b Row) int {
+		return cmp.Or(cmp.Compare(index(a), index(b)), cmp.Compare(a.Kind, b.Kind), cmp.Compare(a.Name, b.Name))
+	})
+	for _, row := range rows {
+		old, ok := r.table.Get(row.Kind, row.Name)
+		if ok && old.Gone == row.Gone && bytes.Equal(old.Body, row.Body) {
+			continue
+		}
+		if r.rows.wait(now) == 0 || holds && row.Kind == KindRelay {
+			changed = r.say(row) || changed
+		}
 	}
-	return r.table.index != before, Remakes
+	return changed, Remakes
 }
 
 func body(v any) json.RawMessage {
@@ -56,23 +62,19 @@
 	return s
 }
 
-// say puts a row of this relay's own into the table where it says something else than the one that is there.
-func (r *Relay) say(now int64, row Row, always bool) {
-	old, ok := r.table.Get(row.Kind, row.Name)
-	if ok && old.Gone == row.Gone && bytes.Equal(old.Body, row.Body) || !always && r.rows.wait(now) > 0 {
-		return
-	}
-	r.rowNumber = max(r.rowNumber, old.Number) + 1
+// say puts a row of this relay's own into the table.
+func (r *Relay) say(row Row) bool {
+	r.rowNumber++
 	row.Stamp = Stamp{1, r.rowNumber, r.o.Name}
 	news, refused := r.table.Merge([]Row{row})
-	r.notAllowed += refused
-	if len(news) > 0 {
+	if r.notAllowed += refused; len(news) > 0 {
 		r.rows.spend(r.table.rows[key{row.Kind, row.Name}].size)
 	}
+	return len(news) > 0
 }
 
 func (r *Relay) standing(now int64) Standing {
-	s := Standing{Region: r.self.Region, Life: r.o.Life, Holds: r.table.Settings(), Told: r.told, Mixers: len(r.members)}
+	s := Standing{Region: r.self.Region, Life: r.o.Life, Holds: r.table.Settings(), Told: r.told}
 	s.Contact, _ = r.Contact(now)
 	counts, least := map[Stamp]*Count{}, Stamp{}
 	of := func(v Stamp) *Count {
@@ -83,6 +85,10 @@
 	}
 	name := ""
 	for n, m := range r.members {
+		if m.away(now) {
+			continue
+		}
+		s.Mixers++
 		if !m.said {
 			continue
 		}
@@ -103,11 +109,12 @@
 	return s
 }
 
-func (r *Relay) zones() map[string]ZoneCount {
+// zones gives the relay's rows of KindZone, also those that are gone since the last time.
+func (r *Relay) zones(now int64) (rows []Row) {
 	all := map[string]ZoneCount{}
 	for _, n := range slices.Sorted(maps.Keys(r.members)) {
 		m := r.members[n]
-		if !m.said {
+		if !m.said || m.away(now) {
 			continue
 		}
 		z := ZoneCount{Relay: r.o.Name, Region: m.self.Region, Zone: m.self.Zone}
@@ -119,7 +126,15 @@
 		z.Mixers = all[name].Mixers + 1
 		all[name] = z
 	}
-	return all
+	for name, z := range all {
+		rows = append(rows, Row{Kind: KindZone, Name: name, Body: body(z)})
+	}
+	for _, row := range r.table.Rows(KindZone) {
+		if _, ok := all[row.Name]; row.Author == r.o.Name && !ok {
+			rows = append(rows, Row{Kind: KindZone, Name: row.Name, Gone: true})
+		}
+	}
+	return rows
 }
 
 func zoneName(z ZoneCount) string { return z.Relay + "/" + z.Region + "/" + z.Zone }
--- a/internal/fleet/control/session.go
+++ b/internal/fleet/control/session.go
@@ -31,17 +31,18 @@
 	cursor   uint64 // all up to here is told
 	begun    bool   // the first piece has been given
 	whole    bool   // a snapshot is being told
-	end      uint64 // index at its start, used by a planted fault alone
-	settings Stamp  // of the settings row that was told last
+	end      uint64 // index at its start
+	settings uint64 // index of the settings row that was told last
+	room     int    // bytes of a piece
 	pace     pace
 	flaw     faults
 }
 
-var allKinds = []string{KindSettings, KindRelay, KindZone}
+var otherKinds = []string{KindRelay, KindZone}
 
 // NewSession begins a session. What was heard before counts from since on where known, else all is told.
 func NewSession(now int64, name string, mixer, known bool, since uint64) *Session {
-	s := &Session{Name: name, Mixer: mixer, cursor: since, pace: pace{Rate, 2 * PieceBytes, now - second}}
+	s := &Session{Name: name, Mixer: mixer, cursor: since, room: PieceBytes, pace: pace{Rate, 2 * PieceBytes, now - second}}
 	if !mixer {
 		s.pace.rate, s.pace.burst = RelayRate, 64<<10
 	}
@@ -61,25 +62,21 @@
 		return Piece{}, false, wait
 	}
 	first := s.whole && !s.begun
-	if !(first || t.Known(s.cursor)) { // what has gone since is no longer known, also in the midst of a snapshot
+	if known := t.Known(s.cursor); !first && !(known || s.whole && t.forgotten <= s.end) { // what has gone since is forgotten
 		s.cursor, s.whole, first = 0, true, true
 	}
 	if first {
-		s.end, s.settings, p.Snapshot = t.index, Stamp{}, true
+		s.end, s.settings, p.Snapshot = t.index, 0, true
 	}
-	room := PieceBytes
-	if e := t.rows[key{KindSettings, SettingsName}]; e != nil && (first || e.index > s.cursor && e.row.Stamp != s.settings) {
-		p.Rows, s.settings = append(p.Rows, e.row), e.row.Stamp
+	room := s.room
+	if e := t.rows[key{KindSettings, SettingsName}]; e != nil && e.index > s.cursor && e.index != s.settings {
+		p.Rows, s.settings = append(p.Rows, e.row), e.index
 		room -= e.size + 1
 	}
 	p.Index = s.cursor
 	if room > 0 {
-		rows, upto := t.Since(s.cursor, allKinds, PieceRows, room)
-		for _, r := range rows {
-			if r.Kind != KindSettings { // it has been told before
-				p.Rows = append(p.Rows, r)
-			}
-		}
+		rows, upto := t.Since(s.cursor, otherKinds, PieceRows-len(p.Rows), room)
+		p.Rows = append(p.Rows, rows...)
 		if s.flaw.skips && s.whole && upto >= s.end {
 			upto = t.index
 		}
--- a/internal/fleet/control/table.go
+++ b/internal/fleet/control/table.go
@@ -5,6 +5,7 @@
 	"cmp"
 	"encoding/json"
 	"slices"
+	"strings"
 	"unicode/utf8"
 )
 
@@ -14,7 +15,7 @@
 // Bounds of single rows. What is beyond them is refused.
 const (
 	MaxDocument = 32 << 10  // bytes of the settings' document
-	MaxBody     = 4 << 10   // bytes of another row's body
+	MaxBody     = 16 << 10  // bytes of another row's body
 	MaxName     = 200       // bytes of a row's name
 	MaxAuthor   = 100       // bytes of a stamp's author
 	MaxCount    = 1<<53 - 1 // of epochs and numbers; all readers of JSON hold it exactly
@@ -124,7 +125,14 @@
 		if most = MaxDocument; r.Name != SettingsName || r.Gone {
 			return r, 0, false
 		}
-	case KindRelay, KindZone:
+	case KindRelay:
+		if r.Name != r.Author {
+			return r, 0, false
+		}
+	case KindZone:
+		if !strings.HasPrefix(r.Name, r.Author+"/") {
+			return r, 0, false
+		}
 	default:
 		return r, 0, false
 	}
@@ -210,16 +218,22 @@
 
 // keep drops all rows but the settings row that are not named: what a snapshot says is gone.
 func (t *Table) keep(named map[key]bool) {
-	for k, e := range t.rows {
-		if named[k] || k.kind == KindSettings && !t.flaw.dropsSettings {
-			continue
+	for k := range t.rows {
+		if !named[k] && (k.kind != KindSettings || t.flaw.dropsSettings) {
+			t.drop(k)
 		}
+	}
+	t.forget()
+}
+
+// drop takes a row out without a trace: who follows this table has to be told all of it again.
+func (t *Table) drop(k key) {
+	if e := t.rows[k]; e != nil {
 		t.gone -= truth(e.row.Gone)
 		t.remove(k, e)
-		t.forgotten = t.index + 1
+		t.index++
+		t.forgotten = t.index
 	}
-	t.index = max(t.index, t.forgotten)
-	t.forget()
 }
 
 // Known tells whether all that has changed since an index can be told.
