--- a/internal/fleet/control/faults.go
+++ b/internal/fleet/control/faults.go
@@ -16,4 +16,6 @@
 	midway        bool // a snapshot that broke off is taken as whole
 	rush          bool // a relay's loss is followed by a try at once, and relays take all who come
 	forgets       bool // what is gone is forgotten, and an index from before still counts
+	zombie        bool // an own row that is gone and that another tells as there is not told as gone again
+	lingers       bool // what a relay's whole snapshot does not name of its own is kept by the other relays
 }
--- a/internal/fleet/control/follow.go
+++ b/internal/fleet/control/follow.go
@@ -58,7 +58,9 @@
 
 	inForce, rejected Stamp
 	element, value    string
-	tell              bool // what it says of itself has not been told
+	refused           []Stamp // the last ones rejected
+	floor             Stamp   // the greatest rejected before them
+	tell              bool    // what it says of itself has not been told
 	tellAt            int64
 	tells             int // that failed in a row
 	version           uint64
--- a/internal/fleet/control/heed.go
+++ b/internal/fleet/control/heed.go
@@ -2,9 +2,12 @@
 
 import (
 	"errors"
+	"slices"
 	"strings"
 )
 
+const mostRejected = 8 // versions that are kept to not try them again
+
 // ErrIndex says that a relay told changes without what was before them. The session counts as lost.
 var ErrIndex = errors.New("a relay tells changes since an index that was not asked for")
 
@@ -46,8 +49,12 @@
 			f.named[key{r.Kind, r.Name}] = true
 		}
 		if !p.More {
-			if f.relay == nil { // what a relay holds it has of others too
-				f.table.keep(f.named)
+			author := "" // all rows
+			if f.relay != nil {
+				author = f.seats[f.open].Name // it knows its own; others' rows are known of others too
+			}
+			if f.relay == nil || !f.flaw.lingers {
+				f.table.keep(f.named, author)
 			}
 			f.named = nil
 		}
@@ -56,19 +63,30 @@
 		f.index, f.settled, f.seats[f.open].fails = p.Index, true, 0
 	}
 	f.Beat(now)
-	return f.due(), news, nil
+	return f.due(p.Rows), news, nil
 }
 
-// due gives the version to be applied: the one that is held, where it is greater than what is in force and than what was rejected.
-func (f *Follower) due() *Row {
-	r, ok := f.table.Get(KindSettings, SettingsName)
-	if !ok || f.relay != nil || f.flaw.compare(r.Stamp, f.inForce) <= 0 {
+// due gives the version to be applied: of the one that is held and those just told the greatest that is greater than the one in
+// force and was not rejected. So a version before a rejected one is taken too, where a relay has no other.
+func (f *Follower) due(told []Row) (best *Row) {
+	if f.relay != nil {
 		return nil
 	}
-	if f.flaw.compare(r.Stamp, f.rejected) <= 0 && !f.flaw.again {
-		return nil
+	if r, ok := f.table.Get(KindSettings, SettingsName); ok {
+		told = append([]Row{r}, told...)
+	}
+	for _, r := range told {
+		if r, _, ok := fit(r); ok && r.Kind == KindSettings && f.flaw.compare(r.Stamp, f.inForce) > 0 &&
+			(best == nil || f.flaw.compare(r.Stamp, best.Stamp) > 0) && (f.flaw.again || !f.wasRejected(r.Stamp)) {
+			best = &r
+		}
 	}
-	return &r
+	return best
+}
+
+// wasRejected tells whether a version was rejected, or may have been: of more than are kept, none up to the greatest is tried again.
+func (f *Follower) wasRejected(s Stamp) bool {
+	return s.Compare(f.floor) <= 0 || slices.Contains(f.refused, s)
 }
 
 // Applied says that a version is in force.
@@ -84,6 +102,12 @@
 	if f.flaw.takesRejected {
 		f.inForce = s
 	}
+	if f.refused = append(f.refused, s); len(f.refused) > mostRejected {
+		if f.refused[0].Compare(f.floor) > 0 {
+			f.floor = f.refused[0]
+		}
+		f.refused = slices.Delete(f.refused, 0, 1)
+	}
 	f.rejected, f.element, f.value = s, clip(element), clip(value)
 	f.changed(now)
 }
--- a/internal/fleet/control/rows.go
+++ b/internal/fleet/control/rows.go
@@ -35,11 +35,12 @@
 	})
 	for _, row := range rows {
 		old, ok := r.table.Get(row.Kind, row.Name)
-		if ok && old.Gone == row.Gone && bytes.Equal(old.Body, row.Body) {
+		if ok && old.Gone == row.Gone && bytes.Equal(old.Body, row.Body) && !r.undead[row.Name] {
 			continue
 		}
 		if r.rows.wait(now) == 0 || holds && row.Kind == KindRelay {
 			changed = r.say(row) || changed
+			delete(r.undead, row.Name)
 		}
 	}
 	return changed, Remakes
@@ -129,9 +130,15 @@
 	for name, z := range all {
 		rows = append(rows, Row{Kind: KindZone, Name: name, Body: body(z)})
 	}
+	gone := maps.Clone(r.undead)
 	for _, row := range r.table.Rows(KindZone) {
-		if _, ok := all[row.Name]; row.Author == r.o.Name && !ok {
-			rows = append(rows, Row{Kind: KindZone, Name: row.Name, Gone: true})
+		if row.Author == r.o.Name {
+			gone[row.Name] = true
+		}
+	}
+	for name := range gone {
+		if _, ok := all[name]; !ok {
+			rows = append(rows, Row{Kind: KindZone, Name: name, Gone: true})
 		}
 	}
 	return rows
--- a/internal/fleet/control/table.go
+++ b/internal/fleet/control/table.go
@@ -216,10 +216,10 @@
 	delete(t.rows, k)
 }
 
-// keep drops all rows but the settings row that are not named: what a snapshot says is gone.
-func (t *Table) keep(named map[key]bool) {
-	for k := range t.rows {
-		if !named[k] && (k.kind != KindSettings || t.flaw.dropsSettings) {
+// keep drops all rows but the settings row that are not named, or those of one author: what a snapshot says is gone.
+func (t *Table) keep(named map[key]bool, author string) {
+	for k, e := range t.rows {
+		if !named[k] && (author == "" || author == e.row.Author) && (k.kind != KindSettings || t.flaw.dropsSettings) {
 			t.drop(k)
 		}
 	}
