--- a/internal/fleet/desk/desk_test.go
+++ b/internal/fleet/desk/desk_test.go
@@ -312,3 +312,17 @@
 		t.Errorf("of what was said alone: %d", h.most)
 	}
 }
+
+func TestWhatIsSaidIsHeard(t *testing.T) {
+	if got, err := Heard("h", Said("h", []byte("of it"))); err != nil || string(got) != "of it" {
+		t.Errorf("%q, %v", got, err)
+	}
+	two, _ := cbor.Marshal(state{Version: version, Parts: []part{{Table: "h"}, {Table: "h"}}})
+	other, _ := cbor.Marshal(state{Version: version + 1, Parts: []part{{Table: "h"}}})
+	for what, raw := range map[string][]byte{"another table": Said("g", nil), "two parts": two, "another version": other,
+		"nothing": nil, "garbage": []byte("garbage"), "too long": make([]byte, MaxState+1)} {
+		if _, err := Heard("h", raw); !errors.Is(err, ErrState) {
+			t.Errorf("%s: %v", what, err)
+		}
+	}
+}
--- a/internal/fleet/relay/client.go
+++ b/internal/fleet/relay/client.go
@@ -45,6 +45,7 @@
 	hand    *session  // nil: none
 	since   time.Time // of the version in force; under lock, as is failed
 	failed  string
+	quiet   bool       // that there is no session has been told
 	ready   sync.Mutex // on follower being set
 }
 
@@ -248,6 +249,7 @@
 		}
 		c.hand, c.trying, e.s.named = e.s, nil, e.named
 		c.locked(func(f *control.Follower) { f.Opened(now, e.life) })
+		c.quiet = false
 		c.log.Info("control: follows", "relay", e.s.seat.Name, "region", e.s.seat.Region, "life", e.life)
 	case e.err != nil && e.s == c.trying:
 		c.trying = nil
@@ -256,7 +258,11 @@
 			after = int64(r.after)
 		}
 		c.locked(func(f *control.Follower) { f.Failed(now, after); c.failed = clip(e.err.Error()) })
-		c.log.Debug("control: no session", "relay", e.s.seat.Name, "error", e.err)
+		level := slog.LevelDebug // it tries again for as long as it takes
+		if c.hand == nil && !c.quiet {
+			level, c.quiet = slog.LevelInfo, true
+		}
+		c.log.Log(c.work, level, "control: no session", "relay", e.s.seat.Name, "error", e.err)
 	case e.s != c.hand: // of one that was given up
 	case e.err != nil:
 		c.locked(func(f *control.Follower) { f.Lost(now); c.failed = clip(e.err.Error()) })
@@ -284,7 +290,11 @@
 		return
 	}
 	c.hand.cancel()
-	c.log.Info("control: alone, goes on with what it has", "relay", c.hand.seat.Name, "error", why)
+	what := "control: alone, goes on with what it has"
+	if c.as == asRelay {
+		what = "control: no longer hears a relay"
+	}
+	c.log.Info(what, "relay", c.hand.seat.Name, "error", why)
 	c.hand = nil
 }
 
--- a/internal/fleet/relay/helper_test.go
+++ b/internal/fleet/relay/helper_test.go
@@ -5,9 +5,9 @@
 	"encoding/json"
 	"fmt"
 	"io"
-	"log/slog"
 	"net"
 	"net/http"
+	"os"
 	"runtime"
 	"strings"
 	"sync"
@@ -24,7 +24,6 @@
 	seats  []control.Seat
 	relays []*process
 	wg     sync.WaitGroup
-	before int // goroutines
 }
 
 // process is a relay that can be ended and started anew.
@@ -48,7 +47,7 @@
 // newTier makes seats in the regions, and starts a relay at each.
 func newTier(t *testing.T, o Options, regions ...string) *tier {
 	t.Helper()
-	w := &tier{t: t, before: runtime.NumGoroutine()}
+	w := &tier{t: t}
 	t.Cleanup(w.end)
 	var at []net.Listener
 	for i, region := range regions {
@@ -88,22 +87,36 @@
 	return p
 }
 
-// end ends all and looks for goroutines that are left.
+// end ends all.
 func (w *tier) end() {
 	for _, p := range w.relays {
 		p.stop()
 	}
 	w.wg.Wait()
-	http.DefaultClient.CloseIdleConnections()
-	for end := time.Now().Add(time.Minute); runtime.NumGoroutine() > w.before; time.Sleep(5 * time.Millisecond) {
+	for _, p := range w.relays {
+		if err := <-p.ended; err != nil {
+			w.t.Error(err)
+		}
+	}
+}
+
+// TestMain looks for goroutines that the tests leave behind.
+func TestMain(m *testing.M) {
+	before := runtime.NumGoroutine()
+	code := m.Run()
+	client.CloseIdleConnections()
+	for end := time.Now().Add(time.Minute); runtime.NumGoroutine() > before && code == 0; time.Sleep(5 * time.Millisecond) {
 		if time.Now().After(end) {
 			stacks := make([]byte, 1<<20)
-			w.t.Errorf("%d goroutines, were %d:\n%s", runtime.NumGoroutine(), w.before, stacks[:runtime.Stack(stacks, true)])
-			return
+			fmt.Printf("%d goroutines, were %d:\n%s", runtime.NumGoroutine(), before, stacks[:runtime.Stack(stacks, true)])
+			code = 1
 		}
 	}
+	os.Exit(code)
 }
 
+var client = &http.Client{Transport: &http.Transport{}}
+
 // mixer is a client with what it was given.
 type mixer struct {
 	*Client
@@ -118,7 +131,7 @@
 	if seats == nil {
 		seats = w.seats
 	}
-	m := &mixer{Client: &Client{Seats: seats, Self: control.Self{Name: name, Region: region, Zone: region + "-1"}, Window: 100 * time.Millisecond,
+	m := &mixer{Client: &Client{Seats: seats, Self: control.Self{Name: name, Region: region, Zone: "z-" + name}, Window: 100 * time.Millisecond,
 		Seed: uint64(len(name))}}
 	m.Apply = func(_ control.Stamp, doc json.RawMessage) error {
 		var v struct{ Bad *string }
@@ -173,7 +186,7 @@
 	for i := 0; i+1 < len(head); i += 2 {
 		req.Header.Set(head[i], head[i+1])
 	}
-	resp, err := http.DefaultClient.Do(req)
+	resp, err := client.Do(req)
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -191,5 +204,3 @@
 	}
 	return g
 }
-
-var debug = slog.New(slog.DiscardHandler)
--- a/internal/fleet/relay/relay_test.go
+++ b/internal/fleet/relay/relay_test.go
@@ -6,6 +6,7 @@
 )
 
 func TestVersionReachesAll(t *testing.T) {
+	t.Parallel()
 	w := newTier(t, Options{}, "east", "east", "west", "west", "north", "north", "south")
 	var mixers []*mixer
 	for i := range 20 {
--- a/internal/fleet/relay/server.go
+++ b/internal/fleet/relay/server.go
@@ -15,18 +15,20 @@
 	"nettlefold/internal/fleet/control"
 )
 
-// Options say which relay this is. Zero bounds are those of Usual.
+// Options say which relay this is. Zero bounds are those of a relay that may have all mixers.
 type Options struct {
 	Name  string
-	Seats []control.Seat // of the settings, its own among them
-	Log   *slog.Logger   // nil: none
-
-	Sessions int                                                                  // of mixers, at most
-	NewPerS  int                                                                  // new sessions of mixers a second, at most
-	Wait     time.Duration                                                        // from the start on in which a relay that knows no version gives none: its mixers may come with one
-	Write    time.Duration                                                        // a piece that is not taken within this ends its session
-	Majority time.Duration                                                        // how long the answer to a version given waits for a majority of the relays
-	Dial     func(ctx context.Context, network, address string) (net.Conn, error) // to the other relays; nil: the net's
+	Seats []control.Seat                                                       // of the settings, its own among them
+	Log   *slog.Logger                                                         // nil: none
+	Dial  func(ctx context.Context, network, address string) (net.Conn, error) // to the other relays; nil: the net's
+
+	Sessions int // of mixers, at most
+	NewPerS  int // new sessions of mixers a second, at most
+	Conns    int // connections, at most; 0: two for each session and some
+
+	Wait     time.Duration // from the start on: a relay that knows no version gives none, as its mixers may come with one
+	Write    time.Duration // a piece that is not taken within this ends its session
+	Majority time.Duration // how long the answer to a version given waits for a majority of the relays
 }
 
 // Bounds of a relay's listeners.
@@ -36,7 +38,8 @@
 	idleFor      = 30 * time.Second
 	leaveWithin  = 2 * time.Second
 	mostSelf     = 4 << 10  // bytes of a telling
-	writeRoom    = 64 << 10 // bytes that the system holds of what a session is told, which it doubles
+	mixerRoom    = 16 << 10 // bytes that the system holds of what a mixer is told, which it doubles
+	relayRoom    = 1 << 18  // the same of another relay
 	spareConns   = 256      // connections beyond two for each session
 	userTimeout  = 18       // TCP_USER_TIMEOUT of Linux: what is not acknowledged for so long ends the connection
 )
@@ -48,10 +51,9 @@
 	life  string
 	began time.Time
 	conns atomic.Int64
-	most  int64 // of conns
 	over  chan struct{}
 
-	told, slow, turned atomic.Uint64 // bytes told; sessions dropped as nothing was taken; connections beyond most
+	told, slow, turned atomic.Uint64 // bytes told; sessions dropped as nothing was taken; connections beyond the bound
 
 	mu      sync.Mutex
 	relay   *control.Relay
@@ -82,8 +84,11 @@
 	if o.Sessions <= 0 {
 		o.Sessions = 8192
 	}
+	if o.Conns <= 0 {
+		o.Conns = 2*o.Sessions + spareConns
+	}
 	s := &Server{o: o, log: o.Log, life: fmt.Sprintf("%016x", drawn()), began: time.Now(), over: make(chan struct{}),
-		most: int64(2*o.Sessions + spareConns), changed: make(chan struct{}), live: map[string]map[uint64]*live{}}
+		changed: make(chan struct{}), live: map[string]map[uint64]*live{}}
 	var err error
 	s.relay, err = control.NewRelay(s.now(), control.RelayOptions{Name: o.Name, Seats: o.Seats, Life: s.life, Sessions: o.Sessions,
 		NewPerS: o.NewPerS, Wait: int64(o.Wait), Seed: drawn()})
@@ -103,8 +108,8 @@
 	defer wg.Wait()
 	defer cancel()
 	wg.Go(func() { s.step(work) })
-	for i, f := range s.relay.Followers() {
-		c := &Client{Self: control.Self{Name: s.o.Name}, Log: s.log.With("with", i), Dial: s.o.Dial,
+	for _, f := range s.relay.Followers() {
+		c := &Client{Self: control.Self{Name: s.o.Name}, Log: s.log, Dial: s.o.Dial,
 			follower: f, lock: &s.mu, clock: s.now, changed: s.notify}
 		wg.Go(func() { c.Run(work) })
 	}
@@ -142,24 +147,32 @@
 	return err
 }
 
-// accepted bounds what the system holds for a connection, and how long it waits for one that has vanished.
+type connKey struct{}
+
+// accepted bounds how long the system waits for one who has vanished.
 func (s *Server) accepted(ctx context.Context, nc net.Conn) context.Context {
 	if tcp, ok := nc.(*net.TCPConn); ok {
-		tcp.SetWriteBuffer(writeRoom)
 		if raw, err := tcp.SyscallConn(); err == nil {
 			raw.Control(func(fd uintptr) {
-				syscall.SetsockoptInt(int(fd), syscall.IPPROTO_TCP, userTimeout, int(s.o.Write.Milliseconds()))
+				syscall.SetsockoptInt(int(fd), syscall.IPPROTO_TCP, userTimeout, int(2*s.o.Write.Milliseconds()))
 			})
 		}
 	}
-	return ctx
+	return context.WithValue(ctx, connKey{}, nc)
+}
+
+// room bounds what the system holds of what a session is told: so one who takes nothing is found out.
+func room(ctx context.Context, bytes int) {
+	if tcp, ok := ctx.Value(connKey{}).(*net.TCPConn); ok {
+		tcp.SetWriteBuffer(bytes)
+	}
 }
 
 // counted closes connections beyond the bound as they come.
 func (s *Server) counted(nc net.Conn, state http.ConnState) {
 	switch state {
 	case http.StateNew:
-		if s.conns.Add(1) > s.most {
+		if s.conns.Add(1) > int64(s.o.Conns) {
 			s.turned.Add(1)
 			nc.Close()
 		}
--- a/internal/fleet/relay/session.go
+++ b/internal/fleet/relay/session.go
@@ -10,6 +10,7 @@
 	"net/url"
 	"os"
 	"strconv"
+	"syscall"
 	"time"
 
 	"github.com/fxamacker/cbor/v2"
@@ -65,12 +66,17 @@
 		s.relay.Leave(s.now(), ses, l.bye)
 		s.notify()
 	}()
+	if as == asMixer {
+		room(ctx, mixerRoom)
+	} else {
+		room(ctx, relayRoom)
+	}
 	w.Header().Set("Content-Type", "application/json")
 	w.Header().Set(headerLife, s.life)
 	w.Header().Set(headerSession, strconv.FormatUint(number, 10))
 	rc := http.NewResponseController(w)
 	rc.SetReadDeadline(time.Time{}) // it has asked all it wants
-	if err := s.tell(ctx, w, rc, ses); errors.Is(err, os.ErrDeadlineExceeded) {
+	if err := s.tell(ctx, w, rc, ses); errors.Is(err, os.ErrDeadlineExceeded) || errors.Is(err, syscall.ETIMEDOUT) {
 		s.slow.Add(1)
 		s.log.Info("relay: a follower takes nothing", "name", name, "as", as)
 	}
