--- a/internal/fleet/control/follow_test.go
+++ b/internal/fleet/control/follow_test.go
@@ -267,8 +267,8 @@
 	return worst
 }
 
-// TestNoRush starts all mixers at once, then has a relay die and come back. Nowhere do more come in a second than twice their share of
-// the window, and those who had the relay have it again.
+// TestNoRush starts all mixers at once, then has a relay die and come back. Nowhere do more come in a second than twice their share
+// of the window, and those who had the relay have it again.
 func TestNoRush(t *testing.T) {
 	const perS = 180 // twice 6,300 in 10 s over 7
 	c := newCrowd(t, perS)
--- a/internal/fleet/control/give.go
+++ b/internal/fleet/control/give.go
@@ -20,7 +20,8 @@
 
 func (n *NoMajority) Error() string {
 	if n.After > 0 {
-		return fmt.Sprintf("this relay has just started and knows no version; for %.1f s more its mixers may tell it one", float64(n.After)/1e9)
+		return fmt.Sprintf("this relay has just started and knows no version; for %.1f s more a mixer may come with one",
+			float64(n.After)/1e9)
 	}
 	return fmt.Sprintf("%d of the relays are in contact and have told all they hold, %d are needed", n.Heard, n.Needed)
 }
--- a/internal/fleet/control/heed.go
+++ b/internal/fleet/control/heed.go
@@ -72,18 +72,24 @@
 	if f.relay != nil {
 		return nil
 	}
-	if r, ok := f.table.Get(KindSettings, SettingsName); ok {
-		told = append([]Row{r}, told...)
+	if r, ok := f.table.Get(KindSettings, SettingsName); ok && f.acceptable(r.Stamp) {
+		best = &r
 	}
 	for _, r := range told {
-		if r, _, ok := fit(r); ok && r.Kind == KindSettings && f.flaw.compare(r.Stamp, f.inForce) > 0 &&
-			(best == nil || f.flaw.compare(r.Stamp, best.Stamp) > 0) && (f.flaw.again || !f.wasRejected(r.Stamp)) {
+		if r.Kind != KindSettings || !f.acceptable(r.Stamp) || best != nil && f.flaw.compare(r.Stamp, best.Stamp) <= 0 {
+			continue
+		}
+		if r, _, ok := fit(r); ok {
 			best = &r
 		}
 	}
 	return best
 }
 
+func (f *Follower) acceptable(s Stamp) bool {
+	return f.flaw.compare(s, f.inForce) > 0 && (f.flaw.again || !f.wasRejected(s))
+}
+
 // wasRejected tells whether a version was rejected, or may have been: of more than are kept, none up to the greatest is tried again.
 func (f *Follower) wasRejected(s Stamp) bool {
 	return s.Compare(f.floor) <= 0 || slices.Contains(f.refused, s)
--- a/internal/fleet/control/relay.go
+++ b/internal/fleet/control/relay.go
@@ -83,6 +83,7 @@
 	rowNumber  uint64
 	made       int64
 	remade     bool
+	saidHolds  Stamp           // the version that the last own row says it holds
 	rows       pace            // bytes of own rows
 	undead     map[string]bool // own rows that are gone and that another relay tells as there
 	flaw       faults
--- a/internal/fleet/control/rows.go
+++ b/internal/fleet/control/rows.go
@@ -17,12 +17,12 @@
 // something else are told anew, the longest unchanged first, as far as their pace allows: all relays' own rows together fill at most
 // half of what a mixer is told, so that whoever follows catches up. It tells whether anything changed, and ns until it is due again.
 func (r *Relay) Step(now int64) (changed bool, wait int64) {
-	holds := r.last().Holds != r.table.Settings()
+	holds := r.saidHolds != r.table.Settings()
 	if r.remade && now-r.made < Remakes && !holds {
 		return false, r.made + Remakes - now
 	}
 	r.sweep(now)
-	r.made, r.remade = now, true
+	r.made, r.remade, r.saidHolds = now, true, r.table.Settings()
 	rows := append(r.zones(now), Row{Kind: KindRelay, Name: r.o.Name, Body: body(r.standing(now))})
 	index := func(row Row) uint64 {
 		if e := r.table.rows[key{row.Kind, row.Name}]; e != nil && !(holds && row.Kind == KindRelay) {
@@ -54,15 +54,6 @@
 	return b
 }
 
-// last is what this relay told of itself last.
-func (r *Relay) last() (s Standing) {
-	row, ok := r.table.Get(KindRelay, r.o.Name)
-	if !ok || json.Unmarshal(row.Body, &s) != nil {
-		return Standing{}
-	}
-	return s
-}
-
 // say puts a row of this relay's own into the table.
 func (r *Relay) say(row Row) bool {
 	r.rowNumber++
@@ -195,10 +186,11 @@
 // Status of the relay.
 func (r *Relay) Status(now int64) Status {
 	names, need := r.Contact(now)
-	s := Status{Name: r.o.Name, Region: r.self.Region, Life: r.o.Life, Contact: names, Majority: need,
-		Version: r.table.Settings(), Newest: r.Newest(), Given: r.given, Overtaken: r.given != (Stamp{}) && r.table.Settings().Compare(r.given) > 0,
-		Held: r.Held(r.table.Settings()), Sessions: r.mixers, Relays: len(r.sessions) - r.mixers, Zones: Present(r.table, r.o.Name), Rows: len(r.table.rows),
-		Bytes: r.table.bytes, Index: r.table.index, Refused: r.notAllowed}
+	v := r.table.Settings()
+	s := Status{Name: r.o.Name, Region: r.self.Region, Life: r.o.Life, Contact: names, Majority: need, Version: v, Newest: r.Newest(),
+		Given: r.given, Overtaken: r.given != (Stamp{}) && v.Compare(r.given) > 0, Held: r.Held(v),
+		Sessions: r.mixers, Relays: len(r.sessions) - r.mixers, Zones: Present(r.table, r.o.Name),
+		Rows: len(r.table.rows), Bytes: r.table.bytes, Index: r.table.index, Refused: r.notAllowed}
 	s.Names, s.Standings = []string{r.o.Name}, []Standing{r.standing(now)}
 	for _, p := range r.peers {
 		s.Names, s.Standings = append(s.Names, p.Name), append(s.Standings, p.standing)
--- a/internal/fleet/control/table_test.go
+++ b/internal/fleet/control/table_test.go
@@ -105,8 +105,8 @@
 	})
 }
 
-// TestSession plays one follower of a table that changes while a session tells it: pieces get lost with their session, tombstones are
-// forgotten, relays start anew with an older table. At the end both hold the same, and the settings row never went back.
+// TestSession plays one follower of a table that changes while a session tells it: pieces get lost with their session, tombstones
+// are forgotten, relays start anew with an older table. At the end both hold the same, and the settings row never went back.
 func TestSession(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		limits := Limits{Gone: 1}
