--- a/internal/fleet/control/heed.go
+++ b/internal/fleet/control/heed.go
@@ -11,6 +11,9 @@
 // ErrIndex says that a relay told changes without what was before them. The session counts as lost.
 var ErrIndex = errors.New("a relay tells changes since an index that was not asked for")
 
+// ErrEndless says that a snapshot names more rows than a relay may hold. The session counts as lost.
+var ErrEndless = errors.New("a relay's snapshot does not end")
+
 // Beat says that the session in hand has said something without content.
 func (f *Follower) Beat(now int64) {
 	if f.open >= 0 {
@@ -48,6 +51,10 @@
 		for _, r := range p.Rows {
 			f.named[key{r.Kind, r.Name}] = true
 		}
+		if len(f.named) > 4*f.table.limits.Rows {
+			f.drop = true
+			return nil, news, ErrEndless
+		}
 		if !p.More {
 			author := "" // all rows
 			if f.relay != nil {
--- a/internal/fleet/control/search_test.go
+++ b/internal/fleet/control/search_test.go
@@ -73,7 +73,11 @@
 	}
 	w.note("all is healed")
 	w.run(settled)
-	w.agree(w.nodes[0].relay.table.Settings())
+	w.agree(w.top())
+	before := w.state()
+	if w.run(40); w.wrong == "" && before != w.state() {
+		w.fail("it goes on: %s, then %s", before, w.state())
+	}
 	for i := 0; w.wrong == "" && !w.give(i%relays, false, false); i++ {
 		if i > 100 {
 			w.fail("nobody gives a version")
@@ -81,7 +85,7 @@
 		w.step()
 	}
 	w.run(settled)
-	w.agree(w.nodes[0].relay.table.Settings())
+	w.agree(w.top())
 	if w.wrong == "" {
 		for _, n := range w.nodes[relays:] {
 			if top := w.nodes[0].relay.table.Settings(); n.force != top {
@@ -91,8 +95,8 @@
 	}
 }
 
-// agree checks that all relays hold one version; that all mixers have it in force unless it is a bad one or they had a greater one,
-// of a relay that lost it; and that each mixer holds what its relay holds, and all know who is there.
+// agree checks that all relays hold one version; that all mixers have it in force unless it is a bad one, or they had a greater one
+// that all relays lost with the one that held it; and that each mixer holds what its relay holds, and all know who is there.
 func (w *world) agree(top Stamp) {
 	if w.wrong != "" {
 		return
@@ -114,7 +118,7 @@
 			}
 			continue
 		}
-		if n.force.Compare(top) < 0 && !w.bad[top] {
+		if n.force.Compare(top) < 0 && !w.bad[top] || n.force.Compare(top) > 0 && n.force.Compare(w.lost) > 0 {
 			w.fail("%s has %v in force, not %v", n.name, n.force, top)
 		}
 		if s, ok := n.follower.Following(); s == nil || !ok {
--- a/internal/fleet/control/types.go
+++ b/internal/fleet/control/types.go
@@ -13,7 +13,9 @@
 	"strings"
 )
 
-// Stamp is the place of a row's value in the order of all that its name ever had: epochs first, then numbers, then authors.
+// Stamp is the place of a row's value in the order of all that its name ever had: epochs first, then numbers, then authors. The author
+// of a version is its relay's name, a slash and that relay's life, so that no two lives give the same stamp; that of a relay's own row is
+// its name.
 type Stamp struct {
 	Epoch  uint64 `json:"epoch"`
 	Number uint64 `json:"number"`
@@ -29,7 +31,7 @@
 const (
 	KindSettings = "settings" // one row, its body the document of the settings that are taken in flight
 	KindRelay    = "relay"    // one a relay, its own: how it stands and how many of its mixers have which version
-	KindZone     = "zone"     // one a relay, region and zone: how many mixers are there
+	KindZone     = "zone"     // one a relay, region and zone, named so with slashes: how many mixers are there
 )
 
 // Row is one thing that is told.
--- a/internal/fleet/control/world_test.go
+++ b/internal/fleet/control/world_test.go
@@ -61,6 +61,7 @@
 	wrong  string
 	lives  uint64
 	ended  []*wire // whose relay has not noticed yet
+	lost   Stamp   // the greatest that all relays had lost with the one that held it
 }
 
 var seats = []Seat{{"r-0", "east", ""}, {"r-1", "east", ""}, {"r-2", "west", ""}}
@@ -89,7 +90,7 @@
 // start begins a new life of a process; a relay may know some rows.
 func (w *world) start(i int, rows []Row) {
 	w.lives++
-	old := w.nodes[i]
+	old, top := w.nodes[i], w.top()
 	for k := range old.wires {
 		w.end(old, k)
 	}
@@ -117,6 +118,19 @@
 	}
 	n.wires = make([]*wire, len(n.follows))
 	w.nodes[i] = n
+	if w.top().Compare(top) < 0 && top.Compare(w.lost) > 0 {
+		w.lost = top
+	}
+}
+
+// top is the greatest version that a relay holds.
+func (w *world) top() (top Stamp) {
+	for _, n := range w.nodes {
+		if n != nil && n.relay != nil && n.relay.table.Settings().Compare(top) > 0 {
+			top = n.relay.table.Settings()
+		}
+	}
+	return top
 }
 
 func (w *world) reach(i, j int) bool {
