Control tier: a relay that slept hears nobody until its sessions are opened anew

What lies in the buffers of a stopped process seems young when it wakes: it would have counted as in contact and numbered while cut off.

--- a/internal/fleet/control/faults.go
+++ b/internal/fleet/control/faults.go
@@ -18,4 +18,5 @@
 	forgets       bool // what is gone is forgotten, and an index from before still counts
 	zombie        bool // an own row that is gone and that another tells as there is not told as gone again
 	lingers       bool // what a relay's whole snapshot does not name of its own is kept by the other relays
+	sleeps        bool // what a relay reads after a sleep counts as said now
 }
--- a/internal/fleet/control/heed.go
+++ b/internal/fleet/control/heed.go
@@ -16,7 +16,7 @@
 
 // Beat says that the session in hand has said something without content.
 func (f *Follower) Beat(now int64) {
-	if f.open >= 0 {
+	if f.open >= 0 && !f.drop {
 		f.heard, f.spoke, f.ever = now, now, true
 		if f.relay != nil {
 			f.relay.heard(now, f)
--- a/internal/fleet/control/relay.go
+++ b/internal/fleet/control/relay.go
@@ -81,6 +81,7 @@
 	given      Stamp // the last given here
 	rowNumber  uint64
 	made       int64
+	stepped    int64
 	remade     bool
 	saidHolds  Stamp           // the version that the last own row says it holds
 	rows       pace            // bytes of own rows
@@ -179,13 +180,26 @@
 	}
 }
 
+// slept tells whether the relay has not run for so long that what it reads now may be as old.
+func (r *Relay) slept(now int64) bool { return r.remade && now-r.stepped >= Away && !r.flaw.sleeps }
+
+// wake ends all sessions with other relays after a sleep: what still lies in their buffers seems young and is not.
+func (r *Relay) wake(now int64) {
+	if r.slept(now) {
+		for _, p := range r.peers {
+			p.counts, p.follower.drop = false, p.follower.open >= 0
+		}
+	}
+	r.stepped = now
+}
+
 // inContact tells whether another relay has told all that it holds since the session with it opened, and has lately been heard.
 func (p *peer) inContact(now int64) bool { return p.counts && now-p.heard < Away }
 
 // Contact gives the names of the relays that are heard, and how many of them, this one counted, are a majority of all.
 func (r *Relay) Contact(now int64) (names []string, majority int) {
 	for _, p := range r.peers {
-		if p.inContact(now) {
+		if p.inContact(now) && !r.slept(now) {
 			names = append(names, p.Name)
 		}
 	}
--- a/internal/fleet/control/rows.go
+++ b/internal/fleet/control/rows.go
@@ -15,8 +15,10 @@
 
 // Step remakes the relay's own rows, at most once a second, and at once where it holds another version. Only those that say
 // something else are told anew, the longest unchanged first, as far as their pace allows: all relays' own rows together fill at most
-// half of what a mixer is told, so that whoever follows catches up. It tells whether anything changed, and ns until it is due again.
+// half of what a mixer is told, so that whoever follows catches up. It tells whether anything changed, and ns until it is due again:
+// a relay that is not stepped for Away has slept, and hears nobody until it has opened its sessions anew.
 func (r *Relay) Step(now int64) (changed bool, wait int64) {
+	r.wake(now)
 	holds := r.saidHolds != r.table.Settings()
 	if r.remade && now-r.made < Remakes && !holds {
 		return false, r.made + Remakes - now
--- a/internal/fleet/control/search_test.go
+++ b/internal/fleet/control/search_test.go
@@ -52,10 +52,29 @@
 		for r := range relays {
 			w.start(r, nil)
 		}
+	case 12: // it sleeps, its lines are cut, and it wakes to what was said before
+		n := w.nodes[r]
+		n.paused = true
+		w.run(24)
+		for o := range nodes {
+			w.cut[r][o], w.cut[o][r] = true, true
+		}
+		n.paused = false
+		w.note("%s has slept, is alone and reads on", n.name)
+		for k, f := range n.follows {
+			if n.wires[k] != nil && n.wires[k].lives[1] == w.nodes[n.wires[k].to].lives {
+				f.Beat(w.now())
+			}
+		}
+		w.run(w.random.IntN(3))
+		w.give(r, false, false)
 	}
 }
 
-const events = 12
+const (
+	events   = 12
+	sleepers = 1 << 32 // worlds from here on have one event more
+)
 
 func (w *world) run(ticks int) {
 	for range ticks {
@@ -149,7 +168,7 @@
 	w := newWorld(seed, flaw)
 	w.run(40)
 	for range 3 + w.random.IntN(14) {
-		w.event(w.random.IntN(events))
+		w.event(w.random.IntN(events + truth(seed >= sleepers)))
 		w.run(w.random.IntN(24))
 	}
 	w.heal()
@@ -158,10 +177,10 @@
 
 func TestNoInterleavingBreaksWhatHolds(t *testing.T) {
 	const worlds = 150
-	parts := [2][]uint64{{5011}, {}} // worlds that a longer search once failed in
-	for part := range parts {
+	parts := [][]uint64{{5011}, {}, {}} // a world that a longer search once failed in
+	for part, from := range []uint64{0, worlds, sleepers} {
 		for i := range uint64(worlds) {
-			parts[part] = append(parts[part], uint64(part)*worlds+i)
+			parts[part] = append(parts[part], from+i)
 		}
 		t.Run(fmt.Sprint(part), func(t *testing.T) {
 			t.Parallel()
@@ -216,13 +235,16 @@
 		"an index from before what is forgotten that counts on": {forgets: true},
 		"what is gone and comes back from one who forgot it":    {zombie: true},
 		"what a relay no longer names of its own that is kept":  {lingers: true},
+		"a relay that slept and takes what it reads for young":  {sleeps: true},
 	} {
 		t.Run(name, func(t *testing.T) {
 			t.Parallel()
 			for seed := range uint64(300) {
-				if w := play(seed, flaw); w.wrong != "" {
-					t.Logf("world %d: %s", seed, strings.ReplaceAll(w.wrong, "\n", "; "))
-					return
+				for _, from := range []uint64{0, sleepers} {
+					if w := play(from+seed, flaw); w.wrong != "" {
+						t.Logf("world %d: %s", from+seed, strings.ReplaceAll(w.wrong, "\n", "; "))
+						return
+					}
 				}
 			}
 			t.Error("not found")
--- a/internal/fleet/control/types.go
+++ b/internal/fleet/control/types.go
@@ -14,8 +14,8 @@
 )
 
 // Stamp is the place of a row's value in the order of all that its name ever had: epochs first, then numbers, then authors. The
-// author of a version is its relay's name, a slash and that relay's life, so that no two lives give the same stamp; that of a relay's own
-// row is its name.
+// author of a version is its relay's name, a slash and that relay's life, so that no two lives give the same stamp; that of a
+// relay's own row is its name.
 type Stamp struct {
 	Epoch  uint64 `json:"epoch"`
 	Number uint64 `json:"number"`
