--- a/internal/fleet/control/relay.go
+++ b/internal/fleet/control/relay.go
@@ -85,7 +85,7 @@
 	remade     bool
 	saidHolds  Stamp           // the version that the last own row says it holds
 	rows       pace            // bytes of own rows
-	undead     map[string]bool // own rows that are gone and that another relay tells as there
+	retell     map[string]bool // own rows that are gone and that another relay tells as there
 	flaw       faults
 	notAllowed int // rows, mixers and tellings that were refused
 }
@@ -99,7 +99,7 @@
 	}
 	o.Sessions, o.NewPerS = cmp.Or(o.Sessions, 8192), cmp.Or(o.NewPerS, 1024)
 	r := &Relay{o: o, self: o.Seats[at], table: NewTable(o.Limits), started: now, sessions: map[uint64]*Session{},
-		members: map[string]*member{}, undead: map[string]bool{}, opens: pace{int64(o.NewPerS), int64(o.NewPerS), now - second},
+		members: map[string]*member{}, retell: map[string]bool{}, opens: pace{int64(o.NewPerS), int64(o.NewPerS), now - second},
 		rows: pace{Rate / 2 / int64(len(o.Seats)), 4 << 10, now - 60*second}}
 	for _, s := range o.Seats {
 		if s.Name == o.Name {
@@ -150,7 +150,7 @@
 		}
 		own = append(own, row)
 		if e := r.table.rows[key{row.Kind, row.Name}]; row.Author == r.o.Name && !row.Gone && e != nil && e.row.Gone && !r.flaw.zombie {
-			r.undead[row.Name] = true // who tells this had forgotten that it is gone, and so may others
+			r.retell[row.Name] = true // who tells this had forgotten that it is gone, and so may others
 		}
 	}
 	news, refused := r.table.Merge(own)
--- a/internal/fleet/control/rows.go
+++ b/internal/fleet/control/rows.go
@@ -6,6 +6,7 @@
 	"encoding/json"
 	"maps"
 	"slices"
+	"strings"
 )
 
 const (
@@ -37,12 +38,12 @@
 	})
 	for _, row := range rows {
 		old, ok := r.table.Get(row.Kind, row.Name)
-		if ok && old.Gone == row.Gone && bytes.Equal(old.Body, row.Body) && !r.undead[row.Name] {
+		if ok && old.Gone == row.Gone && bytes.Equal(old.Body, row.Body) && !r.retell[row.Name] {
 			continue
 		}
 		if r.rows.wait(now) == 0 || holds && row.Kind == KindRelay {
 			changed = r.say(row) || changed
-			delete(r.undead, row.Name)
+			delete(r.retell, row.Name)
 		}
 	}
 	return changed, Remakes
@@ -123,14 +124,17 @@
 	for name, z := range all {
 		rows = append(rows, Row{Kind: KindZone, Name: name, Body: body(z)})
 	}
-	gone := maps.Clone(r.undead)
+	gone := map[string]bool{}
+	for name := range r.retell {
+		gone[name] = strings.HasPrefix(name, r.o.Name+"/") // else it is the row of KindRelay
+	}
 	for _, row := range r.table.Rows(KindZone) {
 		if row.Author == r.o.Name {
 			gone[row.Name] = true
 		}
 	}
-	for name := range gone {
-		if _, ok := all[name]; !ok {
+	for name, zone := range gone {
+		if _, ok := all[name]; zone && !ok {
 			rows = append(rows, Row{Kind: KindZone, Name: name, Gone: true})
 		}
 	}
--- a/internal/fleet/control/search_test.go
+++ b/internal/fleet/control/search_test.go
@@ -189,7 +189,7 @@
 
 func TestNoInterleavingBreaksWhatHolds(t *testing.T) {
 	const worlds = 150
-	parts := [][]uint64{{5011}, {}, {}} // a world that a longer search once failed in
+	parts := [][]uint64{{5011}, {}, {sleepers + 6485}} // with worlds that longer searches once failed in
 	for part, from := range []uint64{0, worlds, sleepers} {
 		for i := range uint64(worlds) {
 			parts[part] = append(parts[part], from+i)
--- a/internal/fleet/control/world_test.go
+++ b/internal/fleet/control/world_test.go
@@ -101,7 +101,7 @@
 		n.relay, err = NewRelay(w.now(), RelayOptions{Name: n.name, Seats: seats, Life: fmt.Sprintf("%x", 100-w.lives), Sessions: 3,
 			NewPerS: 1, Seed: w.lives, Limits: Limits{Gone: 1 + 2*(i%2)}})
 		n.relay.flaw, n.relay.table.flaw = w.flaw, w.flaw
-		n.relay.table.Merge(rows)
+		n.relay.take(rows)
 		n.has = n.relay.table.Settings()
 		n.follows = n.relay.Followers()
 	} else {
