Control sessions outlast stalls of their own process; beats go out a quarter of a beat early

With thousands of clients in one starved process sessions were broken though their bytes lay in the system's buffers: a time-out that passed while the process did not run was taken for silence of the relay. It is looked once more before a time-out is told. An empty line that goes out just when it is due leaves a busy relay an eighth of a beat, so it goes out at three quarters; the room of a long line is let go after it.

--- a/internal/fleet/relay/relay.go
+++ b/internal/fleet/relay/relay.go
@@ -36,6 +36,10 @@
 	mostName  = 64               // bytes of a name, region or zone
 )
 
+// beatAfter is how long a session says nothing before its empty line. That is due each beat and breaks a session an eighth of a beat
+// later, which a relay on a busy machine, or a long line to it, would miss: so it goes out a quarter of a beat early.
+const beatAfter = time.Duration(control.Beat * 3 / 4)
+
 // usual are a follower's times.
 var usual = times{
 	dial:    time.Second,
--- a/internal/fleet/relay/session.go
+++ b/internal/fleet/relay/session.go
@@ -129,7 +129,7 @@
 			}
 			continue
 		}
-		beat := time.Until(said.Add(time.Duration(control.Beat)))
+		beat := time.Until(said.Add(beatAfter))
 		if beat <= 0 {
 			if err := write([]byte("\n")); err != nil {
 				return err
--- a/internal/fleet/relay/stream.go
+++ b/internal/fleet/relay/stream.go
@@ -43,6 +43,7 @@
 // own, and the context closes it.
 type stream struct {
 	nc    net.Conn
+	in    patient
 	body  io.Reader
 	times times
 	life  string // the relay's, hex
@@ -52,9 +53,27 @@
 	stop  func() bool
 }
 
+// patient reads a connection. A time-out may mean that this process has not run for so long, or other work has held it up: what has
+// come meanwhile still counts, and is looked for once before each time-out is told.
+type patient struct {
+	net.Conn
+	looked bool
+}
+
+func (p *patient) Read(b []byte) (int, error) {
+	n, err := p.Conn.Read(b)
+	if n == 0 && !p.looked && errors.Is(err, os.ErrDeadlineExceeded) {
+		p.looked = true
+		p.SetReadDeadline(time.Now().Add(lookFor))
+		n, err = p.Conn.Read(b)
+	}
+	return n, err
+}
+
 const (
+	lookFor = 50 * time.Millisecond
+
 	smallBuffer = 1 << 10   // of a connection's reads
-	keptLine    = 8 << 10   // a longer line's room is let go after it
 	mostLine    = 128 << 10 // bytes: a document of 32 KiB, and as much again for what stands around it
 	mostHeader  = 4 << 10   // bytes of an answer's header
 )
@@ -78,7 +97,7 @@
 	if err != nil {
 		return nil, err
 	}
-	s := &stream{nc: nc, times: t, stop: stop}
+	s := &stream{nc: nc, in: patient{Conn: nc}, times: t, stop: stop}
 	if err := s.ask(address, path); err != nil {
 		s.close()
 		return nil, s.why(err, errSilent)
@@ -87,11 +106,11 @@
 }
 
 func (s *stream) ask(address, path string) error {
-	s.nc.SetDeadline(time.Now().Add(s.times.first))
+	s.within(s.times.first)
 	if _, err := fmt.Fprintf(s.nc, "GET %s HTTP/1.1\r\nHost: %s\r\n\r\n", path, address); err != nil {
 		return err
 	}
-	head := &io.LimitedReader{R: s.nc, N: mostHeader} // what is read of the body meanwhile counts too, which is less than its room
+	head := &io.LimitedReader{R: &s.in, N: mostHeader} // what is read of the body meanwhile counts too, which is less than its room
 	resp, err := http.ReadResponse(bufio.NewReaderSize(head, smallBuffer), nil)
 	if err != nil {
 		return err
@@ -117,10 +136,10 @@
 func (s *stream) next() ([]byte, error) {
 	s.held = s.held[:copy(s.held, s.held[s.from:])]
 	s.from = 0
-	if len(s.held) == 0 && cap(s.held) > keptLine {
+	if len(s.held) == 0 && cap(s.held) > smallBuffer { // the room of a longer line is let go
 		s.held = nil
 	}
-	s.nc.SetDeadline(time.Now().Add(s.times.silence))
+	s.within(s.times.silence)
 	begun := false
 	for seen := 0; ; {
 		if i := bytes.IndexByte(s.held[seen:], '\n'); i >= 0 {
@@ -132,7 +151,7 @@
 		}
 		if seen > 0 && !begun {
 			begun = true
-			s.nc.SetDeadline(time.Now().Add(s.times.whole))
+			s.within(s.times.whole)
 		}
 		if cap(s.held)-seen < smallBuffer/2 {
 			s.held = append(make([]byte, 0, 2*cap(s.held)+smallBuffer), s.held...)
@@ -147,6 +166,12 @@
 	}
 }
 
+// within bounds what is read from now on.
+func (s *stream) within(d time.Duration) {
+	s.in.looked = false
+	s.nc.SetDeadline(time.Now().Add(d))
+}
+
 // why is the error where it is no time-out.
 func (s *stream) why(err, late error) error {
 	if errors.Is(err, os.ErrDeadlineExceeded) {
