Control tier: what one relay was told does not count as told to the next

A telling that was under way when the session moved to another relay could end the telling to that one. Each session now has its own mark; TestTells fails without it.

--- a/internal/fleet/control/follow.go
+++ b/internal/fleet/control/follow.go
@@ -167,7 +167,7 @@
 	}
 	f.named, f.settled, f.drop, f.spoke = nil, false, false, now
 	f.back = now + f.o.Back + f.spread(f.o.Back)
-	f.tell, f.tellAt, f.tells = true, now, 0
+	f.changed(now)
 }
 
 // Failed says that the session could not be opened. A relay that refused it may say for how long (ns) it would go on to.
--- a/internal/fleet/control/follow_test.go
+++ b/internal/fleet/control/follow_test.go
@@ -192,6 +192,13 @@
 	if self, _ = f.Self(now); self.Heard != max(now-lost, 1) {
 		t.Errorf("silent for %d, not %d", self.Heard, now-lost)
 	}
+	_, old := f.Self(now)
+	f.Lost(now)
+	open()
+	f.Take(now, Piece{Snapshot: true, Index: 4})
+	if f.Told(now, old, true); !due() { // what an earlier session's relay took is not told to this one
+		t.Error("does not tell the next relay")
+	}
 	now += 3 * second
 	if age, ever := f.Age(now); age != 3*second || !ever {
 		t.Errorf("what it has is %d old", age)
