--- a/internal/fleet/control/search_test.go
+++ b/internal/fleet/control/search_test.go
@@ -106,8 +106,8 @@
 	}
 }
 
-// quiet has a minute pass, and as much more as who was cut off for long may wait before it tries its first relay again. By then all
-// must agree, and nothing may change any more for 10 s.
+// quiet has a minute pass, and as much more as who was cut off for long may wait before it tries its first relay again. By then
+// all must agree, and nothing may change any more for 10 s.
 func (w *world) quiet() {
 	const most = int((waits + 12*window + window + Away) / tick)
 	w.run(240)
@@ -126,8 +126,9 @@
 	}
 }
 
-// differs tells where not all agree: all relays must hold one version; all mixers have it in force unless it is a bad one, or they had
-// a greater one that all relays lost with the one that held it; and each mixer holds what its relay holds, and all know who is there.
+// differs tells where not all agree: all relays must hold one version; all mixers have it in force unless it is a bad one, or they
+// had a greater one that all relays lost with the one that held it; and each mixer holds what its relay holds, and all know who is
+// there.
 func (w *world) differs(top Stamp) string {
 	for i, n := range w.nodes {
 		if i < relays {
