--- a/internal/fleet/relay/server.go
+++ b/internal/fleet/relay/server.go
@@ -27,6 +27,7 @@
 	Conns    int // connections, at most; 0: two for each session and some
 
 	Wait     time.Duration // from the start on: a relay that knows no version gives none, as its mixers may come with one
+	Read     time.Duration // a request that does not come whole within this ends its connection
 	Write    time.Duration // a piece that is not taken within this ends its session
 	Majority time.Duration // how long the answer to a version given waits for a majority of the relays
 }
@@ -34,7 +35,6 @@
 // Bounds of a relay's listeners.
 const (
 	headerWithin = 2 * time.Second
-	readWithin   = 5 * time.Second
 	idleFor      = 30 * time.Second
 	leaveWithin  = 2 * time.Second
 	mostSelf     = 4 << 10  // bytes of a telling
@@ -79,6 +79,7 @@
 			*d = otherwise
 		}
 	}
+	or(&o.Read, 5*time.Second)
 	or(&o.Write, 5*time.Second)
 	or(&o.Majority, time.Second)
 	if o.Sessions <= 0 {
@@ -121,12 +122,12 @@
 			}
 		})
 	}
-	open := &http.Server{Handler: s.sessions(), ReadHeaderTimeout: headerWithin, ReadTimeout: readWithin, WriteTimeout: s.o.Write,
+	open := &http.Server{Handler: s.sessions(), ReadHeaderTimeout: headerWithin, ReadTimeout: s.o.Read, WriteTimeout: s.o.Write,
 		IdleTimeout: idleFor, MaxHeaderBytes: mostHeader, ConnContext: s.accepted, ConnState: s.counted,
 		ErrorLog: slog.NewLogLogger(s.log.Handler(), slog.LevelDebug)}
 	serve(open, sessions)
-	ask := &http.Server{Handler: s.questions(), ReadHeaderTimeout: headerWithin, ReadTimeout: readWithin,
-		WriteTimeout: 2 * readWithin, IdleTimeout: idleFor, MaxHeaderBytes: mostHeader}
+	ask := &http.Server{Handler: s.questions(), ReadHeaderTimeout: headerWithin, ReadTimeout: s.o.Read,
+		WriteTimeout: s.o.Majority + s.o.Read, IdleTimeout: idleFor, MaxHeaderBytes: mostHeader}
 	if admin != nil {
 		serve(ask, admin)
 	}
