A version taken by the session reaches the judge of sites, and GET /settings shows it

The session put a version into the router alone; the program's side of versions (cmd/nettlefold/versions.go) also tells the judge of sites and keeps what is in force. Now there is one way. cmd/nettlefold's tests of control, versions, fleet and start pass.

--- a/cmd/nettlefold/control.go
+++ b/cmd/nettlefold/control.go
@@ -8,13 +8,12 @@
 	"nettlefold/internal/fleet/control"
 	"nettlefold/internal/fleet/relay"
 	"nettlefold/internal/protocol"
-	"nettlefold/internal/routing"
 	"nettlefold/internal/settings"
 )
 
 // controlled makes the mixer's session with the control tier, nil where none is set: then nothing listens and nothing runs. A
 // version is laid over the settings of the start, and put in force for the queries that come after it.
-func controlled(c protocol.Config, s *settings.Control, router *routing.Router, log *slog.Logger) *relay.Client {
+func controlled(c protocol.Config, s *settings.Control, v *versions, log *slog.Logger) *relay.Client {
 	if s == nil {
 		return nil
 	}
@@ -26,13 +25,6 @@
 		Window: s.Window,
 		Seed:   uint64(c.Seed) ^ name.Sum64(),
 		Log:    log,
-		Apply: func(_ control.Stamp, document json.RawMessage) error {
-			anew, err := c.Revise(document)
-			if err != nil {
-				return err
-			}
-			router.Adopt(anew.Charter, anew.Limits.Open)
-			return nil
-		},
+		Apply:  func(_ control.Stamp, document json.RawMessage) error { return v.apply(document) },
 	}
 }
--- a/cmd/nettlefold/serve.go
+++ b/cmd/nettlefold/serve.go
@@ -193,7 +193,8 @@
 		listener.Close()
 		return fmt.Errorf("%s: %w", at.settings, err)
 	}
-	versions := controlled(c, own.Control, router, log)
+	taken := newVersions(c, router, sites)
+	session := controlled(c, own.Control, taken, log)
 	work, cancel := context.WithCancel(context.Background())
 	var wg sync.WaitGroup
 	defer wg.Wait()
@@ -218,15 +219,15 @@
 			listener.Close()
 			return fmt.Errorf("%s: listeners/admin: %w", at.settings, err)
 		}
-		answers := &admin.Server{Router: router, Explain: func() any { return explained(c, own) }}
+		answers := &admin.Server{Router: router, Explain: func() any { return explained(taken.config(), own) }}
 		if shares != nil {
 			answers.Keeper = shares
 		}
 		if fleet != nil {
 			answers.Fleet = &admin.Fleet{Roster: fleet, Tables: sites.tables()}
 		}
-		if versions != nil {
-			answers.Control = func() any { return versions.State() }
+		if session != nil {
+			answers.Control = func() any { return session.State() }
 		}
 		wg.Go(func() {
 			if err := answers.Serve(work, l); err != nil {
@@ -246,9 +247,9 @@
 	server.Open(listener)
 	served := make(chan error, 1)
 	wg.Go(func() { served <- server.Serve() })
-	if versions != nil {
+	if session != nil {
 		wg.Go(func() {
-			if err := versions.Run(work); err != nil {
+			if err := session.Run(work); err != nil {
 				log.Error("control", "error", err)
 			}
 		})
