Words about searchers: a relay judges its mixers' sheets, mixers join what relays say

Cause: mixers that read each other's sheets cost the square of their number, 6,300 of them in two years. Rows of a new kind in the table of the control tier. Not yet called by anything.

--- a/internal/fleet/control/relay.go
+++ b/internal/fleet/control/relay.go
@@ -84,6 +84,7 @@
 	made       int64
 	remade     bool
 	rows       pace // bytes of own rows
+	words      pace // bytes of own rows of KindWords
 	flaw       faults
 	notAllowed int // rows, mixers and tellings that were refused
 }
@@ -98,7 +99,8 @@
 	o.Sessions, o.NewPerS = cmp.Or(o.Sessions, 8192), cmp.Or(o.NewPerS, 1024)
 	r := &Relay{o: o, self: o.Seats[at], table: NewTable(o.Limits), started: now, sessions: map[uint64]*Session{},
 		members: map[string]*member{}, opens: pace{int64(o.NewPerS), int64(o.NewPerS), now - second},
-		rows: pace{Rate / 2 / int64(len(o.Seats)), 4 << 10, now - 60*second}}
+		rows:  pace{Rate / 2 / int64(len(o.Seats)), 4 << 10, now - 60*second},
+		words: pace{Rate / wordsShare / int64(len(o.Seats)), wordsBurst, now - 60*second}}
 	for _, s := range o.Seats {
 		if s.Name == o.Name {
 			continue
--- a/internal/fleet/control/session.go
+++ b/internal/fleet/control/session.go
@@ -38,7 +38,7 @@
 	flaw     faults
 }
 
-var otherKinds = []string{KindRelay, KindZone}
+var otherKinds = []string{KindRelay, KindZone, KindWords}
 
 // NewSession begins a session. What was heard before counts from since on where known, else all is told.
 func NewSession(now int64, name string, mixer, known bool, since uint64) *Session {
--- a/internal/fleet/control/table.go
+++ b/internal/fleet/control/table.go
@@ -129,7 +129,7 @@
 		if r.Name != r.Author {
 			return r, 0, false
 		}
-	case KindZone:
+	case KindZone, KindWords:
 		if !strings.HasPrefix(r.Name, r.Author+"/") {
 			return r, 0, false
 		}
--- a/internal/fleet/control/types.go
+++ b/internal/fleet/control/types.go
@@ -30,6 +30,7 @@
 	KindSettings = "settings" // one row, its body the document of the settings that are taken in flight
 	KindRelay    = "relay"    // one a relay, its own: how it stands and how many of its mixers have which version
 	KindZone     = "zone"     // one a relay, region and zone: how many mixers are there
+	KindWords    = "words"    // a few a relay: what its mixers together say of searchers, and the sign that it stands
 )
 
 // Row is one thing that is told.
--- a/internal/sharing/board.go
+++ b/internal/sharing/board.go
@@ -3,7 +3,6 @@
 import (
 	"cmp"
 	"errors"
-	"math"
 	"slices"
 
 	"nettlefold/mixer"
@@ -266,26 +265,17 @@
 	return bad
 }
 
-// teller is one mixer's word on one process.
-type teller struct {
-	zone   string
-	row    *Row
-	heard  int64 // when the sheet was seen
-	weight float64
-}
-
 // Words gives what is to be believed now, and what is lent and borrowed, for each process that any of it concerns, in
 // the order of their names. Own is what this mixer knows by itself.
 func (b *Board) Words(now int64, all []mixer.Own) []mixer.Word {
 	b.mentioned(now)
-	said := map[process][]teller{}
+	said := map[process][]Teller{}
 	for _, o := range b.others {
 		if !b.fresh(now, o) {
 			continue
 		}
 		for p, r := range o.rows {
-			age := float64(now-o.seen) + float64(r.Heard)*float64(ms)
-			said[p] = append(said[p], teller{o.sheet.Zone, r, o.seen, float64(r.Weight) * math.Exp2(-age/float64(fadeHalf))})
+			said[p] = append(said[p], NewTeller(now, o.sheet.Zone, r, o.seen))
 		}
 	}
 	own := make(map[process]*mixer.Own, len(all))
@@ -311,85 +301,3 @@
 	})
 	return words
 }
-
-// believed tells whether the mixers that say a thing are enough: two or more, and of two zones unless this mixer's own is
-// one of them, since a line that is broken between zones is broken for all of a zone.
-func (b *Board) believed(tellers []teller) bool {
-	if len(tellers) < quorum {
-		return false
-	}
-	near := 0
-	for _, t := range tellers {
-		if t.zone == b.zone {
-			near++
-		}
-		if t.zone != tellers[0].zone {
-			return true
-		}
-	}
-	return near >= quorum
-}
-
-// judge makes one word of what others say of a process; Until is 0 where nothing is believed. A process that has just answered
-// this mixer is not silent, whatever others say: their lines may be broken, its own is not.
-func (b *Board) judge(now int64, p process, tellers []teller, own *mixer.Own) mixer.Word {
-	w := mixer.Word{Searcher: p.searcher, Started: p.started}
-	var pace, silent, well []teller
-	oldest := int64(math.MaxInt64)
-	for _, t := range tellers {
-		if t.row.Slow > 0 && t.weight >= enough {
-			pace = append(pace, t)
-		}
-		if t.row.Suspect > 0 {
-			silent = append(silent, t)
-			w.Suspecting++
-		} else if t.row.Heard > 0 && t.row.Heard*ms+now-t.heard < answered {
-			well = append(well, t)
-		}
-		oldest = min(oldest, t.heard)
-	}
-	pace = newest(pace)
-	if at, ok := b.first[p]; b.believed(pace) && ok && now-at >= hearing {
-		w.Slow, w.Weight = median(pace)
-		for _, t := range pace {
-			w.At = max(w.At, t.heard-t.row.Heard*ms)
-		}
-	} else if len(pace) > 0 {
-		b.counts.Outvoted++
-	}
-	switch {
-	case b.believed(silent) && len(silent) > len(well) && (own.Heard == 0 || now-own.Heard >= answered):
-		w.Silent = true
-		for _, t := range silent {
-			w.At = max(w.At, t.heard)
-		}
-	case b.believed(well) && len(well) > len(silent):
-		w.Sound = true
-	case len(silent) > 0:
-		b.counts.Outvoted++
-	}
-	if w.Slow > 0 || w.Silent || w.Sound || w.Suspecting > 0 {
-		w.Until = oldest + Lease
-	}
-	return w
-}
-
-// newest gives the third of the tellers whose searcher answered them last, three at the least. What the others know is of
-// before it changed: among many it would hold the median where it was for seconds.
-func newest(tellers []teller) []teller {
-	at := func(t teller) int64 { return t.heard - t.row.Heard*ms }
-	slices.SortFunc(tellers, func(x, y teller) int {
-		return cmp.Or(cmp.Compare(at(y), at(x)), cmp.Compare(x.row.Slow, y.row.Slow), cmp.Compare(x.weight, y.weight))
-	})
-	return tellers[:min(len(tellers), max(quorum+1, (len(tellers)+2)/3))]
-}
-
-// median gives the pace that half of the mixers do not say is exceeded, the lower of two, and the weight behind all. Each
-// mixer is one voice, however much stands behind it by its own word: a liar among two or three moves nothing.
-func median(tellers []teller) (slow, weight float64) {
-	slices.SortStableFunc(tellers, func(x, y teller) int { return cmp.Compare(x.row.Slow, y.row.Slow) })
-	for _, t := range tellers {
-		weight += min(t.weight, voice)
-	}
-	return float64(tellers[(len(tellers)-1)/2].row.Slow), weight
-}
