--- a/internal/fleet/control/relay.go
+++ b/internal/fleet/control/relay.go
@@ -83,8 +83,11 @@
 	rowNumber  uint64
 	made       int64
 	remade     bool
-	rows       pace // bytes of own rows
-	words      pace // bytes of own rows of KindWords
+	saidHolds  Stamp           // the version that the last own row says it holds
+	rows       pace            // bytes of own rows
+	words      pace            // bytes of own rows of KindWords
+	undead     map[string]bool // own rows that are gone and that another relay tells as there
+	undeadSaid map[string]bool // the same of KindWords
 	flaw       faults
 	notAllowed int // rows, mixers and tellings that were refused
 }
@@ -98,7 +101,8 @@
 	}
 	o.Sessions, o.NewPerS = cmp.Or(o.Sessions, 8192), cmp.Or(o.NewPerS, 1024)
 	r := &Relay{o: o, self: o.Seats[at], table: NewTable(o.Limits), started: now, sessions: map[uint64]*Session{},
-		members: map[string]*member{}, opens: pace{int64(o.NewPerS), int64(o.NewPerS), now - second},
+		members: map[string]*member{}, undead: map[string]bool{}, undeadSaid: map[string]bool{},
+		opens: pace{int64(o.NewPerS), int64(o.NewPerS), now - second},
 		rows:  pace{Rate / 2 / int64(len(o.Seats)), 4 << 10, now - 60*second},
 		words: pace{Rate / wordsShare / int64(len(o.Seats)), wordsBurst, now - 60*second}}
 	for _, s := range o.Seats {
@@ -149,6 +153,13 @@
 			continue
 		}
 		own = append(own, row)
+		if e := r.table.rows[key{row.Kind, row.Name}]; row.Author == r.o.Name && !row.Gone && e != nil && e.row.Gone && !r.flaw.zombie {
+			undead := r.undead
+			if row.Kind == KindWords {
+				undead = r.undeadSaid
+			}
+			undead[row.Name] = true // who tells this had forgotten that it is gone, and so may others
+		}
 	}
 	news, refused := r.table.Merge(own)
 	r.notAllowed += refused
--- a/internal/fleet/control/words.go
+++ b/internal/fleet/control/words.go
@@ -12,12 +12,14 @@
 func (r *Relay) Words(now int64, rows []Row) (changed bool) {
 	for i, row := range rows {
 		old, ok := r.table.Get(row.Kind, row.Name)
-		if row.Kind != KindWords || !ok && row.Gone || ok && old.Gone == row.Gone && bytes.Equal(old.Body, row.Body) {
+		same := !ok && row.Gone || ok && old.Gone == row.Gone && bytes.Equal(old.Body, row.Body)
+		if row.Kind != KindWords || same && !r.undeadSaid[row.Name] {
 			continue
 		}
 		if i > 0 && !row.Gone && r.words.wait(now) > 0 {
 			continue
 		}
+		delete(r.undeadSaid, row.Name)
 		r.rowNumber++
 		row.Stamp = Stamp{1, r.rowNumber, r.o.Name}
 		news, refused := r.table.Merge([]Row{row})
