Words of relays reach mixers: words="yes" on <control>, sheets up, the judge in the relay

Cause: what relays judge was called by nothing. Change: POST /control/words takes a mixer's sheet while its session lasts; a relay judges each 250 ms and tells rows of its own; a mixer hands its module what stands, joined with what a shared store says, and takes it back when the session is lost. Off by default: then no path, goroutine, telling or decision differs.

--- a/cmd/nettlefold/relay.go
+++ b/cmd/nettlefold/relay.go
@@ -56,7 +56,8 @@
 		}
 		defer admin.Close()
 	}
-	s, err := relay.NewServer(relay.Options{Name: a.Name, Seats: own.Control.Relays, Wait: own.Control.Window, Log: log})
+	s, err := relay.NewServer(relay.Options{Name: a.Name, Seats: own.Control.Relays, Wait: own.Control.Window,
+		Words: own.Control.Words, Log: log})
 	if err != nil {
 		return err
 	}
--- a/cmd/nettlefold/serve.go
+++ b/cmd/nettlefold/serve.go
@@ -54,7 +54,7 @@
 type paths struct{ config, settings string }
 
 // keeper makes what shares with other mixers, nil where no store is set.
-func keeper(c protocol.Config, s *settings.Store, router *routing.Router, log *slog.Logger) (*store.Keeper, *store.Client, error) {
+func keeper(c protocol.Config, s *settings.Store, router store.Router, log *slog.Logger) (*store.Keeper, *store.Client, error) {
 	if s == nil {
 		return nil, nil, nil
 	}
@@ -180,7 +180,13 @@
 	}
 	c.Known.Whole = true
 	listed(c.Known)
-	shares, client, err := keeper(c, own.Store, router, log)
+	versions := controlled(c, own.Control, router, log)
+	sayings, words := store.Router(router), hearing(own.Control, router, versions)
+	if words != nil && own.Store != nil { // both say something of searchers
+		byStore, byRelays := (&told{Router: router}).sources()
+		sayings, words = byStore, hearing(own.Control, byRelays, versions)
+	}
+	shares, client, err := keeper(c, own.Store, sayings, log)
 	if err != nil {
 		listener.Close()
 		return fmt.Errorf("%s: %w", at.settings, err)
@@ -193,7 +199,6 @@
 		listener.Close()
 		return fmt.Errorf("%s: %w", at.settings, err)
 	}
-	versions := controlled(c, own.Control, router, log)
 	work, cancel := context.WithCancel(context.Background())
 	var wg sync.WaitGroup
 	defer wg.Wait()
@@ -226,7 +231,7 @@
 			answers.Fleet = &admin.Fleet{Roster: fleet, Tables: sites.tables()}
 		}
 		if versions != nil {
-			answers.Control = func() any { return versions.State() }
+			answers.Control = func() any { return standing(versions, words) }
 		}
 		wg.Go(func() {
 			if err := answers.Serve(work, l); err != nil {
@@ -246,6 +251,9 @@
 	server.Open(listener)
 	served := make(chan error, 1)
 	wg.Go(func() { served <- server.Serve() })
+	if words != nil {
+		wg.Go(func() { words.Run(work) })
+	}
 	if versions != nil {
 		wg.Go(func() {
 			if err := versions.Run(work); err != nil {
--- a/internal/fleet/relay/admin.go
+++ b/internal/fleet/relay/admin.go
@@ -20,7 +20,7 @@
 func (s *Server) questions() http.Handler {
 	set := s.figures()
 	mux := http.NewServeMux()
-	mux.HandleFunc("GET "+PathStatus, func(w http.ResponseWriter, r *http.Request) { reply(w, http.StatusOK, s.Status()) })
+	mux.HandleFunc("GET "+PathStatus, func(w http.ResponseWriter, r *http.Request) { reply(w, http.StatusOK, s.standing()) })
 	mux.HandleFunc("POST "+PathVersions, s.versions)
 	mux.HandleFunc("GET /metrics", func(w http.ResponseWriter, r *http.Request) {
 		w.Header().Set("Content-Type", "text/plain; version=0.0.4")
@@ -148,6 +148,17 @@
 	gauge("connections_turned_away_total", func() float64 { return float64(s.turned.Load()) })
 	gauge("told_bytes_total", func() float64 { return float64(s.told.Load()) })
 	gauge("slow_sessions_total", func() float64 { return float64(s.slow.Load()) })
+	if s.bench != nil {
+		judging := func(read func(WordsStatus) float64) func() float64 {
+			return func() float64 { st, _ := s.Words(); return read(st) }
+		}
+		gauge("words", judging(func(t WordsStatus) float64 { return float64(t.Words) }))
+		gauge("words_beyond", judging(func(t WordsStatus) float64 { return float64(t.Rest) }))
+		gauge("words_mixers", judging(func(t WordsStatus) float64 { return float64(t.Mixers) }))
+		gauge("words_sheets_total", judging(func(t WordsStatus) float64 { return float64(t.Sheets) }))
+		gauge("words_refused_total", judging(func(t WordsStatus) float64 { return float64(t.Refused) }))
+		gauge("words_round_seconds", judging(func(t WordsStatus) float64 { return float64(t.TookUs) / 1e6 }))
+	}
 	gauge("up_seconds", func() float64 { return time.Since(s.began).Seconds() })
 	return set
 }
--- a/internal/fleet/relay/client.go
+++ b/internal/fleet/relay/client.go
@@ -24,6 +24,7 @@
 	Window time.Duration
 	Seed   uint64 // of all that is drawn
 	Apply  func(control.Stamp, json.RawMessage) error
+	Words  Words                                                                // hears what relays say of searchers; nil: nobody does
 	Log    *slog.Logger                                                         // nil: none
 	Dial   func(ctx context.Context, network, address string) (net.Conn, error) // nil: the net's
 
@@ -45,6 +46,8 @@
 	hand    *session  // nil: none
 	since   time.Time // of the version in force; under lock, as is failed
 	failed  string
+	fresh   bool       // the session has told nothing yet
+	whole   bool       // all that there was has been heard in it
 	quiet   bool       // that there is no session has been told
 	ready   sync.Mutex // on follower being set
 }
@@ -249,7 +252,8 @@
 		}
 		c.hand, c.trying, e.s.named = e.s, nil, e.named
 		c.locked(func(f *control.Follower) { f.Opened(now, e.life) })
-		c.quiet = false
+		c.quiet, c.fresh = false, true
+		c.wordsOf(true)
 		c.log.Info("control: follows", "relay", e.s.seat.Name, "region", e.s.seat.Region, "life", e.life)
 	case e.err != nil && e.s == c.trying:
 		c.trying = nil
@@ -294,6 +298,7 @@
 	if c.as == asRelay {
 		what = "control: no longer hears a relay"
 	}
+	c.wordsOf(false)
 	c.log.Info(what, "relay", c.hand.seat.Name, "error", why)
 	c.hand = nil
 }
@@ -301,12 +306,19 @@
 // take takes a piece, and applies the version that it may bring.
 func (c *Client) take(now int64, p control.Piece) {
 	var row *control.Row
+	var held, news []control.Row
 	var err error
-	c.locked(func(f *control.Follower) { row, _, err = f.Take(now, p) })
+	c.locked(func(f *control.Follower) {
+		if held = nil; c.Words != nil && c.fresh && !p.Snapshot {
+			held = f.Table().Rows(control.KindWords)
+		}
+		row, news, err = f.Take(now, p)
+	})
 	if err != nil {
 		c.log.Warn("control: a relay tells nonsense", "relay", c.hand.seat.Name, "index", p.Index, "error", err)
 		return
 	}
+	c.hear(p, held, news)
 	if row == nil {
 		return
 	}
--- a/internal/fleet/relay/relay.go
+++ b/internal/fleet/relay/relay.go
@@ -17,6 +17,7 @@
 const (
 	pathRows     = "/control/rows"
 	pathSelf     = "/control/self"
+	pathWords    = "/control/words"
 	PathStatus   = "/control/status"
 	PathVersions = "/control/versions"
 
@@ -34,6 +35,7 @@
 const (
 	mostAfter = 10 * time.Minute // a relay's Retry-After counts for so long at most
 	mostName  = 64               // bytes of a name, region or zone
+	mostFrame = 64               // bytes of a frame around a table's
 )
 
 // usual are a follower's times.
--- a/internal/fleet/relay/server.go
+++ b/internal/fleet/relay/server.go
@@ -13,6 +13,7 @@
 	"time"
 
 	"nettlefold/internal/fleet/control"
+	"nettlefold/internal/fleet/words"
 )
 
 // Options say which relay this is. Zero bounds are those of a relay that may have all mixers.
@@ -28,6 +29,7 @@
 
 	Wait     time.Duration // from the start on: a relay that knows no version gives none, as its mixers may come with one
 	Write    time.Duration // a piece that is not taken within this ends its session
+	Words    bool          // what mixers learn of searchers is judged and told here
 	Majority time.Duration // how long the answer to a version given waits for a majority of the relays
 }
 
@@ -61,6 +63,9 @@
 	changed chan struct{} // closed when the table changes
 	live    map[string]map[uint64]*live
 	number  uint64 // of the last session
+
+	bench *bench          // nil: no words
+	ended map[string]bool // whose last session has ended since the judge was told; nil: no words
 }
 
 // live is a session as its bye may meet it.
@@ -89,6 +94,9 @@
 	}
 	s := &Server{o: o, log: o.Log, life: fmt.Sprintf("%016x", drawn()), began: time.Now(), over: make(chan struct{}),
 		changed: make(chan struct{}), live: map[string]map[uint64]*live{}}
+	if o.Words {
+		s.bench, s.ended = &bench{judge: words.NewJudge(o.Name)}, map[string]bool{}
+	}
 	var err error
 	s.relay, err = control.NewRelay(s.now(), control.RelayOptions{Name: o.Name, Seats: o.Seats, Life: s.life, Sessions: o.Sessions,
 		NewPerS: o.NewPerS, Wait: int64(o.Wait), Seed: drawn()})
@@ -108,6 +116,9 @@
 	defer wg.Wait()
 	defer cancel()
 	wg.Go(func() { s.step(work) })
+	if s.bench != nil {
+		wg.Go(func() { s.judges(work) })
+	}
 	for _, f := range s.relay.Followers() {
 		c := &Client{Self: control.Self{Name: s.o.Name}, Log: s.log, Dial: s.o.Dial,
 			follower: f, lock: &s.mu, clock: s.now, changed: s.notify}
--- a/internal/fleet/relay/session.go
+++ b/internal/fleet/relay/session.go
@@ -30,6 +30,9 @@
 	mux := http.NewServeMux()
 	mux.HandleFunc("GET "+pathRows, s.rows)
 	mux.HandleFunc("POST "+pathSelf, s.self)
+	if s.bench != nil {
+		mux.HandleFunc("POST "+pathWords, s.heard)
+	}
 	return mux
 }
 
@@ -62,7 +65,9 @@
 	defer func() {
 		s.mu.Lock()
 		defer s.mu.Unlock()
-		s.left(name, number)
+		if s.left(name, number); s.bench != nil && len(s.live[name]) == 0 {
+			s.ended[name] = true
+		}
 		s.relay.Leave(s.now(), ses, l.bye)
 		s.notify()
 	}()
--- a/internal/fleet/relay/tell.go
+++ b/internal/fleet/relay/tell.go
@@ -74,7 +74,12 @@
 	if bye != "" {
 		more = headerBye + ": 1\r\n" + headerSession + ": " + bye + "\r\n"
 	}
-	text := fmt.Appendf(nil, "POST %s HTTP/1.1\r\nHost: %s\r\nContent-Length: %d\r\n%s\r\n%s", pathSelf, address, len(body), more, body)
+	return t.put(ctx, address, pathSelf, more, body)
+}
+
+// put posts a body once, by the connection that is kept or else by a new one.
+func (t *teller) put(ctx context.Context, address, path, more string, body []byte) (err error) {
+	text := fmt.Appendf(nil, "POST %s HTTP/1.1\r\nHost: %s\r\nContent-Length: %d\r\n%s\r\n%s", path, address, len(body), more, body)
 	if nc := t.conn(address); nc != nil {
 		if err = t.send(ctx, nc, address, text); err == nil || ctx.Err() != nil {
 			return err
--- a/internal/settings/control.go
+++ b/internal/settings/control.go
@@ -12,6 +12,7 @@
 	Region string        // of this mixer
 	Window time.Duration // over which starts, and comings back after a relay's loss, are spread
 	Relays []control.Seat
+	Words  bool // what mixers learn of slow and silent searchers is told through the relays
 
 	relay control.Seat // that is read
 }
@@ -30,6 +31,7 @@
 	}
 	return &element{
 		attributes: map[string]attribute{
+			"words":  may("yes|no", at(func(c *Control, v string) { c.Words = v == "yes" })),
 			"region": need(name, at(func(c *Control, v string) { c.Region = v })),
 			"window": may("([1-9]|[1-9][0-9]|[1-5][0-9]{2}|600)s|([1-9]|10)m", at(func(c *Control, v string) {
 				c.Window, _ = time.ParseDuration(v)
--- a/internal/settings/settings_test.go
+++ b/internal/settings/settings_test.go
@@ -73,6 +73,7 @@
 	good := 0
 	rapid.Check(t, func(t *rapid.T) {
 		values := map[string][]string{
+			"words": {"yes", "no", "true", ""},
 			"format": {"text", "json", "xml"}, "level": {"debug", "info", "INFO"}, "address": {"127.0.0.1:1", "[::1]:65535", "host:0", "host:65536", ":80"},
 			"site": {"main", "a b", ""}, "enabled": {"yes", "no", "true"}, "timeout-ms": {"20", "200", "19", "201", " 50"},
 			"protocol": {"2", "3", "4"}, "user": {"mixer", "ü"}, "password-file": {"/a", "/a b", strings.Repeat("x", 1024), strings.Repeat("x", 1025)},
@@ -86,7 +87,7 @@
 			"store": {"address", "site", "enabled", "timeout-ms", "protocol"}, "tls": {"authorities", "server"}, "identity": {"certificate", "key"},
 			"fleet": {"listen", "site", "alone", "key-file", "group", "forget", "members"},
 			"site":  {"name"}, "join": {"address"}, "route": {"to", "address"},
-			"control": {"region", "window"}, "relay": {"name", "region", "address"}}
+			"control": {"region", "window", "words"}, "relay": {"name", "region", "address"}}
 		within := map[string][]string{"nettlefold": {"logging", "listeners", "fleet", "control", "store"}, "control": {"relay"}, "fleet": {"site", "join", "route"},
 			"listeners": {"admin"}, "store": {"login", "tls"}, "tls": {"identity"}}
 		odd := rapid.IntRange(0, 3).Draw(t, "odd") == 0 // most documents are nearly right
