--- a/cmd/nettlefold/serve.go
+++ b/cmd/nettlefold/serve.go
@@ -181,12 +181,9 @@
 	c.Known.Whole = true
 	listed(c.Known)
 	versions := controlled(c, own.Control, router, log)
-	sayings, words := store.Router(router), hearing(own.Control, router, versions)
-	if words != nil && own.Store != nil { // both say something of searchers
-		byStore, byRelays := (&told{Router: router}).sources()
-		sayings, words = byStore, hearing(own.Control, byRelays, versions)
-	}
-	shares, client, err := keeper(c, own.Store, sayings, log)
+	byStore, byRelays := ways(own, router)
+	words := hearing(own.Control, byRelays, versions)
+	shares, client, err := keeper(c, own.Store, byStore, log)
 	if err != nil {
 		listener.Close()
 		return fmt.Errorf("%s: %w", at.settings, err)
--- a/cmd/nettlefold/words.go
+++ b/cmd/nettlefold/words.go
@@ -7,6 +7,7 @@
 	"nettlefold/internal/fleet/words"
 	"nettlefold/internal/routing"
 	"nettlefold/internal/settings"
+	"nettlefold/internal/store"
 )
 
 // told joins what the shared store's keeper and the relays hand over, each in place of what it handed over before.
@@ -24,8 +25,12 @@
 
 func (s source) Told(all []routing.Word) { s.hand(all) }
 
-// sources are routers to the store's keeper and to the relays' words.
-func (t *told) sources() (store, relays source) {
+// ways gives the router to the store's keeper and to the relays' words, each by a way of its own where there are both.
+func ways(own settings.Settings, router *routing.Router) (byStore store.Router, byRelays relay.Router) {
+	if own.Store == nil || own.Control == nil || !own.Control.Words {
+		return router, router
+	}
+	t := &told{Router: router}
 	hand := func(which *[]routing.Word) func([]routing.Word) {
 		return func(all []routing.Word) {
 			t.mu.Lock()
@@ -34,7 +39,7 @@
 			t.Router.Told(words.Join(t.Now(), t.store, t.relays))
 		}
 	}
-	return source{t.Router, hand(&t.store)}, source{t.Router, hand(&t.relays)}
+	return source{router, hand(&t.store)}, source{router, hand(&t.relays)}
 }
 
 // hearing makes what tells and hears words through the relays, nil where that is not set: then nothing of it runs.
--- a/internal/fleet/relay/hearing.go
+++ b/internal/fleet/relay/hearing.go
@@ -24,6 +24,7 @@
 	router Router
 	client *Client
 	log    *slog.Logger
+	dial   dialer
 
 	mu     sync.Mutex
 	ear    *words.Ear
@@ -48,6 +49,9 @@
 	if h.log == nil {
 		h.log = slog.New(slog.DiscardHandler)
 	}
+	if h.dial = c.Dial; h.dial == nil {
+		h.dial = plain
+	}
 	c.Words = h
 	return h
 }
@@ -124,10 +128,7 @@
 
 // tells tells sheets. It waits for the relay, and nobody waits for it.
 func (h *Hearing) tells(ctx context.Context) {
-	t := &teller{dial: h.client.Dial, times: usual}
-	if t.dial == nil {
-		t.dial = plain
-	}
+	t := &teller{dial: h.dial, times: usual}
 	defer t.close()
 	every(ctx, func() {
 		raw, err := h.sheet()
--- a/internal/settings/settings_test.go
+++ b/internal/settings/settings_test.go
@@ -73,7 +73,7 @@
 	good := 0
 	rapid.Check(t, func(t *rapid.T) {
 		values := map[string][]string{
-			"words": {"yes", "no", "true", ""},
+			"words":  {"yes", "no", "true", ""},
 			"format": {"text", "json", "xml"}, "level": {"debug", "info", "INFO"}, "address": {"127.0.0.1:1", "[::1]:65535", "host:0", "host:65536", ":80"},
 			"site": {"main", "a b", ""}, "enabled": {"yes", "no", "true"}, "timeout-ms": {"20", "200", "19", "201", " 50"},
 			"protocol": {"2", "3", "4"}, "user": {"mixer", "ü"}, "password-file": {"/a", "/a b", strings.Repeat("x", 1024), strings.Repeat("x", 1025)},
