--- a/internal/fleet/words/weigh.go
+++ b/internal/fleet/words/weigh.go
@@ -30,7 +30,7 @@
 	v := jury.Judge(now, tellers, heard, false)
 	known := m.told.Kind == silent || m.told.Kind == sound || m.suspects >= enter.Quorum
 	switch {
-	case known && m.suspects > 0 && vouch.Judge(now, tellers, false, false).Sound:
+	case known && (m.suspects > 0 || m.told.Kind == silent) && vouch.Judge(now, tellers, false, false).Sound:
 		m.say(now, sound, v.Well, 0, 0)
 	case v.Silent:
 		m.say(now, silent, v.Suspecting, 0, 0)
