--- a/internal/fleet/words/words_test.go
+++ b/internal/fleet/words/words_test.go
@@ -6,6 +6,7 @@
 	"math/rand/v2"
 	"slices"
 	"testing"
+	"time"
 
 	"pgregory.net/rapid"
 
@@ -299,7 +300,10 @@
 	if len(before) != MostWords || c.Words != MostWords || c.Rest < 1000 {
 		t.Fatalf("%d words, %+v", len(before), c)
 	}
-	b.play(20 * second)
+	began := time.Now()
+	const rounds = 40
+	b.play(rounds * Round)
+	t.Logf("a round of 900 sheets of %d rows takes %v", mostStill, time.Since(began)/rounds)
 	if !slices.Equal(before, b.kinds()) {
 		t.Error("words change though nothing does")
 	}
