--- a/internal/fleet/words/model_test.go
+++ b/internal/fleet/words/model_test.go
@@ -219,6 +219,7 @@
 
 // TestModel takes a searcher's silence and its return through the relays, and alone.
 func TestModel(t *testing.T) {
+	t.Parallel()
 	for _, each := range []int{60, 900} {
 		seeds := 10
 		if each == 900 {
--- a/internal/fleet/words/search_test.go
+++ b/internal/fleet/words/search_test.go
@@ -231,6 +231,7 @@
 
 // TestSearch finds nothing in random worlds, and finds each planted fault.
 func TestSearch(t *testing.T) {
+	t.Parallel()
 	const worlds = 600
 	for seed := range uint64(worlds) {
 		if err := world(t, seed, faults{}); err != nil {
