--- a/internal/fleet/control/relay.go
+++ b/internal/fleet/control/relay.go
@@ -60,7 +60,6 @@
 	follower *Follower
 	heard    int64 // in a session that has told all there was
 	counts   bool  // heard at all, so
-	standing Standing
 }
 
 // Relay is one relay's state: what it holds, who follows it, which other relays it hears.
@@ -82,12 +81,13 @@
 	given      Stamp // the last given here
 	rowNumber  uint64
 	made       int64
+	stepped    int64
 	remade     bool
 	saidHolds  Stamp           // the version that the last own row says it holds
 	rows       pace            // bytes of own rows
 	words      pace            // bytes of own rows of KindWords
-	undead     map[string]bool // own rows that are gone and that another relay tells as there
-	undeadSaid map[string]bool // the same of KindWords
+	retell     map[string]bool // own rows that are gone and that another relay tells as there
+	retellSaid map[string]bool // the same of KindWords
 	flaw       faults
 	notAllowed int // rows, mixers and tellings that were refused
 }
@@ -101,7 +101,7 @@
 	}
 	o.Sessions, o.NewPerS = cmp.Or(o.Sessions, 8192), cmp.Or(o.NewPerS, 1024)
 	r := &Relay{o: o, self: o.Seats[at], table: NewTable(o.Limits), started: now, sessions: map[uint64]*Session{},
-		members: map[string]*member{}, undead: map[string]bool{}, undeadSaid: map[string]bool{},
+		members: map[string]*member{}, retell: map[string]bool{}, retellSaid: map[string]bool{},
 		opens: pace{int64(o.NewPerS), int64(o.NewPerS), now - second},
 		rows:  pace{Rate / 2 / int64(len(o.Seats)), 4 << 10, now - 60*second},
 		words: pace{Rate / wordsShare / int64(len(o.Seats)), wordsBurst, now - 60*second}}
@@ -154,22 +154,16 @@
 		}
 		own = append(own, row)
 		if e := r.table.rows[key{row.Kind, row.Name}]; row.Author == r.o.Name && !row.Gone && e != nil && e.row.Gone && !r.flaw.zombie {
-			undead := r.undead
+			retell := r.retell
 			if row.Kind == KindWords {
-				undead = r.undeadSaid
+				retell = r.retellSaid
 			}
-			undead[row.Name] = true // who tells this had forgotten that it is gone, and so may others
+			retell[row.Name] = true // who tells this had forgotten that it is gone, and so may others
 		}
 	}
 	news, refused := r.table.Merge(own)
 	r.notAllowed += refused
 	for _, row := range news {
-		if p := r.peer(row.Name); row.Kind == KindRelay && p != nil && !row.Gone {
-			var s Standing
-			if json.Unmarshal(row.Body, &s) == nil {
-				p.standing = s
-			}
-		}
 		if row.Kind != KindSettings && row.Author == r.o.Name { // of a life before: ours go beyond it
 			r.rowNumber = max(r.rowNumber, row.Number)
 		}
@@ -177,6 +171,15 @@
 	return news
 }
 
+// toldBy gives what another relay told of itself last, by whatever way it came here.
+func (r *Relay) toldBy(p *peer) (s Standing) {
+	row, ok := r.table.Get(KindRelay, p.Name)
+	if !ok || row.Gone || json.Unmarshal(row.Body, &s) != nil {
+		return Standing{}
+	}
+	return s
+}
+
 // heard counts another relay as in contact, once it has told all there was.
 func (r *Relay) heard(now int64, f *Follower) {
 	if f.settled || r.flaw.atOnce {
@@ -185,13 +188,26 @@
 	}
 }
 
+// slept tells whether the relay has not run for so long that what it reads now may be as old.
+func (r *Relay) slept(now int64) bool { return r.remade && now-r.stepped >= Away && !r.flaw.sleeps }
+
+// wake ends all sessions with other relays after a sleep: what still lies in their buffers seems young and is not.
+func (r *Relay) wake(now int64) {
+	if r.slept(now) {
+		for _, p := range r.peers {
+			p.counts, p.follower.drop = false, p.follower.open >= 0
+		}
+	}
+	r.stepped = now
+}
+
 // inContact tells whether another relay has told all that it holds since the session with it opened, and has lately been heard.
 func (p *peer) inContact(now int64) bool { return p.counts && now-p.heard < Away }
 
 // Contact gives the names of the relays that are heard, and how many of them, this one counted, are a majority of all.
 func (r *Relay) Contact(now int64) (names []string, majority int) {
 	for _, p := range r.peers {
-		if p.inContact(now) {
+		if p.inContact(now) && !r.slept(now) {
 			names = append(names, p.Name)
 		}
 	}
--- a/internal/fleet/control/rows.go
+++ b/internal/fleet/control/rows.go
@@ -6,6 +6,7 @@
 	"encoding/json"
 	"maps"
 	"slices"
+	"strings"
 )
 
 const (
@@ -15,8 +16,10 @@
 
 // Step remakes the relay's own rows, at most once a second, and at once where it holds another version. Only those that say
 // something else are told anew, the longest unchanged first, as far as their pace allows: all relays' own rows together fill at most
-// half of what a mixer is told, so that whoever follows catches up. It tells whether anything changed, and ns until it is due again.
+// half of what a mixer is told, so that whoever follows catches up. It tells whether anything changed, and ns until it is due again:
+// a relay that is not stepped for Away has slept, and hears nobody until it has opened its sessions anew.
 func (r *Relay) Step(now int64) (changed bool, wait int64) {
+	r.wake(now)
 	holds := r.saidHolds != r.table.Settings()
 	if r.remade && now-r.made < Remakes && !holds {
 		return false, r.made + Remakes - now
@@ -35,12 +38,12 @@
 	})
 	for _, row := range rows {
 		old, ok := r.table.Get(row.Kind, row.Name)
-		if ok && old.Gone == row.Gone && bytes.Equal(old.Body, row.Body) && !r.undead[row.Name] {
+		if ok && old.Gone == row.Gone && bytes.Equal(old.Body, row.Body) && !r.retell[row.Name] {
 			continue
 		}
 		if r.rows.wait(now) == 0 || holds && row.Kind == KindRelay {
 			changed = r.say(row) || changed
-			delete(r.undead, row.Name)
+			delete(r.retell, row.Name)
 		}
 	}
 	return changed, Remakes
@@ -121,14 +124,17 @@
 	for name, z := range all {
 		rows = append(rows, Row{Kind: KindZone, Name: name, Body: body(z)})
 	}
-	gone := maps.Clone(r.undead)
+	gone := map[string]bool{}
+	for name := range r.retell {
+		gone[name] = strings.HasPrefix(name, r.o.Name+"/") // else it is the row of KindRelay
+	}
 	for _, row := range r.table.Rows(KindZone) {
 		if row.Author == r.o.Name {
 			gone[row.Name] = true
 		}
 	}
-	for name := range gone {
-		if _, ok := all[name]; !ok {
+	for name, zone := range gone {
+		if _, ok := all[name]; zone && !ok {
 			rows = append(rows, Row{Kind: KindZone, Name: name, Gone: true})
 		}
 	}
@@ -193,7 +199,7 @@
 		Rows: len(r.table.rows), Bytes: r.table.bytes, Index: r.table.index, Refused: r.notAllowed}
 	s.Names, s.Standings = []string{r.o.Name}, []Standing{r.standing(now)}
 	for _, p := range r.peers {
-		s.Names, s.Standings = append(s.Names, p.Name), append(s.Standings, p.standing)
+		s.Names, s.Standings = append(s.Names, p.Name), append(s.Standings, r.toldBy(p))
 	}
 	return s
 }
--- a/internal/fleet/control/search_test.go
+++ b/internal/fleet/control/search_test.go
@@ -52,10 +52,29 @@
 		for r := range relays {
 			w.start(r, nil)
 		}
+	case 12: // it sleeps, its lines are cut, and it wakes to what was said before
+		n := w.nodes[r]
+		n.paused = true
+		w.run(24)
+		for o := range nodes {
+			w.cut[r][o], w.cut[o][r] = true, true
+		}
+		n.paused = false
+		w.note("%s has slept, is alone and reads on", n.name)
+		for k, f := range n.follows {
+			if n.wires[k] != nil && n.wires[k].lives[1] == w.nodes[n.wires[k].to].lives {
+				f.Beat(w.now())
+			}
+		}
+		w.run(w.random.IntN(3))
+		w.give(r, false, false)
 	}
 }
 
-const events = 12
+const (
+	events   = 12
+	sleepers = 1 << 32 // worlds from here on have one event more
+)
 
 func (w *world) run(ticks int) {
 	for range ticks {
@@ -65,64 +84,80 @@
 	}
 }
 
-// heal has good lines for a minute, and checks that all agree; then one more version is given, that all must take.
+// heal has good lines, until all agree; then one more version is given, that all must take.
 func (w *world) heal() {
 	w.cut = [nodes][nodes]bool{}
 	for _, n := range w.nodes {
 		n.paused, n.slow = false, false
 	}
 	w.note("all is healed")
-	w.run(settled)
-	w.agree(w.nodes[0].relay.table.Settings())
+	w.quiet()
 	for i := 0; w.wrong == "" && !w.give(i%relays, false, false); i++ {
 		if i > 100 {
 			w.fail("nobody gives a version")
 		}
 		w.step()
 	}
-	w.run(settled)
-	w.agree(w.nodes[0].relay.table.Settings())
-	if w.wrong == "" {
-		for _, n := range w.nodes[relays:] {
-			if top := w.nodes[0].relay.table.Settings(); n.force != top {
-				w.fail("%s has %v in force after the last version, %v", n.name, n.force, top)
-			}
+	w.quiet()
+	for _, n := range w.nodes[relays:] {
+		if n.force != w.top() {
+			w.fail("%s has %v in force after the last version, %v", n.name, n.force, w.top())
 		}
 	}
 }
 
-// agree checks that all relays hold one version; that all mixers have it in force unless it is a bad one or they had a greater one,
-// of a relay that lost it; and that each mixer holds what its relay holds, and all know who is there.
-func (w *world) agree(top Stamp) {
-	if w.wrong != "" {
-		return
+// quiet has a minute pass, and as much more as who was cut off for long may wait before it tries its first relay again. By then all
+// must agree, and nothing may change any more for 10 s.
+func (w *world) quiet() {
+	const most = int((waits + 12*window + window + Away) / tick)
+	w.run(240)
+	for end, why := w.at-240+most, ""; w.wrong == ""; {
+		if why = w.differs(w.top()); why == "" {
+			before := w.state()
+			if w.run(40); before == w.state() {
+				return
+			}
+			why = "it goes on: " + before + ", then " + w.state()
+		}
+		if w.at > end {
+			w.fail("%s", why)
+		}
+		w.run(20)
 	}
+}
+
+// differs tells where not all agree: all relays must hold one version; all mixers have it in force unless it is a bad one, or they had
+// a greater one that all relays lost with the one that held it; and each mixer holds what its relay holds, and all know who is there.
+func (w *world) differs(top Stamp) string {
 	for i, n := range w.nodes {
 		if i < relays {
 			if s := n.relay.table.Settings(); s != top || w.docs[s] != body0(n.relay.table) {
-				w.fail("%s holds %v, not %v", n.name, s, top)
+				return fmt.Sprintf("%s holds %v, not %v", n.name, s, top)
 			}
 			zones := 0
 			for _, z := range Present(n.relay.table, n.name) {
 				zones += z.Mixers
 			}
 			if zones != nodes-relays {
-				w.fail("%s knows of %d mixers: %v", n.name, zones, Present(n.relay.table, n.name))
+				return fmt.Sprintf("%s knows of %d mixers: %v", n.name, zones, Present(n.relay.table, n.name))
 			}
 			if names, _ := n.relay.Contact(w.now()); len(names) != relays-1 {
-				w.fail("%s hears %v", n.name, names)
+				return fmt.Sprintf("%s hears %v", n.name, names)
 			}
 			continue
 		}
-		if n.force.Compare(top) < 0 && !w.bad[top] {
-			w.fail("%s has %v in force, not %v", n.name, n.force, top)
+		if n.force.Compare(top) < 0 && !w.bad[top] || n.force.Compare(top) > 0 && n.force.Compare(w.lost) > 0 {
+			return fmt.Sprintf("%s has %v in force, not %v", n.name, n.force, top)
 		}
-		if s, ok := n.follower.Following(); s == nil || !ok {
-			w.fail("%s follows nobody", n.name)
+		if s, ok := n.follower.Following(); s == nil || !ok || n.wires[0] == nil {
+			return n.name + " follows nobody"
+		} else if *s != n.follower.seats[0].Seat {
+			return n.name + " follows " + s.Name + ", which is not its first"
 		} else if r := w.nodes[n.wires[0].to]; others(n.follower.table) != others(r.relay.table) {
-			w.fail("%s holds\n%s\nand %s holds\n%s", n.name, others(n.follower.table), r.name, others(r.relay.table))
+			return fmt.Sprintf("%s holds\n%s\nand %s holds\n%s", n.name, others(n.follower.table), r.name, others(r.relay.table))
 		}
 	}
+	return ""
 }
 
 func body0(t *Table) string {
@@ -145,7 +180,7 @@
 	w := newWorld(seed, flaw)
 	w.run(40)
 	for range 3 + w.random.IntN(14) {
-		w.event(w.random.IntN(events))
+		w.event(w.random.IntN(events + truth(seed >= sleepers)))
 		w.run(w.random.IntN(24))
 	}
 	w.heal()
@@ -153,19 +188,23 @@
 }
 
 func TestNoInterleavingBreaksWhatHolds(t *testing.T) {
-	const parts, worlds = 2, 150
-	for part := range uint64(parts) {
+	const worlds = 150
+	parts := [][]uint64{{5011}, {}, {sleepers + 6485}} // with worlds that longer searches once failed in
+	for part, from := range []uint64{0, worlds, sleepers} {
+		for i := range uint64(worlds) {
+			parts[part] = append(parts[part], from+i)
+		}
 		t.Run(fmt.Sprint(part), func(t *testing.T) {
 			t.Parallel()
 			gives, ticks := 0, 0
-			for seed := part * worlds; seed < (part+1)*worlds; seed++ {
+			for _, seed := range parts[part] {
 				w := play(seed, faults{})
 				if w.wrong != "" {
 					t.Fatalf("world %d: %s\n%s", seed, w.wrong, strings.Join(w.log, "\n"))
 				}
 				gives, ticks = gives+len(w.docs), ticks+w.at
 			}
-			t.Logf("%d worlds, %d s, %d versions given", worlds, ticks/4, gives)
+			t.Logf("%d worlds, %d s, %d versions given", len(parts[part]), ticks/4, gives)
 		})
 	}
 }
@@ -208,13 +247,16 @@
 		"an index from before what is forgotten that counts on": {forgets: true},
 		"what is gone and comes back from one who forgot it":    {zombie: true},
 		"what a relay no longer names of its own that is kept":  {lingers: true},
+		"a relay that slept and takes what it reads for young":  {sleeps: true},
 	} {
 		t.Run(name, func(t *testing.T) {
 			t.Parallel()
 			for seed := range uint64(300) {
-				if w := play(seed, flaw); w.wrong != "" {
-					t.Logf("world %d: %s", seed, strings.ReplaceAll(w.wrong, "\n", "; "))
-					return
+				for _, from := range []uint64{0, sleepers} {
+					if w := play(from+seed, flaw); w.wrong != "" {
+						t.Logf("world %d: %s", from+seed, strings.ReplaceAll(w.wrong, "\n", "; "))
+						return
+					}
 				}
 			}
 			t.Error("not found")
--- a/internal/fleet/control/world_test.go
+++ b/internal/fleet/control/world_test.go
@@ -11,10 +11,10 @@
 // Each world follows from its number. What holds is checked by what the world itself saw, not by what the decider keeps.
 
 const (
-	tick    = second / 4
-	nodes   = 6 // relays 0 to 2, mixers 3 to 5
-	relays  = 3
-	settled = 240 // ticks of good lines after which all must agree
+	tick   = second / 4
+	nodes  = 6 // relays 0 to 2, mixers 3 to 5
+	relays = 3
+	window = 4 * second
 )
 
 // wire is a session between a follower and a relay, as the lines see it.
@@ -61,6 +61,7 @@
 	wrong  string
 	lives  uint64
 	ended  []*wire // whose relay has not noticed yet
+	lost   Stamp   // the greatest that all relays had lost with the one that held it
 }
 
 var seats = []Seat{{"r-0", "east", ""}, {"r-1", "east", ""}, {"r-2", "west", ""}}
@@ -89,7 +90,7 @@
 // start begins a new life of a process; a relay may know some rows.
 func (w *world) start(i int, rows []Row) {
 	w.lives++
-	old := w.nodes[i]
+	old, top := w.nodes[i], w.top()
 	for k := range old.wires {
 		w.end(old, k)
 	}
@@ -100,13 +101,13 @@
 		n.relay, err = NewRelay(w.now(), RelayOptions{Name: n.name, Seats: seats, Life: fmt.Sprintf("%x", 100-w.lives), Sessions: 3,
 			NewPerS: 1, Seed: w.lives, Limits: Limits{Gone: 1 + 2*(i%2)}})
 		n.relay.flaw, n.relay.table.flaw = w.flaw, w.flaw
-		n.relay.table.Merge(rows)
+		n.relay.take(rows)
 		n.has = n.relay.table.Settings()
 		n.follows = n.relay.Followers()
 	} else {
 		n.name = fmt.Sprintf("m-%d", i)
 		n.follower, err = NewFollower(w.now(), FollowerOptions{Self: Self{Name: n.name, Region: []string{"east", "west"}[i%2],
-			Zone: fmt.Sprint(w.random.IntN(3)), Life: w.lives}, Seats: seats, Window: 4 * second, Seed: w.lives})
+			Zone: fmt.Sprint(w.random.IntN(3)), Life: w.lives}, Seats: seats, Window: window, Seed: w.lives})
 		n.follows = []*Follower{n.follower}
 	}
 	if err != nil {
@@ -117,6 +118,19 @@
 	}
 	n.wires = make([]*wire, len(n.follows))
 	w.nodes[i] = n
+	if w.top().Compare(top) < 0 && top.Compare(w.lost) > 0 {
+		w.lost = top
+	}
+}
+
+// top is the greatest version that a relay holds.
+func (w *world) top() (top Stamp) {
+	for _, n := range w.nodes {
+		if n != nil && n.relay != nil && n.relay.table.Settings().Compare(top) > 0 {
+			top = n.relay.table.Settings()
+		}
+	}
+	return top
 }
 
 func (w *world) reach(i, j int) bool {
