Words end to end: the program follows a relay with words; untaken sheets wait longer and longer

Cause: a mixer beside a relay without words would have posted each second for ever. Change: waits grow to a minute, and begin anew with a session.

--- a/cmd/nettlefold/words_test.go
+++ b/cmd/nettlefold/words_test.go
@@ -1,12 +1,22 @@
 package main
 
 import (
+	"bytes"
+	"fmt"
+	"net/http"
+	"os"
+	"path/filepath"
 	"runtime"
+	"strings"
+	"syscall"
 	"testing"
+	"time"
 
+	"nettlefold/internal/fleet/desk"
 	"nettlefold/internal/fleet/relay"
 	"nettlefold/internal/routing"
 	"nettlefold/internal/settings"
+	"nettlefold/internal/sharing"
 )
 
 // TestNoWordsNothingRuns has <control> without words, as it is by default: nobody tells or hears, and the store's keeper has the
@@ -32,3 +42,47 @@
 		t.Error("the store's words and the relays' go by one way")
 	}
 }
+
+// TestHearsWords has the program follow a relay, both with words: it tells its own sheet, and hears what three others say.
+func TestHearsWords(t *testing.T) {
+	dir := t.TempDir()
+	own := filepath.Join(dir, "own.xml")
+	t.Setenv("NETTLEFOLD_SETTINGS", own)
+	const admin, at, asked = "127.78.6.1:19090", "127.78.6.2:17101", "127.78.6.2:19090"
+	doc := `<nettlefold xmlns="urn:nettlefold:settings:1"><listeners><admin address="` + admin + `"/></listeners>
+		<control region="east" window="1s" words="yes"><relay name="r-1" region="east" address="` + at + `"/></control></nettlefold>`
+	if err := os.WriteFile(own, []byte(doc), 0o600); err != nil {
+		t.Fatal(err)
+	}
+	r := startRelay(t, own, "r-1", asked)
+	w := prepare(t).start()
+	w.within(time.Minute, "its sheet is told", func() bool { return strings.Contains(fetch("http://"+asked+"/control/status"), `"Mixers":1`) })
+	for i := range 3 {
+		name := fmt.Sprint("other-", i)
+		resp, err := http.Get("http://" + at + "/control/rows?follow=1&as=mixer&name=" + name)
+		if err != nil || resp.StatusCode != http.StatusOK {
+			t.Fatal(resp, err)
+		}
+		defer resp.Body.Close()
+		raw, err := (&sharing.Sheet{Version: 1, Mixer: name, Zone: fmt.Sprint("z", i), Life: 1, Number: 1,
+			Rows: []sharing.Row{{Searcher: "searcher-x", Started: 7, Suspect: 1}}}).Append()
+		if err != nil {
+			t.Fatal(err)
+		}
+		told, err := http.Post("http://"+at+"/control/words?name="+name, "", bytes.NewReader(desk.Said("words", raw)))
+		if err != nil || told.StatusCode != http.StatusNoContent {
+			t.Fatal(told, err)
+		}
+		told.Body.Close()
+	}
+	w.within(time.Minute, "it hears what they say", func() bool { return strings.Contains(fetch("http://"+admin+"/control"), `"words":{"words":1,`) })
+	if got := fetch("http://" + asked + "/metrics"); !strings.Contains(got, "nettlefold_relay_words 1\n") {
+		t.Error("the relay's figures do not tell of a word")
+	}
+	r.leave()
+	w.within(time.Minute, "it ends with the relay", func() bool { return strings.Contains(fetch("http://"+admin+"/control"), `"words":{"words":0,`) })
+	w.signal(syscall.SIGTERM)
+	if code := w.exit(5 * time.Second); code != 0 {
+		t.Errorf("exit %d", code)
+	}
+}
--- a/internal/fleet/relay/hearing.go
+++ b/internal/fleet/relay/hearing.go
@@ -31,6 +31,8 @@
 	sheets *words.Sheets
 	open   bool
 	handed map[[2]any]routing.Word // what the module was handed and may still believe
+	fails  int                     // sheets in a row that were not taken
+	again  int64                   // no sheet before
 	counts HearingState
 }
 
@@ -60,7 +62,7 @@
 func (h *Hearing) Session(open bool) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	h.open = open
+	h.open, h.fails, h.again = open, 0, 0
 	h.ear.Lost()
 	h.sheets.Opened()
 }
@@ -135,24 +137,36 @@
 		if err == nil && raw != nil {
 			err = h.client.Post(ctx, t, raw)
 		}
-		h.mu.Lock()
-		defer h.mu.Unlock()
-		switch {
-		case err != nil && ctx.Err() == nil:
-			h.counts.Failed++
-			h.sheets.Opened()
-			h.log.Debug("control: a sheet is not told", "error", err)
-		case raw != nil:
-			h.counts.Sheets++
+		if ctx.Err() == nil && (raw != nil || err != nil) {
+			h.told(err)
 		}
 	})
 }
 
+// told says how the telling of a sheet went. What was not taken is told again after a wait that grows: the relay may take no words.
+func (h *Hearing) told(err error) {
+	now := h.router.Now()
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	if err == nil {
+		h.fails = 0
+		h.counts.Sheets++
+		return
+	}
+	h.counts.Failed++
+	h.again = now + min(words.Every<<min(h.fails, 10), mostWait)
+	h.fails++
+	h.sheets.Opened()
+	h.log.Debug("control: a sheet is not told", "error", err)
+}
+
+const mostWait = int64(time.Minute) // between two sheets that are not taken
+
 // sheet makes the sheet to be told now, nil for none.
 func (h *Hearing) sheet() ([]byte, error) {
 	now := h.router.Now()
 	h.mu.Lock()
-	due := h.open && h.sheets.Due(now)
+	due := h.open && now >= h.again && h.sheets.Due(now)
 	h.mu.Unlock()
 	if !due {
 		return nil, nil
--- a/internal/fleet/relay/words_test.go
+++ b/internal/fleet/relay/words_test.go
@@ -297,3 +297,54 @@
 		t.Error("words change nothing, so the test shows nothing")
 	}
 }
+
+// TestSheetsThatNobodyTakes are told more and more rarely, and at once when another session opens.
+func TestSheetsThatNobodyTakes(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		m := &module{began: time.Now(), words: map[string]routing.Word{}}
+		m.knows(still)
+		h := NewHearing(m, &Client{Self: control.Self{Name: "m"}})
+		play := func(d time.Duration, err error) (n int) {
+			for end := time.Now().Add(d); time.Now().Before(end); time.Sleep(time.Duration(words.Round)) {
+				if raw, bad := h.sheet(); raw != nil || bad != nil {
+					n++
+					h.told(err)
+				}
+			}
+			return n
+		}
+		if n := play(time.Second, nil); n != 0 {
+			t.Errorf("%d sheets without a session", n)
+		}
+		h.Session(true)
+		if n := play(10*time.Minute, errAlone); n < 10 || n > 20 {
+			t.Errorf("%d tries in ten minutes", n)
+		}
+		h.Session(true)
+		if n := play(time.Second, nil); n != 1 {
+			t.Errorf("%d sheets as a session opens", n)
+		}
+		if s := h.State(); s.Sheets != 1 || s.Failed < 10 {
+			t.Errorf("%+v", s)
+		}
+	})
+}
+
+// BenchmarkTell is what a sheet costs a mixer of 37,000 searchers: the module's telling, under the router's lock, and the choice.
+func BenchmarkTell(b *testing.B) {
+	c := core.Charter{Tariffs: []core.Tariff{{Expected: 1e9, Patience: 2e9, CompleteFrom: 1, LeastShare: 1}}, Zone: "z", Mixers: 6300,
+		Cells: 100, Reach: 1, PerCall: 1, MaxForwards: 2}
+	r, err := routing.New(c, map[string]int{"all": 0}, 1000, 1, slog.New(slog.DiscardHandler))
+	if err != nil {
+		b.Fatal(err)
+	}
+	var rows []routing.Entry
+	for i := range 37000 {
+		rows = append(rows, routing.Entry{Searcher: fmt.Sprintf("searcher-%05d", i), Cell: i % 100, Started: 5, Zone: "z"})
+	}
+	r.Listed(rows, true)
+	b.ReportAllocs()
+	for b.Loop() {
+		r.Tell(0)
+	}
+}
--- a/internal/settings/settings_test.go
+++ b/internal/settings/settings_test.go
@@ -167,9 +167,12 @@
 		t.Fatal(err)
 	}
 	if c := s.Control; c.Region != "east" || c.Window != 10*time.Second || len(c.Relays) != 7 ||
-		c.Relays[6] != (control.Seat{Name: "r-7", Region: "south", Address: "127.0.0.7:7101"}) {
+		c.Relays[6] != (control.Seat{Name: "r-7", Region: "south", Address: "127.0.0.7:7101"}) || c.Words {
 		t.Errorf("%+v", c)
 	}
+	if with, err := Load("testdata/good/control-words.xml"); err != nil || !with.Control.Words {
+		t.Errorf("%v: words are not read", err)
+	}
 	if r, err := s.Control.Seat("r-7"); err != nil || r != s.Control.Relays[6] {
 		t.Errorf("%v, %v", r, err)
 	}
