--- a/internal/fleet/words/model_test.go
+++ b/internal/fleet/words/model_test.go
@@ -123,6 +123,11 @@
 	h.testAt, h.out = now+h.wait/2+rng.Int64N(h.wait), nil
 }
 
+func (m *model) name(i int) string {
+	each := len(m.mixers) / len(m.relays)
+	return fmt.Sprintf("mixer-%d-%d", i/each, i%each)
+}
+
 // step goes on by a tick.
 func (m *model) step(answers bool) {
 	m.now += tick
@@ -154,7 +159,7 @@
 		if raw != nil {
 			m.posts++
 			m.up += int64(len(raw))
-			if err := m.judges[h.relay].Heard(m.now, fmt.Sprintf("mixer-%d-%d", h.relay, i%(len(m.mixers)/len(m.relays))), raw); err != nil {
+			if err := m.judges[h.relay].Heard(m.now, m.name(i), raw); err != nil {
 				m.t.Fatal(err)
 			}
 		}
