--- a/cmd/nettlefold/words_test.go
+++ b/cmd/nettlefold/words_test.go
@@ -49,14 +49,18 @@
 	own := filepath.Join(dir, "own.xml")
 	t.Setenv("NETTLEFOLD_SETTINGS", own)
 	const admin, at, asked = "127.78.6.1:19090", "127.78.6.2:17101", "127.78.6.2:19090"
-	doc := `<nettlefold xmlns="urn:nettlefold:settings:1"><listeners><admin address="` + admin + `"/></listeners>
+	doc := `<nettlefold xmlns="urn:nettlefold:settings:1">
+		<listeners><admin address="` + admin + `"/></listeners>
 		<control region="east" window="1s" words="yes"><relay name="r-1" region="east" address="` + at + `"/></control></nettlefold>`
 	if err := os.WriteFile(own, []byte(doc), 0o600); err != nil {
 		t.Fatal(err)
 	}
 	r := startRelay(t, own, "r-1", asked)
 	w := prepare(t).start()
-	w.within(time.Minute, "its sheet is told", func() bool { return strings.Contains(fetch("http://"+asked+"/control/status"), `"Mixers":1`) })
+	says := func(where, what string) func() bool {
+		return func() bool { return strings.Contains(fetch("http://"+where), what) }
+	}
+	w.within(time.Minute, "its sheet is told", says(asked+"/control/status", `"Mixers":1`))
 	for i := range 3 {
 		name := fmt.Sprint("other-", i)
 		resp, err := http.Get("http://" + at + "/control/rows?follow=1&as=mixer&name=" + name)
@@ -75,12 +79,12 @@
 		}
 		told.Body.Close()
 	}
-	w.within(time.Minute, "it hears what they say", func() bool { return strings.Contains(fetch("http://"+admin+"/control"), `"words":{"words":1,`) })
+	w.within(time.Minute, "it hears what they say", says(admin+"/control", `"words":{"words":1,`))
 	if got := fetch("http://" + asked + "/metrics"); !strings.Contains(got, "nettlefold_relay_words 1\n") {
 		t.Error("the relay's figures do not tell of a word")
 	}
 	r.leave()
-	w.within(time.Minute, "it ends with the relay", func() bool { return strings.Contains(fetch("http://"+admin+"/control"), `"words":{"words":0,`) })
+	w.within(time.Minute, "it ends with the relay", says(admin+"/control", `"words":{"words":0,`))
 	w.signal(syscall.SIGTERM)
 	if code := w.exit(5 * time.Second); code != 0 {
 		t.Errorf("exit %d", code)
--- a/internal/fleet/control/words_test.go
+++ b/internal/fleet/control/words_test.go
@@ -9,7 +9,8 @@
 func wordRows(r string, turn int) []Row {
 	rows := []Row{{Kind: KindWords, Name: r + "/head", Body: json.RawMessage(fmt.Sprintf(`{"beat":%d}`, turn/4))}}
 	for i := range 16 {
-		rows = append(rows, Row{Kind: KindWords, Name: fmt.Sprintf("%s/%02d", r, i), Body: json.RawMessage(fmt.Sprintf(`[{"s":"searcher","x":%d}]`, turn))})
+		body := fmt.Sprintf(`[{"s":"searcher","x":%d}]`, turn)
+		rows = append(rows, Row{Kind: KindWords, Name: fmt.Sprintf("%s/%02d", r, i), Body: json.RawMessage(body)})
 	}
 	return rows
 }
