--- a/internal/fleet/control/relay.go
+++ b/internal/fleet/control/relay.go
@@ -86,7 +86,7 @@
 	saidHolds  Stamp           // the version that the last own row says it holds
 	rows       pace            // bytes of own rows
 	words      pace            // bytes of own rows of KindWords
-	retell     map[string]bool // own rows that are gone and that another relay tells as there
+	retell     map[string]bool // own rows that other relays hold otherwise, to be told anew
 	retellSaid map[string]bool // the same of KindWords
 	flaw       faults
 	notAllowed int // rows, mixers and tellings that were refused
@@ -154,23 +154,31 @@
 		}
 		own = append(own, row)
 		if e := r.table.rows[key{row.Kind, row.Name}]; row.Author == r.o.Name && !row.Gone && e != nil && e.row.Gone && !r.flaw.zombie {
-			retell := r.retell
-			if row.Kind == KindWords {
-				retell = r.retellSaid
-			}
-			retell[row.Name] = true // who tells this had forgotten that it is gone, and so may others
+			r.anew(row) // who tells this had forgotten that it is gone, and so may others
 		}
 	}
 	news, refused := r.table.Merge(own)
 	r.notAllowed += refused
 	for _, row := range news {
-		if row.Kind != KindSettings && row.Author == r.o.Name { // of a life before: ours go beyond it
+		if row.Kind != KindSettings && row.Author == r.o.Name { // of a life before, or forgotten here: ours go beyond
 			r.rowNumber = max(r.rowNumber, row.Number)
+			if !r.flaw.adopts {
+				r.anew(row)
+			}
 		}
 	}
 	return news
 }
 
+// anew has an own row told anew.
+func (r *Relay) anew(row Row) {
+	if row.Kind == KindWords {
+		r.retellSaid[row.Name] = true
+		return
+	}
+	r.retell[row.Name] = true
+}
+
 // toldBy gives what another relay told of itself last, by whatever way it came here.
 func (r *Relay) toldBy(p *peer) (s Standing) {
 	row, ok := r.table.Get(KindRelay, p.Name)
--- a/internal/fleet/control/words_test.go
+++ b/internal/fleet/control/words_test.go
@@ -87,4 +87,7 @@
 	if n := len(r.Table().Rows(KindWords)); n != 0 {
 		t.Errorf("%d rows of an earlier life stand", n)
 	}
+	for _, row := range r.zones(102 * second) {
+		t.Errorf("a word is told as a zone: %+v", row)
+	}
 }
