Relays keep the last good version beside the newest: who comes after a rejected one takes it

Cause: relays held one document. While the newest version is one that mixers reject, a mixer that started or came back then had only that: it rejected it and went on under the settings of its start, or under an older version, in place of the last good one. Seen by reading `Follower.due` and asked of the search, which had allowed it (`differs` held mixers to a version only where the top was sound).

Change: the newest version becomes a second row, `proven`, as soon as a mixer says that it has it in force. A mixer is told it where it differs from the newest; a rejected version is followed by the one to be applied instead.

--- a/internal/fleet/control/faults.go
+++ b/internal/fleet/control/faults.go
@@ -2,6 +2,7 @@
 
 // faults are broken designs that only the tests' search plants, to show that it finds them. All are off in the program.
 type faults struct {
+	forgetsGood   bool // relays hold the newest version alone, so that who comes after a bad one has none
 	anyLife       bool // an index counts whatever life of a relay it is of
 	dropsSettings bool // a snapshot that lacks the settings row drops it, and its stamp
 	numberOnly    bool // stamps are compared by their number alone
--- a/internal/fleet/control/heed.go
+++ b/internal/fleet/control/heed.go
@@ -73,16 +73,19 @@
 	return f.due(p.Rows), news, nil
 }
 
-// due gives the version to be applied: of the one that is held and those just told the greatest that is greater than the one in
+// due gives the version to be applied: of those that are held and those just told the greatest that is greater than the one in
 // force and was not rejected. So a version before a rejected one is taken too, where a relay has no other.
 func (f *Follower) due(told []Row) (best *Row) {
 	if f.relay != nil {
 		return nil
 	}
-	if r, ok := f.table.Get(KindSettings, SettingsName); ok && f.acceptable(r.Stamp) {
-		best = &r
+	held := make([]Row, 0, 2)
+	for _, name := range []string{SettingsName, ProvenName} {
+		if r, ok := f.table.Get(KindSettings, name); ok {
+			held = append(held, r)
+		}
 	}
-	for _, r := range told {
+	for _, r := range append(held, told...) {
 		if r.Kind != KindSettings || !f.acceptable(r.Stamp) || best != nil && f.flaw.compare(r.Stamp, best.Stamp) <= 0 {
 			continue
 		}
@@ -110,8 +113,9 @@
 	}
 }
 
-// Refused says that a version would not be taken, and why. The one in force stays, and this one is not tried again.
-func (f *Follower) Refused(now int64, s Stamp, element, value string) {
+// Refused says that a version would not be taken, and why. The one in force stays, and this one is not tried again. It gives the
+// version to be applied instead, nil without one: the last good one, where it was given while this mixer was not there.
+func (f *Follower) Refused(now int64, s Stamp, element, value string) (apply *Row) {
 	if f.flaw.takesRejected {
 		f.inForce = s
 	}
@@ -123,6 +127,7 @@
 	}
 	f.rejected, f.element, f.value = s, clip(element), clip(value)
 	f.changed(now)
+	return f.due(nil)
 }
 
 // clip bounds what is told of an element or a value.
--- a/internal/fleet/control/search_test.go
+++ b/internal/fleet/control/search_test.go
@@ -128,7 +128,7 @@
 
 // differs tells where not all agree: all relays must hold one version; all mixers have it in force unless it is a bad one, or they
 // had a greater one that all relays lost with the one that held it; and each mixer holds what its relay holds, and all know who is
-// there.
+// there. The last good version is in force at the least, whatever came after it.
 func (w *world) differs(top Stamp) string {
 	for i, n := range w.nodes {
 		if i < relays {
@@ -150,6 +150,9 @@
 		if n.force.Compare(top) < 0 && !w.bad[top] || n.force.Compare(top) > 0 && n.force.Compare(w.lost) > 0 {
 			return fmt.Sprintf("%s has %v in force, not %v", n.name, n.force, top)
 		}
+		if good := w.good(); n.force.Compare(good) < 0 {
+			return fmt.Sprintf("%s has %v in force, and the last good one is %v", n.name, n.force, good)
+		}
 		if s, ok := n.follower.Following(); s == nil || !ok || n.wires[0] == nil {
 			return n.name + " follows nobody"
 		} else if *s != n.follower.seats[0].Seat {
@@ -161,6 +164,16 @@
 	return ""
 }
 
+// good is the greatest version that a mixer told a relay, in this life of that, to have in force while it was the newest there.
+func (w *world) good() (good Stamp) {
+	for _, n := range w.nodes[:relays] {
+		if n.good.Compare(good) > 0 {
+			good = n.good
+		}
+	}
+	return good
+}
+
 func body0(t *Table) string {
 	row, _ := t.Get(KindSettings, SettingsName)
 	return string(row.Body)
@@ -236,6 +249,7 @@
 func TestSearchFindsBrokenDesigns(t *testing.T) {
 	for name, flaw := range map[string]faults{
 		"an index that counts for another life of the relay":    {anyLife: true},
+		"relays that hold the newest version alone":             {forgetsGood: true},
 		"a snapshot that drops the settings row":                {dropsSettings: true},
 		"stamps compared by number alone":                       {numberOnly: true},
 		"a tie without the author":                              {noAuthor: true},
--- a/internal/fleet/control/session.go
+++ b/internal/fleet/control/session.go
@@ -32,7 +32,8 @@
 	begun    bool   // the first piece has been given
 	whole    bool   // a snapshot is being told
 	end      uint64 // index at its start
-	settings uint64 // index of the settings row that was told last
+	settings uint64 // index of the newest version's row that was told last
+	proven   uint64 // the same of the proven one's
 	room     int    // bytes of a piece
 	pace     pace
 	flaw     faults
@@ -53,7 +54,7 @@
 }
 
 // Next gives the piece to be told now. Without one it gives ns after which there may be one, 0 where nothing is to be told before
-// the table changes. The first piece of a session always comes, if empty. The settings row comes before all others.
+// the table changes. The first piece of a session always comes, if empty. The settings rows come before all others.
 func (s *Session) Next(now int64, t *Table) (p Piece, ok bool, wait int64) {
 	if s.begun && s.cursor == t.index {
 		return Piece{}, false, 0
@@ -66,13 +67,19 @@
 		s.cursor, s.whole, first = 0, true, true
 	}
 	if first {
-		s.end, s.settings, p.Snapshot = t.index, 0, true
+		s.end, s.settings, s.proven, p.Snapshot = t.index, 0, 0, true
 	}
 	room := s.room
+	newest := t.Settings()
 	if e := t.rows[key{KindSettings, SettingsName}]; e != nil && e.index > s.cursor && e.index != s.settings {
 		p.Rows, s.settings = append(p.Rows, e.row), e.index
 		room -= e.size + 1
 	}
+	if e := t.rows[key{KindSettings, ProvenName}]; e != nil && e.index > s.cursor && e.index != s.proven &&
+		!(s.Mixer && e.row.Stamp == newest) { // a mixer is told it as the newest
+		p.Rows, s.proven = append(p.Rows, e.row), e.index
+		room -= e.size + 1
+	}
 	p.Index = s.cursor
 	if room > 0 {
 		rows, upto := t.Since(s.cursor, otherKinds, PieceRows-len(p.Rows), room)
--- a/internal/fleet/control/table.go
+++ b/internal/fleet/control/table.go
@@ -9,8 +9,12 @@
 	"unicode/utf8"
 )
 
-// SettingsName is the name of the one row of KindSettings.
-const SettingsName = "settings"
+// Names of the two rows of KindSettings: the newest version, and the newest that a mixer is known to have in force. Who comes while
+// the newest one is rejected takes the other.
+const (
+	SettingsName = "settings"
+	ProvenName   = "proven"
+)
 
 // Bounds of single rows. What is beyond them is refused.
 const (
@@ -122,7 +126,7 @@
 	most := MaxBody
 	switch r.Kind {
 	case KindSettings:
-		if most = MaxDocument; r.Name != SettingsName || r.Gone {
+		if most = MaxDocument; r.Name != SettingsName && r.Name != ProvenName || r.Gone {
 			return r, 0, false
 		}
 	case KindRelay:
--- a/internal/fleet/control/types.go
+++ b/internal/fleet/control/types.go
@@ -29,7 +29,7 @@
 
 // Kinds of rows.
 const (
-	KindSettings = "settings" // one row, its body the document of the settings that are taken in flight
+	KindSettings = "settings" // two rows, their bodies documents of the settings that are taken in flight: the newest, the last good one
 	KindRelay    = "relay"    // one a relay, its own: how it stands and how many of its mixers have which version
 	KindZone     = "zone"     // one a relay, region and zone, named so with slashes: how many mixers are there
 )
--- a/internal/fleet/control/world_test.go
+++ b/internal/fleet/control/world_test.go
@@ -42,6 +42,7 @@
 	held      Stamp // the greatest in a mixer's table in this life
 	tried     map[Stamp]bool
 	told      Stamp        // the greatest that a mixer told this relay in this life
+	good      Stamp        // the greatest that a mixer told this relay to have in force while it was the newest
 	has       Stamp        // the greatest that this relay was told or gave in this life
 	exchanged map[int]bool // relays that told this one all in this life
 	heard     [relays]int  // ticks since a relay was reached by good lines
@@ -226,22 +227,26 @@
 	if n.relay != nil && !p.More {
 		n.exchanged[c.to] = true
 	}
-	if apply == nil {
-		return
+	for apply != nil {
+		apply = w.apply(n, f, apply.Stamp)
 	}
-	s := apply.Stamp
+}
+
+// apply has a mixer try a version, and gives what it is to try instead.
+func (w *world) apply(n *node, f *Follower, s Stamp) *Row {
 	if n.tried[s] {
 		w.fail("%s is handed %v again", n.name, s)
+		return nil
 	}
 	if n.tried[s] = true; w.bad[s] {
-		f.Refused(w.now(), s, "x", "y")
-		return
+		return f.Refused(w.now(), s, "x", "y")
 	}
 	if s.Compare(n.force) <= 0 {
 		w.fail("%s goes from %v back to %v", n.name, n.force, s)
 	}
 	n.force = s
 	f.Applied(w.now(), s)
+	return nil
 }
 
 // follow does what a follower asks for.
@@ -262,6 +267,9 @@
 		if ok {
 			r := w.nodes[c.to]
 			if ok = r.relay.Said(now, self) == nil; ok {
+				if self.InForce == r.relay.table.Settings() && self.InForce.Compare(r.good) > 0 {
+					r.good = self.InForce
+				}
 				for _, s := range []Stamp{self.InForce, self.Rejected} {
 					if s.Compare(r.told) > 0 {
 						r.told = s
--- a/internal/fleet/relay/client.go
+++ b/internal/fleet/relay/client.go
@@ -307,23 +307,30 @@
 		c.log.Warn("control: a relay tells nonsense", "relay", c.hand.seat.Name, "index", p.Index, "error", err)
 		return
 	}
-	if row == nil {
-		return
+	for row != nil {
+		row = c.apply(row)
 	}
+}
+
+// apply applies a version, and gives the one to be applied instead where it is rejected.
+func (c *Client) apply(row *control.Row) (next *control.Row) {
+	var err error
 	if c.Apply != nil {
 		err = c.Apply(row.Stamp, row.Body)
 	}
-	if now = c.clock(); err == nil {
+	now := c.clock()
+	if err == nil {
 		c.locked(func(f *control.Follower) { f.Applied(now, row.Stamp); c.since = time.Now() })
 		c.log.Info("control: a version is in force", "epoch", row.Epoch, "number", row.Number, "author", row.Author)
-		return
+		return nil
 	}
 	element, value := "(document)", err.Error()
 	var fault *charter.Fault
 	if errors.As(err, &fault) {
 		element, value = fault.Key, fault.Value
 	}
-	c.locked(func(f *control.Follower) { f.Refused(now, row.Stamp, element, value) })
+	c.locked(func(f *control.Follower) { next = f.Refused(now, row.Stamp, element, value) })
 	c.log.Warn("control: a version is rejected", "epoch", row.Epoch, "number", row.Number, "author", row.Author,
 		"element", element, "value", value)
+	return next
 }
