A control relay is in contact only with those that hear it, too

Cause: contact was by hearing alone. With the line from c-r0 cut one way, c-r0 went on hearing a-r0 through the open session, took itself for one of a majority and numbered 1.2; nobody heard of it (held 1). a-r0 then gave 1.2 to the majority, in force everywhere; once healed c-r0's 1.2 went before it by its author at all six mixers. Change: relays tell whom they hear, as before; in contact is who is heard and tells that it hears this one.

--- a/internal/fleet/control/relay.go
+++ b/internal/fleet/control/relay.go
@@ -196,12 +196,23 @@
 // inContact tells whether another relay has told all that it holds since the session with it opened, and has lately been heard.
 func (p *peer) inContact(now int64) bool { return p.counts && now-p.heard < Away }
 
-// Contact gives the names of the relays that are heard, and how many of them, this one counted, are a majority of all.
-func (r *Relay) Contact(now int64) (names []string, majority int) {
+// hears gives the names of the relays that are heard.
+func (r *Relay) hears(now int64) (names []string) {
 	for _, p := range r.peers {
 		if p.inContact(now) && !r.slept(now) {
 			names = append(names, p.Name)
 		}
 	}
+	return names
+}
+
+// Contact gives the names of the relays that are heard and say that they hear this one, and how many, this one counted, are a majority
+// of all. Over a line that carries one way alone a version would be numbered that nobody hears of, and go before others' once healed.
+func (r *Relay) Contact(now int64) (names []string, majority int) {
+	for _, name := range r.hears(now) {
+		if r.flaw.oneWay || slices.Contains(r.toldBy(r.peer(name)).Contact, r.o.Name) {
+			names = append(names, name)
+		}
+	}
 	return names, len(r.o.Seats)/2 + 1
 }
--- a/internal/fleet/control/rows.go
+++ b/internal/fleet/control/rows.go
@@ -69,7 +69,7 @@
 
 func (r *Relay) standing(now int64) Standing {
 	s := Standing{Region: r.self.Region, Life: r.o.Life, Holds: r.table.Settings(), Told: r.told}
-	s.Contact, _ = r.Contact(now)
+	s.Contact = r.hears(now)
 	counts, least := map[Stamp]*Count{}, Stamp{}
 	of := func(v Stamp) *Count {
 		if counts[v] == nil {
@@ -167,7 +167,7 @@
 	Name      string      `json:"name"`
 	Region    string      `json:"region"`
 	Life      string      `json:"life"`
-	Contact   []string    `json:"contact"`   // relays that are heard
+	Contact   []string    `json:"contact"`   // relays that are heard and hear this one
 	Majority  int         `json:"majority"`  // needed to give a version, this one counted
 	Version   Stamp       `json:"version"`   // of the document held
 	Newest    Stamp       `json:"newest"`    // known of; greater than Version where a mixer has one that no relay told
