Rig of many processes: control relays as parties, versions given to them and held to rules

Cause: the control tier is proved by processes with faults between them, which the rig had for mixers alone. Change: a control relay is a process with wires of its own to each mixer and each other; Kill, Start, Restart, Stop and Continue take it by its name as mixers.

--- a/internal/lab/several/book.go
+++ b/internal/lab/several/book.go
@@ -49,6 +49,9 @@
 	tariff string
 	text   string
 	slices []int
+	half   float64 // what the any-n class is complete from, 0: the least of any version
+
+	status, has int // of its answer: parts
 }
 
 // arrival is one part as it came to a searcher.
--- a/internal/lab/several/front.go
+++ b/internal/lab/several/front.go
@@ -272,6 +272,7 @@
 // answered notes an answer, and what it has that no searcher found or that its tariff does not allow.
 func (f *Front) answered(name, id string, l *asked, status int, raw []byte) {
 	b := f.w.Book
+	l.status = status
 	switch {
 	case status == http.StatusServiceUnavailable || status == http.StatusTooManyRequests:
 		b.ended(func(c *Counts) { c.Refused++ })
@@ -301,8 +302,10 @@
 		seen[h.Shard] = true
 	}
 	has, need := float64(len(seen))/float64(len(l.slices)), 1.0
-	if l.tariff == anyHalf {
-		need = 0.5
+	if l.has = len(seen); l.tariff == anyHalf {
+		if need = l.half; need == 0 {
+			need = f.w.given.least()
+		}
 	}
 	if has < need-1e-4 {
 		b.Break("an answer has what its tariff needs", "%s at %s: %d of %d parts, complete %v", id, name,
--- a/internal/lab/several/make.go
+++ b/internal/lab/several/make.go
@@ -54,12 +54,20 @@
 			w.Searchers = append(w.Searchers, s)
 		}
 		for i := range w.Setup.Mixers {
-			m := &Mixer{Name: fmt.Sprintf("%s-m%d", site, i), Site: site, w: w,
-				searchers: map[string]string{}, routes: map[string]string{}}
+			m := &Mixer{process: process{Name: fmt.Sprintf("%s-m%d", site, i), Site: site, w: w},
+				searchers: map[string]string{}, routes: map[string]string{}, control: map[string]string{}}
 			m.index = party(m.Name)
 			m.Agent = &Agent{w: w, list: &toy.List{}, changed: make(chan struct{}), told: map[string]time.Time{}}
 			w.Mixers = append(w.Mixers, m)
 		}
+		for i := range w.Setup.Relays {
+			r := &Relay{process: process{Name: fmt.Sprintf("%s-r%d", site, i), Site: site, w: w}, control: map[string]string{}}
+			r.index = party(r.Name)
+			if w.StandIn != nil {
+				r.stand = w.StandIn(r.Name)
+			}
+			w.Relays = append(w.Relays, r)
+		}
 		f := &Front{Name: site + "-front", Site: site, w: w, mixers: map[string]string{}, well: map[string]bool{},
 			idle: map[string][]*link{}, rate: w.Setup.Rate, rng: rand.New(rand.NewSource(w.Seed*100 + int64(k)))}
 		f.index = party(f.Name)
@@ -73,6 +81,11 @@
 			return err
 		}
 	}
+	for _, r := range w.Relays {
+		if err := r.Start(); err != nil {
+			return err
+		}
+	}
 	for _, m := range w.Mixers {
 		l, err := net.Listen("tcp", w.address(m.index, portAgent))
 		if err != nil {
@@ -113,6 +126,20 @@
 			}
 		}
 	}
+	for _, r := range w.Relays {
+		for _, m := range w.Mixers {
+			if m.control[r.Name], _, err = join("", m.Name, r.Name, m.index, r.index, portServe, portWire); err != nil {
+				return err
+			}
+		}
+		for _, o := range w.Relays {
+			if o != r {
+				if o.control[r.Name], _, err = join("", o.Name, r.Name, o.index, r.index, portServe, portWire); err != nil {
+					return err
+				}
+			}
+		}
+	}
 	if !w.Fleet {
 		return nil
 	}
@@ -165,9 +192,9 @@
 
 // fleet gives what a mixer's own settings have beside its admin listener.
 func (w *World) fleet(m *Mixer) string {
-	all := ""
+	all := w.control(&m.process, m.control)
 	if w.Own != nil {
-		all = w.Own(m.Name)
+		all += w.Own(m.Name)
 	}
 	if !w.Fleet {
 		return all
--- a/internal/lab/several/searcher.go
+++ b/internal/lab/several/searcher.go
@@ -102,6 +102,9 @@
 		p.Answer("busy", "")
 		return
 	}
+	if s.held(p.Text) {
+		return
+	}
 	time.AfterFunc(wait, func() {
 		if s.w.Book.done(a) {
 			p.Answer("ok", p.Value())
--- a/internal/lab/several/steps.go
+++ b/internal/lab/several/steps.go
@@ -87,27 +87,27 @@
 	}, "mixers %s %s", pattern, what)
 }
 
-// Kill ends mixers by SIGKILL.
-func Kill(pattern string) Step { return mixers(pattern, "are killed", (*Mixer).Kill) }
+// Kill ends processes by SIGKILL.
+func Kill(pattern string) Step { return processes(pattern, "are killed", party.Kill) }
 
-// Start starts mixers that have ended.
-func Start(pattern string) Step { return mixers(pattern, "are started", (*Mixer).Start) }
+// Start starts processes that have ended.
+func Start(pattern string) Step { return processes(pattern, "are started", party.Start) }
 
-// Restart has mixers leave by SIGTERM, and starts them when they have.
+// Restart has processes leave by SIGTERM, and starts them when they have.
 func Restart(pattern string) Step {
-	return mixers(pattern, "leave and start anew", func(m *Mixer) error {
-		if err := m.Leave(); err != nil {
+	return processes(pattern, "leave and start anew", func(p party) error {
+		if err := p.Leave(); err != nil {
 			return err
 		}
-		return m.Start()
+		return p.Start()
 	})
 }
 
-// Stop halts mixers, and Continue has them go on.
-func Stop(pattern string) Step { return mixers(pattern, "are stopped", (*Mixer).Stop) }
+// Stop halts processes, and Continue has them go on.
+func Stop(pattern string) Step { return processes(pattern, "are stopped", party.Stop) }
 
-// Continue has mixers go on.
-func Continue(pattern string) Step { return mixers(pattern, "go on", (*Mixer).Continue) }
+// Continue has processes go on.
+func Continue(pattern string) Step { return processes(pattern, "go on", party.Continue) }
 
 // Tell has the agents of mixers tell the list in a mode.
 func Tell(pattern string, mode Mode) Step {
--- a/internal/lab/several/world.go
+++ b/internal/lab/several/world.go
@@ -27,6 +27,11 @@
 	Change    func(mixer string, s object) // changes a mixer's settings before a start
 	Own       func(mixer string) string    // further elements of our own settings
 
+	Relays  int                             // control relays of each site, none
+	Window  time.Duration                   // of mixers with control relays, 1 s
+	StandIn func(relay string) http.Handler // stands in for a control relay, nil: the program does
+	Lie     func(mixer string, s *Standing) // changes what a mixer tells of its version, as a planted fault
+
 	Cores        int           // of a searcher, 4
 	Work         time.Duration // of a part, 5 ms
 	Queue        time.Duration // in a searcher's queue, beyond which it turns away, 500 ms
@@ -58,6 +63,7 @@
 type World struct {
 	Setup
 	Mixers    []*Mixer
+	Relays    []*Relay
 	Searchers []*Searcher
 	Fronts    []*Front
 	Book      *Book
@@ -75,6 +81,7 @@
 	began   time.Time
 	settled time.Time // since when Never looks
 	pulse   pulse
+	given   *given
 }
 
 func or[T comparable](v *T, otherwise T) {
@@ -102,9 +109,10 @@
 	or(&s.Patience, 2*time.Second)
 	or(&s.Slack, 10*time.Second)
 	or(&s.Grace, 3*time.Second)
+	or(&s.Window, time.Second)
 	or(&s.Limit, 60*time.Second)
 	w := &World{Setup: s, net: newNetwork(), parties: map[string]string{}, began: time.Now()}
-	w.Book = newBook(w)
+	w.Book, w.given = newBook(w), newGiven(w)
 	w.ctx, w.cancel = context.WithCancel(context.Background())
 	w.wg.Go(func() { w.pulse.run(w) })
 	err := w.make()
@@ -115,6 +123,9 @@
 		w.Close()
 		return nil, err
 	}
+	if len(w.Relays) > 0 {
+		w.watch()
+	}
 	return w, nil
 }
 
@@ -148,6 +159,17 @@
 	return nil
 }
 
+// processes gives all processes of the program.
+func (w *World) processes() (all []*process) {
+	for _, m := range w.Mixers {
+		all = append(all, &m.process)
+	}
+	for _, r := range w.Relays {
+		all = append(all, &r.process)
+	}
+	return all
+}
+
 // pause waits, and tells whether the world goes on.
 func (w *World) pause(d time.Duration) bool {
 	select {
@@ -213,22 +235,26 @@
 		wg.Go(f.finish)
 	}
 	wg.Wait()
-	for _, m := range w.Mixers {
-		if m.cmd != nil && !m.running() {
-			w.Book.Break("no process ends by itself", "%s; its log ends: %s", m.Name, m.Log(600))
+	for _, p := range w.processes() {
+		if p.cmd != nil && !p.running() {
+			w.Book.Break("no process ends by itself", "%s; its log ends: %s", p.Name, p.Log(600))
 		}
 	}
+	w.given.finish()
 	return w.Book.Verdict()
 }
 
 // Close ends all that the world has started.
 func (w *World) Close() {
 	w.cancel()
-	for _, m := range w.Mixers {
-		if m.running() {
-			m.Kill()
+	for _, p := range w.processes() {
+		if p.running() {
+			p.Kill()
 		}
 	}
+	for _, r := range w.Relays {
+		r.unserve()
+	}
 	for _, at := range w.agents {
 		at.Close()
 	}
