--- a/internal/fleet/roster/roster.go
+++ b/internal/fleet/roster/roster.go
@@ -47,15 +47,16 @@
 
 // Roster takes part in the fleet.
 type Roster struct {
-	self     Life
-	ml       *memberlist.Memberlist
-	log      *slog.Logger
-	exchange Exchange
-	began    time.Time
-	beat     time.Duration
-	address  string
-	join     []string
-	lookup   *net.Resolver
+	self      Life
+	ml        *memberlist.Memberlist
+	transport *routed
+	log       *slog.Logger
+	exchange  Exchange
+	began     time.Time
+	beat      time.Duration
+	address   string
+	join      []string
+	lookup    *net.Resolver
 
 	most, mostState int
 
@@ -125,7 +126,7 @@
 	if err != nil {
 		return nil, fmt.Errorf("listen: %q: %w", o.Listen, err)
 	}
-	c.Transport = t
+	c.Transport, r.transport = t, t
 	c.BindAddr, c.BindPort = ip.String(), t.GetAutoBindPort()
 	at, port, err := t.FinalAdvertiseAddr(c.AdvertiseAddr, c.AdvertisePort)
 	if err != nil {
--- a/internal/fleet/roster/transport.go
+++ b/internal/fleet/roster/transport.go
@@ -13,6 +13,7 @@
 type routed struct {
 	*memberlist.NetTransport
 	routes map[string]string // by the mixer's name
+	counter
 }
 
 // listen opens the sockets, TCP and UDP, at one address. Without a port the system gives one, which may be free for one only.
@@ -21,7 +22,7 @@
 		var n *memberlist.NetTransport
 		n, err = memberlist.NewNetTransport(&memberlist.NetTransportConfig{BindAddrs: []string{ip.String()}, BindPort: port, Logger: l})
 		if err == nil {
-			return &routed{n, routes}, nil
+			return &routed{NetTransport: n, routes: routes}, nil
 		}
 		if port != 0 {
 			break
@@ -41,10 +42,17 @@
 
 // WriteToAddress sends a packet.
 func (t *routed) WriteToAddress(b []byte, a memberlist.Address) (time.Time, error) {
+	t.packets.Add(1)
+	t.packetBytes.Add(uint64(len(b)))
 	return t.NetTransport.WriteToAddress(b, t.route(a))
 }
 
 // DialAddressTimeout opens a stream.
 func (t *routed) DialAddressTimeout(a memberlist.Address, timeout time.Duration) (net.Conn, error) {
-	return t.NetTransport.DialAddressTimeout(t.route(a), timeout)
+	conn, err := t.NetTransport.DialAddressTimeout(t.route(a), timeout)
+	if err != nil {
+		return nil, err
+	}
+	t.streams.Add(1)
+	return counted{conn, &t.counter}, nil
 }
