Capacity: the frame of curves, their fit and the claims on predictions and known laws

Cause: what the plan for two years on costs each role was only known by throwaway tests. Change: package internal/lab/capacity with the form of a curve, fits by gonum with the exponent's error, a prediction of the largest size before it is played, and the size file; measure capacity prints and judges. No curves yet.

--- /dev/null
+++ b/internal/lab/capacity/curves.go
@@ -0,0 +1,55 @@
+package capacity
+
+import (
+	"io"
+	"runtime"
+	"time"
+)
+
+// sources give the curves, by subject; a file with curves adds its function here.
+var sources = []func() []Curve{}
+
+// Curves gives all there are.
+func Curves() (all []Curve) {
+	for _, source := range sources {
+		all = append(all, source()...)
+	}
+	return all
+}
+
+// All plays all curves.
+func All(quick bool, progress io.Writer) (fits []Fitted, err error) {
+	for _, c := range Curves() {
+		f, err := c.Run(quick, progress)
+		if err != nil {
+			return nil, err
+		}
+		fits = append(fits, f...)
+	}
+	return fits, nil
+}
+
+// Allocated tells what do allocates, once: how often, how many bytes, and how long it takes. Nothing else may run beside it.
+func Allocated(do func()) (allocations, bytes float64, took time.Duration) {
+	var before, after runtime.MemStats
+	runtime.GC()
+	runtime.ReadMemStats(&before)
+	began := time.Now()
+	do()
+	took = time.Since(began)
+	runtime.ReadMemStats(&after)
+	return float64(after.Mallocs - before.Mallocs), float64(after.TotalAlloc - before.TotalAlloc), took
+}
+
+// Held tells how many bytes what make gives holds on the heap once everything else is collected. Nothing else may run beside it.
+func Held[T any](make func() T) (made T, bytes float64) {
+	var before, after runtime.MemStats
+	runtime.GC()
+	runtime.GC()
+	runtime.ReadMemStats(&before)
+	made = make()
+	runtime.GC()
+	runtime.GC()
+	runtime.ReadMemStats(&after)
+	return made, float64(int64(after.HeapAlloc) - int64(before.HeapAlloc))
+}
--- a/internal/lab/measure/measure.go
+++ b/internal/lab/measure/measure.go
@@ -28,6 +28,7 @@
 
 // Measurements are those there are, by name.
 var Measurements = map[string]func(quick bool) (Result, error){
+	"capacity":     Capacity,
 	"shared-store": SharedStore,
 	"site-loss":    SiteLoss,
 }
