--- /dev/null
+++ b/internal/lab/capacity/sharing.go
@@ -0,0 +1,209 @@
+package capacity
+
+import (
+	"context"
+	"fmt"
+	"log/slog"
+	"runtime"
+	"time"
+
+	"nettlefold/internal/lab/fleet"
+	"nettlefold/internal/lab/standin"
+	"nettlefold/internal/routing"
+	"nettlefold/internal/sharing"
+	"nettlefold/internal/store"
+	"nettlefold/mixer"
+)
+
+const sharingNow = int64(10 * time.Second) // of model time
+
+// outstanding gives what a mixer knows by itself of searchers that all stand out, so that sheets are as full as they may be.
+func outstanding(searchers int) (all []mixer.Own) {
+	for i := range searchers {
+		all = append(all, mixer.Own{Searcher: fmt.Sprintf("searcher-%05d", i), Started: 1_700_000_000_000_000_000 + int64(i),
+			Heard: sharingNow - 300_000_000, Pace: 1e8, Slow: 3 + float64(i%997)/1000, Weight: 5, Suspect: i%2 == 0})
+	}
+	return all
+}
+
+func newBoard(i int) *sharing.Board {
+	return sharing.NewBoard(0, fmt.Sprintf("mixer-%05d", i), siteNames(int(Regions))[i%int(Regions)], numbered(i, "").Life)
+}
+
+// sheetsOf gives the sheets of so many mixers, each with all that it may tell of the searchers.
+func sheetsOf(mixers, searchers int) (raws [][]byte, err error) {
+	all := outstanding(searchers)
+	for i := range mixers {
+		raw, err := newBoard(i).Compose(sharingNow, all).Append()
+		if err != nil {
+			return nil, err
+		}
+		raws = append(raws, raw)
+	}
+	return raws, nil
+}
+
+// boardFigures measures a board that hears so many mixers, of whom each tells all that it may.
+func boardFigures(mixers, searchers int) ([]float64, error) {
+	raws, err := sheetsOf(mixers+1, searchers)
+	if err != nil {
+		return nil, err
+	}
+	carried := 0
+	for _, raw := range raws[1:] {
+		carried += len(raw)
+	}
+	own := outstanding(searchers)
+	hear := func(b *sharing.Board) (err error) {
+		for _, raw := range raws[1:] {
+			if e := b.Heard(sharingNow, raw); e != nil {
+				err = e
+			}
+		}
+		return err
+	}
+	b, held := Held(func() *sharing.Board {
+		b := newBoard(0)
+		if err = hear(b); err == nil {
+			b.Words(sharingNow, own)
+		}
+		return b
+	})
+	if err != nil {
+		return nil, err
+	}
+	runtime.KeepAlive(b)
+	again := newBoard(0)
+	reads, _, readTook := Allocated(func() { err = hear(again) })
+	_, bytes, took := Allocated(func() {
+		again.Compose(sharingNow+1, own)
+		again.Words(sharingNow+2, own)
+	})
+	return []float64{float64(carried), held, reads, bytes, float64(readTook+took) / 1e9}, err
+}
+
+// storeFigures has mixers with full sheets use a store on a loopback socket, and counts what the last sends and is sent in eight
+// rounds, which is a whole turn: who there is is read once in it.
+func storeFigures(mixers int) ([]float64, error) {
+	const turn = 8
+	server := &standin.Server{}
+	if err := server.Start(""); err != nil {
+		return nil, err
+	}
+	defer server.Stop()
+	raws, err := sheetsOf(mixers, 100)
+	if err != nil {
+		return nil, err
+	}
+	var c *store.Client
+	for i, raw := range raws {
+		if c != nil {
+			c.Close()
+		}
+		c = store.New(store.Options{Address: server.Address(), Site: "lab", Mixer: fmt.Sprintf("mixer-%05d", i),
+			Timeout: 10 * time.Second, Protocol: 3})
+		if _, err := c.Exchange(context.Background(), raw); err != nil {
+			return nil, err
+		}
+	}
+	defer c.Close()
+	for range turn - 1 {
+		if _, err := c.Exchange(context.Background(), raws[mixers-1]); err != nil {
+			return nil, err
+		}
+	}
+	was, busy := c.Stats, processorTime()
+	heard := 0
+	for range turn {
+		sheets, err := c.Exchange(context.Background(), raws[mixers-1])
+		if err != nil {
+			return nil, err
+		}
+		heard += len(sheets)
+	}
+	if heard != turn*(mixers-1) {
+		return nil, fmt.Errorf("%d sheets of %d others in %d rounds", heard, mixers-1, turn)
+	}
+	busy = processorTime() - busy
+	a := 1e9 / float64(sharing.Round) / turn // of a second
+	return []float64{a * float64(c.Stats.Commands-was.Commands), a * float64(c.Stats.Sent-was.Sent), a * float64(c.Stats.Read-was.Read),
+		a * float64(mixers) * float64(c.Stats.Sent-was.Sent+c.Stats.Read-was.Read), a * busy.Seconds()}, nil
+}
+
+// tellFigures measures what a round costs the router beside its lookups: telling of all searchers, and being told of them.
+func tellFigures(searchers int) ([]float64, error) {
+	c := fleet.Usual(1, 1, 0.5, 0, true).Charter
+	c.Zone, c.Mixers, c.Cells = "a", int(Mixers), max(1, searchers/16)
+	r, err := routing.New(c, map[string]int{"all": 0}, 1<<20, 1, slog.New(slog.DiscardHandler))
+	if err != nil {
+		return nil, err
+	}
+	var rows []routing.Entry
+	for i := range searchers {
+		rows = append(rows, routing.Entry{Searcher: fmt.Sprintf("searcher-%05d", i), Started: 1 + int64(i), Cell: i % c.Cells, Zone: "a"})
+	}
+	r.Listed(rows, true)
+	now, all := r.Tell(sharing.GivenUp)
+	if len(all) != searchers {
+		return nil, fmt.Errorf("%d of %d searchers are told of", len(all), searchers)
+	}
+	words := make([]routing.Word, searchers)
+	for i, o := range all {
+		words[i] = routing.Word{Searcher: o.Searcher, Started: o.Started, Slow: 2, Weight: 3, At: now, Until: now + sharing.Lease}
+	}
+	_, bytes, tell := Allocated(func() { r.Tell(sharing.GivenUp) })
+	_, _, told := Allocated(func() { r.Told(words) })
+	b := newBoard(0)
+	b.Compose(now, all)
+	_, composed, compose := Allocated(func() { b.Compose(now+1, all) })
+	_, worded, word := Allocated(func() { b.Words(now+2, all) })
+	return []float64{bytes, composed + worded, tell.Seconds(), told.Seconds(), (compose + word).Seconds()}, nil
+}
+
+// sheetFigures measures one sheet with so many rows.
+func sheetFigures(rows int) ([]float64, error) {
+	raws, err := sheetsOf(1, rows)
+	if err != nil {
+		return nil, err
+	}
+	s, err := sharing.ReadSheet(raws[0])
+	if err != nil {
+		return nil, err
+	}
+	if len(s.Rows) != rows {
+		return nil, fmt.Errorf("%d rows of %d", len(s.Rows), rows)
+	}
+	return []float64{float64(len(raws[0]))}, nil
+}
+
+// sharingCurves are of the shared store: boards and sheets in model time, the store's commands over loopback sockets.
+func sharingCurves() []Curve {
+	return []Curve{
+		{Role: "mixer", Of: "rows", Plan: 64, Sizes: []int{4, 8, 16, 32, 64}, Quick: []int{4, 8, 16, 32, 64},
+			Quantities: []Quantity{{Name: "sharing: a sheet", Unit: "B", Form: Affine, Deterministic: true}}, Play: sheetFigures},
+		{Role: "mixer", Of: "members heard, full sheets", Plan: Mixers, Sizes: []int{48, 96, 192, 384, 768}, Quick: []int{8, 16, 32, 64, 128},
+			Quantities: []Quantity{
+				{Name: "sharing: sheets heard in a round", Unit: "B", Form: Affine, Deterministic: true},
+				{Name: "sharing: bytes held by a board", Unit: "B", Form: Affine, Deterministic: true},
+				{Name: "sharing: allocations to read the sheets of a round", Unit: "", Form: Affine, Deterministic: true},
+				{Name: "sharing: bytes allocated to tell and judge a round", Unit: "B", Form: Affine, Deterministic: true},
+				{Name: "sharing: a round", Unit: "s", Form: Power},
+			}, Play: func(n int) ([]float64, error) { return boardFigures(n, 200) }},
+		{Role: "mixer", Of: "members of a store", Plan: Mixers, Sizes: []int{16, 32, 64, 128, 256}, Quick: []int{4, 8, 16, 32, 64},
+			Quantities: []Quantity{
+				{Name: "store: commands sent by a mixer", Unit: "1/s", Form: Flat, Deterministic: true},
+				{Name: "store: bytes sent by a mixer", Unit: "B/s", Form: Affine, Deterministic: true},
+				{Name: "store: bytes read by a mixer", Unit: "B/s", Form: Affine, Deterministic: true},
+				{Name: "store: bytes of all mixers", Unit: "B/s", Form: Quadratic, Deterministic: true},
+				{Name: "store: of a core, the stand-in's part in it", Unit: "", Form: Power},
+			}, Play: storeFigures},
+		{Role: "mixer", Of: "searchers", Plan: Searchers, Sizes: []int{1024, 2048, 4096, 8192, 16384}, Quick: []int{256, 512, 1024, 2048, 4096},
+			Quantities: []Quantity{
+				{Name: "sharing: bytes allocated to tell of all", Unit: "B", Form: Affine, Deterministic: true},
+				{Name: "sharing: bytes allocated to make a sheet and judge", Unit: "B", Form: Affine, Deterministic: true},
+				{Name: "sharing: telling, under the router's lock", Unit: "s", Form: Power},
+				{Name: "sharing: being told, under the router's lock", Unit: "s", Form: Power},
+				{Name: "sharing: making a sheet and judging", Unit: "s", Form: Power},
+			}, Play: tellFigures},
+	}
+}
