--- /dev/null
+++ b/internal/lab/capacity/member.go
@@ -0,0 +1,191 @@
+package capacity
+
+import (
+	"fmt"
+	"io"
+	"math"
+	"net"
+	"time"
+
+	"github.com/fxamacker/cbor/v2"
+
+	"nettlefold/internal/fleet/roster"
+)
+
+// scale is memberlist's: each piece of news is told 4 times as often by each member, the roster's own three times.
+func scale(members int) int { return int(math.Ceil(math.Log10(float64(members + 1)))) }
+
+// beside starts a real roster beside a hub of so many members, bound to most, 0 for the default.
+func beside(members, most int, beat time.Duration, join ...string) (*hollow, error) {
+	r, err := roster.Start(roster.Options{Self: numbered(members, wards[0]), Listen: "127.0.0.1:0", Join: join, Beat: beat,
+		MostMembers: most})
+	if err != nil {
+		return nil, err
+	}
+	return &hollow{Roster: r}, nil
+}
+
+// roomy is a bound on members that no play comes to. Settings allow 9,999.
+func roomy(members int) int { return 2*members + 2*mostHearsay }
+
+// exchangeFigures measures one exchange of a roster that knows so many members with another that knows the same ones.
+func exchangeFigures(members int) ([]float64, error) {
+	hub, err := newHub()
+	if err != nil {
+		return nil, err
+	}
+	defer hub.close()
+	h, err := beside(members, roomy(members), time.Hour) // nothing of its own within the play
+	if err != nil {
+		return nil, err
+	}
+	defer h.Close()
+	push := hub.states(members, nil)
+	began := time.Now()
+	if _, _, err := hub.exchange(h.Address(), push); err != nil {
+		return nil, err
+	}
+	joined := time.Since(began)
+	pulled, known, err := hub.exchange(h.Address(), push)
+	if err != nil || known != members+1 || h.here() != members+1 {
+		return nil, fmt.Errorf("%d of %d members are known, %d here: %v", known, members+1, h.here(), err)
+	}
+	c, err := net.Dial("tcp", h.Address())
+	if err != nil {
+		return nil, err
+	}
+	defer c.Close()
+	buf, busy := make([]byte, pulled), processorTime()
+	allocations, bytes, _ := Allocated(func() {
+		if _, err = c.Write(push); err == nil {
+			if _, err = io.ReadFull(c, buf); err == nil {
+				c.Read(buf[:1]) // until it has taken ours
+			}
+		}
+	})
+	busy = processorTime() - busy
+	return []float64{float64(len(push) + pulled), allocations, bytes, busy.Seconds(), joined.Seconds()}, err
+}
+
+// hearsayFigures measures the half of an exchange that one tells who knows 64 members, and of so many lives that they said goodbye.
+func hearsayFigures(lives int) ([]float64, error) {
+	const members = 64
+	hub, err := newHub()
+	if err != nil {
+		return nil, err
+	}
+	defer hub.close()
+	h, err := beside(members, roomy(members), time.Hour)
+	if err != nil {
+		return nil, err
+	}
+	defer h.Close()
+	if _, _, err := hub.exchange(h.Address(), hub.states(members, hearsay(lives))); err != nil {
+		return nil, err
+	}
+	pulled, _, err := hub.exchange(h.Address(), hub.states(members, nil))
+	if all := len(h.Members()); all != members+1+lives {
+		return nil, fmt.Errorf("%d lives are known of %d", all, members+1+lives)
+	}
+	return []float64{float64(pulled)}, err
+}
+
+// memberFigures has a roster join a hub's members, tell on all that is news to it, be still, and hear of restarts.
+func memberFigures(members int) ([]float64, error) {
+	const beat, restarts = 100 * time.Millisecond, 8
+	within := time.Minute
+	hub, err := newHub()
+	if err != nil {
+		return nil, err
+	}
+	defer hub.close()
+	hub.answers = hub.states(members, nil)
+	before := heldBytes()
+	h, err := beside(members, roomy(members), beat, hub.listener.Addr().String())
+	if err != nil {
+		return nil, err
+	}
+	h.run()
+	defer h.kill()
+	for end := time.Now().Add(within); h.here() < members+1; time.Sleep(beat / 4) {
+		if time.Now().After(end) {
+			return nil, fmt.Errorf("%d of %d members are here", h.here(), members+1)
+		}
+	}
+	if !hub.quiet(5*beat, within) {
+		return nil, fmt.Errorf("it is not done with telling %d lives", members)
+	}
+	held := heldBytes() - before
+	told := hub.counted(aliveMessage)
+
+	busy, at := processorTime(), time.Now()
+	time.Sleep(6 * beat)
+	core := (processorTime() - busy).Seconds() / time.Since(at).Seconds() * float64(beat) / float64(roster.Beat)
+
+	to, err := net.ResolveUDPAddr("udp", h.Address())
+	if err != nil {
+		return nil, err
+	}
+	was := [3]heardOf{hub.counted(newsMessage), hub.counted(deadMessage), told}
+	for i := range restarts {
+		old := numbered(i, wards[i%len(wards)])
+		next := fmt.Sprintf("%s@%016x", old.Name, ^old.Life)
+		bye, err := cbor.Marshal(lifeNews{Name: old.Name, Life: old.Life, Number: 1, Bye: true})
+		if err != nil {
+			return nil, err
+		}
+		meta, err := cbor.Marshal(lifeMeta{Site: old.Site, Build: old.Build, Since: old.Since + 1, Term: 2})
+		if err != nil {
+			return nil, err
+		}
+		for _, raw := range [][]byte{append([]byte{newsMessage}, bye...),
+			message(deadMessage, deadNode{Incarnation: 1, Node: node(i), From: node(i)}),
+			message(aliveMessage, aliveNode{Incarnation: 1, Node: next, Addr: loopback, Port: hub.port(), Meta: meta, Vsn: versions})} {
+			if err := hub.tell(to, raw); err != nil {
+				return nil, err
+			}
+			time.Sleep(time.Millisecond)
+		}
+	}
+	time.Sleep(2 * beat)
+	if !hub.quiet(5*beat, within) {
+		return nil, fmt.Errorf("it is not done with telling %d restarts", restarts)
+	}
+	messages, bytes := 0, 0
+	for i, kind := range []byte{newsMessage, deadMessage, aliveMessage} {
+		now := hub.counted(kind)
+		messages += now.messages - was[i].messages
+		bytes += now.bytes - was[i].bytes
+	}
+	part := 1 / float64(scale(members+1)) / restarts
+	return []float64{float64(told.messages) / float64(4*scale(members+1)), float64(told.bytes) / float64(told.messages),
+		held, float64(messages) * part, float64(bytes) * part, core}, nil
+}
+
+const mostHearsay = 256 // lives told in one exchange that are gone or cut off
+
+// memberCurves are of one real roster among a hub's members, over loopback sockets.
+func memberCurves() []Curve {
+	return []Curve{
+		{Role: "mixer", Of: "lives that said goodbye, 64 members", Plan: mostHearsay, Sizes: []int{16, 32, 64, 128, 256},
+			Quick:      []int{16, 32, 64, 128, 256},
+			Quantities: []Quantity{{Name: "roster: half of an exchange", Unit: "B", Form: Affine, Deterministic: true}}, Play: hearsayFigures},
+		{Role: "mixer", Of: "members, one exchange", Plan: Mixers, Sizes: []int{400, 800, 1600, 3200, 6400}, Quick: []int{32, 64, 128, 256, 512},
+			Quantities: []Quantity{
+				{Name: "roster: an exchange, both ways", Unit: "B", Form: Affine, Deterministic: true},
+				{Name: "roster: allocations of an exchange", Unit: "", Form: Affine, Deterministic: true},
+				{Name: "roster: bytes allocated by an exchange", Unit: "B", Form: Affine, Deterministic: true},
+				{Name: "roster: processor time of an exchange", Unit: "s", Form: Power},
+				{Name: "roster: until all of a first exchange are taken", Unit: "s", Form: Power},
+			}, Play: exchangeFigures},
+		{Role: "mixer", Of: "members, one among them", Plan: Mixers, Sizes: []int{128, 256, 512, 1024, 2048}, Quick: []int{11, 22, 44, 88, 176},
+			Quantities: []Quantity{
+				{Name: "roster: lives told on after a start, over 4 ceil(log10(members+1))", Unit: "", Form: Affine, Deterministic: true},
+				{Name: "roster: a life told on", Unit: "B", Form: Flat, Deterministic: true},
+				{Name: "roster: bytes held, heap and stacks", Unit: "B", Form: Affine},
+				{Name: "roster: messages of one restart by one mixer, over ceil(log10(members+1))", Unit: "", Form: Flat, Deterministic: true},
+				{Name: "roster: bytes of one restart by one mixer, over ceil(log10(members+1))", Unit: "B", Form: Flat, Deterministic: true},
+				{Name: "roster: of a core without news, the hub's part in it", Unit: "", Form: Power},
+			}, Play: memberFigures},
+	}
+}
