--- a/internal/lab/capacity/capacity.go
+++ b/internal/lab/capacity/capacity.go
@@ -117,7 +117,7 @@
 			}
 			f.Predicted = law.At(float64(size))
 		}
-		fmt.Fprintf(progress, "%s by %s: %d of %d, size %d\n", c.Role, c.Of, k+1, len(sizes), size)
+		fmt.Fprintf(progress, "%s by %s: size %d, %d of %d\n", c.Role, c.Of, size, k+1, len(sizes))
 		values, err := c.Play(size)
 		if err != nil {
 			return nil, fmt.Errorf("%s of %d %s: %w", c.Role, size, c.Of, err)
--- /dev/null
+++ b/internal/lab/capacity/conns.go
@@ -0,0 +1,132 @@
+package capacity
+
+import (
+	"context"
+	"fmt"
+	"log/slog"
+	"net"
+	"runtime"
+	"strconv"
+	"syscall"
+	"time"
+
+	"nettlefold/internal/protocol"
+	"nettlefold/internal/routing"
+	"nettlefold/internal/transport"
+)
+
+// peers accept connections and read nothing. They keep bare descriptors, so that nothing of theirs lies on this process's heap.
+type peers struct {
+	l    *net.TCPListener
+	came chan int
+}
+
+func newPeers(most int) (*peers, error) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		return nil, err
+	}
+	p := &peers{l.(*net.TCPListener), make(chan int, most)}
+	f, err := p.l.File()
+	if err != nil {
+		l.Close()
+		return nil, err
+	}
+	go func() {
+		defer close(p.came)
+		defer f.Close()
+		for range most {
+			fd, _, err := syscall.Accept(int(f.Fd()))
+			if err != nil {
+				return
+			}
+			p.came <- fd
+		}
+	}()
+	return p, nil
+}
+
+// close ends the peers: whoever still waits is sent home by connections of our own.
+func (p *peers) close() {
+	for {
+		select {
+		case fd, ok := <-p.came:
+			if !ok {
+				p.l.Close()
+				return
+			}
+			syscall.Close(fd)
+		case <-time.After(10 * time.Millisecond):
+			if c, err := net.Dial("tcp", p.l.Addr().String()); err == nil {
+				c.Close()
+			}
+		}
+	}
+}
+
+// playConnections opens so many connections from the real table of connections, with one part out on each, and gives what they
+// hold on the heap and of stacks.
+func playConnections(size int) (_ []float64, err error) {
+	p, err := newPeers(size)
+	if err != nil {
+		return nil, err
+	}
+	defer p.close()
+	c := terms(size)
+	c.Tariffs[0].Expected, c.Tariffs[0].Patience = int64(time.Minute), int64(time.Minute)
+	var list protocol.List
+	for i := range size {
+		m := protocol.Member{Address: p.l.Addr().String()}
+		m.Searcher, m.Cell, m.Zone = "searcher-"+strconv.Itoa(i), i, "zone-0"
+		list.Members = append(list.Members, m)
+	}
+	list.Whole = true
+	r, err := router(c, list.Entries())
+	if err != nil {
+		return nil, err
+	}
+	searchers := transport.NewSearchers(limits(), slog.New(slog.DiscardHandler))
+	defer searchers.Close()
+	searchers.Listed(list)
+	q := routing.Lookup{ID: "query", Tariff: "all", Expires: time.Now().Add(time.Minute)}
+	for i := range size {
+		q.Parts = append(q.Parts, routing.Part{Slice: i, Weight: 1 / float64(size)})
+	}
+	t, err := r.Take(q)
+	if err != nil {
+		return nil, err
+	}
+	step, err := t.Pick(context.Background())
+	if err != nil || len(step.Calls) != size {
+		return nil, fmt.Errorf("%d calls of %d, %v", len(step.Calls), size, err)
+	}
+	began, text := stacks(), string(make([]byte, textBytes))
+	_, bytes := Held(func() bool {
+		for _, call := range step.Calls {
+			f := call.Forwards[0]
+			searchers.Send(call.Searcher, false, []*transport.Parcel{{Forward: f, Part: protocol.Part{ID: f.ID, Slice: f.Part, Text: text}}})
+		}
+		for range 200 {
+			if len(p.came) == size {
+				break
+			}
+			time.Sleep(50 * time.Millisecond)
+		}
+		time.Sleep(50 * time.Millisecond) // for the last writers
+		return true
+	})
+	bytes += stacks() - began
+	if len(p.came) != size {
+		err = fmt.Errorf("%d connections of %d came", len(p.came), size)
+	}
+	runtime.KeepAlive(step)
+	runtime.KeepAlive(t)
+	return []float64{bytes}, err
+}
+
+// stacks gives what stacks of goroutines take.
+func stacks() float64 {
+	var m runtime.MemStats
+	runtime.ReadMemStats(&m)
+	return float64(m.StackInuse)
+}
--- a/internal/lab/capacity/curves.go
+++ b/internal/lab/capacity/curves.go
@@ -1,6 +1,7 @@
 package capacity
 
 import (
+	"fmt"
 	"io"
 	"runtime"
 	"time"
@@ -19,7 +20,9 @@
 
 // All plays all curves.
 func All(quick bool, progress io.Writer) (fits []Fitted, err error) {
-	for _, c := range Curves() {
+	all := Curves()
+	for i, c := range all {
+		fmt.Fprintf(progress, "curve %d of %d: ", i+1, len(all))
 		f, err := c.Run(quick, progress)
 		if err != nil {
 			return nil, err
--- a/internal/lab/capacity/size.go
+++ b/internal/lab/capacity/size.go
@@ -23,3 +23,12 @@
 	BudgetMemory = 128e6 // B
 	BudgetNet    = 10e3  // B/s
 )
+
+// What the plan does not name and the sums need; as in example/config.json unless said otherwise.
+const (
+	keepAlive    = 30.0 // s after which a searcher closes an idle connection
+	coldFrom     = 0.2  // of its capacity, with which a searcher starts
+	fallMultiple = 2.0  // of what a cold one bears, that it falls over by
+	fallFor      = 1.0  // s in which that is counted
+	budgetFor    = 10.0 // s in which the forward budget is counted; assumed
+)
