--- a/internal/lab/capacity/member.go
+++ b/internal/lab/capacity/member.go
@@ -16,13 +16,13 @@
 func scale(members int) int { return int(math.Ceil(math.Log10(float64(members + 1)))) }
 
 // beside starts a real roster beside a hub of so many members, bound to most, 0 for the default.
-func beside(members, most int, beat time.Duration, join ...string) (*hollow, error) {
+func beside(members, most int, beat time.Duration, join ...string) (*hollowMixer, error) {
 	r, err := roster.Start(roster.Options{Self: numbered(members, wards[0]), Listen: "127.0.0.1:0", Join: join, Beat: beat,
 		MostMembers: most})
 	if err != nil {
 		return nil, err
 	}
-	return &hollow{Roster: r}, nil
+	return &hollowMixer{Roster: r}, nil
 }
 
 // roomy is a bound on members that no play comes to. Settings allow 9,999.
--- a/internal/lab/capacity/roster.go
+++ b/internal/lab/capacity/roster.go
@@ -16,9 +16,9 @@
 	"nettlefold/internal/fleet/sites"
 )
 
-// hollow is a mixer without what serves: its real roster on loopback sockets and, with tables, its desk and judge of sites. Left
-// out are clients, sockets to searchers, forwards and probes.
-type hollow struct {
+// hollowMixer is a mixer without what serves: its real roster on loopback sockets and, with tables, its desk and judge of sites.
+// Left out are clients, sockets to searchers, forwards and probes.
+type hollowMixer struct {
 	*roster.Roster
 	desk *desk.Desk
 	stop context.CancelFunc
@@ -28,8 +28,8 @@
 // wards are the sites of hollow mixers, in turn.
 var wards = []string{"a", "b", "c"}
 
-func startHollow(i int, tables bool, join []string) (*hollow, error) {
-	h := &hollow{}
+func startMixer(i int, tables bool, join []string) (*hollowMixer, error) {
+	h := &hollowMixer{}
 	o := roster.Options{Self: roster.Life{Name: fmt.Sprintf("mixer-%05d", i), Site: wards[i%len(wards)], Build: "v1"},
 		Listen: "127.0.0.1:0", Join: join}
 	var table *sites.Table
@@ -59,7 +59,7 @@
 	return h, nil
 }
 
-func (h *hollow) run() {
+func (h *hollowMixer) run() {
 	ctx, cancel := context.WithCancel(context.Background())
 	h.stop = cancel
 	h.wg.Go(func() { h.Run(ctx) })
@@ -69,14 +69,14 @@
 }
 
 // kill ends it without a goodbye.
-func (h *hollow) kill() {
+func (h *hollowMixer) kill() {
 	h.Close()
 	h.stop()
 	h.wg.Wait()
 }
 
 // here counts the lives that it holds and has not lost.
-func (h *hollow) here() (n int) {
+func (h *hollowMixer) here() (n int) {
 	for _, m := range h.Members() {
 		if m.State < roster.CutOff {
 			n++
@@ -110,7 +110,7 @@
 	return least
 }
 
-func trafficOf(all []*hollow) (t roster.Traffic) {
+func trafficOf(all []*hollowMixer) (t roster.Traffic) {
 	for _, h := range all {
 		one := h.Traffic()
 		t.Packets += one.Packets
@@ -123,10 +123,10 @@
 }
 
 // startFleet starts hollow mixers together, all through one seed.
-func startFleet(members int, tables bool) (all []*hollow, err error) {
+func startFleet(members int, tables bool) (all []*hollowMixer, err error) {
 	var join []string
 	for i := range members {
-		h, err := startHollow(i, tables, join)
+		h, err := startMixer(i, tables, join)
 		if err != nil {
 			return all, err
 		}
@@ -140,7 +140,7 @@
 	return all, nil
 }
 
-func endFleet(all []*hollow) {
+func endFleet(all []*hollowMixer) {
 	var wg sync.WaitGroup
 	for _, h := range all {
 		wg.Go(h.kill)
@@ -149,7 +149,7 @@
 }
 
 // meet waits until all have all here, and gives after how many s; the whole time where they have not within it.
-func meet(all []*hollow, within time.Duration) float64 {
+func meet(all []*hollowMixer, within time.Duration) float64 {
 	began := time.Now()
 	for time.Since(began) < within {
 		met := true
