--- a/internal/lab/capacity/conns.go
+++ b/internal/lab/capacity/conns.go
@@ -65,7 +65,7 @@
 }
 
 // playConnections opens so many connections from the real table of connections, with one part out on each, and gives what they
-// hold on the heap and of stacks.
+// hold on the heap, and what stacks have grown by, which depends on those of goroutines that have ended.
 func playConnections(size int) (_ []float64, err error) {
 	p, err := newPeers(size)
 	if err != nil {
@@ -115,13 +115,13 @@
 		time.Sleep(50 * time.Millisecond) // for the last writers
 		return true
 	})
-	bytes += stacks() - began
+	stack := stacks() - began
 	if len(p.came) != size {
 		err = fmt.Errorf("%d connections of %d came", len(p.came), size)
 	}
 	runtime.KeepAlive(step)
 	runtime.KeepAlive(t)
-	return []float64{bytes}, err
+	return []float64{bytes, stack}, err
 }
 
 // stacks gives what stacks of goroutines take.
