--- a/internal/lab/capacity/conns.go
+++ b/internal/lab/capacity/conns.go
@@ -13,6 +13,7 @@
 	"nettlefold/internal/protocol"
 	"nettlefold/internal/routing"
 	"nettlefold/internal/transport"
+	"nettlefold/mixer"
 )
 
 // peers accept connections and read nothing. They keep bare descriptors, so that nothing of theirs lies on this process's heap.
@@ -124,6 +125,64 @@
 	return []float64{bytes, stack}, err
 }
 
+// playSpare sends single parts to one searcher after the other where there may be four connections only: for each the table looks for
+// the one that has been idle longest, closes it and opens another. It gives how long the call takes, without the connecting.
+func playSpare(size int) (_ []float64, err error) {
+	const times = 24
+	p, err := newPeers(times)
+	if err != nil {
+		return nil, err
+	}
+	defer p.close()
+	list, err := read(whole(size, cellsOf(size)))
+	if err != nil {
+		return nil, err
+	}
+	for i := range list.Members {
+		list.Members[i].Address = p.l.Addr().String()
+	}
+	c := terms(cellsOf(size))
+	c.Tariffs[0].Expected, c.Tariffs[0].Patience = int64(time.Minute), int64(time.Minute)
+	r, err := router(c, list.Entries())
+	if err != nil {
+		return nil, err
+	}
+	lim := limits()
+	lim.Sockets = 2*4 + 32
+	searchers := transport.NewSearchers(lim, slog.New(slog.DiscardHandler))
+	defer searchers.Close()
+	searchers.Listed(list)
+	least := time.Hour
+	for k := range times {
+		t, err := r.Take(routing.Lookup{ID: "query-" + strconv.Itoa(k), Tariff: "all", Expires: time.Now().Add(time.Minute),
+			Parts: []routing.Part{{Slice: k, Weight: 1}}})
+		if err != nil {
+			return nil, err
+		}
+		step, err := t.Pick(context.Background())
+		if err != nil || len(step.Calls) != 1 {
+			return nil, fmt.Errorf("%d calls, %v", len(step.Calls), err)
+		}
+		call := step.Calls[0]
+		f := call.Forwards[0]
+		parcel := &transport.Parcel{Forward: f, Part: protocol.Part{ID: f.ID, Slice: k}}
+		began := time.Now()
+		searchers.Send(call.Searcher, false, []*transport.Parcel{parcel})
+		if k >= 8 { // the four are there, and in each one's place another has come
+			least = min(least, time.Since(began))
+		}
+		select {
+		case fd := <-p.came:
+			defer syscall.Close(fd)
+		case <-time.After(10 * time.Second):
+			return nil, fmt.Errorf("connection %d did not come", k)
+		}
+		time.Sleep(5 * time.Millisecond) // its other end is up too
+		f.Report(mixer.Satisfied, nil)
+	}
+	return []float64{least.Seconds()}, nil
+}
+
 // stacks gives what stacks of goroutines take.
 func stacks() float64 {
 	var m runtime.MemStats
--- a/internal/lab/capacity/size.go
+++ b/internal/lab/capacity/size.go
@@ -36,7 +36,6 @@
 
 	budgetFor  = 10.0   // s in which the forward budget is counted, where one is set
 	answerTime = 0.010  // s that a searcher takes for a part, in the mean
-	used       = 0.6    // of what a searcher bears, on an ordinary day
 	rack       = 40.0   // machines of a rack
 	news       = 3.0    // messages of the list for a restart: draining, gone, serving
 	lockShare  = 0.5    // of its time that the module's lock may be held: beyond it waiting outgrows work
@@ -88,6 +87,9 @@
 // ConnectionsAt is how many a searcher has from mixers.
 func ConnectionsAt(keepAlive float64) float64 { return Connections(keepAlive) * Mixers / Searchers }
 
+// Descriptors is how many a mixer must be allowed for its connections to searchers: half of what is allowed is kept for clients.
+func Descriptors(keepAlive float64) float64 { return 2*Connections(keepAlive) + 32 }
+
 // Handshakes is the share of parts that need a new connection: nothing was sent there for the idle time.
 func Handshakes(keepAlive float64) float64 { return math.Exp(-Meets() * idle(keepAlive)) }
 
@@ -95,9 +97,9 @@
 func PartQuantile() float64 { return math.Pow(0.99, 1/Parts) }
 
 // ColdWindow is how many parts all mixers may send to a searcher that has just started in the time in which its fall is counted
-// (mixer.coldShare), and what of it is one mixer's.
+// (mixer.coldShare), and what of it is one mixer's. What a warm one bears they take to be what it is sent (mixer.measure).
 func ColdWindow() (all, each float64) {
-	most := PartsAt() / used * coldFrom * fallMultiple * coldMargin * fallFor
+	most := PartsAt() * coldFrom * fallMultiple * coldMargin * fallFor
 	spread := math.Sqrt(most+coldSpread*coldSpread/4) - coldSpread/2
 	all = math.Max(spread*spread, math.Min(most, Mixers*math.Floor((most+1)/Mixers)))
 	return all, all / Mixers
--- a/internal/lab/capacity/slopes.go
+++ b/internal/lab/capacity/slopes.go
@@ -42,7 +42,7 @@
 	routerTime        = Law{Quadratic, 2.543e-5, 1.111e-5, 3.706e-7}
 	queryBySearchers  = Law{Power, 0.004928, -0.057, 0}
 	queryByHolders    = Law{Affine, 0.001673, 0.0005388, 0}
-	queryByBudget     = Law{Affine, 0.005379, 4.108e-6, 0}
+	queryByBudget     = Law{Affine, -0.001601, 8.786e-6, 0}
 	requestBytes      = Law{Affine, 83, 32, 0}
 	framesOut         = Law{Affine, 0, 102, 0}
 	framesIn          = Law{Affine, 0, 97, 0}
@@ -53,4 +53,5 @@
 	// mixer: connections: ... / connections
 	connectionsHeld   = Law{Affine, 1.979e4, 6385, 0}
 	connectionsStacks = Law{Affine, -1.748e5, 5372, 0}
+	spareTime         = Law{Affine, 6e-5, 5e-8, 0}
 )
--- a/internal/lab/capacity/wire.go
+++ b/internal/lab/capacity/wire.go
@@ -38,6 +38,11 @@
 			{Name: "connections: bytes on the heap", Unit: "B", Form: Affine, Deterministic: true, Known: connectionsHeld},
 			{Name: "connections: bytes of stacks", Unit: "B", Form: Affine, Known: connectionsStacks},
 		},
+	}, {
+		Role: "mixer", Of: "searchers", Plan: Searchers, Sizes: fleetSizes, Quick: quickSizes, Play: playSpare,
+		Quantities: []Quantity{
+			{Name: "connections: one call where descriptors are short", Unit: "s", Form: Affine, Known: spareTime},
+		},
 	}}
 }
 
