--- a/internal/lab/capacity/shared_slopes.go
+++ b/internal/lab/capacity/shared_slopes.go
@@ -30,11 +30,13 @@
 	storeCommands  = Law{Flat, 9.5, 0, 0}               // commands a second
 	storeRead      = Law{Affine, -11560, 11610, 0}      // B/s read by a mixer, full sheets
 	storeSent      = Law{Affine, 11860, 172, 0}         // B/s sent by a mixer, full sheets
-	storeAll       = Law{Quadratic, 36, 302, 11790}     // B/s of all mixers
-	tellTime       = Law{Power, 3.038e-8, 1.079, 0}     // s under the router's lock, by searchers
-	toldTime       = Law{Power, 3.678e-9, 1.388, 0}     // s under the router's lock, by searchers
-	meetTime       = Law{Power, 0.02945, 0.895, 0}      // s until all of a fleet have met that starts together, 6 to 96
-	firstTakenTime = Law{Power, 1.002e-6, 1.352, 0}     // s until all of a first exchange are taken
+	emptySent      = Law{Affine, 430, 172, 0}           // the same with sheets without rows
+	emptyRead      = Law{Affine, -135, 185, 0}
+	storeAll       = Law{Quadratic, 36, 302, 11790} // B/s of all mixers
+	tellTime       = Law{Power, 3.038e-8, 1.079, 0} // s under the router's lock, by searchers
+	toldTime       = Law{Power, 3.678e-9, 1.388, 0} // s under the router's lock, by searchers
+	meetTime       = Law{Power, 0.02945, 0.895, 0}  // s until all of a fleet have met that starts together, 6 to 96
+	firstTakenTime = Law{Power, 1.002e-6, 1.352, 0} // s until all of a first exchange are taken
 )
 
 // Bounds of the program, held to it by a test.
--- a/internal/lab/capacity/shared_sums.go
+++ b/internal/lab/capacity/shared_sums.go
@@ -35,7 +35,7 @@
 		{role, "rights: a chair's step, processor", roundsSecond * rightsTime.At(n), "cores", BudgetCore, byRights, "rights: a chair's step"},
 		{role, "rights: searchers, beside the bound on resources", Searchers, "1", boundRights, byRights, "arithmetic"},
 		{role, "sharing in one store, full sheets: read", storeRead.At(n), "B/s", BudgetNet, bySharing, "store: bytes read / members of a store"},
-		{role, "sharing in one store, empty sheets: read", EmptyRead(n), "B/s", BudgetNet, bySharing, "sharing: a sheet / rows"},
+		{role, "sharing in one store, empty sheets: read", emptyRead.At(n), "B/s", BudgetNet, bySharing, "store: bytes read / members, empty sheets"},
 		{role, "sharing in one store: sent, for the names it reads", storeSent.At(n), "B/s", BudgetNet, bySharing, "store: bytes sent / members of a store"},
 		{role, "sharing in one store: mixers, beside those that are heard", n, "1", boundOthers, bySharing, "arithmetic"},
 		{role, "sharing, full sheets of 1,024 heard: bytes held", boardHeld.At(boundOthers), "B", BudgetMemory, bySharing, "sharing: bytes held / members heard"},
@@ -50,11 +50,6 @@
 	}
 }
 
-// EmptyRead is what a mixer reads a second of sheets without rows in one store: the rows are 64 in a full one.
-func EmptyRead(members float64) float64 {
-	return storeRead.At(members) - roundsSecond*(members-1)*(sheetBytes.At(64)-sheetBytes.At(0))
-}
-
 func sharedEvents() []Event {
 	n := Mixers
 	return []Event{
@@ -97,7 +92,7 @@
 		rank("rights: a chair's step", firstAt(second(rightsTime.At), BudgetCore), core, byRights, "rights: a chair's step"),
 		rank("rights: memory", firstAt(rightsHeld.At, BudgetMemory), heap, byRights, "rights: bytes held"),
 		rank("sharing, one store, full sheets: read", firstAt(storeRead.At, BudgetNet), net, bySharing, "store: bytes read"),
-		rank("sharing, one store, empty sheets: read", firstAt(EmptyRead, BudgetNet), net, bySharing, "store: bytes read; a sheet / rows"),
+		rank("sharing, one store, empty sheets: read", firstAt(emptyRead.At, BudgetNet), net, bySharing, "store: bytes read / members, empty sheets"),
 		rank("sharing, full sheets: a board's round", firstAt(second(boardTime.At), BudgetCore), core, bySharing, "sharing: a round"),
 		rank("sharing: telling and being told of all searchers", shareAt(func(s float64) float64 {
 			return roundsSecond * 2 * (tellTime.At(s*Searchers) + toldTime.At(s*Searchers))
--- a/internal/lab/capacity/sharing.go
+++ b/internal/lab/capacity/sharing.go
@@ -82,16 +82,16 @@
 	return []float64{float64(carried), held, reads, bytes, float64(readTook+took) / 1e9}, err
 }
 
-// storeFigures has mixers with full sheets use a store on a loopback socket, and counts what the last sends and is sent in eight
-// rounds, which is a whole turn: who there is is read once in it.
-func storeFigures(mixers int) ([]float64, error) {
+// storeFigures has mixers whose sheets tell of so many searchers use a store on a loopback socket, and counts what the last sends
+// and is sent in eight rounds, which is a whole turn: who there is is read once in it.
+func storeFigures(mixers, searchers int) ([]float64, error) {
 	const turn = 8
 	server := &standin.Server{}
 	if err := server.Start(""); err != nil {
 		return nil, err
 	}
 	defer server.Stop()
-	raws, err := sheetsOf(mixers, 100)
+	raws, err := sheetsOf(mixers, searchers)
 	if err != nil {
 		return nil, err
 	}
@@ -197,7 +197,18 @@
 				exact("store: bytes read by a mixer", "B/s", Affine, storeRead),
 				exact("store: bytes of all mixers", "B/s", Quadratic, storeAll),
 				rough("store: of a core, the stand-in's part in it", "", Power),
-			}, Play: storeFigures},
+			}, Play: func(n int) ([]float64, error) { return storeFigures(n, 100) }},
+		{Role: "mixer", Of: "members of a store, empty sheets", Plan: Mixers, Sizes: doubled(16), Quick: doubled(4),
+			Quantities: []Quantity{
+				exact("store: bytes sent by a mixer", "B/s", Affine, emptySent),
+				exact("store: bytes read by a mixer", "B/s", Affine, emptyRead),
+			}, Play: func(n int) ([]float64, error) {
+				f, err := storeFigures(n, 0)
+				if err != nil {
+					return nil, err
+				}
+				return f[1:3], nil
+			}},
 		{Role: "mixer", Of: "searchers", Plan: Searchers, Sizes: doubled(1024), Quick: doubled(256),
 			Quantities: []Quantity{
 				exact("sharing: bytes allocated to tell of all", "B", Affine, Law{Affine, 0, 104, 0}),
