--- a/internal/lab/capacity/page_test.go
+++ b/internal/lab/capacity/page_test.go
@@ -5,6 +5,7 @@
 	"math"
 	"os"
 	"regexp"
+	"slices"
 	"strings"
 	"testing"
 
@@ -130,3 +131,34 @@
 		}
 	}
 }
+
+// Each row's source is a curve that the command plays, the program's own constant, or said to be none.
+func TestRowsNameTheirCurves(t *testing.T) {
+	var keys []string
+	for _, c := range Curves() {
+		for _, q := range c.Quantities {
+			keys = append(keys, Key(c, q))
+		}
+	}
+	var all []string
+	for _, s := range Sums() {
+		all = append(all, s.From)
+	}
+	for _, e := range Events() {
+		all = append(all, e.From)
+	}
+	for _, r := range Rank() {
+		all = append(all, r.From)
+	}
+	for _, l := range Latencies() {
+		all = append(all, l.From)
+	}
+	for _, from := range all {
+		for _, one := range strings.Split(from, "; ") {
+			known := strings.HasPrefix(one, "arithmetic") || one == "not measured yet" || strings.HasPrefix(one, "`")
+			if !known && !slices.ContainsFunc(keys, func(key string) bool { return strings.Contains(key, one) }) {
+				t.Errorf("no curve gives %q", one)
+			}
+		}
+	}
+}
