Tellings of the control tier wait as sessions do where their process is held up; 2 s for a connection

A mixer's telling failed where its process did not run for as long as the time-out, though the answer lay there: it is looked once more, as for sessions. A connection may take 2 s, as the answer to a request does.

--- a/internal/fleet/relay/relay.go
+++ b/internal/fleet/relay/relay.go
@@ -42,7 +42,7 @@
 
 // usual are a follower's times.
 var usual = times{
-	dial:    time.Second,
+	dial:    2 * time.Second,
 	first:   2 * time.Second,
 	silence: time.Duration(control.Beat + control.Beat/8),
 	whole:   5 * time.Second,
--- a/internal/fleet/relay/tell.go
+++ b/internal/fleet/relay/tell.go
@@ -106,7 +106,7 @@
 	if _, err := nc.Write(text); err != nil {
 		return err
 	}
-	resp, err := http.ReadResponse(bufio.NewReaderSize(nc, smallBuffer), nil)
+	resp, err := http.ReadResponse(bufio.NewReaderSize(&patient{Conn: nc}, smallBuffer), nil)
 	if err != nil {
 		return err
 	}
