--- a/internal/fleet/relay/client_test.go
+++ b/internal/fleet/relay/client_test.go
@@ -228,6 +228,26 @@
 	until(t, "the next is in force", func() bool { return m.has() == `{"a":3}` })
 }
 
+// TestNewcomerTakesTheLastGoodVersion has a mixer come after a version that all reject: it takes the one before, of two documents that
+// are as long as they may be.
+func TestNewcomerTakesTheLastGoodVersion(t *testing.T) {
+	t.Parallel()
+	w := newTier(t, Options{}, "east", "west", "west")
+	m := w.mixer("m", "east")
+	w.met()
+	long := strings.Repeat("x", control.MaxDocument-100)
+	good := w.relays[0].given(t, `{"a":"`+long+`"}`)
+	until(t, "it is in force", func() bool { return m.State().InForce != nil })
+	until(t, "a relay knows that", func() bool { v := w.relays[0].Status().Standings[0].Versions; return len(v) == 1 && v[0].InForce == 1 })
+	bad := w.relays[0].given(t, `{"Bad":"`+long+`"}`)
+	until(t, "it is rejected", func() bool { return m.State().Rejected != nil })
+	late := w.mixer("late", "east")
+	until(t, "the newcomer has the good one", func() bool { return strings.HasPrefix(late.has(), `{"a":"x`) && late.State().InForce != nil })
+	if s := late.State(); *s.InForce != good.Stamp || s.Rejected != nil && s.Rejected.Stamp != bad.Stamp {
+		t.Errorf("%+v", s)
+	}
+}
+
 // TestGoodbyeIsTold has a mixer end: it is no longer counted. One that ends without a word is counted for a while.
 func TestGoodbyeIsTold(t *testing.T) {
 	t.Parallel()
