--- a/internal/lab/capacity/config.go
+++ b/internal/lab/capacity/config.go
@@ -14,15 +14,18 @@
 	return []Curve{{
 		Role: "mixer", Of: "searchers", Plan: Searchers, Sizes: fleetSizes, Quick: quickSizes, Play: playConfig,
 		Quantities: []Quantity{
-			{Name: "settings: bytes of the platform's configuration with the known list", Unit: "B", Form: Affine, Deterministic: true, Known: configBytes},
+			{Name: "settings: bytes of the platform's configuration with the known list", Unit: "B", Form: Affine,
+				Deterministic: true, Known: configBytes},
 			{Name: "settings: allocations of reading it", Unit: "1", Form: Affine, Deterministic: true, Known: configAllocations},
 			{Name: "settings: bytes allocated by reading it", Unit: "B", Form: Power, Deterministic: true, Known: configAllocated},
 			{Name: "settings: reading it", Unit: "s", Form: Power, Known: configTime},
 		},
 	}, {
-		Role: "mixer", Of: "mixers", Plan: Mixers, Sizes: []int{200, 400, 800, 1600, 3200, 6300}, Quick: []int{50, 100, 200, 400, 800},
+		Role: "mixer", Of: "mixers", Plan: Mixers, Sizes: []int{200, 400, 800, 1600, 3200, 6300}, Quick: []int{50, 100, 200,
+			400, 800},
 		Play: playSettings, Quantities: []Quantity{
-			{Name: "settings: bytes of our own with a route to each mixer", Unit: "B", Form: Affine, Deterministic: true, Known: settingsBytes},
+			{Name: "settings: bytes of our own with a route to each mixer", Unit: "B", Form: Affine, Deterministic: true,
+				Known: settingsBytes},
 			{Name: "settings: allocations of reading them", Unit: "1", Form: Affine, Deterministic: true, Known: settingsAllocations},
 			{Name: "settings: reading them", Unit: "s", Form: Power, Known: settingsTime},
 		},
--- a/internal/lab/capacity/conns.go
+++ b/internal/lab/capacity/conns.go
@@ -105,7 +105,8 @@
 	_, bytes := Held(func() bool {
 		for _, call := range step.Calls {
 			f := call.Forwards[0]
-			searchers.Send(call.Searcher, false, []*transport.Parcel{{Forward: f, Part: protocol.Part{ID: f.ID, Slice: f.Part, Text: text}}})
+			searchers.Send(call.Searcher, false, []*transport.Parcel{{Forward: f, Part: protocol.Part{ID: f.ID,
+				Slice: f.Part, Text: text}}})
 		}
 		for range 200 {
 			if len(p.came) == size {
--- a/internal/lab/capacity/fit_test.go
+++ b/internal/lab/capacity/fit_test.go
@@ -50,7 +50,10 @@
 	if _, err := Fit(Affine, sizes[:3], []float64{1, 2, 3}); err == nil {
 		t.Error("a law of three values")
 	}
-	c := Curve{Sizes: []int{1, 2, 4, 8, 15}, Quantities: []Quantity{{Form: Power}}, Play: func(int) ([]float64, error) { return []float64{1}, nil }}
+	c := Curve{Sizes: []int{1, 2, 4, 8, 15}, Quantities: []Quantity{{Form: Power}}, Play: func(int) ([]float64,
+		error) {
+		return []float64{1}, nil
+	}}
 	if _, err := c.Run(false, io.Discard); err == nil {
 		t.Error("a curve over less than a factor of 16")
 	}
--- a/internal/lab/capacity/list.go
+++ b/internal/lab/capacity/list.go
@@ -129,7 +129,8 @@
 	if err != nil || len(list.Members) != 1 {
 		return nil, fmt.Errorf("change: %d members, %v", len(list.Members), err)
 	}
-	return []float64{float64(len(raw)), allocations, bytes, took.Seconds(), float64(len(one)), few / times, short.Seconds() / times}, nil
+	return []float64{float64(len(raw)), allocations, bytes, took.Seconds(), float64(len(one)), few / times,
+		short.Seconds() / times}, nil
 }
 
 // best does something several times: the least of what it allocates and how long it takes, since what runs beside only adds.
@@ -188,7 +189,8 @@
 		}
 	})
 	runtime.KeepAlive(list) // what all of them share is counted by none but the watch, which reads it anew
-	return []float64{held, connections, watch, first, firstTook.Seconds(), againTook.Seconds(), few / times, took.Seconds() / times}, nil
+	return []float64{held, connections, watch, first, firstTook.Seconds(), againTook.Seconds(), few / times,
+		took.Seconds() / times}, nil
 }
 
 // playLearnt writes what a module has learnt once each searcher has answered.
@@ -204,7 +206,8 @@
 	}
 	k := mixer.Kept{Fleet: mixer.Pace{Took: 8.123456789e9, Calls: 1000.123456789}}
 	for i, m := range list.Members {
-		k.Process = append(k.Process, mixer.Pace{Searcher: m.Searcher, Started: m.Started, Took: 8.123456789e6 * (1 + float64(i%97)/97), Calls: 1 + float64(i%89)/89})
+		k.Process = append(k.Process, mixer.Pace{Searcher: m.Searcher, Started: m.Started,
+			Took: 8.123456789e6 * (1 + float64(i%97)/97), Calls: 1 + float64(i%89)/89})
 	}
 	at := time.Now()
 	if met := r.Resume(at, k); met != size {
--- a/internal/lab/capacity/page.go
+++ b/internal/lab/capacity/page.go
@@ -27,7 +27,8 @@
 		{"kept at the end, so that an answer arrives in time", endMargin, "`mixer`, endMargin"},
 		{"the module's lock for all of a query, 4 holders a part", lock, "query: in the router"},
 		{"reading and writing of requests and frames", wire, "query: reading and writing all of it"},
-		{"wait for the lock behind other queries, were each held in one piece", lock / 2 * LockHeld(lock) / (1 - LockHeld(lock)), "arithmetic (M/D/1)"},
+		{"wait for the lock behind other queries, were each held in one piece",
+			lock / 2 * LockHeld(lock) / (1 - LockHeld(lock)), "arithmetic (M/D/1)"},
 		{"left for networks, sockets and the slowest of 88 searchers", left, "arithmetic"},
 		{"predicted time of the slowest part beyond which a query is turned away", room * (Answer - endMargin), "`mixer`, room"},
 	}
--- a/internal/lab/capacity/query.go
+++ b/internal/lab/capacity/query.go
@@ -54,7 +54,8 @@
 	w.m = mixer.New(w.now, c, 1, w.floor)
 	rows := make([]mixer.Entry, searchers)
 	for i := range rows {
-		rows[i] = mixer.Entry{Searcher: "searcher-" + strconv.Itoa(i), Cell: i % cells, Zone: "zone-" + strconv.Itoa(i%int(ZonesAll)), Status: mixer.Live}
+		rows[i] = mixer.Entry{Searcher: "searcher-" + strconv.Itoa(i), Cell: i % cells,
+			Zone: "zone-" + strconv.Itoa(i%int(ZonesAll)), Status: mixer.Live}
 	}
 	w.m.Listed(w.now, rows, true)
 	for i := range parts {
@@ -205,7 +206,8 @@
 			return []float64{a, t}, err
 		},
 	}, {
-		Role: "mixer", Of: "holders of a part", Plan: Searchers / Parts, Sizes: []int{4, 13, 42, 133, 420}, Quick: []int{2, 4, 8, 16, 32},
+		Role: "mixer", Of: "holders of a part", Plan: Searchers / Parts, Sizes: []int{4, 13, 42, 133, 420}, Quick: []int{2,
+			4, 8, 16, 32},
 		Quantities: []Quantity{
 			{Name: "query of 88 parts: allocations in the module", Unit: "1", Form: Flat, Deterministic: true},
 			{Name: "query of 88 parts: in the module", Unit: "s", Form: Affine, Known: queryByHolders},
--- a/internal/lab/capacity/wire.go
+++ b/internal/lab/capacity/wire.go
@@ -23,17 +23,20 @@
 
 func wireCurves() []Curve {
 	return []Curve{{
-		Role: "mixer", Of: "parts", Plan: Parts, Sizes: []int{5, 10, 20, 44, 88, 176, 400}, Quick: []int{4, 8, 16, 32, 64}, Play: playWire,
+		Role: "mixer", Of: "parts", Plan: Parts, Sizes: []int{5, 10, 20, 44, 88, 176, 400}, Quick: []int{4, 8, 16, 32, 64},
+		Play: playWire,
 		Quantities: []Quantity{
 			{Name: "query: bytes of the client's request", Unit: "B", Form: Affine, Deterministic: true, Known: requestBytes},
 			{Name: "query: bytes of all its frames out", Unit: "B", Form: Affine, Deterministic: true, Known: framesOut},
 			{Name: "query: bytes of all frames in", Unit: "B", Form: Affine, Deterministic: true, Known: framesIn},
 			{Name: "query: bytes of the client's answer", Unit: "B", Form: Affine, Deterministic: true, Known: answerBytes},
-			{Name: "query: allocations of reading and writing all of it", Unit: "1", Form: Affine, Deterministic: true, Known: wireAllocations},
+			{Name: "query: allocations of reading and writing all of it", Unit: "1", Form: Affine, Deterministic: true,
+				Known: wireAllocations},
 			{Name: "query: reading and writing all of it, no sockets", Unit: "s", Form: Quadratic, Known: wireTime},
 		},
 	}, {
-		Role: "mixer", Of: "connections", Plan: Searchers, Sizes: []int{64, 128, 256, 512, 1024, 2048}, Quick: []int{16, 32, 64, 128, 256},
+		Role: "mixer", Of: "connections", Plan: Searchers, Sizes: []int{64, 128, 256, 512, 1024, 2048}, Quick: []int{16, 32,
+			64, 128, 256},
 		Play: playConnections, Quantities: []Quantity{
 			{Name: "connections: bytes on the heap", Unit: "B", Form: Affine, Deterministic: true, Known: connectionsHeld},
 			{Name: "connections: bytes of stacks", Unit: "B", Form: Affine, Known: connectionsStacks},
--- a/internal/lab/measure/capacity.go
+++ b/internal/lab/measure/capacity.go
@@ -19,7 +19,8 @@
 func capacityOf(curves []capacity.Curve, quick bool) (Result, error) {
 	r := Result{Size: fmt.Sprintf("plan: %.0f mixers, %.0f searchers, %.0f queries a second of %.0f parts; times are printed, never judged",
 		capacity.Mixers, capacity.Searchers, capacity.Queries, capacity.Parts),
-		Header: []string{"role: quantity / grows with", "unit", "sizes", "least", "largest", "predicted", "off", "exponent", "law", "at the plan", "known there"}}
+		Header: []string{"role: quantity / grows with", "unit", "sizes", "least", "largest", "predicted", "off", "exponent",
+			"law", "at the plan", "known there"}}
 	fits, err := capacity.All(curves, quick, progress)
 	if err != nil {
 		return r, err
--- a/internal/lab/measure/capacity_test.go
+++ b/internal/lab/measure/capacity_test.go
@@ -28,7 +28,8 @@
 
 // A failed prediction and a drifted constant make the measurement fail; what is no more than a time makes no claim.
 func TestCapacityClaims(t *testing.T) {
-	f := capacity.Fitted{Curve: capacity.Curve{Role: "r", Of: "n"}, Sizes: []int{1, 16}, Values: []float64{1, 16}, Predicted: 22, Off: 22.0/16 - 1,
+	f := capacity.Fitted{Curve: capacity.Curve{Role: "r", Of: "n"}, Sizes: []int{1, 16}, Values: []float64{1, 16},
+		Predicted: 22, Off: 22.0/16 - 1,
 		Law: capacity.Law{Form: capacity.Affine, B: 1}, Quantity: capacity.Quantity{Name: "q", Deterministic: true,
 			Known: capacity.Law{Form: capacity.Affine, B: 1.3}}}
 	if claims := fittedClaims(f); len(claims) != 2 || claims[0].Holds || claims[1].Holds {
