--- a/internal/lab/capacity/events.go
+++ b/internal/lab/capacity/events.go
@@ -47,15 +47,12 @@
 				"`mixer`, `internal/routing`", "query: in the router"},
 		}
 	}
+	_, cold := ColdWindow()
 	all := []Event{
 		{"a searcher restarts", "one mixer: changes of the list", news * changeBytes.At(Searchers), "B", 0, watch, change},
 		{"a searcher restarts", "all mixers' agents together", Mixers * news * changeBytes.At(Searchers), "B", 0,
 			"the platform's", change},
-		{"a searcher restarts", "until one mixer may send it one part while cold", 1 / func() float64 {
-			_,
-				each := ColdWindow()
-			return each
-		}() * fallFor, "s", coldFor,
+		{"a searcher restarts", "until one mixer may send it one part while cold", fallFor / cold, "s", coldFor,
 			"`mixer` (cold); shared: `internal/sharing`", "arithmetic"},
 		{"a mixer restarts", "whole list, in", WholeBytes(), "B", 0, watch, list},
 		{"a mixer restarts", "reading configuration and list, and the first listing",
--- a/internal/lab/capacity/wire.go
+++ b/internal/lab/capacity/wire.go
@@ -35,9 +35,9 @@
 			{Name: "query: reading and writing all of it, no sockets", Unit: "s", Form: Quadratic, Known: wireTime},
 		},
 	}, {
-		Role: "mixer", Of: "connections", Plan: Searchers, Sizes: []int{64, 128, 256, 512, 1024, 2048}, Quick: []int{16, 32,
-			64, 128, 256},
-		Play: playConnections, Quantities: []Quantity{
+		Role: "mixer", Of: "connections", Plan: Searchers, Sizes: []int{64, 128, 256, 512, 1024, 2048},
+		Quick: []int{16, 32, 64, 128, 256}, Play: playConnections,
+		Quantities: []Quantity{
 			{Name: "connections: bytes on the heap", Unit: "B", Form: Affine, Deterministic: true, Known: connectionsHeld},
 			{Name: "connections: bytes of stacks", Unit: "B", Form: Affine, Known: connectionsStacks},
 		},
