--- a/internal/lab/capacity/events.go
+++ b/internal/lab/capacity/events.go
@@ -90,7 +90,7 @@
 }
 
 func changeEvents() []Event {
-	const by = "missing: SIGHUP takes discovery's address and the store's use only"
+	const by = "missing without relays: SIGHUP takes discovery's address and the store's use only"
 	return []Event{
 		{"4,900 changes in a day, as changes of the list", "one mixer, in",
 			Changes / secondsDay * changeBytes.At(Searchers), "B/s", BudgetNet,
