Control tier: a relay numbers by answers to a question asked since, not by contact

Cause: a relay counted another as in contact for 5 s after it last heard it, and numbered by that. So for up to 5 s after a cut the relay that was cut off still gave a version; the majority gave the same number, and after the heal the author decided.

Change: a relay asks all others once the version has come (Ask), they say in a row of their own what they have read, hold and were told (kind echo, relays alone hear it), and it numbers beyond that when a majority, itself counted, has answered in contact and over settled sessions (Answered). Questions and answers of a relay go out at once, 50 rows a second at most; who waits shares the next question. POST /control/versions waits 1 s for it, else 503. Relays of a build before this one answer nothing. Two relays that give at one moment, each with the other's answer from before the other gave, may still give the same number.

Tests: the search asks and gives when answered; a relay must have reached a majority since the question (was: within 5 s), go beyond what a majority held then, and say to hear only whom it reached within 5 s, which also finds the sleeper's fault that the answers now make harmless for numbers. TestContactIsLost wanted numbers to go on until 5 s after a cut; that was the fault: now none is given, and the planted one (stale) has the old bounds. Each Give of the other tests has a question, none lost a check.

--- a/internal/fleet/control/contact_test.go
+++ b/internal/fleet/control/contact_test.go
@@ -29,10 +29,13 @@
 		}
 		f.Opened(now, "2")
 		row := Row{Kind: KindRelay, Name: "r-1", Stamp: Stamp{1, 1, "r-1"}, Body: body(Standing{Life: "2", Contact: c.hears})}
-		if _, _, err := f.Take(now, Piece{Index: 1, Snapshot: true, Rows: []Row{row}}); err != nil {
+		q := r.Ask(now) // the answer may have come by way of another relay
+		echo := Row{Kind: KindEcho, Name: "r-1", Stamp: Stamp{1, 2, "r-1"},
+			Body: body(Echo{Question: Question{Life: "2"}, Echoes: map[string]Question{"r-0": {"1", q}}})}
+		if _, _, err := f.Take(now, Piece{Index: 1, Snapshot: true, Rows: []Row{row, echo}}); err != nil {
 			t.Fatal(err)
 		}
-		_, err = r.Give(now, []byte("{}"), nil, false)
+		_, err = r.Give(now, q, []byte("{}"), nil, false)
 		var none *NoMajority
 		if c.gives && err != nil || !c.gives && !errors.As(err, &none) {
 			t.Errorf("%s: %v", c.name, err)
--- a/internal/fleet/control/faults.go
+++ b/internal/fleet/control/faults.go
@@ -9,6 +9,8 @@
 	noAuthor      bool // two stamps that differ in their author alone are equal
 	minority      bool // numbers are given without a majority
 	oneWay        bool // a relay that is heard counts as in contact though it does not hear
+	stale         bool // a relay numbers by whom it has heard lately, without asking
+	echoLife      bool // an answer to a life before counts
 	atOnce        bool // a relay that returned numbers before it has exchanged
 	below         bool // a relay numbers below what a mixer told
 	noLife        bool // the author is the relay's name alone, so that two lives number alike
--- a/internal/fleet/control/give.go
+++ b/internal/fleet/control/give.go
@@ -12,9 +12,10 @@
 	ErrFull     = errors.New("the greatest number is given; a new epoch begins anew")
 )
 
-// NoMajority says that a relay may not number now.
+// NoMajority says that a relay may not number now. It counts relays, this one among them.
 type NoMajority struct {
-	Heard, Needed int   // relays, this one counted
+	Heard, Needed int
+	Answered      int   // of those heard, since the question
 	After         int64 // ns, where it is the start that has to be waited for; else 0
 }
 
@@ -23,6 +24,9 @@
 		return fmt.Sprintf("this relay has just started and knows no version; for %.1f s more a mixer may come with one",
 			float64(n.After)/1e9)
 	}
+	if n.Heard >= n.Needed {
+		return fmt.Sprintf("%d of the relays have answered since the version came, %d are needed", n.Answered, n.Needed)
+	}
 	return fmt.Sprintf("%d of the relays are in contact and have told all they hold, %d are needed", n.Heard, n.Needed)
 }
 
@@ -42,7 +46,8 @@
 	all := []Stamp{r.told}
 	for _, p := range r.peers {
 		s := r.toldBy(p)
-		all = append(all, s.Told, s.Holds)
+		e := r.echoOf(p)
+		all = append(all, s.Told, s.Holds, e.Told, e.Holds)
 	}
 	for _, s := range all {
 		if s.Compare(newest) > 0 {
@@ -52,17 +57,21 @@
 	return newest
 }
 
-// Give numbers a document: after the newest version that is known, in its epoch or a new one. Two relays may give the same number at
-// one moment; the greater author counts. An author is a relay's name and life, so no life numbers as another did. Where after is
-// set, it must have the newest one's epoch and number. Errors: *NoMajority, *NotNewest, ErrDocument, ErrFull.
-func (r *Relay) Give(now int64, document []byte, after *Stamp, newEpoch bool) (Row, error) {
+// Give numbers a document: after the newest version that is known, in its epoch or a new one. It needs a question of Ask, put after
+// the document came, that a majority of the relays has answered: being heard a moment ago is not enough, as the line may have been
+// cut since. Two relays that give at one moment, each with the other's answer from before the other gave, may still give the same
+// number; the greater author counts. An author is a relay's name and life, so no life numbers as another did. Where after is set, it
+// must have the newest one's epoch and number. Errors: *NoMajority, *NotNewest, ErrDocument, ErrFull.
+func (r *Relay) Give(now int64, q uint64, document []byte, after *Stamp, newEpoch bool) (Row, error) {
 	names, need := r.Contact(now)
 	newest := r.Newest()
-	if len(names)+1 < need && !r.flaw.minority {
-		return Row{}, &NoMajority{Heard: len(names) + 1, Needed: need}
+	none := NoMajority{Heard: len(names) + 1, Needed: need, Answered: r.answered(now, q)}
+	if none.Answered < need && !r.flaw.minority {
+		return Row{}, &none
 	}
 	if wait := r.started + r.o.Wait - now; wait > 0 && newest == (Stamp{}) && !r.flaw.atOnce {
-		return Row{}, &NoMajority{len(names) + 1, need, wait}
+		none.After = wait
+		return Row{}, &none
 	}
 	if after != nil && (after.Epoch != newest.Epoch || after.Number != newest.Number) {
 		return Row{}, &NotNewest{newest}
--- a/internal/fleet/control/relay.go
+++ b/internal/fleet/control/relay.go
@@ -58,8 +58,10 @@
 type peer struct {
 	Seat
 	follower *Follower
-	heard    int64 // in a session that has told all there was
-	counts   bool  // heard at all, so
+	heard    int64  // in a session that has told all there was
+	counts   bool   // heard at all, so
+	echo     Echo   // its row of KindEcho
+	echoAt   uint64 // that row's index in the table
 }
 
 // Relay is one relay's state: what it holds, who follows it, which other relays it hears.
@@ -84,9 +86,14 @@
 	made       int64
 	stepped    int64
 	remade     bool
-	saidHolds  Stamp           // the version that the last own row says it holds
-	rows       pace            // bytes of own rows
-	retell     map[string]bool // own rows that other relays hold otherwise, to be told anew
+	saidHolds  Stamp               // the version that the last own row says it holds
+	rows       pace                // bytes of own rows
+	retell     map[string]bool     // own rows that other relays hold otherwise, to be told anew
+	wanted     uint64              // the last question that was to be asked
+	asked      uint64              // the last one that was
+	echoes     map[string]Question // the last one read of each other relay
+	echoMade   int64               // the own row of KindEcho
+	echoStamp  Stamp               // of that row
 	flaw       faults
 	notAllowed int // rows, mixers and tellings that were refused
 }
@@ -101,7 +108,7 @@
 	o.Sessions, o.NewPerS = cmp.Or(o.Sessions, 8192), cmp.Or(o.NewPerS, 1024)
 	r := &Relay{o: o, self: o.Seats[at], table: NewTable(o.Limits), started: now, sessions: map[uint64]*Session{},
 		members: map[string]*member{}, retell: map[string]bool{}, opens: pace{int64(o.NewPerS), int64(o.NewPerS), now - second},
-		rows: pace{Rate / 2 / int64(len(o.Seats)), 4 << 10, now - 60*second}}
+		echoMade: now - second, rows: pace{Rate / 2 / int64(len(o.Seats)), 4 << 10, now - 60*second}}
 	for _, s := range o.Seats {
 		if s.Name == o.Name {
 			continue
@@ -157,7 +164,9 @@
 	news, refused := r.table.Merge(own)
 	r.notAllowed += refused
 	for _, row := range news {
-		if row.Kind != KindSettings && row.Author == r.o.Name { // of a life before, or forgotten here: ours go beyond
+		if row.Kind == KindEcho && row.Author == r.o.Name { // of a life before; tellEcho says it anew
+			r.rowNumber = max(r.rowNumber, row.Number)
+		} else if row.Kind != KindSettings && row.Author == r.o.Name { // of a life before, or forgotten here: ours go beyond
 			r.rowNumber = max(r.rowNumber, row.Number)
 			if !r.flaw.adopts {
 				r.retell[row.Name] = true
@@ -212,11 +221,12 @@
 
 // Contact gives the names of the relays that are heard and say that they hear this one, and how many, this one counted, are a majority
 // of all. Over a line that carries one way alone a version would be numbered that nobody hears of, and go before others' once healed.
+// They were heard within Away, which is not enough to number by: see Answered.
 func (r *Relay) Contact(now int64) (names []string, majority int) {
 	for _, name := range r.hears(now) {
 		if r.flaw.oneWay || slices.Contains(r.toldBy(r.peer(name)).Contact, r.o.Name) {
 			names = append(names, name)
 		}
 	}
-	return names, len(r.o.Seats)/2 + 1
+	return names, r.majority()
 }
--- a/internal/fleet/control/relay_test.go
+++ b/internal/fleet/control/relay_test.go
@@ -62,19 +62,32 @@
 func TestGive(t *testing.T) {
 	alone := relayOf(t, RelayOptions{})
 	var no *NoMajority
-	if _, err := alone.Give(0, []byte(`{}`), nil, false); !errors.As(err, &no) || no.Heard != 1 || no.Needed != 2 {
+	if _, err := alone.Give(0, alone.Ask(0), []byte(`{}`), nil, false); !errors.As(err, &no) || no.Heard != 1 || no.Needed != 2 {
 		t.Errorf("alone: %v", err)
 	}
 	w := newWorld(1, faults{})
 	w.run(40)
 	r := w.nodes[0].relay
+	asked := func(of ...*Relay) (q uint64) { // each asks, and has been answered
+		for _, r := range of {
+			q = r.Ask(w.now())
+		}
+		w.run(8)
+		for _, r := range of {
+			if !r.Answered(w.now(), r.asked) {
+				t.Fatalf("%s is not answered", r.o.Name)
+			}
+		}
+		return q
+	}
+	q := asked(r)
 	long := `{"x":"` + strings.Repeat("x", MaxDocument) + `"}`
 	for name, doc := range map[string]string{"none": "", "list": "[]", "broken": "{", "long": long} {
-		if _, err := r.Give(w.now(), []byte(doc), nil, false); !errors.Is(err, ErrDocument) {
+		if _, err := r.Give(w.now(), q, []byte(doc), nil, false); !errors.Is(err, ErrDocument) {
 			t.Errorf("%s: %v", name, err)
 		}
 	}
-	one, err := r.Give(w.now(), []byte(`{"a": 1}`), &Stamp{}, false)
+	one, err := r.Give(w.now(), q, []byte(`{"a": 1}`), &Stamp{}, false)
 	if err != nil || one.Epoch != 1 || one.Number != 1 || one.Author != "r-0/"+r.o.Life || string(one.Body) != `{"a":1}` {
 		t.Fatalf("%+v, %v", one, err)
 	}
@@ -86,15 +99,16 @@
 		t.Errorf("held by %d after 5 s", held)
 	}
 	var not *NotNewest
-	if _, err := r.Give(w.now(), []byte(`{}`), &Stamp{}, false); !errors.As(err, &not) || not.Newest != one.Stamp {
+	asked(r, w.nodes[1].relay)
+	if _, err := r.Give(w.now(), r.asked, []byte(`{}`), &Stamp{}, false); !errors.As(err, &not) || not.Newest != one.Stamp {
 		t.Errorf("after none: %v", err)
 	}
-	two, err := w.nodes[1].relay.Give(w.now(), []byte(`{}`), &Stamp{Epoch: 1, Number: 1}, false)
+	two, err := w.nodes[1].relay.Give(w.now(), w.nodes[1].relay.asked, []byte(`{}`), &Stamp{Epoch: 1, Number: 1}, false)
 	if err != nil || two.Number != 2 {
 		t.Errorf("%+v, %v", two, err)
 	}
 	// at the same moment at another relay: the greater author counts, which the other's status says
-	same, err := r.Give(w.now(), []byte(`{}`), nil, false)
+	same, err := r.Give(w.now(), r.asked, []byte(`{}`), nil, false)
 	if err != nil || same.Number != 2 {
 		t.Fatalf("%+v, %v", same, err)
 	}
@@ -103,7 +117,7 @@
 	if a.Version != two.Stamp || !a.Overtaken || b.Version != two.Stamp || b.Overtaken || a.Held != 3 {
 		t.Errorf("status %+v and %+v", a, b)
 	}
-	new, err := r.Give(w.now(), []byte(`{}`), nil, true)
+	new, err := r.Give(w.now(), asked(r), []byte(`{}`), nil, true)
 	if err != nil || new.Epoch != 2 || new.Number != 1 {
 		t.Errorf("%+v, %v", new, err)
 	}
@@ -121,17 +135,18 @@
 			t.Errorf("%s: newest %v, held %v", n.name, s.Newest, s.Version)
 		}
 	}
-	beyond, err := w.nodes[2].relay.Give(w.now(), []byte(`{}`), nil, false)
+	beyond, err := w.nodes[2].relay.Give(w.now(), asked(w.nodes[2].relay), []byte(`{}`), nil, false)
 	if err != nil || beyond.Number != 41 {
 		t.Errorf("%+v, %v", beyond, err)
 	}
+	q = asked(at)
 	if err := at.Said(w.now(), Self{Name: m.o.Self.Name, InForce: Stamp{2, MaxCount, "x"}}); err != nil {
 		t.Fatal(err)
 	}
-	if _, err := at.Give(w.now(), []byte(`{}`), nil, false); !errors.Is(err, ErrFull) {
+	if _, err := at.Give(w.now(), q, []byte(`{}`), nil, false); !errors.Is(err, ErrFull) {
 		t.Errorf("at the greatest number: %v", err)
 	}
-	if _, err := at.Give(w.now(), []byte(`{}`), nil, true); err != nil {
+	if _, err := at.Give(w.now(), q, []byte(`{}`), nil, true); err != nil {
 		t.Errorf("a new epoch: %v", err)
 	}
 	if w.wrong != "" {
@@ -139,24 +154,39 @@
 	}
 }
 
-// TestContactIsLost has a relay that hears nobody any more give versions until the others count as away, and no longer.
+// TestContactIsLost has a relay that hears nobody any more give no version, whatever it asked since, from the first moment on; with the
+// planted fault it gives them until the others count as away.
 func TestContactIsLost(t *testing.T) {
-	w := newWorld(2, faults{})
+	for _, flaw := range []faults{{}, {stale: true}} {
+		contactIsLost(t, flaw)
+	}
+}
+
+func contactIsLost(t *testing.T, flaw faults) {
+	w := newWorld(2, flaw)
 	w.run(40)
+	if !w.give(0, false, false) {
+		t.Fatal("with good lines none is given")
+	}
 	for o := range relays {
 		w.cut[0][o], w.cut[o][0] = true, true
 	}
 	var given, refused int64
+	var none *NoMajority
+	cut, r := w.now(), w.nodes[0].relay
 	for range 40 {
+		q := r.Ask(w.now())
 		w.step()
-		if _, err := w.nodes[0].relay.Give(w.now(), []byte(`{}`), nil, false); err == nil {
+		if _, err := r.Give(w.now(), q, []byte(`{}`), nil, false); err == nil {
 			given = w.now()
 		} else if refused == 0 {
-			refused = w.now()
+			if refused = w.now(); !errors.As(err, &none) || none.Answered != 1 || none.Needed != 2 {
+				t.Error(err)
+			}
 		}
 	}
-	if given >= refused || refused > 40*tick+Away+tick {
-		t.Errorf("the last version is given at %d, the first refused at %d", given, refused)
+	if flaw.stale && given == 0 || !flaw.stale && given > 0 || given >= refused || refused > cut+Away+tick {
+		t.Errorf("%+v: cut at %d, the last version is given at %d, the first refused at %d", flaw, cut, given, refused)
 	}
 	if names, need := w.nodes[0].relay.Contact(w.now()); len(names) != 0 || need != 2 {
 		t.Errorf("hears %v, needs %d", names, need)
@@ -167,14 +197,14 @@
 func TestRelayWaitsForItsMixers(t *testing.T) {
 	r := relayOf(t, RelayOptions{Name: "r-0", Life: "2", Seats: seats[:1], Wait: 10 * second})
 	var no *NoMajority
-	if _, err := r.Give(9*second, []byte(`{}`), nil, false); !errors.As(err, &no) || no.After != second {
+	if _, err := r.Give(9*second, r.Ask(9*second), []byte(`{}`), nil, false); !errors.As(err, &no) || no.After != second {
 		t.Errorf("within the wait: %v", err)
 	}
 	join(t, r, 9*second, "m", "z")
 	if err := r.Said(9*second, Self{Name: "m", InForce: Stamp{1, 7, "r-0/1"}}); err != nil {
 		t.Fatal(err)
 	}
-	if row, err := r.Give(9*second, []byte(`{}`), nil, false); err != nil || row.Number != 8 {
+	if row, err := r.Give(9*second, r.Ask(9*second), []byte(`{}`), nil, false); err != nil || row.Number != 8 {
 		t.Errorf("%+v, %v", row, err)
 	}
 }
--- a/internal/fleet/control/rows.go
+++ b/internal/fleet/control/rows.go
@@ -17,9 +17,18 @@
 // Step remakes the relay's own rows, at most once a second, and at once where it holds another version. Only those that say
 // something else are told anew, the longest unchanged first, as far as their pace allows: all relays' own rows together fill at most
 // half of what a mixer is told, so that whoever follows catches up. It tells whether anything changed, and ns until it is due again:
-// a relay that is not stepped for Away has slept, and hears nobody until it has opened its sessions anew.
+// a relay that is not stepped for Away has slept, and hears nobody until it has opened its sessions anew. The row of KindEcho is
+// remade at once.
 func (r *Relay) Step(now int64) (changed bool, wait int64) {
 	r.wake(now)
+	echoed, soon := r.tellEcho(now)
+	if changed, wait = r.remake(now); soon > 0 {
+		wait = min(wait, soon)
+	}
+	return changed || echoed, wait
+}
+
+func (r *Relay) remake(now int64) (changed bool, wait int64) {
 	holds := r.saidHolds != r.table.Settings()
 	if r.remade && now-r.made < Remakes && !holds {
 		return false, r.made + Remakes - now
@@ -62,7 +71,7 @@
 	r.rowNumber++
 	row.Stamp = Stamp{1, r.rowNumber, r.o.Name}
 	news, refused := r.table.Merge([]Row{row})
-	if r.notAllowed += refused; len(news) > 0 {
+	if r.notAllowed += refused; len(news) > 0 && row.Kind != KindEcho { // which mixers do not hear
 		r.rows.spend(r.table.rows[key{row.Kind, row.Name}].size)
 	}
 	return len(news) > 0
--- a/internal/fleet/control/search_test.go
+++ b/internal/fleet/control/search_test.go
@@ -13,10 +13,10 @@
 	r, m := any(0, relays), any(0, nodes)
 	switch i {
 	case 0, 1:
-		w.give(r, w.random.IntN(3) == 0, w.random.IntN(5) == 0)
+		w.ask(r, w.random.IntN(3) == 0, w.random.IntN(5) == 0)
 	case 2: // two at one moment
-		w.give(r, false, false)
-		w.give((r+1)%relays, w.random.IntN(3) == 0, false)
+		w.ask(r, false, false)
+		w.ask((r+1)%relays, w.random.IntN(3) == 0, false)
 	case 3:
 		o := any(0, nodes)
 		w.note("line %d-%d cut", r, o)
@@ -254,6 +254,7 @@
 		"stamps compared by number alone":                       {numberOnly: true},
 		"a tie without the author":                              {noAuthor: true},
 		"numbers of a minority":                                 {minority: true},
+		"numbers by whom was heard of late":                     {stale: true},
 		"a relay that returns and numbers at once":              {atOnce: true},
 		"a relay that numbers below what a mixer told":          {below: true},
 		"an author that is the name alone":                      {noLife: true},
--- a/internal/fleet/control/session.go
+++ b/internal/fleet/control/session.go
@@ -39,7 +39,11 @@
 	flaw     faults
 }
 
-var otherKinds = []string{KindRelay, KindZone}
+// Kinds besides the settings that are told, which come first.
+var (
+	mixerKinds = []string{KindRelay, KindZone}
+	relayKinds = []string{KindEcho, KindRelay, KindZone}
+)
 
 // NewSession begins a session. What was heard before counts from since on where known, else all is told.
 func NewSession(now int64, name string, mixer, known bool, since uint64) *Session {
@@ -82,7 +86,11 @@
 	}
 	p.Index = s.cursor
 	if room > 0 {
-		rows, upto := t.Since(s.cursor, otherKinds, PieceRows-len(p.Rows), room)
+		kinds := relayKinds
+		if s.Mixer {
+			kinds = mixerKinds
+		}
+		rows, upto := t.Since(s.cursor, kinds, PieceRows-len(p.Rows), room)
 		p.Rows = append(p.Rows, rows...)
 		if s.flaw.skips && s.whole && upto >= s.end {
 			upto = t.index
--- a/internal/fleet/control/table.go
+++ b/internal/fleet/control/table.go
@@ -129,7 +129,7 @@
 		if most = MaxDocument; r.Name != SettingsName && r.Name != ProvenName || r.Gone {
 			return r, 0, false
 		}
-	case KindRelay:
+	case KindRelay, KindEcho:
 		if r.Name != r.Author {
 			return r, 0, false
 		}
--- a/internal/fleet/control/types.go
+++ b/internal/fleet/control/types.go
@@ -32,6 +32,7 @@
 	KindSettings = "settings" // two rows, their bodies documents of the settings that are taken in flight: the newest, the last good one
 	KindRelay    = "relay"    // one a relay, its own: how it stands and how many of its mixers have which version
 	KindZone     = "zone"     // one a relay, region and zone, named so with slashes: how many mixers are there
+	KindEcho     = "echo"     // one a relay, its own, which relays alone hear: its questions, and those of others that it has read
 )
 
 // Row is one thing that is told.
--- a/internal/fleet/control/world_test.go
+++ b/internal/fleet/control/world_test.go
@@ -58,6 +58,7 @@
 	docs   map[Stamp]string
 	bad    map[Stamp]bool
 	given  int
+	asks   []*request // versions that wait for answers
 	log    []string
 	wrong  string
 	lives  uint64
@@ -168,6 +169,10 @@
 			w.watch(n)
 		}
 	}
+	for _, q := range w.asks {
+		w.answer(q)
+	}
+	w.asks = slices.DeleteFunc(w.asks, func(q *request) bool { return q.done })
 }
 
 // carry moves the pieces of one session.
@@ -342,38 +347,3 @@
 	}
 	n.held = s
 }
-
-// give has a relay give a version, and checks that it might.
-func (w *world) give(i int, bad, epoch bool) bool {
-	n := w.nodes[i]
-	if n.paused {
-		return false
-	}
-	w.given++
-	doc := fmt.Sprintf(`{"v":%d}`, w.given)
-	row, err := n.relay.Give(w.now(), []byte(doc), nil, epoch)
-	if err != nil {
-		return false
-	}
-	s := row.Stamp
-	w.note("%s gives %v, bad %v", n.name, s, bad)
-	if was := w.docs[s]; was != "" {
-		w.fail("%s numbers %v twice", n.name, s)
-	}
-	w.docs[s], w.bad[s] = doc, bad
-	reached, exchanged := 1, 1
-	for j := range relays {
-		if j != i {
-			reached += truth(n.heard[j]*int(tick) <= int(Away+tick))
-			exchanged += truth(n.exchanged[j])
-		}
-	}
-	if reached < 2 || exchanged < 2 {
-		w.fail("%s gives %v in contact with %d, having exchanged with %d", n.name, s, reached, exchanged)
-	}
-	if s.Compare(n.has) <= 0 || s.Compare(n.told) <= 0 {
-		w.fail("%s gives %v beside %v and %v", n.name, s, n.has, n.told)
-	}
-	n.has = s
-	return true
-}
--- a/internal/fleet/relay/admin.go
+++ b/internal/fleet/relay/admin.go
@@ -69,10 +69,7 @@
 		reply(w, http.StatusBadRequest, Refused{Error: err.Error(), Element: HeaderAfter, Value: clip(r.Header.Get(HeaderAfter))})
 		return
 	}
-	s.mu.Lock()
-	row, err := s.relay.Give(s.now(), document, after, r.Header.Get(HeaderNewEpoch) == "yes")
-	s.notify()
-	s.mu.Unlock()
+	row, err := s.give(r.Context(), document, after, r.Header.Get(HeaderNewEpoch) == "yes")
 	var newest *control.NotNewest
 	var none *control.NoMajority
 	switch {
@@ -91,6 +88,49 @@
 	}
 }
 
+// give numbers a version as soon as a majority of the relays has answered a question asked from now on. It waits for that, though not
+// for long: where this process itself has not run meanwhile, the answers may be old.
+func (s *Server) give(ctx context.Context, document []byte, after *control.Stamp, newEpoch bool) (row control.Row, err error) {
+	timer := time.NewTimer(0)
+	defer timer.Stop()
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	until := s.now() + int64(s.o.Majority)
+	q := s.relay.Ask(s.now())
+	s.notify()
+	select {
+	case s.asks <- struct{}{}: // it may be due a little later
+	default:
+	}
+	for now := s.now(); ; now = s.now() {
+		row, err = s.relay.Give(now, q, document, after, newEpoch)
+		s.notify()
+		var none *control.NoMajority
+		if !errors.As(err, &none) || none.After > 0 {
+			return row, err
+		}
+		changed := s.changed
+		s.mu.Unlock()
+		timer.Reset(min(lookEvery, time.Duration(until-now)))
+		over := false
+		select {
+		case <-ctx.Done():
+			over = true
+		case <-s.over:
+			over = true
+		case <-timer.C:
+		case <-changed:
+		}
+		s.mu.Lock()
+		if over || s.now() >= until {
+			return control.Row{}, err
+		}
+	}
+}
+
+// lookEvery is how often a version that waits for answers looks whether sessions have come back, which may change no row.
+const lookEvery = 50 * time.Millisecond
+
 // held waits until a majority of the relays holds a version, though not for long, and counts them.
 func (s *Server) held(ctx context.Context, version control.Stamp) int {
 	ctx, done := context.WithTimeout(ctx, s.o.Majority)
--- a/internal/fleet/relay/server.go
+++ b/internal/fleet/relay/server.go
@@ -29,7 +29,7 @@
 	Wait     time.Duration // from the start on: a relay that knows no version gives none, as its mixers may come with one
 	Read     time.Duration // a request that does not come whole within this ends its connection
 	Write    time.Duration // a piece that is not taken within this ends its session
-	Majority time.Duration // how long the answer to a version given waits for a majority of the relays
+	Majority time.Duration // how long a version waits for answers of a majority of the relays, and then for a majority to hold it
 }
 
 // Bounds of a relay's listeners.
@@ -59,6 +59,7 @@
 	relay   *control.Relay
 	index   uint64        // of the relay's table, as last looked at
 	changed chan struct{} // closed when the table changes
+	asks    chan struct{} // a question is to be asked
 	live    map[string]map[uint64]*live
 	number  uint64 // of the last session
 }
@@ -89,7 +90,7 @@
 		o.Conns = 2*o.Sessions + spareConns
 	}
 	s := &Server{o: o, log: o.Log, life: fmt.Sprintf("%016x", drawn()), began: time.Now(), over: make(chan struct{}),
-		changed: make(chan struct{}), live: map[string]map[uint64]*live{}}
+		changed: make(chan struct{}), asks: make(chan struct{}, 1), live: map[string]map[uint64]*live{}}
 	var err error
 	s.relay, err = control.NewRelay(s.now(), control.RelayOptions{Name: o.Name, Seats: o.Seats, Life: s.life, Sessions: o.Sessions,
 		NewPerS: o.NewPerS, Wait: int64(o.Wait), Seed: drawn()})
@@ -127,7 +128,7 @@
 		ErrorLog: slog.NewLogLogger(s.log.Handler(), slog.LevelDebug)}
 	serve(open, sessions)
 	ask := &http.Server{Handler: s.questions(), ReadHeaderTimeout: headerWithin, ReadTimeout: s.o.Read,
-		WriteTimeout: s.o.Majority + s.o.Read, IdleTimeout: idleFor, MaxHeaderBytes: mostHeader}
+		WriteTimeout: 2*s.o.Majority + s.o.Read, IdleTimeout: idleFor, MaxHeaderBytes: mostHeader}
 	if admin != nil {
 		serve(ask, admin)
 	}
@@ -191,7 +192,7 @@
 	}
 }
 
-// step remakes the relay's own rows when that is due, and at once after a change.
+// step remakes the relay's own rows when that is due, and at once after a change or a question.
 func (s *Server) step(ctx context.Context) {
 	timer := time.NewTimer(0)
 	defer timer.Stop()
@@ -206,6 +207,7 @@
 		case <-ctx.Done():
 		case <-timer.C:
 		case <-changed:
+		case <-s.asks:
 		}
 	}
 }
