--- a/internal/fleet/control/types.go
+++ b/internal/fleet/control/types.go
@@ -33,6 +33,7 @@
 	KindRelay    = "relay"    // one a relay, its own: how it stands and how many of its mixers have which version
 	KindZone     = "zone"     // one a relay, region and zone, named so with slashes: how many mixers are there
 	KindWords    = "words"    // a few a relay: what its mixers together say of searchers, and the sign that it stands
+	KindEcho     = "echo"     // one a relay, its own, which relays alone hear: its questions, and those of others that it has read
 )
 
 // Row is one thing that is told.
