--- a/internal/lab/measure/measure.go
+++ b/internal/lab/measure/measure.go
@@ -23,11 +23,20 @@
 	Size   string // what was played
 	Header []string
 	Rows   [][]string
+	More   []Table // after the first
+	Notes  []string
 	Claims []Claim
 }
 
+// Table is a further one of a result.
+type Table struct {
+	Header []string
+	Rows   [][]string
+}
+
 // Measurements are those there are, by name.
 var Measurements = map[string]func(quick bool) (Result, error){
+	"control":      Control,
 	"shared-store": SharedStore,
 	"site-loss":    SiteLoss,
 }
@@ -44,18 +53,19 @@
 // Print writes a result, and gives how many claims fail.
 func (r Result) Print(w io.Writer) (failed int) {
 	fmt.Fprintln(w, r.Size)
-	t := tabwriter.NewWriter(w, 0, 4, 2, ' ', 0)
-	line := func(cells []string) {
-		for _, c := range cells {
-			fmt.Fprint(t, c, "\t")
+	for _, table := range append([]Table{{r.Header, r.Rows}}, r.More...) {
+		t := tabwriter.NewWriter(w, 0, 4, 2, ' ', 0)
+		for _, row := range append([][]string{table.Header}, table.Rows...) {
+			for _, c := range row {
+				fmt.Fprint(t, c, "\t")
+			}
+			fmt.Fprintln(t)
 		}
-		fmt.Fprintln(t)
+		t.Flush()
 	}
-	line(r.Header)
-	for _, row := range r.Rows {
-		line(row)
+	for _, n := range r.Notes {
+		fmt.Fprintln(w, n)
 	}
-	t.Flush()
 	for _, c := range r.Claims {
 		verdict := "holds"
 		if !c.Holds {
--- a/internal/lab/scale/alltoall.go
+++ b/internal/lab/scale/alltoall.go
@@ -70,12 +70,12 @@
 		time.Sleep(50 * time.Millisecond)
 		a.Known, a.Settled = known(all), time.Since(began)
 	}
-	cpu, bytes, from := spent(), counter.bytes.Load(), time.Now()
+	cpu, bytes, from := spentHere(), counter.bytes.Load(), time.Now()
 	time.Sleep(last)
 	seconds := time.Since(from).Seconds()
 	a.Bytes = float64(counter.bytes.Load()-bytes) / seconds / float64(members)
 	a.Known = known(all)
-	a.CPU = (spent() - cpu).Seconds() / seconds / float64(members)
+	a.CPU = (spentHere() - cpu).Seconds() / seconds / float64(members)
 	return a, nil
 }
 
@@ -92,8 +92,8 @@
 	return float64(here) / float64(len(all)*len(all))
 }
 
-// spent is this process's processor time.
-func spent() time.Duration {
+// spentHere is this process's processor time.
+func spentHere() time.Duration {
 	var u syscall.Rusage
 	syscall.Getrusage(syscall.RUSAGE_SELF, &u)
 	return time.Duration(u.Utime.Nano() + u.Stime.Nano())
--- a/internal/lab/scale/book.go
+++ b/internal/lab/scale/book.go
@@ -52,26 +52,26 @@
 	}
 }
 
-// spread is how long something took at many mixers.
-type spread struct {
+// Spread is how long something took at many mixers.
+type Spread struct {
 	All  int // mixers
 	Left int // that ended before
 	Lack int // that ran and never came to it
 	Took []time.Duration
 }
 
-// at gives the time within which a share of them had it, sorted first.
-func (s spread) at(share float64) time.Duration {
+// At gives the time within which a share of them had it, Took being sorted.
+func (s Spread) At(share float64) time.Duration {
 	if len(s.Took) == 0 {
 		return 0
 	}
 	return s.Took[min(len(s.Took)-1, int(share*float64(len(s.Took))))]
 }
 
-func (s spread) median() time.Duration { return s.at(0.5) }
-func (s spread) last() time.Duration   { return s.at(1) }
+// Last gives when the last of them had it.
+func (s Spread) Last() time.Duration { return s.At(1) }
 
-func (s *spread) add(o spread) {
+func (s *Spread) add(o Spread) {
 	s.All, s.Left, s.Lack = s.All+o.All, s.Left+o.Left, s.Lack+o.Lack
 	s.Took = append(s.Took, o.Took...)
 	slices.Sort(s.Took)
@@ -86,7 +86,7 @@
 }
 
 // reached gives, of the mixers that ran when a version was given, how long until it or a later one was in force.
-func (b *book) reached(g given) (s spread) {
+func (b *book) reached(g given) (s Spread) {
 	for _, lives := range b.lives {
 		for _, l := range lives {
 			if l.begun > g.at || l.ended != 0 && l.ended <= g.at {
@@ -109,7 +109,7 @@
 }
 
 // refused gives the same for a version that is rejected.
-func (b *book) refused(g given) (s spread) {
+func (b *book) refused(g given) (s Spread) {
 	for _, lives := range b.lives {
 		for _, l := range lives {
 			if l.begun > g.at || l.ended != 0 && l.ended <= g.at {
@@ -133,7 +133,7 @@
 
 // begun gives, of the mixers that began in a time, how long from their start until a version that was the newest then or a later one
 // was in force.
-func (b *book) begun(from, to int64, all []given) (s spread) {
+func (b *book) begun(from, to int64, all []given) (s Spread) {
 	for _, lives := range b.lives {
 		for _, l := range lives {
 			if l.begun < from || l.begun > to {
--- a/internal/lab/scale/command.go
+++ b/internal/lab/scale/command.go
@@ -45,6 +45,7 @@
 	In, Out    int64
 	Most       int64 // in and out of the mixer with the most
 	Peak       int64 // in and out of a mixer in its greatest second
+	PeakTen    int64 // and in its greatest ten
 	Dials      int64 // since the start
 }
 
@@ -116,7 +117,7 @@
 	case "scene":
 		for _, m := range h.mixers {
 			in, out := m.bytes()
-			m.base, m.second, m.peak = in+out, in+out, 0
+			m.base, m.peak, m.peakTen = in+out, 0, 0
 		}
 		fallthrough
 	case "figures":
@@ -128,7 +129,7 @@
 }
 
 func (h *herd) figures() (f figures) {
-	f.CPU = spent()
+	f.CPU = spentHere()
 	var m runtime.MemStats
 	runtime.ReadMemStats(&m)
 	f.Heap, f.Goroutines = int64(m.HeapInuse), runtime.NumGoroutine()
@@ -137,6 +138,7 @@
 		in, out := m.bytes()
 		f.In, f.Out = f.In+in, f.Out+out
 		f.Most, f.Peak = max(f.Most, in+out-m.base), max(f.Peak, m.peak)
+		f.PeakTen = max(f.PeakTen, m.peakTen)
 		if m.wires != nil {
 			f.Dials += m.wires.dials.Load()
 		}
@@ -144,6 +146,19 @@
 	return f
 }
 
+// machine gives the processor time that all of this machine's processes have spent since its start.
+func machine() time.Duration {
+	raw, _ := os.ReadFile("/proc/stat")
+	line, _, _ := strings.Cut(string(raw), "\n")
+	ticks := int64(0)
+	for i, f := range strings.Fields(line) {
+		if n, err := strconv.ParseInt(f, 10, 64); err == nil && i != 4 && i != 5 && i <= 8 { // idle, waiting; guests count twice
+			ticks += n
+		}
+	}
+	return time.Duration(ticks) * (time.Second / 100)
+}
+
 // used gives what a process of this machine has used, as /proc tells it: processor time since its start, memory and open files.
 func used(pid int) (cpu time.Duration, resident int64, files int) {
 	dir := "/proc/" + strconv.Itoa(pid)
--- a/internal/lab/scale/hollow.go
+++ b/internal/lab/scale/hollow.go
@@ -49,10 +49,11 @@
 	router            *routing.Router // of its present life
 	inForce, rejected control.Stamp
 
-	in, out int64 // bytes of earlier lives
-	base    int64 // in and out when the present scene began
-	second  int64 // in and out a second ago
-	peak    int64 // of a second, since the scene began
+	in, out int64     // bytes of earlier lives
+	base    int64     // in and out when the present scene began
+	ago     [11]int64 // in and out at each of the last seconds, a ring
+	peak    int64     // of a second, since the scene began
+	peakTen int64     // of ten seconds
 }
 
 func newHerd(s spec, log *slog.Logger) (*herd, error) {
@@ -154,11 +155,11 @@
 	return in, out
 }
 
-// seconds keeps the greatest second of each mixer, until the context ends.
+// seconds keeps the greatest second and ten seconds of each mixer, until the context ends.
 func (h *herd) seconds(ctx context.Context) {
 	t := time.NewTicker(time.Second)
 	defer t.Stop()
-	for {
+	for n := 0; ; n++ {
 		select {
 		case <-ctx.Done():
 			return
@@ -167,8 +168,9 @@
 		h.mu.Lock()
 		for _, m := range h.mixers {
 			in, out := m.bytes()
-			m.peak = max(m.peak, in+out-m.second)
-			m.second = in + out
+			m.ago[n%11] = in + out
+			m.peak = max(m.peak, in+out-m.ago[(n+10)%11])
+			m.peakTen = max(m.peakTen, in+out-m.ago[(n+1)%11])
 		}
 		h.mu.Unlock()
 	}
--- a/internal/lab/scale/rig.go
+++ b/internal/lab/scale/rig.go
@@ -16,16 +16,15 @@
 	"time"
 
 	"nettlefold/internal/fleet/control"
+	"nettlefold/internal/fleet/relay"
 	"nettlefold/internal/settings"
 )
 
-// relay is a process of the program that is a relay. The same seat may be taken by several processes after each other.
-type relay struct {
+// station is a process of the program that is a relay. The same seat may be taken by several processes after each other.
+type station struct {
 	control.Seat
 	admin string
 	proc  *process // nil: it does not run
-	spent time.Duration
-	since time.Time
 }
 
 // Rig is a play under way.
@@ -36,7 +35,7 @@
 	dir    string
 	lock   net.Listener // holds the block of addresses
 	block  string
-	relays []*relay
+	relays []*station
 	herds  []*process
 	bounds []int // mixers of herd i: bounds[i] to bounds[i+1]
 	client *http.Client
@@ -79,7 +78,7 @@
 	for k := range r.Relays {
 		host := fmt.Sprintf("%s.%d", r.block, k+1)
 		seat := control.Seat{Name: fmt.Sprintf("r-%d", k+1), Region: regions[k%len(regions)], Address: host + ":7101"}
-		r.relays = append(r.relays, &relay{Seat: seat, admin: host + ":7102"})
+		r.relays = append(r.relays, &station{Seat: seat, admin: host + ":7102"})
 		seats = append(seats, seat)
 	}
 	for k := range r.relays {
@@ -107,8 +106,8 @@
 			if err != nil {
 				return err
 			}
-			if st.Reached < r.Relays {
-				return fmt.Errorf("%s reaches %d of %d", o.Name, st.Reached, r.Relays)
+			if n := 1 + len(st.Contact); n < r.Relays {
+				return fmt.Errorf("%s is in contact with %d of %d", o.Name, n, r.Relays)
 			}
 		}
 		return nil
@@ -147,7 +146,7 @@
 	}
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	o.proc, o.since = p, time.Now()
+	o.proc = p
 	return nil
 }
 
@@ -160,13 +159,6 @@
 	p.kill()
 }
 
-// status is what is read of a relay's own.
-type status struct {
-	Sessions int // of mixers
-	Share    int // of sessions that it takes
-	Reached  int // relays in contact, itself too
-}
-
 // up gives the relays that run.
 func (r *Rig) up() (all []int) {
 	r.mu.Lock()
@@ -189,7 +181,7 @@
 
 // give gives a document at a relay, and notes when.
 func (r *Rig) give(k int, document []byte) (given, error) {
-	q, err := http.NewRequest("POST", "http://"+r.relays[k].admin+"/control/versions", bytes.NewReader(document))
+	q, err := http.NewRequest("POST", "http://"+r.relays[k].admin+relay.PathVersions, bytes.NewReader(document))
 	if err != nil {
 		return given{}, err
 	}
@@ -206,10 +198,7 @@
 	if a.StatusCode != http.StatusOK {
 		return given{}, &refusedError{a.StatusCode, strings.TrimSpace(string(raw))}
 	}
-	var told struct {
-		control.Stamp
-		Held int `json:"held"`
-	}
+	var told relay.Given
 	if err := json.Unmarshal(raw, &told); err != nil {
 		return given{}, fmt.Errorf("answer %q: %w", raw, err)
 	}
--- a/internal/lab/scale/scene.go
+++ b/internal/lab/scale/scene.go
@@ -13,13 +13,15 @@
 	Versions int
 	Restarts int
 
-	Reached  spread        // from a change to in force, of the mixers that ran when it was given
-	Newcome  spread        // from a mixer's start to in force
+	Reached  Spread        // from a change to in force, of the mixers that ran when it was given
+	Newcome  Spread        // from a mixer's start to in force
 	Accepted time.Duration // until a relay said that a majority holds a change, the longest
 
 	In, Out      float64    // bytes a second and mixer, payload
 	Most         float64    // bytes a second of the mixer with the most
 	Peak         int64      // bytes of a mixer in its greatest second
+	PeakTen      float64    // bytes a second of a mixer in its greatest ten seconds
+	Told         [2]float64 // bytes a second that a relay tells mixers and relays: the mean relay's, the most
 	MixerCPU     float64    // share of a core and mixer
 	RelayCPU     [2]float64 // share of a core: the mean relay's, the most
 	MixerMemory  float64    // bytes resident, of a process by its mixers
@@ -29,6 +31,7 @@
 	Goroutines   float64 // a mixer
 	RelaySession [2]int  // the least and the most of a relay that runs, at the end
 	SessionPeak  int     // the most of a relay at any time
+	Others       float64 // cores that were busy with what is not of this play
 }
 
 // scene plays a part: do gives how many versions it gave, in order.
@@ -41,8 +44,11 @@
 	}
 	began, first := time.Now(), len(r.given)
 	spent := map[*process]time.Duration{}
+	told := map[*process]float64{}
+	busy, own := machine(), spentHere()
 	for _, k := range r.up() {
 		spent[r.relays[k].proc], _, _ = used(r.relays[k].proc.cmd.Process.Pid)
+		told[r.relays[k].proc] = r.told(k)
 	}
 	if err := do(&s); err != nil {
 		return s, err
@@ -60,6 +66,7 @@
 		cpu, resident = cpu+a.CPU-b.CPU, resident+a.Resident
 		s.In, s.Out = s.In+float64(a.In-b.In), s.Out+float64(a.Out-b.Out)
 		s.Most, peak = max(s.Most, float64(a.Most)/seconds), max(peak, a.Peak)
+		s.PeakTen = max(s.PeakTen, float64(a.PeakTen)/10)
 		s.HollowFiles = max(s.HollowFiles, a.Files)
 		s.Goroutines += float64(a.Goroutines) / float64(r.Mixers)
 	}
@@ -76,10 +83,15 @@
 			share := (now - was).Seconds() / seconds
 			s.RelayCPU[0] += share
 			s.RelayCPU[1] = max(s.RelayCPU[1], share)
+			one := (r.told(k) - told[p]) / seconds
+			s.Told = [2]float64{s.Told[0] + one, max(s.Told[1], one)}
 			relays++
 		}
 	}
+	ours := cpu + spentHere() - own + time.Duration(s.RelayCPU[0]*float64(s.Took))
+	s.Others = max(0, (machine()-busy-ours).Seconds()/seconds)
 	s.RelayCPU[0] /= float64(max(relays, 1))
+	s.Told[0] /= float64(max(relays, 1))
 	s.RelaySession = r.sessions()
 	s.SessionPeak = slices.Max(r.watch.scene())
 	if err := r.drain(); err != nil {
@@ -105,20 +117,15 @@
 	return n
 }
 
-// paced gives versions in even steps for a time, without waiting for them to be in force, and waits for the last.
-func (r *Rig) paced(n int, step time.Duration) error {
-	var last given
+// paced gives versions in even steps, without waiting for them to be in force, and gives the last.
+func (r *Rig) paced(n int, step time.Duration) (last given, err error) {
 	began := time.Now()
-	for i := range n {
+	for i := 0; i < n && err == nil; i++ {
 		time.Sleep(time.Until(began.Add(time.Duration(i) * step)))
-		g, err := r.next()
-		if err != nil {
-			return err
-		}
-		last = g
+		last, err = r.next()
 	}
 	time.Sleep(time.Until(began.Add(time.Duration(n) * step)))
-	return r.inForce(last)
+	return last, err
 }
 
 // newest gives the newest version that was given.
