--- a/internal/fleet/control/relay.go
+++ b/internal/fleet/control/relay.go
@@ -11,6 +11,8 @@
 const (
 	Away    = 5 * second // a relay or mixer not heard for so long does not count as there
 	Remakes = second     // between two makings of a relay's own rows
+
+	MaxSeats = 16 // relays
 )
 
 // RelayOptions describe a relay. Zero bounds stand for those of a relay that has all mixers.
@@ -74,13 +76,16 @@
 	mixers   int    // sessions of mixers
 	opens    pace   // of new ones, in sessions
 	members  map[string]*member
+	swept    int64
 
 	told       Stamp // the greatest that a mixer told
 	given      Stamp // the last given here
 	rowNumber  uint64
 	made       int64
 	remade     bool
-	rows       pace // bytes of own rows
+	saidHolds  Stamp           // the version that the last own row says it holds
+	rows       pace            // bytes of own rows
+	undead     map[string]bool // own rows that are gone and that another relay tells as there
 	flaw       faults
 	notAllowed int // rows, mixers and tellings that were refused
 }
@@ -88,12 +93,13 @@
 // NewRelay gives a relay that knows nothing.
 func NewRelay(now int64, o RelayOptions) (*Relay, error) {
 	at := slices.IndexFunc(o.Seats, func(s Seat) bool { return s.Name == o.Name })
-	if at < 0 || o.Life == "" {
-		return nil, fmt.Errorf("a relay needs a seat and a life: %q, %q", o.Name, o.Life)
+	if at < 0 || o.Life == "" || len(o.Name)+1+len(o.Life) > MaxAuthor || len(o.Seats) > MaxSeats {
+		return nil, fmt.Errorf("a relay needs one of %d seats at most and a life, of %d bytes with its name at most: %q, %q", MaxSeats,
+			MaxAuthor-1, o.Name, o.Life)
 	}
 	o.Sessions, o.NewPerS = cmp.Or(o.Sessions, 8192), cmp.Or(o.NewPerS, 1024)
 	r := &Relay{o: o, self: o.Seats[at], table: NewTable(o.Limits), started: now, sessions: map[uint64]*Session{},
-		members: map[string]*member{}, opens: pace{int64(o.NewPerS), int64(o.NewPerS), now - second},
+		members: map[string]*member{}, undead: map[string]bool{}, opens: pace{int64(o.NewPerS), int64(o.NewPerS), now - second},
 		rows: pace{Rate / 2 / int64(len(o.Seats)), 4 << 10, now - 60*second}}
 	for _, s := range o.Seats {
 		if s.Name == o.Name {
@@ -143,6 +149,9 @@
 			continue
 		}
 		own = append(own, row)
+		if e := r.table.rows[key{row.Kind, row.Name}]; row.Author == r.o.Name && !row.Gone && e != nil && e.row.Gone && !r.flaw.zombie {
+			r.undead[row.Name] = true // who tells this had forgotten that it is gone, and so may others
+		}
 	}
 	news, refused := r.table.Merge(own)
 	r.notAllowed += refused
--- a/internal/fleet/control/rows.go
+++ b/internal/fleet/control/rows.go
@@ -14,29 +14,36 @@
 )
 
 // Step remakes the relay's own rows, at most once a second, and at once where it holds another version. Only those that say
-// something else are told anew, as far as their pace allows: all relays' own rows together fill at most half of what a mixer is told, so
-// that whoever follows catches up. It tells whether anything changed, and ns until it is due again.
+// something else are told anew, the longest unchanged first, as far as their pace allows: all relays' own rows together fill at most
+// half of what a mixer is told, so that whoever follows catches up. It tells whether anything changed, and ns until it is due again.
 func (r *Relay) Step(now int64) (changed bool, wait int64) {
-	holds := r.last().Holds != r.table.Settings()
+	holds := r.saidHolds != r.table.Settings()
 	if r.remade && now-r.made < Remakes && !holds {
 		return false, r.made + Remakes - now
 	}
 	r.sweep(now)
-	r.made, r.remade = now, true
-	before := r.table.index
-	r.say(now, Row{Kind: KindRelay, Name: r.o.Name, Body: body(r.standing(now))}, true)
-	zones := r.zones()
-	for _, row := range r.table.Rows(KindZone) { // the longest unchanged first
-		if _, ok := zones[row.Name]; row.Author == r.o.Name && !ok {
-			r.say(now, Row{Kind: KindZone, Name: row.Name, Gone: true}, false)
-		} else if ok {
-			r.say(now, Row{Kind: KindZone, Name: row.Name, Body: body(zones[row.Name])}, false)
+	r.made, r.remade, r.saidHolds = now, true, r.table.Settings()
+	rows := append(r.zones(now), Row{Kind: KindRelay, Name: r.o.Name, Body: body(r.standing(now))})
+	index := func(row Row) uint64 {
+		if e := r.table.rows[key{row.Kind, row.Name}]; e != nil && !(holds && row.Kind == KindRelay) {
+			return e.index
 		}
+		return 0
 	}
-	for _, name := range slices.Sorted(maps.Keys(zones)) {
-		r.say(now, Row{Kind: KindZone, Name: name, Body: body(zones[name])}, false)
+	slices.SortStableFunc(rows, func(a, b Row) int {
+		return cmp.Or(cmp.Compare(index(a), index(b)), cmp.Compare(a.Kind, b.Kind), cmp.Compare(a.Name, b.Name))
+	})
+	for _, row := range rows {
+		old, ok := r.table.Get(row.Kind, row.Name)
+		if ok && old.Gone == row.Gone && bytes.Equal(old.Body, row.Body) && !r.undead[row.Name] {
+			continue
+		}
+		if r.rows.wait(now) == 0 || holds && row.Kind == KindRelay {
+			changed = r.say(row) || changed
+			delete(r.undead, row.Name)
+		}
 	}
-	return r.table.index != before, Remakes
+	return changed, Remakes
 }
 
 func body(v any) json.RawMessage {
@@ -47,32 +54,19 @@
 	return b
 }
 
-// last is what this relay told of itself last.
-func (r *Relay) last() (s Standing) {
-	row, ok := r.table.Get(KindRelay, r.o.Name)
-	if !ok || json.Unmarshal(row.Body, &s) != nil {
-		return Standing{}
-	}
-	return s
-}
-
-// say puts a row of this relay's own into the table where it says something else than the one that is there.
-func (r *Relay) say(now int64, row Row, always bool) {
-	old, ok := r.table.Get(row.Kind, row.Name)
-	if ok && old.Gone == row.Gone && bytes.Equal(old.Body, row.Body) || !always && r.rows.wait(now) > 0 {
-		return
-	}
-	r.rowNumber = max(r.rowNumber, old.Number) + 1
+// say puts a row of this relay's own into the table.
+func (r *Relay) say(row Row) bool {
+	r.rowNumber++
 	row.Stamp = Stamp{1, r.rowNumber, r.o.Name}
 	news, refused := r.table.Merge([]Row{row})
-	r.notAllowed += refused
-	if len(news) > 0 {
+	if r.notAllowed += refused; len(news) > 0 {
 		r.rows.spend(r.table.rows[key{row.Kind, row.Name}].size)
 	}
+	return len(news) > 0
 }
 
 func (r *Relay) standing(now int64) Standing {
-	s := Standing{Region: r.self.Region, Life: r.o.Life, Holds: r.table.Settings(), Told: r.told, Mixers: len(r.members)}
+	s := Standing{Region: r.self.Region, Life: r.o.Life, Holds: r.table.Settings(), Told: r.told}
 	s.Contact, _ = r.Contact(now)
 	counts, least := map[Stamp]*Count{}, Stamp{}
 	of := func(v Stamp) *Count {
@@ -83,6 +77,10 @@
 	}
 	name := ""
 	for n, m := range r.members {
+		if m.away(now) {
+			continue
+		}
+		s.Mixers++
 		if !m.said {
 			continue
 		}
@@ -103,11 +101,12 @@
 	return s
 }
 
-func (r *Relay) zones() map[string]ZoneCount {
+// zones gives the relay's rows of KindZone, also those that are gone since the last time.
+func (r *Relay) zones(now int64) (rows []Row) {
 	all := map[string]ZoneCount{}
 	for _, n := range slices.Sorted(maps.Keys(r.members)) {
 		m := r.members[n]
-		if !m.said {
+		if !m.said || m.away(now) {
 			continue
 		}
 		z := ZoneCount{Relay: r.o.Name, Region: m.self.Region, Zone: m.self.Zone}
@@ -119,7 +118,21 @@
 		z.Mixers = all[name].Mixers + 1
 		all[name] = z
 	}
-	return all
+	for name, z := range all {
+		rows = append(rows, Row{Kind: KindZone, Name: name, Body: body(z)})
+	}
+	gone := maps.Clone(r.undead)
+	for _, row := range r.table.Rows(KindZone) {
+		if row.Author == r.o.Name {
+			gone[row.Name] = true
+		}
+	}
+	for name := range gone {
+		if _, ok := all[name]; !ok {
+			rows = append(rows, Row{Kind: KindZone, Name: name, Gone: true})
+		}
+	}
+	return rows
 }
 
 func zoneName(z ZoneCount) string { return z.Relay + "/" + z.Region + "/" + z.Zone }
@@ -173,10 +186,11 @@
 // Status of the relay.
 func (r *Relay) Status(now int64) Status {
 	names, need := r.Contact(now)
-	s := Status{Name: r.o.Name, Region: r.self.Region, Life: r.o.Life, Contact: names, Majority: need,
-		Version: r.table.Settings(), Newest: r.Newest(), Given: r.given, Overtaken: r.given != (Stamp{}) && r.table.Settings().Compare(r.given) > 0,
-		Held: r.Held(r.table.Settings()), Sessions: r.mixers, Relays: len(r.sessions) - r.mixers, Zones: Present(r.table, r.o.Name), Rows: len(r.table.rows),
-		Bytes: r.table.bytes, Index: r.table.index, Refused: r.notAllowed}
+	v := r.table.Settings()
+	s := Status{Name: r.o.Name, Region: r.self.Region, Life: r.o.Life, Contact: names, Majority: need, Version: v, Newest: r.Newest(),
+		Given: r.given, Overtaken: r.given != (Stamp{}) && v.Compare(r.given) > 0, Held: r.Held(v),
+		Sessions: r.mixers, Relays: len(r.sessions) - r.mixers, Zones: Present(r.table, r.o.Name),
+		Rows: len(r.table.rows), Bytes: r.table.bytes, Index: r.table.index, Refused: r.notAllowed}
 	s.Names, s.Standings = []string{r.o.Name}, []Standing{r.standing(now)}
 	for _, p := range r.peers {
 		s.Names, s.Standings = append(s.Names, p.Name), append(s.Standings, p.standing)
--- /dev/null
+++ b/internal/fleet/control/search_test.go
@@ -0,0 +1,223 @@
+package control
+
+import (
+	"fmt"
+	"slices"
+	"strings"
+	"testing"
+)
+
+// event is one thing that goes wrong or right.
+func (w *world) event(i int) {
+	any := func(from, n int) int { return from + w.random.IntN(n) }
+	r, m := any(0, relays), any(0, nodes)
+	switch i {
+	case 0, 1:
+		w.give(r, w.random.IntN(3) == 0, w.random.IntN(5) == 0)
+	case 2: // two at one moment
+		w.give(r, false, false)
+		w.give((r+1)%relays, w.random.IntN(3) == 0, false)
+	case 3:
+		o := any(0, nodes)
+		w.note("line %d-%d cut", r, o)
+		w.cut[r][o], w.cut[o][r] = true, true
+	case 4:
+		w.note("r-%d is alone", r)
+		for o := range relays {
+			w.cut[r][o], w.cut[o][r] = true, true
+		}
+	case 5:
+		w.note("lines are good")
+		w.cut = [nodes][nodes]bool{}
+	case 6:
+		w.note("%s starts anew with nothing", w.nodes[m].name)
+		w.start(m, nil)
+	case 7:
+		if n := w.nodes[r]; len(n.old) > 0 {
+			w.note("%s starts anew with old rows", n.name)
+			w.start(r, n.old[w.random.IntN(len(n.old))])
+		}
+	case 8:
+		w.note("%s pauses or wakes", w.nodes[m].name)
+		w.nodes[m].paused = !w.nodes[m].paused
+	case 9:
+		w.note("%s reads slowly or not", w.nodes[m].name)
+		w.nodes[m].slow = !w.nodes[m].slow
+	case 10: // a version that is hardly given is lost
+		w.give(r, false, false)
+		w.note("%s starts anew with nothing", w.nodes[r].name)
+		w.start(r, nil)
+	case 11:
+		w.note("all relays start anew")
+		for r := range relays {
+			w.start(r, nil)
+		}
+	}
+}
+
+const events = 12
+
+func (w *world) run(ticks int) {
+	for range ticks {
+		if w.wrong == "" {
+			w.step()
+		}
+	}
+}
+
+// heal has good lines for a minute, and checks that all agree; then one more version is given, that all must take.
+func (w *world) heal() {
+	w.cut = [nodes][nodes]bool{}
+	for _, n := range w.nodes {
+		n.paused, n.slow = false, false
+	}
+	w.note("all is healed")
+	w.run(settled)
+	w.agree(w.nodes[0].relay.table.Settings())
+	for i := 0; w.wrong == "" && !w.give(i%relays, false, false); i++ {
+		if i > 100 {
+			w.fail("nobody gives a version")
+		}
+		w.step()
+	}
+	w.run(settled)
+	w.agree(w.nodes[0].relay.table.Settings())
+	if w.wrong == "" {
+		for _, n := range w.nodes[relays:] {
+			if top := w.nodes[0].relay.table.Settings(); n.force != top {
+				w.fail("%s has %v in force after the last version, %v", n.name, n.force, top)
+			}
+		}
+	}
+}
+
+// agree checks that all relays hold one version; that all mixers have it in force unless it is a bad one or they had a greater one,
+// of a relay that lost it; and that each mixer holds what its relay holds, and all know who is there.
+func (w *world) agree(top Stamp) {
+	if w.wrong != "" {
+		return
+	}
+	for i, n := range w.nodes {
+		if i < relays {
+			if s := n.relay.table.Settings(); s != top || w.docs[s] != body0(n.relay.table) {
+				w.fail("%s holds %v, not %v", n.name, s, top)
+			}
+			zones := 0
+			for _, z := range Present(n.relay.table, n.name) {
+				zones += z.Mixers
+			}
+			if zones != nodes-relays {
+				w.fail("%s knows of %d mixers: %v", n.name, zones, Present(n.relay.table, n.name))
+			}
+			if names, _ := n.relay.Contact(w.now()); len(names) != relays-1 {
+				w.fail("%s hears %v", n.name, names)
+			}
+			continue
+		}
+		if n.force.Compare(top) < 0 && !w.bad[top] {
+			w.fail("%s has %v in force, not %v", n.name, n.force, top)
+		}
+		if s, ok := n.follower.Following(); s == nil || !ok {
+			w.fail("%s follows nobody", n.name)
+		} else if r := w.nodes[n.wires[0].to]; others(n.follower.table) != others(r.relay.table) {
+			w.fail("%s holds\n%s\nand %s holds\n%s", n.name, others(n.follower.table), r.name, others(r.relay.table))
+		}
+	}
+}
+
+func body0(t *Table) string {
+	row, _ := t.Get(KindSettings, SettingsName)
+	return string(row.Body)
+}
+
+// others writes the rows that are there, without the settings row and without stamps.
+func others(t *Table) string {
+	var all []string
+	for _, row := range append(t.Rows(KindRelay), t.Rows(KindZone)...) {
+		all = append(all, row.Name+" "+string(row.Body))
+	}
+	slices.Sort(all)
+	return strings.Join(all, "\n")
+}
+
+// play gives the world of a number: some events, then the heal.
+func play(seed uint64, flaw faults) *world {
+	w := newWorld(seed, flaw)
+	w.run(40)
+	for range 3 + w.random.IntN(14) {
+		w.event(w.random.IntN(events))
+		w.run(w.random.IntN(24))
+	}
+	w.heal()
+	return w
+}
+
+func TestNoInterleavingBreaksWhatHolds(t *testing.T) {
+	const parts, worlds = 2, 150
+	for part := range uint64(parts) {
+		t.Run(fmt.Sprint(part), func(t *testing.T) {
+			t.Parallel()
+			gives, ticks := 0, 0
+			for seed := part * worlds; seed < (part+1)*worlds; seed++ {
+				w := play(seed, faults{})
+				if w.wrong != "" {
+					t.Fatalf("world %d: %s\n%s", seed, w.wrong, strings.Join(w.log, "\n"))
+				}
+				gives, ticks = gives+len(w.docs), ticks+w.at
+			}
+			t.Logf("%d worlds, %d s, %d versions given", worlds, ticks/4, gives)
+		})
+	}
+}
+
+// TestWorldsFollowFromTheirNumbers has no order of a map or of time decide anything.
+func TestWorldsFollowFromTheirNumbers(t *testing.T) {
+	for seed := range uint64(20) {
+		a, b := play(seed, faults{}), play(seed, faults{})
+		if !slices.Equal(a.log, b.log) || a.at != b.at || a.state() != b.state() {
+			t.Fatalf("world %d differs from itself", seed)
+		}
+	}
+}
+
+// state writes all tables, with their indices.
+func (w *world) state() string {
+	var all strings.Builder
+	for _, n := range w.nodes {
+		table := n.follows[0].table
+		fmt.Fprintln(&all, n.name, table.index, table.forgotten, held(table, true))
+	}
+	return all.String()
+}
+
+func TestSearchFindsBrokenDesigns(t *testing.T) {
+	for name, flaw := range map[string]faults{
+		"an index that counts for another life of the relay":    {anyLife: true},
+		"a snapshot that drops the settings row":                {dropsSettings: true},
+		"stamps compared by number alone":                       {numberOnly: true},
+		"a tie without the author":                              {noAuthor: true},
+		"numbers of a minority":                                 {minority: true},
+		"a relay that returns and numbers at once":              {atOnce: true},
+		"a relay that numbers below what a mixer told":          {below: true},
+		"an author that is the name alone":                      {noLife: true},
+		"a rejected version that is tried again":                {again: true},
+		"a rejected version that is told as in force":           {takesRejected: true},
+		"a row that changed during a snapshot and is skipped":   {skips: true},
+		"a snapshot that broke off and counts as whole":         {midway: true},
+		"a rush after the loss of a relay":                      {rush: true},
+		"an index from before what is forgotten that counts on": {forgets: true},
+		"what is gone and comes back from one who forgot it":    {zombie: true},
+		"what a relay no longer names of its own that is kept":  {lingers: true},
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			for seed := range uint64(300) {
+				if w := play(seed, flaw); w.wrong != "" {
+					t.Logf("world %d: %s", seed, strings.ReplaceAll(w.wrong, "\n", "; "))
+					return
+				}
+			}
+			t.Error("not found")
+		})
+	}
+}
