--- a/internal/lab/scale/book.go
+++ b/internal/lab/scale/book.go
@@ -131,8 +131,8 @@
 	return s
 }
 
-// begun gives, of the mixers that began in a time, how long from their start until a version that was the newest then or a later one
-// was in force.
+// begun gives, of the mixers that began in a time, how long from their start until a version that was the newest then, or a
+// later one, was in force.
 func (b *book) begun(from, to int64, all []given) (s Spread) {
 	for _, lives := range b.lives {
 		for _, l := range lives {
--- a/internal/lab/scale/hollow.go
+++ b/internal/lab/scale/hollow.go
@@ -32,7 +32,9 @@
 	mu      sync.Mutex
 	events  []event
 	mixers  []*hollow
-	element string // and value of the last version that was rejected
+	read    map[readKey]*reading
+	recent  []readKey // of read, the oldest first
+	element string    // and value of the last version that was rejected
 	value   string
 }
 
@@ -57,7 +59,7 @@
 }
 
 func newHerd(s spec, log *slog.Logger) (*herd, error) {
-	h := &herd{spec: s, log: log}
+	h := &herd{spec: s, log: log, read: map[readKey]*reading{}}
 	for i := s.From; i < s.To; i++ {
 		begin, err := protocol.ReadConfig(started(i, s.All))
 		if err != nil {
@@ -128,7 +130,7 @@
 
 // apply takes a version as a mixer does: it is read and checked whole, then the module has it.
 func (m *hollow) apply(s control.Stamp, document json.RawMessage) error {
-	config, err := m.revise(document)
+	config, err := m.revise(s, document)
 	m.h.mu.Lock()
 	defer m.h.mu.Unlock()
 	if err != nil {
--- a/internal/lab/scale/watch.go
+++ b/internal/lab/scale/watch.go
@@ -70,8 +70,8 @@
 	return most
 }
 
-// shares gives how many mixers' first relay each is, without some that are away. Sessions that overlap, as where a mixer opens one
-// before it ends another, come on top: a twentieth and three are allowed for.
+// shares gives how many mixers' first relay each is, without some that are away. Sessions that overlap, as where a mixer opens
+// one before it ends another, come on top: a twentieth and three are allowed for.
 func (r *Rig) shares(away ...int) []int {
 	var seats []control.Seat
 	at := map[string]int{}
--- a/internal/lab/scale/wire.go
+++ b/internal/lab/scale/wire.go
@@ -9,8 +9,8 @@
 	"time"
 )
 
-// wires are a hollow mixer's connections. They count payload: what is read from and written to the connection, without headers of TCP
-// and IP.
+// wires are a hollow mixer's connections. They count payload: what is read from and written to the connection, without headers
+// of TCP and IP.
 type wires struct {
 	in, out atomic.Int64 // bytes
 	dials   atomic.Int64
