--- a/internal/lab/scale/command.go
+++ b/internal/lab/scale/command.go
@@ -8,6 +8,7 @@
 	"io"
 	"log/slog"
 	"os"
+	"path/filepath"
 	"runtime"
 	"strconv"
 	"strings"
@@ -176,3 +177,18 @@
 	}
 	return cpu, resident, files
 }
+
+// halted tells which thread of a process still runs after SIGSTOP: on a busy machine that takes a while.
+func halted(pid int) error {
+	threads, err := filepath.Glob("/proc/" + strconv.Itoa(pid) + "/task/*/stat")
+	if err != nil || len(threads) == 0 {
+		return fmt.Errorf("process %d is not there (%v)", pid, err)
+	}
+	for _, path := range threads {
+		raw, _ := os.ReadFile(path)
+		if _, rest, _ := strings.Cut(string(raw), ") "); !strings.HasPrefix(rest, "T") {
+			return fmt.Errorf("%s: %.20s", path, rest)
+		}
+	}
+	return nil
+}
--- a/internal/lab/scale/play.go
+++ b/internal/lab/scale/play.go
@@ -194,7 +194,7 @@
 	killed := make(chan struct{})
 	go func() {
 		defer close(killed)
-		time.Sleep(10 * time.Millisecond)
+		time.Sleep(5 * time.Millisecond)
 		r.killRelay(k)
 	}()
 	r.count++
@@ -258,6 +258,9 @@
 	p := r.relays[k].proc.cmd.Process
 	p.Signal(syscall.SIGSTOP)
 	defer p.Signal(syscall.SIGCONT)
+	if err := r.until("it is halted", func() error { return halted(p.Pid) }); err != nil {
+		return err
+	}
 	r.count++
 	g, err := r.give((k+1)%len(r.relays), document(r.count))
 	if err != nil {
