A follower gives a relay 1 s for its answer's head, so a silent one is left within 6 s

Cause: a relay that falls silent but whose system still accepts holds a mixer 2.25 s (silence), the window, 2 s for the head of the answer and 0.2 s: with a window of 2 s a change was in force at the last after 6,252 and 6,274 ms (700 mixers, 118 on that relay, two runs on a machine with 5 to 8 other cores busy), over the goal of 6 s. The head is now waited for 1 s, as a dial is. A late head costs only a try of the next seat. Test: the sum of the waits. The default window of 10 s misses the goal by itself: 9,860 ms (200 mixers).

--- a/internal/fleet/relay/relay.go
+++ b/internal/fleet/relay/relay.go
@@ -36,10 +36,11 @@
 	mostName  = 64               // bytes of a name, region or zone
 )
 
-// usual are a follower's times.
+// usual are a follower's times. From a relay's silence to a session with the next one it takes silence, the window, first (the
+// silent one may still accept) and a pause: under 6 s with a window of 2 s, which is what a version may take to be in force everywhere.
 var usual = times{
 	dial:    time.Second,
-	first:   2 * time.Second,
+	first:   time.Second,
 	silence: time.Duration(control.Beat + control.Beat/8),
 	whole:   5 * time.Second,
 	tell:    2 * time.Second,
