--- a/internal/lab/scale/play.go
+++ b/internal/lab/scale/play.go
@@ -257,17 +257,19 @@
 	o.HaltedOnIt = st.Sessions
 	p := r.relays[k].proc.cmd.Process
 	p.Signal(syscall.SIGSTOP)
-	defer p.Signal(syscall.SIGCONT)
-	if err := r.until("it is halted", func() error { return halted(p.Pid) }); err != nil {
-		return err
+	err = r.until("it is halted", func() error { return halted(p.Pid) })
+	if err == nil {
+		r.count++
+		r.haltedOf, err = r.give((k+1)%len(r.relays), document(r.count))
 	}
-	r.count++
-	g, err := r.give((k+1)%len(r.relays), document(r.count))
+	if err == nil {
+		err = r.inForce(r.haltedOf)
+	}
+	p.Signal(syscall.SIGCONT)
 	if err != nil {
 		return err
 	}
-	r.haltedOf = g
-	return r.inForce(g)
+	return r.met() // who slept takes no version before it is
 }
 
 // bad gives a version that no mixer takes: a deadline longer than that of the start, which a relay does not know. Before it
--- a/internal/lab/scale/rig.go
+++ b/internal/lab/scale/rig.go
@@ -100,14 +100,20 @@
 	}
 	r.bounds = append(r.bounds, r.Mixers)
 	r.watch = newWatch(r)
-	return r.until("all relays hold each other", func() error {
-		for k, o := range r.relays {
+	return r.met()
+}
+
+// met waits until all relays that run are in contact with each other.
+func (r *Rig) met() error {
+	return r.until("all relays that run are in contact", func() error {
+		up := r.up()
+		for _, k := range up {
 			st, err := r.status(k)
 			if err != nil {
 				return err
 			}
-			if n := 1 + len(st.Contact); n < r.Relays {
-				return fmt.Errorf("%s is in contact with %d of %d", o.Name, n, r.Relays)
+			if n := 1 + len(st.Contact); n < len(up) {
+				return fmt.Errorf("%s is in contact with %d of %d", r.relays[k].Name, n, len(up))
 			}
 		}
 		return nil
