--- a/internal/lab/measure/control.go
+++ b/internal/lab/measure/control.go
@@ -101,6 +101,10 @@
 		r.Notes = append(r.Notes, fmt.Sprintf("a change as a relay with %d mixers falls silent, its connections open: ms %s",
 			o.HaltedOnIt, spread(o.Halted)))
 	}
+	if p.Lost {
+		r.Notes = append(r.Notes, fmt.Sprintf("all relays are killed and start again: each mixer has a session %.1f s after; the next change: ms %s",
+			o.Lost.Seconds(), spread(o.LostOf)))
+	}
 	if p.Largest {
 		r.Notes = append(r.Notes, fmt.Sprintf("a document of %d bytes: ms %s", o.LargeBytes, spread(o.Large)))
 	}
--- a/internal/lab/scale/rig.go
+++ b/internal/lab/scale/rig.go
@@ -44,7 +44,7 @@
 	given  []given
 	watch  *watch
 
-	halfwayOf, haltedOf, badOf, largeOf given
+	halfwayOf, haltedOf, badOf, largeOf, lostOf given
 
 	mu   sync.Mutex // of which mixers run, beside the churn
 	runs []bool
@@ -140,8 +140,8 @@
 	for _, s := range r.relays {
 		fmt.Fprintf(&rows, `<relay name="%s" region="%s" address="%s"/>`, s.Name, s.Region, s.Address)
 	}
-	own := fmt.Sprintf(`<nettlefold xmlns="%s"><logging level="warn"/><control region="%s" window="%s">%s</control></nettlefold>`,
-		settings.Namespace, o.Region, r.Window, &rows)
+	own := fmt.Sprintf(`<nettlefold xmlns="%s"><logging level="warn"/><control region="%s" window="%ds">%s</control></nettlefold>`,
+		settings.Namespace, o.Region, max(1, int(r.Window.Seconds())), &rows)
 	path := filepath.Join(r.dir, o.Name+".xml")
 	if err := os.WriteFile(path, []byte(own), 0o600); err != nil {
 		return err
--- a/internal/lab/scale/setup.go
+++ b/internal/lab/scale/setup.go
@@ -102,3 +102,6 @@
 	}
 	return raw
 }
+
+// badDocument is sound by its form, and no mixer takes it: a deadline may not be longer than that of the start.
+var badDocument = []byte(`{"Profiles":[{"DeadlineMs":90000.0},{"DeadlineMs":90000.0}]}`)
