--- a/internal/lab/scale/play.go
+++ b/internal/lab/scale/play.go
@@ -103,9 +103,9 @@
 		{"it starts again, empty", false, func(*Scene) error { return r.again(o, p) }},
 		{"a relay falls silent within a change", !p.Halt, func(*Scene) error { return r.halt(o) }},
 		{"a bad version", false, func(*Scene) error { return r.bad(o) }},
+		{"all mixers start at once", false, func(*Scene) error { return r.anew() }},
 		{"the greatest document", !p.Largest, func(*Scene) error { return r.largest(o) }},
 		{"all relays start again, empty", !p.Lost, func(*Scene) error { return r.lost(o) }},
-		{"all mixers start at once", false, func(*Scene) error { return r.anew() }},
 	}
 	for _, one := range steps {
 		if one.out {
