A mixer's session holds 16 KB for a late reader, so little that is old comes before the newest

Cause: a session has no queue, but the system's buffers are one: what a mixer that is late to read has not taken waits there, up to what the receive buffer grows to, and is taken in its order, however old, before the newest version. Seen with 2,100 hollow mixers on a machine whose cores were all busy (5.8 of 8 by others): one read 262,327 bytes in a second, some 26 s of talk at a mixer's pace, and in a burst of 100 changes in a minute the last mixer had them after 44.5 s.

--- a/internal/fleet/relay/client.go
+++ b/internal/fleet/relay/client.go
@@ -117,6 +117,9 @@
 		c.Dial = plain
 	}
 	c.times = cmp.Or(c.times, usual)
+	if c.follower != nil {
+		c.times.room = 0 // a relay is told more, and over long lines
+	}
 	c.teller = teller{dial: c.Dial, times: c.times}
 	if c.follower != nil {
 		return nil
--- a/internal/fleet/relay/relay.go
+++ b/internal/fleet/relay/relay.go
@@ -50,6 +50,7 @@
 	tell:    2 * time.Second,
 	bye:     250 * time.Millisecond,
 	kept:    10 * time.Second,
+	room:    16 << 10, // what waits longer the relay has not told, and then tells as it is by then
 }
 
 // plain dials without keep-alive probes: a session has its own sign of life.
--- a/internal/fleet/relay/stream.go
+++ b/internal/fleet/relay/stream.go
@@ -37,6 +37,7 @@
 	tell    time.Duration // for one telling, and its answer
 	bye     time.Duration // for the goodbye at the end
 	kept    time.Duration // how long a connection for tellings is kept unused
+	room    int           // bytes that the system is to hold for one who is late to read; 0: as it will
 }
 
 // stream reads the lines of one session, each in bounded bytes and time. It has no goroutine: the time-outs are the connection's
@@ -97,6 +98,9 @@
 	if err != nil {
 		return nil, err
 	}
+	if r, ok := nc.(interface{ SetReadBuffer(bytes int) error }); ok && t.room > 0 {
+		r.SetReadBuffer(t.room)
+	}
 	s := &stream{nc: nc, in: patient{Conn: nc}, times: t, stop: stop}
 	if err := s.ask(address, path); err != nil {
 		s.close()
--- a/internal/lab/scale/wire.go
+++ b/internal/lab/scale/wire.go
@@ -58,6 +58,9 @@
 	}
 }
 
+// SetReadBuffer is for whoever bounds what the system holds.
+func (c *counted) SetReadBuffer(bytes int) error { return c.Conn.(*net.TCPConn).SetReadBuffer(bytes) }
+
 func (c *counted) Read(p []byte) (int, error) {
 	n, err := c.Conn.Read(p)
 	c.w.in.Add(int64(n))
