--- a/internal/fleet/control/faults.go
+++ b/internal/fleet/control/faults.go
@@ -2,11 +2,13 @@
 
 // faults are broken designs that only the tests' search plants, to show that it finds them. All are off in the program.
 type faults struct {
+	forgetsGood   bool // relays hold the newest version alone, so that who comes after a bad one has none
 	anyLife       bool // an index counts whatever life of a relay it is of
 	dropsSettings bool // a snapshot that lacks the settings row drops it, and its stamp
 	numberOnly    bool // stamps are compared by their number alone
 	noAuthor      bool // two stamps that differ in their author alone are equal
 	minority      bool // numbers are given without a majority
+	oneWay        bool // a relay that is heard counts as in contact though it does not hear
 	atOnce        bool // a relay that returned numbers before it has exchanged
 	below         bool // a relay numbers below what a mixer told
 	noLife        bool // the author is the relay's name alone, so that two lives number alike
