--- a/internal/lab/scale/hollow.go
+++ b/internal/lab/scale/hollow.go
@@ -55,7 +55,7 @@
 	base    int64     // in and out when the present scene began
 	ago     [11]int64 // in and out at each of the last seconds, a ring
 	peak    int64     // of a second, since the scene began
-	peakTen int64     // of ten seconds
+	peakTen int64     // a second, of ten seconds
 }
 
 func newHerd(s spec, log *slog.Logger) (*herd, error) {
@@ -161,6 +161,7 @@
 func (h *herd) seconds(ctx context.Context) {
 	t := time.NewTicker(time.Second)
 	defer t.Stop()
+	var at [11]time.Time
 	for n := 0; ; n++ {
 		select {
 		case <-ctx.Done():
@@ -168,11 +169,14 @@
 		case <-t.C:
 		}
 		h.mu.Lock()
+		at[n%11] = time.Now() // a process that does not run in time has longer seconds
+		over := func(ago int) int64 { return int64(max(1, at[n%11].Sub(at[(n+11-ago)%11]).Seconds()+0.5)) }
+		one, ten := over(1), over(10)
 		for _, m := range h.mixers {
 			in, out := m.bytes()
 			m.ago[n%11] = in + out
-			m.peak = max(m.peak, in+out-m.ago[(n+10)%11])
-			m.peakTen = max(m.peakTen, in+out-m.ago[(n+1)%11])
+			m.peak = max(m.peak, (in+out-m.ago[(n+10)%11])/one)
+			m.peakTen = max(m.peakTen, (in+out-m.ago[(n+1)%11])/ten)
 		}
 		h.mu.Unlock()
 	}
--- a/internal/lab/scale/scene.go
+++ b/internal/lab/scale/scene.go
@@ -66,7 +66,7 @@
 		cpu, resident = cpu+a.CPU-b.CPU, resident+a.Resident
 		s.In, s.Out = s.In+float64(a.In-b.In), s.Out+float64(a.Out-b.Out)
 		s.Most, peak = max(s.Most, float64(a.Most)/seconds), max(peak, a.Peak)
-		s.PeakTen = max(s.PeakTen, float64(a.PeakTen)/10)
+		s.PeakTen = max(s.PeakTen, float64(a.PeakTen))
 		s.HollowFiles = max(s.HollowFiles, a.Files)
 		s.Goroutines += float64(a.Goroutines) / float64(r.Mixers)
 	}
