--- a/internal/fleet/relay/client.go
+++ b/internal/fleet/relay/client.go
@@ -268,7 +268,13 @@
 		c.log.Log(c.work, level, "control: no session", "relay", e.s.seat.Name, "error", e.err)
 	case e.s != c.hand: // of one that was given up
 	case e.err != nil:
-		c.locked(func(f *control.Follower) { f.Lost(now); c.failed = clip(e.err.Error()) })
+		c.locked(func(f *control.Follower) {
+			if c.failed = clip(e.err.Error()); errors.Is(e.err, errSilent) {
+				f.Silent(now)
+			} else {
+				f.Lost(now)
+			}
+		})
 		c.lost(e.err)
 	case e.piece == nil:
 		c.locked(func(f *control.Follower) { f.Beat(now) })
--- a/internal/fleet/relay/relay.go
+++ b/internal/fleet/relay/relay.go
@@ -40,11 +40,10 @@
 // later, which a relay on a busy machine, or a long line to it, would miss: so it goes out a quarter of a beat early.
 const beatAfter = time.Duration(control.Beat * 3 / 4)
 
-// usual are a follower's times. From a relay's silence to a session with the next one it takes silence, the window, first (the
-// silent one may still accept) and a pause: under 6 s with a window of 2 s, which is what a version may take to be in force everywhere.
+// usual are a follower's times. A relay that falls silent is left for the next one after silence and a part of the window.
 var usual = times{
-	dial:    time.Second,
-	first:   time.Second,
+	dial:    2 * time.Second,
+	first:   2 * time.Second,
 	silence: time.Duration(control.Beat + control.Beat/8),
 	whole:   5 * time.Second,
 	tell:    2 * time.Second,
