--- a/internal/fleet/control/follow.go
+++ b/internal/fleet/control/follow.go
@@ -207,6 +207,18 @@
 	}
 }
 
+// Silent says that the session in hand has fallen silent. Its relay may well accept a new one and be silent there too, so the others
+// are tried before it.
+func (f *Follower) Silent(now int64) {
+	i := f.open
+	f.Lost(now)
+	if i >= 0 && len(f.seats) > 1 {
+		s := &f.seats[i]
+		s.again = f.at + f.grown(s.fails)
+		s.fails++
+	}
+}
+
 // Following gives the seat whose session is in hand, nil without one, and whether all there was has been heard there.
 func (f *Follower) Following() (s *Seat, settled bool) {
 	if f.open < 0 {
--- a/internal/fleet/relay/client.go
+++ b/internal/fleet/relay/client.go
@@ -120,6 +120,9 @@
 		c.Dial = plain
 	}
 	c.times = cmp.Or(c.times, usual)
+	if c.follower != nil {
+		c.times.room = 0 // a relay is told more, and over long lines
+	}
 	c.teller = teller{dial: c.Dial, times: c.times}
 	if c.follower != nil {
 		return nil
@@ -269,7 +272,13 @@
 		c.log.Log(c.work, level, "control: no session", "relay", e.s.seat.Name, "error", e.err)
 	case e.s != c.hand: // of one that was given up
 	case e.err != nil:
-		c.locked(func(f *control.Follower) { f.Lost(now); c.failed = clip(e.err.Error()) })
+		c.locked(func(f *control.Follower) {
+			if c.failed = clip(e.err.Error()); errors.Is(e.err, errSilent) {
+				f.Silent(now)
+			} else {
+				f.Lost(now)
+			}
+		})
 		c.lost(e.err)
 	case e.piece == nil:
 		c.locked(func(f *control.Follower) { f.Beat(now) })
--- a/internal/fleet/relay/relay.go
+++ b/internal/fleet/relay/relay.go
@@ -42,7 +42,7 @@
 // later, which a relay on a busy machine, or a long line to it, would miss: so it goes out a quarter of a beat early.
 const beatAfter = time.Duration(control.Beat * 3 / 4)
 
-// usual are a follower's times.
+// usual are a follower's times. A relay that falls silent is left for the next one after silence and a part of the window.
 var usual = times{
 	dial:    2 * time.Second,
 	first:   2 * time.Second,
@@ -51,6 +51,7 @@
 	tell:    2 * time.Second,
 	bye:     250 * time.Millisecond,
 	kept:    10 * time.Second,
+	room:    16 << 10, // what waits longer the relay has not told, and then tells as it is by then
 }
 
 // plain dials without keep-alive probes: a session has its own sign of life.
