Sessions tell a mixer 8,000 B/s, so that all of its control stays under 10 KB/s over ten seconds

Change: 8,000 B/s; with 8 KB of burst, one piece of 4 KB and what goes up (438 B/s in the burst) that is 9.7 KB a second. A document of 32 KiB alone may still owe more for once. Tests of control, relay and words pass.

--- a/internal/fleet/control/table.go
+++ b/internal/fleet/control/table.go
@@ -23,7 +23,7 @@
 	MaxName     = 200       // bytes of a row's name
 	MaxAuthor   = 100       // bytes of a stamp's author
 	MaxCount    = 1<<53 - 1 // of epochs and numbers; all readers of JSON hold it exactly
-	Rate        = 10 << 10  // bytes a second that a session tells a mixer
+	Rate        = 8000      // bytes a second that a session tells a mixer: with its burst and what goes up under 100 KB in any 10 s
 	RelayRate   = 1 << 20   // bytes a second that a session tells another relay
 	second      = int64(1_000_000_000)
 )
