--- a/internal/fleet/relay/words.go
+++ b/internal/fleet/relay/words.go
@@ -62,37 +62,30 @@
 }
 
 // judges has the relay tell what its mixers together say, in rounds.
-func (s *Server) judges(ctx context.Context) {
-	round := time.NewTicker(time.Duration(words.Round))
-	defer round.Stop()
-	for {
-		select {
-		case <-ctx.Done():
-			return
-		case <-round.C:
-		}
-		s.mu.Lock()
-		var left []string
-		for name := range s.ended {
-			if len(s.live[name]) == 0 {
-				left = append(left, name)
-			}
-		}
-		clear(s.ended)
-		s.mu.Unlock()
-		s.bench.mu.Lock()
-		began := time.Now()
-		for _, name := range left {
-			s.bench.judge.Left(s.now(), name)
+func (s *Server) judges(ctx context.Context) { every(ctx, s.judge) }
+
+func (s *Server) judge() {
+	s.mu.Lock()
+	var left []string
+	for name := range s.ended {
+		if len(s.live[name]) == 0 {
+			left = append(left, name)
 		}
-		rows := s.bench.judge.Round(s.now())
-		s.bench.took = time.Since(began)
-		s.bench.mu.Unlock()
-		s.mu.Lock()
-		s.relay.Words(s.now(), rows)
-		s.notify()
-		s.mu.Unlock()
 	}
+	clear(s.ended)
+	s.mu.Unlock()
+	s.bench.mu.Lock()
+	began := time.Now()
+	for _, name := range left {
+		s.bench.judge.Left(s.now(), name)
+	}
+	rows := s.bench.judge.Round(s.now())
+	s.bench.took = time.Since(began)
+	s.bench.mu.Unlock()
+	s.mu.Lock()
+	s.relay.Words(s.now(), rows)
+	s.notify()
+	s.mu.Unlock()
 }
 
 // WordsStatus is how a relay's judging stands.
--- a/internal/lab/scale/book.go
+++ b/internal/lab/scale/book.go
@@ -86,40 +86,28 @@
 }
 
 // reached gives, of the mixers that ran when a version was given, how long until it or a later one was in force.
-func (b *book) reached(g given) (s Spread) {
-	for _, lives := range b.lives {
-		for _, l := range lives {
-			if l.begun > g.at || l.ended != 0 && l.ended <= g.at {
-				continue
-			}
-			s.All++
-			i := slices.IndexFunc(l.inForce, func(m moment) bool { return m.compare(g.Stamp) >= 0 })
-			switch {
-			case i >= 0:
-				s.Took = append(s.Took, time.Duration(max(0, l.inForce[i].at-g.at)))
-			case l.ended != 0:
-				s.Left++
-			default:
-				s.Lack++
-			}
-		}
-	}
-	slices.Sort(s.Took)
-	return s
+func (b *book) reached(g given) Spread {
+	return b.spread(g, func(l *life) []moment { return l.inForce }, func(m moment) bool { return m.compare(g.Stamp) >= 0 })
 }
 
 // refused gives the same for a version that is rejected.
-func (b *book) refused(g given) (s Spread) {
+func (b *book) refused(g given) Spread {
+	return b.spread(g, func(l *life) []moment { return l.rejected }, func(m moment) bool { return m.compare(g.Stamp) == 0 })
+}
+
+// spread gives, of the mixers that ran when a version was given, how long until the first of their moments that is meant.
+func (b *book) spread(g given, of func(*life) []moment, meant func(moment) bool) (s Spread) {
 	for _, lives := range b.lives {
 		for _, l := range lives {
 			if l.begun > g.at || l.ended != 0 && l.ended <= g.at {
 				continue
 			}
 			s.All++
-			i := slices.IndexFunc(l.rejected, func(m moment) bool { return m.compare(g.Stamp) == 0 })
+			moments := of(l)
+			i := slices.IndexFunc(moments, meant)
 			switch {
 			case i >= 0:
-				s.Took = append(s.Took, time.Duration(max(0, l.rejected[i].at-g.at)))
+				s.Took = append(s.Took, time.Duration(max(0, moments[i].at-g.at)))
 			case l.ended != 0:
 				s.Left++
 			default:
