--- a/internal/fleet/relay/client_test.go
+++ b/internal/fleet/relay/client_test.go
@@ -2,7 +2,6 @@
 
 import (
 	"fmt"
-	"net"
 	"net/http"
 	"net/http/httptest"
 	"net/url"
