--- a/internal/lab/capacity/control.go
+++ b/internal/lab/capacity/control.go
@@ -1,23 +1,23 @@
 package capacity
 
-// What `nettlelab measure control` gave at the size itself: 7 relays and 6,300 mixers, a window of 2 s, the third of three runs
+// What `nettlelab measure control` gave at the size itself: 7 relays and 6,300 mixers, a window of 2 s, the last of four runs
 // (docs/control.md). Nothing is extrapolated here, so there is no law.
 const (
-	controlCalm   = 1349.0  // B/s of a mixer, in and out, a change each 17.6 s
-	controlBurst  = 7734.0  // the same, 100 changes in a minute
-	controlTen    = 8643.0  // the most of any mixer over ten seconds of the burst, B/s
-	controlCore   = 0.00183 // of a core, the most of any part, with the reading of each change
-	controlMemory = 0.264e6 // B of a mixer, its module and settings too
-	relayCore     = 0.548   // of a core, the busiest relay of any part
-	relayMemory   = 178e6   // B
-	relayBurst    = 11.2e6  // B/s, the busiest relay in the burst
-	relayFiles    = 3177.0  // open files
-	relaySessions = 1576.0  // of mixers, the relay that is alone in its region
-	inForceCalm   = 0.916   // s until the last mixer has a change in force, calm
-	inForceBurst  = 2.078   // the same, 100 changes in a minute
-	inForceKilled = 2.459   // given as a relay with 1,575 mixers is killed
-	inForceSilent = 4.345   // given as a relay with 811 mixers falls silent
-	inForceStart  = 2.007   // all mixers start at once
+	controlCalm   = 1336.0  // B/s of a mixer, in and out, a change each 17.6 s
+	controlBurst  = 7529.0  // the same, 100 changes in a minute
+	controlTen    = 8631.0  // the most of any mixer over ten seconds of the burst, B/s
+	controlCore   = 0.00212 // of a core, the most of any part, with the reading of each change
+	controlMemory = 0.265e6 // B of a mixer, its module and settings too
+	relayCore     = 0.486   // of a core, the busiest relay of any part
+	relayMemory   = 171e6   // B
+	relayBurst    = 10.91e6 // B/s, the busiest relay in the burst
+	relayFiles    = 3175.0  // open files
+	relaySessions = 1575.0  // of mixers, the relay that is alone in its region
+	inForceCalm   = 1.320   // s until the last mixer has a change in force, calm
+	inForceBurst  = 2.213   // the same, 100 changes in a minute
+	inForceKilled = 2.394   // given as a relay with 1,575 mixers is killed
+	inForceSilent = 4.312   // given as a relay with 808 mixers falls silent
+	inForceStart  = 2.006   // all mixers start at once
 )
 
 const (
