The last good version is known by its row alone; one way through a process's sockets in tests

Found by reading the whole change again. A relay kept the stamp of the row that it had made beside the row itself; it now reads the row. Two tests went through the system's table of sockets each with a loop of its own; what they count is as before.

--- a/cmd/nettlefold/control_test.go
+++ b/cmd/nettlefold/control_test.go
@@ -1,7 +1,6 @@
 package main
 
 import (
-	"bufio"
 	"encoding/json"
 	"fmt"
 	"log/slog"
@@ -21,25 +20,13 @@
 // sockets counts the TCP sockets that the program listens at, and its connections to a port.
 func (w *world) sockets(port int) (listeners, to int) {
 	w.t.Helper()
-	proc, mine := w.owned()
-	for _, file := range []string{"/net/tcp", "/net/tcp6"} {
-		f, err := os.Open(proc + file)
-		if err != nil {
-			continue // no IPv6 there
+	w.eachSocket("tcp", func(fields []string) {
+		if fields[3] == "0A" {
+			listeners++
+		} else if strings.HasSuffix(fields[2], fmt.Sprintf(":%04X", port)) {
+			to++
 		}
-		for lines := bufio.NewScanner(f); lines.Scan(); {
-			fields := strings.Fields(lines.Text())
-			if len(fields) < 10 || !mine[fields[9]] {
-				continue
-			}
-			if fields[3] == "0A" {
-				listeners++
-			} else if strings.HasSuffix(fields[2], fmt.Sprintf(":%04X", port)) {
-				to++
-			}
-		}
-		f.Close()
-	}
+	})
 	return listeners, to
 }
 
--- a/cmd/nettlefold/fleet_test.go
+++ b/cmd/nettlefold/fleet_test.go
@@ -40,21 +40,27 @@
 
 // packets counts the UDP sockets that the program has open.
 func (w *world) packets() (n int) {
+	w.t.Helper()
+	w.eachSocket("udp", func([]string) { n++ })
+	return n
+}
+
+// eachSocket gives the system's line on each socket that the program has open of a kind, in fields.
+func (w *world) eachSocket(kind string, do func(fields []string)) {
 	w.t.Helper()
 	proc, mine := w.owned()
-	for _, file := range []string{"/net/udp", "/net/udp6"} {
+	for _, file := range []string{"/net/" + kind, "/net/" + kind + "6"} {
 		f, err := os.Open(proc + file)
 		if err != nil {
 			continue // no IPv6 there
 		}
 		for lines := bufio.NewScanner(f); lines.Scan(); {
 			if fields := strings.Fields(lines.Text()); len(fields) > 9 && mine[fields[9]] {
-				n++
+				do(fields)
 			}
 		}
 		f.Close()
 	}
-	return n
 }
 
 const threeSites = `<site name="x"/><site name="y"/><site name="z"/>`
--- a/internal/fleet/control/relay.go
+++ b/internal/fleet/control/relay.go
@@ -80,7 +80,6 @@
 	swept    int64
 
 	told       Stamp // the greatest that a mixer told
-	proven     Stamp // the last that a mixer here was found to have in force
 	given      Stamp // the last given here
 	rowNumber  uint64
 	made       int64
