--- a/internal/lab/fleet/world.go
+++ b/internal/lab/fleet/world.go
@@ -13,6 +13,7 @@
 	"math"
 	"math/rand"
 
+	"nettlefold/internal/lab/record"
 	"nettlefold/internal/sharing"
 	"nettlefold/mixer"
 )
@@ -35,6 +36,9 @@
 	Shared    bool                 // mixers speak by the store
 	Reaches   func(mixer int) bool // which mixers reach the store, nil: all
 	ListLate  int64                // the most a mixer is told late of the list
+
+	// Record gives what a mixer's module is written down in from its next start on, nil: nothing. Lives count from 1.
+	Record func(mixer int, life uint64) *record.Transcript
 }
 
 // World is one history.
@@ -58,7 +62,7 @@
 	Index   int
 	Name    string
 	Zone    string
-	M       *mixer.Mixer
+	M       *record.Mixer
 	Board   *sharing.Board
 	Circuit *sharing.Circuit
 	Paused  bool                    // takes part in nothing that is shared; what it wrote before may still land
@@ -98,7 +102,7 @@
 	Whole    bool
 	Bounced  bool
 	Ended    bool
-	h        *mixer.Lookup
+	h        *record.Lookup
 	t        *mixer.Tariff
 	parts    int
 }
@@ -177,7 +181,11 @@
 	n.lookups, n.parts = map[string]*Lookup{}, map[string]*part{}
 	c := w.Charter
 	c.Zone, c.Mixers = n.Zone, w.Setup.Mixers
-	n.M = mixer.New(w.Now, c, w.Seed+int64(n.Index)*104729+int64(n.life), floor{n})
+	var t *record.Transcript
+	if w.Record != nil {
+		t = w.Record(n.Index, n.life)
+	}
+	n.M = record.New(w.Now, c, w.Seed+int64(n.Index)*104729+int64(n.life), floor{n}, t)
 	var rows []mixer.Entry
 	for _, s := range w.Searchers {
 		rows = append(rows, s.entry())
