nettlelab measure fanout: what a part costs the module and its router, against another build

Cause: the cost of queries of many parts was known from one curve (docs/CAPACITY.md); what admission, picks and outcomes cost apart, by holders, with nothing known, with lost attempts, a full budget's window and answers that are whole from a share on was not measured, nor could two builds be compared in one run.

--- a/cmd/nettlelab/main.go
+++ b/cmd/nettlelab/main.go
@@ -18,11 +18,15 @@
 	Measure measureCommand `cmd:"" help:"Play what the project claims, print the table, and fail if a claim does."`
 	Control controlCommand `cmd:"" help:"Play the control tier with all its processes on this machine, at a size that is told."`
 	Hollow  hollowCommand  `cmd:"" hidden:""`
+
+	FanoutCost fanoutCostCommand `cmd:"" hidden:""`
 }
 
 type measureCommand struct {
 	Name  string `arg:"" help:"One of: ${measurements}."`
 	Quick bool   `help:"Fewer seeds; ends within 50 s."`
+
+	Against string `type:"existingfile" placeholder:"PROGRAM" help:"Of fanout: another build of nettlelab that plays the same costs in turns."`
 }
 
 // Run measures.
@@ -31,6 +35,15 @@
 	if do == nil {
 		return fmt.Errorf("no measurement %q; there are: %s", a.Name, strings.Join(measure.Names(), ", "))
 	}
+	if a.Against != "" {
+		var err error
+		if a.Name != "fanout" {
+			return fmt.Errorf("only fanout is measured against another build")
+		}
+		if do, err = against(a.Against); err != nil {
+			return err
+		}
+	}
 	began := time.Now()
 	r, err := do(a.Quick)
 	if err != nil {
--- a/internal/lab/capacity/conns.go
+++ b/internal/lab/capacity/conns.go
@@ -73,7 +73,7 @@
 		return nil, err
 	}
 	defer p.close()
-	c := terms(size)
+	c := Terms(size)
 	c.Tariffs[0].Expected, c.Tariffs[0].Patience = int64(time.Minute), int64(time.Minute)
 	var list protocol.List
 	for i := range size {
@@ -142,7 +142,7 @@
 	for i := range list.Members {
 		list.Members[i].Address = p.l.Addr().String()
 	}
-	c := terms(cellsOf(size))
+	c := Terms(cellsOf(size))
 	c.Tariffs[0].Expected, c.Tariffs[0].Patience = int64(time.Minute), int64(time.Minute)
 	r, err := router(c, list.Entries())
 	if err != nil {
--- a/internal/lab/capacity/list.go
+++ b/internal/lab/capacity/list.go
@@ -56,8 +56,8 @@
 // cellsOf gives how many cells there are, of so many holders each.
 func cellsOf(searchers int) int { return max(1, searchers/holders) }
 
-// terms is what a mixer of the plan is told; what the plan does not name is as in example/config.json.
-func terms(cells int) mixer.Charter {
+// Terms is what a mixer of the plan is told; what the plan does not name is as in example/config.json.
+func Terms(cells int) mixer.Charter {
 	return mixer.Charter{
 		Tariffs: []mixer.Tariff{{Expected: int64(Answer * 1e9), Patience: int64(Answer * 1e9), CompleteFrom: 1, LeastShare: 1}},
 		Zone:    "zone-0", Mixers: Mixers, Cells: cells, Reach: 1, PerCall: 4, MaxForwards: 3, MayCopy: true, MayCancel: true,
@@ -167,7 +167,7 @@
 	}
 	rows, changed := list.Entries(), one.Entries()
 	r, held := Held(func() *routing.Router {
-		r, _ := router(terms(cells), rows)
+		r, _ := router(Terms(cells), rows)
 		return r
 	})
 	closeTable, connections := heldByTable(list)
@@ -177,7 +177,7 @@
 		return nil, err
 	}
 	var fresh *routing.Router
-	first, _, firstTook := best(3, func() { fresh, err = router(terms(cells), rows) })
+	first, _, firstTook := best(3, func() { fresh, err = router(Terms(cells), rows) })
 	if err != nil || fresh == nil {
 		return nil, err
 	}
@@ -200,7 +200,7 @@
 	if err != nil {
 		return nil, err
 	}
-	r, err := router(terms(cells), list.Entries())
+	r, err := router(Terms(cells), list.Entries())
 	if err != nil {
 		return nil, err
 	}
@@ -220,7 +220,7 @@
 	}
 	defer os.RemoveAll(dir)
 	path := filepath.Join(dir, "learnt")
-	if err := learnt.Write(path, at, learnt.ShapeOf(terms(cells)), k); err != nil {
+	if err := learnt.Write(path, at, learnt.ShapeOf(Terms(cells)), k); err != nil {
 		return nil, err
 	}
 	info, err := os.Stat(path)
--- a/internal/lab/capacity/query.go
+++ b/internal/lab/capacity/query.go
@@ -122,7 +122,7 @@
 	if err != nil {
 		return 0, 0, err
 	}
-	c := terms(cells)
+	c := Terms(cells)
 	c.Tariffs[0].Expected, c.Tariffs[0].Patience = int64(late), int64(late)
 	r, err := router(c, list.Entries())
 	if err != nil {
@@ -188,7 +188,7 @@
 			{Name: "query: in the router, all of its calls", Unit: "s", Form: Quadratic, Known: routerTime},
 		},
 		Play: func(parts int) ([]float64, error) {
-			a, b, f, timers, t, err := served(4000, 4000/holders, parts, terms(4000/holders))
+			a, b, f, timers, t, err := served(4000, 4000/holders, parts, Terms(4000/holders))
 			if err != nil {
 				return nil, err
 			}
@@ -202,7 +202,7 @@
 			{Name: "query of 88 parts, 4 holders a part: in the module", Unit: "s", Form: Power, Known: queryBySearchers},
 		},
 		Play: func(searchers int) ([]float64, error) {
-			a, _, _, _, t, err := served(searchers, cellsOf(searchers), Parts, terms(cellsOf(searchers)))
+			a, _, _, _, t, err := served(searchers, cellsOf(searchers), Parts, Terms(cellsOf(searchers)))
 			return []float64{a, t}, err
 		},
 	}, {
@@ -213,7 +213,7 @@
 			{Name: "query of 88 parts: in the module", Unit: "s", Form: Affine, Known: queryByHolders},
 		},
 		Play: func(holders int) ([]float64, error) {
-			a, _, _, _, t, err := served(holders*Parts, Parts, Parts, terms(Parts))
+			a, _, _, _, t, err := served(holders*Parts, Parts, Parts, Terms(Parts))
 			return []float64{a, t}, err
 		},
 	}, {
@@ -223,7 +223,7 @@
 			{Name: "query of 88 parts, with a forward budget: in the module", Unit: "s", Form: Affine, Known: queryByBudget},
 		},
 		Play: func(window int) ([]float64, error) {
-			c := terms(1000)
+			c := Terms(1000)
 			c.BudgetFree, c.BudgetShare = 10, 0.1
 			c.BudgetFor = int64(float64(window) / (Queries / Mixers * (Parts + 1)) * 1e9)
 			w := newWorld(4000, 1000, Parts, c)
--- a/internal/lab/measure/measure.go
+++ b/internal/lab/measure/measure.go
@@ -38,6 +38,7 @@
 var Measurements = map[string]func(quick bool) (Result, error){
 	"capacity":     Capacity,
 	"control":      Control,
+	"fanout":       Fanout,
 	"shared-store": SharedStore,
 	"site-loss":    SiteLoss,
 }
