Module: a pick looks only at parts that may have the least; calm reviews look at none

Cause: a query of 88 parts took the module 2.7 to 4.7 ms, quadratic in its parts. A profile of 5 to 400 parts: 76% in unit, called anew for each holder of each part at each pick (pick.go), half of it in Exp2; then typical, read anew for each part at each review (review.go, hearken, lateAt). Each outcome went through all parts of its query.

Change: within one review keys only rise, so a lower bound for each part (lows.go) tells which parts a pick can pass over; it looks at the others as before, in order, with the same draws. What a searcher takes for a call is reckoned once in a call to the module (memo). Reviews in which nothing can have happened are told by calm.go: all that is awaited went out at one time, nothing has stirred since, and less than twice the usual time has passed.

--- a/mixer/admission.go
+++ b/mixer/admission.go
@@ -16,7 +16,7 @@
 		asked = min(now, a.NotAfter-t.Patience)
 	}
 	end := min(a.NotAfter, asked+t.Expected) - endMargin
-	l := &Lookup{m: m, ask: a, t: t, expect: a.Parts, need: t.CompleteFrom, end: end}
+	l := &Lookup{m: m, ask: a, t: t, expect: a.Parts, need: t.CompleteFrom, end: end, stirs: -1}
 	l.rouse(now, end) // whatever else is lost, parts that never come or a late timer, this look ends it
 	return l
 }
@@ -27,7 +27,8 @@
 	if l.ended {
 		return
 	}
-	l.parts = append(l.parts, &part{Piece: p, l: l})
+	l.parts = append(l.parts, l.room.add(l, p))
+	l.m.turn++
 	if l.planned = len(l.parts) >= l.expect; !l.planned {
 		return
 	}
@@ -42,25 +43,26 @@
 // or of a few slices, whatever the cause: work that comes too late keeps other work from being in time.
 func (l *Lookup) hopeless(now int64) bool {
 	m := l.m
-	times, fleet := make([]float64, len(l.parts)), m.pace.Read(now, halfLife, 0, 0)
+	times, fleet, fade := m.times[:0], m.fleet(now), m.pace.Fade(now, halfLife)
 	worth := 1.0
 	if c := l.ask.Customer; c > 0 { // who goes beyond its share is turned away first
 		fair := m.c.Allowances[c-1] / float64(m.c.Mixers) / 1e9 * float64(halfLife) / math.Ln2
 		over := (m.customers[c].Read(now, halfLife) + shareLean) / (fair + shareLean)
 		worth = m.c.OverWorth + (1-m.c.OverWorth)/max(1, over)
 	}
-	for i, p := range l.parts {
-		times[i] = math.Inf(1)
+	for _, p := range l.parts {
+		least := math.Inf(1)
 		m.holders(now, p, func(s *searcher) {
 			if !m.shunned(now, s) {
 				// What was learnt long ago, of s or of all, must not keep away the lookups that would show it is over.
 				on := fleet / s.size
-				unit := on*m.pace.Fade(now, halfLife) + (m.unit(now, s)-on)*s.pace.Fade(now, halfLife)
-				took := unit * float64(s.calls+1)
-				times[i] = min(times[i], float64(m.coldWait(now, s))+took)
+				unit := on*fade + (m.unit(now, s)-on)*s.pace.Fade(now, halfLife)
+				least = min(least, float64(m.coldWait(now, s))+unit*float64(s.calls+1))
 			}
 		})
+		times = append(times, least)
 	}
+	m.times = times
 	slices.Sort(times)
 	time := times[max(int(math.Ceil(l.need*float64(len(times))-tiny)), 1)-1]
 	if l.t.SecondStep > 0 {
--- /dev/null
+++ b/mixer/cost_test.go
@@ -0,0 +1,81 @@
+package mixer
+
+import (
+	"fmt"
+	"math/rand"
+	"testing"
+)
+
+// mute is a floor that keeps what is sent and nothing else.
+type mute struct {
+	index map[string]int // of a part, by its id
+	sent  []int
+}
+
+func (h *mute) Forward(part, _ string, _ int64) { h.sent = append(h.sent, h.index[part]) }
+func (h *mute) Cancel(string, int)              {}
+func (h *mute) Answer(string, bool)             {}
+func (h *mute) Bounce(string, int64)            {}
+func (h *mute) Fail(string)                     {}
+func (h *mute) CloseIdle(string)                {}
+func (h *mute) Timer(int64, Due)                {}
+func (h *mute) Subscribe()                      {}
+func (h *mute) Note(string)                     {}
+
+// BenchmarkQuery is what one query costs the module, by its parts, the holders of each and whether it has met its searchers.
+func BenchmarkQuery(b *testing.B) {
+	for _, parts := range []int{5, 20, 88, 400} {
+		for _, holders := range []int{4, 20} {
+			for _, cold := range []bool{false, true} {
+				if cold && holders > 4 {
+					continue
+				}
+				b.Run(fmt.Sprintf("parts=%d/holders=%d/unmet=%v", parts, holders, cold), func(b *testing.B) {
+					c := Charter{Tariffs: []Tariff{{Expected: 57 * ms, Patience: 200 * ms, CompleteFrom: 1, LeastShare: 1}}, Mixers: 6300, Zone: "z0",
+						Cells: 1000, Reach: 1, PerCall: 1, MaxForwards: 3, MayCopy: true, MayCancel: true, ColdFrom: 1, FallMultiple: 2}
+					floor := &mute{index: map[string]int{}}
+					now, rng := int64(1790000000e9), rand.New(rand.NewSource(1))
+					m := New(now, c, 1, floor)
+					rows := make([]Entry, holders*c.Cells)
+					for i := range rows {
+						rows[i] = Entry{Searcher: fmt.Sprint("s", i), Cell: i % c.Cells, Zone: fmt.Sprint("z", i%8)}
+					}
+					m.Listed(now, rows, true)
+					pieces := make([]Piece, parts)
+					for i := range pieces {
+						pieces[i] = Piece{ID: fmt.Sprint("q.", i), Weight: 1 / float64(parts)}
+						floor.index[pieces[i].ID] = i
+					}
+					query := func() {
+						now += 8 * ms
+						start := rng.Intn(c.Cells)
+						l := m.Take(now, Ask{ID: "q", NotAfter: now + 57*ms, Parts: parts})
+						for i, p := range pieces {
+							p.Slice = start + i
+							l.AddPart(now, p)
+						}
+						now += 4 * ms
+						for _, i := range floor.sent {
+							if now += 1000; !cold {
+								l.Outcome(now, i, 0, Satisfied, 4*ms+int64(rng.Intn(int(ms))), false)
+							} else {
+								l.Outcome(now, i, 0, Moot, 0, false)
+							}
+						}
+						floor.sent = floor.sent[:0]
+					}
+					if !cold {
+						for range 100 + 10000/parts {
+							query()
+						}
+					}
+					b.ReportAllocs()
+					for b.Loop() {
+						query()
+					}
+					b.ReportMetric(float64(b.Elapsed().Nanoseconds())/float64(b.N)/float64(parts), "ns/part")
+				})
+			}
+		}
+	}
+}
--- a/mixer/learn.go
+++ b/mixer/learn.go
@@ -22,7 +22,8 @@
 		}
 		if s.heard <= f.sent {
 			s.unheard += took
-			m.hearken(now, f.part)
+			mean, _ := m.typical(now, f.part.l)
+			m.hearken(now, f.part, mean)
 		}
 	case Satisfied:
 		s.heard, s.unheard, s.suspect, s.wait = now, 0, false, 0
@@ -54,24 +55,28 @@
 	s.told.Add(now, time, float64(calls), halfLife)
 }
 
-// typical gives mean and deviation of how long the tariff's forwards lately took, a guess when none did.
-func (m *Mixer) typical(now int64, l *Lookup) (mean, dev float64) {
+// typical gives how long the tariff's forwards lately took in the mean, a guess when none did, and after how long
+// one is late against nearly all of them.
+func (m *Mixer) typical(now int64, l *Lookup) (mean float64, late int64) {
 	n, mean, dev := m.rows[l.ask.Tariff].Read(now, halfLife)
 	if n < tiny {
-		return tookGuess * float64(l.t.Expected), 0
+		mean, dev = tookGuess*float64(l.t.Expected), 0
 	}
-	return mean, dev
+	return mean, int64(mean + lateSpread*max(dev, mean/4))
 }
 
 // unit is what forwards to s lately took for each call out with them, leaning on the fleet's figure where
 // s has shown little. Times the calls that a new forward joins, it is the time it is likely to take.
 // What others say of it stands for the fleet's, and weighs more than what s showed this mixer before.
 func (m *Mixer) unit(now int64, s *searcher) float64 {
-	on, weight := m.pace.Read(now, halfLife, 0, 0)/s.size, lean
+	if s.unit.holds(now, m.turn) {
+		return s.unit.is
+	}
+	on, weight := m.fleet(now)/s.size, lean
 	if w := s.said(now); w.Slow > 0 {
 		if on *= w.Slow; s.heard < w.At {
 			weight += min(w.Weight, wordMost) + s.pace.under.Read(now, paceHalf)
 		}
 	}
-	return s.pace.Read(now, paceHalf, on, weight)
+	return s.unit.keep(now, m.turn, s.pace.Read(now, paceHalf, on, weight))
 }
--- a/mixer/mixer.go
+++ b/mixer/mixer.go
@@ -76,6 +76,8 @@
 	refusals            int
 	customers           []Decay // lookups taken of each, the first of those who are not told
 	held                int64   // until then its own cold allowance may still be lent from before its start
+	stirs, turn         int64   // what may bear on lookups beside their own answers; calls that let figures change
+	scratch                     // kept from one review to the next to spare allocations
 }
 
 // zone is what is known of a place: its last answer, and how many forwards sent since were lost.
@@ -103,24 +105,7 @@
 	out           []*forward
 	word          Word  // of others, on the process named there
 	want, sent    Decay // cold: forwards sent there, and those that would have been with credit; all forwards
-}
-
-// call is what travels together to one searcher.
-type call struct{ at, size, left int64 }
-
-// forward is one try of a part.
-type forward struct {
-	part      *part
-	s         *searcher
-	call      *call
-	count     int   // calls out there, with its own
-	process   int64 // start of the process it went to
-	sent      int64
-	done, ran bool   // has its outcome; may have run
-	gone      bool   // waited for no more
-	recalled  bool   // withdrawn, to be sent again elsewhere when that has its outcome
-	line      *Ratio // nil where the connection was in use
-	missed    int64  // when it was counted as lost by line and zone, 0 if it was not
+	unit          memo
 }
 
 // cut tells whether no answer can come: its process is gone, or its whole zone is silent.
@@ -133,28 +118,6 @@
 
 func (f *forward) mayRun() bool { return !f.done || f.ran }
 
-type part struct {
-	Piece
-	l        *Lookup
-	in, over bool
-	forwards []*forward
-}
-
-// Lookup is the handle of one lookup.
-type Lookup struct {
-	m      *Mixer
-	ask    Ask
-	t      *Tariff
-	parts  []*part
-	step   int // first part of the step at hand
-	expect int // parts there are once the step is complete
-	need   float64
-	end    int64 // when its full revenue ends; it is given up then
-	wake   int64 // when it is looked at next
-
-	planned, ended bool // the step's parts have come; it has its final answer
-}
-
 // New makes a mixer.
 func New(now int64, c Charter, seed int64, floor Floor) *Mixer {
 	m := &Mixer{c: c, floor: floor, rng: rand.New(rand.NewSource(seed)), rows: make([]Spread, len(c.Tariffs))}
--- a/mixer/pick.go
+++ b/mixer/pick.go
@@ -6,29 +6,29 @@
 // count, and the count rises with the pick. Unasked parts come before repeats, equals are ordered by what
 // is known beyond the count, and then by chance.
 func (l *Lookup) pick(now int64, copy bool) (best *part, to *searcher) {
-	m, left := l.m, float64(l.end-now)
-	if copy && !m.mayCopy(now, l) {
+	m, left, step, home, at := l.m, float64(l.end-now), l.parts[l.step:], l.m.zones[l.m.c.Zone], 0
+	mean, late := m.typical(now, l)
+	if copy && !m.mayCopy(now, l, mean) {
 		return nil, nil
 	}
-	mean, _ := m.typical(now, l)
 	var want *searcher // want is cold and would be picked if it had credit
-	var least, wanted [5]float64
-	for _, p := range l.parts[l.step:] {
-		if p.in || !l.maySend(now, p) {
-			continue
-		}
-		if out := p.lastOut(now); out > 0 && (!copy || l.lateAt(now, out) > now) {
-			continue
-		}
+	least, wanted := bottom, key{}
+	m.lows.begin(len(step), copy, m.mayTest(now)) // keys only rise from here on, but by the allowance for tests
+	for i := m.lows.next(0, &least); i < len(step); i = m.lows.next(i+1, &least) {
+		p, low := step[i], never
 		bound := p.bound()
-		if bound != nil && !bound.cut() && left > lastChance*mean {
-			continue // its answer may be near, and what is withdrawn may be worked on all the same
+		out := p.lastOut(now)
+		// What is bound is left: its answer may be near, and what is withdrawn may be worked on all the same.
+		if p.in || !l.maySend(now, p) || out > 0 && (!copy || out+late > now) ||
+			bound != nil && !bound.cut() && left > lastChance*mean {
+			m.lows.set(i, never)
+			continue
 		}
 		m.holders(now, p, func(s *searcher) {
-			if slices.ContainsFunc(p.forwards, func(f *forward) bool { return f.s == s }) {
+			if len(p.forwards) > 0 && slices.ContainsFunc(p.forwards, func(f *forward) bool { return f.s == s }) {
 				return
 			}
-			key := [5]float64{1: float64(min(1, len(p.forwards))), 2: float64(s.calls), 4: float64(p.Effort)}
+			key := key{1: float64(min(1, len(p.forwards))), 2: float64(s.calls), 4: float64(p.Effort)}
 			unit := m.unit(now, s)
 			if len(s.out) > 0 { // at least what the oldest out there has waited
 				unit = max(unit, float64(now-s.out[0].sent)/float64(s.out[0].count))
@@ -37,7 +37,7 @@
 			if bound != nil && (m.shunned(now, s) || key[3] > backTimes*left) {
 				return // no better than where it is
 			}
-			if s.zone != m.zones[m.c.Zone] { // weighed against time by what crossing costs
+			if s.zone != home { // weighed against time by what crossing costs
 				key[3] *= 1 + crossing*m.c.CrossPrice
 			}
 			if m.shunned(now, s) {
@@ -45,18 +45,25 @@
 			} else if s.suspect {
 				key[0] = -1 // the one test, backed by a copy as soon as the lookup is looked at again
 			}
+			if key.compare(&low) < 0 {
+				low = key
+			}
 			if m.coldWait(now, s) > 0 {
-				if want == nil || slices.Compare(key[:], wanted[:]) < 0 {
+				if want == nil || key.compare(&wanted) < 0 {
 					want, wanted = s, key
 				}
-			} else if c := slices.Compare(key[:], least[:]); best == nil || c < 0 || c == 0 && m.rng.Intn(2) == 0 {
-				best, to, least = p, s, key
+			} else if c := key.compare(&least); c < 0 || c == 0 && m.rng.Intn(2) == 0 {
+				best, to, least, at = p, s, key, i
 			}
 		})
+		m.lows.set(i, low)
 	}
-	if want != nil && (best == nil || slices.Compare(wanted[:], least[:]) < 0) {
+	if want != nil && wanted.compare(&least) < 0 {
 		want.want.Add(now, 1, halfLife)
 	}
+	if best != nil {
+		m.lows.set(at, unseen)
+	}
 	return best, to
 }
 
@@ -93,15 +100,8 @@
 	return p.forwards[n]
 }
 
-// lateAt gives when a forward sent at a time is late against what the tariff's forwards lately took.
-func (l *Lookup) lateAt(now, sent int64) int64 {
-	mean, dev := l.m.typical(now, l)
-	return sent + int64(mean+lateSpread*max(dev, mean/4))
-}
-
 // mayCopy is the allowance for copies. It fades as forwards take more of the expected time, or jams are fed.
-func (m *Mixer) mayCopy(now int64, l *Lookup) bool {
-	mean, _ := m.typical(now, l)
+func (m *Mixer) mayCopy(now int64, l *Lookup, mean float64) bool {
 	ease := 1 - copyEase*mean/float64(l.t.Expected)
 	return ease > 0 && m.copies.Read(now, halfLife) <= copyShare*ease*m.sent.Read(now, halfLife)
 }
@@ -126,22 +126,22 @@
 }
 
 func (m *Mixer) slide(now int64) {
-	from := now - m.c.BudgetFor
-	m.taken = slices.DeleteFunc(m.taken, func(t int64) bool { return t <= from })
-	m.spent = slices.DeleteFunc(m.spent, func(t int64) bool { return t < from })
+	start := now - m.c.BudgetFor
+	m.taken, m.spent = from(m.taken, start+1), from(m.spent, start)
 }
 
 // send books one forward; review puts it out.
 func (l *Lookup) send(now int64, p *part, s *searcher) *forward {
 	m := l.m
+	f := p.next()
+	*f = forward{part: p, s: s, process: s.started, sent: now}
 	if s.call == nil || s.call.at != now || s.call.size >= int64(m.c.PerCall) {
 		s.call = &call{at: now}
 	}
-	var line *Ratio
 	if s.suspect { // on a connection that fell silent a test would tell nothing of its searcher
 		m.floor.CloseIdle(s.id)
 	} else if s.calls == 0 {
-		line = m.connect(now, s)
+		f.line = m.connect(now, s)
 	}
 	if s.call.left == 0 {
 		s.calls++
@@ -156,8 +156,10 @@
 	s.want.Add(now, 1, halfLife)
 	s.sent.Add(now, 1, paceHalf)
 	m.sent.Add(now, 1, halfLife)
-	f := &forward{part: p, s: s, call: s.call, count: s.calls, process: s.started, sent: now, line: line}
-	p.forwards = append(p.forwards, f)
-	s.out = append(s.out, f)
+	f.call, f.count = s.call, s.calls
+	p.forwards, s.out = append(p.forwards, f), append(s.out, f)
+	if len(s.out) > calmMost {
+		m.stir()
+	}
 	return f
 }
--- a/mixer/review.go
+++ b/mixer/review.go
@@ -4,11 +4,15 @@
 
 // review is the one place where a lookup moves on: it answers, ends, forwards, and sets the next look.
 func (l *Lookup) review(now int64) {
-	m, step := l.m, l.parts[l.step:]
+	m, step, in := l.m, l.parts[l.step:], 0.0
 	if l.ended || !l.planned && now < l.end {
 		return
 	}
-	in := 0.0
+	mean, late := m.typical(now, l)
+	if l.calm(now, mean) {
+		l.rouse(now, min(l.end, l.sent+late))
+		return
+	}
 	for _, p := range step {
 		if p.in {
 			in += p.Weight
@@ -23,15 +27,14 @@
 		if p.in {
 			continue
 		}
-		m.hearken(now, p)
-		if !l.barred(now, p) || slices.ContainsFunc(p.forwards, func(f *forward) bool { return !f.done }) {
+		m.hearken(now, p, mean)
+		if slices.ContainsFunc(p.forwards, func(f *forward) bool { return !f.done }) || !l.barred(now, p) {
 			hope += p.Weight
 		}
 		if sent := p.lastOut(now); sent > 0 {
-			live += p.Weight
-			if at := l.lateAt(now, sent); at > now {
+			if live += p.Weight; sent+late > now {
 				onTime += p.Weight
-				next = min(next, at)
+				next = min(next, sent+late)
 			}
 		}
 	}
@@ -39,7 +42,8 @@
 		l.giveUp(now, in)
 		return
 	}
-	var picks []*forward
+	picks := m.picks[:0]
+	m.lows.end()
 	for onTime < l.need-tiny {
 		copy := live >= l.need-tiny // all that is needed is out, but some of it is late
 		p, to := l.pick(now, copy)
@@ -61,7 +65,7 @@
 	}
 	for _, f := range picks {
 		m.floor.Forward(f.part.ID, f.s.id, l.end-now)
-		next = min(next, l.lateAt(now, now))
+		next = min(next, now+late)
 		test := f.s.suspect && !m.shunned(now, f.s) // no last resort: those would use up the tests
 		if test || f.s.zone.silent() {
 			m.tests.Add(now, 1, halfLife)
@@ -73,7 +77,9 @@
 			}
 		}
 	}
+	m.picks = picks
 	l.rouse(now, next)
+	l.rest(now, onTime >= l.need-tiny)
 }
 
 func (l *Lookup) rouse(now, at int64) {
@@ -86,6 +92,7 @@
 // Due looks at the lookup again.
 func (l *Lookup) Due(now int64) {
 	l.wake = 0
+	l.m.turn++
 	l.review(now)
 }
 
@@ -97,7 +104,13 @@
 	p := l.parts[i]
 	f := p.forwards[copy]
 	f.done, f.ran = true, !o.NeverRan()
+	l.m.turn++
 	l.m.settle(now, f, o, took)
+	if o == Satisfied && !p.in {
+		l.in += p.Weight
+	} else {
+		l.m.stir()
+	}
 	p.in, p.over = p.in || o == Satisfied, p.over || over
 	l.review(now)
 }
@@ -121,7 +134,7 @@
 		l.ended = true
 		return
 	}
-	l.step, l.expect, l.need, l.planned = len(l.parts), len(l.parts), 1, false
+	l.step, l.expect, l.need, l.planned, l.stirs = len(l.parts), len(l.parts), 1, false, -1
 	for _, p := range l.parts {
 		if p.in && l.expect < l.step+l.t.SecondStep {
 			l.expect++
--- /dev/null
+++ b/mixer/state.go
@@ -0,0 +1,117 @@
+package mixer
+
+import "slices"
+
+// call is what travels together to one searcher.
+type call struct{ at, size, left int64 }
+
+// forward is one try of a part.
+type forward struct {
+	part      *part
+	s         *searcher
+	call      *call
+	count     int   // calls out there, with its own
+	process   int64 // start of the process it went to
+	sent      int64
+	done, ran bool   // has its outcome; may have run
+	gone      bool   // waited for no more
+	recalled  bool   // withdrawn, to be sent again elsewhere when that has its outcome
+	line      *Ratio // nil where the connection was in use
+	missed    int64  // when it was counted as lost by line and zone, 0 if it was not
+}
+
+type part struct {
+	Piece
+	l        *Lookup
+	in, over bool
+	forwards []*forward
+	first    forward // the room of the first, and of its place in forwards
+	place    [1]*forward
+}
+
+// Lookup is the handle of one lookup.
+type Lookup struct {
+	m      *Mixer
+	ask    Ask
+	t      *Tariff
+	parts  []*part
+	step   int // first part of the step at hand
+	expect int // parts there are once the step is complete
+	need   float64
+	end    int64 // when its full revenue ends; it is given up then
+	wake   int64 // when it is looked at next
+	room   rooms
+
+	stirs, sent, oldest int64 // as of the last review, for calm
+	in                  float64
+	planned, ended      bool // the step's parts have come; it has its final answer
+}
+
+// memo keeps a figure while it holds: within one call to the mixer that lets figures change.
+type memo struct {
+	now, turn int64
+	is        float64
+}
+
+func (c *memo) holds(now, turn int64) bool { return c.now == now && c.turn == turn }
+
+// keep notes a figure and gives it.
+func (c *memo) keep(now, turn int64, is float64) float64 {
+	*c = memo{now, turn, is}
+	return is
+}
+
+// scratch is what reviews use anew each time.
+type scratch struct {
+	lows  lows
+	picks []*forward
+	times []float64
+	pacer memo // of the whole fleet
+}
+
+// fleet gives how long forwards took over the calls that were out with them, of the whole fleet.
+func (m *Mixer) fleet(now int64) float64 {
+	if m.pacer.holds(now, m.turn) {
+		return m.pacer.is
+	}
+	return m.pacer.keep(now, m.turn, m.pace.Read(now, halfLife, 0, 0))
+}
+
+// rooms makes parts, many at a time.
+type rooms []part
+
+// roomsMost bounds how many parts are made at a time.
+const roomsMost = 512
+
+// add makes one more part of a lookup.
+func (r *rooms) add(l *Lookup, piece Piece) *part {
+	if len(*r) == cap(*r) {
+		*r = make(rooms, 0, min(max(1, l.expect-len(l.parts)), roomsMost))
+	}
+	*r = append(*r, part{Piece: piece, l: l})
+	p := &(*r)[len(*r)-1]
+	p.forwards = p.place[:0]
+	return p
+}
+
+// next gives the room of a part's next forward.
+func (p *part) next() *forward {
+	if len(p.forwards) == 0 {
+		return &p.first
+	}
+	return &forward{}
+}
+
+// from gives the part of a row of times, in their order, that lies at a time or after it.
+func from(times []int64, at int64) []int64 {
+	i, _ := slices.BinarySearch(times, at)
+	return times[i:]
+}
+
+// oldest gives when the first of the forwards that are out there was sent, the time told if none was before it.
+func (s *searcher) oldest(at int64) int64 {
+	if len(s.out) > 0 {
+		return min(at, s.out[0].sent)
+	}
+	return at
+}
--- a/mixer/suspect.go
+++ b/mixer/suspect.go
@@ -4,8 +4,7 @@
 
 // hearken judges searchers not by the list: when forwards to one since its last answer have waited, added up,
 // for several times what they take, it is suspect. One alone may be slow or heavy and has to wait longer.
-func (m *Mixer) hearken(now int64, p *part) {
-	mean, _ := m.typical(now, p.l)
+func (m *Mixer) hearken(now int64, p *part, mean float64) {
 	for _, f := range p.forwards {
 		if s := f.s; !s.suspect && s.heard <= f.sent {
 			silence := s.unheard
@@ -31,6 +30,7 @@
 	s.testAt = now + s.wait/2 + m.rng.Int63n(s.wait)
 	if !s.suspect {
 		s.suspect = true
+		m.stir()
 		s.rouse(now)
 	}
 }
@@ -52,8 +52,12 @@
 	if !s.suspect && s.doubted(now) {
 		return true // those who found out test it
 	}
-	return (s.suspect || s.zone.silent()) && (s.suspect && !s.due(now) ||
-		m.tests.Read(now, halfLife) >= max(testFloor, testShare*m.sent.Read(now, halfLife)))
+	return (s.suspect || s.zone.silent()) && (s.suspect && !s.due(now) || !m.mayTest(now))
+}
+
+// mayTest is the allowance for tests.
+func (m *Mixer) mayTest(now int64) bool {
+	return m.tests.Read(now, halfLife) < max(testFloor, testShare*m.sent.Read(now, halfLife))
 }
 
 // connect closes what lies idle to s where idle connections lose more than new ones. It guards against
@@ -76,6 +80,7 @@
 	}
 	if z := f.s.zone; f.missed == 0 && z.heard <= f.sent && f.sent < f.part.l.m.heard {
 		z.missed++
+		f.part.l.m.stir()
 	}
 	f.missed = cmp.Or(f.missed, now)
 }
