--- a/mixer/admission.go
+++ b/mixer/admission.go
@@ -17,6 +17,7 @@
 	}
 	end := min(a.NotAfter, asked+t.Expected) - endMargin
 	l := &Lookup{m: m, ask: a, t: t, expect: a.Parts, need: t.CompleteFrom, end: end, stirs: -1}
+	l.parts = make([]*part, 0, min(a.Parts, roomsMost))
 	l.rouse(now, end) // whatever else is lost, parts that never come or a late timer, this look ends it
 	return l
 }
--- a/mixer/lows.go
+++ b/mixer/lows.go
@@ -2,26 +2,27 @@
 
 import "math"
 
-// key orders what may be picked: the least goes first, its first place weighs most.
-type key [5]float64
+// key orders what may be picked: the least rank goes first, of equals the least time, of these the least effort.
+type key struct{ rank, time, effort float64 }
+
+// turns is beyond any count of calls that are out at one searcher.
+const turns = 1 << 32
+
+// rank is one figure for three that are compared one after another: the class, asked 0 or 1, and calls, below turns.
+func rank(class, asked, calls int) float64 { return float64((2*class+asked)*turns + calls) }
 
 var (
-	unseen = key{math.Inf(-1)}    // below all: has to be looked at
-	bottom = key{math.MaxFloat64} // above all that may be picked
-	never  = key{math.Inf(1)}     // what may not be picked
+	unseen = key{rank: math.Inf(-1)}    // below all: has to be looked at
+	bottom = key{rank: math.MaxFloat64} // above all that may be picked
+	never  = key{rank: math.Inf(1)}     // what may not be picked
 )
 
-// compare gives -1, 0 or 1 as k comes before o, with it or after it. No place is NaN.
-func (k *key) compare(o *key) int {
-	for i := range k {
-		if k[i] != o[i] {
-			if k[i] < o[i] {
-				return -1
-			}
-			return 1
-		}
+// less tells whether k comes before o. No figure is NaN.
+func (k *key) less(o *key) bool {
+	if k.rank != o.rank {
+		return k.rank < o.rank
 	}
-	return 0
+	return k.time < o.time || k.time == o.time && k.effort < o.effort
 }
 
 // block is how many rows one bound of lows stands for.
@@ -54,26 +55,31 @@
 
 // set tells part i's key, which is no more than any of its holders' has.
 func (r *lows) set(i int, k key) {
-	r.rows[i] = k
-	at := i / block
-	first := at * block
-	least := &r.rows[first]
-	for j := first + 1; j < min(first+block, len(r.rows)); j++ {
-		if r.rows[j].compare(least) < 0 {
-			least = &r.rows[j]
+	least, first := &r.least[i/block], i/block*block
+	was := r.rows[i]
+	if r.rows[i] = k; k.less(least) {
+		*least = k
+	}
+	if was != *least || k == was {
+		return
+	}
+	*least = r.rows[first]
+	for j := first + 1; j < min(first+block, len(r.rows)) && *least != was; j++ { // none lies below what was the least
+		if r.rows[j].less(least) {
+			*least = r.rows[j]
 		}
 	}
-	r.least[at] = *least
 }
 
 // next gives the first part from i on that may have a key of at most k, their number if there is none.
 func (r *lows) next(i int, k *key) int {
-	for i < len(r.rows) {
-		if i%block == 0 && r.least[i/block].compare(k) > 0 {
-			i += block
-		} else if r.rows[i].compare(k) > 0 {
-			i++
-		} else {
+	for ; i < len(r.rows); i++ {
+		for i%block == 0 && k.less(&r.least[i/block]) {
+			if i += block; i >= len(r.rows) {
+				return len(r.rows)
+			}
+		}
+		if !k.less(&r.rows[i]) {
 			return i
 		}
 	}
--- a/mixer/pick.go
+++ b/mixer/pick.go
@@ -5,9 +5,8 @@
 // pick water-fills one forward: of all parts not yet served and all their holders it takes the least
 // count, and the count rises with the pick. Unasked parts come before repeats, equals are ordered by what
 // is known beyond the count, and then by chance.
-func (l *Lookup) pick(now int64, copy bool) (best *part, to *searcher) {
+func (l *Lookup) pick(now int64, copy bool, mean float64, late int64) (best *part, to *searcher) {
 	m, left, step, home, at := l.m, float64(l.end-now), l.parts[l.step:], l.m.zones[l.m.c.Zone], 0
-	mean, late := m.typical(now, l)
 	if copy && !m.mayCopy(now, l, mean) {
 		return nil, nil
 	}
@@ -16,8 +15,7 @@
 	m.lows.begin(len(step), copy, m.mayTest(now)) // keys only rise from here on, but by the allowance for tests
 	for i := m.lows.next(0, &least); i < len(step); i = m.lows.next(i+1, &least) {
 		p, low := step[i], never
-		bound := p.bound()
-		out := p.lastOut(now)
+		bound, out := p.bound(), p.lastOut(now)
 		// What is bound is left: its answer may be near, and what is withdrawn may be worked on all the same.
 		if p.in || !l.maySend(now, p) || out > 0 && (!copy || out+late > now) ||
 			bound != nil && !bound.cut() && left > lastChance*mean {
@@ -28,37 +26,37 @@
 			if len(p.forwards) > 0 && slices.ContainsFunc(p.forwards, func(f *forward) bool { return f.s == s }) {
 				return
 			}
-			key := key{1: float64(min(1, len(p.forwards))), 2: float64(s.calls), 4: float64(p.Effort)}
-			unit := m.unit(now, s)
+			class, unit := 0, m.unit(now, s)
 			if len(s.out) > 0 { // at least what the oldest out there has waited
 				unit = max(unit, float64(now-s.out[0].sent)/float64(s.out[0].count))
 			}
-			key[3] = unit * float64(s.parts+1)
-			if bound != nil && (m.shunned(now, s) || key[3] > backTimes*left) {
+			time, shunned := unit*float64(s.parts+1), m.shunned(now, s)
+			if bound != nil && (shunned || time > backTimes*left) {
 				return // no better than where it is
 			}
 			if s.zone != home { // weighed against time by what crossing costs
-				key[3] *= 1 + crossing*m.c.CrossPrice
+				time *= 1 + crossing*m.c.CrossPrice
 			}
-			if m.shunned(now, s) {
-				key[0] = 1 // nobody better holds it
+			if shunned {
+				class = 1 // nobody better holds it
 			} else if s.suspect {
-				key[0] = -1 // the one test, backed by a copy as soon as the lookup is looked at again
+				class = -1 // the one test, backed by a copy as soon as the lookup is looked at again
 			}
-			if key.compare(&low) < 0 {
+			key := key{rank(class, min(1, len(p.forwards)), s.calls), time, float64(p.Effort)}
+			if key.less(&low) {
 				low = key
 			}
 			if m.coldWait(now, s) > 0 {
-				if want == nil || key.compare(&wanted) < 0 {
+				if want == nil || key.less(&wanted) {
 					want, wanted = s, key
 				}
-			} else if c := key.compare(&least); c < 0 || c == 0 && m.rng.Intn(2) == 0 {
+			} else if key.less(&least) || key == least && m.rng.Intn(2) == 0 {
 				best, to, least, at = p, s, key, i
 			}
 		})
 		m.lows.set(i, low)
 	}
-	if want != nil && wanted.compare(&least) < 0 {
+	if want != nil && wanted.less(&least) {
 		want.want.Add(now, 1, halfLife)
 	}
 	if best != nil {
--- a/mixer/review.go
+++ b/mixer/review.go
@@ -46,7 +46,7 @@
 	m.lows.end()
 	for onTime < l.need-tiny {
 		copy := live >= l.need-tiny // all that is needed is out, but some of it is late
-		p, to := l.pick(now, copy)
+		p, to := l.pick(now, copy, mean, late)
 		if p == nil {
 			next = min(next, now+lookAgain)
 			break
--- a/mixer/types.go
+++ b/mixer/types.go
@@ -157,10 +157,24 @@
 
 // Read gives the sum as of now.
 func (d *Decay) Read(now int64, half int64) float64 {
+	if d.sum == 0 || now == d.at {
+		return d.sum
+	}
+	return d.sum * left(now-d.at, half)
+}
+
+// left gives what is left of 1 after a time.
+func left(age, half int64) float64 { return math.Exp2(-float64(age) / float64(half)) }
+
+// as gives the sum as of now, where what is left of a term as old as another sum is known.
+func (d *Decay) as(now, half int64, o *Decay, left float64) float64 {
+	if d.at != o.at {
+		return d.Read(now, half)
+	}
 	if d.sum == 0 {
 		return 0
 	}
-	return d.sum * math.Exp2(-float64(now-d.at)/float64(half))
+	return d.sum * left
 }
 
 // Ratio is one decaying sum over another.
@@ -168,18 +182,28 @@
 
 // Add brings both sums up to date and adds to each.
 func (r *Ratio) Add(now int64, over, under float64, half int64) {
-	r.over.Add(now, over, half)
-	r.under.Add(now, under, half)
+	o, u := r.read(now, half)
+	r.over, r.under = Decay{o + over, now}, Decay{u + under, now}
+}
+
+// read gives both sums as of now. What is left of a term is reckoned once where both are of one time.
+func (r *Ratio) read(now, half int64) (over, under float64) {
+	if now == r.under.at {
+		return r.over.Read(now, half), r.under.sum
+	}
+	fade := left(now-r.under.at, half)
+	return r.over.as(now, half, &r.under, fade), r.under.as(now, half, &r.under, fade)
 }
 
 // Undo takes back what was added over at a time, as far as it still weighs in.
 func (r *Ratio) Undo(now, at int64, over float64, half int64) {
-	r.over.Add(now, -over*math.Exp2(-float64(now-at)/float64(half)), half)
+	r.over.Add(now, -over*left(now-at, half), half)
 }
 
 // Read gives the ratio as of now, leaning on a value with a weight.
 func (r *Ratio) Read(now int64, half int64, on, weight float64) float64 {
-	over, under := r.over.Read(now, half)+on*weight, r.under.Read(now, half)+weight
+	over, under := r.read(now, half)
+	over, under = over+on*weight, under+weight
 	if under == 0 {
 		return 0
 	}
@@ -188,7 +212,7 @@
 
 // Fade gives what is left of 1 since the newest terms were added.
 func (r *Ratio) Fade(now int64, half int64) float64 {
-	return math.Exp2(-float64(now-r.under.at) / float64(half))
+	return left(now-r.under.at, half)
 }
 
 // Spread is the mean and deviation of decaying terms.
@@ -196,16 +220,25 @@
 
 // Add brings the sums up to date and adds x.
 func (s *Spread) Add(now int64, x float64, half int64) {
-	s.n.Add(now, 1, half)
-	s.sum.Add(now, x, half)
-	s.squares.Add(now, x*x, half)
+	n, sum, squares := s.read(now, half)
+	s.n, s.sum, s.squares = Decay{n + 1, now}, Decay{sum + x, now}, Decay{squares + x*x, now}
+}
+
+// read gives the sums as of now; all are of one time.
+func (s *Spread) read(now, half int64) (n, sum, squares float64) {
+	if now == s.n.at {
+		return s.n.sum, s.sum.sum, s.squares.sum
+	}
+	fade := left(now-s.n.at, half)
+	return s.n.as(now, half, &s.n, fade), s.sum.as(now, half, &s.n, fade), s.squares.as(now, half, &s.n, fade)
 }
 
 // Read gives how many terms weigh in as of now, and their mean and deviation.
 func (s *Spread) Read(now int64, half int64) (n, mean, dev float64) {
-	if n = s.n.Read(now, half); n == 0 {
+	n, sum, squares := s.read(now, half)
+	if n == 0 {
 		return 0, 0, 0
 	}
-	mean = s.sum.Read(now, half) / n
-	return n, mean, math.Sqrt(max(0, s.squares.Read(now, half)/n-mean*mean))
+	mean = sum / n
+	return n, mean, math.Sqrt(max(0, squares/n-mean*mean))
 }
