measure fanout: the fleet's model at the plan's size, whole beside subsets, checked against the module

A lean model of mixers and searchers in model time: own counts with ties by learnt pace and then chance, searchers with slots, spread service times and a few slow ones, idle connections, a zone lost and rolling restarts. The module itself is played at a smaller fleet of the same meetings and held to the model. The subset is a function that is passed in; a rendezvous hash stands there until the mixer's own does.

Claims: parts sent are answered or out, own counts are what is out and then nothing, pairs with a part out are meeting rate times delay, shares lie as the binomial law says, no rush after a zone, no cold searcher beyond what it falls over by, model and module agree. Planted: counts not raised, a subset that ignores the mixer's rank, figures off.

--- a/internal/lab/measure/fanout.go
+++ b/internal/lab/measure/fanout.go
@@ -7,8 +7,16 @@
 	"nettlefold/internal/lab/fanout"
 )
 
-// Fanout plays what queries of many parts cost.
-func Fanout(quick bool) (Result, error) { return FanoutAgainst("", "", quick) }
+// Fanout plays what queries of many parts cost, and the fleet's model, whole beside subsets.
+func Fanout(quick bool) (Result, error) {
+	r, err := FanoutAgainst("", "", quick)
+	if err != nil {
+		return r, err
+	}
+	tables, claims, err := fanoutModel(modelPlanOf(quick))
+	r.More, r.Claims = append(r.More, tables...), append(r.Claims, claims...)
+	return r, err
+}
 
 // FanoutAgainst plays the same costs by another build of nettlelab in turns with this one, each case in a process of its own;
 // self is this build's program. Without another it plays them here.
