--- a/internal/lab/fanout/cost.go
+++ b/internal/lab/fanout/cost.go
@@ -1,5 +1,6 @@
-// Package fanout measures what a query of many parts costs a mixer: each part in the module and in its router, and how long
-// the router's lock is held, also by news of the whole list.
+// Package fanout measures queries of many parts over many searchers: what a part costs the module and its router and how long the
+// router's lock is held (cost.go), and by a model of the whole fleet what mixers that use a subset of each part's holders change
+// (fleet.go). docs/fanout.md has the figures.
 package fanout
 
 import (
