Module: equals are ordered by lots, so that the last of the list is not favoured

Cause: seen in the model at size (160 mixers, two cells of 420 holders, all new): all mixers rush on the last searchers of the list. pick.go tossed a coin at each equal in turn, so of n equals the last was taken with 1/2, the one before with 1/4; all mixers have the list in one order.

Change: each searcher draws a lot once a review, the last figure of the key. As the order of looking draws nothing any more, a pick looks at parts in the order of their bounds, and ends where the next bound is no less.

--- a/mixer/lows.go
+++ b/mixer/lows.go
@@ -2,8 +2,9 @@
 
 import "math"
 
-// key orders what may be picked: the least rank goes first, of equals the least time, of these the least effort.
-type key struct{ rank, time, effort float64 }
+// key orders what may be picked: the least rank goes first, of equals the least time, of these the least effort, of these the
+// least lot, which each searcher draws anew for each review.
+type key struct{ rank, time, effort, lot float64 }
 
 // turns is beyond any count of calls that are out at one searcher.
 const turns = 1 << 32
@@ -22,7 +23,10 @@
 	if k.rank != o.rank {
 		return k.rank < o.rank
 	}
-	return k.time < o.time || k.time == o.time && k.effort < o.effort
+	if k.time != o.time {
+		return k.time < o.time
+	}
+	return k.effort < o.effort || k.effort == o.effort && k.lot < o.lot
 }
 
 // block is how many rows one bound of lows stands for.
@@ -34,6 +38,13 @@
 type lows struct {
 	rows, least []key // of each part, and the least of each block of them
 	copy, tests bool
+	hidden      []hidden
+}
+
+// hidden is a part that one pick has looked at.
+type hidden struct {
+	i int
+	k key
 }
 
 // begin has all n parts looked at, unless it was begun for the same since the last end.
@@ -71,17 +82,34 @@
 	}
 }
 
-// next gives the first part from i on that may have a key of at most k, their number if there is none.
-func (r *lows) next(i int, k *key) int {
-	for ; i < len(r.rows); i++ {
-		for i%block == 0 && k.less(&r.least[i/block]) {
-			if i += block; i >= len(r.rows) {
-				return len(r.rows)
-			}
+// first gives a part of the least bound, -1 where none lies below k.
+func (r *lows) first(k *key) int {
+	at := -1
+	for i := range r.least {
+		if r.least[i].less(k) {
+			at, k = i, &r.least[i]
 		}
-		if !k.less(&r.rows[i]) {
+	}
+	if at < 0 {
+		return at
+	}
+	for i := at * block; ; i++ {
+		if r.rows[i] == *k {
 			return i
 		}
 	}
-	return len(r.rows)
+}
+
+// hide passes a part over until show, which tells its key.
+func (r *lows) hide(i int, k key) {
+	r.hidden = append(r.hidden, hidden{i, k})
+	r.set(i, never)
+}
+
+// show brings all hidden parts back.
+func (r *lows) show() {
+	for _, h := range r.hidden {
+		r.set(h.i, h.k)
+	}
+	r.hidden = r.hidden[:0]
 }
--- a/mixer/pick.go
+++ b/mixer/pick.go
@@ -13,7 +13,7 @@
 	var want *searcher // want is cold and would be picked if it had credit
 	least, wanted := bottom, key{}
 	m.lows.begin(len(step), copy, m.mayTest(now)) // keys only rise from here on, but by the allowance for tests
-	for i := m.lows.next(0, &least); i < len(step); i = m.lows.next(i+1, &least) {
+	for i := m.lows.first(&least); i >= 0; i = m.lows.first(&least) {
 		p, low := step[i], never
 		bound, out := p.bound(), p.lastOut(now)
 		// What is bound is left: its answer may be near, and what is withdrawn may be worked on all the same.
@@ -42,7 +42,7 @@
 			} else if s.suspect {
 				class = -1 // the one test, backed by a copy as soon as the lookup is looked at again
 			}
-			key := key{rank(class, min(1, len(p.forwards)), s.calls), time, float64(p.Effort)}
+			key := key{rank(class, min(1, len(p.forwards)), s.calls), time, float64(p.Effort), s.lot.draw(now, m.turn, m.rng)}
 			if key.less(&low) {
 				low = key
 			}
@@ -50,12 +50,13 @@
 				if want == nil || key.less(&wanted) {
 					want, wanted = s, key
 				}
-			} else if key.less(&least) || key == least && m.rng.Intn(2) == 0 {
+			} else if key.less(&least) {
 				best, to, least, at = p, s, key, i
 			}
 		})
-		m.lows.set(i, low)
+		m.lows.hide(i, low)
 	}
+	m.lows.show()
 	if want != nil && wanted.less(&least) {
 		want.want.Add(now, 1, halfLife)
 	}
--- a/mixer/state.go
+++ b/mixer/state.go
@@ -1,6 +1,9 @@
 package mixer
 
-import "slices"
+import (
+	"math/rand"
+	"slices"
+)
 
 // call is what travels together to one searcher.
 type call struct{ at, size, left int64 }
@@ -61,6 +64,14 @@
 	return is
 }
 
+// draw gives a figure of chance that stays the same while it holds.
+func (c *memo) draw(now, turn int64, rng *rand.Rand) float64 {
+	if c.holds(now, turn) {
+		return c.is
+	}
+	return c.keep(now, turn, float64(rng.Int63()))
+}
+
 // scratch is what reviews use anew each time.
 type scratch struct {
 	lows  lows
