store: an answer read when its exchange's time is up is an error, as if it had not come

The stand-in answers after 210 ms, the client's time is 200 ms. The end of an exchange hung on the connection's read deadline alone, whose timer a busy machine fires late: a read that finds the answer there first gives it, and Exchange returned it without an error (client.go, after pipe.Exec). Options.Timeout says that what comes later is as if it had not come, so this is the client's fault; the test stays as it is.

Change: when the answer has been read, Exchange holds the monotonic clock against its context's deadline, which runs from its start. Past it, it ends with context.DeadlineExceeded as with any other error: no sheet is given, no name taken over, nothing counted as oversized, and the next exchange registers anew. The answer was read whole, so the connection is in step and is kept; answers read in part still end it.

--- a/internal/store/client.go
+++ b/internal/store/client.go
@@ -143,7 +143,11 @@
 		values = pipe.MGet(ctx, c.keys()...)
 	}
 	c.Stats.Commands += uint64(pipe.Len())
-	if _, err := pipe.Exec(ctx); err != nil {
+	_, err := pipe.Exec(ctx)
+	if end, _ := ctx.Deadline(); err == nil && !time.Now().Before(end) {
+		err = context.DeadlineExceeded // a read may win over a deadline that has passed; read whole, the connection is in step
+	}
+	if err != nil {
 		c.rounds = 0 // who there is may have changed meanwhile
 		return nil, fmt.Errorf("store %s: %w", c.o.Address, err)
 	}
--- a/internal/store/store_test.go
+++ b/internal/store/store_test.go
@@ -1,6 +1,7 @@
 package store
 
 import (
+	"context"
 	"crypto/ecdsa"
 	"crypto/elliptic"
 	"crypto/rand"
@@ -17,6 +18,8 @@
 	"testing"
 	"time"
 
+	"github.com/redis/go-redis/v9"
+
 	"nettlefold/internal/lab/standin"
 	"nettlefold/internal/sharing"
 )
@@ -161,6 +164,74 @@
 	}
 }
 
+// unhurried is a connection on which no deadline is noticed, as on a machine too busy to. Holding, a read hands over what it
+// read only when the time of the exchange is up.
+type unhurried struct {
+	net.Conn
+	hold func()
+}
+
+func (u unhurried) SetDeadline(time.Time) error      { return nil }
+func (u unhurried) SetReadDeadline(time.Time) error  { return nil }
+func (u unhurried) SetWriteDeadline(time.Time) error { return nil }
+
+func (u unhurried) Read(b []byte) (int, error) {
+	n, err := u.Conn.Read(b)
+	u.hold()
+	return n, err
+}
+
+func TestAnAnswerReadWhenTheTimeIsUpIsAsIfItHadNotCome(t *testing.T) {
+	const short, long = 200 * time.Millisecond, time.Minute
+	s := serve(t, &standin.Server{})
+	others := client(t, s, "b", func(o *Options) { o.Timeout = long })
+	c := client(t, s, "a", func(o *Options) { o.Timeout = long })
+	holding, held := false, 0
+	o := *c.db.Options()
+	dial := o.Dialer
+	o.Dialer = func(ctx context.Context, network, address string) (net.Conn, error) {
+		conn, err := dial(ctx, network, address)
+		return unhurried{conn, func() {
+			if holding {
+				held++
+				time.Sleep(short)
+			}
+		}}, err
+	}
+	c.Close()
+	c.db = redis.NewClient(&o)
+	exchange(t, others, "of b", 0)
+	exchange(t, c, "of a", 1) // from here on each answer has a sheet of b
+	for _, register := range []bool{false, true} {
+		for held = 0; held == 0; { // a machine that stands still for all of the time sends nothing
+			if c.rounds = 1; register {
+				c.rounds = 0
+				exchange(t, client(t, s, "new", func(o *Options) { o.Timeout = long }), "of new", 2)
+			}
+			names := slices.Clone(c.names)
+			c.o.Timeout, holding = short, true
+			sheets, err := c.Exchange(t.Context(), []byte("of a, late"))
+			c.o.Timeout, holding = long, false
+			if !errors.Is(err, context.DeadlineExceeded) || len(sheets) > 0 || !slices.Equal(names, c.names) || c.rounds != 0 {
+				t.Fatalf("registering %v, late: %q, %v, names %q, were %q, rounds %d", register, sheets, err, c.names, names, c.rounds)
+			}
+		}
+		want := [][]byte{[]byte("of b")}
+		for i := range 2 { // whatever became of the connection, the answers are those to what is asked
+			if _, err := others.Exchange(t.Context(), []byte("of b")); err != nil { // or it would end by itself on a slow machine
+				t.Fatal(err)
+			}
+			sheets, err := c.Exchange(t.Context(), []byte("of a"))
+			if err != nil || !slices.EqualFunc(sheets, want, slices.Equal) {
+				t.Errorf("registering %v, exchange %d after it: %q, %v", register, i, sheets, err)
+			}
+			if register {
+				want = append(want, []byte("of new"))
+			}
+		}
+	}
+}
+
 func TestLoginAndSecrets(t *testing.T) {
 	const secret = "correct horse"
 	path := filepath.Join(t.TempDir(), "password")
