--- a/internal/transport/probe.go
+++ b/internal/transport/probe.go
@@ -20,10 +20,19 @@
 	}
 	defer nc.Close()
 	defer context.AfterFunc(ctx, func() { nc.Close() })()
-	nc.SetDeadline(time.Now().Add(within))
+	return true, probed(nc, within, lim.Frame)
+}
+
+// probed asks on a connection, and tells whether an answer of at most so many bytes came in time.
+func probed(nc net.Conn, within time.Duration, most int) bool {
+	end := time.Now().Add(within)
+	nc.SetDeadline(end)
 	if _, err := nc.Write(protocol.AppendFrame(nil, protocol.Probe, nil)); err != nil {
-		return true, false
+		return false
+	}
+	f, err := protocol.ReadFrame(bufio.NewReader(nc), most)
+	if err != nil || !time.Now().Before(end) { // a read may win over a deadline that has passed
+		return false
 	}
-	f, err := protocol.ReadFrame(bufio.NewReader(nc), lim.Frame)
-	return true, err == nil && f.Letter == protocol.Probe && len(f.Rest) > 0 // "err" too: it is there
+	return f.Letter == protocol.Probe && len(f.Rest) > 0 // "err" too: it is there
 }
