--- a/cmd/nettlefold/searcher_test.go
+++ b/cmd/nettlefold/searcher_test.go
@@ -183,22 +183,25 @@
 	}
 }
 
+// TestIdleConnectionsAreClosedFirst has a searcher's keep-alive in the configuration: connections are closed when they have been
+// idle for most of it, and not before. That they are closed before it is over is a test's of transport, on a clock of its own.
 func TestIdleConnectionsAreClosedFirst(t *testing.T) {
 	w := prepare(t)
 	w.of("PolicyLimits")["KeepaliveMs"] = 800.0
 	w.start()
-	w.satisfied("a", 4)
-	used := time.Now()
+	w.satisfied("a", 3)
+	used := time.Now() // or later, by the one that is closed last
+	w.satisfied("b", 1)
 	for _, s := range w.searchers {
-		if s.Conns() == 0 {
+		if calls(s) == 0 {
 			t.Error("no connection to begin with")
 		}
 	}
 	w.until("idle connections are closed", func() bool { return w.conns() == 0 })
-	if after := time.Since(used); after < 500*time.Millisecond || after > 800*time.Millisecond {
-		t.Errorf("closed after %v, want well before 800 ms but not at once", after)
+	if after := time.Since(used); after < 700*time.Millisecond {
+		t.Errorf("closed after %v, want 700 ms of 800 at the least", after)
 	}
-	if n := w.satisfied("b", 4); n != 4 {
+	if n := w.satisfied("c", 4); n != 4 {
 		t.Errorf("%d of 4 lookups were answered whole afterwards", n)
 	}
 }
