Tests: that no lookup waits for the store is held by the order of events, not by 150 ms

Cause: TestAStalledStoreDelaysNoLookup wanted each lookup of a process beside a stalled store within 150 ms. The rule is the store package's: no lookup ever waits for it.

The process's test goes on until two exchanges have failed beside its lookups, which it did not look at before, and all of these are served whole.

--- a/cmd/nettlefold/sharing_test.go
+++ b/cmd/nettlefold/sharing_test.go
@@ -86,20 +86,26 @@
 	}
 }
 
+// TestAStalledStoreDelaysNoLookup has the program serve beside a store that says nothing, while it asks there again and again. That
+// nothing of a lookup waits for the store, however long that takes, is a test's of store, by the order of events.
 func TestAStalledStoreDelaysNoLookup(t *testing.T) {
 	store, on, _ := stored(t)
 	store.Trouble(standin.Troubles{Stall: true})
 	w := prepare(t)
-	w.own("127.78.1.2:19090", on)
+	const admin = "127.78.1.2:19090"
+	w.own(admin, on)
 	w.start()
-	for i := range 20 {
-		began := time.Now()
+	failed := func() uint64 {
+		var state struct{ Failed uint64 }
+		if err := json.Unmarshal([]byte(fetch("http://"+admin+"/sharing")), &state); err != nil {
+			t.Error(err)
+		}
+		return state.Failed
+	}
+	for before, i := failed(), 0; i < 20 || failed() < before+2; i++ {
 		if r := w.ask(fmt.Sprint("stalled", i), "all", 0, 1, 2, 3); r.status != http.StatusOK || !r.Complete {
 			t.Fatalf("%d %s", r.status, r.text)
 		}
-		if took := time.Since(began); took > 150*time.Millisecond {
-			t.Errorf("a lookup took %v beside a stalled store", took)
-		}
 	}
 }
 
