--- a/cmd/nettlefold/leaving_test.go
+++ b/cmd/nettlefold/leaving_test.go
@@ -79,17 +79,6 @@
 	w.until("every goroutine has ended", func() bool { return running() == 0 })
 }
 
-// unhurried is a world whose searchers take so long, and whose clients have so much time that none is turned away for it.
-func unhurried(t *testing.T, took time.Duration) *world {
-	w := prepare(t)
-	for _, s := range w.searchers {
-		s.Took = took
-	}
-	all := w.settings["Profiles"].([]object)[0]
-	all["AimMs"], all["DeadlineMs"] = 10000.0, 10000.0
-	return w
-}
-
 // TestLeavingUnderLoad has SIGTERM come while clients go on: none may be lost.
 func TestLeavingUnderLoad(t *testing.T) {
 	w := unhurried(t, 200*time.Millisecond)
