--- a/internal/lab/record/draw.go
+++ b/internal/lab/record/draw.go
@@ -19,18 +19,21 @@
 // span gives a time from lo to hi ms by chance, in ns.
 func span(rng *rand.Rand, lo, hi float64) int64 { return int64(within(rng, lo, hi) * float64(ms)) }
 
+// steps is span in whole 5 ms, the longest tick: in worlds with ticks, what holds up to a time ends at one.
+func steps(rng *rand.Rand, lo, hi float64) int64 { return 5 * ms * int64(within(rng, lo/5, hi/5)) }
+
 // drawCharter draws settings from all that a deployment may state, and beyond: a reach over the number of cells too.
 func drawCharter(rng *rand.Rand) mixer.Charter {
 	c := mixer.Charter{
 		Zone: oneOf(rng, "a", "a", "b", ""), Mixers: oneOf(rng, 1, 2, 3, 20, 300),
 		Cells: oneOf(rng, 1, 2, 3, 4, 6, 8, 12, 1+rng.Intn(30)), Reach: 1 + rng.Intn(3), PerCall: oneOf(rng, 1, 1+rng.Intn(8)),
 		MaxForwards: 1 + rng.Intn(6), MayCopy: rng.Intn(2) == 0, MayCancel: rng.Intn(2) == 0,
-		MayAdvise: rng.Intn(2) == 0, MaxAdvice: span(rng, 50, 1000),
-		ColdFrom: within(rng, 0.1, 0.5), ColdFor: span(rng, 2000, 18_000), FallMultiple: within(rng, 1.2, 4), FallFor: span(rng, 500, 3000),
+		MayAdvise: rng.Intn(2) == 0, MaxAdvice: steps(rng, 50, 1000),
+		ColdFrom: within(rng, 0.1, 0.5), ColdFor: steps(rng, 2000, 18_000), FallMultiple: within(rng, 1.2, 4), FallFor: steps(rng, 500, 3000),
 		CrossPrice: oneOf(rng, 0, within(rng, 0, 0.1), 1), Sized: rng.Intn(2) == 0, OverWorth: oneOf(rng, 1, 0.1),
 	}
 	if rng.Intn(3) > 0 { // small ones are used up
-		c.BudgetFor, c.BudgetFree, c.BudgetShare = span(rng, 300, 6000), float64(rng.Intn(8)), within(rng, 0, 0.25)
+		c.BudgetFor, c.BudgetFree, c.BudgetShare = steps(rng, 300, 6000), float64(rng.Intn(8)), within(rng, 0, 0.25)
 	}
 	if rng.Intn(3) == 0 {
 		c.ListAsked, c.AskWithin = true, oneOf(rng, 0, 2000*ms, 10_000*ms)
@@ -45,14 +48,14 @@
 }
 
 func drawTariff(rng *rand.Rand) mixer.Tariff {
-	t := mixer.Tariff{Expected: span(rng, 250, 2500), Effect: mixer.Effect(rng.Intn(3)), CompleteFrom: oneOf(rng, 1, within(rng, 0.3, 1))}
-	t.Patience = t.Expected + span(rng, 0, 2500)
+	t := mixer.Tariff{Expected: steps(rng, 250, 2500), Effect: mixer.Effect(rng.Intn(3)), CompleteFrom: oneOf(rng, 1, within(rng, 0.3, 1))}
+	t.Patience = t.Expected + steps(rng, 0, 2500)
 	t.LeastShare = t.CompleteFrom
 	if rng.Intn(2) == 0 {
 		t.LeastShare, t.Partial = t.CompleteFrom*within(rng, 0.2, 1), oneOf(rng, 0, 0.9, 0.9)
 	}
 	if t.Effect == mixer.Tagged {
-		t.RepeatFor = int64(float64(t.Expected) * within(rng, 0.1, 1.2))
+		t.RepeatFor = steps(rng, 50, 1.2*float64(t.Expected/ms))
 	}
 	if rng.Intn(4) == 0 {
 		t.SecondStep = 1 + rng.Intn(6)
