--- a/internal/protocol/news.go
+++ b/internal/protocol/news.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"encoding/json"
 	"errors"
+	"fmt"
 	"io"
 )
 
@@ -31,14 +32,12 @@
 
 // Next waits for the next message.
 func (n *News) Next() (List, error) {
-	var raw json.RawMessage
-	if err := n.out.Decode(&raw); err != nil {
+	list, err := readList(n.out)
+	if meant := (*misfit)(nil); errors.As(err, &meant) {
+		return List{}, fmt.Errorf("list: %w", err)
+	} else if err != nil {
 		return List{}, err
 	}
-	list, err := ReadList(raw)
-	if err != nil {
-		return list, err
-	}
 	n.done = n.out.InputOffset()
 	n.Heard(false)
 	rest, _ := io.ReadAll(n.out.Buffered())
