The connections' table takes lists in bites of 64, and takes nobody for gone who is listed

Cause: Searchers.Listed held its lock for the whole of a list, after a pass that marked all searchers as gone (internal/transport/searchers.go).

Change: the names of a whole list are gathered without the lock; the members are gone through with the lock given up after each 64 searchers and connections; then a pass over the table, in such bites too, marks as gone whom the list doesn't name. Connections are claimed in the hold in which they are chosen, as before. The order stays: connections, then the module, then old connections are closed.

--- a/internal/transport/searchers.go
+++ b/internal/transport/searchers.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"log/slog"
+	"runtime"
 	"sync"
 	"time"
 
@@ -80,41 +81,11 @@
 // Listed takes news of where searchers are: from now on parts go there only. What it gives is to be called once those who
 // choose searchers have the news too, since they choose again for parts that are lost: it closes the connections to
 // processes that are no more. A process that has only moved keeps what it has; its connection goes with its last part.
+// One list comes at a time, as the watch hands them on. The lock is held for a bounded number of searchers and connections at a time.
 func (s *Searchers) Listed(list protocol.List) (end func()) {
-	var old, unused []*conn
-	s.mu.Lock()
-	if list.Whole {
-		for _, to := range s.all {
-			to.gone = true
-		}
-	}
-	for _, m := range list.Members {
-		to := s.all[m.Searcher]
-		if to == nil {
-			to = &searcher{name: m.Searcher}
-			s.all[m.Searcher] = to
-		}
-		to.gone = m.Status == mixer.Dead
-		moved := m.Address != "" && m.Address != to.address
-		if m.Address != "" {
-			to.address = m.Address
-		}
-		for _, l := range to.conns {
-			l.old = l.old || l.began.Before(m.Since)
-			if l.old || moved {
-				l.halted, l.spent = true, true
-				if l.nc == nil || !l.old && l.live() == 0 { // nothing has gone to where it leads, or nothing is awaited
-					unused = append(unused, l)
-				} else if l.old {
-					old = append(old, l)
-				}
-			}
-		}
-	}
-	all := s.claim(errOld, unused...)
-	s.mu.Unlock()
+	unused, old := s.relist(list, runtime.Gosched)
 	return func() {
-		s.finish(all)
+		s.finish(unused)
 		for _, l := range old {
 			s.drop(l, errOld)
 		}
