--- a/internal/lab/capacity/config.go
+++ b/internal/lab/capacity/config.go
@@ -17,7 +17,7 @@
 			{Name: "settings: bytes of the platform's configuration with the known list", Unit: "B", Form: Affine,
 				Deterministic: true, Known: configBytes},
 			{Name: "settings: allocations of reading it", Unit: "1", Form: Affine, Deterministic: true, Known: configAllocations},
-			{Name: "settings: bytes allocated by reading it", Unit: "B", Form: Power, Deterministic: true, Known: configAllocated},
+			{Name: "settings: bytes allocated by reading it", Unit: "B", Form: Affine, Deterministic: true, Known: configAllocated},
 			{Name: "settings: reading it", Unit: "s", Form: Power, Known: configTime},
 		},
 	}, {
--- a/internal/lab/capacity/rank.go
+++ b/internal/lab/capacity/rank.go
@@ -117,7 +117,8 @@
 			"`internal/settings`", "settings: bytes of our own"),
 		rank("members of a fleet, by the settings' form", boundMembers/Mixers, "9,999", "`internal/settings`", "arithmetic"),
 		rank("module's lock while a whole list comes again",
-			shareAt(func(s float64) float64 { return againTime.At(s * Searchers) }, Answer-endMargin-room*(Answer-endMargin)),
-			"what of 49 ms a query admitted at 0.33 of it has left", "`mixer`", "module: whole list again"),
+			shareAt(func(s float64) float64 { return changedHold.At(s * Searchers) }, Answer-endMargin-room*(Answer-endMargin)),
+			"what of 49 ms a query admitted at 0.33 of it has left", "`mixer`",
+			"module: whole list, a seventh changed, longest hold of the lock"),
 	}
 }
