The judge of sites takes a list without its lock, for which the router may wait under its own

Not measured. Now a list is made into a new table without the lock and put in place at once. The table is copied for changes, 4,096 rows at most.

--- a/internal/fleet/sites/eyes.go
+++ b/internal/fleet/sites/eyes.go
@@ -1,6 +1,7 @@
 package sites
 
 import (
+	"maps"
 	"slices"
 	"sync"
 
@@ -146,15 +147,20 @@
 	e.heard = e.clock()
 }
 
-// Listed takes news of the list. A searcher beyond the bound belongs to no site.
+// Listed takes news of the list, one at a time. A searcher beyond the bound belongs to no site. What follows from them is made without
+// the lock, for which the router may wait under its own, and put in place at once.
 func (e *Eyes) Listed(l protocol.List) {
 	e.mu.Lock()
-	defer e.mu.Unlock()
-	if l.Whole {
-		clear(e.searchers)
+	was := e.searchers // it is never written again, but replaced here
+	e.mu.Unlock()
+	all := map[string]searcher{}
+	if !l.Whole {
+		all = maps.Clone(was)
 	}
-	for _, m := range l.Members {
-		s, known := e.searchers[m.Searcher]
+	next := make([]place, len(e.names)) // what the list says of them
+	for i := range l.Members {
+		m := &l.Members[i]
+		s, known := all[m.Searcher]
 		if m.Zone != "" || !known {
 			s.site = int16(slices.Index(e.names, m.Zone))
 		}
@@ -162,32 +168,31 @@
 			s.address = m.Address
 		}
 		if s.site >= 0 {
-			e.places[s.site].listed = true
+			next[s.site].listed = true
 		}
 		switch {
 		case m.Status == mixer.Dead:
-			delete(e.searchers, m.Searcher)
-		case known || len(e.searchers) < mostSearchers:
-			e.searchers[m.Searcher] = s
+			delete(all, m.Searcher)
+		case known || len(all) < mostSearchers:
+			all[m.Searcher] = s
 		}
 	}
-	names := make([]string, 0, len(e.searchers))
-	for name := range e.searchers {
-		names = append(names, name)
-	}
-	slices.Sort(names)
-	for i := range e.places {
-		e.places[i].live, e.places[i].all = e.places[i].live[:0], 0
-	}
-	for _, name := range names {
-		if s := e.searchers[name]; s.site >= 0 {
-			p := &e.places[s.site]
+	for _, name := range slices.Sorted(maps.Keys(all)) {
+		if s := all[name]; s.site >= 0 {
+			p := &next[s.site]
 			p.all++
 			if s.live {
 				p.live = append(p.live, s.address)
 			}
 		}
 	}
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.searchers = all
+	for i := range e.places {
+		p := &e.places[i]
+		p.live, p.all, p.listed = next[i].live, next[i].all, p.listed || next[i].listed
+	}
 }
 
 // evidence gives what was seen within the window, and how many lookups clients brought.
