--- a/mixer/admission.go
+++ b/mixer/admission.go
@@ -16,8 +16,8 @@
 		asked = min(now, a.NotAfter-t.Patience)
 	}
 	end := min(a.NotAfter, asked+t.Expected) - endMargin
-	l := &Lookup{m: m, ask: a, t: t, expect: a.Parts, need: t.CompleteFrom, end: end, stirs: -1}
-	l.parts = make([]*part, 0, min(a.Parts, roomsMost))
+	l := &Lookup{m: m, ask: a, t: t, expect: a.Parts, need: t.CompleteFrom, end: end, epoch: -1}
+	l.parts = make([]*part, 0, min(a.Parts, slabMost))
 	l.rouse(now, end) // whatever else is lost, parts that never come or a late timer, this look ends it
 	return l
 }
@@ -28,8 +28,8 @@
 	if l.ended {
 		return
 	}
-	l.parts = append(l.parts, l.room.add(l, p))
-	l.m.turn++
+	l.parts = append(l.parts, l.slab.add(l, p))
+	l.m.call++
 	if l.planned = len(l.parts) >= l.expect; !l.planned {
 		return
 	}
--- a/mixer/lows.go
+++ b/mixer/bounds.go
@@ -3,8 +3,8 @@
 import "math"
 
 // key orders what may be picked: the least rank goes first, of equals the least time, of these the least effort, of these the
-// least lot, which each searcher draws anew for each review.
-type key struct{ rank, time, effort, lot float64 }
+// least tie-break, which each searcher draws anew for each review.
+type key struct{ rank, time, effort, tie float64 }
 
 // turns is beyond any count of calls that are out at one searcher.
 const turns = 1 << 32
@@ -26,16 +26,16 @@
 	if k.time != o.time {
 		return k.time < o.time
 	}
-	return k.effort < o.effort || k.effort == o.effort && k.lot < o.lot
+	return k.effort < o.effort || k.effort == o.effort && k.tie < o.tie
 }
 
-// block is how many rows one bound of lows stands for.
+// block is how many rows one bound of bounds stands for.
 const block = 16
 
-// lows holds for each of a row of parts a key that none of its holders lies below, so that a pick looks only at parts that may have
+// bounds holds for each of a row of parts a key that none of its holders lies below, so that a pick looks only at parts that may have
 // the least. It stays right while keys only rise: what a pick rests on beside them is told to begin, and a part that was picked is
 // set anew. It decides nothing: whoever looks at all parts picks the same.
-type lows struct {
+type bounds struct {
 	rows, least []key // of each part, and the least of each block of them
 	copy, tests bool
 	hidden      []hidden
@@ -48,7 +48,7 @@
 }
 
 // begin has all n parts looked at, unless it was begun for the same since the last end.
-func (r *lows) begin(n int, copy, tests bool) {
+func (r *bounds) begin(n int, copy, tests bool) {
 	if len(r.rows) == n && r.copy == copy && r.tests == tests {
 		return
 	}
@@ -62,10 +62,10 @@
 }
 
 // end forgets all parts: the next begin is of another time or query.
-func (r *lows) end() { r.rows = r.rows[:0] }
+func (r *bounds) end() { r.rows = r.rows[:0] }
 
 // set tells part i's key, which is no more than any of its holders' has.
-func (r *lows) set(i int, k key) {
+func (r *bounds) set(i int, k key) {
 	least, first := &r.least[i/block], i/block*block
 	was := r.rows[i]
 	if r.rows[i] = k; k.less(least) {
@@ -83,7 +83,7 @@
 }
 
 // first gives a part of the least bound, -1 where none lies below k.
-func (r *lows) first(k *key) int {
+func (r *bounds) first(k *key) int {
 	at := -1
 	for i := range r.least {
 		if r.least[i].less(k) {
@@ -101,13 +101,13 @@
 }
 
 // hide passes a part over until show, which tells its key.
-func (r *lows) hide(i int, k key) {
+func (r *bounds) hide(i int, k key) {
 	r.hidden = append(r.hidden, hidden{i, k})
 	r.set(i, never)
 }
 
 // show brings all hidden parts back.
-func (r *lows) show() {
+func (r *bounds) show() {
 	for _, h := range r.hidden {
 		r.set(h.i, h.k)
 	}
--- a/mixer/calm.go
+++ b/mixer/calm.go
@@ -9,12 +9,12 @@
 const calmMost = int(silentTimes / 2)
 
 // stir has the next review of every lookup go through its parts.
-func (m *Mixer) stir() { m.stirs++ }
+func (m *Mixer) stir() { m.epoch++ }
 
-// rest notes, after a review, whether the next ones can find nothing to do until something stirs or time has
+// rest notes, after a review, whether the next ones can find nothing to do until something has stirred or time has
 // passed: all that is awaited went out at one time, each part once, to searchers with nothing against them.
 func (l *Lookup) rest(now int64, onTime bool) {
-	l.stirs, l.sent, l.oldest, l.in = -1, 0, now, 0
+	l.epoch, l.sent, l.oldest, l.in = -1, 0, now, 0
 	for _, p := range l.parts[l.step:] {
 		if p.in {
 			l.in += p.Weight
@@ -26,12 +26,12 @@
 		}
 	}
 	if onTime && l.sent > 0 {
-		l.stirs = l.m.stirs
+		l.epoch = l.m.epoch
 	}
 }
 
 // calm tells whether a review can find nothing to do: nothing is late, and none of the searchers silent for too long, as
 // calmMost forwards that have waited twice the usual time are not.
 func (l *Lookup) calm(now int64, mean float64) bool {
-	return l.stirs == l.m.stirs && now < l.end && l.in < l.need-2*tiny && float64(now-l.oldest) <= 2*mean-1
+	return l.epoch == l.m.epoch && now < l.end && l.in < l.need-2*tiny && float64(now-l.oldest) <= 2*mean-1
 }
--- a/mixer/learn.go
+++ b/mixer/learn.go
@@ -69,7 +69,7 @@
 // s has shown little. Times the calls that a new forward joins, it is the time it is likely to take.
 // What others say of it stands for the fleet's, and weighs more than what s showed this mixer before.
 func (m *Mixer) unit(now int64, s *searcher) float64 {
-	if s.unit.holds(now, m.turn) {
+	if s.unit.holds(now, m.call) {
 		return s.unit.is
 	}
 	on, weight := m.fleet(now)/s.size, lean
@@ -78,5 +78,5 @@
 			weight += min(w.Weight, wordMost) + s.pace.under.Read(now, paceHalf)
 		}
 	}
-	return s.unit.keep(now, m.turn, s.pace.Read(now, paceHalf, on, weight))
+	return s.unit.keep(now, m.call, s.pace.Read(now, paceHalf, on, weight))
 }
--- a/mixer/list.go
+++ b/mixer/list.go
@@ -6,7 +6,7 @@
 func (m *Mixer) Listed(now int64, rows []Entry, full bool) {
 	m.refusals = 0
 	m.stir()
-	m.turn++
+	m.call++
 	var moved []*searcher
 	if full {
 		for _, cell := range m.cells {
@@ -75,7 +75,7 @@
 
 // Told takes what other mixers say and lend. All of it ends by itself: who hears no more is as one alone.
 func (m *Mixer) Told(now int64, words []Word) {
-	m.turn++
+	m.call++
 	for _, w := range words {
 		if s := m.searchers[w.Searcher]; s != nil && s.started == w.Started {
 			if w.Lent+s.word.Lent > 0 || max(w.AwayUntil, s.word.AwayUntil) > 0 {
--- a/mixer/mixer.go
+++ b/mixer/mixer.go
@@ -76,7 +76,7 @@
 	refusals            int
 	customers           []Decay // lookups taken of each, the first of those who are not told
 	held                int64   // until then its own cold allowance may still be lent from before its start
-	stirs, turn         int64   // what may bear on lookups beside their own answers; calls that let figures change
+	epoch, call         int64   // what may bear on lookups beside their own answers; calls that let figures change
 	scratch                     // kept from one review to the next to spare allocations
 }
 
@@ -105,7 +105,7 @@
 	out           []*forward
 	word          Word  // of others, on the process named there
 	want, sent    Decay // cold: forwards sent there, and those that would have been with credit; all forwards
-	unit, lot     memo
+	unit, tie     memo
 }
 
 // cut tells whether no answer can come: its process is gone, or its whole zone is silent.
--- a/mixer/pick.go
+++ b/mixer/pick.go
@@ -12,14 +12,14 @@
 	}
 	var want *searcher // want is cold and would be picked if it had credit
 	least, wanted := bottom, key{}
-	m.lows.begin(len(step), copy, m.mayTest(now)) // keys only rise from here on, but by the allowance for tests
-	for i := m.lows.first(&least); i >= 0; i = m.lows.first(&least) {
+	m.bounds.begin(len(step), copy, m.mayTest(now)) // keys only rise from here on, but by the allowance for tests
+	for i := m.bounds.first(&least); i >= 0; i = m.bounds.first(&least) {
 		p, low := step[i], never
 		bound, out := p.bound(), p.lastOut(now)
 		// What is bound is left: its answer may be near, and what is withdrawn may be worked on all the same.
 		if p.in || !l.maySend(now, p) || out > 0 && (!copy || out+late > now) ||
 			bound != nil && !bound.cut() && left > lastChance*mean {
-			m.lows.set(i, never)
+			m.bounds.set(i, never)
 			continue
 		}
 		m.holders(now, p, func(s *searcher) {
@@ -42,7 +42,7 @@
 			} else if s.suspect {
 				class = -1 // the one test, backed by a copy as soon as the lookup is looked at again
 			}
-			key := key{rank(class, min(1, len(p.forwards)), s.calls), time, float64(p.Effort), s.lot.draw(now, m.turn, m.rng)}
+			key := key{rank(class, min(1, len(p.forwards)), s.calls), time, float64(p.Effort), s.tie.draw(now, m.call, m.rng)}
 			if key.less(&low) {
 				low = key
 			}
@@ -54,14 +54,14 @@
 				best, to, least, at = p, s, key, i
 			}
 		})
-		m.lows.hide(i, low)
+		m.bounds.hide(i, low)
 	}
-	m.lows.show()
+	m.bounds.show()
 	if want != nil && wanted.less(&least) {
 		want.want.Add(now, 1, halfLife)
 	}
 	if best != nil {
-		m.lows.set(at, unseen)
+		m.bounds.set(at, unseen)
 	}
 	return best, to
 }
--- a/mixer/pick_test.go
+++ b/mixer/pick_test.go
@@ -31,7 +31,7 @@
 			if slices.ContainsFunc(p.forwards, func(f *forward) bool { return f.s == s }) {
 				return
 			}
-			key := [6]float64{1: float64(min(1, len(p.forwards))), 2: float64(s.calls), 4: float64(p.Effort), 5: s.lot.draw(now, m.turn, m.rng)}
+			key := [6]float64{1: float64(min(1, len(p.forwards))), 2: float64(s.calls), 4: float64(p.Effort), 5: s.tie.draw(now, m.call, m.rng)}
 			unit := m.unit(now, s)
 			if len(s.out) > 0 {
 				unit = max(unit, float64(now-s.out[0].sent)/float64(s.out[0].count))
@@ -107,11 +107,11 @@
 		m.tests.Add(now, 0.45+0.1*float64(rng.Intn(3)), halfLife)
 		l := m.Take(now, Ask{ID: "q", NotAfter: now + 2000*ms, Parts: 1 + rng.Intn(90)})
 		for i := range l.ask.Parts {
-			l.parts = append(l.parts, l.room.add(l, Piece{ID: fmt.Sprint(i), Slice: rng.Intn(c.Cells), Weight: 1, Effort: int64(rng.Intn(2))}))
+			l.parts = append(l.parts, l.slab.add(l, Piece{ID: fmt.Sprint(i), Slice: rng.Intn(c.Cells), Weight: 1, Effort: int64(rng.Intn(2))}))
 		}
 		for range 3 { // reviews, with all sorts of outcomes between them
-			m.turn++
-			m.lows.end()
+			m.call++
+			m.bounds.end()
 			copy := rng.Intn(3) == 0
 			mean, late := m.typical(now, l)
 			for range 1 + rng.Intn(len(l.parts)+5) {
@@ -165,7 +165,7 @@
 					o := []Outcome{Satisfied, Satisfied, Errored, Unreached, Bounced, Reset}[rng.Intn(6)]
 					f.done, f.ran = true, !o.NeverRan()
 					p.in = p.in || o == Satisfied
-					m.turn++
+					m.call++
 					m.settle(now, f, o, now-f.sent)
 				}
 			}
--- a/mixer/review.go
+++ b/mixer/review.go
@@ -43,7 +43,7 @@
 		return
 	}
 	picks := m.picks[:0]
-	m.lows.end()
+	m.bounds.end()
 	for onTime < l.need-tiny {
 		copy := live >= l.need-tiny // all that is needed is out, but some of it is late
 		p, to := l.pick(now, copy, mean, late)
@@ -92,7 +92,7 @@
 // Due looks at the lookup again.
 func (l *Lookup) Due(now int64) {
 	l.wake = 0
-	l.m.turn++
+	l.m.call++
 	l.review(now)
 }
 
@@ -104,7 +104,7 @@
 	p := l.parts[i]
 	f := p.forwards[copy]
 	f.done, f.ran = true, !o.NeverRan()
-	l.m.turn++
+	l.m.call++
 	l.m.settle(now, f, o, took)
 	if o == Satisfied && !p.in {
 		l.in += p.Weight
@@ -134,7 +134,7 @@
 		l.ended = true
 		return
 	}
-	l.step, l.expect, l.need, l.planned, l.stirs = len(l.parts), len(l.parts), 1, false, -1
+	l.step, l.expect, l.need, l.planned, l.epoch = len(l.parts), len(l.parts), 1, false, -1
 	for _, p := range l.parts {
 		if p.in && l.expect < l.step+l.t.SecondStep {
 			l.expect++
--- a/mixer/state.go
+++ b/mixer/state.go
@@ -28,7 +28,7 @@
 	l        *Lookup
 	in, over bool
 	forwards []*forward
-	first    forward // the room of the first, and of its place in forwards
+	first    forward // where the first is, and its place in forwards
 	place    [1]*forward
 }
 
@@ -43,61 +43,61 @@
 	need   float64
 	end    int64 // when its full revenue ends; it is given up then
 	wake   int64 // when it is looked at next
-	room   rooms
+	slab   slab
 
-	stirs, sent, oldest int64 // as of the last review, for calm
+	epoch, sent, oldest int64 // as of the last review, for calm
 	in                  float64
 	planned, ended      bool // the step's parts have come; it has its final answer
 }
 
 // memo keeps a figure while it holds: within one call to the mixer that lets figures change.
 type memo struct {
-	now, turn int64
+	now, call int64
 	is        float64
 }
 
-func (c *memo) holds(now, turn int64) bool { return c.now == now && c.turn == turn }
+func (c *memo) holds(now, call int64) bool { return c.now == now && c.call == call }
 
 // keep notes a figure and gives it.
-func (c *memo) keep(now, turn int64, is float64) float64 {
-	*c = memo{now, turn, is}
+func (c *memo) keep(now, call int64, is float64) float64 {
+	*c = memo{now, call, is}
 	return is
 }
 
 // draw gives a figure of chance that stays the same while it holds.
-func (c *memo) draw(now, turn int64, rng *rand.Rand) float64 {
-	if c.holds(now, turn) {
+func (c *memo) draw(now, call int64, rng *rand.Rand) float64 {
+	if c.holds(now, call) {
 		return c.is
 	}
-	return c.keep(now, turn, float64(rng.Int63()))
+	return c.keep(now, call, float64(rng.Int63()))
 }
 
 // scratch is what reviews use anew each time.
 type scratch struct {
-	lows  lows
-	picks []*forward
-	times []float64
-	pacer memo // of the whole fleet
+	bounds bounds
+	picks  []*forward
+	times  []float64
+	pacer  memo // of the whole fleet
 }
 
 // fleet gives how long forwards took over the calls that were out with them, of the whole fleet.
 func (m *Mixer) fleet(now int64) float64 {
-	if m.pacer.holds(now, m.turn) {
+	if m.pacer.holds(now, m.call) {
 		return m.pacer.is
 	}
-	return m.pacer.keep(now, m.turn, m.pace.Read(now, halfLife, 0, 0))
+	return m.pacer.keep(now, m.call, m.pace.Read(now, halfLife, 0, 0))
 }
 
-// rooms makes parts, many at a time.
-type rooms []part
+// slab makes parts, many at a time.
+type slab []part
 
-// roomsMost bounds how many parts are made at a time.
-const roomsMost = 512
+// slabMost bounds how many parts are made at a time.
+const slabMost = 512
 
 // add makes one more part of a lookup.
-func (r *rooms) add(l *Lookup, piece Piece) *part {
+func (r *slab) add(l *Lookup, piece Piece) *part {
 	if len(*r) == cap(*r) {
-		*r = make(rooms, 0, min(max(1, l.expect-len(l.parts)), roomsMost))
+		*r = make(slab, 0, min(max(1, l.expect-len(l.parts)), slabMost))
 	}
 	*r = append(*r, part{Piece: piece, l: l})
 	p := &(*r)[len(*r)-1]
@@ -105,7 +105,7 @@
 	return p
 }
 
-// next gives the room of a part's next forward.
+// next gives where a part's next forward is.
 func (p *part) next() *forward {
 	if len(p.forwards) == 0 {
 		return &p.first
--- a/mixer/telling.go
+++ b/mixer/telling.go
@@ -76,7 +76,7 @@
 	if s == nil {
 		return Standing{}, false
 	}
-	m.turn++
+	m.call++
 	st := Standing{Status: s.status, Calls: s.calls, Parts: s.parts, Unit: m.unit(now, s), Fleet: m.pace.Read(now, halfLife, 0, 0) / s.size,
 		Doubted: s.doubted(now), Shunned: m.shunned(now, s), ZoneSilent: s.zone.silent(), ColdWait: m.coldWait(now, s), Word: s.said(now)}
 	if s.suspect {
@@ -117,7 +117,7 @@
 // Resume takes what another kept at a time, as far as the processes still run. It fades from then on as what is learnt does. It
 // gives the number of processes that were met again.
 func (m *Mixer) Resume(at int64, k Kept) (met int) {
-	m.turn++
+	m.call++
 	m.pace = Ratio{Decay{k.Fleet.Took, at}, Decay{k.Fleet.Calls, at}}
 	for _, p := range k.Process {
 		if s := m.searchers[p.Searcher]; s != nil && s.started == p.Started {
