--- a/internal/listing/listing.go
+++ b/internal/listing/listing.go
@@ -116,15 +116,14 @@
 // would take the fleet for so much smaller than it is, and each searcher in it for one that bears more.
 const mass = 16
 
-// spread puts what drains first, and then newcomers evenly among those that are gone.
+// spread puts what drains first, and then newcomers evenly among those that go, each before those in whose place it comes.
 func spread(rows []mixer.Entry, going, drains, newcomers int) []mixer.Entry {
 	out := append(make([]mixer.Entry, 0, len(rows)), rows[going:going+drains]...)
 	come := rows[going+drains:][:newcomers]
 	told := 0
 	for i := range going {
-		out = append(out, rows[i])
-		n := (i + 1) * newcomers / going // so many have come with this one
-		out = append(out, come[told:n]...)
+		n := ((i+1)*newcomers + going - 1) / going // so many have come when this one goes: one at least, so that some are always listed
+		out = append(append(out, come[told:n]...), rows[i])
 		told = n
 	}
 	return append(out, rows[going+drains+newcomers:]...)
