--- a/internal/lab/capacity/list.go
+++ b/internal/lab/capacity/list.go
@@ -187,28 +187,28 @@
 		return nil, err
 	}
 	var fresh *routing.Router
-	var told routing.Bites
+	var told routing.Batches
 	firstHeld := time.Hour
 	first, _, firstTook := best(5, func() { fresh, err = router(terms(cells), rows) }, func() {
-		told = fresh.Bites()
+		told = fresh.Batches()
 		firstHeld = min(firstHeld, told.Held)
 	})
 	if err != nil || told.Rows != size {
 		return nil, fmt.Errorf("the first list: %+v, %v", told, err)
 	}
 	_, _, againTook := best(3, func() { r.Listed(rows, true) })
-	again, changedHeld := r.Bites(), time.Hour
+	again, changedHeld := r.Batches(), time.Hour
 	turn := slices.Clone(rows)
 	for i := 0; i < size; i += 7 {
 		turn[i].Started++
 	}
 	best(5, func() { r.Listed(turn, true) }, func() {
-		changedHeld = min(changedHeld, r.Bites().Held)
+		changedHeld = min(changedHeld, r.Batches().Held)
 		for i := 0; i < size; i += 7 {
 			turn[i].Started++
 		}
 	})
-	turned := r.Bites()
+	turned := r.Batches()
 	const times = 200
 	few, _, took := best(3, func() {
 		for range times {
--- a/internal/lab/capacity/slopes.go
+++ b/internal/lab/capacity/slopes.go
@@ -2,7 +2,7 @@
 
 // Laws that the sums use: those of the last long run of `nettlelab measure capacity`, by the key of the curve that gave each.
 // The measurement holds the deterministic ones to what it fits; the times are those of one core
-// of a machine that others used (load 12 to 10 on 8 cores). Those of lists that are read member by member and told in bites are of a run
+// of a machine that others used (load 12 to 10 on 8 cores). Those of lists that are read member by member and told in batches are of a run
 // of their curves alone, at load 19: reading, changes, what the module holds, first, again, the holds, and what reading a configuration allocates.
 var (
 	// mixer: list: ... / searchers
--- a/internal/listing/twin_test.go
+++ b/internal/listing/twin_test.go
@@ -113,7 +113,7 @@
 const took = 3e8
 
 // end has attempts to processes that are no more withdrawn or, where their searcher is not listed, their query left by its client. A list that
-// is told whole has queries look again whose attempts, or others at the same searcher, were lost before, by chance of its coming; in bites
+// is told whole has queries look again whose attempts, or others at the same searcher, were lost before, by chance of its coming; in batches
 // only news of their searchers do so. So none may be lost when a list comes.
 func (w *world) end(listed map[string]mixer.Entry, withdrawn bool) {
 	w.pass(2) // those that the news have roused look
@@ -141,11 +141,11 @@
 }
 
 // TestAsTheWholeListAtOnce plays the same days to two modules: one is told each message at once, as discovery wrote it; the other what the
-// Book makes of it, in bites. Both stand alike in all that can be seen of them, also in what they have drawn by chance: the first
+// Book makes of it, in batches. Both stand alike in all that can be seen of them, also in what they have drawn by chance: the first
 // is given the message's lines in the order in which the Book gives them, then those that it does not give.
 func TestAsTheWholeListAtOnce(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
-		whole, bitten := newWorld(), newWorld()
+		whole, batched := newWorld(), newWorld()
 		var book listing.Book
 		listed := map[string]mixer.Entry{}
 		names := []string{"a", "b", "c", "d", "e", "f", "g"}
@@ -177,10 +177,10 @@
 		tell := func(t *rapid.T, full bool) {
 			for _, n := range names {
 				st, _ := whole.m.Standing(whole.now, n)
-				also, _ := bitten.m.Standing(bitten.now, n) // asking brings what is saved up for a cold one up to date
+				also, _ := batched.m.Standing(batched.now, n) // asking brings what is saved up for a cold one up to date
 				if st.Suspect || st.ZoneSilent || also.Suspect || also.ZoneSilent {
 					whole.leave()
-					bitten.leave()
+					batched.leave()
 				}
 			}
 			var lines []mixer.Entry
@@ -213,17 +213,17 @@
 			}
 			whole.m.Listed(whole.now, ordered, full)
 			for rows := changed; len(rows) > 0; {
-				n := min(len(rows), rapid.IntRange(1, 3).Draw(t, "bite"))
-				bitten.m.Listed(bitten.now, rows[:n], false)
+				n := min(len(rows), rapid.IntRange(1, 3).Draw(t, "batch"))
+				batched.m.Listed(batched.now, rows[:n], false)
 				rows = rows[n:]
 			}
 			withdrawn := rapid.Bool().Draw(t, "withdrawn")
 			whole.end(listed, withdrawn)
-			bitten.end(listed, withdrawn)
+			batched.end(listed, withdrawn)
 		}
 		both := func(do func(*world)) {
 			do(whole)
-			do(bitten)
+			do(batched)
 		}
 		tell(t, true)
 		t.Repeat(map[string]func(*rapid.T){
@@ -251,14 +251,14 @@
 				})
 			},
 			"": func(t *rapid.T) {
-				if len(whole.out) != len(bitten.out) || whole.ends != bitten.ends {
-					t.Fatalf("%d out and %d ended, in bites %d and %d", len(whole.out), whole.ends, len(bitten.out), bitten.ends)
+				if len(whole.out) != len(batched.out) || whole.ends != batched.ends {
+					t.Fatalf("%d out and %d ended, in batches %d and %d", len(whole.out), whole.ends, len(batched.out), batched.ends)
 				}
 				for _, n := range names {
 					a, known := whole.m.Standing(whole.now, n)
-					b, alsoKnown := bitten.m.Standing(bitten.now, n)
+					b, alsoKnown := batched.m.Standing(batched.now, n)
 					if known != alsoKnown || a != b {
-						t.Fatalf("%s: %+v, in bites %+v", n, a, b)
+						t.Fatalf("%s: %+v, in batches %+v", n, a, b)
 					}
 				}
 			},
--- a/internal/routing/listing.go
+++ b/internal/routing/listing.go
@@ -7,8 +7,8 @@
 	"nettlefold/internal/listing"
 )
 
-// bite is how many rows of the list the module is told under one hold of the lock at most. docs/lists.md says by what runs.
-const bite = 64
+// batch is how many rows of the list the module is told under one hold of the lock at most. docs/lists.md says by what runs.
+const batch = 64
 
 // Filter chooses which rows of the list reach the module. It is given those that differ from what the list told before, the most
 // urgent first (listing.Book.Take), with the module's time, and gives the rows that the module is told, in its own order; it may give rows
@@ -22,27 +22,27 @@
 	mu   sync.Mutex
 	book listing.Book
 	told []Word // what other mixers say, as last handed over
-	last Bites
-	rest func() // between two bites: who waits for the lock goes first, else the next bite takes it at once
+	last Batches
+	rest func() // between two batches: who waits for the lock goes first, else the next batch takes it at once
 }
 
-// Bites is how one message of the list reached the module.
-type Bites struct {
+// Batches is how one message of the list reached the module.
+type Batches struct {
 	Rows, Calls int           // told, and in how many calls
 	Most        int           // rows in one call
 	Held        time.Duration // the longest that a call held the router's lock
 }
 
-// Bites gives how the last message of the list reached the module.
-func (r *Router) Bites() Bites {
+// Batches gives how the last message of the list reached the module.
+func (r *Router) Batches() Batches {
 	r.list.mu.Lock()
 	defer r.list.mu.Unlock()
 	return r.list.last
 }
 
 // Listed takes news of the list: changes, or with full set all of it. They are compared with what was told before without the
-// router's lock; only what differs reaches the module, in bites of a bounded number of rows, each one call in the clock's order.
-// Other calls come between the bites. The module has all of the news when Listed returns.
+// router's lock; only what differs reaches the module, in batches of a bounded number of rows, each one call in the clock's order.
+// Other calls come between the batches. The module has all of the news when Listed returns.
 func (r *Router) Listed(rows []Entry, full bool) {
 	l := &r.list
 	l.mu.Lock()
@@ -52,10 +52,10 @@
 		rows = r.Filter.Changed(r.Now(), rows)
 	}
 	words := l.words(rows)
-	l.last = Bites{}
+	l.last = Batches{}
 	for len(rows) > 0 {
-		n := min(len(rows), bite)
-		if !r.bite(rows[:n], words) {
+		n := min(len(rows), batch)
+		if !r.hand(rows[:n], words) {
 			l.book.Doubt(rows[:n]) // the next list that names them, or does not, tells them again
 		}
 		if rows = rows[n:]; len(rows) > 0 {
@@ -64,8 +64,8 @@
 	}
 }
 
-// bite tells the module of some rows, and what other mixers say of processes that it did not know. It gives whether that went through.
-func (r *Router) bite(rows []Entry, words map[string][]Word) (through bool) {
+// hand tells the module of one batch of rows, and what other mixers say of processes that it did not know. It gives whether that went through.
+func (r *Router) hand(rows []Entry, words map[string][]Word) (through bool) {
 	r.mu.Lock()
 	began := time.Now()
 	r.run(nil, func(now int64) {
--- a/internal/routing/listing_test.go
+++ b/internal/routing/listing_test.go
@@ -45,23 +45,23 @@
 	return st
 }
 
-// between has something done after each bite but the last, told its number from 1 on, without the router's lock.
-func between(r *Router, do func(bite int)) {
+// between has something done after each batch but the last, told its number from 1 on, without the router's lock.
+func between(r *Router, do func(batch int)) {
 	n := 0
 	r.list.rest = func() { n++; do(n) }
 }
 
-// All of a whole list of the plan's size comes in bounded bites, and of one that has changed little only that, the bad news in the first.
-func TestWholeListsComeInBites(t *testing.T) {
+// All of a whole list of the plan's size comes in bounded batches, and of one that has changed little only that, the bad news in the first.
+func TestWholeListsComeInBatches(t *testing.T) {
 	r := listRouter(t)
 	rows := searchers(fleet)
 	r.Listed(rows, true)
-	if b := r.Bites(); b.Rows != fleet || b.Most > bite || b.Calls != (fleet+bite-1)/bite {
-		t.Errorf("the first list: %+v, want %d rows, %d a call", b, fleet, bite)
+	if b := r.Batches(); b.Rows != fleet || b.Most > batch || b.Calls != (fleet+batch-1)/batch {
+		t.Errorf("the first list: %+v, want %d rows, %d a call", b, fleet, batch)
 	}
 	last := r.last
 	r.Listed(rows, true)
-	if b := r.Bites(); b != (Bites{}) || r.last != last {
+	if b := r.Batches(); b != (Batches{}) || r.last != last {
 		t.Errorf("the same again: %+v and %d ns of the module's clock", b, r.last-last)
 	}
 	news := searchers(fleet)
@@ -77,17 +77,17 @@
 		}
 		seen = true
 		if st := stands(t, r, news[drains].Searcher); st.Status != mixer.Draining {
-			t.Errorf("after the first bite %s is %v", news[drains].Searcher, st.Status)
+			t.Errorf("after the first batch %s is %v", news[drains].Searcher, st.Status)
 		}
 		if _, listed := r.Standing(news[gone].Searcher); listed {
-			t.Errorf("after the first bite %s is still listed", news[gone].Searcher)
+			t.Errorf("after the first batch %s is still listed", news[gone].Searcher)
 		}
 		if st := stands(t, r, news[4999].Searcher); st.Started != 5 {
-			t.Error("after the first bite all new processes are known")
+			t.Error("after the first batch all new processes are known")
 		}
 	})
 	r.Listed(news[:gone], true)
-	if b := r.Bites(); !seen || b.Rows != 5002 || b.Most > bite {
+	if b := r.Batches(); !seen || b.Rows != 5002 || b.Most > batch {
 		t.Errorf("5,002 changes: %+v", b)
 	}
 	for i := range 5000 {
@@ -97,8 +97,8 @@
 	}
 }
 
-// Between bites a query is taken, sent by what is known then, and answered.
-func TestQueriesComeBetweenBites(t *testing.T) {
+// Between batches a query is taken, sent by what is known then, and answered.
+func TestQueriesComeBetweenBatches(t *testing.T) {
 	r := listRouter(t)
 	answered := 0
 	between(r, func(n int) {
@@ -126,21 +126,21 @@
 			}
 		}
 	})
-	r.Listed(searchers(5*bite), true)
+	r.Listed(searchers(5*batch), true)
 	if answered != 4 {
-		t.Errorf("%d queries were answered between 5 bites", answered)
+		t.Errorf("%d queries were answered between 5 batches", answered)
 	}
 }
 
 // What other mixers say reaches a process that is listed later, or again after it was forgotten, and no other is told anew.
 func TestWordsGoToNewProcessesOnly(t *testing.T) {
 	r := listRouter(t)
-	rows := searchers(3 * bite)
+	rows := searchers(3 * batch)
 	until := r.Now() + int64(time.Hour)
 	say := func(i int, started int64, suspecting int) Word {
 		return Word{Searcher: rows[i].Searcher, Started: started, Until: until, Suspecting: suspecting}
 	}
-	last := len(rows) - 1 // of the last bite
+	last := len(rows) - 1 // of the last batch
 	r.Told([]Word{say(0, 5, 1), say(last, 5, 2), say(1, 6, 3), say(1, 5, 4)})
 	check := func(what string, want map[int]int) {
 		t.Helper()
@@ -164,7 +164,7 @@
 // What did not go through to the module is told with the next list, also where that is the same.
 func TestWhatFailedIsToldAgain(t *testing.T) {
 	r := listRouter(t)
-	rows := searchers(4 * bite)
+	rows := searchers(4 * batch)
 	m := r.m
 	set := func(to *mixer.Mixer) {
 		r.mu.Lock()
@@ -173,16 +173,16 @@
 	}
 	between(r, func(n int) {
 		if set(m); n == 2 {
-			set(nil) // the third bite panics in the module
+			set(nil) // the third batch panics in the module
 		}
 	})
 	r.Listed(rows, true)
-	if _, listed := r.Standing(rows[2*bite].Searcher); listed {
-		t.Fatal("the third bite went through")
+	if _, listed := r.Standing(rows[2*batch].Searcher); listed {
+		t.Fatal("the third batch went through")
 	}
 	between(r, func(int) {})
 	r.Listed(rows, true)
-	if b := r.Bites(); b.Rows != bite {
+	if b := r.Batches(); b.Rows != batch {
 		t.Errorf("told again: %+v", b)
 	}
 	for _, e := range rows {
@@ -228,7 +228,7 @@
 
 func TestFilterChoosesWhatTheModuleIsTold(t *testing.T) {
 	r, plain := listRouter(t), listRouter(t)
-	rows := searchers(3 * bite)
+	rows := searchers(3 * batch)
 	h := &holder{t: t, r: r, back: map[string]bool{"s0": true, "s100": true}}
 	r.Filter = h
 	if plain.Filter != nil {
@@ -280,7 +280,7 @@
 		for range 50 {
 			r.Told([]Word{{Searcher: "s7", Started: 5, Until: r.Now() + 1e9, Suspecting: 1}})
 			r.Standing("s8")
-			r.Bites()
+			r.Batches()
 		}
 	})
 	for worker := range 2 {
--- a/internal/routing/share.go
+++ b/internal/routing/share.go
@@ -22,7 +22,8 @@
 }
 
 // Told hands over what other mixers say and lend, in place of all that was handed over before. It is kept for searchers
-// that are listed later, or listed anew, since what was lent of a process must not be forgotten with its line of the list. It waits for news of the list that are on their way to the module.
+// that are listed later, or listed anew, since what was lent of a process must not be forgotten with its line of the list. It waits for
+// news of the list that are on their way to the module.
 func (r *Router) Told(words []Word) {
 	r.list.mu.Lock()
 	defer r.list.mu.Unlock()
--- a/internal/transport/listing.go
+++ b/internal/transport/listing.go
@@ -5,8 +5,8 @@
 	"nettlefold/mixer"
 )
 
-// bite is how many searchers and connections are gone through under one hold of the lock: as many as rows of the list reach the module at once.
-const bite = 64
+// batch is how many searchers and connections are gone through under one hold of the lock: as many as rows of the list reach the module at once.
+const batch = 64
 
 // relist takes news of where searchers are. It gives the connections that it has claimed, since nothing is waited for on them, and those
 // to processes that are no more, on which nothing new goes out. Between two holds of the lock it rests. A searcher that the list still has
@@ -19,13 +19,13 @@
 			named[list.Members[i].Searcher] = true
 		}
 	}
-	left := bite
+	left := batch
 	spend := func(n int) {
 		if left -= n; left <= 0 {
 			s.mu.Unlock()
 			rest()
 			s.mu.Lock()
-			left = bite
+			left = batch
 		}
 	}
 	s.mu.Lock()
--- a/internal/transport/listing_test.go
+++ b/internal/transport/listing_test.go
@@ -24,7 +24,7 @@
 func TestListsHoldTheLockForAFewSearchersOnly(t *testing.T) {
 	s := NewSearchers(charter.Limits{KeepAlive: time.Hour}, slog.New(slog.DiscardHandler))
 	defer s.Close()
-	const n = 10 * bite
+	const n = 10 * batch
 	rests := 0
 	was := map[string]string{}
 	changed := 0
@@ -32,7 +32,7 @@
 		return func() {
 			rests++
 			if !s.mu.TryLock() {
-				t.Fatal("the lock is held between two bites")
+				t.Fatal("the lock is held between two batches")
 			}
 			defer s.mu.Unlock()
 			now := 0
@@ -60,14 +60,14 @@
 		was[fmt.Sprint("s", i)] = "unknown"
 	}
 	s.relist(listOf(0, n, true), check(func(int) bool { return true }))
-	if rests < 2*n/bite-1 || changed > bite {
+	if rests < 2*n/batch-1 || changed > batch {
 		t.Errorf("%d rests in a list of %d, %d changed at once", rests, n, changed)
 	}
 	rests, changed = 0, 0
 	half := listOf(n/2, n, true)
 	half.Members[0].Status = mixer.Dead
 	s.relist(half, check(func(i int) bool { return i > n/2 }))
-	if rests < n/2/bite+n/bite-1 || changed > bite {
+	if rests < n/2/batch+n/batch-1 || changed > batch {
 		t.Errorf("%d rests in a list of %d after one of %d, %d changed at once", rests, n/2, n, changed)
 	}
 	for i := range n {
@@ -88,12 +88,12 @@
 }
 
 // A searcher with many connections counts for as many.
-func TestConnectionsCountInABite(t *testing.T) {
+func TestConnectionsCountInABatch(t *testing.T) {
 	s := NewSearchers(charter.Limits{KeepAlive: time.Hour}, slog.New(slog.DiscardHandler))
 	defer s.Close()
 	s.relist(listOf(0, 3, true), func() {})
 	s.mu.Lock()
-	for range bite {
+	for range batch {
 		to := s.all["s0"]
 		to.conns = append(to.conns, &conn{to: to, cancel: func() {}})
 		s.conns++
@@ -103,7 +103,7 @@
 	moved := listOf(0, 3, false)
 	moved.Members[0].Address = "b:0"
 	unused, _ := s.relist(moved, func() { rests++ })
-	if rests != 1 || len(unused) != bite || len(s.all["s0"].conns) != 0 || s.conns != 0 {
+	if rests != 1 || len(unused) != batch || len(s.all["s0"].conns) != 0 || s.conns != 0 {
 		t.Errorf("%d rests, %d claimed, %d left", rests, len(unused), len(s.all["s0"].conns))
 	}
 }
