Connections: what is closed first is found in steps that do not grow with the searchers

Change: internal/conns, a pure package, keeps idle connections in heaps (container/heap) and decides which is closed first, which are due, and, where a budget is given, whether one more may be opened (rate: golang.org/x/time/rate with the time passed in). Without a budget the one idle longest is closed, as before. The table tells it of each change under its own lock. Searchers.Listed has two lines changed: where gone was set, stands notes it.

With a budget (not yet to be set by any file): spent, gone, silent, draining, beyond one for a searcher, then the one whose next use is expected last, the longer of its searcher's mean gap and its idle time.

--- a/internal/routing/ticket.go
+++ b/internal/routing/ticket.go
@@ -98,6 +98,7 @@
 	left  bool
 	spot  int16 // of its searcher
 	done  atomic.Bool
+	over  atomic.Pointer[func()]
 }
 
 // Take takes a lookup. Pick must then be called until it gives a final answer or an error.
@@ -258,6 +259,15 @@
 // Over tells whether the forward has had its outcome. It needs no lock: connections ask it for each part on them.
 func (f *Forward) Over() bool { return f.done.Load() }
 
+// Watch has over called once the forward has had its outcome, at once where it has, and perhaps twice; nil ends that. It is called
+// under the router's lock and must not block, nor call the router. Many forwards may share one.
+func (f *Forward) Watch(over *func()) {
+	f.over.Store(over)
+	if over != nil && f.done.Load() {
+		(*over)()
+	}
+}
+
 // Report tells the outcome of the forward, with the value where it is satisfied. Any after the first is ignored.
 func (f *Forward) Report(o Outcome, value []byte) {
 	f.slot.t.r.call(f, func(now int64) { f.settle(now, o, value) })
@@ -278,6 +288,9 @@
 		return
 	}
 	f.done.Store(true)
+	if over := f.over.Load(); over != nil {
+		(*over)()
+	}
 	s := f.slot
 	if f.spot >= 0 {
 		s.t.r.Eyes.Outcome(f.spot, o, now-f.at)
--- a/internal/transport/conn.go
+++ b/internal/transport/conn.go
@@ -10,6 +10,7 @@
 	"time"
 
 	"nettlefold/internal/charter"
+	"nettlefold/internal/conns"
 	"nettlefold/internal/protocol"
 )
 
@@ -31,11 +32,13 @@
 	wake   chan struct{}
 	closed bool
 	cancel context.CancelFunc
+	kept   conns.Entry // the pool's account of it
+	over   func()      // for its forwards' outcomes
+	told   bool        // it stands in Searchers.resting
 }
 
 var (
 	errClosing = errors.New("closing")
-	errIdle    = errors.New("idle")
 	errOld     = errors.New("the searcher has restarted or moved")
 	errSpent   = errors.New("more than the answers has come")
 )
@@ -88,8 +91,10 @@
 	l := &conn{to: to, began: now, used: now, out: map[string]*Parcel{}, wake: make(chan struct{}, 1)}
 	ctx, cancel := context.WithCancel(s.ctx)
 	l.cancel = cancel
+	l.over = func() { s.rest(l) }
 	to.conns = append(to.conns, l)
 	s.conns++
+	s.pool.Open(since(now), &l.kept, l, s.peer(to))
 	s.wg.Add(1)
 	go s.serve(ctx, l, to.address)
 	return l
@@ -203,6 +208,7 @@
 		if p != nil {
 			delete(l.out, r.ID)
 			l.last = r.ID
+			p.Forward.Watch(nil) // it is no more on this connection
 		} else {
 			l.halted, l.spent = true, true
 		}
@@ -210,7 +216,8 @@
 		l.heard = l.used
 		idle, spent := l.live() == 0, l.spent
 		l.prompt()
-		s.mu.Unlock()
+		s.judge(l)
+		s.unlock()
 		switch {
 		case p != nil:
 			p.Forward.Report(r.Outcome, r.Value)
--- a/internal/transport/drop.go
+++ b/internal/transport/drop.go
@@ -47,7 +47,11 @@
 		l.closed = true
 		l.cancel()
 		s.conns--
+		s.pool.Close(&l.kept, reason(why, l.nc != nil))
 		l.to.conns = slices.DeleteFunc(l.to.conns, func(o *conn) bool { return o == l })
+		if l.to.gone && len(l.to.conns) == 0 {
+			s.mark(l.to)
+		}
 		e := claimed{l: l, why: why, outcome: mixer.Reset}
 		for _, p := range l.out {
 			switch p.state {
--- a/internal/transport/searchers.go
+++ b/internal/transport/searchers.go
@@ -3,10 +3,12 @@
 import (
 	"context"
 	"log/slog"
+	"slices"
 	"sync"
 	"time"
 
 	"nettlefold/internal/charter"
+	"nettlefold/internal/conns"
 	"nettlefold/internal/protocol"
 	"nettlefold/internal/routing"
 	"nettlefold/mixer"
@@ -40,23 +42,39 @@
 	end context.CancelFunc
 	wg  sync.WaitGroup
 
-	short sync.Once // logs that connections run short
+	short, tight sync.Once // log that connections run short, and that the budget has no more
 
-	mu    sync.Mutex
-	all   map[string]*searcher
-	conns int
+	mu      sync.Mutex
+	all     map[string]*searcher
+	conns   int // that hold descriptors or soon will
+	pool    *conns.Pool
+	peers   map[*searcher]*conns.Peer // where a budget is set: of those that were sent something
+	changed []*searcher               // whose standing in the list may have, since it was last looked at
+
+	restMu  sync.Mutex // held last of all, and for a moment only
+	resting []*conn    // on which a forward has had its outcome, each once
 }
 
 // searcher is one machine of the list with the connections to it.
 type searcher struct {
 	name, address string
 	gone          bool
+	draining      bool
+	marked        bool // it stands in Searchers.changed
 	conns         []*conn
 }
 
 // NewSearchers starts without any searcher. Close must be called at the end.
 func NewSearchers(lim charter.Limits, log *slog.Logger) *Searchers {
-	s := &Searchers{lim: lim, log: log, all: map[string]*searcher{}}
+	return NewSearchersWithin(conns.Budget{}, lim, log)
+}
+
+// NewSearchersWithin is NewSearchers with a budget of connections.
+func NewSearchersWithin(b conns.Budget, lim charter.Limits, log *slog.Logger) *Searchers {
+	s := &Searchers{lim: lim, log: log, all: map[string]*searcher{}, pool: conns.New(b, int64(lim.Idle()))}
+	if b.Set() {
+		s.peers = map[*searcher]*conns.Peer{}
+	}
 	s.ctx, s.end = context.WithCancel(context.Background())
 	s.wg.Add(1)
 	go s.sweep()
@@ -85,7 +103,7 @@
 	s.mu.Lock()
 	if list.Whole {
 		for _, to := range s.all {
-			to.gone = true
+			s.stands(to, mixer.Dead)
 		}
 	}
 	for _, m := range list.Members {
@@ -94,7 +112,7 @@
 			to = &searcher{name: m.Searcher}
 			s.all[m.Searcher] = to
 		}
-		to.gone = m.Status == mixer.Dead
+		s.stands(to, m.Status)
 		moved := m.Address != "" && m.Address != to.address
 		if m.Address != "" {
 			to.address = m.Address
@@ -122,7 +140,7 @@
 }
 
 // Send puts out one call. With fresh set, idle connections to the searcher are closed before, and one that has not been
-// heard of since a part went out there is not used.
+// heard of since a part went out there is not used, unless a new one would be beyond the budget.
 func (s *Searchers) Send(name string, fresh bool, call []*Parcel) {
 	s.mu.Lock()
 	to := s.all[name]
@@ -131,46 +149,53 @@
 		report(call, mixer.Unreached)
 		return
 	}
+	now := since(time.Now())
+	if p := s.peer(to); p != nil {
+		s.pool.Use(now, p)
+	}
 	var idle []*conn
-	var best *conn
+	var best, second *conn
 	for _, l := range to.conns {
 		live := l.live()
 		silent, whole := l.silent()
 		if whole {
 			l.halted, l.spent = true, true
+			s.judge(l)
 		}
+		fits := live+len(call) <= s.lim.Streams && !l.halted && !l.worn(s.lim) && l.takes(call)
 		if fresh && live == 0 && l.nc != nil {
 			idle = append(idle, l)
-		} else if best == nil && live+len(call) <= s.lim.Streams && !l.halted && !(fresh && silent) && !l.worn(s.lim) && l.takes(call) {
+		} else if best == nil && fits && !(fresh && silent) {
 			best = l
 		}
-	}
-	unused := s.claim(errIdle, idle...)
-	if best == nil && s.conns >= s.lim.Conns() {
-		spare := s.idlest()
-		if spare == nil {
-			s.mu.Unlock()
-			s.finish(unused)
-			s.short.Do(func() {
-				s.log.Warn("more connections to searchers are needed than there are descriptors for",
-					"connections", s.lim.Conns(), "searcher", name)
-			})
-			report(call, mixer.Unreached)
-			return
+		if second == nil && fits {
+			second = l
 		}
-		unused = append(unused, s.claim(errIdle, spare)...)
 	}
+	if best == nil && second != nil && !s.mayOpen(now, len(idle) > 0) {
+		best = second
+		idle = slices.DeleteFunc(idle, func(l *conn) bool { return l == best })
+	}
+	unused := s.claim(conns.ForFresh, idle...)
 	if best == nil {
+		spare, refused := s.room(now, to)
+		unused = append(unused, spare...)
+		if refused != mixer.Satisfied {
+			s.unlock(unused...)
+			report(call, refused)
+			return
+		}
 		best = s.open(to)
 	}
 	for _, p := range call {
 		p.conn = best
 		best.out[p.Part.ID] = p
+		p.Forward.Watch(&best.over)
 	}
+	s.judge(best)
 	best.queue = append(best.queue, call)
 	best.rouse()
-	s.mu.Unlock()
-	s.finish(unused)
+	s.unlock(unused...)
 }
 
 // Withdraw tells the searcher that a part is given up.
@@ -197,46 +222,3 @@
 		p.Forward.Report(o, nil)
 	}
 }
-
-// idlest gives the connection that has been idle longest, nil if none is. The lock is held.
-func (s *Searchers) idlest() (best *conn) {
-	for _, to := range s.all {
-		for _, l := range to.conns {
-			if l.nc != nil && l.live() == 0 && (best == nil || l.used.Before(best.used)) {
-				best = l
-			}
-		}
-	}
-	return best
-}
-
-// sweep closes connections that are of no more use, until the end. Idle ones go before the searcher would close
-// them, who counts from the last byte that it has seen.
-func (s *Searchers) sweep() {
-	defer s.wg.Done()
-	every := time.NewTicker(s.lim.Sweep())
-	defer every.Stop()
-	for {
-		select {
-		case <-s.ctx.Done():
-			return
-		case <-every.C:
-		}
-		var idle []*conn
-		s.mu.Lock()
-		for name, to := range s.all {
-			if to.gone && len(to.conns) == 0 {
-				delete(s.all, name)
-			}
-			for _, l := range to.conns {
-				done := to.gone || l.spent || l.worn(s.lim) || time.Since(l.used) >= s.lim.Idle()
-				if done && l.nc != nil && l.live() == 0 {
-					idle = append(idle, l)
-				}
-			}
-		}
-		all := s.claim(errIdle, idle...)
-		s.mu.Unlock()
-		s.finish(all)
-	}
-}
--- a/internal/transport/write.go
+++ b/internal/transport/write.go
@@ -73,7 +73,8 @@
 		}
 	}
 	if l.closed || l.old || len(left) == 0 { // whoever drops the connection tells what comes of these
-		s.mu.Unlock()
+		s.judge(l)
+		s.unlock()
 		return nil
 	}
 	for _, p := range left {
@@ -107,7 +108,8 @@
 		}
 	}
 	closed := l.closed
-	s.mu.Unlock()
+	s.judge(l)
+	s.unlock()
 	switch {
 	case cut:
 		report(left, mixer.Moot)
