Settings: a budget of connections (<connections open idle handshakes>), off unless set; what becomes of connections among the metrics

An element of our XML with the most open, the most idle and the most handshakes a second, each off where it is not set; in the schema, check, explain and the names that differ after SIGHUP (a restart takes it). Where more may be open than there are descriptors for, the start says so. On the admin listener: open, idle, opened, closed by reason, refused by bound, comparisons; the counts of one moment.

The drawn documents of TestProgramAndSchemaAgreeOnAny now have the element too; that test is else as it was.

Tests of settings, admin, conns, transport pass; of cmd/nettlefold those on connections, few descriptors, idle ones, old ones and the command line.

--- a/cmd/nettlefold/serve.go
+++ b/cmd/nettlefold/serve.go
@@ -155,7 +155,10 @@
 	if err != nil {
 		return err
 	}
-	searchers := transport.NewSearchers(c.Limits, log)
+	if most := own.Connections.Open; most > c.Limits.Conns() {
+		log.Warn("connections: there are descriptors for fewer", "open", most, "descriptors", c.Limits.Conns())
+	}
+	searchers := transport.NewSearchersWithin(own.Connections, c.Limits, log)
 	defer searchers.Close()
 	server := &transport.Server{Router: router, Searchers: searchers, Tariffs: c.Rows, Customers: c.Customers, Limits: c.Limits, Log: log}
 	sites, err := newSites(c, own.Fleet, log)
@@ -221,7 +224,8 @@
 			listener.Close()
 			return fmt.Errorf("%s: listeners/admin: %w", at.settings, err)
 		}
-		answers := &admin.Server{Router: router, Explain: func() any { return explained(taken.config(), own) }}
+		answers := &admin.Server{Router: router, Explain: func() any { return explained(taken.config(), own) },
+			Connections: searchers.Connections}
 		if shares != nil {
 			answers.Keeper = shares
 		}
--- a/internal/admin/admin.go
+++ b/internal/admin/admin.go
@@ -6,12 +6,14 @@
 	"context"
 	"encoding/json"
 	"fmt"
+	"io"
 	"net"
 	"net/http"
 	"time"
 
 	"github.com/VictoriaMetrics/metrics"
 
+	"nettlefold/internal/conns"
 	"nettlefold/internal/routing"
 	"nettlefold/internal/store"
 	"nettlefold/mixer"
@@ -30,6 +32,8 @@
 	Fleet   *Fleet
 	Control func() any // how the mixer stands with the control tier
 	Explain func() any // the settings of the start
+
+	Connections func() conns.Stats // to searchers, nil: nothing is told of them
 }
 
 // Serve answers on a listener until the context ends.
@@ -126,9 +130,12 @@
 	return why
 }
 
-// figures are the gauges of sharing, read when they are asked for.
+// figures are the metrics of connections and sharing, read when they are asked for.
 func (s *Server) figures() *metrics.Set {
 	set := metrics.NewSet()
+	if s.Connections != nil {
+		set.RegisterMetricsWriter(func(w io.Writer) { writeConnections(w, s.Connections()) })
+	}
 	if s.Keeper == nil {
 		return set
 	}
--- a/internal/conns/conns.go
+++ b/internal/conns/conns.go
@@ -66,9 +66,6 @@
 
 func (r Reason) String() string { return reasonNames[r] }
 
-// Error has a reason stand where a connection's end is told by an error.
-func (r Reason) Error() string { return "idle: " + reasonNames[r] }
-
 // Peer is what is known of one searcher's connections. Its zero value has none.
 type Peer struct {
 	open, idle int
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -15,6 +15,8 @@
 	"strconv"
 	"strings"
 	"time"
+
+	"nettlefold/internal/conns"
 )
 
 // Namespace is that of the settings' elements.
@@ -30,7 +32,10 @@
 	Learnt  string   // file in which what is learnt is kept from one process to the next, "": it is not
 	Fleet   *Fleet   // nil: none, and the mixer talks to no other
 	Control *Control // nil: none, and no settings are taken in flight
-	fleetAt int      // line of the fleet
+
+	Connections conns.Budget // to searchers
+
+	fleetAt int // line of the fleet
 }
 
 // Logging says how the log is written.
@@ -85,6 +90,9 @@
 	if !reflect.DeepEqual(s.Control, other.Control) {
 		names = append(names, "control")
 	}
+	if s.Connections != other.Connections {
+		names = append(names, "connections")
+	}
 	return names
 }
 
@@ -141,6 +149,8 @@
 		"learnt":  {attributes: map[string]attribute{"file": need(path, func(s *Settings, v string) { s.Learnt = v })}},
 		"fleet":   fleetElement(),
 		"control": controlElement(),
+
+		"connections": connectionsElement(),
 		"store": {
 			attributes: map[string]attribute{
 				"address":    need(address, func(s *Settings, v string) { s.store().Address = v }),
--- a/internal/transport/keep.go
+++ b/internal/transport/keep.go
@@ -115,7 +115,7 @@
 	if !fast {
 		s.settle(all)
 		if e, why := s.pool.Spare(now); e != nil {
-			return s.claim(why, e.Conn().(*conn)), mixer.Satisfied
+			return s.claim(idleFor(why), e.Conn().(*conn)), mixer.Satisfied
 		}
 	}
 	if !fast && short {
@@ -137,7 +137,7 @@
 func (s *Searchers) unlock(unused ...claimed) {
 	for s.pool.Crowded() {
 		e, why := s.pool.Spare(since(time.Now()))
-		unused = append(unused, s.claim(why, e.Conn().(*conn))...)
+		unused = append(unused, s.claim(idleFor(why), e.Conn().(*conn))...)
 	}
 	s.mu.Unlock()
 	s.finish(unused)
@@ -212,7 +212,7 @@
 				if e == nil {
 					break
 				}
-				unused = append(unused, s.claim(why, e.Conn().(*conn))...)
+				unused = append(unused, s.claim(idleFor(why), e.Conn().(*conn))...)
 			}
 			done = done && len(unused) < bite
 			s.unlock(unused...)
@@ -220,13 +220,18 @@
 	}
 }
 
+// idleFor is the error of a connection that was closed while nothing was waited for on it.
+type idleFor conns.Reason
+
+func (r idleFor) Error() string { return "idle: " + conns.Reason(r).String() }
+
 // reason gives why a connection is closed as the pool counts it.
 func reason(why error, up bool) conns.Reason {
-	var given conns.Reason
+	var given idleFor
 	var bad *protocol.BadFrame
 	switch {
 	case errors.As(why, &given):
-		return given
+		return conns.Reason(given)
 	case errors.Is(why, errClosing):
 		return conns.ForLeaving
 	case errors.Is(why, errOld):
--- a/internal/transport/searchers.go
+++ b/internal/transport/searchers.go
@@ -176,7 +176,7 @@
 		best = second
 		idle = slices.DeleteFunc(idle, func(l *conn) bool { return l == best })
 	}
-	unused := s.claim(conns.ForFresh, idle...)
+	unused := s.claim(idleFor(conns.ForFresh), idle...)
 	if best == nil {
 		spare, refused := s.room(now, to)
 		unused = append(unused, spare...)
