--- a/internal/conns/choice_test.go
+++ b/internal/conns/choice_test.go
@@ -1,6 +1,7 @@
 package conns
 
 import (
+	"fmt"
 	"math/bits"
 	"math/rand"
 	"testing"
@@ -83,3 +84,30 @@
 		t.Errorf("%v is due, after %d comparisons", e, p.Stats().Steps-began)
 	}
 }
+
+// BenchmarkUse is what one part costs the pool: its connection is busy, then idle again, among so many.
+func BenchmarkUse(b *testing.B) {
+	for name, budget := range map[string]Budget{"unset": {}, "set": {Open: 1 << 20}} {
+		for _, n := range []int{1000, 4000, 37000} {
+			b.Run(fmt.Sprint(name, "/", n), func(b *testing.B) {
+				p, now := New(budget, int64(time.Hour)), int64(0)
+				all, peers, rng := make([]plain, n), make([]Peer, n), rand.New(rand.NewSource(1))
+				for i := range all {
+					now++
+					all[i].used = now
+					p.Open(now, &all[i].Entry, &all[i], &peers[i])
+					p.Idle(&all[i].Entry, Sound)
+				}
+				b.ReportAllocs()
+				for b.Loop() {
+					now++
+					i := rng.Intn(n)
+					p.Use(now, &peers[i])
+					p.Busy(&all[i].Entry)
+					all[i].used = now
+					p.Idle(&all[i].Entry, Sound)
+				}
+			})
+		}
+	}
+}
--- a/internal/settings/settings_test.go
+++ b/internal/settings/settings_test.go
@@ -81,15 +81,17 @@
 			"listen": {"127.0.0.1:7946", "7946"}, "name": {"main", "a", ""}, "alone": {"yes", "no", "1"}, "key-file": {"/k", " "},
 			"group": {"g", "g h"}, "forget": {"1h", "5s", "4s", "1d", "-1m", "99999s", "10000m"}, "to": {"m1", "m 1"},
 			"members": {"2", "9999", "1", "02", "10000"}, "region": {"east", "a b"},
-			"open": {"4096", "10", "999999", "9", "1000000", "010", "-10"}, "idle": {"2048", "1", "0", " 5"}, "handshakes": {"500", "1", "99999", "100000", "1.5"},
-			"window": {"10s", "1s", "600s", "10m", "0s", "601s", "11m", "1h", "010s"},
+			"open": {"4096", "10", "999999", "9", "1000000", "010", "-10"}, "idle": {"2048", "1", "0", " 5"},
+			"handshakes": {"500", "1", "99999", "100000", "1.5"},
+			"window":     {"10s", "1s", "600s", "10m", "0s", "601s", "11m", "1h", "010s"},
 		}
 		attributes := map[string][]string{"logging": {"format", "level"}, "admin": {"address"}, "login": {"user", "password-file"},
 			"store": {"address", "site", "enabled", "timeout-ms", "protocol"}, "tls": {"authorities", "server"}, "identity": {"certificate", "key"},
 			"fleet": {"listen", "site", "alone", "key-file", "group", "forget", "members"},
 			"site":  {"name"}, "join": {"address"}, "route": {"to", "address"},
 			"control": {"region", "window", "words"}, "relay": {"name", "region", "address"}, "connections": {"open", "idle", "handshakes"}}
-		within := map[string][]string{"nettlefold": {"logging", "listeners", "connections", "fleet", "control", "store"}, "control": {"relay"}, "fleet": {"site", "join", "route"},
+		within := map[string][]string{"nettlefold": {"logging", "listeners", "connections", "fleet", "control", "store"},
+			"control": {"relay"}, "fleet": {"site", "join", "route"},
 			"listeners": {"admin"}, "store": {"login", "tls"}, "tls": {"identity"}}
 		odd := rapid.IntRange(0, 3).Draw(t, "odd") == 0 // most documents are nearly right
 		rare := func(what string) bool { return odd && rapid.IntRange(0, 9).Draw(t, what) == 0 }
--- a/internal/transport/budget_test.go
+++ b/internal/transport/budget_test.go
@@ -10,6 +10,8 @@
 
 	"nettlefold/example/toy"
 	"nettlefold/internal/conns"
+	"nettlefold/internal/protocol"
+	"nettlefold/internal/routing"
 	"nettlefold/mixer"
 )
 
@@ -247,3 +249,57 @@
 		}
 	}
 }
+
+// TestFreshWithoutRoom asks for a fresh connection where one may be open and a part is out there, unanswered: that one is used, where
+// the part would else be refused.
+func TestFreshWithoutRoom(t *testing.T) {
+	c := gather(t, conns.Budget{Open: 1}, 2, 9)
+	first, _ := c.send(c.names[0], false)
+	c.until("it is out", func() bool { return c.is(first, written) })
+	if second, _ := c.send(c.names[0], true); second.conn != first.conn {
+		t.Error("a part was not sent on the one connection that there is")
+	}
+	if p, spot := c.send(c.names[1], true); p.conn != nil || c.outcome(spot) != mixer.Moot {
+		t.Errorf("to another searcher: %v", c.outcome(spot))
+	}
+}
+
+// TestOrderOfClosing has connections of a draining searcher and the second of another go before one that has been idle for longer.
+func TestOrderOfClosing(t *testing.T) {
+	c := gather(t, conns.Budget{Open: 4}, 9, 99)
+	old := c.answered(c.names[0])
+	double, _ := c.send(c.names[1], false)
+	c.until("it is out", func() bool { return c.is(double, written) })
+	beside, _ := c.send(c.names[1], true) // another connection, since the first is silent
+	for range 2 {
+		c.reply()
+	}
+	c.until("both are idle", func() bool { return double.Forward.Over() && beside.Forward.Over() })
+	drains := c.answered(c.names[2])
+	c.s.Listed(protocol.List{Members: []protocol.Member{{Entry: routing.Entry{Searcher: c.names[2], Status: mixer.Draining}}}})()
+	c.s.mu.Lock()
+	c.s.follow(bite) // as a sweep does
+	c.s.mu.Unlock()
+	if beside.conn == double.conn {
+		t.Fatal("there is one connection where two were to be")
+	}
+	closed := func() (n int) {
+		c.s.mu.Lock()
+		defer c.s.mu.Unlock()
+		for i, p := range []*Parcel{drains, double, beside, old} {
+			if p.conn.closed {
+				n |= 1 << i
+			}
+		}
+		return n
+	}
+	for i, want := range [][]int{{1}, {1 | 2, 1 | 4}, {1 | 2 | 8, 1 | 4 | 8}} {
+		c.answered(c.names[3+i])
+		if got := closed(); !slices.Contains(want, got) {
+			t.Errorf("after %d new ones closed are %04b, want one of %04b", i+1, got, want)
+		}
+	}
+	if st := c.s.Connections(); st.Closed[conns.ForGone] != 1 || st.Closed[conns.ForDuplicate] != 1 || st.Closed[conns.ForPlace] != 1 {
+		t.Errorf("%+v", st)
+	}
+}
