--- a/internal/transport/keep.go
+++ b/internal/transport/keep.go
@@ -145,8 +145,11 @@
 
 // stands notes how a searcher stands in the list. The lock is held.
 func (s *Searchers) stands(to *searcher, status mixer.Status) {
-	to.gone, to.draining = status == mixer.Dead, status == mixer.Draining
-	s.mark(to)
+	gone, draining := status == mixer.Dead, status == mixer.Draining
+	if gone != to.gone || draining != to.draining {
+		to.gone, to.draining = gone, draining
+		s.mark(to)
+	}
 }
 
 // mark has the next sweep look at a searcher. The lock is held.
@@ -187,8 +190,8 @@
 	delete(s.peers, to)
 }
 
-// bite is how much of a sweep is done under one hold of the lock.
-const bite = 512
+// sweepBite is how much of a sweep is done under one hold of the lock.
+const sweepBite = 512
 
 // sweep closes connections that are of no more use, until the end. Idle ones go before the searcher would close
 // them, who counts from the last byte that it has seen. It looks only at what has changed and at what is due.
@@ -204,17 +207,17 @@
 		}
 		for done := false; !done && s.ctx.Err() == nil; {
 			s.mu.Lock()
-			settled, followed := s.settle(bite), s.follow(bite)
+			settled, followed := s.settle(sweepBite), s.follow(sweepBite)
 			done = settled && followed
 			var unused []claimed
-			for len(unused) < bite {
+			for len(unused) < sweepBite {
 				e, why := s.pool.Due(since(time.Now()))
 				if e == nil {
 					break
 				}
 				unused = append(unused, s.claim(idleFor(why), e.Conn().(*conn))...)
 			}
-			done = done && len(unused) < bite
+			done = done && len(unused) < sweepBite
 			s.unlock(unused...)
 		}
 	}
