Capacity: choosing connections measured anew (3 comparisons whatever the searchers), and connections of a mixer with a subset

Arithmetic: connections, handshakes and starts of a mixer that uses 32 holders a part (assumed), and what a searcher sees of them (479 mixers, not 6,300), held to a play of parts that come by chance (TestConnectionsByChance). The first try of that test took its counts just after a part had come and was off by one connection.

--- a/internal/lab/capacity/size.go
+++ b/internal/lab/capacity/size.go
@@ -79,10 +79,8 @@
 // idle is how long a connection may lie idle before a mixer closes it, charter.Limits.Idle.
 func idle(keepAlive float64) float64 { return keepAlive - keepAlive/8 }
 
-// Connections is how many connections a mixer has to searchers, in the mean: those used within their idle time.
-func Connections(keepAlive float64) float64 {
-	return Searchers * (1 - math.Exp(-Meets()*idle(keepAlive)))
-}
+// Connections is how many connections a mixer has to searchers, in the mean, where it uses all.
+func Connections(keepAlive float64) float64 { return ConnectionsOf(Searchers, keepAlive) }
 
 // ConnectionsAt is how many a searcher has from mixers.
 func ConnectionsAt(keepAlive float64) float64 { return Connections(keepAlive) * Mixers / Searchers }
@@ -90,8 +88,8 @@
 // Descriptors is how many a mixer must be allowed for its connections to searchers: half of what is allowed is kept for clients.
 func Descriptors(keepAlive float64) float64 { return 2*Connections(keepAlive) + 32 }
 
-// Handshakes is the share of parts that need a new connection: nothing was sent there for the idle time.
-func Handshakes(keepAlive float64) float64 { return math.Exp(-Meets() * idle(keepAlive)) }
+// Handshakes is the share of parts that need a new connection where a mixer uses all searchers.
+func Handshakes(keepAlive float64) float64 { return HandshakesOf(Searchers, keepAlive) }
 
 // PartQuantile is the share of parts that must be in time so that 99 queries of 100 are whole in time, parts being late apart.
 func PartQuantile() float64 { return math.Pow(0.99, 1/Parts) }
--- a/internal/lab/capacity/wire.go
+++ b/internal/lab/capacity/wire.go
@@ -44,7 +44,16 @@
 	}, {
 		Role: "mixer", Of: "searchers", Plan: Searchers, Sizes: fleetSizes, Quick: quickSizes, Play: playSpare,
 		Quantities: []Quantity{
-			{Name: "connections: one call where descriptors are short", Unit: "s", Form: Affine, Known: spareTime},
+			{Name: "connections: comparisons of one call where descriptors are short", Unit: "1", Form: Flat, Deterministic: true,
+				Known: spareSteps},
+			{Name: "connections: one call where descriptors are short", Unit: "s", Form: Flat, Known: spareTime},
+		},
+	}, {
+		Role: "mixer", Of: "idle connections", Plan: Searchers, Sizes: []int{128, 512, 2048, 8192, 37000}, Quick: []int{64, 128, 256, 512, 1024},
+		Play: playChoice, Quantities: []Quantity{
+			{Name: "connections: comparisons to close one for another, within a budget", Unit: "1", Form: Power, Deterministic: true,
+				Known: choiceSteps},
+			{Name: "connections: closing one for another in the pool, within a budget", Unit: "s", Form: Power, Known: choiceTime},
 		},
 	}}
 }
