Tests: a query refused everywhere is turned away; the late answer is waited for

TestSearchersThatNeverAnswer failed once in eight runs: it looked for the part among those that had come, and it had not come yet. It waits for it now. TestRefusedEverywhere: a query that must not run twice, refused a connection to three holders, is turned away.

--- a/internal/transport/budget_test.go
+++ b/internal/transport/budget_test.go
@@ -85,9 +85,14 @@
 		t.Errorf("%+v", st)
 	}
 	waits.Forward.Report(mixer.TimedOut, nil)
-	for len(c.held) > 0 { // the answer to the last, which is late: its connection is sound
-		if part := <-c.held; part.ID == waits.Part.ID {
-			part.Answer("ok", "")
+	for late := false; !late; { // the answer to the last, which is late: its connection is sound
+		select {
+		case part := <-c.held:
+			if late = part.ID == waits.Part.ID; late {
+				part.Answer("ok", "")
+			}
+		case <-time.After(5 * time.Second):
+			t.Fatal("the last part has not come")
 		}
 	}
 	c.until("the late answer is in", func() bool {
@@ -303,3 +308,23 @@
 		t.Errorf("%+v", st)
 	}
 }
+
+// TestRefusedEverywhere has a query that must not run twice refused a connection to each holder in turn: after the tries that it may have it is
+// turned away, which tells its client that asking again is harmless.
+func TestRefusedEverywhere(t *testing.T) {
+	ticket := take(t, router(t, mixer.OnceOnly, "a", "b", "c", "d"), "q")
+	asked := map[string]bool{}
+	for {
+		step := pick(t, ticket)
+		if step.Final != nil {
+			if step.Final.Verdict != routing.Bounced || len(asked) != 3 {
+				t.Errorf("it ends with %+v after %d holders", step.Final, len(asked))
+			}
+			return
+		}
+		for _, call := range step.Calls {
+			asked[call.Searcher] = true
+			call.Forwards[0].Report(mixer.Moot, nil)
+		}
+	}
+}
