--- a/internal/transport/keep.go
+++ b/internal/transport/keep.go
@@ -2,6 +2,7 @@
 
 import (
 	"errors"
+	"math"
 	"time"
 
 	"nettlefold/internal/conns"
@@ -66,7 +67,7 @@
 }
 
 // settle has the pool know of so many connections on which a forward has had its outcome, and tells whether that was all of them.
-// The lock is held.
+// Each stands there for one outcome at least, so that to go through all of them costs each part a bounded share. The lock is held.
 func (s *Searchers) settle(most int) bool {
 	s.restMu.Lock()
 	n := min(most, len(s.resting))
@@ -85,9 +86,6 @@
 	return all
 }
 
-// all of what waits to be settled; each was put there by one forward's outcome, so it costs each call a bounded share.
-const all = int(^uint(0) >> 1)
-
 // mayOpen tells whether one more connection may be opened now, one being closed for it where freed is set or one is idle. Without
 // a budget it always may be, as far as the budget goes. The lock is held.
 func (s *Searchers) mayOpen(now int64, freed bool) bool {
@@ -100,7 +98,7 @@
 	if freed || !s.pool.TooMany() {
 		return true
 	}
-	s.settle(all)
+	s.settle(math.MaxInt)
 	e, _ := s.pool.Spare(now)
 	return e != nil
 }
@@ -113,7 +111,7 @@
 		return nil, mixer.Satisfied
 	}
 	if !fast {
-		s.settle(all)
+		s.settle(math.MaxInt)
 		if e, why := s.pool.Spare(now); e != nil {
 			return s.claim(idleFor(why), e.Conn().(*conn)), mixer.Satisfied
 		}
