--- a/internal/transport/idle_test.go
+++ b/internal/transport/idle_test.go
@@ -42,10 +42,15 @@
 		s.mu.Lock()
 		s.all["s"], s.conns = to, len(to.conns)
 		all := slices.Clone(to.conns)
+		for _, l := range all {
+			s.pool.Open(since(began), &l.kept, l, s.peer(to))
+			s.judge(l)
+		}
 		s.mu.Unlock()
 		time.Sleep(keep / 2)
 		s.mu.Lock()
 		all[1].used = time.Now()
+		s.judge(all[1])
 		s.mu.Unlock()
 		time.Sleep(3 * keep)
 		synctest.Wait()
--- a/internal/transport/listing.go
+++ b/internal/transport/listing.go
@@ -35,7 +35,9 @@
 	}
 	if list.Whole {
 		for name, to := range s.all { // what sweep deletes meanwhile doesn't come up; only this adds any
-			to.gone = to.gone || !named[name]
+			if !named[name] {
+				s.stands(to, mixer.Dead)
+			}
 			spend(1)
 		}
 	}
@@ -49,7 +51,7 @@
 		to = &searcher{name: m.Searcher}
 		s.all[m.Searcher] = to
 	}
-	to.gone = m.Status == mixer.Dead
+	s.stands(to, m.Status)
 	moved := m.Address != "" && m.Address != to.address
 	if m.Address != "" {
 		to.address = m.Address
