--- a/mixer/cold.go
+++ b/mixer/cold.go
@@ -42,7 +42,7 @@
 // sends nothing itself, so its one part saved up is free in each window, and a borrower's steady rate needs
 // less room for chance.
 func (m *Mixer) coldShare(bears float64, now int64, s *searcher) (rate, loan float64) {
-	mixers, window := float64(m.c.Mixers), float64(max(m.c.FallFor, ms))
+	mixers, window := m.c.users(), float64(max(m.c.FallFor, ms))
 	most := bears * mixers * m.frac(now, s) * m.c.FallMultiple * coldMargin * window
 	spread := math.Sqrt(most+coldSpread*coldSpread/4) - coldSpread/2
 	rate = max(spread*spread, min(most, mixers*math.Floor((most+1)/mixers))) / mixers / window
@@ -52,11 +52,11 @@
 // measure learns this mixer's share of what a warm searcher bears: at least what warm ones answer it, and one
 // part in the time that it takes, shared. Time is added against few answers of light parts; mixers err apart.
 func (m *Mixer) measure(now int64) {
-	rate, n, sum := m.borne.Read(now, halfLife)*math.Ln2/float64(halfLife)/float64(len(m.searchers)), 0.0, 0.0
+	each, n, sum := m.borne.Read(now, halfLife)*math.Ln2/float64(halfLife)/float64(len(m.searchers)), 0.0, 0.0
 	for i := range m.rows { // all tariffs together: light parts alone would tell of a machine that bears more
 		k, mean, _ := m.rows[i].Read(now, halfLife)
 		n, sum = n+k, sum+k*max(mean, float64(ms))
 	}
-	rate = max(rate, n/(sum+coldSpread*tookGuess*m.long/math.Sqrt(float64(m.c.Mixers)))/float64(m.c.Mixers))
+	rate := max(each*m.c.usage(), n/(sum+coldSpread*tookGuess*m.long/math.Sqrt(m.c.users()))/m.c.users())
 	m.bears = Decay{max(rate, m.bears.Read(now, bearHalf)), now} // as before a jam, they can bear it again
 }
--- a/mixer/mixer.go
+++ b/mixer/mixer.go
@@ -164,7 +164,7 @@
 	for _, t := range c.Tariffs {
 		m.long = max(m.long, float64(t.Expected))
 	}
-	m.bears = Decay{1 / (bearGuess * m.long) / float64(c.Mixers), now}
+	m.bears = Decay{1 / (bearGuess * m.long) / c.users(), now}
 	if c.ListAsked {
 		m.Due(now)
 	}
--- a/mixer/telling.go
+++ b/mixer/telling.go
@@ -10,6 +10,8 @@
 	Pace, Weight float64
 	Slow         float64 // Pace over the fleet's, 0 where either is not known
 	Suspect      bool
+	ZoneSilent   bool    // nothing of its zone answers
+	Sent         float64 // parts per ns lately sent there
 	Cold         bool
 	Rate, Loan   float64 // parts per ns of its own cold allowance now, and what it is worth to a borrower for the time asked for
 	Want         float64 // parts per ns lately sent there while cold, or that would have been with more
@@ -32,7 +34,8 @@
 			if s.status != Live {
 				continue
 			}
-			o := Own{Searcher: s.id, Started: s.started, Heard: s.heard, Suspect: s.suspect, Weight: s.told.under.Read(now, halfLife)}
+			o := Own{Searcher: s.id, Started: s.started, Heard: s.heard, Suspect: s.suspect, Weight: s.told.under.Read(now, halfLife),
+				ZoneSilent: s.zone.silent(), Sent: s.sent.Read(now, paceHalf) * math.Ln2 / float64(paceHalf)}
 			if o.Weight > tiny {
 				o.Pace = s.told.Read(now, halfLife, 0, 0)
 				if fleet > 0 {
@@ -58,10 +61,9 @@
 	Calls, Parts     int     // out there
 	Unit, Fleet      float64 // ns a call, with what others say, and the fleet's
 	Doubted, Shunned bool    // others hold it silent; it is picked last
-	ZoneSilent       bool
-	TestIn           int64 // ns until a suspect is due for a test
-	ColdWait         int64 // ns until its cold allowance has a part
-	Word             Word  // what others say, none once it is old
+	TestIn           int64   // ns until a suspect is due for a test
+	ColdWait         int64   // ns until its cold allowance has a part
+	Word             Word    // what others say, none once it is old
 }
 
 // Standing gives how a searcher stands, false where it is not listed.
@@ -71,11 +73,12 @@
 		return Standing{}, false
 	}
 	st := Standing{Status: s.status, Calls: s.calls, Parts: s.parts, Unit: m.unit(now, s), Fleet: m.pace.Read(now, halfLife, 0, 0) / s.size,
-		Doubted: s.doubted(now), Shunned: m.shunned(now, s), ZoneSilent: s.zone.silent(), ColdWait: m.coldWait(now, s), Word: s.said(now)}
+		Doubted: s.doubted(now), Shunned: m.shunned(now, s), ColdWait: m.coldWait(now, s), Word: s.said(now)}
 	if s.suspect {
 		st.TestIn = max(0, s.testAt+s.wait*int64(st.Word.Suspecting)-now)
 	}
 	st.Own = Own{Searcher: s.id, Started: s.started, Heard: s.heard, Suspect: s.suspect, Cold: m.frac(now, s) < 1,
+		ZoneSilent: s.zone.silent(), Sent: s.sent.Read(now, paceHalf) * math.Ln2 / float64(paceHalf),
 		Pace: s.pace.Read(now, paceHalf, 0, 0), Weight: s.pace.under.Read(now, paceHalf)}
 	return st, true
 }
@@ -119,3 +122,6 @@
 	}
 	return met
 }
+
+// PaceHalf is the half-life, in ns, of what is held of a searcher's own pace.
+const PaceHalf = paceHalf
--- a/mixer/types.go
+++ b/mixer/types.go
@@ -1,6 +1,9 @@
 package mixer
 
-import "math"
+import (
+	"cmp"
+	"math"
+)
 
 // Effect says whether a lookup of a tariff may run more than once.
 type Effect int
@@ -46,6 +49,9 @@
 	Zone    string // where this mixer stands
 	Mixers  int    // how many there are
 
+	// Where each mixer uses a subset of the searchers: the most mixers that use one, and the least that do in the mean. 0: all do.
+	Users, UsersMean int
+
 	Cells, Reach int // slice s is held by cells s to s+Reach-1, modulo Cells
 	PerCall      int // parts one call may carry
 
@@ -73,6 +79,15 @@
 	Sized      bool      // the list tells how large a searcher is
 }
 
+// users is by how many mixers a searcher's cold allowance is shared.
+func (c *Charter) users() float64 { return float64(cmp.Or(c.Users, c.Mixers)) }
+
+// usage is which part of what a searcher answers a mixer that uses it may hold to be one user's: 1 where all use it. Who uses it are
+// fewer than the most, so that its answers to each are more than so many could have.
+func (c *Charter) usage() float64 {
+	return float64(cmp.Or(c.UsersMean, 1)) / float64(cmp.Or(c.Users, 1))
+}
+
 // Status is what the list says of a searcher.
 type Status int
 
