--- a/internal/lab/fleet/world.go
+++ b/internal/lab/fleet/world.go
@@ -14,6 +14,7 @@
 	"math/rand"
 
 	"nettlefold/internal/sharing"
+	"nettlefold/internal/subset"
 	"nettlefold/mixer"
 )
 
@@ -35,6 +36,8 @@
 	Shared    bool                 // mixers speak by the store
 	Reaches   func(mixer int) bool // which mixers reach the store, nil: all
 	ListLate  int64                // the most a mixer is told late of the list
+
+	Subset func(name, zone string) subset.Options // of a mixer, which then uses a subset of the searchers; nil: all
 }
 
 // World is one history.
@@ -64,6 +67,7 @@
 	Paused  bool                    // takes part in nothing that is shared; what it wrote before may still land
 	Liar    func(*sharing.Sheet)    // changes what it tells
 	Broken  func(searcher int) bool // its line to these searchers loses all
+	Chooser *subset.Chooser         // nil: it uses all searchers
 	lookups map[string]*Lookup
 	parts   map[string]*part
 	number  int
@@ -182,12 +186,37 @@
 	for _, s := range w.Searchers {
 		rows = append(rows, s.entry())
 	}
-	n.M.Listed(w.Now, rows, true)
+	if n.Chooser = nil; w.Subset != nil {
+		n.choose()
+	}
+	n.listed(rows, true)
 	if w.Shared {
 		n.share()
 	}
 }
 
+// listed hands over the list, all of it or changes, as far as the mixer uses the searchers.
+func (n *Node) listed(rows []mixer.Entry, full bool) {
+	if n.Chooser != nil {
+		rows = n.Chooser.Changed(n.w.Now, rows)
+	}
+	n.M.Listed(n.w.Now, rows, full)
+}
+
+// choose has the mixer use a subset, looked at once a second from a chance point on.
+func (n *Node) choose() {
+	w, life := n.w, n.life
+	n.Chooser = subset.New(w.Subset(n.Name, n.Zone))
+	var step func()
+	step = func() {
+		if n.life == life {
+			n.M.Listed(w.Now, n.Chooser.Step(w.Now, n.own()), false)
+			w.After(1000*ms, step)
+		}
+	}
+	w.After(1+(int64(n.Index)*7919+w.Seed*104729)*ms%(1000*ms), step)
+}
+
 func (s *Searcher) entry() mixer.Entry {
 	return mixer.Entry{Searcher: s.Name, Started: s.Started, Cell: s.Cell, Zone: s.Zone, Status: s.Status}
 }
@@ -197,7 +226,7 @@
 	e := s.entry()
 	for _, n := range w.Mixers {
 		w.After(1+w.rng.Int63n(max(w.ListLate, 1)), func() {
-			n.M.Listed(w.Now, []mixer.Entry{e}, false)
+			n.listed([]mixer.Entry{e}, false)
 			n.retell()
 		})
 	}
--- a/internal/subset/bounds.go
+++ b/internal/subset/bounds.go
@@ -14,13 +14,13 @@
 	UsersMean int     // the least that use one in the mean
 }
 
-// Bound gives the bounds of so many mixers, where the smallest and the largest cell have so many holders. Each mixer may use a cold
+// Bound gives the bounds where the smallest and the largest cell have so many holders. Each mixer may use a cold
 // searcher or not by a hash of both names, which is as a toss of its own with the chance ColdShare. So the number of its users
 // is bounded by Bernstein's inequality, whatever the sizes of subsets and cells come to be: P(X >= mean+t) <= exp(-t*t/(2v+2t/3))
 // with v the variance (S. Bernstein 1924; Boucheron, Lugosi, Massart, Concentration Inequalities, 2013, 2.8). Where all holders of
 // the smallest cell may be used, or it saves nothing, each searcher is held to be used by all.
-func Bound(mixers, least, most, smallest, largest int) Bounds {
-	all := Bounds{ColdShare: 1}
+func Bound(o Options, smallest, largest int) Bounds {
+	all, mixers, least, most := Bounds{ColdShare: 1}, o.Mixers, max(o.Least, o.evenly(smallest)), max(o.Most, o.evenly(largest))
 	if smallest <= 2*most {
 		return all
 	}
--- a/internal/subset/chooser.go
+++ b/internal/subset/chooser.go
@@ -17,6 +17,8 @@
 	Cells    int
 
 	Least, Most int     // sound warm searchers of a cell that are used at the least, and at the most but for those in others' stead
+	Mixers      int     // how many there are
+	Users       int     // mixers by which one searcher is used in the mean, at the least: with few, chance has some used far more than others
 	Meetings    float64 // how often each is to be met, in the mean, while the module remembers how long it takes
 	Memory      int64   // half-life of that memory
 	Linger      int64   // nothing is out any more so long after a searcher is sent nothing new: the longest deadline
@@ -184,7 +186,8 @@
 		c.order(at)
 		at.stale = false
 	}
-	at.whole = len(at.members) <= 2*at.size
+	size := max(at.size, c.o.evenly(len(at.members)))
+	at.whole = len(at.members) <= 2*size
 	spoken := func(m *member) bool { return c.silent[m.Zone] && m.told != listed }
 	all := true
 	for _, m := range at.members {
@@ -193,7 +196,7 @@
 	sound := 0
 	for _, m := range at.members {
 		usable := c.usable(now, m)
-		m.wanted = usable && (at.whole || sound < at.size && (all || !spoken(m)))
+		m.wanted = usable && (at.whole || sound < size && (all || !spoken(m)))
 		if m.wanted && !m.ill && !c.silent[m.Zone] && !c.cold(now, m) {
 			sound++
 		}
@@ -274,11 +277,19 @@
 	return now
 }
 
+// evenly gives how many of so many holders are to be used, that each is used by mixers enough.
+func (o *Options) evenly(holders int) int {
+	return int(math.Ceil(float64(holders) * min(1, float64(o.Users)/float64(max(o.Mixers, 1)))))
+}
+
 // Settled tells whether all searchers are used, whatever the traffic: then no step does anything.
 func (c *Chooser) Settled() bool {
 	if c.o.ColdShare < 1 {
 		return false // a cold one may have to come in when it is warm
 	}
+	if 2*c.o.Users >= c.o.Mixers && c.o.Users > 0 {
+		return true
+	}
 	for i := range c.cells {
 		if at := &c.cells[i]; len(at.members) > 2*c.o.Least || at.size != c.o.Least {
 			return false
--- a/internal/subset/size_test.go
+++ b/internal/subset/size_test.go
@@ -83,7 +83,10 @@
 // come in for its lost ones, and these are others at each mixer: nobody is rushed upon. No two mixers have much more in common
 // than chance has it. All of it follows from the hash, so the figures are exact.
 func TestEvenAtTheSize(t *testing.T) {
-	want := map[bool][]figures{false: {}, true: {}}
+	want := map[bool][]figures{
+		false: {{16, 291, 188, 323, 3800, 5}, {32, 538, 401, 601, 15479, 9}, {48, 791, 642, 901, 34743, 15}, {64, 1053, 880, 1186, 61695, 20}},
+		true:  {{16, 290, 203, 323, 3187, 4}, {32, 529, 410, 608, 12471, 7}, {48, 785, 623, 897, 28100, 11}, {64, 1022, 846, 1167, 50333, 16}},
+	}
 	for ownFirst, want := range want {
 		for i, f := range reckon(ownFirst, 16, 32, 48, 64) {
 			mean, left := float64(mixers*f.size)/holders, float64(mixers*f.size)/float64(holders-(holders+ofZones-1)/ofZones)
@@ -104,7 +107,7 @@
 		want             Bounds
 	}{{30, 420, Bounds{1, 0, 0}}, {300, 420, Bounds{1.5 * 64 / 420, 123, 22}}, {6300, 420, Bounds{1.5 * 64 / 420, 1662, 478}},
 		{6300, 128, Bounds{1, 0, 0}}, {6300, 4, Bounds{1, 0, 0}}, {6300, 1, Bounds{1, 0, 0}}} {
-		b := Bound(c.mixers, 32, 64, c.smallest, 421)
+		b := Bound(Options{Mixers: c.mixers, Least: 32, Most: 64}, c.smallest, 421)
 		if b != c.want {
 			t.Errorf("%d mixers, %d holders: %+v, want %+v", c.mixers, c.smallest, b, c.want)
 		}
@@ -117,7 +120,7 @@
 
 // As many as may use a searcher while it is cold do, and no more than are bounded: all 420 of a cell, by the hash itself.
 func TestColdUsersAtTheSize(t *testing.T) {
-	b, users, worst, mean := Bound(mixers, 32, 64, holders, holders), [holders]int{}, 0, 0.0
+	b, users, worst, mean := Bound(Options{Mixers: mixers, Least: 32, Most: 64}, holders, holders), [holders]int{}, 0, 0.0
 	for k := range mixers {
 		c := New(Options{Name: fmt.Sprint("mixer-", k), Cells: 1, ColdShare: b.ColdShare})
 		for i := range users {
