Cold budget with subsets: played by 30, 300 and 6,300 mixers

One model: mixers with the real module and chooser, a cell of 60 searchers, the rest of it drained at once so that all who may use the newcomer do. Where Users is Mixers every step of a restart is as where it is unset. press.playOn is play with a changed setup: the old cases are played as before (24 in the rate was the number of searchers).

--- a/internal/lab/fleet/cold_test.go
+++ b/internal/lab/fleet/cold_test.go
@@ -56,12 +56,18 @@
 
 // play gives the worst use of what cold searchers may be sent in a window, how that was, and the parts they were sent.
 func (p press) play(seed int64) (worst float64, at string, sent int, w *World) {
+	return p.playOn(seed, func(*Setup) {})
+}
+
+// playOn is play with what else of the setup is otherwise.
+func (p press) playOn(seed int64, otherwise func(*Setup)) (worst float64, at string, sent int, w *World) {
 	s := Usual(seed, p.mixers, 0, 0, false)
 	s.Rates, s.Work, s.Cores, s.Charter.ColdFor = nil, p.work*ms, p.cores, 10_000*ms
 	s.Charter.Tariffs[0].Expected, s.Charter.Tariffs[0].Patience = p.expected*ms, 2*p.expected*ms
 	if p.change != nil {
 		p.change(&s.Charter)
 	}
+	otherwise(&s)
 	w = New(s)
 	times, rng, begun := make([][]int64, s.Searchers), rand.New(rand.NewSource(seed+1000)), w.Now
 	w.Trace = func(_ int, what string) {
@@ -97,7 +103,7 @@
 			i = i/3*3 + int((w.Now-begun)/(3000*ms)%3)
 		}
 		w.Mixers[min(i, p.mixers-1)].take(rng)
-		w.After(int64(rng.ExpFloat64()/0.65/24/w.Bears()*float64(s.Parts)), next)
+		w.After(int64(rng.ExpFloat64()/0.65/float64(s.Searchers)/w.Bears()*float64(s.Parts)), next)
 	}
 	next()
 	w.Run(begun + 12_000*ms)
--- a/internal/subset/chooser.go
+++ b/internal/subset/chooser.go
@@ -5,6 +5,7 @@
 
 import (
 	"math"
+	"slices"
 
 	"nettlefold/mixer"
 )
@@ -188,15 +189,10 @@
 	}
 	size := max(at.size, c.o.evenly(len(at.members)))
 	at.whole = len(at.members) <= 2*size
-	spoken := func(m *member) bool { return c.silent[m.Zone] && m.told != listed }
-	all := true
-	for _, m := range at.members {
-		all = all && (!c.usable(now, m) || spoken(m))
-	}
-	sound := 0
+	sound, pass := 0, c.passes(now, at)
 	for _, m := range at.members {
 		usable := c.usable(now, m)
-		m.wanted = usable && (at.whole || sound < size && (all || !spoken(m)))
+		m.wanted = usable && (at.whole || sound < size && (m.told == listed || !pass || !c.silent[m.Zone]))
 		if m.wanted && !m.ill && !c.silent[m.Zone] && !c.cold(now, m) {
 			sound++
 		}
@@ -213,6 +209,11 @@
 	}
 }
 
+// passes tells whether silent zones are passed over: there are some, and others have somebody to use.
+func (c *Chooser) passes(now int64, at *cell) bool {
+	return len(c.silent) > 0 && slices.ContainsFunc(at.members, func(m *member) bool { return !c.silent[m.Zone] && c.usable(now, m) })
+}
+
 // Step takes what the module knows of the searchers, once a second or so, and gives the rows that it is to be told of. It adds at
 // once what is needed; of each cell at most one leaves at a step, and only what was not needed for as long as Hold says. Who leaves
 // is told of as draining, so that what is out there goes on, and as gone when nothing of it can be out.
