Subsets in the program: <subset/>, a step a second, GET /subset and metrics

The router's filter (branch lists, merged here) is the chooser; Refilter has its steps' rows told by the same way. The charter of the module, and of it alone, says by how many mixers a searcher is used. Off unless set: no filter, goroutine or question. Where the settings have all holders used, a step looks at counts and does nothing.

--- a/cmd/nettlefold/serve.go
+++ b/cmd/nettlefold/serve.go
@@ -147,7 +147,8 @@
 	}
 	runtime.GOMAXPROCS(max(1, int(math.Ceil(c.Limits.Cores))))
 	debug.SetMemoryLimit(c.Limits.Memory / 4 * 3)
-	router, err := routing.New(c.Charter, c.Rows, c.Limits.Open, c.Seed, log)
+	part, terms := newSubset(c, own.Subset)
+	router, err := routing.New(terms, c.Rows, c.Limits.Open, c.Seed, log)
 	if err != nil {
 		return fmt.Errorf("%s: %w", path, err)
 	}
@@ -164,6 +165,7 @@
 		return fmt.Errorf("%s: %w", at.settings, err)
 	}
 	sites.see(router)
+	part.choose(router)
 	listed := func(l protocol.List) {
 		end := searchers.Listed(l)
 		sites.listed(l)
@@ -205,6 +207,7 @@
 		Alive: sites.alive()}
 	asked := follow(work, &wg, watch)
 	wg.Go(func() { router.Run(work) })
+	part.run(work, &wg)
 	if shares != nil {
 		wg.Go(func() {
 			shares.Run(work)
@@ -228,6 +231,9 @@
 		if fleet != nil {
 			answers.Fleet = &admin.Fleet{Roster: fleet, Tables: sites.tables()}
 		}
+		if part != nil {
+			answers.Subset = part.state
+		}
 		if session != nil {
 			answers.Control = func() any { return standing(session, words) }
 		}
--- a/internal/admin/admin.go
+++ b/internal/admin/admin.go
@@ -14,6 +14,7 @@
 
 	"nettlefold/internal/routing"
 	"nettlefold/internal/store"
+	"nettlefold/internal/subset"
 	"nettlefold/mixer"
 )
 
@@ -28,8 +29,9 @@
 	Router  Asked
 	Keeper  interface{ State() store.State }
 	Fleet   *Fleet
-	Control func() any // how the mixer stands with the control tier
-	Explain func() any // the settings of the start
+	Control func() any          // how the mixer stands with the control tier
+	Explain func() any          // the settings of the start
+	Subset  func() subset.State // nil: all searchers are used
 }
 
 // Serve answers on a listener until the context ends.
@@ -67,6 +69,13 @@
 		}
 		reply(w, s.Control())
 	})
+	mux.HandleFunc("GET /subset", func(w http.ResponseWriter, r *http.Request) {
+		if s.Subset == nil {
+			http.Error(w, "no subset is set", http.StatusNotFound)
+			return
+		}
+		reply(w, s.Subset())
+	})
 	mux.HandleFunc("GET /settings", func(w http.ResponseWriter, r *http.Request) { reply(w, s.Explain()) })
 	mux.HandleFunc("GET /why", func(w http.ResponseWriter, r *http.Request) {
 		name := r.FormValue("searcher")
@@ -126,9 +135,26 @@
 	return why
 }
 
+// chosen adds the gauges of the subset, where there is one.
+func (s *Server) chosen(set *metrics.Set) {
+	if s.Subset == nil {
+		return
+	}
+	for name, read := range map[string]func(subset.State) int{
+		"listed": func(t subset.State) int { return t.Listed }, "used": func(t subset.State) int { return t.Used },
+		"needed": func(t subset.State) int { return t.Needed }, "whole_cells": func(t subset.State) int { return t.Whole },
+		"ill": func(t subset.State) int { return t.Ill }, "cold": func(t subset.State) int { return t.Cold },
+		"spare": func(t subset.State) int { return t.Spare }, "leaving": func(t subset.State) int { return t.Leaving },
+		"held": func(t subset.State) int { return t.Held }, "silent_zones": func(t subset.State) int { return len(t.Silent) },
+	} {
+		set.NewGauge("nettlefold_subset_"+name, func() float64 { return float64(read(s.Subset())) })
+	}
+}
+
 // figures are the gauges of sharing, read when they are asked for.
 func (s *Server) figures() *metrics.Set {
 	set := metrics.NewSet()
+	s.chosen(set)
 	if s.Keeper == nil {
 		return set
 	}
--- a/internal/routing/listing.go
+++ b/internal/routing/listing.go
@@ -51,6 +51,19 @@
 	if r.Filter != nil {
 		rows = r.Filter.Changed(r.Now(), rows)
 	}
+	r.tell(rows)
+}
+
+// Refilter takes rows that a filter gives beside the list's news, and has them reach the module in the same way. Meanwhile no news come.
+func (r *Router) Refilter(rows func(now int64) []Entry) {
+	r.list.mu.Lock()
+	defer r.list.mu.Unlock()
+	r.tell(rows(r.Now()))
+}
+
+// tell tells the module of rows in bites. The lock of the list is held.
+func (r *Router) tell(rows []Entry) {
+	l := &r.list
 	words := l.words(rows)
 	l.last = Bites{}
 	for len(rows) > 0 {
--- a/internal/routing/listing_test.go
+++ b/internal/routing/listing_test.go
@@ -318,3 +318,32 @@
 		}
 	}
 }
+
+// Rows that a filter gives beside the list's news reach the module in bites too, and no news come meanwhile.
+func TestRowsBesideTheNews(t *testing.T) {
+	r := listRouter(t)
+	rows, news := searchers(3*bite), make(chan struct{})
+	r.Refilter(func(now int64) []Entry {
+		if own, _ := r.Tell(0); own <= now { // Tell is a call: it shows that the router's lock is free
+			t.Errorf("told at %d after %d", own, now)
+		}
+		go func() {
+			r.Listed([]Entry{{Searcher: rows[0].Searcher, Status: mixer.Dead}}, false)
+			close(news)
+		}()
+		time.Sleep(20 * time.Millisecond)
+		if _, listed := r.Standing(rows[0].Searcher); listed {
+			t.Error("a row is told before the filter has given it")
+		}
+		return rows
+	})
+	<-news
+	for _, e := range rows[1:] {
+		stands(t, r, e.Searcher)
+	}
+	r.Refilter(func(int64) []Entry { return rows })
+	if b := r.Bites(); b.Rows != 3*bite || b.Calls != 3 || b.Most != bite {
+		t.Errorf("%+v", b)
+	}
+	r.Refilter(func(int64) []Entry { return nil })
+}
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -30,6 +30,7 @@
 	Learnt  string   // file in which what is learnt is kept from one process to the next, "": it is not
 	Fleet   *Fleet   // nil: none, and the mixer talks to no other
 	Control *Control // nil: none, and no settings are taken in flight
+	Subset  *Subset  // nil: none, and all searchers are used
 	fleetAt int      // line of the fleet
 }
 
@@ -85,6 +86,9 @@
 	if !reflect.DeepEqual(s.Control, other.Control) {
 		names = append(names, "control")
 	}
+	if !reflect.DeepEqual(s.Subset, other.Subset) {
+		names = append(names, "subset")
+	}
 	return names
 }
 
@@ -141,6 +145,7 @@
 		"learnt":  {attributes: map[string]attribute{"file": need(path, func(s *Settings, v string) { s.Learnt = v })}},
 		"fleet":   fleetElement(),
 		"control": controlElement(),
+		"subset":  subsetElement(),
 		"store": {
 			attributes: map[string]attribute{
 				"address":    need(address, func(s *Settings, v string) { s.store().Address = v }),
