--- a/cmd/nettlefold/subset_test.go
+++ b/cmd/nettlefold/subset_test.go
@@ -68,7 +68,8 @@
 		}
 	}
 	first := told()
-	if s := stands(); s.Listed != 24 || s.Used != 8 || s.Needed != 8 || s.Cells != 2 || s.Whole != 0 || len(first) != 8 || first[4] < 12 || first[3] > 11 {
+	s := stands()
+	if s.Listed != 24 || s.Used != 8 || s.Needed != 8 || s.Cells != 2 || s.Whole != 0 || len(first) != 8 || first[4] < 12 || first[3] > 11 {
 		t.Fatalf("%+v, told of %v", s, first)
 	}
 	if n := w.satisfied("first", 60); n != 60 {
--- a/internal/lab/fleet/floor.go
+++ b/internal/lab/fleet/floor.go
@@ -27,6 +27,9 @@
 			break
 		}
 	}
+	if w.Sent != nil {
+		w.Sent(n.Node, s)
+	}
 	outcome := func(after int64, o mixer.Outcome) {
 		began := w.Now
 		w.After(after, func() {
--- a/internal/lab/fleet/subset_test.go
+++ b/internal/lab/fleet/subset_test.go
@@ -87,3 +87,18 @@
 		t.Error("half as many users change nothing")
 	}
 }
+
+// A subset of holders serves at least as well as all of them where each mixer meets each searcher 0.31 times a second: of all of them a
+// mixer knows too few to tell the slow ones, goes on with the first that it found fast, and leaves others idle. It connects to fewer.
+func TestSubsetOfThinTraffic(t *testing.T) {
+	t.Parallel()
+	s := Thin{Seed: 1, Mixers: 225, Holders: 64, Met: 0.31, Work: 10 * ms, Settle: 8_000 * ms, For: 4_000 * ms}
+	whole := s.Play()
+	s.Size = 16
+	part := s.Play()
+	t.Logf("whole %+v", whole)
+	t.Logf("of 16 %+v", part)
+	if part.InTime < whole.InTime-0.005 || part.P99 > whole.P99*11/10 || part.Spread > whole.Spread || part.Pairs > 225*16 || part.Pairs > whole.Pairs {
+		t.Error("a subset does worse")
+	}
+}
--- a/internal/lab/fleet/world.go
+++ b/internal/lab/fleet/world.go
@@ -49,6 +49,7 @@
 	Store     *Store
 	Lookups   []*Lookup                   // all that were taken
 	Trace     func(node int, what string) // of every action of a module, if set
+	Sent      func(*Node, *Searcher)      // of every part that is sent, if set
 
 	rng   *rand.Rand
 	queue queue
--- a/internal/subset/chooser_test.go
+++ b/internal/subset/chooser_test.go
@@ -248,7 +248,8 @@
 	})
 }
 
-// Each zone has one more or less than a level that is the same for all, which is its share but for the rounding of the zones; where crossing costs, half is of the mixer's own zone and half is not.
+// Each zone has one more or less than a level that is the same for all, which is its share but for the rounding of the zones; where
+// crossing costs, half is of the mixer's own zone and half is not.
 func TestZonesAreCovered(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		o, holders := usual(), map[string]int{}
