--- a/cmd/nettlefold/subset.go
+++ b/cmd/nettlefold/subset.go
@@ -65,12 +65,16 @@
 // step has what the module knows of the searchers change the choice.
 func (s *chosen) step(now int64) []mixer.Entry {
 	s.mu.Lock()
+	var names []string
 	settled := s.c.Settled()
+	if !settled {
+		names = s.c.Used()
+	}
 	s.mu.Unlock()
 	if settled {
 		return nil
 	}
-	_, all := s.router.Tell(0)
+	all := s.router.Use(names)
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	return s.c.Step(now, all)
--- a/internal/lab/fleet/world.go
+++ b/internal/lab/fleet/world.go
@@ -211,7 +211,9 @@
 	var step func()
 	step = func() {
 		if n.life == life {
-			n.M.Listed(w.Now, n.Chooser.Step(w.Now, n.own()), false)
+			var all []mixer.Use
+			n.M.Use(w.Now, n.Chooser.Used(), func(u mixer.Use) { all = append(all, u) })
+			n.M.Listed(w.Now, n.Chooser.Step(w.Now, all), false)
 			w.After(1000*ms, step)
 		}
 	}
--- a/internal/routing/listing_test.go
+++ b/internal/routing/listing_test.go
@@ -324,8 +324,8 @@
 	r := listRouter(t)
 	rows, news := searchers(3*bite), make(chan struct{})
 	r.Refilter(func(now int64) []Entry {
-		if own, _ := r.Tell(0); own <= now { // Tell is a call: it shows that the router's lock is free
-			t.Errorf("told at %d after %d", own, now)
+		if at := r.Now(); at <= now { // Now is a call: it shows that the router's lock is free
+			t.Errorf("%d after %d", at, now)
 		}
 		go func() {
 			r.Listed([]Entry{{Searcher: rows[0].Searcher, Status: mixer.Dead}}, false)
@@ -346,4 +346,15 @@
 		t.Errorf("%+v", b)
 	}
 	r.Refilter(func(int64) []Entry { return nil })
+	names := []string{"s1", "not there"}
+	for _, e := range rows[2:] {
+		names = append(names, e.Searcher)
+	}
+	r.Listed([]Entry{{Searcher: "s2", Zone: rows[2].Zone, Cell: rows[2].Cell, Status: mixer.Draining}}, false)
+	before := r.Now()
+	all := r.Use(names) // of one that drains and one that is not there nothing is said
+	calls := (len(names) + bite - 1) / bite // each takes a nanosecond of the module's clock at least
+	if r.Now()-before <= int64(calls) || len(all) != len(names)-2 || all[0].Searcher != "s1" || all[1].Searcher != "s3" {
+		t.Errorf("%d of %d", len(all), len(names))
+	}
 }
--- a/internal/routing/share.go
+++ b/internal/routing/share.go
@@ -21,6 +21,18 @@
 	return now, all
 }
 
+// Use gives what the choice of the searchers to use goes by, of those named that are listed live. So many are gone through under one hold
+// of the lock as rows of the list are told.
+func (r *Router) Use(searchers []string) []mixer.Use {
+	all := make([]mixer.Use, 0, len(searchers))
+	for len(searchers) > 0 {
+		n := min(len(searchers), bite)
+		r.call(nil, func(now int64) { r.m.Use(now, searchers[:n], func(u mixer.Use) { all = append(all, u) }) })
+		searchers = searchers[n:]
+	}
+	return all
+}
+
 // Told hands over what other mixers say and lend, in place of all that was handed over before. It is kept for searchers
 // that are listed later, or listed anew, since what was lent of a process must not be forgotten with its line of the list. It waits for news of the list that are on their way to the module.
 func (r *Router) Told(words []Word) {
--- a/internal/subset/chooser.go
+++ b/internal/subset/chooser.go
@@ -214,10 +214,22 @@
 	return len(c.silent) > 0 && slices.ContainsFunc(at.members, func(m *member) bool { return !c.silent[m.Zone] && c.usable(now, m) })
 }
 
+// Used gives the names of those that the module may send to, in the order of the cells.
+func (c *Chooser) Used() (names []string) {
+	for i := range c.cells {
+		for _, m := range c.cells[i].members {
+			if m.told == listed && m.Status == mixer.Live {
+				names = append(names, m.Searcher)
+			}
+		}
+	}
+	return names
+}
+
 // Step takes what the module knows of the searchers, once a second or so, and gives the rows that it is to be told of. It adds at
 // once what is needed; of each cell at most one leaves at a step, and only what was not needed for as long as Hold says. Who leaves
 // is told of as draining, so that what is out there goes on, and as gone when nothing of it can be out.
-func (c *Chooser) Step(now int64, all []mixer.Own) (out []mixer.Entry) {
+func (c *Chooser) Step(now int64, all []mixer.Use) (out []mixer.Entry) {
 	if c.Settled() {
 		return nil
 	}
--- a/internal/subset/judge_test.go
+++ b/internal/subset/judge_test.go
@@ -12,7 +12,7 @@
 // chooses is a Chooser, or one with a planted fault.
 type chooses interface {
 	Changed(now int64, rows []mixer.Entry) []mixer.Entry
-	Step(now int64, all []mixer.Own) []mixer.Entry
+	Step(now int64, all []mixer.Use) []mixer.Entry
 }
 
 // judge is a module that takes rows, beside the list as it really is, and says which rule was broken first. It has no part of the
@@ -82,7 +82,7 @@
 }
 
 // own is what the module would tell.
-func (j *judge) own() (all []mixer.Own) {
+func (j *judge) own() (all []mixer.Use) {
 	live := map[int]float64{}
 	for _, e := range j.told {
 		if e.Status == mixer.Live {
@@ -91,7 +91,7 @@
 	}
 	for _, e := range j.told {
 		if e.Status == mixer.Live {
-			all = append(all, mixer.Own{Searcher: e.Searcher, Started: e.Started, Suspect: j.ill[e.Searcher], Sent: j.sent[e.Cell] / live[e.Cell] / 1e9})
+			all = append(all, mixer.Use{Searcher: e.Searcher, Started: e.Started, Suspect: j.ill[e.Searcher], Sent: j.sent[e.Cell] / live[e.Cell] / 1e9})
 		}
 	}
 	return all
--- a/mixer/telling.go
+++ b/mixer/telling.go
@@ -10,8 +10,6 @@
 	Pace, Weight float64
 	Slow         float64 // Pace over the fleet's, 0 where either is not known
 	Suspect      bool
-	ZoneSilent   bool    // nothing of its zone answers
-	Sent         float64 // parts per ns lately sent there
 	Cold         bool
 	Rate, Loan   float64 // parts per ns of its own cold allowance now, and what it is worth to a borrower for the time asked for
 	Want         float64 // parts per ns lately sent there while cold, or that would have been with more
@@ -34,8 +32,7 @@
 			if s.status != Live {
 				continue
 			}
-			o := Own{Searcher: s.id, Started: s.started, Heard: s.heard, Suspect: s.suspect, Weight: s.told.under.Read(now, halfLife),
-				ZoneSilent: s.zone.silent(), Sent: s.sent.Read(now, paceHalf) * math.Ln2 / float64(paceHalf)}
+			o := Own{Searcher: s.id, Started: s.started, Heard: s.heard, Suspect: s.suspect, Weight: s.told.under.Read(now, halfLife)}
 			if o.Weight > tiny {
 				o.Pace = s.told.Read(now, halfLife, 0, 0)
 				if fleet > 0 {
@@ -67,9 +64,10 @@
 	Calls, Parts     int     // out there
 	Unit, Fleet      float64 // ns a call, with what others say, and the fleet's
 	Doubted, Shunned bool    // others hold it silent; it is picked last
-	TestIn           int64   // ns until a suspect is due for a test
-	ColdWait         int64   // ns until its cold allowance has a part
-	Word             Word    // what others say, none once it is old
+	ZoneSilent       bool
+	TestIn           int64 // ns until a suspect is due for a test
+	ColdWait         int64 // ns until its cold allowance has a part
+	Word             Word  // what others say, none once it is old
 }
 
 // Standing gives how a searcher stands, false where it is not listed.
@@ -79,12 +77,11 @@
 		return Standing{}, false
 	}
 	st := Standing{Status: s.status, Calls: s.calls, Parts: s.parts, Unit: m.unit(now, s), Fleet: m.pace.Read(now, halfLife, 0, 0) / s.size,
-		Doubted: s.doubted(now), Shunned: m.shunned(now, s), ColdWait: m.coldWait(now, s), Word: s.said(now)}
+		Doubted: s.doubted(now), Shunned: m.shunned(now, s), ZoneSilent: s.zone.silent(), ColdWait: m.coldWait(now, s), Word: s.said(now)}
 	if s.suspect {
 		st.TestIn = max(0, s.testAt+s.wait*int64(st.Word.Suspecting)-now)
 	}
 	st.Own = Own{Searcher: s.id, Started: s.started, Heard: s.heard, Suspect: s.suspect, Cold: m.frac(now, s) < 1,
-		ZoneSilent: s.zone.silent(), Sent: s.sent.Read(now, paceHalf) * math.Ln2 / float64(paceHalf),
 		Pace: s.pace.Read(now, paceHalf, 0, 0), Weight: s.pace.under.Read(now, paceHalf)}
 	return st, true
 }
@@ -129,5 +126,22 @@
 	return met
 }
 
-// PaceHalf is the half-life, in ns, of what is held of a searcher's own pace.
+// PaceHalf is the half-life, in ns, of what is held of a searcher's own pace, and of what was sent there.
 const PaceHalf = paceHalf
+
+// Use is what the choice of the searchers to use goes by.
+type Use struct {
+	Searcher            string
+	Started             int64 // of the process
+	Suspect, ZoneSilent bool
+	Sent                float64 // parts per ns lately sent there
+}
+
+// Use goes through those of some searchers that are listed live.
+func (m *Mixer) Use(now int64, searchers []string, each func(Use)) {
+	for _, id := range searchers {
+		if s := m.searchers[id]; s != nil && s.status == Live {
+			each(Use{id, s.started, s.suspect, s.zone.silent(), s.sent.Read(now, paceHalf) * math.Ln2 / float64(paceHalf)})
+		}
+	}
+}
