--- a/internal/subset/chooser_test.go
+++ b/internal/subset/chooser_test.go
@@ -223,9 +223,14 @@
 		want := wanted(o, rows)
 		j := newJudge(o, nil)
 		rng := rand.New(rand.NewSource(int64(rapid.IntRange(0, 1000).Draw(t, "order"))))
-		for _, e := range rows { // first as it was before
-			e.Status = mixer.Live
+		for i, e := range rows { // first as it was before: some stood in other zones, and there were others
+			e.Status, e.Zone = mixer.Live, fmt.Sprint("z", rng.Intn(3))
 			j.change(e)
+			if e.Searcher = fmt.Sprint("old", i); rng.Intn(3) == 0 {
+				j.change(e)
+				e.Status = mixer.Dead
+				rows = append(rows, e)
+			}
 		}
 		rng.Shuffle(len(rows), func(a, b int) { rows[a], rows[b] = rows[b], rows[a] })
 		for at := 0; at < len(rows); {
--- a/internal/subset/hard_test.go
+++ b/internal/subset/hard_test.go
@@ -190,3 +190,22 @@
 		t.Error(j.broken)
 	}
 }
+
+// A suspect that starts anew is none: what was held against it was of another process.
+func TestSuspectStartsAnew(t *testing.T) {
+	j, _ := large()
+	c := j.c.(*Chooser)
+	var one mixer.Entry
+	for name := range j.used() {
+		one = j.list[name]
+		j.ill[name] = true
+		break
+	}
+	if j.step(second); c.State(j.now).Ill != 1 || len(j.used()) != 33 {
+		t.Fatalf("%+v", c.State(j.now))
+	}
+	one.Started = j.now - 100*second
+	if j.change(one); c.State(j.now).Ill != 0 || j.broken != "" {
+		t.Errorf("%+v; %s", c.State(j.now), j.broken)
+	}
+}
--- a/internal/subset/size_test.go
+++ b/internal/subset/size_test.go
@@ -107,6 +107,9 @@
 		want             Bounds
 	}{{30, 420, Bounds{1, 0, 0}}, {300, 420, Bounds{1.5 * 64 / 420, 123, 22}}, {6300, 420, Bounds{1.5 * 64 / 420, 1662, 478}},
 		{6300, 128, Bounds{1, 0, 0}}, {6300, 4, Bounds{1, 0, 0}}, {6300, 1, Bounds{1, 0, 0}}} {
+		if few := Bound(Options{Mixers: 1000, Least: 32, Most: 64, Users: 225}, 1000, 1000); few != (Bounds{1.5 * 225 / 1000, 441, 225}) {
+			t.Fatalf("where each of 1000 mixers uses 225 of 1000: %+v", few)
+		}
 		b := Bound(Options{Mixers: c.mixers, Least: 32, Most: 64}, c.smallest, 421)
 		if b != c.want {
 			t.Errorf("%d mixers, %d holders: %+v, want %+v", c.mixers, c.smallest, b, c.want)
