--- a/internal/admin/admin.go
+++ b/internal/admin/admin.go
@@ -81,7 +81,11 @@
 		name := r.FormValue("searcher")
 		st, ok := s.Router.Standing(name)
 		if !ok {
-			http.Error(w, fmt.Sprintf("searcher %.80q is not listed", name), http.StatusNotFound)
+			text := fmt.Sprintf("searcher %.80q is not listed", name)
+			if s.Subset != nil {
+				text += ", or not in the subset that this mixer uses"
+			}
+			http.Error(w, text, http.StatusNotFound)
 			return
 		}
 		reply(w, struct {
--- a/internal/admin/admin_test.go
+++ b/internal/admin/admin_test.go
@@ -12,6 +12,7 @@
 	"nettlefold/internal/routing"
 	"nettlefold/internal/sharing"
 	"nettlefold/internal/store"
+	"nettlefold/internal/subset"
 	"nettlefold/mixer"
 )
 
@@ -72,6 +73,7 @@
 	alone := &Server{Router: asked{}, Explain: func() any { return "in force" }}
 	shares := &Server{Router: asked{}, Keeper: kept{}, Explain: alone.Explain}
 	shares.Control = func() any { return map[string]string{"relay": "r-1"} }
+	shares.Subset = func() subset.State { return subset.State{Used: 8, Silent: []string{"a", "b"}} }
 	shares.Fleet = &Fleet{Roster: listed{}, Tables: []Table{{"rights", func() any { return 7 }}}}
 	for _, c := range []struct {
 		s    *Server
@@ -82,6 +84,8 @@
 		{alone, "/sharing", 404, "no shared store"}, {alone, "/settings", 200, "in force"}, {alone, "/metrics", 200, "process_"},
 		{alone, "/why?searcher=s", 200, "Standing"}, {alone, "/why?searcher=x", 404, `"x" is not listed`}, {alone, "/other", 404, ""},
 		{alone, "/fleet", 404, "no fleet"}, {alone, "/control", 404, "no control is set"},
+		{alone, "/subset", 404, "no subset is set"}, {shares, "/subset", 200, `"Used":8,`}, {shares, "/why?searcher=x", 404, "or not in the subset"},
+		{shares, "/metrics", 200, "nettlefold_subset_used 8\n"}, {shares, "/metrics", 200, "nettlefold_subset_silent_zones 2\n"},
 		{shares, "/control", 200, `{"relay":"r-1"}`},
 		{shares, "/fleet", 200, `"self":{"name":"me","life":"000000000000000a"`},
 		{shares, "/fleet", 200, `b0","site":"x","build":"","state":"cut off","term":0,"heard_ms":2000,"state_ms":1000}`},
