--- a/internal/routing/listing_test.go
+++ b/internal/routing/listing_test.go
@@ -352,7 +352,7 @@
 	}
 	r.Listed([]Entry{{Searcher: "s2", Zone: rows[2].Zone, Cell: rows[2].Cell, Status: mixer.Draining}}, false)
 	before := r.Now()
-	all := r.Use(names) // of one that drains and one that is not there nothing is said
+	all := r.Use(names)                     // of one that drains and one that is not there nothing is said
 	calls := (len(names) + bite - 1) / bite // each takes a nanosecond of the module's clock at least
 	if r.Now()-before <= int64(calls) || len(all) != len(names)-2 || all[0].Searcher != "s1" || all[1].Searcher != "s3" {
 		t.Errorf("%d of %d", len(all), len(names))
