--- a/internal/lab/fleet/world.go
+++ b/internal/lab/fleet/world.go
@@ -15,6 +15,7 @@
 
 	"nettlefold/internal/lab/record"
 	"nettlefold/internal/sharing"
+	"nettlefold/internal/subset"
 	"nettlefold/mixer"
 )
 
@@ -39,6 +40,7 @@
 
 	// Record gives what a mixer's module is written down in from its next start on, nil: nothing. Lives count from 1.
 	Record func(mixer int, life uint64) *record.Transcript
+	Subset func(name, zone string) subset.Options // of a mixer, which then uses a subset of the searchers; nil: all
 }
 
 // World is one history.
@@ -50,6 +52,7 @@
 	Store     *Store
 	Lookups   []*Lookup                   // all that were taken
 	Trace     func(node int, what string) // of every action of a module, if set
+	Sent      func(*Node, *Searcher)      // of every part that is sent, if set
 
 	rng   *rand.Rand
 	queue queue
@@ -68,6 +71,7 @@
 	Paused  bool                    // takes part in nothing that is shared; what it wrote before may still land
 	Liar    func(*sharing.Sheet)    // changes what it tells
 	Broken  func(searcher int) bool // its line to these searchers loses all
+	Chooser *subset.Chooser         // nil: it uses all searchers
 	lookups map[string]*Lookup
 	parts   map[string]*part
 	number  int
@@ -190,12 +194,39 @@
 	for _, s := range w.Searchers {
 		rows = append(rows, s.entry())
 	}
-	n.M.Listed(w.Now, rows, true)
+	if n.Chooser = nil; w.Subset != nil {
+		n.choose()
+	}
+	n.listed(rows, true)
 	if w.Shared {
 		n.share()
 	}
 }
 
+// listed hands over the list, all of it or changes, as far as the mixer uses the searchers.
+func (n *Node) listed(rows []mixer.Entry, full bool) {
+	if n.Chooser != nil {
+		rows = n.Chooser.Changed(n.w.Now, rows)
+	}
+	n.M.Listed(n.w.Now, rows, full)
+}
+
+// choose has the mixer use a subset, looked at once a second from a chance point on.
+func (n *Node) choose() {
+	w, life := n.w, n.life
+	n.Chooser = subset.New(w.Subset(n.Name, n.Zone))
+	var step func()
+	step = func() {
+		if n.life == life {
+			var all []mixer.Use
+			n.M.Use(w.Now, n.Chooser.Used(), func(u mixer.Use) { all = append(all, u) })
+			n.M.Listed(w.Now, n.Chooser.Step(w.Now, all), false)
+			w.After(1000*ms, step)
+		}
+	}
+	w.After(1+(int64(n.Index)*7919+w.Seed*104729)*ms%(1000*ms), step)
+}
+
 func (s *Searcher) entry() mixer.Entry {
 	return mixer.Entry{Searcher: s.Name, Started: s.Started, Cell: s.Cell, Zone: s.Zone, Status: s.Status}
 }
@@ -205,7 +236,7 @@
 	e := s.entry()
 	for _, n := range w.Mixers {
 		w.After(1+w.rng.Int63n(max(w.ListLate, 1)), func() {
-			n.M.Listed(w.Now, []mixer.Entry{e}, false)
+			n.listed([]mixer.Entry{e}, false)
 			n.retell()
 		})
 	}
--- a/internal/lab/record/mixer.go
+++ b/internal/lab/record/mixer.go
@@ -97,6 +97,11 @@
 	return s, ok
 }
 
+// Use is the module's. It changes nothing, and what comes of its answer is written down as news of the list.
+func (m *Mixer) Use(now int64, searchers []string, each func(mixer.Use)) {
+	m.m.Use(now, searchers, each)
+}
+
 // Keep is the module's; its answer is written down.
 func (m *Mixer) Keep(now int64) mixer.Kept {
 	m.t.call("keep", now)
--- a/internal/routing/listing_test.go
+++ b/internal/routing/listing_test.go
@@ -318,3 +318,43 @@
 		}
 	}
 }
+
+// Rows that a filter gives beside the list's news reach the module in batches too, and no news come meanwhile.
+func TestRowsBesideTheNews(t *testing.T) {
+	r := listRouter(t)
+	rows, news := searchers(3*batch), make(chan struct{})
+	r.Refilter(func(now int64) []Entry {
+		if at := r.Now(); at <= now { // Now is a call: it shows that the router's lock is free
+			t.Errorf("%d after %d", at, now)
+		}
+		go func() {
+			r.Listed([]Entry{{Searcher: rows[0].Searcher, Status: mixer.Dead}}, false)
+			close(news)
+		}()
+		time.Sleep(20 * time.Millisecond)
+		if _, listed := r.Standing(rows[0].Searcher); listed {
+			t.Error("a row is told before the filter has given it")
+		}
+		return rows
+	})
+	<-news
+	for _, e := range rows[1:] {
+		stands(t, r, e.Searcher)
+	}
+	r.Refilter(func(int64) []Entry { return rows })
+	if b := r.Batches(); b.Rows != 3*batch || b.Calls != 3 || b.Most != batch {
+		t.Errorf("%+v", b)
+	}
+	r.Refilter(func(int64) []Entry { return nil })
+	names := []string{"s1", "not there"}
+	for _, e := range rows[2:] {
+		names = append(names, e.Searcher)
+	}
+	r.Listed([]Entry{{Searcher: "s2", Zone: rows[2].Zone, Cell: rows[2].Cell, Status: mixer.Draining}}, false)
+	before := r.Now()
+	all := r.Use(names)                       // of one that drains and one that is not there nothing is said
+	calls := (len(names) + batch - 1) / batch // each takes a nanosecond of the module's clock at least
+	if r.Now()-before <= int64(calls) || len(all) != len(names)-2 || all[0].Searcher != "s1" || all[1].Searcher != "s3" {
+		t.Errorf("%d of %d", len(all), len(names))
+	}
+}
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -32,6 +32,7 @@
 	Learnt  string   // file in which what is learnt is kept from one process to the next, "": it is not
 	Fleet   *Fleet   // nil: none, and the mixer talks to no other
 	Control *Control // nil: none, and no settings are taken in flight
+	Subset  *Subset  // nil: none, and all searchers are used
 
 	Connections conns.Budget // to searchers
 
@@ -93,6 +94,9 @@
 	if s.Connections != other.Connections {
 		names = append(names, "connections")
 	}
+	if !reflect.DeepEqual(s.Subset, other.Subset) {
+		names = append(names, "subset")
+	}
 	return names
 }
 
@@ -149,6 +153,7 @@
 		"learnt":  {attributes: map[string]attribute{"file": need(path, func(s *Settings, v string) { s.Learnt = v })}},
 		"fleet":   fleetElement(),
 		"control": controlElement(),
+		"subset":  subsetElement(),
 
 		"connections": connectionsElement(),
 		"store": {
--- a/mixer/telling.go
+++ b/mixer/telling.go
@@ -127,3 +127,23 @@
 	}
 	return met
 }
+
+// PaceHalf is the half-life, in ns, of what is held of a searcher's own pace, and of what was sent there.
+const PaceHalf = paceHalf
+
+// Use is what the choice of the searchers to use goes by.
+type Use struct {
+	Searcher            string
+	Started             int64 // of the process
+	Suspect, ZoneSilent bool
+	Sent                float64 // parts per ns lately sent there
+}
+
+// Use goes through those of some searchers that are listed live.
+func (m *Mixer) Use(now int64, searchers []string, each func(Use)) {
+	for _, id := range searchers {
+		if s := m.searchers[id]; s != nil && s.status == Live {
+			each(Use{id, s.started, s.suspect, s.zone.silent(), s.sent.Read(now, paceHalf) * math.Ln2 / float64(paceHalf)})
+		}
+	}
+}
