Module: a late answer with an empty list no longer has a searcher bear without bound

Cause: measure (cold.go) divides by the number of searchers listed. Where the last of them is dropped and its answer comes after, that is 0, and what a searcher bears is +Inf for the rest of the process: newcomers are not spared any more (rule 4).

Change: divided by one at least.

--- a/mixer/cold.go
+++ b/mixer/cold.go
@@ -52,7 +52,8 @@
 // measure learns this mixer's share of what a warm searcher bears: at least what warm ones answer it, and one
 // part in the time that it takes, shared. Time is added against few answers of light parts; mixers err apart.
 func (m *Mixer) measure(now int64) {
-	each, n, sum := m.borne.Read(now, halfLife)*math.Ln2/float64(halfLife)/float64(len(m.searchers)), 0.0, 0.0
+	n, sum, searchers := 0.0, 0.0, float64(max(1, len(m.searchers))) // none where the last answer is late
+	each := m.borne.Read(now, halfLife) * math.Ln2 / float64(halfLife) / searchers
 	for i := range m.rows { // all tariffs together: light parts alone would tell of a machine that bears more
 		k, mean, _ := m.rows[i].Read(now, halfLife)
 		n, sum = n+k, sum+k*max(mean, float64(ms))
--- a/mixer/cold_test.go
+++ b/mixer/cold_test.go
@@ -21,3 +21,18 @@
 		}
 	}
 }
+
+// The last answer of a searcher that has gone may come while the list is empty. What the next ones bear is told by it as by any other.
+func TestAnAnswerBeyondTheListTellsNoMore(t *testing.T) {
+	w := start(t, 3, 1, func(c *Charter) { c.Cells = 1 })
+	w.warmUp(10)
+	l := w.take(0, 1, 0, 4000*ms, false)
+	before := w.m.bears.Read(w.now, bearHalf)
+	w.list(true)
+	if w.run(w.now + 3000*ms); !l.answeredWhole || len(w.m.searchers) > 0 {
+		t.Fatalf("answered %v, %d searchers known", l.answeredWhole, len(w.m.searchers))
+	}
+	if after := w.m.bears.Read(w.now, bearHalf); !(after <= 2*before) {
+		t.Errorf("a searcher is held to bear %g parts a second, %g before", after*1e9, before*1e9)
+	}
+}
--- a/mixer/learn.go
+++ b/mixer/learn.go
@@ -55,8 +55,8 @@
 	s.told.Add(now, time, float64(calls), halfLife)
 }
 
-// typical gives how long the tariff's forwards lately took in the mean, a guess when none did, and after how long
-// one is late against nearly all of them.
+// typical gives how long the tariff's forwards lately took in the mean, a guess when none did, and after how
+// long one is late against nearly all of them.
 func (m *Mixer) typical(now int64, l *Lookup) (mean float64, late int64) {
 	n, mean, dev := m.rows[l.ask.Tariff].Read(now, halfLife)
 	if n < tiny {
--- a/mixer/mixer.go
+++ b/mixer/mixer.go
@@ -76,7 +76,7 @@
 	refusals            int
 	customers           []Decay // lookups taken of each, the first of those who are not told
 	held                int64   // until then its own cold allowance may still be lent from before its start
-	epoch, call         int64   // what may bear on lookups beside their own answers; calls that let figures change
+	epoch, call         int64   // counts what may bear on lookups beside their own answers; calls
 	scratch                     // kept from one review to the next to spare allocations
 }
 
--- a/mixer/pick.go
+++ b/mixer/pick.go
@@ -12,7 +12,7 @@
 	}
 	var want *searcher // want is cold and would be picked if it had credit
 	least, wanted := bottom, key{}
-	m.bounds.begin(len(step), copy, m.mayTest(now)) // keys only rise from here on, but by the allowance for tests
+	m.bounds.begin(len(step), copy, m.mayTest(now)) // else keys only rise from here on
 	for i := m.bounds.first(&least); i >= 0; i = m.bounds.first(&least) {
 		p, low := step[i], never
 		bound, out := p.bound(), p.lastOut(now)
@@ -42,7 +42,8 @@
 			} else if s.suspect {
 				class = -1 // the one test, backed by a copy as soon as the lookup is looked at again
 			}
-			key := key{rank(class, min(1, len(p.forwards)), s.calls), time, float64(p.Effort), s.tie.draw(now, m.call, m.rng)}
+			asked, tie := min(1, len(p.forwards)), s.tie.draw(now, m.call, m.rng)
+			key := key{rank(class, asked, s.calls), time, float64(p.Effort), tie}
 			if key.less(&low) {
 				low = key
 			}
