--- a/cmd/nettlefold/serve.go
+++ b/cmd/nettlefold/serve.go
@@ -165,7 +165,7 @@
 		return fmt.Errorf("%s: %w", at.settings, err)
 	}
 	sites.see(router)
-	part.choose(router)
+	part.choose(router, terms, log)
 	listed := func(l protocol.List) {
 		end := searchers.Listed(l)
 		sites.listed(l)
--- a/cmd/nettlefold/subset.go
+++ b/cmd/nettlefold/subset.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"log/slog"
 	"sync"
 	"time"
 
@@ -49,9 +50,10 @@
 }
 
 // choose has the router's news pass here.
-func (s *chosen) choose(router *routing.Router) {
+func (s *chosen) choose(router *routing.Router, terms mixer.Charter, log *slog.Logger) {
 	if s != nil {
 		s.router, router.Filter = router, s
+		log.Info("a subset of the searchers is used", "mixers", terms.Mixers, "users_most", terms.Users, "users_mean_least", terms.UsersMean)
 	}
 }
 
--- a/cmd/nettlefold/subset_test.go
+++ b/cmd/nettlefold/subset_test.go
@@ -121,7 +121,7 @@
 	c := protocol.Config{Name: "m"}
 	c.Charter.Cells, c.Charter.Mixers = 2, 6300
 	part, terms := newSubset(c, nil)
-	part.choose(nil)
+	part.choose(nil, terms, nil)
 	part.run(t.Context(), nil)
 	if part != nil || terms.Users != 0 {
 		t.Errorf("%+v, %d users", part, terms.Users)
--- a/internal/lab/fleet/subset_test.go
+++ b/internal/lab/fleet/subset_test.go
@@ -102,3 +102,17 @@
 		t.Error("a subset does worse")
 	}
 }
+
+// A zone of four is lost to all mixers at once: subsets widen together, each to others, and serve as well as where all were used.
+func TestSubsetsWidenTogether(t *testing.T) {
+	t.Parallel()
+	s := Thin{Seed: 2, Mixers: 225, Holders: 64, Met: 0.31, Work: 7 * ms, Settle: 8_000 * ms, For: 5_000 * ms, Lost: true}
+	whole := s.Play()
+	s.Size = 16
+	part := s.Play()
+	t.Logf("whole %+v", whole)
+	t.Logf("of 16 %+v", part)
+	if part.InTime < whole.InTime-0.01 || part.Most > 1.5 || part.Spread > whole.Spread {
+		t.Error("a subset does worse")
+	}
+}
--- a/internal/lab/fleet/thin.go
+++ b/internal/lab/fleet/thin.go
@@ -15,10 +15,11 @@
 	Size            int     // of a subset, 0: all are used
 	Met             float64 // parts a second that a mixer has for each holder
 	Work            int64   // ns, mean of a part
+	Lost            bool    // a zone of four falls silent when it begins to be looked at
 	Settle, For     int64   // ns, before it is looked at and then
 }
 
-// Thinned is what came of it. Times are ns.
+// Thinned is what came of it, where a zone is lost of the others' searchers. Times are ns.
 type Thinned struct {
 	Load                 float64 // of a searcher, of what it bears
 	P50, P99             int64   // of queries of eight parts, in time or not
@@ -54,7 +55,15 @@
 			r.busy++
 		}
 	}
+	for _, o := range w.Searchers {
+		o.Silent = s.Lost && o.Zone == "a"
+	}
 	w.Run(from + s.For)
+	for i, o := range w.Searchers {
+		if o.Silent {
+			sent[i] = -1
+		}
+	}
 	var took []int64
 	for _, l := range w.Lookups {
 		if l.At < from || l.At >= w.Now-u.Charter.Tariffs[0].Patience {
@@ -67,9 +76,13 @@
 	}
 	slices.Sort(took)
 	r.queries, r.P50, r.P99 = len(took), took[len(took)/2], took[len(took)*99/100]
-	mean := float64(r.parts) / float64(s.Holders)
+	sent = slices.DeleteFunc(sent, func(n int) bool { return n < 0 })
+	mean := 0.0
+	for _, n := range sent {
+		mean += float64(n) / float64(len(sent))
+	}
 	for _, n := range sent {
-		r.Spread += (float64(n)/mean - 1) * (float64(n)/mean - 1) / float64(s.Holders)
+		r.Spread += (float64(n)/mean - 1) * (float64(n)/mean - 1) / float64(len(sent))
 	}
 	r.Load, r.Spread = mean/float64(s.For)*float64(s.Work), math.Sqrt(r.Spread)
 	r.InTime, r.Pairs, r.Busy = w.InTime(from, w.Now-u.Charter.Tariffs[0].Patience), len(pairs), float64(r.busy)/float64(r.parts)
