--- a/internal/lab/fanout/fleet.go
+++ b/internal/lab/fanout/fleet.go
@@ -35,6 +35,7 @@
 	OwnOrder bool // with the module, whole: each mixer is told the list in an order of its own, not all in the same one
 
 	forgetful bool // a planted fault: counts aren't raised after a pick
+	lavish    bool // another: each mixer sends a cold searcher what all may together
 }
 
 // Outcome is what a play gave, in the time that was measured where nothing else is said.
@@ -52,6 +53,8 @@
 	ConnsSearcher       Load
 	New                 float64 // connections a second and mixer
 	ColdWorst           float64 // parts to a cold searcher in a second, over what it bears then, at worst
+	ColdSeconds         int     // of cold searchers, each from the first part after the one before
+	ColdBeyond          int     // those in which all mixers sent more than N + 2√N + 2, N being the fleet's allowance a second
 }
 
 // Planned is the plan's fleet, its cells cut down to so many: what a mixer and a searcher have of one cell isn't changed by that.
--- a/internal/lab/fanout/model_test.go
+++ b/internal/lab/fanout/model_test.go
@@ -70,6 +70,25 @@
 	}
 }
 
+// Mixers keep to the fleet's allowance of cold searchers, however many they are; where each takes it for its own, that is seen.
+func TestColdAllowanceIsOneOfTheFleet(t *testing.T) {
+	for _, mixers := range []int{30, 300} {
+		f := small()
+		f.Queries *= float64(f.Mixers) / float64(mixers)
+		f.Mixers, f.Slots, f.Length = mixers, 4, 4*time.Second
+		f.Restarts, f.Down, f.ColdFor = 30*time.Second, time.Second, 4*time.Second
+		if o := f.Play(); o.ColdSeconds < 10 || o.ColdBeyond > 0 {
+			t.Errorf("%d mixers: %d of %d seconds beyond the allowance", mixers, o.ColdBeyond, o.ColdSeconds)
+		}
+		if f.lavish, f.Queries = true, 4*f.Queries; mixers < 300 {
+			continue // so few are held back by their own counts
+		}
+		if o := f.Play(); o.ColdBeyond == 0 {
+			t.Errorf("%d mixers that each send what all may: none of %d seconds is beyond it", mixers, o.ColdSeconds)
+		}
+	}
+}
+
 // A mixer sends to nobody but its subset, and to a lost zone no more once it knows.
 func TestModelKeepsToTheSubset(t *testing.T) {
 	f := small()
--- a/internal/lab/fanout/trouble.go
+++ b/internal/lab/fanout/trouble.go
@@ -89,13 +89,15 @@
 	}
 }
 
-// restarts has each searcher restart once. While it's down nobody picks it. While cold it works on a share of its slots, and each
-// mixer sends it what saves up of its own part of the fleet's allowance, as in the module (mixer.coldShare).
+// restarts has each searcher restart once. While it's down nobody picks it; what is out there still comes, and what was learnt of it
+// is kept. While cold it works on a share of its slots, and each mixer sends it what saves up of its own part of the fleet's allowance,
+// as in the module (mixer.coldShare).
 type restarts struct {
 	back    []uint32 // µs, when each searcher is back
 	down    uint32
 	coldFor uint32
 	few     float64 // parts a µs that a mixer may send to a cold one
+	bound   int     // parts of a second that all mixers may send to one, by chance too
 	cells   []int   // searchers of each that are down or cold
 	credit  map[uint32]saved
 	window  map[uint32]*coldSecond
@@ -123,7 +125,11 @@
 	most := bears * coldFrom * coldTimes * coldMargin
 	spread := math.Sqrt(most+1) - 1
 	n := float64(m.Mixers)
-	r.few = math.Max(spread*spread, math.Min(most, n*math.Floor((most+1)/n))) / n / 1e6
+	all := math.Max(spread*spread, math.Min(most, n*math.Floor((most+1)/n)))
+	r.few, r.bound = all/n/1e6, int(all+2*math.Sqrt(all)+2)
+	if m.lavish {
+		r.few *= n
+	}
 	return r
 }
 
@@ -184,8 +190,11 @@
 	if w == nil || m.now-w.from >= 1e6 {
 		w = &coldSecond{from: m.now}
 		r.window[s] = w
+		m.ColdSeconds++
+	}
+	if w.parts++; w.parts == r.bound+1 {
+		m.ColdBeyond++
 	}
-	w.parts++
 	bears := float64(m.Slots) / m.Service.Seconds() * r.frac(w.from, s)
 	m.ColdWorst = max(m.ColdWorst, float64(w.parts)/bears)
 }
--- a/internal/lab/measure/fanout_model.go
+++ b/internal/lab/measure/fanout_model.go
@@ -17,6 +17,7 @@
 	agreeBusy   = 1.1  // own parts out, over meeting rate times the part's mean delay
 	worstShare  = 1.1  // mixers of the searcher that most use, over what is expected of the worst
 	rush        = 1.5  // worst searcher's load in the second after a zone is lost, over its worst second before
+	coldBeyond  = 0.05 // of cold searchers' seconds, those with more than N + 2√N + 2: two deviations leave 0.023
 	coldMost    = 2.0  // what a cold searcher is sent in a second, over what it bears then: FallMultiple
 	idleKept    = 26250 * time.Millisecond
 	handshake   = time.Millisecond
@@ -68,6 +69,7 @@
 	add(t, c, nil)
 	add(modelShares(p))
 	add(modelTrouble(p, worst))
+	add(modelCold(p))
 	add(modelChecked(p))
 	if p.cells > 0 && err == nil {
 		add(modelWhole(p))
@@ -205,6 +207,39 @@
 	return t, claims, nil
 }
 
+// modelCold restarts searchers of fleets of few and of many mixers that send as much together.
+func modelCold(p modelPlan) (t Table, claims []Claim, err error) {
+	t.Header = []string{"mixers", "subset", "cold searchers' seconds", "beyond N + 2√N + 2", "worst, over what it bears"}
+	f := fanout.Planned(1)
+	each := f.Queries * float64(f.Mixers) / float64(f.Holders)
+	f.Holders, f.Length, f.Restarts, f.Down, f.ColdFor = 42, 20*time.Second, 2*time.Minute, 5*time.Second, 10*time.Second
+	if p.cells == 0 {
+		f.Holders, f.Slots, each = 21, f.Slots/4, each/4
+	}
+	type play struct {
+		fanout.Fleet
+		o *fanout.Outcome
+	}
+	var plays []play
+	for _, mixers := range []int{30, 300, int(capacity.Mixers)} {
+		for _, d := range []int{4, 0} {
+			f := f
+			f.Mixers, f.Subset, f.Queries = mixers, d, each*float64(f.Holders)/float64(mixers)
+			plays = append(plays, play{Fleet: f})
+		}
+	}
+	parallel(len(plays), func(i int) { plays[i].o = plays[i].Play() })
+	for _, l := range plays {
+		o := l.o
+		t.Rows = append(t.Rows, []string{strconv.Itoa(l.Mixers), subsetName(l.Subset), strconv.Itoa(o.ColdSeconds), strconv.Itoa(o.ColdBeyond),
+			fmt.Sprintf("%.2f", o.ColdWorst)})
+		claims = append(claims, Claim{fmt.Sprintf("%d mixers, subset %s of %d: %d of %d seconds of cold searchers have more than N + 2√N + 2, "+
+			"at most %.2f of them", l.Mixers, subsetName(l.Subset), l.Holders, o.ColdBeyond, o.ColdSeconds, coldBeyond),
+			o.ColdSeconds > 0 && float64(o.ColdBeyond) <= coldBeyond*float64(o.ColdSeconds)})
+	}
+	return t, claims, nil
+}
+
 // modelChecked plays the model and the module at one size.
 func modelChecked(p modelPlan) (t Table, claims []Claim, err error) {
 	f := p.check
--- a/internal/lab/measure/fanout_model_test.go
+++ b/internal/lab/measure/fanout_model_test.go
@@ -19,7 +19,7 @@
 			t.Error(c.What)
 		}
 	}
-	if len(claims) < 23 || len(tables) != 4 {
+	if len(claims) < 29 || len(tables) != 5 {
 		t.Errorf("%d claims in %d tables, the quick form has had more", len(claims), len(tables))
 	}
 }
