--- a/internal/lab/measure/fanout_test.go
+++ b/internal/lab/measure/fanout_test.go
@@ -1,6 +1,7 @@
 package measure
 
 import (
+	"slices"
 	"testing"
 	"time"
 
@@ -35,3 +36,21 @@
 		}
 	}
 }
+
+// What a part of a plain query allocates is within its bound at all sizes. Nothing else of the costs is judged here: times are not.
+func TestFanoutCostsQuickHold(t *testing.T) {
+	progress = t.Output()
+	cases := slices.DeleteFunc(fanout.Cases(), func(c fanout.Case) bool { return !c.Judged })
+	r, err := fanoutOf(cases, "", "", true)
+	if err != nil {
+		t.Fatal(err)
+	}
+	for _, c := range r.Claims {
+		if !c.Holds {
+			t.Error(c.What)
+		}
+	}
+	if len(r.Claims) < 5 {
+		t.Errorf("%d claims, the quick form has had more", len(r.Claims))
+	}
+}
