TestReload goes by events, not by windows of 100 ms

Cause: whether a searcher was still asked was looked at over 100 ms of wall time. On a busy machine no lookup may fall into it: then a list counted as heard that was not, or as lost that was kept ("the list was not kept while discovery is silent"). And with 5 ms a call, an only holder that the machine lets wait for some 40 ms, added up over what is out there, is taken for silent (mixer: silentTimes), and lookups are turned away: rightly, but not for the reload.

Change: which list is in force is asked of the program (its admin listener), of all searchers each time. From when it is heard on, over all that must not change it, not one call may go to the searcher that is out, counted from when each client has begun and ended a lookup. Before, a dozen calls were missed where they came between two windows, and the one-time looks could not tell silence of the list from that of the machine. Searchers take 50 ms and lookups have 10 s, so that the machine's pauses cost none; that none is lost or turned away while the list moves is held as before, by three clients all the time.

--- a/cmd/nettlefold/list_test.go
+++ b/cmd/nettlefold/list_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"encoding/json"
 	"fmt"
 	"net"
 	"net/http"
@@ -9,11 +10,13 @@
 	"os"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"syscall"
 	"testing"
 	"time"
 
 	"nettlefold/example/toy"
+	"nettlefold/mixer"
 )
 
 func TestDrainingSearcherGetsNothing(t *testing.T) {
@@ -76,24 +79,57 @@
 }
 
 // TestReload has SIGHUP name other discoveries while lookups go on: the list follows each, whose versions start
-// anew, also from one that is silent; a file that is no use changes nothing; none of it costs a lookup.
+// anew, also from one that is silent; a file that is no use changes nothing; none of it costs a lookup. Searchers take so long
+// that the machine's own pauses do not make an only holder look silent, which would cost lookups too.
 func TestReload(t *testing.T) {
-	w := prepare(t).start()
+	w := unhurried(t, 50*time.Millisecond)
+	admin := loopback(207, 1, 19090)
+	w.own(admin, "")
+	w.start()
 	load, stop := context.WithCancel(t.Context())
 	var wg sync.WaitGroup
-	for i := range 3 {
+	var done [3]atomic.Int64
+	for i := range done {
 		wg.Go(func() {
 			for n := 0; load.Err() == nil; n++ {
-				if r := w.ask(fmt.Sprintf("load%d.%d", i, n), "all", 0, 1, 2, 3); r.status != http.StatusOK || !r.Complete {
-					t.Errorf("lookup %d of %d: status %d", n, i, r.status)
+				if r := w.ask(fmt.Sprintf("load%d.%d", i, n), "all", 0, 2); r.status != http.StatusOK || !r.Complete {
+					t.Errorf("lookup %d of %d: status %d %q", n, i, r.status, r.text)
 				}
+				done[i].Add(1)
 			}
 		})
 	}
-	idle := func(i int) bool { // whether the searcher is asked nothing any more
-		before := calls(w.searchers[i])
-		time.Sleep(100 * time.Millisecond)
-		return calls(w.searchers[i]) == before
+	turn := func() { // by now each client has begun and ended a lookup
+		for i := range done {
+			before := done[i].Load()
+			w.until("lookups go on", func() bool { return done[i].Load() > before+1 })
+		}
+	}
+	in := func(i int) bool { // whether the mixer sends to the searcher
+		why := struct{ Standing *mixer.Standing }{}
+		json.Unmarshal([]byte(fetch("http://"+admin+"/why?searcher="+w.searchers[i].Name)), &why)
+		return why.Standing != nil && why.Standing.Status == mixer.Live
+	}
+	follows := func(what string, out int, do func()) { // one searcher of all is out, from when it is heard on to the end of what is done
+		w.until(what, func() bool {
+			for i := range w.searchers {
+				if in(i) == (i == out) {
+					return false
+				}
+			}
+			return true
+		})
+		turn()
+		before := calls(w.searchers[out])
+		do()
+		for i := range w.searchers {
+			if in(i) == (i == out) {
+				t.Errorf("%s: is not kept, of searcher %d", what, i)
+			}
+		}
+		if turn(); calls(w.searchers[out]) != before {
+			t.Errorf("%s: %d calls to a searcher that is not in it", what, calls(w.searchers[out])-before)
+		}
 	}
 	without := func(index int64, gone int) *httptest.Server {
 		m := w.whole(index, nil)
@@ -103,42 +139,38 @@
 		return w.serveList(list)
 	}
 	w.list.Say(changed(41, w.searchers[0].Entry("DRAINING")))
-	w.until("the first list is heard", func() bool { return idle(0) })
+	follows("the first list", 0, func() {})
 
 	w.write(without(3, 2)) // its versions are lower, it has the first searcher back and lacks the third
 	w.signal(syscall.SIGHUP)
-	w.until("the second list is heard", func() bool { return !idle(0) && idle(2) })
-
-	hung := make(chan struct{}, 10)
-	w.write(w.serveList(http.HandlerFunc(func(_ http.ResponseWriter, r *http.Request) {
-		hung <- struct{}{}
-		<-r.Context().Done()
-	})))
-	w.signal(syscall.SIGHUP)
-	<-hung
-	if idle(0) || !idle(2) {
-		t.Error("the list was not kept while discovery is silent")
-	}
+	follows("the second list, also while discovery is silent", 2, func() {
+		hung := make(chan struct{}, 10)
+		w.write(w.serveList(http.HandlerFunc(func(_ http.ResponseWriter, r *http.Request) {
+			hung <- struct{}{}
+			<-r.Context().Done()
+		})))
+		w.signal(syscall.SIGHUP)
+		<-hung
+		turn()
+	})
 	w.limits["memory_mb"] = 100
 	w.write(without(3, 1))
 	w.signal(syscall.SIGHUP)
-	w.until("the fourth list is heard", func() bool { return idle(1) && !idle(2) })
-	if !strings.Contains(w.log.String(), "fields=[limits]") {
-		t.Error("the field that needs a restart is not named")
-	}
-	for _, c := range []struct{ text, want string }{
-		{`{"name":"n0","listen":"127.0.0.1:1"`, "unexpected end"},
-		{`{"name":"n0","listen":"127.0.0.1:1","discovery":"127.0.0.1:99999"}`, `discovery: port: \"99999\"`},
-	} {
-		if err := os.WriteFile(w.path, []byte(c.text), 0o600); err != nil {
-			t.Fatal(err)
+	follows("the fourth list, also with files that are no use", 1, func() {
+		if !strings.Contains(w.log.String(), `"fields":["limits"]`) {
+			t.Error("the field that needs a restart is not named")
 		}
-		w.signal(syscall.SIGHUP)
-		w.until("a file that is no use is named: "+c.want, func() bool { return strings.Contains(w.log.String(), c.want) })
-	}
-	if !idle(1) || idle(2) {
-		t.Error("the list was not kept with a file that is no use")
-	}
+		for _, c := range []struct{ text, want string }{
+			{`{"name":"n0","listen":"127.0.0.1:1"`, "unexpected end"},
+			{`{"name":"n0","listen":"127.0.0.1:1","discovery":"127.0.0.1:99999"}`, `discovery: port: \"99999\"`},
+		} {
+			if err := os.WriteFile(w.path, []byte(c.text), 0o600); err != nil {
+				t.Fatal(err)
+			}
+			w.signal(syscall.SIGHUP)
+			w.until("a file that is no use is named: "+c.want, func() bool { return strings.Contains(w.log.String(), c.want) })
+		}
+	})
 	stop()
 	wg.Wait()
 	w.signal(syscall.SIGTERM)
