Tests read a program's log from the file it writes, not behind a pipe

Cause: exec was given a type of ours around the log's file, so it made a pipe and a goroutine of the test copied the log.

Change: the program has the file itself for its standard error, so that what it has logged is there at once. No check changes.

--- a/cmd/nettlefold/control_test.go
+++ b/cmd/nettlefold/control_test.go
@@ -42,7 +42,7 @@
 	t.Helper()
 	r := &relayProcess{t: t, admin: admin, log: newLog(t)}
 	r.cmd = exec.Command(binary, "relay", "--name", name, "--admin", admin, "--settings", settings)
-	r.cmd.Stderr = r.log
+	r.cmd.Stderr = r.log.File
 	if err := r.cmd.Start(); err != nil {
 		t.Fatal(err)
 	}
--- a/cmd/nettlefold/helper_test.go
+++ b/cmd/nettlefold/helper_test.go
@@ -194,7 +194,7 @@
 	if w.files > 0 {
 		cmd = exec.Command("sh", "-c", fmt.Sprintf("ulimit -n %d; exec %s", w.files, binary))
 	}
-	cmd.Env, cmd.Stderr = append(os.Environ(), "LB_CONFIG="+w.path), w.log
+	cmd.Env, cmd.Stderr = append(os.Environ(), "LB_CONFIG="+w.path), w.log.File // the file itself: a pipe would lag behind what it does
 	if err := cmd.Start(); err != nil {
 		w.t.Fatal(err)
 	}
--- a/cmd/nettlefold/learnt_test.go
+++ b/cmd/nettlefold/learnt_test.go
@@ -69,7 +69,7 @@
 	slow, cold := calls(w.searchers[0]), calls(w.searchers[2])
 	w.execute()
 	w.healthy()
-	w.until("what was learnt is taken over by the three of four processes that still run", func() bool { // the log comes by a pipe
+	w.until("what was learnt is taken over by the three of four processes that still run", func() bool {
 		return strings.Contains(w.log.String(), "learnt figures are taken over") && strings.Contains(w.log.String(), `"processes":4,"met":3`)
 	})
 	for i := range 8 {
