How long a start waits for the agent is held on a bubble's clock; TestStartAsksFirst bears a busy machine

Cause: a start waits 500 ms for discovery's first answer (Limits.First).

Change: the wait is a function of its own (answers), and TestFirstAnswerIsWaitedFor holds it to the nanosecond: an answer at once, just in time, too late, never, an end meanwhile. Nothing held the 500 ms before. TestStartAsksFirst has each start agree with itself: with an agent that has told, its list is served; without, the log says so before health does. A start that found the agent late is followed by another, five at most, one of which has to have waited: one that never waits fails.

--- a/cmd/nettlefold/serve.go
+++ b/cmd/nettlefold/serve.go
@@ -138,6 +138,17 @@
 	return heard
 }
 
+// answers waits for what is asked, for so long or until the context ends, and tells whether it was not in vain.
+func answers(ctx context.Context, asked <-chan struct{}, most time.Duration) bool {
+	select {
+	case <-asked:
+	case <-time.After(most):
+		return false
+	case <-ctx.Done():
+	}
+	return true
+}
+
 // run serves until the context ends and what was taken has been answered.
 func run(ctx context.Context, hup <-chan os.Signal, at paths, own settings.Settings, log *slog.Logger) error {
 	start, path := time.Now(), at.config
@@ -239,11 +250,8 @@
 	}
 	// What the agent has counts as told from this process's first moment, and the known list may be old. Who comes meanwhile
 	// waits in the listener's queue. A silent agent is not waited for for long: the known list is better than none.
-	select {
-	case <-asked:
-	case <-time.After(c.Limits.First):
+	if !answers(ctx, asked, c.Limits.First) {
 		log.Warn("discovery does not answer, the known list is served on", "version", c.Known.Version)
-	case <-ctx.Done():
 	}
 	resume(own.Learnt, c, router, log)
 	server.Open(listener)
