TestRoutesLeadThroughAWireThatCanBeCut wants both views at one moment, and the doubt by its name

Cause, by reading (the package is on the list of those that failed on a loaded machine; what it failed on is not kept): once a did not hear b, c's view of b was looked at once, and had to be "here". A pause of the machine of a few beats of 50 ms has c doubt b for as long, which is no fault.

Change: the test waits for a moment at which a doubts b and c has it here; a c that lost b with a's wire never has it.

--- a/internal/fleet/roster/roster_test.go
+++ b/internal/fleet/roster/roster_test.go
@@ -210,10 +210,8 @@
 		return a.as(c.self) == "here" && a.as(b.self) == "here" && b.as(a.self) == "here"
 	})
 	w.cut(true)
-	until(t, "a does not hear b", func() bool { return a.as(b.self) != "here" })
-	if got := c.as(b.self); got != "here" {
-		t.Errorf("b is %s for c", got)
-	}
+	// Both at one moment: that a pause of the machine has c doubt b too, for as long as it lasts, is no fault.
+	until(t, "a does not hear b, and c does", func() bool { return a.as(b.self) == "doubted" && c.as(b.self) == "here" })
 	w.cut(false)
 	until(t, "a hears b again", func() bool { return a.as(b.self) == "here" })
 	if w.packets() == 0 {
