--- a/internal/lab/capacity/query.go
+++ b/internal/lab/capacity/query.go
@@ -183,9 +183,9 @@
 			{Name: "query: bytes allocated in the module", Unit: "B", Form: Affine, Deterministic: true, Known: queryBytes},
 			{Name: "query: attempts sent", Unit: "1", Form: Affine, Deterministic: true, Known: queryAttempts},
 			{Name: "query: timers set by the module", Unit: "1", Form: Flat, Deterministic: true},
-			{Name: "query: in the module", Unit: "s", Form: Quadratic, Known: queryTime},
+			{Name: "query: in the module", Unit: "s", Form: Affine, Known: queryTime},
 			{Name: "query: allocations in the router", Unit: "1", Form: Affine, Known: routerAllocations},
-			{Name: "query: in the router, all of its calls", Unit: "s", Form: Quadratic, Known: routerTime},
+			{Name: "query: in the router, all of its calls", Unit: "s", Form: Affine, Known: routerTime},
 		},
 		Play: func(parts int) ([]float64, error) {
 			a, b, f, timers, t, err := served(4000, 4000/holders, parts, Terms(4000/holders))
