Capacity: a query's rows measured anew, linear in parts; room for the first attempts out at a searcher

Cause: the laws of queries were those of the quadratic module; and a searcher met for the first time took an allocation, which the curve by searchers showed (91 to 165 for 88 parts at 370 to 37,000 searchers).

Change: room for two attempts stands in the searcher (state.go). Allocations of a query: 3 and one a part, flat in searchers and holders. Laws, rows and rank from a run of the curves on queries alone, two of eight cores, load 4; a row for a subset of 32 holders.

--- a/internal/lab/capacity/budget.go
+++ b/internal/lab/capacity/budget.go
@@ -2,7 +2,8 @@
 
 import "math"
 
-// SubsetHolders is how many holders of each part a mixer uses where it keeps to a subset of them: some tens are meant, this many assumed.
+// SubsetHolders is how many holders of each part a mixer uses at the least where it keeps to a subset of them and nothing else is set
+// (least, in docs/operators-subset.md). By the plan's traffic it would use 47 (docs/subset.md, How many).
 const SubsetHolders = 32.0
 
 func init() { sumSources = append(sumSources, budgetSums) }
--- a/internal/lab/capacity/rank.go
+++ b/internal/lab/capacity/rank.go
@@ -89,6 +89,8 @@
 		rank("module's lock, searchers in 88 cells",
 			shareAt(func(s float64) float64 { return LockHeld(queryByHolders.At(s * HoldersOf())) }, lockShare), half,
 			"`mixer` (pick)", "query of 88 parts: in the module / holders of a part"),
+		of(rank("module's lock, a subset of 32 holders a part", lockShare/LockHeld(queryByHolders.At(SubsetHolders)), half,
+			"`mixer` (pick), `internal/subset`", "query of 88 parts: in the module / holders of a part"), queries),
 		of(rank("module's lock, 4 holders a part", lockShare/LockHeld(routerTime.At(Parts)), half,
 			"`mixer`, `internal/routing`", "query: in the router"), queries),
 		rank("whole list to one mixer within 6 s",
--- a/internal/lab/capacity/slopes.go
+++ b/internal/lab/capacity/slopes.go
@@ -3,7 +3,8 @@
 // Laws that the sums use: those of the last long run of `nettlelab measure capacity`, by the key of the curve that gave each.
 // The measurement holds the deterministic ones to what it fits; the times are those of one core
 // of a machine that others used (load 12 to 10 on 8 cores). Those of lists that are read member by member and told in batches are of a run
-// of their curves alone, at load 19: reading, changes, what the module holds, first, again, the holds, and what reading a configuration allocates.
+// of their curves alone, at load 19: reading, changes, what the module holds, first, again, the holds, and what reading a configuration allocates. Those of
+// queries but for their bytes on the wire are of a run of their curves alone, at load 4.
 var (
 	// mixer: list: ... / searchers
 	listBytes         = Law{Affine, -1038, 153.9, 0}
@@ -39,15 +40,15 @@
 	settingsTime        = Law{Power, 0.001418, 0.364, 0}
 
 	// mixer: query: ... / parts, / searchers, / holders of a part, / parts in the budget's window
-	queryAllocations  = Law{Affine, 7.751, 4.292, 0}
-	queryBytes        = Law{Affine, 99.62, 250.3, 0}
+	queryAllocations  = Law{Affine, 3, 1, 0}
+	queryBytes        = Law{Affine, 291.3, 199.9, 0}
 	queryAttempts     = Law{Affine, 0, 1, 0}
-	queryTime         = Law{Quadratic, 1.906e-5, 6.484e-8, 4.378e-7}
-	routerAllocations = Law{Affine, 29.68, 13.54, 0}
-	routerTime        = Law{Quadratic, 3.494e-5, 8.153e-6, 3.876e-7}
-	queryBySearchers  = Law{Power, 0.00467, -0.048, 0}
-	queryByHolders    = Law{Affine, 0.001595, 0.0004771, 0}
-	queryByBudget     = Law{Affine, -0.007076, 8.912e-6, 0}
+	queryTime         = Law{Affine, -3.857e-6, 3.645e-6, 0}
+	routerAllocations = Law{Affine, 26.37, 10.14, 0}
+	routerTime        = Law{Affine, 6.546e-5, 9.455e-6, 0}
+	queryBySearchers  = Law{Power, 0.0003551, -0.017, 0}
+	queryByHolders    = Law{Affine, 0.000147, 3.123e-5, 0}
+	queryByBudget     = Law{Affine, 0.0003336, 1.416e-10, 0}
 	requestBytes      = Law{Affine, 83, 32, 0}
 	framesOut         = Law{Affine, 0, 102, 0}
 	framesIn          = Law{Affine, 0, 97, 0}
--- a/internal/lab/capacity/sums.go
+++ b/internal/lab/capacity/sums.go
@@ -110,6 +110,8 @@
 		{role, fmt.Sprintf("module's lock, %.0f holders a part (88 cells)", HoldersOf()),
 			LockHeld(queryByHolders.At(HoldersOf())), "cores", lockShare,
 			"`mixer` (pick)", "query of 88 parts: in the module / holders of a part"},
+		{role, fmt.Sprintf("module's lock, a subset of %.0f holders a part", SubsetHolders), LockHeld(queryByHolders.At(SubsetHolders)), "cores",
+			lockShare, "`mixer` (pick), `internal/subset`", "query of 88 parts: in the module / holders of a part"},
 		{role, fmt.Sprintf("module's lock with a forward budget of %.0f s, 4 holders", budgetFor),
 			LockHeld(queryByBudget.At(each * (Parts + 1) * budgetFor)), "cores", lockShare, "`mixer` (maySend, slide)",
 			"query of 88 parts, with a forward budget: in the module"},
--- a/mixer/mixer.go
+++ b/mixer/mixer.go
@@ -105,7 +105,7 @@
 	out           []*forward
 	word          Word  // of others, on the process named there
 	want, sent    Decay // cold: forwards sent there, and those that would have been with credit; all forwards
-	unit, tie     memo
+	kept
 }
 
 // cut tells whether no answer can come: its process is gone, or its whole zone is silent.
--- a/mixer/pick.go
+++ b/mixer/pick.go
@@ -157,7 +157,7 @@
 	s.sent.Add(now, 1, paceHalf)
 	m.sent.Add(now, 1, halfLife)
 	f.call, f.count = s.call, s.calls
-	p.forwards, s.out = append(p.forwards, f), append(s.out, f)
+	p.forwards, s.out = append(p.forwards, f), append(s.room(), f)
 	if len(s.out) > calmMost {
 		m.stir()
 	}
--- a/mixer/state.go
+++ b/mixer/state.go
@@ -72,6 +72,21 @@
 	return c.keep(now, call, float64(rng.Int63()))
 }
 
+// kept is what a searcher has of its own to spare work: what it takes for a call, its tie-break, and room for the first forwards
+// that are out there.
+type kept struct {
+	unit, tie memo
+	place     [2]*forward
+}
+
+// room gives the row of forwards that are out there, for one more.
+func (s *searcher) room() []*forward {
+	if s.out == nil {
+		return s.place[:0]
+	}
+	return s.out
+}
+
 // scratch is what reviews use anew each time.
 type scratch struct {
 	bounds bounds
