Words: a row that had no room in a sheet is not news where another's place is free

A sheet holds so many rows; one that was left out for that was not remembered, so where an answered searcher's row ended by age the next one in came as news.

Change: all that was chosen is remembered at telling, as what had no room in the sheet's bytes already was.

--- a/internal/fleet/words/sheets.go
+++ b/internal/fleet/words/sheets.go
@@ -57,7 +57,8 @@
 	}
 	s.doubts++
 	s.board.Receive(now, &sharing.Sheet{Mixer: doubters, Life: 1, Number: s.doubts, Rows: rows})
-	sheet := s.board.Compose(now, s.choose(now, all, kinds))
+	chosen := s.choose(now, all, kinds)
+	sheet := s.board.Compose(now, chosen)
 	if s.ever && !s.changed(now, sheet.Rows) && (len(sheet.Rows) == 0 || now-s.told < again) {
 		return nil, nil
 	}
@@ -71,7 +72,15 @@
 		return nil, err
 	}
 	s.last, s.told, s.still, s.ever = make(map[process]sharing.Row, len(rows)), now, 0, true
-	for _, r := range rows { // also what had no room: it is not news a second later
+	for i := range chosen { // also what had no room in the sheet: it is not news where another's place is free a second later
+		o := &chosen[i]
+		r := sharing.Row{Searcher: o.Searcher, Started: o.Started, Suspect: int64(truth(o.Suspect))}
+		if o.Heard > 0 {
+			r.Heard = (now-o.Heard)/ms + 1
+		}
+		s.last[process{o.Searcher, o.Started}] = r
+	}
+	for _, r := range rows { // also what had none in its bytes
 		s.last[process{r.Searcher, r.Started}] = r
 		s.still += truth(r.Suspect > 0)
 	}
