--- a/internal/lab/fleet/world.go
+++ b/internal/lab/fleet/world.go
@@ -8,11 +8,11 @@
 package fleet
 
 import (
-	"container/heap"
 	"fmt"
 	"math"
 	"math/rand"
 
+	"nettlefold/internal/lab/agenda"
 	"nettlefold/internal/lab/record"
 	"nettlefold/internal/sharing"
 	"nettlefold/internal/subset"
@@ -54,9 +54,8 @@
 	Trace     func(node int, what string) // of every action of a module, if set
 	Sent      func(*Node, *Searcher)      // of every part that is sent, if set
 
-	rng   *rand.Rand
-	queue queue
-	count int64
+	rng    *rand.Rand
+	agenda agenda.Agenda
 }
 
 // Node is one mixer.
@@ -121,38 +120,16 @@
 	in    bool
 }
 
-type event struct {
-	at, number int64
-	do         func()
-}
-
-type queue []event
-
-func (q queue) Len() int { return len(q) }
-func (q queue) Less(i, j int) bool {
-	return q[i].at < q[j].at || q[i].at == q[j].at && q[i].number < q[j].number
-}
-func (q queue) Swap(i, j int) { q[i], q[j] = q[j], q[i] }
-func (q *queue) Push(x any)   { *q = append(*q, x.(event)) }
-func (q *queue) Pop() any {
-	last := (*q)[len(*q)-1]
-	(*q)[len(*q)-1] = event{}
-	*q = (*q)[:len(*q)-1]
-	return last
-}
-
 // After books what happens later; what is due at one time keeps its order.
 func (w *World) After(d int64, do func()) {
-	w.count++
-	heap.Push(&w.queue, event{w.Now + max(d, 1), w.count, do})
+	w.agenda.Book(w.Now+max(d, 1), do)
 }
 
 // Run plays all events up to a time.
 func (w *World) Run(until int64) {
-	for len(w.queue) > 0 && w.queue[0].at <= until {
-		e := heap.Pop(&w.queue).(event)
-		w.Now = e.at
-		e.do()
+	for at, do, due := w.agenda.Next(until); due; at, do, due = w.agenda.Next(until) {
+		w.Now = at
+		do()
 	}
 	w.Now = until
 }
--- a/internal/lab/record/world.go
+++ b/internal/lab/record/world.go
@@ -1,11 +1,11 @@
 package record
 
 import (
-	"container/heap"
 	"fmt"
 	"math/rand"
 	"slices"
 
+	"nettlefold/internal/lab/agenda"
 	"nettlefold/mixer"
 )
 
@@ -17,8 +17,7 @@
 	late    int64 // the most that a timer is late
 	stalled int64 // until then the mixer stands still and nothing reaches it
 	end     int64 // of arrivals
-	queue   queue
-	count   int64
+	agenda  agenda.Agenda
 
 	c       mixer.Charter
 	m       *Mixer
@@ -85,39 +84,17 @@
 	sent  []int64
 }
 
-type event struct {
-	at, number int64
-	do         func()
-}
-
-type queue []event
-
-func (q queue) Len() int { return len(q) }
-func (q queue) Less(i, j int) bool {
-	return q[i].at < q[j].at || q[i].at == q[j].at && q[i].number < q[j].number
-}
-func (q queue) Swap(i, j int) { q[i], q[j] = q[j], q[i] }
-func (q *queue) Push(x any)   { *q = append(*q, x.(event)) }
-func (q *queue) Pop() any {
-	last := (*q)[len(*q)-1]
-	*q = (*q)[:len(*q)-1]
-	return last
-}
-
 // after books what happens later; what is due at one time keeps its order.
 func (w *world) after(d int64, do func()) {
-	w.count++
 	at := w.now + max(d, 1)
-	at = (at + w.tick - 1) / w.tick * w.tick
-	heap.Push(&w.queue, event{at, w.count, do})
+	w.agenda.Book((at+w.tick-1)/w.tick*w.tick, do)
 }
 
 // run plays all that happens up to a time.
 func (w *world) run(until int64) {
-	for len(w.queue) > 0 && w.queue[0].at <= until {
-		e := heap.Pop(&w.queue).(event)
-		w.now = max(w.now, e.at, w.stalled)
-		e.do()
+	for at, do, due := w.agenda.Next(until); due; at, do, due = w.agenda.Next(until) {
+		w.now = max(w.now, at, w.stalled)
+		do()
 	}
 }
 
--- a/internal/transport/budget_test.go
+++ b/internal/transport/budget_test.go
@@ -283,7 +283,7 @@
 	drains := c.answered(c.names[2])
 	c.s.Listed(protocol.List{Members: []protocol.Member{{Entry: routing.Entry{Searcher: c.names[2], Status: mixer.Draining}}}})()
 	c.s.mu.Lock()
-	c.s.follow(sweepBite) // as a sweep does
+	c.s.follow(sweepBatch) // as a sweep does
 	c.s.mu.Unlock()
 	if beside.conn == double.conn {
 		t.Fatal("there is one connection where two were to be")
--- a/internal/transport/keep.go
+++ b/internal/transport/keep.go
@@ -188,8 +188,8 @@
 	delete(s.peers, to)
 }
 
-// sweepBite is how much of a sweep is done under one hold of the lock.
-const sweepBite = 512
+// sweepBatch is how much of a sweep is done under one hold of the lock.
+const sweepBatch = 512
 
 // sweep closes connections that are of no more use, until the end. Idle ones go before the searcher would close
 // them, who counts from the last byte that it has seen. It looks only at what has changed and at what is due.
@@ -205,17 +205,17 @@
 		}
 		for done := false; !done && s.ctx.Err() == nil; {
 			s.mu.Lock()
-			settled, followed := s.settle(sweepBite), s.follow(sweepBite)
+			settled, followed := s.settle(sweepBatch), s.follow(sweepBatch)
 			done = settled && followed
 			var unused []claimed
-			for len(unused) < sweepBite {
+			for len(unused) < sweepBatch {
 				e, why := s.pool.Due(since(time.Now()))
 				if e == nil {
 					break
 				}
 				unused = append(unused, s.claim(idleFor(why), e.Conn().(*conn))...)
 			}
-			done = done && len(unused) < sweepBite
+			done = done && len(unused) < sweepBatch
 			s.unlock(unused...)
 		}
 	}
