--- /dev/null
+++ b/internal/rpc/frame.go
@@ -0,0 +1,58 @@
+// Package rpc carries typed messages between the programs of a fleet: length-prefixed CBOR frames over TCP, many calls at once
+// on one connection, and one-way messages in order. It decides nothing and retries nothing; callers own both.
+package rpc
+
+import (
+	"bufio"
+	"encoding/binary"
+	"fmt"
+	"io"
+
+	"github.com/fxamacker/cbor/v2"
+)
+
+// maxFrameBytes bounds what a peer may make us hold: a configuration of four megabytes and its envelope.
+const maxFrameBytes = 16 << 20
+
+// envelope is one frame. A call has an ID above zero, and its reply the same; a one-way message has none.
+type envelope struct {
+	ID    uint64          `cbor:"1,keyasint,omitempty"`
+	Reply bool            `cbor:"2,keyasint,omitempty"`
+	Kind  string          `cbor:"3,keyasint,omitempty"`
+	Body  cbor.RawMessage `cbor:"4,keyasint,omitempty"`
+	Error string          `cbor:"5,keyasint,omitempty"`
+}
+
+// writeFrame encodes an envelope as one write, so that a frame is never interleaved with another's.
+func writeFrame(w io.Writer, e *envelope) error {
+	encoded, err := cbor.Marshal(e)
+	if err != nil {
+		return err
+	}
+	frame := make([]byte, 4+len(encoded))
+	binary.BigEndian.PutUint32(frame, uint32(len(encoded)))
+	copy(frame[4:], encoded)
+	_, err = w.Write(frame)
+	return err
+}
+
+// readFrame reads one envelope. Its body stays valid after the next read.
+func readFrame(r *bufio.Reader) (*envelope, error) {
+	var size [4]byte
+	if _, err := io.ReadFull(r, size[:]); err != nil {
+		return nil, err
+	}
+	n := binary.BigEndian.Uint32(size[:])
+	if n > maxFrameBytes {
+		return nil, fmt.Errorf("frame of %d bytes, at most %d are taken", n, maxFrameBytes)
+	}
+	encoded := make([]byte, n)
+	if _, err := io.ReadFull(r, encoded); err != nil {
+		return nil, err
+	}
+	e := new(envelope)
+	if err := cbor.Unmarshal(encoded, e); err != nil {
+		return nil, fmt.Errorf("frame: %w", err)
+	}
+	return e, nil
+}
--- /dev/null
+++ b/internal/rpc/pool.go
@@ -0,0 +1,113 @@
+package rpc
+
+import (
+	"context"
+	"sync"
+	"time"
+)
+
+// Pool keeps a client for each peer, and an outbox for one-way messages that never blocks its caller.
+type Pool struct {
+	mu      sync.Mutex
+	clients map[string]*Client
+	outbox  map[string]chan outgoing
+	done    chan struct{}
+}
+
+type outgoing struct {
+	kind    string
+	message any
+}
+
+// outboxDepth bounds what waits for a peer that does not read; beyond it messages are dropped, as on a lossy link.
+const outboxDepth = 256
+
+// NewPool makes an empty pool.
+func NewPool() *Pool {
+	return &Pool{clients: map[string]*Client{}, outbox: map[string]chan outgoing{}, done: make(chan struct{})}
+}
+
+// Client gives the client of a peer.
+func (p *Pool) Client(addr string) *Client {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	c := p.clients[addr]
+	if c == nil {
+		c = NewClient(addr)
+		p.clients[addr] = c
+	}
+	return c
+}
+
+// Call calls a peer with a time limit of its own.
+func (p *Pool) Call(ctx context.Context, limit time.Duration, addr, kind string, request, reply any) error {
+	ctx, cancel := context.WithTimeout(ctx, limit)
+	defer cancel()
+	return p.Client(addr).Call(ctx, kind, request, reply)
+}
+
+// Post queues a one-way message and returns at once. Messages to one peer are sent in order, some may be lost.
+func (p *Pool) Post(addr, kind string, message any) {
+	p.mu.Lock()
+	queue := p.outbox[addr]
+	if queue == nil {
+		queue = make(chan outgoing, outboxDepth)
+		p.outbox[addr] = queue
+		go p.send(addr, queue)
+	}
+	p.mu.Unlock()
+	select {
+	case queue <- outgoing{kind, message}:
+	default:
+	}
+}
+
+func (p *Pool) send(addr string, queue chan outgoing) {
+	client := p.Client(addr)
+	for {
+		select {
+		case o := <-queue:
+			ctx, cancel := context.WithTimeout(context.Background(), dialTimeout)
+			err := client.Send(ctx, o.kind, o.message)
+			cancel()
+			if err != nil {
+				discard(queue)
+			}
+		case <-p.done:
+			return
+		}
+	}
+}
+
+// discard empties a queue whose peer cannot be reached: what waited is old by the time it can be.
+func discard(queue chan outgoing) {
+	for {
+		select {
+		case <-queue:
+		default:
+			return
+		}
+	}
+}
+
+// Keep closes the clients and outboxes of peers that are not among addrs any more.
+func (p *Pool) Keep(addrs map[string]bool) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for addr, c := range p.clients {
+		if !addrs[addr] && p.outbox[addr] == nil {
+			c.Close()
+			delete(p.clients, addr)
+		}
+	}
+}
+
+// Close ends all connections.
+func (p *Pool) Close() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	close(p.done)
+	for _, c := range p.clients {
+		c.Close()
+	}
+}
