Control state: chain replication under agreed views, on buntdb with checksums

Cause: configurations, evacuations, versions and duties must outlive any machine that may be lost, and be one for all. Change: internal/chain (views by single-decree Paxos per epoch, a sealed member's log copied before a view is put to the vote, chain replication within it), internal/replicated (the state), internal/config (schema and meaning), internal/durable (buntdb's log with checksums, heeded syncs, torn ends cut, compaction into a new file). Ruled out: buntdb's SyncPolicy Always (its result is dropped) and its Shrink (renames without syncing file or folder).

--- /dev/null
+++ b/internal/chain/propose.go
@@ -0,0 +1,477 @@
+package chain
+
+import (
+	"cmp"
+	"slices"
+	"strconv"
+	"time"
+
+	"nettlefold/internal/rendezvous"
+)
+
+// proposal is one attempt at the next view.
+type proposal struct {
+	ballot   Ballot
+	started  time.Duration
+	asked    []Member
+	promises map[NodeID]*Promise
+	source   NodeID
+	length   uint64 // of the source's log
+	caught   map[NodeID]bool
+	targets  []Target
+	view     *View // once it is put to the vote
+	accepted map[NodeID]bool
+}
+
+// wanted is the next view as this replica would have it: who accepts, and who should be in the chain.
+type wanted struct {
+	acceptors []Member
+	chain     []NodeID
+}
+
+// propel starts a proposal where one is wanted, moves one on, or gives it up. Of those that want one the first acceptor that is
+// heard begins; others wait for longer the further behind they are, so that they seldom meet.
+func (r *Replica) propel(now time.Duration) {
+	if p := r.proposal; p != nil {
+		if now-p.started > r.options.Timing.Round {
+			r.proposal = nil
+			r.retryAt = now + r.delay(now)
+			return
+		}
+		r.advance(now)
+		return
+	}
+	want, need := r.want(now)
+	if !need {
+		r.needSince = 0
+		return
+	}
+	if r.needSince == 0 {
+		r.needSince = now
+	}
+	if now < r.retryAt || now-r.needSince < r.delay(now) || !r.possible(now, want) {
+		return
+	}
+	r.begin(now, want)
+}
+
+// delay grows with the number of acceptors before this one that are heard.
+func (r *Replica) delay(now time.Duration) time.Duration {
+	n := 0
+	for _, m := range r.meta.View.Acceptors {
+		if m.ID == r.meta.Identity {
+			break
+		}
+		if r.hears(now, m.ID) {
+			n++
+		}
+	}
+	return time.Duration(n) * 2 * r.options.Timing.Heartbeat
+}
+
+// possible tells whether enough machines are heard for a view to be agreed on and to take writes.
+func (r *Replica) possible(now time.Duration, want wanted) bool {
+	if _, acceptor := r.meta.View.Acceptor(r.meta.Identity); !acceptor {
+		return false
+	}
+	heard, intact := 0, false
+	for _, m := range r.meta.View.Acceptors {
+		if r.hears(now, m.ID) {
+			heard++
+			intact = intact || r.meta.View.InChain(m.ID)
+		}
+	}
+	return heard >= r.meta.View.Majority() && intact && len(want.chain) >= r.options.Copies
+}
+
+// want tells which view is wanted, and whether it differs from the one in force.
+func (r *Replica) want(now time.Duration) (wanted, bool) {
+	view := &r.meta.View
+	want := wanted{acceptors: r.wantedAcceptors(now, r.newcomers(now, r.options.Timing.Settle))}
+	for _, m := range want.acceptors {
+		steady := view.InChain(m.ID) || m.ID == r.meta.Identity || r.peers[m.ID] != nil && now-r.peers[m.ID].first >= r.options.Timing.Settle
+		if r.hears(now, m.ID) && steady {
+			want.chain = append(want.chain, m.ID)
+		}
+	}
+	same := sameMembers(want.acceptors, view.Acceptors) && sameSet(want.chain, view.Chain)
+	return want, !same || r.stuck(now) || r.anySealed(now) || r.broken(now)
+}
+
+// wantedAcceptors is the acceptors, without those that were replaced or are silent for long, and with newcomers.
+func (r *Replica) wantedAcceptors(now time.Duration, newcomers []NodeID) []Member {
+	timing := &r.options.Timing
+	acceptors := slices.Clone(r.meta.View.Acceptors)
+	for _, id := range newcomers {
+		newcomer := r.peers[id].member
+		i := r.replaced(now, acceptors, newcomer)
+		if i >= 0 {
+			acceptors = slices.Delete(acceptors, i, i+1)
+		}
+		acceptors = append(acceptors, newcomer)
+	}
+	least := 2*r.options.Copies - 1
+	for len(acceptors) > least {
+		i := r.longestSilent(now, acceptors, timing.Drop)
+		if i < 0 {
+			break
+		}
+		acceptors = slices.Delete(acceptors, i, i+1)
+	}
+	return acceptors
+}
+
+// replaced is the acceptor whose place a newcomer takes: the one at its address, or the one that is silent for longest; -1 if none is.
+func (r *Replica) replaced(now time.Duration, acceptors []Member, newcomer Member) int {
+	at := slices.IndexFunc(acceptors, func(m Member) bool { return m.Addr == newcomer.Addr })
+	if at >= 0 {
+		return at
+	}
+	return r.longestSilent(now, acceptors, r.options.Timing.Replace)
+}
+
+func (r *Replica) longestSilent(now time.Duration, acceptors []Member, least time.Duration) int {
+	at, most := -1, least
+	for i, m := range acceptors {
+		if s := r.silence(now, m.ID); s > most {
+			at, most = i, s
+		}
+	}
+	return at
+}
+
+// stuck tells whether a write has been on its way for too long.
+func (r *Replica) stuck(now time.Duration) bool {
+	return r.serving() && r.pending != 0 && now-r.pending > r.options.Timing.Stuck
+}
+
+// broken tells whether a member of the chain is there but does not hold its log.
+func (r *Replica) broken(now time.Duration) bool {
+	for _, id := range r.meta.View.Chain {
+		p := r.peers[id]
+		if p != nil && r.hears(now, id) && p.beat.View.Epoch == r.meta.View.Epoch && p.beat.LogEpoch != r.meta.View.Epoch {
+			return true
+		}
+	}
+	return r.meta.View.InChain(r.meta.Identity) && !r.serving()
+}
+
+// anySealed tells whether a proposal was begun that may never end.
+func (r *Replica) anySealed(now time.Duration) bool {
+	if r.sealed() {
+		return true
+	}
+	for id, p := range r.peers {
+		if r.hears(now, id) && p.beat.Sealed && p.beat.View.Epoch == r.meta.View.Epoch {
+			return true
+		}
+	}
+	return false
+}
+
+func (r *Replica) begin(now time.Duration, want wanted) {
+	r.round = max(r.round, r.meta.Promised.Round) + 1
+	p := &proposal{
+		ballot:   Ballot{r.round, r.meta.Identity},
+		started:  now,
+		promises: map[NodeID]*Promise{},
+		caught:   map[NodeID]bool{},
+		accepted: map[NodeID]bool{},
+	}
+	r.proposal = p
+	for _, m := range r.meta.View.Acceptors {
+		p.asked = append(p.asked, m)
+	}
+	for _, m := range want.acceptors {
+		if _, known := r.meta.View.Acceptor(m.ID); !known {
+			p.asked = append(p.asked, m)
+		}
+	}
+	for _, m := range p.asked {
+		r.send(m, Message{Prepare: &Prepare{r.meta.View, p.ballot}})
+	}
+}
+
+func (r *Replica) onPrepare(m *Message) {
+	prepare := m.Prepare
+	r.round = max(r.round, prepare.Ballot.Round)
+	if prepare.View.Epoch > r.meta.View.Epoch {
+		view := prepare.View
+		r.adopt(&view)
+	}
+	if prepare.View.Epoch < r.meta.View.Epoch {
+		view := r.meta.View
+		r.send(m.From, Message{Decided: &view})
+		return
+	}
+	if prepare.Ballot.Less(r.meta.Promised) {
+		promised := r.meta.Promised
+		r.send(m.From, Message{Rejected: &promised})
+		return
+	}
+	if r.meta.Promised != prepare.Ballot {
+		r.meta.Promised = prepare.Ballot
+		r.saveMeta()
+	}
+	r.send(m.From, Message{Promise: &Promise{
+		Epoch: r.meta.View.Epoch, Ballot: prepare.Ballot,
+		Accepted: r.meta.Accepted, AcceptedView: r.meta.AcceptedView,
+		LogEpoch: r.meta.LogEpoch, LogLength: r.length(),
+	}})
+}
+
+func (r *Replica) onPromise(now time.Duration, m *Message) {
+	p := r.proposal
+	if p == nil || p.view != nil || p.source != "" || m.Promise.Epoch != r.meta.View.Epoch || m.Promise.Ballot != p.ballot {
+		return
+	}
+	p.promises[m.From.ID] = m.Promise
+	r.advance(now)
+}
+
+// advance goes on to the next step of a proposal when enough answered: all that were asked, or a majority and some time for the rest.
+func (r *Replica) advance(now time.Duration) {
+	p, patience := r.proposal, r.options.Timing.Heartbeat
+	switch {
+	case p.view != nil:
+	case p.source == "":
+		if r.promised() >= r.meta.View.Majority() && (len(p.promises) == len(p.asked) || now-p.started >= patience) {
+			r.chooseSource()
+		}
+	case len(p.caught) == len(p.targets)+1 || now-p.started >= 3*patience && len(p.caught) >= r.options.Copies:
+		r.vote(now)
+	}
+}
+
+// promised counts the acceptors that promised.
+func (r *Replica) promised() (n int) {
+	for id := range r.proposal.promises {
+		if _, acceptor := r.meta.View.Acceptor(id); acceptor {
+			n++
+		}
+	}
+	return n
+}
+
+// chooseSource takes up a view that may have been decided already, or has the longest sealed log of the chain brought to the others.
+func (r *Replica) chooseSource() {
+	p := r.proposal
+	var newest *Promise
+	for id, promise := range p.promises {
+		if _, acceptor := r.meta.View.Acceptor(id); acceptor && promise.AcceptedView != nil &&
+			(newest == nil || newest.Accepted.Less(promise.Accepted)) {
+			newest = promise
+		}
+	}
+	if newest != nil {
+		r.put(newest.AcceptedView)
+		return
+	}
+	for _, id := range r.meta.View.Chain { // the first of equals, which is the nearest to the head
+		promise := p.promises[id]
+		if promise != nil && promise.LogEpoch == r.meta.View.Epoch && (p.source == "" || promise.LogLength > p.length) {
+			p.source, p.length = id, promise.LogLength
+		}
+	}
+	if p.source == "" {
+		r.proposal = nil
+		return
+	}
+	p.caught[p.source] = true
+	for _, m := range p.asked {
+		if promise := p.promises[m.ID]; promise != nil && m.ID != p.source {
+			p.targets = append(p.targets, Target{m, promise.LogEpoch, promise.LogLength})
+		}
+	}
+	r.sendTo(p.source, Message{Transfer: &Transfer{r.meta.View.Epoch, p.ballot, p.targets}})
+}
+
+func (r *Replica) onTransfer(m *Message) {
+	t := m.Transfer
+	if t.Epoch != r.meta.View.Epoch || t.Ballot != r.meta.Promised || !r.serving() {
+		return
+	}
+	for _, target := range t.Targets {
+		bring := CatchUp{Epoch: t.Epoch, Ballot: t.Ballot, Proposer: m.From}
+		if target.LogEpoch == t.Epoch && target.LogLength+1 >= r.first {
+			if target.LogLength < r.length() {
+				bring.Entries = slices.Clone(r.log[target.LogLength+1-r.first:])
+			}
+		} else {
+			bring.State = r.state.Encode()
+			bring.Entries = slices.Clone(r.log[r.state.Seq+1-r.first:])
+		}
+		r.send(target.Member, Message{CatchUp: &bring})
+	}
+}
+
+// onCatchUp extends the log, never shortens it: a log of this epoch's chain stays at least as long as any view that was put to the
+// vote says. What is too much is cut off when a view is decided.
+func (r *Replica) onCatchUp(m *Message) {
+	c := m.CatchUp
+	if c.Epoch != r.meta.View.Epoch || c.Ballot != r.meta.Promised {
+		return
+	}
+	if c.State != nil && r.meta.LogEpoch != c.Epoch {
+		if !r.replace(c) {
+			return
+		}
+	} else if r.meta.LogEpoch != c.Epoch {
+		return
+	}
+	for _, e := range c.Entries {
+		if e.Seq == r.length()+1 {
+			r.take(e)
+		}
+	}
+	r.send(c.Proposer, Message{CaughtUp: &CaughtUp{c.Epoch, c.Ballot, r.length()}})
+}
+
+// replace takes over a state whole, as a new generation of the log.
+func (r *Replica) replace(c *CatchUp) bool {
+	state, err := decodeState(c.State)
+	if err != nil {
+		return false
+	}
+	r.state, r.log, r.first = state, nil, state.Seq+1
+	r.meta.Generation++
+	r.meta.LogEpoch = c.Epoch
+	r.written.entries, r.written.bytes = 0, 0
+	r.out.Records = append(r.out.Records, Record{Snapshot: &Snapshot{r.meta.Generation, c.State}})
+	r.saveMeta()
+	r.out.Committed = true
+	return true
+}
+
+func (r *Replica) onCaughtUp(m *Message) {
+	p, c := r.proposal, m.CaughtUp
+	if p == nil || p.view != nil || p.source == "" || c.Epoch != r.meta.View.Epoch || c.Ballot != p.ballot || c.LogLength < p.length {
+		return
+	}
+	p.caught[m.From.ID] = true
+	if len(p.caught) == len(p.targets)+1 {
+		r.vote(r.lastTick)
+	}
+}
+
+// vote puts the new view to the vote: its chain is those that hold the source's log.
+func (r *Replica) vote(now time.Duration) {
+	p, view := r.proposal, &r.meta.View
+	if len(p.caught) < r.options.Copies {
+		r.proposal = nil
+		return
+	}
+	var newcomers []NodeID // that have the log in hand; others do not count yet
+	for _, m := range p.asked {
+		if _, known := view.Acceptor(m.ID); !known && p.caught[m.ID] {
+			newcomers = append(newcomers, m.ID)
+		}
+	}
+	next := &View{Epoch: view.Epoch + 1, Acceptors: r.wantedAcceptors(now, newcomers), LogLength: p.length}
+	for _, m := range next.Acceptors {
+		if p.caught[m.ID] {
+			next.Chain = append(next.Chain, m.ID)
+		}
+	}
+	if len(next.Chain) < r.options.Copies {
+		r.proposal = nil
+		return
+	}
+	r.order(now, next)
+	r.put(next)
+}
+
+// order keeps the chain's order, newcomers last; after a write was stuck it takes another, as one link of the old may be at fault.
+func (r *Replica) order(now time.Duration, next *View) {
+	if r.stuck(now) {
+		key := strconv.FormatUint(next.Epoch, 10)
+		slices.SortFunc(next.Chain, func(a, b NodeID) int {
+			return cmp.Compare(rendezvous.Weight(key, string(a)), rendezvous.Weight(key, string(b)))
+		})
+		return
+	}
+	place := func(id NodeID) int {
+		if i := slices.Index(r.meta.View.Chain, id); i >= 0 {
+			return i
+		}
+		return len(r.meta.View.Chain)
+	}
+	slices.SortStableFunc(next.Chain, func(a, b NodeID) int { return cmp.Compare(place(a), place(b)) })
+}
+
+func (r *Replica) put(view *View) {
+	p := r.proposal
+	p.view = view
+	for _, m := range r.meta.View.Acceptors {
+		r.send(m, Message{Accept: &Accept{r.meta.View.Epoch, p.ballot, *view}})
+	}
+}
+
+func (r *Replica) onAccept(m *Message) {
+	a := m.Accept
+	if a.Epoch != r.meta.View.Epoch || a.Ballot.Less(r.meta.Promised) {
+		return
+	}
+	view := a.View
+	r.meta.Promised, r.meta.Accepted, r.meta.AcceptedView = a.Ballot, a.Ballot, &view
+	r.saveMeta()
+	r.send(m.From, Message{Accepted: &Accepted{a.Epoch, a.Ballot}})
+}
+
+func (r *Replica) onAccepted(m *Message) {
+	p := r.proposal
+	if p == nil || p.view == nil || m.Accepted.Epoch != r.meta.View.Epoch || m.Accepted.Ballot != p.ballot {
+		return
+	}
+	if _, acceptor := r.meta.View.Acceptor(m.From.ID); !acceptor {
+		return
+	}
+	p.accepted[m.From.ID] = true
+	if len(p.accepted) < r.meta.View.Majority() {
+		return
+	}
+	view := p.view
+	told := append(slices.Clone(r.meta.View.Acceptors), view.Acceptors...)
+	r.adopt(view)
+	for _, m := range told {
+		if m.ID != r.meta.Identity {
+			r.send(m, Message{Decided: view})
+		}
+	}
+}
+
+// adopt takes a decided view. A member of its chain that holds the log it starts from cuts off what goes beyond, and serves.
+func (r *Replica) adopt(view *View) {
+	if view.Epoch <= r.meta.View.Epoch {
+		return
+	}
+	intact := view.InChain(r.meta.Identity) && r.meta.LogEpoch+1 == view.Epoch && r.length() >= view.LogLength && r.state.Seq <= view.LogLength
+	r.meta.View = *view
+	r.meta.Promised, r.meta.Accepted, r.meta.AcceptedView = Ballot{}, Ballot{}, nil
+	r.proposal, r.needSince, r.pending = nil, 0, 0
+	clear(r.reads)
+	if intact {
+		r.log = r.log[:view.LogLength+1-r.first]
+		r.meta.LogEpoch = view.Epoch
+		r.commitTo(view.LogLength)
+	}
+	r.saveMeta()
+	r.out.ViewNew = true
+}
+
+func sameMembers(a, b []Member) bool {
+	ids := func(members []Member) (ids []NodeID) {
+		for _, m := range members {
+			ids = append(ids, m.ID)
+		}
+		return ids
+	}
+	return sameSet(ids(a), ids(b))
+}
+
+func sameSet(a, b []NodeID) bool {
+	a, b = slices.Clone(a), slices.Clone(b)
+	slices.Sort(a)
+	slices.Sort(b)
+	return slices.Equal(a, b)
+}
--- /dev/null
+++ b/internal/config/document.go
@@ -0,0 +1,90 @@
+// Package config reads and checks the operator's configuration, and compiles it into the table that requests are routed by.
+package config
+
+// Kinds of a route.
+const (
+	Idempotent    = "idempotent"
+	NonIdempotent = "non_idempotent"
+	Streaming     = "streaming"
+)
+
+// Document is a configuration as the operator sends it; fields that nothing here reads stay in the text that is kept beside it.
+type Document struct {
+	Version  int64     `json:"version"`
+	Routes   []Route   `json:"routes"`
+	Services []Service `json:"services"`
+	Tenants  []Tenant  `json:"tenants"`
+	Limits   Limits    `json:"limits"`
+}
+
+// Route says where requests of a host and path go and what may be done with them. Times are in milliseconds.
+type Route struct {
+	Name        string   `json:"name"`
+	Host        string   `json:"host"`
+	PathPrefix  string   `json:"path_prefix"`
+	Kind        string   `json:"kind"`
+	TimeoutMS   float64  `json:"timeout_ms"`
+	TargetMS    float64  `json:"target_latency_ms"`
+	GapAimMS    float64  `json:"gap_aim_ms"`
+	Priority    int      `json:"priority"`
+	MaxAttempts int      `json:"max_attempts"`
+	Public      bool     `json:"public"`
+	Sticky      bool     `json:"sticky"`
+	Resumable   bool     `json:"resumable"`
+	Service     string   `json:"service"`
+	Split       []Weight `json:"traffic_split"`
+}
+
+// Weight is a service's share of a route.
+type Weight struct {
+	Service string  `json:"service"`
+	Weight  float64 `json:"weight"`
+}
+
+// Service is a set of backends, or a store of kept prompts where KVStoreAddress is set.
+type Service struct {
+	Name             string  `json:"name"`
+	ConnectionLimit  float64 `json:"connection_limit"`
+	ColdStartS       float64 `json:"cold_start_s"`
+	ColdPerS         float64 `json:"cold_per_s"`
+	KVStoreAddress   string  `json:"kv_store_address"`
+	Zone             string  `json:"zone"`
+	KVCapacityTokens int64   `json:"kv_capacity_tokens"`
+	MaxConcurrency   int     `json:"max_concurrency"`
+	LinkMbps         float64 `json:"link_mbps"`
+	Engine           *Engine `json:"engine"`
+}
+
+// Engine is what is known of a service's model engines.
+type Engine struct {
+	Slots            int     `json:"slots"`
+	KVCapacityTokens int64   `json:"kv_capacity_tokens"`
+	KVTokenBytes     float64 `json:"kv_token_bytes"`
+	LinkMbps         float64 `json:"link_mbps"`
+	MaxConcurrency   int     `json:"max_concurrency"`
+	Models           []Model `json:"models"`
+}
+
+// Model is one that a service's engines serve.
+type Model struct {
+	Name string `json:"name"`
+}
+
+// Tenant owns keys.
+type Tenant struct {
+	Name     string   `json:"name"`
+	APIKeys  []string `json:"api_keys"`
+	Priority int      `json:"priority"`
+	Isolated bool     `json:"isolated"`
+}
+
+// Limits bound what a client may send and how long it may be idle.
+type Limits struct {
+	MaxHeaderBytes  int64   `json:"max_header_bytes"`
+	MaxBodyBytes    int64   `json:"max_body_bytes"`
+	HeaderTimeoutMS float64 `json:"header_timeout_ms"`
+	IdleTimeoutMS   float64 `json:"idle_timeout_ms"`
+}
+
+// MayRepeat tells whether a request of this route may run more than once.
+func (r *Route) MayRepeat() bool { return r.Kind == Idempotent || r.Kind == Streaming && r.Resumable }
--- /dev/null
+++ b/internal/durable/scan.go
@@ -0,0 +1,97 @@
+package durable
+
+import (
+	"bytes"
+	"fmt"
+	"hash/crc32"
+	"strconv"
+)
+
+// DamageError is a record that cannot be read although later ones can: it was synced once and is not what was written.
+type DamageError struct {
+	Path   string
+	Offset int64
+	Cause  string
+}
+
+func (e *DamageError) Error() string {
+	return fmt.Sprintf("%s: damaged at offset %d: %s", e.Path, e.Offset, e.Cause)
+}
+
+var castagnoli = crc32.MakeTable(crc32.Castagnoli)
+
+// seal puts a checksum of key and payload before the payload: the log's framing alone does not show a page that was lost.
+func seal(key string, payload []byte) string {
+	sum := crc32.Update(crc32.Checksum([]byte(key), castagnoli), castagnoli, payload)
+	return string(append([]byte{byte(sum >> 24), byte(sum >> 16), byte(sum >> 8), byte(sum)}, payload...))
+}
+
+// unseal gives the payload if the checksum holds.
+func unseal(key, value string) ([]byte, bool) {
+	if len(value) < 4 {
+		return nil, false
+	}
+	payload := []byte(value[4:])
+	return payload, seal(key, payload)[:4] == value[:4]
+}
+
+// scan finds how much of a log's text is whole records. What follows was being written when the power went; the reason says why the
+// first record of it cannot be read.
+func scan(text []byte) (whole int64, reason string) {
+	at := 0
+	for at < len(text) {
+		n, why := record(text[at:])
+		if why != "" {
+			return int64(at), why
+		}
+		at += n
+	}
+	return int64(at), ""
+}
+
+// record measures the record that text begins with: "set" with a sealed value, or "del".
+func record(text []byte) (size int, reason string) {
+	parts, size, ok := command(text)
+	if !ok {
+		return 0, "the record is torn"
+	}
+	switch {
+	case len(parts) == 3 && string(parts[0]) == "set":
+		if _, ok := unseal(string(parts[1]), string(parts[2])); !ok {
+			return 0, "the checksum does not hold"
+		}
+	case len(parts) == 2 && string(parts[0]) == "del":
+	default:
+		return 0, "no such command"
+	}
+	return size, ""
+}
+
+// command reads one command in the log's format: *N, then N times $LENGTH and as many bytes, each line ended by CR LF.
+func command(text []byte) (parts [][]byte, size int, ok bool) {
+	n, at, ok := header(text, 0, '*')
+	if !ok || n < 1 || n > 5 {
+		return nil, 0, false
+	}
+	for range n {
+		length, next, ok := header(text, at, '$')
+		if !ok || next+length+2 > len(text) || text[next+length] != '\r' || text[next+length+1] != '\n' {
+			return nil, 0, false
+		}
+		parts = append(parts, text[next:next+length])
+		at = next + length + 2
+	}
+	return parts, at, true
+}
+
+func header(text []byte, at int, mark byte) (n, next int, ok bool) {
+	if at >= len(text) || text[at] != mark {
+		return 0, 0, false
+	}
+	end := bytes.Index(text[at:min(len(text), at+16)], []byte("\r\n"))
+	if end < 0 {
+		return 0, 0, false
+	}
+	n, err := strconv.Atoi(string(text[at+1 : at+end]))
+	return n, at + end + 2, err == nil && n >= 0
+}
--- /dev/null
+++ b/internal/durable/store.go
@@ -0,0 +1,372 @@
+// Package durable keeps a replica's records on disk, in buntdb's log. It adds what that log leaves open: it syncs and heeds the
+// result, checks every value's checksum, cuts off what was being written when the power went, and compacts into a new file, which
+// is lasting before the old one goes, instead of renaming over it.
+package durable
+
+import (
+	"cmp"
+	"errors"
+	"fmt"
+	"os"
+	"path/filepath"
+	"slices"
+	"strconv"
+	"strings"
+
+	"github.com/ansel1/merry/v2"
+	"github.com/fxamacker/cbor/v2"
+	"github.com/tidwall/buntdb"
+
+	"nettlefold/internal/chain"
+	"nettlefold/internal/replicated"
+)
+
+const (
+	metaKey     = "meta"
+	completeKey = "complete" // the last record of a compaction, and the first of a new store
+	prefix      = "state-"
+	suffix      = ".db"
+
+	// compactAbove is the least size of a file that is compacted, and compactRatio how much more than what is live it must hold.
+	compactAbove = 4 << 20
+	compactRatio = 4
+)
+
+// Store is the open store of one directory.
+type Store struct {
+	dir    string
+	number int
+	path   string
+	db     *buntdb.DB
+	file   *os.File // for syncing what db writes
+	size   int64    // of the file, by what was written
+	live   int64    // of it, what a compaction would keep, when last counted
+}
+
+// Open opens the store of a directory, and makes one where there is none.
+func Open(dir string) (*Store, error) {
+	if err := os.MkdirAll(dir, 0o755); err != nil {
+		return nil, merry.Prepend(err, "store: make directory")
+	}
+	numbers, err := list(dir)
+	if err != nil {
+		return nil, merry.Prepend(err, "store: list")
+	}
+	for i := len(numbers) - 1; i >= 0; i-- {
+		s, err := openFile(dir, numbers[i])
+		if err != nil {
+			return nil, err
+		}
+		if s != nil {
+			s.removeOthers(numbers)
+			return s, nil
+		}
+	}
+	number := 1
+	if len(numbers) > 0 {
+		number = numbers[len(numbers)-1] + 1
+	}
+	return create(dir, number, nil)
+}
+
+// list gives the numbers of the files there are, lowest first.
+func list(dir string) (numbers []int, err error) {
+	files, err := os.ReadDir(dir)
+	if err != nil {
+		return nil, err
+	}
+	for _, f := range files {
+		name, ok := strings.CutPrefix(f.Name(), prefix)
+		if !ok {
+			continue
+		}
+		if n, err := strconv.Atoi(strings.TrimSuffix(name, suffix)); err == nil && strings.HasSuffix(name, suffix) {
+			numbers = append(numbers, n)
+		}
+	}
+	slices.Sort(numbers)
+	return numbers, nil
+}
+
+func pathOf(dir string, number int) string {
+	return filepath.Join(dir, fmt.Sprintf("%s%06d%s", prefix, number, suffix))
+}
+
+// openFile opens a file whose making was completed; nil if it was not.
+func openFile(dir string, number int) (*Store, error) {
+	path := pathOf(dir, number)
+	if err := repair(path); err != nil {
+		return nil, err
+	}
+	s, err := attach(dir, number)
+	if err != nil {
+		return nil, err
+	}
+	if _, complete := s.get(completeKey); !complete {
+		s.Close()
+		return nil, nil
+	}
+	return s, nil
+}
+
+// repair cuts a file's end off from the first record that is not whole. Whole records behind it mean damage, not a torn end.
+func repair(path string) error {
+	text, err := os.ReadFile(path)
+	if err != nil {
+		return merry.Prepend(err, "store: read "+path)
+	}
+	whole, reason := scan(text)
+	if reason == "" {
+		return nil
+	}
+	file, err := os.OpenFile(path, os.O_RDWR, 0o644)
+	if err != nil {
+		return merry.Prepend(err, "store: repair "+path)
+	}
+	defer file.Close()
+	if err := file.Truncate(whole); err != nil {
+		return merry.Prepend(err, "store: repair "+path)
+	}
+	return merry.Prepend(file.Sync(), "store: repair "+path)
+}
+
+// attach opens a file as it is.
+func attach(dir string, number int) (*Store, error) {
+	s := &Store{dir: dir, number: number, path: pathOf(dir, number)}
+	db, err := buntdb.Open(s.path)
+	if err != nil {
+		return nil, merry.Prepend(err, "store: open "+s.path)
+	}
+	s.db = db
+	if err := db.SetConfig(buntdb.Config{SyncPolicy: buntdb.Never, AutoShrinkDisabled: true}); err != nil {
+		db.Close()
+		return nil, merry.Prepend(err, "store: configure "+s.path)
+	}
+	if s.file, err = os.OpenFile(s.path, os.O_RDWR, 0o644); err != nil {
+		db.Close()
+		return nil, merry.Prepend(err, "store: open "+s.path)
+	}
+	if info, err := s.file.Stat(); err == nil {
+		s.size = info.Size()
+	}
+	s.live = s.size
+	return s, nil
+}
+
+// create makes a new file of what is to be kept, lasting when it returns.
+func create(dir string, number int, kept map[string]string) (*Store, error) {
+	s, err := attach(dir, number)
+	if err != nil {
+		return nil, err
+	}
+	keys := make([]string, 0, len(kept))
+	for key := range kept {
+		keys = append(keys, key)
+	}
+	slices.Sort(keys)
+	for _, key := range keys {
+		if err := s.set(key, kept[key]); err != nil {
+			s.discard()
+			return nil, err
+		}
+	}
+	if err := s.set(completeKey, seal(completeKey, nil)); err != nil {
+		s.discard()
+		return nil, err
+	}
+	if err := s.sync(); err != nil {
+		s.discard()
+		return nil, err
+	}
+	s.live = s.size
+	return s, syncDir(dir)
+}
+
+func syncDir(dir string) error {
+	d, err := os.Open(dir)
+	if err != nil {
+		return merry.Prepend(err, "store: sync directory")
+	}
+	defer d.Close()
+	return merry.Prepend(d.Sync(), "store: sync directory")
+}
+
+func (s *Store) removeOthers(numbers []int) {
+	for _, n := range numbers {
+		if n != s.number {
+			os.Remove(pathOf(s.dir, n))
+		}
+	}
+}
+
+// Close closes the store; nothing is lost by not doing so.
+func (s *Store) Close() {
+	s.db.Close()
+	s.file.Close()
+}
+
+func (s *Store) discard() {
+	s.Close()
+	os.Remove(s.path)
+}
+
+// Write makes records durable, in their order. After an error none of them may be relied on, and what the store holds is a prefix.
+func (s *Store) Write(records []chain.Record) error {
+	if len(records) == 0 {
+		return nil
+	}
+	for i := range records {
+		if err := s.put(&records[i]); err != nil {
+			return err
+		}
+	}
+	if err := s.sync(); err != nil {
+		return err
+	}
+	s.tidy(records)
+	return nil
+}
+
+func (s *Store) put(r *chain.Record) error {
+	switch {
+	case r.Meta != nil:
+		return s.encode(metaKey, r.Meta)
+	case r.Entry != nil:
+		return s.encode(entryKey(r.Generation, r.Entry.Seq), r.Entry)
+	default:
+		return s.encode(snapshotKey(r.Snapshot.Generation), r.Snapshot)
+	}
+}
+
+func entryKey(generation, seq uint64) string { return fmt.Sprintf("entry/%08x/%016x", generation, seq) }
+
+func snapshotKey(generation uint64) string { return fmt.Sprintf("snapshot/%08x", generation) }
+
+func (s *Store) encode(key string, value any) error {
+	encoded, err := cbor.Marshal(value)
+	if err != nil {
+		return merry.Prepend(err, "store: encode "+key)
+	}
+	return s.set(key, seal(key, encoded))
+}
+
+func (s *Store) set(key, value string) error {
+	err := s.db.Update(func(tx *buntdb.Tx) error {
+		_, _, err := tx.Set(key, value, nil)
+		return err
+	})
+	if err != nil {
+		return merry.Prepend(err, "store: write "+key)
+	}
+	s.size += int64(len(key) + len(value) + 40)
+	return nil
+}
+
+func (s *Store) get(key string) (payload []byte, ok bool) {
+	s.db.View(func(tx *buntdb.Tx) error {
+		if value, err := tx.Get(key); err == nil {
+			payload, ok = unseal(key, value)
+		}
+		return nil
+	})
+	return payload, ok
+}
+
+func (s *Store) sync() error { return merry.Prepend(s.file.Sync(), "store: sync "+s.path) }
+
+// tidy drops what a new snapshot covers, and compacts a file that holds much else. What fails here is tried again another time.
+func (s *Store) tidy(records []chain.Record) {
+	if !slices.ContainsFunc(records, func(r chain.Record) bool { return r.Snapshot != nil }) {
+		return
+	}
+	kept, err := s.kept()
+	if err != nil {
+		return
+	}
+	s.live = 0
+	for key, value := range kept {
+		s.live += int64(len(key) + len(value) + 40)
+	}
+	if s.size > max(compactAbove, compactRatio*s.live) {
+		s.compact(kept)
+	}
+}
+
+// kept is what the newest state needs: meta, its generation's snapshot, and the entries that follow it.
+func (s *Store) kept() (map[string]string, error) {
+	saved, err := s.Load()
+	if err != nil {
+		return nil, err
+	}
+	generation, after := saved.Meta.Generation, uint64(0)
+	if saved.State != nil {
+		after = saved.State.Seq
+	}
+	least := entryKey(generation, after+1)
+	kept := map[string]string{}
+	err = s.db.View(func(tx *buntdb.Tx) error {
+		return tx.Ascend("", func(key, value string) bool {
+			if key == metaKey || key == snapshotKey(generation) ||
+				strings.HasPrefix(key, least[:len("entry/")+8]) && key >= least {
+				kept[key] = value
+			}
+			return true
+		})
+	})
+	return kept, err
+}
+
+func (s *Store) compact(kept map[string]string) {
+	next, err := create(s.dir, s.number+1, kept)
+	if err != nil {
+		return
+	}
+	s.Close()
+	os.Remove(s.path)
+	*s = *next
+}
+
+// Load reads what a replica starts from. State is nil and Entries are empty where nothing was written.
+func (s *Store) Load() (saved chain.Saved, err error) {
+	if payload, ok := s.get(metaKey); ok {
+		if err := cbor.Unmarshal(payload, &saved.Meta); err != nil {
+			return saved, merry.Prepend(err, "store: read meta")
+		}
+	}
+	if payload, ok := s.get(snapshotKey(saved.Meta.Generation)); ok {
+		var snapshot chain.Snapshot
+		if err := cbor.Unmarshal(payload, &snapshot); err != nil {
+			return saved, merry.Prepend(err, "store: read snapshot")
+		}
+		if saved.State, err = replicated.Decode(snapshot.State); err != nil {
+			return saved, merry.Prepend(err, "store: read snapshot")
+		}
+	}
+	saved.Entries, err = s.entries(saved.Meta.Generation)
+	slices.SortFunc(saved.Entries, func(a, b chain.Entry) int { return cmp.Compare(a.Seq, b.Seq) })
+	return saved, err
+}
+
+func (s *Store) entries(generation uint64) (entries []chain.Entry, err error) {
+	from := entryKey(generation, 0)
+	within := from[:len("entry/")+9]
+	viewErr := s.db.View(func(tx *buntdb.Tx) error {
+		return tx.AscendGreaterOrEqual("", from, func(key, value string) bool {
+			if !strings.HasPrefix(key, within) {
+				return false
+			}
+			var e chain.Entry
+			payload, ok := unseal(key, value)
+			if !ok {
+				err = fmt.Errorf("store: read %s: the checksum does not hold", key)
+				return false
+			}
+			if err = cbor.Unmarshal(payload, &e); err != nil {
+				return false
+			}
+			entries = append(entries, e)
+			return true
+		})
+	})
+	return entries, errors.Join(err, viewErr)
+}
--- /dev/null
+++ b/internal/replicated/state.go
@@ -0,0 +1,206 @@
+// Package replicated is the state that the core machines keep: the operator's configuration, evacuated zones, model versions and
+// the owners of duties. It changes only by operations in their agreed order, alike on every replica. It has no I/O and no clock.
+package replicated
+
+import (
+	"crypto/sha256"
+	"fmt"
+	"maps"
+	"slices"
+
+	"github.com/fxamacker/cbor/v2"
+
+	"nettlefold/internal/config"
+)
+
+// Kinds of an operation.
+const (
+	KindConfig   = "config"
+	KindEvacuate = "evacuate"
+	KindRestore  = "restore"
+	KindVersion  = "version"
+	KindDuty     = "duty"
+)
+
+// rememberedOrders is how many configurations are known as taken after newer ones: far more than are sent again.
+const rememberedOrders = 1024
+
+// Operation is one change.
+type Operation struct {
+	Kind    string `cbor:"1,keyasint"`
+	Body    []byte `cbor:"2,keyasint,omitempty"` // configuration, as it was sent
+	Base    int64  `cbor:"3,keyasint,omitempty"` // the version it builds on
+	Zone    string `cbor:"4,keyasint,omitempty"`
+	Model   string `cbor:"5,keyasint,omitempty"`
+	Version int64  `cbor:"6,keyasint,omitempty"`
+	Duty    string `cbor:"7,keyasint,omitempty"`
+	Holder  string `cbor:"8,keyasint,omitempty"`
+	Fence   uint64 `cbor:"9,keyasint,omitempty"` // the fence that the duty was seen under
+}
+
+// Digest tells configurations apart: their text and what they build on.
+type Digest [16]byte
+
+// Duty is who may act for a key, and the fencing token under which.
+type Duty struct {
+	Holder string `cbor:"1,keyasint"`
+	Fence  uint64 `cbor:"2,keyasint"`
+}
+
+// Model is the version of a model's weights that is wanted.
+type Model struct {
+	Version int64  `cbor:"1,keyasint"`
+	Seq     uint64 `cbor:"2,keyasint"` // of the operation that named it
+}
+
+// State is what the operations so far make.
+type State struct {
+	Seq       uint64            `cbor:"1,keyasint"` // of the newest operation
+	ConfigSeq uint64            `cbor:"2,keyasint"` // of the newest configuration
+	Config    []byte            `cbor:"3,keyasint"`
+	Version   int64             `cbor:"4,keyasint"` // the configuration's
+	Taken     []Digest          `cbor:"5,keyasint"` // oldest first
+	Evacuated map[string]uint64 `cbor:"6,keyasint"` // zone to the operation's number
+	Models    map[string]Model  `cbor:"7,keyasint"`
+	Duties    map[string]Duty   `cbor:"8,keyasint"`
+	Restored  map[string]uint64 `cbor:"9,keyasint"` // zones that were evacuated, and the operation that took it back
+}
+
+// New is the state before the first operation.
+func New() *State {
+	return &State{Evacuated: map[string]uint64{}, Models: map[string]Model{}, Duties: map[string]Duty{}, Restored: map[string]uint64{}}
+}
+
+// Decode reads a state that Encode wrote.
+func Decode(encoded []byte) (*State, error) {
+	s := New()
+	if err := cbor.Unmarshal(encoded, s); err != nil {
+		return nil, fmt.Errorf("replicated state: %w", err)
+	}
+	return s, nil
+}
+
+// Encode writes the state.
+func (s *State) Encode() []byte { return mustEncode(s) }
+
+// Encode writes the operation.
+func (o *Operation) Encode() []byte { return mustEncode(o) }
+
+func mustEncode(v any) []byte {
+	encoded, err := cbor.Marshal(v)
+	if err != nil {
+		panic(err) // no type here has a value that cannot be written
+	}
+	return encoded
+}
+
+// DecodeOperation reads an operation.
+func DecodeOperation(encoded []byte) (*Operation, error) {
+	o := new(Operation)
+	if err := cbor.Unmarshal(encoded, o); err != nil {
+		return nil, fmt.Errorf("operation: %w", err)
+	}
+	return o, nil
+}
+
+func (o *Operation) digest() (d Digest) {
+	sum := sha256.Sum256(append(fmt.Appendf(nil, "%d\n", o.Base), o.Body...))
+	copy(d[:], sum[:])
+	return d
+}
+
+// Verdict is what becomes of an operation that is offered.
+type Verdict int
+
+// The verdicts.
+const (
+	Accept   Verdict = iota // it changes the state
+	Already                 // it holds, or was taken before
+	Conflict                // it builds on another version
+	Invalid                 // it can never be taken
+)
+
+// Check tells what becomes of an operation on top of this state. An order that was taken is known again before anything else is
+// held against it: it may be repeated by a caller who never heard of its acknowledgement.
+func (s *State) Check(o *Operation) (Verdict, error) {
+	switch o.Kind {
+	case KindConfig:
+		return s.checkConfig(o)
+	case KindEvacuate:
+		return alreadyIf(s.Evacuated[o.Zone] != 0), nil
+	case KindRestore:
+		return alreadyIf(s.Evacuated[o.Zone] == 0), nil
+	case KindVersion:
+		return alreadyIf(s.Models[o.Model].Version >= o.Version), nil
+	case KindDuty:
+		held := s.Duties[o.Duty]
+		if held.Holder == o.Holder {
+			return Already, nil
+		}
+		if held.Fence != o.Fence {
+			return Conflict, fmt.Errorf("duty %s is held by %s under fence %d", o.Duty, held.Holder, held.Fence)
+		}
+		return Accept, nil
+	}
+	return Invalid, fmt.Errorf("operation of unknown kind %q", o.Kind)
+}
+
+func alreadyIf(holds bool) Verdict {
+	if holds {
+		return Already
+	}
+	return Accept
+}
+
+func (s *State) checkConfig(o *Operation) (Verdict, error) {
+	if slices.Contains(s.Taken, o.digest()) {
+		return Already, nil
+	}
+	doc, err := config.Parse(o.Body)
+	if err != nil {
+		return Invalid, err
+	}
+	if o.Base != s.Version {
+		return Conflict, fmt.Errorf("the current version is %d, this change builds on %d", s.Version, o.Base)
+	}
+	if doc.Version <= s.Version {
+		return Invalid, &config.InvalidError{Path: "/version", What: fmt.Sprintf("%d is not above the current %d", doc.Version, s.Version)}
+	}
+	return Accept, nil
+}
+
+// Apply makes the change of an operation that was checked and agreed on, as number seq.
+func (s *State) Apply(seq uint64, o *Operation) {
+	s.Seq = seq
+	switch o.Kind {
+	case KindConfig:
+		doc, err := config.Parse(o.Body)
+		if err != nil {
+			return // it was not accepted by Check: no replica takes it
+		}
+		s.Config, s.Version, s.ConfigSeq = o.Body, doc.Version, seq
+		s.Taken = append(s.Taken, o.digest())
+		if over := len(s.Taken) - rememberedOrders; over > 0 {
+			s.Taken = slices.Delete(s.Taken, 0, over)
+		}
+	case KindEvacuate:
+		s.Evacuated[o.Zone] = seq
+		delete(s.Restored, o.Zone)
+	case KindRestore:
+		delete(s.Evacuated, o.Zone)
+		s.Restored[o.Zone] = seq
+	case KindVersion:
+		s.Models[o.Model] = Model{Version: o.Version, Seq: seq}
+	case KindDuty:
+		s.Duties[o.Duty] = Duty{Holder: o.Holder, Fence: seq}
+	}
+}
+
+// Clone copies the state; texts that are never changed are shared.
+func (s *State) Clone() *State {
+	c := *s
+	c.Taken = slices.Clone(s.Taken)
+	c.Evacuated, c.Models = maps.Clone(s.Evacuated), maps.Clone(s.Models)
+	c.Duties, c.Restored = maps.Clone(s.Duties), maps.Clone(s.Restored)
+	return &c
+}
