Controller: the operator's API, sessions of agents, acknowledgement with knowledge

Change: one owner of replica and sessions; operations go to the head, reads to the tail, both confirmed by a majority; an acknowledgement waits for a bounded time until the agents that are heard have applied what it acknowledges.

--- /dev/null
+++ b/internal/controller/api.go
@@ -0,0 +1,107 @@
+package controller
+
+import (
+	"encoding/json"
+	"io"
+	"net"
+	"net/http"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/ansel1/merry/v2"
+	"github.com/labstack/echo/v4"
+
+	"nettlefold/internal/distribute"
+	"nettlefold/internal/replicated"
+)
+
+// maxOrderBytes bounds the body of a call to the API.
+const maxOrderBytes = 8 << 20
+
+// problem is the body of an answer that refuses.
+type problem struct {
+	Error string `json:"error"`
+}
+
+// serveAPI serves the operator's calls.
+func (c *Controller) serveAPI() (*http.Server, error) {
+	e := echo.New()
+	e.HideBanner, e.HidePort = true, true
+	e.PUT("/v1/configuration", c.putConfiguration)
+	e.GET("/v1/configuration", c.getConfiguration)
+	e.POST("/v1/evacuations/:zone", func(ctx echo.Context) error { return c.evacuation(ctx, replicated.KindEvacuate) })
+	e.DELETE("/v1/evacuations/:zone", func(ctx echo.Context) error { return c.evacuation(ctx, replicated.KindRestore) })
+	e.POST("/v1/version-put", c.putVersion)
+	e.GET("/v1/readiness", func(ctx echo.Context) error { return ctx.NoContent(http.StatusOK) })
+	listener, err := net.Listen("tcp", c.settings.ControlAddr)
+	if err != nil {
+		return nil, merry.Prepend(err, "controller: listen to the operator")
+	}
+	server := &http.Server{Handler: e, ReadHeaderTimeout: 10 * time.Second, IdleTimeout: time.Minute}
+	go server.Serve(listener)
+	return server, nil
+}
+
+func (c *Controller) putConfiguration(ctx echo.Context) error {
+	body, err := io.ReadAll(io.LimitReader(ctx.Request().Body, maxOrderBytes+1))
+	if err != nil {
+		return ctx.JSON(http.StatusBadRequest, problem{"the body cannot be read: " + err.Error()})
+	}
+	if len(body) > maxOrderBytes {
+		return ctx.JSON(http.StatusRequestEntityTooLarge, problem{"the body is too large"})
+	}
+	base := int64(0)
+	if match := strings.Trim(ctx.Request().Header.Get("If-Match"), `" `); match != "" {
+		if base, err = strconv.ParseInt(match, 10, 64); err != nil {
+			return ctx.JSON(http.StatusBadRequest, problem{"If-Match is no version: " + match})
+		}
+	}
+	return c.order(ctx, replicated.Operation{Kind: replicated.KindConfig, Body: body, Base: base})
+}
+
+// order submits an operation and answers for it.
+func (c *Controller) order(ctx echo.Context, o replicated.Operation) error {
+	reply := c.submit(ctx.Request().Context(), &distribute.SubmitRequest{Operation: o})
+	c.log.Debug().Str("step", "order").Str("kind", o.Kind).Int("outcome", reply.Outcome).Uint64("seq", reply.Seq).Str("reason", reply.Reason).Msg("order")
+	switch reply.Outcome {
+	case distribute.Taken:
+		return ctx.JSON(http.StatusOK, struct{}{})
+	case distribute.Conflict:
+		return ctx.JSON(http.StatusPreconditionFailed, problem{reply.Reason})
+	case distribute.Invalid:
+		return ctx.JSON(http.StatusBadRequest, problem{reply.Reason})
+	}
+	return ctx.JSON(http.StatusServiceUnavailable, problem{reply.Reason})
+}
+
+func (c *Controller) getConfiguration(ctx echo.Context) error {
+	reply, err := c.read(ctx.Request().Context())
+	if err != nil {
+		return ctx.JSON(http.StatusServiceUnavailable, problem{err.Error()})
+	}
+	if len(reply.Config) == 0 {
+		return ctx.JSON(http.StatusNotFound, problem{"no configuration was taken yet"})
+	}
+	return ctx.Blob(http.StatusOK, echo.MIMEApplicationJSON, reply.Config)
+}
+
+func (c *Controller) evacuation(ctx echo.Context, kind string) error {
+	zone := ctx.Param("zone")
+	if _, known := c.settings.Zones[zone]; !known {
+		return ctx.JSON(http.StatusNotFound, problem{"there is no zone " + zone})
+	}
+	return c.order(ctx, replicated.Operation{Kind: kind, Zone: zone})
+}
+
+func (c *Controller) putVersion(ctx echo.Context) error {
+	var order struct {
+		Model   string `json:"model"`
+		Version int64  `json:"version"`
+	}
+	decoder := json.NewDecoder(io.LimitReader(ctx.Request().Body, maxOrderBytes))
+	if err := decoder.Decode(&order); err != nil || order.Model == "" || order.Version < 1 {
+		return ctx.JSON(http.StatusBadRequest, problem{"want a model and a version of at least 1"})
+	}
+	return c.order(ctx, replicated.Operation{Kind: replicated.KindVersion, Model: order.Model, Version: order.Version})
+}
--- /dev/null
+++ b/internal/controller/controller.go
@@ -0,0 +1,359 @@
+// Package controller is a core machine's program: a replica of the control state, the operator's API before it, and the sessions of
+// the mixers' agents behind it. One goroutine owns the replica and the tables of agents and works through a queue of commands.
+package controller
+
+import (
+	"context"
+	"crypto/rand"
+	"encoding/hex"
+	"net"
+	"slices"
+	"strings"
+	"sync/atomic"
+	"time"
+
+	"github.com/ansel1/merry/v2"
+	"github.com/fxamacker/cbor/v2"
+	"github.com/rs/zerolog"
+
+	"nettlefold/internal/chain"
+	"nettlefold/internal/distribute"
+	"nettlefold/internal/durable"
+	"nettlefold/internal/replicated"
+	"nettlefold/internal/rpc"
+	"nettlefold/internal/settings/local"
+)
+
+const (
+	tickEvery     = 50 * time.Millisecond
+	commandQueue  = 1024
+	reopenAfter   = 400 * time.Millisecond // of a failed write
+	firstIdentity = "/first"               // ends the identity of a seed at the first start, which all machines can tell
+)
+
+// Controller is one core machine's program.
+type Controller struct {
+	settings *local.Settings
+	log      zerolog.Logger
+	pool     *rpc.Pool
+	commands chan func()
+	start    time.Time
+	public   atomic.Pointer[public]
+	done     chan struct{}
+
+	// What follows is the owner's.
+	store     *durable.Store
+	replica   *chain.Replica
+	broken    time.Time // when a write failed, zero while the disk works
+	readers   map[uint64]chan struct{}
+	sessions  map[string]*session
+	elsewhere map[string]*remoteTable
+	told      time.Time // when the table of agents was last sent
+}
+
+// public is what other goroutines may see of the owner's state: replaced whole, and changed is closed when it is.
+type public struct {
+	state       *replicated.State
+	view        chain.View
+	self        chain.NodeID
+	current     bool
+	controllers []string
+	members     *distribute.MemberSet
+	named       map[string]namedVersion // when a model's version was first seen to be wanted
+	changed     chan struct{}
+}
+
+// namedVersion is since when a version is known to be wanted.
+type namedVersion struct {
+	version int64
+	since   time.Time // zero if it was before this program began
+}
+
+// New opens the state on disk and makes a controller of it.
+func New(settings *local.Settings, log zerolog.Logger) (*Controller, error) {
+	c := &Controller{
+		settings:  settings,
+		log:       log,
+		pool:      rpc.NewPool(),
+		commands:  make(chan func(), commandQueue),
+		start:     time.Now(),
+		done:      make(chan struct{}),
+		readers:   map[uint64]chan struct{}{},
+		sessions:  map[string]*session{},
+		elsewhere: map[string]*remoteTable{},
+	}
+	if err := c.open(); err != nil {
+		return nil, err
+	}
+	c.publish(true)
+	return c, nil
+}
+
+func (c *Controller) now() time.Duration { return time.Since(c.start) }
+
+// open reads the state from disk and starts a replica of it; a disk with none gets an identity first.
+func (c *Controller) open() error {
+	store, err := durable.Open(c.settings.DataDirectory)
+	if err != nil {
+		return err
+	}
+	saved, err := store.Load()
+	if err != nil {
+		store.Close()
+		return err
+	}
+	if saved.Meta.Identity == "" {
+		saved.Meta = c.firstMeta()
+		if err := store.Write([]chain.Record{{Meta: &saved.Meta}}); err != nil {
+			store.Close()
+			return err
+		}
+	}
+	c.store = store
+	c.replica = chain.New(chain.Options{Self: c.self(saved.Meta.Identity), Copies: c.settings.LostMachines + 1, Timing: chain.DefaultTiming()}, saved)
+	c.replica.SetSeeds(c.seedAddrs())
+	c.log.Info().Str("step", "open").Str("identity", string(saved.Meta.Identity)).Uint64("epoch", saved.Meta.View.Epoch).
+		Int("entries", len(saved.Entries)).Msg("state read")
+	return nil
+}
+
+// firstMeta gives an empty disk its identity. At the first start of the whole system the seeds are the first view, which all
+// machines know alike; anyone else is a newcomer, who answers for nothing that a lost disk may have promised.
+func (c *Controller) firstMeta() chain.Meta {
+	if c.settings.FirstStart && slices.Contains(c.settings.Seeds, c.settings.ControlAddr) {
+		view := chain.View{Epoch: 1}
+		for _, seed := range c.settings.Seeds {
+			id := chain.NodeID(seed + firstIdentity)
+			view.Acceptors = append(view.Acceptors, chain.Member{ID: id, Addr: c.settings.InternalAddr(seed), Control: seed})
+			view.Chain = append(view.Chain, id)
+		}
+		return chain.Meta{Identity: chain.NodeID(c.settings.ControlAddr + firstIdentity), View: view, LogEpoch: 1}
+	}
+	var random [8]byte
+	rand.Read(random[:])
+	return chain.Meta{Identity: chain.NodeID(c.settings.ControlAddr + "/" + hex.EncodeToString(random[:]))}
+}
+
+func (c *Controller) self(id chain.NodeID) chain.Member {
+	return chain.Member{ID: id, Addr: c.settings.InternalAddr(c.settings.IP), Control: c.settings.ControlAddr, Zone: c.settings.Zone}
+}
+
+func (c *Controller) seedAddrs() []string {
+	var addrs []string
+	for _, seed := range c.settings.Seeds {
+		addrs = append(addrs, c.settings.InternalAddr(seed))
+	}
+	return addrs
+}
+
+// Reload takes settings that changed: the seeds.
+func (c *Controller) Reload(settings *local.Settings) {
+	c.enqueue(func() {
+		c.settings.Seeds = settings.Seeds
+		c.replica.SetSeeds(c.seedAddrs())
+	})
+}
+
+// Run serves until ctx ends.
+func (c *Controller) Run(ctx context.Context) error {
+	listener, err := net.Listen("tcp", c.settings.InternalAddr(c.settings.IP))
+	if err != nil {
+		return merry.Prepend(err, "controller: listen to machines")
+	}
+	go rpc.Serve(listener, c.handle)
+	api, err := c.serveAPI()
+	if err != nil {
+		return err
+	}
+	ticker := time.NewTicker(tickEvery)
+	defer ticker.Stop()
+	defer close(c.done)
+	for {
+		select {
+		case command := <-c.commands:
+			command()
+		case <-ticker.C:
+			c.tick()
+		case <-ctx.Done():
+			listener.Close()
+			api.Close()
+			return nil
+		}
+	}
+}
+
+// enqueue hands the owner a command.
+func (c *Controller) enqueue(command func()) {
+	select {
+	case c.commands <- command:
+	case <-c.done:
+	}
+}
+
+// ask runs a command at the owner and waits for it.
+func (c *Controller) ask(ctx context.Context, command func()) error {
+	finished := make(chan struct{})
+	select {
+	case c.commands <- func() { command(); close(finished) }:
+	case <-ctx.Done():
+		return ctx.Err()
+	}
+	select {
+	case <-finished:
+		return nil
+	case <-ctx.Done():
+		return ctx.Err()
+	}
+}
+
+func (c *Controller) tick() {
+	if !c.broken.IsZero() {
+		c.tryReopen()
+		return
+	}
+	c.expireSessions()
+	c.perform(c.replica.Tick(c.now()))
+	c.publish(false)
+}
+
+// perform does what a step wants, in its order. If it cannot be made durable nothing of it is told, and the replica stays silent until
+// the disk works again: then it starts anew from what is there.
+func (c *Controller) perform(out chain.Output) {
+	if !c.broken.IsZero() {
+		return
+	}
+	if err := c.store.Write(out.Records); err != nil {
+		c.log.Error().Err(err).Str("step", "write").Msg("disk failed")
+		c.broken = time.Now()
+		c.publish(true)
+		return
+	}
+	for i := range out.Messages {
+		e := &out.Messages[i]
+		c.pool.Post(e.To.Addr, distribute.KindCore, &e.Message)
+	}
+	for _, nonce := range out.Confirmed {
+		if reader := c.readers[nonce]; reader != nil {
+			close(reader)
+			delete(c.readers, nonce)
+		}
+	}
+	if out.ViewNew {
+		view := c.replica.View()
+		c.log.Info().Str("step", "view").Uint64("epoch", view.Epoch).Interface("chain", view.Chain).Int("acceptors", len(view.Acceptors)).Msg("view in force")
+	}
+	if out.Committed || out.ViewNew {
+		c.publish(true)
+	}
+}
+
+// namedVersions notes when versions that are wanted came to be so.
+func namedVersions(old *public, state *replicated.State) map[string]namedVersion {
+	named := map[string]namedVersion{}
+	for model, wanted := range state.Models {
+		entry := namedVersion{version: wanted.Version}
+		if old != nil && old.current {
+			entry.since = time.Now()
+		}
+		if old != nil && old.named[model].version == wanted.Version {
+			entry = old.named[model]
+		}
+		named[model] = entry
+	}
+	return named
+}
+
+func (c *Controller) tryReopen() {
+	if time.Since(c.broken) < reopenAfter {
+		return
+	}
+	c.broken = time.Now()
+	c.store.Close()
+	if err := c.open(); err != nil {
+		c.log.Error().Err(err).Str("step", "reopen").Msg("disk still fails")
+		return
+	}
+	saved, err := c.store.Load()
+	if err == nil {
+		err = c.store.Write([]chain.Record{{Meta: &saved.Meta}}) // shows that it takes writes
+	}
+	if err != nil {
+		c.log.Error().Err(err).Str("step", "reopen").Msg("disk still fails")
+		return
+	}
+	c.broken = time.Time{}
+	c.publish(true)
+}
+
+// publish shows others what is in force, when it differs or is known to.
+func (c *Controller) publish(changed bool) {
+	old := c.public.Load()
+	current := c.broken.IsZero() && c.replica.Current(c.now())
+	members := c.members()
+	if old != nil && !changed && old.current == current && old.members.Digest == members.Digest {
+		return
+	}
+	view := c.replica.View()
+	next := &public{
+		state:   c.replica.State(),
+		view:    view,
+		self:    c.replica.Self().ID,
+		current: current,
+		members: members,
+		changed: make(chan struct{}),
+	}
+	for _, m := range view.Acceptors {
+		next.controllers = append(next.controllers, m.Addr)
+	}
+	next.named = namedVersions(old, next.state)
+	c.public.Store(next)
+	if old != nil {
+		close(old.changed)
+	}
+}
+
+// handle serves the other machines' calls.
+func (c *Controller) handle(ctx context.Context, kind string, body []byte) (any, error) {
+	switch kind {
+	case distribute.KindCore:
+		m := new(chain.Message)
+		if err := cbor.Unmarshal(body, m); err != nil {
+			return nil, err
+		}
+		c.enqueue(func() { c.receive(m) })
+		return nil, nil
+	case distribute.KindAgents:
+		table := new(distribute.AgentTable)
+		if err := cbor.Unmarshal(body, table); err != nil {
+			return nil, err
+		}
+		c.enqueue(func() { c.takeTable(table) })
+		return nil, nil
+	case distribute.KindWatch:
+		request := new(distribute.WatchRequest)
+		if err := cbor.Unmarshal(body, request); err != nil {
+			return nil, err
+		}
+		return c.watch(ctx, request)
+	case distribute.KindSubmit:
+		request := new(distribute.SubmitRequest)
+		if err := cbor.Unmarshal(body, request); err != nil {
+			return nil, err
+		}
+		return c.submit(ctx, request), nil
+	case distribute.KindRead:
+		return c.readHere(ctx)
+	}
+	return nil, merry.New("no such call: " + kind)
+}
+
+func (c *Controller) receive(m *chain.Message) {
+	if c.broken.IsZero() {
+		c.perform(c.replica.Receive(c.now(), m))
+	}
+}
+
+// unclear tells that an operation may have been taken or not.
+func unclear(reasons ...string) *distribute.SubmitReply {
+	return &distribute.SubmitReply{Outcome: distribute.Unclear, Reason: strings.Join(reasons, ": ")}
+}
--- /dev/null
+++ b/internal/distribute/messages.go
@@ -0,0 +1,111 @@
+// Package distribute has what controllers, agents and proxies tell each other: versioned snapshots of what is in force, and the
+// acknowledgements of them. A caller says what it has with each call, and is answered when there is something newer.
+package distribute
+
+import "nettlefold/internal/replicated"
+
+// Kinds of calls.
+const (
+	KindCore   = "core"   // one-way, between controllers: chain.Message
+	KindAgents = "agents" // one-way, between controllers: AgentTable
+	KindWatch  = "watch"  // agent to controller: WatchRequest, WatchReply
+	KindSubmit = "submit" // agent or controller to the head: SubmitRequest, SubmitReply
+	KindRead   = "read"   // controller to the tail: ReadRequest, ReadReply
+)
+
+// Agent is one life of a mixer's agent.
+type Agent struct {
+	ID   string `cbor:"1,keyasint"` // the machine's name and the life's number
+	Addr string `cbor:"2,keyasint"` // of its messages to others
+	Zone string `cbor:"3,keyasint"`
+}
+
+// AgentTable is the agents that have a session with a controller.
+type AgentTable struct {
+	Controller string  `cbor:"1,keyasint"`
+	Agents     []Agent `cbor:"2,keyasint"`
+}
+
+// WatchRequest says who asks and what it has, which acknowledges it.
+type WatchRequest struct {
+	Agent     Agent    `cbor:"1,keyasint"`
+	Seq       uint64   `cbor:"2,keyasint"` // applied by the proxy beside it
+	ConfigSeq uint64   `cbor:"3,keyasint"`
+	Members   uint64   `cbor:"4,keyasint"`           // digest of the members it knows
+	Suspects  []string `cbor:"5,keyasint,omitempty"` // agents that it watches and does not reach
+	Have      uint64   `cbor:"6,keyasint"`           // the newest snapshot in hand, applied or not
+}
+
+// WatchReply brings what is newer.
+type WatchReply struct {
+	Current     bool       `cbor:"1,keyasint"` // the controller is in touch with the core's majority
+	Snapshot    *Snapshot  `cbor:"2,keyasint,omitempty"`
+	Controllers []string   `cbor:"3,keyasint,omitempty"`
+	Members     *MemberSet `cbor:"4,keyasint,omitempty"`
+	// Ages has, for each model, how long the version wanted has been so: milliseconds, or UnknownAge.
+	Ages map[string]int64 `cbor:"5,keyasint,omitempty"`
+}
+
+// UnknownAge is that of a version which was named before its teller began.
+const UnknownAge = int64(1) << 40
+
+// MemberSet is the live agents.
+type MemberSet struct {
+	Digest uint64  `cbor:"1,keyasint"`
+	Agents []Agent `cbor:"2,keyasint"`
+}
+
+// Snapshot is the committed state as the data plane needs it. Config is absent where the receiver has that of ConfigSeq.
+type Snapshot struct {
+	Seq       uint64                      `cbor:"1,keyasint"`
+	ConfigSeq uint64                      `cbor:"2,keyasint"`
+	Config    []byte                      `cbor:"3,keyasint,omitempty"`
+	Evacuated map[string]uint64           `cbor:"4,keyasint,omitempty"`
+	Restored  map[string]uint64           `cbor:"5,keyasint,omitempty"`
+	Models    map[string]replicated.Model `cbor:"6,keyasint,omitempty"`
+	Duties    map[string]replicated.Duty  `cbor:"7,keyasint,omitempty"`
+}
+
+// SnapshotOf makes the snapshot for a receiver that has the configuration of configSeq.
+func SnapshotOf(s *replicated.State, configSeq uint64) *Snapshot {
+	out := &Snapshot{
+		Seq: s.Seq, ConfigSeq: s.ConfigSeq,
+		Evacuated: s.Evacuated, Restored: s.Restored, Models: s.Models, Duties: s.Duties,
+	}
+	if s.ConfigSeq != configSeq {
+		out.Config = s.Config
+	}
+	return out
+}
+
+// Outcomes of a submitted operation.
+const (
+	Taken    = 0 // committed, now or before
+	Conflict = 1
+	Invalid  = 2
+	Unclear  = 3 // it may have been taken or not
+)
+
+// SubmitRequest hands an operation to the head.
+type SubmitRequest struct {
+	Operation replicated.Operation `cbor:"1,keyasint"`
+	Forwarded bool                 `cbor:"2,keyasint"` // by a controller: it is not to be forwarded again
+}
+
+// SubmitReply is what became of it.
+type SubmitReply struct {
+	Outcome int    `cbor:"1,keyasint"`
+	Seq     uint64 `cbor:"2,keyasint"`
+	Reason  string `cbor:"3,keyasint"`
+	Fence   uint64 `cbor:"4,keyasint,omitempty"` // of a duty that was taken over
+}
+
+// ReadRequest asks the tail for the newest state.
+type ReadRequest struct{}
+
+// ReadReply is the newest configuration, and the duties.
+type ReadReply struct {
+	Seq    uint64                     `cbor:"1,keyasint"`
+	Config []byte                     `cbor:"2,keyasint"`
+	Duties map[string]replicated.Duty `cbor:"3,keyasint,omitempty"`
+}
