Agent: session, peers, duties (list, events, orders), feed of the proxy; index of kept prompts

Change: one session with a controller by rendezvous, the next one on silence; the list and the events of a backend are read by one owner and spread; new weights are ordered under a fencing token from the chain, a sixth of the backends at a time.

--- /dev/null
+++ b/internal/agent/agent.go
@@ -0,0 +1,348 @@
+// Package agent is the program beside each proxy: it keeps the session with a controller, watches a few peers, does the duties that
+// fall to it, and feeds the proxy over loopback. One goroutine owns its tables and works through a queue of commands.
+package agent
+
+import (
+	"context"
+	"fmt"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"time"
+
+	"github.com/ansel1/merry/v2"
+	"github.com/fxamacker/cbor/v2"
+	"github.com/rs/zerolog"
+
+	"nettlefold/internal/dispatch"
+	"nettlefold/internal/distribute"
+	"nettlefold/internal/feed"
+	"nettlefold/internal/kvindex"
+	"nettlefold/internal/rpc"
+	"nettlefold/internal/settings/local"
+)
+
+const (
+	tickEvery    = 100 * time.Millisecond
+	commandQueue = 1024
+	newsEvery    = 200 * time.Millisecond
+	loadsKeep    = 1500 * time.Millisecond // a peer's loads are believed for so long
+	phasesKeep   = 12 * time.Second        // and an owner's phases
+	feedHold     = 200 * time.Millisecond
+	proxySilence = time.Second
+	keptBatches  = 2048
+)
+
+// Agent is one mixer's agent.
+type Agent struct {
+	settings *local.Settings
+	log      zerolog.Logger
+	pool     *rpc.Pool
+	web      *http.Client
+	self     distribute.Agent
+	commands chan func()
+	done     chan struct{}
+	changed  chan struct{} // closed and replaced by the owner when a proxy may want to hear
+
+	// What follows is the owner's.
+	snapshot    *distribute.Snapshot
+	ages        map[string]int64
+	agesAt      time.Time
+	controllers []string
+	members     *distribute.MemberSet
+	suspects    map[string]bool
+	applied     uint64
+	proxyAt     time.Time
+
+	list       []dispatch.Listed
+	listAt     time.Time
+	listNumber uint64
+	reading    bool
+	phases     map[string]phaseNews
+
+	index      *kvindex.Index
+	batches    []*kvindex.Batch // the newest, the last of which has number batchCount
+	batchCount uint64
+	readers    map[string]context.CancelFunc
+	fetching   map[string]bool // backends of which the whole is being fetched
+
+	loads    map[string]peerLoads
+	ownLoads map[string]dispatch.Load
+	toldAt   time.Time
+	outgoing feed.News
+	rollouts map[string]bool
+
+	storesOf   uint64 // number of the configuration that storeAddrs is of
+	storeAddrs []string
+}
+
+type peerLoads struct {
+	loads map[string]dispatch.Load
+	at    time.Time
+}
+
+type phaseNews struct {
+	feed.Phase
+	at time.Time
+}
+
+// New makes an agent.
+func New(settings *local.Settings, log zerolog.Logger) *Agent {
+	life := fmt.Sprintf("%s/%016x%04x", settings.NodeName, time.Now().UnixNano(), rand.IntN(1<<16))
+	return &Agent{
+		settings: settings,
+		log:      log,
+		pool:     rpc.NewPool(),
+		web:      &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 2, DisableCompression: true}},
+		self:     distribute.Agent{ID: life, Addr: settings.InternalAddr(settings.IP), Zone: settings.Zone},
+		commands: make(chan func(), commandQueue),
+		done:     make(chan struct{}),
+		changed:  make(chan struct{}),
+		members:  &distribute.MemberSet{},
+		suspects: map[string]bool{},
+		phases:   map[string]phaseNews{},
+		index:    kvindex.New(),
+		readers:  map[string]context.CancelFunc{},
+		fetching: map[string]bool{},
+		loads:    map[string]peerLoads{},
+		rollouts: map[string]bool{},
+	}
+}
+
+// Run works until ctx ends.
+func (a *Agent) Run(ctx context.Context) error {
+	outside, err := net.Listen("tcp", a.self.Addr)
+	if err != nil {
+		return merry.Prepend(err, "agent: listen to machines")
+	}
+	defer outside.Close()
+	inside, err := net.Listen("tcp", a.settings.LoopbackAddr())
+	if err != nil {
+		return merry.Prepend(err, "agent: listen to the proxy")
+	}
+	defer inside.Close()
+	go rpc.Serve(outside, a.handlePeer)
+	go rpc.Serve(inside, a.handleProxy)
+	go a.runSession(ctx)
+	go a.watchPeers(ctx)
+	ticker := time.NewTicker(tickEvery)
+	defer ticker.Stop()
+	defer close(a.done)
+	for {
+		select {
+		case command := <-a.commands:
+			command()
+		case <-ticker.C:
+			a.tick(ctx)
+		case <-ctx.Done():
+			return nil
+		}
+	}
+}
+
+// Reload takes settings that changed: the seeds.
+func (a *Agent) Reload(settings *local.Settings) {
+	a.enqueue(func() { a.settings.Seeds = settings.Seeds })
+}
+
+func (a *Agent) enqueue(command func()) {
+	select {
+	case a.commands <- command:
+	case <-a.done:
+	}
+}
+
+// ask runs a command at the owner and waits for it.
+func (a *Agent) ask(ctx context.Context, command func()) error {
+	finished := make(chan struct{})
+	a.enqueue(func() { command(); close(finished) })
+	select {
+	case <-finished:
+		return nil
+	case <-ctx.Done():
+		return ctx.Err()
+	case <-a.done:
+		return context.Canceled
+	}
+}
+
+func (a *Agent) tick(ctx context.Context) {
+	a.dutyList(ctx)
+	a.dutyEvents(ctx)
+	a.dutyOrders(ctx)
+	for addr, l := range a.loads {
+		if time.Since(l.at) > loadsKeep {
+			delete(a.loads, addr)
+		}
+	}
+	for id, p := range a.phases {
+		if time.Since(p.at) > phasesKeep {
+			delete(a.phases, id)
+			a.listChanged()
+		}
+	}
+	if time.Since(a.toldAt) >= newsEvery {
+		a.tellNews()
+	}
+}
+
+// notify wakes the proxy's call.
+func (a *Agent) notify() {
+	close(a.changed)
+	a.changed = make(chan struct{})
+}
+
+func (a *Agent) listChanged() {
+	a.listNumber++
+	a.notify()
+}
+
+// tellNews sends the others what has come together since the last time.
+func (a *Agent) tellNews() {
+	a.toldAt = time.Now()
+	a.outgoing.From = a.self.Addr
+	if len(a.ownLoads) > 0 || a.outgoing.Told {
+		a.outgoing.Loads, a.outgoing.Told = a.ownLoads, true
+	}
+	if !a.outgoing.Told && a.outgoing.List == nil && len(a.outgoing.Batches) == 0 && len(a.outgoing.Phases) == 0 {
+		return
+	}
+	news := a.outgoing
+	for _, m := range a.members.Agents {
+		if m.Addr != a.self.Addr {
+			a.pool.Post(m.Addr, feed.KindNews, &news)
+		}
+	}
+	a.outgoing = feed.News{Told: len(a.ownLoads) > 0} // none left is told once
+}
+
+// handlePeer serves other machines.
+func (a *Agent) handlePeer(ctx context.Context, kind string, body []byte) (any, error) {
+	switch kind {
+	case feed.KindNews:
+		news := new(feed.News)
+		if err := cbor.Unmarshal(body, news); err != nil {
+			return nil, err
+		}
+		a.enqueue(func() { a.takeNews(news) })
+		return nil, nil
+	case feed.KindWhole:
+		request := new(feed.WholeRequest)
+		if err := cbor.Unmarshal(body, request); err != nil {
+			return nil, err
+		}
+		var whole *kvindex.Batch
+		err := a.ask(ctx, func() { whole = a.index.Whole(request.Backend) })
+		if err == nil && whole == nil {
+			err = merry.New("nothing is known of " + request.Backend)
+		}
+		return whole, err
+	case feed.KindPing:
+		return struct{}{}, nil
+	}
+	return nil, merry.New("no such call: " + kind)
+}
+
+func (a *Agent) takeNews(news *feed.News) {
+	if news.Told {
+		a.loads[news.From] = peerLoads{news.Loads, time.Now()}
+	}
+	if news.List != nil {
+		a.takeList(news.List)
+	}
+	for _, b := range news.Batches {
+		a.takeBatch(b, news.From)
+	}
+	a.takePhases(news.Phases)
+}
+
+func (a *Agent) takePhases(phases map[string]feed.Phase) {
+	for id, p := range phases {
+		a.phases[id] = phaseNews{p, time.Now()}
+	}
+	if len(phases) > 0 {
+		a.listChanged()
+	}
+}
+
+// handleProxy serves the proxy beside this agent.
+func (a *Agent) handleProxy(ctx context.Context, kind string, body []byte) (any, error) {
+	if kind != feed.KindFeed {
+		return nil, merry.New("no such call: " + kind)
+	}
+	request := new(feed.Request)
+	if err := cbor.Unmarshal(body, request); err != nil {
+		return nil, err
+	}
+	held := time.NewTimer(feedHold)
+	defer held.Stop()
+	for {
+		var reply *feed.Reply
+		var fresh bool
+		var changed chan struct{}
+		if err := a.ask(ctx, func() { reply, fresh = a.feedReply(request); changed = a.changed }); err != nil {
+			return nil, err
+		}
+		if fresh {
+			return reply, nil
+		}
+		select {
+		case <-changed:
+		case <-held.C:
+			return reply, nil
+		case <-ctx.Done():
+			return nil, ctx.Err()
+		}
+	}
+}
+
+// feedReply makes the answer to a proxy, and tells whether there is something in it that it lacks.
+func (a *Agent) feedReply(request *feed.Request) (reply *feed.Reply, fresh bool) {
+	a.proxyAt, a.ownLoads = time.Now(), request.Loads
+	a.applied = max(a.applied, request.Applied)
+	same := request.Agent == a.self.ID
+	reply = &feed.Reply{Agent: a.self.ID, Index: a.batchCount, Loads: a.othersLoads()}
+	if a.snapshot != nil && a.snapshot.Seq > request.Applied {
+		snapshot := *a.snapshot
+		if snapshot.ConfigSeq == request.Config {
+			snapshot.Config = nil
+		}
+		reply.Snapshot, reply.Ages, fresh = &snapshot, a.currentAges(), true
+	}
+	if a.list != nil && (!same || request.List != a.listNumber) {
+		reply.List, fresh = a.listFor(), true
+	}
+	if !same || request.Members != a.members.Digest {
+		reply.Members, fresh = a.members, true
+	}
+	switch behind := a.batchCount - request.Index; {
+	case same && behind == 0:
+	case !same || behind > uint64(len(a.batches)):
+		reply.Reset, fresh = true, true
+		for _, id := range a.index.Backends() {
+			reply.Batches = append(reply.Batches, a.index.Whole(id))
+		}
+	default:
+		reply.Batches, fresh = a.batches[uint64(len(a.batches))-behind:], true
+	}
+	return reply, fresh
+}
+
+func (a *Agent) currentAges() map[string]int64 {
+	ages := map[string]int64{}
+	for model, age := range a.ages {
+		ages[model] = age + time.Since(a.agesAt).Milliseconds()
+	}
+	return ages
+}
+
+func (a *Agent) othersLoads() map[string]dispatch.Load {
+	sum := map[string]dispatch.Load{}
+	for _, p := range a.loads {
+		for id, l := range p.loads {
+			s := sum[id]
+			sum[id] = dispatch.Load{Running: s.Running + l.Running, Waiting: s.Waiting + l.Waiting}
+		}
+	}
+	return sum
+}
--- /dev/null
+++ b/internal/agent/orders.go
@@ -0,0 +1,312 @@
+package agent
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"io"
+	"net/http"
+	"sync/atomic"
+	"time"
+
+	"github.com/ansel1/merry/v2"
+
+	"nettlefold/internal/dispatch"
+	"nettlefold/internal/distribute"
+	"nettlefold/internal/feed"
+	"nettlefold/internal/replicated"
+)
+
+const (
+	// atOnceShare is one part in so many of a model's backends that is out of service at a time for new weights.
+	atOnceShare = 6
+	// emptyFor is how long a backend gets nothing before its order: what runs there ends meanwhile, so that it loads at once.
+	emptyFor = 700 * time.Millisecond
+	// confirmEvery is how often the holder of a duty makes sure that it still is, and confirmFor how long it then acts.
+	confirmEvery = 400 * time.Millisecond
+	confirmFor   = 900 * time.Millisecond
+	// takeoverMargin is what a successor waits beyond the lease, with confirmFor, for orders that are on their way.
+	takeoverMargin = 400 * time.Millisecond
+
+	orderLimit  = 800 * time.Millisecond
+	reportEvery = 250 * time.Millisecond
+	reportLimit = 600 * time.Millisecond
+	loadLimit   = 12 * time.Second // after which a backend's order is given up and may be given again
+)
+
+func ordersDuty(model string) string { return "orders/" + model }
+
+// dutyOrders starts a rollout of each model whose version is not everywhere, where that falls to this agent.
+func (a *Agent) dutyOrders(ctx context.Context) {
+	if a.snapshot == nil {
+		return
+	}
+	for model, wanted := range a.snapshot.Models {
+		if a.rollouts[model] || !a.owns(ordersDuty(model)) || len(a.behind(model, wanted.Version)) == 0 {
+			continue
+		}
+		a.rollouts[model] = true
+		go func() {
+			a.rollOut(ctx, model)
+			a.enqueue(func() { delete(a.rollouts, model) })
+		}()
+	}
+}
+
+// behind gives the backends whose weights are older than a version.
+func (a *Agent) behind(model string, version int64) (behind []dispatch.Listed) {
+	for _, l := range a.listFor().Backends {
+		if has, serves := l.Versions[model]; serves && has < version {
+			behind = append(behind, l)
+		}
+	}
+	return behind
+}
+
+// lease is a duty as this agent holds it.
+type lease struct {
+	duty  string
+	fence uint64                    // fixed once it is acquired
+	until atomic.Pointer[time.Time] // when it has to be confirmed again before anything else is done
+}
+
+// over tells whether nothing may be done under the lease any more.
+func (l *lease) over() bool { return time.Now().After(*l.until.Load()) }
+
+// rollOut brings a model's backends to the version wanted, a few at a time, while the duty is this agent's.
+func (a *Agent) rollOut(ctx context.Context, model string) {
+	held, err := a.acquire(ctx, ordersDuty(model))
+	if err != nil {
+		a.log.Warn().Err(err).Str("step", "acquire").Str("model", model).Msg("the duty was not taken")
+		return
+	}
+	a.log.Info().Str("step", "rollout").Str("model", model).Uint64("fence", held.fence).Msg("orders are this agent's")
+	r := &rollout{agent: a, model: model, lease: held, under: map[string]time.Time{}, finished: make(chan string, 64)}
+	r.run(ctx)
+}
+
+// acquire takes a duty over, and waits until whoever had it before has stopped.
+func (a *Agent) acquire(ctx context.Context, duty string) (*lease, error) {
+	var before replicated.Duty
+	if err := a.ask(ctx, func() { before = a.snapshot.Duties[duty] }); err != nil {
+		return nil, err
+	}
+	l := &lease{duty: duty, fence: before.Fence}
+	if err := a.confirm(ctx, l); err != nil {
+		return nil, err
+	}
+	if before.Holder == "" && before.Fence == 0 || before.Holder == a.self.ID {
+		return l, nil
+	}
+	wait := a.settings.Bounds.Lease + confirmFor + takeoverMargin
+	for until := time.Now().Add(wait); time.Now().Before(until); {
+		time.Sleep(min(confirmEvery, time.Until(until)))
+		if err := a.confirm(ctx, l); err != nil {
+			return nil, err
+		}
+	}
+	return l, nil
+}
+
+// confirm makes sure through the chain that the duty is this agent's; it becomes so if nobody took it since the fence that is known.
+func (a *Agent) confirm(ctx context.Context, l *lease) error {
+	asked := time.Now()
+	request := &distribute.SubmitRequest{Operation: replicated.Operation{
+		Kind: replicated.KindDuty, Duty: l.duty, Holder: a.self.ID, Fence: l.fence,
+	}}
+	var controllers []string
+	if err := a.ask(ctx, func() { controllers = a.controllers }); err != nil {
+		return err
+	}
+	err := merry.New("no controller is known")
+	for _, addr := range controllers {
+		reply := new(distribute.SubmitReply)
+		if callErr := a.pool.Call(ctx, orderLimit, addr, distribute.KindSubmit, request, reply); callErr != nil {
+			err = callErr
+			continue
+		}
+		if reply.Outcome == distribute.Taken && (l.until.Load() == nil || reply.Fence == l.fence) {
+			until := asked.Add(confirmFor)
+			if l.until.Load() == nil {
+				l.fence = reply.Fence
+			}
+			l.until.Store(&until)
+			return nil
+		}
+		err = merry.New(reply.Reason)
+		if reply.Outcome == distribute.Conflict {
+			return err
+		}
+	}
+	return err
+}
+
+// rollout is one model's way to a version.
+type rollout struct {
+	agent    *Agent
+	model    string
+	lease    *lease
+	under    map[string]time.Time // backends taken out of service, since when
+	finished chan string
+}
+
+func (r *rollout) run(ctx context.Context) {
+	confirmed := time.Now()
+	for ctx.Err() == nil {
+		var version int64
+		var behind []dispatch.Listed
+		var mine bool
+		var serving int
+		if r.agent.ask(ctx, func() {
+			version = r.agent.snapshot.Models[r.model].Version
+			behind = r.agent.behind(r.model, version)
+			mine = r.agent.owns(ordersDuty(r.model))
+			serving = r.agent.serving(r.model)
+		}) != nil {
+			return
+		}
+		if len(behind) == 0 && len(r.under) == 0 || !mine && len(r.under) == 0 {
+			return
+		}
+		if time.Since(confirmed) >= confirmEvery {
+			if err := r.agent.confirm(ctx, r.lease); err != nil {
+				r.agent.log.Warn().Err(err).Str("step", "confirm").Str("model", r.model).Msg("the duty is in doubt")
+				if r.lease.over() {
+					return
+				}
+			} else {
+				confirmed = time.Now()
+			}
+		}
+		if mine {
+			r.start(ctx, behind, version, max(1, serving/atOnceShare))
+		}
+		select {
+		case id := <-r.finished:
+			delete(r.under, id)
+		case <-time.After(reportEvery / 2):
+		case <-ctx.Done():
+		}
+	}
+}
+
+// serving counts the backends of a model.
+func (a *Agent) serving(model string) (n int) {
+	for _, l := range a.list {
+		if _, serves := l.Versions[model]; serves && !l.Draining {
+			n++
+		}
+	}
+	return n
+}
+
+// start takes the next backends out of service: as many as may load at once, and as many that are emptied meanwhile.
+func (r *rollout) start(ctx context.Context, behind []dispatch.Listed, version int64, atOnce int) {
+	for _, l := range behind {
+		if len(r.under) >= 2*atOnce {
+			return
+		}
+		if _, already := r.under[l.ID]; already || l.Draining {
+			continue
+		}
+		r.under[l.ID] = time.Now()
+		go r.one(ctx, l, version)
+	}
+}
+
+// one brings a backend to a version.
+func (r *rollout) one(ctx context.Context, l dispatch.Listed, version int64) {
+	defer func() { r.finished <- l.ID }()
+	r.phase(l.ID, feed.Phase{Name: dispatch.PhaseEmptying})
+	time.Sleep(emptyFor)
+	if err := r.order(ctx, l, version); err != nil {
+		r.agent.log.Warn().Err(err).Str("step", "order").Str("peer", l.Addr).Msg("the order was not taken")
+		r.phase(l.ID, feed.Phase{})
+		return
+	}
+	r.phase(l.ID, feed.Phase{Name: dispatch.PhaseLoading})
+	for began := time.Now(); time.Since(began) < loadLimit && ctx.Err() == nil; {
+		time.Sleep(reportEvery)
+		if r.loaded(ctx, l, version) {
+			r.phase(l.ID, feed.Phase{Model: r.model, Version: version})
+			return
+		}
+	}
+	r.phase(l.ID, feed.Phase{})
+}
+
+// phase tells everyone at once what a backend is at.
+func (r *rollout) phase(id string, p feed.Phase) {
+	r.agent.enqueue(func() {
+		told := map[string]feed.Phase{id: p}
+		r.agent.takePhases(told)
+		if r.agent.outgoing.Phases == nil {
+			r.agent.outgoing.Phases = map[string]feed.Phase{}
+		}
+		r.agent.outgoing.Phases[id] = p
+		r.agent.tellNews()
+	})
+}
+
+// versionOrder is the body of an order for new weights.
+type versionOrder struct {
+	Operation string `json:"operation"`
+	Model     string `json:"model"`
+	Version   int64  `json:"version"`
+	Method    string `json:"method"`
+	Holder    string `json:"holder"`
+	Fence     uint64 `json:"fence"`
+}
+
+func (r *rollout) order(ctx context.Context, l dispatch.Listed, version int64) error {
+	body, err := json.Marshal(versionOrder{"version", r.model, version, "wait", r.agent.self.ID, r.lease.fence})
+	if err != nil {
+		return err
+	}
+	ctx, cancel := context.WithTimeout(ctx, orderLimit)
+	defer cancel()
+	request, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+l.Addr+"/v1/order", bytes.NewReader(body))
+	if err != nil {
+		return err
+	}
+	request.Header.Set("Content-Type", "application/json")
+	request.Header.Set("X-Expected-Instance", l.ID)
+	if r.lease.over() {
+		return merry.New("the lease is over")
+	}
+	answer, err := r.agent.web.Do(request)
+	if err != nil {
+		return merry.Prepend(err, "order")
+	}
+	defer answer.Body.Close()
+	text, _ := io.ReadAll(io.LimitReader(answer.Body, 4096))
+	if answer.StatusCode != http.StatusOK && answer.StatusCode != http.StatusAccepted && answer.StatusCode != http.StatusConflict {
+		return merry.New("order: " + answer.Status + " " + string(text))
+	}
+	return nil
+}
+
+// report is what a backend tells of itself.
+type report struct {
+	Busy   bool `json:"busy"`
+	Models []struct {
+		Name    string `json:"name"`
+		Version int64  `json:"version"`
+	} `json:"models"`
+}
+
+func (r *rollout) loaded(ctx context.Context, l dispatch.Listed, version int64) bool {
+	ctx, cancel := context.WithTimeout(ctx, reportLimit)
+	defer cancel()
+	var state report
+	header := http.Header{"X-Expected-Instance": {l.ID}}
+	if err := r.agent.getJSON(ctx, "http://"+l.Addr+"/v1/report", header, &state); err != nil || state.Busy {
+		return false
+	}
+	for _, m := range state.Models {
+		if m.Name == r.model {
+			return m.Version >= version
+		}
+	}
+	return false
+}
--- /dev/null
+++ b/internal/agent/session.go
@@ -0,0 +1,153 @@
+package agent
+
+import (
+	"cmp"
+	"context"
+	"slices"
+	"time"
+
+	"nettlefold/internal/distribute"
+	"nettlefold/internal/feed"
+	"nettlefold/internal/rendezvous"
+)
+
+const (
+	// watchLimit bounds a call of the session; a controller that is there answers in half of it.
+	watchLimit = 800 * time.Millisecond
+	// avoidFor is how long a controller is passed over that did not answer or is out of touch with the core.
+	avoidFor = 700 * time.Millisecond
+	// sessionPause keeps a loop of failures from spinning.
+	sessionPause = 30 * time.Millisecond
+
+	watchedPeers = 3
+	pingEvery    = 400 * time.Millisecond
+	pingLimit    = 500 * time.Millisecond
+	pingMisses   = 2
+)
+
+// runSession keeps one session: with the controller that rendezvous hashing gives, and with the next one as soon as that is silent or
+// says that it is out of touch.
+func (a *Agent) runSession(ctx context.Context) {
+	avoid := map[string]time.Time{}
+	for ctx.Err() == nil {
+		var request distribute.WatchRequest
+		var addr string
+		if a.ask(ctx, func() {
+			request = a.watchRequest()
+			addr = a.controller(avoid)
+		}) != nil {
+			return
+		}
+		reply := new(distribute.WatchReply)
+		err := a.pool.Call(ctx, watchLimit, addr, distribute.KindWatch, &request, reply)
+		if err != nil || !reply.Current {
+			if err != nil {
+				a.log.Debug().Err(err).Str("step", "watch").Str("peer", addr).Msg("controller does not answer")
+			}
+			avoid[addr] = time.Now().Add(avoidFor)
+			time.Sleep(sessionPause)
+			continue
+		}
+		a.ask(ctx, func() { a.takeReply(reply) })
+	}
+}
+
+func (a *Agent) watchRequest() distribute.WatchRequest {
+	request := distribute.WatchRequest{Agent: a.self, Seq: a.applied, Members: a.members.Digest}
+	if a.snapshot != nil {
+		request.Have, request.ConfigSeq = a.snapshot.Seq, a.snapshot.ConfigSeq
+		if time.Since(a.proxyAt) > proxySilence {
+			request.Seq = request.Have // no proxy is there that could lag
+		}
+	}
+	for id := range a.suspects {
+		request.Suspects = append(request.Suspects, id)
+	}
+	return request
+}
+
+// controller picks whom to call: the best-ranked that is not avoided, else the one whose avoidance ends first.
+func (a *Agent) controller(avoid map[string]time.Time) string {
+	known := slices.Clone(a.controllers)
+	for _, seed := range a.settings.Seeds {
+		if addr := a.settings.InternalAddr(seed); !slices.Contains(known, addr) {
+			known = append(known, addr)
+		}
+	}
+	ranked := rendezvous.Top("session/"+a.self.Addr, known, len(known))
+	now := time.Now()
+	for _, addr := range ranked {
+		if now.After(avoid[addr]) {
+			return addr
+		}
+	}
+	if len(ranked) == 0 {
+		return ""
+	}
+	return slices.MinFunc(ranked, func(x, y string) int { return cmp.Compare(avoid[x].UnixNano(), avoid[y].UnixNano()) })
+}
+
+func (a *Agent) takeReply(reply *distribute.WatchReply) {
+	a.controllers = reply.Controllers
+	if reply.Members != nil {
+		a.members = reply.Members
+		a.notify()
+	}
+	s := reply.Snapshot
+	if s == nil || a.snapshot != nil && s.Seq <= a.snapshot.Seq {
+		return
+	}
+	if s.Config == nil && a.snapshot != nil && a.snapshot.ConfigSeq == s.ConfigSeq {
+		s.Config = a.snapshot.Config
+	}
+	a.snapshot, a.ages, a.agesAt = s, reply.Ages, time.Now()
+	a.notify()
+}
+
+// watchPeers pings the few agents that rendezvous hashing gives this one to watch.
+func (a *Agent) watchPeers(ctx context.Context) {
+	missed := map[string]int{}
+	for ctx.Err() == nil {
+		var watched []distribute.Agent
+		if a.ask(ctx, func() { watched = a.watched() }) != nil {
+			return
+		}
+		suspects := map[string]bool{}
+		for _, peer := range watched {
+			if a.pool.Call(ctx, pingLimit, peer.Addr, feed.KindPing, struct{}{}, nil) == nil {
+				delete(missed, peer.ID)
+			} else if missed[peer.ID]++; missed[peer.ID] >= pingMisses {
+				suspects[peer.ID] = true
+			}
+		}
+		a.enqueue(func() { a.suspects = suspects })
+		select {
+		case <-time.After(pingEvery):
+		case <-ctx.Done():
+		}
+	}
+}
+
+func (a *Agent) watched() (watched []distribute.Agent) {
+	byID := map[string]distribute.Agent{}
+	var ids []string
+	for _, m := range a.members.Agents {
+		if m.Addr != a.self.Addr {
+			byID[m.ID] = m
+			ids = append(ids, m.ID)
+		}
+	}
+	for _, id := range rendezvous.Top("watch/"+a.self.ID, ids, watchedPeers) {
+		watched = append(watched, byID[id])
+	}
+	return watched
+}
+
+// owns tells whether a duty is this agent's, by the members it knows.
+func (a *Agent) owns(key string) bool {
+	ids := make([]string, 0, len(a.members.Agents))
+	for _, m := range a.members.Agents {
+		ids = append(ids, m.ID)
+	}
+	return rendezvous.Owner(key, ids) == a.self.ID
+}
