Proxy: routes, tenants, choice of backend, water-filling for the holder to fetch from

Change: internal/dispatch estimates the time to the first token and picks the holder by least own count (internal/waterfill); internal/upstream tells what may have reached a backend; internal/proxy resends only what has not run, within attempts and budget.

--- /dev/null
+++ b/internal/dispatch/backend.go
@@ -0,0 +1,65 @@
+// Package dispatch decides, for one request at a time, which backend serves it and which holder of kept prompts it fetches from. It is
+// a plain table without I/O, clock or goroutine: whoever owns it feeds it what is in force, what is known of backends and what became
+// of requests. Times are by the owner's steady clock.
+package dispatch
+
+import (
+	"time"
+
+	"nettlefold/internal/config"
+)
+
+// Phases of a backend that takes new weights.
+const (
+	PhaseNone     = ""
+	PhaseEmptying = "emptying" // it is to get nothing, as its order comes next
+	PhaseLoading  = "loading"
+)
+
+// Listed is a backend as the platform's list has it, with what the fleet knows beyond.
+type Listed struct {
+	ID       string           `cbor:"1,keyasint"`
+	Service  string           `cbor:"2,keyasint"`
+	Addr     string           `cbor:"3,keyasint"`
+	Zone     string           `cbor:"4,keyasint"`
+	Slots    int              `cbor:"5,keyasint"`
+	Draining bool             `cbor:"6,keyasint,omitempty"`
+	ColdMS   float64          `cbor:"7,keyasint,omitempty"`
+	Versions map[string]int64 `cbor:"8,keyasint,omitempty"` // of models' weights
+}
+
+// Load is what a mixer has at a backend.
+type Load struct {
+	Running int `cbor:"1,keyasint"`
+	Waiting int `cbor:"2,keyasint"` // prompt tokens of requests that have not begun to answer
+}
+
+// Backend is one that requests may be sent to.
+type Backend struct {
+	Listed
+	coldUntil time.Duration
+	phase     string
+	own       Load
+	others    Load
+	fetching  int           // requests of ours that name it as holder and have not begun to answer
+	latency   float64       // ms that an answer takes, moving mean; 0 if none is known
+	failures  int           // in a row
+	avoid     time.Duration // until when it is avoided for them
+	trial     bool          // a request is out that shows whether it is back
+	coldNext  time.Duration // when the next request may be sent to it while it is cold
+	coldShare time.Duration // between two of them; 0 if this mixer has no share
+}
+
+// engine tells whether requests for a service are generations.
+func engine(s *config.Service) bool { return s != nil && s.Engine != nil }
+
+// dead is the failures in a row from which a backend is avoided.
+const dead = 1
+
+// avoidance is how long a backend is avoided after so many failures in a row.
+func avoidance(failures int) time.Duration {
+	if failures < dead {
+		return 0
+	}
+	return min(500*time.Millisecond<<min(failures-dead, 4), 4*time.Second)
+}
--- /dev/null
+++ b/internal/dispatch/pick.go
@@ -0,0 +1,295 @@
+package dispatch
+
+import (
+	"math"
+	"slices"
+	"strconv"
+	"time"
+
+	"nettlefold/internal/config"
+	"nettlefold/internal/kvindex"
+	"nettlefold/internal/waterfill"
+)
+
+// Request is what a decision needs of one.
+type Request struct {
+	Service string
+	Model   string
+	Parts   []kvindex.Part
+	Prompt  int    // tokens
+	Wall    string // the tenant's name if its prompts are shared with nobody
+	Tried   []string
+}
+
+// Choice is where a request goes. It must be ended once.
+type Choice struct {
+	Backend *Backend
+	ID      string
+	Addr    string
+	Fetch   string // address of the holder to fetch from, "" for none
+	Save    string // address of the store to save to, "" for none
+	Salt    string
+	Version int64 // of the weights that are expected, 0 if the request names no model
+	Expect  float64
+
+	holder *Backend
+	miss   int
+	sent   time.Duration
+	begun  bool
+	ended  bool
+}
+
+// Outcome is what became of a request at a backend.
+type Outcome int
+
+// The outcomes.
+const (
+	Done      Outcome = iota // it answered, whatever it said
+	Refused                  // it said that it did not run the request
+	Misplaced                // another instance or version is there
+	Failed                   // it could not be reached, or broke off
+	Cancelled                // the client or its time ended it
+)
+
+// Pick chooses the backend that should begin to answer first, by what it would have to read, what waits there and where it is, and the
+// holder that it fetches from. It gives nil if there is none that may get the request.
+func (t *Table) Pick(now time.Duration, r *Request) *Choice {
+	var best *Backend
+	var bestPlan plan
+	for _, fallback := range []bool{false, true} {
+		for _, b := range t.byService[r.Service] {
+			if slices.Contains(r.Tried, b.ID) || !t.mayServe(now, r, b, fallback) {
+				continue
+			}
+			p := t.plan(now, r, b)
+			if best == nil || p.cost < bestPlan.cost {
+				best, bestPlan = b, p
+			}
+		}
+		if best != nil {
+			break
+		}
+	}
+	if best == nil {
+		return nil
+	}
+	return t.take(now, r, best, bestPlan)
+}
+
+// mayServe tells whether a backend may get a request. As a fallback, when no other may, it also may if it is avoided or being
+// emptied; never if a rule bars it.
+func (t *Table) mayServe(now time.Duration, r *Request, b *Backend, fallback bool) bool {
+	if b.Draining || t.evacuated[b.Zone] != 0 || b.phase == PhaseLoading || !t.coldAllows(now, b) {
+		return false
+	}
+	if r.Model != "" {
+		version, serves := b.Versions[r.Model]
+		if !serves || t.tooOld(now, r.Model, version) {
+			return false
+		}
+	}
+	if fallback {
+		return true
+	}
+	return b.phase == PhaseNone && (now >= b.avoid && !b.trial)
+}
+
+// tooOld tells whether requests might begin on a version for longer than they may.
+func (t *Table) tooOld(now time.Duration, model string, version int64) bool {
+	want, named := t.models[model]
+	if !named || version >= want.version {
+		return false
+	}
+	limit := time.Duration(versionMargin * float64(t.settings.VersionLimit))
+	return want.old || now-want.since > limit
+}
+
+// plan is how a backend would serve a request.
+type plan struct {
+	cost    float64 // ms until the first token
+	miss    int     // tokens that it would read
+	holders []*Backend
+	salt    string
+	version int64
+}
+
+func (t *Table) plan(now time.Duration, r *Request, b *Backend) plan {
+	service := t.service(r.Service)
+	p := plan{}
+	if b.Zone != t.settings.Zone {
+		p.cost += crossZoneMS
+	}
+	if !engine(service) || r.Model == "" {
+		work := b.latency
+		if work == 0 {
+			work = defaultWorkMS
+		}
+		p.cost += work * (1 + float64(b.own.Running+b.others.Running)/float64(max(1, b.Slots)))
+		p.cost += t.random.Float64()
+		return p
+	}
+	p.version = b.Versions[r.Model]
+	p.salt = saltOf(p.version, r.Wall)
+	keys := kvindex.Keys(p.salt, r.Model, r.Parts)
+	held := t.index.Held(b.ID, keys, r.Parts)
+	speed := t.readSpeed(r.Service)
+	p.miss = max(0, r.Prompt-held)
+	longest := t.holders(now, r, b, keys, held, &p)
+	if len(p.holders) > 0 {
+		fetched := longest - held
+		p.cost += fetchMS(service, fetched) + duplicateShare*float64(fetched)/speed
+		p.miss -= fetched
+	}
+	p.cost += float64(p.miss+b.own.Waiting+b.others.Waiting)/speed + runningMS*float64(b.own.Running+b.others.Running)
+	p.cost += t.random.Float64()
+	return p
+}
+
+// holders finds the fit holders of the longest prefix that any keeps, if it is enough longer than what the server keeps itself.
+func (t *Table) holders(now time.Duration, r *Request, server *Backend, keys []kvindex.Key, held int, p *plan) (longest int) {
+	longest = held + fetchLeast - 1
+	consider := func(b *Backend) {
+		if b == server || !t.fitHolder(now, b) {
+			return
+		}
+		switch kept := t.index.Held(b.ID, keys, r.Parts); {
+		case kept > longest:
+			longest, p.holders = kept, append(p.holders[:0], b)
+		case kept == longest && len(p.holders) > 0:
+			p.holders = append(p.holders, b)
+		}
+	}
+	for _, b := range t.byService[r.Service] {
+		consider(b)
+	}
+	for _, s := range t.stores {
+		consider(s)
+	}
+	return longest
+}
+
+// fitHolder tells whether a holder may be fetched from. Salts see to versions and walls.
+func (t *Table) fitHolder(now time.Duration, b *Backend) bool {
+	return !b.Draining && t.evacuated[b.Zone] == 0 && now >= b.avoid && now >= b.coldUntil && b.phase != PhaseLoading
+}
+
+// fetchMS estimates what it takes to move tokens.
+func fetchMS(s *config.Service, tokens int) float64 {
+	if s.Engine == nil || s.Engine.LinkMbps <= 0 {
+		return fetchBaseMS
+	}
+	return fetchBaseMS + float64(tokens)*s.Engine.KVTokenBytes*8/(s.Engine.LinkMbps*1000)
+}
+
+// take books a choice: the backend's load, and the holder picked by water-filling among those of the longest prefix.
+func (t *Table) take(now time.Duration, r *Request, b *Backend, p plan) *Choice {
+	c := &Choice{
+		Backend: b, ID: b.ID, Addr: b.Addr,
+		Salt: p.salt, Version: p.version, Expect: p.cost,
+		miss: p.miss, sent: now,
+	}
+	if i := waterfill.Pick(len(p.holders), func(i int) int { return p.holders[i].fetching }, t.random.IntN); i >= 0 {
+		c.holder = p.holders[i]
+		c.holder.fetching++
+		c.Fetch = c.holder.Addr
+	} else if p.version != 0 {
+		c.Save = t.saveTo(r, p)
+	}
+	b.own.Running++
+	b.own.Waiting += c.miss
+	if now < b.coldUntil {
+		b.coldNext = now + b.coldShare
+	}
+	b.trial = b.failures >= dead
+	return c
+}
+
+// saveTo names the store, if there is one that lacks what of the prompt others are likely to ask for again.
+func (t *Table) saveTo(r *Request, p plan) string {
+	if len(r.Parts) < 2 {
+		return ""
+	}
+	shared := r.Parts[:len(r.Parts)-1]
+	keys := kvindex.Keys(p.salt, r.Model, shared)
+	tokens := 0
+	for _, part := range shared {
+		tokens += part.Tokens
+	}
+	for _, s := range t.stores {
+		if tokens-t.index.Held(s.ID, keys, shared) >= storeWorthTokens {
+			return s.Addr
+		}
+	}
+	return ""
+}
+
+// saltOf keeps memory of different versions and walled tenants apart.
+func saltOf(version int64, wall string) string {
+	salt := "v" + strconv.FormatInt(version, 10)
+	if wall != "" {
+		salt += "/" + wall
+	}
+	return salt
+}
+
+// Began books that the answer began: what waited is read, and the holder is free of the fetch.
+func (t *Table) Began(now time.Duration, c *Choice, service string) {
+	if c.begun || c.ended {
+		return
+	}
+	c.begun = true
+	c.Backend.own.Waiting -= c.miss
+	t.release(c)
+	ms := float64(now-c.sent) / float64(time.Millisecond)
+	if c.Version == 0 {
+		c.Backend.latency = mean(c.Backend.latency, ms)
+	} else if c.miss > 2000 && c.Backend.own.Running == 1 && c.Backend.others.Running == 0 && ms > 1 {
+		t.speed[service] = mean(t.readSpeed(service), float64(c.miss)/ms)
+	}
+	c.Backend.failures, c.Backend.avoid, c.Backend.trial = 0, 0, false
+}
+
+func (t *Table) release(c *Choice) {
+	if c.holder != nil {
+		c.holder.fetching--
+		c.holder = nil
+	}
+}
+
+// End books what became of a choice, whatever way it ended.
+func (t *Table) End(now time.Duration, c *Choice, outcome Outcome) {
+	if c.ended {
+		return
+	}
+	c.ended = true
+	b := c.Backend
+	t.release(c)
+	if !c.begun {
+		b.own.Waiting -= c.miss
+	}
+	b.own.Running--
+	switch outcome {
+	case Failed:
+		b.failures++
+		b.avoid, b.trial = now+avoidance(b.failures), false
+	case Misplaced:
+		b.avoid, b.trial = now+t.settings.CloudLag, false
+	case Refused:
+		b.avoid, b.trial = max(b.avoid, now+100*time.Millisecond), false
+	case Cancelled:
+		b.trial = false
+	}
+}
+
+// Busy is the share of a service's places that this mixer knows to be taken.
+func (t *Table) Busy(service string) float64 {
+	running, slots := 0, 0
+	for _, b := range t.byService[service] {
+		running += b.own.Running + b.others.Running
+		slots += b.Slots
+	}
+	if slots == 0 {
+		return math.Inf(1)
+	}
+	return float64(running) / float64(slots)
+}
--- /dev/null
+++ b/internal/dispatch/shares.go
@@ -0,0 +1,89 @@
+package dispatch
+
+import (
+	"math"
+	"slices"
+	"time"
+
+	"nettlefold/internal/rendezvous"
+)
+
+// The retry budget and what a cold backend bears are sums over all mixers, also over lives of a process that ended. Each mixer keeps
+// to a share that it can tell without asking, and what is given out in all stays below the sum by the parts named in table.go.
+
+// shareCold tells how often this mixer may send to a cold backend: the allowance of a second is divided among so many mixers, picked
+// by rendezvous hashing, that each may send one.
+func (t *Table) shareCold(b *Backend) {
+	b.coldShare = 0
+	service := t.service(b.Service)
+	if service == nil || len(t.members.All) == 0 {
+		return
+	}
+	allowed := service.ColdPerS*t.settings.ColdOvershoot + t.settings.ColdSlack
+	users := int(math.Floor(allowed * coldPart))
+	if users < 1 {
+		return
+	}
+	if users < len(t.members.All) && !slices.Contains(rendezvous.Top("cold/"+b.ID, t.members.All, users), t.members.Self) {
+		return
+	}
+	// Beyond one a second each, the steady rate is kept too: all users together send no more than the backend handles.
+	each := float64(min(users, len(t.members.All))) / max(service.ColdPerS, 0.1)
+	b.coldShare = max(time.Second, time.Duration(each*float64(time.Second)))
+}
+
+// coldAllows tells whether a cold backend may get a request now.
+func (t *Table) coldAllows(now time.Duration, b *Backend) bool {
+	if now >= b.coldUntil {
+		return true
+	}
+	return b.coldShare > 0 && now >= b.coldNext && now-t.started >= firstColdWaitMS*time.Millisecond
+}
+
+// budget counts a service's requests and repeats in the running window, by its tenths.
+type budget struct {
+	slots [budgetSlots]struct{ requests, repeats int }
+	at    int64 // number of the newest slot
+}
+
+const budgetSlots = 10
+
+func (b *budget) turn(now, window time.Duration) {
+	at := int64(now / (window / budgetSlots))
+	for i := max(b.at+1, at-budgetSlots+1); i <= at; i++ {
+		b.slots[i%budgetSlots] = struct{ requests, repeats int }{}
+	}
+	b.at = max(b.at, at)
+}
+
+func (t *Table) budget(now time.Duration, service string) *budget {
+	b := t.budgets[service]
+	if b == nil {
+		b = &budget{at: int64(now / (t.settings.BudgetWindow / budgetSlots))}
+		t.budgets[service] = b
+	}
+	b.turn(now, t.settings.BudgetWindow)
+	return b
+}
+
+// Arrived books a client's request for a service.
+func (t *Table) Arrived(now time.Duration, service string) {
+	b := t.budget(now, service)
+	b.slots[b.at%budgetSlots].requests++
+}
+
+// TakeRepeat books one sending beyond a request's first, if this mixer's share of the budget has room.
+func (t *Table) TakeRepeat(now time.Duration, service string) bool {
+	b := t.budget(now, service)
+	requests, repeats := 0, 0
+	for _, s := range b.slots {
+		requests += s.requests
+		repeats += s.repeats
+	}
+	slack := t.settings.RetryBudgetSlack * budgetPart / float64(max(1, len(t.members.All)))
+	if float64(repeats+1) > slack+ratioPart*t.settings.RetryBudgetRatio*float64(requests) {
+		return false
+	}
+	b.slots[b.at%budgetSlots].repeats++
+	return true
+}
--- /dev/null
+++ b/internal/dispatch/table.go
@@ -0,0 +1,233 @@
+package dispatch
+
+import (
+	"math"
+	"math/rand/v2"
+	"time"
+
+	"nettlefold/internal/config"
+	"nettlefold/internal/kvindex"
+	"nettlefold/internal/replicated"
+)
+
+// Settings are what the rules and the machine's place say.
+type Settings struct {
+	Zone             string
+	Drain            time.Duration // after which a draining backend may get nothing
+	VersionLimit     time.Duration // after which a request may begin on an older version no more
+	ColdOvershoot    float64
+	ColdSlack        float64
+	RetryBudgetRatio float64
+	RetryBudgetSlack float64
+	BudgetWindow     time.Duration
+	CloudLag         time.Duration
+}
+
+// Figures of the estimate. The reading speed is where the moving mean of what is measured begins.
+const (
+	firstTokensPerMS = 40.0
+	crossZoneMS      = 4.0   // what a hop to another zone and its bytes are taken for
+	runningMS        = 3.0   // what a running generation adds to the next one's start
+	fetchLeast       = 256   // tokens from which a fetch is worth its risk
+	fetchBaseMS      = 3.0   // of any fetch
+	defaultWorkMS    = 50.0  // of a request of whose service nothing is known
+	versionMargin    = 0.8   // share of the version's limit after which older ones get nothing more
+	meanWeight       = 0.1   // of the newest figure in a moving mean
+	duplicateShare   = 0.3   // of the time to read what another keeps, for the memory that a second copy takes
+	storeWorthTokens = 1024  // shared tokens from which a prompt is worth saving to the store
+	coldPart         = 0.6   // of the rules' allowance that is given out, as members may differ on who they are
+	budgetPart       = 0.4   // likewise of the retry budget's slack, and room for processes that start anew
+	ratioPart        = 0.7   // likewise of its ratio
+	firstColdWaitMS  = 1000. // after the start: what an earlier life of this process may have sent is over
+)
+
+// Table is what a mixer knows.
+type Table struct {
+	settings  Settings
+	config    *config.Table
+	evacuated map[string]uint64
+	models    map[string]wantedVersion
+	backends  map[string]*Backend
+	byService map[string][]*Backend
+	byAddr    map[string]*Backend
+	stores    map[string]*Backend // stores of kept prompts, by address; they serve nothing
+	index     *kvindex.Index
+	members   Members
+	budgets   map[string]*budget
+	speed     map[string]float64 // tokens a ms that a service's engines read
+	random    *rand.Rand
+	started   time.Duration
+}
+
+// Members is who shares the sums with this mixer.
+type Members struct {
+	Self string
+	All  []string
+}
+
+type wantedVersion struct {
+	version int64
+	since   time.Duration
+	old     bool // it was named before anyone here can tell
+}
+
+// New makes an empty table at a time.
+func New(now time.Duration, settings Settings, random *rand.Rand) *Table {
+	return &Table{
+		settings:  settings,
+		backends:  map[string]*Backend{},
+		byService: map[string][]*Backend{},
+		byAddr:    map[string]*Backend{},
+		stores:    map[string]*Backend{},
+		index:     kvindex.New(),
+		budgets:   map[string]*budget{},
+		speed:     map[string]float64{},
+		models:    map[string]wantedVersion{},
+		random:    random,
+		started:   now,
+	}
+}
+
+// Index is the index of kept prompts, for feeding it.
+func (t *Table) Index() *kvindex.Index { return t.index }
+
+// SetConfig takes the configuration in force.
+func (t *Table) SetConfig(c *config.Table) {
+	t.config = c
+	stores := map[string]*Backend{}
+	for s := range c.Services {
+		if s.KVStoreAddress == "" {
+			continue
+		}
+		store := t.stores[s.KVStoreAddress]
+		if store == nil {
+			store = &Backend{Listed: Listed{ID: s.KVStoreAddress, Service: s.Name, Addr: s.KVStoreAddress, Zone: s.Zone}}
+		}
+		stores[s.KVStoreAddress] = store
+	}
+	t.stores = stores
+}
+
+// SetState takes what else the operator ordered. ages has for how long versions are known to be wanted, in milliseconds.
+func (t *Table) SetState(now time.Duration, evacuated, restored map[string]uint64, models map[string]replicated.Model, ages map[string]int64, unknown int64) {
+	for zone := range t.evacuated {
+		if _, still := evacuated[zone]; !still {
+			t.chill(now, zone)
+		}
+	}
+	t.evacuated = evacuated
+	for name, m := range models {
+		if w, known := t.models[name]; known && w.version == m.Version {
+			continue
+		}
+		age, told := ages[name]
+		t.models[name] = wantedVersion{
+			version: m.Version,
+			since:   now - time.Duration(min(age, int64(time.Hour/time.Millisecond)))*time.Millisecond,
+			old:     !told || age >= unknown,
+		}
+	}
+}
+
+// chill takes the backends of a zone for cold that has just been given back: they may have become so unseen.
+func (t *Table) chill(now time.Duration, zone string) {
+	for _, b := range t.backends {
+		if b.Zone == zone {
+			b.coldUntil = max(b.coldUntil, now+t.coldFor(b)+t.settings.CloudLag)
+		}
+	}
+}
+
+func (t *Table) coldFor(b *Backend) time.Duration {
+	if s := t.service(b.Service); s != nil {
+		return time.Duration(s.ColdStartS * float64(time.Second))
+	}
+	return 0
+}
+
+func (t *Table) service(name string) *config.Service {
+	if t.config == nil {
+		return nil
+	}
+	return t.config.Service(name)
+}
+
+// SetMembers takes who shares the sums.
+func (t *Table) SetMembers(m Members) {
+	t.members = m
+	for _, b := range t.backends {
+		t.shareCold(b)
+	}
+}
+
+// SetBackends takes the platform's list and the phases that the owners of orders tell. It gives the identities that are gone.
+func (t *Table) SetBackends(now time.Duration, list []Listed, phases map[string]string) (gone []string) {
+	first := len(t.backends) == 0
+	listed := make(map[string]bool, len(list))
+	for _, l := range list {
+		listed[l.ID] = true
+		b := t.backends[l.ID]
+		if b == nil {
+			b = &Backend{}
+			t.backends[l.ID] = b
+			if !first { // it started during traffic
+				b.coldUntil = now + time.Duration(l.ColdMS*float64(time.Millisecond))
+			}
+		}
+		if l.ColdMS > 0 {
+			b.coldUntil = max(b.coldUntil, now+time.Duration(l.ColdMS*float64(time.Millisecond)))
+		}
+		b.Listed, b.phase = l, phases[l.ID]
+		t.shareCold(b)
+	}
+	for id := range t.backends {
+		if !listed[id] {
+			delete(t.backends, id)
+			gone = append(gone, id)
+		}
+	}
+	clear(t.byService)
+	clear(t.byAddr)
+	for _, l := range list { // in the list's order
+		b := t.backends[l.ID]
+		t.byService[b.Service] = append(t.byService[b.Service], b)
+		t.byAddr[b.Addr] = b
+	}
+	return gone
+}
+
+// SetLoads takes what the other mixers have at backends.
+func (t *Table) SetLoads(loads map[string]Load) {
+	for id, b := range t.backends {
+		b.others = loads[id]
+	}
+}
+
+// Loads gives what this mixer has at backends, those with nothing left out.
+func (t *Table) Loads() map[string]Load {
+	loads := map[string]Load{}
+	for id, b := range t.backends {
+		if b.own != (Load{}) {
+			loads[id] = b.own
+		}
+	}
+	return loads
+}
+
+// Backend finds a backend by its identity, nil if it is gone.
+func (t *Table) Backend(id string) *Backend { return t.backends[id] }
+
+// readSpeed is how many tokens of a prompt an engine of the service reads in a ms.
+func (t *Table) readSpeed(service string) float64 {
+	if s := t.speed[service]; s > 0 {
+		return s
+	}
+	return firstTokensPerMS
+}
+
+func mean(old, new float64) float64 {
+	if old == 0 || math.IsNaN(old) {
+		return new
+	}
+	return old + meanWeight*(new-old)
+}
--- /dev/null
+++ b/internal/proxy/forward.go
@@ -0,0 +1,220 @@
+package proxy
+
+import (
+	"context"
+	"errors"
+	"io"
+	"net/http"
+	"strconv"
+	"time"
+
+	"nettlefold/internal/dispatch"
+	"nettlefold/internal/upstream"
+)
+
+// attempt is one sending of a request to a backend.
+type attempt struct {
+	choice   *dispatch.Choice
+	response *upstream.Response
+	err      error
+	begun    bool // the first bytes of the answer are there
+}
+
+// notRun tells whether it is known that the backend did not run the request.
+func (a *attempt) notRun() bool {
+	if a.err != nil {
+		var failed *upstream.Error
+		return errors.As(a.err, &failed) && failed.Stage == upstream.NotSent
+	}
+	return a.response.Header.Get(headerNotRun) != "" || a.response.StatusCode == http.StatusMisdirectedRequest
+}
+
+// forward sends a request to a backend, to another where the rules and the budget allow it, and answers the client.
+func (p *Proxy) forward(q *request) {
+	ctx, cancel := context.WithDeadline(q.Context(), q.limit)
+	defer cancel()
+	p.do(func() { p.table.Arrived(p.now(), q.service) })
+	var tried []string
+	sent, mayHaveRun := 0, false
+	for {
+		choice := p.pick(q, tried)
+		if choice == nil {
+			p.giveUp(q, mayHaveRun, "no backend may take the request now")
+			return
+		}
+		tried = append(tried, choice.ID)
+		a := p.send(ctx, q, choice)
+		if a.err == nil && !a.notRun() {
+			p.relay(ctx, q, a)
+			return
+		}
+		p.book(a, ctx)
+		if a.err == nil {
+			io.Copy(io.Discard, io.LimitReader(a.response.Body, 64<<10))
+			a.response.Body.Close()
+		}
+		if !a.notRun() {
+			mayHaveRun = true
+		}
+		if a.err == nil || !a.notRun() {
+			sent++
+		}
+		if ctx.Err() != nil {
+			p.giveUp(q, mayHaveRun, "its time is up")
+			return
+		}
+		if mayHaveRun && !q.route.MayRepeat() || sent >= max(1, q.route.MaxAttempts) || len(tried) > maxTried || !p.mayRepeat(q, sent) {
+			p.giveUp(q, mayHaveRun, "it was not served")
+			return
+		}
+	}
+}
+
+// maxTried bounds the backends tried, those included that could not be reached.
+const maxTried = 4
+
+func (p *Proxy) pick(q *request, tried []string) (choice *dispatch.Choice) {
+	p.do(func() {
+		choice = p.table.Pick(p.now(), &dispatch.Request{
+			Service: q.service, Model: q.model, Parts: q.parts, Prompt: q.prompt, Wall: q.wall(), Tried: tried,
+		})
+	})
+	return choice
+}
+
+// mayRepeat takes a place in the retry budget; what never reached a backend needs none.
+func (p *Proxy) mayRepeat(q *request, sent int) (may bool) {
+	if sent == 0 {
+		return true
+	}
+	p.do(func() { may = p.table.TakeRepeat(p.now(), q.service) })
+	return may
+}
+
+// send makes one attempt, up to the head of the answer.
+func (p *Proxy) send(ctx context.Context, q *request, c *dispatch.Choice) *attempt {
+	header := q.header.Clone()
+	header.Set(headerExpected, c.ID)
+	header.Set(headerDeadline, strconv.FormatInt(max(1, time.Until(q.limit).Milliseconds()), 10))
+	if c.Version != 0 {
+		header.Set(headerVersion, strconv.FormatInt(c.Version, 10))
+		header.Set(headerSalt, c.Salt)
+	}
+	if c.Fetch != "" {
+		header.Set(headerFetch, c.Fetch)
+	}
+	if c.Save != "" {
+		header.Set(headerSave, c.Save)
+	}
+	pool := p.pool(c.ID, c.Addr, p.connections(q.service))
+	response, err := pool.Do(ctx, &upstream.Request{
+		Method: q.Method, Target: q.RequestURI, Host: q.Host, ID: q.id, Header: header, Body: q.body,
+	})
+	return &attempt{choice: c, response: response, err: err}
+}
+
+// connections is this mixer's part of the connections that a backend takes from all.
+func (p *Proxy) connections(service string) int {
+	const unstated, part = 64, 0.9
+	table := p.config.Load()
+	s := table.Service(service)
+	if s == nil || s.ConnectionLimit <= 0 {
+		return unstated
+	}
+	return int(part * s.ConnectionLimit / float64(max(1, p.fellows.Load())))
+}
+
+// book tells the table what became of an attempt that brought no answer.
+func (p *Proxy) book(a *attempt, ctx context.Context) {
+	outcome := dispatch.Failed
+	switch {
+	case ctx.Err() != nil || errors.Is(a.err, upstream.ErrFull):
+		outcome = dispatch.Cancelled
+	case a.err == nil && a.response.StatusCode == http.StatusMisdirectedRequest:
+		outcome = dispatch.Misplaced
+	case a.err == nil:
+		outcome = dispatch.Refused
+	default:
+		p.log.Debug().Err(a.err).Str("step", "forward").Str("peer", a.choice.Addr).Msg("attempt failed")
+	}
+	p.do(func() { p.table.End(p.now(), a.choice, outcome) })
+}
+
+// giveUp answers at once for a request that is not served: with a promise and a time to come again if it has not run.
+func (p *Proxy) giveUp(q *request, mayHaveRun bool, reason string) {
+	switch {
+	case q.Context().Err() != nil:
+		panic(http.ErrAbortHandler) // its client is gone
+	case !mayHaveRun:
+		refuse(q.writer, http.StatusServiceUnavailable, retryLater, reason)
+	case time.Now().After(q.limit):
+		refuse(q.writer, http.StatusGatewayTimeout, 0, reason)
+	default:
+		refuse(q.writer, http.StatusBadGateway, 0, reason)
+	}
+}
+
+// relay passes an answer on to the client. One that cannot be finished ends with its connection, so that it does not look whole.
+func (p *Proxy) relay(ctx context.Context, q *request, a *attempt) {
+	out := q.writer.Header()
+	for name, values := range a.response.Header {
+		out[name] = values
+	}
+	for _, name := range hopHeaders {
+		if name != "Content-Length" {
+			out.Del(name)
+		}
+	}
+	if a.response.Header["Content-Type"] == nil {
+		out["Content-Type"] = nil // none is to be guessed
+	}
+	if a.response.ContentLength < 0 {
+		out.Del("Content-Length")
+	}
+	if p.stopping.Load() {
+		out.Set("Connection", "close")
+	}
+	p.began(q, a, a.response.ContentLength == 0)
+	q.writer.WriteHeader(a.response.StatusCode)
+	flush := http.NewResponseController(q.writer)
+	if a.response.ContentLength < 0 {
+		flush.Flush()
+	}
+	buffer := make([]byte, 16<<10)
+	for {
+		n, err := a.response.Body.Read(buffer)
+		if n > 0 {
+			p.began(q, a, true)
+			if _, err := q.writer.Write(buffer[:n]); err != nil {
+				p.finish(a, dispatch.Cancelled)
+				panic(http.ErrAbortHandler)
+			}
+			flush.Flush()
+		}
+		if err == io.EOF {
+			p.finish(a, dispatch.Done)
+			return
+		}
+		if err != nil {
+			outcome := dispatch.Failed
+			if ctx.Err() != nil {
+				outcome = dispatch.Cancelled
+			}
+			p.finish(a, outcome)
+			panic(http.ErrAbortHandler)
+		}
+	}
+}
+
+// began books the beginning of an answer, once its first bytes are there.
+func (p *Proxy) began(q *request, a *attempt, bytes bool) {
+	if bytes && !a.begun {
+		a.begun = true
+		p.do(func() { p.table.Began(p.now(), a.choice, q.service) })
+	}
+}
+
+func (p *Proxy) finish(a *attempt, outcome dispatch.Outcome) {
+	a.response.Body.Close()
+	p.do(func() { p.table.End(p.now(), a.choice, outcome) })
+}
--- /dev/null
+++ b/internal/proxy/proxy.go
@@ -0,0 +1,268 @@
+// Package proxy is the data plane's program on each front machine: it takes clients' requests, has the dispatch table decide where
+// each goes, forwards it and streams the answer back. What is in force it hears from the agent beside it.
+package proxy
+
+import (
+	"context"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/ansel1/merry/v2"
+	"github.com/labstack/echo/v4"
+	"github.com/rs/zerolog"
+
+	"nettlefold/internal/config"
+	"nettlefold/internal/dispatch"
+	"nettlefold/internal/distribute"
+	"nettlefold/internal/feed"
+	"nettlefold/internal/rpc"
+	"nettlefold/internal/settings/local"
+	"nettlefold/internal/upstream"
+)
+
+const (
+	feedLimit = 700 * time.Millisecond
+	feedEvery = 40 * time.Millisecond // between two calls, so that news comes in batches
+	// acceptAfterTerm is how long new connections are still taken after SIGTERM: the platform looks at readiness every second and
+	// hands connections out until it has missed it twice.
+	acceptAfterTerm = 2500 * time.Millisecond
+	// graceLeft is kept of the grace for ending in order.
+	graceLeft        = 700 * time.Millisecond
+	headerTimeout    = 20 * time.Second
+	idleTimeout      = 75 * time.Second
+	maxHeaderBytes   = 64 << 10
+	commandQueue     = 256
+	reservedFiles    = 300
+	defaultBodyBytes = 4 << 20
+)
+
+// Proxy is one front machine's data plane.
+type Proxy struct {
+	settings *local.Settings
+	log      zerolog.Logger
+	start    time.Time
+	agent    *rpc.Client
+	config   atomic.Pointer[config.Table]
+	stopping atomic.Bool
+	fellows  atomic.Int64 // mixers that share the backends' connections
+	commands chan func()
+	done     chan struct{}
+
+	// What follows is the owner's.
+	table *dispatch.Table
+	have  feed.Request
+
+	poolsMu sync.Mutex
+	pools   map[string]*upstream.Pool // by the backend's identity
+}
+
+// New makes a proxy.
+func New(settings *local.Settings, log zerolog.Logger) *Proxy {
+	p := &Proxy{
+		settings: settings,
+		log:      log,
+		start:    time.Now(),
+		agent:    rpc.NewClient(settings.LoopbackAddr()),
+		commands: make(chan func(), commandQueue),
+		done:     make(chan struct{}),
+		pools:    map[string]*upstream.Pool{},
+	}
+	p.table = dispatch.New(0, dispatch.Settings{
+		Zone:             settings.Zone,
+		Drain:            settings.Bounds.Drain,
+		VersionLimit:     settings.Bounds.Version,
+		ColdOvershoot:    settings.Bounds.ColdOvershoot,
+		ColdSlack:        settings.Bounds.ColdSlack,
+		RetryBudgetRatio: settings.Bounds.RetryBudgetRatio,
+		RetryBudgetSlack: settings.Bounds.RetryBudgetSlack,
+		BudgetWindow:     max(settings.Bounds.BudgetWindow, time.Second),
+		CloudLag:         settings.CloudLag,
+	}, rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())))
+	return p
+}
+
+func (p *Proxy) now() time.Duration { return time.Since(p.start) }
+
+// do runs a command at the owner of the table and waits for it.
+func (p *Proxy) do(command func()) {
+	finished := make(chan struct{})
+	select {
+	case p.commands <- func() { command(); close(finished) }:
+		<-finished
+	case <-p.done:
+	}
+}
+
+func (p *Proxy) own() {
+	for {
+		select {
+		case command := <-p.commands:
+			command()
+		case <-p.done:
+			return
+		}
+	}
+}
+
+// Run serves until ctx ends, and then finishes what it has taken.
+func (p *Proxy) Run(ctx context.Context) error {
+	ready, err := net.Listen("tcp", p.settings.ReadyAddr)
+	if err != nil {
+		return merry.Prepend(err, "proxy: listen for readiness")
+	}
+	front, err := net.Listen("tcp", p.settings.FrontAddr)
+	if err != nil {
+		return merry.Prepend(err, "proxy: listen to clients")
+	}
+	go p.own()
+	go p.follow(ctx)
+	readiness := echo.New()
+	readiness.HideBanner, readiness.HidePort = true, true
+	readiness.GET("/v1/readiness", p.readiness)
+	readyServer := &http.Server{Handler: readiness, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout}
+	go readyServer.Serve(ready)
+	server := &http.Server{
+		Handler:           http.HandlerFunc(p.serve),
+		ReadHeaderTimeout: headerTimeout,
+		IdleTimeout:       idleTimeout,
+		MaxHeaderBytes:    maxHeaderBytes,
+	}
+	go server.Serve(front)
+	<-ctx.Done()
+	p.stop(server)
+	readyServer.Close()
+	close(p.done)
+	return nil
+}
+
+// stop ends the server: not ready at once, connections closed after the answers that run, and no request cut while there is time.
+func (p *Proxy) stop(server *http.Server) {
+	p.log.Info().Str("step", "stop").Msg("finishing what was taken")
+	p.stopping.Store(true)
+	limit := time.Now().Add(p.settings.Bounds.Grace - graceLeft)
+	time.Sleep(min(acceptAfterTerm, time.Until(limit)))
+	ctx, cancel := context.WithDeadline(context.Background(), limit)
+	defer cancel()
+	server.SetKeepAlivesEnabled(false)
+	server.Shutdown(ctx)
+}
+
+func (p *Proxy) readiness(ctx echo.Context) error {
+	if p.stopping.Load() || p.config.Load() == nil {
+		return ctx.NoContent(http.StatusServiceUnavailable)
+	}
+	return ctx.NoContent(http.StatusOK)
+}
+
+// follow keeps asking the agent for news.
+func (p *Proxy) follow(ctx context.Context) {
+	for ctx.Err() == nil {
+		var request feed.Request
+		p.do(func() {
+			p.have.Loads = p.table.Loads()
+			request = p.have
+		})
+		call, cancel := context.WithTimeout(ctx, feedLimit)
+		reply := new(feed.Reply)
+		err := p.agent.Call(call, feed.KindFeed, &request, reply)
+		cancel()
+		if err == nil {
+			p.do(func() { p.take(reply) })
+		}
+		select {
+		case <-time.After(feedEvery):
+		case <-ctx.Done():
+		}
+	}
+}
+
+// take puts news in force.
+func (p *Proxy) take(reply *feed.Reply) {
+	now := p.now()
+	if reply.Agent != p.have.Agent {
+		p.have.Agent, p.have.List, p.have.Members = reply.Agent, 0, 0
+	}
+	if s := reply.Snapshot; s != nil && s.Seq > p.have.Applied {
+		p.takeSnapshot(now, s, reply.Ages)
+	}
+	if reply.Members != nil {
+		p.takeMembers(reply.Members)
+	}
+	if reply.List != nil {
+		p.have.List = reply.List.Number
+		for _, id := range p.table.SetBackends(now, reply.List.Backends, reply.List.Phases) {
+			p.table.Index().Forget(id)
+			p.dropPool(id)
+		}
+	}
+	index := p.table.Index()
+	if reply.Reset {
+		for _, id := range index.Backends() {
+			index.Forget(id)
+		}
+	}
+	p.have.Index = reply.Index
+	for _, b := range reply.Batches {
+		if !index.Apply(b) {
+			p.have.Agent = "" // have it told whole
+		}
+	}
+	p.table.SetLoads(reply.Loads)
+}
+
+func (p *Proxy) takeSnapshot(now time.Duration, s *distribute.Snapshot, ages map[string]int64) {
+	if len(s.Config) > 0 && s.ConfigSeq != p.have.Config {
+		doc, err := config.Parse(s.Config)
+		if err != nil {
+			p.log.Error().Err(err).Str("step", "apply").Uint64("seq", s.Seq).Msg("a committed configuration cannot be read")
+			return
+		}
+		table := config.Compile(doc)
+		p.config.Store(table)
+		p.table.SetConfig(table)
+		p.have.Config = s.ConfigSeq
+	}
+	p.table.SetState(now, s.Evacuated, s.Restored, s.Models, ages, distribute.UnknownAge)
+	p.have.Applied = s.Seq
+}
+
+func (p *Proxy) takeMembers(set *distribute.MemberSet) {
+	p.have.Members = set.Digest
+	members := dispatch.Members{}
+	own := p.settings.InternalAddr(p.settings.IP)
+	for _, a := range set.Agents {
+		members.All = append(members.All, a.Addr)
+		if a.Addr == own {
+			members.Self = a.Addr
+		}
+	}
+	p.fellows.Store(int64(len(members.All)))
+	p.table.SetMembers(members)
+}
+
+// pool gives the connections to a backend.
+func (p *Proxy) pool(id, addr string, limit int) *upstream.Pool {
+	p.poolsMu.Lock()
+	defer p.poolsMu.Unlock()
+	pool := p.pools[id]
+	if pool == nil {
+		pool = upstream.NewPool(addr, limit)
+		p.pools[id] = pool
+	}
+	pool.SetLimit(limit)
+	return pool
+}
+
+func (p *Proxy) dropPool(id string) {
+	p.poolsMu.Lock()
+	pool := p.pools[id]
+	delete(p.pools, id)
+	p.poolsMu.Unlock()
+	if pool != nil {
+		pool.Close()
+	}
+}
--- /dev/null
+++ b/internal/upstream/upstream.go
@@ -0,0 +1,314 @@
+// Package upstream carries requests to backends over HTTP/1.1: which connection, whether a request may have reached the backend, and
+// whether an answer is the request's own. It never sends anything twice; whoever calls it decides on that.
+package upstream
+
+import (
+	"bufio"
+	"context"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strconv"
+	"strings"
+	"sync"
+	"syscall"
+	"time"
+
+	"github.com/ansel1/merry/v2"
+)
+
+const (
+	// RequestIDHeader names a request, and is repeated on its answer.
+	RequestIDHeader = "X-Request-Id"
+
+	dialLimit = 700 * time.Millisecond
+	// idleUnstated is how long a connection is kept whose backend names no time, idleMargin what a stated time is cut by.
+	idleUnstated = 700 * time.Millisecond
+	idleMargin   = 600 * time.Millisecond
+	idleMost     = 20 * time.Second
+	readBuffer   = 8 << 10
+)
+
+// Stage is how far a request came before it failed.
+type Stage int
+
+// The stages.
+const (
+	NotSent Stage = iota // no byte left: it cannot have run
+	Sent                 // it may have run
+)
+
+// Error is a failure and how far the request had come.
+type Error struct {
+	Stage Stage
+	Step  string
+	Peer  string
+	Err   error
+}
+
+func (e *Error) Error() string { return fmt.Sprintf("upstream %s at %s: %v", e.Step, e.Peer, e.Err) }
+func (e *Error) Unwrap() error { return e.Err }
+
+// ErrOtherAnswer is an answer that names another request.
+var ErrOtherAnswer = merry.New("the answer is another request's")
+
+// ErrFull is returned when all connections that a backend may have from here are in use.
+var ErrFull = merry.New("no connection is free")
+
+// Pool keeps the connections to one backend.
+type Pool struct {
+	addr string
+
+	mu     sync.Mutex
+	idle   []*conn // newest last
+	open   int
+	limit  int
+	closed bool
+}
+
+type conn struct {
+	net.Conn
+	reader *bufio.Reader
+	used   bool
+	until  time.Time // while idle: when it is too old to be used
+}
+
+// NewPool makes the pool of a backend's address; limit bounds its connections.
+func NewPool(addr string, limit int) *Pool { return &Pool{addr: addr, limit: max(1, limit)} }
+
+// SetLimit changes the bound on connections.
+func (p *Pool) SetLimit(limit int) {
+	p.mu.Lock()
+	p.limit = max(1, limit)
+	p.mu.Unlock()
+}
+
+// Close closes idle connections, and others as they end.
+func (p *Pool) Close() {
+	p.mu.Lock()
+	idle := p.idle
+	p.idle, p.closed = nil, true
+	p.open -= len(idle)
+	p.mu.Unlock()
+	for _, c := range idle {
+		c.Close()
+	}
+}
+
+// take gives an idle connection that is alive.
+func (p *Pool) take() *conn {
+	for {
+		p.mu.Lock()
+		n := len(p.idle)
+		if n == 0 {
+			p.mu.Unlock()
+			return nil
+		}
+		c := p.idle[n-1]
+		p.idle = p.idle[:n-1]
+		p.mu.Unlock()
+		if time.Now().Before(c.until) && c.quiet() {
+			return c
+		}
+		p.drop(c)
+	}
+}
+
+// quiet tells whether nothing has come on an idle connection: neither its end nor bytes that belong to no request.
+func (c *conn) quiet() bool {
+	if c.reader.Buffered() > 0 {
+		return false
+	}
+	raw, err := c.Conn.(*net.TCPConn).SyscallConn()
+	if err != nil {
+		return false
+	}
+	quiet := false
+	var one [1]byte
+	err = raw.Read(func(fd uintptr) bool {
+		_, _, err := syscall.Recvfrom(int(fd), one[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
+		quiet = err == syscall.EAGAIN
+		return true
+	})
+	return err == nil && quiet
+}
+
+func (p *Pool) drop(c *conn) {
+	c.Close()
+	p.mu.Lock()
+	p.open--
+	p.mu.Unlock()
+}
+
+func (p *Pool) dial(ctx context.Context) (*conn, error) {
+	p.mu.Lock()
+	if p.open >= p.limit {
+		p.mu.Unlock()
+		return nil, ErrFull
+	}
+	p.open++
+	p.mu.Unlock()
+	dialer := net.Dialer{Timeout: dialLimit}
+	nc, err := dialer.DialContext(ctx, "tcp", p.addr)
+	if err != nil {
+		p.mu.Lock()
+		p.open--
+		p.mu.Unlock()
+		return nil, err
+	}
+	return &conn{Conn: nc, reader: bufio.NewReaderSize(nc, readBuffer)}, nil
+}
+
+// keep puts a connection back whose answer was read whole.
+func (p *Pool) keep(c *conn, header http.Header) {
+	idle := idleUnstated
+	if stated, ok := statedIdle(header); ok {
+		idle = min(stated-idleMargin, idleMost)
+	}
+	if idle <= 0 || c.reader.Buffered() > 0 {
+		p.drop(c)
+		return
+	}
+	c.until, c.used = time.Now().Add(idle), true
+	p.mu.Lock()
+	if p.closed {
+		p.mu.Unlock()
+		p.drop(c)
+		return
+	}
+	p.idle = append(p.idle, c)
+	var old *conn
+	if p.idle[0].until.Before(time.Now()) {
+		old = p.idle[0]
+		p.idle = append(p.idle[:0], p.idle[1:]...)
+	}
+	p.mu.Unlock()
+	if old != nil {
+		p.drop(old)
+	}
+}
+
+// statedIdle reads the time that a backend keeps an idle connection for.
+func statedIdle(header http.Header) (time.Duration, bool) {
+	for _, item := range strings.Split(header.Get("Keep-Alive"), ",") {
+		if value, ok := strings.CutPrefix(strings.TrimSpace(item), "timeout="); ok {
+			if s, err := strconv.ParseFloat(value, 64); err == nil && s >= 0 {
+				return time.Duration(s * float64(time.Second)), true
+			}
+		}
+	}
+	return 0, false
+}
+
+// Request is what is sent: the head's fields already as they are to go out.
+type Request struct {
+	Method string
+	Target string // path and query, as the client sent them
+	Host   string
+	ID     string
+	Header http.Header
+	Body   []byte
+}
+
+// Response is an answer. Its body must be read to the end or closed.
+type Response struct {
+	*http.Response
+	pool  *Pool
+	conn  *conn
+	whole bool
+}
+
+// Do sends a request and reads the head of its answer. A failure is an *Error. The request ends when ctx does.
+func (p *Pool) Do(ctx context.Context, r *Request) (*Response, error) {
+	c := p.take()
+	if c == nil {
+		var err error
+		if c, err = p.dial(ctx); err != nil {
+			return nil, &Error{NotSent, "dial", p.addr, err}
+		}
+	}
+	stop := context.AfterFunc(ctx, func() { c.SetDeadline(time.Unix(1, 0)) })
+	response, err := p.exchange(c, r)
+	if err != nil {
+		stop()
+		p.drop(c)
+		if ctx.Err() != nil {
+			err.Err = ctx.Err()
+		}
+		return nil, err
+	}
+	response.Body = &body{ReadCloser: response.Body, response: response, stop: stop}
+	return response, nil
+}
+
+func (p *Pool) exchange(c *conn, r *Request) (*Response, *Error) {
+	if n, err := c.Write(r.encode()); err != nil {
+		if n == 0 {
+			return nil, &Error{NotSent, "write", p.addr, err}
+		}
+		return nil, &Error{Sent, "write", p.addr, err}
+	}
+	for {
+		answer, err := http.ReadResponse(c.reader, &http.Request{Method: r.Method})
+		if err != nil {
+			return nil, &Error{Sent, "read", p.addr, err}
+		}
+		if answer.StatusCode < 200 {
+			continue
+		}
+		if id := answer.Header.Get(RequestIDHeader); id != "" && id != r.ID {
+			return nil, &Error{Sent, "read", p.addr, ErrOtherAnswer}
+		}
+		return &Response{Response: answer, pool: p, conn: c}, nil
+	}
+}
+
+// encode writes the head and the body as one piece.
+func (r *Request) encode() []byte {
+	var b strings.Builder
+	b.Grow(1024 + len(r.Body))
+	b.WriteString(r.Method + " " + r.Target + " HTTP/1.1\r\nHost: " + r.Host + "\r\n")
+	r.Header.Write(&b)
+	if len(r.Body) > 0 || r.Method != http.MethodGet && r.Method != http.MethodHead {
+		b.WriteString("Content-Length: " + strconv.Itoa(len(r.Body)) + "\r\n")
+	}
+	b.WriteString("\r\n")
+	b.Write(r.Body)
+	return []byte(b.String())
+}
+
+// body notes whether it was read whole, and gives the connection back or ends it.
+type body struct {
+	io.ReadCloser
+	response *Response
+	stop     func() bool
+	done     bool
+}
+
+func (b *body) Read(into []byte) (int, error) {
+	n, err := b.ReadCloser.Read(into)
+	if err != nil {
+		b.finish(err == io.EOF)
+	}
+	return n, err
+}
+
+func (b *body) Close() error {
+	b.finish(false)
+	return nil
+}
+
+func (b *body) finish(whole bool) {
+	if b.done {
+		return
+	}
+	b.done = true
+	r := b.response
+	r.whole = whole
+	if stopped := b.stop(); stopped && whole && !r.Close {
+		r.pool.keep(r.conn, r.Header)
+		return
+	}
+	r.pool.drop(r.conn)
+}
