--- a/cmd/nettlefold/main.go
+++ b/cmd/nettlefold/main.go
@@ -135,6 +135,13 @@
 func main() {
 	hup := make(chan os.Signal, 1) // before all else: unheard, it ends the program
 	signal.Notify(hup, syscall.SIGHUP)
+	if len(os.Args) > 1 && systemCommands[os.Args[1]] {
+		if err := systemCommand(hup).Execute(); err != nil {
+			fmt.Fprintln(os.Stderr, "nettlefold:", err)
+			os.Exit(1)
+		}
+		return
+	}
 	var a arguments
 	command := kong.Parse(&a, kong.Name("nettlefold"), kong.Description("One mixer: one lookup served from many searchers."),
 		kong.UsageOnError(), kong.Bind(hup))
--- /dev/null
+++ b/cmd/nettlefold/system.go
@@ -0,0 +1,126 @@
+package main
+
+import (
+	"context"
+	"os"
+	"os/signal"
+	"syscall"
+	"time"
+
+	"github.com/rs/zerolog"
+	"github.com/spf13/cobra"
+
+	"nettlefold/internal/agent"
+	"nettlefold/internal/controller"
+	"nettlefold/internal/proxy"
+	"nettlefold/internal/settings/local"
+)
+
+// settingsPoll is how often the settings file is looked at: it may change without a signal.
+const settingsPoll = 500 * time.Millisecond
+
+// systemCommands are the programs of the router fleet, by the word that starts them.
+var systemCommands = map[string]bool{"proxy": true, "agent": true, "controller": true}
+
+// program is one of the fleet's.
+type program interface {
+	Run(ctx context.Context) error
+}
+
+// reloader takes settings that changed.
+type reloader interface {
+	Reload(settings *local.Settings)
+}
+
+// systemCommand makes the command line of the router fleet.
+func systemCommand(hup chan os.Signal) *cobra.Command {
+	root := &cobra.Command{
+		Use:           "nettlefold",
+		Short:         "A router fleet with an index of kept prompts",
+		SilenceUsage:  true,
+		SilenceErrors: true,
+	}
+	level := root.PersistentFlags().String("log-level", "info", "least level that is logged: debug, info, warn, error")
+	add := func(use, short string, make func(*local.Settings, zerolog.Logger) (program, error)) {
+		root.AddCommand(&cobra.Command{
+			Use:   use,
+			Short: short,
+			Long:  short + ". It reads the settings file that " + local.Variable + " names, and runs until SIGTERM or SIGINT.",
+			Args:  cobra.NoArgs,
+			RunE:  func(*cobra.Command, []string) error { return runProgram(use, *level, hup, make) },
+		})
+	}
+	add("proxy", "Serve clients on a front machine", func(s *local.Settings, log zerolog.Logger) (program, error) {
+		return proxy.New(s, log), nil
+	})
+	add("agent", "Keep a front machine's link to the control plane", func(s *local.Settings, log zerolog.Logger) (program, error) {
+		return agent.New(s, log), nil
+	})
+	add("controller", "Keep the control state on a core machine and serve the operator", func(s *local.Settings, log zerolog.Logger) (program, error) {
+		return controller.New(s, log)
+	})
+	return root
+}
+
+// runProgram runs a program of the fleet until it is told to stop.
+func runProgram(name, level string, hup chan os.Signal, make func(*local.Settings, zerolog.Logger) (program, error)) error {
+	settings, err := local.Load()
+	if err != nil {
+		return err
+	}
+	least, err := zerolog.ParseLevel(level)
+	if err != nil {
+		return err
+	}
+	zerolog.TimeFieldFormat = zerolog.TimeFormatUnixMs
+	log := zerolog.New(os.Stderr).Level(least).With().Timestamp().Str("node", settings.NodeName).Str("program", name).Logger()
+	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
+	defer stop()
+	p, err := make(settings, log)
+	if err != nil {
+		return err
+	}
+	go watchSettings(ctx, hup, p, log)
+	return p.Run(ctx)
+}
+
+// watchSettings reads the settings anew on SIGHUP and when their file changes. A file with a fault changes nothing.
+func watchSettings(ctx context.Context, hup chan os.Signal, p program, log zerolog.Logger) {
+	last := settingsStamp()
+	ticker := time.NewTicker(settingsPoll)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-hup:
+		case <-ticker.C:
+			if now := settingsStamp(); now == last {
+				continue
+			}
+		case <-ctx.Done():
+			return
+		}
+		last = settingsStamp()
+		settings, err := local.Load()
+		if err != nil {
+			log.Warn().Err(err).Str("step", "reload").Msg("the settings were not taken")
+			continue
+		}
+		if r, ok := p.(reloader); ok {
+			r.Reload(settings)
+		}
+	}
+}
+
+// stamp tells versions of a file apart.
+type stamp struct {
+	modified time.Time
+	size     int64
+}
+
+func settingsStamp() stamp {
+	info, err := os.Stat(os.Getenv(local.Variable))
+	if err != nil {
+		return stamp{}
+	}
+	return stamp{info.ModTime(), info.Size()}
+}
