--- a/internal/agent/session.go
+++ b/internal/agent/session.go
@@ -44,6 +44,7 @@
 			if err != nil {
 				a.log.Debug().Err(err).Str("step", "watch").Str("peer", addr).Msg("controller does not answer")
 			}
+			a.ask(ctx, func() { a.takeLate(reply) })
 			avoid[addr] = time.Now().Add(avoidFor)
 			time.Sleep(sessionPause)
 			continue
@@ -93,6 +94,18 @@
 		a.members = reply.Members
 		a.notify()
 	}
+	a.takeSnapshot(reply)
+}
+
+// takeLate takes what is newer from a controller that is out of touch. It is committed, but not enough to begin with: only one in touch
+// can tell that nothing newer was in force before.
+func (a *Agent) takeLate(reply *distribute.WatchReply) {
+	if a.snapshot != nil {
+		a.takeSnapshot(reply)
+	}
+}
+
+func (a *Agent) takeSnapshot(reply *distribute.WatchReply) {
 	s := reply.Snapshot
 	if s == nil || a.snapshot != nil && s.Seq <= a.snapshot.Seq {
 		return
--- a/internal/chain/propose.go
+++ b/internal/chain/propose.go
@@ -23,6 +23,9 @@
 	accepted map[NodeID]bool
 }
 
+// passedOverFor is how long a member is left alone that did not catch up in time: each proposal holds up the writes.
+const passedOverFor = 1500 * time.Millisecond
+
 // wanted is the next view as this replica would have it: who accepts, and who should be in the chain.
 type wanted struct {
 	acceptors []Member
@@ -87,10 +90,10 @@
 // want tells which view is wanted, and whether it differs from the one in force.
 func (r *Replica) want(now time.Duration) (wanted, bool) {
 	view := &r.meta.View
-	want := wanted{acceptors: r.wantedAcceptors(now, r.newcomers(now, r.options.Timing.Settle))}
+	newcomers := slices.DeleteFunc(r.newcomers(now, 0), func(id NodeID) bool { return !r.ready(now, id) })
+	want := wanted{acceptors: r.wantedAcceptors(now, newcomers)}
 	for _, m := range want.acceptors {
-		steady := view.InChain(m.ID) || m.ID == r.meta.Identity || r.peers[m.ID] != nil && now-r.peers[m.ID].first >= r.options.Timing.Settle
-		if r.hears(now, m.ID) && steady {
+		if r.hears(now, m.ID) && (view.InChain(m.ID) || m.ID == r.meta.Identity || r.ready(now, m.ID)) {
 			want.chain = append(want.chain, m.ID)
 		}
 	}
@@ -98,6 +101,13 @@
 	return want, !same || r.stuck(now) || r.anySealed(now) || r.broken(now)
 }
 
+// ready tells whether a member may be taken into the chain: heard for a while, hearing this one, and not just left behind by a
+// proposal that waited for it.
+func (r *Replica) ready(now time.Duration, id NodeID) bool {
+	p := r.peers[id]
+	return p != nil && now-p.first >= r.options.Timing.Settle && now >= p.passedOver && slices.Contains(p.beat.Heard, r.meta.Identity)
+}
+
 // wantedAcceptors is the acceptors, without those that were replaced or are silent for long, and with newcomers.
 func (r *Replica) wantedAcceptors(now time.Duration, newcomers []NodeID) []Member {
 	timing := &r.options.Timing
@@ -377,6 +387,11 @@
 		r.proposal = nil
 		return
 	}
+	for _, m := range p.asked {
+		if other := r.peers[m.ID]; other != nil && !p.caught[m.ID] {
+			other.passedOver = now + passedOverFor
+		}
+	}
 	r.order(now, next)
 	r.put(next)
 }
--- a/internal/chain/replica.go
+++ b/internal/chain/replica.go
@@ -74,6 +74,8 @@
 	first  time.Duration // since when it is heard without a gap
 	heard  time.Duration
 	beat   Heartbeat
+	// passedOver is until when it is not taken into the chain, as it did not catch up in time.
+	passedOver time.Duration
 }
 
 // read waits until a majority has confirmed the epoch.
--- a/internal/chain/watch.go
+++ b/internal/chain/watch.go
@@ -112,7 +112,11 @@
 	beat := m.Heartbeat
 	p := r.peers[m.From.ID]
 	if p == nil || now-p.heard >= r.options.Timing.Suspect {
+		old := p
 		p = &peer{first: now}
+		if old != nil {
+			p.passedOver = old.passedOver
+		}
 		r.peers[m.From.ID] = p
 	}
 	p.member, p.heard, p.beat = m.From, now, *beat
@@ -147,7 +151,7 @@
 // Current tells whether this replica serves in a view that a majority of the acceptors, each heard lately and hearing it, holds for
 // the newest. It is a hint that ages at once; a read that must be the newest is confirmed.
 func (r *Replica) Current(now time.Duration) bool {
-	if !r.Serving() {
+	if !r.serving() {
 		return false
 	}
 	n := 1
--- a/internal/controller/sessions.go
+++ b/internal/controller/sessions.go
@@ -45,7 +45,7 @@
 	defer held.Stop()
 	for {
 		now := c.public.Load()
-		fresh := now.current && now.state.Seq > request.Have
+		fresh := now.state.Seq > request.Have
 		if fresh || !now.current || now.members.Digest != request.Members {
 			return replyTo(now, request), nil
 		}
@@ -61,7 +61,7 @@
 
 func replyTo(now *public, request *distribute.WatchRequest) *distribute.WatchReply {
 	reply := &distribute.WatchReply{Current: now.current, Controllers: now.controllers}
-	if now.current && now.state.Seq > request.Have {
+	if now.state.Seq > request.Have { // committed is committed, also where this replica is out of touch
 		reply.Snapshot = distribute.SnapshotOf(now.state, request.ConfigSeq)
 		reply.Ages = ages(now.named)
 	}
--- a/internal/rpc/client.go
+++ b/internal/rpc/client.go
@@ -149,6 +149,7 @@
 	if err != nil {
 		return nil, err
 	}
+	limitSilence(conn)
 	l := &line{conn: conn, waiting: map[uint64]chan *envelope{}, heard: time.Now()}
 	c.mu.Lock()
 	defer c.mu.Unlock()
--- a/internal/rpc/server.go
+++ b/internal/rpc/server.go
@@ -21,6 +21,7 @@
 		if err != nil {
 			return err
 		}
+		limitSilence(conn)
 		go serveConn(conn, handle)
 	}
 }
