Dispatch: what nobody keeps goes by rendezvous, reading again is weighed, memory and attention counted

Change: parts that nobody keeps go to the two first by rendezvous hashing, and to where a request of ours has them read; reading them elsewhere counts 2.5 times; memory held by running requests and the square of a prompt's length enter the estimate; backends on old weights are taken less.

--- a/internal/agent/agent.go
+++ b/internal/agent/agent.go
@@ -340,8 +340,7 @@
 	sum := map[string]dispatch.Load{}
 	for _, p := range a.loads {
 		for id, l := range p.loads {
-			s := sum[id]
-			sum[id] = dispatch.Load{Running: s.Running + l.Running, Waiting: s.Waiting + l.Waiting}
+			sum[id] = sum[id].Plus(l)
 		}
 	}
 	return sum
--- a/internal/dispatch/backend.go
+++ b/internal/dispatch/backend.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"nettlefold/internal/config"
+	"nettlefold/internal/kvindex"
 )
 
 // Phases of a backend that takes new weights.
@@ -30,13 +31,20 @@
 
 // Load is what a mixer has at a backend.
 type Load struct {
-	Running int `cbor:"1,keyasint"`
-	Waiting int `cbor:"2,keyasint"` // prompt tokens of requests that have not begun to answer
+	Running int     `cbor:"1,keyasint"`
+	Waiting float64 `cbor:"2,keyasint"` // ms of reading, for requests that have not begun to answer
+	Tokens  int     `cbor:"3,keyasint"` // that its requests hold in memory
+}
+
+// Plus adds loads.
+func (l Load) Plus(o Load) Load {
+	return Load{l.Running + o.Running, l.Waiting + o.Waiting, l.Tokens + o.Tokens}
 }
 
 // Backend is one that requests may be sent to.
 type Backend struct {
 	Listed
+	expected  map[kvindex.Key]time.Duration // parts that requests of ours are having read here, until when that is believed
 	coldUntil time.Duration
 	phase     string
 	own       Load
--- a/internal/dispatch/pick.go
+++ b/internal/dispatch/pick.go
@@ -8,6 +8,7 @@
 
 	"nettlefold/internal/config"
 	"nettlefold/internal/kvindex"
+	"nettlefold/internal/rendezvous"
 	"nettlefold/internal/waterfill"
 )
 
@@ -32,8 +33,12 @@
 	Version int64 // of the weights that are expected, 0 if the request names no model
 	Expect  float64
 
+	// BeginBy is when the answer has to begin, as it may not on these weights later; 0 if it may at any time.
+	BeginBy time.Duration
+
 	holder *Backend
-	miss   int
+	read   float64 // ms
+	tokens int
 	sent   time.Duration
 	begun  bool
 	ended  bool
@@ -54,26 +59,30 @@
 // Pick chooses the backend that should begin to answer first, by what it would have to read, what waits there and where it is, and the
 // holder that it fetches from. It gives nil if there is none that may get the request.
 func (t *Table) Pick(now time.Duration, r *Request) *Choice {
-	var best *Backend
-	var bestPlan plan
 	for _, fallback := range []bool{false, true} {
-		for _, b := range t.byService[r.Service] {
-			if slices.Contains(r.Tried, b.ID) || !t.mayServe(now, r, b, fallback) {
-				continue
-			}
-			p := t.plan(now, r, b)
-			if best == nil || p.cost < bestPlan.cost {
+		may := t.mayServeAll(now, r, fallback)
+		if len(may) == 0 {
+			continue
+		}
+		owners := t.owners(r, may)
+		best, bestPlan := may[0], t.plan(now, r, may[0], owners)
+		for _, b := range may[1:] {
+			if p := t.plan(now, r, b, owners); p.cost < bestPlan.cost {
 				best, bestPlan = b, p
 			}
 		}
-		if best != nil {
-			break
-		}
+		return t.take(now, r, best, bestPlan)
 	}
-	if best == nil {
-		return nil
+	return nil
+}
+
+func (t *Table) mayServeAll(now time.Duration, r *Request, fallback bool) (may []*Backend) {
+	for _, b := range t.byService[r.Service] {
+		if !slices.Contains(r.Tried, b.ID) && t.mayServe(now, r, b, fallback) {
+			may = append(may, b)
+		}
 	}
-	return t.take(now, r, best, bestPlan)
+	return may
 }
 
 // mayServe tells whether a backend may get a request. As a fallback, when no other may, it also may if it is avoided or being
@@ -104,55 +113,147 @@
 	return want.old || now-want.since > limit
 }
 
+// beginBy is when requests may begin on a version no more.
+func (t *Table) beginBy(model string, version int64) time.Duration {
+	want, named := t.models[model]
+	if !named || version >= want.version || want.old {
+		return 0
+	}
+	return want.since + time.Duration(beginShare*float64(t.settings.VersionLimit))
+}
+
 // plan is how a backend would serve a request.
 type plan struct {
-	cost    float64 // ms until the first token
-	miss    int     // tokens that it would read
+	cost    float64 // ms until the first token, and what else it costs put into ms
+	read    float64 // ms that it would read for
 	holders []*Backend
 	salt    string
 	version int64
+	keys    []kvindex.Key
 }
 
-func (t *Table) plan(now time.Duration, r *Request, b *Backend) plan {
+func (t *Table) plan(now time.Duration, r *Request, b *Backend, owners []string) plan {
 	service := t.service(r.Service)
-	p := plan{}
+	p := plan{cost: t.random.Float64()}
 	if b.Zone != t.settings.Zone {
 		p.cost += crossZoneMS
 	}
+	load := b.own.Plus(b.others)
 	if !engine(service) || r.Model == "" {
 		work := b.latency
 		if work == 0 {
 			work = defaultWorkMS
 		}
-		p.cost += work * (1 + float64(b.own.Running+b.others.Running)/float64(max(1, b.Slots)))
-		p.cost += t.random.Float64()
+		p.cost += work * (1 + float64(load.Running)/float64(max(1, b.Slots)))
 		return p
 	}
 	p.version = b.Versions[r.Model]
 	p.salt = saltOf(p.version, r.Wall)
-	keys := kvindex.Keys(p.salt, r.Model, r.Parts)
-	held := t.index.Held(b.ID, keys, r.Parts)
-	speed := t.readSpeed(r.Service)
-	p.miss = max(0, r.Prompt-held)
-	longest := t.holders(now, r, b, keys, held, &p)
+	p.keys = kvindex.Keys(p.salt, r.Model, r.Parts)
+	held := t.index.Held(b.ID, p.keys, r.Parts)
+	kept, speed := held, t.readSpeed(r.Service)
+	longest := t.holders(now, r, b, held, &p)
 	if len(p.holders) > 0 {
-		fetched := longest - held
-		p.cost += fetchMS(service, fetched) + duplicateShare*float64(fetched)/speed
-		p.miss -= fetched
+		kept = longest
+		p.cost += fetchMS(service, longest-held) + duplicateShare*float64(longest-held)/speed
+	}
+	p.read = readMS(kept, r.Prompt, speed)
+	p.cost += p.read + load.Waiting + runningMS*float64(load.Running)
+	p.cost += t.again(now, r, b, &p, kept, owners) / speed
+	p.cost += crowded(service, load, r)
+	if t.behind(r.Model, p.version) {
+		p.cost += oldVersionShare * p.read // what is read there is dropped soon
 	}
-	p.cost += float64(p.miss+b.own.Waiting+b.others.Waiting)/speed + runningMS*float64(b.own.Running+b.others.Running)
-	p.cost += t.random.Float64()
 	return p
 }
 
+// readMS estimates what it takes to read a prompt of which so many tokens are kept: each token, and its attention to those before.
+func readMS(kept, prompt int, speed float64) float64 {
+	k, n := float64(min(kept, prompt)), float64(prompt)
+	return (n-k)/speed + attentionMS*(n*n-k*k)/1e6
+}
+
+// again weighs, in tokens, that shared parts would be read here although others are to have them: those that come first in the
+// prompt's ranking, by which all mixers send what nobody keeps yet to the same backend, and those that are reading them now.
+func (t *Table) again(now time.Duration, r *Request, b *Backend, p *plan, kept int, owners []string) float64 {
+	shared := r.shared()
+	if shared <= kept || slices.Contains(owners[:min(1, len(owners))], b.ID) || b.expects(now, p.keys, r) {
+		return 0
+	}
+	weight := againWeight
+	if slices.Contains(owners, b.ID) {
+		weight /= 2
+	}
+	return weight * float64(shared-kept)
+}
+
+// shared is the tokens of the parts that other requests may share: all but the last.
+func (r *Request) shared() (tokens int) {
+	for i := range len(r.Parts) - 1 {
+		tokens += r.Parts[i].Tokens
+	}
+	return tokens
+}
+
+// owners ranks the backends that may serve for what the request shares.
+func (t *Table) owners(r *Request, may []*Backend) []string {
+	if len(r.Parts) < 2 {
+		return nil
+	}
+	ids := make([]string, len(may))
+	for i, b := range may {
+		ids[i] = b.ID
+	}
+	return rendezvous.Top(r.Wall+"/"+r.Parts[len(r.Parts)-2].ID, ids, ownersOfPrompt)
+}
+
+// expects tells whether the shared parts are being read at a backend for a request of ours.
+func (b *Backend) expects(now time.Duration, keys []kvindex.Key, r *Request) bool {
+	for i := range len(r.Parts) - 1 {
+		if b.expected[keys[i]] <= now {
+			return false
+		}
+	}
+	return len(r.Parts) > 1
+}
+
+// expect notes that a request of ours has parts read here.
+func (b *Backend) expect(now time.Duration, keys []kvindex.Key) {
+	if b.expected == nil {
+		b.expected = map[kvindex.Key]time.Duration{}
+	}
+	if len(b.expected) > expectedMost {
+		for k, until := range b.expected {
+			if until <= now {
+				delete(b.expected, k)
+			}
+		}
+	}
+	for _, k := range keys {
+		b.expected[k] = now + expectedFor
+	}
+}
+
+// crowded is what a request waits for memory that others hold.
+func crowded(s *config.Service, load Load, r *Request) float64 {
+	over := float64(load.Tokens+r.Prompt) - memoryShare*float64(s.Engine.KVCapacityTokens)
+	if over <= 0 || s.Engine.KVCapacityTokens == 0 {
+		return 0
+	}
+	return crowdedMS * over / float64(s.Engine.KVCapacityTokens)
+}
+
+// behind tells whether a newer version of a model is wanted.
+func (t *Table) behind(model string, version int64) bool { return version < t.models[model].version }
+
 // holders finds the fit holders of the longest prefix that any keeps, if it is enough longer than what the server keeps itself.
-func (t *Table) holders(now time.Duration, r *Request, server *Backend, keys []kvindex.Key, held int, p *plan) (longest int) {
+func (t *Table) holders(now time.Duration, r *Request, server *Backend, held int, p *plan) (longest int) {
 	longest = held + fetchLeast - 1
 	consider := func(b *Backend) {
 		if b == server || !t.fitHolder(now, b) {
 			return
 		}
-		switch kept := t.index.Held(b.ID, keys, r.Parts); {
+		switch kept := t.index.Held(b.ID, p.keys, r.Parts); {
 		case kept > longest:
 			longest, p.holders = kept, append(p.holders[:0], b)
 		case kept == longest && len(p.holders) > 0:
@@ -186,7 +287,8 @@
 	c := &Choice{
 		Backend: b, ID: b.ID, Addr: b.Addr,
 		Salt: p.salt, Version: p.version, Expect: p.cost,
-		miss: p.miss, sent: now,
+		read: p.read, sent: now, tokens: r.Prompt,
+		BeginBy: t.beginBy(r.Model, p.version),
 	}
 	if i := waterfill.Pick(len(p.holders), func(i int) int { return p.holders[i].fetching }, t.random.IntN); i >= 0 {
 		c.holder = p.holders[i]
@@ -195,8 +297,10 @@
 	} else if p.version != 0 {
 		c.Save = t.saveTo(r, p)
 	}
-	b.own.Running++
-	b.own.Waiting += c.miss
+	b.own = b.own.Plus(Load{1, c.read, c.tokens})
+	if len(p.keys) > 1 {
+		b.expect(now, p.keys[:len(p.keys)-1])
+	}
 	if now < b.coldUntil {
 		b.coldNext = now + b.coldShare
 	}
@@ -238,13 +342,13 @@
 		return
 	}
 	c.begun = true
-	c.Backend.own.Waiting -= c.miss
+	c.Backend.own.Waiting -= c.read
 	t.release(c)
 	ms := float64(now-c.sent) / float64(time.Millisecond)
 	if c.Version == 0 {
 		c.Backend.latency = mean(c.Backend.latency, ms)
-	} else if c.miss > 2000 && c.Backend.own.Running == 1 && c.Backend.others.Running == 0 && ms > 1 {
-		t.speed[service] = mean(t.readSpeed(service), float64(c.miss)/ms)
+	} else if c.read > measuredLeastMS && c.Backend.own.Running == 1 && c.Backend.others.Running == 0 && ms > 1 {
+		t.speed[service] = mean(t.readSpeed(service), t.readSpeed(service)*c.read/ms)
 	}
 	c.Backend.failures, c.Backend.avoid, c.Backend.trial = 0, 0, false
 }
@@ -265,9 +369,13 @@
 	b := c.Backend
 	t.release(c)
 	if !c.begun {
-		b.own.Waiting -= c.miss
+		b.own.Waiting -= c.read
 	}
 	b.own.Running--
+	b.own.Tokens -= c.tokens
+	if b.own.Running == 0 {
+		b.own = Load{} // no rounding is left behind
+	}
 	switch outcome {
 	case Failed:
 		b.failures++
--- a/internal/dispatch/table.go
+++ b/internal/dispatch/table.go
@@ -26,12 +26,22 @@
 // Figures of the estimate. The reading speed is where the moving mean of what is measured begins.
 const (
 	firstTokensPerMS = 40.0
-	crossZoneMS      = 4.0   // what a hop to another zone and its bytes are taken for
-	runningMS        = 3.0   // what a running generation adds to the next one's start
-	fetchLeast       = 256   // tokens from which a fetch is worth its risk
-	fetchBaseMS      = 3.0   // of any fetch
-	defaultWorkMS    = 50.0  // of a request of whose service nothing is known
-	versionMargin    = 0.8   // share of the version's limit after which older ones get nothing more
+	crossZoneMS      = 4.0  // what a hop to another zone and its bytes are taken for
+	runningMS        = 3.0  // what a running generation adds to the next one's start
+	fetchLeast       = 256  // tokens from which a fetch is worth its risk
+	fetchBaseMS      = 3.0  // of any fetch
+	defaultWorkMS    = 50.0 // of a request of whose service nothing is known
+	versionMargin    = 0.8  // share of the version's limit after which older ones get nothing more
+	beginShare       = 0.96 // share of it after which what has not begun there is taken back
+	attentionMS      = 0.4  // of a million pairs of tokens
+	againWeight      = 2.5  // by how much reading anew what others read counts more than the time it takes
+	oldVersionShare  = 0.3  // what is added to the time to read at a backend whose memory is dropped soon
+	memoryShare      = 0.85 // of an engine's memory, from which requests wait for others to end
+	crowdedMS        = 4000.0
+	ownersOfPrompt   = 2
+	expectedFor      = 3 * time.Second
+	expectedMost     = 4096
+	measuredLeastMS  = 60.0  // of reading, from which the speed is measured by it
 	meanWeight       = 0.1   // of the newest figure in a moving mean
 	duplicateShare   = 0.3   // of the time to read what another keeps, for the memory that a second copy takes
 	storeWorthTokens = 1024  // shared tokens from which a prompt is worth saving to the store
