Streams taken up elsewhere, loads told by change, faster rollouts; tests of chain, store, configuration

Change: resumable streams go on at another backend inside the same answer, event by event; what has not begun on old weights by their limit is taken back; a backend is emptied until nothing unbegun waits there, then ordered; loads go out by change each 0.1 s; frames above 700 bytes are compressed.

--- a/internal/agent/agent.go
+++ b/internal/agent/agent.go
@@ -25,12 +25,14 @@
 const (
 	tickEvery    = 100 * time.Millisecond
 	commandQueue = 1024
-	newsEvery    = 200 * time.Millisecond
-	loadsKeep    = 1500 * time.Millisecond // a peer's loads are believed for so long
-	phasesKeep   = 12 * time.Second        // and an owner's phases
-	feedHold     = 200 * time.Millisecond
-	proxySilence = time.Second
-	keptBatches  = 2048
+	newsEvery    = 100 * time.Millisecond
+	// allLoadsEvery is how often all loads are told, for those that missed a change.
+	allLoadsEvery = time.Second
+	loadsKeep     = 1500 * time.Millisecond // a peer's loads are believed for so long
+	phasesKeep    = 12 * time.Second        // and an owner's phases
+	feedHold      = 200 * time.Millisecond
+	proxySilence  = time.Second
+	keptBatches   = 2048
 )
 
 // Agent is one mixer's agent.
@@ -58,6 +60,8 @@
 	listAt     time.Time
 	listNumber uint64
 	reading    bool
+	spreadSum  uint64
+	spreadAt   time.Time
 	phases     map[string]phaseNews
 
 	index      *kvindex.Index
@@ -66,11 +70,14 @@
 	readers    map[string]context.CancelFunc
 	fetching   map[string]bool // backends of which the whole is being fetched
 
-	loads    map[string]peerLoads
-	ownLoads map[string]dispatch.Load
-	toldAt   time.Time
-	outgoing feed.News
-	rollouts map[string]bool
+	loads       map[string]peerLoads
+	ownLoads    map[string]dispatch.Load
+	toldLoads   map[string]dispatch.Load
+	toldAllAt   time.Time
+	loadsNumber uint64
+	toldAt      time.Time
+	outgoing    feed.News
+	rollouts    map[string]bool
 
 	storesOf   uint64 // number of the configuration that storeAddrs is of
 	storeAddrs []string
@@ -173,6 +180,7 @@
 	for addr, l := range a.loads {
 		if time.Since(l.at) > loadsKeep {
 			delete(a.loads, addr)
+			a.loadsNumber++
 		}
 	}
 	for id, p := range a.phases {
@@ -197,23 +205,60 @@
 	a.notify()
 }
 
-// tellNews sends the others what has come together since the last time.
+// tellNews sends the others what has come together since the last time: the loads that changed, all of them now and then.
 func (a *Agent) tellNews() {
 	a.toldAt = time.Now()
 	a.outgoing.From = a.self.Addr
-	if len(a.ownLoads) > 0 || a.outgoing.Told {
-		a.outgoing.Loads, a.outgoing.Told = a.ownLoads, true
+	a.outgoing.Loads = changedLoads(a.toldLoads, a.ownLoads)
+	if time.Since(a.toldAllAt) >= allLoadsEvery {
+		a.toldAllAt = a.toldAt
+		a.outgoing.Loads, a.outgoing.All = a.ownLoads, true
 	}
-	if !a.outgoing.Told && a.outgoing.List == nil && len(a.outgoing.Batches) == 0 && len(a.outgoing.Phases) == 0 {
+	a.toldLoads = a.ownLoads
+	news := a.outgoing
+	if !news.All && len(news.Loads) == 0 && news.ListSum == 0 && len(news.Batches) == 0 && len(news.Phases) == 0 {
 		return
 	}
-	news := a.outgoing
 	for _, m := range a.members.Agents {
 		if m.Addr != a.self.Addr {
 			a.pool.Post(m.Addr, feed.KindNews, &news)
 		}
 	}
-	a.outgoing = feed.News{Told: len(a.ownLoads) > 0} // none left is told once
+	a.outgoing = feed.News{}
+}
+
+// changedLoads gives the loads that differ; one that ended is told as none.
+func changedLoads(old, now map[string]dispatch.Load) map[string]dispatch.Load {
+	changed := map[string]dispatch.Load{}
+	for id, l := range now {
+		if old[id] != l {
+			changed[id] = l
+		}
+	}
+	for id := range old {
+		if _, still := now[id]; !still {
+			changed[id] = dispatch.Load{}
+		}
+	}
+	return changed
+}
+
+// takeLoads takes what another mixer tells of its loads.
+func (a *Agent) takeLoads(news *feed.News) {
+	if !news.All && len(news.Loads) == 0 {
+		return
+	}
+	p, known := a.loads[news.From]
+	if news.All || !known {
+		p.loads = map[string]dispatch.Load{}
+	}
+	for id, l := range news.Loads {
+		p.loads[id] = l
+	}
+	p.at = time.Now()
+	a.loads[news.From] = p
+	a.loadsNumber++
+	a.notify()
 }
 
 // handlePeer serves other machines.
@@ -244,12 +289,8 @@
 }
 
 func (a *Agent) takeNews(news *feed.News) {
-	if news.Told {
-		a.loads[news.From] = peerLoads{news.Loads, time.Now()}
-	}
-	if news.List != nil {
-		a.takeList(news.List)
-	}
+	a.takeLoads(news)
+	a.hearList(news)
 	for _, b := range news.Batches {
 		a.takeBatch(b, news.From)
 	}
@@ -267,6 +308,14 @@
 
 // handleProxy serves the proxy beside this agent.
 func (a *Agent) handleProxy(ctx context.Context, kind string, body []byte) (any, error) {
+	if kind == feed.KindLoads {
+		loads := map[string]dispatch.Load{}
+		if err := cbor.Unmarshal(body, &loads); err != nil {
+			return nil, err
+		}
+		a.enqueue(func() { a.ownLoads = loads })
+		return nil, nil
+	}
 	if kind != feed.KindFeed {
 		return nil, merry.New("no such call: " + kind)
 	}
@@ -298,10 +347,13 @@
 
 // feedReply makes the answer to a proxy, and tells whether there is something in it that it lacks.
 func (a *Agent) feedReply(request *feed.Request) (reply *feed.Reply, fresh bool) {
-	a.proxyAt, a.ownLoads = time.Now(), request.Loads
+	a.proxyAt = time.Now()
 	a.applied = max(a.applied, request.Applied)
 	same := request.Agent == a.self.ID
-	reply = &feed.Reply{Agent: a.self.ID, Index: a.batchCount, Loads: a.othersLoads()}
+	reply = &feed.Reply{Agent: a.self.ID, Index: a.batchCount, LoadsAt: a.loadsNumber}
+	if !same || request.Loads != a.loadsNumber {
+		reply.Loads, fresh = a.othersLoads(), true
+	}
 	if a.snapshot != nil && a.snapshot.Seq > request.Applied {
 		snapshot := *a.snapshot
 		if snapshot.ConfigSeq == request.Config {
--- a/internal/agent/list.go
+++ b/internal/agent/list.go
@@ -11,23 +11,30 @@
 	"time"
 
 	"github.com/ansel1/merry/v2"
+	"github.com/cespare/xxhash/v2"
+	"github.com/fxamacker/cbor/v2"
 
 	"nettlefold/internal/dispatch"
 	"nettlefold/internal/feed"
 )
 
 const (
-	listDuty   = "list"
-	listEvery  = 600 * time.Millisecond
-	listLimit  = 900 * time.Millisecond
-	listStale  = 1500 * time.Millisecond // from which on an agent that is not the owner reads for itself
-	listRetry  = 700 * time.Millisecond  // mean pause between its own tries
-	listPages  = 400
-	listBytes  = 4 << 20
-	draining   = "draining"
-	freshAfter = 2 * listLimit // of its beginning a read is no news any more, as its reader may have stood still
+	listDuty  = "list"
+	listEvery = 600 * time.Millisecond
+	listLimit = 900 * time.Millisecond
+	listStale = 1500 * time.Millisecond // from which on an agent that is not the owner reads for itself
+	listRetry = 700 * time.Millisecond  // mean pause between its own tries
+	listPages = 400
+	// wholeListEvery is how often the list is told though it did not change, for those that missed it.
+	wholeListEvery = 3 * time.Second
+	listBytes      = 4 << 20
+	draining       = "draining"
+	freshAfter     = 2 * listLimit // of its beginning a read is no news any more, as its reader may have stood still
 )
 
+// sorted encodes maps in one order.
+var sorted, _ = cbor.CoreDetEncOptions().EncMode()
+
 // instance is an entry of the platform's list.
 type instance struct {
 	ID      string  `json:"id"`
@@ -73,13 +80,41 @@
 			}
 			a.takeList(list)
 			if a.owns(listDuty) {
-				a.outgoing.List = list
-				a.tellNews()
+				a.spreadList()
 			}
 		})
 	}()
 }
 
+// spreadList tells the others that the list was read; the list itself goes along when it changed, and now and then.
+func (a *Agent) spreadList() {
+	sum := listSum(a.list)
+	a.outgoing.ListSum = sum
+	if sum != a.spreadSum || time.Since(a.spreadAt) >= wholeListEvery {
+		a.outgoing.List, a.spreadSum, a.spreadAt = a.list, sum, time.Now()
+	}
+	a.tellNews()
+}
+
+// hearList takes the list that its owner read. One that is said to be the same is fresh again; another is missing until it is told.
+func (a *Agent) hearList(news *feed.News) {
+	switch {
+	case news.List != nil:
+		a.takeList(news.List)
+	case news.ListSum != 0 && a.list != nil && listSum(a.list) == news.ListSum:
+		a.listAt = time.Now()
+	}
+}
+
+// listSum digests a list.
+func listSum(list []dispatch.Listed) uint64 {
+	encoded, err := sorted.Marshal(list)
+	if err != nil {
+		return 0
+	}
+	return xxhash.Sum64(encoded) | 1
+}
+
 // readList reads all pages.
 func (a *Agent) readList(ctx context.Context) ([]dispatch.Listed, error) {
 	ctx, cancel := context.WithTimeout(ctx, listLimit)
--- a/internal/agent/orders.go
+++ b/internal/agent/orders.go
@@ -20,8 +20,12 @@
 const (
 	// atOnceShare is one part in so many of a model's backends that is out of service at a time for new weights.
 	atOnceShare = 6
-	// emptyFor is how long a backend gets nothing before its order: what runs there ends meanwhile, so that it loads at once.
-	emptyFor = 700 * time.Millisecond
+	// underShare is how many times as many may be out of service at once: some of them end what runs there while others load.
+	underShare = 2
+	// emptyLeast and emptyMost bound how long a backend gets nothing before its order, so that nothing waits there unbegun.
+	emptyLeast = 250 * time.Millisecond
+	emptyMost  = 1200 * time.Millisecond
+	emptyEvery = 50 * time.Millisecond
 	// confirmEvery is how often the holder of a duty makes sure that it still is, and confirmFor how long it then acts.
 	confirmEvery = 400 * time.Millisecond
 	confirmFor   = 900 * time.Millisecond
@@ -203,7 +207,7 @@
 // start takes the next backends out of service: as many as may load at once, and as many that are emptied meanwhile.
 func (r *rollout) start(ctx context.Context, behind []dispatch.Listed, version int64, atOnce int) {
 	for _, l := range behind {
-		if len(r.under) >= 2*atOnce {
+		if len(r.under) >= underShare*atOnce {
 			return
 		}
 		if _, already := r.under[l.ID]; already || l.Draining {
@@ -218,7 +222,7 @@
 func (r *rollout) one(ctx context.Context, l dispatch.Listed, version int64) {
 	defer func() { r.finished <- l.ID }()
 	r.phase(l.ID, feed.Phase{Name: dispatch.PhaseEmptying})
-	time.Sleep(emptyFor)
+	r.awaitBegun(ctx, l.ID)
 	if err := r.order(ctx, l, version); err != nil {
 		r.agent.log.Warn().Err(err).Str("step", "order").Str("peer", l.Addr).Msg("the order was not taken")
 		r.phase(l.ID, feed.Phase{})
@@ -235,6 +239,17 @@
 	r.phase(l.ID, feed.Phase{})
 }
 
+// awaitBegun waits until nothing waits at a backend that has not begun, as far as the mixers tell; what has begun may run on.
+func (r *rollout) awaitBegun(ctx context.Context, id string) {
+	time.Sleep(emptyLeast)
+	for began := time.Now(); time.Since(began) < emptyMost && ctx.Err() == nil; time.Sleep(emptyEvery) {
+		waiting := 0
+		if r.agent.ask(ctx, func() { waiting = r.agent.othersLoads()[id].Plus(r.agent.ownLoads[id]).Waiting }) != nil || waiting <= 0 {
+			return
+		}
+	}
+}
+
 // phase tells everyone at once what a backend is at.
 func (r *rollout) phase(id string, p feed.Phase) {
 	r.agent.enqueue(func() {
--- /dev/null
+++ b/internal/config/config_test.go
@@ -0,0 +1,59 @@
+package config
+
+import (
+	"strings"
+	"testing"
+
+	"github.com/stretchr/testify/require"
+)
+
+const sound = `{"version":7,"routes":[
+ {"name":"r1","host":"a.example","path_prefix":"/x/","kind":"streaming","timeout_ms":6000,"service":"s1","resumable":true},
+ {"name":"r2","host":"a.example","path_prefix":"/x/y/","kind":"non_idempotent","timeout_ms":1000,"traffic_split":[{"service":"s1","weight":0},{"service":"s2","weight":3}]},
+ {"name":"r3","host":"b.example","path_prefix":"/","kind":"idempotent","timeout_ms":1000,"service":"s2","public":true}],
+ "services":[{"name":"s1"},{"name":"s2","new_field":{"a":1}}],
+ "tenants":[{"name":"t1","api_keys":["k1","k2"]},{"name":"t2","api_keys":["k3"]}],"unknown":true}`
+
+func TestSoundConfigurationIsRead(t *testing.T) {
+	doc, err := Parse([]byte(sound))
+	require.NoError(t, err)
+	table := Compile(doc)
+	require.Equal(t, "r2", table.Route("A.example:80", "/x/y/z").Name, "the longest prefix, whatever the host's case and port")
+	require.Equal(t, "r1", table.Route("a.example", "/x/yz").Name)
+	require.Nil(t, table.Route("a.example", "/xy"))
+	require.Equal(t, "t1", table.Tenant("k2").Name)
+	require.Nil(t, table.Tenant("k9"))
+	require.True(t, table.Keyed())
+	require.True(t, table.Route("a.example", "/x/").MayRepeat())
+	require.False(t, table.Route("a.example", "/x/y/").MayRepeat())
+	for _, draw := range []float64{0, 0.5, 0.999} {
+		require.Equal(t, "s2", table.Route("a.example", "/x/y/").Target(draw), "a weight of 0 gets nothing")
+	}
+}
+
+func TestInvalidConfigurationIsNamedByPath(t *testing.T) {
+	for name, c := range map[string]struct{ old, new, path string }{
+		"cut short":             {`"unknown":true}`, ``, ""},
+		"unknown service":       {`"service":"s1"`, `"service":"s9"`, "/routes/0/service"},
+		"unknown split":         {`{"service":"s1","weight":0}`, `{"service":"s9","weight":1}`, "/routes/1/traffic_split/0/service"},
+		"weights of 0":          {`"weight":3`, `"weight":0`, "/routes/1/traffic_split"},
+		"negative weight":       {`"weight":3`, `"weight":-1`, "/routes/1/traffic_split/1/weight"},
+		"timeout of 0":          {`"timeout_ms":6000`, `"timeout_ms":0`, "/routes/0/timeout_ms"},
+		"the same place":        {`"path_prefix":"/x/y/"`, `"path_prefix":"/x/"`, "/routes/1"},
+		"a shared key":          {`"k3"`, `"k1"`, "/tenants/1/api_keys/0"},
+		"a prefix with no end":  {`"path_prefix":"/x/y/"`, `"path_prefix":"/x/y"`, "/routes/1/path_prefix"},
+		"no version":            {`"version":7,`, ``, "/"},
+		"a version of text":     {`"version":7`, `"version":"7"`, "/version"},
+		"routes that are none":  {`"routes":[`, `"routes":3,"others":[`, "/routes"},
+		"a service named twice": {`{"name":"s2"`, `{"name":"s1"`, "/services/1/name"},
+	} {
+		t.Run(name, func(t *testing.T) {
+			text := strings.Replace(sound, c.old, c.new, 1)
+			require.NotEqual(t, sound, text)
+			_, err := Parse([]byte(text))
+			var invalid *InvalidError
+			require.ErrorAs(t, err, &invalid)
+			require.Equal(t, c.path, invalid.Path, err.Error())
+		})
+	}
+}
--- a/internal/dispatch/backend.go
+++ b/internal/dispatch/backend.go
@@ -31,9 +31,9 @@
 
 // Load is what a mixer has at a backend.
 type Load struct {
-	Running int     `cbor:"1,keyasint"`
-	Waiting float64 `cbor:"2,keyasint"` // ms of reading, for requests that have not begun to answer
-	Tokens  int     `cbor:"3,keyasint"` // that its requests hold in memory
+	Running int `cbor:"1,keyasint"`
+	Waiting int `cbor:"2,keyasint"` // ms of reading, for requests that have not begun to answer
+	Tokens  int `cbor:"3,keyasint"` // that its requests hold in memory
 }
 
 // Plus adds loads.
@@ -54,6 +54,8 @@
 	failures  int           // in a row
 	avoid     time.Duration // until when it is avoided for them
 	trial     bool          // a request is out that shows whether it is back
+	pending   int           // requests of ours that have not begun to answer
+	progress  time.Duration // when it was last heard from, or the first of those sent
 	coldNext  time.Duration // when the next request may be sent to it while it is cold
 	coldShare time.Duration // between two of them; 0 if this mixer has no share
 }
--- a/internal/dispatch/pick.go
+++ b/internal/dispatch/pick.go
@@ -37,7 +37,7 @@
 	BeginBy time.Duration
 
 	holder *Backend
-	read   float64 // ms
+	read   int // ms
 	tokens int
 	sent   time.Duration
 	begun  bool
@@ -100,9 +100,18 @@
 	if fallback {
 		return true
 	}
-	return b.phase == PhaseNone && (now >= b.avoid && !b.trial)
+	return b.phase == PhaseNone && now >= b.avoid && !b.trial && !b.silent(now)
 }
 
+// silent tells whether a backend has let requests wait for longer than what is known to be before them takes.
+func (b *Backend) silent(now time.Duration) bool {
+	expected := time.Duration(b.own.Waiting+b.others.Waiting) * time.Millisecond
+	return b.pending > 0 && now-b.progress > silenceLimit+silenceShare*expected
+}
+
+// Heard books bytes of an answer that runs.
+func (t *Table) Heard(now time.Duration, c *Choice) { c.Backend.progress = now }
+
 // tooOld tells whether requests might begin on a version for longer than they may.
 func (t *Table) tooOld(now time.Duration, model string, version int64) bool {
 	want, named := t.models[model]
@@ -158,7 +167,7 @@
 		p.cost += fetchMS(service, longest-held) + duplicateShare*float64(longest-held)/speed
 	}
 	p.read = readMS(kept, r.Prompt, speed)
-	p.cost += p.read + load.Waiting + runningMS*float64(load.Running)
+	p.cost += p.read + float64(load.Waiting) + runningMS*float64(load.Running)
 	p.cost += t.again(now, r, b, &p, kept, owners) / speed
 	p.cost += crowded(service, load, r)
 	if t.behind(r.Model, p.version) {
@@ -287,7 +296,7 @@
 	c := &Choice{
 		Backend: b, ID: b.ID, Addr: b.Addr,
 		Salt: p.salt, Version: p.version, Expect: p.cost,
-		read: p.read, sent: now, tokens: r.Prompt,
+		read: int(p.read), sent: now, tokens: r.Prompt,
 		BeginBy: t.beginBy(r.Model, p.version),
 	}
 	if i := waterfill.Pick(len(p.holders), func(i int) int { return p.holders[i].fetching }, t.random.IntN); i >= 0 {
@@ -298,6 +307,10 @@
 		c.Save = t.saveTo(r, p)
 	}
 	b.own = b.own.Plus(Load{1, c.read, c.tokens})
+	if b.pending == 0 {
+		b.progress = now
+	}
+	b.pending++
 	if len(p.keys) > 1 {
 		b.expect(now, p.keys[:len(p.keys)-1])
 	}
@@ -342,13 +355,15 @@
 		return
 	}
 	c.begun = true
+	c.Backend.pending--
+	c.Backend.progress = now
 	c.Backend.own.Waiting -= c.read
 	t.release(c)
 	ms := float64(now-c.sent) / float64(time.Millisecond)
 	if c.Version == 0 {
 		c.Backend.latency = mean(c.Backend.latency, ms)
-	} else if c.read > measuredLeastMS && c.Backend.own.Running == 1 && c.Backend.others.Running == 0 && ms > 1 {
-		t.speed[service] = mean(t.readSpeed(service), t.readSpeed(service)*c.read/ms)
+	} else if float64(c.read) > measuredLeastMS && c.Backend.own.Running == 1 && c.Backend.others.Running == 0 && ms > 1 {
+		t.speed[service] = mean(t.readSpeed(service), t.readSpeed(service)*float64(c.read)/ms)
 	}
 	c.Backend.failures, c.Backend.avoid, c.Backend.trial = 0, 0, false
 }
@@ -373,8 +388,8 @@
 	}
 	b.own.Running--
 	b.own.Tokens -= c.tokens
-	if b.own.Running == 0 {
-		b.own = Load{} // no rounding is left behind
+	if !c.begun {
+		b.pending--
 	}
 	switch outcome {
 	case Failed:
--- a/internal/dispatch/table.go
+++ b/internal/dispatch/table.go
@@ -41,6 +41,8 @@
 	ownersOfPrompt   = 2
 	expectedFor      = 3 * time.Second
 	expectedMost     = 4096
+	silenceLimit     = 1200 * time.Millisecond // beyond what is expected, until a backend is taken for silent
+	silenceShare     = 2
 	measuredLeastMS  = 60.0  // of reading, from which the speed is measured by it
 	meanWeight       = 0.1   // of the newest figure in a moving mean
 	duplicateShare   = 0.3   // of the time to read what another keeps, for the memory that a second copy takes
--- a/internal/feed/messages.go
+++ b/internal/feed/messages.go
@@ -11,6 +11,7 @@
 // Kinds of calls.
 const (
 	KindFeed  = "feed"  // proxy to agent: Request, Reply
+	KindLoads = "loads" // one-way, proxy to agent: map of dispatch.Load
 	KindNews  = "news"  // one-way, agent to agent: News
 	KindWhole = "whole" // agent to agent: WholeRequest, kvindex.Batch
 	KindPing  = "ping"  // agent to agent
@@ -18,13 +19,13 @@
 
 // Request says what a proxy has and what it has at backends.
 type Request struct {
-	Agent   string                   `cbor:"1,keyasint"` // life of the agent that the numbers below are of
-	Applied uint64                   `cbor:"2,keyasint"` // number of the snapshot in force
-	List    uint64                   `cbor:"3,keyasint"`
-	Index   uint64                   `cbor:"4,keyasint"` // batches taken
-	Members uint64                   `cbor:"5,keyasint"`
-	Loads   map[string]dispatch.Load `cbor:"6,keyasint,omitempty"`
-	Config  uint64                   `cbor:"7,keyasint"` // number of the configuration in force
+	Agent   string `cbor:"1,keyasint"` // life of the agent that the numbers below are of
+	Applied uint64 `cbor:"2,keyasint"` // number of the snapshot in force
+	List    uint64 `cbor:"3,keyasint"`
+	Index   uint64 `cbor:"4,keyasint"` // batches taken
+	Members uint64 `cbor:"5,keyasint"`
+	Config  uint64 `cbor:"7,keyasint"` // number of the configuration in force
+	Loads   uint64 `cbor:"8,keyasint"` // number of the others' loads that it has
 }
 
 // Reply brings what is newer.
@@ -37,7 +38,8 @@
 	Batches  []*kvindex.Batch         `cbor:"6,keyasint,omitempty"`
 	Index    uint64                   `cbor:"7,keyasint"`
 	Members  *distribute.MemberSet    `cbor:"8,keyasint,omitempty"`
-	Loads    map[string]dispatch.Load `cbor:"9,keyasint,omitempty"` // of all other mixers
+	Loads    map[string]dispatch.Load `cbor:"9,keyasint,omitempty"` // of all other mixers together
+	LoadsAt  uint64                   `cbor:"10,keyasint"`          // their number
 }
 
 // List is the backends as the platform's list has them, and what owners of orders add.
@@ -49,10 +51,11 @@
 
 // News is what an agent tells the others.
 type News struct {
-	From    string                   `cbor:"1,keyasint"` // the agent's address
-	Loads   map[string]dispatch.Load `cbor:"2,keyasint,omitempty"`
-	Told    bool                     `cbor:"3,keyasint,omitempty"` // whether Loads is told
-	List    []dispatch.Listed        `cbor:"4,keyasint,omitempty"`
+	From    string                   `cbor:"1,keyasint"`           // the agent's address
+	Loads   map[string]dispatch.Load `cbor:"2,keyasint,omitempty"` // those that changed, or all
+	All     bool                     `cbor:"3,keyasint,omitempty"`
+	List    []dispatch.Listed        `cbor:"4,keyasint,omitempty"` // absent if it is that of ListSum
+	ListSum uint64                   `cbor:"7,keyasint,omitempty"` // digest of the list just read, 0 if none was
 	Batches []*kvindex.Batch         `cbor:"5,keyasint,omitempty"`
 	Phases  map[string]Phase         `cbor:"6,keyasint,omitempty"`
 }
--- /dev/null
+++ b/internal/kvindex/index_test.go
@@ -0,0 +1,44 @@
+package kvindex
+
+import (
+	"testing"
+
+	"github.com/stretchr/testify/require"
+)
+
+func key(part string) Key { return KeyOf("s", "m", part) }
+
+func TestOnlyAnUnbrokenPrefixCounts(t *testing.T) {
+	x := New()
+	parts := []Part{{"a", 100}, {"b", 50}, {"c", 10}}
+	keys := Keys("s", "m", parts)
+	require.True(t, x.Apply(&Batch{Backend: "1", To: Cursor{1, 3}, Changes: []Change{{key("a"), 100}, {key("c"), 10}}}))
+	require.Equal(t, 100, x.Held("1", keys, parts))
+	require.True(t, x.Apply(&Batch{Backend: "1", From: Cursor{1, 3}, To: Cursor{1, 4}, Changes: []Change{{key("b"), 32}}}))
+	require.Equal(t, 132, x.Held("1", keys, parts), "a part that is kept in part ends the prefix")
+	require.Equal(t, 0, x.Held("2", keys, parts))
+	require.Equal(t, 0, x.Held("1", Keys("other salt", "m", parts), parts))
+}
+
+func TestAGapIsNoticed(t *testing.T) {
+	x := New()
+	require.True(t, x.Apply(&Batch{Backend: "1", To: Cursor{1, 3}, Changes: []Change{{key("a"), 100}}}))
+	require.False(t, x.Apply(&Batch{Backend: "1", From: Cursor{1, 5}, To: Cursor{1, 6}}))
+	require.True(t, x.Apply(&Batch{Backend: "1", From: Cursor{1, 2}, To: Cursor{1, 3}}), "what is known already is no gap")
+	require.False(t, x.Apply(&Batch{Backend: "2", From: Cursor{1, 5}, To: Cursor{1, 6}}))
+	require.True(t, x.Apply(&Batch{Backend: "1", Whole: true, To: Cursor{2, 9}, Changes: []Change{{key("b"), 7}}}))
+	require.Equal(t, 1, x.Len())
+}
+
+func TestTheDigestShowsADifference(t *testing.T) {
+	x, y := New(), New()
+	x.Apply(&Batch{Backend: "1", To: Cursor{1, 3}, Changes: []Change{{key("a"), 100}, {key("b"), 5}}})
+	y.Apply(&Batch{Backend: "1", To: Cursor{1, 2}, Changes: []Change{{key("b"), 5}}})
+	require.NotEqual(t, x.Sum("1"), y.Sum("1"))
+	batch := &Batch{Backend: "1", From: Cursor{1, 2}, To: Cursor{1, 3}, Changes: []Change{{key("c"), 1}}, Sum: x.Sum("1")}
+	require.False(t, y.Apply(batch))
+	require.True(t, y.Apply(x.Whole("1")))
+	require.Equal(t, x.Sum("1"), y.Sum("1"))
+	x.Apply(&Batch{Backend: "1", From: Cursor{1, 3}, To: Cursor{1, 4}, Changes: []Change{{key("a"), 0}, {key("b"), 0}}})
+	require.Zero(t, x.Sum("1"))
+}
--- a/internal/proxy/forward.go
+++ b/internal/proxy/forward.go
@@ -17,7 +17,9 @@
 	choice   *dispatch.Choice
 	response *upstream.Response
 	err      error
-	begun    bool // the first bytes of the answer are there
+	begun    bool   // the first bytes of the answer are there
+	end      func() // frees what the attempt holds
+	late     *time.Timer
 }
 
 // notRun tells whether it is known that the backend did not run the request.
@@ -45,7 +47,7 @@
 		tried = append(tried, choice.ID)
 		a := p.send(ctx, q, choice)
 		if a.err == nil && !a.notRun() {
-			p.relay(ctx, q, a)
+			p.relay(ctx, q, a, tried, sent+1)
 			return
 		}
 		p.book(a, ctx)
@@ -53,6 +55,7 @@
 			io.Copy(io.Discard, io.LimitReader(a.response.Body, 64<<10))
 			a.response.Body.Close()
 		}
+		a.end()
 		if !a.notRun() {
 			mayHaveRun = true
 		}
@@ -106,11 +109,19 @@
 	if c.Save != "" {
 		header.Set(headerSave, c.Save)
 	}
+	if q.lastEvent != "" {
+		header.Set(headerLastEvent, q.lastEvent)
+	}
+	ctx, cancel := context.WithCancel(ctx)
+	a := &attempt{choice: c, end: cancel}
+	if c.BeginBy > 0 {
+		a.late = time.AfterFunc(c.BeginBy-p.now(), cancel)
+	}
 	pool := p.pool(c.ID, c.Addr, p.connections(q.service))
-	response, err := pool.Do(ctx, &upstream.Request{
+	a.response, a.err = pool.Do(ctx, &upstream.Request{
 		Method: q.Method, Target: q.RequestURI, Host: q.Host, ID: q.id, Header: header, Body: q.body,
 	})
-	return &attempt{choice: c, response: response, err: err}
+	return a
 }
 
 // connections is this mixer's part of the connections that a backend takes from all.
@@ -154,67 +165,9 @@
 	}
 }
 
-// relay passes an answer on to the client. One that cannot be finished ends with its connection, so that it does not look whole.
-func (p *Proxy) relay(ctx context.Context, q *request, a *attempt) {
-	out := q.writer.Header()
-	for name, values := range a.response.Header {
-		out[name] = values
-	}
-	for _, name := range hopHeaders {
-		if name != "Content-Length" {
-			out.Del(name)
-		}
-	}
-	if a.response.Header["Content-Type"] == nil {
-		out["Content-Type"] = nil // none is to be guessed
-	}
-	if a.response.ContentLength < 0 {
-		out.Del("Content-Length")
-	}
-	if p.stopping.Load() {
-		out.Set("Connection", "close")
-	}
-	p.began(q, a, a.response.ContentLength == 0)
-	q.writer.WriteHeader(a.response.StatusCode)
-	flush := http.NewResponseController(q.writer)
-	if a.response.ContentLength < 0 {
-		flush.Flush()
-	}
-	buffer := make([]byte, 16<<10)
-	for {
-		n, err := a.response.Body.Read(buffer)
-		if n > 0 {
-			p.began(q, a, true)
-			if _, err := q.writer.Write(buffer[:n]); err != nil {
-				p.finish(a, dispatch.Cancelled)
-				panic(http.ErrAbortHandler)
-			}
-			flush.Flush()
-		}
-		if err == io.EOF {
-			p.finish(a, dispatch.Done)
-			return
-		}
-		if err != nil {
-			outcome := dispatch.Failed
-			if ctx.Err() != nil {
-				outcome = dispatch.Cancelled
-			}
-			p.finish(a, outcome)
-			panic(http.ErrAbortHandler)
-		}
-	}
-}
-
-// began books the beginning of an answer, once its first bytes are there.
-func (p *Proxy) began(q *request, a *attempt, bytes bool) {
-	if bytes && !a.begun {
-		a.begun = true
-		p.do(func() { p.table.Began(p.now(), a.choice, q.service) })
-	}
-}
-
+// finish ends an attempt that brought an answer.
 func (p *Proxy) finish(a *attempt, outcome dispatch.Outcome) {
 	a.response.Body.Close()
+	a.end()
 	p.do(func() { p.table.End(p.now(), a.choice, outcome) })
 }
--- a/internal/proxy/proxy.go
+++ b/internal/proxy/proxy.go
@@ -4,6 +4,7 @@
 
 import (
 	"context"
+	"maps"
 	"math/rand/v2"
 	"net"
 	"net/http"
@@ -27,6 +28,8 @@
 const (
 	feedLimit = 700 * time.Millisecond
 	feedEvery = 40 * time.Millisecond // between two calls, so that news comes in batches
+	// loadsEvery is how often the agent is told of loads that changed.
+	loadsEvery = 50 * time.Millisecond
 	// acceptAfterTerm is how long new connections are still taken after SIGTERM: the platform looks at readiness every second and
 	// hands connections out until it has missed it twice.
 	acceptAfterTerm = 2500 * time.Millisecond
@@ -120,6 +123,7 @@
 	}
 	go p.own()
 	go p.follow(ctx)
+	go p.tellLoads(ctx)
 	readiness := echo.New()
 	readiness.HideBanner, readiness.HidePort = true, true
 	readiness.GET("/v1/readiness", p.readiness)
@@ -162,10 +166,7 @@
 func (p *Proxy) follow(ctx context.Context) {
 	for ctx.Err() == nil {
 		var request feed.Request
-		p.do(func() {
-			p.have.Loads = p.table.Loads()
-			request = p.have
-		})
+		p.do(func() { request = p.have })
 		call, cancel := context.WithTimeout(ctx, feedLimit)
 		reply := new(feed.Reply)
 		err := p.agent.Call(call, feed.KindFeed, &request, reply)
@@ -184,7 +185,7 @@
 func (p *Proxy) take(reply *feed.Reply) {
 	now := p.now()
 	if reply.Agent != p.have.Agent {
-		p.have.Agent, p.have.List, p.have.Members = reply.Agent, 0, 0
+		p.have.Agent, p.have.List, p.have.Members, p.have.Loads = reply.Agent, 0, 0, 0
 	}
 	if s := reply.Snapshot; s != nil && s.Seq > p.have.Applied {
 		p.takeSnapshot(now, s, reply.Ages)
@@ -211,7 +212,34 @@
 			p.have.Agent = "" // have it told whole
 		}
 	}
-	p.table.SetLoads(reply.Loads)
+	if reply.Loads != nil || reply.LoadsAt != p.have.Loads {
+		p.table.SetLoads(reply.Loads)
+	}
+	p.have.Loads = reply.LoadsAt
+}
+
+// tellLoads tells the agent what is at backends from here, when it changes.
+func (p *Proxy) tellLoads(ctx context.Context) {
+	var told map[string]dispatch.Load
+	ticker := time.NewTicker(loadsEvery)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ticker.C:
+		case <-ctx.Done():
+			return
+		}
+		var loads map[string]dispatch.Load
+		p.do(func() { loads = p.table.Loads() })
+		if maps.Equal(loads, told) {
+			continue
+		}
+		call, cancel := context.WithTimeout(ctx, feedLimit)
+		if p.agent.Send(call, feed.KindLoads, loads) == nil {
+			told = loads
+		}
+		cancel()
+	}
 }
 
 func (p *Proxy) takeSnapshot(now time.Duration, s *distribute.Snapshot, ages map[string]int64) {
--- /dev/null
+++ b/internal/proxy/relay.go
@@ -0,0 +1,150 @@
+package proxy
+
+import (
+	"context"
+	"errors"
+	"io"
+	"net/http"
+
+	"nettlefold/internal/config"
+	"nettlefold/internal/dispatch"
+)
+
+// relayBuffer is how much of an answer is read at a time.
+const relayBuffer = 16 << 10
+
+// errClientGone is a client that takes no more bytes.
+var errClientGone = errors.New("the client is gone")
+
+// relay passes an answer on to the client. One that is cut off is taken up at another backend where its route allows that, inside the
+// same answer; one that cannot be finished ends with its connection, so that it does not look whole.
+func (p *Proxy) relay(ctx context.Context, q *request, a *attempt, tried []string, sent int) {
+	q.writeHead(a, p.stopping.Load())
+	var events *eventReader
+	if q.route.Kind == config.Streaming && q.route.Resumable && a.response.StatusCode == http.StatusOK {
+		events = &eventReader{last: q.Header.Get(headerLastEvent)}
+	}
+	for {
+		err := p.copy(q, a, events)
+		if err == nil {
+			p.finish(a, dispatch.Done)
+			return
+		}
+		outcome := dispatch.Failed
+		if ctx.Err() != nil || errors.Is(err, errClientGone) {
+			outcome = dispatch.Cancelled
+		}
+		p.finish(a, outcome)
+		if events == nil || outcome == dispatch.Cancelled {
+			break
+		}
+		q.lastEvent = events.last
+		events.cut()
+		next := p.resume(ctx, q, &tried, &sent)
+		if next == nil {
+			break
+		}
+		a = next
+	}
+	panic(http.ErrAbortHandler)
+}
+
+// writeHead passes the head of an answer on.
+func (q *request) writeHead(a *attempt, stopping bool) {
+	out := q.writer.Header()
+	for name, values := range a.response.Header {
+		out[name] = values
+	}
+	for _, name := range hopHeaders {
+		if name != "Content-Length" {
+			out.Del(name)
+		}
+	}
+	if a.response.Header["Content-Type"] == nil {
+		out["Content-Type"] = nil // none is to be guessed
+	}
+	if a.response.ContentLength < 0 {
+		out.Del("Content-Length")
+	}
+	if stopping {
+		out.Set("Connection", "close")
+	}
+	q.writer.WriteHeader(a.response.StatusCode)
+	if a.response.ContentLength < 0 {
+		http.NewResponseController(q.writer).Flush()
+	}
+}
+
+// copy passes the bytes of an answer on as they come; of one that may be taken up elsewhere only whole events. It ends without error
+// if the answer came whole.
+func (p *Proxy) copy(q *request, a *attempt, events *eventReader) error {
+	flush := http.NewResponseController(q.writer)
+	buffer := make([]byte, relayBuffer)
+	for {
+		n, err := a.response.Body.Read(buffer)
+		if n > 0 {
+			p.began(q, a)
+			bytes := buffer[:n]
+			if events != nil {
+				bytes = events.take(bytes)
+			}
+			if len(bytes) > 0 {
+				if _, err := q.writer.Write(bytes); err != nil {
+					return errClientGone
+				}
+				flush.Flush()
+			}
+		}
+		if err == io.EOF {
+			p.began(q, a)
+			if events != nil && len(events.partial) > 0 {
+				return io.ErrUnexpectedEOF // it ended inside an event
+			}
+			return nil
+		}
+		if err != nil {
+			return err
+		}
+	}
+}
+
+// resume takes a stream up at another backend behind the last event that was passed on; nil if it may not or cannot be.
+func (p *Proxy) resume(ctx context.Context, q *request, tried *[]string, sent *int) *attempt {
+	for *sent < max(1, q.route.MaxAttempts) && len(*tried) <= maxTried && ctx.Err() == nil {
+		choice := p.pick(q, *tried)
+		if choice == nil || !p.mayRepeat(q, *sent) {
+			if choice != nil {
+				p.do(func() { p.table.End(p.now(), choice, dispatch.Cancelled) })
+			}
+			return nil
+		}
+		*tried = append(*tried, choice.ID)
+		a := p.send(ctx, q, choice)
+		if a.err == nil && a.response.StatusCode == http.StatusOK && !a.notRun() {
+			*sent++
+			return a
+		}
+		if !a.notRun() {
+			*sent++
+		}
+		p.book(a, ctx)
+		if a.err == nil {
+			a.response.Body.Close()
+		}
+		a.end()
+	}
+	return nil
+}
+
+// began books the beginning of an answer, once its first bytes are there.
+func (p *Proxy) began(q *request, a *attempt) {
+	if a.begun {
+		p.do(func() { p.table.Heard(p.now(), a.choice) })
+		return
+	}
+	a.begun = true
+	if a.late != nil {
+		a.late.Stop()
+	}
+	p.do(func() { p.table.Began(p.now(), a.choice, q.service) })
+}
--- a/internal/proxy/serve.go
+++ b/internal/proxy/serve.go
@@ -39,7 +39,7 @@
 	defaultDeadline = 30 * time.Second
 	// retryLater is when a client that was refused should come again, in seconds, and retryStarting one that came too early.
 	retryLater    = 0.3
-	retryStarting = 0.5
+	retryStarting = 1.0
 	lowestRank    = 9
 	ranksOfTenant = 3 // routes' ranks within a tenant's
 )
@@ -59,6 +59,8 @@
 	parts    []kvindex.Part
 	model    string
 	header   http.Header // as it goes to a backend, but for what differs with the backend
+	// lastEvent is the last event of a stream that was passed on, where it is taken up at another backend.
+	lastEvent string
 }
 
 // serve takes one request of a client.
--- a/internal/rpc/frame.go
+++ b/internal/rpc/frame.go
@@ -9,11 +9,23 @@
 	"io"
 
 	"github.com/fxamacker/cbor/v2"
+	"github.com/klauspost/compress/zstd"
 )
 
 // maxFrameBytes bounds what a peer may make us hold: a configuration of four megabytes and its envelope.
 const maxFrameBytes = 16 << 20
 
+// compressAbove is the size from which a frame is compressed: bytes between zones have a price, and small frames gain nothing.
+const compressAbove = 700
+
+// compressedBit marks a frame's length.
+const compressedBit = 1 << 31
+
+var (
+	compressor, _   = zstd.NewWriter(nil, zstd.WithEncoderLevel(zstd.SpeedFastest), zstd.WithEncoderConcurrency(1), zstd.WithWindowSize(256<<10), zstd.WithLowerEncoderMem(true))
+	decompressor, _ = zstd.NewReader(nil, zstd.WithDecoderConcurrency(1), zstd.WithDecoderMaxMemory(maxFrameBytes), zstd.WithDecoderLowmem(true))
+)
+
 // envelope is one frame. A call has an ID above zero, and its reply the same; a one-way message has none.
 type envelope struct {
 	ID    uint64          `cbor:"1,keyasint,omitempty"`
@@ -29,9 +41,13 @@
 	if err != nil {
 		return err
 	}
-	frame := make([]byte, 4+len(encoded))
-	binary.BigEndian.PutUint32(frame, uint32(len(encoded)))
-	copy(frame[4:], encoded)
+	frame, mark := make([]byte, 4, 4+len(encoded)), uint32(0)
+	if len(encoded) >= compressAbove {
+		frame, mark = compressor.EncodeAll(encoded, frame), compressedBit
+	} else {
+		frame = append(frame, encoded...)
+	}
+	binary.BigEndian.PutUint32(frame, uint32(len(frame)-4)|mark)
 	_, err = w.Write(frame)
 	return err
 }
@@ -43,6 +59,8 @@
 		return nil, err
 	}
 	n := binary.BigEndian.Uint32(size[:])
+	compressed := n&compressedBit != 0
+	n &^= compressedBit
 	if n > maxFrameBytes {
 		return nil, fmt.Errorf("frame of %d bytes, at most %d are taken", n, maxFrameBytes)
 	}
@@ -50,6 +68,12 @@
 	if _, err := io.ReadFull(r, encoded); err != nil {
 		return nil, err
 	}
+	if compressed {
+		var err error
+		if encoded, err = decompressor.DecodeAll(encoded, nil); err != nil {
+			return nil, fmt.Errorf("frame: %w", err)
+		}
+	}
 	e := new(envelope)
 	if err := cbor.Unmarshal(encoded, e); err != nil {
 		return nil, fmt.Errorf("frame: %w", err)
--- /dev/null
+++ b/internal/waterfill/waterfill_test.go
@@ -0,0 +1,36 @@
+package waterfill
+
+import (
+	"math/rand/v2"
+	"testing"
+
+	"github.com/stretchr/testify/require"
+)
+
+func TestTheLeastCountIsPicked(t *testing.T) {
+	random := rand.New(rand.NewPCG(1, 1)).IntN
+	counts := []int{3, 1, 2}
+	require.Equal(t, 1, Pick(len(counts), func(i int) int { return counts[i] }, random))
+	require.Equal(t, -1, Pick(0, nil, random))
+}
+
+// TestRaisedCountsFillEvenly picks as the paper does: raise, then pick again.
+func TestRaisedCountsFillEvenly(t *testing.T) {
+	random := rand.New(rand.NewPCG(2, 2)).IntN
+	counts := []int{0, 4, 0, 1}
+	for range 11 {
+		counts[Pick(len(counts), func(i int) int { return counts[i] }, random)]++
+	}
+	require.Equal(t, []int{4, 4, 4, 4}, counts)
+}
+
+func TestEqualsAreDrawnEvenly(t *testing.T) {
+	random := rand.New(rand.NewPCG(3, 3)).IntN
+	drawn := [5]int{}
+	for range 5000 {
+		drawn[Pick(5, func(int) int { return 0 }, random)]++
+	}
+	for _, n := range drawn {
+		require.InDelta(t, 1000, n, 120)
+	}
+}
