--- a/internal/agent/agent.go
+++ b/internal/agent/agent.go
@@ -51,6 +51,7 @@
 	ages        map[string]int64
 	agesAt      time.Time
 	controllers []string
+	epoch       uint64 // of the view that controllers are of
 	members     *distribute.MemberSet
 	suspects    map[string]bool
 	applied     uint64
--- a/internal/agent/session.go
+++ b/internal/agent/session.go
@@ -54,7 +54,7 @@
 }
 
 func (a *Agent) watchRequest() distribute.WatchRequest {
-	request := distribute.WatchRequest{Agent: a.self, Seq: a.applied, Members: a.members.Digest}
+	request := distribute.WatchRequest{Agent: a.self, Seq: a.applied, Members: a.members.Digest, Epoch: a.epoch}
 	if a.snapshot != nil {
 		request.Have, request.ConfigSeq = a.snapshot.Seq, a.snapshot.ConfigSeq
 		if time.Since(a.proxyAt) > proxySilence {
@@ -89,7 +89,9 @@
 }
 
 func (a *Agent) takeReply(reply *distribute.WatchReply) {
-	a.controllers = reply.Controllers
+	if len(reply.Controllers) > 0 {
+		a.controllers, a.epoch = reply.Controllers, reply.Epoch
+	}
 	if reply.Members != nil {
 		a.members = reply.Members
 		a.notify()
--- a/internal/chain/messages.go
+++ b/internal/chain/messages.go
@@ -1,5 +1,7 @@
 package chain
 
+import "slices"
+
 // Message is one of the fields below, sent by From.
 type Message struct {
 	From      Member     `cbor:"1,keyasint"`
@@ -21,13 +23,23 @@
 
 // Heartbeat tells that its sender lives, and where it stands.
 type Heartbeat struct {
-	View      View     `cbor:"1,keyasint"`
+	Epoch     uint64   `cbor:"1,keyasint"` // of the newest view that it knows
 	LogEpoch  uint64   `cbor:"2,keyasint"`
 	LogLength uint64   `cbor:"3,keyasint"`
 	Commit    uint64   `cbor:"4,keyasint"`
 	Sealed    bool     `cbor:"5,keyasint,omitempty"`
-	Heard     []NodeID `cbor:"6,keyasint,omitempty"` // from whom it heard lately
-	Applied   uint64   `cbor:"7,keyasint"`           // that all its sessions' agents have applied; NoSessions if it has none
+	Heard     []NodeID `cbor:"6,keyasint,omitempty"` // from whom it heard lately, left out if that is all acceptors and no one else
+	HeardAll  bool     `cbor:"8,keyasint,omitempty"`
+	Applied   uint64   `cbor:"7,keyasint"` // that all its sessions' agents have applied; NoSessions if it has none
+}
+
+// Hears tells whether its sender hears a member of a view.
+func (h *Heartbeat) Hears(view *View, id NodeID) bool {
+	if h.HeardAll && h.Epoch == view.Epoch {
+		_, acceptor := view.Acceptor(id)
+		return acceptor
+	}
+	return slices.Contains(h.Heard, id)
 }
 
 // Prepare asks for a promise under a ballot, for the epoch after View's.
--- a/internal/chain/propose.go
+++ b/internal/chain/propose.go
@@ -105,7 +105,7 @@
 // proposal that waited for it.
 func (r *Replica) ready(now time.Duration, id NodeID) bool {
 	p := r.peers[id]
-	return p != nil && now-p.first >= r.options.Timing.Settle && now >= p.passedOver && slices.Contains(p.beat.Heard, r.meta.Identity)
+	return p != nil && now-p.first >= r.options.Timing.Settle && now >= p.passedOver && p.beat.Hears(&r.meta.View, r.meta.Identity)
 }
 
 // wantedAcceptors is the acceptors, without those that were replaced or are silent for long, and with newcomers.
@@ -159,7 +159,7 @@
 func (r *Replica) broken(now time.Duration) bool {
 	for _, id := range r.meta.View.Chain {
 		p := r.peers[id]
-		if p != nil && r.hears(now, id) && p.beat.View.Epoch == r.meta.View.Epoch && p.beat.LogEpoch != r.meta.View.Epoch {
+		if p != nil && r.hears(now, id) && p.beat.Epoch == r.meta.View.Epoch && p.beat.LogEpoch != r.meta.View.Epoch {
 			return true
 		}
 	}
@@ -172,7 +172,7 @@
 		return true
 	}
 	for id, p := range r.peers {
-		if r.hears(now, id) && p.beat.Sealed && p.beat.View.Epoch == r.meta.View.Epoch {
+		if r.hears(now, id) && p.beat.Sealed && p.beat.Epoch == r.meta.View.Epoch {
 			return true
 		}
 	}
--- a/internal/chain/watch.go
+++ b/internal/chain/watch.go
@@ -37,7 +37,7 @@
 func (r *Replica) heartbeat(now time.Duration) {
 	r.lastBeat = now
 	beat := Heartbeat{
-		View:      r.meta.View,
+		Epoch:     r.meta.View.Epoch,
 		LogEpoch:  r.meta.LogEpoch,
 		LogLength: r.length(),
 		Commit:    r.state.Seq,
@@ -50,11 +50,28 @@
 		}
 	}
 	slices.Sort(beat.Heard)
+	if r.hearsAcceptorsOnly(beat.Heard) {
+		beat.Heard, beat.HeardAll = nil, true
+	}
 	for _, to := range r.everyone(now) {
 		r.send(to, Message{Heartbeat: &beat})
 	}
 }
 
+// hearsAcceptorsOnly tells whether those heard are just the other acceptors.
+func (r *Replica) hearsAcceptorsOnly(heard []NodeID) bool {
+	others := 0
+	for _, m := range r.meta.View.Acceptors {
+		if m.ID != r.meta.Identity {
+			others++
+			if !slices.Contains(heard, m.ID) {
+				return false
+			}
+		}
+	}
+	return len(heard) == others && others > 0
+}
+
 // SetSeeds names addresses at which other core machines may be, for one that does not know the view in force.
 func (r *Replica) SetSeeds(addrs []string) { r.seeds = addrs }
 
@@ -126,10 +143,7 @@
 		}
 	}
 	switch {
-	case beat.View.Epoch > r.meta.View.Epoch:
-		view := beat.View
-		r.adopt(&view)
-	case beat.View.Epoch < r.meta.View.Epoch:
+	case beat.Epoch < r.meta.View.Epoch:
 		view := r.meta.View
 		r.send(m.From, Message{Decided: &view})
 	case r.serving() && beat.LogEpoch == r.meta.View.Epoch && r.meta.View.InChain(m.From.ID):
@@ -157,7 +171,7 @@
 	n := 1
 	for _, m := range r.meta.View.Acceptors {
 		p := r.peers[m.ID]
-		if p != nil && r.hears(now, m.ID) && p.beat.View.Epoch == r.meta.View.Epoch && slices.Contains(p.beat.Heard, r.meta.Identity) {
+		if p != nil && r.hears(now, m.ID) && p.beat.Epoch == r.meta.View.Epoch && p.beat.Hears(&r.meta.View, r.meta.Identity) {
 			n++
 		}
 	}
--- a/internal/controller/sessions.go
+++ b/internal/controller/sessions.go
@@ -60,7 +60,10 @@
 }
 
 func replyTo(now *public, request *distribute.WatchRequest) *distribute.WatchReply {
-	reply := &distribute.WatchReply{Current: now.current, Controllers: now.controllers}
+	reply := &distribute.WatchReply{Current: now.current, Epoch: now.view.Epoch}
+	if now.view.Epoch != request.Epoch {
+		reply.Controllers = now.controllers
+	}
 	if now.state.Seq > request.Have { // committed is committed, also where this replica is out of touch
 		reply.Snapshot = distribute.SnapshotOf(now.state, request.ConfigSeq)
 		reply.Ages = ages(now.named)
--- a/internal/dispatch/pick.go
+++ b/internal/dispatch/pick.go
@@ -18,6 +18,7 @@
 	Model   string
 	Parts   []kvindex.Part
 	Prompt  int    // tokens
+	Bytes   int    // of the body
 	Wall    string // the tenant's name if its prompts are shared with nobody
 	Tried   []string
 }
@@ -145,7 +146,7 @@
 	service := t.service(r.Service)
 	p := plan{cost: t.random.Float64()}
 	if b.Zone != t.settings.Zone {
-		p.cost += crossZoneMS
+		p.cost += crossZoneMS + crossZoneKB*float64(r.Bytes)/1024
 	}
 	load := b.own.Plus(b.others)
 	if !engine(service) || r.Model == "" {
--- a/internal/dispatch/table.go
+++ b/internal/dispatch/table.go
@@ -26,7 +26,8 @@
 // Figures of the estimate. The reading speed is where the moving mean of what is measured begins.
 const (
 	firstTokensPerMS = 40.0
-	crossZoneMS      = 4.0  // what a hop to another zone and its bytes are taken for
+	crossZoneMS      = 4.0  // what a hop to another zone is taken for, in ms
+	crossZoneKB      = 1.5  // and each KB of the request that goes there: it is paid for
 	runningMS        = 3.0  // what a running generation adds to the next one's start
 	fetchLeast       = 256  // tokens from which a fetch is worth its risk
 	fetchBaseMS      = 3.0  // of any fetch
@@ -45,7 +46,7 @@
 	silenceShare     = 2
 	measuredLeastMS  = 60.0  // of reading, from which the speed is measured by it
 	meanWeight       = 0.1   // of the newest figure in a moving mean
-	duplicateShare   = 0.3   // of the time to read what another keeps, for the memory that a second copy takes
+	duplicateShare   = 0.15  // of the time to read what another keeps, for the memory that a second copy takes
 	storeWorthTokens = 1024  // shared tokens from which a prompt is worth saving to the store
 	coldPart         = 0.6   // of the rules' allowance that is given out, as members may differ on who they are
 	budgetPart       = 0.4   // likewise of the retry budget's slack, and room for processes that start anew
--- a/internal/distribute/messages.go
+++ b/internal/distribute/messages.go
@@ -34,13 +34,15 @@
 	Members   uint64   `cbor:"4,keyasint"`           // digest of the members it knows
 	Suspects  []string `cbor:"5,keyasint,omitempty"` // agents that it watches and does not reach
 	Have      uint64   `cbor:"6,keyasint"`           // the newest snapshot in hand, applied or not
+	Epoch     uint64   `cbor:"7,keyasint"`           // of the controllers that it knows
 }
 
 // WatchReply brings what is newer.
 type WatchReply struct {
 	Current     bool       `cbor:"1,keyasint"` // the controller is in touch with the core's majority
 	Snapshot    *Snapshot  `cbor:"2,keyasint,omitempty"`
-	Controllers []string   `cbor:"3,keyasint,omitempty"`
+	Epoch       uint64     `cbor:"6,keyasint"`           // of the core's view
+	Controllers []string   `cbor:"3,keyasint,omitempty"` // if the receiver knows those of another epoch
 	Members     *MemberSet `cbor:"4,keyasint,omitempty"`
 	// Ages has, for each model, how long the version wanted has been so: milliseconds, or UnknownAge.
 	Ages map[string]int64 `cbor:"5,keyasint,omitempty"`
--- a/internal/proxy/forward.go
+++ b/internal/proxy/forward.go
@@ -79,7 +79,7 @@
 func (p *Proxy) pick(q *request, tried []string) (choice *dispatch.Choice) {
 	p.do(func() {
 		choice = p.table.Pick(p.now(), &dispatch.Request{
-			Service: q.service, Model: q.model, Parts: q.parts, Prompt: q.prompt, Wall: q.wall(), Tried: tried,
+			Service: q.service, Model: q.model, Parts: q.parts, Prompt: q.prompt, Bytes: len(q.body), Wall: q.wall(), Tried: tried,
 		})
 	})
 	return choice
