Versions of weights: their age is known through restarts of the core

Change: a controller dates a version by when it last knew that there was none, an agent by when a controller in touch last answered without it.

--- a/internal/agent/agent.go
+++ b/internal/agent/agent.go
@@ -50,6 +50,7 @@
 	snapshot    *distribute.Snapshot
 	ages        map[string]int64
 	agesAt      time.Time
+	inTouch     time.Time // when a controller in touch last answered
 	controllers []string
 	epoch       uint64 // of the view that controllers are of
 	members     *distribute.MemberSet
--- a/internal/agent/session.go
+++ b/internal/agent/session.go
@@ -89,6 +89,7 @@
 }
 
 func (a *Agent) takeReply(reply *distribute.WatchReply) {
+	defer func() { a.inTouch = time.Now() }()
 	if len(reply.Controllers) > 0 {
 		a.controllers, a.epoch = reply.Controllers, reply.Epoch
 	}
@@ -115,7 +116,8 @@
 	if s.Config == nil && a.snapshot != nil && a.snapshot.ConfigSeq == s.ConfigSeq {
 		s.Config = a.snapshot.Config
 	}
-	a.snapshot, a.ages, a.agesAt = s, reply.Ages, time.Now()
+	a.ages, a.agesAt = a.youngest(s, reply.Ages), time.Now()
+	a.snapshot = s
 	a.notify()
 }
 
@@ -166,3 +168,24 @@
 	}
 	return rendezvous.Owner(key, ids) == a.self.ID
 }
+
+// youngest takes the ages that a controller tells, but for versions of which this agent knows better: one that it did not hear of while
+// it was last in touch was named since.
+func (a *Agent) youngest(s *distribute.Snapshot, told map[string]int64) map[string]int64 {
+	ages := map[string]int64{}
+	for model, wanted := range s.Models {
+		age, known := told[model]
+		if !known {
+			age = distribute.UnknownAge
+		}
+		if a.snapshot != nil {
+			if a.snapshot.Models[model].Version < wanted.Version {
+				age = min(age, time.Since(a.inTouch).Milliseconds())
+			} else {
+				age = min(age, a.currentAges()[model])
+			}
+		}
+		ages[model] = age
+	}
+	return ages
+}
--- a/internal/controller/controller.go
+++ b/internal/controller/controller.go
@@ -49,6 +49,7 @@
 	sessions  map[string]*session
 	elsewhere map[string]*remoteTable
 	told      time.Time // when the table of agents was last sent
+	inTouch   time.Time // when it last had the newest state for sure
 }
 
 // public is what other goroutines may see of the owner's state: replaced whole, and changed is closed when it is.
@@ -66,7 +67,7 @@
 // namedVersion is since when a version is known to be wanted.
 type namedVersion struct {
 	version int64
-	since   time.Time // zero if it was before this program began
+	since   time.Time // at the earliest; zero if it was before this program began
 }
 
 // New opens the state on disk and makes a controller of it.
@@ -213,6 +214,9 @@
 	}
 	c.expireSessions()
 	c.perform(c.replica.Tick(c.now()))
+	if c.replica.Current(c.now()) {
+		c.inTouch = time.Now()
+	}
 	c.publish(false)
 }
 
@@ -247,13 +251,14 @@
 	}
 }
 
-// namedVersions notes when versions that are wanted came to be so.
-func namedVersions(old *public, state *replicated.State) map[string]namedVersion {
+// namedVersions notes when versions that are wanted came to be so: not before this program last knew that they were not, which it
+// does while it is in touch.
+func namedVersions(old *public, state *replicated.State, inTouch time.Time) map[string]namedVersion {
 	named := map[string]namedVersion{}
 	for model, wanted := range state.Models {
 		entry := namedVersion{version: wanted.Version}
-		if old != nil && old.current {
-			entry.since = time.Now()
+		if old != nil {
+			entry.since = inTouch // zero where it never was in touch
 		}
 		if old != nil && old.named[model].version == wanted.Version {
 			entry = old.named[model]
@@ -305,7 +310,7 @@
 	for _, m := range view.Acceptors {
 		next.controllers = append(next.controllers, m.Addr)
 	}
-	next.named = namedVersions(old, next.state)
+	next.named = namedVersions(old, next.state, c.inTouch)
 	c.public.Store(next)
 	if old != nil {
 		close(old.changed)
