--- a/internal/agent/agent.go
+++ b/internal/agent/agent.go
@@ -42,6 +42,7 @@
 	pool     *rpc.Pool
 	web      *http.Client
 	self     distribute.Agent
+	start    time.Time
 	commands chan func()
 	done     chan struct{}
 	changed  chan struct{} // closed and replaced by the owner when a proxy may want to hear
@@ -104,6 +105,7 @@
 		pool:     rpc.NewPool(),
 		web:      &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 2, DisableCompression: true}},
 		self:     distribute.Agent{ID: life, Addr: settings.InternalAddr(settings.IP), Zone: settings.Zone},
+		start:    time.Now(),
 		commands: make(chan func(), commandQueue),
 		done:     make(chan struct{}),
 		changed:  make(chan struct{}),
@@ -154,6 +156,8 @@
 	a.enqueue(func() { a.settings.Seeds = settings.Seeds })
 }
 
+func (a *Agent) now() time.Duration { return time.Since(a.start) }
+
 func (a *Agent) enqueue(command func()) {
 	select {
 	case a.commands <- command:
--- a/internal/agent/orders.go
+++ b/internal/agent/orders.go
@@ -6,13 +6,14 @@
 	"encoding/json"
 	"io"
 	"net/http"
-	"sync/atomic"
+	"sync"
 	"time"
 
 	"github.com/ansel1/merry/v2"
 
 	"nettlefold/internal/dispatch"
 	"nettlefold/internal/distribute"
+	"nettlefold/internal/duty"
 	"nettlefold/internal/feed"
 	"nettlefold/internal/replicated"
 )
@@ -29,13 +30,10 @@
 	// confirmEvery is how often the holder of a duty makes sure that it still is, and confirmFor how long it then acts.
 	confirmEvery = 400 * time.Millisecond
 	confirmFor   = 900 * time.Millisecond
-	// takeoverMargin is what a successor waits beyond the lease, with confirmFor, for orders that are on their way.
-	takeoverMargin = 400 * time.Millisecond
-
-	orderLimit  = 800 * time.Millisecond
-	reportEvery = 250 * time.Millisecond
-	reportLimit = 600 * time.Millisecond
-	loadLimit   = 12 * time.Second // after which a backend's order is given up and may be given again
+	orderLimit   = 800 * time.Millisecond
+	reportEvery  = 250 * time.Millisecond
+	reportLimit  = 600 * time.Millisecond
+	loadLimit    = 12 * time.Second // after which a backend's order is given up and may be given again
 )
 
 func ordersDuty(model string) string { return "orders/" + model }
@@ -67,15 +65,37 @@
 	return behind
 }
 
-// lease is a duty as this agent holds it.
+// lease is a duty as this agent holds it. Its owner's goroutines share it.
 type lease struct {
-	duty  string
-	fence uint64                    // fixed once it is acquired
-	until atomic.Pointer[time.Time] // when it has to be confirmed again before anything else is done
+	duty      string
+	inherited bool // somebody else may have held it before
+	mu        sync.Mutex
+	state     *duty.Lease
+}
+
+func (l *lease) fence() uint64 {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.state.Fence()
+}
+
+func (l *lease) mayAct(now time.Duration) bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.state.MayAct(now)
 }
 
-// over tells whether nothing may be done under the lease any more.
-func (l *lease) over() bool { return time.Now().After(*l.until.Load()) }
+func (l *lease) over(now time.Duration) bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.state.Over(now)
+}
+
+func (l *lease) confirmed(asked, now time.Duration, fence uint64) bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.state.Confirmed(asked, now, fence, l.inherited)
+}
 
 // rollOut brings a model's backends to the version wanted, a few at a time, while the duty is this agent's.
 func (a *Agent) rollOut(ctx context.Context, model string) {
@@ -84,27 +104,24 @@
 		a.log.Warn().Err(err).Str("step", "acquire").Str("model", model).Msg("the duty was not taken")
 		return
 	}
-	a.log.Info().Str("step", "rollout").Str("model", model).Uint64("fence", held.fence).Msg("orders are this agent's")
+	a.log.Info().Str("step", "rollout").Str("model", model).Uint64("fence", held.fence()).Msg("orders are this agent's")
 	r := &rollout{agent: a, model: model, lease: held, under: map[string]time.Time{}, finished: make(chan string, 64)}
 	r.run(ctx)
 }
 
 // acquire takes a duty over, and waits until whoever had it before has stopped.
-func (a *Agent) acquire(ctx context.Context, duty string) (*lease, error) {
+func (a *Agent) acquire(ctx context.Context, name string) (*lease, error) {
 	var before replicated.Duty
-	if err := a.ask(ctx, func() { before = a.snapshot.Duties[duty] }); err != nil {
+	if err := a.ask(ctx, func() { before = a.snapshot.Duties[name] }); err != nil {
 		return nil, err
 	}
-	l := &lease{duty: duty, fence: before.Fence}
+	terms := duty.Terms{Act: confirmFor, Lease: a.settings.Bounds.Lease, Flight: orderLimit}
+	l := &lease{duty: name, inherited: before.Holder != "" && before.Holder != a.self.ID, state: duty.New(terms, before.Fence)}
 	if err := a.confirm(ctx, l); err != nil {
 		return nil, err
 	}
-	if before.Holder == "" && before.Fence == 0 || before.Holder == a.self.ID {
-		return l, nil
-	}
-	wait := a.settings.Bounds.Lease + confirmFor + takeoverMargin
-	for until := time.Now().Add(wait); time.Now().Before(until); {
-		time.Sleep(min(confirmEvery, time.Until(until)))
+	for a.now() < l.state.From() {
+		time.Sleep(min(confirmEvery, l.state.From()-a.now()))
 		if err := a.confirm(ctx, l); err != nil {
 			return nil, err
 		}
@@ -114,9 +131,9 @@
 
 // confirm makes sure through the chain that the duty is this agent's; it becomes so if nobody took it since the fence that is known.
 func (a *Agent) confirm(ctx context.Context, l *lease) error {
-	asked := time.Now()
+	asked := a.now()
 	request := &distribute.SubmitRequest{Operation: replicated.Operation{
-		Kind: replicated.KindDuty, Duty: l.duty, Holder: a.self.ID, Fence: l.fence,
+		Kind: replicated.KindDuty, Duty: l.duty, Holder: a.self.ID, Fence: l.fence(),
 	}}
 	var controllers []string
 	if err := a.ask(ctx, func() { controllers = a.controllers }); err != nil {
@@ -129,16 +146,11 @@
 			err = callErr
 			continue
 		}
-		if reply.Outcome == distribute.Taken && (l.until.Load() == nil || reply.Fence == l.fence) {
-			until := asked.Add(confirmFor)
-			if l.until.Load() == nil {
-				l.fence = reply.Fence
-			}
-			l.until.Store(&until)
+		if reply.Outcome == distribute.Taken && l.confirmed(asked, a.now(), reply.Fence) {
 			return nil
 		}
-		err = merry.New(reply.Reason)
-		if reply.Outcome == distribute.Conflict {
+		err = merry.New("the duty " + l.duty + " is another's: " + reply.Reason)
+		if reply.Outcome != distribute.Unclear {
 			return err
 		}
 	}
@@ -175,7 +187,7 @@
 		if time.Since(confirmed) >= confirmEvery {
 			if err := r.agent.confirm(ctx, r.lease); err != nil {
 				r.agent.log.Warn().Err(err).Str("step", "confirm").Str("model", r.model).Msg("the duty is in doubt")
-				if r.lease.over() {
+				if r.lease.over(r.agent.now()) {
 					return
 				}
 			} else {
@@ -274,7 +286,7 @@
 }
 
 func (r *rollout) order(ctx context.Context, l dispatch.Listed, version int64) error {
-	body, err := json.Marshal(versionOrder{"version", r.model, version, "wait", r.agent.self.ID, r.lease.fence})
+	body, err := json.Marshal(versionOrder{"version", r.model, version, "wait", r.agent.self.ID, r.lease.fence()})
 	if err != nil {
 		return err
 	}
@@ -286,7 +298,7 @@
 	}
 	request.Header.Set("Content-Type", "application/json")
 	request.Header.Set("X-Expected-Instance", l.ID)
-	if r.lease.over() {
+	if !r.lease.mayAct(r.agent.now()) {
 		return merry.New("the lease is over")
 	}
 	answer, err := r.agent.web.Do(request)
--- a/internal/proxy/forward.go
+++ b/internal/proxy/forward.go
@@ -151,13 +151,18 @@
 	p.do(func() { p.table.End(p.now(), a.choice, outcome) })
 }
 
+// retryAfter is when a client that was refused should come again: soon enough to be served in time yet.
+func (q *request) retryAfter() float64 {
+	return min(retryLater, retryShare*q.route.TargetMS/1000)
+}
+
 // giveUp answers at once for a request that is not served: with a promise and a time to come again if it has not run.
 func (p *Proxy) giveUp(q *request, mayHaveRun bool, reason string) {
 	switch {
 	case q.Context().Err() != nil:
 		panic(http.ErrAbortHandler) // its client is gone
 	case !mayHaveRun:
-		refuse(q.writer, http.StatusServiceUnavailable, retryLater, reason)
+		refuse(q.writer, http.StatusServiceUnavailable, q.retryAfter(), reason)
 	case time.Now().After(q.limit):
 		refuse(q.writer, http.StatusGatewayTimeout, 0, reason)
 	default:
--- a/internal/proxy/serve.go
+++ b/internal/proxy/serve.go
@@ -40,6 +40,8 @@
 	// retryLater is when a client that was refused should come again, in seconds, and retryStarting one that came too early.
 	retryLater    = 0.3
 	retryStarting = 1.0
+	// retryShare is the part of a route's target after which a refused client should come again, if that is sooner.
+	retryShare    = 0.1
 	lowestRank    = 9
 	ranksOfTenant = 3 // routes' ranks within a tenant's
 )
