Dispatch: a choice is linear in backends; curves of the router fleet's programs

Cause: measured for the size to design for, a choice among 800 backends took 22 ms and among 6,300 1.1 s: who keeps a prompt was looked up for each server anew. Change: who keeps how much is worked out once for a request and salt; the top of a ranking in one pass. internal/lab/fleetcost has the curves, nettlelab measure fleet plays them; the former page is docs/capacity-lookups.md.

--- a/internal/dispatch/pick.go
+++ b/internal/dispatch/pick.go
@@ -65,10 +65,10 @@
 		if len(may) == 0 {
 			continue
 		}
-		owners := t.owners(r, may)
-		best, bestPlan := may[0], t.plan(now, r, may[0], owners)
+		d := &decision{request: r, owners: t.owners(r, may), prompts: map[int64]*prompt{}}
+		best, bestPlan := may[0], t.plan(now, d, may[0])
 		for _, b := range may[1:] {
-			if p := t.plan(now, r, b, owners); p.cost < bestPlan.cost {
+			if p := t.plan(now, d, b); p.cost < bestPlan.cost {
 				best, bestPlan = b, p
 			}
 		}
@@ -77,7 +77,53 @@
 	return nil
 }
 
-func (t *Table) mayServeAll(now time.Duration, r *Request, fallback bool) (may []*Backend) {
+// decision is what is worked out once for a request, whichever backend serves it.
+type decision struct {
+	request *Request
+	owners  []string
+	prompts map[int64]*prompt // by the version of the weights
+}
+
+// prompt is a request's under one salt, and who keeps how much of it.
+type prompt struct {
+	salt    string
+	keys    []kvindex.Key
+	longest int // tokens that a fit holder keeps
+	holders []*Backend
+}
+
+func (t *Table) prompt(now time.Duration, d *decision, version int64) *prompt {
+	p := d.prompts[version]
+	if p != nil {
+		return p
+	}
+	r := d.request
+	p = &prompt{salt: saltOf(version, r.Wall)}
+	p.keys = kvindex.Keys(p.salt, r.Model, r.Parts)
+	d.prompts[version] = p
+	for _, b := range t.byService[r.Service] {
+		t.considerHolder(now, r, p, b)
+	}
+	for _, s := range t.stores {
+		t.considerHolder(now, r, p, s)
+	}
+	return p
+}
+
+// considerHolder keeps the fit holders of the longest prefix.
+func (t *Table) considerHolder(now time.Duration, r *Request, p *prompt, b *Backend) {
+	kept := t.index.Held(b.ID, p.keys, r.Parts)
+	if kept == 0 || kept < p.longest || !t.fitHolder(now, b) {
+		return
+	}
+	if kept > p.longest {
+		p.longest, p.holders = kept, p.holders[:0]
+	}
+	p.holders = append(p.holders, b)
+}
+
+func (t *Table) mayServeAll(now time.Duration, r *Request, fallback bool) []*Backend {
+	may := make([]*Backend, 0, len(t.byService[r.Service]))
 	for _, b := range t.byService[r.Service] {
 		if !slices.Contains(r.Tried, b.ID) && t.mayServe(now, r, b, fallback) {
 			may = append(may, b)
@@ -136,13 +182,13 @@
 type plan struct {
 	cost    float64 // ms until the first token, and what else it costs put into ms
 	read    float64 // ms that it would read for
-	holders []*Backend
-	salt    string
 	version int64
-	keys    []kvindex.Key
+	prompt  *prompt
+	fetch   bool // from one of the prompt's holders
 }
 
-func (t *Table) plan(now time.Duration, r *Request, b *Backend, owners []string) plan {
+func (t *Table) plan(now time.Duration, d *decision, b *Backend) plan {
+	r := d.request
 	service := t.service(r.Service)
 	p := plan{cost: t.random.Float64()}
 	if b.Zone != t.settings.Zone {
@@ -158,18 +204,16 @@
 		return p
 	}
 	p.version = b.Versions[r.Model]
-	p.salt = saltOf(p.version, r.Wall)
-	p.keys = kvindex.Keys(p.salt, r.Model, r.Parts)
-	held := t.index.Held(b.ID, p.keys, r.Parts)
+	p.prompt = t.prompt(now, d, p.version)
+	held := t.index.Held(b.ID, p.prompt.keys, r.Parts)
 	kept, speed := held, t.readSpeed(r.Service)
-	longest := t.holders(now, r, b, held, &p)
-	if len(p.holders) > 0 {
-		kept = longest
-		p.cost += fetchMS(service, longest-held) + duplicateShare*float64(longest-held)/speed
+	if p.fetch = p.prompt.longest-held >= fetchLeast; p.fetch { // so it is none of the holders itself
+		kept = p.prompt.longest
+		p.cost += fetchMS(service, kept-held) + duplicateShare*float64(kept-held)/speed
 	}
 	p.read = readMS(kept, r.Prompt, speed)
 	p.cost += p.read + float64(load.Waiting) + runningMS*float64(load.Running)
-	p.cost += t.again(now, r, b, &p, kept, owners) / speed
+	p.cost += t.again(now, d, b, &p, kept) / speed
 	p.cost += crowded(service, load, r)
 	if t.behind(r.Model, p.version) {
 		p.cost += oldVersionShare * p.read // what is read there is dropped soon
@@ -185,13 +229,13 @@
 
 // again weighs, in tokens, that shared parts would be read here although others are to have them: those that come first in the
 // prompt's ranking, by which all mixers send what nobody keeps yet to the same backend, and those that are reading them now.
-func (t *Table) again(now time.Duration, r *Request, b *Backend, p *plan, kept int, owners []string) float64 {
-	shared := r.shared()
-	if shared <= kept || slices.Contains(owners[:min(1, len(owners))], b.ID) || b.expects(now, p.keys, r) {
+func (t *Table) again(now time.Duration, d *decision, b *Backend, p *plan, kept int) float64 {
+	r, shared := d.request, d.request.shared()
+	if shared <= kept || slices.Contains(d.owners[:min(1, len(d.owners))], b.ID) || b.expects(now, p.prompt.keys, r) {
 		return 0
 	}
 	weight := againWeight
-	if slices.Contains(owners, b.ID) {
+	if slices.Contains(d.owners, b.ID) {
 		weight /= 2
 	}
 	return weight * float64(shared-kept)
@@ -256,29 +300,6 @@
 // behind tells whether a newer version of a model is wanted.
 func (t *Table) behind(model string, version int64) bool { return version < t.models[model].version }
 
-// holders finds the fit holders of the longest prefix that any keeps, if it is enough longer than what the server keeps itself.
-func (t *Table) holders(now time.Duration, r *Request, server *Backend, held int, p *plan) (longest int) {
-	longest = held + fetchLeast - 1
-	consider := func(b *Backend) {
-		if b == server || !t.fitHolder(now, b) {
-			return
-		}
-		switch kept := t.index.Held(b.ID, p.keys, r.Parts); {
-		case kept > longest:
-			longest, p.holders = kept, append(p.holders[:0], b)
-		case kept == longest && len(p.holders) > 0:
-			p.holders = append(p.holders, b)
-		}
-	}
-	for _, b := range t.byService[r.Service] {
-		consider(b)
-	}
-	for _, s := range t.stores {
-		consider(s)
-	}
-	return longest
-}
-
 // fitHolder tells whether a holder may be fetched from. Salts see to versions and walls.
 func (t *Table) fitHolder(now time.Duration, b *Backend) bool {
 	return !b.Draining && t.evacuated[b.Zone] == 0 && now >= b.avoid && now >= b.coldUntil && b.phase != PhaseLoading
@@ -296,24 +317,21 @@
 func (t *Table) take(now time.Duration, r *Request, b *Backend, p plan) *Choice {
 	c := &Choice{
 		Backend: b, ID: b.ID, Addr: b.Addr,
-		Salt: p.salt, Version: p.version, Expect: p.cost,
+		Version: p.version, Expect: p.cost,
 		read: int(p.read), sent: now, tokens: r.Prompt,
 		BeginBy: t.beginBy(r.Model, p.version),
 	}
-	if i := waterfill.Pick(len(p.holders), func(i int) int { return p.holders[i].fetching }, t.random.IntN); i >= 0 {
-		c.holder = p.holders[i]
-		c.holder.fetching++
-		c.Fetch = c.holder.Addr
-	} else if p.version != 0 {
-		c.Save = t.saveTo(r, p)
+	if p.prompt != nil {
+		c.Salt = p.prompt.salt
+		t.source(c, r, p)
 	}
 	b.own = b.own.Plus(Load{1, c.read, c.tokens})
 	if b.pending == 0 {
 		b.progress = now
 	}
 	b.pending++
-	if len(p.keys) > 1 {
-		b.expect(now, p.keys[:len(p.keys)-1])
+	if p.prompt != nil && len(p.prompt.keys) > 1 {
+		b.expect(now, p.prompt.keys[:len(p.prompt.keys)-1])
 	}
 	if now < b.coldUntil {
 		b.coldNext = now + b.coldShare
@@ -322,13 +340,28 @@
 	return c
 }
 
+// source names the holder to fetch from, picked by water-filling: the least own count among those of the longest prefix, raised before the
+// next pick. What is read anew is saved to a store.
+func (t *Table) source(c *Choice, r *Request, p plan) {
+	if !p.fetch {
+		c.Save = t.saveTo(r, p)
+		return
+	}
+	holders := p.prompt.holders
+	if i := waterfill.Pick(len(holders), func(i int) int { return holders[i].fetching }, t.random.IntN); i >= 0 {
+		c.holder = holders[i]
+		c.holder.fetching++
+		c.Fetch = c.holder.Addr
+	}
+}
+
 // saveTo names the store, if there is one that lacks what of the prompt others are likely to ask for again.
 func (t *Table) saveTo(r *Request, p plan) string {
 	if len(r.Parts) < 2 {
 		return ""
 	}
 	shared := r.Parts[:len(r.Parts)-1]
-	keys := kvindex.Keys(p.salt, r.Model, shared)
+	keys := p.prompt.keys[:len(shared)]
 	tokens := 0
 	for _, part := range shared {
 		tokens += part.Tokens
--- a/internal/lab/capacity/page.go
+++ b/internal/lab/capacity/page.go
@@ -7,9 +7,9 @@
 	"strings"
 )
 
-// Tables are those of docs/CAPACITY.md, by the name in the page's marks: each stands between <!-- name --> and <!-- end -->.
+// Tables are those of docs/capacity-lookups.md, by the name in the page's marks: each stands between <!-- name --> and <!-- end -->.
 func Tables() map[string]string {
-	return map[string]string{"sums": sumsTable(), "events": eventsTable(), "rank": rankTable(), "latency": latencyTable()}
+	return map[string]string{"sums": SumsTable(Sums()), "events": eventsTable(), "rank": RankTable(Rank()), "latency": latencyTable()}
 }
 
 // Latency is one share of the 57 ms.
@@ -42,9 +42,10 @@
 	return t.text()
 }
 
-func sumsTable() string {
+// SumsTable writes what roles hold, send and work at a size.
+func SumsTable(sums []Sum) string {
 	t := table{"role", "what", "at the size", "budget", "multiple", "carried by", "from"}.begin()
-	for _, s := range Sums() {
+	for _, s := range sums {
 		t.row(s.Role, s.What, figure(s.Amount, s.Unit), budget(s.Budget, s.Unit), multiple(s.Amount, s.Budget), s.By, s.From)
 	}
 	return t.text()
@@ -58,9 +59,10 @@
 	return t.text()
 }
 
-func rankTable() string {
+// RankTable writes at which share of a size mechanisms leave their budgets.
+func RankTable(ranked []Ranked) string {
 	t := table{"mechanism", "leaves its budget at", "budget", "carried by", "from"}.begin()
-	for _, r := range Rank() {
+	for _, r := range ranked {
 		t.row(r.What, share(r), r.Budget, r.By, r.From)
 	}
 	return t.text()
--- a/internal/lab/capacity/page_test.go
+++ b/internal/lab/capacity/page_test.go
@@ -14,9 +14,9 @@
 )
 
 // write has the page's tables written anew: go test ./internal/lab/capacity -run TestPage -write
-var write = flag.Bool("write", false, "write the tables of docs/CAPACITY.md anew")
+var write = flag.Bool("write", false, "write the tables of docs/capacity-lookups.md anew")
 
-const page = "../../../docs/CAPACITY.md"
+const page = "../../../docs/capacity-lookups.md"
 
 // The page's tables are those that the functions give, to the letter.
 func TestPageIsWhatTheFunctionsGive(t *testing.T) {
--- a/internal/lab/capacity/rank.go
+++ b/internal/lab/capacity/rank.go
@@ -34,6 +34,9 @@
 	return (low + high) / 2
 }
 
+// ShareAt finds at which share of the size a cost that grows with it meets its budget, up to a hundred times the size; 0 if it is over at any.
+func ShareAt(cost func(share float64) float64, budget float64) float64 { return shareAt(cost, budget) }
+
 func rank(what string, share float64, budget, by, from string) Ranked {
 	return Ranked{What: what, Share: share, Budget: budget, By: by, From: from}
 }
@@ -46,6 +49,11 @@
 	for _, source := range rankSources {
 		all = append(all, source()...)
 	}
+	return InOrder(all)
+}
+
+// InOrder sorts mechanisms: that which leaves its budget first in front, those that nobody has measured last.
+func InOrder(all []Ranked) []Ranked {
 	slices.SortStableFunc(all, func(a, b Ranked) int {
 		switch x, y := math.IsNaN(a.Share), math.IsNaN(b.Share); {
 		case x && y || a.Share == b.Share:
--- a/internal/lab/measure/capacity.go
+++ b/internal/lab/measure/capacity.go
@@ -7,6 +7,7 @@
 	"os"
 
 	"nettlefold/internal/lab/capacity"
+	"nettlefold/internal/lab/fleetcost"
 )
 
 // progress is where a long measurement says how far it is.
@@ -16,6 +17,14 @@
 // constants of the sums to what is measured.
 func Capacity(quick bool) (Result, error) { return capacityOf(capacity.Curves(), quick) }
 
+// Fleet does the same for the programs of the router fleet.
+func Fleet(quick bool) (Result, error) {
+	r, err := capacityOf(fleetcost.Curves(), quick)
+	r.Size = fmt.Sprintf("plan: %.0f mixers, %.0f backends, %.0f requests a second; times are printed, never judged",
+		fleetcost.Mixers, fleetcost.Backends, fleetcost.Requests)
+	return r, err
+}
+
 func capacityOf(curves []capacity.Curve, quick bool) (Result, error) {
 	r := Result{Size: fmt.Sprintf("plan: %.0f mixers, %.0f searchers, %.0f queries a second of %.0f parts; times are printed, never judged",
 		capacity.Mixers, capacity.Searchers, capacity.Queries, capacity.Parts),
--- a/internal/lab/measure/capacity_test.go
+++ b/internal/lab/measure/capacity_test.go
@@ -7,7 +7,7 @@
 	"nettlefold/internal/lab/capacity"
 )
 
-// The quick form holds: predictions of the largest sizes and the laws that docs/CAPACITY.md rests on, of deterministic quantities
+// The quick form holds: predictions of the largest sizes and the laws that docs/capacity-lookups.md rests on, of deterministic quantities
 // only. Times are judged nowhere; curves that have nothing else are not played here.
 func TestCapacityQuickHolds(t *testing.T) {
 	progress = t.Output()
@@ -26,6 +26,23 @@
 	}
 }
 
+// The same of the router fleet, whose laws docs/CAPACITY.md rests on.
+func TestFleetQuickHolds(t *testing.T) {
+	progress = t.Output()
+	r, err := Fleet(true)
+	if err != nil {
+		t.Fatal(err)
+	}
+	for _, c := range r.Claims {
+		if !c.Holds {
+			t.Error(c.What)
+		}
+	}
+	if len(r.Claims) < 20 {
+		t.Errorf("%d claims, the quick form has had more", len(r.Claims))
+	}
+}
+
 // A failed prediction and a drifted constant make the measurement fail; what is no more than a time makes no claim.
 func TestCapacityClaims(t *testing.T) {
 	f := capacity.Fitted{Curve: capacity.Curve{Role: "r", Of: "n"}, Sizes: []int{1, 16}, Values: []float64{1, 16},
--- a/internal/lab/measure/measure.go
+++ b/internal/lab/measure/measure.go
@@ -37,6 +37,7 @@
 // Measurements are those there are, by name.
 var Measurements = map[string]func(quick bool) (Result, error){
 	"capacity":     Capacity,
+	"fleet":        Fleet,
 	"control":      Control,
 	"fanout":       Fanout,
 	"shared-store": SharedStore,
--- a/internal/rendezvous/rendezvous.go
+++ b/internal/rendezvous/rendezvous.go
@@ -29,20 +29,39 @@
 	return best
 }
 
+// ranked is a candidate and its weight.
+type ranked struct {
+	candidate string
+	weight    uint64
+}
+
+func (r ranked) before(o ranked) bool {
+	return r.weight > o.weight || r.weight == o.weight && r.candidate < o.candidate
+}
+
 // Top gives the n candidates of the highest weights, highest first.
 func Top(key string, candidates []string, n int) []string {
-	ranked := slices.Clone(candidates)
-	slices.SortFunc(ranked, func(a, b string) int {
-		wa, wb := Weight(key, a), Weight(key, b)
-		switch {
-		case wa > wb:
-			return -1
-		case wa < wb:
-			return 1
-		case a < b:
-			return -1
+	n = min(n, len(candidates))
+	if n <= 0 {
+		return nil
+	}
+	best := make([]ranked, 0, n+1)
+	for _, c := range candidates {
+		r := ranked{c, Weight(key, c)}
+		if len(best) == n && !r.before(best[n-1]) {
+			continue
 		}
-		return 1
-	})
-	return ranked[:min(n, len(ranked))]
+		at, _ := slices.BinarySearchFunc(best, r, func(a, b ranked) int {
+			if a.before(b) {
+				return -1
+			}
+			return 1
+		})
+		best = slices.Insert(best, at, r)[:min(len(best)+1, n)]
+	}
+	top := make([]string, len(best))
+	for i, r := range best {
+		top[i] = r.candidate
+	}
+	return top
 }
--- a/internal/rpc/frame.go
+++ b/internal/rpc/frame.go
@@ -80,3 +80,22 @@
 	}
 	return e, nil
 }
+
+// Size is how many bytes a message takes on a link, for those who reckon what links carry.
+func Size(kind string, message any) (int, error) {
+	body, err := cbor.Marshal(message)
+	if err != nil {
+		return 0, err
+	}
+	var counted counter
+	err = writeFrame(&counted, &envelope{ID: 1, Kind: kind, Body: body})
+	return int(counted), err
+}
+
+// counter counts what is written to it.
+type counter int
+
+func (c *counter) Write(p []byte) (int, error) {
+	*c += counter(len(p))
+	return len(p), nil
+}
