Admission by expected time to the first token

Change: a request that others' waiting would make later than 1.3 of its target is refused at once, and told to come when that has passed; one that came again is taken while its client's time suffices. What is expected and what came is shown at debug level.

--- a/internal/dispatch/pick.go
+++ b/internal/dispatch/pick.go
@@ -17,9 +17,12 @@
 	Service string
 	Model   string
 	Parts   []kvindex.Part
-	Prompt  int    // tokens
-	Bytes   int    // of the body
-	Wall    string // the tenant's name if its prompts are shared with nobody
+	Prompt  int     // tokens
+	Bytes   int     // of the body
+	Target  float64 // ms within which it earns its full worth, 0 if none is stated
+	Left    float64 // ms until its client gives it up
+	Again   bool    // it was refused before, as far as can be told
+	Wall    string  // the tenant's name if its prompts are shared with nobody
 	Tried   []string
 }
 
@@ -31,9 +34,12 @@
 	Fetch   string // address of the holder to fetch from, "" for none
 	Save    string // address of the store to save to, "" for none
 	Salt    string
-	Version int64 // of the weights that are expected, 0 if the request names no model
-	Expect  float64
+	Version int64   // of the weights that are expected, 0 if the request names no model
+	Wait    float64 // ms that it is expected to wait there
+	Read    float64 // ms that it is expected to be read for
 
+	// Later is set alone: the request is not taken now, and should come again in so many ms.
+	Later float64
 	// BeginBy is when the answer has to begin, as it may not on these weights later; 0 if it may at any time.
 	BeginBy time.Duration
 
@@ -72,11 +78,33 @@
 				best, bestPlan = b, p
 			}
 		}
+		if later := r.refuse(&bestPlan); later > 0 {
+			return &Choice{Later: later}
+		}
 		return t.take(now, r, best, bestPlan)
 	}
 	return nil
 }
 
+// refuse tells in how many ms a request should come again that would wait here for so long that it came too late; 0 if it is taken.
+// One that came again is refused only if its client would give it up.
+func (r *Request) refuse(p *plan) float64 {
+	expected := p.wait + p.read
+	if r.Target <= 0 || r.Left <= 0 {
+		return 0
+	}
+	if r.Again {
+		if expected > againLimit*r.Left && p.wait > waitLeast*r.Target {
+			return againLaterMS
+		}
+		return 0
+	}
+	if expected <= admitShare*r.Target || p.wait <= waitLeast*r.Target {
+		return 0
+	}
+	return min(max(expected-r.Target, laterLeastMS), laterMostMS, r.Left*laterShare)
+}
+
 // decision is what is worked out once for a request, whichever backend serves it.
 type decision struct {
 	request *Request
@@ -182,6 +210,7 @@
 type plan struct {
 	cost    float64 // ms until the first token, and what else it costs put into ms
 	read    float64 // ms that it would read for
+	wait    float64 // ms that it would wait before that
 	version int64
 	prompt  *prompt
 	fetch   bool // from one of the prompt's holders
@@ -212,9 +241,8 @@
 		p.cost += fetchMS(service, kept-held) + duplicateShare*float64(kept-held)/speed
 	}
 	p.read = readMS(kept, r.Prompt, speed)
-	p.cost += p.read + float64(load.Waiting) + runningMS*float64(load.Running)
-	p.cost += t.again(now, d, b, &p, kept) / speed
-	p.cost += crowded(service, load, r)
+	p.wait = float64(load.Waiting) + runningMS*float64(load.Running) + crowded(service, load, r)
+	p.cost += p.read + p.wait + t.again(now, d, b, &p, kept)/speed
 	if t.behind(r.Model, p.version) {
 		p.cost += oldVersionShare * p.read // what is read there is dropped soon
 	}
@@ -317,7 +345,7 @@
 func (t *Table) take(now time.Duration, r *Request, b *Backend, p plan) *Choice {
 	c := &Choice{
 		Backend: b, ID: b.ID, Addr: b.Addr,
-		Version: p.version, Expect: p.cost,
+		Version: p.version, Wait: p.wait, Read: p.read,
 		read: int(p.read), sent: now, tokens: r.Prompt,
 		BeginBy: t.beginBy(r.Model, p.version),
 	}
@@ -399,6 +427,9 @@
 	} else if float64(c.read) > measuredLeastMS && c.Backend.own.Running == 1 && c.Backend.others.Running == 0 && ms > 1 {
 		t.speed[service] = mean(t.readSpeed(service), t.readSpeed(service)*float64(c.read)/ms)
 	}
+	if t.observe != nil {
+		t.observe(c, ms)
+	}
 	c.Backend.failures, c.Backend.avoid, c.Backend.trial = 0, 0, false
 }
 
--- a/internal/dispatch/table.go
+++ b/internal/dispatch/table.go
@@ -44,7 +44,14 @@
 	expectedMost     = 4096
 	silenceLimit     = 1200 * time.Millisecond // beyond what is expected, until a backend is taken for silent
 	silenceShare     = 2
-	measuredLeastMS  = 60.0  // of reading, from which the speed is measured by it
+	measuredLeastMS  = 60.0 // of reading, from which the speed is measured by it
+	admitShare       = 1.3  // of its target by which a request must be expected to begin, to be taken when others wait
+	waitLeast        = 0.4  // of its target that a request waits before any is refused
+	againLimit       = 0.8  // of the time left, likewise for one that came again
+	laterLeastMS     = 200.0
+	laterMostMS      = 1500.0
+	laterShare       = 0.25 // of the time left
+	againLaterMS     = 300.0
 	meanWeight       = 0.1   // of the newest figure in a moving mean
 	duplicateShare   = 0.15  // of the time to read what another keeps, for the memory that a second copy takes
 	storeWorthTokens = 1024  // shared tokens from which a prompt is worth saving to the store
@@ -70,8 +77,12 @@
 	speed     map[string]float64 // tokens a ms that a service's engines read
 	random    *rand.Rand
 	started   time.Duration
+	observe   func(c *Choice, ms float64) // sees what was expected and what came, if set
 }
 
+// Observe has f see each choice as its answer begins, and the ms that it took.
+func (t *Table) Observe(f func(c *Choice, ms float64)) { t.observe = f }
+
 // Members is who shares the sums with this mixer.
 type Members struct {
 	Self string
--- a/internal/proxy/forward.go
+++ b/internal/proxy/forward.go
@@ -44,6 +44,10 @@
 			p.giveUp(q, mayHaveRun, "no backend may take the request now")
 			return
 		}
+		if choice.Later > 0 {
+			refuse(q.writer, http.StatusServiceUnavailable, choice.Later/1000, "too many requests wait")
+			return
+		}
 		tried = append(tried, choice.ID)
 		a := p.send(ctx, q, choice)
 		if a.err == nil && !a.notRun() {
@@ -79,6 +83,7 @@
 func (p *Proxy) pick(q *request, tried []string) (choice *dispatch.Choice) {
 	p.do(func() {
 		choice = p.table.Pick(p.now(), &dispatch.Request{
+			Target: q.route.TargetMS, Left: float64(time.Until(q.deadline).Milliseconds()), Again: q.again || len(tried) > 0,
 			Service: q.service, Model: q.model, Parts: q.parts, Prompt: q.prompt, Bytes: len(q.body), Wall: q.wall(), Tried: tried,
 		})
 	})
--- a/internal/proxy/proxy.go
+++ b/internal/proxy/proxy.go
@@ -85,6 +85,11 @@
 		BudgetWindow:     max(settings.Bounds.BudgetWindow, time.Second),
 		CloudLag:         settings.CloudLag,
 	}, rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())))
+	if log.GetLevel() <= zerolog.DebugLevel {
+		p.table.Observe(func(c *dispatch.Choice, ms float64) {
+			log.Debug().Str("step", "began").Str("peer", c.Addr).Float64("wait", c.Wait).Float64("read", c.Read).Float64("took", ms).Msg("answer")
+		})
+	}
 	return p
 }
 
--- a/internal/proxy/relay.go
+++ b/internal/proxy/relay.go
@@ -112,8 +112,8 @@
 func (p *Proxy) resume(ctx context.Context, q *request, tried *[]string, sent *int) *attempt {
 	for *sent < max(1, q.route.MaxAttempts) && len(*tried) <= maxTried && ctx.Err() == nil {
 		choice := p.pick(q, *tried)
-		if choice == nil || !p.mayRepeat(q, *sent) {
-			if choice != nil {
+		if choice == nil || choice.Later > 0 || !p.mayRepeat(q, *sent) {
+			if choice != nil && choice.Later == 0 {
 				p.do(func() { p.table.End(p.now(), choice, dispatch.Cancelled) })
 			}
 			return nil
--- a/internal/proxy/serve.go
+++ b/internal/proxy/serve.go
@@ -41,7 +41,9 @@
 	retryLater    = 0.3
 	retryStarting = 1.0
 	// retryShare is the part of a route's target after which a refused client should come again, if that is sooner.
-	retryShare    = 0.1
+	retryShare = 0.1
+	// againShare is the part of its route's time below which a request is taken for one that came again.
+	againShare    = 0.98
 	lowestRank    = 9
 	ranksOfTenant = 3 // routes' ranks within a tenant's
 )
@@ -57,6 +59,7 @@
 	body     []byte
 	deadline time.Time // when its client gives it up
 	limit    time.Time // when it is given up here
+	again    bool      // it has less time than its route gives: its client was refused before, or is in a hurry
 	prompt   int
 	parts    []kvindex.Part
 	model    string
@@ -121,6 +124,7 @@
 		if q.deadline.Before(q.limit) {
 			q.limit = q.deadline
 		}
+		q.again = ms < againShare*limit.Seconds()*1000
 	}
 	return true
 }
