Agents: news goes by hubs of zones, not from each to all

Cause: on the grown site 72 agents sent each other some 50,000 messages a second; docs/CAPACITY.md has news to all leave its budget at a thousandth of the size. Change: each agent tells the hub of its zone, hubs tell each other and their zones; loads as sums, changes only; phases are told again each second. Tests: news reaches every agent, messages grow with agents, an ended load is told, a gap is noticed.

--- a/internal/agent/agent.go
+++ b/internal/agent/agent.go
@@ -25,14 +25,12 @@
 const (
 	tickEvery    = 100 * time.Millisecond
 	commandQueue = 1024
-	newsEvery    = 100 * time.Millisecond
-	// allLoadsEvery is how often all loads are told, for those that missed a change.
-	allLoadsEvery = time.Second
-	loadsKeep     = 1500 * time.Millisecond // a peer's loads are believed for so long
-	phasesKeep    = 12 * time.Second        // and an owner's phases
-	feedHold      = 200 * time.Millisecond
-	proxySilence  = time.Second
-	keptBatches   = 2048
+	// phasesKeep is how long an owner's phases are believed, and phasesTold how long it tells them again.
+	phasesKeep   = 4 * time.Second
+	phasesTold   = loadLimit + 2*time.Second
+	feedHold     = 200 * time.Millisecond
+	proxySilence = time.Second
+	keptBatches  = 2048
 )
 
 // Agent is one mixer's agent.
@@ -73,24 +71,15 @@
 	readers    map[string]context.CancelFunc
 	fetching   map[string]bool // backends of which the whole is being fetched
 
-	loads       map[string]peerLoads
-	ownLoads    map[string]dispatch.Load
-	toldLoads   map[string]dispatch.Load
-	toldAllAt   time.Time
-	loadsNumber uint64
-	toldAt      time.Time
-	outgoing    feed.News
-	rollouts    map[string]bool
+	news      *exchange
+	ownLoads  map[string]dispatch.Load
+	rollouts  map[string]bool
+	ownPhases map[string]ownPhase
 
 	storesOf   uint64 // number of the configuration that storeAddrs is of
 	storeAddrs []string
 }
 
-type peerLoads struct {
-	loads map[string]dispatch.Load
-	at    time.Time
-}
-
 type phaseNews struct {
 	feed.Phase
 	at time.Time
@@ -99,25 +88,27 @@
 // New makes an agent.
 func New(settings *local.Settings, log zerolog.Logger) *Agent {
 	life := fmt.Sprintf("%s/%016x%04x", settings.NodeName, time.Now().UnixNano(), rand.IntN(1<<16))
-	return &Agent{
-		settings: settings,
-		log:      log,
-		pool:     rpc.NewPool(),
-		web:      &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 2, DisableCompression: true}},
-		self:     distribute.Agent{ID: life, Addr: settings.InternalAddr(settings.IP), Zone: settings.Zone},
-		start:    time.Now(),
-		commands: make(chan func(), commandQueue),
-		done:     make(chan struct{}),
-		changed:  make(chan struct{}),
-		members:  &distribute.MemberSet{},
-		suspects: map[string]bool{},
-		phases:   map[string]phaseNews{},
-		index:    kvindex.New(),
-		readers:  map[string]context.CancelFunc{},
-		fetching: map[string]bool{},
-		loads:    map[string]peerLoads{},
-		rollouts: map[string]bool{},
-	}
+	a := &Agent{
+		settings:  settings,
+		log:       log,
+		pool:      rpc.NewPool(),
+		web:       &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 2, DisableCompression: true}},
+		self:      distribute.Agent{ID: life, Addr: settings.InternalAddr(settings.IP), Zone: settings.Zone},
+		start:     time.Now(),
+		commands:  make(chan func(), commandQueue),
+		done:      make(chan struct{}),
+		changed:   make(chan struct{}),
+		members:   &distribute.MemberSet{},
+		suspects:  map[string]bool{},
+		phases:    map[string]phaseNews{},
+		index:     kvindex.New(),
+		readers:   map[string]context.CancelFunc{},
+		fetching:  map[string]bool{},
+		rollouts:  map[string]bool{},
+		ownPhases: map[string]ownPhase{},
+	}
+	a.news = newExchange(a)
+	return a
 }
 
 // Run works until ctx ends.
@@ -138,11 +129,15 @@
 	go a.watchPeers(ctx)
 	ticker := time.NewTicker(tickEvery)
 	defer ticker.Stop()
+	flush := time.NewTicker(flushEvery)
+	defer flush.Stop()
 	defer close(a.done)
 	for {
 		select {
 		case command := <-a.commands:
 			command()
+		case <-flush.C:
+			a.news.flush()
 		case <-ticker.C:
 			a.tick(ctx)
 		case <-ctx.Done():
@@ -183,21 +178,14 @@
 	a.dutyList(ctx)
 	a.dutyEvents(ctx)
 	a.dutyOrders(ctx)
-	for addr, l := range a.loads {
-		if time.Since(l.at) > loadsKeep {
-			delete(a.loads, addr)
-			a.loadsNumber++
-		}
-	}
+	a.news.expire()
+	a.retellPhases()
 	for id, p := range a.phases {
 		if time.Since(p.at) > phasesKeep {
 			delete(a.phases, id)
 			a.listChanged()
 		}
 	}
-	if time.Since(a.toldAt) >= newsEvery {
-		a.tellNews()
-	}
 }
 
 // notify wakes the proxy's call.
@@ -211,62 +199,6 @@
 	a.notify()
 }
 
-// tellNews sends the others what has come together since the last time: the loads that changed, all of them now and then.
-func (a *Agent) tellNews() {
-	a.toldAt = time.Now()
-	a.outgoing.From = a.self.Addr
-	a.outgoing.Loads = changedLoads(a.toldLoads, a.ownLoads)
-	if time.Since(a.toldAllAt) >= allLoadsEvery {
-		a.toldAllAt = a.toldAt
-		a.outgoing.Loads, a.outgoing.All = a.ownLoads, true
-	}
-	a.toldLoads = a.ownLoads
-	news := a.outgoing
-	if !news.All && len(news.Loads) == 0 && news.ListSum == 0 && len(news.Batches) == 0 && len(news.Phases) == 0 {
-		return
-	}
-	for _, m := range a.members.Agents {
-		if m.Addr != a.self.Addr {
-			a.pool.Post(m.Addr, feed.KindNews, &news)
-		}
-	}
-	a.outgoing = feed.News{}
-}
-
-// changedLoads gives the loads that differ; one that ended is told as none.
-func changedLoads(old, now map[string]dispatch.Load) map[string]dispatch.Load {
-	changed := map[string]dispatch.Load{}
-	for id, l := range now {
-		if old[id] != l {
-			changed[id] = l
-		}
-	}
-	for id := range old {
-		if _, still := now[id]; !still {
-			changed[id] = dispatch.Load{}
-		}
-	}
-	return changed
-}
-
-// takeLoads takes what another mixer tells of its loads.
-func (a *Agent) takeLoads(news *feed.News) {
-	if !news.All && len(news.Loads) == 0 {
-		return
-	}
-	p, known := a.loads[news.From]
-	if news.All || !known {
-		p.loads = map[string]dispatch.Load{}
-	}
-	for id, l := range news.Loads {
-		p.loads[id] = l
-	}
-	p.at = time.Now()
-	a.loads[news.From] = p
-	a.loadsNumber++
-	a.notify()
-}
-
 // handlePeer serves other machines.
 func (a *Agent) handlePeer(ctx context.Context, kind string, body []byte) (any, error) {
 	switch kind {
@@ -275,7 +207,7 @@
 		if err := cbor.Unmarshal(body, news); err != nil {
 			return nil, err
 		}
-		a.enqueue(func() { a.takeNews(news) })
+		a.enqueue(func() { a.news.take(news) })
 		return nil, nil
 	case feed.KindWhole:
 		request := new(feed.WholeRequest)
@@ -294,15 +226,6 @@
 	return nil, merry.New("no such call: " + kind)
 }
 
-func (a *Agent) takeNews(news *feed.News) {
-	a.takeLoads(news)
-	a.hearList(news)
-	for _, b := range news.Batches {
-		a.takeBatch(b, news.From)
-	}
-	a.takePhases(news.Phases)
-}
-
 func (a *Agent) takePhases(phases map[string]feed.Phase) {
 	for id, p := range phases {
 		a.phases[id] = phaseNews{p, time.Now()}
@@ -356,9 +279,9 @@
 	a.proxyAt = time.Now()
 	a.applied = max(a.applied, request.Applied)
 	same := request.Agent == a.self.ID
-	reply = &feed.Reply{Agent: a.self.ID, Index: a.batchCount, LoadsAt: a.loadsNumber}
-	if !same || request.Loads != a.loadsNumber {
-		reply.Loads, fresh = a.othersLoads(), true
+	reply = &feed.Reply{Agent: a.self.ID, Index: a.batchCount, LoadsAt: a.news.number}
+	if !same || request.Loads != a.news.number {
+		reply.Loads, fresh = a.news.others(), true
 	}
 	if a.snapshot != nil && a.snapshot.Seq > request.Applied {
 		snapshot := *a.snapshot
@@ -393,13 +316,3 @@
 	}
 	return ages
 }
-
-func (a *Agent) othersLoads() map[string]dispatch.Load {
-	sum := map[string]dispatch.Load{}
-	for _, p := range a.loads {
-		for id, l := range p.loads {
-			sum[id] = sum[id].Plus(l)
-		}
-	}
-	return sum
-}
--- a/internal/agent/events.go
+++ b/internal/agent/events.go
@@ -217,7 +217,7 @@
 	}
 	b.Sum = a.index.Sum(b.Backend)
 	a.keepBatch(b)
-	a.outgoing.Batches = append(a.outgoing.Batches, b)
+	a.news.tell(&feed.News{Batches: []*kvindex.Batch{b}})
 }
 
 // takeBatch takes one that was read elsewhere; after a gap the whole is fetched from who told it.
--- a/internal/agent/list.go
+++ b/internal/agent/list.go
@@ -88,20 +88,20 @@
 
 // spreadList tells the others that the list was read; the list itself goes along when it changed, and now and then.
 func (a *Agent) spreadList() {
-	sum := listSum(a.list)
-	a.outgoing.ListSum = sum
-	if sum != a.spreadSum || time.Since(a.spreadAt) >= wholeListEvery {
-		a.outgoing.List, a.spreadSum, a.spreadAt = a.list, sum, time.Now()
+	read := &feed.ReadList{Sum: listSum(a.list)}
+	if read.Sum != a.spreadSum || time.Since(a.spreadAt) >= wholeListEvery {
+		read.Backends, a.spreadSum, a.spreadAt = a.list, read.Sum, time.Now()
 	}
-	a.tellNews()
+	a.news.tell(&feed.News{List: read})
 }
 
 // hearList takes the list that its owner read. One that is said to be the same is fresh again; another is missing until it is told.
-func (a *Agent) hearList(news *feed.News) {
+func (a *Agent) hearList(read *feed.ReadList) {
 	switch {
-	case news.List != nil:
-		a.takeList(news.List)
-	case news.ListSum != 0 && a.list != nil && listSum(a.list) == news.ListSum:
+	case read == nil:
+	case read.Backends != nil:
+		a.takeList(read.Backends)
+	case a.list != nil && listSum(a.list) == read.Sum:
 		a.listAt = time.Now()
 	}
 }
--- /dev/null
+++ b/internal/agent/news.go
@@ -0,0 +1,282 @@
+package agent
+
+import (
+	"time"
+
+	"nettlefold/internal/dispatch"
+	"nettlefold/internal/feed"
+	"nettlefold/internal/kvindex"
+	"nettlefold/internal/rendezvous"
+)
+
+const (
+	flushEvery = 60 * time.Millisecond
+	// allEvery is how often all loads are told, for those that missed a change, and loadsKeep how long they are believed.
+	allEvery  = time.Second
+	loadsKeep = 2500 * time.Millisecond
+	// retellEvery is how often the phases of backends under orders are told again.
+	retellEvery = time.Second
+)
+
+// exchange spreads news: from each agent to the hub of its zone, between hubs, and from a hub to the agents of its zone. So an agent
+// sends and hears once per interval, whatever their number, and each piece crosses to another zone once. A hub is an agent like others,
+// picked by rendezvous hashing; one that is gone is replaced as soon as the members are told, and what was lost meanwhile is noticed:
+// loads run out and are told whole each second, a batch leaves a gap, the list is read by those that miss it.
+type exchange struct {
+	agent  *Agent
+	send   func(to string, n *feed.News)
+	number uint64 // of changes to what others have at backends
+
+	up    outgoing // to the hub of this zone
+	cross outgoing // to the other hubs, as a hub
+	down  outgoing // to the agents of this zone, as a hub
+
+	own    sums            // loads of the proxy beside this agent, as told
+	zone   map[string]sums // as a hub: loads of the agents of this zone, by address
+	zones  map[string]sums // as a hub: loads of the other zones, by their hub's address
+	all    sums            // loads of all mixers, as this zone's hub tells
+	said   said            // what was told up
+	across said            // what was told to other hubs
+	below  said            // and to the agents of this zone
+}
+
+// outgoing is what comes together until it is sent.
+type outgoing struct {
+	list    *feed.ReadList
+	batches []*kvindex.Batch
+	phases  map[string]feed.Phase
+}
+
+func (o *outgoing) add(n *feed.News) {
+	if n.List != nil {
+		o.list = n.List
+	}
+	o.batches = append(o.batches, n.Batches...)
+	for id, p := range n.Phases {
+		if o.phases == nil {
+			o.phases = map[string]feed.Phase{}
+		}
+		o.phases[id] = p
+	}
+}
+
+func (o *outgoing) empty() bool { return o.list == nil && len(o.batches) == 0 && len(o.phases) == 0 }
+
+// sums is loads by backend, and when they were last told.
+type sums struct {
+	loads map[string]dispatch.Load
+	at    time.Time
+}
+
+// take puts told loads in force.
+func (s *sums) take(l *feed.Loads) {
+	if l.All || s.loads == nil {
+		s.loads = map[string]dispatch.Load{}
+	}
+	for id, load := range l.Changed {
+		if load == (dispatch.Load{}) {
+			delete(s.loads, id)
+		} else {
+			s.loads[id] = load
+		}
+	}
+	s.at = time.Now()
+}
+
+// said remembers what was told, to tell changes only.
+type said struct {
+	loads map[string]dispatch.Load
+	allAt time.Time
+}
+
+// next gives what is to be told of loads now, nil if nothing is.
+func (s *said) next(now map[string]dispatch.Load) *feed.Loads {
+	l := &feed.Loads{Changed: changedLoads(s.loads, now)}
+	if time.Since(s.allAt) >= allEvery {
+		s.allAt = time.Now()
+		l.Changed, l.All = now, true
+	}
+	s.loads = now
+	if !l.All && len(l.Changed) == 0 {
+		return nil
+	}
+	return l
+}
+
+func newExchange(a *Agent) *exchange {
+	send := func(to string, n *feed.News) { a.pool.Post(to, feed.KindNews, n) }
+	return &exchange{agent: a, send: send, zone: map[string]sums{}, zones: map[string]sums{}}
+}
+
+// hub is the address of a zone's hub, "" where no agent of it is known.
+func (x *exchange) hub(zone string) string {
+	var addrs []string
+	for _, m := range x.agent.members.Agents {
+		if m.Zone == zone {
+			addrs = append(addrs, m.Addr)
+		}
+	}
+	return rendezvous.Owner("hub/"+zone, addrs)
+}
+
+// tell adds news of this agent's own.
+func (x *exchange) tell(n *feed.News) { x.up.add(n) }
+
+// flush sends what has come together.
+func (x *exchange) flush() {
+	a := x.agent
+	hub := x.hub(a.self.Zone)
+	if hub == "" {
+		return
+	}
+	mine := x.said.next(a.ownLoads)
+	x.own.loads = a.ownLoads
+	if hub == a.self.Addr {
+		x.take(&feed.News{From: a.self.Addr, Hop: feed.ToHub, Loads: mine, List: x.up.list, Batches: x.up.batches, Phases: x.up.phases})
+	} else if mine != nil || !x.up.empty() {
+		x.send(hub, &feed.News{From: a.self.Addr, Hop: feed.ToHub, Loads: mine, List: x.up.list, Batches: x.up.batches, Phases: x.up.phases})
+	}
+	x.up = outgoing{}
+	x.flushHub(hub == a.self.Addr)
+}
+
+// flushHub sends on, as a hub, what agents of this zone and other hubs told.
+func (x *exchange) flushHub(isHub bool) {
+	if !isHub && len(x.zone) == 0 && x.cross.empty() && x.down.empty() {
+		return
+	}
+	a := x.agent
+	zone := total(x.zone)
+	if loads := x.across.next(zone); loads != nil || !x.cross.empty() {
+		news := &feed.News{From: a.self.Addr, Hop: feed.HubToHub, Loads: loads, List: x.cross.list, Batches: x.cross.batches, Phases: x.cross.phases}
+		for other := range x.otherZones() {
+			x.send(other, news)
+		}
+	}
+	x.cross = outgoing{}
+	all := plus(zone, total(x.zones))
+	if loads := x.below.next(all); loads != nil || !x.down.empty() {
+		news := &feed.News{From: a.self.Addr, Hop: feed.FromHub, Loads: loads, List: x.down.list, Batches: x.down.batches, Phases: x.down.phases}
+		for _, m := range a.members.Agents {
+			if m.Zone == a.self.Zone && m.Addr != a.self.Addr {
+				x.send(m.Addr, news)
+			}
+		}
+		if loads != nil {
+			x.takeAll(loads)
+		}
+	}
+	x.down = outgoing{}
+}
+
+// otherZones gives the hubs of the other zones.
+func (x *exchange) otherZones() map[string]bool {
+	hubs, zones := map[string]bool{}, map[string]bool{x.agent.self.Zone: true}
+	for _, m := range x.agent.members.Agents {
+		if !zones[m.Zone] {
+			zones[m.Zone] = true
+			hubs[x.hub(m.Zone)] = true
+		}
+	}
+	return hubs
+}
+
+// take takes news, and keeps what it has to send on.
+func (x *exchange) take(n *feed.News) {
+	a := x.agent
+	if n.From != a.self.Addr { // its own is in force already
+		a.hearList(n.List)
+		for _, b := range n.Batches {
+			a.takeBatch(b, n.From)
+		}
+		a.takePhases(n.Phases)
+	}
+	switch n.Hop {
+	case feed.ToHub:
+		if n.Loads != nil {
+			s := x.zone[n.From]
+			s.take(n.Loads)
+			x.zone[n.From] = s
+		}
+		x.cross.add(n)
+		x.down.add(n)
+	case feed.HubToHub:
+		if n.Loads != nil {
+			s := x.zones[n.From]
+			s.take(n.Loads)
+			x.zones[n.From] = s
+		}
+		x.down.add(n)
+	case feed.FromHub:
+		if n.Loads != nil {
+			x.takeAll(n.Loads)
+		}
+	}
+}
+
+func (x *exchange) takeAll(l *feed.Loads) {
+	x.all.take(l)
+	x.number++
+	x.agent.notify()
+}
+
+// expire drops loads that nobody tells any more.
+func (x *exchange) expire() {
+	for _, told := range []map[string]sums{x.zone, x.zones} {
+		for addr, s := range told {
+			if time.Since(s.at) > loadsKeep {
+				delete(told, addr)
+			}
+		}
+	}
+	if len(x.all.loads) > 0 && time.Since(x.all.at) > loadsKeep {
+		x.all = sums{}
+		x.number++
+	}
+}
+
+// others is what all other mixers have at backends.
+func (x *exchange) others() map[string]dispatch.Load {
+	others := make(map[string]dispatch.Load, len(x.all.loads))
+	for id, l := range x.all.loads {
+		mine := x.own.loads[id]
+		l = dispatch.Load{Running: max(0, l.Running-mine.Running), Waiting: max(0, l.Waiting-mine.Waiting), Tokens: max(0, l.Tokens-mine.Tokens)}
+		if l != (dispatch.Load{}) {
+			others[id] = l
+		}
+	}
+	return others
+}
+
+func total(told map[string]sums) map[string]dispatch.Load {
+	sum := map[string]dispatch.Load{}
+	for _, s := range told {
+		for id, l := range s.loads {
+			sum[id] = sum[id].Plus(l)
+		}
+	}
+	return sum
+}
+
+func plus(a, b map[string]dispatch.Load) map[string]dispatch.Load {
+	for id, l := range b {
+		a[id] = a[id].Plus(l)
+	}
+	return a
+}
+
+// changedLoads gives the loads that differ; one that ended is told as none.
+func changedLoads(old, now map[string]dispatch.Load) map[string]dispatch.Load {
+	changed := map[string]dispatch.Load{}
+	for id, l := range now {
+		if old[id] != l {
+			changed[id] = l
+		}
+	}
+	for id := range old {
+		if _, still := now[id]; !still {
+			changed[id] = dispatch.Load{}
+		}
+	}
+	return changed
+}
--- /dev/null
+++ b/internal/agent/news_test.go
@@ -0,0 +1,103 @@
+package agent
+
+import (
+	"fmt"
+	"testing"
+
+	"github.com/rs/zerolog"
+	"github.com/stretchr/testify/require"
+
+	"nettlefold/internal/dispatch"
+	"nettlefold/internal/distribute"
+	"nettlefold/internal/feed"
+	"nettlefold/internal/kvindex"
+	"nettlefold/internal/settings/local"
+)
+
+// fleetOf makes agents of several zones that know each other. Nothing of them runs: news is handed over by the test.
+func fleetOf(zones, each int) []*Agent {
+	var agents []*Agent
+	set := &distribute.MemberSet{Digest: 1}
+	for z := range zones {
+		for i := range each {
+			a := New(&local.Settings{NodeName: fmt.Sprintf("f-%d-%d", z, i), IP: fmt.Sprintf("10.%d.0.%d", z, i+1), Zone: fmt.Sprint("z", z), FirstPort: 7340}, zerolog.Nop())
+			agents = append(agents, a)
+			set.Agents = append(set.Agents, a.self)
+		}
+	}
+	for _, a := range agents {
+		a.members = set
+	}
+	return agents
+}
+
+// link hands over what an exchange would send: the same three hops as its flush, without sockets.
+func link(agents []*Agent) (messages int) {
+	byAddr := map[string]*Agent{}
+	for _, a := range agents {
+		byAddr[a.self.Addr] = a
+	}
+	deliver := func(to string, n *feed.News) { messages++; byAddr[to].news.take(n) }
+	for _, a := range agents {
+		a.news.send = deliver
+	}
+	for range 3 { // up, across, down
+		for _, a := range agents {
+			a.news.flush()
+		}
+	}
+	return messages
+}
+
+func TestNewsReachesEveryAgentOnce(t *testing.T) {
+	agents := fleetOf(3, 4)
+	first := agents[0]
+	batch := &kvindex.Batch{Backend: "b", To: kvindex.Cursor{Epoch: 1, Next: 5}, Changes: []kvindex.Change{{Key: 7, Tokens: 100}}}
+	first.ownBatch(batch)
+	first.news.tell(&feed.News{Phases: map[string]feed.Phase{"b": {Name: dispatch.PhaseLoading}}})
+	first.list = []dispatch.Listed{{ID: "b", Service: "s", Versions: map[string]int64{"m": 1}}}
+	first.spreadList()
+	for i, a := range agents {
+		a.ownLoads = map[string]dispatch.Load{"b": {Running: i + 1}}
+	}
+	link(agents)
+	sum := len(agents) * (len(agents) + 1) / 2
+	for i, a := range agents {
+		require.Equal(t, 1, a.index.Len(), a.self.Addr)
+		require.Equal(t, sum-(i+1), a.news.others()["b"].Running, "what all others have, by %s", a.self.Addr)
+		if a != first {
+			require.Equal(t, dispatch.PhaseLoading, a.phases["b"].Name)
+			require.Equal(t, first.list, a.list)
+		}
+	}
+}
+
+// TestMessagesGrowWithAgentsNotPairs holds the exchange to what it is for.
+func TestMessagesGrowWithAgentsNotPairs(t *testing.T) {
+	count := func(each int) int {
+		agents := fleetOf(4, each)
+		for i, a := range agents {
+			a.ownLoads = map[string]dispatch.Load{"b": {Running: i + 1}}
+		}
+		return link(agents)
+	}
+	few, many := count(4), count(16)
+	require.Less(t, many, 6*few, "four times the agents: %d, then %d messages", few, many)
+}
+
+func TestAnEndedLoadIsTold(t *testing.T) {
+	agents := fleetOf(2, 2)
+	agents[0].ownLoads = map[string]dispatch.Load{"b": {Running: 2, Waiting: 30}}
+	link(agents)
+	require.Equal(t, 2, agents[3].news.others()["b"].Running)
+	agents[0].ownLoads = nil
+	link(agents)
+	require.Empty(t, agents[3].news.others())
+}
+
+func TestAGapIsNoticedByAReceiver(t *testing.T) {
+	agents := fleetOf(1, 2)
+	a := agents[1]
+	a.takeBatch(&kvindex.Batch{Backend: "b", From: kvindex.Cursor{Epoch: 1, Next: 9}, To: kvindex.Cursor{Epoch: 1, Next: 12}}, "10.0.0.99:1")
+	require.True(t, a.fetching["b"], "the whole is fetched from who told it")
+}
--- a/internal/agent/orders.go
+++ b/internal/agent/orders.go
@@ -256,7 +256,7 @@
 	time.Sleep(emptyLeast)
 	for began := time.Now(); time.Since(began) < emptyMost && ctx.Err() == nil; time.Sleep(emptyEvery) {
 		waiting := 0
-		if r.agent.ask(ctx, func() { waiting = r.agent.othersLoads()[id].Plus(r.agent.ownLoads[id]).Waiting }) != nil || waiting <= 0 {
+		if r.agent.ask(ctx, func() { waiting = r.agent.news.others()[id].Plus(r.agent.ownLoads[id]).Waiting }) != nil || waiting <= 0 {
 			return
 		}
 	}
@@ -267,11 +267,8 @@
 	r.agent.enqueue(func() {
 		told := map[string]feed.Phase{id: p}
 		r.agent.takePhases(told)
-		if r.agent.outgoing.Phases == nil {
-			r.agent.outgoing.Phases = map[string]feed.Phase{}
-		}
-		r.agent.outgoing.Phases[id] = p
-		r.agent.tellNews()
+		r.agent.ownPhases[id] = ownPhase{p, time.Now(), time.Now()}
+		r.agent.news.tell(&feed.News{Phases: told})
 	})
 }
 
@@ -337,3 +334,23 @@
 	}
 	return false
 }
+
+// ownPhase is a phase that this agent told, and is to tell again for a while.
+type ownPhase struct {
+	feed.Phase
+	since, told time.Time
+}
+
+// retellPhases tells phases again, for those that missed them.
+func (a *Agent) retellPhases() {
+	for id, p := range a.ownPhases {
+		switch {
+		case time.Since(p.since) > phasesTold:
+			delete(a.ownPhases, id)
+		case time.Since(p.told) >= retellEvery:
+			p.told = time.Now()
+			a.ownPhases[id] = p
+			a.news.tell(&feed.News{Phases: map[string]feed.Phase{id: p.Phase}})
+		}
+	}
+}
--- a/internal/feed/messages.go
+++ b/internal/feed/messages.go
@@ -49,15 +49,34 @@
 	Phases   map[string]string `cbor:"3,keyasint,omitempty"`
 }
 
-// News is what an agent tells the others.
+// News is what agents tell each other. Each tells the hub of its zone; hubs tell each other, and the agents of their zones. A hop passes
+// on what came together since the last time.
 type News struct {
-	From    string                   `cbor:"1,keyasint"`           // the agent's address
-	Loads   map[string]dispatch.Load `cbor:"2,keyasint,omitempty"` // those that changed, or all
-	All     bool                     `cbor:"3,keyasint,omitempty"`
-	List    []dispatch.Listed        `cbor:"4,keyasint,omitempty"` // absent if it is that of ListSum
-	ListSum uint64                   `cbor:"7,keyasint,omitempty"` // digest of the list just read, 0 if none was
-	Batches []*kvindex.Batch         `cbor:"5,keyasint,omitempty"`
-	Phases  map[string]Phase         `cbor:"6,keyasint,omitempty"`
+	From    string           `cbor:"1,keyasint"` // the agent's address
+	Hop     int              `cbor:"2,keyasint"`
+	Loads   *Loads           `cbor:"3,keyasint,omitempty"`
+	List    *ReadList        `cbor:"4,keyasint,omitempty"`
+	Batches []*kvindex.Batch `cbor:"5,keyasint,omitempty"`
+	Phases  map[string]Phase `cbor:"6,keyasint,omitempty"`
+}
+
+// Hops of news.
+const (
+	ToHub    = 1 // from an agent to the hub of its zone
+	HubToHub = 2 // to the hubs of the other zones
+	FromHub  = 3 // from a hub to the agents of its zone
+)
+
+// Loads is what is at backends: from an agent its own, between hubs a zone's, from a hub all mixers' together.
+type Loads struct {
+	Changed map[string]dispatch.Load `cbor:"1,keyasint,omitempty"` // those that changed; all if All
+	All     bool                     `cbor:"2,keyasint,omitempty"`
+}
+
+// ReadList is the platform's list as it was just read.
+type ReadList struct {
+	Sum      uint64            `cbor:"1,keyasint"`           // its digest
+	Backends []dispatch.Listed `cbor:"2,keyasint,omitempty"` // left out where receivers should have it
 }
 
 // Phase is what the owner of orders tells of a backend.
--- a/internal/lab/fleetcost/curves.go
+++ b/internal/lab/fleetcost/curves.go
@@ -148,17 +148,17 @@
 }
 
 func playNews(size int) ([]float64, error) {
-	news, loads := &feed.News{From: "10.1.0.23:7340"}, &feed.News{From: "10.1.0.23:7340", All: true, Loads: map[string]dispatch.Load{}}
+	all, list := &feed.Loads{All: true, Changed: map[string]dispatch.Load{}}, &feed.ReadList{Sum: 1 << 60}
 	for i := range size {
-		news.List = append(news.List, listed(i))
-		loads.Loads[listed(i).ID] = dispatch.Load{Running: 1 + i%3, Waiting: i * 37 % 900, Tokens: i * 1009 % 40000}
+		list.Backends = append(list.Backends, listed(i))
+		all.Changed[listed(i).ID] = dispatch.Load{Running: 1 + i%3, Waiting: i * 37 % 900, Tokens: i * 1009 % 40000}
 	}
-	list, err := rpc.Size(feed.KindNews, news)
+	whole, err := rpc.Size(feed.KindNews, &feed.News{From: "10.1.0.23:7340", Hop: feed.FromHub, List: list})
 	if err != nil {
 		return nil, err
 	}
-	all, err := rpc.Size(feed.KindNews, loads)
-	return []float64{float64(list), float64(all)}, err
+	loads, err := rpc.Size(feed.KindNews, &feed.News{From: "10.1.0.23:7340", Hop: feed.FromHub, Loads: all})
+	return []float64{float64(whole), float64(loads)}, err
 }
 
 func playBatch(size int) ([]float64, error) {
