--- a/cmd/nettlefold/system.go
+++ b/cmd/nettlefold/system.go
@@ -19,8 +19,10 @@
 // settingsPoll is how often the settings file is looked at: it may change without a signal.
 const settingsPoll = 500 * time.Millisecond
 
-// systemCommands are the programs of the router fleet, by the word that starts them.
-var systemCommands = map[string]bool{"proxy": true, "agent": true, "controller": true}
+// systemCommands are the words of the router fleet; all others, and none, are the mixer's.
+var systemCommands = map[string]bool{
+	"proxy": true, "agent": true, "controller": true, "state": true, "configuration": true, "settings": true, "status": true,
+}
 
 // program is one of the fleet's.
 type program interface {
@@ -59,6 +61,7 @@
 	add("controller", "Keep the control state on a core machine and serve the operator", func(s *local.Settings, log zerolog.Logger) (program, error) {
 		return controller.New(s, log)
 	})
+	root.AddCommand(toolCommands()...)
 	return root
 }
 
--- a/internal/controller/api.go
+++ b/internal/controller/api.go
@@ -33,6 +33,7 @@
 	e.POST("/v1/evacuations/:zone", func(ctx echo.Context) error { return c.evacuation(ctx, replicated.KindEvacuate) })
 	e.DELETE("/v1/evacuations/:zone", func(ctx echo.Context) error { return c.evacuation(ctx, replicated.KindRestore) })
 	e.POST("/v1/version-put", c.putVersion)
+	e.GET("/v1/status", c.getStatus)
 	e.GET("/v1/readiness", func(ctx echo.Context) error { return ctx.NoContent(http.StatusOK) })
 	listener, err := net.Listen("tcp", c.settings.ControlAddr)
 	if err != nil {
--- /dev/null
+++ b/internal/controller/status.go
@@ -0,0 +1,70 @@
+package controller
+
+import (
+	"net/http"
+	"time"
+
+	"github.com/labstack/echo/v4"
+
+	"nettlefold/internal/replicated"
+)
+
+// Status is what a controller knows of the fleet: where it stands itself, the view, and each agent that has a session here.
+type Status struct {
+	Controller string                      `json:"controller"`
+	Current    bool                        `json:"current"` // in touch with the core's majority
+	DiskFails  bool                        `json:"disk_fails"`
+	Epoch      uint64                      `json:"epoch"`
+	Chain      []string                    `json:"chain"` // head first
+	Acceptors  []string                    `json:"acceptors"`
+	Seq        uint64                      `json:"seq"`            // of the newest committed operation known here
+	Version    int64                       `json:"config_version"` // of the configuration in force
+	Evacuated  []string                    `json:"evacuated"`
+	Models     map[string]replicated.Model `json:"models"`
+	Duties     map[string]replicated.Duty  `json:"duties"`
+	Mixers     int                         `json:"mixers"` // with a session anywhere
+	Sessions   []SessionStatus             `json:"sessions"`
+}
+
+// SessionStatus is an agent that has its session here.
+type SessionStatus struct {
+	Agent    string   `json:"agent"`
+	Addr     string   `json:"addr"`
+	Zone     string   `json:"zone"`
+	Applied  uint64   `json:"applied"` // operation in force at its proxy
+	SilentMS int64    `json:"silent_ms"`
+	Suspects []string `json:"suspects,omitempty"` // agents that it watches and does not reach
+}
+
+func (c *Controller) getStatus(ctx echo.Context) error {
+	var status Status
+	if err := c.ask(ctx.Request().Context(), func() { status = c.status() }); err != nil {
+		return ctx.JSON(http.StatusServiceUnavailable, problem{err.Error()})
+	}
+	return ctx.JSONPretty(http.StatusOK, status, "  ")
+}
+
+func (c *Controller) status() Status {
+	now := c.public.Load()
+	s := Status{
+		Controller: string(now.self), Current: now.current, DiskFails: !c.broken.IsZero(),
+		Epoch: now.view.Epoch, Seq: now.state.Seq, Version: now.state.Version,
+		Models: now.state.Models, Duties: now.state.Duties, Mixers: len(now.members.Agents),
+	}
+	for _, id := range now.view.Chain {
+		s.Chain = append(s.Chain, string(id))
+	}
+	for _, m := range now.view.Acceptors {
+		s.Acceptors = append(s.Acceptors, string(m.ID))
+	}
+	for zone := range now.state.Evacuated {
+		s.Evacuated = append(s.Evacuated, zone)
+	}
+	for _, session := range c.sessions {
+		s.Sessions = append(s.Sessions, SessionStatus{
+			Agent: session.agent.ID, Addr: session.agent.Addr, Zone: session.agent.Zone,
+			Applied: session.applied, SilentMS: time.Since(session.heard).Milliseconds(), Suspects: session.suspects,
+		})
+	}
+	return s
+}
--- a/internal/durable/store_test.go
+++ b/internal/durable/store_test.go
@@ -13,6 +13,8 @@
 	"nettlefold/internal/replicated"
 )
 
+type chainRecord = chain.Record
+
 func entry(seq uint64, size int) chain.Record {
 	return chain.Record{Entry: &chain.Entry{Seq: seq, Epoch: 1, Operation: []byte(fmt.Sprintf("%0*d", size, seq))}, Generation: 0}
 }
