Attempts at backends that will not answer are ended, and sent elsewhere where they may be

Change: an attempt at a backend that left the list, or (where it may run again) that is silent to all for longer than what waits there takes, is ended; it gets its final answer or another backend at once. Ruled out: ending attempts at backends that left the list but still answer, as one that leaves in order does.

--- a/internal/dispatch/pick.go
+++ b/internal/dispatch/pick.go
@@ -184,6 +184,15 @@
 	return b.pending > 0 && now-b.progress > silenceLimit+silenceShare*expected
 }
 
+// Silent tells whether the backend of a choice lets all that waits there wait for too long, or a stream of it stands still.
+func (t *Table) Silent(now time.Duration, c *Choice) bool {
+	b := c.Backend
+	if c.begun {
+		return now-b.progress > silenceLimit
+	}
+	return b.silent(now)
+}
+
 // Heard books bytes of an answer that runs.
 func (t *Table) Heard(now time.Duration, c *Choice) { c.Backend.progress = now }
 
--- /dev/null
+++ b/internal/proxy/attempts.go
@@ -0,0 +1,91 @@
+package proxy
+
+import (
+	"context"
+	"sync"
+	"time"
+)
+
+const (
+	// attemptsEvery is how often attempts are looked at.
+	attemptsEvery = 200 * time.Millisecond
+	// goneSilence is how long an attempt has heard nothing that is ended because its backend is gone from the list: one that leaves in
+	// order is still answering then.
+	goneSilence = time.Second
+	// streamSilence is how long a stream that may be taken up elsewhere pauses before it is, at a backend that is silent to all.
+	streamSilence = 1500 * time.Millisecond
+)
+
+// attempts are those under way: what waits at a backend that will not answer is ended here, to be sent elsewhere or to get its final
+// answer at once.
+type attempts struct {
+	mu   sync.Mutex
+	open map[*attempt]bool
+	gone map[string]time.Time // backends that left the list, and when
+}
+
+func newAttempts() *attempts {
+	return &attempts{open: map[*attempt]bool{}, gone: map[string]time.Time{}}
+}
+
+func (s *attempts) add(a *attempt) {
+	s.mu.Lock()
+	s.open[a] = true
+	s.mu.Unlock()
+}
+
+func (s *attempts) remove(a *attempt) {
+	s.mu.Lock()
+	delete(s.open, a)
+	s.mu.Unlock()
+}
+
+// left notes that a backend is gone from the list.
+func (s *attempts) left(id string) {
+	s.mu.Lock()
+	s.gone[id] = time.Now()
+	s.mu.Unlock()
+}
+
+// overdue gives the attempts that have heard nothing for too long; silent tells whether a backend is.
+func (s *attempts) overdue(now time.Duration, silent func(a *attempt) bool) (overdue []*attempt) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for id, at := range s.gone {
+		if time.Since(at) > time.Minute {
+			delete(s.gone, id)
+		}
+	}
+	for a := range s.open {
+		quiet := now - time.Duration(a.heard.Load())
+		_, gone := s.gone[a.choice.ID]
+		switch {
+		case gone && quiet > goneSilence:
+			overdue = append(overdue, a)
+		case a.mayMove && quiet > streamSilence && silent(a):
+			overdue = append(overdue, a)
+		}
+	}
+	return overdue
+}
+
+// watchAttempts ends attempts that wait in vain.
+func (p *Proxy) watchAttempts(ctx context.Context) {
+	ticker := time.NewTicker(attemptsEvery)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ticker.C:
+		case <-ctx.Done():
+			return
+		}
+		var overdue []*attempt
+		p.do(func() {
+			overdue = p.attempts.overdue(p.now(), func(a *attempt) bool { return p.table.Silent(p.now(), a.choice) })
+		})
+		for _, a := range overdue {
+			p.log.Debug().Str("step", "overdue").Str("peer", a.choice.Addr).Msg("attempt ended")
+			a.cancel()
+		}
+	}
+}
--- a/internal/proxy/forward.go
+++ b/internal/proxy/forward.go
@@ -6,6 +6,7 @@
 	"io"
 	"net/http"
 	"strconv"
+	"sync/atomic"
 	"time"
 
 	"nettlefold/internal/dispatch"
@@ -20,6 +21,9 @@
 	begun    bool   // the first bytes of the answer are there
 	end      func() // frees what the attempt holds
 	late     *time.Timer
+	cancel   context.CancelFunc
+	mayMove  bool         // it may be sent to another backend
+	heard    atomic.Int64 // when the last bytes came, by the proxy's clock
 }
 
 // notRun tells whether it is known that the backend did not run the request.
@@ -49,7 +53,7 @@
 			return
 		}
 		tried = append(tried, choice.ID)
-		a := p.send(ctx, q, choice)
+		a := p.send(ctx, q, choice, sent+1)
 		if a.err == nil && !a.notRun() {
 			p.relay(ctx, q, a, tried, sent+1)
 			return
@@ -99,8 +103,8 @@
 	return may
 }
 
-// send makes one attempt, up to the head of the answer.
-func (p *Proxy) send(ctx context.Context, q *request, c *dispatch.Choice) *attempt {
+// send makes one attempt, the last-th that may run, up to the head of the answer.
+func (p *Proxy) send(ctx context.Context, q *request, c *dispatch.Choice, last int) *attempt {
 	header := q.header.Clone()
 	header.Set(headerExpected, c.ID)
 	header.Set(headerDeadline, strconv.FormatInt(max(1, time.Until(q.limit).Milliseconds()), 10))
@@ -118,7 +122,10 @@
 		header.Set(headerLastEvent, q.lastEvent)
 	}
 	ctx, cancel := context.WithCancel(ctx)
-	a := &attempt{choice: c, end: cancel}
+	a := &attempt{choice: c, cancel: cancel, mayMove: q.route.MayRepeat() && last < max(1, q.route.MaxAttempts)}
+	a.heard.Store(int64(p.now()))
+	p.attempts.add(a)
+	a.end = func() { p.attempts.remove(a); cancel() }
 	if c.BeginBy > 0 {
 		a.late = time.AfterFunc(c.BeginBy-p.now(), cancel)
 	}
--- a/internal/proxy/proxy.go
+++ b/internal/proxy/proxy.go
@@ -59,6 +59,8 @@
 	table *dispatch.Table
 	have  feed.Request
 
+	attempts *attempts
+
 	poolsMu sync.Mutex
 	pools   map[string]*upstream.Pool // by the backend's identity
 }
@@ -73,6 +75,7 @@
 		commands: make(chan func(), commandQueue),
 		done:     make(chan struct{}),
 		pools:    map[string]*upstream.Pool{},
+		attempts: newAttempts(),
 	}
 	p.table = dispatch.New(0, dispatch.Settings{
 		Zone:             settings.Zone,
@@ -129,6 +132,7 @@
 	go p.own()
 	go p.follow(ctx)
 	go p.tellLoads(ctx)
+	go p.watchAttempts(context.WithoutCancel(ctx))
 	readiness := echo.New()
 	readiness.HideBanner, readiness.HidePort = true, true
 	readiness.GET("/v1/readiness", p.readiness)
@@ -203,6 +207,7 @@
 		for _, id := range p.table.SetBackends(now, reply.List.Backends, reply.List.Phases) {
 			p.table.Index().Forget(id)
 			p.dropPool(id)
+			p.attempts.left(id)
 		}
 	}
 	index := p.table.Index()
--- a/internal/proxy/relay.go
+++ b/internal/proxy/relay.go
@@ -119,7 +119,7 @@
 			return nil
 		}
 		*tried = append(*tried, choice.ID)
-		a := p.send(ctx, q, choice)
+		a := p.send(ctx, q, choice, *sent+1)
 		if a.err == nil && a.response.StatusCode == http.StatusOK && !a.notRun() {
 			*sent++
 			return a
@@ -138,6 +138,7 @@
 
 // began books the beginning of an answer, once its first bytes are there.
 func (p *Proxy) began(q *request, a *attempt) {
+	a.heard.Store(int64(p.now()))
 	if a.begun {
 		p.do(func() { p.table.Heard(p.now(), a.choice) })
 		return
