--- /dev/null
+++ b/internal/chain/world_test.go
@@ -0,0 +1,390 @@
+package chain
+
+import (
+	"fmt"
+	"maps"
+	"slices"
+	"strings"
+
+	"nettlefold/internal/replicated"
+	"nettlefold/internal/simtest"
+)
+
+// The search goes through every order in which messages of a small core arrive, are lost or come late, machines lose power at any step,
+// and views are proposed beside writes.
+
+// fault is planted, to show that the search finds what it is for.
+type fault int
+
+const (
+	sound          fault = iota
+	forgetsPromise       // promises are not durable
+	forgetsEntries       // entries are not durable
+	writesSealed         // a sealed replica goes on taking writes
+	ackAtHead            // the head acknowledges before the tail has the entry
+)
+
+type flight struct {
+	to      NodeID
+	message Message
+}
+
+// machine is a replica and its disk.
+type machine struct {
+	replica *Replica
+	disk    Saved
+}
+
+// core is the world: machines, messages under way, and what was promised to the operator.
+type core struct {
+	fault    fault
+	ids      []NodeID
+	machines map[NodeID]*machine
+	flights  []flight
+	acked    map[uint64]string // operation by number
+	ackEpoch map[uint64]uint64
+	script   []string // operations still to be proposed
+	proposes []NodeID // who may still propose a view
+	crashes  int
+	losses   int
+	broken   error
+}
+
+func operation(zone string) *replicated.Operation {
+	return &replicated.Operation{Kind: replicated.KindEvacuate, Zone: zone}
+}
+
+func newCore(n int, f fault) *core {
+	w := &core{fault: f, machines: map[NodeID]*machine{}, acked: map[uint64]string{}, ackEpoch: map[uint64]uint64{}}
+	view := View{Epoch: 1}
+	for i := range n {
+		id := NodeID(rune('a' + i))
+		w.ids = append(w.ids, id)
+		view.Acceptors = append(view.Acceptors, Member{ID: id, Addr: string(id)})
+		view.Chain = append(view.Chain, id)
+	}
+	for _, id := range w.ids {
+		m := &machine{disk: Saved{Meta: Meta{Identity: id, View: view, LogEpoch: 1}}}
+		m.start()
+		w.machines[id] = m
+	}
+	return w
+}
+
+// timing lets every step follow at once: the order of messages alone decides.
+var timing = Timing{Suspect: 1 << 40, Drop: 1 << 40, Replace: 1 << 40, Settle: 0, Stuck: 1 << 40, Round: 1 << 40, Heartbeat: 0}
+
+func (m *machine) start() {
+	saved := m.disk
+	saved.Entries = slices.Clone(saved.Entries)
+	if saved.State != nil {
+		saved.State = saved.State.Clone()
+	}
+	m.replica = New(Options{Self: Member{ID: saved.Meta.Identity, Addr: string(saved.Meta.Identity)}, Copies: 2, Timing: timing}, saved)
+}
+
+// write makes records durable, as the store does.
+func (w *core) write(m *machine, records []Record) {
+	for _, r := range records {
+		switch {
+		case r.Meta != nil:
+			meta := *r.Meta
+			if w.fault == forgetsPromise {
+				meta.Promised, meta.Accepted, meta.AcceptedView = Ballot{}, Ballot{}, nil
+			}
+			if meta.Generation != m.disk.Meta.Generation {
+				m.disk.Entries = nil
+			}
+			m.disk.Meta = meta
+		case r.Entry != nil:
+			if w.fault == forgetsEntries {
+				continue
+			}
+			m.disk.Entries = slices.DeleteFunc(slices.Clone(m.disk.Entries), func(e Entry) bool { return e.Seq == r.Entry.Seq })
+			m.disk.Entries = append(m.disk.Entries, *r.Entry)
+			slices.SortFunc(m.disk.Entries, func(a, b Entry) int { return int(a.Seq) - int(b.Seq) })
+		case r.Snapshot != nil:
+			state, err := replicated.Decode(r.Snapshot.State)
+			if err != nil {
+				panic(err)
+			}
+			m.disk.State = state
+		}
+	}
+}
+
+func (w *core) perform(id NodeID, out Output) {
+	m := w.machines[id]
+	w.write(m, out.Records)
+	for _, e := range out.Messages {
+		if e.Message.Heartbeat == nil {
+			w.flights = append(w.flights, flight{e.To.ID, e.Message})
+		}
+	}
+	w.acknowledge(m)
+}
+
+// acknowledge notes what the head knows to be committed: that is told to the operator.
+func (w *core) acknowledge(m *machine) {
+	view := m.replica.View()
+	if view.Head() != m.replica.Self().ID || !m.replica.serving() {
+		return
+	}
+	upTo := m.replica.state.Seq
+	if w.fault == ackAtHead {
+		upTo = m.replica.length()
+	}
+	for _, e := range m.replica.log {
+		if e.Seq <= upTo {
+			if _, known := w.acked[e.Seq]; !known {
+				w.acked[e.Seq], w.ackEpoch[e.Seq] = string(e.Operation), view.Epoch
+			}
+		}
+	}
+}
+
+// event is one thing that may come next.
+type event struct {
+	name string
+	do   func(w *core)
+}
+
+func (w *core) events() (events []event) {
+	for i, f := range w.flights {
+		what := kindOf(&f.message) + " from " + string(f.message.From.ID) + " to " + string(f.to)
+		events = append(events, event{what, func(w *core) { w.deliver(i) }})
+		if w.losses > 0 {
+			events = append(events, event{"lost: " + what, func(w *core) { w.losses--; w.flights = slices.Delete(slices.Clone(w.flights), i, i+1) }})
+		}
+	}
+	if len(w.script) > 0 {
+		for _, id := range w.ids {
+			if w.machines[id].replica.meta.View.Head() == id {
+				events = append(events, event{"write at " + string(id), func(w *core) { w.propose(id) }})
+			}
+		}
+	}
+	for i, id := range w.proposes {
+		events = append(events, event{"view proposed by " + string(id), func(w *core) { w.proposeView(i) }})
+	}
+	if w.crashes > 0 {
+		for _, id := range w.ids {
+			events = append(events, event{"power lost at " + string(id), func(w *core) { w.crash(id) }})
+		}
+	}
+	return events
+}
+
+func kindOf(m *Message) string {
+	switch {
+	case m.Prepare != nil:
+		return "prepare"
+	case m.Promise != nil:
+		return "promise"
+	case m.Transfer != nil:
+		return "transfer"
+	case m.CatchUp != nil:
+		return "catch-up"
+	case m.CaughtUp != nil:
+		return "caught-up"
+	case m.Accept != nil:
+		return "accept"
+	case m.Accepted != nil:
+		return "accepted"
+	case m.Decided != nil:
+		return "decided"
+	case m.Append != nil:
+		return "append"
+	case m.Commit != nil:
+		return "commit"
+	}
+	return "message"
+}
+
+func (w *core) deliver(i int) {
+	f := w.flights[i]
+	w.flights = slices.Delete(slices.Clone(w.flights), i, i+1)
+	r := w.machines[f.to].replica
+	m := f.message
+	if w.fault == writesSealed && m.Append != nil {
+		promised := r.meta.Promised
+		r.meta.Promised = Ballot{}
+		out := r.Receive(0, &m)
+		if r.meta.Promised == (Ballot{}) {
+			r.meta.Promised = promised
+		}
+		w.perform(f.to, out)
+		return
+	}
+	w.perform(f.to, r.Receive(0, &m))
+}
+
+func (w *core) propose(id NodeID) {
+	zone := w.script[0]
+	w.script = w.script[1:]
+	_, out, _ := w.machines[id].replica.Propose(0, operation(zone))
+	w.perform(id, out)
+}
+
+func (w *core) proposeView(i int) {
+	id := w.proposes[i]
+	w.proposes = slices.Delete(slices.Clone(w.proposes), i, i+1)
+	r := w.machines[id].replica
+	w.perform(id, r.step(0, func() { r.begin(0, wanted{acceptors: r.meta.View.Acceptors}) }))
+}
+
+func (w *core) crash(id NodeID) {
+	w.crashes--
+	w.machines[id].start()
+}
+
+// clone copies the world; entries and views are never changed in place.
+func (w *core) clone() *core {
+	c := *w
+	c.machines = map[NodeID]*machine{}
+	for id, m := range w.machines {
+		c.machines[id] = &machine{m.replica.clone(), m.disk}
+	}
+	c.flights = slices.Clone(w.flights)
+	c.acked, c.ackEpoch = maps.Clone(w.acked), maps.Clone(w.ackEpoch)
+	return &c
+}
+
+func (r *Replica) clone() *Replica {
+	c := *r
+	c.log = slices.Clone(r.log)
+	c.peers, c.reads = maps.Clone(r.peers), maps.Clone(r.reads)
+	c.local = slices.Clone(r.local)
+	if r.proposal != nil {
+		p := *r.proposal
+		p.promises, p.caught, p.accepted = maps.Clone(p.promises), maps.Clone(p.caught), maps.Clone(p.accepted)
+		p.targets = slices.Clone(p.targets)
+		c.proposal = &p
+	}
+	return &c
+}
+
+func (w *core) Choices() int           { return len(w.events()) }
+func (w *core) Name(choice int) string { return w.events()[choice].name }
+
+func (w *core) Next(choice int) simtest.World {
+	next := w.clone()
+	w.events()[choice].do(next)
+	return next
+}
+
+func (w *core) Fingerprint() string {
+	var b strings.Builder
+	for _, id := range w.ids {
+		r := w.machines[id].replica
+		fmt.Fprint(&b, id, viewText(&r.meta.View), r.meta.Promised, r.meta.Accepted, r.meta.AcceptedView != nil, r.meta.LogEpoch, r.state.Seq, logText(r.log), r.round)
+		if p := r.proposal; p != nil {
+			fmt.Fprint(&b, p.ballot, promisesText(p.promises), p.source, p.length, slices.Sorted(maps.Keys(p.caught)), p.view != nil, slices.Sorted(maps.Keys(p.accepted)))
+		}
+	}
+	var under []string
+	for _, f := range w.flights {
+		under = append(under, flightText(&f))
+	}
+	slices.Sort(under)
+	fmt.Fprint(&b, under, w.acked, w.ackEpoch, len(w.script), w.proposes, w.crashes, w.losses)
+	return b.String()
+}
+
+func promisesText(promises map[NodeID]*Promise) string {
+	var b strings.Builder
+	for _, id := range slices.Sorted(maps.Keys(promises)) {
+		p := promises[id]
+		fmt.Fprint(&b, id, p.Ballot, p.Accepted, p.LogEpoch, p.LogLength, ";")
+	}
+	return b.String()
+}
+
+func viewText(v *View) string { return fmt.Sprint(v.Epoch, v.Chain, v.LogLength) }
+
+func logText(log []Entry) string {
+	var b strings.Builder
+	for _, e := range log {
+		fmt.Fprintf(&b, "%d/%d/%x ", e.Seq, e.Epoch, e.Operation)
+	}
+	return b.String()
+}
+
+func flightText(f *flight) string {
+	m := f.message
+	text := fmt.Sprint(f.to, m.From.ID, kindOf(&m))
+	switch {
+	case m.Promise != nil:
+		text += fmt.Sprint(m.Promise.Epoch, m.Promise.Ballot, m.Promise.Accepted, m.Promise.LogEpoch, m.Promise.LogLength)
+	case m.Prepare != nil:
+		text += fmt.Sprint(m.Prepare.View.Epoch, m.Prepare.Ballot)
+	case m.Append != nil:
+		text += fmt.Sprint(m.Append.Epoch, logText(m.Append.Entries), m.Append.Commit)
+	case m.Commit != nil:
+		text += fmt.Sprint(*m.Commit)
+	case m.CatchUp != nil:
+		text += fmt.Sprint(m.CatchUp.Epoch, m.CatchUp.Ballot, len(m.CatchUp.State), logText(m.CatchUp.Entries))
+	case m.CaughtUp != nil:
+		text += fmt.Sprint(*m.CaughtUp)
+	case m.Transfer != nil:
+		text += fmt.Sprint(m.Transfer.Epoch, m.Transfer.Ballot, len(m.Transfer.Targets))
+	case m.Accept != nil:
+		text += fmt.Sprint(m.Accept.Epoch, m.Accept.Ballot, viewText(&m.Accept.View))
+	case m.Accepted != nil:
+		text += fmt.Sprint(*m.Accepted)
+	case m.Decided != nil:
+		text += viewText(m.Decided)
+	}
+	return text
+}
+
+// Check holds the world to what must never break.
+func (w *core) Check() error {
+	views := map[uint64]string{}
+	committed := maps.Clone(w.acked)
+	for _, id := range w.ids {
+		r := w.machines[id].replica
+		text := viewText(&r.meta.View)
+		if other, known := views[r.meta.View.Epoch]; known && other != text {
+			return fmt.Errorf("epoch %d has two views", r.meta.View.Epoch)
+		}
+		views[r.meta.View.Epoch] = text
+		for _, e := range r.log {
+			if e.Seq > r.state.Seq {
+				break
+			}
+			if other, known := committed[e.Seq]; known && other != string(e.Operation) {
+				return fmt.Errorf("number %d is committed with two operations", e.Seq)
+			}
+			committed[e.Seq] = string(e.Operation)
+		}
+		for seq, epoch := range w.ackEpoch {
+			if r.meta.View.Epoch > epoch && r.meta.View.LogLength < seq {
+				return fmt.Errorf("view %d begins without number %d, which was acknowledged", r.meta.View.Epoch, seq)
+			}
+		}
+		if r.serving() && r.length() < r.meta.View.LogLength {
+			return fmt.Errorf("%s serves in view %d without its log", id, r.meta.View.Epoch)
+		}
+	}
+	for seq, epoch := range w.ackEpoch {
+		if n := w.disks(seq); n < 2 {
+			return fmt.Errorf("number %d was acknowledged in view %d and is on %d disks", seq, epoch, n)
+		}
+	}
+	return nil
+}
+
+// disks counts the disks that hold an operation.
+func (w *core) disks(seq uint64) (n int) {
+	for _, m := range w.machines {
+		held := m.disk.State != nil && m.disk.State.Seq >= seq
+		for _, e := range m.disk.Entries {
+			held = held || e.Seq == seq && string(e.Operation) == w.acked[seq]
+		}
+		if held {
+			n++
+		}
+	}
+	return n
+}
--- /dev/null
+++ b/internal/dispatch/estimate.go
@@ -0,0 +1,121 @@
+package dispatch
+
+import (
+	"slices"
+	"time"
+
+	"nettlefold/internal/config"
+	"nettlefold/internal/kvindex"
+	"nettlefold/internal/rendezvous"
+)
+
+// plan is how a backend would serve a request.
+type plan struct {
+	cost    float64 // ms until the first token, and what else it costs put into ms
+	read    float64 // ms that it would read for
+	wait    float64 // ms that it would wait before that
+	version int64
+	prompt  *prompt
+	fetch   bool // from one of the prompt's holders
+}
+
+// beginBy is when requests may begin on a version no more.
+func (t *Table) beginBy(model string, version int64) time.Duration {
+	want, named := t.models[model]
+	if !named || version >= want.version || want.old {
+		return 0
+	}
+	return want.since + time.Duration(beginShare*float64(t.settings.VersionLimit))
+}
+
+// readMS estimates what it takes to read a prompt of which so many tokens are kept: each token, and its attention to those before.
+func readMS(kept, prompt int, speed float64) float64 {
+	k, n := float64(min(kept, prompt)), float64(prompt)
+	return (n-k)/speed + attentionMS*(n*n-k*k)/1e6
+}
+
+// again weighs, in tokens, that shared parts would be read here although others are to have them: those that come first in the
+// prompt's ranking, by which all mixers send what nobody keeps yet to the same backend, and those that are reading them now.
+func (t *Table) again(now time.Duration, d *decision, b *Backend, p *plan, kept int) float64 {
+	r, shared := d.request, d.request.shared()
+	if shared <= kept || slices.Contains(d.owners[:min(1, len(d.owners))], b.ID) || b.expects(now, p.prompt.keys, r) {
+		return 0
+	}
+	weight := againWeight
+	if slices.Contains(d.owners, b.ID) {
+		weight /= 2
+	}
+	return weight * float64(shared-kept)
+}
+
+// shared is the tokens of the parts that other requests may share: all but the last.
+func (r *Request) shared() (tokens int) {
+	for i := range len(r.Parts) - 1 {
+		tokens += r.Parts[i].Tokens
+	}
+	return tokens
+}
+
+// owners ranks the backends that may serve for what the request shares.
+func (t *Table) owners(r *Request, may []*Backend) []string {
+	if len(r.Parts) < 2 {
+		return nil
+	}
+	ids := make([]string, len(may))
+	for i, b := range may {
+		ids[i] = b.ID
+	}
+	return rendezvous.Top(r.Wall+"/"+r.Parts[len(r.Parts)-2].ID, ids, ownersOfPrompt)
+}
+
+// expects tells whether the shared parts are being read at a backend for a request of ours.
+func (b *Backend) expects(now time.Duration, keys []kvindex.Key, r *Request) bool {
+	for i := range len(r.Parts) - 1 {
+		if b.expected[keys[i]] <= now {
+			return false
+		}
+	}
+	return len(r.Parts) > 1
+}
+
+// expect notes that a request of ours has parts read here.
+func (b *Backend) expect(now time.Duration, keys []kvindex.Key) {
+	if b.expected == nil {
+		b.expected = map[kvindex.Key]time.Duration{}
+	}
+	if len(b.expected) > expectedMost {
+		for k, until := range b.expected {
+			if until <= now {
+				delete(b.expected, k)
+			}
+		}
+	}
+	for _, k := range keys {
+		b.expected[k] = now + expectedFor
+	}
+}
+
+// crowded is what a request waits for memory that others hold.
+func crowded(s *config.Service, load Load, r *Request) float64 {
+	over := float64(load.Tokens+r.Prompt) - memoryShare*float64(s.Engine.KVCapacityTokens)
+	if over <= 0 || s.Engine.KVCapacityTokens == 0 {
+		return 0
+	}
+	return crowdedMS * over / float64(s.Engine.KVCapacityTokens)
+}
+
+// behind tells whether a newer version of a model is wanted.
+func (t *Table) behind(model string, version int64) bool { return version < t.models[model].version }
+
+// fitHolder tells whether a holder may be fetched from. Salts see to versions and walls.
+func (t *Table) fitHolder(now time.Duration, b *Backend) bool {
+	return !b.Draining && t.evacuated[b.Zone] == 0 && now >= b.avoid && now >= b.coldUntil && b.phase != PhaseLoading
+}
+
+// fetchMS estimates what it takes to move tokens.
+func fetchMS(s *config.Service, tokens int) float64 {
+	if s.Engine == nil || s.Engine.LinkMbps <= 0 {
+		return fetchBaseMS
+	}
+	return fetchBaseMS + float64(tokens)*s.Engine.KVTokenBytes*8/(s.Engine.LinkMbps*1000)
+}
--- a/internal/dispatch/table.go
+++ b/internal/dispatch/table.go
@@ -13,7 +13,6 @@
 // Settings are what the rules and the machine's place say.
 type Settings struct {
 	Zone             string
-	Drain            time.Duration // after which a draining backend may get nothing
 	VersionLimit     time.Duration // after which a request may begin on an older version no more
 	ColdOvershoot    float64
 	ColdSlack        float64
--- a/internal/lab/fleetcost/sums.go
+++ b/internal/lab/fleetcost/sums.go
@@ -90,7 +90,8 @@
 		{Role: core, What: "heartbeats, in", Amount: heartbeatsIn(), Unit: "B/s", By: "`internal/chain`", From: "a heartbeat"},
 		{Role: core, What: "configuration to its mixers at a change, sending", Amount: Mixers / (ControlSet - 1) * snapshotBytes.At(Routes()) / controlLink, Unit: "s",
 			Budget: InForce, By: "`internal/controller`", From: "a snapshot on a link"},
-		{Role: core, What: "a change: syncs one after the other, a chain of all 16", Amount: ControlSet * syncTime, Unit: "s", Budget: InForce, By: "`internal/chain`", From: "arithmetic"},
+		{Role: core, What: "a change: syncs one after the other, a chain of all 16", Amount: ControlSet * syncTime, Unit: "s", Budget: InForce,
+			By: "`internal/chain`", From: "arithmetic"},
 		{Role: core, What: "the file at its largest, and the new one beside it", Amount: diskMost(1), Unit: "B", Budget: diskBudget,
 			By: "`internal/durable`", From: "a configuration as it was sent"},
 	}
@@ -124,7 +125,8 @@
 		row("configuration whole at each change", configIn, BudgetNet, "6 kB/s", "deltas, missing", "a snapshot on a link"),
 		row("members whole at each change", membersIn, BudgetNet, "6 kB/s", "deltas, missing", "the members on a link"),
 		row("list whole at each change", listIn, BudgetNet, "6 kB/s", "deltas, missing", "the list on a link"),
-		row("a choice among all backends", func(s float64) float64 { return pickTime.At(s * Backends) }, FirstToken/100, "6.9 ms, a hundredth of the first token", "`internal/dispatch`", "a choice"),
+		row("a choice among all backends", func(s float64) float64 { return pickTime.At(s * Backends) }, FirstToken/100,
+			"6.9 ms, a hundredth of the first token", "`internal/dispatch`", "a choice"),
 		row("start of everybody", startOut, InForce, "7 s", "`internal/controller`", "a snapshot on a link; the members on a link"),
 		row("table of backends", func(s float64) float64 { return tableHeld.At(s * Backends) }, BudgetMemory, "64 MB", "`internal/dispatch`", "held by the table"),
 	})
--- a/internal/proxy/proxy.go
+++ b/internal/proxy/proxy.go
@@ -79,7 +79,6 @@
 	}
 	p.table = dispatch.New(0, dispatch.Settings{
 		Zone:             settings.Zone,
-		Drain:            settings.Bounds.Drain,
 		VersionLimit:     settings.Bounds.Version,
 		ColdOvershoot:    settings.Bounds.ColdOvershoot,
 		ColdSlack:        settings.Bounds.ColdSlack,
