--- a/internal/lab/fleetcost/sums.go
+++ b/internal/lab/fleetcost/sums.go
@@ -8,11 +8,18 @@
 
 // Sizes grow together in the rank: at a share of the plan there are as many of everything that it counts.
 
-// newsOut is what a mixer tells all others, in bytes a second: the loads that its requests change, and its part of the events.
-func newsOut(share float64) float64 {
-	others := share*Mixers - 1
-	perMessage := loadsBytes.At(math.Min(newsInterval*2*RequestsEach(), Backends*share))
-	return others * (perMessage/newsInterval + eventsOut(share)/math.Max(1, share*Mixers))
+// loadsIn is what the hub of its zone tells a mixer of loads, in bytes a second: the backends at which something changed, by requests
+// that begin and end evenly over all.
+func loadsIn(share float64) float64 {
+	backends := share * Backends
+	changes := share * Requests * 2 * newsInterval
+	changed := backends * (1 - math.Exp(-changes/backends))
+	return loadsBytes.At(changed) / newsInterval
+}
+
+// hubOut is what the hub of a zone sends, in bytes a second: loads and events to each mixer of it.
+func hubOut(share float64) float64 {
+	return share * Mixers / Zones * (loadsIn(share) + eventsOut(share))
 }
 
 // eventsOut is what the owners of all events tell one other mixer, in bytes a second.
@@ -71,8 +78,10 @@
 			By: "`internal/kvindex`; shards by prefix are missing", From: "held by the index"},
 		{Role: mixer, What: "events of all backends, in", Amount: eventsOut(1), Unit: "B/s", Budget: BudgetNet,
 			By: "`internal/agent`; asking shards is missing", From: "a batch of events on a link"},
-		{Role: mixer, What: "news to all other mixers, out", Amount: newsOut(1), Unit: "B/s", Budget: BudgetNet,
-			By: "`internal/agent`; loads by backend's owner are missing", From: "all loads on a link; a batch of events on a link"},
+		{Role: mixer, What: "loads of all others, from the hub of its zone, in", Amount: loadsIn(1), Unit: "B/s", Budget: BudgetNet,
+			By: "`internal/agent` (hubs); asking by backend is missing", From: "all loads on a link"},
+		{Role: "hub of a zone", What: "loads and events to its mixers, out", Amount: hubOut(1), Unit: "B/s", Budget: controlLink,
+			By: "`internal/agent` (hubs)", From: "all loads on a link; a batch of events on a link"},
 		{Role: mixer, What: "configuration, whole at each change, in", Amount: configIn(1), Unit: "B/s", Budget: BudgetNet,
 			By: "`internal/distribute`; deltas are missing", From: "a snapshot on a link"},
 		{Role: mixer, What: "members, whole at each change, in", Amount: membersIn(1), Unit: "B/s", Budget: BudgetNet,
@@ -121,7 +130,8 @@
 	return capacity.InOrder([]capacity.Ranked{
 		row("index held by each mixer", indexBytes, BudgetMemory, "64 MB", "shards by prefix, missing", "held by the index"),
 		row("events heard by each mixer", eventsOut, BudgetNet, "6 kB/s", "shards by prefix, missing", "a batch of events on a link"),
-		row("news from each mixer to all", newsOut, BudgetNet, "6 kB/s", "owner of a backend's load, missing", "all loads on a link; a batch of events on a link"),
+		row("loads told to each mixer", loadsIn, BudgetNet, "6 kB/s", "asking by backend, missing", "all loads on a link"),
+		row("what the hub of a zone sends", hubOut, controlLink, "10 Gbit/s", "`internal/agent` (hubs)", "all loads on a link; a batch of events on a link"),
 		row("configuration whole at each change", configIn, BudgetNet, "6 kB/s", "deltas, missing", "a snapshot on a link"),
 		row("members whole at each change", membersIn, BudgetNet, "6 kB/s", "deltas, missing", "the members on a link"),
 		row("list whole at each change", listIn, BudgetNet, "6 kB/s", "deltas, missing", "the list on a link"),
