nettlelab fleet: a small router fleet of real processes with stand-in engines, judged by what these saw

Change: stand-ins of ours for engines (cached parts under salts, events, fences, new weights), list, operator and clients; three controllers and two fronts on the loopback; the head is killed, the configuration changes, new weights come, all under load. It fails if a request ran twice, an answer looked whole and was not, or half were not served.

--- /dev/null
+++ b/internal/lab/fleetdemo/engine.go
@@ -0,0 +1,227 @@
+// Package fleetdemo plays a small router fleet of real processes on the loopback: three controllers, two fronts with agent and proxy, and
+// stand-ins of ours for model engines, the platform's list, the operator and clients. It shows the fleet at work, and judges it by what
+// the stand-ins saw.
+package fleetdemo
+
+import (
+	"encoding/json"
+	"fmt"
+	"net"
+	"net/http"
+	"strconv"
+	"strings"
+	"sync"
+	"time"
+)
+
+// Figures of the stand-in engine.
+const (
+	model        = "toy"
+	tokensPerMS  = 60.0
+	fetchedPerMS = 5000.0
+	eventGap     = 4 * time.Millisecond
+	eventsOfRun  = 8
+	loadTime     = 400 * time.Millisecond
+	keptEvents   = 4000
+)
+
+// engine is a stand-in of a model engine: it reads prompts but for the parts that it keeps under the request's salt, streams events, tells
+// what it keeps, and takes orders for new weights.
+type engine struct {
+	id, addr string
+	fleet    *engines
+	server   *http.Server
+
+	mu      sync.Mutex
+	version int64
+	loading bool
+	kept    map[string]int // tokens by salt and part
+	events  [][]any
+	read    int // tokens read so far
+	reused  int // tokens found kept or fetched
+	fences  uint64
+}
+
+// engines is all of them, and what ran where.
+type engines struct {
+	mu   sync.Mutex
+	all  map[string]*engine // by address
+	runs map[string]int     // by the request's identity
+}
+
+func (f *engines) ran(id string) {
+	f.mu.Lock()
+	f.runs[id]++
+	f.mu.Unlock()
+}
+
+func (f *engines) at(addr string) *engine {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.all[addr]
+}
+
+func newEngine(f *engines, id, addr string) (*engine, error) {
+	e := &engine{id: id, addr: addr, fleet: f, version: 1, kept: map[string]int{}}
+	listener, err := net.Listen("tcp", addr)
+	if err != nil {
+		return nil, err
+	}
+	mux := http.NewServeMux()
+	mux.HandleFunc("GET /v1/kv-events", e.tellEvents)
+	mux.HandleFunc("GET /v1/kv-list", e.tellKept)
+	mux.HandleFunc("GET /v1/report", e.report)
+	mux.HandleFunc("POST /v1/order", e.order)
+	mux.HandleFunc("/", e.generate)
+	e.server = &http.Server{Handler: mux}
+	f.mu.Lock()
+	f.all[addr] = e
+	f.mu.Unlock()
+	go e.server.Serve(listener)
+	return e, nil
+}
+
+// refused tells whether a request is meant for another instance or version, or cannot begin now, and answers so.
+func (e *engine) refused(w http.ResponseWriter, r *http.Request) bool {
+	e.mu.Lock()
+	version, loading := e.version, e.loading
+	e.mu.Unlock()
+	expected := r.Header.Get("Expect-Version")
+	switch {
+	case r.Header.Get("X-Expected-Instance") != e.id, expected != "" && expected != strconv.FormatInt(version, 10):
+		w.Header().Set("X-Instance-Id", e.id)
+		w.WriteHeader(http.StatusMisdirectedRequest)
+	case loading:
+		w.Header().Set("X-Not-Executed", "1")
+		w.WriteHeader(http.StatusServiceUnavailable)
+	default:
+		return false
+	}
+	return true
+}
+
+func (e *engine) generate(w http.ResponseWriter, r *http.Request) {
+	if e.refused(w, r) {
+		return
+	}
+	id := r.Header.Get("X-Request-Id")
+	e.fleet.ran(id)
+	time.Sleep(e.prefill(r))
+	w.Header().Set("X-Request-Id", id)
+	w.Header().Set("X-Response-Seal", e.id+"/"+id)
+	w.Header().Set("Content-Type", "text/event-stream")
+	for i := range eventsOfRun {
+		fmt.Fprintf(w, "id: %d\ndata: token %d of %s\n\n", i+1, i+1, id)
+		http.NewResponseController(w).Flush()
+		time.Sleep(eventGap)
+	}
+}
+
+// prefill books what a prompt has read, and gives the time it takes.
+func (e *engine) prefill(r *http.Request) time.Duration {
+	salt, missing, fetched := r.Header.Get("Cache-Salt"), 0, 0
+	source := e.fleet.at(r.Header.Get("Kv-Fetch"))
+	for _, item := range strings.Split(r.Header.Get("X-Prompt-Prefix"), ",") {
+		part, count, _ := strings.Cut(item, ":")
+		tokens, _ := strconv.Atoi(count)
+		key := salt + " " + part
+		switch {
+		case e.keeps(key):
+			e.book(0, tokens)
+			continue
+		case source != nil && source.keeps(key):
+			fetched += tokens
+			e.book(0, tokens)
+		default:
+			missing += tokens
+			e.book(tokens, 0)
+		}
+		e.keep(salt, part, tokens)
+	}
+	return time.Duration((float64(missing)/tokensPerMS + float64(fetched)/fetchedPerMS) * float64(time.Millisecond))
+}
+
+func (e *engine) keeps(key string) bool {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.kept[key] > 0
+}
+
+func (e *engine) book(read, reused int) {
+	e.mu.Lock()
+	e.read += read
+	e.reused += reused
+	e.mu.Unlock()
+}
+
+func (e *engine) keep(salt, part string, tokens int) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.kept[salt+" "+part] = tokens
+	e.events = append(e.events, []any{len(e.events) + 1, "+", salt, part, tokens, model})
+	if over := len(e.events) - keptEvents; over > 0 {
+		e.events = e.events[over:]
+	}
+}
+
+func (e *engine) tellEvents(w http.ResponseWriter, r *http.Request) {
+	since, _ := strconv.Atoi(r.URL.Query().Get("since"))
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	writeJSON(w, map[string]any{"epoch": e.version, "next_page_token": len(e.events), "lost": false, "events": e.events[min(since, len(e.events)):]})
+}
+
+func (e *engine) tellKept(w http.ResponseWriter, _ *http.Request) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	held := [][]any{}
+	for key, tokens := range e.kept {
+		salt, part, _ := strings.Cut(key, " ")
+		held = append(held, []any{salt, part, tokens, model})
+	}
+	writeJSON(w, map[string]any{"epoch": e.version, "next_page_token": len(e.events), "held": held})
+}
+
+func (e *engine) report(w http.ResponseWriter, _ *http.Request) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	writeJSON(w, map[string]any{"busy": e.loading, "models": []any{map[string]any{"name": model, "version": e.version}}})
+}
+
+// order takes new weights, which drop what is kept. A fence below one seen is refused.
+func (e *engine) order(w http.ResponseWriter, r *http.Request) {
+	var order struct {
+		Version int64
+		Holder  string
+		Fence   uint64
+	}
+	if json.NewDecoder(r.Body).Decode(&order) != nil || order.Holder == "" || order.Fence == 0 {
+		w.WriteHeader(http.StatusBadRequest)
+		return
+	}
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	switch {
+	case order.Fence < e.fences:
+		w.WriteHeader(http.StatusPreconditionFailed)
+	case e.loading:
+		w.WriteHeader(http.StatusConflict)
+	case order.Version == e.version:
+	default:
+		e.fences, e.loading = order.Fence, true
+		time.AfterFunc(loadTime, func() { e.loaded(order.Version) })
+		w.WriteHeader(http.StatusAccepted)
+	}
+}
+
+func (e *engine) loaded(version int64) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.version, e.loading = version, false
+	e.kept, e.events = map[string]int{}, nil
+}
+
+func writeJSON(w http.ResponseWriter, v any) {
+	w.Header().Set("Content-Type", "application/json")
+	json.NewEncoder(w).Encode(v)
+}
--- /dev/null
+++ b/internal/lab/fleetdemo/fleet.go
@@ -0,0 +1,208 @@
+package fleetdemo
+
+import (
+	"bytes"
+	"fmt"
+	"net"
+	"net/http"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"strings"
+	"time"
+)
+
+// Places on the loopback, and how many there are.
+const (
+	controllers = 3
+	fronts      = 2
+	backends    = 4
+	controlPort = 18783
+	frontPort   = 18782
+	readyPort   = 18789
+	firstPort   = 17340
+	enginePort  = 18080
+	patience    = 20 * time.Second
+	tryEvery    = 50 * time.Millisecond
+)
+
+// world is the stand-ins and the processes.
+type world struct {
+	dir     string
+	program string
+	engines *engines
+	list    []*engine
+	running map[string]*exec.Cmd
+	closing []func()
+}
+
+func controlAddr(i int) string { return fmt.Sprintf("127.0.21.%d:%d", i+1, controlPort) }
+func frontAddr(i int) string   { return fmt.Sprintf("127.0.22.%d:%d", i+1, frontPort) }
+func readyAddr(i int) string   { return fmt.Sprintf("127.0.22.%d:%d", i+1, readyPort) }
+func engineAddr(i int) string  { return fmt.Sprintf("127.0.23.%d:%d", i+1, enginePort) }
+
+const listAddr = "127.0.24.1:18784"
+
+func newWorld(program string) (*world, error) {
+	dir, err := os.MkdirTemp("", "fleet")
+	if err != nil {
+		return nil, err
+	}
+	w := &world{dir: dir, program: program, running: map[string]*exec.Cmd{}, engines: &engines{all: map[string]*engine{}, runs: map[string]int{}}}
+	for i := range backends {
+		e, err := newEngine(w.engines, fmt.Sprint("i-", i+1), engineAddr(i))
+		if err != nil {
+			return nil, err
+		}
+		w.list = append(w.list, e)
+		w.closing = append(w.closing, func() { e.server.Close() })
+	}
+	return w, w.servePlatform()
+}
+
+// servePlatform serves the list of backends.
+func (w *world) servePlatform() error {
+	listener, err := net.Listen("tcp", listAddr)
+	if err != nil {
+		return err
+	}
+	server := &http.Server{Handler: http.HandlerFunc(func(answer http.ResponseWriter, _ *http.Request) {
+		instances := []any{}
+		for i, e := range w.list {
+			e.mu.Lock()
+			version := e.version
+			e.mu.Unlock()
+			instances = append(instances, map[string]any{
+				"id": e.id, "service": "llm", "address": e.addr, "zone": fmt.Sprint("zone-", i%2), "slots": 64, "state": "ready",
+				"models": []any{map[string]any{"name": model, "version": version}},
+			})
+		}
+		writeJSON(answer, map[string]any{"instances": instances, "next_page_token": nil})
+	})}
+	go server.Serve(listener)
+	w.closing = append(w.closing, func() { server.Close() })
+	return nil
+}
+
+// settings writes the settings file of a machine.
+func (w *world) settings(name, ip, zone string, firstStart bool, more ...string) (string, error) {
+	var seeds []string
+	for i := range controllers {
+		seeds = append(seeds, controlAddr(i))
+	}
+	lines := append([]string{
+		"node_name=" + name, "ip=" + ip, "zone=" + zone, "region=here", "zones.zone-0=here", "zones.zone-1=here",
+		"seeds=" + strings.Join(seeds, ","), fmt.Sprintf("internal_port_range=%d,%d", firstPort, firstPort+15), fmt.Sprint("first_start=", firstStart),
+		"fault_tolerance.machines=1", "cloud.address=" + listAddr, "cloud.rate_per_s=50", "cloud.lag_ms=100",
+		"bounds.version_ms=15000", "bounds.lease_ms=1000", "bounds.grace_s=4", "bounds.retry_budget_ratio=0.2", "bounds.retry_budget_slack=20",
+		"bounds.budget_window_s=10", "bounds.cold_overshoot=1.5", "bounds.cold_slack=5",
+	}, more...)
+	path := filepath.Join(w.dir, name+".conf")
+	return path, os.WriteFile(path, []byte(strings.Join(lines, "\n")+"\n"), 0o644)
+}
+
+// start starts a program of the fleet on a machine.
+func (w *world) start(program, name, settings string) error {
+	log, err := os.OpenFile(filepath.Join(w.dir, name+"-"+program+".log"), os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o644)
+	if err != nil {
+		return err
+	}
+	defer log.Close()
+	command := exec.Command(w.program, program)
+	command.Env = append(os.Environ(), "NETTLEFOLD_SETTINGS="+settings)
+	command.Stdout, command.Stderr = log, log
+	if err := command.Start(); err != nil {
+		return err
+	}
+	w.running[name+"-"+program] = command
+	return nil
+}
+
+func (w *world) startController(i int, first bool) error {
+	name := fmt.Sprint("core-", i+1)
+	settings, err := w.settings(name, fmt.Sprintf("127.0.21.%d", i+1), fmt.Sprint("zone-", i%2), first,
+		"listen_addresses.control="+controlAddr(i), "counts_for_quorum=true", "data_directory="+filepath.Join(w.dir, name))
+	if err != nil {
+		return err
+	}
+	return w.start("controller", name, settings)
+}
+
+func (w *world) startFront(i int) error {
+	name := fmt.Sprint("front-", i+1)
+	settings, err := w.settings(name, fmt.Sprintf("127.0.22.%d", i+1), fmt.Sprint("zone-", i%2), true,
+		"listen_addresses.front="+frontAddr(i), "listen_addresses.ready="+readyAddr(i))
+	if err != nil {
+		return err
+	}
+	if err := w.start("agent", name, settings); err != nil {
+		return err
+	}
+	return w.start("proxy", name, settings)
+}
+
+// kill ends a process as a loss of power would, and waits until it is gone.
+func (w *world) kill(name string) {
+	if command := w.running[name]; command != nil {
+		command.Process.Kill()
+		command.Wait()
+		delete(w.running, name)
+	}
+}
+
+// close ends everything that was started here.
+func (w *world) close() {
+	for name := range w.running {
+		w.kill(name)
+	}
+	for _, end := range w.closing {
+		end()
+	}
+	os.RemoveAll(w.dir)
+}
+
+// order sends the operator's call to the controllers in turn until one answers as wanted.
+func (w *world) order(method, path, match, body string) error {
+	client := &http.Client{Timeout: 2 * time.Second}
+	last := "no answer"
+	for i, until := 0, time.Now().Add(patience); time.Now().Before(until); i++ {
+		request, err := http.NewRequest(method, "http://"+controlAddr(i%controllers)+path, bytes.NewBufferString(body))
+		if err != nil {
+			return err
+		}
+		request.Header.Set("If-Match", match)
+		answer, err := client.Do(request)
+		if err == nil {
+			answer.Body.Close()
+			if answer.StatusCode == http.StatusOK {
+				return nil
+			}
+			last = answer.Status
+			if answer.StatusCode < 500 {
+				return fmt.Errorf("%s %s: %s", method, path, last)
+			}
+		}
+		time.Sleep(tryEvery)
+	}
+	return fmt.Errorf("%s %s: not acknowledged within %v, last %s", method, path, patience, last)
+}
+
+// await waits until a condition holds.
+func await(what string, holds func() bool) error {
+	for until := time.Now().Add(patience); time.Now().Before(until); time.Sleep(tryEvery) {
+		if holds() {
+			return nil
+		}
+	}
+	return fmt.Errorf("%s: not within %v", what, patience)
+}
+
+// ready tells whether a front calls itself ready.
+func ready(i int) bool {
+	answer, err := http.Get("http://" + readyAddr(i) + "/v1/readiness")
+	if err != nil {
+		return false
+	}
+	answer.Body.Close()
+	return answer.StatusCode == http.StatusOK
+}
--- a/internal/settings/local/local.go
+++ b/internal/settings/local/local.go
@@ -147,8 +147,15 @@
 	return ip + ":" + strconv.Itoa(s.FirstPort)
 }
 
-// LoopbackAddr is where an agent feeds the proxy beside it.
-func (s *Settings) LoopbackAddr() string { return "127.0.0.1:" + strconv.Itoa(s.FirstPort+1) }
+// LoopbackAddr is where an agent feeds the proxy beside it. Machines that are themselves addresses of one host's loopback share 127.0.0.1,
+// so there each uses its own.
+func (s *Settings) LoopbackAddr() string {
+	ip := "127.0.0.1"
+	if strings.HasPrefix(s.IP, "127.") {
+		ip = s.IP
+	}
+	return ip + ":" + strconv.Itoa(s.FirstPort+1)
+}
 
 type parser struct {
 	values *properties.Properties
--- a/internal/settings/local/local_test.go
+++ b/internal/settings/local/local_test.go
@@ -36,6 +36,8 @@
 	require.True(t, s.FirstStart)
 	require.Equal(t, "10.1.0.26:7340", s.InternalAddr(s.Seeds[0]))
 	require.Equal(t, "127.0.0.1:7341", s.LoopbackAddr())
+	s.IP = "127.0.3.9"
+	require.Equal(t, "127.0.3.9:7341", s.LoopbackAddr())
 }
 
 func TestFaultsAreNamedByFieldAndValue(t *testing.T) {
