--- a/internal/proxy/relay.go
+++ b/internal/proxy/relay.go
@@ -97,10 +97,7 @@
 		}
 		if err == io.EOF {
 			p.began(q, a)
-			if events != nil && len(events.partial) > 0 {
-				return io.ErrUnexpectedEOF // it ended inside an event
-			}
-			return nil
+			return p.endEvents(q, a, events)
 		}
 		if err != nil {
 			return err
@@ -108,6 +105,21 @@
 	}
 }
 
+// endEvents passes on what follows the last event of an answer that came whole. Where only the connection's end tells that it did, an event
+// that is not whole means that it did not.
+func (p *Proxy) endEvents(q *request, a *attempt, events *eventReader) error {
+	if events == nil || len(events.partial) == 0 {
+		return nil
+	}
+	if a.response.ContentLength < 0 && len(a.response.TransferEncoding) == 0 {
+		return io.ErrUnexpectedEOF
+	}
+	if _, err := q.writer.Write(events.partial); err != nil {
+		return errClientGone
+	}
+	return nil
+}
+
 // resume takes a stream up at another backend behind the last event that was passed on; nil if it may not or cannot be.
 func (p *Proxy) resume(ctx context.Context, q *request, tried *[]string, sent *int) *attempt {
 	for *sent < max(1, q.route.MaxAttempts) && len(*tried) <= maxTried && ctx.Err() == nil {
