Tests of links and of what is taken back from old weights

Tests: calls, failures, a connection that ends, compressed and bounded frames, the kernel's limit on unacknowledged bytes; a request that has not begun on old weights by its limit.

--- a/internal/proxy/proxy_test.go
+++ b/internal/proxy/proxy_test.go
@@ -282,3 +282,27 @@
 	require.NoError(t, err)
 	require.Equal(t, 200, answer.StatusCode)
 }
+
+// TestWhatHasNotBegunOnOldWeightsIsTakenBack: a backend on old weights has a request and gives no answer until their limit.
+func TestWhatHasNotBegunOnOldWeightsIsTakenBack(t *testing.T) {
+	gaveUp := make(chan struct{})
+	r := newRig(t, func(_ http.ResponseWriter, request *http.Request) {
+		<-request.Context().Done()
+		close(gaveUp)
+	})
+	table := r.proxy.config.Load()
+	client := httptest.NewRequest(http.MethodPost, "/stream/x", nil)
+	client.Host = "h"
+	client.Header.Set(headerKey, "k1")
+	client.Header.Set(headerModel, "m")
+	q := &request{Request: client, writer: httptest.NewRecorder(), id: "id-1"}
+	require.True(t, q.place(table))
+	require.True(t, q.read(table))
+	choice := r.proxy.pick(q, nil)
+	choice.BeginBy = r.proxy.now() + time.Millisecond
+	a := r.proxy.send(t.Context(), q, choice, 1)
+	require.Error(t, a.err)
+	require.False(t, a.notRun(), "it may have begun unseen")
+	<-gaveUp
+	a.end()
+}
--- /dev/null
+++ b/internal/rpc/rpc_test.go
@@ -0,0 +1,105 @@
+package rpc
+
+import (
+	"bufio"
+	"bytes"
+	"context"
+	"errors"
+	"net"
+	"strings"
+	"testing"
+
+	"github.com/fxamacker/cbor/v2"
+	"github.com/stretchr/testify/require"
+	"golang.org/x/sys/unix"
+)
+
+// serveOn serves a handler on the loopback.
+func serveOn(t *testing.T, handle Handler) string {
+	t.Helper()
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	t.Cleanup(func() { listener.Close() })
+	go Serve(listener, handle)
+	return listener.Addr().String()
+}
+
+func echo(_ context.Context, kind string, body []byte) (any, error) {
+	var text string
+	if err := cbor.Unmarshal(body, &text); err != nil {
+		return nil, err
+	}
+	if kind == "fail" {
+		return nil, errors.New("no " + text)
+	}
+	return text, nil
+}
+
+func TestCallsAndFailures(t *testing.T) {
+	client := NewClient(serveOn(t, echo))
+	defer client.Close()
+	for _, text := range []string{"short", strings.Repeat("long and alike ", 1000)} {
+		var reply string
+		require.NoError(t, client.Call(context.Background(), "echo", text, &reply))
+		require.Equal(t, text, reply)
+	}
+	err := client.Call(context.Background(), "fail", "such thing", nil)
+	var remote *RemoteError
+	require.ErrorAs(t, err, &remote)
+	require.Equal(t, "no such thing", remote.Message)
+}
+
+func TestACallEndsWithItsConnection(t *testing.T) {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	defer listener.Close()
+	go func() {
+		conn, err := listener.Accept()
+		if err != nil {
+			return
+		}
+		readFrame(bufio.NewReader(conn))
+		conn.Close()
+	}()
+	client := NewClient(listener.Addr().String())
+	defer client.Close()
+	require.ErrorIs(t, client.Call(context.Background(), "echo", "x", nil), ErrClosed)
+}
+
+func TestLongFramesAreCompressedAndBounded(t *testing.T) {
+	text := strings.Repeat("a configuration repeats itself ", 500)
+	body, err := cbor.Marshal(text)
+	require.NoError(t, err)
+	var link bytes.Buffer
+	require.NoError(t, writeFrame(&link, &envelope{ID: 3, Kind: "k", Body: body}))
+	require.Less(t, link.Len(), len(text)/10)
+	size, err := Size("k", text)
+	require.NoError(t, err)
+	require.Equal(t, link.Len(), size)
+	e, err := readFrame(bufio.NewReader(&link))
+	require.NoError(t, err)
+	require.Equal(t, body, []byte(e.Body))
+	_, err = readFrame(bufio.NewReader(strings.NewReader("\x7f\xff\xff\xff")))
+	require.ErrorContains(t, err, "at most")
+	_, err = readFrame(bufio.NewReader(strings.NewReader("\x80\x00\x00\x04none")))
+	require.Error(t, err, "what says that it is compressed and is not")
+}
+
+// TestLinksDoNotOutliveASilentPeer holds both ends of a link to the kernel's limit on bytes that nobody acknowledges.
+func TestLinksDoNotOutliveASilentPeer(t *testing.T) {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	defer listener.Close()
+	conn, err := net.Dial("tcp", listener.Addr().String())
+	require.NoError(t, err)
+	defer conn.Close()
+	limitSilence(conn)
+	raw, err := conn.(*net.TCPConn).SyscallConn()
+	require.NoError(t, err)
+	limit := 0
+	require.NoError(t, raw.Control(func(fd uintptr) {
+		limit, err = unix.GetsockoptInt(int(fd), unix.IPPROTO_TCP, unix.TCP_USER_TIMEOUT)
+	}))
+	require.NoError(t, err)
+	require.Equal(t, int(silenceLimit.Milliseconds()), limit)
+}
