Agents: news comes less often in a large fleet

Change: the interval of news grows with the members beyond 16 (72: 0.27 s); small fleets are as before.

--- a/internal/agent/agent.go
+++ b/internal/agent/agent.go
@@ -137,7 +137,9 @@
 		case command := <-a.commands:
 			command()
 		case <-flush.C:
-			a.news.flush()
+			if a.news.due() {
+				a.news.flush()
+			}
 		case <-ticker.C:
 			a.tick(ctx)
 		case <-ctx.Done():
--- a/internal/agent/news.go
+++ b/internal/agent/news.go
@@ -10,7 +10,10 @@
 )
 
 const (
+	// flushEvery is the interval of news in a small fleet. It grows with the members beyond smallFleet, so that a hub, whose agents and
+	// messages grow with them, does not spend its machine's processor on news.
 	flushEvery = 60 * time.Millisecond
+	smallFleet = 16
 	// allEvery is how often all loads are told, for those that missed a change, and loadsKeep how long they are believed.
 	allEvery  = time.Second
 	loadsKeep = 2500 * time.Millisecond
@@ -25,7 +28,8 @@
 type exchange struct {
 	agent  *Agent
 	send   func(to string, n *feed.News)
-	number uint64 // of changes to what others have at backends
+	sent   time.Time // when news was last sent
+	number uint64    // of changes to what others have at backends
 
 	up    outgoing // to the hub of this zone
 	cross outgoing // to the other hubs, as a hub
@@ -122,9 +126,16 @@
 // tell adds news of this agent's own.
 func (x *exchange) tell(n *feed.News) { x.up.add(n) }
 
+// due tells whether the interval has passed that a fleet of this size has.
+func (x *exchange) due() bool {
+	interval := flushEvery * time.Duration(max(smallFleet, len(x.agent.members.Agents))) / smallFleet
+	return time.Since(x.sent) >= interval-flushEvery/2
+}
+
 // flush sends what has come together.
 func (x *exchange) flush() {
 	a := x.agent
+	x.sent = time.Now()
 	hub := x.hub(a.self.Zone)
 	if hub == "" {
 		return
--- a/internal/agent/news_test.go
+++ b/internal/agent/news_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"testing"
+	"time"
 
 	"github.com/rs/zerolog"
 	"github.com/stretchr/testify/require"
@@ -101,3 +102,16 @@
 	a.takeBatch(&kvindex.Batch{Backend: "b", From: kvindex.Cursor{Epoch: 1, Next: 9}, To: kvindex.Cursor{Epoch: 1, Next: 12}}, "10.0.0.99:1")
 	require.True(t, a.fetching["b"], "the whole is fetched from who told it")
 }
+
+// TestNewsComesLessOftenInALargeFleet: a hub's messages a second stay bounded as its zone grows.
+func TestNewsComesLessOftenInALargeFleet(t *testing.T) {
+	for _, c := range []struct {
+		members int
+		after   time.Duration
+		due     bool
+	}{{8, 40 * time.Millisecond, true}, {16, 40 * time.Millisecond, true}, {72, 40 * time.Millisecond, false}, {72, 300 * time.Millisecond, true}, {1600, 300 * time.Millisecond, false}} {
+		a := fleetOf(1, c.members)[0]
+		a.news.sent = time.Now().Add(-c.after)
+		require.Equal(t, c.due, a.news.due(), "%d members, %v", c.members, c.after)
+	}
+}
