Proxy: after SIGTERM nothing is begun that may not end within the grace

Change: from the signal on a request is begun only if its own time is over before the program ends, or, in the first three seconds, if three times what the route's requests lasted lately (those that run included) is left; others get 503, Retry-After and Connection: close. What was begun has the whole grace but for 0.25 s (0.7 s). Ruled out: refusing all longer than the grace at once (every stream of a rolling restart would come twice); handing the request to another front (the client's connection ends here all the same).

--- a/internal/proxy/proxy.go
+++ b/internal/proxy/proxy.go
@@ -32,9 +32,7 @@
 	loadsEvery = 50 * time.Millisecond
 	// acceptAfterTerm is how long new connections are still taken after SIGTERM: the platform looks at readiness every second and
 	// hands connections out until it has missed it twice.
-	acceptAfterTerm = 2500 * time.Millisecond
-	// graceLeft is kept of the grace for ending in order.
-	graceLeft        = 700 * time.Millisecond
+	acceptAfterTerm  = 2500 * time.Millisecond
 	headerTimeout    = 20 * time.Second
 	idleTimeout      = 75 * time.Second
 	maxHeaderBytes   = 64 << 10
@@ -50,8 +48,8 @@
 	start    time.Time
 	agent    *rpc.Client
 	config   atomic.Pointer[config.Table]
-	stopping atomic.Bool
-	fellows  atomic.Int64 // mixers that share the backends' connections
+	stopping atomic.Pointer[stopping] // nil until it is told to end
+	fellows  atomic.Int64             // mixers that share the backends' connections
 	commands chan func()
 	done     chan struct{}
 
@@ -59,7 +57,8 @@
 	table *dispatch.Table
 	have  feed.Request
 
-	attempts *attempts
+	attempts  *attempts
+	durations *durations
 
 	poolsMu sync.Mutex
 	pools   map[string]*upstream.Pool // by the backend's identity
@@ -76,6 +75,8 @@
 		done:     make(chan struct{}),
 		pools:    map[string]*upstream.Pool{},
 		attempts: newAttempts(),
+
+		durations: newDurations(),
 	}
 	p.table = dispatch.New(0, dispatch.Settings{
 		Zone:             settings.Zone,
@@ -151,20 +152,21 @@
 	return nil
 }
 
-// stop ends the server: not ready at once, connections closed after the answers that run, and no request cut while there is time.
+// stop ends the server: not ready at once, connections closed after the answers that run, nothing begun that may not end in time, and no
+// request cut while there is time.
 func (p *Proxy) stop(server *http.Server) {
 	p.log.Info().Str("step", "stop").Msg("finishing what was taken")
-	p.stopping.Store(true)
-	limit := time.Now().Add(p.settings.Bounds.Grace - graceLeft)
-	time.Sleep(min(acceptAfterTerm, time.Until(limit)))
-	ctx, cancel := context.WithDeadline(context.Background(), limit)
+	plan := newStopping(time.Now(), p.settings.Bounds.Grace)
+	p.stopping.Store(plan)
+	time.Sleep(min(acceptAfterTerm, time.Until(plan.end)))
+	ctx, cancel := context.WithDeadline(context.Background(), plan.end)
 	defer cancel()
 	server.SetKeepAlivesEnabled(false)
 	server.Shutdown(ctx)
 }
 
 func (p *Proxy) readiness(ctx echo.Context) error {
-	if p.stopping.Load() || p.config.Load() == nil {
+	if p.stopping.Load() != nil || p.config.Load() == nil {
 		return ctx.NoContent(http.StatusServiceUnavailable)
 	}
 	return ctx.NoContent(http.StatusOK)
--- a/internal/proxy/relay.go
+++ b/internal/proxy/relay.go
@@ -19,7 +19,7 @@
 // relay passes an answer on to the client. One that is cut off is taken up at another backend where its route allows that, inside the
 // same answer; one that cannot be finished ends with its connection, so that it does not look whole.
 func (p *Proxy) relay(ctx context.Context, q *request, a *attempt, tried []string, sent int) {
-	q.writeHead(a, p.stopping.Load())
+	q.writeHead(a, p.stopping.Load() != nil)
 	var events *eventReader
 	if q.route.Kind == config.Streaming && q.route.Resumable && a.response.StatusCode == http.StatusOK {
 		events = &eventReader{last: q.Header.Get(headerLastEvent)}
--- a/internal/proxy/serve.go
+++ b/internal/proxy/serve.go
@@ -70,7 +70,7 @@
 
 // serve takes one request of a client.
 func (p *Proxy) serve(w http.ResponseWriter, r *http.Request) {
-	if p.stopping.Load() {
+	if p.stopping.Load() != nil {
 		w.Header().Set("Connection", "close")
 	}
 	table := p.config.Load()
@@ -85,6 +85,13 @@
 	if !q.read(table) {
 		return
 	}
+	now := time.Now()
+	if plan := p.stopping.Load(); plan != nil && !plan.mayBegin(now, q.limit, p.durations.longest(q.route, now)) {
+		q.refuseStopping()
+		return
+	}
+	ended := p.durations.began(q, now)
+	defer func() { ended(time.Now()) }()
 	p.forward(q)
 }
 
