Core: a machine that is far behind fetches the state in pieces, beside heartbeats

Cause: a whole state went in one message of a proposal, which holds up the writes and gives up after 0.9 s, over a connection whose writes are given up after 0.6 s: 8 MB over a link of 5 MB a second never arrived, and each try held up the writes again. A machine that had missed a few changes under another view got the whole state too. Change: who is far behind pulls the committed state in pieces of 128 KB, kept over a cut; members tell from which number on they can bring the rest within a proposal (256 KB), and only who has that is taken in; a log of an earlier chain is brought on from what it had committed. Ruled out: one-way pushes (they fill the queue before the heartbeats), a second connection (the link is the same). Test: 8 MB over 5 MB a second with a cut of 2 s in the middle: whole within 6 s of the heal, a quarter at most sent twice, a head but for the change of the view, two views.

--- a/internal/chain/links.go
+++ b/internal/chain/links.go
@@ -90,7 +90,7 @@
 		}
 	}
 	add := func(id NodeID) {
-		if !r.meta.View.InChain(id) && (id == r.meta.Identity || r.hears(now, id) && r.ready(now, id)) {
+		if !r.meta.View.InChain(id) && (id == r.meta.Identity || r.hears(now, id) && r.ready(now, id)) && r.near(now, id) {
 			ids = append(ids, id)
 		}
 	}
--- a/internal/chain/membership_test.go
+++ b/internal/chain/membership_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"strings"
 	"testing"
 	"time"
 
@@ -279,3 +280,37 @@
 		require.Equal(t, int64(changes), c.State().Models["m"].Version)
 	}
 }
+
+// TestLargeStateOverASlowLink: a state of 8 MB reaches a machine that lost its disk over links of 5 MB a second, beside heartbeats and writes,
+// and a cut in the middle of it does not begin it anew. No view is lost over it, and none waits for it.
+func TestLargeStateOverASlowLink(t *testing.T) {
+	const size = 8 << 20
+	s := three(3)
+	s.run(3 * time.Second)
+	large := s.put("a", 0, 1, strings.Repeat("x", size))
+	s.run(900 * time.Millisecond)
+	require.Equal(t, outcomeTaken, large.outcome)
+	s.rate = 5 << 20
+	s.wipe("c")
+	s.run(2 * time.Second)
+	settled := s.epoch()
+	s.join("c", "zone-c")
+	s.run(800 * time.Millisecond)
+	require.Greater(t, s.pieces, 2<<20, "it has begun")
+	s.separate([]string{"c"}, []string{"a", "b"}, false)
+	s.run(2 * time.Second)
+	s.heal()
+	began, without := s.now, 0
+	for !s.nodes["c"].replica.Serving() {
+		if s.head() == nil {
+			without++
+		}
+		require.Less(t, s.now-began, 6*time.Second)
+		s.run(tickEvery)
+	}
+	require.LessOrEqual(t, without, 6, "the others go on, but for the change of the view")
+	requireWritable(t, s, time.Second, "whole again")
+	require.Equal(t, int64(1), s.nodes["c"].replica.State().Version)
+	require.LessOrEqual(t, s.epoch(), settled+2)
+	require.Less(t, s.pieces, size+size/4, "what had come was not sent again")
+}
--- a/internal/chain/messages.go
+++ b/internal/chain/messages.go
@@ -19,6 +19,8 @@
 	Confirm   *Confirm   `cbor:"13,keyasint,omitempty"`
 	Confirmed *Confirm   `cbor:"14,keyasint,omitempty"`
 	Rejected  *Ballot    `cbor:"15,keyasint,omitempty"` // the ballot that was promised to another
+	Fetch     *Fetch     `cbor:"16,keyasint,omitempty"`
+	Piece     *Piece     `cbor:"17,keyasint,omitempty"`
 }
 
 // Heartbeat tells that its sender lives, and where it stands.
@@ -30,8 +32,9 @@
 	Sealed    bool     `cbor:"5,keyasint,omitempty"`
 	Heard     []NodeID `cbor:"6,keyasint,omitempty"` // from whom it heard lately, left out if that is all other members of the view
 	HeardAll  bool     `cbor:"8,keyasint,omitempty"`
-	Applied   uint64   `cbor:"7,keyasint"`           // that all its sessions' agents have applied; NoSessions if it has none
-	Leaving   bool     `cbor:"9,keyasint,omitempty"` // it was told to end, and waits for a view without it
+	Applied   uint64   `cbor:"7,keyasint"`            // that all its sessions' agents have applied; NoSessions if it has none
+	Leaving   bool     `cbor:"9,keyasint,omitempty"`  // it was told to end, and waits for a view without it
+	Near      uint64   `cbor:"10,keyasint,omitempty"` // who has committed so much can be brought the rest at once
 }
 
 // Hears tells whether its sender hears a member of a view.
@@ -63,6 +66,7 @@
 	AcceptedView *View  `cbor:"4,keyasint,omitempty"`
 	LogEpoch     uint64 `cbor:"5,keyasint"`
 	LogLength    uint64 `cbor:"6,keyasint"`
+	Commit       uint64 `cbor:"7,keyasint"` // of its log, known to be committed
 }
 
 // Transfer asks the member that a new chain starts from to bring others to its log.
@@ -77,15 +81,19 @@
 	Member    Member `cbor:"1,keyasint"`
 	LogEpoch  uint64 `cbor:"2,keyasint"`
 	LogLength uint64 `cbor:"3,keyasint"`
+	Commit    uint64 `cbor:"4,keyasint"`
 }
 
-// CatchUp brings a log: entries that follow the receiver's, or a whole state and what follows it.
+// CatchUp brings a log: entries that follow the receiver's; or, where its log is of another chain, those that follow the committed state
+// that it has, or a whole state and what follows it.
 type CatchUp struct {
 	Epoch    uint64  `cbor:"1,keyasint"`
 	Ballot   Ballot  `cbor:"2,keyasint"`
 	Proposer Member  `cbor:"3,keyasint"`
 	State    []byte  `cbor:"4,keyasint,omitempty"`
 	Entries  []Entry `cbor:"5,keyasint,omitempty"`
+	Rebase   bool    `cbor:"6,keyasint,omitempty"` // the receiver's log is of another chain: Entries follow what it has committed, up to Base
+	Base     uint64  `cbor:"7,keyasint,omitempty"`
 }
 
 // CaughtUp tells the proposer that a member's log is as long as said.
--- a/internal/chain/propose.go
+++ b/internal/chain/propose.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"nettlefold/internal/rendezvous"
+	"nettlefold/internal/replicated"
 )
 
 // proposal is one attempt at the next view.
@@ -100,7 +101,7 @@
 	r.send(m.From, Message{Promise: &Promise{
 		Epoch: r.meta.View.Epoch, Ballot: prepare.Ballot,
 		Accepted: r.meta.Accepted, AcceptedView: r.meta.AcceptedView,
-		LogEpoch: r.meta.LogEpoch, LogLength: r.length(),
+		LogEpoch: r.meta.LogEpoch, LogLength: r.length(), Commit: r.state.Seq,
 	}})
 }
 
@@ -163,7 +164,7 @@
 	p.caught[p.source] = true
 	for _, m := range p.asked {
 		if promise := p.promises[m.ID]; promise != nil && m.ID != p.source {
-			p.targets = append(p.targets, Target{m, promise.LogEpoch, promise.LogLength})
+			p.targets = append(p.targets, Target{m, promise.LogEpoch, promise.LogLength, promise.Commit})
 		}
 	}
 	r.sendTo(p.source, Message{Transfer: &Transfer{r.meta.View.Epoch, p.ballot, p.targets}})
@@ -189,19 +190,33 @@
 		return
 	}
 	for _, target := range t.Targets {
-		bring := CatchUp{Epoch: t.Epoch, Ballot: t.Ballot, Proposer: m.From}
-		if target.LogEpoch == t.Epoch && target.LogLength+1 >= r.first {
-			if target.LogLength < r.length() {
-				bring.Entries = slices.Clone(r.log[target.LogLength+1-r.first:])
-			}
-		} else {
-			bring.State = r.state.Encode()
-			bring.Entries = slices.Clone(r.log[r.state.Seq+1-r.first:])
+		if bring := r.bring(&target); bring != nil {
+			bring.Epoch, bring.Ballot, bring.Proposer = t.Epoch, t.Ballot, m.From
+			r.send(target.Member, Message{CatchUp: bring})
 		}
-		r.send(target.Member, Message{CatchUp: &bring})
 	}
 }
 
+// bring gives what a target lacks of this log; nil if that is too much to be brought while nothing is written: it fetches it first.
+func (r *Replica) bring(target *Target) *CatchUp {
+	switch {
+	case target.LogEpoch == r.meta.View.Epoch && target.LogLength+1 >= r.first:
+		return &CatchUp{Entries: r.entriesAfter(target.LogLength)}
+	case target.Commit < r.nearFrom():
+		return nil
+	case target.Commit+1 >= r.first && target.Commit <= r.length():
+		return &CatchUp{Rebase: true, Base: target.Commit, Entries: r.entriesAfter(target.Commit)}
+	}
+	return &CatchUp{State: r.state.Encode(), Entries: r.entriesAfter(r.state.Seq)}
+}
+
+func (r *Replica) entriesAfter(seq uint64) []Entry {
+	if seq >= r.length() {
+		return nil
+	}
+	return slices.Clone(r.log[seq+1-r.first:])
+}
+
 // onCatchUp extends the log, never shortens it: a log of this epoch's chain stays at least as long as any view that was put to the
 // vote says. What is too much is cut off when a view is decided.
 func (r *Replica) onCatchUp(m *Message) {
@@ -209,11 +224,7 @@
 	if c.Epoch != r.meta.View.Epoch || c.Ballot != r.meta.Promised {
 		return
 	}
-	if c.State != nil && r.meta.LogEpoch != c.Epoch {
-		if !r.replace(c) {
-			return
-		}
-	} else if r.meta.LogEpoch != c.Epoch {
+	if r.meta.LogEpoch != c.Epoch && !r.rebase(c) {
 		return
 	}
 	for _, e := range c.Entries {
@@ -224,19 +235,24 @@
 	r.send(c.Proposer, Message{CaughtUp: &CaughtUp{c.Epoch, c.Ballot, r.length()}})
 }
 
-// replace takes over a state whole, as a new generation of the log.
-func (r *Replica) replace(c *CatchUp) bool {
-	state, err := decodeState(c.State)
-	if err != nil {
+// rebase begins a log of this epoch's chain, on the state that was brought or on the committed one that is here.
+func (r *Replica) rebase(c *CatchUp) bool {
+	encoded := c.State
+	switch {
+	case encoded != nil:
+		state, err := replicated.Decode(encoded)
+		if err != nil {
+			return false
+		}
+		r.state = state
+		r.out.Committed = true
+	case c.Rebase && c.Base <= r.state.Seq:
+		encoded = r.state.Encode()
+	default:
 		return false
 	}
-	r.state, r.log, r.first = state, nil, state.Seq+1
-	r.meta.Generation++
 	r.meta.LogEpoch = c.Epoch
-	r.written.entries, r.written.bytes = 0, 0
-	r.out.Records = append(r.out.Records, Record{Snapshot: &Snapshot{r.meta.Generation, c.State}})
-	r.saveMeta()
-	r.out.Committed = true
+	r.restartLog(encoded)
 	return true
 }
 
--- a/internal/chain/replica.go
+++ b/internal/chain/replica.go
@@ -61,6 +61,8 @@
 	retryAt   time.Duration
 	applied   uint64 // by the agents with sessions here
 	leaving   bool   // told to end
+	fetching  *fetching
+	offer     *offer
 	reads     map[uint64]*read
 	nonce     uint64
 
@@ -178,6 +180,10 @@
 		if m.Commit.Epoch == r.meta.View.Epoch && r.serving() {
 			r.commitTo(m.Commit.Seq)
 		}
+	case m.Fetch != nil:
+		r.onFetch(now, m)
+	case m.Piece != nil:
+		r.onPiece(now, m)
 	case m.Confirm != nil:
 		r.onConfirm(m)
 	case m.Confirmed != nil:
--- a/internal/chain/simulation_test.go
+++ b/internal/chain/simulation_test.go
@@ -72,6 +72,9 @@
 	cut    map[link]bool
 	hold   bool // what is sent over a cut link arrives when it heals, else it is lost
 	held   []func()
+	rate   float64 // bytes a second that a link carries, 0 for no limit
+	loaded map[link]time.Duration
+	pieces int // bytes of fetched states that were sent
 	copies int
 	lives  int
 	calls  []*call
@@ -84,7 +87,7 @@
 func newSimulation(seed uint64, copies int, machines ...string) *simulation {
 	s := &simulation{
 		random: rand.New(rand.NewPCG(seed, seed)), copies: copies, nodes: map[string]*simNode{}, cut: map[link]bool{},
-		seen: map[uint64]string{}, views: map[uint64]string{},
+		seen: map[uint64]string{}, views: map[uint64]string{}, loaded: map[link]time.Duration{},
 	}
 	view := View{Epoch: 1}
 	for _, text := range machines {
@@ -182,7 +185,10 @@
 	}
 	for i := range out.Messages {
 		e := out.Messages[i]
-		s.send(n, e.To.Addr, delay, func(to *simNode) {
+		if e.Message.Piece != nil {
+			s.pieces += len(e.Message.Piece.Bytes)
+		}
+		s.send(n, e.To.Addr, s.carry(link{n.addr, e.To.Addr}, delay, &e.Message), func(to *simNode) {
 			m := e.Message
 			s.perform(to, to.replica.Receive(s.now, &m))
 		})
@@ -193,6 +199,32 @@
 	s.check(n)
 }
 
+// carry tells when a message has left, on a link that carries so many bytes a second, one message after the other.
+func (s *simulation) carry(l link, delay time.Duration, m *Message) time.Duration {
+	if s.rate == 0 {
+		return delay
+	}
+	size := 200
+	switch {
+	case m.Piece != nil:
+		size += len(m.Piece.Bytes)
+	case m.CatchUp != nil:
+		size += len(m.CatchUp.State) + entryBytes(m.CatchUp.Entries)
+	case m.Append != nil:
+		size += entryBytes(m.Append.Entries)
+	}
+	start := max(s.now+delay, s.loaded[l])
+	s.loaded[l] = start + time.Duration(float64(size)/s.rate*float64(time.Second))
+	return s.loaded[l] - s.now
+}
+
+func entryBytes(entries []Entry) (n int) {
+	for i := range entries {
+		n += len(entries[i].Operation)
+	}
+	return n
+}
+
 // send has something done at another machine, unless the way to it is cut or it is down then. A frozen one does it when it wakes.
 func (s *simulation) send(from *simNode, to string, delay time.Duration, do func(to *simNode)) {
 	life := from.life
--- a/internal/chain/watch.go
+++ b/internal/chain/watch.go
@@ -12,6 +12,8 @@
 		if now-r.lastBeat >= r.options.Timing.Heartbeat {
 			r.heartbeat(now)
 		}
+		r.fetch(now)
+		r.dropOffer(now)
 		r.propel(now)
 	})
 }
@@ -44,6 +46,7 @@
 		Sealed:    r.sealed(),
 		Applied:   r.applied,
 		Leaving:   r.leaving,
+		Near:      r.nearFrom(),
 	}
 	for id, p := range r.peers {
 		if now-p.heard < r.options.Timing.Suspect {
--- a/internal/replicated/state.go
+++ b/internal/replicated/state.go
@@ -83,6 +83,12 @@
 	return s, nil
 }
 
+// Size is about how many bytes the state's encoding has.
+func (s *State) Size() int {
+	const perEntry = 64
+	return len(s.Config) + len(s.Taken)*len(Digest{}) + perEntry*(len(s.Evacuated)+len(s.Restored)+len(s.Models)+len(s.Duties))
+}
+
 // Encode writes the state.
 func (s *State) Encode() []byte { return mustEncode(s) }
 
