Controllers played whole in simulated time; an order that holds already is taken too; calls wait no longer than they may

Change: an order on top of the newest one is taken also where it changes nothing; the zone's newest order has a field of its own, since when it is evacuated stays. Test: a table of orders. Added: internal/controller's simulated tests play the program's own code, its goroutines, store and HTTP, in a synctest bubble over a network in memory that delays, holds up and cuts: a machine cut off for 20 s, two operators with equal numbers through cuts, ends and kills, calls at a machine that is told to end, a damaged disk, an order held up on its way; histories by Porcupine (simtest.Linearizable, its own table of right and wrong histories). For it the network of rpc is an interface, and waiting for another call's dial or write ends with the caller's context (mutexes before: a call could wait 0.6 s beyond its limit). Failed tries: net/pipe under mutexes (the bubble's time stands still), connections that outlived their process, the compressor made within a bubble.

--- a/internal/chain/random_runs_test.go
+++ b/internal/chain/random_runs_test.go
@@ -9,6 +9,7 @@
 	"github.com/stretchr/testify/require"
 
 	"nettlefold/internal/replicated"
+	"nettlefold/internal/simtest"
 )
 
 // recoveredWithin bounds how long writes rest once all machines are back after whatever happened to them.
@@ -207,7 +208,7 @@
 		return tr.broken
 	case !taken:
 		return fmt.Errorf("no write was taken for %v after all was well", took)
-	case !tr.linearizable():
+	case !simtest.Linearizable(tr.history()):
 		return fmt.Errorf("the operators' calls are not linearizable")
 	}
 	return tr.lost()
--- a/internal/controller/api.go
+++ b/internal/controller/api.go
@@ -4,7 +4,6 @@
 	"context"
 	"encoding/json"
 	"io"
-	"net"
 	"net/http"
 	"strconv"
 	"strings"
@@ -36,7 +35,7 @@
 	e.POST("/v1/version-put", c.putVersion)
 	e.GET("/v1/status", c.getStatus)
 	e.GET("/v1/readiness", func(ctx echo.Context) error { return ctx.NoContent(http.StatusOK) })
-	listener, err := net.Listen("tcp", c.settings.ControlAddr)
+	listener, err := c.network.Listen(c.settings.ControlAddr)
 	if err != nil {
 		return nil, merry.Prepend(err, "controller: listen to the operator")
 	}
--- a/internal/controller/controller.go
+++ b/internal/controller/controller.go
@@ -7,7 +7,6 @@
 	"crypto/rand"
 	"encoding/hex"
 	"errors"
-	"net"
 	"net/http"
 	"slices"
 	"strings"
@@ -39,6 +38,7 @@
 type Controller struct {
 	settings *local.Settings
 	log      zerolog.Logger
+	network  rpc.Network
 	pool     *rpc.Pool
 	commands chan func()
 	start    time.Time
@@ -77,10 +77,16 @@
 
 // New opens the state on disk and makes a controller of it.
 func New(settings *local.Settings, log zerolog.Logger) (*Controller, error) {
+	return newOn(rpc.TCP{}, settings, log)
+}
+
+// newOn makes a controller that meets the others, and the operator, over a network.
+func newOn(network rpc.Network, settings *local.Settings, log zerolog.Logger) (*Controller, error) {
 	c := &Controller{
+		network:   network,
 		settings:  settings,
 		log:       log,
-		pool:      rpc.NewPool(),
+		pool:      rpc.NewPoolOn(network),
 		commands:  make(chan func(), commandQueue),
 		start:     time.Now(),
 		done:      make(chan struct{}),
@@ -182,7 +188,7 @@
 
 // Run serves until ctx ends, and then until the others do without it or its grace is nearly over.
 func (c *Controller) Run(ctx context.Context) error {
-	listener, err := net.Listen("tcp", c.settings.InternalAddr(c.settings.IP))
+	listener, err := c.network.Listen(c.settings.InternalAddr(c.settings.IP))
 	if err != nil {
 		return merry.Prepend(err, "controller: listen to machines")
 	}
--- /dev/null
+++ b/internal/controller/simulated_test.go
@@ -0,0 +1,230 @@
+package controller
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"math/rand/v2"
+	"net/http"
+	"os"
+	"strings"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"nettlefold/internal/rpc"
+	"nettlefold/internal/simtest"
+)
+
+func copyTo(b *strings.Builder, answer *http.Response) (int64, error) { return io.Copy(b, answer.Body) }
+
+// inWorld plays a core of three in a bubble.
+func inWorld(t *testing.T, seed uint64, play func(w *world, random *rand.Rand)) {
+	t.Helper()
+	synctest.Test(t, func(t *testing.T) {
+		w := newWorld(t, 3)
+		defer w.close()
+		time.Sleep(2 * time.Second)
+		play(w, rand.New(rand.NewPCG(seed, seed)))
+		w.requireLinearizable()
+	})
+}
+
+// TestCutOffForTwentySeconds: the machine that was cut off from the others answers the operator with nothing but 503 or silence, while the
+// others take writes; once it is back it has them.
+func TestCutOffForTwentySeconds(t *testing.T) {
+	for i := 1; i <= 3; i++ {
+		inWorld(t, uint64(i), func(w *world, random *rand.Rand) {
+			cut := ipOf(i)
+			require.True(t, w.taken(3*time.Second, random))
+			w.separateCore(true, cut)
+			end := time.Now().Add(20 * time.Second)
+			refused, served := 0, 0
+			for n := 0; time.Now().Before(end); n++ {
+				other := ipOf(i%3 + 1)
+				if version, ok := w.get(other); ok && w.put(other, version, version+1, fmt.Sprint(n)) == simtest.Taken {
+					served++
+				}
+				status, _ := w.ask(cut, http.MethodGet, "/v1/configuration", "", "")
+				require.Contains(t, []int{0, http.StatusServiceUnavailable}, status)
+				for path, method := range map[string]string{"/v1/evacuations/x": http.MethodPost, "/v1/version-put": http.MethodPost} {
+					status, _ = w.ask(cut, method, path, "", `{"model":"m","version":1}`)
+					require.Contains(t, []int{0, http.StatusServiceUnavailable}, status)
+				}
+				require.Equal(t, simtest.Unclear, w.put(cut, 999, 1000, "refused for good only if sure"))
+				refused++
+			}
+			require.Greater(t, served, 3)
+			require.Greater(t, refused, 3)
+			w.separateCore(false, cut)
+			time.Sleep(3 * time.Second)
+			newest, ok := w.get(ipOf(i%3 + 1))
+			require.True(t, ok)
+			again, ok := w.get(cut)
+			require.True(t, ok)
+			require.Equal(t, newest, again)
+		})
+	}
+}
+
+// TestTwoOperators: eight calls at a time with equal numbers, some sent again at other machines, while machines are cut off, end in order, are
+// killed and come back: one of two rivals is confirmed, what was acknowledged is never refused, and all reads fit.
+func TestTwoOperators(t *testing.T) {
+	for seed := uint64(1); seed <= 6; seed++ {
+		inWorld(t, seed, func(w *world, random *rand.Rand) {
+			stop := make(chan struct{})
+			var all sync.WaitGroup
+			for operator := range 4 {
+				own := rand.New(rand.NewPCG(seed, uint64(operator)))
+				all.Go(func() { operate(w, own, operator, stop) })
+			}
+			for range 6 {
+				upset(w, random)
+			}
+			close(stop)
+			all.Wait()
+			require.True(t, w.taken(6*time.Second, random))
+		})
+	}
+}
+
+// operate is an operator who writes on top of what it reads, and sends again what got no clear answer.
+func operate(w *world, random *rand.Rand, operator int, stop chan struct{}) {
+	for n := 0; ; n++ {
+		select {
+		case <-stop:
+			return
+		case <-time.After(time.Duration(random.IntN(300)) * time.Millisecond):
+		}
+		version, ok := w.get(ipOf(1 + random.IntN(3)))
+		if !ok {
+			continue
+		}
+		mark := fmt.Sprint(operator, "/", n)
+		for range 3 {
+			if w.put(ipOf(1+random.IntN(3)), version, version+1, mark) != simtest.Unclear {
+				break
+			}
+		}
+	}
+}
+
+// upset lets one thing happen to the machines, and ends with all of them there.
+func upset(w *world, random *rand.Rand) {
+	ip := ipOf(1 + random.IntN(3))
+	rest := time.Duration(500+random.IntN(2500)) * time.Millisecond
+	switch random.IntN(4) {
+	case 0:
+		w.separateCore(true, ip)
+		time.Sleep(rest)
+		w.separateCore(false, ip)
+	case 1:
+		w.end(ip, true)
+		time.Sleep(rest)
+		w.boot(ip)
+	case 2:
+		w.end(ip, false)
+		time.Sleep(rest)
+		w.boot(ip)
+	case 3:
+		other := ipOf(1 + random.IntN(3))
+		w.setLink(true, ip, other)
+		time.Sleep(rest)
+		w.setLink(false, ip, other)
+	}
+	time.Sleep(1500 * time.Millisecond)
+}
+
+// TestToldToEndAnswersItsCalls: a controller that is told to end hands over, answers the calls that it has, and its last order is there.
+func TestToldToEndAnswersItsCalls(t *testing.T) {
+	for i := 1; i <= 3; i++ {
+		inWorld(t, uint64(i), func(w *world, random *rand.Rand) {
+			require.True(t, w.taken(3*time.Second, random))
+			version, ok := w.get(ipOf(i))
+			require.True(t, ok)
+			answered := make(chan simtest.Outcome)
+			go func() { answered <- w.put(ipOf(i), version, version+1, "the last") }()
+			time.Sleep(4 * worldLatency)
+			began := time.Now()
+			w.end(ipOf(i), true)
+			require.Less(t, time.Since(began), 2*time.Second)
+			require.NotEqual(t, simtest.Refused, <-answered)
+			require.True(t, w.taken(time.Second, random), "the others go on at once")
+		})
+	}
+}
+
+// TestDamagedDiskInTheCore: a machine finds its state damaged, comes back as a newcomer, and the core bears the loss of another.
+func TestDamagedDiskInTheCore(t *testing.T) {
+	inWorld(t, 1, func(w *world, random *rand.Rand) {
+		for range 5 {
+			require.True(t, w.taken(3*time.Second, random))
+		}
+		w.end(ipOf(2), false)
+		w.damage(ipOf(2))
+		w.boot(ipOf(2))
+		time.Sleep(4 * time.Second)
+		w.end(ipOf(1), false)
+		require.True(t, w.taken(5*time.Second, random))
+		w.boot(ipOf(1))
+		time.Sleep(time.Second)
+	})
+}
+
+// TestAnOrderHeldUpOnItsWay: an evacuation sits behind a cut while the operator gives it up, has it taken elsewhere, and takes it back; when
+// the link heals the old order comes to nothing.
+func TestAnOrderHeldUpOnItsWay(t *testing.T) {
+	for _, held := range []time.Duration{300, 600, 850} {
+		inWorld(t, 1, func(w *world, random *rand.Rand) {
+			require.True(t, w.taken(3*time.Second, random))
+			head, _, _ := strings.Cut(w.machines[ipOf(1)].controller.public.Load().view.Acceptors[0].Addr, ":")
+			for _, ip := range []string{ipOf(1), ipOf(2), ipOf(3)} {
+				view := w.machines[ip].controller.public.Load().view
+				if m, _ := view.Member(view.Head()); strings.HasPrefix(m.Addr, ip+":") {
+					head = ip
+				}
+			}
+			contact := ipOf(1)
+			if contact == head {
+				contact = ipOf(2)
+			}
+			other := ipOf(1 + 2 + 3 - int(head[len(head)-1]-'0') - int(contact[len(contact)-1]-'0'))
+			done := make(chan struct{})
+			go func() {
+				w.ask(contact, http.MethodPost, "/v1/evacuations/x", "", "")
+				close(done)
+			}()
+			time.Sleep(5 * worldLatency) // it has read what the order is based on, or is about to
+			w.setLink(true, contact, head)
+			require.Equal(t, 200, status(w.ask(other, http.MethodPost, "/v1/evacuations/x", "", "")))
+			require.Equal(t, 200, status(w.ask(other, http.MethodDelete, "/v1/evacuations/x", "", "")))
+			time.Sleep(held * time.Millisecond)
+			w.setLink(false, contact, head)
+			time.Sleep(3 * time.Second)
+			<-done
+			require.Empty(t, w.machines[head].controller.public.Load().state.Evacuated)
+		})
+	}
+}
+
+func status(code int, _ string) int { return code }
+
+// TestMain sends one compressed frame before any bubble: the compressor's channels must belong to none.
+func TestMain(m *testing.M) {
+	network := rpc.TCP{}
+	listener, err := network.Listen("127.0.0.1:0")
+	if err != nil {
+		panic(err)
+	}
+	go rpc.Serve(listener, func(_ context.Context, _ string, body []byte) (any, error) { return string(body), nil })
+	client := rpc.NewClient(listener.Addr().String())
+	if err := client.Call(context.Background(), "warm", strings.Repeat("x", 4096), nil); err != nil {
+		panic(err)
+	}
+	client.Close()
+	listener.Close()
+	os.Exit(m.Run())
+}
--- /dev/null
+++ b/internal/controller/world_test.go
@@ -0,0 +1,416 @@
+package controller
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"os"
+	"path/filepath"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/rs/zerolog"
+	"github.com/stretchr/testify/require"
+
+	"nettlefold/internal/settings/local"
+	"nettlefold/internal/simtest"
+)
+
+// A world plays whole controllers, their own code with its goroutines, store and HTTP, in a synctest bubble: time passes only when all wait,
+// and the machines meet over a network in memory that delays, holds up and cuts.
+
+const (
+	worldLatency = 2 * time.Millisecond
+	// heldLimit is when a connection ends whose bytes nobody acknowledges, as the kernel does for ours.
+	heldLimit = 900 * time.Millisecond
+	worldPort = 7340
+	// closeLimit is when the other end of such a connection learns of it, at the latest.
+	closeLimit = 10 * time.Second
+)
+
+type world struct {
+	t        *testing.T
+	dir      string
+	machines map[string]*worldMachine
+
+	mu        sync.Mutex
+	listeners map[string]*worldListener
+	cut       map[[2]string]bool    // from IP, to IP
+	healed    chan struct{}         // closed and replaced when links change
+	conns     map[string][]net.Conn // of each machine's process
+	start     time.Time
+	calls     []simtest.Call
+}
+
+// worldMachine is a core machine and the process that runs on it, if one does.
+type worldMachine struct {
+	ip         string
+	settings   *local.Settings
+	controller *Controller
+	stop       context.CancelFunc
+	ended      chan struct{}
+}
+
+func newWorld(t *testing.T, n int) *world {
+	w := &world{
+		t: t, dir: t.TempDir(), machines: map[string]*worldMachine{}, listeners: map[string]*worldListener{},
+		cut: map[[2]string]bool{}, conns: map[string][]net.Conn{}, healed: make(chan struct{}), start: time.Now(),
+	}
+	for i := range n {
+		w.add(i+1, true)
+	}
+	return w
+}
+
+func ipOf(i int) string { return fmt.Sprintf("10.0.0.%d", i) }
+
+// add places a machine, with an empty disk, and starts it.
+func (w *world) add(i int, first bool) {
+	ip := ipOf(i)
+	settings := &local.Settings{
+		NodeName: "core-" + ip, IP: ip, Zone: "zone-" + ip, Zones: map[string]string{"x": "r", "y": "r"}, ControlAddr: ip + ":8783",
+		FirstStart: first, FirstPort: worldPort, LastPort: worldPort + 10, LostMachines: 1, DataDirectory: filepath.Join(w.dir, fmt.Sprint(i, "-", len(w.calls), "-", time.Now().UnixNano())),
+	}
+	for seed := 1; seed <= 3; seed++ {
+		settings.Seeds = append(settings.Seeds, ipOf(seed)+":8783")
+	}
+	settings.Bounds.Grace = 8 * time.Second
+	w.machines[ip] = &worldMachine{ip: ip, settings: settings}
+	w.boot(ip)
+}
+
+// boot starts a machine's process on what is on its disk.
+func (w *world) boot(ip string) {
+	m := w.machines[ip]
+	c, err := newOn(&worldNetwork{w, ip}, m.settings, zerolog.Nop())
+	require.NoError(w.t, err)
+	ctx, stop := context.WithCancel(context.Background())
+	m.controller, m.stop, m.ended = c, stop, make(chan struct{})
+	go func() {
+		defer close(m.ended)
+		if err := c.Run(ctx); err != nil {
+			w.t.Error(err)
+		}
+	}()
+}
+
+// end ends a machine's process: told to, with its grace, or at once and without a word.
+func (w *world) end(ip string, grace bool) {
+	m := w.machines[ip]
+	if !grace {
+		w.separate(true, ip)
+		m.controller.enqueue(func() { m.controller.settings.Bounds.Grace = 0 })
+	}
+	m.stop()
+	<-m.ended
+	m.controller.pool.Close()
+	m.controller.store.Close()
+	w.closeConns(ip)
+	if !grace {
+		w.separate(false, ip)
+	}
+}
+
+// closeConns closes a machine's connections, as the end of its process does.
+func (w *world) closeConns(ip string) {
+	w.mu.Lock()
+	conns := w.conns[ip]
+	delete(w.conns, ip)
+	w.mu.Unlock()
+	for _, conn := range conns {
+		conn.Close()
+	}
+}
+
+func (w *world) close() {
+	for ip := range w.machines {
+		if m := w.machines[ip]; m.controller != nil {
+			select {
+			case <-m.ended:
+			default:
+				w.end(ip, false)
+			}
+		}
+	}
+	time.Sleep(2 * closeLimit) // what still waits for a link or a timer comes to its end
+}
+
+// separate cuts a machine off from all others, or joins it again.
+func (w *world) separate(cut bool, ip string) {
+	for other := range w.machines {
+		w.setLink(cut, ip, other)
+		w.setLink(cut, other, ip)
+	}
+	w.setLink(cut, ip, operatorIP)
+	w.setLink(cut, operatorIP, ip)
+}
+
+// separateCore cuts some machines off from the other machines; the operator reaches them on.
+func (w *world) separateCore(cut bool, ips ...string) {
+	side := map[string]bool{}
+	for _, ip := range ips {
+		side[ip] = true
+	}
+	for a := range w.machines {
+		for b := range w.machines {
+			if side[a] != side[b] {
+				w.setLink(cut, a, b)
+			}
+		}
+	}
+}
+
+func (w *world) setLink(cut bool, from, to string) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if cut {
+		w.cut[[2]string{from, to}] = true
+		return
+	}
+	delete(w.cut, [2]string{from, to})
+	close(w.healed)
+	w.healed = make(chan struct{})
+}
+
+func (w *world) isCut(from, to string) (bool, chan struct{}) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return w.cut[[2]string{from, to}], w.healed
+}
+
+// passes waits until a link carries, at most so long.
+func (w *world) passes(from, to string, limit time.Duration) bool {
+	timer := time.NewTimer(limit)
+	defer timer.Stop()
+	for {
+		cut, healed := w.isCut(from, to)
+		if !cut {
+			return true
+		}
+		select {
+		case <-healed:
+		case <-timer.C:
+			return false
+		}
+	}
+}
+
+// worldNetwork is the network as one machine sees it.
+type worldNetwork struct {
+	w  *world
+	ip string
+}
+
+func (n *worldNetwork) Dial(ctx context.Context, addr string) (net.Conn, error) {
+	ip, _, _ := strings.Cut(addr, ":")
+	deadline, limited := ctx.Deadline()
+	limit := time.Second
+	if limited {
+		limit = time.Until(deadline)
+	}
+	if !n.w.passes(n.ip, ip, limit) || !n.w.passes(ip, n.ip, limit) {
+		return nil, context.DeadlineExceeded
+	}
+	time.Sleep(2 * worldLatency)
+	n.w.mu.Lock()
+	listener := n.w.listeners[addr]
+	n.w.mu.Unlock()
+	if listener == nil {
+		return nil, errors.New("connection refused")
+	}
+	near, nearWire := net.Pipe()
+	far, farWire := net.Pipe()
+	n.w.mu.Lock()
+	n.w.conns[n.ip] = append(n.w.conns[n.ip], near)
+	n.w.conns[ip] = append(n.w.conns[ip], far)
+	n.w.mu.Unlock()
+	go n.w.carry(n.ip, ip, nearWire, farWire)
+	go n.w.carry(ip, n.ip, farWire, nearWire)
+	select {
+	case listener.accepted <- far:
+		return near, nil
+	case <-listener.closed:
+		near.Close()
+		far.Close()
+		return nil, errors.New("connection refused")
+	}
+}
+
+// carry moves bytes one way, late, and not while the link is cut. Both ends learn of a close only over a link that carries.
+func (w *world) carry(from, to string, source, sink net.Conn) {
+	defer source.Close()
+	buffer := make([]byte, 64<<10)
+	for {
+		n, err := source.Read(buffer)
+		time.Sleep(worldLatency)
+		if !w.passes(from, to, heldLimit) {
+			source.Close()
+			w.passes(from, to, closeLimit)
+			sink.Close()
+			return
+		}
+		if n > 0 {
+			if _, err := sink.Write(buffer[:n]); err != nil {
+				return
+			}
+		}
+		if err != nil {
+			sink.Close()
+			return
+		}
+	}
+}
+
+type worldListener struct {
+	w        *world
+	addr     string
+	accepted chan net.Conn
+	closed   chan struct{}
+	once     sync.Once
+}
+
+func (n *worldNetwork) Listen(addr string) (net.Listener, error) {
+	l := &worldListener{w: n.w, addr: addr, accepted: make(chan net.Conn), closed: make(chan struct{})}
+	n.w.mu.Lock()
+	defer n.w.mu.Unlock()
+	n.w.listeners[addr] = l
+	return l, nil
+}
+
+func (l *worldListener) Accept() (net.Conn, error) {
+	select {
+	case conn := <-l.accepted:
+		return conn, nil
+	case <-l.closed:
+		return nil, net.ErrClosed
+	}
+}
+
+func (l *worldListener) Close() error {
+	l.once.Do(func() {
+		close(l.closed)
+		l.w.mu.Lock()
+		defer l.w.mu.Unlock()
+		if l.w.listeners[l.addr] == l {
+			delete(l.w.listeners, l.addr)
+		}
+	})
+	return nil
+}
+
+func (l *worldListener) Addr() net.Addr { return &net.TCPAddr{} }
+
+// operatorIP is where the operator's calls come from.
+const operatorIP = "10.0.9.9"
+
+// operatorPatience is when the operator turns elsewhere.
+const operatorPatience = time.Second
+
+// ask sends one call of the operator to a machine: status 0 where no answer came in time.
+func (w *world) ask(ip, method, path, match, body string) (status int, text string) {
+	network := &worldNetwork{w, operatorIP}
+	client := &http.Client{Timeout: operatorPatience, Transport: &http.Transport{
+		DisableKeepAlives: true,
+		DialContext:       func(ctx context.Context, _, addr string) (net.Conn, error) { return network.Dial(ctx, addr) },
+	}}
+	request, err := http.NewRequest(method, "http://"+ip+":8783"+path, strings.NewReader(body))
+	require.NoError(w.t, err)
+	if match != "" {
+		request.Header.Set("If-Match", match)
+	}
+	answer, err := client.Do(request)
+	if err != nil {
+		return 0, ""
+	}
+	defer answer.Body.Close()
+	var b strings.Builder
+	if _, err := copyTo(&b, answer); err != nil {
+		return 0, ""
+	}
+	return answer.StatusCode, b.String()
+}
+
+// put writes a configuration at a machine and notes the call for the check of the history.
+func (w *world) put(ip string, base, version int64, mark string) simtest.Outcome {
+	body := document(int(version), "s")
+	body = strings.Replace(body, "as sent", mark, 1)
+	call := simtest.Call{Write: true, Base: base, Version: version, Body: body, Start: time.Since(w.start)}
+	status, _ := w.ask(ip, http.MethodPut, "/v1/configuration", fmt.Sprint(base), body)
+	switch status {
+	case http.StatusOK:
+		call.Outcome = simtest.Taken
+	case http.StatusPreconditionFailed, http.StatusBadRequest:
+		call.Outcome = simtest.Refused
+	}
+	w.note(call)
+	return call.Outcome
+}
+
+// get reads the configuration at a machine and notes it; false where no answer came.
+func (w *world) get(ip string) (version int64, ok bool) {
+	call := simtest.Call{Outcome: simtest.Taken, Start: time.Since(w.start)}
+	status, text := w.ask(ip, http.MethodGet, "/v1/configuration", "", "")
+	switch status {
+	case http.StatusOK:
+		fmt.Sscanf(text, `{"version":%d`, &call.Version)
+		call.Body = text
+	case http.StatusNotFound:
+	default:
+		return 0, false
+	}
+	w.note(call)
+	return call.Version, true
+}
+
+func (w *world) note(call simtest.Call) {
+	call.End = time.Since(w.start)
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.calls = append(w.calls, call)
+}
+
+// taken has a write taken by anybody, within so long.
+func (w *world) taken(within time.Duration, random *rand.Rand) bool {
+	end := time.Now().Add(within)
+	for time.Now().Before(end) {
+		for ip, m := range w.machines {
+			select {
+			case <-m.ended:
+				continue
+			default:
+			}
+			version, ok := w.get(ip)
+			if ok && w.put(ip, version, version+1, fmt.Sprint("last ", random.Uint64())) == simtest.Taken {
+				return true
+			}
+		}
+		time.Sleep(50 * time.Millisecond)
+	}
+	return false
+}
+
+func (w *world) requireLinearizable() {
+	w.t.Helper()
+	require.True(w.t, simtest.Linearizable(w.calls), "the operator's calls cannot be put in an order")
+}
+
+// storeFile is the newest file of a machine's store.
+func (w *world) storeFile(ip string) string {
+	files, err := filepath.Glob(filepath.Join(w.machines[ip].settings.DataDirectory, "state-*.db"))
+	require.NoError(w.t, err)
+	return files[len(files)-1]
+}
+
+// damage flips a bit in the middle of a machine's store.
+func (w *world) damage(ip string) {
+	path := w.storeFile(ip)
+	text, err := os.ReadFile(path)
+	require.NoError(w.t, err)
+	text[len(text)/2] ^= 2
+	require.NoError(w.t, os.WriteFile(path, text, 0o644))
+}
--- a/internal/replicated/state.go
+++ b/internal/replicated/state.go
@@ -67,11 +67,13 @@
 	Models    map[string]Model  `cbor:"7,keyasint"`
 	Duties    map[string]Duty   `cbor:"8,keyasint"`
 	Restored  map[string]uint64 `cbor:"9,keyasint"` // zones that were evacuated, and the operation that took it back
+	// ZoneOrders is the newest order for each zone, also if it changed nothing.
+	ZoneOrders map[string]uint64 `cbor:"10,keyasint"`
 }
 
 // New is the state before the first operation.
 func New() *State {
-	return &State{Evacuated: map[string]uint64{}, Models: map[string]Model{}, Duties: map[string]Duty{}, Restored: map[string]uint64{}}
+	return &State{Evacuated: map[string]uint64{}, Models: map[string]Model{}, Duties: map[string]Duty{}, Restored: map[string]uint64{}, ZoneOrders: map[string]uint64{}}
 }
 
 // Decode reads a state that Encode wrote.
@@ -162,14 +164,20 @@
 	return Accept
 }
 
-// ZoneSeq is the number of the operation that last evacuated a zone or took that back, 0 if there was none.
-func (s *State) ZoneSeq(zone string) uint64 { return max(s.Evacuated[zone], s.Restored[zone]) }
+// ZoneSeq is the number of the newest order for a zone, to evacuate it or to take that back, 0 if there was none.
+func (s *State) ZoneSeq(zone string) uint64 { return s.ZoneOrders[zone] }
 
+// checkZone takes an order that is based on the newest one, also where it changes nothing: once it is acknowledged no older opposite order
+// may be taken any more. One that was overtaken is acknowledged where it holds all the same.
 func (s *State) checkZone(o *Operation, holds bool) (Verdict, error) {
-	if !holds && o.Based != s.ZoneSeq(o.Zone) {
-		return Outdated, fmt.Errorf("zone %s was changed by operation %d since the order was received after operation %d", o.Zone, s.ZoneSeq(o.Zone), o.Based)
+	newest := s.ZoneSeq(o.Zone)
+	switch {
+	case o.Based == newest:
+		return Accept, nil
+	case holds:
+		return Already, nil
 	}
-	return alreadyIf(holds), nil
+	return Outdated, fmt.Errorf("zone %s: operation %d came before this order, which was received after operation %d", o.Zone, newest, o.Based)
 }
 
 func (s *State) checkConfig(o *Operation) (Verdict, error) {
@@ -204,11 +212,17 @@
 			s.Taken = slices.Delete(s.Taken, 0, over)
 		}
 	case KindEvacuate:
-		s.Evacuated[o.Zone] = seq
-		delete(s.Restored, o.Zone)
+		s.ZoneOrders[o.Zone] = seq
+		if s.Evacuated[o.Zone] == 0 {
+			s.Evacuated[o.Zone] = seq
+			delete(s.Restored, o.Zone)
+		}
 	case KindRestore:
-		delete(s.Evacuated, o.Zone)
-		s.Restored[o.Zone] = seq
+		s.ZoneOrders[o.Zone] = seq
+		if s.Evacuated[o.Zone] != 0 {
+			delete(s.Evacuated, o.Zone)
+			s.Restored[o.Zone] = seq
+		}
 	case KindVersion:
 		s.Models[o.Model] = Model{Version: o.Version, Seq: seq}
 	case KindDuty:
@@ -222,5 +236,6 @@
 	c.Taken = slices.Clone(s.Taken)
 	c.Evacuated, c.Models = maps.Clone(s.Evacuated), maps.Clone(s.Models)
 	c.Duties, c.Restored = maps.Clone(s.Duties), maps.Clone(s.Restored)
+	c.ZoneOrders = maps.Clone(s.ZoneOrders)
 	return &c
 }
--- a/internal/replicated/state_test.go
+++ b/internal/replicated/state_test.go
@@ -86,3 +86,38 @@
 	verdict, _ := s.Check(put(rememberedOrders+10, rememberedOrders+9))
 	require.Equal(t, Already, verdict)
 }
+
+// TestOrdersForAZone: an order is taken on top of the newest one only. One that changes nothing is taken all the same, so that no older
+// opposite order can follow its acknowledgement; one that was overtaken and holds is acknowledged.
+func TestOrdersForAZone(t *testing.T) {
+	order := func(kind string, based uint64) *Operation { return &Operation{Kind: kind, Zone: "z", Based: based} }
+	s := New()
+	for i, step := range []struct {
+		kind    string
+		based   uint64
+		verdict Verdict
+	}{
+		{KindRestore, 0, Accept}, // 1: nothing was evacuated
+		{KindEvacuate, 0, Outdated},
+		{KindRestore, 0, Already},
+		{KindEvacuate, 1, Accept}, // 4
+		{KindRestore, 1, Outdated},
+		{KindEvacuate, 1, Already},
+		{KindEvacuate, 4, Accept}, // 7: it was evacuated, and is ordered once more
+		{KindRestore, 4, Outdated},
+		{KindRestore, 7, Accept}, // 9
+	} {
+		o := order(step.kind, step.based)
+		verdict, err := s.Check(o)
+		require.Equal(t, step.verdict, verdict, "step %d", i+1)
+		require.Equal(t, verdict == Outdated, err != nil)
+		if verdict == Accept {
+			s.Apply(uint64(i+1), o)
+		}
+	}
+	require.Empty(t, s.Evacuated)
+	require.Equal(t, uint64(9), s.Restored["z"])
+	s.Apply(10, order(KindEvacuate, 9))
+	s.Apply(11, order(KindEvacuate, 10))
+	require.Equal(t, uint64(10), s.Evacuated["z"], "since when it is evacuated does not change")
+}
--- a/internal/rpc/client.go
+++ b/internal/rpc/client.go
@@ -27,9 +27,10 @@
 
 // Client keeps one connection to a peer, dialled when it is first needed and again after a failure.
 type Client struct {
-	addr string
+	network Network
+	addr    string
 
-	dialing sync.Mutex // held over a dial, so that there is one at a time
+	dialing turn // one dial at a time
 	mu      sync.Mutex
 	line    *line
 	closed  bool
@@ -38,7 +39,7 @@
 // line is one connection and the calls that wait for replies on it.
 type line struct {
 	conn    net.Conn
-	writing sync.Mutex
+	writing turn
 
 	mu      sync.Mutex
 	lastID  uint64
@@ -48,7 +49,11 @@
 }
 
 // NewClient makes a client of the peer at addr (IP:port). It dials nothing yet.
-func NewClient(addr string) *Client { return &Client{addr: addr} }
+func NewClient(addr string) *Client { return newClient(TCP{}, addr) }
+
+func newClient(network Network, addr string) *Client {
+	return &Client{network: network, addr: addr, dialing: newTurn()}
+}
 
 // Addr is the peer's address.
 func (c *Client) Addr() string { return c.addr }
@@ -71,7 +76,7 @@
 		return merry.Prepend(err, "rpc "+kind+" to "+c.addr)
 	}
 	defer l.forget(id)
-	if err := l.write(&envelope{ID: id, Kind: kind, Body: body}); err != nil {
+	if err := l.write(ctx, &envelope{ID: id, Kind: kind, Body: body}); err != nil {
 		c.drop(l)
 		return merry.Prepend(err, "rpc "+kind+" to "+c.addr+": send")
 	}
@@ -105,7 +110,7 @@
 	if err != nil {
 		return err
 	}
-	if err := l.write(&envelope{Kind: kind, Body: body}); err != nil {
+	if err := l.write(ctx, &envelope{Kind: kind, Body: body}); err != nil {
 		c.drop(l)
 		return merry.Prepend(err, "rpc "+kind+" to "+c.addr+": send")
 	}
@@ -136,21 +141,23 @@
 		}
 		return l, nil
 	}
-	c.dialing.Lock()
-	defer c.dialing.Unlock()
+	if err := c.dialing.take(ctx); err != nil {
+		return nil, err
+	}
+	defer c.dialing.pass()
 	if l, closed := c.current(); l != nil || closed {
 		if closed {
 			return nil, ErrClosed
 		}
 		return l, nil
 	}
-	dialer := net.Dialer{Timeout: dialTimeout}
-	conn, err := dialer.DialContext(ctx, "tcp", c.addr)
+	ctx, cancel := context.WithTimeout(ctx, dialTimeout)
+	defer cancel()
+	conn, err := c.network.Dial(ctx, c.addr)
 	if err != nil {
 		return nil, err
 	}
-	limitSilence(conn)
-	l := &line{conn: conn, waiting: map[uint64]chan *envelope{}, heard: time.Now()}
+	l := &line{conn: conn, writing: newTurn(), waiting: map[uint64]chan *envelope{}, heard: time.Now()}
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if c.closed {
@@ -217,9 +224,11 @@
 	return l.heard.Before(t)
 }
 
-func (l *line) write(e *envelope) error {
-	l.writing.Lock()
-	defer l.writing.Unlock()
+func (l *line) write(ctx context.Context, e *envelope) error {
+	if err := l.writing.take(ctx); err != nil {
+		return err
+	}
+	defer l.writing.pass()
 	l.conn.SetWriteDeadline(time.Now().Add(writeTimeout))
 	return writeFrame(l.conn, e)
 }
--- a/internal/rpc/pool.go
+++ b/internal/rpc/pool.go
@@ -8,6 +8,8 @@
 
 // Pool keeps a client for each peer, and an outbox for one-way messages that never blocks its caller.
 type Pool struct {
+	network Network
+
 	mu      sync.Mutex
 	clients map[string]*Client
 	outbox  map[string]chan outgoing
@@ -22,9 +24,12 @@
 // outboxDepth bounds what waits for a peer that does not read; beyond it messages are dropped, as on a lossy link.
 const outboxDepth = 256
 
-// NewPool makes an empty pool.
-func NewPool() *Pool {
-	return &Pool{clients: map[string]*Client{}, outbox: map[string]chan outgoing{}, done: make(chan struct{})}
+// NewPool makes an empty pool of TCP connections.
+func NewPool() *Pool { return NewPoolOn(TCP{}) }
+
+// NewPoolOn makes an empty pool of connections over a network.
+func NewPoolOn(network Network) *Pool {
+	return &Pool{network: network, clients: map[string]*Client{}, outbox: map[string]chan outgoing{}, done: make(chan struct{})}
 }
 
 // Client gives the client of a peer.
@@ -33,7 +38,7 @@
 	defer p.mu.Unlock()
 	c := p.clients[addr]
 	if c == nil {
-		c = NewClient(addr)
+		c = newClient(p.network, addr)
 		p.clients[addr] = c
 	}
 	return c
--- a/internal/rpc/server.go
+++ b/internal/rpc/server.go
@@ -4,7 +4,6 @@
 	"bufio"
 	"context"
 	"net"
-	"sync"
 	"time"
 
 	"github.com/fxamacker/cbor/v2"
@@ -30,7 +29,7 @@
 	ctx, cancel := context.WithCancel(context.Background())
 	defer cancel()
 	defer conn.Close()
-	var writing sync.Mutex
+	writing := newTurn()
 	reader := bufio.NewReader(conn)
 	for {
 		e, err := readFrame(reader)
@@ -43,8 +42,10 @@
 		}
 		go func() {
 			reply := answer(ctx, handle, e)
-			writing.Lock()
-			defer writing.Unlock()
+			if writing.take(ctx) != nil {
+				return
+			}
+			defer writing.pass()
 			conn.SetWriteDeadline(time.Now().Add(writeTimeout))
 			if writeFrame(conn, reply) != nil {
 				conn.Close()
