--- a/internal/chain/world_test.go
+++ b/internal/chain/world_test.go
@@ -49,7 +49,6 @@
 	proposes []NodeID // who may still propose a view
 	crashes  int
 	losses   int
-	broken   error
 }
 
 func operation(zone string) *replicated.Operation {
--- a/internal/conns/conns_test.go
+++ b/internal/conns/conns_test.go
@@ -28,11 +28,11 @@
 // plain is a connection as the reference has it, who looks through all for each question.
 type plain struct {
 	Entry
-	of       *searcher
-	used     int64
-	up, idle bool
-	fell     int // when it fell idle, counted
-	class    Class
+	of    *searcher
+	used  int64
+	idle  bool
+	fell  int // when it fell idle, counted
+	class Class
 }
 
 func (c *plain) Used() int64 { return c.used }
--- a/internal/fleet/desk/desk_test.go
+++ b/internal/fleet/desk/desk_test.go
@@ -22,7 +22,7 @@
 	most         byte
 	size, rounds int
 	hang         chan struct{} // a round waits for it
-	hung, round  chan struct{} // told at a round
+	hung         chan struct{} // told at a round
 	spoilt       bool          // panics at the next state
 }
 
@@ -271,7 +271,14 @@
 	}
 	first.Unlock() // in another order than taken, which is allowed
 	second.Unlock()
-	go func() { other <- panics(func() { same.Lock(); same.Unlock(); first.Lock(); first.Unlock() }) }()
+	go func() {
+		other <- panics(func() {
+			same.Lock()
+			same.Unlock() //lint:ignore SA2001 the order in which locks are taken is what is tested
+			first.Lock()
+			first.Unlock() //lint:ignore SA2001 as above
+		})
+	}()
 	if got := <-other; got != nil {
 		t.Error(got)
 	}
--- a/internal/fleet/words/search_test.go
+++ b/internal/fleet/words/search_test.go
@@ -29,7 +29,6 @@
 	enough  map[int]int64 // searcher: when a quorum last said it is silent
 	was     map[int]bool  // told silent the round before
 	zones   int
-	lost    int64
 }
 
 func (s *search) sheet(x *teller, life, number uint64) []byte {
--- a/internal/lab/capacity/desk.go
+++ b/internal/lab/capacity/desk.go
@@ -40,7 +40,7 @@
 
 // settled waits until the desk's table has the room it needs, and gives what the desk then tells.
 func settled(d *desk.Desk) ([]byte, error) {
-	last, raw := []byte{}, []byte{}
+	var last, raw []byte
 	for end := time.Now().Add(20 * time.Second); time.Now().Before(end); last = raw {
 		for rounds := d.Standings()[0].Rounds; d.Standings()[0].Rounds < rounds+1 && time.Now().Before(end); {
 			time.Sleep(5 * time.Millisecond)
--- a/internal/lab/record/world.go
+++ b/internal/lab/record/world.go
@@ -33,7 +33,6 @@
 	longest int     // such queries still to come
 	longer  int     // and of those with tens
 	refuses bool    // the list's service refuses
-	watched bool    // the mixer has asked for the list
 	shares  bool    // other mixers have something to say
 }
 
--- a/internal/lab/scale/process.go
+++ b/internal/lab/scale/process.go
@@ -11,7 +11,6 @@
 	"path/filepath"
 	"sync"
 	"syscall"
-	"time"
 )
 
 // process is one of the machine's that the rig has started. It never outlives the rig.
@@ -88,15 +87,3 @@
 	}
 	<-p.ended
 }
-
-// leave has a process end by SIGTERM, and fails where that takes longer than the limit or does not end with 0.
-func (p *process) leave(limit time.Duration) error {
-	p.cmd.Process.Signal(syscall.SIGTERM)
-	select {
-	case <-p.ended:
-		return p.err
-	case <-time.After(limit):
-		p.kill()
-		return errors.New("it does not end")
-	}
-}
--- a/internal/lab/several/front.go
+++ b/internal/lab/several/front.go
@@ -153,9 +153,7 @@
 	f.n++
 	id := fmt.Sprintf("%s-%d", f.Site, f.n)
 	l := &asked{tariff: tariffs[f.rng.Intn(len(tariffs))], text: "text of " + id}
-	for _, slice := range f.rng.Perm(slabs)[:parts] {
-		l.slices = append(l.slices, slice)
-	}
+	l.slices = append(l.slices, f.rng.Perm(slabs)[:parts]...)
 	f.mu.Unlock()
 	name := f.choose("")
 	if name == "" {
--- a/internal/lab/sites/world.go
+++ b/internal/lab/sites/world.go
@@ -82,7 +82,6 @@
 	board     []posted
 	Declared  []int64 // when each mixer held the site lost
 	False     int     // verdicts on sites that are sound
-	count     map[[3]int]int
 }
 
 type searcher struct {
@@ -104,7 +103,6 @@
 	tried       int
 	earned      float64
 	done        bool
-	admitted    bool
 }
 
 // try is one lookup as a mixer has it.
