--- /dev/null
+++ b/internal/chain/simulation_check_test.go
@@ -0,0 +1,69 @@
+package chain
+
+import (
+	"fmt"
+
+	"nettlefold/internal/replicated"
+)
+
+// check holds what a machine knows to what others knew: one view per epoch, one operation per number.
+func (s *simulation) check(n *simNode) {
+	r := n.replica
+	view := r.View()
+	if text := viewText(&view); s.views[view.Epoch] == "" {
+		s.views[view.Epoch] = text
+	} else if s.views[view.Epoch] != text {
+		s.fail("epoch %d has two views: %s and %s", view.Epoch, s.views[view.Epoch], text)
+	}
+	for i := range r.log {
+		e := &r.log[i]
+		if e.Seq > r.State().Seq {
+			break
+		}
+		if known, ok := s.seen[e.Seq]; ok && known != string(e.Operation) {
+			s.fail("number %d is committed with two operations", e.Seq)
+		} else if !ok {
+			s.seen[e.Seq] = string(e.Operation)
+			s.checkOrder(e)
+		}
+	}
+}
+
+func (s *simulation) fail(format string, values ...any) {
+	if s.broken == nil {
+		s.broken = fmt.Errorf("at %v: "+format, append([]any{s.now}, values...)...)
+	}
+}
+
+// checkOrder holds a committed evacuation, or its end, to the operator's calls: one of them must have asked for it that was not given up
+// before a newer opposite order was sent and acknowledged.
+func (s *simulation) checkOrder(e *Entry) {
+	o, err := replicated.DecodeOperation(e.Operation)
+	if err != nil || o.Kind != replicated.KindEvacuate && o.Kind != replicated.KindRestore {
+		return
+	}
+	for _, c := range s.calls {
+		if c.is(o.Kind, o.Zone) && !s.overtaken(c) {
+			return
+		}
+	}
+	s.fail("number %d: %s of %s was taken, but every order for it had been given up before a newer opposite one was acknowledged", e.Seq, o.Kind, o.Zone)
+}
+
+func (c *call) is(kind, zone string) bool {
+	return c.operation != nil && c.operation.Kind == kind && c.operation.Zone == zone
+}
+
+// overtaken tells whether an order was over before an opposite one was sent that is acknowledged by now.
+func (s *simulation) overtaken(c *call) bool {
+	opposite := replicated.KindRestore
+	if c.operation.Kind == opposite {
+		opposite = replicated.KindEvacuate
+	}
+	for _, later := range s.calls {
+		if later.is(opposite, c.operation.Zone) && later.outcome == outcomeTaken && c.over() && later.began > c.ended {
+			return true
+		}
+	}
+	return false
+}
--- /dev/null
+++ b/internal/chain/transfer.go
@@ -0,0 +1,90 @@
+package chain
+
+import (
+	"slices"
+
+	"nettlefold/internal/replicated"
+)
+
+func (r *Replica) onTransfer(m *Message) {
+	t := m.Transfer
+	if t.Epoch != r.meta.View.Epoch || t.Ballot != r.meta.Promised || !r.serving() {
+		return
+	}
+	for _, target := range t.Targets {
+		if bring := r.bring(&target); bring != nil {
+			bring.Epoch, bring.Ballot, bring.Proposer = t.Epoch, t.Ballot, m.From
+			r.send(target.Member, Message{CatchUp: bring})
+		}
+	}
+}
+
+// bring gives what a target lacks of this log; nil if that is too much to be brought while nothing is written: it fetches it first.
+func (r *Replica) bring(target *Target) *CatchUp {
+	switch {
+	case target.LogEpoch == r.meta.View.Epoch && target.LogLength+1 >= r.first:
+		return &CatchUp{Entries: r.entriesAfter(target.LogLength)}
+	case target.Commit < r.nearFrom():
+		return nil
+	case target.Commit+1 >= r.first && target.Commit <= r.length():
+		return &CatchUp{Rebase: true, Base: target.Commit, Entries: r.entriesAfter(target.Commit)}
+	}
+	return &CatchUp{State: r.state.Encode(), Entries: r.entriesAfter(r.state.Seq)}
+}
+
+func (r *Replica) entriesAfter(seq uint64) []Entry {
+	if seq >= r.length() {
+		return nil
+	}
+	return slices.Clone(r.log[seq+1-r.first:])
+}
+
+// onCatchUp extends the log, never shortens it: a log of this epoch's chain stays at least as long as any view that was put to the
+// vote says. What is too much is cut off when a view is decided.
+func (r *Replica) onCatchUp(m *Message) {
+	c := m.CatchUp
+	if c.Epoch != r.meta.View.Epoch || c.Ballot != r.meta.Promised {
+		return
+	}
+	if r.meta.LogEpoch != c.Epoch && !r.rebase(c) {
+		return
+	}
+	for _, e := range c.Entries {
+		if e.Seq == r.length()+1 {
+			r.take(e)
+		}
+	}
+	r.send(c.Proposer, Message{CaughtUp: &CaughtUp{c.Epoch, c.Ballot, r.length()}})
+}
+
+// rebase begins a log of this epoch's chain, on the state that was brought or on the committed one that is here.
+func (r *Replica) rebase(c *CatchUp) bool {
+	encoded := c.State
+	switch {
+	case encoded != nil:
+		state, err := replicated.Decode(encoded)
+		if err != nil {
+			return false
+		}
+		r.state = state
+		r.out.Committed = true
+	case c.Rebase && c.Base <= r.state.Seq:
+		encoded = r.state.Encode()
+	default:
+		return false
+	}
+	r.meta.LogEpoch = c.Epoch
+	r.restartLog(encoded)
+	return true
+}
+
+func (r *Replica) onCaughtUp(m *Message) {
+	p, c := r.proposal, m.CaughtUp
+	if p == nil || p.view != nil || p.source == "" || c.Epoch != r.meta.View.Epoch || c.Ballot != p.ballot || c.LogLength < p.length {
+		return
+	}
+	p.caught[m.From.ID] = true
+	if len(p.caught) == len(p.targets)+1 {
+		r.vote(r.lastTick)
+	}
+}
--- a/internal/controller/controller.go
+++ b/internal/controller/controller.go
@@ -4,11 +4,6 @@
 
 import (
 	"context"
-	"crypto/rand"
-	"encoding/hex"
-	"errors"
-	"net/http"
-	"slices"
 	"strings"
 	"sync/atomic"
 	"time"
@@ -103,69 +98,6 @@
 
 func (c *Controller) now() time.Duration { return time.Since(c.start) }
 
-// open reads the state from disk and starts a replica of it; a disk with none gets an identity first.
-func (c *Controller) open() error {
-	store, saved, err := c.load()
-	var damage *durable.DamageError
-	if errors.As(err, &damage) {
-		c.log.Error().Err(err).Str("step", "open").Msg("the state on disk is damaged: it is set aside, and this machine joins as a newcomer")
-		if err := durable.SetAside(c.settings.DataDirectory); err != nil {
-			return err
-		}
-		store, saved, err = c.load()
-	}
-	if err != nil {
-		return err
-	}
-	if saved.Meta.Identity == "" {
-		saved.Meta = c.firstMeta(damage != nil)
-		if err := store.Write([]chain.Record{{Meta: &saved.Meta}}); err != nil {
-			store.Close()
-			return err
-		}
-	}
-	c.store = store
-	c.replica = chain.New(chain.Options{Self: c.self(saved.Meta.Identity), Copies: c.settings.LostMachines + 1, Timing: chain.DefaultTiming()}, saved)
-	c.replica.SetSeeds(c.seedAddrs())
-	if !c.leaving.IsZero() {
-		c.replica.Leave(c.now())
-	}
-	c.log.Info().Str("step", "open").Str("identity", string(saved.Meta.Identity)).Uint64("epoch", saved.Meta.View.Epoch).
-		Int("entries", len(saved.Entries)).Msg("state read")
-	return nil
-}
-
-// load opens the store and reads it.
-func (c *Controller) load() (*durable.Store, chain.Saved, error) {
-	store, err := durable.Open(c.settings.DataDirectory)
-	if err != nil {
-		return nil, chain.Saved{}, err
-	}
-	saved, err := store.Load()
-	if err != nil {
-		store.Close()
-		return nil, chain.Saved{}, err
-	}
-	return store, saved, nil
-}
-
-// firstMeta gives an empty disk its identity. At the first start of the whole system the seeds are the first view, which all
-// machines know alike; anyone else is a newcomer, who answers for nothing that a lost or damaged disk may have promised.
-func (c *Controller) firstMeta(damaged bool) chain.Meta {
-	if c.settings.FirstStart && !damaged && slices.Contains(c.settings.Seeds, c.settings.ControlAddr) {
-		view := chain.View{Epoch: 1}
-		for _, seed := range c.settings.Seeds {
-			id := chain.NodeID(seed + firstIdentity)
-			view.Acceptors = append(view.Acceptors, chain.Member{ID: id, Addr: c.settings.InternalAddr(seed), Control: seed})
-			view.Chain = append(view.Chain, id)
-		}
-		return chain.Meta{Identity: chain.NodeID(c.settings.ControlAddr + firstIdentity), View: view, LogEpoch: 1}
-	}
-	var random [8]byte
-	rand.Read(random[:])
-	return chain.Meta{Identity: chain.NodeID(c.settings.ControlAddr + "/" + hex.EncodeToString(random[:]))}
-}
-
 func (c *Controller) self(id chain.NodeID) chain.Member {
 	return chain.Member{ID: id, Addr: c.settings.InternalAddr(c.settings.IP), Control: c.settings.ControlAddr, Zone: c.settings.Zone}
 }
@@ -186,69 +118,6 @@
 	})
 }
 
-// Run serves until ctx ends, and then until the others do without it or its grace is nearly over.
-func (c *Controller) Run(ctx context.Context) error {
-	listener, err := c.network.Listen(c.settings.InternalAddr(c.settings.IP))
-	if err != nil {
-		return merry.Prepend(err, "controller: listen to machines")
-	}
-	go rpc.Serve(listener, c.handle)
-	api, err := c.serveAPI()
-	if err != nil {
-		return err
-	}
-	defer listener.Close()
-	c.own(ctx.Done(), nil)
-	c.handOver()
-	closed := make(chan struct{})
-	go func() {
-		defer close(closed)
-		c.closeAPI(api)
-	}()
-	c.own(closed, nil)
-	close(c.done)
-	return nil
-}
-
-// own works through commands and ticks until a channel is closed, or until enough tells so after a tick.
-func (c *Controller) own(end <-chan struct{}, enough func() bool) {
-	ticker := time.NewTicker(tickEvery)
-	defer ticker.Stop()
-	for {
-		select {
-		case command := <-c.commands:
-			command()
-		case <-ticker.C:
-			c.tick()
-			if enough != nil && enough() {
-				return
-			}
-		case <-end:
-			return
-		}
-	}
-}
-
-// handOver tells the other machines that this one is to end, and serves on until they have a view without it.
-func (c *Controller) handOver() {
-	c.leaving = time.Now()
-	limit := c.settings.Bounds.Grace - leaveMargin
-	c.perform(c.replica.Leave(c.now()))
-	if limit > 0 && !c.replica.MayEnd(c.now()) {
-		c.own(nil, func() bool { return c.replica.MayEnd(c.now()) || time.Since(c.leaving) > limit })
-	}
-	c.log.Info().Str("step", "leave").Bool("handed_over", c.replica.MayEnd(c.now())).Dur("took", time.Since(c.leaving)).Msg("ending")
-}
-
-// closeAPI lets the operator's calls that run come to their end.
-func (c *Controller) closeAPI(api *http.Server) {
-	ctx, cancel := context.WithTimeout(context.Background(), callLimit)
-	defer cancel()
-	if api.Shutdown(ctx) != nil {
-		api.Close()
-	}
-}
-
 // enqueue hands the owner a command.
 func (c *Controller) enqueue(command func()) {
 	select {
@@ -337,24 +206,6 @@
 	return named
 }
 
-func (c *Controller) tryReopen() {
-	if time.Since(c.broken) < reopenAfter {
-		return
-	}
-	c.broken = time.Now()
-	c.store.Close()
-	if err := c.open(); err != nil {
-		c.log.Error().Err(err).Str("step", "reopen").Msg("disk still fails")
-		return
-	}
-	if err := c.store.Renew(); err != nil {
-		c.log.Error().Err(err).Str("step", "reopen").Msg("disk still fails")
-		return
-	}
-	c.broken = time.Time{}
-	c.publish(true)
-}
-
 // publish shows others what is in force, when it differs or is known to.
 func (c *Controller) publish(changed bool) {
 	old := c.public.Load()
--- /dev/null
+++ b/internal/controller/run.go
@@ -0,0 +1,74 @@
+package controller
+
+import (
+	"context"
+	"net/http"
+	"time"
+
+	"github.com/ansel1/merry/v2"
+
+	"nettlefold/internal/rpc"
+)
+
+// Run serves until ctx ends, and then until the others do without it or its grace is nearly over.
+func (c *Controller) Run(ctx context.Context) error {
+	listener, err := c.network.Listen(c.settings.InternalAddr(c.settings.IP))
+	if err != nil {
+		return merry.Prepend(err, "controller: listen to machines")
+	}
+	go rpc.Serve(listener, c.handle)
+	api, err := c.serveAPI()
+	if err != nil {
+		return err
+	}
+	defer listener.Close()
+	c.own(ctx.Done(), nil)
+	c.handOver()
+	closed := make(chan struct{})
+	go func() {
+		defer close(closed)
+		c.closeAPI(api)
+	}()
+	c.own(closed, nil)
+	close(c.done)
+	return nil
+}
+
+// own works through commands and ticks until a channel is closed, or until enough tells so after a tick.
+func (c *Controller) own(end <-chan struct{}, enough func() bool) {
+	ticker := time.NewTicker(tickEvery)
+	defer ticker.Stop()
+	for {
+		select {
+		case command := <-c.commands:
+			command()
+		case <-ticker.C:
+			c.tick()
+			if enough != nil && enough() {
+				return
+			}
+		case <-end:
+			return
+		}
+	}
+}
+
+// handOver tells the other machines that this one is to end, and serves on until they have a view without it.
+func (c *Controller) handOver() {
+	c.leaving = time.Now()
+	limit := c.settings.Bounds.Grace - leaveMargin
+	c.perform(c.replica.Leave(c.now()))
+	if limit > 0 && !c.replica.MayEnd(c.now()) {
+		c.own(nil, func() bool { return c.replica.MayEnd(c.now()) || time.Since(c.leaving) > limit })
+	}
+	c.log.Info().Str("step", "leave").Bool("handed_over", c.replica.MayEnd(c.now())).Dur("took", time.Since(c.leaving)).Msg("ending")
+}
+
+// closeAPI lets the operator's calls that run come to their end.
+func (c *Controller) closeAPI(api *http.Server) {
+	ctx, cancel := context.WithTimeout(context.Background(), callLimit)
+	defer cancel()
+	if api.Shutdown(ctx) != nil {
+		api.Close()
+	}
+}
--- a/internal/durable/store.go
+++ b/internal/durable/store.go
@@ -4,7 +4,6 @@
 package durable
 
 import (
-	"cmp"
 	"errors"
 	"fmt"
 	"os"
@@ -18,7 +17,6 @@
 	"github.com/tidwall/buntdb"
 
 	"nettlefold/internal/chain"
-	"nettlefold/internal/replicated"
 )
 
 const (
@@ -339,139 +337,3 @@
 	s.marked = false
 	return nil
 }
-
-// tidy drops what a new snapshot covers, and compacts a file that holds much else. What fails here is tried again another time.
-func (s *Store) tidy(records []chain.Record) {
-	if !slices.ContainsFunc(records, func(r chain.Record) bool { return r.Snapshot != nil }) {
-		return
-	}
-	kept, err := s.kept()
-	if err != nil {
-		return
-	}
-	s.live = 0
-	for key, value := range kept {
-		s.live += int64(len(key) + len(value) + 40)
-	}
-	if s.size > max(compactAbove, compactRatio*s.live) {
-		s.compact(kept) // on the old file all goes on if it fails
-	}
-}
-
-// Renew writes all that is kept into a new file. After a write or a sync that failed nothing tells what the old one holds for sure.
-func (s *Store) Renew() error {
-	kept, err := s.kept()
-	if err != nil {
-		return err
-	}
-	return s.compact(kept)
-}
-
-// kept is what the newest state needs: meta, its generation's snapshot, and the entries that follow it.
-func (s *Store) kept() (map[string]string, error) {
-	saved, err := s.Load()
-	if err != nil {
-		return nil, err
-	}
-	generation, after := saved.Meta.Generation, uint64(0)
-	if saved.State != nil {
-		after = saved.State.Seq
-	}
-	least := entryKey(generation, after+1)
-	kept := map[string]string{}
-	err = s.db.View(func(tx *buntdb.Tx) error {
-		return tx.Ascend("", func(key, value string) bool {
-			if key == metaKey || key == snapshotKey(generation) ||
-				strings.HasPrefix(key, least[:len("entry/")+8]) && key >= least {
-				kept[key] = value
-			}
-			return true
-		})
-	})
-	return kept, err
-}
-
-func (s *Store) compact(kept map[string]string) error {
-	next, err := create(s.dir, s.number+1, kept)
-	if err != nil {
-		return err
-	}
-	s.close()
-	os.Remove(s.path)
-	*s = *next
-	return nil
-}
-
-// Load reads what a replica starts from. State is nil and Entries are empty where nothing was written. It fails with a *DamageError where
-// what was written once is not there.
-func (s *Store) Load() (saved chain.Saved, err error) {
-	payload, written, err := s.get(metaKey)
-	if err != nil {
-		return saved, err
-	}
-	if written {
-		if err := cbor.Unmarshal(payload, &saved.Meta); err != nil {
-			return saved, merry.Prepend(err, "store: read meta")
-		}
-	}
-	payload, taken, err := s.get(snapshotKey(saved.Meta.Generation))
-	if err != nil {
-		return saved, err
-	}
-	if taken {
-		var snapshot chain.Snapshot
-		if err := cbor.Unmarshal(payload, &snapshot); err != nil {
-			return saved, merry.Prepend(err, "store: read snapshot")
-		}
-		if saved.State, err = replicated.Decode(snapshot.State); err != nil {
-			return saved, merry.Prepend(err, "store: read snapshot")
-		}
-	}
-	saved.Entries, err = s.entries(saved.Meta.Generation)
-	if err != nil {
-		return saved, err
-	}
-	slices.SortFunc(saved.Entries, func(a, b chain.Entry) int { return cmp.Compare(a.Seq, b.Seq) })
-	return saved, s.complete(&saved)
-}
-
-// complete holds what was loaded to being without gaps: a state that was taken over whole is there, and the entries go on from it.
-func (s *Store) complete(saved *chain.Saved) error {
-	next := uint64(1)
-	if saved.State != nil {
-		next = saved.State.Seq + 1
-	} else if saved.Meta.Generation > 0 {
-		return s.damage(fmt.Sprintf("the snapshot of generation %d is missing", saved.Meta.Generation))
-	}
-	for _, e := range saved.Entries {
-		if e.Seq > next {
-			return s.damage(fmt.Sprintf("entry %d is missing", next))
-		}
-		next = max(next, e.Seq+1)
-	}
-	return nil
-}
-
-func (s *Store) entries(generation uint64) (entries []chain.Entry, err error) {
-	from := entryKey(generation, 0)
-	within := from[:len("entry/")+9]
-	viewErr := s.db.View(func(tx *buntdb.Tx) error {
-		return tx.AscendGreaterOrEqual("", from, func(key, value string) bool {
-			if !strings.HasPrefix(key, within) {
-				return false
-			}
-			var e chain.Entry
-			payload, ok := unseal(key, value)
-			if !ok {
-				err = s.damage("the checksum of " + key + " does not hold")
-				return false
-			}
-			if err = cbor.Unmarshal(payload, &e); err != nil {
-				return false
-			}
-			entries = append(entries, e)
-			return true
-		})
-	})
-	return entries, errors.Join(err, viewErr)
-}
