--- a/internal/agent/agent.go
+++ b/internal/agent/agent.go
@@ -92,7 +92,7 @@
 		settings:  settings,
 		log:       log,
 		pool:      rpc.NewPool(),
-		web:       &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 2, DisableCompression: true}},
+		web:       newWeb(),
 		self:      distribute.Agent{ID: life, Addr: settings.InternalAddr(settings.IP), Zone: settings.Zone},
 		start:     time.Now(),
 		commands:  make(chan func(), commandQueue),
@@ -111,6 +111,15 @@
 	return a
 }
 
+// newWeb makes the client of backends and of the platform. It follows no redirection: an order must reach the backend that it is meant
+// for, or none.
+func newWeb() *http.Client {
+	return &http.Client{
+		Transport:     &http.Transport{MaxIdleConnsPerHost: 2, DisableCompression: true},
+		CheckRedirect: func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse },
+	}
+}
+
 // Run works until ctx ends.
 func (a *Agent) Run(ctx context.Context) error {
 	outside, err := net.Listen("tcp", a.self.Addr)
