--- a/internal/proxy/proxy_test.go
+++ b/internal/proxy/proxy_test.go
@@ -23,11 +23,15 @@
  {"host":"h","path_prefix":"/once/","kind":"non_idempotent","timeout_ms":3000,"target_latency_ms":300,"max_attempts":3,"service":"llm"},
  {"host":"h","path_prefix":"/stream/","kind":"streaming","timeout_ms":3000,"target_latency_ms":1000,"max_attempts":2,"service":"llm","resumable":true},
  {"host":"h","path_prefix":"/cut/","kind":"streaming","timeout_ms":3000,"target_latency_ms":1000,"max_attempts":2,"service":"llm"},
+ {"host":"h","path_prefix":"/short/","kind":"idempotent","timeout_ms":100,"max_attempts":2,"service":"llm"},
  {"host":"h","path_prefix":"/open/","kind":"idempotent","timeout_ms":3000,"max_attempts":1,"service":"llm","public":true}],
  "services":[{"name":"llm","connection_limit":100,"engine":{"slots":64,"kv_capacity_tokens":100000}}],
  "limits":{"max_body_bytes":1000},
  "tenants":[{"name":"t1","api_keys":["k1"],"priority":1},{"name":"walled","api_keys":["k2"],"isolated":true}]}`
 
+// shortRoute is the time of the route /short/.
+const shortRoute = 100 * time.Millisecond
+
 // rig is a proxy that was fed by hand, and its backends.
 type rig struct {
 	t     *testing.T
