Store: what is read at a start is synced first

Cause, by reading: a process that is killed between a write and its sync leaves whole records in the file. The next start read them as if they lasted, told others how long its log was, and as tail could commit by them; power lost after that took them away. Ruled out: dropping them (they may have been synced and told). Change: the file is synced before it is read. Test: a sync that fails, the start refuses; then one sync before all.

--- a/internal/durable/store.go
+++ b/internal/durable/store.go
@@ -109,17 +109,18 @@
 	return s, nil
 }
 
-// repair cuts off what was being written when the power went. It fails with a *DamageError, and changes nothing, where what cannot be
-// read was synced once.
+// fsync makes a file's contents lasting; tests have it fail.
+var fsync = (*os.File).Sync
+
+// repair cuts off what was being written when the power went, and syncs what is left: a process that was killed may have written it without
+// the sync, and whoever reads it now relies on it. It fails with a *DamageError, and changes nothing, where what cannot be read was synced
+// once.
 func repair(path string) error {
 	text, err := os.ReadFile(path)
 	if err != nil {
 		return merry.Prepend(err, "store: read "+path)
 	}
 	found := scan(text)
-	if found.reason == "" {
-		return nil
-	}
 	if found.damaged {
 		return &DamageError{path, found.whole, found.reason}
 	}
@@ -128,10 +129,12 @@
 		return merry.Prepend(err, "store: repair "+path)
 	}
 	defer file.Close()
-	if err := file.Truncate(found.whole); err != nil {
-		return merry.Prepend(err, "store: repair "+path)
+	if found.reason != "" {
+		if err := file.Truncate(found.whole); err != nil {
+			return merry.Prepend(err, "store: repair "+path)
+		}
 	}
-	return merry.Prepend(file.Sync(), "store: repair "+path)
+	return merry.Prepend(fsync(file), "store: repair "+path)
 }
 
 // attach opens a file as it is.
@@ -192,7 +195,7 @@
 		return merry.Prepend(err, "store: sync directory")
 	}
 	defer d.Close()
-	return merry.Prepend(d.Sync(), "store: sync directory")
+	return merry.Prepend(fsync(d), "store: sync directory")
 }
 
 func (s *Store) removeOthers(numbers []int) {
@@ -331,7 +334,7 @@
 func (s *Store) damage(cause string) *DamageError { return &DamageError{s.path, -1, cause} }
 
 func (s *Store) sync() error {
-	if err := s.file.Sync(); err != nil {
+	if err := fsync(s.file); err != nil {
 		return merry.Prepend(err, "store: sync "+s.path)
 	}
 	s.marked = false
--- a/internal/durable/store_test.go
+++ b/internal/durable/store_test.go
@@ -1,6 +1,7 @@
 package durable
 
 import (
+	"errors"
 	"fmt"
 	"math/rand/v2"
 	"os"
@@ -274,6 +275,31 @@
 	}
 }
 
+// TestWhatAKilledProcessLeftIsSyncedBeforeItIsRead: a process that is killed between the write and its sync leaves records that the next one
+// reads; the power may go after that. They are relied on only once they are synced.
+func TestWhatAKilledProcessLeftIsSyncedBeforeItIsRead(t *testing.T) {
+	defer func() { fsync = (*os.File).Sync }()
+	dir := t.TempDir()
+	s := open(t, dir)
+	require.NoError(t, s.Write([]chain.Record{meta(1), entry(1, 10)}))
+	fsync = func(*os.File) error { return errors.New("killed here") }
+	require.Error(t, s.Write([]chain.Record{entry(2, 10)}))
+	s.close()
+	_, err := Open(dir)
+	require.Error(t, err, "what cannot be synced is not read")
+	synced := 0
+	fsync = func(f *os.File) error {
+		synced++
+		return f.Sync()
+	}
+	s = open(t, dir)
+	defer s.Close()
+	require.Equal(t, 1, synced, "before anything is read")
+	saved, err := s.Load()
+	require.NoError(t, err)
+	require.Len(t, saved.Entries, 2)
+}
+
 // TestRenew: after a write that failed, what is kept goes into a file of its own.
 func TestRenew(t *testing.T) {
 	dir := t.TempDir()
