--- a/internal/controller/simulated_test.go
+++ b/internal/controller/simulated_test.go
@@ -147,7 +147,7 @@
 			require.True(t, ok)
 			answered := make(chan simtest.Outcome)
 			go func() { answered <- w.put(ipOf(i), version, version+1, "the last") }()
-			time.Sleep(4 * worldLatency)
+			time.Sleep(4 * simtest.Latency)
 			began := time.Now()
 			w.end(ipOf(i), true)
 			require.Less(t, time.Since(began), 2*time.Second)
@@ -197,7 +197,7 @@
 				w.ask(contact, http.MethodPost, "/v1/evacuations/x", "", "")
 				close(done)
 			}()
-			time.Sleep(5 * worldLatency) // it has read what the order is based on, or is about to
+			time.Sleep(5 * simtest.Latency) // it has read what the order is based on, or is about to
 			w.setLink(true, contact, head)
 			require.Equal(t, 200, status(w.ask(other, http.MethodPost, "/v1/evacuations/x", "", "")))
 			require.Equal(t, 200, status(w.ask(other, http.MethodDelete, "/v1/evacuations/x", "", "")))
--- a/internal/controller/world_test.go
+++ b/internal/controller/world_test.go
@@ -23,27 +23,17 @@
 // A world plays whole controllers, their own code with its goroutines, store and HTTP, in a synctest bubble: time passes only when all wait,
 // and the machines meet over a network in memory that delays, holds up and cuts.
 
-const (
-	worldLatency = 2 * time.Millisecond
-	// heldLimit is when a connection ends whose bytes nobody acknowledges, as the kernel does for ours.
-	heldLimit = 900 * time.Millisecond
-	worldPort = 7340
-	// closeLimit is when the other end of such a connection learns of it, at the latest.
-	closeLimit = 10 * time.Second
-)
+const worldPort = 7340
 
 type world struct {
 	t        *testing.T
 	dir      string
 	machines map[string]*worldMachine
 
-	mu        sync.Mutex
-	listeners map[string]*worldListener
-	cut       map[[2]string]bool    // from IP, to IP
-	healed    chan struct{}         // closed and replaced when links change
-	conns     map[string][]net.Conn // of each machine's process
-	start     time.Time
-	calls     []simtest.Call
+	network *simtest.Network
+	mu      sync.Mutex // of calls
+	start   time.Time
+	calls   []simtest.Call
 }
 
 // worldMachine is a core machine and the process that runs on it, if one does.
@@ -56,10 +46,7 @@
 }
 
 func newWorld(t *testing.T, n int) *world {
-	w := &world{
-		t: t, dir: t.TempDir(), machines: map[string]*worldMachine{}, listeners: map[string]*worldListener{},
-		cut: map[[2]string]bool{}, conns: map[string][]net.Conn{}, healed: make(chan struct{}), start: time.Now(),
-	}
+	w := &world{t: t, dir: t.TempDir(), machines: map[string]*worldMachine{}, network: simtest.NewNetwork(), start: time.Now()}
 	for i := range n {
 		w.add(i+1, true)
 	}
@@ -86,7 +73,7 @@
 // boot starts a machine's process on what is on its disk.
 func (w *world) boot(ip string) {
 	m := w.machines[ip]
-	c, err := newOn(&worldNetwork{w, ip}, m.settings, zerolog.Nop())
+	c, err := newOn(w.network.Host(ip), m.settings, zerolog.Nop())
 	require.NoError(w.t, err)
 	ctx, stop := context.WithCancel(context.Background())
 	m.controller, m.stop, m.ended = c, stop, make(chan struct{})
@@ -109,23 +96,12 @@
 	<-m.ended
 	m.controller.pool.Close()
 	m.controller.store.Close()
-	w.closeConns(ip)
+	w.network.CloseHost(ip)
 	if !grace {
 		w.separate(false, ip)
 	}
 }
 
-// closeConns closes a machine's connections, as the end of its process does.
-func (w *world) closeConns(ip string) {
-	w.mu.Lock()
-	conns := w.conns[ip]
-	delete(w.conns, ip)
-	w.mu.Unlock()
-	for _, conn := range conns {
-		conn.Close()
-	}
-}
-
 func (w *world) close() {
 	for ip := range w.machines {
 		if m := w.machines[ip]; m.controller != nil {
@@ -136,7 +112,7 @@
 			}
 		}
 	}
-	time.Sleep(2 * closeLimit) // what still waits for a link or a timer comes to its end
+	time.Sleep(simtest.Settled)
 }
 
 // separate cuts a machine off from all others, or joins it again.
@@ -164,40 +140,7 @@
 	}
 }
 
-func (w *world) setLink(cut bool, from, to string) {
-	w.mu.Lock()
-	defer w.mu.Unlock()
-	if cut {
-		w.cut[[2]string{from, to}] = true
-		return
-	}
-	delete(w.cut, [2]string{from, to})
-	close(w.healed)
-	w.healed = make(chan struct{})
-}
-
-func (w *world) isCut(from, to string) (bool, chan struct{}) {
-	w.mu.Lock()
-	defer w.mu.Unlock()
-	return w.cut[[2]string{from, to}], w.healed
-}
-
-// passes waits until a link carries, at most so long.
-func (w *world) passes(from, to string, limit time.Duration) bool {
-	timer := time.NewTimer(limit)
-	defer timer.Stop()
-	for {
-		cut, healed := w.isCut(from, to)
-		if !cut {
-			return true
-		}
-		select {
-		case <-healed:
-		case <-timer.C:
-			return false
-		}
-	}
-}
+func (w *world) setLink(cut bool, from, to string) { w.network.Cut(cut, from, to) }
 
 // put writes a configuration at a machine and notes the call for the check of the history.
 func (w *world) put(ip string, base, version int64, mark string) simtest.Outcome {
@@ -287,7 +230,7 @@
 
 // ask sends one call of the operator to a machine: status 0 where no answer came in time.
 func (w *world) ask(ip, method, path, match, body string) (status int, text string) {
-	network := &worldNetwork{w, operatorIP}
+	network := w.network.Host(operatorIP)
 	client := &http.Client{Timeout: operatorPatience, Transport: &http.Transport{
 		DisableKeepAlives: true,
 		DialContext:       func(ctx context.Context, _, addr string) (net.Conn, error) { return network.Dial(ctx, addr) },
