--- a/internal/chain/membership_test.go
+++ b/internal/chain/membership_test.go
@@ -169,6 +169,32 @@
 	requireWritable(t, s, time.Second, "writes go on")
 }
 
+// TestQuickRestarts: machines that are back before they are missed cost no view, one alone or all at once.
+func TestQuickRestarts(t *testing.T) {
+	for _, machines := range [][]string{{"a", "b", "c"}, {"a", "b", "c", "d", "e"}, {"a", "b", "c", "d", "e", "f", "g", "h", "i"}} {
+		for seed := uint64(1); seed <= 10; seed++ {
+			s := newSimulation(seed, 2, machines...)
+			s.run(3 * time.Second)
+			settled := s.epoch()
+			for _, addr := range machines {
+				s.kill(addr)
+			}
+			for _, addr := range machines {
+				s.run(s.between(0, 60*time.Millisecond))
+				s.restart(addr)
+			}
+			requireWritable(t, s, time.Second, "all are back")
+			s.run(5 * time.Second)
+			require.Equal(t, settled, s.epoch(), "all at once")
+			s.kill("b")
+			s.run(300 * time.Millisecond)
+			s.restart("b")
+			s.run(3 * time.Second)
+			require.Equal(t, settled, s.epoch(), "one alone")
+		}
+	}
+}
+
 // TestLeavingHead: a head that is told to end with a write under way loses nothing, and the others go on at once.
 func TestLeavingHead(t *testing.T) {
 	for seed := uint64(1); seed <= 30; seed++ {
--- a/internal/chain/messages.go
+++ b/internal/chain/messages.go
@@ -35,6 +35,7 @@
 	Applied   uint64   `cbor:"7,keyasint"`            // that all its sessions' agents have applied; NoSessions if it has none
 	Leaving   bool     `cbor:"9,keyasint,omitempty"`  // it was told to end, and waits for a view without it
 	Near      uint64   `cbor:"10,keyasint,omitempty"` // who has committed so much can be brought the rest at once
+	Fresh     bool     `cbor:"11,keyasint,omitempty"` // it has just started, and may not have heard yet whom it can hear
 }
 
 // Hears tells whether its sender hears a member of a view.
@@ -46,10 +47,10 @@
 	return slices.Contains(h.Heard, id)
 }
 
-// MayHear is Hears, but takes a sender for hearing everybody that says so of another view: views differ for a moment whenever one
-// begins, and that is no loss of a link.
+// MayHear is Hears, but takes a sender for hearing everybody that says so of another view, or has just started: views differ for a moment
+// whenever one begins, and neither is the loss of a link.
 func (h *Heartbeat) MayHear(view *View, id NodeID) bool {
-	return h.HeardAll && h.Epoch != view.Epoch || h.Hears(view, id)
+	return h.Fresh || h.HeardAll && h.Epoch != view.Epoch || h.Hears(view, id)
 }
 
 // Prepare asks for a promise under a ballot, for the epoch after View's.
--- a/internal/chain/random_runs_test.go
+++ b/internal/chain/random_runs_test.go
@@ -183,6 +183,7 @@
 			tr.thaw(addr)
 		}
 		tr.nodes[addr].sync = simSync
+		tr.nodes[addr].busy = min(tr.nodes[addr].busy, tr.now) // nothing is left of a slow disk's queue
 	}
 }
 
--- a/internal/chain/want.go
+++ b/internal/chain/want.go
@@ -43,12 +43,13 @@
 	return heard >= r.meta.View.Majority() && intact && len(want.chain) >= r.options.Copies
 }
 
-// want tells which view is wanted, and whether it differs from the one in force.
+// want tells which view is wanted, and whether it differs from the one in force, as far as this replica can tell: one that has just started
+// wants no other members.
 func (r *Replica) want(now time.Duration) (wanted, bool) {
 	view := &r.meta.View
 	want := wanted{chain: r.wantedChain(now)}
 	want.acceptors = r.wantedAcceptors(now, want.chain)
-	same := sameMembers(want.acceptors, view.Acceptors) && sameSet(want.chain, view.Chain)
+	same := r.fresh(now) || sameMembers(want.acceptors, view.Acceptors) && sameSet(want.chain, view.Chain)
 	return want, !same || r.stuck(now) || r.anySealed(now) || r.broken(now)
 }
 
--- a/internal/chain/watch.go
+++ b/internal/chain/watch.go
@@ -47,6 +47,7 @@
 		Applied:   r.applied,
 		Leaving:   r.leaving,
 		Near:      r.nearFrom(),
+		Fresh:     r.fresh(now),
 	}
 	for id, p := range r.peers {
 		if now-p.heard < r.options.Timing.Suspect {
@@ -62,6 +63,9 @@
 	}
 }
 
+// fresh tells whether this replica has run for so short a time that it may not have heard yet whom it can hear.
+func (r *Replica) fresh(now time.Duration) bool { return now-r.started < r.options.Timing.Suspect }
+
 // hearsMembersOnly tells whether those heard are just the other members of the view.
 func (r *Replica) hearsMembersOnly(heard []NodeID) bool {
 	others := 0
