Feed: a list that changes does not hold the index up

While new weights are loaded the list changes with nearly each call, so mixers heard nothing of kept prompts for seconds. Test: the index comes while both change with each call.

--- a/internal/agent/agent.go
+++ b/internal/agent/agent.go
@@ -307,12 +307,12 @@
 	if !same || request.Members != a.members.Digest {
 		reply.Members, fresh = a.members, true
 	}
-	urgent := reply.Snapshot != nil || reply.List != nil || reply.Members != nil
-	return reply, a.feedIndex(request, reply, urgent) || fresh
+	return reply, a.feedIndex(request, reply, reply.Snapshot != nil) || fresh
 }
 
-// feedIndex adds what a proxy lacks of the index, as much as one reply may bring; nothing but the news that it has to begin anew where
-// something more urgent is in the reply. It tells whether it added something.
+// feedIndex adds what a proxy lacks of the index, as much as one reply may bring; beside a snapshot, which is urgent, nothing but the news
+// that it has to begin anew. The list and the members come with it: while weights are exchanged the list changes with each call. It tells
+// whether it added something.
 func (a *Agent) feedIndex(request *feed.Request, reply *feed.Reply, urgent bool) (fresh bool) {
 	behind := a.batchCount - request.Index
 	if request.Agent != a.self.ID || behind > uint64(len(a.batches)) {
--- a/internal/agent/feed_test.go
+++ b/internal/agent/feed_test.go
@@ -8,6 +8,7 @@
 	"github.com/rs/zerolog"
 	"github.com/stretchr/testify/require"
 
+	"nettlefold/internal/dispatch"
 	"nettlefold/internal/distribute"
 	"nettlefold/internal/feed"
 	"nettlefold/internal/kvindex"
@@ -68,6 +69,24 @@
 	require.Equal(t, request.Index, reply.Index)
 }
 
+// TestAListThatChangesHoldsNothingUp: while the list, or the members, change with each call the index comes all the same.
+func TestAListThatChangesHoldsNothingUp(t *testing.T) {
+	a := indexed(10, 10)
+	a.list = []dispatch.Listed{{ID: "i-0"}}
+	request := &feed.Request{Agent: a.self.ID}
+	for number := uint64(1); number <= 5; number++ {
+		a.listNumber = number
+		a.members = &distribute.MemberSet{Digest: number}
+		a.change("i-1", int(number))
+		reply, fresh := a.feedReply(request)
+		require.True(t, fresh)
+		require.NotNil(t, reply.List)
+		require.NotNil(t, reply.Members)
+		require.Len(t, reply.Batches, 1)
+		request.List, request.Members, request.Index = reply.List.Number, reply.Members.Digest, reply.Index
+	}
+}
+
 // TestTheIndexComesWhole: in pieces, with changes between them and replies that are lost, a proxy comes to have what its agent has.
 func TestTheIndexComesWhole(t *testing.T) {
 	for seed := range uint64(30) {
--- a/internal/feed/messages.go
+++ b/internal/feed/messages.go
@@ -34,7 +34,7 @@
 }
 
 // Reply brings what is newer. Changes of what backends keep may be many and can wait: they come in pieces of MostChanges at most, and not
-// together with a snapshot, list or members.
+// together with a snapshot.
 type Reply struct {
 	Agent    string                   `cbor:"1,keyasint"`
 	Snapshot *distribute.Snapshot     `cbor:"2,keyasint,omitempty"`
