--- a/internal/lab/fleetcost/page_test.go
+++ b/internal/lab/fleetcost/page_test.go
@@ -68,8 +68,7 @@
 		"../../controller/sessions.go": {`watchHold = 350 \* time.Millisecond`},
 		"../../agent/news.go":          {`flushEvery = 60 \* time.Millisecond`},
 		"../../agent/events.go":        {`eventsEvery = 700 \* time.Millisecond`},
-		"../../chain/types.go":         {`Heartbeat: 150 \* time.Millisecond`},
-		"../../chain/replica.go":       {`snapshotBytes    = 2 << 20`},
+		"../../chain/types.go":         {`Heartbeat: 150 \* time.Millisecond`, `SnapshotBytes: 2 << 20`},
 		"../../durable/store.go":       {`compactRatio = 4`},
 	} {
 		raw, err := os.ReadFile(file)
