--- a/internal/agent/session_test.go
+++ b/internal/agent/session_test.go
@@ -3,8 +3,6 @@
 import (
 	"context"
 	"fmt"
-	"os"
-	"strings"
 	"sync"
 	"testing"
 	"testing/synctest"
@@ -191,18 +189,4 @@
 	})
 }
 
-// TestMain sends one compressed frame before any bubble: the compressor's channels must belong to none.
-func TestMain(m *testing.M) {
-	listener, err := rpc.TCP{}.Listen("127.0.0.1:0")
-	if err != nil {
-		panic(err)
-	}
-	go rpc.Serve(listener, func(context.Context, string, []byte) (any, error) { return nil, nil })
-	client := rpc.NewClient(listener.Addr().String())
-	if err := client.Call(context.Background(), "warm", strings.Repeat("x", 4096), nil); err != nil {
-		panic(err)
-	}
-	client.Close()
-	listener.Close()
-	os.Exit(m.Run())
-}
+func TestMain(m *testing.M) { simtest.Main(m) }
--- a/internal/chain/simulation_test.go
+++ b/internal/chain/simulation_test.go
@@ -1,13 +1,13 @@
 package chain
 
 import (
-	"container/heap"
 	"fmt"
 	"math/rand/v2"
 	"slices"
 	"testing"
 	"time"
 
+	"nettlefold/internal/lab/agenda"
 	"nettlefold/internal/replicated"
 )
 
@@ -21,27 +21,6 @@
 	simLinkHigh = 4 * time.Millisecond
 )
 
-// simEvent is something that happens at a time. Events of one time keep their order.
-type simEvent struct {
-	at    time.Duration
-	order int
-	do    func()
-}
-
-type simQueue []simEvent
-
-func (q simQueue) Len() int { return len(q) }
-func (q simQueue) Less(i, j int) bool {
-	return q[i].at < q[j].at || q[i].at == q[j].at && q[i].order < q[j].order
-}
-func (q simQueue) Swap(i, j int) { q[i], q[j] = q[j], q[i] }
-func (q *simQueue) Push(e any)   { *q = append(*q, e.(simEvent)) }
-func (q *simQueue) Pop() any {
-	last := (*q)[len(*q)-1]
-	*q = (*q)[:len(*q)-1]
-	return last
-}
-
 // simNode is one machine: what it runs, its disk, and what is done to it.
 type simNode struct {
 	*machine
@@ -65,8 +44,7 @@
 	fault  fault
 	random *rand.Rand
 	now    time.Duration
-	queue  simQueue
-	order  int
+	agenda agenda.Agenda
 	nodes  map[string]*simNode
 	addrs  []string // in their order
 	cut    map[link]bool
@@ -148,18 +126,18 @@
 	return low + time.Duration(s.random.Int64N(int64(high-low)+1))
 }
 
-func (s *simulation) after(d time.Duration, do func()) {
-	s.order++
-	heap.Push(&s.queue, simEvent{s.now + d, s.order, do})
-}
+func (s *simulation) after(d time.Duration, do func()) { s.agenda.Book(int64(s.now+d), do) }
 
 // run lets time pass.
 func (s *simulation) run(d time.Duration) {
 	end := s.now + d
-	for s.broken == nil && len(s.queue) > 0 && s.queue[0].at <= end {
-		e := heap.Pop(&s.queue).(simEvent)
-		s.now = e.at
-		e.do()
+	for s.broken == nil {
+		at, do, due := s.agenda.Next(int64(end))
+		if !due {
+			break
+		}
+		s.now = time.Duration(at)
+		do()
 	}
 	s.now = end
 }
--- a/internal/controller/simulated_test.go
+++ b/internal/controller/simulated_test.go
@@ -1,12 +1,10 @@
 package controller
 
 import (
-	"context"
 	"fmt"
 	"io"
 	"math/rand/v2"
 	"net/http"
-	"os"
 	"strings"
 	"sync"
 	"testing"
@@ -15,7 +13,6 @@
 
 	"github.com/stretchr/testify/require"
 
-	"nettlefold/internal/rpc"
 	"nettlefold/internal/simtest"
 )
 
@@ -212,19 +209,4 @@
 
 func status(code int, _ string) int { return code }
 
-// TestMain sends one compressed frame before any bubble: the compressor's channels must belong to none.
-func TestMain(m *testing.M) {
-	network := rpc.TCP{}
-	listener, err := network.Listen("127.0.0.1:0")
-	if err != nil {
-		panic(err)
-	}
-	go rpc.Serve(listener, func(_ context.Context, _ string, body []byte) (any, error) { return string(body), nil })
-	client := rpc.NewClient(listener.Addr().String())
-	if err := client.Call(context.Background(), "warm", strings.Repeat("x", 4096), nil); err != nil {
-		panic(err)
-	}
-	client.Close()
-	listener.Close()
-	os.Exit(m.Run())
-}
+func TestMain(m *testing.M) { simtest.Main(m) }
