--- a/internal/chain/membership_test.go
+++ b/internal/chain/membership_test.go
@@ -317,7 +317,7 @@
 	s.run(900 * time.Millisecond)
 	require.Equal(t, outcomeTaken, large.outcome)
 	s.rate = 5 << 20
-	s.wipe("c")
+	s.kill("c")
 	s.run(2 * time.Second)
 	settled := s.epoch()
 	s.join("c", "zone-c")
--- a/internal/chain/simulation_test.go
+++ b/internal/chain/simulation_test.go
@@ -238,9 +238,6 @@
 // restart starts a machine that was killed, on its disk.
 func (s *simulation) restart(addr string) { s.start(s.nodes[addr]) }
 
-// wipe ends a machine and empties its disk; join brings it back.
-func (s *simulation) wipe(addr string) { s.kill(addr) }
-
 func (s *simulation) freeze(addr string) { s.nodes[addr].frozen = true }
 
 func (s *simulation) thaw(addr string) {
--- a/internal/controller/simulated_test.go
+++ b/internal/controller/simulated_test.go
@@ -2,7 +2,6 @@
 
 import (
 	"fmt"
-	"io"
 	"math/rand/v2"
 	"net/http"
 	"strings"
@@ -16,8 +15,6 @@
 	"nettlefold/internal/simtest"
 )
 
-func copyTo(b *strings.Builder, answer *http.Response) (int64, error) { return io.Copy(b, answer.Body) }
-
 // inWorld plays a core of three in a bubble.
 func inWorld(t *testing.T, seed uint64, play func(w *world, random *rand.Rand)) {
 	t.Helper()
--- a/internal/controller/world_test.go
+++ b/internal/controller/world_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"io"
 	"math/rand/v2"
 	"net"
 	"net/http"
@@ -246,7 +247,7 @@
 	}
 	defer answer.Body.Close()
 	var b strings.Builder
-	if _, err := copyTo(&b, answer); err != nil {
+	if _, err := io.Copy(&b, answer.Body); err != nil {
 		return 0, ""
 	}
 	return answer.StatusCode, b.String()
