Agents: news at its old pace, bounded by what a hub sends in its zone

Change: the interval is 60 ms, and grows only where the hub of a zone would send over 400 messages a second: from 24 mixers a zone on. What a hub spends is set by its zone, not by the fleet. Test: the bound on a hub's messages, by zones, with the clock handed in; it replaces the one by members, which bound zones that cost a hub nothing.

--- a/internal/agent/agent.go
+++ b/internal/agent/agent.go
@@ -145,8 +145,8 @@
 		select {
 		case command := <-a.commands:
 			command()
-		case <-flush.C:
-			if a.news.due() {
+		case now := <-flush.C:
+			if a.news.due(now) {
 				a.news.flush()
 			}
 		case <-ticker.C:
--- a/internal/agent/news.go
+++ b/internal/agent/news.go
@@ -10,10 +10,10 @@
 )
 
 const (
-	// flushEvery is the interval of news in a small fleet. It grows with the members beyond smallFleet, so that a hub, whose agents and
-	// messages grow with them, does not spend its machine's processor on news.
-	flushEvery = 60 * time.Millisecond
-	smallFleet = 16
+	// flushEvery is the interval of news. It grows where a hub would send more than hubMessages a second to the agents of its zone, so that
+	// it does not spend its machine's processor on news.
+	flushEvery  = 60 * time.Millisecond
+	hubMessages = 400
 	// allEvery is how often all loads are told, for those that missed a change, and loadsKeep how long they are believed.
 	allEvery  = time.Second
 	loadsKeep = 2500 * time.Millisecond
@@ -126,12 +126,20 @@
 // tell adds news of this agent's own.
 func (x *exchange) tell(n *feed.News) { x.up.add(n) }
 
-// due tells whether the interval has passed that a fleet of this size has.
-func (x *exchange) due() bool {
-	interval := flushEvery * time.Duration(max(smallFleet, len(x.agent.members.Agents))) / smallFleet
-	return time.Since(x.sent) >= interval-flushEvery/2
+// interval is the time between two pieces of news of one agent.
+func (x *exchange) interval() time.Duration {
+	fellows := 0
+	for _, m := range x.agent.members.Agents {
+		if m.Zone == x.agent.self.Zone {
+			fellows++
+		}
+	}
+	return max(flushEvery, time.Duration(fellows)*time.Second/hubMessages)
 }
 
+// due tells whether the interval has passed at now, to half a tick of the ticker.
+func (x *exchange) due(now time.Time) bool { return now.Sub(x.sent) >= x.interval()-flushEvery/2 }
+
 // flush sends what has come together.
 func (x *exchange) flush() {
 	a := x.agent
--- a/internal/agent/news_test.go
+++ b/internal/agent/news_test.go
@@ -103,15 +103,21 @@
 	require.True(t, a.fetching["b"], "the whole is fetched from who told it")
 }
 
-// TestNewsComesLessOftenInALargeFleet: a hub's messages a second stay bounded as its zone grows.
-func TestNewsComesLessOftenInALargeFleet(t *testing.T) {
+// TestNewsComesLessOftenInALargeZone: a hub's messages a second stay bounded as its zone grows; other zones cost it nothing.
+func TestNewsComesLessOftenInALargeZone(t *testing.T) {
 	for _, c := range []struct {
-		members int
-		after   time.Duration
-		due     bool
-	}{{8, 40 * time.Millisecond, true}, {16, 40 * time.Millisecond, true}, {72, 40 * time.Millisecond, false}, {72, 300 * time.Millisecond, true}, {1600, 300 * time.Millisecond, false}} {
-		a := fleetOf(1, c.members)[0]
-		a.news.sent = time.Now().Add(-c.after)
-		require.Equal(t, c.due, a.news.due(), "%d members, %v", c.members, c.after)
+		zones, each int
+		after       time.Duration
+		due         bool
+	}{
+		{1, 8, 40 * time.Millisecond, true}, {1, 16, 40 * time.Millisecond, true}, {12, 24, 40 * time.Millisecond, true},
+		{1, 72, 40 * time.Millisecond, false}, {1, 72, 300 * time.Millisecond, true},
+		{4, 133, 270 * time.Millisecond, false}, {4, 133, 310 * time.Millisecond, true}, {1, 1600, 300 * time.Millisecond, false},
+	} {
+		a := fleetOf(c.zones, c.each)[0]
+		now := time.Now()
+		a.news.sent = now.Add(-c.after)
+		require.Equal(t, c.due, a.news.due(now), "%d zones of %d members, %v", c.zones, c.each, c.after)
+		require.LessOrEqual(t, float64(c.each)/a.news.interval().Seconds(), float64(hubMessages)*1.01, "messages a second of a hub")
 	}
 }
