--- a/internal/chain/orders_test.go
+++ b/internal/chain/orders_test.go
@@ -1,6 +1,7 @@
 package chain
 
 import (
+	"flag"
 	"testing"
 
 	"github.com/stretchr/testify/require"
@@ -8,14 +9,17 @@
 	"nettlefold/internal/simtest"
 )
 
+// mostStates bounds a search in CI. Searches that stop at it can be had whole: go test ./internal/chain -run Orders -timeout 0 -states 5000000.
 const mostStates = 25000
 
+var statesFlag = flag.Int("states", mostStates, "states that a search through orders may see")
+
 func TestEveryOrderOfTwoWrites(t *testing.T) {
 	w := newCore(3, sound)
 	w.script = []string{"x", "y"}
 	w.losses = 1
 	w.crashes = 1
-	result := simtest.Search(w, mostStates)
+	result := simtest.Search(w, *statesFlag)
 	require.NoError(t, result.Broken, result.String())
 	require.True(t, result.Whole, result.String())
 }
@@ -24,7 +28,7 @@
 	w := newCore(3, sound)
 	w.script = []string{"x"}
 	w.proposes = []NodeID{"b"}
-	result := simtest.Search(w, mostStates)
+	result := simtest.Search(w, *statesFlag)
 	require.NoError(t, result.Broken, result.String())
 	t.Log(result.String())
 }
@@ -32,7 +36,7 @@
 func TestOrdersOfTwoProposers(t *testing.T) {
 	w := newCore(3, sound)
 	w.proposes = []NodeID{"a", "c"}
-	result := simtest.Search(w, mostStates)
+	result := simtest.Search(w, *statesFlag)
 	require.NoError(t, result.Broken, result.String())
 	t.Log(result.String())
 }
@@ -42,7 +46,7 @@
 	w.script = []string{"x", "y"}
 	w.proposes = []NodeID{"c"}
 	w.crashes = 1
-	result := simtest.Search(w, mostStates)
+	result := simtest.Search(w, *statesFlag)
 	require.NoError(t, result.Broken, result.String())
 	t.Log(result.String())
 }
@@ -53,7 +57,7 @@
 		w := replacement(sound, leaving)
 		w.script = []string{"x"}
 		w.proposes = []NodeID{w.want[0]}
-		result := simtest.Search(w, mostStates)
+		result := simtest.Search(w, *statesFlag)
 		require.NoError(t, result.Broken, result.String())
 		t.Log(result.String())
 	}
@@ -67,7 +71,7 @@
 			w.script = []string{"x", "y"}
 			w.proposes = []NodeID{w.want[0], w.want[1]}
 			w.wipes, w.crashes = wipes, 1-wipes
-			result := simtest.Search(w, mostStates)
+			result := simtest.Search(w, *statesFlag)
 			require.NoError(t, result.Broken, result.String())
 			result = simtest.Walk(w, 300, 80, 1)
 			require.NoError(t, result.Broken, result.String())
--- a/internal/chain/world_test.go
+++ b/internal/chain/world_test.go
@@ -314,7 +314,7 @@
 	c := &machine{replica: m.replica.clone(), disk: m.disk}
 	if m.introduce != nil {
 		known := m.replica.peers
-		c.introduce = func() { maps.Copy(c.replica.peers, known) }
+		c.introduce = func() { maps.Copy(c.replica.peers, clonePeers(known)) }
 	}
 	return c
 }
@@ -322,7 +322,7 @@
 func (r *Replica) clone() *Replica {
 	c := *r
 	c.log = slices.Clone(r.log)
-	c.peers, c.reads = maps.Clone(r.peers), maps.Clone(r.reads)
+	c.peers, c.reads = clonePeers(r.peers), maps.Clone(r.reads)
 	c.local = slices.Clone(r.local)
 	if r.proposal != nil {
 		p := *r.proposal
@@ -333,6 +333,16 @@
 	return &c
 }
 
+// clonePeers copies what is known of others: a replica changes it in place, and worlds must not see each other's.
+func clonePeers(peers map[NodeID]*peer) map[NodeID]*peer {
+	cloned := make(map[NodeID]*peer, len(peers))
+	for id, p := range peers {
+		one := *p
+		cloned[id] = &one
+	}
+	return cloned
+}
+
 func (w *core) Choices() int           { return len(w.events()) }
 func (w *core) Name(choice int) string { return w.events()[choice].name }
 
