--- a/internal/proxy/proxy.go
+++ b/internal/proxy/proxy.go
@@ -60,6 +60,7 @@
 	table *dispatch.Table
 	have  feed.Request
 
+	splits    *splits
 	attempts  *attempts
 	durations *durations
 
@@ -78,6 +79,7 @@
 		done:     make(chan struct{}),
 		pools:    map[string]*upstream.Pool{},
 		attempts: newAttempts(),
+		splits:   newSplits(),
 
 		afterFunc: time.AfterFunc,
 		durations: newDurations(),
--- a/internal/proxy/proxy_test.go
+++ b/internal/proxy/proxy_test.go
@@ -311,7 +311,7 @@
 	client.Header.Set(headerKey, "k1")
 	client.Header.Set(headerModel, "m")
 	q := &request{Request: client, writer: httptest.NewRecorder(), id: "id-1"}
-	require.True(t, q.place(table))
+	require.True(t, q.place(table, r.proxy.splits))
 	require.True(t, q.read(table))
 	choice := r.proxy.pick(q, nil)
 	choice.BeginBy = r.proxy.now() + limit
--- a/internal/proxy/serve.go
+++ b/internal/proxy/serve.go
@@ -3,7 +3,6 @@
 import (
 	"errors"
 	"io"
-	"math/rand/v2"
 	"net/http"
 	"strconv"
 	"strings"
@@ -79,7 +78,7 @@
 		return
 	}
 	q := &request{Request: r, writer: w, id: r.Header.Get(headerRequestID)}
-	if !q.place(table) {
+	if !q.place(table, p.splits) {
 		return
 	}
 	if !q.read(table) {
@@ -106,7 +105,7 @@
 }
 
 // place finds the route and the tenant, or refuses.
-func (q *request) place(table *config.Table) bool {
+func (q *request) place(table *config.Table, splits *splits) bool {
 	now := time.Now()
 	q.route = table.Route(q.Host, q.URL.Path)
 	if q.route == nil {
@@ -120,7 +119,7 @@
 			return false
 		}
 	}
-	q.service = q.route.Target(rand.Float64())
+	q.service = q.route.Target(splits.draw(q.route))
 	limit := defaultDeadline
 	if q.route.TimeoutMS > 0 {
 		limit = time.Duration(q.route.TimeoutMS * float64(time.Millisecond))
