--- a/internal/rpc/client.go
+++ b/internal/rpc/client.go
@@ -32,12 +32,12 @@
 
 	dialing turn // one dial at a time
 	mu      sync.Mutex
-	line    *line
+	current *connection // nil while there is none
 	closed  bool
 }
 
-// line is one connection and the calls that wait for replies on it.
-type line struct {
+// connection is one to the peer, and the calls that wait for replies on it.
+type connection struct {
 	conn    net.Conn
 	writing turn
 
@@ -62,7 +62,7 @@
 // the connection, so that the next one dials anew instead of waiting behind what a lost link holds up.
 func (c *Client) Call(ctx context.Context, kind string, request, reply any) error {
 	started := time.Now()
-	l, err := c.connect(ctx)
+	connection, err := c.connect(ctx)
 	if err != nil {
 		return merry.Prepend(err, "rpc "+kind+" to "+c.addr+": dial")
 	}
@@ -71,13 +71,13 @@
 		return err
 	}
 	answer := make(chan *envelope, 1)
-	id, err := l.expect(answer)
+	id, err := connection.expect(answer)
 	if err != nil {
 		return merry.Prepend(err, "rpc "+kind+" to "+c.addr)
 	}
-	defer l.forget(id)
-	if err := l.write(ctx, &envelope{ID: id, Kind: kind, Body: body}); err != nil {
-		c.drop(l)
+	defer connection.forget(id)
+	if err := connection.write(ctx, &envelope{ID: id, Kind: kind, Body: body}); err != nil {
+		c.drop(connection)
 		return merry.Prepend(err, "rpc "+kind+" to "+c.addr+": send")
 	}
 	select {
@@ -93,8 +93,8 @@
 		}
 		return cbor.Unmarshal(e.Body, reply)
 	case <-ctx.Done():
-		if l.silentSince(started) {
-			c.drop(l)
+		if connection.silentSince(started) {
+			c.drop(connection)
 		}
 		return merry.Prepend(ctx.Err(), "rpc "+kind+" to "+c.addr)
 	}
@@ -102,7 +102,7 @@
 
 // Send writes a one-way message. No error says only that it was handed to the kernel.
 func (c *Client) Send(ctx context.Context, kind string, message any) error {
-	l, err := c.connect(ctx)
+	connection, err := c.connect(ctx)
 	if err != nil {
 		return merry.Prepend(err, "rpc "+kind+" to "+c.addr+": dial")
 	}
@@ -110,8 +110,8 @@
 	if err != nil {
 		return err
 	}
-	if err := l.write(ctx, &envelope{Kind: kind, Body: body}); err != nil {
-		c.drop(l)
+	if err := connection.write(ctx, &envelope{Kind: kind, Body: body}); err != nil {
+		c.drop(connection)
 		return merry.Prepend(err, "rpc "+kind+" to "+c.addr+": send")
 	}
 	return nil
@@ -120,36 +120,36 @@
 // Close ends the connection; calls under way fail.
 func (c *Client) Close() {
 	c.mu.Lock()
-	l := c.line
-	c.line, c.closed = nil, true
+	connection := c.current
+	c.current, c.closed = nil, true
 	c.mu.Unlock()
-	if l != nil {
-		l.end()
+	if connection != nil {
+		connection.end()
 	}
 }
 
-func (c *Client) current() (*line, bool) {
+func (c *Client) state() (*connection, bool) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	return c.line, c.closed
+	return c.current, c.closed
 }
 
-func (c *Client) connect(ctx context.Context) (*line, error) {
-	if l, closed := c.current(); l != nil || closed {
+func (c *Client) connect(ctx context.Context) (*connection, error) {
+	if connection, closed := c.state(); connection != nil || closed {
 		if closed {
 			return nil, ErrClosed
 		}
-		return l, nil
+		return connection, nil
 	}
 	if err := c.dialing.take(ctx); err != nil {
 		return nil, err
 	}
 	defer c.dialing.pass()
-	if l, closed := c.current(); l != nil || closed {
+	if connection, closed := c.state(); connection != nil || closed {
 		if closed {
 			return nil, ErrClosed
 		}
-		return l, nil
+		return connection, nil
 	}
 	ctx, cancel := context.WithTimeout(ctx, dialTimeout)
 	defer cancel()
@@ -157,88 +157,88 @@
 	if err != nil {
 		return nil, err
 	}
-	l := &line{conn: conn, writing: newTurn(), waiting: map[uint64]chan *envelope{}, heard: time.Now()}
+	made := &connection{conn: conn, writing: newTurn(), waiting: map[uint64]chan *envelope{}, heard: time.Now()}
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if c.closed {
 		conn.Close()
 		return nil, ErrClosed
 	}
-	c.line = l
-	go c.receive(l)
-	return l, nil
+	c.current = made
+	go c.receive(made)
+	return made, nil
 }
 
-func (c *Client) receive(l *line) {
-	reader := bufio.NewReader(l.conn)
+func (c *Client) receive(connection *connection) {
+	reader := bufio.NewReader(connection.conn)
 	for {
 		e, err := readFrame(reader)
 		if err != nil {
-			c.drop(l)
+			c.drop(connection)
 			return
 		}
-		l.deliver(e)
+		connection.deliver(e)
 	}
 }
 
-func (c *Client) drop(l *line) {
+func (c *Client) drop(connection *connection) {
 	c.mu.Lock()
-	if c.line == l {
-		c.line = nil
+	if c.current == connection {
+		c.current = nil
 	}
 	c.mu.Unlock()
-	l.end()
+	connection.end()
 }
 
-func (l *line) expect(answer chan *envelope) (uint64, error) {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	if l.ended {
+func (c *connection) expect(answer chan *envelope) (uint64, error) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.ended {
 		return 0, ErrClosed
 	}
-	l.lastID++
-	l.waiting[l.lastID] = answer
-	return l.lastID, nil
+	c.lastID++
+	c.waiting[c.lastID] = answer
+	return c.lastID, nil
 }
 
-func (l *line) forget(id uint64) {
-	l.mu.Lock()
-	delete(l.waiting, id)
-	l.mu.Unlock()
+func (c *connection) forget(id uint64) {
+	c.mu.Lock()
+	delete(c.waiting, id)
+	c.mu.Unlock()
 }
 
-func (l *line) deliver(e *envelope) {
-	l.mu.Lock()
-	l.heard = time.Now()
-	answer := l.waiting[e.ID]
-	delete(l.waiting, e.ID)
-	l.mu.Unlock()
+func (c *connection) deliver(e *envelope) {
+	c.mu.Lock()
+	c.heard = time.Now()
+	answer := c.waiting[e.ID]
+	delete(c.waiting, e.ID)
+	c.mu.Unlock()
 	if answer != nil {
 		answer <- e
 	}
 }
 
-func (l *line) silentSince(t time.Time) bool {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	return l.heard.Before(t)
+func (c *connection) silentSince(t time.Time) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.heard.Before(t)
 }
 
-func (l *line) write(ctx context.Context, e *envelope) error {
-	if err := l.writing.take(ctx); err != nil {
+func (c *connection) write(ctx context.Context, e *envelope) error {
+	if err := c.writing.take(ctx); err != nil {
 		return err
 	}
-	defer l.writing.pass()
-	l.conn.SetWriteDeadline(time.Now().Add(writeTimeout))
-	return writeFrame(l.conn, e)
+	defer c.writing.pass()
+	c.conn.SetWriteDeadline(time.Now().Add(writeTimeout))
+	return writeFrame(c.conn, e)
 }
 
-func (l *line) end() {
-	l.conn.Close()
-	l.mu.Lock()
-	waiting := l.waiting
-	l.waiting, l.ended = map[uint64]chan *envelope{}, true
-	l.mu.Unlock()
+func (c *connection) end() {
+	c.conn.Close()
+	c.mu.Lock()
+	waiting := c.waiting
+	c.waiting, c.ended = map[uint64]chan *envelope{}, true
+	c.mu.Unlock()
 	for _, answer := range waiting {
 		answer <- nil
 	}
