Feed: the proxy and the test of its feed take news of the index by one piece of code

Before, the test had a taker of its own beside the proxy's, so it held the proxy to nothing. The check is the same; it now runs what the proxy runs.

--- a/internal/agent/feed_test.go
+++ b/internal/agent/feed_test.go
@@ -103,7 +103,8 @@
 			if random.IntN(4) == 0 {
 				continue // it did not come in time
 			}
-			take(proxy, request, reply)
+			request.Agent, request.Loads = reply.Agent, reply.LoadsAt
+			request.TakeIndex(proxy, reply)
 			if round >= 20 && len(request.Want) == 0 && request.Index == a.batchCount {
 				break
 			}
@@ -114,32 +115,3 @@
 		}
 	}
 }
-
-// take does as the proxy does.
-func take(index *kvindex.Index, request *feed.Request, reply *feed.Reply) {
-	request.Agent, request.Index, request.Loads = reply.Agent, reply.Index, reply.LoadsAt
-	want := map[string]bool{}
-	for _, id := range request.Want {
-		want[id] = true
-	}
-	if reply.Reset {
-		clear(want)
-		for _, id := range index.Backends() {
-			index.Forget(id)
-		}
-		for _, id := range reply.Known {
-			want[id] = true
-		}
-	}
-	for _, b := range reply.Batches {
-		if !index.Apply(b) {
-			want[b.Backend] = true
-		} else if b.Whole {
-			delete(want, b.Backend)
-		}
-	}
-	request.Want = nil
-	for id := range want {
-		request.Want = append(request.Want, id)
-	}
-}
--- /dev/null
+++ b/internal/feed/index.go
@@ -0,0 +1,35 @@
+package feed
+
+import (
+	"slices"
+
+	"nettlefold/internal/kvindex"
+)
+
+// TakeIndex applies what a reply tells of the prompts that backends keep, and notes in the next request how far it got and of which backends
+// the whole is wanted. The request's earlier copies keep their own.
+func (r *Request) TakeIndex(index *kvindex.Index, reply *Reply) {
+	if reply.Reset {
+		for _, id := range index.Backends() {
+			index.Forget(id)
+		}
+		r.Want = reply.Known
+	}
+	r.Index = reply.Index
+	for _, b := range reply.Batches {
+		applied := index.Apply(b)
+		wanted := slices.Index(r.Want, b.Backend)
+		switch {
+		case applied && b.Whole && wanted >= 0:
+			r.Want = slices.Delete(slices.Clone(r.Want), wanted, wanted+1)
+		case !applied && wanted < 0:
+			r.Want = append(slices.Clone(r.Want), b.Backend)
+		}
+	}
+}
+
+// ForgetBackend drops what is known of a backend that is gone.
+func (r *Request) ForgetBackend(index *kvindex.Index, id string) {
+	index.Forget(id)
+	r.Want = slices.DeleteFunc(slices.Clone(r.Want), func(wanted string) bool { return wanted == id })
+}
--- a/internal/proxy/proxy.go
+++ b/internal/proxy/proxy.go
@@ -8,7 +8,6 @@
 	"math/rand/v2"
 	"net"
 	"net/http"
-	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -212,41 +211,18 @@
 	if reply.List != nil {
 		p.have.List = reply.List.Number
 		for _, id := range p.table.SetBackends(now, reply.List.Backends, reply.List.Phases) {
-			p.table.Index().Forget(id)
-			p.have.Want = slices.DeleteFunc(slices.Clone(p.have.Want), func(wanted string) bool { return wanted == id })
+			p.have.ForgetBackend(p.table.Index(), id)
 			p.dropPool(id)
 			p.attempts.left(id)
 		}
 	}
-	p.takeIndex(reply)
+	p.have.TakeIndex(p.table.Index(), reply)
 	if reply.Loads != nil || reply.LoadsAt != p.have.Loads {
 		p.table.SetLoads(reply.Loads)
 	}
 	p.have.Loads = reply.LoadsAt
 }
 
-// takeIndex takes what the agent tells of the prompts that backends keep, and notes of which backends it has to ask for all.
-func (p *Proxy) takeIndex(reply *feed.Reply) {
-	index := p.table.Index()
-	if reply.Reset {
-		for _, id := range index.Backends() {
-			index.Forget(id)
-		}
-		p.have.Want = reply.Known
-	}
-	p.have.Index = reply.Index
-	for _, b := range reply.Batches {
-		applied := index.Apply(b)
-		wanted := slices.Index(p.have.Want, b.Backend)
-		switch {
-		case applied && b.Whole && wanted >= 0:
-			p.have.Want = slices.Delete(slices.Clone(p.have.Want), wanted, wanted+1)
-		case !applied && wanted < 0:
-			p.have.Want = append(slices.Clone(p.have.Want), b.Backend)
-		}
-	}
-}
-
 // tellLoads tells the agent what is at backends from here, when it changes.
 func (p *Proxy) tellLoads(ctx context.Context) {
 	var told map[string]dispatch.Load
