Controllers: two lives of one agent, in every order of their calls

Holds as it stood: all controllers soon know the new life alone, and the earlier one's word on what is applied counts no more. No program code changed.

--- /dev/null
+++ b/internal/controller/lives_test.go
@@ -0,0 +1,107 @@
+package controller
+
+import (
+	"context"
+	"fmt"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"nettlefold/internal/distribute"
+	"nettlefold/internal/simtest"
+)
+
+// life is one start of an agent, and what its proxy has in force.
+type life struct {
+	agent   distribute.Agent
+	applied uint64
+}
+
+// call has a life call a controller, as its session does, and waits for the reply.
+func (w *world) call(ip string, l life) {
+	request := &distribute.WatchRequest{Agent: l.agent, Seq: l.applied}
+	_, err := w.machines[ip].controller.watch(context.Background(), request)
+	require.NoError(w.t, err)
+}
+
+// keepSession has a life call one controller again and again until stop is closed.
+func (w *world) keepSession(ip string, l life, stop chan struct{}) {
+	for {
+		select {
+		case <-stop:
+			return
+		case <-time.After(30 * time.Millisecond):
+			w.call(ip, l)
+		}
+	}
+}
+
+// appliedAt tells whether a controller takes a number for applied by all agents that are heard from.
+func (w *world) appliedAt(ip string, seq uint64) (applied bool) {
+	c := w.machines[ip].controller
+	require.NoError(w.t, c.ask(context.Background(), func() { applied = c.replica.AppliedEverywhere(c.now(), seq) }))
+	return applied
+}
+
+// TestTwoLivesOfOneAgent: an agent is killed and comes back while calls of its earlier life are still on their way, at the same controller and
+// at another, in every order; its clock may have been set back, so that its new life has the lower identity. The earlier life applied what
+// the new one has not. Soon all controllers know the new life alone, and wait for it before they take anything for applied.
+func TestTwoLivesOfOneAgent(t *testing.T) {
+	const ahead, behind = 100, 0
+	for _, newer := range []string{"f/1", "f/3"} {
+		for n, order := range permutations(4) {
+			inWorld(t, uint64(n), func(w *world, _ *rand.Rand) {
+				before := life{distribute.Agent{ID: "f/2", Addr: "10.0.1.1:7340", Zone: "x"}, ahead}
+				after := life{distribute.Agent{ID: newer, Addr: "10.0.1.1:7340", Zone: "x"}, behind}
+				calls := []struct {
+					ip string
+					l  life
+				}{{ipOf(1), before}, {ipOf(2), before}, {ipOf(1), after}, {ipOf(2), after}}
+				for _, i := range order {
+					go w.call(calls[i].ip, calls[i].l)
+					time.Sleep(time.Millisecond)
+				}
+				stop := make(chan struct{})
+				go w.keepSession(ipOf(1), after, stop)
+				time.Sleep(sessionSilence + tableSilence)
+				for i := 1; i <= 3; i++ {
+					members := w.machines[ipOf(i)].controller.public.Load().members.Agents
+					require.Equal(t, []distribute.Agent{after.agent}, members, "controller %d, calls in the order %v", i, order)
+					require.False(t, w.appliedAt(ipOf(i), 1), "the earlier life's word counts no more")
+				}
+				close(stop)
+				time.Sleep(2 * watchHold)
+				after.applied = 1
+				w.call(ipOf(1), after)
+				time.Sleep(simtest.Settled)
+				for i := 1; i <= 3; i++ {
+					require.True(t, w.appliedAt(ipOf(i), 1))
+				}
+			})
+		}
+	}
+}
+
+// permutations gives all orders of the numbers below n.
+func permutations(n int) (orders [][]int) {
+	if n == 0 {
+		return [][]int{nil}
+	}
+	for _, shorter := range permutations(n - 1) {
+		for at := range n {
+			order := append(append(append([]int{}, shorter[:at]...), n-1), shorter[at:]...)
+			orders = append(orders, order)
+		}
+	}
+	return orders
+}
+
+func TestPermutations(t *testing.T) {
+	seen := map[string]bool{}
+	for _, order := range permutations(4) {
+		seen[fmt.Sprint(order)] = true
+	}
+	require.Len(t, seen, 24)
+}
