Agents: an order that is given up is reset, so it cannot arrive after its lease

Cause, found by reading: an order's call ends after 0.8 s, which the successor's wait counts on. Its connection was closed, not reset: what a cut held up of it stayed on its way in the kernel and could reach the backend when the cut healed, after another holder had given an order under a newer fencing token. Ruled out: a second sending (no order is replayable for net/http but where no byte left), redirections, another life of the backend (X-Expected-Instance). Change: connections to backends and to the platform are dialled with linger 0, so that a close drops what was not sent; internal/agent/web.go.

--- a/internal/agent/agent.go
+++ b/internal/agent/agent.go
@@ -111,15 +111,6 @@
 	return a
 }
 
-// newWeb makes the client of backends and of the platform. It follows no redirection: an order must reach the backend that it is meant
-// for, or none.
-func newWeb() *http.Client {
-	return &http.Client{
-		Transport:     &http.Transport{MaxIdleConnsPerHost: 2, DisableCompression: true},
-		CheckRedirect: func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse },
-	}
-}
-
 // Run works until ctx ends.
 func (a *Agent) Run(ctx context.Context) error {
 	outside, err := net.Listen("tcp", a.self.Addr)
--- a/internal/agent/web_test.go
+++ b/internal/agent/web_test.go
@@ -1,13 +1,25 @@
 package agent
 
 import (
+	"bufio"
+	"context"
+	"fmt"
+	"io"
+	"net"
 	"net/http"
 	"net/http/httptest"
 	"strings"
 	"sync/atomic"
+	"syscall"
 	"testing"
+	"time"
 
+	"github.com/rs/zerolog"
 	"github.com/stretchr/testify/require"
+
+	"nettlefold/internal/dispatch"
+	"nettlefold/internal/duty"
+	"nettlefold/internal/settings/local"
 )
 
 // TestOrdersAreNotSentOn: a backend's answer cannot send an order elsewhere, and one whose connection ends without an answer is not sent again.
@@ -42,3 +54,123 @@
 	require.Equal(t, int64(3), here.Load())
 	require.Zero(t, elsewhere.Load())
 }
+
+// cutPoint is where a stand-in backend's connection breaks, and what the agent makes of it.
+type cutPoint struct {
+	name    string
+	serve   func(conn net.Conn, giveUp func())
+	arrives bool // the order is there, whole
+	taken   bool // the agent takes it for taken
+}
+
+// readOrder reads one request, its body too.
+func readOrder(conn net.Conn) (whole bool) {
+	request, err := http.ReadRequest(bufio.NewReader(conn))
+	if err != nil {
+		return false
+	}
+	_, err = io.Copy(io.Discard, request.Body)
+	return err == nil
+}
+
+func writes(answer string) func(net.Conn, func()) {
+	return func(conn net.Conn, _ func()) { io.WriteString(conn, answer) }
+}
+
+// cutPoints has every point of an order's way at which its connection may end, be silent, or bring something else.
+var cutPoints = []cutPoint{
+	{"closed before anything is read", nil, false, false},
+	{"closed after the order", func(net.Conn, func()) {}, true, false},
+	{"reset after the order", func(conn net.Conn, _ func()) { conn.(*net.TCPConn).SetLinger(0) }, true, false},
+	{"silent after the order", func(_ net.Conn, giveUp func()) { giveUp() }, true, false},
+	{"half a head", writes("HTTP/1.1 20"), true, false},
+	{"no answer in HTTP", writes("hello\r\n\r\n"), true, false},
+	{"an informational answer alone", writes("HTTP/1.1 103 Early Hints\r\n\r\n"), true, false},
+	{"half a body of a refusal", writes("HTTP/1.1 412 Precondition Failed\r\nContent-Length: 9\r\n\r\nlow"), true, false},
+	{"taken, its body cut", writes("HTTP/1.1 202 Accepted\r\nContent-Length: 9\r\n\r\nok"), true, true},
+	{"taken", writes("HTTP/1.1 202 Accepted\r\nContent-Length: 0\r\n\r\n"), true, true},
+	{"holds already", writes("HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n"), true, true},
+	{"another is under way", writes("HTTP/1.1 409 Conflict\r\nContent-Length: 0\r\n\r\n"), true, true},
+	{"a lower fence than was seen", writes("HTTP/1.1 412 Precondition Failed\r\nContent-Length: 0\r\n\r\n"), true, false},
+	{"another instance", writes("HTTP/1.1 421 Misdirected Request\r\nContent-Length: 0\r\n\r\n"), true, false},
+	{"two answers", writes("HTTP/1.1 202 Accepted\r\nContent-Length: 0\r\n\r\nHTTP/1.1 202 Accepted\r\nContent-Length: 0\r\n\r\n"), true, true},
+}
+
+// TestOrdersThroughEveryPointOfACut: whatever becomes of its connection, an order is sent once, on a fresh connection and on a kept one, and is
+// taken for taken only where the backend said so. The verdict is the count of orders that arrived.
+func TestOrdersThroughEveryPointOfACut(t *testing.T) {
+	for _, point := range cutPoints {
+		for _, kept := range []bool{false, true} {
+			t.Run(fmt.Sprintf("%s, kept %v", point.name, kept), func(t *testing.T) { orderThrough(t, point, kept) })
+		}
+	}
+}
+
+func orderThrough(t *testing.T, point cutPoint, kept bool) {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	defer listener.Close()
+	ctx, giveUp := context.WithCancel(t.Context())
+	defer giveUp()
+	var arrived atomic.Int64
+	go func() {
+		for first := true; ; first = false {
+			conn, err := listener.Accept()
+			if err != nil {
+				return
+			}
+			if kept && first {
+				readOrder(conn)
+				io.WriteString(conn, "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n")
+			}
+			if point.serve != nil && readOrder(conn) {
+				arrived.Add(1)
+				point.serve(conn, giveUp)
+			}
+			if point.name == "silent after the order" {
+				io.Copy(io.Discard, conn) // until the other side gives up
+			}
+			conn.Close()
+		}
+	}()
+	a := New(&local.Settings{NodeName: "f", IP: "10.0.0.1", FirstPort: 7340}, zerolog.Nop())
+	held := &lease{state: duty.New(duty.Terms{Act: time.Hour, Lease: time.Second, Flight: time.Second}, 0)}
+	require.True(t, held.confirmed(0, a.now(), 7))
+	r := &rollout{agent: a, model: "m", lease: held}
+	backend := dispatch.Listed{ID: "i-1", Addr: listener.Addr().String()}
+	if kept {
+		require.NoError(t, r.order(ctx, backend, 2))
+	}
+	err = r.order(ctx, backend, 2)
+	require.Equal(t, point.taken, err == nil, "%v", err)
+	want := int64(0)
+	if point.arrives {
+		want = 1
+	}
+	require.Equal(t, want, arrived.Load())
+}
+
+// TestAnOrderThatIsGivenUpIsReset: what was not delivered of it is lost, it does not arrive when a cut heals.
+func TestAnOrderThatIsGivenUpIsReset(t *testing.T) {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	defer listener.Close()
+	ctx, giveUp := context.WithCancel(t.Context())
+	ended := make(chan error, 1)
+	go func() {
+		conn, err := listener.Accept()
+		if err != nil {
+			ended <- err
+			return
+		}
+		readOrder(conn)
+		giveUp()
+		_, err = conn.Read(make([]byte, 1))
+		ended <- err
+	}()
+	request, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+listener.Addr().String()+"/v1/order", strings.NewReader("{}"))
+	require.NoError(t, err)
+	_, err = newWeb().Do(request)
+	require.Error(t, err)
+	require.ErrorIs(t, <-ended, syscall.ECONNRESET)
+}
