CAPACITY: news of a hub at the interval that its zone sets

The sums took 60 ms whatever the size, also while the program's interval grew with the fleet; they now follow agent.hubMessages, and the test that holds them to the programs has that figure too.

--- a/internal/lab/fleetcost/page_test.go
+++ b/internal/lab/fleetcost/page_test.go
@@ -66,7 +66,7 @@
 func TestFiguresAreThePrograms(t *testing.T) {
 	for file, patterns := range map[string][]string{
 		"../../controller/sessions.go": {`watchHold = 350 \* time.Millisecond`},
-		"../../agent/news.go":          {`flushEvery = 60 \* time.Millisecond`},
+		"../../agent/news.go":          {`flushEvery\s+= 60 \* time.Millisecond`, `hubMessages\s+= 400\n`},
 		"../../agent/events.go":        {`eventsEvery = 700 \* time.Millisecond`},
 		"../../chain/types.go":         {`Heartbeat: 150 \* time.Millisecond`, `SnapshotBytes: 2 << 20`},
 		"../../durable/store.go":       {`compactRatio = 4`},
--- a/internal/lab/fleetcost/size.go
+++ b/internal/lab/fleetcost/size.go
@@ -38,7 +38,8 @@
 	partsOfPrompt  = 3.0     // parts in a prompt
 	requestsOut    = 1.0     // s that a request lasts in the mean
 	watchHeld      = 0.35    // s that a call of a session is held, controller.watchHold
-	newsInterval   = 0.06    // s between news of a hub, agent.flushEvery
+	newsLeast      = 0.06    // s between news of a hub, agent.flushEvery, while its zone is small
+	hubMessages    = 400     // a second that a hub sends to its zone at the most, agent.hubMessages
 	coreInterval   = 0.15    // s between heartbeats of the core, chain.Timing
 	batchInterval  = 0.7     // s between two pages of a backend's events, agent.eventsEvery
 	membersPerLife = 2.0     // changes of the members for one restart
--- a/internal/lab/fleetcost/sums.go
+++ b/internal/lab/fleetcost/sums.go
@@ -8,13 +8,16 @@
 
 // Sizes grow together in the rank: at a share of the plan there are as many of everything that it counts.
 
+// newsInterval is the time between news of a hub, in s: it grows with the mixers of its zone.
+func newsInterval(share float64) float64 { return max(newsLeast, share*Mixers/Zones/hubMessages) }
+
 // loadsIn is what the hub of its zone tells a mixer of loads, in bytes a second: the backends at which something changed, by requests
 // that begin and end evenly over all.
 func loadsIn(share float64) float64 {
 	backends := share * Backends
-	changes := share * Requests * 2 * newsInterval
+	changes := share * Requests * 2 * newsInterval(share)
 	changed := backends * (1 - math.Exp(-changes/backends))
-	return loadsBytes.At(changed) / newsInterval
+	return loadsBytes.At(changed) / newsInterval(share)
 }
 
 // hubOut is what the hub of a zone sends, in bytes a second: loads and events to each mixer of it.
