--- a/cmd/nettlefold/system.go
+++ b/cmd/nettlefold/system.go
@@ -12,6 +12,7 @@
 
 	"nettlefold/internal/agent"
 	"nettlefold/internal/controller"
+	"nettlefold/internal/metrics"
 	"nettlefold/internal/proxy"
 	"nettlefold/internal/settings/local"
 )
@@ -26,6 +27,7 @@
 
 // program is one of the fleet's.
 type program interface {
+	metrics.Source
 	Run(ctx context.Context) error
 }
 
@@ -42,6 +44,7 @@
 		SilenceUsage:  true,
 		SilenceErrors: true,
 	}
+	figures := root.PersistentFlags().String("metrics", "", "PORT/PATH on the machine's own address where a program serves its figures; none if empty")
 	level := root.PersistentFlags().String("log-level", "info", "least level that is logged: debug, info, warn, error")
 	add := func(use, short string, make func(*local.Settings, zerolog.Logger) (program, error)) {
 		root.AddCommand(&cobra.Command{
@@ -49,7 +52,7 @@
 			Short: short,
 			Long:  short + ". It reads the settings file that " + local.Variable + " names, and runs until SIGTERM or SIGINT.",
 			Args:  cobra.NoArgs,
-			RunE:  func(*cobra.Command, []string) error { return runProgram(use, *level, hup, make) },
+			RunE:  func(*cobra.Command, []string) error { return runProgram(use, *level, *figures, hup, make) },
 		})
 	}
 	add("proxy", "Serve clients on a front machine", func(s *local.Settings, log zerolog.Logger) (program, error) {
@@ -66,7 +69,7 @@
 }
 
 // runProgram runs a program of the fleet until it is told to stop.
-func runProgram(name, level string, hup chan os.Signal, make func(*local.Settings, zerolog.Logger) (program, error)) error {
+func runProgram(name, level, figures string, hup chan os.Signal, make func(*local.Settings, zerolog.Logger) (program, error)) error {
 	settings, err := local.Load()
 	if err != nil {
 		return err
@@ -75,6 +78,12 @@
 	if err != nil {
 		return err
 	}
+	var endpoint metrics.Endpoint
+	if figures != "" {
+		if endpoint, err = metrics.ParseEndpoint(figures); err != nil {
+			return err
+		}
+	}
 	zerolog.TimeFieldFormat = zerolog.TimeFormatUnixMs
 	log := zerolog.New(os.Stderr).Level(least).With().Timestamp().Str("node", settings.NodeName).Str("program", name).Logger()
 	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
@@ -84,9 +93,23 @@
 		return err
 	}
 	go watchSettings(ctx, hup, p, log)
+	if figures != "" {
+		go serveMetrics(ctx, settings.IP, endpoint, p, log)
+	}
 	return p.Run(ctx)
 }
 
+// serveMetrics serves a program's figures until ctx ends. The program goes on without them where their port is not to be had.
+func serveMetrics(ctx context.Context, ip string, at metrics.Endpoint, p program, log zerolog.Logger) {
+	listener, err := metrics.Listen(ip, at)
+	if err == nil {
+		err = metrics.Serve(ctx, listener, at, p)
+	}
+	if err != nil {
+		log.Warn().Err(err).Str("step", "metrics").Msg("no figures are served")
+	}
+}
+
 // watchSettings reads the settings anew on SIGHUP and when their file changes. A file with a fault changes nothing.
 func watchSettings(ctx context.Context, hup chan os.Signal, p program, log zerolog.Logger) {
 	last := settingsStamp()
--- /dev/null
+++ b/internal/agent/metrics.go
@@ -0,0 +1,47 @@
+package agent
+
+import (
+	"context"
+	"time"
+
+	"nettlefold/internal/metrics"
+)
+
+// Metrics gives what this agent knows, and how old it is.
+func (a *Agent) Metrics(ctx context.Context) (*metrics.Set, error) {
+	set := metrics.NewSet()
+	err := a.ask(ctx, func() { a.addMetrics(set) })
+	if err != nil {
+		return nil, err
+	}
+	return set, nil
+}
+
+// addMetrics is the owner's.
+func (a *Agent) addMetrics(set *metrics.Set) {
+	seq := uint64(0)
+	if a.snapshot != nil {
+		seq = a.snapshot.Seq
+	}
+	set.Add("agent_snapshot_seq", float64(seq))
+	set.Add("agent_applied_seq", float64(a.applied))
+	set.Add("agent_epoch", float64(a.epoch))
+	set.Add("agent_members", float64(len(a.members.Agents)))
+	set.Add("agent_suspects", float64(len(a.suspects)))
+	set.Add("agent_backends", float64(len(a.list)))
+	set.Add("agent_index_backends", float64(len(a.index.Backends())))
+	set.Add("agent_index_batches_total", float64(a.batchCount))
+	set.Add("agent_event_readers", float64(len(a.readers)))
+	set.Add("agent_rollouts", float64(len(a.rollouts)))
+	set.Add("agent_news_interval_seconds", a.news.interval().Seconds())
+	addAge(set, "agent_in_touch_age_seconds", a.inTouch)
+	addAge(set, "agent_list_age_seconds", a.listAt)
+	addAge(set, "agent_proxy_age_seconds", a.proxyAt)
+}
+
+// addAge adds how long ago something was, unless it never was.
+func addAge(set *metrics.Set, name string, at time.Time) {
+	if !at.IsZero() {
+		set.Add(name, time.Since(at).Seconds())
+	}
+}
--- /dev/null
+++ b/internal/agent/metrics_test.go
@@ -0,0 +1,32 @@
+package agent
+
+import (
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"nettlefold/internal/distribute"
+	"nettlefold/internal/metrics"
+)
+
+// TestFiguresOfAnAgent: what it has and how old that is; nothing is told of the age of what never was.
+func TestFiguresOfAnAgent(t *testing.T) {
+	a := fleetOf(2, 3)[0]
+	set := metrics.NewSet()
+	a.addMetrics(set)
+	_, there := set.Value("agent_in_touch_age_seconds")
+	require.False(t, there)
+	a.snapshot, a.applied = &distribute.Snapshot{Seq: 9}, 7
+	a.inTouch = time.Now().Add(-time.Minute)
+	set = metrics.NewSet()
+	a.addMetrics(set)
+	for name, want := range map[string]float64{"agent_snapshot_seq": 9, "agent_applied_seq": 7, "agent_members": 6, "agent_news_interval_seconds": 0.06} {
+		got, there := set.Value(name)
+		require.True(t, there, name)
+		require.Equal(t, want, got, name)
+	}
+	age, there := set.Value("agent_in_touch_age_seconds")
+	require.True(t, there)
+	require.GreaterOrEqual(t, age, 60.0)
+}
--- /dev/null
+++ b/internal/controller/metrics.go
@@ -0,0 +1,45 @@
+package controller
+
+import (
+	"context"
+	"time"
+
+	"nettlefold/internal/metrics"
+)
+
+// Metrics gives where this controller stands.
+func (c *Controller) Metrics(ctx context.Context) (*metrics.Set, error) {
+	var status Status
+	if err := c.ask(ctx, func() { status = c.status() }); err != nil {
+		return nil, err
+	}
+	set := metrics.NewSet()
+	set.AddFlag("controller_in_touch", status.Current)
+	set.AddFlag("controller_disk_fails", status.DiskFails)
+	set.AddFlag("controller_head", len(status.Chain) > 0 && status.Chain[0] == status.Controller)
+	set.Add("controller_epoch", float64(status.Epoch))
+	set.Add("controller_committed_seq", float64(status.Seq))
+	set.Add("controller_config_version", float64(status.Version))
+	set.Add("controller_chain_members", float64(len(status.Chain)))
+	set.Add("controller_acceptors", float64(len(status.Acceptors)))
+	set.Add("controller_learners", float64(len(status.Learners)))
+	set.Add("controller_evacuated_zones", float64(len(status.Evacuated)))
+	set.Add("controller_mixers", float64(status.Mixers))
+	set.Add("controller_sessions", float64(len(status.Sessions)))
+	behind, silent := status.sessionsBehind()
+	set.Add("controller_sessions_behind", float64(behind))
+	set.Add("controller_session_silence_seconds_max", silent.Seconds())
+	return set, nil
+}
+
+// sessionsBehind counts the sessions whose proxies have not applied the newest operation, and gives the longest silence of any.
+func (s *Status) sessionsBehind() (behind int, silent time.Duration) {
+	for i := range s.Sessions {
+		session := &s.Sessions[i]
+		if session.Applied < s.Seq {
+			behind++
+		}
+		silent = max(silent, time.Duration(session.SilentMS)*time.Millisecond)
+	}
+	return behind, silent
+}
--- a/internal/dispatch/table.go
+++ b/internal/dispatch/table.go
@@ -237,6 +237,19 @@
 	return loads
 }
 
+// Size is how many backends are listed.
+func (t *Table) Size() int { return len(t.backends) }
+
+// Avoided counts the backends that get nothing now because of failures.
+func (t *Table) Avoided(now time.Duration) (n int) {
+	for _, b := range t.backends {
+		if now < b.avoid {
+			n++
+		}
+	}
+	return n
+}
+
 // Backend finds a backend by its identity, nil if it is gone.
 func (t *Table) Backend(id string) *Backend { return t.backends[id] }
 
--- a/internal/proxy/forward.go
+++ b/internal/proxy/forward.go
@@ -49,6 +49,7 @@
 			return
 		}
 		if choice.Later > 0 {
+			p.counters.deferred.Add(1)
 			refuse(q.writer, http.StatusServiceUnavailable, choice.Later/1000, "too many requests wait")
 			return
 		}
@@ -129,6 +130,7 @@
 	if c.BeginBy > 0 {
 		a.late = p.afterFunc(c.BeginBy-p.now(), cancel)
 	}
+	p.counters.attempts.Add(1)
 	pool := p.pool(c.ID, c.Addr, p.connections(q.service))
 	a.response, a.err = pool.Do(ctx, &upstream.Request{
 		Method: q.Method, Target: q.RequestURI, Host: q.Host, ID: q.id, Header: header, Body: q.body,
@@ -181,6 +183,7 @@
 
 // giveUp answers at once for a request that is not served: with a promise and a time to come again if it has not run.
 func (p *Proxy) giveUp(q *request, mayHaveRun bool, reason string) {
+	p.counters.givenUp.Add(1)
 	switch {
 	case q.Context().Err() != nil:
 		panic(http.ErrAbortHandler) // its client is gone
--- a/internal/proxy/proxy.go
+++ b/internal/proxy/proxy.go
@@ -59,6 +59,7 @@
 	table *dispatch.Table
 	have  feed.Request
 
+	counters  counters
 	splits    *splits
 	attempts  *attempts
 	durations *durations
--- a/internal/proxy/relay.go
+++ b/internal/proxy/relay.go
@@ -44,8 +44,10 @@
 		if next == nil {
 			break
 		}
+		p.counters.resumed.Add(1)
 		a = next
 	}
+	p.counters.cut.Add(1)
 	panic(http.ErrAbortHandler)
 }
 
--- a/internal/proxy/serve.go
+++ b/internal/proxy/serve.go
@@ -77,6 +77,9 @@
 		refuse(w, http.StatusServiceUnavailable, retryStarting, "no configuration is in force yet")
 		return
 	}
+	p.counters.requests.Add(1)
+	p.counters.running.Add(1)
+	defer p.counters.running.Add(-1)
 	q := &request{Request: r, writer: w, id: r.Header.Get(headerRequestID)}
 	if !q.place(table, p.splits) {
 		return
