--- a/internal/duty/duty_test.go
+++ b/internal/duty/duty_test.go
@@ -1,6 +1,7 @@
 package duty
 
 import (
+	"flag"
 	"fmt"
 	"testing"
 	"time"
@@ -138,10 +139,13 @@
 	return nil
 }
 
+// mostStates bounds the search in CI; go test ./internal/duty -run TwoHolders -timeout 0 -states 3000000 has it whole.
 const mostStates = 60000
 
+var statesFlag = flag.Int("states", mostStates, "states that a search through orders may see")
+
 func TestOrdersOfTwoHolders(t *testing.T) {
-	result := simtest.Search(newWorld(), mostStates)
+	result := simtest.Search(newWorld(), *statesFlag)
 	require.NoError(t, result.Broken, result.String())
 	t.Log(result.String())
 	result = simtest.Walk(newWorld(), 20000, 60, 5)
