Controllers: what a failing disk refused is neither confirmed nor shown

The head's disk refuses the first order's record; 0.4 s later the controller goes on with a new replica, in the same epoch, whose next order gets the same number; the first order's caller, still waiting for that number, is told that it was taken. By reading, beside it: after a failed write the state of that step was published, so that agents put in force, and readers were told, what no disk had. Ruled out: the chain (nothing of the step is sent), two heads (one epoch). Change: an answer is bound to the epoch and to the replica of the process that gave the number out; where either changed the order is tried again, which finds it taken or refuses it. While the disk fails, what was in force before the failed step is shown, and not as current. What a step committed is published before its readers are woken.

--- a/internal/chain/random_runs_test.go
+++ b/internal/chain/random_runs_test.go
@@ -253,8 +253,9 @@
 		first uint64 // a seed that finds it, tried before all others
 	}{
 		"answers without a majority":       {answersUnconfirmed, 9},
-		"orders taken whatever their base": {ordersUnbased, 584},
+		"orders taken whatever their base": {ordersUnbased, 1666},
 		"entries that are not durable":     {forgetsEntries, 2},
+		"acknowledged by number alone":     {acksByNumber, 1128},
 	} {
 		t.Run(name, func(t *testing.T) {
 			for seed := uint64(0); seed <= 4*randomRuns; seed++ {
--- a/internal/chain/simulation_calls_test.go
+++ b/internal/chain/simulation_calls_test.go
@@ -152,7 +152,7 @@
 	case err != nil:
 		again()
 	default:
-		s.committed(n, n.life, epoch, seq, c, again)
+		s.committed(n, s.serviceOf(n), epoch, seq, c, again)
 	}
 }
 
@@ -182,11 +182,29 @@
 	}, again)
 }
 
-func (s *simulation) committed(n *simNode, life int, epoch, seq uint64, c *call, again func()) {
+// service is which process, and which replica in it, gave a number out.
+type service struct {
+	life    int
+	replica *Replica
+}
+
+func (s *simulation) serviceOf(n *simNode) service {
+	if s.fault == acksByNumber {
+		return service{life: n.life}
+	}
+	return service{n.life, n.replica}
+}
+
+// committed waits until a number is committed by the replica, and in the epoch, that gave it out.
+func (s *simulation) committed(n *simNode, at service, epoch, seq uint64, c *call, again func()) {
 	switch {
-	case !n.up || n.life != life || c.over():
+	case !n.up || n.life != at.life || c.over():
 	case n.frozen:
-		n.waits = append(n.waits, func() { s.committed(n, life, epoch, seq, c, again) })
+		n.waits = append(n.waits, func() { s.committed(n, at, epoch, seq, c, again) })
+	case n.silent:
+		s.after(5*time.Millisecond, func() { s.committed(n, at, epoch, seq, c, again) })
+	case s.serviceOf(n) != at:
+		again()
 	case n.replica.View().Epoch != epoch:
 		again()
 	case n.replica.State().Seq >= seq:
@@ -195,7 +213,7 @@
 			s.end(c, outcomeTaken)
 		}, again)
 	default:
-		s.after(5*time.Millisecond, func() { s.committed(n, life, epoch, seq, c, again) })
+		s.after(5*time.Millisecond, func() { s.committed(n, at, epoch, seq, c, again) })
 	}
 }
 
--- a/internal/chain/world_test.go
+++ b/internal/chain/world_test.go
@@ -25,6 +25,7 @@
 	answersUnconfirmed       // a head or tail answers without asking a majority
 	ordersUnbased            // evacuations are taken whatever they were based on
 	noncesReused             // a replica numbers its confirmations as an earlier one did
+	acksByNumber             // a write is acknowledged by its number, whichever replica of the process commits that
 )
 
 type flight struct {
--- a/internal/controller/controller.go
+++ b/internal/controller/controller.go
@@ -43,6 +43,7 @@
 	// What follows is the owner's.
 	store     *durable.Store
 	replica   *chain.Replica
+	opened    uint64    // replicas made so far: another one follows a failed disk
 	broken    time.Time // when a write failed, zero while the disk works
 	readers   map[uint64]chan struct{}
 	sessions  map[string]*session
@@ -52,11 +53,19 @@
 	leaving   time.Time // when it was told to end, zero before
 }
 
+// service is what a call's answer is bound to: the epoch, and which of this program's replicas was asked. Numbers that a replica gave out
+// before its disk failed may mean other operations at the next one, in the same epoch.
+type service struct {
+	epoch  uint64
+	opened uint64
+}
+
 // public is what other goroutines may see of the owner's state: replaced whole, and changed is closed when it is.
 type public struct {
 	state       *replicated.State
 	view        chain.View
 	self        chain.NodeID
+	opened      uint64
 	current     bool
 	controllers []string
 	members     *distribute.MemberSet
@@ -174,6 +183,9 @@
 		e := &out.Messages[i]
 		c.pool.Post(e.To.Addr, distribute.KindCore, &e.Message)
 	}
+	if out.Committed || out.ViewNew {
+		c.publish(true)
+	}
 	for _, nonce := range out.Confirmed {
 		if reader := c.readers[nonce]; reader != nil {
 			close(reader)
@@ -184,9 +196,6 @@
 		view := c.replica.View()
 		c.log.Info().Str("step", "view").Uint64("epoch", view.Epoch).Interface("chain", view.Chain).Int("acceptors", len(view.Acceptors)).Msg("view in force")
 	}
-	if out.Committed || out.ViewNew {
-		c.publish(true)
-	}
 }
 
 // namedVersions notes when versions that are wanted came to be so: not before this program last knew that they were not, which it
@@ -206,7 +215,8 @@
 	return named
 }
 
-// publish shows others what is in force, when it differs or is known to.
+// publish shows others what is in force, when it differs or is known to. While the disk fails that is what was before: the replica may
+// have gone further than its disk.
 func (c *Controller) publish(changed bool) {
 	old := c.public.Load()
 	current := c.broken.IsZero() && c.replica.Current(c.now())
@@ -214,16 +224,19 @@
 	if old != nil && !changed && old.current == current && old.members.Digest == members.Digest {
 		return
 	}
-	view := c.replica.View()
 	next := &public{
 		state:   c.replica.State(),
-		view:    view,
+		view:    c.replica.View(),
 		self:    c.replica.Self().ID,
+		opened:  c.opened,
 		current: current,
 		members: members,
 		changed: make(chan struct{}),
 	}
-	for _, m := range view.Members() {
+	if !c.broken.IsZero() && old != nil {
+		next.state, next.view, next.self, next.opened = old.state, old.view, old.self, old.opened
+	}
+	for _, m := range next.view.Members() {
 		next.controllers = append(next.controllers, m.Addr)
 	}
 	next.named = namedVersions(old, next.state, c.inTouch)
@@ -233,6 +246,9 @@
 	}
 }
 
+// service is what the replica answers for now.
+func (p *public) service() service { return service{p.view.Epoch, p.opened} }
+
 // handle serves the other machines' calls.
 func (c *Controller) handle(ctx context.Context, kind string, body []byte) (any, error) {
 	switch kind {
--- a/internal/controller/controller_test.go
+++ b/internal/controller/controller_test.go
@@ -17,6 +17,7 @@
 
 	"nettlefold/internal/chain"
 	"nettlefold/internal/distribute"
+	"nettlefold/internal/replicated"
 	"nettlefold/internal/settings/local"
 )
 
@@ -224,3 +225,29 @@
 	require.True(t, c.replica.AppliedEverywhere(c.now(), 9))
 	require.Equal(t, "f1/2", c.members().Agents[0].ID)
 }
+
+// TestWhatWasNotWrittenIsNotShown: a step that commits in memory, and whose records the disk did not take, shows nothing new to agents and
+// readers; nor does what they do while the disk fails.
+func TestWhatWasNotWrittenIsNotShown(t *testing.T) {
+	c, err := New(alone(t), zerolog.Nop())
+	require.NoError(t, err)
+	c.tick()
+	before := c.public.Load()
+	require.True(t, before.current)
+	c.store.Close() // from here on each write fails
+	_, out, err := c.replica.Propose(c.now(), &replicated.Operation{Kind: replicated.KindVersion, Model: "m", Version: 2})
+	require.NoError(t, err)
+	require.True(t, out.Committed, "this core of one commits at once")
+	c.perform(out)
+	for range 2 {
+		shown := c.public.Load()
+		require.Equal(t, before.state, shown.state)
+		require.Equal(t, before.view, shown.view)
+		require.False(t, shown.current)
+		c.touch(&distribute.WatchRequest{Agent: distribute.Agent{ID: "f/1", Addr: "10.0.0.1:1"}})
+	}
+	c.broken = c.broken.Add(-reopenAfter)
+	c.tick() // the disk works again
+	require.NotEqual(t, before.service(), c.public.Load().service(), "what waits for numbers of the earlier replica asks again")
+	c.store.Close()
+}
--- a/internal/controller/disk.go
+++ b/internal/controller/disk.go
@@ -34,6 +34,7 @@
 		}
 	}
 	c.store = store
+	c.opened++
 	c.replica = chain.New(chain.Options{
 		Self:       c.self(saved.Meta.Identity),
 		Copies:     c.settings.LostMachines + 1,
--- /dev/null
+++ b/internal/controller/failed_disk_test.go
@@ -0,0 +1,55 @@
+package controller
+
+import (
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"nettlefold/internal/chain"
+	"nettlefold/internal/simtest"
+)
+
+// headOf is the machine that takes the writes.
+func (w *world) headOf() string {
+	for ip, m := range w.machines {
+		if now := m.controller.public.Load(); now.current && now.view.Head() == now.self {
+			return ip
+		}
+	}
+	require.Fail(w.t, "there is no head")
+	return ""
+}
+
+// TestAWriteThatTheDiskRefused: the head takes an order, its disk refuses it, and half a second later works again, in the same epoch. Meanwhile
+// a rival comes, which gets the number that the first one had. One of the two is confirmed, whenever the rival comes.
+func TestAWriteThatTheDiskRefused(t *testing.T) {
+	for later := time.Duration(0); later <= 600*time.Millisecond; later += 25 * time.Millisecond {
+		inWorld(t, uint64(later), func(w *world, random *rand.Rand) {
+			require.True(t, w.taken(3*time.Second, random))
+			head := w.headOf()
+			version, ok := w.get(head)
+			require.True(t, ok)
+			c := w.machines[head].controller
+			var before chain.View
+			c.enqueue(func() {
+				before = c.replica.View()
+				c.store.Close() // until it is opened anew each write fails
+			})
+			first := make(chan simtest.Outcome)
+			go func() { first <- w.put(head, version, version+1, "refused by the disk") }()
+			time.Sleep(later)
+			outcomes := []simtest.Outcome{w.put(head, version, version+1, "the rival"), <-first}
+			taken := 0
+			for _, o := range outcomes {
+				if o == simtest.Taken {
+					taken++
+				}
+			}
+			require.LessOrEqual(t, taken, 1, "%v later: %v", later, outcomes)
+			require.Equal(t, before.Epoch, c.public.Load().view.Epoch, "the core did not even notice")
+			require.True(t, w.taken(3*time.Second, random))
+		})
+	}
+}
--- a/internal/controller/submit.go
+++ b/internal/controller/submit.go
@@ -75,10 +75,11 @@
 }
 
 func (c *Controller) submitHere(ctx context.Context, request *distribute.SubmitRequest) (*distribute.SubmitReply, error) {
-	var seq, epoch uint64
+	var seq uint64
+	var at service
 	var refused error
 	err := c.ask(ctx, func() {
-		epoch = c.replica.View().Epoch
+		at = service{c.replica.View().Epoch, c.opened}
 		if !c.broken.IsZero() {
 			refused = chain.ErrNoChain
 			return
@@ -95,15 +96,15 @@
 	}
 	var refusal *chain.RefusedError
 	if errors.As(refused, &refusal) {
-		return c.refuse(ctx, refusal, epoch)
+		return c.refuse(ctx, refusal, at)
 	}
 	if refused != nil {
 		return nil, refused
 	}
-	if err := c.committed(ctx, seq, epoch); err != nil {
+	if err := c.committed(ctx, seq, at); err != nil {
 		return nil, err
 	}
-	if _, err := c.confirm(ctx, epoch); err != nil { // what was taken before is told only while this is the head in force
+	if _, err := c.confirm(ctx, at); err != nil { // what was taken before is told only while this is the head in force
 		return nil, err
 	}
 	reply := &distribute.SubmitReply{Outcome: distribute.Taken, Seq: seq}
@@ -124,11 +125,11 @@
 }
 
 // refuse answers that an operation cannot come into force, once it is sure that the state it was held against is the newest.
-func (c *Controller) refuse(ctx context.Context, refusal *chain.RefusedError, epoch uint64) (*distribute.SubmitReply, error) {
+func (c *Controller) refuse(ctx context.Context, refusal *chain.RefusedError, at service) (*distribute.SubmitReply, error) {
 	if refusal.Verdict == replicated.Outdated {
 		return &distribute.SubmitReply{Outcome: distribute.Outdated, Reason: refusal.Error()}, nil
 	}
-	if _, err := c.confirm(ctx, epoch); err != nil {
+	if _, err := c.confirm(ctx, at); err != nil {
 		return nil, err
 	}
 	reply := &distribute.SubmitReply{Outcome: distribute.Conflict, Reason: refusal.Error()}
@@ -138,12 +139,12 @@
 	return reply, nil
 }
 
-// committed waits until a number is committed in the epoch in which it was given out.
-func (c *Controller) committed(ctx context.Context, seq, epoch uint64) error {
+// committed waits until a number is committed by the replica, and in the epoch, that gave it out.
+func (c *Controller) committed(ctx context.Context, seq uint64, at service) error {
 	for {
 		now := c.public.Load()
-		if now.view.Epoch != epoch {
-			return merry.New("the view changed while the operation was under way")
+		if now.service() != at {
+			return merry.New("the view or the replica changed while the operation was under way")
 		}
 		if now.state.Seq >= seq {
 			return nil
@@ -174,12 +175,12 @@
 }
 
 // confirm asks the majority whether an epoch is still in force, and gives the state committed here since it was asked.
-func (c *Controller) confirm(ctx context.Context, epoch uint64) (*replicated.State, error) {
+func (c *Controller) confirm(ctx context.Context, at service) (*replicated.State, error) {
 	confirmed := make(chan struct{})
 	var nonce uint64
 	stale := false
 	err := c.ask(ctx, func() {
-		stale = !c.broken.IsZero() || c.replica.View().Epoch != epoch
+		stale = !c.broken.IsZero() || c.replica.View().Epoch != at.epoch || c.opened != at.opened
 		if stale {
 			return
 		}
@@ -192,12 +193,16 @@
 		return nil, err
 	}
 	if stale {
-		return nil, merry.New("confirm the view: another is in force")
+		return nil, merry.New("confirm the view: another is in force, or the disk failed")
 	}
 	defer c.enqueue(func() { delete(c.readers, nonce) })
 	select {
 	case <-confirmed:
-		return c.public.Load().state, nil
+		now := c.public.Load()
+		if now.opened != at.opened {
+			return nil, merry.New("confirm the view: the disk failed meanwhile")
+		}
+		return now.state, nil
 	case <-ctx.Done():
 		return nil, merry.Prepend(ctx.Err(), "confirm the view")
 	}
@@ -209,7 +214,7 @@
 	if now.view.Tail() != now.self {
 		return nil, merry.New("this replica is not the tail of the chain")
 	}
-	state, err := c.confirm(ctx, now.view.Epoch)
+	state, err := c.confirm(ctx, now.service())
 	if err != nil {
 		return nil, err
 	}
