--- a/internal/controller/failed_disk_test.go
+++ b/internal/controller/failed_disk_test.go
@@ -22,6 +22,12 @@
 	return ""
 }
 
+// failDisk has the next write of a machine fail; its controller opens the disk anew some time after.
+func (w *world) failDisk(ip string) {
+	c := w.machines[ip].controller
+	c.enqueue(func() { c.store.Close() })
+}
+
 // TestAWriteThatTheDiskRefused: the head takes an order, its disk refuses it, and half a second later works again, in the same epoch. Meanwhile
 // a rival comes, which gets the number that the first one had. One of the two is confirmed, whenever the rival comes.
 func TestAWriteThatTheDiskRefused(t *testing.T) {
@@ -33,10 +39,8 @@
 			require.True(t, ok)
 			c := w.machines[head].controller
 			var before chain.View
-			c.enqueue(func() {
-				before = c.replica.View()
-				c.store.Close() // until it is opened anew each write fails
-			})
+			c.enqueue(func() { before = c.replica.View() })
+			w.failDisk(head)
 			first := make(chan simtest.Outcome)
 			go func() { first <- w.put(head, version, version+1, "refused by the disk") }()
 			time.Sleep(later)
--- a/internal/controller/simulated_test.go
+++ b/internal/controller/simulated_test.go
@@ -1,6 +1,7 @@
 package controller
 
 import (
+	"flag"
 	"fmt"
 	"math/rand/v2"
 	"net/http"
@@ -64,10 +65,16 @@
 	}
 }
 
+// More worlds than CI has time for: go test ./internal/controller -run TwoOperators -timeout 0 -worlds 500 -first 100.
+var (
+	worldsFlag = flag.Uint64("worlds", 8, "worlds of two operators to play")
+	firstFlag  = flag.Uint64("first", 1, "the first one's seed")
+)
+
 // TestTwoOperators: eight calls at a time with equal numbers, some sent again at other machines, while machines are cut off, end in order, are
-// killed and come back: one of two rivals is confirmed, what was acknowledged is never refused, and all reads fit.
+// killed, have their disks fail, and come back: one of two rivals is confirmed, what was acknowledged is never refused, and all reads fit.
 func TestTwoOperators(t *testing.T) {
-	for seed := uint64(1); seed <= 6; seed++ {
+	for seed := *firstFlag; seed < *firstFlag+*worldsFlag; seed++ {
 		inWorld(t, seed, func(w *world, random *rand.Rand) {
 			stop := make(chan struct{})
 			var all sync.WaitGroup
@@ -110,7 +117,12 @@
 func upset(w *world, random *rand.Rand) {
 	ip := ipOf(1 + random.IntN(3))
 	rest := time.Duration(500+random.IntN(2500)) * time.Millisecond
-	switch random.IntN(4) {
+	switch random.IntN(6) {
+	case 4, 5:
+		for range 1 + random.IntN(3) {
+			w.failDisk(ip)
+			time.Sleep(rest / 3)
+		}
 	case 0:
 		w.separateCore(true, ip)
 		time.Sleep(rest)
