Controllers: the token that a reply names is the one that its order got

Cause, found by reading: the reply to who takes a duty named the token of the state at the moment the reply was made. Where another holder took the duty over between commit and reply, both were told one token. Change: the token follows from the state that the order was held against and its number (State.FenceOf). Test: TestDutyPassesOnUnderANewFence holds FenceOf; TestADutyThatIsTakenOverAtOnce holds that no two holders are told one token. The latter passed on the old code too: in simulated time the reply always came first; the crossing itself was not reached.

--- a/internal/controller/failed_disk_test.go
+++ b/internal/controller/answers_test.go
@@ -1,6 +1,7 @@
 package controller
 
 import (
+	"fmt"
 	"math/rand/v2"
 	"testing"
 	"time"
@@ -8,6 +9,8 @@
 	"github.com/stretchr/testify/require"
 
 	"nettlefold/internal/chain"
+	"nettlefold/internal/distribute"
+	"nettlefold/internal/replicated"
 	"nettlefold/internal/simtest"
 )
 
@@ -57,3 +60,39 @@
 		})
 	}
 }
+
+// TestADutyThatIsTakenOverAtOnce: the reply to who takes a duty names the token that it got, though another holder has taken the duty over
+// before the reply is made; no two holders are told one token.
+func TestADutyThatIsTakenOverAtOnce(t *testing.T) {
+	inWorld(t, 1, func(w *world, _ *rand.Rand) {
+		head := w.headOf()
+		c := w.machines[head].controller
+		take := func(holder string, fence uint64) *distribute.SubmitReply {
+			return c.submit(w.t.Context(), &distribute.SubmitRequest{Operation: replicated.Operation{
+				Kind: replicated.KindDuty, Duty: "orders/m", Holder: holder, Fence: fence,
+			}})
+		}
+		fences := map[uint64]string{}
+		previous := uint64(0)
+		for i := range 20 {
+			first, second := fmt.Sprint("first ", i), fmt.Sprint("second ", i)
+			replies := make(chan *distribute.SubmitReply)
+			go func() { replies <- take(first, previous) }()
+			var overtaking *distribute.SubmitReply
+			for overtaking == nil || overtaking.Outcome != distribute.Taken {
+				held := c.public.Load().state.Duties["orders/m"]
+				if held.Holder != first {
+					time.Sleep(100 * time.Microsecond)
+					continue
+				}
+				overtaking = take(second, held.Fence)
+			}
+			for holder, reply := range map[string]*distribute.SubmitReply{first: <-replies, second: overtaking} {
+				require.Equal(t, distribute.Taken, reply.Outcome)
+				require.Empty(t, fences[reply.Fence], "token %d", reply.Fence)
+				fences[reply.Fence] = holder
+			}
+			previous = overtaking.Fence
+		}
+	})
+}
--- a/internal/controller/submit.go
+++ b/internal/controller/submit.go
@@ -75,7 +75,7 @@
 }
 
 func (c *Controller) submitHere(ctx context.Context, request *distribute.SubmitRequest) (*distribute.SubmitReply, error) {
-	var seq uint64
+	var seq, fence uint64
 	var at service
 	var refused error
 	err := c.ask(ctx, func() {
@@ -87,8 +87,10 @@
 		if refused = over(ctx); refused != nil {
 			return // its caller turned elsewhere: an old order must not come after newer ones
 		}
+		checked := c.replica.State()
 		var out chain.Output
 		seq, out, refused = c.replica.Propose(c.now(), &request.Operation)
+		fence = checked.FenceOf(&request.Operation, seq)
 		c.perform(out)
 	})
 	if err != nil {
@@ -108,8 +110,8 @@
 		return nil, err
 	}
 	reply := &distribute.SubmitReply{Outcome: distribute.Taken, Seq: seq}
-	if o := &request.Operation; o.Kind == replicated.KindDuty {
-		reply.Fence = c.public.Load().state.Duties[o.Duty].Fence
+	if request.Operation.Kind == replicated.KindDuty {
+		reply.Fence = fence // not the state's by now: another holder may have it already
 		return reply, nil
 	}
 	c.applied(ctx, seq)
--- a/internal/replicated/state.go
+++ b/internal/replicated/state.go
@@ -157,6 +157,14 @@
 	return Invalid, fmt.Errorf("operation of unknown kind %q", o.Kind)
 }
 
+// FenceOf is the token under which the holder of a duty has it, once an operation that was held against this state is taken as number seq.
+func (s *State) FenceOf(o *Operation, seq uint64) uint64 {
+	if held := s.Duties[o.Duty]; held.Holder == o.Holder {
+		return held.Fence
+	}
+	return seq
+}
+
 func alreadyIf(holds bool) Verdict {
 	if holds {
 		return Already
--- a/internal/replicated/state_test.go
+++ b/internal/replicated/state_test.go
@@ -45,6 +45,9 @@
 	}
 	s.Apply(4, take("a", 0))
 	require.Equal(t, Duty{"a", 4}, s.Duties["d"])
+	require.Equal(t, uint64(4), New().FenceOf(take("a", 0), 4), "taken as number 4")
+	require.Equal(t, uint64(4), s.FenceOf(take("a", 0), 5), "held already")
+	require.Equal(t, uint64(6), s.FenceOf(take("b", 4), 6))
 	verdict, _ := s.Check(take("a", 0))
 	require.Equal(t, Already, verdict)
 	verdict, _ = s.Check(take("b", 0))
