Agents: who reads which backend's events is worked out when it changes

Each agent looked ten times a second for the owner of each backend's events among all members: 300 x 3,001 weights, 76 ms every 100 ms. The list was encoded anew for its digest each time that its owner said it was the same. Change: rendezvous.Owners keeps the owners while members and keys come and go; readers are held to it when list, configuration or members change, and once a second; the list's digest is kept. Owners are those of before.

--- a/internal/agent/agent.go
+++ b/internal/agent/agent.go
@@ -18,6 +18,7 @@
 	"nettlefold/internal/distribute"
 	"nettlefold/internal/feed"
 	"nettlefold/internal/kvindex"
+	"nettlefold/internal/rendezvous"
 	"nettlefold/internal/rpc"
 	"nettlefold/internal/settings/local"
 )
@@ -58,6 +59,7 @@
 	proxyAt     time.Time
 
 	list       []dispatch.Listed
+	listSum    uint64 // its digest
 	listAt     time.Time
 	listNumber uint64
 	reading    bool
@@ -69,8 +71,12 @@
 	batches    []*kvindex.Batch // the newest, the last of which has number batchCount
 	batchCount uint64
 	readers    map[string]context.CancelFunc
+	readersOf  sourcesOf // what readers were last held to
+	readersAt  time.Time
 	fetching   map[string]bool // backends of which the whole is being fetched
 
+	eventOwners *rendezvous.Owners // of the backends' events
+
 	news      *exchange
 	ownLoads  map[string]dispatch.Load
 	rollouts  map[string]bool
@@ -89,23 +95,25 @@
 func New(settings *local.Settings, log zerolog.Logger) *Agent {
 	life := fmt.Sprintf("%s/%016x%04x", settings.NodeName, time.Now().UnixNano(), rand.IntN(1<<16))
 	a := &Agent{
-		settings:  settings,
-		log:       log,
-		pool:      rpc.NewPool(),
-		web:       newWeb(),
-		self:      distribute.Agent{ID: life, Addr: settings.InternalAddr(settings.IP), Zone: settings.Zone},
-		start:     time.Now(),
-		commands:  make(chan func(), commandQueue),
-		done:      make(chan struct{}),
-		changed:   make(chan struct{}),
-		members:   &distribute.MemberSet{},
-		suspects:  map[string]bool{},
-		phases:    map[string]phaseNews{},
-		index:     kvindex.New(),
-		readers:   map[string]context.CancelFunc{},
-		fetching:  map[string]bool{},
-		rollouts:  map[string]bool{},
-		ownPhases: map[string]ownPhase{},
+		settings: settings,
+		log:      log,
+		pool:     rpc.NewPool(),
+		web:      newWeb(),
+		self:     distribute.Agent{ID: life, Addr: settings.InternalAddr(settings.IP), Zone: settings.Zone},
+		start:    time.Now(),
+		commands: make(chan func(), commandQueue),
+		done:     make(chan struct{}),
+		changed:  make(chan struct{}),
+		members:  &distribute.MemberSet{},
+		suspects: map[string]bool{},
+		phases:   map[string]phaseNews{},
+		index:    kvindex.New(),
+		readers:  map[string]context.CancelFunc{},
+
+		eventOwners: rendezvous.NewOwners(),
+		fetching:    map[string]bool{},
+		rollouts:    map[string]bool{},
+		ownPhases:   map[string]ownPhase{},
 	}
 	a.news = newExchange(a)
 	return a
--- a/internal/agent/events.go
+++ b/internal/agent/events.go
@@ -7,6 +7,7 @@
 	"math/rand/v2"
 	"net/http"
 	"strconv"
+	"strings"
 	"time"
 
 	"nettlefold/internal/config"
@@ -20,6 +21,8 @@
 	eventsLimit = 1500 * time.Millisecond
 	wholeLimit  = 800 * time.Millisecond
 	repairEvery = 6 * time.Second // between two lists of one backend: each holds its work up
+	// sourcesEvery is how often the readers are held to the backends and members there are though neither seems to have changed.
+	sourcesEvery = time.Second
 )
 
 // eventsPage is an answer of a backend's events.
@@ -88,20 +91,37 @@
 // source is a backend or store whose events are read.
 type source struct{ id, addr string }
 
+// sourcesOf is what the readers follow from: the list, the configuration with its stores, and the members that share the backends.
+type sourcesOf struct {
+	list    uint64
+	config  uint64
+	members uint64
+}
+
 // dutyEvents starts and stops the readers of the backends whose events fall to this agent, and forgets backends that are gone.
 func (a *Agent) dutyEvents(ctx context.Context) {
 	if a.snapshot == nil || a.list == nil {
 		return
 	}
+	from := sourcesOf{a.listSum, a.snapshot.ConfigSeq, a.members.Digest}
+	if from == a.readersOf && time.Since(a.readersAt) < sourcesEvery {
+		return
+	}
+	a.readersOf, a.readersAt = from, time.Now()
 	sources := a.sources()
+	a.eventOwners.SetCandidates(a.memberIDs())
+	a.eventOwners.Keep(func(duty string) bool {
+		_, there := sources[strings.TrimPrefix(duty, eventsDutyPrefix)]
+		return there
+	})
 	for id, stop := range a.readers {
-		if s, there := sources[id]; !there || !a.owns(eventsDuty(s.id)) {
+		if _, there := sources[id]; !there || !a.readsEvents(id) {
 			stop()
 			delete(a.readers, id)
 		}
 	}
 	for id, s := range sources {
-		if a.readers[id] == nil && a.owns(eventsDuty(id)) {
+		if a.readers[id] == nil && a.readsEvents(id) {
 			reading, stop := context.WithCancel(ctx)
 			a.readers[id] = stop
 			go a.readEvents(reading, s)
@@ -114,7 +134,10 @@
 	}
 }
 
-func eventsDuty(id string) string { return "events/" + id }
+const eventsDutyPrefix = "events/"
+
+// readsEvents tells whether the events of a backend fall to this agent.
+func (a *Agent) readsEvents(id string) bool { return a.eventOwners.Owner(eventsDutyPrefix+id) == a.self.ID }
 
 // sources is every backend with kept prompts.
 func (a *Agent) sources() map[string]source {
--- a/internal/agent/list.go
+++ b/internal/agent/list.go
@@ -88,7 +88,7 @@
 
 // spreadList tells the others that the list was read; the list itself goes along when it changed, and now and then.
 func (a *Agent) spreadList() {
-	read := &feed.ReadList{Sum: listSum(a.list)}
+	read := &feed.ReadList{Sum: a.listSum}
 	if read.Sum != a.spreadSum || time.Since(a.spreadAt) >= wholeListEvery {
 		read.Backends, a.spreadSum, a.spreadAt = a.list, read.Sum, time.Now()
 	}
@@ -101,7 +101,7 @@
 	case read == nil:
 	case read.Backends != nil:
 		a.takeList(read.Backends)
-	case a.list != nil && listSum(a.list) == read.Sum:
+	case a.list != nil && a.listSum == read.Sum:
 		a.listAt = time.Now()
 	}
 }
@@ -184,7 +184,7 @@
 func (a *Agent) takeList(list []dispatch.Listed) {
 	a.listAt = time.Now()
 	if !reflect.DeepEqual(a.list, list) {
-		a.list = list
+		a.list, a.listSum = list, listSum(list)
 		a.listChanged()
 	}
 }
--- a/internal/agent/session.go
+++ b/internal/agent/session.go
@@ -166,11 +166,15 @@
 
 // owns tells whether a duty is this agent's, by the members it knows.
 func (a *Agent) owns(key string) bool {
+	return rendezvous.Owner(key, a.memberIDs()) == a.self.ID
+}
+
+func (a *Agent) memberIDs() []string {
 	ids := make([]string, 0, len(a.members.Agents))
 	for _, m := range a.members.Agents {
 		ids = append(ids, m.ID)
 	}
-	return rendezvous.Owner(key, ids) == a.self.ID
+	return ids
 }
 
 // youngest takes the ages that a controller tells, but for versions of which this agent knows better: one that it did not hear of while
