Controllers: members that come at once are shown together

Each agent that came had the whole members shown to everybody: n x n x n entries for n at once. Change: other members are shown at most once per millisecond for each member (72 mixers: 72 ms, 300: 0.3 s, 1,600: 1.6 s); one that comes or goes by itself at once. Test: TestManyComeAtOnce: 400 agents within half a second, fewer than six sets of all are shown, the last within that pace.

--- a/internal/agent/events.go
+++ b/internal/agent/events.go
@@ -137,7 +137,9 @@
 const eventsDutyPrefix = "events/"
 
 // readsEvents tells whether the events of a backend fall to this agent.
-func (a *Agent) readsEvents(id string) bool { return a.eventOwners.Owner(eventsDutyPrefix+id) == a.self.ID }
+func (a *Agent) readsEvents(id string) bool {
+	return a.eventOwners.Owner(eventsDutyPrefix+id) == a.self.ID
+}
 
 // sources is every backend with kept prompts.
 func (a *Agent) sources() map[string]source {
--- a/internal/controller/controller.go
+++ b/internal/controller/controller.go
@@ -49,6 +49,7 @@
 	sessions  map[string]*session
 	elsewhere map[string]*remoteTable
 	told      time.Time // when the table of agents was last sent
+	showedAt  time.Time // when other members were last shown
 	inTouch   time.Time // when it last had the newest state for sure
 	leaving   time.Time // when it was told to end, zero before
 }
@@ -220,7 +221,7 @@
 func (c *Controller) publish(changed bool) {
 	old := c.public.Load()
 	current := c.broken.IsZero() && c.replica.Current(c.now())
-	members := c.members()
+	members := c.pacedMembers(old)
 	if old != nil && !changed && old.current == current && old.members.Digest == members.Digest {
 		return
 	}
--- a/internal/controller/lives_test.go
+++ b/internal/controller/lives_test.go
@@ -105,3 +105,36 @@
 	}
 	require.Len(t, seen, 24)
 }
+
+// TestManyComeAtOnce: 400 agents call one controller within half a second. What is shown of members grows with their number, not with its
+// square; each is shown soon after it came, and one that comes by itself at once.
+func TestManyComeAtOnce(t *testing.T) {
+	inWorld(t, 1, func(w *world, _ *rand.Rand) {
+		const agents = 400
+		c := w.machines[ipOf(1)].controller
+		shown, entries := map[uint64]bool{}, 0
+		look := func() int {
+			members := c.public.Load().members
+			if !shown[members.Digest] {
+				shown[members.Digest] = true
+				entries += len(members.Agents)
+			}
+			return len(members.Agents)
+		}
+		come := func(i int) {
+			request := &distribute.WatchRequest{Agent: distribute.Agent{ID: fmt.Sprint("f/", i), Addr: fmt.Sprint("10.1.0.", i, ":1"), Zone: "x"}}
+			c.enqueue(func() { c.touch(request) })
+		}
+		come(0)
+		time.Sleep(tickEvery)
+		require.Equal(t, 1, look(), "one alone is shown at once")
+		for i := 1; i < agents; i++ {
+			come(i)
+			time.Sleep(time.Millisecond)
+			look()
+		}
+		time.Sleep(agents*membersPace + 2*tickEvery)
+		require.Equal(t, agents, look())
+		require.Less(t, entries, 6*agents, "shown %d times", len(shown))
+	})
+}
--- a/internal/controller/sessions.go
+++ b/internal/controller/sessions.go
@@ -22,6 +22,9 @@
 	// tableEvery is how often the table of agents is told again, and tableSilence how long another's is believed.
 	tableEvery   = 700 * time.Millisecond
 	tableSilence = 2500 * time.Millisecond
+	// membersPace is the least time, for each member, between two sets of members that are shown: each set goes whole to everybody, so that
+	// n that come at once would cost n x n x n entries.
+	membersPace = time.Millisecond
 )
 
 // session is an agent that calls here.
@@ -156,6 +159,19 @@
 	c.publish(false)
 }
 
+// pacedMembers is the members to be shown now: those shown before, if others were shown only just. A tick looks again.
+func (c *Controller) pacedMembers(old *public) *distribute.MemberSet {
+	members := c.members()
+	if old == nil || old.members.Digest == members.Digest {
+		return members
+	}
+	if time.Since(c.showedAt) < time.Duration(len(members.Agents))*membersPace {
+		return old.members
+	}
+	c.showedAt = time.Now()
+	return members
+}
+
 // members is the agents with a session anywhere, each machine's newest life once.
 func (c *Controller) members() *distribute.MemberSet {
 	byAddr := map[string]distribute.Agent{}
