--- /dev/null
+++ b/internal/chain/fingerprint_test.go
@@ -0,0 +1,74 @@
+package chain
+
+import (
+	"fmt"
+	"maps"
+	"slices"
+	"strings"
+)
+
+// Fingerprint tells worlds apart by all that a later step may depend on.
+func (w *core) Fingerprint() string {
+	var b strings.Builder
+	for _, id := range w.ids {
+		r := w.machines[id].replica
+		fmt.Fprint(&b, id, viewText(&r.meta.View), r.meta.Promised, r.meta.Accepted, r.meta.AcceptedView != nil, r.meta.LogEpoch, r.state.Seq, logText(r.log), r.round)
+		if p := r.proposal; p != nil {
+			fmt.Fprint(&b, p.ballot, promisesText(p.promises), p.source, p.length, slices.Sorted(maps.Keys(p.caught)), p.view != nil, slices.Sorted(maps.Keys(p.accepted)))
+		}
+	}
+	var under []string
+	for _, f := range w.flights {
+		under = append(under, flightText(&f))
+	}
+	slices.Sort(under)
+	fmt.Fprint(&b, under, w.acked, w.ackEpoch, len(w.script), w.proposes, w.crashes, w.losses, w.wipes, w.wiped)
+	return b.String()
+}
+
+func promisesText(promises map[NodeID]*Promise) string {
+	var b strings.Builder
+	for _, id := range slices.Sorted(maps.Keys(promises)) {
+		p := promises[id]
+		fmt.Fprint(&b, id, p.Ballot, p.Accepted, p.LogEpoch, p.LogLength, ";")
+	}
+	return b.String()
+}
+
+func viewText(v *View) string { return fmt.Sprint(v.Epoch, v.Chain, v.LogLength) }
+
+func logText(log []Entry) string {
+	var b strings.Builder
+	for _, e := range log {
+		fmt.Fprintf(&b, "%d/%d/%x ", e.Seq, e.Epoch, e.Operation)
+	}
+	return b.String()
+}
+
+func flightText(f *flight) string {
+	m := f.message
+	text := fmt.Sprint(f.to, m.From.ID, kindOf(&m))
+	switch {
+	case m.Promise != nil:
+		text += fmt.Sprint(m.Promise.Epoch, m.Promise.Ballot, m.Promise.Accepted, m.Promise.LogEpoch, m.Promise.LogLength)
+	case m.Prepare != nil:
+		text += fmt.Sprint(m.Prepare.View.Epoch, m.Prepare.Ballot)
+	case m.Append != nil:
+		text += fmt.Sprint(m.Append.Epoch, logText(m.Append.Entries), m.Append.Commit)
+	case m.Commit != nil:
+		text += fmt.Sprint(*m.Commit)
+	case m.CatchUp != nil:
+		text += fmt.Sprint(m.CatchUp.Epoch, m.CatchUp.Ballot, len(m.CatchUp.State), logText(m.CatchUp.Entries))
+	case m.CaughtUp != nil:
+		text += fmt.Sprint(*m.CaughtUp)
+	case m.Transfer != nil:
+		text += fmt.Sprint(m.Transfer.Epoch, m.Transfer.Ballot, len(m.Transfer.Targets))
+	case m.Accept != nil:
+		text += fmt.Sprint(m.Accept.Epoch, m.Accept.Ballot, viewText(&m.Accept.View))
+	case m.Accepted != nil:
+		text += fmt.Sprint(*m.Accepted)
+	case m.Decided != nil:
+		text += viewText(m.Decided)
+	}
+	return text
+}
