Agents: a hub encodes its news once, and leaves its machine's link to others

A hub of 18 agents encoded and compressed each piece of news for each of them: 182 us for 1.8 KB on a loaded machine, 17 times every 60 ms, a quarter of its 0.192 cores; the bytes were 0.5 MB a second on a link of 10 Mbit/s. Ruled out: a controller out of touch (the chain was whole), the feed (configuration goes first). Change: one-way messages may be encoded once for many peers (rpc.OneWay); a hub pays for what it told by a quarter of its machine's link (limits.link_mbps) before it tells more, for 0.3 s at the most. Test: TestOneMessageForMany, TestNewsLeavesTheLinkToOthers, TestAHubCountsWhatItTells.

--- a/internal/agent/news.go
+++ b/internal/agent/news.go
@@ -1,19 +1,25 @@
 package agent
 
 import (
+	"maps"
+	"slices"
 	"time"
 
 	"nettlefold/internal/dispatch"
 	"nettlefold/internal/feed"
 	"nettlefold/internal/kvindex"
 	"nettlefold/internal/rendezvous"
+	"nettlefold/internal/rpc"
 )
 
 const (
-	// flushEvery is the interval of news. It grows where a hub would send more than hubMessages a second to the agents of its zone, so that
-	// it does not spend its machine's processor on news.
-	flushEvery  = 60 * time.Millisecond
-	hubMessages = 400
+	// flushEvery is the interval of news. It grows where a hub would send more than hubMessages a second to the agents of its zone, or spend
+	// more than newsShare of its machine's link on them: processor and link are its proxy's, and the configuration's. It grows to
+	// flushSlowest for the link's sake, so that loads stay of use.
+	flushEvery   = 60 * time.Millisecond
+	flushSlowest = 300 * time.Millisecond
+	hubMessages  = 400
+	newsShare    = 0.25
 	// allEvery is how often all loads are told, for those that missed a change, and loadsKeep how long they are believed.
 	allEvery  = time.Second
 	loadsKeep = 2500 * time.Millisecond
@@ -27,8 +33,9 @@
 // loads run out and are told whole each second, a batch leaves a gap, the list is read by those that miss it.
 type exchange struct {
 	agent  *Agent
-	send   func(to string, n *feed.News)
+	send   func(to []string, n *feed.News) (bytes int)
 	sent   time.Time // when news was last sent
+	told   int       // bytes that the hub of this zone, if this is it, told its agents then
 	number uint64    // of changes to what others have at backends
 
 	up    outgoing // to the hub of this zone
@@ -108,8 +115,7 @@
 }
 
 func newExchange(a *Agent) *exchange {
-	send := func(to string, n *feed.News) { a.pool.Post(to, feed.KindNews, n) }
-	return &exchange{agent: a, send: send, zone: map[string]sums{}, zones: map[string]sums{}}
+	return &exchange{agent: a, send: a.postNews, zone: map[string]sums{}, zones: map[string]sums{}}
 }
 
 // hub is the address of a zone's hub, "" where no agent of it is known.
@@ -128,13 +134,12 @@
 
 // interval is the time between two pieces of news of one agent.
 func (x *exchange) interval() time.Duration {
-	fellows := 0
-	for _, m := range x.agent.members.Agents {
-		if m.Zone == x.agent.self.Zone {
-			fellows++
-		}
+	interval := max(flushEvery, time.Duration(len(x.fellows())+1)*time.Second/hubMessages)
+	if budget := newsShare * x.agent.settings.LinkMbps * 1e6 / 8; budget > 0 {
+		paid := time.Duration(float64(x.told) / budget * float64(time.Second))
+		interval = max(interval, min(paid, flushSlowest))
 	}
-	return max(flushEvery, time.Duration(fellows)*time.Second/hubMessages)
+	return interval
 }
 
 // due tells whether the interval has passed at now, to half a tick of the ticker.
@@ -143,7 +148,7 @@
 // flush sends what has come together.
 func (x *exchange) flush() {
 	a := x.agent
-	x.sent = time.Now()
+	x.sent, x.told = time.Now(), 0
 	hub := x.hub(a.self.Zone)
 	if hub == "" {
 		return
@@ -153,7 +158,7 @@
 	if hub == a.self.Addr {
 		x.take(&feed.News{From: a.self.Addr, Hop: feed.ToHub, Loads: mine, List: x.up.list, Batches: x.up.batches, Phases: x.up.phases})
 	} else if mine != nil || !x.up.empty() {
-		x.send(hub, &feed.News{From: a.self.Addr, Hop: feed.ToHub, Loads: mine, List: x.up.list, Batches: x.up.batches, Phases: x.up.phases})
+		x.send([]string{hub}, &feed.News{From: a.self.Addr, Hop: feed.ToHub, Loads: mine, List: x.up.list, Batches: x.up.batches, Phases: x.up.phases})
 	}
 	x.up = outgoing{}
 	x.flushHub(hub == a.self.Addr)
@@ -168,19 +173,13 @@
 	zone := total(x.zone)
 	if loads := x.across.next(zone); loads != nil || !x.cross.empty() {
 		news := &feed.News{From: a.self.Addr, Hop: feed.HubToHub, Loads: loads, List: x.cross.list, Batches: x.cross.batches, Phases: x.cross.phases}
-		for other := range x.otherZones() {
-			x.send(other, news)
-		}
+		x.send(slices.Collect(maps.Keys(x.otherZones())), news)
 	}
 	x.cross = outgoing{}
 	all := plus(zone, total(x.zones))
 	if loads := x.below.next(all); loads != nil || !x.down.empty() {
 		news := &feed.News{From: a.self.Addr, Hop: feed.FromHub, Loads: loads, List: x.down.list, Batches: x.down.batches, Phases: x.down.phases}
-		for _, m := range a.members.Agents {
-			if m.Zone == a.self.Zone && m.Addr != a.self.Addr {
-				x.send(m.Addr, news)
-			}
-		}
+		x.told = x.send(x.fellows(), news)
 		if loads != nil {
 			x.takeAll(loads)
 		}
@@ -188,6 +187,29 @@
 	x.down = outgoing{}
 }
 
+// postNews sends news to some agents, and encodes it once: a hub's machine would spend a quarter of its processor on doing so for each.
+func (a *Agent) postNews(to []string, n *feed.News) (bytes int) {
+	encoded, err := rpc.NewOneWay(feed.KindNews, n)
+	if err != nil {
+		a.log.Error().Err(err).Str("step", "news").Msg("news cannot be encoded")
+		return 0
+	}
+	for _, addr := range to {
+		a.pool.PostEncoded(addr, encoded)
+	}
+	return len(encoded) * len(to)
+}
+
+// fellows gives the other agents of this zone.
+func (x *exchange) fellows() (addrs []string) {
+	for _, m := range x.agent.members.Agents {
+		if m.Zone == x.agent.self.Zone && m.Addr != x.agent.self.Addr {
+			addrs = append(addrs, m.Addr)
+		}
+	}
+	return addrs
+}
+
 // otherZones gives the hubs of the other zones.
 func (x *exchange) otherZones() map[string]bool {
 	hubs, zones := map[string]bool{}, map[string]bool{x.agent.self.Zone: true}
--- a/internal/agent/news_test.go
+++ b/internal/agent/news_test.go
@@ -38,7 +38,13 @@
 	for _, a := range agents {
 		byAddr[a.self.Addr] = a
 	}
-	deliver := func(to string, n *feed.News) { messages++; byAddr[to].news.take(n) }
+	deliver := func(to []string, n *feed.News) int {
+		for _, addr := range to {
+			messages++
+			byAddr[addr].news.take(n)
+		}
+		return 0
+	}
 	for _, a := range agents {
 		a.news.send = deliver
 	}
@@ -121,3 +127,44 @@
 		require.LessOrEqual(t, float64(c.each)/a.news.interval().Seconds(), float64(hubMessages)*1.01, "messages a second of a hub")
 	}
 }
+
+// TestNewsLeavesTheLinkToOthers: what a hub told last is paid for by a share of its machine's link before it tells more, for a bounded time.
+func TestNewsLeavesTheLinkToOthers(t *testing.T) {
+	for _, c := range []struct {
+		mbps     float64
+		told     int
+		interval time.Duration
+	}{
+		{0, 1 << 20, flushEvery}, // not stated
+		{1000, 30_000, flushEvery},
+		{10, 0, flushEvery},
+		{10, 18_000, flushEvery},
+		{10, 37_500, 120 * time.Millisecond},
+		{10, 1 << 20, flushSlowest},
+	} {
+		a := fleetOf(4, 18)[0]
+		a.settings.LinkMbps, a.news.told = c.mbps, c.told
+		require.InDelta(t, c.interval, a.news.interval(), float64(time.Millisecond), "%v Mbit/s, %d bytes", c.mbps, c.told)
+	}
+}
+
+// TestAHubCountsWhatItTells: the bytes of one flush, to all agents of its zone.
+func TestAHubCountsWhatItTells(t *testing.T) {
+	agents := fleetOf(1, 5)
+	for _, a := range agents {
+		a.ownLoads = map[string]dispatch.Load{"b": {Running: 1}}
+	}
+	for _, a := range agents {
+		told := 0
+		a.news.send = func(to []string, _ *feed.News) int {
+			told = 100 * len(to)
+			return told
+		}
+		a.news.flush()
+		if a.news.hub("z0") == a.self.Addr {
+			require.Equal(t, 400, a.news.told)
+		} else {
+			require.Zero(t, a.news.told)
+		}
+	}
+}
--- a/internal/rpc/client.go
+++ b/internal/rpc/client.go
@@ -102,17 +102,22 @@
 
 // Send writes a one-way message. No error says only that it was handed to the kernel.
 func (c *Client) Send(ctx context.Context, kind string, message any) error {
-	connection, err := c.connect(ctx)
+	encoded, err := NewOneWay(kind, message)
 	if err != nil {
-		return merry.Prepend(err, "rpc "+kind+" to "+c.addr+": dial")
+		return merry.Prepend(err, "rpc "+kind+" to "+c.addr+": encode")
 	}
-	body, err := cbor.Marshal(message)
+	return c.SendEncoded(ctx, encoded)
+}
+
+// SendEncoded writes a one-way message that was encoded before, as Send does.
+func (c *Client) SendEncoded(ctx context.Context, message OneWay) error {
+	connection, err := c.connect(ctx)
 	if err != nil {
-		return err
+		return merry.Prepend(err, "rpc to "+c.addr+": dial")
 	}
-	if err := connection.write(ctx, &envelope{Kind: kind, Body: body}); err != nil {
+	if err := connection.writeBytes(ctx, message); err != nil {
 		c.drop(connection)
-		return merry.Prepend(err, "rpc "+kind+" to "+c.addr+": send")
+		return merry.Prepend(err, "rpc to "+c.addr+": send")
 	}
 	return nil
 }
@@ -225,12 +230,21 @@
 }
 
 func (c *connection) write(ctx context.Context, e *envelope) error {
+	frame, err := encodeFrame(e)
+	if err != nil {
+		return err
+	}
+	return c.writeBytes(ctx, frame)
+}
+
+func (c *connection) writeBytes(ctx context.Context, frame []byte) error {
 	if err := c.writing.take(ctx); err != nil {
 		return err
 	}
 	defer c.writing.pass()
 	c.conn.SetWriteDeadline(time.Now().Add(writeTimeout))
-	return writeFrame(c.conn, e)
+	_, err := c.conn.Write(frame)
+	return err
 }
 
 func (c *connection) end() {
--- a/internal/rpc/frame.go
+++ b/internal/rpc/frame.go
@@ -37,10 +37,19 @@
 
 // writeFrame encodes an envelope as one write, so that a frame is never interleaved with another's.
 func writeFrame(w io.Writer, e *envelope) error {
-	encoded, err := cbor.Marshal(e)
+	frame, err := encodeFrame(e)
 	if err != nil {
 		return err
 	}
+	_, err = w.Write(frame)
+	return err
+}
+
+func encodeFrame(e *envelope) ([]byte, error) {
+	encoded, err := cbor.Marshal(e)
+	if err != nil {
+		return nil, err
+	}
 	frame, mark := make([]byte, 4, 4+len(encoded)), uint32(0)
 	if len(encoded) >= compressAbove {
 		frame, mark = compressor.EncodeAll(encoded, frame), compressedBit
@@ -48,8 +57,19 @@
 		frame = append(frame, encoded...)
 	}
 	binary.BigEndian.PutUint32(frame, uint32(len(frame)-4)|mark)
-	_, err = w.Write(frame)
-	return err
+	return frame, nil
+}
+
+// OneWay is a one-way message as it goes over any link: what goes to many peers is encoded and compressed once.
+type OneWay []byte
+
+// NewOneWay encodes a one-way message.
+func NewOneWay(kind string, message any) (OneWay, error) {
+	body, err := cbor.Marshal(message)
+	if err != nil {
+		return nil, err
+	}
+	return encodeFrame(&envelope{Kind: kind, Body: body})
 }
 
 // readFrame reads one envelope. Its body stays valid after the next read.
--- a/internal/rpc/pool.go
+++ b/internal/rpc/pool.go
@@ -16,9 +16,11 @@
 	done    chan struct{}
 }
 
+// outgoing is a one-way message that waits: encoded already, or to be.
 type outgoing struct {
 	kind    string
 	message any
+	encoded OneWay
 }
 
 // outboxDepth bounds what waits for a peer that does not read; beyond it messages are dropped, as on a lossy link.
@@ -53,6 +55,13 @@
 
 // Post queues a one-way message and returns at once. Messages to one peer are sent in order, some may be lost.
 func (p *Pool) Post(addr, kind string, message any) {
+	p.post(addr, outgoing{kind: kind, message: message})
+}
+
+// PostEncoded queues a one-way message that goes to others too, as Post does.
+func (p *Pool) PostEncoded(addr string, message OneWay) { p.post(addr, outgoing{encoded: message}) }
+
+func (p *Pool) post(addr string, o outgoing) {
 	p.mu.Lock()
 	queue := p.outbox[addr]
 	if queue == nil {
@@ -62,7 +71,7 @@
 	}
 	p.mu.Unlock()
 	select {
-	case queue <- outgoing{kind, message}:
+	case queue <- o:
 	default:
 	}
 }
@@ -73,7 +82,7 @@
 		select {
 		case o := <-queue:
 			ctx, cancel := context.WithTimeout(context.Background(), dialTimeout)
-			err := client.Send(ctx, o.kind, o.message)
+			err := o.send(ctx, client)
 			cancel()
 			if err != nil {
 				discard(queue)
@@ -116,3 +125,10 @@
 		c.Close()
 	}
 }
+
+func (o *outgoing) send(ctx context.Context, client *Client) error {
+	if o.encoded != nil {
+		return client.SendEncoded(ctx, o.encoded)
+	}
+	return client.Send(ctx, o.kind, o.message)
+}
--- a/internal/rpc/rpc_test.go
+++ b/internal/rpc/rpc_test.go
@@ -103,3 +103,38 @@
 	require.NoError(t, err)
 	require.Equal(t, int(silenceLimit.Milliseconds()), limit)
 }
+
+// TestOneMessageForMany: encoded once, a message reaches each peer as one that was encoded for it does, small or large, between others.
+func TestOneMessageForMany(t *testing.T) {
+	type news struct {
+		Text string `cbor:"1,keyasint"`
+	}
+	got := make(chan string, 64)
+	handle := func(_ context.Context, kind string, body []byte) (any, error) {
+		n := new(news)
+		if err := cbor.Unmarshal(body, n); err != nil {
+			return nil, err
+		}
+		got <- kind + " " + n.Text
+		return nil, nil
+	}
+	pool := NewPool()
+	defer pool.Close()
+	var addrs []string
+	for range 3 {
+		addrs = append(addrs, serveOn(t, handle))
+	}
+	for _, text := range []string{"", "short", strings.Repeat("long ", 4000)} {
+		encoded, err := NewOneWay("news", &news{text})
+		require.NoError(t, err)
+		for _, addr := range addrs {
+			pool.PostEncoded(addr, encoded)
+			pool.Post(addr, "news", &news{"after " + text})
+		}
+		count := map[string]int{}
+		for range 2 * len(addrs) {
+			count[<-got]++
+		}
+		require.Equal(t, map[string]int{"news " + text: 3, "news after " + text: 3}, count)
+	}
+}
--- a/internal/settings/local/local.go
+++ b/internal/settings/local/local.go
@@ -33,6 +33,7 @@
 	DataDirectory   string
 	MemoryMB        int
 	FileDescriptors int
+	LinkMbps        float64 // of the machine's link, 0 if it is not stated
 	CloudAddr       string
 	CloudRate       float64 // calls a second, all processes together
 	CloudLag        time.Duration
@@ -108,6 +109,7 @@
 		DataDirectory:   p.text("data_directory"),
 		MemoryMB:        int(p.number("limits.memory_mb", 256)),
 		FileDescriptors: int(p.number("limits.file_descriptors", 1024)),
+		LinkMbps:        p.number("limits.link_mbps", 0),
 		CloudAddr:       p.text("cloud.address"),
 		CloudRate:       p.number("cloud.rate_per_s", 1),
 		CloudLag:        p.millis("cloud.lag_ms", 1000),
