--- a/internal/agent/orders.go
+++ b/internal/agent/orders.go
@@ -240,6 +240,7 @@
 		r.phase(l.ID, feed.Phase{})
 		return
 	}
+	r.agent.log.Info().Str("step", "order").Str("peer", l.Addr).Str("backend", l.ID).Int64("from", l.Versions[r.model]).Int64("version", version).Msg("order taken")
 	r.phase(l.ID, feed.Phase{Name: dispatch.PhaseLoading})
 	for began := time.Now(); time.Since(began) < loadLimit && ctx.Err() == nil; {
 		time.Sleep(reportEvery)
--- a/internal/agent/session.go
+++ b/internal/agent/session.go
@@ -121,10 +121,22 @@
 		s.Config = a.snapshot.Config
 	}
 	a.ages, a.agesAt = a.youngest(s, reply.Ages), time.Now()
+	a.logWeights(s, reply.Ages)
 	a.snapshot = s
 	a.notify()
 }
 
+// logWeights tells which versions of models are wanted now, since when a controller says so, and since when this agent takes them to be.
+func (a *Agent) logWeights(s *distribute.Snapshot, told map[string]int64) {
+	for model, wanted := range s.Models {
+		if a.snapshot != nil && a.snapshot.Models[model].Version == wanted.Version {
+			continue
+		}
+		a.log.Info().Str("step", "weights").Str("model", model).Int64("version", wanted.Version).
+			Int64("told_ms", told[model]).Int64("age_ms", a.ages[model]).Uint64("seq", s.Seq).Msg("version wanted")
+	}
+}
+
 // watchPeers pings the few agents that rendezvous hashing gives this one to watch.
 func (a *Agent) watchPeers(ctx context.Context) {
 	missed := map[string]int{}
--- /dev/null
+++ b/internal/dispatch/versions_test.go
@@ -0,0 +1,25 @@
+package dispatch
+
+import (
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"nettlefold/internal/replicated"
+)
+
+// TestEachSupersededVersionHasALimitOfItsOwn: a version that is named does not give the ones before its predecessor more time.
+func TestEachSupersededVersionHasALimitOfItsOwn(t *testing.T) {
+	table := newTable(t, backend(1, 1), backend(2, 2))
+	name := func(now time.Duration, version int64) {
+		table.SetState(now, nil, nil, map[string]replicated.Model{"m": {Version: version}}, map[string]int64{"m": 0}, 1<<40)
+	}
+	name(0, 2)
+	name(7*time.Second, 3)
+	c := table.Pick(8500*time.Millisecond, prompted())
+	require.Equal(t, "b2", c.ID, "version 1 was superseded 8.5 s ago, of 10")
+	require.Equal(t, 7*time.Second+time.Duration(beginShare*float64(settings.VersionLimit)), c.BeginBy)
+	table.SetBackends(8500*time.Millisecond, []Listed{backend(1, 1)}, nil)
+	require.Nil(t, table.Pick(8600*time.Millisecond, prompted()))
+}
--- a/internal/proxy/attempts.go
+++ b/internal/proxy/attempts.go
@@ -47,10 +47,11 @@
 	s.mu.Unlock()
 }
 
-// overdue gives the attempts that have heard nothing for too long; silent tells whether a backend is.
-func (s *attempts) overdue(now time.Duration, silent func(a *attempt) bool) (overdue []*attempt) {
+// overdue gives the attempts that have heard nothing for too long, and why each is to end; silent tells whether a backend is.
+func (s *attempts) overdue(now time.Duration, silent func(a *attempt) bool) (overdue map[*attempt]ending) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	overdue = map[*attempt]ending{}
 	for id, at := range s.gone {
 		if time.Since(at) > time.Minute {
 			delete(s.gone, id)
@@ -61,9 +62,9 @@
 		_, gone := s.gone[a.choice.ID]
 		switch {
 		case gone && quiet > goneSilence:
-			overdue = append(overdue, a)
+			overdue[a] = endingBackendLeft
 		case a.mayMove && quiet > streamSilence && silent(a):
-			overdue = append(overdue, a)
+			overdue[a] = endingBackendSilent
 		}
 	}
 	return overdue
@@ -79,13 +80,18 @@
 		case <-ctx.Done():
 			return
 		}
-		var overdue []*attempt
-		p.do(func() {
-			overdue = p.attempts.overdue(p.now(), func(a *attempt) bool { return p.table.Silent(p.now(), a.choice) })
-		})
-		for _, a := range overdue {
-			p.log.Debug().Str("step", "overdue").Str("peer", a.choice.Addr).Msg("attempt ended")
-			a.cancel()
-		}
+		p.endOverdue(p.now())
+	}
+}
+
+// endOverdue ends the attempts that wait in vain at a time.
+func (p *Proxy) endOverdue(now time.Duration) {
+	var overdue map[*attempt]ending
+	p.do(func() {
+		overdue = p.attempts.overdue(now, func(a *attempt) bool { return p.table.Silent(now, a.choice) })
+	})
+	for a, why := range overdue {
+		p.log.Debug().Str("step", "overdue").Str("peer", a.choice.Addr).Str("ending", string(why)).Msg("attempt ended")
+		a.cancel(why)
 	}
 }
--- a/internal/proxy/attempts_test.go
+++ b/internal/proxy/attempts_test.go
@@ -27,7 +27,7 @@
 	}
 	s.left("gone")
 	overdue := s.overdue(now, func(a *attempt) bool { return a.choice.ID == "silent" })
-	require.ElementsMatch(t, []*attempt{gone, silent}, overdue)
+	require.Equal(t, map[*attempt]ending{gone: endingBackendLeft, silent: endingBackendSilent}, overdue)
 	s.remove(silent)
 	s.remove(gone)
 	require.Empty(t, s.overdue(now, func(a *attempt) bool { return a.choice.ID == "silent" }))
--- a/internal/proxy/forward.go
+++ b/internal/proxy/forward.go
@@ -21,7 +21,8 @@
 	begun    bool   // the first bytes of the answer are there
 	end      func() // frees what the attempt holds
 	late     *time.Timer
-	cancel   context.CancelFunc
+	ctx      context.Context // of this attempt alone; its cause is an ending
+	cancel   context.CancelCauseFunc
 	mayMove  bool         // it may be sent to another backend
 	heard    atomic.Int64 // when the last bytes came, by the proxy's clock
 }
@@ -122,13 +123,13 @@
 	if q.lastEvent != "" {
 		header.Set(headerLastEvent, q.lastEvent)
 	}
-	ctx, cancel := context.WithCancel(ctx)
-	a := &attempt{choice: c, cancel: cancel, mayMove: q.route.MayRepeat() && last < max(1, q.route.MaxAttempts)}
+	ctx, cancel := context.WithCancelCause(ctx)
+	a := &attempt{choice: c, ctx: ctx, cancel: cancel, mayMove: q.route.MayRepeat() && last < max(1, q.route.MaxAttempts)}
 	a.heard.Store(int64(p.now()))
 	p.attempts.add(a)
-	a.end = func() { p.attempts.remove(a); cancel() }
+	a.end = func() { p.attempts.remove(a); cancel(nil) }
 	if c.BeginBy > 0 {
-		a.late = p.afterFunc(c.BeginBy-p.now(), cancel)
+		a.late = p.afterFunc(c.BeginBy-p.now(), func() { cancel(endingBeginLimit) })
 	}
 	p.counters.attempts.Add(1)
 	pool := p.pool(c.ID, c.Addr, p.connections(q.service))
--- a/internal/proxy/metrics.go
+++ b/internal/proxy/metrics.go
@@ -28,6 +28,9 @@
 	set.Add("proxy_requests_given_up_total", float64(p.counters.givenUp.Load()))
 	set.Add("proxy_streams_resumed_total", float64(p.counters.resumed.Load()))
 	set.Add("proxy_answers_cut_total", float64(p.counters.cut.Load()))
+	for _, e := range endings {
+		set.Add(`proxy_endings_total{ending="`+string(e)+`"}`, float64(p.endings.of(e)))
+	}
 	set.AddFlag("proxy_stopping", p.stopping.Load() != nil)
 	if table := p.config.Load(); table != nil {
 		set.Add("proxy_config_version", float64(table.Version))
--- a/internal/proxy/proxy.go
+++ b/internal/proxy/proxy.go
@@ -58,8 +58,11 @@
 	// What follows is the owner's.
 	table *dispatch.Table
 	have  feed.Request
+	// weights has the versions of models that were last told in the log.
+	weights map[string]int64
 
 	counters  counters
+	endings   endingCounts
 	splits    *splits
 	attempts  *attempts
 	durations *durations
@@ -79,7 +82,9 @@
 		done:     make(chan struct{}),
 		pools:    map[string]*upstream.Pool{},
 		attempts: newAttempts(),
+		weights:  map[string]int64{},
 		splits:   newSplits(),
+		endings:  newEndingCounts(),
 
 		afterFunc: time.AfterFunc,
 		durations: newDurations(),
@@ -168,7 +173,9 @@
 	ctx, cancel := context.WithDeadline(context.Background(), plan.end)
 	defer cancel()
 	server.SetKeepAlivesEnabled(false)
-	server.Shutdown(ctx)
+	if server.Shutdown(ctx) != nil {
+		p.graceEnded()
+	}
 }
 
 func (p *Proxy) readiness(ctx echo.Context) error {
@@ -260,10 +267,22 @@
 		p.table.SetConfig(table)
 		p.have.Config = s.ConfigSeq
 	}
+	p.logWeights(s, ages)
 	p.table.SetState(now, s.Evacuated, s.Restored, s.Models, ages, distribute.UnknownAge)
 	p.have.Applied = s.Seq
 }
 
+// logWeights tells which versions of models are wanted now, and since when they are known to be.
+func (p *Proxy) logWeights(s *distribute.Snapshot, ages map[string]int64) {
+	for model, wanted := range s.Models {
+		if p.weights[model] == wanted.Version {
+			continue
+		}
+		p.weights[model] = wanted.Version
+		p.log.Info().Str("step", "weights").Str("model", model).Int64("version", wanted.Version).Int64("age_ms", ages[model]).Uint64("seq", s.Seq).Msg("version wanted")
+	}
+}
+
 func (p *Proxy) takeMembers(set *distribute.MemberSet) {
 	p.have.Members = set.Digest
 	members := dispatch.Members{}
--- a/internal/proxy/relay.go
+++ b/internal/proxy/relay.go
@@ -34,20 +34,22 @@
 		if ctx.Err() != nil || errors.Is(err, errClientGone) {
 			outcome = dispatch.Cancelled
 		}
+		why := endingOf(ctx, q, a, err)
 		p.finish(a, outcome)
 		if events == nil || outcome == dispatch.Cancelled {
+			p.cutOff(q, a, why)
 			break
 		}
 		q.lastEvent = events.last
 		events.cut()
 		next := p.resume(ctx, q, &tried, &sent)
 		if next == nil {
+			p.cutOff(q, a, why)
 			break
 		}
 		p.counters.resumed.Add(1)
 		a = next
 	}
-	p.counters.cut.Add(1)
 	panic(http.ErrAbortHandler)
 }
 
--- a/internal/proxy/stopping.go
+++ b/internal/proxy/stopping.go
@@ -75,6 +75,16 @@
 	}
 }
 
+// unfinished gives the requests that run.
+func (d *durations) unfinished() (open []*request) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	for q := range d.open {
+		open = append(open, q)
+	}
+	return open
+}
+
 // turn begins another window when the current one is over.
 func (d *durations) turn(now time.Time) {
 	if now.Sub(d.since) < durationWindow {
