--- a/internal/proxy/silence_test.go
+++ b/internal/proxy/silence_test.go
@@ -6,6 +6,7 @@
 	"io"
 	"net/http"
 	"strings"
+	"sync"
 	"testing"
 	"time"
 
@@ -14,19 +15,22 @@
 
 // pausing is a backend that streams an event, stands still until it is released, and streams another.
 type pausing struct {
-	release chan struct{}
+	released chan struct{}
+	once     sync.Once
 }
 
 func newPausing() *pausing {
-	return &pausing{release: make(chan struct{})}
+	return &pausing{released: make(chan struct{})}
 }
 
 func (b *pausing) serve(w http.ResponseWriter, _ *http.Request) {
 	events(w, 1, 1, "", func() {})
-	<-b.release
+	<-b.released
 	io.WriteString(w, "id: 2\ndata: 2\n\n")
 }
 
+func (b *pausing) release() { b.once.Do(func() { close(b.released) }) }
+
 // eventTexts is the text of a stream's events.
 func eventTexts(from, to int) (text string) {
 	for i := from; i <= to; i++ {
@@ -60,9 +64,13 @@
 func TestASilentStreamGoesOnWhereNoOtherBackendMayTakeIt(t *testing.T) {
 	backend := newPausing()
 	r := newRig(t, backend.serve)
+	t.Cleanup(backend.release)
 	rest, first := r.open("/stream/x")
 	r.proxy.endOverdue(r.proxy.now() + 10*time.Second)
-	close(backend.release)
+	for a := range r.proxy.attempts.open {
+		require.NoError(t, a.ctx.Err(), "the attempt goes on")
+	}
+	backend.release()
 	more, err := io.ReadAll(rest)
 	require.NoError(t, err)
 	require.Equal(t, eventTexts(1, 2), first+string(more))
