Each superseded version has a time limit of its own, and the oldest weights are exchanged first

Cause: controllers, agents and proxies kept one time for each model, that of the newest version. A third version that was named within the second's limit made the first one fit again until the third's limit. Class: one clock where one for each is owed.

Change: internal/superseded keeps, for each version, a bound for when the first newer one was named; what several tell is merged by the later bound; ages are dated by when the call was made, plus for how long it was held, so that time on the way makes nothing younger. A version that is named while a request waits limits that request too (it had none if it was sent on the newest weights). Orders for new weights go to the oldest weights first: by the list's order a new version began anew with those that had just loaded, and the last ones were never reached.

TestWhatHasNotBegunOnOldWeightsIsTakenBack set the limit by hand in the choice; it now comes from the versions in force. The calls of SetState in tests follow its new form.

--- a/internal/agent/agent.go
+++ b/internal/agent/agent.go
@@ -21,6 +21,7 @@
 	"nettlefold/internal/rendezvous"
 	"nettlefold/internal/rpc"
 	"nettlefold/internal/settings/local"
+	"nettlefold/internal/superseded"
 )
 
 const (
@@ -48,9 +49,8 @@
 
 	// What follows is the owner's.
 	snapshot    *distribute.Snapshot
-	ages        map[string]int64
-	agesAt      time.Time
-	inTouch     time.Time // when a controller in touch last answered
+	versions    map[string]superseded.Times // since when models' versions are known to be wanted
+	inTouch     time.Duration               // when a call was made that a controller in touch answered, the last one
 	controllers []string
 	epoch       uint64 // of the view that controllers are of
 	members     *distribute.MemberSet
@@ -107,6 +107,8 @@
 		members:  &distribute.MemberSet{},
 		suspects: map[string]bool{},
 		phases:   map[string]phaseNews{},
+		versions: map[string]superseded.Times{},
+		inTouch:  superseded.Always,
 		index:    kvindex.New(),
 		readers:  map[string]context.CancelFunc{},
 
@@ -262,13 +264,14 @@
 	if err := cbor.Unmarshal(body, request); err != nil {
 		return nil, err
 	}
+	began := a.now()
 	held := time.NewTimer(feedHold)
 	defer held.Stop()
 	for {
 		var reply *feed.Reply
 		var fresh bool
 		var changed chan struct{}
-		if err := a.ask(ctx, func() { reply, fresh = a.feedReply(request); changed = a.changed }); err != nil {
+		if err := a.ask(ctx, func() { reply, fresh = a.feedReply(began, request); changed = a.changed }); err != nil {
 			return nil, err
 		}
 		if fresh {
@@ -284,8 +287,8 @@
 	}
 }
 
-// feedReply makes the answer to a proxy, and tells whether there is something in it that it lacks.
-func (a *Agent) feedReply(request *feed.Request) (reply *feed.Reply, fresh bool) {
+// feedReply makes the answer to a call of the proxy that came at a time, and tells whether there is something in it that it lacks.
+func (a *Agent) feedReply(began time.Duration, request *feed.Request) (reply *feed.Reply, fresh bool) {
 	a.proxyAt = time.Now()
 	a.applied = max(a.applied, request.Applied)
 	same := request.Agent == a.self.ID
@@ -299,6 +302,7 @@
 			snapshot.Config = nil
 		}
 		reply.Snapshot, reply.Ages, fresh = &snapshot, a.currentAges(), true
+		reply.HeldMS = (a.now() - began).Milliseconds()
 	}
 	if a.list != nil && (!same || request.List != a.listNumber) {
 		reply.List, fresh = a.listFor(), true
@@ -345,10 +349,10 @@
 	return len(reply.Batches) > 0
 }
 
-func (a *Agent) currentAges() map[string]int64 {
-	ages := map[string]int64{}
-	for model, age := range a.ages {
-		ages[model] = age + time.Since(a.agesAt).Milliseconds()
+func (a *Agent) currentAges() map[string][]superseded.Age {
+	ages := map[string][]superseded.Age{}
+	for model, times := range a.versions {
+		ages[model] = times.Ages(a.now())
 	}
 	return ages
 }
--- a/internal/agent/feed_test.go
+++ b/internal/agent/feed_test.go
@@ -51,19 +51,19 @@
 func TestNewsOfTheConfigurationDoesNotWaitForTheIndex(t *testing.T) {
 	a := indexed(140, 300)
 	a.snapshot = &distribute.Snapshot{Seq: 5, ConfigSeq: 5, Config: []byte("{}")}
-	reply, fresh := a.feedReply(&feed.Request{})
+	reply, fresh := a.feedReply(0, &feed.Request{})
 	require.True(t, fresh)
 	require.NotNil(t, reply.Snapshot)
 	require.Empty(t, reply.Batches)
 	require.True(t, reply.Reset)
 	require.Len(t, reply.Known, 140)
 	request := &feed.Request{Agent: a.self.ID, Applied: 5, Config: 5, Index: reply.Index, Members: a.members.Digest, Loads: reply.LoadsAt, Want: reply.Known}
-	reply, fresh = a.feedReply(request)
+	reply, fresh = a.feedReply(0, request)
 	require.True(t, fresh)
 	require.NotEmpty(t, reply.Batches)
 	require.LessOrEqual(t, changes(reply), feed.MostChanges+300)
 	a.snapshot = &distribute.Snapshot{Seq: 6, ConfigSeq: 6, Config: []byte("{}")}
-	reply, _ = a.feedReply(request)
+	reply, _ = a.feedReply(0, request)
 	require.NotNil(t, reply.Snapshot, "another one comes between the pieces")
 	require.Empty(t, reply.Batches)
 	require.Equal(t, request.Index, reply.Index)
@@ -78,7 +78,7 @@
 		a.listNumber = number
 		a.members = &distribute.MemberSet{Digest: number}
 		a.change("i-1", int(number))
-		reply, fresh := a.feedReply(request)
+		reply, fresh := a.feedReply(0, request)
 		require.True(t, fresh)
 		require.NotNil(t, reply.List)
 		require.NotNil(t, reply.Members)
@@ -99,7 +99,7 @@
 					a.change(fmt.Sprint("i-", random.IntN(60)), 1_000_000+random.IntN(1000))
 				}
 			}
-			reply, _ := a.feedReply(request)
+			reply, _ := a.feedReply(0, request)
 			if random.IntN(4) == 0 {
 				continue // it did not come in time
 			}
--- a/internal/agent/metrics.go
+++ b/internal/agent/metrics.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"nettlefold/internal/metrics"
+	"nettlefold/internal/superseded"
 )
 
 // Metrics gives what this agent knows, and how old it is.
@@ -34,7 +35,9 @@
 	set.Add("agent_event_readers", float64(len(a.readers)))
 	set.Add("agent_rollouts", float64(len(a.rollouts)))
 	set.Add("agent_news_interval_seconds", a.news.interval().Seconds())
-	addAge(set, "agent_in_touch_age_seconds", a.inTouch)
+	if a.inTouch != superseded.Always {
+		set.Add("agent_in_touch_age_seconds", (a.now() - a.inTouch).Seconds())
+	}
 	addAge(set, "agent_list_age_seconds", a.listAt)
 	addAge(set, "agent_proxy_age_seconds", a.proxyAt)
 }
--- a/internal/agent/metrics_test.go
+++ b/internal/agent/metrics_test.go
@@ -18,7 +18,7 @@
 	_, there := set.Value("agent_in_touch_age_seconds")
 	require.False(t, there)
 	a.snapshot, a.applied = &distribute.Snapshot{Seq: 9}, 7
-	a.inTouch = time.Now().Add(-time.Minute)
+	a.inTouch = a.now() - time.Minute
 	set = metrics.NewSet()
 	a.addMetrics(set)
 	for name, want := range map[string]float64{"agent_snapshot_seq": 9, "agent_applied_seq": 7, "agent_members": 6, "agent_news_interval_seconds": 0.06} {
--- a/internal/agent/orders.go
+++ b/internal/agent/orders.go
@@ -2,10 +2,12 @@
 
 import (
 	"bytes"
+	"cmp"
 	"context"
 	"encoding/json"
 	"io"
 	"net/http"
+	"slices"
 	"sync"
 	"time"
 
@@ -55,13 +57,15 @@
 	}
 }
 
-// behind gives the backends whose weights are older than a version.
+// behind gives the backends whose weights are older than a version, those first whose weights are the oldest: they are the first that may
+// get nothing more. A version that is named while the one before is on its way so begins with what that one has not reached.
 func (a *Agent) behind(model string, version int64) (behind []dispatch.Listed) {
 	for _, l := range a.listFor().Backends {
 		if has, serves := l.Versions[model]; serves && has < version {
 			behind = append(behind, l)
 		}
 	}
+	slices.SortStableFunc(behind, func(x, y dispatch.Listed) int { return cmp.Compare(x.Versions[model], y.Versions[model]) })
 	return behind
 }
 
--- a/internal/agent/session.go
+++ b/internal/agent/session.go
@@ -9,6 +9,7 @@
 	"nettlefold/internal/distribute"
 	"nettlefold/internal/feed"
 	"nettlefold/internal/rendezvous"
+	"nettlefold/internal/superseded"
 )
 
 const (
@@ -41,19 +42,20 @@
 			return
 		}
 		reply := new(distribute.WatchReply)
+		asked := a.now()
 		err := a.pool.Call(ctx, watchLimit, addr, distribute.KindWatch, &request, reply)
 		if err != nil || !reply.Current {
 			if err != nil {
 				a.log.Debug().Err(err).Str("step", "watch").Str("peer", addr).Msg("controller does not answer")
 			}
-			a.ask(ctx, func() { a.takeLate(reply) })
+			a.ask(ctx, func() { a.takeLate(asked, reply) })
 			failed[addr] = min(max(2*failed[addr], avoidFor), avoidMost)
 			avoid[addr] = time.Now().Add(failed[addr])
 			time.Sleep(sessionPause)
 			continue
 		}
 		delete(failed, addr)
-		a.ask(ctx, func() { a.takeReply(reply) })
+		a.ask(ctx, func() { a.takeReply(asked, reply) })
 	}
 }
 
@@ -92,8 +94,9 @@
 	return slices.MinFunc(ranked, func(x, y string) int { return cmp.Compare(avoid[x].UnixNano(), avoid[y].UnixNano()) })
 }
 
-func (a *Agent) takeReply(reply *distribute.WatchReply) {
-	defer func() { a.inTouch = time.Now() }()
+// takeReply takes the reply of a controller in touch to a call that was made at a time: since then nothing newer can have been unknown here.
+func (a *Agent) takeReply(asked time.Duration, reply *distribute.WatchReply) {
+	defer func() { a.inTouch = asked }()
 	if len(reply.Controllers) > 0 {
 		a.controllers, a.epoch = reply.Controllers, reply.Epoch
 	}
@@ -101,18 +104,18 @@
 		a.members = reply.Members
 		a.notify()
 	}
-	a.takeSnapshot(reply)
+	a.takeSnapshot(asked, reply)
 }
 
 // takeLate takes what is newer from a controller that is out of touch. It is committed, but not enough to begin with: only one in touch
 // can tell that nothing newer was in force before.
-func (a *Agent) takeLate(reply *distribute.WatchReply) {
+func (a *Agent) takeLate(asked time.Duration, reply *distribute.WatchReply) {
 	if a.snapshot != nil {
-		a.takeSnapshot(reply)
+		a.takeSnapshot(asked, reply)
 	}
 }
 
-func (a *Agent) takeSnapshot(reply *distribute.WatchReply) {
+func (a *Agent) takeSnapshot(asked time.Duration, reply *distribute.WatchReply) {
 	s := reply.Snapshot
 	if s == nil || a.snapshot != nil && s.Seq <= a.snapshot.Seq {
 		return
@@ -120,20 +123,27 @@
 	if s.Config == nil && a.snapshot != nil && a.snapshot.ConfigSeq == s.ConfigSeq {
 		s.Config = a.snapshot.Config
 	}
-	a.ages, a.agesAt = a.youngest(s, reply.Ages), time.Now()
-	a.logWeights(s, reply.Ages)
+	a.takeVersions(asked, s, reply)
 	a.snapshot = s
 	a.notify()
 }
 
-// logWeights tells which versions of models are wanted now, since when a controller says so, and since when this agent takes them to be.
-func (a *Agent) logWeights(s *distribute.Snapshot, told map[string]int64) {
+// takeVersions brings together what a controller tells of when versions were named and what this agent knows: one that it did not hear of
+// while it was last in touch was named since.
+func (a *Agent) takeVersions(asked time.Duration, s *distribute.Snapshot, reply *distribute.WatchReply) {
+	written := asked + time.Duration(reply.HeldMS)*time.Millisecond
 	for model, wanted := range s.Models {
-		if a.snapshot != nil && a.snapshot.Models[model].Version == wanted.Version {
-			continue
+		known := a.versions[model]
+		named := known.Newest() < wanted.Version
+		if a.snapshot != nil {
+			known = known.With(wanted.Version, a.inTouch)
+		}
+		told := superseded.FromAges(written, reply.Ages[model]).With(wanted.Version, superseded.Always)
+		a.versions[model] = known.Merge(told)
+		if named {
+			a.log.Info().Str("step", "weights").Str("model", model).Int64("version", wanted.Version).Uint64("seq", s.Seq).
+				Interface("ages", a.versions[model].Ages(a.now())).Msg("version wanted")
 		}
-		a.log.Info().Str("step", "weights").Str("model", model).Int64("version", wanted.Version).
-			Int64("told_ms", told[model]).Int64("age_ms", a.ages[model]).Uint64("seq", s.Seq).Msg("version wanted")
 	}
 }
 
@@ -188,24 +198,3 @@
 	}
 	return ids
 }
-
-// youngest takes the ages that a controller tells, but for versions of which this agent knows better: one that it did not hear of while
-// it was last in touch was named since.
-func (a *Agent) youngest(s *distribute.Snapshot, told map[string]int64) map[string]int64 {
-	ages := map[string]int64{}
-	for model, wanted := range s.Models {
-		age, known := told[model]
-		if !known {
-			age = distribute.UnknownAge
-		}
-		if a.snapshot != nil {
-			if a.snapshot.Models[model].Version < wanted.Version {
-				age = min(age, time.Since(a.inTouch).Milliseconds())
-			} else {
-				age = min(age, a.currentAges()[model])
-			}
-		}
-		ages[model] = age
-	}
-	return ages
-}
--- a/internal/controller/controller.go
+++ b/internal/controller/controller.go
@@ -18,6 +18,7 @@
 	"nettlefold/internal/replicated"
 	"nettlefold/internal/rpc"
 	"nettlefold/internal/settings/local"
+	"nettlefold/internal/superseded"
 )
 
 const (
@@ -48,10 +49,10 @@
 	readers   map[uint64]chan struct{}
 	sessions  map[string]*session
 	elsewhere map[string]*remoteTable
-	told      time.Time // when the table of agents was last sent
-	showedAt  time.Time // when other members were last shown
-	inTouch   time.Time // when it last had the newest state for sure
-	leaving   time.Time // when it was told to end, zero before
+	told      time.Time     // when the table of agents was last sent
+	showedAt  time.Time     // when other members were last shown
+	inTouch   time.Duration // when it last had the newest state for sure
+	leaving   time.Time     // when it was told to end, zero before
 }
 
 // service is what a call's answer is bound to: the epoch, and which of this program's replicas was asked. Numbers that a replica gave out
@@ -70,16 +71,10 @@
 	current     bool
 	controllers []string
 	members     *distribute.MemberSet
-	named       map[string]namedVersion // when a model's version was first seen to be wanted
+	named       map[string]superseded.Times // since when models' versions are known to be wanted
 	changed     chan struct{}
 }
 
-// namedVersion is since when a version is known to be wanted.
-type namedVersion struct {
-	version int64
-	since   time.Time // at the earliest; zero if it was before this program began
-}
-
 // New opens the state on disk and makes a controller of it.
 func New(settings *local.Settings, log zerolog.Logger) (*Controller, error) {
 	return newOn(rpc.TCP{}, settings, log)
@@ -98,6 +93,7 @@
 		readers:   map[uint64]chan struct{}{},
 		sessions:  map[string]*session{},
 		elsewhere: map[string]*remoteTable{},
+		inTouch:   superseded.Always,
 	}
 	if err := c.open(); err != nil {
 		return nil, err
@@ -163,7 +159,7 @@
 		c.store.Mark() // a disk that fails shows at the next write
 	}
 	if c.replica.Current(c.now()) {
-		c.inTouch = time.Now()
+		c.inTouch = c.now()
 	}
 	c.publish(false)
 }
@@ -201,17 +197,14 @@
 
 // namedVersions notes when versions that are wanted came to be so: not before this program last knew that they were not, which it
 // does while it is in touch.
-func namedVersions(old *public, state *replicated.State, inTouch time.Time) map[string]namedVersion {
-	named := map[string]namedVersion{}
+func namedVersions(old *public, state *replicated.State, inTouch time.Duration) map[string]superseded.Times {
+	named := map[string]superseded.Times{}
 	for model, wanted := range state.Models {
-		entry := namedVersion{version: wanted.Version}
-		if old != nil {
-			entry.since = inTouch // zero where it never was in touch
-		}
-		if old != nil && old.named[model].version == wanted.Version {
-			entry = old.named[model]
+		if old == nil {
+			named[model] = superseded.Times{}.With(wanted.Version, superseded.Always)
+			continue
 		}
-		named[model] = entry
+		named[model] = old.named[model].With(wanted.Version, inTouch)
 	}
 	return named
 }
--- a/internal/controller/sessions.go
+++ b/internal/controller/sessions.go
@@ -10,6 +10,7 @@
 
 	"nettlefold/internal/chain"
 	"nettlefold/internal/distribute"
+	"nettlefold/internal/superseded"
 )
 
 const (
@@ -44,32 +45,35 @@
 // watch answers an agent when there is something newer than it has, or after a while.
 func (c *Controller) watch(ctx context.Context, request *distribute.WatchRequest) (*distribute.WatchReply, error) {
 	c.enqueue(func() { c.touch(request) })
+	began := c.now()
 	held := time.NewTimer(watchHold)
 	defer held.Stop()
 	for {
 		now := c.public.Load()
 		fresh := now.state.Seq > request.Have
 		if fresh || !now.current || now.members.Digest != request.Members {
-			return replyTo(now, request), nil
+			return c.replyTo(began, now, request), nil
 		}
 		select {
 		case <-now.changed:
 		case <-held.C:
-			return replyTo(now, request), nil
+			return c.replyTo(began, now, request), nil
 		case <-ctx.Done():
 			return nil, ctx.Err()
 		}
 	}
 }
 
-func replyTo(now *public, request *distribute.WatchRequest) *distribute.WatchReply {
-	reply := &distribute.WatchReply{Current: now.current, Epoch: now.view.Epoch}
+// replyTo answers a call that came at a time with what its caller lacks.
+func (c *Controller) replyTo(began time.Duration, now *public, request *distribute.WatchRequest) *distribute.WatchReply {
+	written := c.now()
+	reply := &distribute.WatchReply{Current: now.current, Epoch: now.view.Epoch, HeldMS: (written - began).Milliseconds()}
 	if now.view.Epoch != request.Epoch {
 		reply.Controllers = now.controllers
 	}
 	if now.state.Seq > request.Have { // committed is committed, also where this replica is out of touch
 		reply.Snapshot = distribute.SnapshotOf(now.state, request.ConfigSeq)
-		reply.Ages = ages(now.named)
+		reply.Ages = ages(now.named, written)
 	}
 	if now.members.Digest != request.Members {
 		reply.Members = now.members
@@ -77,13 +81,10 @@
 	return reply
 }
 
-func ages(named map[string]namedVersion) map[string]int64 {
-	ages := map[string]int64{}
-	for model, n := range named {
-		ages[model] = distribute.UnknownAge
-		if !n.since.IsZero() {
-			ages[model] = time.Since(n.since).Milliseconds()
-		}
+func ages(named map[string]superseded.Times, now time.Duration) map[string][]superseded.Age {
+	ages := map[string][]superseded.Age{}
+	for model, times := range named {
+		ages[model] = times.Ages(now)
 	}
 	return ages
 }
--- a/internal/dispatch/dispatch_test.go
+++ b/internal/dispatch/dispatch_test.go
@@ -11,6 +11,7 @@
 	"nettlefold/internal/config"
 	"nettlefold/internal/kvindex"
 	"nettlefold/internal/replicated"
+	"nettlefold/internal/superseded"
 )
 
 const document = `{"version":1,"routes":[],"services":[
@@ -106,7 +107,7 @@
 
 func TestOnlyFitHoldersAreNamed(t *testing.T) {
 	for name, spoil := range map[string]func(table *Table){
-		"evacuated": func(table *Table) { table.SetState(0, map[string]uint64{"z": 1}, nil, nil, nil, 1) },
+		"evacuated": func(table *Table) { table.SetState(0, map[string]uint64{"z": 1}, nil, nil, nil) },
 		"draining": func(table *Table) {
 			l := backend(2, 1)
 			l.Zone, l.Draining = "z", true
@@ -151,7 +152,7 @@
 // TestOldWeightsGetNothingNearTheirLimit goes through the time of a version.
 func TestOldWeightsGetNothingNearTheirLimit(t *testing.T) {
 	table := newTable(t, backend(1, 1), backend(2, 2))
-	table.SetState(time.Second, nil, nil, map[string]replicated.Model{"m": {Version: 2}}, map[string]int64{"m": 0}, 1<<40)
+	table.SetState(time.Second, nil, nil, map[string]replicated.Model{"m": {Version: 2}}, map[string]superseded.Times{"m": superseded.Times{}.With(2, time.Second)})
 	only := &Request{Service: "llm", Model: "m", Tried: []string{"b2"}}
 	c := table.Pick(2*time.Second, only)
 	require.NotNil(t, c)
@@ -159,7 +160,7 @@
 	require.Less(t, c.BeginBy, 11*time.Second, "what has not begun is taken back before the limit")
 	require.Nil(t, table.Pick(10*time.Second, only))
 	fresh := newTable(t, backend(1, 1), backend(2, 2))
-	fresh.SetState(0, nil, nil, map[string]replicated.Model{"m": {Version: 2}}, map[string]int64{"m": 1 << 40}, 1<<40)
+	fresh.SetState(0, nil, nil, map[string]replicated.Model{"m": {Version: 2}}, nil)
 	require.Nil(t, fresh.Pick(0, only), "who cannot tell its age takes it for overdue")
 }
 
@@ -242,9 +243,9 @@
 func TestAZoneGivenBackIsTakenForCold(t *testing.T) {
 	table := newTable(t, backend(1, 1))
 	table.SetMembers(Members{Self: "me", All: []string{"me"}})
-	table.SetState(2*time.Second, map[string]uint64{"a": 3}, nil, nil, nil, 1)
+	table.SetState(2*time.Second, map[string]uint64{"a": 3}, nil, nil, nil)
 	require.Nil(t, table.Pick(2*time.Second, prompted()))
-	table.SetState(4*time.Second, nil, map[string]uint64{"a": 4}, nil, nil, 1)
+	table.SetState(4*time.Second, nil, map[string]uint64{"a": 4}, nil, nil)
 	require.NotNil(t, table.Pick(4*time.Second, prompted()))
 	require.Nil(t, table.Pick(4*time.Second+100*time.Millisecond, prompted()), "one a second while it is cold")
 	require.NotNil(t, table.Pick(9*time.Second, prompted()))
--- a/internal/dispatch/estimate.go
+++ b/internal/dispatch/estimate.go
@@ -19,13 +19,22 @@
 	fetch   bool // from one of the prompt's holders
 }
 
-// beginBy is when requests may begin on a version no more.
+// beginBy is when requests may begin on a version no more, 0 if they may at any time.
 func (t *Table) beginBy(model string, version int64) time.Duration {
-	want, named := t.models[model]
-	if !named || version >= want.version || want.old {
+	since, superseded := t.models[model].Of(version)
+	if !superseded {
 		return 0
 	}
-	return want.since + time.Duration(beginShare*float64(t.settings.VersionLimit))
+	return since + time.Duration(beginShare*float64(t.settings.VersionLimit))
+}
+
+// BeginBy is when the answer of a choice has to begin, as things are now; 0 if it may at any time. A version that is named while a request
+// waits limits it too.
+func (t *Table) BeginBy(c *Choice) time.Duration {
+	if c.begun || c.ended || c.Version == 0 {
+		return 0
+	}
+	return t.beginBy(c.model, c.Version)
 }
 
 // readMS estimates what it takes to read a prompt of which so many tokens are kept: each token, and its attention to those before.
@@ -105,7 +114,7 @@
 }
 
 // behind tells whether a newer version of a model is wanted.
-func (t *Table) behind(model string, version int64) bool { return version < t.models[model].version }
+func (t *Table) behind(model string, version int64) bool { return version < t.models[model].Newest() }
 
 // fitHolder tells whether a holder may be fetched from. Salts see to versions and walls.
 func (t *Table) fitHolder(now time.Duration, b *Backend) bool {
--- a/internal/dispatch/pick.go
+++ b/internal/dispatch/pick.go
@@ -40,6 +40,7 @@
 	// BeginBy is when the answer has to begin, as it may not on these weights later; 0 if it may at any time.
 	BeginBy time.Duration
 
+	model  string
 	holder *Backend
 	read   int // ms
 	tokens int
@@ -195,12 +196,8 @@
 
 // tooOld tells whether requests might begin on a version for longer than they may.
 func (t *Table) tooOld(now time.Duration, model string, version int64) bool {
-	want, named := t.models[model]
-	if !named || version >= want.version {
-		return false
-	}
-	limit := time.Duration(versionMargin * float64(t.settings.VersionLimit))
-	return want.old || now-want.since > limit
+	since, superseded := t.models[model].Of(version)
+	return superseded && now-since > time.Duration(versionMargin*float64(t.settings.VersionLimit))
 }
 
 func (t *Table) plan(now time.Duration, d *decision, b *Backend) plan {
@@ -239,7 +236,7 @@
 // take books a choice: the backend's load, and the holder picked by water-filling among those of the longest prefix.
 func (t *Table) take(now time.Duration, r *Request, b *Backend, p plan) *Choice {
 	c := &Choice{
-		Backend: b, ID: b.ID, Addr: b.Addr,
+		Backend: b, ID: b.ID, Addr: b.Addr, model: r.Model,
 		Version: p.version, Wait: p.wait, Read: p.read,
 		read: int(p.read), sent: now, tokens: r.Prompt,
 		BeginBy: t.beginBy(r.Model, p.version),
--- a/internal/dispatch/table.go
+++ b/internal/dispatch/table.go
@@ -8,6 +8,7 @@
 	"nettlefold/internal/config"
 	"nettlefold/internal/kvindex"
 	"nettlefold/internal/replicated"
+	"nettlefold/internal/superseded"
 )
 
 // Settings are what the rules and the machine's place say.
@@ -65,7 +66,7 @@
 	settings  Settings
 	config    *config.Table
 	evacuated map[string]uint64
-	models    map[string]wantedVersion
+	models    map[string]superseded.Times // since when versions are wanted
 	backends  map[string]*Backend
 	byService map[string][]*Backend
 	byAddr    map[string]*Backend
@@ -88,12 +89,6 @@
 	All  []string
 }
 
-type wantedVersion struct {
-	version int64
-	since   time.Duration
-	old     bool // it was named before anyone here can tell
-}
-
 // New makes an empty table at a time.
 func New(now time.Duration, settings Settings, random *rand.Rand) *Table {
 	return &Table{
@@ -105,7 +100,7 @@
 		index:     kvindex.New(),
 		budgets:   map[string]*budget{},
 		speed:     map[string]float64{},
-		models:    map[string]wantedVersion{},
+		models:    map[string]superseded.Times{},
 		random:    random,
 		started:   now,
 	}
@@ -131,8 +126,8 @@
 	t.stores = stores
 }
 
-// SetState takes what else the operator ordered. ages has for how long versions are known to be wanted, in milliseconds.
-func (t *Table) SetState(now time.Duration, evacuated, restored map[string]uint64, models map[string]replicated.Model, ages map[string]int64, unknown int64) {
+// SetState takes what else the operator ordered. versions has since when, by this table's clock, those of models are known to be wanted.
+func (t *Table) SetState(now time.Duration, evacuated, restored map[string]uint64, models map[string]replicated.Model, versions map[string]superseded.Times) {
 	for zone := range t.evacuated {
 		if _, still := evacuated[zone]; !still {
 			t.chill(now, zone)
@@ -140,15 +135,7 @@
 	}
 	t.evacuated = evacuated
 	for name, m := range models {
-		if w, known := t.models[name]; known && w.version == m.Version {
-			continue
-		}
-		age, told := ages[name]
-		t.models[name] = wantedVersion{
-			version: m.Version,
-			since:   now - time.Duration(min(age, int64(time.Hour/time.Millisecond)))*time.Millisecond,
-			old:     !told || age >= unknown,
-		}
+		t.models[name] = t.models[name].Merge(versions[name].With(m.Version, superseded.Always))
 	}
 }
 
--- a/internal/dispatch/versions_test.go
+++ b/internal/dispatch/versions_test.go
@@ -7,13 +7,16 @@
 	"github.com/stretchr/testify/require"
 
 	"nettlefold/internal/replicated"
+	"nettlefold/internal/superseded"
 )
 
 // TestEachSupersededVersionHasALimitOfItsOwn: a version that is named does not give the ones before its predecessor more time.
 func TestEachSupersededVersionHasALimitOfItsOwn(t *testing.T) {
 	table := newTable(t, backend(1, 1), backend(2, 2))
+	var times superseded.Times
 	name := func(now time.Duration, version int64) {
-		table.SetState(now, nil, nil, map[string]replicated.Model{"m": {Version: version}}, map[string]int64{"m": 0}, 1<<40)
+		times = times.With(version, now)
+		table.SetState(now, nil, nil, map[string]replicated.Model{"m": {Version: version}}, map[string]superseded.Times{"m": times})
 	}
 	name(0, 2)
 	name(7*time.Second, 3)
--- a/internal/distribute/messages.go
+++ b/internal/distribute/messages.go
@@ -2,7 +2,10 @@
 // acknowledgements of them. A caller says what it has with each call, and is answered when there is something newer.
 package distribute
 
-import "nettlefold/internal/replicated"
+import (
+	"nettlefold/internal/replicated"
+	"nettlefold/internal/superseded"
+)
 
 // Kinds of calls.
 const (
@@ -44,13 +47,12 @@
 	Epoch       uint64     `cbor:"6,keyasint"`           // of the core's view
 	Controllers []string   `cbor:"3,keyasint,omitempty"` // if the receiver knows those of another epoch
 	Members     *MemberSet `cbor:"4,keyasint,omitempty"`
-	// Ages has, for each model, how long the version wanted has been so: milliseconds, or UnknownAge.
-	Ages map[string]int64 `cbor:"5,keyasint,omitempty"`
+	// Ages has, for each model, how long ago its versions were named, as the reply was written.
+	Ages map[string][]superseded.Age `cbor:"8,keyasint,omitempty"`
+	// HeldMS is for how long the call was held at least before the reply was written, in milliseconds: by it the ages are dated.
+	HeldMS int64 `cbor:"9,keyasint,omitempty"`
 }
 
-// UnknownAge is that of a version which was named before its teller began.
-const UnknownAge = int64(1) << 40
-
 // MemberSet is the live agents.
 type MemberSet struct {
 	Digest uint64  `cbor:"1,keyasint"`
--- a/internal/feed/messages.go
+++ b/internal/feed/messages.go
@@ -6,6 +6,7 @@
 	"nettlefold/internal/dispatch"
 	"nettlefold/internal/distribute"
 	"nettlefold/internal/kvindex"
+	"nettlefold/internal/superseded"
 )
 
 // Kinds of calls.
@@ -36,17 +37,19 @@
 // Reply brings what is newer. Changes of what backends keep may be many and can wait: they come in pieces of MostChanges at most, and not
 // together with a snapshot.
 type Reply struct {
-	Agent    string                   `cbor:"1,keyasint"`
-	Snapshot *distribute.Snapshot     `cbor:"2,keyasint,omitempty"`
-	Ages     map[string]int64         `cbor:"3,keyasint,omitempty"`
-	List     *List                    `cbor:"4,keyasint,omitempty"`
-	Reset    bool                     `cbor:"5,keyasint,omitempty"` // nothing that was told before of Known or other backends holds
-	Known    []string                 `cbor:"11,keyasint,omitempty"`
-	Batches  []*kvindex.Batch         `cbor:"6,keyasint,omitempty"`
-	Index    uint64                   `cbor:"7,keyasint"`
-	Members  *distribute.MemberSet    `cbor:"8,keyasint,omitempty"`
-	Loads    map[string]dispatch.Load `cbor:"9,keyasint,omitempty"` // of all other mixers together
-	LoadsAt  uint64                   `cbor:"10,keyasint"`          // their number
+	Agent    string               `cbor:"1,keyasint"`
+	Snapshot *distribute.Snapshot `cbor:"2,keyasint,omitempty"`
+	// Ages has, for each model, how long ago its versions were named, and HeldMS for how long the call was held before they were written.
+	Ages    map[string][]superseded.Age `cbor:"12,keyasint,omitempty"`
+	HeldMS  int64                       `cbor:"13,keyasint,omitempty"`
+	List    *List                       `cbor:"4,keyasint,omitempty"`
+	Reset   bool                        `cbor:"5,keyasint,omitempty"` // nothing that was told before of Known or other backends holds
+	Known   []string                    `cbor:"11,keyasint,omitempty"`
+	Batches []*kvindex.Batch            `cbor:"6,keyasint,omitempty"`
+	Index   uint64                      `cbor:"7,keyasint"`
+	Members *distribute.MemberSet       `cbor:"8,keyasint,omitempty"`
+	Loads   map[string]dispatch.Load    `cbor:"9,keyasint,omitempty"` // of all other mixers together
+	LoadsAt uint64                      `cbor:"10,keyasint"`          // their number
 }
 
 // List is the backends as the platform's list has them, and what owners of orders add.
--- a/internal/proxy/attempts.go
+++ b/internal/proxy/attempts.go
@@ -70,6 +70,52 @@
 	return overdue
 }
 
+// beginLimit ends an attempt that has not begun by a time.
+type beginLimit struct {
+	mu    sync.Mutex
+	over  bool // it has begun or ended
+	timer *time.Timer
+}
+
+// set has end called after a time, in place of what was set before.
+func (l *beginLimit) set(wait time.Duration, afterFunc func(time.Duration, func()) *time.Timer, end func()) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.over {
+		return
+	}
+	if l.timer != nil {
+		l.timer.Stop()
+	}
+	l.timer = afterFunc(wait, end)
+}
+
+// stop lifts the limit for good.
+func (l *beginLimit) stop() {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.over = true
+	if l.timer != nil {
+		l.timer.Stop()
+	}
+}
+
+// limitBegin has an attempt end when its weights are too old to begin on. Call it at the owner.
+func (p *Proxy) limitBegin(now time.Duration, a *attempt) {
+	if by := p.table.BeginBy(a.choice); by != 0 {
+		a.limit.set(by-now, p.afterFunc, func() { a.cancel(endingBeginLimit) })
+	}
+}
+
+// limitBegins does so with all attempts, as other versions are wanted. Call it at the owner.
+func (p *Proxy) limitBegins(now time.Duration) {
+	p.attempts.mu.Lock()
+	defer p.attempts.mu.Unlock()
+	for a := range p.attempts.open {
+		p.limitBegin(now, a)
+	}
+}
+
 // watchAttempts ends attempts that wait in vain.
 func (p *Proxy) watchAttempts(ctx context.Context) {
 	ticker := time.NewTicker(attemptsEvery)
--- a/internal/proxy/forward.go
+++ b/internal/proxy/forward.go
@@ -18,9 +18,9 @@
 	choice   *dispatch.Choice
 	response *upstream.Response
 	err      error
-	begun    bool   // the first bytes of the answer are there
-	end      func() // frees what the attempt holds
-	late     *time.Timer
+	begun    bool            // the first bytes of the answer are there
+	end      func()          // frees what the attempt holds
+	limit    beginLimit      // ends it where it may not begin later
 	ctx      context.Context // of this attempt alone; its cause is an ending
 	cancel   context.CancelCauseFunc
 	mayMove  bool         // it may be sent to another backend
@@ -126,11 +126,11 @@
 	ctx, cancel := context.WithCancelCause(ctx)
 	a := &attempt{choice: c, ctx: ctx, cancel: cancel, mayMove: q.route.MayRepeat() && last < max(1, q.route.MaxAttempts)}
 	a.heard.Store(int64(p.now()))
-	p.attempts.add(a)
-	a.end = func() { p.attempts.remove(a); cancel(nil) }
-	if c.BeginBy > 0 {
-		a.late = p.afterFunc(c.BeginBy-p.now(), func() { cancel(endingBeginLimit) })
-	}
+	p.do(func() { // in one step with the versions in force, or one that is named meanwhile would not limit it
+		p.attempts.add(a)
+		p.limitBegin(p.now(), a)
+	})
+	a.end = func() { p.attempts.remove(a); a.limit.stop(); cancel(nil) }
 	p.counters.attempts.Add(1)
 	pool := p.pool(c.ID, c.Addr, p.connections(q.service))
 	a.response, a.err = pool.Do(ctx, &upstream.Request{
--- a/internal/proxy/proxy.go
+++ b/internal/proxy/proxy.go
@@ -22,6 +22,7 @@
 	"nettlefold/internal/feed"
 	"nettlefold/internal/rpc"
 	"nettlefold/internal/settings/local"
+	"nettlefold/internal/superseded"
 	"nettlefold/internal/upstream"
 )
 
@@ -192,10 +193,11 @@
 		p.do(func() { request = p.have })
 		call, cancel := context.WithTimeout(ctx, feedLimit)
 		reply := new(feed.Reply)
+		asked := p.now()
 		err := p.agent.Call(call, feed.KindFeed, &request, reply)
 		cancel()
 		if err == nil {
-			p.do(func() { p.take(reply) })
+			p.do(func() { p.take(asked, reply) })
 		}
 		select {
 		case <-time.After(feedEvery):
@@ -204,14 +206,14 @@
 	}
 }
 
-// take puts news in force.
-func (p *Proxy) take(reply *feed.Reply) {
+// take puts news in force, the reply to a call that was made at a time.
+func (p *Proxy) take(asked time.Duration, reply *feed.Reply) {
 	now := p.now()
 	if reply.Agent != p.have.Agent {
 		p.have.Agent, p.have.List, p.have.Members, p.have.Loads = reply.Agent, 0, 0, 0
 	}
 	if s := reply.Snapshot; s != nil && s.Seq > p.have.Applied {
-		p.takeSnapshot(now, s, reply.Ages)
+		p.takeSnapshot(now, s, versionsOf(asked, reply))
 	}
 	if reply.Members != nil {
 		p.takeMembers(reply.Members)
@@ -255,7 +257,17 @@
 	}
 }
 
-func (p *Proxy) takeSnapshot(now time.Duration, s *distribute.Snapshot, ages map[string]int64) {
+// versionsOf dates the versions of models that a reply tells of.
+func versionsOf(asked time.Duration, reply *feed.Reply) map[string]superseded.Times {
+	written := asked + time.Duration(reply.HeldMS)*time.Millisecond
+	versions := map[string]superseded.Times{}
+	for model, ages := range reply.Ages {
+		versions[model] = superseded.FromAges(written, ages)
+	}
+	return versions
+}
+
+func (p *Proxy) takeSnapshot(now time.Duration, s *distribute.Snapshot, versions map[string]superseded.Times) {
 	if len(s.Config) > 0 && s.ConfigSeq != p.have.Config {
 		doc, err := config.Parse(s.Config)
 		if err != nil {
@@ -267,19 +279,20 @@
 		p.table.SetConfig(table)
 		p.have.Config = s.ConfigSeq
 	}
-	p.logWeights(s, ages)
-	p.table.SetState(now, s.Evacuated, s.Restored, s.Models, ages, distribute.UnknownAge)
+	p.logWeights(now, s, versions)
+	p.table.SetState(now, s.Evacuated, s.Restored, s.Models, versions)
+	p.limitBegins(now)
 	p.have.Applied = s.Seq
 }
 
 // logWeights tells which versions of models are wanted now, and since when they are known to be.
-func (p *Proxy) logWeights(s *distribute.Snapshot, ages map[string]int64) {
+func (p *Proxy) logWeights(now time.Duration, s *distribute.Snapshot, versions map[string]superseded.Times) {
 	for model, wanted := range s.Models {
 		if p.weights[model] == wanted.Version {
 			continue
 		}
 		p.weights[model] = wanted.Version
-		p.log.Info().Str("step", "weights").Str("model", model).Int64("version", wanted.Version).Int64("age_ms", ages[model]).Uint64("seq", s.Seq).Msg("version wanted")
+		p.log.Info().Str("step", "weights").Str("model", model).Int64("version", wanted.Version).Uint64("seq", s.Seq).Interface("ages", versions[model].Ages(now)).Msg("version wanted")
 	}
 }
 
--- a/internal/proxy/proxy_test.go
+++ b/internal/proxy/proxy_test.go
@@ -16,7 +16,9 @@
 	"nettlefold/internal/dispatch"
 	"nettlefold/internal/distribute"
 	"nettlefold/internal/feed"
+	"nettlefold/internal/replicated"
 	"nettlefold/internal/settings/local"
+	"nettlefold/internal/superseded"
 )
 
 const document = `{"version":1,"routes":[
@@ -32,6 +34,9 @@
 // shortRoute is the time of the route /short/.
 const shortRoute = 100 * time.Millisecond
 
+// rigVersionLimit is how long a request may begin on weights that are superseded.
+const rigVersionLimit = time.Hour
+
 // rig is a proxy that was fed by hand, and its backends.
 type rig struct {
 	t     *testing.T
@@ -45,6 +50,7 @@
 func newRig(t *testing.T, backends ...http.HandlerFunc) *rig {
 	t.Helper()
 	settings := &local.Settings{IP: "10.0.0.1", Zone: "a", FirstPort: 7340}
+	settings.Bounds.Version = rigVersionLimit
 	settings.Bounds.RetryBudgetRatio, settings.Bounds.RetryBudgetSlack, settings.Bounds.BudgetWindow = 0.2, 100, 10*time.Second
 	r := &rig{t: t, proxy: New(settings, zerolog.Nop())}
 	list := &feed.List{Number: 1}
@@ -66,7 +72,7 @@
 	go r.proxy.own()
 	t.Cleanup(func() { close(r.proxy.done) })
 	r.proxy.do(func() {
-		r.proxy.take(&feed.Reply{
+		r.proxy.take(r.proxy.now(), &feed.Reply{
 			Agent: "a1", List: list, Snapshot: &distribute.Snapshot{Seq: 1, ConfigSeq: 1, Config: []byte(document)},
 			Members: &distribute.MemberSet{Digest: 1, Agents: []distribute.Agent{{ID: "a1", Addr: "10.0.0.1:7340"}}},
 		})
@@ -280,7 +286,7 @@
 func TestSnapshotsNeverGoBack(t *testing.T) {
 	r := newRig(t, ok)
 	r.proxy.do(func() {
-		r.proxy.take(&feed.Reply{Agent: "a2", Snapshot: &distribute.Snapshot{Seq: 1, ConfigSeq: 9, Config: []byte(`{"version":1,"routes":[],"services":[]}`)}})
+		r.proxy.take(r.proxy.now(), &feed.Reply{Agent: "a2", Snapshot: &distribute.Snapshot{Seq: 1, ConfigSeq: 9, Config: []byte(`{"version":1,"routes":[],"services":[]}`)}})
 	})
 	answer, _, err := r.ask("/once/x", "k1", "")
 	require.NoError(t, err)
@@ -289,7 +295,6 @@
 
 // TestWhatHasNotBegunOnOldWeightsIsTakenBack: a backend on old weights has a request and gives no answer until their limit.
 func TestWhatHasNotBegunOnOldWeightsIsTakenBack(t *testing.T) {
-	const limit = time.Hour
 	arrived, gaveUp := make(chan struct{}), make(chan struct{})
 	r := newRig(t, func(_ http.ResponseWriter, request *http.Request) {
 		close(arrived)
@@ -298,7 +303,7 @@
 	})
 	r.proxy.afterFunc = func(wait time.Duration, end func()) *time.Timer {
 		require.Positive(t, wait)
-		require.LessOrEqual(t, wait, limit)
+		require.LessOrEqual(t, wait, rigVersionLimit)
 		go func() {
 			<-arrived
 			end()
@@ -313,8 +318,11 @@
 	q := &request{Request: client, writer: httptest.NewRecorder(), id: "id-1"}
 	require.True(t, q.place(table, r.proxy.splits))
 	require.True(t, q.read(table))
+	r.proxy.do(func() {
+		versions := map[string]superseded.Times{"m": superseded.Times{}.With(2, r.proxy.now())}
+		r.proxy.table.SetState(r.proxy.now(), nil, nil, map[string]replicated.Model{"m": {Version: 2}}, versions)
+	})
 	choice := r.proxy.pick(q, nil)
-	choice.BeginBy = r.proxy.now() + limit
 	a := r.proxy.send(t.Context(), q, choice, 1)
 	require.Error(t, a.err)
 	require.False(t, a.notRun(), "it may have begun unseen")
--- a/internal/proxy/relay.go
+++ b/internal/proxy/relay.go
@@ -160,8 +160,6 @@
 		return
 	}
 	a.begun = true
-	if a.late != nil {
-		a.late.Stop()
-	}
+	a.limit.stop()
 	p.do(func() { p.table.Began(p.now(), a.choice, q.service) })
 }
--- /dev/null
+++ b/internal/superseded/superseded.go
@@ -0,0 +1,129 @@
+// Package superseded knows, for the versions of one model's weights, since when each has been superseded at the earliest. A request may
+// begin on a version for a limited time after the first newer one was acknowledged; a third one that is named gives the first no more
+// time. It has no clock: times are by the steady clock of whoever keeps them, and go from one machine to another as ages.
+package superseded
+
+import (
+	"math"
+	"slices"
+	"time"
+)
+
+// Always is the time of what was superseded before anybody here can tell.
+const Always = time.Duration(math.MinInt64 / 2)
+
+// mostNamed bounds the versions that are told apart. Older ones are taken for superseded as early as the oldest of those that are left out.
+const mostNamed = 16
+
+// Named is a version, and the time before which neither it nor a newer one was named: what is older may be superseded since then.
+type Named struct {
+	Version int64
+	Since   time.Duration
+}
+
+// Times is the versions of a model that were named, both version and time rising. A time is a bound: the version may have been named
+// later. So of two bounds for the same the later one says more.
+type Times []Named
+
+// Of gives since when a version has been superseded at the earliest, and whether it has been at all.
+func (t Times) Of(version int64) (since time.Duration, superseded bool) {
+	for _, n := range t {
+		if n.Version > version {
+			return n.Since, true
+		}
+	}
+	return 0, false
+}
+
+// Newest is the newest version that was named, 0 if none was.
+func (t Times) Newest() int64 {
+	if len(t) == 0 {
+		return 0
+	}
+	return t[len(t)-1].Version
+}
+
+// With adds a version that was not named before a time. One that is no newer than the newest changes nothing.
+func (t Times) With(version int64, since time.Duration) Times {
+	if version <= t.Newest() {
+		return t
+	}
+	if len(t) > 0 {
+		since = max(since, t[len(t)-1].Since) // versions are named in their order
+	}
+	return append(slices.Clone(t), Named{version, since}).bounded()
+}
+
+// bounded leaves the oldest versions out when there are too many: the oldest one kept takes the time of the first that is left out, which
+// bounds it too.
+func (t Times) bounded() Times {
+	over := len(t) - mostNamed
+	if over <= 0 {
+		return t
+	}
+	kept := slices.Clone(t[over:])
+	kept[0].Since = t[0].Since
+	return kept
+}
+
+// Merge gives what two tellers know together: for each version the later of their bounds.
+func (t Times) Merge(o Times) Times {
+	var versions []int64
+	for _, n := range slices.Concat(t, o) {
+		versions = append(versions, n.Version)
+	}
+	slices.Sort(versions)
+	merged := Times{}
+	for _, version := range slices.Compact(versions) {
+		merged = append(merged, Named{version, max(t.before(version), o.before(version))})
+	}
+	for i := 1; i < len(merged); i++ {
+		merged[i].Since = max(merged[i].Since, merged[i-1].Since)
+	}
+	return merged.bounded()
+}
+
+// before is the time before which no version from the given one on was named, as far as is known here.
+func (t Times) before(version int64) time.Duration {
+	for _, n := range t {
+		if n.Version >= version {
+			return n.Since
+		}
+	}
+	return Always
+}
+
+// Age is how long ago a version was named at the most, in milliseconds, for whoever has another clock.
+type Age struct {
+	Version int64 `cbor:"1,keyasint"`
+	MS      int64 `cbor:"2,keyasint"` // UnknownAge if it was named before the teller began
+}
+
+// UnknownAge is that of a version which was named before its teller began.
+const UnknownAge = int64(1) << 40
+
+// Ages tells the times to others, as they are now.
+func (t Times) Ages(now time.Duration) []Age {
+	ages := make([]Age, len(t))
+	for i, n := range t {
+		ages[i] = Age{n.Version, UnknownAge}
+		if n.Since != Always {
+			ages[i].MS = (now - n.Since).Milliseconds()
+		}
+	}
+	return ages
+}
+
+// FromAges reads ages that were told no earlier than asked, by the receiver's clock: the time for which they were under way makes
+// nothing younger.
+func FromAges(asked time.Duration, ages []Age) Times {
+	times := Times{}
+	for _, a := range ages {
+		since := Always
+		if a.MS < UnknownAge {
+			since = asked - time.Duration(a.MS+1)*time.Millisecond // what was cut off below a millisecond too
+		}
+		times = times.With(a.Version, since)
+	}
+	return times
+}
