A stream at a silent backend goes on there until another one has taken it up

Cause: the proxy's watch ended a stream whose backend had been silent for 1.5 s, and only then looked for another one; where none might take it (zones lost or evacuated, queues full, no budget) the client's answer was cut, at a backend that was at work: an engine without memory stops the least urgent streams for seconds. Class: giving up what one has before there is something better.

Change: the other attempt is made beside the first one (takeover.go); the first that brings an event goes on, the other is ended; without one the stream stays. No begun answer is ended for silence any more, also where its backend left the list. A request that has not begun is taken back only where another backend would take it, or where its backend is gone. The head of an answer is passed on with its first bytes, so that what is taken back before (weights too old to begin on) is no answer cut in the middle.

--- a/internal/dispatch/pick.go
+++ b/internal/dispatch/pick.go
@@ -64,24 +64,40 @@
 // Pick chooses the backend that should begin to answer first, by what it would have to read, what waits there and where it is, and the
 // holder that it fetches from. It gives nil if there is none that may get the request.
 func (t *Table) Pick(now time.Duration, r *Request) *Choice {
+	b, p, later := t.best(now, r)
+	switch {
+	case b == nil:
+		return nil
+	case later > 0:
+		return &Choice{Later: later}
+	}
+	return t.take(now, r, b, p)
+}
+
+// Fits tells whether a request would be taken now. Nothing is booked for it.
+func (t *Table) Fits(now time.Duration, r *Request) bool {
+	b, _, later := t.best(now, r)
+	return b != nil && later == 0
+}
+
+// best gives the backend that should begin to answer first, nil if none may get the request, and in how many ms it should come again if it
+// is not to be taken now.
+func (t *Table) best(now time.Duration, r *Request) (best *Backend, p plan, later float64) {
 	for _, fallback := range []bool{false, true} {
 		may := t.mayServeAll(now, r, fallback)
 		if len(may) == 0 {
 			continue
 		}
 		d := &decision{request: r, owners: t.owners(r, may), prompts: map[int64]*prompt{}}
-		best, bestPlan := may[0], t.plan(now, d, may[0])
+		best, p = may[0], t.plan(now, d, may[0])
 		for _, b := range may[1:] {
-			if p := t.plan(now, d, b); p.cost < bestPlan.cost {
-				best, bestPlan = b, p
+			if other := t.plan(now, d, b); other.cost < p.cost {
+				best, p = b, other
 			}
 		}
-		if later := r.refuse(&bestPlan); later > 0 {
-			return &Choice{Later: later}
-		}
-		return t.take(now, r, best, bestPlan)
+		return best, p, r.refuse(&p)
 	}
-	return nil
+	return nil, p, 0
 }
 
 // refuse tells in how many ms a request should come again that would wait here for so long that it came too late; 0 if it is taken.
--- a/internal/dispatch/shares.go
+++ b/internal/dispatch/shares.go
@@ -74,6 +74,16 @@
 
 // TakeRepeat books one sending beyond a request's first, if this mixer's share of the budget has room.
 func (t *Table) TakeRepeat(now time.Duration, service string) bool {
+	if !t.RepeatFits(now, service) {
+		return false
+	}
+	b := t.budget(now, service)
+	b.slots[b.at%budgetSlots].repeats++
+	return true
+}
+
+// RepeatFits tells whether this mixer's share of the budget has room for one more sending.
+func (t *Table) RepeatFits(now time.Duration, service string) bool {
 	b := t.budget(now, service)
 	requests, repeats := 0, 0
 	for _, s := range b.slots {
@@ -81,9 +91,5 @@
 		repeats += s.repeats
 	}
 	slack := t.settings.RetryBudgetSlack * budgetPart / float64(max(1, len(t.members.All)))
-	if float64(repeats+1) > slack+ratioPart*t.settings.RetryBudgetRatio*float64(requests) {
-		return false
-	}
-	b.slots[b.at%budgetSlots].repeats++
-	return true
+	return float64(repeats+1) <= slack+ratioPart*t.settings.RetryBudgetRatio*float64(requests)
 }
--- a/internal/proxy/attempts.go
+++ b/internal/proxy/attempts.go
@@ -47,7 +47,7 @@
 	s.mu.Unlock()
 }
 
-// overdue gives the attempts that have heard nothing for too long, and why each is to end; silent tells whether a backend is.
+// overdue gives the attempts that have heard nothing for too long, and why each is in doubt; silent tells whether a backend is.
 func (s *attempts) overdue(now time.Duration, silent func(a *attempt) bool) (overdue map[*attempt]ending) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -130,14 +130,33 @@
 	}
 }
 
-// endOverdue ends the attempts that wait in vain at a time.
+// endOverdue does something about the attempts that wait in vain at a time. An answer that has begun is never ended for its backend's
+// silence: an engine without memory stops streams for seconds and goes on with them. Where it may be taken up elsewhere, that is tried
+// beside it. A request whose answer has not begun is taken back if its backend is gone, or if another one would take it.
 func (p *Proxy) endOverdue(now time.Duration) {
-	var overdue map[*attempt]ending
+	var back, beside map[*attempt]ending
 	p.do(func() {
-		overdue = p.attempts.overdue(now, func(a *attempt) bool { return p.table.Silent(now, a.choice) })
+		back, beside = map[*attempt]ending{}, map[*attempt]ending{}
+		for a, why := range p.attempts.overdue(now, func(a *attempt) bool { return p.table.Silent(now, a.choice) }) {
+			switch {
+			case a.takeover.Load() != nil:
+				beside[a] = why
+			case why == endingBackendLeft || p.fitsElsewhere(now, a):
+				back[a] = why
+			}
+		}
 	})
-	for a, why := range overdue {
+	for a, why := range back {
 		p.log.Debug().Str("step", "overdue").Str("peer", a.choice.Addr).Str("ending", string(why)).Msg("attempt ended")
 		a.cancel(why)
 	}
+	for a, why := range beside {
+		a.takeover.Load().start(why)
+	}
+}
+
+// fitsElsewhere tells whether another backend would take an attempt's request now. Call it at the owner.
+func (p *Proxy) fitsElsewhere(now time.Duration, a *attempt) bool {
+	q := a.request
+	return p.table.RepeatFits(now, q.service) && p.table.Fits(now, q.decision(a.tried))
 }
--- a/internal/proxy/forward.go
+++ b/internal/proxy/forward.go
@@ -23,8 +23,14 @@
 	limit    beginLimit      // ends it where it may not begin later
 	ctx      context.Context // of this attempt alone; its cause is an ending
 	cancel   context.CancelCauseFunc
+	request  *request
+	tried    []string     // backends that the request was sent to, this one too
+	sent     int          // how many of them may have run it, this one counted
 	mayMove  bool         // it may be sent to another backend
 	heard    atomic.Int64 // when the last bytes came, by the proxy's clock
+	first    []byte       // the first bytes of the answer, until they are passed on
+	firstErr error        // what came with them
+	takeover atomic.Pointer[takeover]
 }
 
 // notRun tells whether it is known that the backend did not run the request.
@@ -55,9 +61,9 @@
 			return
 		}
 		tried = append(tried, choice.ID)
-		a := p.send(ctx, q, choice, sent+1)
+		a := p.send(ctx, q, choice, tried, sent+1, "")
 		if a.err == nil && !a.notRun() {
-			p.relay(ctx, q, a, tried, sent+1)
+			p.relay(ctx, q, a)
 			return
 		}
 		p.book(a, ctx)
@@ -87,15 +93,18 @@
 const maxTried = 4
 
 func (p *Proxy) pick(q *request, tried []string) (choice *dispatch.Choice) {
-	p.do(func() {
-		choice = p.table.Pick(p.now(), &dispatch.Request{
-			Target: q.route.TargetMS, Left: float64(time.Until(q.deadline).Milliseconds()), Again: q.again || len(tried) > 0,
-			Service: q.service, Model: q.model, Parts: q.parts, Prompt: q.prompt, Bytes: len(q.body), Wall: q.wall(), Tried: tried,
-		})
-	})
+	p.do(func() { choice = p.table.Pick(p.now(), q.decision(tried)) })
 	return choice
 }
 
+// decision is what choosing a backend needs to know of a request that was sent to some already.
+func (q *request) decision(tried []string) *dispatch.Request {
+	return &dispatch.Request{
+		Target: q.route.TargetMS, Left: float64(time.Until(q.deadline).Milliseconds()), Again: q.again || len(tried) > 0,
+		Service: q.service, Model: q.model, Parts: q.parts, Prompt: q.prompt, Bytes: len(q.body), Wall: q.wall(), Tried: tried,
+	}
+}
+
 // mayRepeat takes a place in the retry budget; what never reached a backend needs none.
 func (p *Proxy) mayRepeat(q *request, sent int) (may bool) {
 	if sent == 0 {
@@ -105,8 +114,9 @@
 	return may
 }
 
-// send makes one attempt, the last-th that may run, up to the head of the answer.
-func (p *Proxy) send(ctx context.Context, q *request, c *dispatch.Choice, last int) *attempt {
+// send makes one attempt, the last of tried and the sent-th that may run, up to the first bytes of the answer's body. A stream that was cut
+// is taken up behind lastEvent.
+func (p *Proxy) send(ctx context.Context, q *request, c *dispatch.Choice, tried []string, sent int, lastEvent string) *attempt {
 	header := q.header.Clone()
 	header.Set(headerExpected, c.ID)
 	header.Set(headerDeadline, strconv.FormatInt(max(1, time.Until(q.limit).Milliseconds()), 10))
@@ -120,11 +130,14 @@
 	if c.Save != "" {
 		header.Set(headerSave, c.Save)
 	}
-	if q.lastEvent != "" {
-		header.Set(headerLastEvent, q.lastEvent)
+	if lastEvent != "" {
+		header.Set(headerLastEvent, lastEvent)
 	}
 	ctx, cancel := context.WithCancelCause(ctx)
-	a := &attempt{choice: c, ctx: ctx, cancel: cancel, mayMove: q.route.MayRepeat() && last < max(1, q.route.MaxAttempts)}
+	a := &attempt{
+		choice: c, ctx: ctx, cancel: cancel, request: q, tried: tried, sent: sent,
+		mayMove: q.route.MayRepeat() && sent < max(1, q.route.MaxAttempts),
+	}
 	a.heard.Store(int64(p.now()))
 	p.do(func() { // in one step with the versions in force, or one that is named meanwhile would not limit it
 		p.attempts.add(a)
@@ -140,9 +153,36 @@
 		a.response.Body.Close()
 		a.err = &upstream.Error{Stage: upstream.Sent, Step: "read", Peer: c.Addr, Err: errUnsealed}
 	}
+	a.readFirst()
 	return a
 }
 
+// readFirst waits for the first bytes of the answer's body. Until they are there nothing of the answer has been passed on, and the request may
+// still go elsewhere, or be told how it stands.
+func (a *attempt) readFirst() {
+	if a.err != nil || a.notRun() {
+		return
+	}
+	buffer := make([]byte, firstBuffer)
+	n, err := a.response.Body.Read(buffer)
+	if n == 0 && err != nil && err != io.EOF {
+		a.response.Body.Close()
+		a.err = &upstream.Error{Stage: upstream.Sent, Step: "read", Peer: a.choice.Addr, Err: err}
+		return
+	}
+	a.first, a.firstErr = buffer[:n], err
+}
+
+// read gives the next bytes of the answer, the first ones from where they were kept.
+func (a *attempt) read(buffer []byte) (n int, err error) {
+	if len(a.first) == 0 && a.firstErr == nil {
+		return a.response.Body.Read(buffer)
+	}
+	n, err = copy(buffer, a.first), a.firstErr
+	a.first, a.firstErr = nil, nil
+	return n, err
+}
+
 // errUnsealed is a success that is not a backend's: it lacks its seal.
 var errUnsealed = errors.New("the answer has no seal")
 
--- a/internal/proxy/proxy_test.go
+++ b/internal/proxy/proxy_test.go
@@ -323,7 +323,7 @@
 		r.proxy.table.SetState(r.proxy.now(), nil, nil, map[string]replicated.Model{"m": {Version: 2}}, versions)
 	})
 	choice := r.proxy.pick(q, nil)
-	a := r.proxy.send(t.Context(), q, choice, 1)
+	a := r.proxy.send(t.Context(), q, choice, []string{choice.ID}, 1, "")
 	require.Error(t, a.err)
 	require.False(t, a.notRun(), "it may have begun unseen")
 	<-gaveUp
--- a/internal/proxy/relay.go
+++ b/internal/proxy/relay.go
@@ -5,6 +5,7 @@
 	"errors"
 	"io"
 	"net/http"
+	"slices"
 
 	"nettlefold/internal/config"
 	"nettlefold/internal/dispatch"
@@ -13,19 +14,24 @@
 // relayBuffer is how much of an answer is read at a time.
 const relayBuffer = 16 << 10
 
+// firstBuffer is how much of it is read before anything is passed on.
+const firstBuffer = 4 << 10
+
 // errClientGone is a client that takes no more bytes.
 var errClientGone = errors.New("the client is gone")
 
 // relay passes an answer on to the client. One that is cut off is taken up at another backend where its route allows that, inside the
 // same answer; one that cannot be finished ends with its connection, so that it does not look whole.
-func (p *Proxy) relay(ctx context.Context, q *request, a *attempt, tried []string, sent int) {
+func (p *Proxy) relay(ctx context.Context, q *request, a *attempt) {
 	q.writeHead(a, p.stopping.Load() != nil)
 	var events *eventReader
 	if q.route.Kind == config.Streaming && q.route.Resumable && a.response.StatusCode == http.StatusOK {
 		events = &eventReader{last: q.Header.Get(headerLastEvent)}
 	}
 	for {
-		err := p.copy(q, a, events)
+		move := newTakeover(ctx, p, a, events)
+		err := p.copy(q, a, events, move)
+		next := move.finish(err == nil)
 		if err == nil {
 			p.finish(a, dispatch.Done)
 			return
@@ -36,21 +42,17 @@
 		}
 		why := endingOf(ctx, q, a, err)
 		p.finish(a, outcome)
-		if events == nil || outcome == dispatch.Cancelled {
-			p.cutOff(q, a, why)
-			break
+		if next == nil && events != nil && outcome != dispatch.Cancelled {
+			next = p.resume(ctx, q, a, events.last)
 		}
-		q.lastEvent = events.last
-		events.cut()
-		next := p.resume(ctx, q, &tried, &sent)
 		if next == nil {
 			p.cutOff(q, a, why)
-			break
+			panic(http.ErrAbortHandler)
 		}
+		events.cut()
 		p.counters.resumed.Add(1)
 		a = next
 	}
-	panic(http.ErrAbortHandler)
 }
 
 // writeHead passes the head of an answer on.
@@ -81,22 +83,15 @@
 
 // copy passes the bytes of an answer on as they come; of one that may be taken up elsewhere only whole events. It ends without error
 // if the answer came whole.
-func (p *Proxy) copy(q *request, a *attempt, events *eventReader) error {
+func (p *Proxy) copy(q *request, a *attempt, events *eventReader, move *takeover) error {
 	flush := http.NewResponseController(q.writer)
 	buffer := make([]byte, relayBuffer)
 	for {
-		n, err := a.response.Body.Read(buffer)
+		n, err := a.read(buffer)
 		if n > 0 {
 			p.began(q, a)
-			bytes := buffer[:n]
-			if events != nil {
-				bytes = events.take(bytes)
-			}
-			if len(bytes) > 0 {
-				if _, err := q.writer.Write(bytes); err != nil {
-					return errClientGone
-				}
-				flush.Flush()
+			if err := move.passOn(buffer[:n], q.writer, flush); err != nil {
+				return err
 			}
 		}
 		if err == io.EOF {
@@ -124,30 +119,32 @@
 	return nil
 }
 
-// resume takes a stream up at another backend behind the last event that was passed on; nil if it may not or cannot be.
-func (p *Proxy) resume(ctx context.Context, q *request, tried *[]string, sent *int) *attempt {
-	for *sent < max(1, q.route.MaxAttempts) && len(*tried) <= maxTried && ctx.Err() == nil {
-		choice := p.pick(q, *tried)
-		if choice == nil || choice.Later > 0 || !p.mayRepeat(q, *sent) {
+// resume takes a stream up at another backend behind the last event that was passed on; nil if it may not or cannot be. former is the attempt
+// that it goes on from.
+func (p *Proxy) resume(ctx context.Context, q *request, former *attempt, lastEvent string) *attempt {
+	tried, sent := former.tried, former.sent
+	for sent < max(1, q.route.MaxAttempts) && len(tried) <= maxTried && ctx.Err() == nil {
+		choice := p.pick(q, tried)
+		if choice == nil || choice.Later > 0 || !p.mayRepeat(q, sent) {
 			if choice != nil && choice.Later == 0 {
 				p.do(func() { p.table.End(p.now(), choice, dispatch.Cancelled) })
 			}
 			return nil
 		}
-		*tried = append(*tried, choice.ID)
-		a := p.send(ctx, q, choice, *sent+1)
+		tried = append(slices.Clone(tried), choice.ID)
+		a := p.send(ctx, q, choice, tried, sent+1, lastEvent)
 		if a.err == nil && a.response.StatusCode == http.StatusOK && !a.notRun() {
-			*sent++
 			return a
 		}
 		if !a.notRun() {
-			*sent++
+			sent++
 		}
 		p.book(a, ctx)
 		if a.err == nil {
 			a.response.Body.Close()
 		}
 		a.end()
+		former.tried, former.sent = tried, sent
 	}
 	return nil
 }
--- a/internal/proxy/serve.go
+++ b/internal/proxy/serve.go
@@ -63,8 +63,6 @@
 	parts    []kvindex.Part
 	model    string
 	header   http.Header // as it goes to a backend, but for what differs with the backend
-	// lastEvent is the last event of a stream that was passed on, where it is taken up at another backend.
-	lastEvent string
 }
 
 // serve takes one request of a client.
