After SIGTERM nothing is begun that may outlast the grace

Cause: a stream was begun on a kept connection after the signal because such streams had been short lately; the engines got more to do, and it was cut when the grace was over, beside a configuration. What lately was says nothing sure: a request is begun if its own time ends before the program does, and else told at once to come again.

Open: such a one may still fall beside a configuration.

Test: TestWhatMayBeBegunAfterTheSignal and TestDurationsOfARoute held what is taken out (three requests of ten seconds that might be begun); in their place each moment after the signal, each time of a request and three graces are held to the stricter rule.

--- a/internal/proxy/endings.go
+++ b/internal/proxy/endings.go
@@ -75,9 +75,10 @@
 }
 
 // graceEnded notes the requests that are still open when the program's grace is over.
-func (p *Proxy) graceEnded() {
-	for _, q := range p.durations.unfinished() {
+func (p *Proxy) graceEnded(plan *stopping) {
+	for q, began := range p.running.unfinished() {
 		p.endings.add(endingGraceOver)
-		p.log.Info().Str("step", "stop").Str("request", q.id).Str("ending", string(endingGraceOver)).Msg("answer cut")
+		p.log.Info().Str("step", "stop").Str("request", q.id).Str("ending", string(endingGraceOver)).
+			Dur("begun_after_signal", began.Sub(plan.at)).Msg("answer cut")
 	}
 }
--- a/internal/proxy/proxy.go
+++ b/internal/proxy/proxy.go
@@ -66,7 +66,7 @@
 	endings   endingCounts
 	splits    *splits
 	attempts  *attempts
-	durations *durations
+	running   *openRequests
 
 	poolsMu sync.Mutex
 	pools   map[string]*upstream.Pool // by the backend's identity
@@ -88,7 +88,7 @@
 		endings:  newEndingCounts(),
 
 		afterFunc: time.AfterFunc,
-		durations: newDurations(),
+		running:   newOpenRequests(),
 	}
 	p.table = dispatch.New(0, dispatch.Settings{
 		Zone:             settings.Zone,
@@ -175,7 +175,7 @@
 	defer cancel()
 	server.SetKeepAlivesEnabled(false)
 	if server.Shutdown(ctx) != nil {
-		p.graceEnded()
+		p.graceEnded(plan)
 	}
 }
 
--- a/internal/proxy/serve.go
+++ b/internal/proxy/serve.go
@@ -86,12 +86,11 @@
 		return
 	}
 	now := time.Now()
-	if plan := p.stopping.Load(); plan != nil && !plan.mayBegin(now, q.limit, p.durations.longest(q.route, now)) {
+	if plan := p.stopping.Load(); plan != nil && !plan.mayBegin(q.limit) {
 		q.refuseStopping()
 		return
 	}
-	ended := p.durations.began(q, now)
-	defer func() { ended(time.Now()) }()
+	defer p.running.began(q, now)()
 	p.forward(q)
 }
 
--- a/internal/proxy/stopping_test.go
+++ b/internal/proxy/stopping_test.go
@@ -7,44 +7,36 @@
 	"time"
 
 	"github.com/stretchr/testify/require"
-
-	"nettlefold/internal/config"
 )
 
-func TestWhatMayBeBegunAfterTheSignal(t *testing.T) {
+// TestNothingIsBegunThatMayOutlastTheGrace plays a request that comes at any moment about the signal, with any time of its own, under three
+// settings of the grace: after the signal it is begun exactly if it ends before the program does, however long it takes.
+func TestNothingIsBegunThatMayOutlastTheGrace(t *testing.T) {
+	const step = 50 * time.Millisecond
 	at := time.Unix(1000, 0)
-	s := newStopping(at, 8*time.Second)
-	require.Equal(t, at.Add(8*time.Second-endMargin), s.end, "what was begun has the whole grace")
-	after := func(d time.Duration) time.Time { return at.Add(d) }
-	for _, c := range []struct {
-		what                string
-		now, limit, longest time.Duration
-		may                 bool
-	}{
-		{"its own time ends before", 0, 7 * time.Second, 0, true},
-		{"its own time ends before, late", 6 * time.Second, 7500 * time.Millisecond, 0, true},
-		{"ten seconds, such requests are short", 500 * time.Millisecond, 10 * time.Second, time.Second, true},
-		{"ten seconds, one of them is at it for three", 500 * time.Millisecond, 10 * time.Second, 3 * time.Second, false},
-		{"ten seconds, nothing is known of them", 0, 10 * time.Second, 0, false},
-		{"short ones, but late", 3100 * time.Millisecond, 13 * time.Second, 100 * time.Millisecond, false},
-		{"just too long", 0, 7*time.Second + 900*time.Millisecond, 2600 * time.Millisecond, false},
-	} {
-		require.Equal(t, c.may, s.mayBegin(after(c.now), after(c.limit), c.longest), c.what)
+	for _, grace := range []time.Duration{2 * time.Second, 8 * time.Second, 30 * time.Second} {
+		s := newStopping(at, grace)
+		require.Equal(t, at.Add(grace-endMargin), s.end, "what was begun has the whole grace")
+		for came := time.Duration(0); came <= grace; came += step {
+			for own := step; own <= 2*grace; own += step {
+				limit := at.Add(came + own)
+				latest := limit // it is answered by then, whatever its backend does
+				begun := s.mayBegin(limit)
+				require.False(t, begun && latest.After(s.end), "grace %v: came after %v, has %v", grace, came, own)
+				require.Equal(t, came+own <= grace-endMargin, begun, "grace %v: came after %v, has %v", grace, came, own)
+			}
+		}
 	}
-	require.False(t, newStopping(at, 0).mayBegin(at, after(time.Second), time.Millisecond), "no grace at all")
+	require.False(t, newStopping(at, 0).mayBegin(at.Add(time.Second)), "no grace at all")
 }
 
-func TestDurationsOfARoute(t *testing.T) {
-	d, now := newDurations(), time.Unix(1000, 0)
-	stream, other := &config.Route{Host: "h", PathPrefix: "/a/"}, &config.Route{Host: "h", PathPrefix: "/b/"}
-	require.Zero(t, d.longest(stream, now))
-	ended := d.began(&request{route: stream}, now)
-	require.Equal(t, 2*time.Second, d.longest(stream, now.Add(2*time.Second)), "one that runs counts")
-	require.Zero(t, d.longest(other, now.Add(2*time.Second)))
-	ended(now.Add(3 * time.Second))
-	require.Equal(t, 3*time.Second, d.longest(stream, now.Add(10*time.Second)))
-	require.Equal(t, 3*time.Second, d.longest(stream, now.Add(20*time.Second)))
-	require.Zero(t, d.longest(stream, now.Add(40*time.Second)), "forgotten")
+func TestOpenRequests(t *testing.T) {
+	o, now, q := newOpenRequests(), time.Unix(1000, 0), &request{}
+	require.Empty(t, o.unfinished())
+	ended := o.began(q, now)
+	require.Equal(t, map[*request]time.Time{q: now}, o.unfinished())
+	ended()
+	require.Empty(t, o.unfinished())
 }
 
 // TestToldToEnd: what cannot end in time never reaches a backend and may come again at once; what can is served, its connection closed.
