--- a/internal/proxy/proxy.go
+++ b/internal/proxy/proxy.go
@@ -62,11 +62,11 @@
 	// weights has the versions of models that were last told in the log.
 	weights map[string]int64
 
-	counters  counters
-	endings   endingCounts
-	splits    *splits
-	attempts  *attempts
-	running   *openRequests
+	counters counters
+	endings  endingCounts
+	splits   *splits
+	attempts *attempts
+	running  *openRequests
 
 	poolsMu sync.Mutex
 	pools   map[string]*upstream.Pool // by the backend's identity
--- a/internal/proxy/split.go
+++ b/internal/proxy/split.go
@@ -46,3 +46,6 @@
 	s.next[key] = following
 	return drawn
 }
+
+// routeKey tells routes apart, also across configurations.
+func routeKey(r *config.Route) string { return r.Host + r.PathPrefix }
