--- a/internal/agent/session.go
+++ b/internal/agent/session.go
@@ -9,7 +9,6 @@
 	"nettlefold/internal/distribute"
 	"nettlefold/internal/feed"
 	"nettlefold/internal/rendezvous"
-	"nettlefold/internal/superseded"
 )
 
 const (
@@ -138,8 +137,7 @@
 		if a.snapshot != nil {
 			known = known.With(wanted.Version, a.inTouch)
 		}
-		told := superseded.FromAges(written, reply.Ages[model]).With(wanted.Version, superseded.Always)
-		a.versions[model] = known.Merge(told)
+		a.versions[model] = known.Heard(wanted.Version, written, reply.Ages[model])
 		if named {
 			a.log.Info().Str("step", "weights").Str("model", model).Int64("version", wanted.Version).Uint64("seq", s.Seq).
 				Interface("ages", a.versions[model].Ages(a.now())).Msg("version wanted")
--- a/internal/superseded/superseded.go
+++ b/internal/superseded/superseded.go
@@ -66,6 +66,11 @@
 	return kept
 }
 
+// Heard adds what somebody else tells, by ages that were written no earlier than at a time, of a version that is wanted now.
+func (t Times) Heard(wanted int64, written time.Duration, ages []Age) Times {
+	return t.Merge(FromAges(written, ages).With(wanted, Always))
+}
+
 // Merge gives what two tellers know together: for each version the later of their bounds.
 func (t Times) Merge(o Times) Times {
 	var versions []int64
