nettlelab soak: a seeded soak of the fleet's processes, with a judge of its own

Real controllers, agents and proxies on the loopback; stand-in engines that crash and come back with old weights, fall silent and turn slow; the operator's configurations and weights; SIGTERM, SIGKILL, SIGSTOP, SIGHUP and restarts, overlapping, drawn from a seed. Clients keep their connections until the process is gone. The judge is apart from the programs: LOST, VERSION at the begin of a run, TWICE, REFUSED, MIXED, CONFIG; a fault a rule is planted in its tests. Not yet: cuts, disks, evacuations, keys, a quota on processor time, slopes of memory, plots.

--- a/cmd/nettlelab/fleet.go
+++ b/cmd/nettlelab/fleet.go
@@ -13,13 +13,18 @@
 
 // Run plays the fleet.
 func (a *fleetCommand) Run() error {
-	program := a.Program
-	if program == "" {
-		self, err := os.Executable()
-		if err != nil {
-			return err
-		}
-		program = filepath.Join(filepath.Dir(self), "nettlefold")
+	program, err := programOr(a.Program)
+	if err != nil {
+		return err
 	}
 	return fleetdemo.Play(program, os.Stdout)
 }
+
+// programOr gives the program that was named, or the one beside this program.
+func programOr(named string) (string, error) {
+	if named != "" {
+		return named, nil
+	}
+	self, err := os.Executable()
+	return filepath.Join(filepath.Dir(self), "nettlefold"), err
+}
--- /dev/null
+++ b/cmd/nettlelab/soak.go
@@ -0,0 +1,37 @@
+package main
+
+import (
+	"os"
+	"time"
+
+	"nettlefold/internal/lab/fleetdemo"
+)
+
+type soakCommand struct {
+	Program     string        `type:"existingfile" placeholder:"PROGRAM" help:"A build of nettlefold; the one beside this program if none is named."`
+	Seed        uint64        `default:"1" help:"The plan is drawn from it."`
+	Seeds       int           `default:"1" help:"How many seeds are played, one after the other."`
+	Length      time.Duration `default:"30s" help:"Of each, in traffic."`
+	Controllers int           `default:"3" help:"How many there are."`
+	Fronts      int           `default:"3" help:"How many there are, each of an agent and a proxy."`
+	Engines     int           `default:"5" help:"Stand-ins of model engines."`
+	Keep        bool          `help:"Keep the programs' logs where something is found."`
+}
+
+// Run plays the seeds, and fails with the first that finds something.
+func (a *soakCommand) Run() error {
+	program, err := programOr(a.Program)
+	if err != nil {
+		return err
+	}
+	var failed error
+	for i := range a.Seeds {
+		err := fleetdemo.Soak(program, fleetdemo.SoakOptions{
+			Seed: a.Seed + uint64(i), Length: a.Length, Controllers: a.Controllers, Fronts: a.Fronts, Engine: a.Engines, Keep: a.Keep,
+		}, os.Stdout)
+		if failed == nil {
+			failed = err
+		}
+	}
+	return failed
+}
--- a/internal/lab/fleetdemo/engine.go
+++ b/internal/lab/fleetdemo/engine.go
@@ -28,11 +28,16 @@
 // engine is a stand-in of a model engine: it reads prompts but for the parts that it keeps under the request's salt, streams events, tells
 // what it keeps, and takes orders for new weights.
 type engine struct {
-	id, addr string
-	fleet    *engines
-	server   *http.Server
+	addr  string
+	fleet *engines
+	slots chan struct{} // held by requests that run; nil for as many as come
 
 	mu      sync.Mutex
+	id      string // of this life
+	lives   int
+	server  *http.Server
+	resumed chan struct{} // closed when the engine goes on; nil while it runs
+	slow    int           // by how many times it is slowed, 0 if it is not
 	version int64
 	loading bool
 	kept    map[string]int // tokens by salt and part
@@ -47,12 +52,15 @@
 	mu   sync.Mutex
 	all  map[string]*engine // by address
 	runs map[string]int     // by the request's identity
+	log  *runLog            // nil where nobody wants to know more
 }
 
-func (f *engines) ran(id string) {
+// ran books that an engine begins a request.
+func (f *engines) ran(id, engine string, version int64) {
 	f.mu.Lock()
 	f.runs[id]++
 	f.mu.Unlock()
+	f.log.began(id, engine, version)
 }
 
 func (f *engines) at(addr string) *engine {
@@ -63,9 +71,17 @@
 
 func newEngine(f *engines, id, addr string) (*engine, error) {
 	e := &engine{id: id, addr: addr, fleet: f, version: 1, kept: map[string]int{}}
-	listener, err := net.Listen("tcp", addr)
+	f.mu.Lock()
+	f.all[addr] = e
+	f.mu.Unlock()
+	return e, e.serve()
+}
+
+// serve begins a life of the engine.
+func (e *engine) serve() error {
+	listener, err := net.Listen("tcp", e.addr)
 	if err != nil {
-		return nil, err
+		return err
 	}
 	mux := http.NewServeMux()
 	mux.HandleFunc("GET /v1/kv-events", e.tellEvents)
@@ -73,23 +89,31 @@
 	mux.HandleFunc("GET /v1/report", e.report)
 	mux.HandleFunc("POST /v1/order", e.order)
 	mux.HandleFunc("/", e.generate)
-	e.server = &http.Server{Handler: mux}
-	f.mu.Lock()
-	f.all[addr] = e
-	f.mu.Unlock()
-	go e.server.Serve(listener)
-	return e, nil
+	server := &http.Server{Handler: mux}
+	e.mu.Lock()
+	e.server = server
+	e.mu.Unlock()
+	go server.Serve(listener)
+	return nil
+}
+
+// close ends the engine's life at once, with all its connections.
+func (e *engine) close() {
+	e.mu.Lock()
+	server := e.server
+	e.mu.Unlock()
+	server.Close()
 }
 
 // refused tells whether a request is meant for another instance or version, or cannot begin now, and answers so.
 func (e *engine) refused(w http.ResponseWriter, r *http.Request) bool {
 	e.mu.Lock()
-	version, loading := e.version, e.loading
+	version, loading, id := e.version, e.loading, e.id
 	e.mu.Unlock()
 	expected := r.Header.Get("Expect-Version")
 	switch {
-	case r.Header.Get("X-Expected-Instance") != e.id, expected != "" && expected != strconv.FormatInt(version, 10):
-		w.Header().Set("X-Instance-Id", e.id)
+	case r.Header.Get("X-Expected-Instance") != id, expected != "" && expected != strconv.FormatInt(version, 10):
+		w.Header().Set("X-Instance-Id", id)
 		w.WriteHeader(http.StatusMisdirectedRequest)
 	case loading:
 		w.Header().Set("X-Not-Executed", "1")
@@ -104,16 +128,54 @@
 	if e.refused(w, r) {
 		return
 	}
+	if e.slots != nil {
+		select {
+		case e.slots <- struct{}{}:
+			defer func() { <-e.slots }()
+		case <-r.Context().Done():
+			return
+		}
+	}
 	id := r.Header.Get("X-Request-Id")
-	e.fleet.ran(id)
-	time.Sleep(e.prefill(r))
+	life := r.Header.Get("X-Expected-Instance")
+	e.fleet.log.reached(id, life)
+	if !e.work(r, e.prefill(r)) || e.refused(w, r) { // an order came while it was read, or its caller has gone
+		return
+	}
+	e.mu.Lock()
+	version := e.version
+	e.mu.Unlock()
+	e.fleet.ran(id, life, version)
 	w.Header().Set("X-Request-Id", id)
-	w.Header().Set("X-Response-Seal", e.id+"/"+id)
+	w.Header().Set("X-Response-Seal", life+"/"+id)
 	w.Header().Set("Content-Type", "text/event-stream")
-	for i := range eventsOfRun {
-		fmt.Fprintf(w, "id: %d\ndata: token %d of %s\n\n", i+1, i+1, id)
+	last, _ := strconv.Atoi(r.Header.Get("Last-Event-Id"))
+	for i := last + 1; i <= eventsOfRun; i++ {
+		fmt.Fprintf(w, "id: %d\ndata: token %d of %s\n\n", i, i, id)
 		http.NewResponseController(w).Flush()
-		time.Sleep(eventGap)
+		if !e.work(r, eventGap) {
+			return
+		}
+	}
+}
+
+// work takes a time, longer while the engine is slowed, and stands still while it does. It tells whether the caller is still there.
+func (e *engine) work(r *http.Request, takes time.Duration) bool {
+	e.mu.Lock()
+	resumed, slow := e.resumed, max(1, e.slow)
+	e.mu.Unlock()
+	if resumed != nil {
+		select {
+		case <-resumed:
+		case <-r.Context().Done():
+			return false
+		}
+	}
+	select {
+	case <-time.After(takes * time.Duration(slow)):
+		return true
+	case <-r.Context().Done():
+		return false
 	}
 }
 
@@ -209,14 +271,18 @@
 	case order.Version == e.version:
 	default:
 		e.fences, e.loading = order.Fence, true
-		time.AfterFunc(loadTime, func() { e.loaded(order.Version) })
+		life := e.lives
+		time.AfterFunc(loadTime, func() { e.loaded(life, order.Version) })
 		w.WriteHeader(http.StatusAccepted)
 	}
 }
 
-func (e *engine) loaded(version int64) {
+func (e *engine) loaded(life int, version int64) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
+	if e.lives != life { // it crashed meanwhile, and has the weights it had
+		return
+	}
 	e.version, e.loading = version, false
 	e.kept, e.events = map[string]int{}, nil
 }
@@ -225,3 +291,37 @@
 	w.Header().Set("Content-Type", "application/json")
 	json.NewEncoder(w).Encode(v)
 }
+
+// crash ends the engine's life, and gives the identity that it had. serve begins another one, with the weights it had and nothing kept.
+func (e *engine) crash() (life string) {
+	e.close()
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	life = e.id
+	e.lives++
+	e.id = fmt.Sprint(strings.Split(life, "/")[0], "/", e.lives)
+	e.loading, e.fences = false, 0
+	e.kept, e.events = map[string]int{}, nil
+	return life
+}
+
+// pause has the engine stand still until resume is called.
+func (e *engine) pause() (resume func()) {
+	resumed := make(chan struct{})
+	e.mu.Lock()
+	e.resumed = resumed
+	e.mu.Unlock()
+	return func() {
+		e.mu.Lock()
+		e.resumed = nil
+		e.mu.Unlock()
+		close(resumed)
+	}
+}
+
+// setSlow has everything take so many times as long; 0 ends that.
+func (e *engine) setSlow(times int) {
+	e.mu.Lock()
+	e.slow = times
+	e.mu.Unlock()
+}
--- a/internal/lab/fleetdemo/fleet.go
+++ b/internal/lab/fleetdemo/fleet.go
@@ -3,20 +3,20 @@
 import (
 	"bytes"
 	"fmt"
+	"maps"
 	"net"
 	"net/http"
 	"os"
 	"os/exec"
 	"path/filepath"
+	"slices"
 	"strings"
+	"sync"
 	"time"
 )
 
 // Places on the loopback, and how many there are.
 const (
-	controllers = 3
-	fronts      = 2
-	backends    = 4
 	controlPort = 18783
 	frontPort   = 18782
 	readyPort   = 18789
@@ -26,12 +26,23 @@
 	tryEvery    = 50 * time.Millisecond
 )
 
+// size is how many of each there are.
+type size struct{ controllers, fronts, engines int }
+
+var demoSize = size{controllers: 3, fronts: 2, engines: 4}
+
+// demoBounds are the times of the demo, as a settings file has them.
+var demoBounds = []string{"bounds.version_ms=15000", "bounds.lease_ms=1000", "bounds.grace_s=4"}
+
 // world is the stand-ins and the processes.
 type world struct {
 	dir     string
 	program string
+	size    size
+	bounds  []string
 	engines *engines
 	list    []*engine
+	mu      sync.Mutex // of running
 	running map[string]*exec.Cmd
 	closing []func()
 }
@@ -43,19 +54,19 @@
 
 const listAddr = "127.0.24.1:18784"
 
-func newWorld(program string) (*world, error) {
+func newWorld(program string, of size, bounds []string) (*world, error) {
 	dir, err := os.MkdirTemp("", "fleet")
 	if err != nil {
 		return nil, err
 	}
-	w := &world{dir: dir, program: program, running: map[string]*exec.Cmd{}, engines: &engines{all: map[string]*engine{}, runs: map[string]int{}}}
-	for i := range backends {
+	w := &world{dir: dir, program: program, size: of, bounds: bounds, running: map[string]*exec.Cmd{}, engines: &engines{all: map[string]*engine{}, runs: map[string]int{}}}
+	for i := range of.engines {
 		e, err := newEngine(w.engines, fmt.Sprint("i-", i+1), engineAddr(i))
 		if err != nil {
 			return nil, err
 		}
 		w.list = append(w.list, e)
-		w.closing = append(w.closing, func() { e.server.Close() })
+		w.closing = append(w.closing, e.close)
 	}
 	return w, w.servePlatform()
 }
@@ -70,10 +81,10 @@
 		instances := []any{}
 		for i, e := range w.list {
 			e.mu.Lock()
-			version := e.version
+			version, id := e.version, e.id
 			e.mu.Unlock()
 			instances = append(instances, map[string]any{
-				"id": e.id, "service": "llm", "address": e.addr, "zone": fmt.Sprint("zone-", i%2), "slots": 64, "state": "ready",
+				"id": id, "service": "llm", "address": e.addr, "zone": fmt.Sprint("zone-", i%2), "slots": 64, "state": "ready",
 				"models": []any{map[string]any{"name": model, "version": version}},
 			})
 		}
@@ -87,16 +98,16 @@
 // settings writes the settings file of a machine.
 func (w *world) settings(name, ip, zone string, firstStart bool, more ...string) (string, error) {
 	var seeds []string
-	for i := range controllers {
+	for i := range w.size.controllers {
 		seeds = append(seeds, controlAddr(i))
 	}
 	lines := append([]string{
 		"node_name=" + name, "ip=" + ip, "zone=" + zone, "region=here", "zones.zone-0=here", "zones.zone-1=here",
 		"seeds=" + strings.Join(seeds, ","), fmt.Sprintf("internal_port_range=%d,%d", firstPort, firstPort+15), fmt.Sprint("first_start=", firstStart),
 		"fault_tolerance.machines=1", "cloud.address=" + listAddr, "cloud.rate_per_s=50", "cloud.lag_ms=100",
-		"bounds.version_ms=15000", "bounds.lease_ms=1000", "bounds.grace_s=4", "bounds.retry_budget_ratio=0.2", "bounds.retry_budget_slack=20",
+		"bounds.retry_budget_ratio=0.2", "bounds.retry_budget_slack=20",
 		"bounds.budget_window_s=10", "bounds.cold_overshoot=1.5", "bounds.cold_slack=5",
-	}, more...)
+	}, append(slices.Clone(w.bounds), more...)...)
 	path := filepath.Join(w.dir, name+".conf")
 	return path, os.WriteFile(path, []byte(strings.Join(lines, "\n")+"\n"), 0o644)
 }
@@ -114,7 +125,9 @@
 	if err := command.Start(); err != nil {
 		return err
 	}
+	w.mu.Lock()
 	w.running[name+"-"+program] = command
+	w.mu.Unlock()
 	return nil
 }
 
@@ -143,16 +156,31 @@
 
 // kill ends a process as a loss of power would, and waits until it is gone.
 func (w *world) kill(name string) {
-	if command := w.running[name]; command != nil {
+	if command := w.take(name); command != nil {
 		command.Process.Kill()
 		command.Wait()
-		delete(w.running, name)
 	}
 }
 
+// take gives a process that is to be ended, and forgets it; nil if it does not run.
+func (w *world) take(name string) *exec.Cmd {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	command := w.running[name]
+	delete(w.running, name)
+	return command
+}
+
+// names gives the processes that run.
+func (w *world) names() []string {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return slices.Collect(maps.Keys(w.running))
+}
+
 // close ends everything that was started here.
 func (w *world) close() {
-	for name := range w.running {
+	for _, name := range w.names() {
 		w.kill(name)
 	}
 	for _, end := range w.closing {
@@ -166,7 +194,7 @@
 	client := &http.Client{Timeout: 2 * time.Second}
 	last := "no answer"
 	for i, until := 0, time.Now().Add(patience); time.Now().Before(until); i++ {
-		request, err := http.NewRequest(method, "http://"+controlAddr(i%controllers)+path, bytes.NewBufferString(body))
+		request, err := http.NewRequest(method, "http://"+controlAddr(i%w.size.controllers)+path, bytes.NewBufferString(body))
 		if err != nil {
 			return err
 		}
--- /dev/null
+++ b/internal/lab/fleetdemo/judge_test.go
@@ -0,0 +1,69 @@
+package fleetdemo
+
+import (
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+)
+
+// TestAPlanIsItsSeeds: the same seed plans the same, another one something else.
+func TestAPlanIsItsSeeds(t *testing.T) {
+	require.Equal(t, makePlan(3, time.Minute, demoSize), makePlan(3, time.Minute, demoSize))
+	require.NotEqual(t, makePlan(3, time.Minute, demoSize), makePlan(4, time.Minute, demoSize))
+	kinds := map[string]bool{}
+	for _, a := range makePlan(5, 10*time.Minute, demoSize) {
+		kinds[a.Kind] = true
+	}
+	require.Len(t, kinds, len(actWeights), "each kind comes")
+}
+
+// TestPlantedFaultsAreFound plants one fault a rule into a record, and what looks like it and is none.
+func TestPlantedFaultsAreFound(t *testing.T) {
+	start := time.Unix(1000, 0)
+	at := func(s float64) time.Time { return start.Add(time.Duration(s * float64(time.Second))) }
+	limits := limits{Version: 3 * time.Second, Apply: 2 * time.Second, Grace: 4 * time.Second, Slack: 50 * time.Millisecond}
+	cut := ask{ID: "a", Sent: at(10), End: at(11), Deadline: 8 * time.Second, Outcome: outcomeCut}
+	passedOn := map[string][]string{"a": {"e1"}}
+	for name, c := range map[string]struct {
+		record record
+		rule   string // "" if none is broken
+	}{
+		"cut":                          {record{Asks: []ask{cut}, Arrivals: passedOn}, ruleLost},
+		"cut and never passed on":      {record{Asks: []ask{cut}}, ""},
+		"cut by a crash":               {record{Asks: []ask{cut}, Arrivals: passedOn, Crashes: map[string]time.Time{"e1": at(11)}}, ""},
+		"cut, another engine crashed":  {record{Asks: []ask{cut}, Arrivals: passedOn, Crashes: map[string]time.Time{"e2": at(11)}}, ruleLost},
+		"cut, crashed long before":     {record{Asks: []ask{cut}, Arrivals: passedOn, Crashes: map[string]time.Time{"e1": at(5)}}, ruleLost},
+		"cut with its front":           {record{Asks: []ask{cut}, Arrivals: passedOn, Fronts: []frontTrouble{{span{at(11), at(12)}, 0, actKillFront}}}, ""},
+		"cut, another front killed":    {record{Asks: []ask{cut}, Arrivals: passedOn, Fronts: []frontTrouble{{span{at(11), at(12)}, 1, actKillFront}}}, ruleLost},
+		"cut soon after SIGTERM":       {record{Asks: []ask{cut}, Arrivals: passedOn, Fronts: []frontTrouble{{span{at(10.5), at(15)}, 0, actTermFront}}}, ruleLost},
+		"cut at the end of the grace":  {record{Asks: []ask{cut}, Arrivals: passedOn, Fronts: []frontTrouble{{span{at(6.9), at(12)}, 0, actTermFront}}}, ruleLost},
+		"begun before, grace over":     {record{Asks: []ask{{ID: "a", Sent: at(7), End: at(11), Deadline: 8 * time.Second, Outcome: outcomeCut}}, Arrivals: passedOn, Fronts: []frontTrouble{{span{at(7.2), at(12)}, 0, actTermFront}}}, ""},
+		"its time was up":              {record{Asks: []ask{{ID: "a", Sent: at(3), End: at(11), Deadline: 8 * time.Second, Outcome: outcomeCut}}, Arrivals: passedOn}, ""},
+		"ran twice":                    {record{Asks: []ask{{ID: "a", Outcome: outcomeAnswer, Status: 502}}, Runs: []run{{"a", "e1", 1, at(1)}, {"a", "e2", 1, at(2)}}}, ruleTwice},
+		"ran twice and may":            {record{Asks: []ask{{ID: "a", Outcome: outcomeAnswer, Status: 502, Repeats: true}}, Runs: []run{{"a", "e1", 1, at(1)}, {"a", "e2", 1, at(2)}}}, ""},
+		"refused and ran":              {record{Asks: []ask{{ID: "a", Outcome: outcomeAnswer, Status: 503}}, Runs: []run{{"a", "e1", 1, at(1)}}}, ruleRefused},
+		"not whole":                    {record{Asks: []ask{{ID: "a", Outcome: outcomeServed, Status: 200}}}, ruleMixed},
+		"old weights":                  {record{Runs: []run{{"a", "e1", 1, at(5.1)}}, Weights: []ordered{{2, at(1), at(2)}}}, ruleVersion},
+		"old weights in time":          {record{Runs: []run{{"a", "e1", 1, at(4.9)}}, Weights: []ordered{{2, at(1), at(2)}}}, ""},
+		"superseded twice":             {record{Runs: []run{{"a", "e1", 1, at(5.1)}}, Weights: []ordered{{2, at(1), at(2)}, {3, at(4), at(4.5)}}}, ruleVersion},
+		"the second is young":          {record{Runs: []run{{"a", "e1", 2, at(5.1)}}, Weights: []ordered{{2, at(1), at(2)}, {3, at(4), at(4.5)}}}, ""},
+		"old weights, frozen":          {record{Asks: []ask{{ID: "a"}}, Runs: []run{{"a", "e1", 1, at(5.1)}}, Weights: []ordered{{2, at(1), at(2)}}, Fronts: []frontTrouble{{span{at(3), at(5)}, 0, actFreeze}}}, ""},
+		"a dropped route serves":       {record{Asks: []ask{{ID: "a", Extra: 3, Sent: at(10), End: at(10.1), Outcome: outcomeServed, Status: 200, Whole: true}}, Configs: []ordered{{3, at(1), at(2)}, {4, at(7), at(7.5)}}}, ruleConfig},
+		"a dropped route, not yet":     {record{Asks: []ask{{ID: "a", Extra: 3, Sent: at(9), End: at(9.1), Outcome: outcomeServed, Status: 200, Whole: true}}, Configs: []ordered{{3, at(1), at(2)}, {4, at(7), at(7.5)}}}, ""},
+		"a new route unknown":          {record{Asks: []ask{{ID: "a", Extra: 3, Sent: at(5), End: at(5.1), Outcome: outcomeAnswer, Status: 404}}, Configs: []ordered{{3, at(1), at(2)}}}, ruleConfig},
+		"a new route, dropped by now":  {record{Asks: []ask{{ID: "a", Extra: 3, Sent: at(5), End: at(5.1), Outcome: outcomeAnswer, Status: 404}}, Configs: []ordered{{3, at(1), at(2)}, {4, at(5), time.Time{}}}}, ""},
+		"a new route at a fresh front": {record{Asks: []ask{{ID: "a", Extra: 3, Sent: at(5), End: at(5.1), Outcome: outcomeAnswer, Status: 404}}, Configs: []ordered{{3, at(1), at(2)}}, Fronts: []frontTrouble{{span{at(2), at(4)}, 0, actKillFront}}}, ""},
+	} {
+		t.Run(name, func(t *testing.T) {
+			c.record.Limits = limits
+			findings := judge(&c.record)
+			if c.rule == "" {
+				require.Empty(t, findings)
+				return
+			}
+			require.Len(t, findings, 1)
+			require.Equal(t, c.rule, findings[0].Rule)
+		})
+	}
+}
--- a/internal/lab/fleetdemo/play.go
+++ b/internal/lab/fleetdemo/play.go
@@ -48,7 +48,7 @@
 
 // Play runs the demo with a build of nettlefold, and writes what happens. It fails if a rule that the stand-ins can see was broken.
 func Play(program string, out io.Writer) error {
-	w, err := newWorld(program)
+	w, err := newWorld(program, demoSize, demoBounds)
 	if err != nil {
 		return err
 	}
@@ -74,22 +74,22 @@
 
 // begin starts the fleet and gives it its first configuration.
 func (w *world) begin(say func(string, ...any)) error {
-	for i := range controllers {
+	for i := range w.size.controllers {
 		if err := w.startController(i, true); err != nil {
 			return err
 		}
 	}
-	for i := range fronts {
+	for i := range w.size.fronts {
 		if err := w.startFront(i); err != nil {
 			return err
 		}
 	}
-	say("started %d controllers, %d fronts, %d engines", controllers, fronts, backends)
+	say("started %d controllers, %d fronts, %d engines", w.size.controllers, w.size.fronts, w.size.engines)
 	if err := w.order(http.MethodPut, "/v1/configuration", "0", configuration(1, "/ask/")); err != nil {
 		return err
 	}
 	say("configuration 1 is acknowledged")
-	for i := range fronts {
+	for i := range w.size.fronts {
 		if err := await("front ready", func() bool { return ready(i) }); err != nil {
 			return err
 		}
@@ -143,7 +143,7 @@
 					return
 				case <-time.After(clientPause):
 				}
-				a := w.ask(c%fronts, "/ask/", fmt.Sprintf("%d-%d", c, n), random.IntN(prompts))
+				a := w.ask(c%w.size.fronts, "/ask/", fmt.Sprintf("%d-%d", c, n), random.IntN(prompts))
 				t.add(a.outcome, a.first)
 				if a.partial {
 					t.mu.Lock()
--- /dev/null
+++ b/internal/lab/fleetdemo/soak.go
@@ -0,0 +1,412 @@
+package fleetdemo
+
+import (
+	"bufio"
+	"bytes"
+	"fmt"
+	"io"
+	"maps"
+	"net/http"
+	"os"
+	"path/filepath"
+	"slices"
+	"strings"
+	"sync"
+	"syscall"
+	"time"
+)
+
+// Figures of a soak.
+const (
+	soakVersionLimit = 4 * time.Second
+	soakApplyLimit   = 2 * time.Second
+	soakGrace        = 3 * time.Second
+	engineSlots      = 8
+	slowedBy         = 8
+	clientsOfFront   = 8
+	settleFor        = 2 * time.Second // of traffic after the last event
+	lagEvery         = 10 * time.Millisecond
+	slackShare       = 3 // times what the machine was late by at most
+	slackLeast       = 100 * time.Millisecond
+	tracedFindings   = 5
+	tracedLines      = 12
+)
+
+// SoakOptions say what a soak plays.
+type SoakOptions struct {
+	Seed                        uint64
+	Length                      time.Duration
+	Controllers, Fronts, Engine int
+	Keep                        bool // the logs, where something was found
+}
+
+// soak is one that runs.
+type soak struct {
+	world  *world
+	seed   uint64
+	start  time.Time
+	plan   []act
+	busy   map[string]*sync.Mutex // machines, each in one trouble at a time
+	orders sync.Mutex             // the operator sends one after the other
+
+	mu     sync.Mutex
+	record record
+	config int // the newest that was acknowledged
+	lag    time.Duration
+}
+
+// Soak plays a fleet of processes through a plan drawn from a seed, and fails if its judge finds a rule broken.
+func Soak(program string, o SoakOptions, out io.Writer) error {
+	of := size{controllers: o.Controllers, fronts: o.Fronts, engines: o.Engine}
+	w, err := newWorld(program, of, []string{
+		fmt.Sprint("bounds.version_ms=", soakVersionLimit.Milliseconds()), fmt.Sprint("bounds.grace_s=", soakGrace.Seconds()), "bounds.lease_ms=1000",
+	})
+	if err != nil {
+		return err
+	}
+	keep := false
+	defer func() { w.closeKeeping(keep) }()
+	s := &soak{world: w, seed: o.Seed, plan: makePlan(o.Seed, o.Length, of), busy: map[string]*sync.Mutex{}}
+	w.engines.log = newRunLog()
+	for _, e := range w.list {
+		e.slots = make(chan struct{}, engineSlots)
+	}
+	fmt.Fprintf(out, "seed %d: %d events in %v on %d controllers, %d fronts, %d engines\n", o.Seed, len(s.plan), o.Length, of.controllers, of.fronts, of.engines)
+	if err := s.begin(); err != nil {
+		return err
+	}
+	s.run(o.Length)
+	findings := judge(s.seen())
+	s.report(out, findings)
+	if len(findings) == 0 {
+		return nil
+	}
+	keep = o.Keep
+	for _, f := range findings[:min(len(findings), tracedFindings)] {
+		s.trace(out, f)
+	}
+	if keep {
+		fmt.Fprintln(out, "logs:", w.dir)
+	}
+	return fmt.Errorf("seed %d: %d findings, the first %s", o.Seed, len(findings), findings[0].Rule)
+}
+
+// closeKeeping ends everything, and leaves the logs if told so.
+func (w *world) closeKeeping(keep bool) {
+	dir := w.dir
+	if keep {
+		w.dir = filepath.Join(dir, "none")
+	}
+	w.close()
+}
+
+// soakConfiguration is a configuration with two routes that all have, one of them repeatable, and one of its own.
+func soakConfiguration(number int) string {
+	route := func(path string, resumable bool) string {
+		return fmt.Sprintf(`{"name":%q,"host":"demo.example","path_prefix":%q,"kind":"streaming","timeout_ms":%d,"target_latency_ms":1000,"max_attempts":2,"service":"llm","sticky":true,"resumable":%v}`,
+			path, path, int(soakDeadline(number).Milliseconds()), resumable)
+	}
+	return fmt.Sprintf(`{"version":%d,"routes":[%s,%s,%s],
+ "services":[{"name":"llm","connection_limit":200,"cold_start_s":1,"cold_per_s":20,"engine":{"slots":%d,"kv_capacity_tokens":500000,
+ "kv_token_bytes":35136,"link_mbps":740000,"max_concurrency":12,"models":[{"name":%q}]}}],
+ "tenants":[{"name":"t1","api_keys":["key-1"],"priority":1}]}`,
+		number, route("/once/", false), route("/again/", true), route(extraPath(number), true), engineSlots, model)
+}
+
+func extraPath(number int) string { return fmt.Sprintf("/extra-%d/", number) }
+
+// soakDeadline is the time of a configuration's routes: it changes with each.
+func soakDeadline(number int) time.Duration { return time.Duration(6+number%3) * time.Second }
+
+// shortestDeadline is what clients give: no configuration's time is shorter.
+const shortestDeadline = 6 * time.Second
+
+// begin starts the fleet and waits until it serves.
+func (s *soak) begin() error {
+	w := s.world
+	for i := range w.size.controllers {
+		if err := w.startController(i, true); err != nil {
+			return err
+		}
+	}
+	for i := range w.size.fronts {
+		if err := w.startFront(i); err != nil {
+			return err
+		}
+	}
+	if err := s.configure(); err != nil {
+		return err
+	}
+	for i := range w.size.fronts {
+		if err := await("front ready", func() bool { return ready(i) }); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// run plays the plan under the clients' load.
+func (s *soak) run(length time.Duration) {
+	s.start = time.Now()
+	done := make(chan struct{})
+	var clients, acts sync.WaitGroup
+	clients.Go(func() { s.measureLag(done) })
+	for front := range s.world.size.fronts {
+		for c := range clientsOfFront {
+			clients.Go(func() { newSoakClient(s, front, c).run(done) })
+		}
+	}
+	for _, a := range s.plan {
+		time.Sleep(time.Until(s.start.Add(a.At)))
+		acts.Go(func() { s.perform(a) })
+	}
+	acts.Wait()
+	time.Sleep(max(time.Until(s.start.Add(length)), settleFor))
+	close(done)
+	clients.Wait()
+}
+
+// measureLag notes by how much the machine wakes this program late: by that the judge's times are eased, and by nothing else.
+func (s *soak) measureLag(done chan struct{}) {
+	for {
+		before := time.Now()
+		select {
+		case <-done:
+			return
+		case <-time.After(lagEvery):
+		}
+		late := time.Since(before) - lagEvery
+		s.mu.Lock()
+		s.lag = max(s.lag, late)
+		s.mu.Unlock()
+	}
+}
+
+// seen is the whole record.
+func (s *soak) seen() *record {
+	log := s.world.engines.log
+	log.mu.Lock()
+	defer log.mu.Unlock()
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.record.Runs, s.record.Arrivals, s.record.Crashes = log.runs, log.arrivals, log.crashes
+	s.record.Limits = limits{Version: soakVersionLimit, Apply: soakApplyLimit, Grace: soakGrace, Slack: max(slackLeast, slackShare*s.lag)}
+	return &s.record
+}
+
+// perform does one event of the plan. A machine that is in trouble already is left alone.
+func (s *soak) perform(a act) {
+	switch a.Kind {
+	case actConfigure:
+		s.configure()
+		return
+	case actName:
+		s.nameWeights()
+		return
+	}
+	s.mu.Lock()
+	key := fmt.Sprint(strings.Fields(a.Kind)[1], a.Target)
+	if s.busy[key] == nil {
+		s.busy[key] = new(sync.Mutex)
+	}
+	busy := s.busy[key]
+	s.mu.Unlock()
+	if !busy.TryLock() {
+		return
+	}
+	defer busy.Unlock()
+	switch a.Kind {
+	case actTermFront, actKillFront:
+		s.restartFront(a)
+	case actFreeze:
+		s.freeze(a)
+	case actHangUp:
+		s.signalFront(a.Target, syscall.SIGHUP)
+	case actTermCore, actKillCore:
+		s.endProcesses(a.Kind == actTermCore, fmt.Sprintf("core-%d-controller", a.Target+1))
+		time.Sleep(a.For)
+		s.world.startController(a.Target, false)
+	default:
+		s.troubleEngine(a)
+	}
+}
+
+// endProcesses ends processes, with their grace or at once.
+func (s *soak) endProcesses(grace bool, names ...string) {
+	var all sync.WaitGroup
+	for _, name := range names {
+		command := s.world.take(name)
+		if command == nil {
+			continue
+		}
+		all.Go(func() {
+			if grace {
+				command.Process.Signal(syscall.SIGTERM)
+				kill := time.AfterFunc(soakGrace, func() { command.Process.Kill() })
+				defer kill.Stop()
+			} else {
+				command.Process.Kill()
+			}
+			command.Wait()
+		})
+	}
+	all.Wait()
+}
+
+func (s *soak) restartFront(a act) {
+	from := time.Now()
+	s.trouble(a, from, from.Add(time.Hour))
+	name := fmt.Sprint("front-", a.Target+1)
+	s.endProcesses(a.Kind == actTermFront, name+"-agent", name+"-proxy")
+	time.Sleep(a.For)
+	s.world.startFront(a.Target)
+	s.trouble(a, from, time.Now())
+}
+
+func (s *soak) freeze(a act) {
+	from := time.Now()
+	s.trouble(a, from, from.Add(time.Hour))
+	s.signalFront(a.Target, syscall.SIGSTOP)
+	time.Sleep(a.For)
+	s.signalFront(a.Target, syscall.SIGCONT)
+	s.trouble(a, from, time.Now())
+}
+
+func (s *soak) signalFront(front int, signal os.Signal) {
+	s.world.mu.Lock()
+	defer s.world.mu.Unlock()
+	for _, program := range []string{"agent", "proxy"} {
+		if command := s.world.running[fmt.Sprintf("front-%d-%s", front+1, program)]; command != nil {
+			command.Process.Signal(signal)
+		}
+	}
+}
+
+// trouble notes what is done to a front, and again when it is over.
+func (s *soak) trouble(a act, from, to time.Time) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for i := range s.record.Fronts {
+		if t := &s.record.Fronts[i]; t.Front == a.Target && t.From.Equal(from) {
+			t.To = to
+			return
+		}
+	}
+	s.record.Fronts = append(s.record.Fronts, frontTrouble{span{from, to}, a.Target, a.Kind})
+}
+
+func (s *soak) troubleEngine(a act) {
+	e := s.world.list[a.Target]
+	switch a.Kind {
+	case actCrash:
+		s.world.engines.log.crashed(e.crash())
+		time.Sleep(a.For)
+		e.serve()
+	case actSilence:
+		resume := e.pause()
+		time.Sleep(a.For)
+		resume()
+	case actSlow:
+		e.setSlow(slowedBy)
+		time.Sleep(a.For)
+		e.setSlow(0)
+	}
+}
+
+// configure sends the next configuration.
+func (s *soak) configure() error {
+	s.orders.Lock()
+	defer s.orders.Unlock()
+	s.mu.Lock()
+	number := s.config + 1
+	s.record.Configs = append(s.record.Configs, ordered{Number: int64(number), Sent: time.Now()})
+	s.mu.Unlock()
+	err := s.world.order(http.MethodPut, "/v1/configuration", fmt.Sprint(number-1), soakConfiguration(number))
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if err == nil {
+		s.config = number
+		s.record.Configs[len(s.record.Configs)-1].Acked = time.Now()
+	}
+	return err
+}
+
+// nameWeights names the next version of the model.
+func (s *soak) nameWeights() {
+	s.orders.Lock()
+	defer s.orders.Unlock()
+	s.mu.Lock()
+	number := int64(len(s.record.Weights) + 2) // engines begin with version 1
+	s.record.Weights = append(s.record.Weights, ordered{Number: number, Sent: time.Now()})
+	s.mu.Unlock()
+	if s.world.order(http.MethodPost, "/v1/version-put", "", fmt.Sprintf(`{"model":%q,"version":%d}`, model, number)) != nil {
+		return
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.record.Weights[len(s.record.Weights)-1].Acked = time.Now()
+}
+
+// report writes what became of requests and what was found.
+func (s *soak) report(out io.Writer, findings []finding) {
+	r := s.seen()
+	outcomes := map[string]int{}
+	for i := range r.Asks {
+		key := r.Asks[i].Outcome
+		if key == outcomeAnswer {
+			key = fmt.Sprint(key, " ", r.Asks[i].Status)
+		}
+		outcomes[key]++
+	}
+	fmt.Fprintf(out, "%d requests, %d configurations, %d versions, slack %v:", len(r.Asks), len(r.Configs), len(r.Weights), r.Limits.Slack.Round(time.Millisecond))
+	for _, outcome := range slices.Sorted(maps.Keys(outcomes)) {
+		fmt.Fprintf(out, " %s %d;", outcome, outcomes[outcome])
+	}
+	fmt.Fprintln(out)
+	for _, f := range findings {
+		fmt.Fprintf(out, "%7.2f s  %s  request %s: %s\n", f.At.Sub(s.start).Seconds(), f.Rule, f.Request, f.Text)
+	}
+}
+
+// trace writes what is known of a finding: the request's path, the events about it, and what the programs logged of it.
+func (s *soak) trace(out io.Writer, f finding) {
+	fmt.Fprintf(out, "\n%s, request %s:\n", f.Rule, f.Request)
+	r := s.seen()
+	for i := range r.Asks {
+		if a := &r.Asks[i]; a.ID == f.Request {
+			fmt.Fprintf(out, "  sent to front %d at %.3f s, ended at %.3f s: %s %d\n", a.Front+1, a.Sent.Sub(s.start).Seconds(), a.End.Sub(s.start).Seconds(), a.Outcome, a.Status)
+		}
+	}
+	for _, one := range r.Runs {
+		if one.Request == f.Request {
+			fmt.Fprintf(out, "  began at %s on version %d at %.3f s\n", one.Engine, one.Version, one.At.Sub(s.start).Seconds())
+		}
+	}
+	for _, w := range r.Weights {
+		fmt.Fprintf(out, "  version %d acknowledged at %.3f s\n", w.Number, w.Acked.Sub(s.start).Seconds())
+	}
+	for _, a := range s.plan {
+		if at := s.start.Add(a.At); at.After(f.At.Add(-8*time.Second)) && at.Before(f.At) {
+			fmt.Fprintln(out, " ", a)
+		}
+	}
+	s.logLines(out, f.Request)
+}
+
+// logLines writes what programs logged of a request.
+func (s *soak) logLines(out io.Writer, request string) {
+	files, _ := filepath.Glob(filepath.Join(s.world.dir, "*.log"))
+	for _, name := range files {
+		text, err := os.ReadFile(name)
+		if err != nil {
+			continue
+		}
+		lines := 0
+		for scanner := bufio.NewScanner(bytes.NewReader(text)); scanner.Scan() && lines < tracedLines; {
+			if strings.Contains(scanner.Text(), `"`+request+`"`) {
+				fmt.Fprintf(out, "  %s: %s\n", filepath.Base(name), scanner.Text())
+				lines++
+			}
+		}
+	}
+}
--- /dev/null
+++ b/internal/lab/fleetdemo/soakclient.go
@@ -0,0 +1,142 @@
+package fleetdemo
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"strings"
+	"time"
+)
+
+// What clients of a soak do.
+const (
+	leaves        = 0.06 // share of requests whose client leaves midway
+	asksOnce      = 0.4  // share on the route whose requests run once
+	asksExtra     = 0.2  // share on the newest configuration's own route, or that of one before
+	unreachedWait = 100 * time.Millisecond
+)
+
+// soakClient is a client that keeps its connection for as long as the front does.
+type soakClient struct {
+	soak   *soak
+	front  int
+	number int
+	random *rand.Rand
+	http   *http.Client
+	sent   int
+}
+
+func newSoakClient(s *soak, front, number int) *soakClient {
+	transport := &http.Transport{MaxIdleConnsPerHost: 1, MaxConnsPerHost: 1}
+	return &soakClient{
+		soak: s, front: front, number: number, http: &http.Client{Transport: transport},
+		random: rand.New(rand.NewPCG(s.seed, uint64(1+front*1000+number))),
+	}
+}
+
+// run asks until it is stopped.
+func (c *soakClient) run(done chan struct{}) {
+	defer c.http.CloseIdleConnections()
+	for {
+		select {
+		case <-done:
+			return
+		case <-time.After(time.Duration(c.random.IntN(60)) * time.Millisecond):
+		}
+		a := c.ask()
+		c.soak.mu.Lock()
+		c.soak.record.Asks = append(c.soak.record.Asks, a)
+		c.soak.mu.Unlock()
+		if a.Outcome == outcomeNoReach {
+			time.Sleep(unreachedWait)
+		}
+	}
+}
+
+// draw chooses what to ask for next.
+func (c *soakClient) draw() (a ask, path string) {
+	c.sent++
+	c.soak.mu.Lock()
+	config := c.soak.config
+	c.soak.mu.Unlock()
+	a = ask{ID: fmt.Sprintf("%d-%d-%d", c.front, c.number, c.sent), Front: c.front, Deadline: shortestDeadline}
+	switch kind := c.random.Float64(); {
+	case kind < asksOnce:
+		return a, "/once/"
+	case kind < asksOnce+asksExtra:
+		a.Repeats, a.Extra = true, max(1, config-c.random.IntN(3))
+		return a, extraPath(a.Extra)
+	}
+	a.Repeats = true
+	return a, "/again/"
+}
+
+// ask sends one request and reads its answer to the end.
+func (c *soakClient) ask() ask {
+	a, path := c.draw()
+	ctx, leave := context.WithTimeout(context.Background(), 2*shortestDeadline)
+	defer leave()
+	left := false
+	if c.random.Float64() < leaves {
+		timer := time.AfterFunc(time.Duration(c.random.IntN(200))*time.Millisecond, func() { leave() })
+		defer timer.Stop()
+		left = true
+	}
+	request, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+frontAddr(c.front)+path+"x", io.NopCloser(strings.NewReader("a question")))
+	if err != nil {
+		a.Outcome = outcomeNoReach
+		return a
+	}
+	request.ContentLength = int64(len("a question"))
+	request.Host = "demo.example"
+	for name, value := range map[string]string{
+		"X-Request-Id": a.ID, "X-Model": model, "Api-Key": "key-1", "X-Request-Deadline-Ms": fmt.Sprint(shortestDeadline.Milliseconds()),
+		"X-Token-Usage": "1500,8", "X-Prompt-Prefix": fmt.Sprintf("sys:500,doc%d:800,%s:200", c.random.IntN(prompts), a.ID),
+	} {
+		request.Header.Set(name, value)
+	}
+	a.Sent = time.Now()
+	answer, err := c.http.Do(request)
+	c.note(&a, answer, err)
+	a.End = time.Now()
+	if left && ctx.Err() != nil {
+		a.Outcome = outcomeLeft
+	}
+	return a
+}
+
+// note books the answer.
+func (c *soakClient) note(a *ask, answer *http.Response, err error) {
+	if err != nil {
+		a.Outcome = outcomeCut
+		var dial *net.OpError
+		if errors.As(err, &dial) && dial.Op == "dial" {
+			a.Outcome = outcomeNoReach
+		}
+		return
+	}
+	defer answer.Body.Close()
+	a.Status = answer.StatusCode
+	text, err := io.ReadAll(answer.Body)
+	switch {
+	case err != nil:
+		a.Outcome = outcomeCut
+	case answer.StatusCode != http.StatusOK:
+		a.Outcome = outcomeAnswer
+	default:
+		a.Outcome = outcomeServed
+		a.Whole = string(text) == wholeAnswer(a.ID) && strings.HasSuffix(answer.Header.Get("X-Response-Seal"), "/"+a.ID)
+	}
+}
+
+// wholeAnswer is what an engine answers to a request.
+func wholeAnswer(id string) (text string) {
+	for i := 1; i <= eventsOfRun; i++ {
+		text += fmt.Sprintf("id: %d\ndata: token %d of %s\n\n", i, i, id)
+	}
+	return text
+}
