--- a/internal/lab/fleetdemo/engine.go
+++ b/internal/lab/fleetdemo/engine.go
@@ -6,6 +6,7 @@
 import (
 	"encoding/json"
 	"fmt"
+	"io"
 	"net"
 	"net/http"
 	"strconv"
@@ -125,6 +126,7 @@
 }
 
 func (e *engine) generate(w http.ResponseWriter, r *http.Request) {
+	io.Copy(io.Discard, r.Body) // only then does the server see that its caller has gone
 	if e.refused(w, r) {
 		return
 	}
--- a/internal/lab/fleetdemo/fleet.go
+++ b/internal/lab/fleetdemo/fleet.go
@@ -154,6 +154,21 @@
 	return w.start("proxy", name, settings)
 }
 
+// startAll starts the fleet for the first time.
+func (w *world) startAll() error {
+	for i := range w.size.controllers {
+		if err := w.startController(i, true); err != nil {
+			return err
+		}
+	}
+	for i := range w.size.fronts {
+		if err := w.startFront(i); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
 // kill ends a process as a loss of power would, and waits until it is gone.
 func (w *world) kill(name string) {
 	if command := w.take(name); command != nil {
--- a/internal/lab/fleetdemo/play.go
+++ b/internal/lab/fleetdemo/play.go
@@ -74,15 +74,8 @@
 
 // begin starts the fleet and gives it its first configuration.
 func (w *world) begin(say func(string, ...any)) error {
-	for i := range w.size.controllers {
-		if err := w.startController(i, true); err != nil {
-			return err
-		}
-	}
-	for i := range w.size.fronts {
-		if err := w.startFront(i); err != nil {
-			return err
-		}
+	if err := w.startAll(); err != nil {
+		return err
 	}
 	say("started %d controllers, %d fronts, %d engines", w.size.controllers, w.size.fronts, w.size.engines)
 	if err := w.order(http.MethodPut, "/v1/configuration", "0", configuration(1, "/ask/")); err != nil {
--- a/internal/lab/fleetdemo/soak.go
+++ b/internal/lab/fleetdemo/soak.go
@@ -1,15 +1,11 @@
 package fleetdemo
 
 import (
-	"bufio"
-	"bytes"
 	"fmt"
 	"io"
-	"maps"
 	"net/http"
 	"os"
 	"path/filepath"
-	"slices"
 	"strings"
 	"sync"
 	"syscall"
@@ -28,8 +24,6 @@
 	lagEvery         = 10 * time.Millisecond
 	slackShare       = 3 // times what the machine was late by at most
 	slackLeast       = 100 * time.Millisecond
-	tracedFindings   = 5
-	tracedLines      = 12
 )
 
 // SoakOptions say what a soak plays.
@@ -82,9 +76,7 @@
 		return nil
 	}
 	keep = o.Keep
-	for _, f := range findings[:min(len(findings), tracedFindings)] {
-		s.trace(out, f)
-	}
+	s.traceFirst(out, findings)
 	if keep {
 		fmt.Fprintln(out, "logs:", w.dir)
 	}
@@ -124,15 +116,8 @@
 // begin starts the fleet and waits until it serves.
 func (s *soak) begin() error {
 	w := s.world
-	for i := range w.size.controllers {
-		if err := w.startController(i, true); err != nil {
-			return err
-		}
-	}
-	for i := range w.size.fronts {
-		if err := w.startFront(i); err != nil {
-			return err
-		}
+	if err := w.startAll(); err != nil {
+		return err
 	}
 	if err := s.configure(); err != nil {
 		return err
@@ -346,67 +331,3 @@
 	defer s.mu.Unlock()
 	s.record.Weights[len(s.record.Weights)-1].Acked = time.Now()
 }
-
-// report writes what became of requests and what was found.
-func (s *soak) report(out io.Writer, findings []finding) {
-	r := s.seen()
-	outcomes := map[string]int{}
-	for i := range r.Asks {
-		key := r.Asks[i].Outcome
-		if key == outcomeAnswer {
-			key = fmt.Sprint(key, " ", r.Asks[i].Status)
-		}
-		outcomes[key]++
-	}
-	fmt.Fprintf(out, "%d requests, %d configurations, %d versions, slack %v:", len(r.Asks), len(r.Configs), len(r.Weights), r.Limits.Slack.Round(time.Millisecond))
-	for _, outcome := range slices.Sorted(maps.Keys(outcomes)) {
-		fmt.Fprintf(out, " %s %d;", outcome, outcomes[outcome])
-	}
-	fmt.Fprintln(out)
-	for _, f := range findings {
-		fmt.Fprintf(out, "%7.2f s  %s  request %s: %s\n", f.At.Sub(s.start).Seconds(), f.Rule, f.Request, f.Text)
-	}
-}
-
-// trace writes what is known of a finding: the request's path, the events about it, and what the programs logged of it.
-func (s *soak) trace(out io.Writer, f finding) {
-	fmt.Fprintf(out, "\n%s, request %s:\n", f.Rule, f.Request)
-	r := s.seen()
-	for i := range r.Asks {
-		if a := &r.Asks[i]; a.ID == f.Request {
-			fmt.Fprintf(out, "  sent to front %d at %.3f s, ended at %.3f s: %s %d\n", a.Front+1, a.Sent.Sub(s.start).Seconds(), a.End.Sub(s.start).Seconds(), a.Outcome, a.Status)
-		}
-	}
-	for _, one := range r.Runs {
-		if one.Request == f.Request {
-			fmt.Fprintf(out, "  began at %s on version %d at %.3f s\n", one.Engine, one.Version, one.At.Sub(s.start).Seconds())
-		}
-	}
-	for _, w := range r.Weights {
-		fmt.Fprintf(out, "  version %d acknowledged at %.3f s\n", w.Number, w.Acked.Sub(s.start).Seconds())
-	}
-	for _, a := range s.plan {
-		if at := s.start.Add(a.At); at.After(f.At.Add(-8*time.Second)) && at.Before(f.At) {
-			fmt.Fprintln(out, " ", a)
-		}
-	}
-	s.logLines(out, f.Request)
-}
-
-// logLines writes what programs logged of a request.
-func (s *soak) logLines(out io.Writer, request string) {
-	files, _ := filepath.Glob(filepath.Join(s.world.dir, "*.log"))
-	for _, name := range files {
-		text, err := os.ReadFile(name)
-		if err != nil {
-			continue
-		}
-		lines := 0
-		for scanner := bufio.NewScanner(bytes.NewReader(text)); scanner.Scan() && lines < tracedLines; {
-			if strings.Contains(scanner.Text(), `"`+request+`"`) {
-				fmt.Fprintf(out, "  %s: %s\n", filepath.Base(name), scanner.Text())
-				lines++
-			}
-		}
-	}
-}
