--- a/internal/upstream/upstream_test.go
+++ b/internal/upstream/upstream_test.go
@@ -166,15 +166,21 @@
 }
 
 func TestARequestEndsWithItsContext(t *testing.T) {
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
 	addr := standIn(t, func(_ int, conn net.Conn, reader *bufio.Reader) {
 		http.ReadRequest(reader)
+		cancel()
 		io.Copy(io.Discard, conn) // no answer until the other side ends
 	})
-	ctx, cancel := context.WithTimeout(context.Background(), time.Millisecond)
-	defer cancel()
 	_, err := NewPool(addr, 1).Do(ctx, request("1"))
-	require.True(t, errors.Is(err, context.DeadlineExceeded), "%v", err)
+	require.True(t, errors.Is(err, context.Canceled), "%v", err)
 	require.Equal(t, Sent, stageOf(t, err))
+	late, end := context.WithDeadline(context.Background(), time.Unix(1, 0))
+	defer end()
+	_, err = NewPool(addr, 1).Do(late, request("2"))
+	require.True(t, errors.Is(err, context.DeadlineExceeded), "%v", err)
+	require.Equal(t, NotSent, stageOf(t, err), "it had ended before")
 }
 
 // TestACutAnswerIsAnError: one that ended early must not look whole.
