--- a/internal/proxy/silence_test.go
+++ b/internal/proxy/silence_test.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"io"
 	"net/http"
+	"net/http/httptest"
 	"slices"
 	"strconv"
 	"strings"
@@ -212,3 +213,30 @@
 		require.Len(t, r.requests(), 1+others)
 	}
 }
+
+// blockedClient takes no bytes until it is released.
+type blockedClient struct {
+	http.ResponseWriter
+	writing, released chan struct{}
+}
+
+func (c *blockedClient) Write(bytes []byte) (int, error) {
+	close(c.writing)
+	<-c.released
+	return len(bytes), nil
+}
+
+// TestASlowClientDoesNotHoldUpTheWatch: while an answer's bytes wait for their client, the watch over all attempts goes on.
+func TestASlowClientDoesNotHoldUpTheWatch(t *testing.T) {
+	r := newRig(t, ok)
+	move := newTakeover(t.Context(), r.proxy, &attempt{mayMove: true}, &eventReader{})
+	recorder := httptest.NewRecorder()
+	client := &blockedClient{recorder, make(chan struct{}), make(chan struct{})}
+	passed := make(chan error, 1)
+	go func() { passed <- move.passOn([]byte(eventTexts(1, 1)), client, http.NewResponseController(recorder)) }()
+	<-client.writing
+	move.start(endingBackendSilent) // would wait for the client
+	require.Nil(t, move.running)
+	close(client.released)
+	require.NoError(t, <-passed)
+}
--- a/internal/proxy/takeover.go
+++ b/internal/proxy/takeover.go
@@ -55,9 +55,12 @@
 	return nil
 }
 
-// start tries to have the stream go on elsewhere, in the background, unless that is tried already or may not be.
+// start tries to have the stream go on elsewhere, in the background, unless that is tried already or may not be. It never waits: while bytes are
+// being passed on to a slow client the stream does not stand still for its backend's sake.
 func (t *takeover) start(why ending) {
-	t.mu.Lock()
+	if !t.mu.TryLock() {
+		return
+	}
 	defer t.mu.Unlock()
 	if t.over || t.running != nil || t.events == nil || !t.attempt.mayMove {
 		return
