Transport: the test of all states waits for a forward's outcome, not only for its end

Traced: a forward is marked over just before its outcome is told to the counts, and the test looked in between. With 2 ms planted there (trial) the test as it was fails and this one passes. That each part has exactly one outcome is held as before. No program changed.

--- a/internal/transport/states_test.go
+++ b/internal/transport/states_test.go
@@ -131,8 +131,10 @@
 			for p := next(); p.Conn != nil; p = next() {
 				p.Answer("ok", "")
 			}
-			for _, p := range sent {
-				if !p.Forward.Over() {
+			counts.mu.Lock()
+			defer counts.mu.Unlock()
+			for i, p := range sent { // a forward is over just before its outcome is told
+				if !p.Forward.Over() || len(counts.all[spots[i]]) == 0 {
 					return false
 				}
 			}
