--- a/internal/agent/orders.go
+++ b/internal/agent/orders.go
@@ -40,13 +40,16 @@
 
 func ordersDuty(model string) string { return "orders/" + model }
 
+// ownsOrders tells whether a model's orders are this agent's to give.
+func (a *Agent) ownsOrders(model string) bool { return a.owns(ordersDuty(model)) }
+
 // dutyOrders starts a rollout of each model whose version is not everywhere, where that falls to this agent.
 func (a *Agent) dutyOrders(ctx context.Context) {
 	if a.snapshot == nil {
 		return
 	}
 	for model, wanted := range a.snapshot.Models {
-		if a.rollouts[model] || !a.owns(ordersDuty(model)) || len(a.behind(model, wanted.Version)) == 0 {
+		if a.rollouts[model] || !a.ownsOrders(model) || len(a.behind(model, wanted.Version)) == 0 {
 			continue
 		}
 		a.rollouts[model] = true
@@ -180,7 +183,7 @@
 		if r.agent.ask(ctx, func() {
 			version = r.agent.snapshot.Models[r.model].Version
 			behind = r.agent.behind(r.model, version)
-			mine = r.agent.owns(ordersDuty(r.model))
+			mine = r.agent.ownsOrders(r.model)
 			serving = r.agent.serving(r.model)
 		}) != nil {
 			return
