Orders stay with their holder; a successor waits only for what has not passed

Cause: the ranking of the members took the orders for new weights back to an agent that returned, and each change of hands waited Act + Flight + lease_ms anew from when the successor noticed. Change: duty.Owner keeps the holder for as long as it is a member. The head of the chain remembers in memory, for one epoch, when each duty's holder asked for its last confirmation (duty.Register) and tells a successor how long ago that was. Where engines refuse lower tokens (bounds.fenced) a successor waits until the former holder can act no more and what it sent has arrived, not lease_ms beyond that. The search is bounded (60,000 states each), not run to its end.

--- a/internal/agent/orders.go
+++ b/internal/agent/orders.go
@@ -41,7 +41,10 @@
 func ordersDuty(model string) string { return "orders/" + model }
 
 // ownsOrders tells whether a model's orders are this agent's to give.
-func (a *Agent) ownsOrders(model string) bool { return a.owns(ordersDuty(model)) }
+func (a *Agent) ownsOrders(model string) bool {
+	key := ordersDuty(model)
+	return duty.Owner(key, a.snapshot.Duties[key].Holder, a.memberIDs()) == a.self.ID
+}
 
 // dutyOrders starts a rollout of each model whose version is not everywhere, where that falls to this agent.
 func (a *Agent) dutyOrders(ctx context.Context) {
@@ -98,10 +101,11 @@
 	return l.state.Over(now)
 }
 
-func (l *lease) confirmed(asked, now time.Duration, fence uint64) bool {
+func (l *lease) confirmed(c duty.Confirmation) bool {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	return l.state.Confirmed(asked, now, fence, l.inherited)
+	c.Inherited = l.inherited
+	return l.state.Confirmed(c)
 }
 
 // rollOut brings a model's backends to the version wanted, a few at a time, while the duty is this agent's.
@@ -116,14 +120,23 @@
 	r.run(ctx)
 }
 
+// orderTerms are the times of the duty to give orders. Engines that refuse lower tokens need no time between two holders: what the former one
+// sent has arrived by then or is refused.
+func (a *Agent) orderTerms() duty.Terms {
+	terms := duty.Terms{Act: confirmFor, Flight: orderLimit}
+	if !a.settings.Bounds.Fenced {
+		terms.Apart = a.settings.Bounds.Lease
+	}
+	return terms
+}
+
 // acquire takes a duty over, and waits until whoever had it before has stopped.
 func (a *Agent) acquire(ctx context.Context, name string) (*lease, error) {
 	var before replicated.Duty
 	if err := a.ask(ctx, func() { before = a.snapshot.Duties[name] }); err != nil {
 		return nil, err
 	}
-	terms := duty.Terms{Act: confirmFor, Lease: a.settings.Bounds.Lease, Flight: orderLimit}
-	l := &lease{duty: name, inherited: before.Holder != "" && before.Holder != a.self.ID, state: duty.New(terms, before.Fence)}
+	l := &lease{duty: name, inherited: before.Holder != "" && before.Holder != a.self.ID, state: duty.New(a.orderTerms(), before.Fence)}
 	if err := a.confirm(ctx, l); err != nil {
 		return nil, err
 	}
@@ -153,7 +166,8 @@
 			err = callErr
 			continue
 		}
-		if reply.Outcome == distribute.Taken && l.confirmed(asked, a.now(), reply.Fence) {
+		quiet := time.Duration(reply.QuietMS) * time.Millisecond
+		if reply.Outcome == distribute.Taken && l.confirmed(duty.Confirmation{Asked: asked, Now: a.now(), Fence: reply.Fence, Quiet: quiet}) {
 			return nil
 		}
 		err = merry.New("the duty " + l.duty + " is another's: " + reply.Reason)
--- a/internal/controller/controller.go
+++ b/internal/controller/controller.go
@@ -15,6 +15,7 @@
 	"nettlefold/internal/chain"
 	"nettlefold/internal/distribute"
 	"nettlefold/internal/durable"
+	"nettlefold/internal/duty"
 	"nettlefold/internal/replicated"
 	"nettlefold/internal/rpc"
 	"nettlefold/internal/settings/local"
@@ -53,6 +54,7 @@
 	showedAt  time.Time     // when other members were last shown
 	inTouch   time.Duration // when it last had the newest state for sure
 	leaving   time.Time     // when it was told to end, zero before
+	duties    duty.Register // who asked for confirmations here
 }
 
 // service is what a call's answer is bound to: the epoch, and which of this program's replicas was asked. Numbers that a replica gave out
@@ -158,6 +160,7 @@
 	if c.broken.IsZero() {
 		c.store.Mark() // a disk that fails shows at the next write
 	}
+	c.duties.InEpoch(c.now(), c.replica.View().Epoch)
 	if c.replica.Current(c.now()) {
 		c.inTouch = c.now()
 	}
--- a/internal/controller/submit.go
+++ b/internal/controller/submit.go
@@ -76,6 +76,7 @@
 
 func (c *Controller) submitHere(ctx context.Context, request *distribute.SubmitRequest) (*distribute.SubmitReply, error) {
 	var seq, fence uint64
+	var quiet time.Duration
 	var at service
 	var refused error
 	err := c.ask(ctx, func() {
@@ -91,6 +92,9 @@
 		var out chain.Output
 		seq, out, refused = c.replica.Propose(c.now(), &request.Operation)
 		fence = checked.FenceOf(&request.Operation, seq)
+		if refused == nil && request.Operation.Kind == replicated.KindDuty {
+			quiet = c.duties.Asked(c.now(), at.epoch, request.Operation.Duty, request.Operation.Holder)
+		}
 		c.perform(out)
 	})
 	if err != nil {
@@ -111,6 +115,7 @@
 	}
 	reply := &distribute.SubmitReply{Outcome: distribute.Taken, Seq: seq}
 	if request.Operation.Kind == replicated.KindDuty {
+		reply.QuietMS = quiet.Milliseconds()
 		reply.Fence = fence // not the state's by now: another holder may have it already
 		return reply, nil
 	}
--- a/internal/distribute/messages.go
+++ b/internal/distribute/messages.go
@@ -103,6 +103,8 @@
 	Seq     uint64 `cbor:"2,keyasint"`
 	Reason  string `cbor:"3,keyasint"`
 	Fence   uint64 `cbor:"4,keyasint,omitempty"` // of a duty that was taken over
+	// QuietMS is how long ago the duty's former holder asked for its last confirmation, at the least; 0 if that is not known.
+	QuietMS int64 `cbor:"5,keyasint,omitempty"`
 }
 
 // ReadRequest asks the tail for the newest state, or for one zone's part of it alone.
--- a/internal/duty/duty.go
+++ b/internal/duty/duty.go
@@ -1,22 +1,49 @@
-// Package duty tells when the holder of a duty may act. Ownership is agreed on in the control state, under a fencing token; this is the
-// holder's side of it, by its own steady clock: how long a confirmation lasts, and how long a successor waits. It has no I/O and no clock.
+// Package duty decides who holds a duty and when its holder may act. Ownership is agreed on in the control state, under a fencing token. Here is
+// what agents and controllers make of it, by their own steady clocks: who should hold a duty (Owner), how long a confirmation lasts and how
+// long a successor waits (Lease), and what the head of the chain remembers of confirmations (Register). It has no I/O and no clock.
 package duty
 
-import "time"
+import (
+	"slices"
+	"time"
+
+	"nettlefold/internal/rendezvous"
+)
+
+// Owner tells which of the members should hold a duty. Whoever holds it keeps it for as long as it is a member, as each change of hands
+// stops the duty for a while; ranking decides only where nobody does. holder is empty where nobody ever held it.
+func Owner(key, holder string, members []string) string {
+	if holder != "" && slices.Contains(members, holder) {
+		return holder
+	}
+	return rendezvous.Owner(key, members)
+}
 
 // Terms are the times of a lease.
 type Terms struct {
 	// Act is how long the holder acts after it asked for a confirmation that it got.
 	Act time.Duration
-	// Lease is for how long holders may not take turns, as the rules say.
-	Lease time.Duration
 	// Flight is how long something that was sent under the lease may be on its way.
 	Flight time.Duration
+	// Apart is for how long acts of two holders have to stay apart beyond that. It is 0 where whoever is acted on refuses lower tokens.
+	Apart time.Duration
 }
 
-// Takeover is how long a successor waits from when the duty became its own: the former holder acts for Act at most, what it sent then
-// is on its way for Flight at most, and Lease has to pass after that.
-func (t Terms) Takeover() time.Duration { return t.Act + t.Flight + t.Lease }
+// Takeover is how long a successor waits after the former holder asked for its last confirmation: the former holder acts for Act at most, what
+// it sent then is on its way for Flight at most, and Apart has to pass after that.
+func (t Terms) Takeover() time.Duration { return t.Act + t.Flight + t.Apart }
+
+// Confirmation is a reply of the control state to the holder of a duty.
+type Confirmation struct {
+	// Asked and Now are when it was asked for and when it arrived, by the holder's clock.
+	Asked, Now time.Duration
+	// Fence is the token under which the duty is held.
+	Fence uint64
+	// Inherited tells whether somebody else may have held the duty before.
+	Inherited bool
+	// Quiet is how long before the reply the former holder had asked for its last confirmation, at the least; 0 if that is not known.
+	Quiet time.Duration
+}
 
 // Lease is one holder's.
 type Lease struct {
@@ -33,19 +60,18 @@
 // Fence is the token: once held, the one to act under.
 func (l *Lease) Fence() uint64 { return l.fence }
 
-// Confirmed takes a confirmation that was asked for at a time and arrived at another. inherited tells whether somebody else may have held
-// the duty before. A confirmation under another token than the first is none of this lease.
-func (l *Lease) Confirmed(asked, now time.Duration, fence uint64, inherited bool) bool {
-	if l.held && fence != l.fence {
+// Confirmed takes a confirmation. One under another token than the first is none of this lease.
+func (l *Lease) Confirmed(c Confirmation) bool {
+	if l.held && c.Fence != l.fence {
 		return false
 	}
 	if !l.held {
-		l.held, l.fence, l.from = true, fence, now
-		if inherited {
-			l.from = now + l.terms.Takeover()
+		l.held, l.fence, l.from = true, c.Fence, c.Now
+		if c.Inherited {
+			l.from = max(c.Now, c.Now-c.Quiet+l.terms.Takeover())
 		}
 	}
-	l.until = max(l.until, asked+l.terms.Act)
+	l.until = max(l.until, c.Asked+l.terms.Act)
 	return true
 }
 
--- a/internal/duty/duty_test.go
+++ b/internal/duty/duty_test.go
@@ -4,6 +4,7 @@
 	"cmp"
 	"flag"
 	"fmt"
+	"maps"
 	"slices"
 	"testing"
 	"time"
@@ -13,19 +14,21 @@
 	"nettlefold/internal/simtest"
 )
 
-// Two holders, a control state that gives the duty to whoever asks, and a network that holds confirmations and acts up. Orders of a few
-// steps are tried: no two acts of different holders arrive within Lease of each other.
+// Holders, a control state that gives the duty to whoever asks at the head in force, and a network that holds confirmations and acts up. Orders
+// of a few steps are tried. Where engines check no tokens, no two acts of different holders arrive within Apart of each other; where they do, no
+// act arrives after one under a higher token.
 
 const (
-	tick   = time.Second
-	lastAt = 12 * tick
-	never  = -lastAt
+	tick    = time.Second
+	lastAt  = 12 * tick
+	never   = -lastAt
+	holders = 3
+	heads   = 2
 )
 
-var terms = Terms{Act: tick, Lease: 2 * tick, Flight: tick}
-
 type act struct {
 	holder int
+	fence  uint64
 	at     time.Duration
 }
 
@@ -33,31 +36,57 @@
 	holder int
 	asked  time.Duration
 	fence  uint64
+	quiet  time.Duration
 }
 
 type world struct {
+	terms    Terms
 	now      time.Duration
 	fence    uint64 // of the control state
 	owner    int
-	leases   [2]Lease
+	epoch    uint64
+	head     int
+	register [heads]Register
+	leases   [holders]Lease
 	replies  []confirmation
-	flights  []act            // sent, not arrived
-	latest   [2]time.Duration // when the newest act of each holder arrived, never if none did
+	flights  []act                  // sent, not arrived
+	latest   [holders]time.Duration // when the newest act of each holder arrived, never if none did
+	highest  uint64                 // token of the acts that arrived
 	broken   error
+	among    int // holders that take part
 	acts     int
 	takeover int
-	hasty    bool // planted: a successor does not wait
-	sleepy   bool // planted: a confirmation counts from when it arrives
+	views    int // changes of the head that may come yet
+
+	hasty     bool // planted: a successor does not wait
+	sleepy    bool // planted: a confirmation counts from when it arrives
+	forgetful bool // planted: a head goes on with what it remembers of an older epoch
+	late      bool // planted: a successor counts from its own claim's way back, not from when the head took it
 }
 
-func newWorld() *world {
-	return &world{owner: -1, acts: 3, takeover: 2, leases: [2]Lease{*New(terms, 0), *New(terms, 0)}, latest: [2]time.Duration{never, never}}
+// newWorld is one of so many holders, in which the head may change so many times.
+func newWorld(among, views int, fenced bool) *world {
+	w := &world{
+		terms: Terms{Act: tick, Apart: 2 * tick, Flight: tick},
+		owner: -1, epoch: 1, among: among, acts: 3, takeover: among, views: views,
+	}
+	if fenced {
+		w.terms.Apart = 0
+	}
+	for h := range holders {
+		w.leases[h], w.latest[h] = *New(w.terms, 0), never
+	}
+	w.register[0].InEpoch(0, 1)
+	return w
 }
 
 func (w *world) clone() *world {
 	c := *w
-	c.replies = append([]confirmation(nil), w.replies...)
-	c.flights = append([]act(nil), w.flights...)
+	c.replies = slices.Clone(w.replies)
+	c.flights = slices.Clone(w.flights)
+	for i := range c.register {
+		c.register[i].holders = maps.Clone(w.register[i].holders)
+	}
 	return &c
 }
 
@@ -70,12 +99,15 @@
 	if w.now < lastAt && !w.overdue() {
 		steps = append(steps, step{"a tick", func(w *world) { w.now += tick }})
 	}
-	for h := range 2 {
+	if w.views > 0 {
+		steps = append(steps, step{"another head", (*world).changeHead})
+	}
+	for h := range w.among {
 		if w.owner == h || w.takeover > 0 {
 			steps = append(steps, step{fmt.Sprint("asks ", h), func(w *world) { w.ask(h) }})
 		}
 		if w.acts > 0 && w.leases[h].MayAct(w.now) {
-			steps = append(steps, step{fmt.Sprint("acts ", h), func(w *world) { w.acts--; w.flights = append(w.flights, act{h, w.now}) }})
+			steps = append(steps, step{fmt.Sprint("acts ", h), func(w *world) { w.send(h) }})
 		}
 	}
 	for i, r := range w.replies {
@@ -84,24 +116,45 @@
 	for i, f := range w.flights {
 		steps = append(steps, step{fmt.Sprint("arrives of ", f.holder), func(w *world) {
 			w.flights = append(w.flights[:i:i], w.flights[i+1:]...)
-			w.arrive(f.holder)
+			w.arrive(f)
 		}})
 	}
 	return steps
 }
 
-// arrive books an act's arrival. Of the other holder's only the newest matters: earlier ones are further apart.
-func (w *world) arrive(holder int) {
-	if apart := w.now - w.latest[1-holder]; w.broken == nil && apart < terms.Lease {
-		w.broken = fmt.Errorf("acts of two holders arrive %v apart", apart)
+func (w *world) changeHead() {
+	w.views--
+	w.epoch++
+	w.head = (w.head + 1) % heads
+	if w.forgetful && w.register[w.head].holders != nil {
+		w.register[w.head].epoch = w.epoch
+	}
+	w.register[w.head].InEpoch(w.now, w.epoch)
+}
+
+func (w *world) send(h int) {
+	w.acts--
+	w.flights = append(w.flights, act{h, w.leases[h].Fence(), w.now})
+}
+
+// arrive books an act's arrival. Of the other holders' only the newest matters: earlier ones are further apart.
+func (w *world) arrive(a act) {
+	for other, at := range w.latest {
+		if apart := w.now - at; other != a.holder && w.broken == nil && apart < w.terms.Apart {
+			w.broken = fmt.Errorf("acts of two holders arrive %v apart", apart)
+		}
 	}
-	w.latest[holder] = w.now
+	if a.fence < w.highest && w.broken == nil {
+		w.broken = fmt.Errorf("an act under token %d arrives after one under %d", a.fence, w.highest)
+	}
+	w.latest[a.holder] = w.now
+	w.highest = max(w.highest, a.fence)
 }
 
 // overdue tells whether something sent has to arrive before time goes on.
 func (w *world) overdue() bool {
 	for _, f := range w.flights {
-		if w.now-f.at >= terms.Flight {
+		if w.now-f.at >= w.terms.Flight {
 			return true
 		}
 	}
@@ -114,18 +167,23 @@
 		w.fence++
 		w.takeover--
 	}
+	quiet := w.register[w.head].Asked(w.now, w.epoch, "orders", fmt.Sprint(h))
 	if len(w.replies) < 2 {
-		w.replies = append(w.replies, confirmation{h, w.now, w.fence})
+		w.replies = append(w.replies, confirmation{h, w.now, w.fence, quiet})
 	}
 }
 
 func (w *world) confirm(i int) {
 	r := w.replies[i]
 	w.replies = append(w.replies[:i:i], w.replies[i+1:]...)
+	c := Confirmation{Asked: r.asked, Now: w.now, Fence: r.fence, Inherited: r.fence > 1 && !w.hasty, Quiet: r.quiet}
 	if w.sleepy {
-		r.asked = w.now
+		c.Asked = w.now
+	}
+	if w.late {
+		c.Quiet += w.now - r.asked + 2*tick
 	}
-	w.leases[r.holder].Confirmed(r.asked, w.now, r.fence, r.fence > 1 && !w.hasty)
+	w.leases[r.holder].Confirmed(c)
 }
 
 func (w *world) Choices() int           { return len(w.steps()) }
@@ -141,7 +199,7 @@
 func (w *world) Fingerprint() string {
 	sorted := w.clone()
 	slices.SortFunc(sorted.replies, func(a, b confirmation) int {
-		return cmp.Or(cmp.Compare(a.holder, b.holder), cmp.Compare(a.asked, b.asked), cmp.Compare(a.fence, b.fence))
+		return cmp.Or(cmp.Compare(a.holder, b.holder), cmp.Compare(a.asked, b.asked), cmp.Compare(a.fence, b.fence), cmp.Compare(a.quiet, b.quiet))
 	})
 	slices.SortFunc(sorted.flights, func(a, b act) int { return cmp.Or(cmp.Compare(a.holder, b.holder), cmp.Compare(a.at, b.at)) })
 	return fmt.Sprint(*sorted)
@@ -149,24 +207,77 @@
 
 func (w *world) Check() error { return w.broken }
 
-// mostStates bounds the search in CI; go test ./internal/duty -run TwoHolders -timeout 0 -states 3000000 has it whole.
+// mostStates bounds the search in CI; go test ./internal/duty -run OrdersOf -timeout 0 -states 3000000 has that of two holders whole.
 const mostStates = 60000
 
 var statesFlag = flag.Int("states", mostStates, "states that a search through orders may see")
 
 func TestOrdersOfTwoHolders(t *testing.T) {
-	result := simtest.Search(newWorld(), *statesFlag)
-	require.NoError(t, result.Broken, result.String())
-	t.Log(result.String())
-	result = simtest.Walk(newWorld(), 20000, 60, 5)
-	require.NoError(t, result.Broken, result.String())
+	for _, fenced := range []bool{false, true} {
+		result := simtest.Search(newWorld(2, 0, fenced), *statesFlag)
+		require.NoError(t, result.Broken, result.String())
+		t.Log(result.String())
+		result = simtest.Walk(newWorld(2, 0, fenced), 20000, 60, 5)
+		require.NoError(t, result.Broken, result.String())
+	}
+}
+
+// TestOrdersOfThreeHoldersAndTwoHeads: the duty changes hands more than once, and whoever remembers the confirmations is replaced.
+func TestOrdersOfThreeHoldersAndTwoHeads(t *testing.T) {
+	for _, fenced := range []bool{false, true} {
+		result := simtest.Search(newWorld(3, 2, fenced), *statesFlag)
+		require.NoError(t, result.Broken, result.String())
+		t.Log(result.String())
+		result = simtest.Walk(newWorld(3, 2, fenced), 10000, 80, 5)
+		require.NoError(t, result.Broken, result.String())
+	}
 }
 
 func TestPlantedFaultsAreFound(t *testing.T) {
-	hasty := newWorld()
-	hasty.hasty = true
-	require.Error(t, simtest.Walk(hasty, 20000, 60, 5).Broken)
-	sleepy := newWorld()
-	sleepy.sleepy = true
-	require.Error(t, simtest.Walk(sleepy, 60000, 60, 6).Broken)
+	plants := map[string]func(w *world){
+		"hasty":     func(w *world) { w.hasty = true },
+		"sleepy":    func(w *world) { w.sleepy = true },
+		"forgetful": func(w *world) { w.forgetful = true },
+		"late":      func(w *world) { w.late = true },
+	}
+	for name, plant := range plants {
+		for _, fenced := range []bool{false, true} {
+			w := newWorld(3, 2, fenced)
+			plant(w)
+			require.Error(t, simtest.Walk(w, 60000, 80, 6).Broken, "%s, fenced %v", name, fenced)
+		}
+	}
+}
+
+// TestASuccessorWaitsForWhatHasNotPassed: no longer than the rules ask, counted from the former holder's last confirmation.
+func TestASuccessorWaitsForWhatHasNotPassed(t *testing.T) {
+	unfenced := Terms{Act: 900 * time.Millisecond, Flight: 800 * time.Millisecond, Apart: 3 * time.Second}
+	fenced := Terms{Act: 900 * time.Millisecond, Flight: 800 * time.Millisecond}
+	for _, c := range []struct {
+		terms       Terms
+		inherited   bool
+		quiet, from time.Duration
+	}{
+		{unfenced, true, 0, 14700 * time.Millisecond},
+		{unfenced, true, 1500 * time.Millisecond, 13200 * time.Millisecond},
+		{unfenced, true, time.Minute, 10 * time.Second},
+		{fenced, true, 0, 11700 * time.Millisecond},
+		{fenced, true, 1500 * time.Millisecond, 10200 * time.Millisecond},
+		{unfenced, false, 0, 10 * time.Second},
+	} {
+		l := New(c.terms, 6)
+		require.True(t, l.Confirmed(Confirmation{Asked: 9900 * time.Millisecond, Now: 10 * time.Second, Fence: 7, Inherited: c.inherited, Quiet: c.quiet}))
+		require.Equal(t, c.from, l.From())
+	}
+}
+
+// TestTheRegisterKnowsNothingOfOtherEpochs: what another head confirmed before is taken for as late as it can have been.
+func TestTheRegisterKnowsNothingOfOtherEpochs(t *testing.T) {
+	r := new(Register)
+	r.InEpoch(10, 3)
+	require.EqualValues(t, 5, r.Asked(15, 3, "orders", "a"))
+	require.EqualValues(t, 9, r.Asked(19, 3, "orders", "a"), "the same holder again: nobody else asked in this epoch")
+	require.EqualValues(t, 2, r.Asked(21, 3, "orders", "b"))
+	require.EqualValues(t, 6, r.Asked(25, 3, "orders", "b"), "a claim that is repeated, as its reply was lost")
+	require.EqualValues(t, 0, r.Asked(30, 4, "orders", "c"), "another epoch that was not heard of before")
 }
