News of loads does not wait for changes of kept prompts, and both are shorter

Hubs told every 300 ms, as 10 kB of 12 went on changes of kept prompts, 100 to 190 kB a time on a link of 1,250 kB/s. 432 of 594 short prompts that came late stood behind others sent less than 50 ms before them. Change: loads, phases and the list go each flush, changes of kept prompts in messages of their own at 0.15 of the link; keys of parts and of backends in loads are 32 bits, both encoded as arrays; the index keeps tokens in 32 bits. Nothing is sent where there is nobody to send to.

--- a/internal/agent/news.go
+++ b/internal/agent/news.go
@@ -20,6 +20,10 @@
 	flushSlowest = 300 * time.Millisecond
 	hubMessages  = 400
 	newsShare    = 0.25
+	// bulkShare is the share of its machine's link that a hub spends on what is bulky and not urgent, the changes of kept prompts. It tells
+	// them apart from loads, so that those need not wait, and rarer, but once in bulkSlowest.
+	bulkShare   = 0.15
+	bulkSlowest = 600 * time.Millisecond
 	// allEvery is how often all loads are told, for those that missed a change, and loadsKeep how long they are believed.
 	allEvery  = time.Second
 	loadsKeep = 2500 * time.Millisecond
@@ -35,7 +39,9 @@
 	agent  *Agent
 	send   func(to []string, n *feed.News) (bytes int)
 	sent   time.Time // when news was last sent
-	told   int       // bytes that the hub of this zone, if this is it, told its agents then
+	told   int       // bytes that the hub of this zone, if this is it, told its agents then, without what is bulky
+	bulkAt time.Time // when changes of kept prompts were last sent on, as a hub
+	bulk   int       // bytes of what was sent then
 	number uint64    // of changes to what others have at backends
 
 	up    outgoing // to the hub of this zone
@@ -71,18 +77,21 @@
 	}
 }
 
+// urgent tells whether there is something that does not wait for its share of the link.
+func (o *outgoing) urgent() bool { return o.list != nil || len(o.phases) > 0 }
+
 func (o *outgoing) empty() bool { return o.list == nil && len(o.batches) == 0 && len(o.phases) == 0 }
 
 // sums is loads by backend, and when they were last told.
 type sums struct {
-	loads map[string]dispatch.Load
+	loads map[feed.BackendKey]dispatch.Load
 	at    time.Time
 }
 
 // take puts told loads in force.
 func (s *sums) take(l *feed.Loads) {
 	if l.All || s.loads == nil {
-		s.loads = map[string]dispatch.Load{}
+		s.loads = map[feed.BackendKey]dispatch.Load{}
 	}
 	for id, load := range l.Changed {
 		if load == (dispatch.Load{}) {
@@ -96,12 +105,12 @@
 
 // said remembers what was told, to tell changes only.
 type said struct {
-	loads map[string]dispatch.Load
+	loads map[feed.BackendKey]dispatch.Load
 	allAt time.Time
 }
 
 // next gives what is to be told of loads now, nil if nothing is.
-func (s *said) next(now map[string]dispatch.Load) *feed.Loads {
+func (s *said) next(now map[feed.BackendKey]dispatch.Load) *feed.Loads {
 	l := &feed.Loads{Changed: changedLoads(s.loads, now)}
 	if time.Since(s.allAt) >= allEvery {
 		s.allAt = time.Now()
@@ -135,11 +144,7 @@
 // interval is the time between two pieces of news of one agent.
 func (x *exchange) interval() time.Duration {
 	interval := max(flushEvery, time.Duration(len(x.fellows())+1)*time.Second/hubMessages)
-	if budget := newsShare * x.agent.settings.LinkMbps * 1e6 / 8; budget > 0 {
-		paid := time.Duration(float64(x.told) / budget * float64(time.Second))
-		interval = max(interval, min(paid, flushSlowest))
-	}
-	return interval
+	return max(interval, min(x.paidAfter(x.told, newsShare), flushSlowest))
 }
 
 // due tells whether the interval has passed at now, to half a tick of the ticker.
@@ -153,8 +158,8 @@
 	if hub == "" {
 		return
 	}
-	mine := x.said.next(a.ownLoads)
-	x.own.loads = a.ownLoads
+	x.own.loads = keyed(a.ownLoads)
+	mine := x.said.next(x.own.loads)
 	if hub == a.self.Addr {
 		x.take(&feed.News{From: a.self.Addr, Hop: feed.ToHub, Loads: mine, List: x.up.list, Batches: x.up.batches, Phases: x.up.phases})
 	} else if mine != nil || !x.up.empty() {
@@ -171,24 +176,56 @@
 	}
 	a := x.agent
 	zone := total(x.zone)
-	if loads := x.across.next(zone); loads != nil || !x.cross.empty() {
-		news := &feed.News{From: a.self.Addr, Hop: feed.HubToHub, Loads: loads, List: x.cross.list, Batches: x.cross.batches, Phases: x.cross.phases}
+	if loads := x.across.next(zone); loads != nil || x.cross.urgent() {
+		news := &feed.News{From: a.self.Addr, Hop: feed.HubToHub, Loads: loads, List: x.cross.list, Phases: x.cross.phases}
 		x.send(slices.Collect(maps.Keys(x.otherZones())), news)
 	}
-	x.cross = outgoing{}
 	all := plus(zone, total(x.zones))
-	if loads := x.below.next(all); loads != nil || !x.down.empty() {
-		news := &feed.News{From: a.self.Addr, Hop: feed.FromHub, Loads: loads, List: x.down.list, Batches: x.down.batches, Phases: x.down.phases}
+	if loads := x.below.next(all); loads != nil || x.down.urgent() {
+		news := &feed.News{From: a.self.Addr, Hop: feed.FromHub, Loads: loads, List: x.down.list, Phases: x.down.phases}
 		x.told = x.send(x.fellows(), news)
 		if loads != nil {
 			x.takeAll(loads)
 		}
 	}
-	x.down = outgoing{}
+	x.cross, x.down = outgoing{batches: x.cross.batches}, outgoing{batches: x.down.batches}
+	if x.bulkDue(x.sent) {
+		x.flushBulk()
+	}
+}
+
+// flushBulk sends on, as a hub, the changes of kept prompts that came together.
+func (x *exchange) flushBulk() {
+	from := x.agent.self.Addr
+	x.bulkAt, x.bulk = x.sent, 0
+	if len(x.cross.batches) > 0 {
+		x.send(slices.Collect(maps.Keys(x.otherZones())), &feed.News{From: from, Hop: feed.HubToHub, Batches: x.cross.batches})
+	}
+	if len(x.down.batches) > 0 {
+		x.bulk = x.send(x.fellows(), &feed.News{From: from, Hop: feed.FromHub, Batches: x.down.batches})
+	}
+	x.cross.batches, x.down.batches = nil, nil
+}
+
+// bulkDue tells whether what was told last of kept prompts is paid for by its share of the link at now.
+func (x *exchange) bulkDue(now time.Time) bool {
+	return now.Sub(x.bulkAt) >= min(x.paidAfter(x.bulk, bulkShare), bulkSlowest)
+}
+
+// paidAfter is how long a share of the machine's link takes for so many bytes, 0 where the link is not stated.
+func (x *exchange) paidAfter(bytes int, share float64) time.Duration {
+	perSecond := share * x.agent.settings.LinkMbps * 1e6 / 8
+	if perSecond <= 0 {
+		return 0
+	}
+	return time.Duration(float64(bytes) / perSecond * float64(time.Second))
 }
 
 // postNews sends news to some agents, and encodes it once: a hub's machine would spend a quarter of its processor on doing so for each.
 func (a *Agent) postNews(to []string, n *feed.News) (bytes int) {
+	if len(to) == 0 {
+		return 0
+	}
 	encoded, err := rpc.NewOneWay(feed.KindNews, n)
 	if err != nil {
 		a.log.Error().Err(err).Str("step", "news").Msg("news cannot be encoded")
@@ -276,21 +313,29 @@
 	}
 }
 
-// others is what all other mixers have at backends.
+// others is what all other mixers have at backends that are listed.
 func (x *exchange) others() map[string]dispatch.Load {
 	others := make(map[string]dispatch.Load, len(x.all.loads))
-	for id, l := range x.all.loads {
-		mine := x.own.loads[id]
-		l = dispatch.Load{Running: max(0, l.Running-mine.Running), Waiting: max(0, l.Waiting-mine.Waiting), Tokens: max(0, l.Tokens-mine.Tokens)}
-		if l != (dispatch.Load{}) {
-			others[id] = l
+	for _, l := range x.agent.list {
+		key := feed.KeyOf(l.ID)
+		if load := x.all.loads[key].Minus(x.own.loads[key]); load != (dispatch.Load{}) {
+			others[l.ID] = load
 		}
 	}
 	return others
 }
 
-func total(told map[string]sums) map[string]dispatch.Load {
-	sum := map[string]dispatch.Load{}
+// keyed gives loads by the keys of their backends.
+func keyed(loads map[string]dispatch.Load) map[feed.BackendKey]dispatch.Load {
+	byKey := make(map[feed.BackendKey]dispatch.Load, len(loads))
+	for id, l := range loads {
+		byKey[feed.KeyOf(id)] = l
+	}
+	return byKey
+}
+
+func total(told map[string]sums) map[feed.BackendKey]dispatch.Load {
+	sum := map[feed.BackendKey]dispatch.Load{}
 	for _, s := range told {
 		for id, l := range s.loads {
 			sum[id] = sum[id].Plus(l)
@@ -299,7 +344,7 @@
 	return sum
 }
 
-func plus(a, b map[string]dispatch.Load) map[string]dispatch.Load {
+func plus(a, b map[feed.BackendKey]dispatch.Load) map[feed.BackendKey]dispatch.Load {
 	for id, l := range b {
 		a[id] = a[id].Plus(l)
 	}
@@ -307,8 +352,8 @@
 }
 
 // changedLoads gives the loads that differ; one that ended is told as none.
-func changedLoads(old, now map[string]dispatch.Load) map[string]dispatch.Load {
-	changed := map[string]dispatch.Load{}
+func changedLoads(old, now map[feed.BackendKey]dispatch.Load) map[feed.BackendKey]dispatch.Load {
+	changed := map[feed.BackendKey]dispatch.Load{}
 	for id, l := range now {
 		if old[id] != l {
 			changed[id] = l
--- a/internal/agent/news_test.go
+++ b/internal/agent/news_test.go
@@ -94,6 +94,9 @@
 
 func TestAnEndedLoadIsTold(t *testing.T) {
 	agents := fleetOf(2, 2)
+	for _, a := range agents {
+		a.list = []dispatch.Listed{{ID: "b"}}
+	}
 	agents[0].ownLoads = map[string]dispatch.Load{"b": {Running: 2, Waiting: 30}}
 	link(agents)
 	require.Equal(t, 2, agents[3].news.others()["b"].Running)
@@ -168,3 +171,43 @@
 		}
 	}
 }
+
+// TestLoadsDoNotWaitForKeptPrompts: as a hub, an agent tells loads at each flush and holds changes of kept prompts back until what it told of
+// them last is paid for by their share of the link. Nothing of them is lost meanwhile.
+func TestLoadsDoNotWaitForKeptPrompts(t *testing.T) {
+	agents := fleetOf(1, 3)
+	var hub *Agent
+	for _, a := range agents {
+		if a.news.hub("z0") == a.self.Addr {
+			hub = a
+		}
+	}
+	hub.settings.LinkMbps = 10
+	var loads, batches int
+	hub.news.send = func(to []string, n *feed.News) int {
+		if len(to) == 0 {
+			return 0 // there are no other zones
+		}
+		if n.Loads != nil {
+			loads++
+		}
+		batches += len(n.Batches)
+		if len(n.Batches) > 0 {
+			require.Nil(t, n.Loads, "in a message of their own")
+			return 93_750 // half a second of the share
+		}
+		return 0
+	}
+	for i := range 3 {
+		hub.ownLoads = map[string]dispatch.Load{"b": {Running: i + 1}}
+		hub.news.tell(&feed.News{Batches: []*kvindex.Batch{{Backend: "b", From: kvindex.Cursor{Next: int64(i)}, To: kvindex.Cursor{Next: int64(i + 1)}}}})
+		hub.news.flush()
+	}
+	require.Equal(t, 3, loads)
+	require.Equal(t, 1, batches, "the first at once, the others wait")
+	require.False(t, hub.news.bulkDue(hub.news.bulkAt.Add(490*time.Millisecond)))
+	require.True(t, hub.news.bulkDue(hub.news.bulkAt.Add(500*time.Millisecond)))
+	hub.news.bulkAt = hub.news.bulkAt.Add(-time.Second)
+	hub.news.flush()
+	require.Equal(t, 3, batches)
+}
--- a/internal/dispatch/backend.go
+++ b/internal/dispatch/backend.go
@@ -31,14 +31,24 @@
 
 // Load is what a mixer has at a backend.
 type Load struct {
-	Running int `cbor:"1,keyasint"`
-	Waiting int `cbor:"2,keyasint"` // ms of reading, for requests that have not begun to answer
-	Tokens  int `cbor:"3,keyasint"` // that its requests hold in memory
+	_       struct{} `cbor:",toarray"`
+	Running int
+	Waiting int // ms of reading, for requests that have not begun to answer
+	Tokens  int // that its requests hold in memory
+	Moving  int // ms of moves of kept prompts to it, for requests that have not begun to answer
+}
+
+// Minus takes a part out of a sum that may be older or newer than the part: nothing of it becomes negative.
+func (l Load) Minus(o Load) Load {
+	return Load{
+		Running: max(0, l.Running-o.Running), Waiting: max(0, l.Waiting-o.Waiting),
+		Tokens: max(0, l.Tokens-o.Tokens), Moving: max(0, l.Moving-o.Moving),
+	}
 }
 
 // Plus adds loads.
 func (l Load) Plus(o Load) Load {
-	return Load{l.Running + o.Running, l.Waiting + o.Waiting, l.Tokens + o.Tokens}
+	return Load{Running: l.Running + o.Running, Waiting: l.Waiting + o.Waiting, Tokens: l.Tokens + o.Tokens, Moving: l.Moving + o.Moving}
 }
 
 // Backend is one that requests may be sent to.
@@ -60,6 +70,9 @@
 	coldShare time.Duration // between two of them; 0 if this mixer has no share
 }
 
+// idle tells whether nothing is known to be at a backend.
+func (b *Backend) idle() bool { return b.own.Running == 0 && b.others.Running == 0 }
+
 // engine tells whether requests for a service are generations.
 func engine(s *config.Service) bool { return s != nil && s.Engine != nil }
 
--- a/internal/dispatch/pick.go
+++ b/internal/dispatch/pick.go
@@ -261,7 +261,7 @@
 		c.Salt = p.prompt.salt
 		t.source(c, r, p)
 	}
-	b.own = b.own.Plus(Load{1, c.read, c.tokens})
+	b.own = b.own.Plus(Load{Running: 1, Waiting: c.read, Tokens: c.tokens})
 	if b.pending == 0 {
 		b.progress = now
 	}
--- a/internal/feed/messages.go
+++ b/internal/feed/messages.go
@@ -3,6 +3,8 @@
 package feed
 
 import (
+	"github.com/cespare/xxhash/v2"
+
 	"nettlefold/internal/dispatch"
 	"nettlefold/internal/distribute"
 	"nettlefold/internal/kvindex"
@@ -77,10 +79,17 @@
 	FromHub  = 3 // from a hub to the agents of its zone
 )
 
+// BackendKey names a backend in news of loads, which is told many times a second: a digest of its identity. Two backends with one key would
+// each be taken for as loaded as both.
+type BackendKey uint32
+
+// KeyOf is the key of a backend.
+func KeyOf(backend string) BackendKey { return BackendKey(xxhash.Sum64String(backend)) }
+
 // Loads is what is at backends: from an agent its own, between hubs a zone's, from a hub all mixers' together.
 type Loads struct {
-	Changed map[string]dispatch.Load `cbor:"1,keyasint,omitempty"` // those that changed; all if All
-	All     bool                     `cbor:"2,keyasint,omitempty"`
+	Changed map[BackendKey]dispatch.Load `cbor:"1,keyasint,omitempty"` // those that changed; all if All
+	All     bool                         `cbor:"2,keyasint,omitempty"`
 }
 
 // ReadList is the platform's list as it was just read.
--- a/internal/kvindex/index.go
+++ b/internal/kvindex/index.go
@@ -9,8 +9,9 @@
 	"github.com/cespare/xxhash/v2"
 )
 
-// Key names a part of a prompt as a backend keeps it: a digest of salt, model and part.
-type Key uint64
+// Key names a part of a prompt as a backend keeps it: a digest of salt, model and part. Parts are told apart within one backend only, which
+// keeps some thousands at the most; 32 bits serve for that, and news of keys is most of what agents tell each other.
+type Key uint32
 
 // Part is one part of a prompt, in its order.
 type Part struct {
@@ -32,8 +33,9 @@
 
 // Change is what a backend tells of one part: how many of its tokens it keeps now, 0 if it dropped it.
 type Change struct {
-	Key    Key `cbor:"1,keyasint"`
-	Tokens int `cbor:"2,keyasint"`
+	_      struct{} `cbor:",toarray"`
+	Key    Key
+	Tokens int
 }
 
 // Cursor is how far a backend's events are known.
@@ -59,7 +61,7 @@
 
 type holdings struct {
 	cursor Cursor
-	parts  map[Key]int
+	parts  map[Key]int32
 	sum    uint64 // order-free digest of parts
 }
 
@@ -70,7 +72,7 @@
 func (x *Index) Apply(b *Batch) bool {
 	h := x.backends[b.Backend]
 	if b.Whole || h == nil && b.From.Next == 0 || h != nil && b.From.Next == 0 && h.cursor.Epoch != b.To.Epoch {
-		h = &holdings{parts: make(map[Key]int, len(b.Changes))}
+		h = &holdings{parts: make(map[Key]int32, len(b.Changes))}
 		x.backends[b.Backend] = h
 	} else if h == nil {
 		return false
@@ -86,13 +88,13 @@
 
 func (h *holdings) set(c Change) {
 	if old, ok := h.parts[c.Key]; ok {
-		h.sum ^= mark(c.Key, old)
+		h.sum ^= mark(c.Key, int(old))
 	}
 	if c.Tokens <= 0 {
 		delete(h.parts, c.Key)
 		return
 	}
-	h.parts[c.Key] = c.Tokens
+	h.parts[c.Key] = int32(c.Tokens)
 	h.sum ^= mark(c.Key, c.Tokens)
 }
 
@@ -129,7 +131,7 @@
 	}
 	b := &Batch{Backend: backend, From: h.cursor, To: h.cursor, Whole: true, Sum: h.sum}
 	for k, tokens := range h.parts {
-		b.Changes = append(b.Changes, Change{k, tokens})
+		b.Changes = append(b.Changes, Change{Key: k, Tokens: int(tokens)})
 	}
 	return b
 }
@@ -155,7 +157,7 @@
 		return 0
 	}
 	for i, k := range keys {
-		kept := min(h.parts[k], parts[i].Tokens)
+		kept := min(int(h.parts[k]), parts[i].Tokens)
 		tokens += kept
 		if kept < parts[i].Tokens {
 			break
--- a/internal/kvindex/index_test.go
+++ b/internal/kvindex/index_test.go
@@ -12,9 +12,9 @@
 	x := New()
 	parts := []Part{{"a", 100}, {"b", 50}, {"c", 10}}
 	keys := Keys("s", "m", parts)
-	require.True(t, x.Apply(&Batch{Backend: "1", To: Cursor{1, 3}, Changes: []Change{{key("a"), 100}, {key("c"), 10}}}))
+	require.True(t, x.Apply(&Batch{Backend: "1", To: Cursor{1, 3}, Changes: []Change{{Key: key("a"), Tokens: 100}, {Key: key("c"), Tokens: 10}}}))
 	require.Equal(t, 100, x.Held("1", keys, parts))
-	require.True(t, x.Apply(&Batch{Backend: "1", From: Cursor{1, 3}, To: Cursor{1, 4}, Changes: []Change{{key("b"), 32}}}))
+	require.True(t, x.Apply(&Batch{Backend: "1", From: Cursor{1, 3}, To: Cursor{1, 4}, Changes: []Change{{Key: key("b"), Tokens: 32}}}))
 	require.Equal(t, 132, x.Held("1", keys, parts), "a part that is kept in part ends the prefix")
 	require.Equal(t, 0, x.Held("2", keys, parts))
 	require.Equal(t, 0, x.Held("1", Keys("other salt", "m", parts), parts))
@@ -22,23 +22,23 @@
 
 func TestAGapIsNoticed(t *testing.T) {
 	x := New()
-	require.True(t, x.Apply(&Batch{Backend: "1", To: Cursor{1, 3}, Changes: []Change{{key("a"), 100}}}))
+	require.True(t, x.Apply(&Batch{Backend: "1", To: Cursor{1, 3}, Changes: []Change{{Key: key("a"), Tokens: 100}}}))
 	require.False(t, x.Apply(&Batch{Backend: "1", From: Cursor{1, 5}, To: Cursor{1, 6}}))
 	require.True(t, x.Apply(&Batch{Backend: "1", From: Cursor{1, 2}, To: Cursor{1, 3}}), "what is known already is no gap")
 	require.False(t, x.Apply(&Batch{Backend: "2", From: Cursor{1, 5}, To: Cursor{1, 6}}))
-	require.True(t, x.Apply(&Batch{Backend: "1", Whole: true, To: Cursor{2, 9}, Changes: []Change{{key("b"), 7}}}))
+	require.True(t, x.Apply(&Batch{Backend: "1", Whole: true, To: Cursor{2, 9}, Changes: []Change{{Key: key("b"), Tokens: 7}}}))
 	require.Equal(t, 1, x.Len())
 }
 
 func TestTheDigestShowsADifference(t *testing.T) {
 	x, y := New(), New()
-	x.Apply(&Batch{Backend: "1", To: Cursor{1, 3}, Changes: []Change{{key("a"), 100}, {key("b"), 5}}})
-	y.Apply(&Batch{Backend: "1", To: Cursor{1, 2}, Changes: []Change{{key("b"), 5}}})
+	x.Apply(&Batch{Backend: "1", To: Cursor{1, 3}, Changes: []Change{{Key: key("a"), Tokens: 100}, {Key: key("b"), Tokens: 5}}})
+	y.Apply(&Batch{Backend: "1", To: Cursor{1, 2}, Changes: []Change{{Key: key("b"), Tokens: 5}}})
 	require.NotEqual(t, x.Sum("1"), y.Sum("1"))
-	batch := &Batch{Backend: "1", From: Cursor{1, 2}, To: Cursor{1, 3}, Changes: []Change{{key("c"), 1}}, Sum: x.Sum("1")}
+	batch := &Batch{Backend: "1", From: Cursor{1, 2}, To: Cursor{1, 3}, Changes: []Change{{Key: key("c"), Tokens: 1}}, Sum: x.Sum("1")}
 	require.False(t, y.Apply(batch))
 	require.True(t, y.Apply(x.Whole("1")))
 	require.Equal(t, x.Sum("1"), y.Sum("1"))
-	x.Apply(&Batch{Backend: "1", From: Cursor{1, 3}, To: Cursor{1, 4}, Changes: []Change{{key("a"), 0}, {key("b"), 0}}})
+	x.Apply(&Batch{Backend: "1", From: Cursor{1, 3}, To: Cursor{1, 4}, Changes: []Change{{Key: key("a"), Tokens: 0}, {Key: key("b"), Tokens: 0}}})
 	require.Zero(t, x.Sum("1"))
 }
--- a/internal/lab/fleetcost/curves.go
+++ b/internal/lab/fleetcost/curves.go
@@ -148,10 +148,10 @@
 }
 
 func playNews(size int) ([]float64, error) {
-	all, list := &feed.Loads{All: true, Changed: map[string]dispatch.Load{}}, &feed.ReadList{Sum: 1 << 60}
+	all, list := &feed.Loads{All: true, Changed: map[feed.BackendKey]dispatch.Load{}}, &feed.ReadList{Sum: 1 << 60}
 	for i := range size {
 		list.Backends = append(list.Backends, listed(i))
-		all.Changed[listed(i).ID] = dispatch.Load{Running: 1 + i%3, Waiting: i * 37 % 900, Tokens: i * 1009 % 40000}
+		all.Changed[feed.KeyOf(listed(i).ID)] = dispatch.Load{Running: 1 + i%3, Waiting: i * 37 % 900, Tokens: i * 1009 % 40000}
 	}
 	whole, err := rpc.Size(feed.KindNews, &feed.News{From: "10.1.0.23:7340", Hop: feed.FromHub, List: list})
 	if err != nil {
@@ -177,7 +177,7 @@
 		for b := range size / each {
 			batch := &kvindex.Batch{Backend: listed(b).ID, Whole: true}
 			for i := range each {
-				batch.Changes = append(batch.Changes, kvindex.Change{Key: kvindex.Key(rand.Uint64()), Tokens: 1 + i})
+				batch.Changes = append(batch.Changes, kvindex.Change{Key: kvindex.Key(rand.Uint32()), Tokens: 1 + i})
 			}
 			index.Apply(batch)
 		}
