Dispatch: fetch or read by what each takes; reading speed learned by quantiles; noise by what is unseen

Causes, from the same log: a short prompt with 300 tokens to fetch took 255 ms at an engine with nothing else to do, 98 ms without the fetch: moves run one after another, and none counted those under way, nor that they take twice as long between zones. Reading was taken for 40 tokens a ms, it is 93: answers with the 95 ms before the reading in them were compared with the reading alone. All mixers chose the one engine that seemed least loaded.

--- a/internal/dispatch/estimate.go
+++ b/internal/dispatch/estimate.go
@@ -16,7 +16,7 @@
 	wait    float64 // ms that it would wait before that
 	version int64
 	prompt  *prompt
-	fetch   bool // from one of the prompt's holders
+	source  source
 }
 
 // beginBy is when requests may begin on a version no more, 0 if they may at any time.
@@ -37,12 +37,6 @@
 	return t.beginBy(c.model, c.Version)
 }
 
-// readMS estimates what it takes to read a prompt of which so many tokens are kept: each token, and its attention to those before.
-func readMS(kept, prompt int, speed float64) float64 {
-	k, n := float64(min(kept, prompt)), float64(prompt)
-	return (n-k)/speed + attentionMS*(n*n-k*k)/1e6
-}
-
 // again weighs, in tokens, that shared parts would be read here although others are to have them: those that come first in the
 // prompt's ranking, by which all mixers send what nobody keeps yet to the same backend, and those that are reading them now.
 func (t *Table) again(now time.Duration, d *decision, b *Backend, p *plan, kept int) float64 {
@@ -120,11 +114,3 @@
 func (t *Table) fitHolder(now time.Duration, b *Backend) bool {
 	return !b.Draining && t.evacuated[b.Zone] == 0 && now >= b.avoid && now >= b.coldUntil && b.phase != PhaseLoading
 }
-
-// fetchMS estimates what it takes to move tokens.
-func fetchMS(s *config.Service, tokens int) float64 {
-	if s.Engine == nil || s.Engine.LinkMbps <= 0 {
-		return fetchBaseMS
-	}
-	return fetchBaseMS + float64(tokens)*s.Engine.KVTokenBytes*8/(s.Engine.LinkMbps*1000)
-}
--- /dev/null
+++ b/internal/dispatch/fetch.go
@@ -0,0 +1,71 @@
+package dispatch
+
+import "nettlefold/internal/config"
+
+// source is where a backend would have a prompt's kept parts from.
+type source struct {
+	kept    int        // tokens that are not read, once what is fetched is there
+	move    float64    // ms that the fetch takes, 0 if there is none
+	holders []*Backend // to fetch from, nil if nothing is fetched
+	cost    float64    // ms until the first token for the fetch, and what else it costs put into ms
+}
+
+// sourceFor weighs fetching what a backend lacks of a prompt against reading it there. A fetch waits for the moves to that backend that are
+// under way, as these run one after another.
+func (t *Table) sourceFor(d *decision, p *plan, b *Backend, load Load) source {
+	held := t.index.Held(b.ID, p.prompt.keys, d.request.Parts)
+	read := source{kept: held}
+	lacks := p.prompt.longest - held
+	if lacks < fetchLeast {
+		return read
+	}
+	service, speed := t.service(d.request.Service), t.readSpeed(d.request.Service)
+	holders, near := nearest(p.prompt.holders, b)
+	move := fetchMS(service, lacks, near)
+	fetch := source{
+		kept: p.prompt.longest, move: move, holders: holders,
+		cost: float64(load.Moving) + move + duplicateShare*float64(lacks)/speed,
+	}
+	readsAnew := againWeight * float64(min(lacks, max(0, d.request.shared()-held)))
+	longer := readMS(held, d.request.Prompt, speed) - readMS(p.prompt.longest, d.request.Prompt, speed)
+	if longer+readsAnew/speed <= fetch.cost {
+		return read
+	}
+	return fetch
+}
+
+// nearest gives the holders in a backend's zone, and true, or all where there is none: moves between zones take twice as long.
+func nearest(holders []*Backend, b *Backend) (nearest []*Backend, near bool) {
+	for _, h := range holders {
+		if h.Zone == b.Zone {
+			nearest = append(nearest, h)
+		}
+	}
+	if len(nearest) > 0 {
+		return nearest, true
+	}
+	return holders, false
+}
+
+// fetchMS estimates what it takes to move tokens.
+func fetchMS(s *config.Service, tokens int, near bool) float64 {
+	if s.Engine == nil || s.Engine.LinkMbps <= 0 {
+		return fetchBaseMS
+	}
+	move := float64(tokens) * s.Engine.KVTokenBytes * 8 / (s.Engine.LinkMbps * 1000)
+	if !near {
+		move *= farFactor
+	}
+	return fetchBaseMS + move
+}
+
+// readMS estimates what it takes to read a prompt of which so many tokens are kept: each token, and its attention to those before.
+func readMS(kept, prompt int, tokensPerMS float64) float64 {
+	return float64(prompt-min(kept, prompt))/tokensPerMS + attention(kept, prompt)
+}
+
+// attention is the part of the reading, in ms, that grows with the pairs of tokens.
+func attention(kept, prompt int) float64 {
+	k, n := float64(min(kept, prompt)), float64(prompt)
+	return attentionMS * (n*n - k*k) / 1e6
+}
--- /dev/null
+++ b/internal/dispatch/learned.go
@@ -0,0 +1,45 @@
+package dispatch
+
+import "math"
+
+// learned is what is learned of the engines of a service. Its figures come from the answers of those that had nothing else to do, as far as
+// could be told. Work that nobody here knew of only ever makes an answer later: so the time before the reading is a low quantile, and the
+// tokens a ms are a high one.
+type learned struct {
+	tokensPerMS float64
+	baseMS      float64 // until the first token of a prompt of which nothing is read, 0 if not known yet
+	unseenMS    float64 // that answers come later than expected, moving mean: what others sent that had not been told
+	speeds      int     // answers that told the speed
+}
+
+// take takes how long a prompt took of which so many tokens were kept.
+func (l *learned) take(kept, prompt int, ms float64) {
+	read := float64(prompt - kept)
+	if read < learnBaseBelow {
+		l.baseMS = towards(l.baseMS, math.Max(ms-readMS(kept, prompt, l.tokensPerMS), learnLeastMS), 1-learnQuantile, learnStep)
+		return
+	}
+	if l.baseMS == 0 || read < learnSpeedAbove {
+		return
+	}
+	left := ms - l.baseMS - attention(kept, prompt)
+	l.speeds++
+	step := max(learnStep, 1/float64(l.speeds))
+	l.tokensPerMS = towards(l.tokensPerMS, read/math.Max(left, learnLeastMS), learnQuantile, step)
+}
+
+// compare takes how much an answer took beyond what was expected of it.
+func (l *learned) compare(expected, ms float64) {
+	l.unseenMS += meanWeight * (min(max(0, ms-expected-l.baseMS), unseenMost) - l.unseenMS)
+}
+
+// towards moves an estimate of a quantile by a step towards a value that was seen.
+func towards(estimate, seen, quantile, step float64) float64 {
+	switch {
+	case estimate == 0:
+		return seen
+	case seen > estimate:
+		return math.Min(seen, estimate*(1+step*quantile))
+	}
+	return math.Max(seen, estimate*(1-step*(1-quantile)))
+}
--- a/internal/dispatch/pick.go
+++ b/internal/dispatch/pick.go
@@ -42,8 +42,10 @@
 
 	model  string
 	holder *Backend
-	read   int // ms
-	tokens int
+	load   Load // that is booked for it at the backend
+	prompt int  // tokens
+	kept   int  // of them, with what is fetched
+	alone  bool // nothing else was known to be at the backend
 	sent   time.Duration
 	begun  bool
 	ended  bool
@@ -232,14 +234,12 @@
 		p.cost += work * (1 + float64(load.Running)/float64(max(1, b.Slots)))
 		return p
 	}
+	p.cost += t.random.Float64() * t.learnedOf(r.Service).unseenMS // or all mixers would choose the same one until they hear of each other
 	p.version = b.Versions[r.Model]
 	p.prompt = t.prompt(now, d, p.version)
-	held := t.index.Held(b.ID, p.prompt.keys, r.Parts)
-	kept, speed := held, t.readSpeed(r.Service)
-	if p.fetch = p.prompt.longest-held >= fetchLeast; p.fetch { // so it is none of the holders itself
-		kept = p.prompt.longest
-		p.cost += fetchMS(service, kept-held) + duplicateShare*float64(kept-held)/speed
-	}
+	p.source = t.sourceFor(d, &p, b, load)
+	kept, speed := p.source.kept, t.readSpeed(r.Service)
+	p.cost += p.source.cost
 	p.read = readMS(kept, r.Prompt, speed)
 	p.wait = float64(load.Waiting) + runningMS*float64(load.Running) + crowded(service, load, r)
 	p.cost += p.read + p.wait + t.again(now, d, b, &p, kept)/speed
@@ -254,14 +254,15 @@
 	c := &Choice{
 		Backend: b, ID: b.ID, Addr: b.Addr, model: r.Model,
 		Version: p.version, Wait: p.wait, Read: p.read,
-		read: int(p.read), sent: now, tokens: r.Prompt,
+		load: Load{Running: 1, Waiting: int(p.read), Tokens: r.Prompt, Moving: int(p.source.move)},
+		sent: now, prompt: r.Prompt, kept: p.source.kept, alone: b.idle(),
 		BeginBy: t.beginBy(r.Model, p.version),
 	}
 	if p.prompt != nil {
 		c.Salt = p.prompt.salt
-		t.source(c, r, p)
+		t.fetchFrom(c, r, p)
 	}
-	b.own = b.own.Plus(Load{Running: 1, Waiting: c.read, Tokens: c.tokens})
+	b.own = b.own.Plus(c.load)
 	if b.pending == 0 {
 		b.progress = now
 	}
@@ -276,14 +277,14 @@
 	return c
 }
 
-// source names the holder to fetch from, picked by water-filling: the least own count among those of the longest prefix, raised before the
-// next pick. What is read anew is saved to a store.
-func (t *Table) source(c *Choice, r *Request, p plan) {
-	if !p.fetch {
+// fetchFrom names the holder to fetch from, picked by water-filling: the least own count among those of the longest prefix that are nearest to
+// the backend, raised before the next pick. What is read anew is saved to a store.
+func (t *Table) fetchFrom(c *Choice, r *Request, p plan) {
+	holders := p.source.holders
+	if len(holders) == 0 {
 		c.Save = t.saveTo(r, p)
 		return
 	}
-	holders := p.prompt.holders
 	if i := waterfill.Pick(len(holders), func(i int) int { return holders[i].fetching }, t.random.IntN); i >= 0 {
 		c.holder = holders[i]
 		c.holder.fetching++
@@ -327,13 +328,16 @@
 	c.begun = true
 	c.Backend.pending--
 	c.Backend.progress = now
-	c.Backend.own.Waiting -= c.read
+	c.unbook(Load{Waiting: c.load.Waiting, Moving: c.load.Moving})
 	t.release(c)
 	ms := float64(now-c.sent) / float64(time.Millisecond)
 	if c.Version == 0 {
 		c.Backend.latency = mean(c.Backend.latency, ms)
-	} else if float64(c.read) > measuredLeastMS && c.Backend.own.Running == 1 && c.Backend.others.Running == 0 && ms > 1 {
-		t.speed[service] = mean(t.readSpeed(service), t.readSpeed(service)*float64(c.read)/ms)
+	} else if c.Fetch == "" {
+		t.learnedOf(service).compare(c.Wait+c.Read, ms)
+		if c.alone {
+			t.learnedOf(service).take(c.kept, c.prompt, ms)
+		}
 	}
 	if t.observe != nil {
 		t.observe(c, ms)
@@ -341,6 +345,12 @@
 	c.Backend.failures, c.Backend.avoid, c.Backend.trial = 0, 0, false
 }
 
+// unbook takes load of a choice from its backend.
+func (c *Choice) unbook(l Load) {
+	c.Backend.own = c.Backend.own.Minus(l)
+	c.load = c.load.Minus(l)
+}
+
 func (t *Table) release(c *Choice) {
 	if c.holder != nil {
 		c.holder.fetching--
@@ -356,14 +366,10 @@
 	c.ended = true
 	b := c.Backend
 	t.release(c)
-	if !c.begun {
-		b.own.Waiting -= c.read
-	}
-	b.own.Running--
-	b.own.Tokens -= c.tokens
 	if !c.begun {
 		b.pending--
 	}
+	c.unbook(c.load)
 	switch outcome {
 	case Failed:
 		b.failures++
--- a/internal/dispatch/table.go
+++ b/internal/dispatch/table.go
@@ -23,7 +23,7 @@
 	CloudLag         time.Duration
 }
 
-// Figures of the estimate. The reading speed is where the moving mean of what is measured begins.
+// Figures of the estimate. The reading speed is where what is learned begins.
 const (
 	firstTokensPerMS = 40.0
 	crossZoneMS      = 4.0  // what a hop to another zone is taken for, in ms
@@ -44,10 +44,16 @@
 	expectedMost     = 4096
 	silenceLimit     = 1200 * time.Millisecond // beyond what is expected, until a backend is taken for silent
 	silenceShare     = 2
-	measuredLeastMS  = 60.0 // of reading, from which the speed is measured by it
-	admitShare       = 1.3  // of its target by which a request must be expected to begin, to be taken when others wait
-	waitLeast        = 0.4  // of its target that a request waits before any is refused
-	againLimit       = 0.8  // of the time left, likewise for one that came again
+	farFactor        = 2    // by how much a move between zones takes longer
+	learnBaseBelow   = 1500 // tokens read, below which an answer tells what comes before the reading
+	learnSpeedAbove  = 2500 // and from which it tells the speed
+	learnQuantile    = 0.8
+	learnStep        = 0.05
+	learnLeastMS     = 1.0
+	unseenMost       = 500.0 // of what an answer takes beyond what was expected: more is a failure's
+	admitShare       = 1.3   // of its target by which a request must be expected to begin, to be taken when others wait
+	waitLeast        = 0.4   // of its target that a request waits before any is refused
+	againLimit       = 0.8   // of the time left, likewise for one that came again
 	laterLeastMS     = 200.0
 	laterMostMS      = 1500.0
 	laterShare       = 0.25 // of the time left
@@ -74,7 +80,7 @@
 	index     *kvindex.Index
 	members   Members
 	budgets   map[string]*budget
-	speed     map[string]float64 // tokens a ms that a service's engines read
+	learned   map[string]*learned // of a service's engines
 	random    *rand.Rand
 	started   time.Duration
 	observe   func(c *Choice, ms float64) // sees what was expected and what came, if set
@@ -99,7 +105,7 @@
 		stores:    map[string]*Backend{},
 		index:     kvindex.New(),
 		budgets:   map[string]*budget{},
-		speed:     map[string]float64{},
+		learned:   map[string]*learned{},
 		models:    map[string]superseded.Times{},
 		random:    random,
 		started:   now,
@@ -242,10 +248,16 @@
 
 // readSpeed is how many tokens of a prompt an engine of the service reads in a ms.
 func (t *Table) readSpeed(service string) float64 {
-	if s := t.speed[service]; s > 0 {
-		return s
+	return t.learnedOf(service).tokensPerMS
+}
+
+func (t *Table) learnedOf(service string) *learned {
+	l := t.learned[service]
+	if l == nil {
+		l = &learned{tokensPerMS: firstTokensPerMS}
+		t.learned[service] = l
 	}
-	return firstTokensPerMS
+	return l
 }
 
 func mean(old, new float64) float64 {
