--- a/cmd/nettlefold/system.go
+++ b/cmd/nettlefold/system.go
@@ -4,6 +4,7 @@
 	"context"
 	"os"
 	"os/signal"
+	"runtime/debug"
 	"syscall"
 	"time"
 
@@ -68,8 +69,13 @@
 	return root
 }
 
+// collectAt is how much the heap of a fleet's program grows, in percent of what is in use, until it is collected. The programs work little and
+// run on every machine: their memory costs more than their collector does.
+const collectAt = 40
+
 // runProgram runs a program of the fleet until it is told to stop.
 func runProgram(name, level, figures string, hup chan os.Signal, make func(*local.Settings, zerolog.Logger) (program, error)) error {
+	debug.SetGCPercent(collectAt)
 	settings, err := local.Load()
 	if err != nil {
 		return err
--- a/internal/dispatch/learned.go
+++ b/internal/dispatch/learned.go
@@ -10,6 +10,7 @@
 	baseMS      float64 // until the first token of a prompt of which nothing is read, 0 if not known yet
 	unseenMS    float64 // that answers come later than expected, moving mean: what others sent that had not been told
 	speeds      int     // answers that told the speed
+	meanReadMS  float64 // that prompts are read for, moving mean
 }
 
 // take takes how long a prompt took of which so many tokens were kept.
@@ -28,6 +29,12 @@
 	l.tokensPerMS = towards(l.tokensPerMS, read/math.Max(left, learnLeastMS), learnQuantile, step)
 }
 
+// meanRead takes the reading time of another prompt, and gives the mean with it.
+func (l *learned) meanRead(readMS float64) float64 {
+	l.meanReadMS = mean(l.meanReadMS, readMS)
+	return l.meanReadMS
+}
+
 // compare takes how much an answer took beyond what was expected of it.
 func (l *learned) compare(expected, ms float64) {
 	l.unseenMS += meanWeight * (min(max(0, ms-expected-l.baseMS), unseenMost) - l.unseenMS)
--- a/internal/dispatch/pick.go
+++ b/internal/dispatch/pick.go
@@ -19,6 +19,7 @@
 	Target  float64 // ms within which it earns its full worth, 0 if none is stated
 	Left    float64 // ms until its client gives it up
 	Again   bool    // it was refused before, as far as can be told
+	Rank    int     // of its route and tenant, 0 is the most urgent
 	Wall    string  // the tenant's name if its prompts are shared with nobody
 	Tried   []string
 }
@@ -34,6 +35,8 @@
 	Version int64   // of the weights that are expected, 0 if the request names no model
 	Wait    float64 // ms that it is expected to wait there
 	Read    float64 // ms that it is expected to be read for
+	// Priority is how urgent it is at an engine, 0 the most.
+	Priority int
 
 	// Later is set alone: the request is not taken now, and should come again in so many ms.
 	Later float64
@@ -259,6 +262,7 @@
 		BeginBy: t.beginBy(r.Model, p.version),
 	}
 	if p.prompt != nil {
+		c.Priority = priority(p.read, t.learnedOf(r.Service).meanRead(p.read), r.Rank)
 		c.Salt = p.prompt.salt
 		t.fetchFrom(c, r, p)
 	}
--- a/internal/dispatch/table.go
+++ b/internal/dispatch/table.go
@@ -35,7 +35,7 @@
 	versionMargin    = 0.8  // share of the version's limit after which older ones get nothing more
 	beginShare       = 0.96 // share of it after which what has not begun there is taken back
 	attentionMS      = 0.4  // of a million pairs of tokens
-	againWeight      = 2.5  // by how much reading anew what others read counts more than the time it takes
+	againWeight      = 12.0 // by how much reading anew what others keep or read counts more than the time it takes
 	oldVersionShare  = 0.3  // what is added to the time to read at a backend whose memory is dropped soon
 	memoryShare      = 0.85 // of an engine's memory, from which requests wait for others to end
 	crowdedMS        = 4000.0
--- a/internal/proxy/forward.go
+++ b/internal/proxy/forward.go
@@ -100,7 +100,7 @@
 // decision is what choosing a backend needs to know of a request that was sent to some already.
 func (q *request) decision(tried []string) *dispatch.Request {
 	return &dispatch.Request{
-		Target: q.route.TargetMS, Left: float64(time.Until(q.deadline).Milliseconds()), Again: q.again || len(tried) > 0,
+		Target: q.route.TargetMS, Rank: q.rank, Left: float64(time.Until(q.deadline).Milliseconds()), Again: q.again || len(tried) > 0,
 		Service: q.service, Model: q.model, Parts: q.parts, Prompt: q.prompt, Bytes: len(q.body), Wall: q.wall(), Tried: tried,
 	}
 }
@@ -123,6 +123,7 @@
 	if c.Version != 0 {
 		header.Set(headerVersion, strconv.FormatInt(c.Version, 10))
 		header.Set(headerSalt, c.Salt)
+		header.Set(headerPriority, strconv.Itoa(c.Priority))
 	}
 	if c.Fetch != "" {
 		header.Set(headerFetch, c.Fetch)
--- a/internal/proxy/serve.go
+++ b/internal/proxy/serve.go
@@ -43,7 +43,6 @@
 	retryShare = 0.1
 	// againShare is the part of its route's time below which a request is taken for one that came again.
 	againShare    = 0.98
-	lowestRank    = 9
 	ranksOfTenant = 3 // routes' ranks within a tenant's
 )
 
@@ -62,6 +61,7 @@
 	prompt   int
 	parts    []kvindex.Part
 	model    string
+	rank     int         // of route and tenant, 0 is the most urgent
 	header   http.Header // as it goes to a backend, but for what differs with the backend
 }
 
@@ -214,10 +214,7 @@
 		h.Set(headerTenant, q.tenant.Name)
 		rank = q.tenant.Priority*ranksOfTenant + min(q.route.Priority, ranksOfTenant-1)
 	}
-	if q.model != "" {
-		h.Set(headerPriority, strconv.Itoa(max(0, min(rank, lowestRank))))
-	}
-	q.header = h
+	q.header, q.rank = h, rank
 }
 
 // wall is the name that keeps an isolated tenant's prompts apart.
