Dispatch: tests of fetching, learning and noise; the first answers move what is learned further

The tests showed that a first speed far off (10 tokens a ms of 93) kept the time before the reading near nothing: first steps are longer now, and one answer counts for twice the speed that is believed at the most, as what was kept there unknown to anybody seems to be read at any speed.

--- /dev/null
+++ b/internal/dispatch/fetch_test.go
@@ -0,0 +1,88 @@
+package dispatch
+
+import (
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"nettlefold/internal/kvindex"
+)
+
+// slowLinks is a table whose engines read faster than their links move: 90 tokens a ms against 66 within a zone.
+func slowLinks(t *testing.T, list ...Listed) *Table {
+	t.Helper()
+	table := newTable(t, list...)
+	table.config.Service("llm").Engine.KVTokenBytes = 131072
+	table.config.Service("llm").Engine.LinkMbps = 69000
+	table.learnedOf("llm").tokensPerMS = 90
+	return table
+}
+
+func inZone(l Listed, zone string) Listed {
+	l.Zone = zone
+	return l
+}
+
+// TestALittleIsReadWhereMovesWait: what is not shared and soon read is not fetched behind moves that take longer.
+func TestALittleIsReadWhereMovesWait(t *testing.T) {
+	table := slowLinks(t, backend(1, 1), backend(2, 1))
+	own := []kvindex.Part{{ID: "own", Tokens: 3000}}
+	table.Index().Apply(&kvindex.Batch{Backend: "b2", Whole: true, Changes: []kvindex.Change{{Key: kvindex.KeyOf("v1", "m", "own"), Tokens: 3000}}})
+	r := &Request{Service: "llm", Model: "m", Parts: own, Prompt: 3000}
+	table.SetLoads(map[string]Load{"b2": {Running: 10, Waiting: 3000}})
+	c := table.Pick(0, r)
+	require.Equal(t, "b1", c.ID)
+	require.Empty(t, c.Fetch, "46 ms of moving for 37 ms of reading that nobody else asks for")
+	table.End(0, c, Done)
+
+	table.SetLoads(map[string]Load{"b2": {Running: 10, Waiting: 9000}, "b1": {Moving: 900}})
+	keeps(table, "b2", "v1", 2)
+	c = table.Pick(0, prompted())
+	require.Equal(t, "10.0.0.2:80", c.Fetch, "shared parts of 13,000 tokens are fetched also behind moves: reading them again costs all")
+}
+
+// TestMovesUnderWayAreCounted: from the pick until the answer begins, and told to the other mixers with the load.
+func TestMovesUnderWayAreCounted(t *testing.T) {
+	table := slowLinks(t, backend(1, 1), backend(2, 1))
+	keeps(table, "b2", "v1", 2)
+	table.SetLoads(map[string]Load{"b2": {Running: 10, Waiting: 9000}})
+	c := table.Pick(0, prompted())
+	require.NotEmpty(t, c.Fetch)
+	require.InDelta(t, 13000*131072*8/69e6+fetchBaseMS, table.Loads()["b1"].Moving, 1)
+	table.Began(time.Second, c, "llm")
+	require.Zero(t, table.Loads()["b1"].Moving)
+	require.Zero(t, table.Loads()["b1"].Waiting)
+	require.Equal(t, 1, table.Loads()["b1"].Running)
+	table.End(time.Second, c, Done)
+	require.Empty(t, table.Loads())
+
+	c = table.Pick(2*time.Second, prompted())
+	table.End(2*time.Second, c, Failed)
+	require.Empty(t, table.Loads(), "nothing of it is left where it never began")
+}
+
+// TestTheNearestHoldersAreWaterFilled: moves between zones take twice as long, so others are named only where the zone has none.
+func TestTheNearestHoldersAreWaterFilled(t *testing.T) {
+	table := slowLinks(t, backend(1, 1), backend(2, 1), backend(3, 1), inZone(backend(4, 1), "b"))
+	busy := Load{Running: 10, Waiting: 9000}
+	table.SetLoads(map[string]Load{"b2": busy, "b3": busy, "b4": busy})
+	for _, id := range []string{"b2", "b3", "b4"} {
+		keeps(table, id, "v1", 2)
+	}
+	named := map[string]int{}
+	for range 6 {
+		c := table.Pick(0, prompted())
+		require.Equal(t, "b1", c.ID)
+		named[c.Fetch]++
+	}
+	require.Equal(t, map[string]int{"10.0.0.2:80": 3, "10.0.0.3:80": 3}, named)
+	table.Index().Forget("b2")
+	table.Index().Forget("b3")
+	require.Equal(t, "10.0.0.4:80", table.Pick(0, prompted()).Fetch)
+}
+
+func TestAMoveBetweenZonesTakesTwiceAsLong(t *testing.T) {
+	s := slowLinks(t).service("llm")
+	require.InDelta(t, fetchMS(s, 13000, true)-fetchBaseMS, (fetchMS(s, 13000, false)-fetchBaseMS)/farFactor, 1e-9)
+}
--- a/internal/dispatch/learned.go
+++ b/internal/dispatch/learned.go
@@ -10,6 +10,7 @@
 	baseMS      float64 // until the first token of a prompt of which nothing is read, 0 if not known yet
 	unseenMS    float64 // that answers come later than expected, moving mean: what others sent that had not been told
 	speeds      int     // answers that told the speed
+	bases       int     // answers that told what comes before the reading
 	meanReadMS  float64 // that prompts are read for, moving mean
 }
 
@@ -17,7 +18,8 @@
 func (l *learned) take(kept, prompt int, ms float64) {
 	read := float64(prompt - kept)
 	if read < learnBaseBelow {
-		l.baseMS = towards(l.baseMS, math.Max(ms-readMS(kept, prompt, l.tokensPerMS), learnLeastMS), 1-learnQuantile, learnStep)
+		l.bases++
+		l.baseMS = towards(l.baseMS, math.Max(ms-readMS(kept, prompt, l.tokensPerMS), learnLeastMS), 1-learnQuantile, stepOf(l.bases))
 		return
 	}
 	if l.baseMS == 0 || read < learnSpeedAbove {
@@ -25,8 +27,9 @@
 	}
 	left := ms - l.baseMS - attention(kept, prompt)
 	l.speeds++
-	step := max(learnStep, 1/float64(l.speeds))
-	l.tokensPerMS = towards(l.tokensPerMS, read/math.Max(left, learnLeastMS), learnQuantile, step)
+	// What was kept there unknown to anybody seems to be read at any speed.
+	seen := math.Min(read/math.Max(left, learnLeastMS), learnMostFactor*l.tokensPerMS)
+	l.tokensPerMS = towards(l.tokensPerMS, seen, learnQuantile, stepOf(l.speeds))
 }
 
 // meanRead takes the reading time of another prompt, and gives the mean with it.
@@ -40,13 +43,16 @@
 	l.unseenMS += meanWeight * (min(max(0, ms-expected-l.baseMS), unseenMost) - l.unseenMS)
 }
 
+// stepOf is how far the n-th answer moves an estimate: the first ones further.
+func stepOf(n int) float64 { return max(learnStep, 1/float64(n)) }
+
 // towards moves an estimate of a quantile by a step towards a value that was seen.
 func towards(estimate, seen, quantile, step float64) float64 {
 	switch {
 	case estimate == 0:
 		return seen
 	case seen > estimate:
-		return math.Min(seen, estimate*(1+step*quantile))
+		return math.Min(seen, estimate+step*quantile*seen)
 	}
 	return math.Max(seen, estimate*(1-step*(1-quantile)))
 }
--- a/internal/dispatch/table.go
+++ b/internal/dispatch/table.go
@@ -50,6 +50,7 @@
 	learnQuantile    = 0.8
 	learnStep        = 0.05
 	learnLeastMS     = 1.0
+	learnMostFactor  = 2     // times the speed that is believed, for which one answer counts at the most
 	unseenMost       = 500.0 // of what an answer takes beyond what was expected: more is a failure's
 	admitShare       = 1.3   // of its target by which a request must be expected to begin, to be taken when others wait
 	waitLeast        = 0.4   // of its target that a request waits before any is refused
