--- a/internal/dispatch/dispatch_test.go
+++ b/internal/dispatch/dispatch_test.go
@@ -156,8 +156,8 @@
 	only := &Request{Service: "llm", Model: "m", Tried: []string{"b2"}}
 	c := table.Pick(2*time.Second, only)
 	require.NotNil(t, c)
-	require.Greater(t, c.BeginBy, 10*time.Second)
-	require.Less(t, c.BeginBy, 11*time.Second, "what has not begun is taken back before the limit")
+	require.Greater(t, table.BeginBy(c), 10*time.Second)
+	require.Less(t, table.BeginBy(c), 11*time.Second, "what has not begun is taken back before the limit")
 	require.Nil(t, table.Pick(10*time.Second, only))
 	fresh := newTable(t, backend(1, 1), backend(2, 2))
 	fresh.SetState(0, nil, nil, map[string]replicated.Model{"m": {Version: 2}}, nil)
--- a/internal/dispatch/pick.go
+++ b/internal/dispatch/pick.go
@@ -40,8 +40,6 @@
 
 	// Later is set alone: the request is not taken now, and should come again in so many ms.
 	Later float64
-	// BeginBy is when the answer has to begin, as it may not on these weights later; 0 if it may at any time.
-	BeginBy time.Duration
 
 	model  string
 	holder *Backend
@@ -259,7 +257,6 @@
 		Version: p.version, Wait: p.wait, Read: p.read,
 		load: Load{Running: 1, Waiting: int(p.read), Tokens: r.Prompt, Moving: int(p.source.move)},
 		sent: now, prompt: r.Prompt, kept: p.source.kept, alone: b.idle(),
-		BeginBy: t.beginBy(r.Model, p.version),
 	}
 	if p.prompt != nil {
 		c.Priority = priority(p.read, t.learnedOf(r.Service).meanRead(p.read), r.Rank)
--- a/internal/dispatch/versions_test.go
+++ b/internal/dispatch/versions_test.go
@@ -22,7 +22,7 @@
 	name(7*time.Second, 3)
 	c := table.Pick(8500*time.Millisecond, prompted())
 	require.Equal(t, "b2", c.ID, "version 1 was superseded 8.5 s ago, of 10")
-	require.Equal(t, 7*time.Second+time.Duration(beginShare*float64(settings.VersionLimit)), c.BeginBy)
+	require.Equal(t, 7*time.Second+time.Duration(beginShare*float64(settings.VersionLimit)), table.BeginBy(c))
 	table.SetBackends(8500*time.Millisecond, []Listed{backend(1, 1)}, nil)
 	require.Nil(t, table.Pick(8600*time.Millisecond, prompted()))
 }
