--- a/internal/dispatch/fetch.go
+++ b/internal/dispatch/fetch.go
@@ -4,10 +4,10 @@
 
 // source is where a backend would have a prompt's kept parts from.
 type source struct {
-	kept    int        // tokens that are not read, once what is fetched is there
-	move    float64    // ms that the fetch takes, 0 if there is none
-	holders []*Backend // to fetch from, nil if nothing is fetched
-	cost    float64    // ms until the first token for the fetch, and what else it costs put into ms
+	kept  int     // tokens that are not read, once what is fetched is there
+	fetch bool    // from one of the prompt's holders
+	move  float64 // ms that the fetch takes, 0 if there is none
+	cost  float64 // ms until the first token for the fetch, and what else it costs put into ms
 }
 
 // sourceFor weighs fetching what a backend lacks of a prompt against reading it there. A fetch waits for the moves to that backend that are
@@ -20,10 +20,9 @@
 		return read
 	}
 	service, speed := t.service(d.request.Service), t.readSpeed(d.request.Service)
-	holders, near := nearest(p.prompt.holders, b)
-	move := fetchMS(service, lacks, near)
+	move := fetchMS(service, lacks, p.prompt.holderZones[b.Zone])
 	fetch := source{
-		kept: p.prompt.longest, move: move, holders: holders,
+		kept: p.prompt.longest, fetch: true, move: move,
 		cost: float64(load.Moving) + move + duplicateShare*float64(lacks)/speed,
 	}
 	readsAnew := againWeight * float64(min(lacks, max(0, d.request.shared()-held)))
@@ -34,17 +33,18 @@
 	return fetch
 }
 
-// nearest gives the holders in a backend's zone, and true, or all where there is none: moves between zones take twice as long.
-func nearest(holders []*Backend, b *Backend) (nearest []*Backend, near bool) {
-	for _, h := range holders {
-		if h.Zone == b.Zone {
+// nearestHolders gives the holders in a zone, or all where there is none: moves between zones take twice as long.
+func (p *prompt) nearestHolders(zone string) []*Backend {
+	if !p.holderZones[zone] {
+		return p.holders
+	}
+	nearest := make([]*Backend, 0, len(p.holders))
+	for _, h := range p.holders {
+		if h.Zone == zone {
 			nearest = append(nearest, h)
 		}
 	}
-	if len(nearest) > 0 {
-		return nearest, true
-	}
-	return holders, false
+	return nearest
 }
 
 // fetchMS estimates what it takes to move tokens.
--- a/internal/dispatch/pick.go
+++ b/internal/dispatch/pick.go
@@ -135,6 +135,8 @@
 	keys    []kvindex.Key
 	longest int // tokens that a fit holder keeps
 	holders []*Backend
+	// holderZones is the zones that the holders are in.
+	holderZones map[string]bool
 }
 
 func (t *Table) prompt(now time.Duration, d *decision, version int64) *prompt {
@@ -152,6 +154,10 @@
 	for _, s := range t.stores {
 		t.considerHolder(now, r, p, s)
 	}
+	p.holderZones = make(map[string]bool, len(p.holders))
+	for _, h := range p.holders {
+		p.holderZones[h.Zone] = true
+	}
 	return p
 }
 
@@ -281,11 +287,11 @@
 // fetchFrom names the holder to fetch from, picked by water-filling: the least own count among those of the longest prefix that are nearest to
 // the backend, raised before the next pick. What is read anew is saved to a store.
 func (t *Table) fetchFrom(c *Choice, r *Request, p plan) {
-	holders := p.source.holders
-	if len(holders) == 0 {
+	if !p.source.fetch {
 		c.Save = t.saveTo(r, p)
 		return
 	}
+	holders := p.prompt.nearestHolders(c.Backend.Zone)
 	if i := waterfill.Pick(len(holders), func(i int) int { return holders[i].fetching }, t.random.IntN); i >= 0 {
 		c.holder = holders[i]
 		c.holder.fetching++
--- a/internal/lab/fleetcost/curves.go
+++ b/internal/lab/fleetcost/curves.go
@@ -26,8 +26,8 @@
 	membersBytes   = capacity.Law{Form: capacity.Affine, A: 4.22, B: 17.66}
 	listBytes      = capacity.Law{Form: capacity.Affine, A: 21.38, B: 10.03}
 	loadsBytes     = capacity.Law{Form: capacity.Affine, A: 334, B: 14.15}
-	batchBytes     = capacity.Law{Form: capacity.Affine, A: 55.4, B: 14.69}
-	indexHeld      = capacity.Law{Form: capacity.Affine, A: 156.6, B: 37.08}
+	batchBytes     = capacity.Law{Form: capacity.Affine, A: 62.88, B: 8.592}
+	indexHeld      = capacity.Law{Form: capacity.Affine, A: 145.2, B: 19.17}
 	tableHeld      = capacity.Law{Form: capacity.Affine, A: 913.7, B: 639.8}
 	pickAllocs     = capacity.Law{Form: capacity.Flat, A: 15.85}
 	pickTime       = capacity.Law{Form: capacity.Power, A: 1.236e-07, B: 1.065}
