--- a/internal/agent/news.go
+++ b/internal/agent/news.go
@@ -10,6 +10,7 @@
 	"nettlefold/internal/kvindex"
 	"nettlefold/internal/rendezvous"
 	"nettlefold/internal/rpc"
+	"nettlefold/internal/trial"
 )
 
 const (
@@ -178,11 +179,13 @@
 	zone := total(x.zone)
 	if loads := x.across.next(zone); loads != nil || x.cross.urgent() {
 		news := &feed.News{From: a.self.Addr, Hop: feed.HubToHub, Loads: loads, List: x.cross.list, Phases: x.cross.phases}
+		x.cross.withBulk(news)
 		x.send(slices.Collect(maps.Keys(x.otherZones())), news)
 	}
 	all := plus(zone, total(x.zones))
 	if loads := x.below.next(all); loads != nil || x.down.urgent() {
 		news := &feed.News{From: a.self.Addr, Hop: feed.FromHub, Loads: loads, List: x.down.list, Phases: x.down.phases}
+		x.down.withBulk(news)
 		x.told = x.send(x.fellows(), news)
 		if loads != nil {
 			x.takeAll(loads)
@@ -194,6 +197,13 @@
 	}
 }
 
+// withBulk puts changes of kept prompts into news of loads, in trial builds that do not tell them apart.
+func (o *outgoing) withBulk(n *feed.News) {
+	if trial.Off(trial.NewsApart) {
+		n.Batches, o.batches = o.batches, nil
+	}
+}
+
 // flushBulk sends on, as a hub, the changes of kept prompts that came together.
 func (x *exchange) flushBulk() {
 	from := x.agent.self.Addr
--- a/internal/dispatch/estimate.go
+++ b/internal/dispatch/estimate.go
@@ -7,6 +7,7 @@
 	"nettlefold/internal/config"
 	"nettlefold/internal/kvindex"
 	"nettlefold/internal/rendezvous"
+	"nettlefold/internal/trial"
 )
 
 // plan is how a backend would serve a request.
@@ -19,6 +20,14 @@
 	source  source
 }
 
+// noiseMS is by how much costs are drawn apart: by what answers took beyond what was expected, as that was sent by mixers that had not told yet.
+func (t *Table) noiseMS(service string) float64 {
+	if trial.Off(trial.UnseenNoise) {
+		return 0
+	}
+	return t.learnedOf(service).unseenMS
+}
+
 // beginBy is when requests may begin on a version no more, 0 if they may at any time.
 func (t *Table) beginBy(model string, version int64) time.Duration {
 	since, superseded := t.models[model].Of(version)
@@ -44,13 +53,21 @@
 	if shared <= kept || slices.Contains(d.owners[:min(1, len(d.owners))], b.ID) || b.expects(now, p.prompt.keys, r) {
 		return 0
 	}
-	weight := againWeight
-	if slices.Contains(d.owners, b.ID) {
+	weight := rereadWeight()
+	if slices.Contains(d.owners, b.ID) && !trial.Off(trial.SecondOwner) {
 		weight /= 2
 	}
 	return weight * float64(shared-kept)
 }
 
+// rereadWeight is how many times its time reading shared parts again counts.
+func rereadWeight() float64 {
+	if trial.Off(trial.RereadWeight) {
+		return 1
+	}
+	return againWeight
+}
+
 // shared is the tokens of the parts that other requests may share: all but the last.
 func (r *Request) shared() (tokens int) {
 	for i := range len(r.Parts) - 1 {
@@ -101,10 +118,10 @@
 // crowded is what a request waits for memory that others hold.
 func crowded(s *config.Service, load Load, r *Request) float64 {
 	over := float64(load.Tokens+r.Prompt) - memoryShare*float64(s.Engine.KVCapacityTokens)
-	if over <= 0 || s.Engine.KVCapacityTokens == 0 {
+	if over <= 0 || s.Engine.KVCapacityTokens == 0 || trial.Off(trial.MemoryHeld) {
 		return 0
 	}
-	return crowdedMS * over / float64(s.Engine.KVCapacityTokens)
+	return crowdedMS * trial.Scale(trial.Crowded) * over / float64(s.Engine.KVCapacityTokens)
 }
 
 // behind tells whether a newer version of a model is wanted.
--- a/internal/dispatch/fetch.go
+++ b/internal/dispatch/fetch.go
@@ -1,6 +1,10 @@
 package dispatch
 
-import "nettlefold/internal/config"
+import (
+	"nettlefold/internal/config"
+
+	"nettlefold/internal/trial"
+)
 
 // source is where a backend would have a prompt's kept parts from.
 type source struct {
@@ -23,19 +27,35 @@
 	move := fetchMS(service, lacks, p.prompt.holderZones[b.Zone])
 	fetch := source{
 		kept: p.prompt.longest, fetch: true, move: move,
-		cost: float64(load.Moving) + move + duplicateShare*float64(lacks)/speed,
+		cost: movesBefore(load) + move + copyPrice(lacks, speed),
 	}
-	readsAnew := againWeight * float64(min(lacks, max(0, d.request.shared()-held)))
+	readsAnew := rereadWeight() * float64(min(lacks, max(0, d.request.shared()-held)))
 	longer := readMS(held, d.request.Prompt, speed) - readMS(p.prompt.longest, d.request.Prompt, speed)
-	if longer+readsAnew/speed <= fetch.cost {
+	if longer+readsAnew/speed <= fetch.cost && !trial.Off(trial.ReadInstead) {
 		return read
 	}
 	return fetch
 }
 
+// movesBefore is the ms of moves under way to a backend, for which a fetch waits.
+func movesBefore(load Load) float64 {
+	if trial.Off(trial.MovesUnderWay) {
+		return 0
+	}
+	return float64(load.Moving)
+}
+
+// copyPrice is what a second copy of so many tokens costs, in ms: it displaces what else would be kept in that memory.
+func copyPrice(tokens int, tokensPerMS float64) float64 {
+	if trial.Off(trial.CopyPrice) {
+		return 0
+	}
+	return duplicateShare * float64(tokens) / tokensPerMS
+}
+
 // nearestHolders gives the holders in a zone, or all where there is none: moves between zones take twice as long.
 func (p *prompt) nearestHolders(zone string) []*Backend {
-	if !p.holderZones[zone] {
+	if !p.holderZones[zone] || trial.Off(trial.NearestHolders) {
 		return p.holders
 	}
 	nearest := make([]*Backend, 0, len(p.holders))
@@ -50,13 +70,13 @@
 // fetchMS estimates what it takes to move tokens.
 func fetchMS(s *config.Service, tokens int, near bool) float64 {
 	if s.Engine == nil || s.Engine.LinkMbps <= 0 {
-		return fetchBaseMS
+		return fetchBaseMS * trial.Scale(trial.FetchBase)
 	}
 	move := float64(tokens) * s.Engine.KVTokenBytes * 8 / (s.Engine.LinkMbps * 1000)
 	if !near {
 		move *= farFactor
 	}
-	return fetchBaseMS + move
+	return fetchBaseMS*trial.Scale(trial.FetchBase) + move
 }
 
 // readMS estimates what it takes to read a prompt of which so many tokens are kept: each token, and its attention to those before.
@@ -67,5 +87,5 @@
 // attention is the part of the reading, in ms, that grows with the pairs of tokens.
 func attention(kept, prompt int) float64 {
 	k, n := float64(min(kept, prompt)), float64(prompt)
-	return attentionMS * (n*n - k*k) / 1e6
+	return attentionMS * trial.Scale(trial.Attention) * (n*n - k*k) / 1e6
 }
--- a/internal/dispatch/pick.go
+++ b/internal/dispatch/pick.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"nettlefold/internal/kvindex"
+	"nettlefold/internal/trial"
 	"nettlefold/internal/waterfill"
 )
 
@@ -107,7 +108,7 @@
 // One that came again is refused only if its client would give it up.
 func (r *Request) refuse(p *plan) float64 {
 	expected := p.wait + p.read
-	if r.Target <= 0 || r.Left <= 0 {
+	if r.Target <= 0 || r.Left <= 0 || trial.Off(trial.Admission) {
 		return 0
 	}
 	if r.Again {
@@ -241,16 +242,16 @@
 		p.cost += work * (1 + float64(load.Running)/float64(max(1, b.Slots)))
 		return p
 	}
-	p.cost += t.random.Float64() * t.learnedOf(r.Service).unseenMS // or all mixers would choose the same one until they hear of each other
+	p.cost += t.random.Float64() * t.noiseMS(r.Service) // or all mixers would choose the same one until they hear of each other
 	p.version = b.Versions[r.Model]
 	p.prompt = t.prompt(now, d, p.version)
 	p.source = t.sourceFor(d, &p, b, load)
 	kept, speed := p.source.kept, t.readSpeed(r.Service)
 	p.cost += p.source.cost
 	p.read = readMS(kept, r.Prompt, speed)
-	p.wait = float64(load.Waiting) + runningMS*float64(load.Running) + crowded(service, load, r)
+	p.wait = float64(load.Waiting) + runningMS*trial.Scale(trial.Running)*float64(load.Running) + crowded(service, load, r)
 	p.cost += p.read + p.wait + t.again(now, d, b, &p, kept)/speed
-	if t.behind(r.Model, p.version) {
+	if t.behind(r.Model, p.version) && !trial.Off(trial.OldWeights) {
 		p.cost += oldVersionShare * p.read // what is read there is dropped soon
 	}
 	return p
@@ -301,7 +302,7 @@
 
 // saveTo names the store, if there is one that lacks what of the prompt others are likely to ask for again.
 func (t *Table) saveTo(r *Request, p plan) string {
-	if len(r.Parts) < 2 {
+	if len(r.Parts) < 2 || trial.Off(trial.StoreSave) {
 		return ""
 	}
 	shared := r.Parts[:len(r.Parts)-1]
--- a/internal/dispatch/table.go
+++ b/internal/dispatch/table.go
@@ -9,6 +9,7 @@
 	"nettlefold/internal/kvindex"
 	"nettlefold/internal/replicated"
 	"nettlefold/internal/superseded"
+	"nettlefold/internal/trial"
 )
 
 // Settings are what the rules and the machine's place say.
@@ -249,6 +250,9 @@
 
 // readSpeed is how many tokens of a prompt an engine of the service reads in a ms.
 func (t *Table) readSpeed(service string) float64 {
+	if trial.Off(trial.LearnedSpeed) {
+		return firstTokensPerMS
+	}
 	return t.learnedOf(service).tokensPerMS
 }
 
--- a/internal/dispatch/urgency.go
+++ b/internal/dispatch/urgency.go
@@ -1,6 +1,10 @@
 package dispatch
 
-import "math"
+import (
+	"math"
+
+	"nettlefold/internal/trial"
+)
 
 const (
 	// lowestPriority is what an engine takes for the least urgent, 0 for the most.
@@ -15,7 +19,7 @@
 // priority is how urgent a prompt is at an engine. What is read soon goes first: it holds the others up for little, and stands behind them for many
 // times what it takes itself. Ranks of routes and tenants make a prompt count as longer, so that of two alike the more urgent is first.
 func priority(readMS, meanMS float64, rank int) int {
-	if meanMS <= 0 || readMS <= 0 {
+	if meanMS <= 0 || readMS <= 0 || trial.Off(trial.PriorityByReading) {
 		return min(max(0, rank), lowestPriority)
 	}
 	counts := readMS * math.Pow(rankFactor, float64(max(0, rank)))
--- /dev/null
+++ b/internal/trial/switched_test.go
@@ -0,0 +1,33 @@
+//go:build trial
+
+package trial
+
+import (
+	"testing"
+
+	"github.com/stretchr/testify/require"
+)
+
+func TestSwitchesAreParsed(t *testing.T) {
+	off, scales := parse("copy-price,attention=0.5")
+	require.True(t, off[CopyPrice])
+	require.False(t, off[StoreSave])
+	require.Equal(t, 0.5, scales[Attention])
+	require.Equal(t, 1.0, scales[Running])
+}
+
+func TestNothingIsSwitchedOffUnlessNamed(t *testing.T) {
+	off, scales := parse("")
+	for _, m := range Mechanisms {
+		require.False(t, off[m], m)
+	}
+	for _, c := range Constants {
+		require.Equal(t, 1.0, scales[c], c)
+	}
+}
+
+func TestAnUnknownSwitchIsRefused(t *testing.T) {
+	for _, bad := range []string{"copy-prize", "attention", "copy-price=2", "attention=much"} {
+		require.Panics(t, func() { parse(bad) }, bad)
+	}
+}
--- /dev/null
+++ b/internal/trial/trial.go
@@ -0,0 +1,48 @@
+// Package trial lets a trial build switch one mechanism of the fleet off, or multiply one constant, so that what it is worth can be measured by
+// playing the same days with and without it. A trial build has the build tag `trial` and names its switches at link time:
+//
+//	go build -tags trial -ldflags "-X nettlefold/internal/trial.switches=copy-price,attention=0.5" ./cmd/nettlefold
+//
+// Without the tag Off is always false and Scale always 1, which the compiler removes: no program that ships can switch anything off.
+package trial
+
+// Mechanism is a part of a decision that can be switched off.
+type Mechanism string
+
+// The mechanisms.
+const (
+	RereadWeight      Mechanism = "reread-weight"       // reading shared parts again counts more than its time
+	PriorityByReading Mechanism = "priority-by-reading" // engines take first what is read soon
+	UnseenNoise       Mechanism = "unseen-noise"        // costs are drawn apart by what others have just sent
+	LearnedSpeed      Mechanism = "learned-speed"       // reading speed is learned from answers
+	StoreSave         Mechanism = "store-save"          // parts are saved to a store
+	ReadInstead       Mechanism = "read-instead"        // a backend reads what it lacks where a fetch takes longer
+	NewsApart         Mechanism = "news-apart"          // loads are told apart from changes of kept prompts
+	MovesUnderWay     Mechanism = "moves-under-way"     // a fetch waits for the moves under way to its backend
+	NearestHolders    Mechanism = "nearest-holders"     // holders in the backend's zone are preferred
+	CopyPrice         Mechanism = "copy-price"          // a second copy of a part takes memory
+	MemoryHeld        Mechanism = "memory-held"         // a request waits where memory is nearly full
+	OldWeights        Mechanism = "old-weights"         // what is read under old weights is dropped soon
+	Admission         Mechanism = "admission"           // a request that came too late is asked to come again
+	SecondOwner       Mechanism = "second-owner"        // the second of a prompt's ranking may read it too
+)
+
+// Mechanisms is all of them, in the order in which tables name them.
+var Mechanisms = []Mechanism{
+	RereadWeight, PriorityByReading, UnseenNoise, LearnedSpeed, StoreSave, ReadInstead, NewsApart, MovesUnderWay, NearestHolders, CopyPrice,
+	MemoryHeld, OldWeights, Admission, SecondOwner,
+}
+
+// Constant is a figure of the estimate that can be multiplied.
+type Constant string
+
+// The constants.
+const (
+	Attention Constant = "attention"  // ms of a million pairs of tokens
+	Running   Constant = "running"    // ms that a running generation adds
+	Crowded   Constant = "crowded"    // ms that a full memory adds
+	FetchBase Constant = "fetch-base" // ms of any fetch
+)
+
+// Constants is all of them, in the order in which tables name them.
+var Constants = []Constant{Attention, Running, Crowded, FetchBase}
