Orders given twice: three failing tests

The former holder tells its phases again each second for 14 s, and 'loading' takes the place of the successor's 'has version 2'. A second cause by reading: whoever is its zone's hub does not take its own retold phases, and forgets them after 4 s.

--- a/internal/agent/agent.go
+++ b/internal/agent/agent.go
@@ -192,12 +192,7 @@
 	a.dutyOrders(ctx)
 	a.news.expire()
 	a.retellPhases()
-	for id, p := range a.phases {
-		if time.Since(p.at) > phasesKeep {
-			delete(a.phases, id)
-			a.listChanged()
-		}
-	}
+	a.expirePhases()
 }
 
 // notify wakes the proxy's call.
@@ -247,6 +242,16 @@
 	}
 }
 
+// expirePhases drops what nobody tells any more.
+func (a *Agent) expirePhases() {
+	for id, p := range a.phases {
+		if time.Since(p.at) > phasesKeep {
+			delete(a.phases, id)
+			a.listChanged()
+		}
+	}
+}
+
 // handleProxy serves the proxy beside this agent.
 func (a *Agent) handleProxy(ctx context.Context, kind string, body []byte) (any, error) {
 	if kind == feed.KindLoads {
--- a/internal/agent/orders_test.go
+++ b/internal/agent/orders_test.go
@@ -2,11 +2,13 @@
 
 import (
 	"testing"
+	"time"
 
 	"github.com/stretchr/testify/require"
 
 	"nettlefold/internal/dispatch"
 	"nettlefold/internal/distribute"
+	"nettlefold/internal/feed"
 	"nettlefold/internal/rendezvous"
 	"nettlefold/internal/replicated"
 )
@@ -62,3 +64,51 @@
 		require.Equal(t, []string{other.self.ID}, holds(other.self.ID, all), "whoever holds them keeps them")
 	}
 }
+
+// backends gives a list of backends that have one version of model m.
+func backends(version int64, ids ...string) (list []dispatch.Listed) {
+	for _, id := range ids {
+		list = append(list, dispatch.Listed{ID: id, Versions: map[string]int64{"m": version}})
+	}
+	return list
+}
+
+// TestAFormerHoldersPhasesAreOver: whoever held the orders before goes on telling what it knew of its backends. That does not take the place of
+// what their holder now has told, whichever comes last: a backend with new weights would be ordered again.
+func TestAFormerHoldersPhasesAreOver(t *testing.T) {
+	former := feed.Phase{Name: dispatch.PhaseLoading, Fence: 6, Number: 9}
+	now := feed.Phase{Model: "m", Version: 2, Fence: 7, Number: 3}
+	for _, order := range [][]feed.Phase{{former, now}, {now, former}, {former, now, former}, {now, former, now}} {
+		a := fleetOf(1, 1)[0]
+		a.list = backends(1, "b")
+		for _, p := range order {
+			a.takePhases(map[string]feed.Phase{"b": p})
+		}
+		require.Empty(t, a.behind("m", 2), order)
+		require.Empty(t, a.listFor().Phases, order)
+	}
+}
+
+// TestPhasesOfOneHolderKeepTheirOrder: news may pass each other on their ways through hubs.
+func TestPhasesOfOneHolderKeepTheirOrder(t *testing.T) {
+	a := fleetOf(1, 1)[0]
+	a.list = backends(1, "b")
+	a.takePhases(map[string]feed.Phase{"b": {Model: "m", Version: 2, Fence: 6, Number: 3}})
+	a.takePhases(map[string]feed.Phase{"b": {Name: dispatch.PhaseEmptying, Fence: 6, Number: 1}})
+	require.Empty(t, a.behind("m", 2))
+}
+
+// TestAHolderBelievesWhatItTells: the holder of orders keeps a phase in force for as long as it tells it to the others. The platform's list may
+// show the old weights for longer than a phase is believed.
+func TestAHolderBelievesWhatItTells(t *testing.T) {
+	a := fleetOf(1, 1)[0]
+	a.list = backends(1, "b")
+	loaded := feed.Phase{Model: "m", Version: 2, Fence: 6, Number: 3}
+	a.takePhases(map[string]feed.Phase{"b": loaded})
+	old := time.Now().Add(-phasesKeep - time.Second)
+	a.ownPhases["b"] = ownPhase{loaded, old, old}
+	a.phases["b"] = phaseNews{loaded, old}
+	a.retellPhases()
+	a.expirePhases()
+	require.Empty(t, a.behind("m", 2))
+}
--- a/internal/feed/messages.go
+++ b/internal/feed/messages.go
@@ -103,6 +103,9 @@
 	Name    string `cbor:"1,keyasint"` // dispatch.Phase...
 	Model   string `cbor:"2,keyasint,omitempty"`
 	Version int64  `cbor:"3,keyasint,omitempty"` // that it has now, 0 if that is not told
+	// Fence is the token under which it was told, and Number counts what the holder of that token told.
+	Fence  uint64 `cbor:"4,keyasint,omitempty"`
+	Number uint64 `cbor:"5,keyasint,omitempty"`
 }
 
 // WholeRequest asks for all that is known of a backend.
