Phases of backends carry fence and number; their holder keeps what it goes on telling

Change: each phase has the holder's fencing token and a number; what was told before something known is passed over, and no longer told again. A phase told again without change does not have the list fed anew.

--- a/internal/agent/agent.go
+++ b/internal/agent/agent.go
@@ -81,6 +81,8 @@
 	ownLoads  map[string]dispatch.Load
 	rollouts  map[string]bool
 	ownPhases map[string]ownPhase
+	// phaseCount numbers the phases that this agent tells.
+	phaseCount uint64
 
 	storesOf   uint64 // number of the configuration that storeAddrs is of
 	storeAddrs []string
@@ -233,11 +235,18 @@
 	return nil, merry.New("no such call: " + kind)
 }
 
+// takePhases takes what holders of orders told, but for what came after something newer.
 func (a *Agent) takePhases(phases map[string]feed.Phase) {
+	changed := false
 	for id, p := range phases {
+		known, is := a.phases[id]
+		if is && p.Before(known.Phase) {
+			continue
+		}
+		changed = changed || !is || p != known.Phase
 		a.phases[id] = phaseNews{p, time.Now()}
 	}
-	if len(phases) > 0 {
+	if changed {
 		a.listChanged()
 	}
 }
--- a/internal/agent/orders.go
+++ b/internal/agent/orders.go
@@ -286,7 +286,10 @@
 
 // phase tells everyone at once what a backend is at.
 func (r *rollout) phase(id string, p feed.Phase) {
+	p.Fence = r.lease.fence()
 	r.agent.enqueue(func() {
+		r.agent.phaseCount++
+		p.Number = r.agent.phaseCount
 		told := map[string]feed.Phase{id: p}
 		r.agent.takePhases(told)
 		r.agent.ownPhases[id] = ownPhase{p, time.Now(), time.Now()}
@@ -363,16 +366,18 @@
 	since, told time.Time
 }
 
-// retellPhases tells phases again, for those that missed them.
+// retellPhases tells phases again, for those that missed them, until a later holder has told another. They stay in force here meanwhile.
 func (a *Agent) retellPhases() {
 	for id, p := range a.ownPhases {
-		switch {
-		case time.Since(p.since) > phasesTold:
+		switch known := a.phases[id]; {
+		case time.Since(p.since) > phasesTold || p.Before(known.Phase):
 			delete(a.ownPhases, id)
 		case time.Since(p.told) >= retellEvery:
 			p.told = time.Now()
 			a.ownPhases[id] = p
-			a.news.tell(&feed.News{Phases: map[string]feed.Phase{id: p.Phase}})
+			told := map[string]feed.Phase{id: p.Phase}
+			a.takePhases(told)
+			a.news.tell(&feed.News{Phases: told})
 		}
 	}
 }
--- a/internal/feed/messages.go
+++ b/internal/feed/messages.go
@@ -108,6 +108,14 @@
 	Number uint64 `cbor:"5,keyasint,omitempty"`
 }
 
+// Before tells whether o was told after p: by a later holder of the duty, or later by the same one.
+func (p Phase) Before(o Phase) bool {
+	if p.Fence != o.Fence {
+		return p.Fence < o.Fence
+	}
+	return p.Number < o.Number
+}
+
 // WholeRequest asks for all that is known of a backend.
 type WholeRequest struct {
 	Backend string `cbor:"1,keyasint"`
