Orders: a backend is asked before it is taken out of service for an order

Cause: what a holder knows of a backend may be older than an order that the holder before it gave; the platform's list shows the old weights for a while. Change: the holder reads the backend's report first. One that has the weights is told so, one that loads is awaited, the others are emptied and ordered as before. Price: one report a backend and roll.

--- a/internal/agent/orders.go
+++ b/internal/agent/orders.go
@@ -254,23 +254,50 @@
 // one brings a backend to a version.
 func (r *rollout) one(ctx context.Context, l dispatch.Listed, version int64) {
 	defer func() { r.finished <- l.ID }()
+	state := r.weights(ctx, l, version)
+	if state == weightsOld {
+		if err := r.emptyAndOrder(ctx, l, version); err != nil {
+			r.agent.log.Warn().Err(err).Str("step", "order").Str("peer", l.Addr).Msg("the order was not taken")
+			r.phase(l.ID, feed.Phase{})
+			return
+		}
+	}
+	if state != weightsThere {
+		r.phase(l.ID, feed.Phase{Name: dispatch.PhaseLoading})
+		if !r.awaitLoaded(ctx, l, version, state == weightsOld) {
+			r.phase(l.ID, feed.Phase{})
+			return
+		}
+	}
+	r.phase(l.ID, feed.Phase{Model: r.model, Version: version})
+}
+
+// emptyAndOrder takes a backend out of service, waits until nothing waits there, and gives the order.
+func (r *rollout) emptyAndOrder(ctx context.Context, l dispatch.Listed, version int64) error {
 	r.phase(l.ID, feed.Phase{Name: dispatch.PhaseEmptying})
 	r.awaitBegun(ctx, l.ID)
 	if err := r.order(ctx, l, version); err != nil {
-		r.agent.log.Warn().Err(err).Str("step", "order").Str("peer", l.Addr).Msg("the order was not taken")
-		r.phase(l.ID, feed.Phase{})
-		return
+		return err
 	}
 	r.agent.log.Info().Str("step", "order").Str("peer", l.Addr).Str("backend", l.ID).Int64("from", l.Versions[r.model]).Int64("version", version).Msg("order taken")
-	r.phase(l.ID, feed.Phase{Name: dispatch.PhaseLoading})
+	return nil
+}
+
+// awaitLoaded waits until a backend has a version. Its report is older than an order that was just taken; where another holder gave the order, a
+// backend that loads nothing any more and has not the version is to be ordered anew.
+func (r *rollout) awaitLoaded(ctx context.Context, l dispatch.Listed, version int64, ordered bool) bool {
 	for began := time.Now(); time.Since(began) < loadLimit && ctx.Err() == nil; {
 		time.Sleep(reportEvery)
-		if r.loaded(ctx, l, version) {
-			r.phase(l.ID, feed.Phase{Model: r.model, Version: version})
-			return
+		switch r.weights(ctx, l, version) {
+		case weightsThere:
+			return true
+		case weightsOld:
+			if !ordered {
+				return false
+			}
 		}
 	}
-	r.phase(l.ID, feed.Phase{})
+	return false
 }
 
 // awaitBegun waits until nothing waits at a backend that has not begun, as far as the mixers tell; what has begun may run on.
@@ -344,20 +371,33 @@
 	} `json:"models"`
 }
 
-func (r *rollout) loaded(ctx context.Context, l dispatch.Listed, version int64) bool {
+// weightsState is how far a backend is on its way to a version.
+type weightsState int
+
+const (
+	weightsOld     weightsState = iota // as far as is known
+	weightsLoading                     // an order is in progress
+	weightsThere
+)
+
+// weights asks a backend how far it is on its way to a version.
+func (r *rollout) weights(ctx context.Context, l dispatch.Listed, version int64) weightsState {
 	ctx, cancel := context.WithTimeout(ctx, reportLimit)
 	defer cancel()
 	var state report
 	header := http.Header{"X-Expected-Instance": {l.ID}}
-	if err := r.agent.getJSON(ctx, "http://"+l.Addr+"/v1/report", header, &state); err != nil || state.Busy {
-		return false
+	if err := r.agent.getJSON(ctx, "http://"+l.Addr+"/v1/report", header, &state); err != nil {
+		return weightsOld
+	}
+	if state.Busy {
+		return weightsLoading
 	}
 	for _, m := range state.Models {
-		if m.Name == r.model {
-			return m.Version >= version
+		if m.Name == r.model && m.Version >= version {
+			return weightsThere
 		}
 	}
-	return false
+	return weightsOld
 }
 
 // ownPhase is a phase that this agent told, and is to tell again for a while.
--- a/internal/agent/orders_test.go
+++ b/internal/agent/orders_test.go
@@ -1,6 +1,10 @@
 package agent
 
 import (
+	"context"
+	"net/http"
+	"net/http/httptest"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -8,6 +12,7 @@
 
 	"nettlefold/internal/dispatch"
 	"nettlefold/internal/distribute"
+	"nettlefold/internal/duty"
 	"nettlefold/internal/feed"
 	"nettlefold/internal/rendezvous"
 	"nettlefold/internal/replicated"
@@ -112,3 +117,38 @@
 	a.expirePhases()
 	require.Empty(t, a.behind("m", 2))
 }
+
+// TestABackendIsAskedBeforeItIsOrdered: what a holder knows may be older than an order that the holder before it gave. A backend that has the
+// weights is not taken out of service for them again.
+func TestABackendIsAskedBeforeItIsOrdered(t *testing.T) {
+	var orders atomic.Int64
+	report := `{"busy":false,"models":[{"name":"n","version":9},{"name":"m","version":2}]}`
+	backend := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if r.Method == http.MethodPost {
+			orders.Add(1)
+		}
+		w.Write([]byte(report))
+	}))
+	defer backend.Close()
+	l := backends(1, "b")[0]
+	l.Addr = backend.Listener.Addr().String()
+	a := fleetOf(1, 1)[0]
+	a.list = []dispatch.Listed{l}
+	r := &rollout{agent: a, model: "m", lease: &lease{state: duty.New(duty.Terms{}, 7)}, finished: make(chan string, 1)}
+	r.one(context.Background(), l, 2)
+	(<-a.commands)() // the phase
+	require.Empty(t, a.behind("m", 2))
+	require.Empty(t, a.commands)
+	require.Zero(t, orders.Load())
+
+	for told, want := range map[string]weightsState{
+		`{"busy":true,"models":[{"name":"m","version":1}]}`:  weightsLoading,
+		`{"busy":false,"models":[{"name":"m","version":1}]}`: weightsOld,
+		`{"busy":false,"models":[{"name":"m","version":3}]}`: weightsThere,
+		`{"busy":false,"models":[{"name":"n","version":3}]}`: weightsOld,
+		`no report`: weightsOld,
+	} {
+		report = told
+		require.Equal(t, want, r.weights(context.Background(), l, 2), told)
+	}
+}
