Proxy: the debug log of an answer tells what was known of its prompt's shared parts

Cause: which shared parts are read again, and why, could not be counted. At the debug level (--log-level debug) each answer that begins is told with its subject, what the backend kept, what fit and unfit holders kept and whether it was fetched. Nothing else changes.

--- a/internal/dispatch/pick.go
+++ b/internal/dispatch/pick.go
@@ -42,6 +42,8 @@
 	// Later is set alone: the request is not taken now, and should come again in so many ms.
 	Later float64
 
+	Trace
+
 	model  string
 	holder *Backend
 	load   Load // that is booked for it at the backend
@@ -53,6 +55,16 @@
 	ended  bool
 }
 
+// Trace is what was known of a prompt's shared parts when a backend was chosen, in tokens.
+type Trace struct {
+	Subject string // the last shared part, "" if nothing is shared
+	Shared  int
+	Kept    int // by the backend, with what it fetches
+	Held    int // by the backend itself
+	Fit     int // by the holders of the longest prefix
+	Unfit   int // by a holder that may not be fetched from
+}
+
 // Outcome is what became of a request at a backend.
 type Outcome int
 
@@ -135,6 +147,7 @@
 	salt    string
 	keys    []kvindex.Key
 	longest int // tokens that a fit holder keeps
+	unfit   int // tokens that a holder keeps which is not fit, the most
 	holders []*Backend
 	// holderZones is the zones that the holders are in.
 	holderZones map[string]bool
@@ -165,7 +178,11 @@
 // considerHolder keeps the fit holders of the longest prefix.
 func (t *Table) considerHolder(now time.Duration, r *Request, p *prompt, b *Backend) {
 	kept := t.index.Held(b.ID, p.keys, r.Parts)
-	if kept == 0 || kept < p.longest || !t.fitHolder(now, b) {
+	if kept == 0 || kept < p.longest {
+		return
+	}
+	if !t.fitHolder(now, b) {
+		p.unfit = max(p.unfit, kept)
 		return
 	}
 	if kept > p.longest {
@@ -268,6 +285,7 @@
 	if p.prompt != nil {
 		c.Priority = priority(p.read, t.learnedOf(r.Service).meanRead(p.read), r.Rank)
 		c.Salt = p.prompt.salt
+		c.Trace = r.trace(b, t.index, &p)
 		t.fetchFrom(c, r, p)
 	}
 	b.own = b.own.Plus(c.load)
@@ -285,6 +303,19 @@
 	return c
 }
 
+// trace tells what was known of a prompt when a backend was chosen for it.
+func (r *Request) trace(b *Backend, index *kvindex.Index, p *plan) Trace {
+	shared := r.shared()
+	trace := Trace{
+		Shared: shared, Kept: min(shared, p.source.kept), Held: min(shared, index.Held(b.ID, p.prompt.keys, r.Parts)),
+		Fit: min(shared, p.prompt.longest), Unfit: min(shared, p.prompt.unfit),
+	}
+	if len(r.Parts) > 1 {
+		trace.Subject = r.Parts[len(r.Parts)-2].ID
+	}
+	return trace
+}
+
 // fetchFrom names the holder to fetch from, picked by water-filling: the least own count among those of the longest prefix that are nearest to
 // the backend, raised before the next pick. What is read anew is saved to a store.
 func (t *Table) fetchFrom(c *Choice, r *Request, p plan) {
--- a/internal/proxy/proxy.go
+++ b/internal/proxy/proxy.go
@@ -102,7 +102,9 @@
 	}, rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())))
 	if log.GetLevel() <= zerolog.DebugLevel {
 		p.table.Observe(func(c *dispatch.Choice, ms float64) {
-			log.Debug().Str("step", "began").Str("peer", c.Addr).Float64("wait", c.Wait).Float64("read", c.Read).Float64("took", ms).Msg("answer")
+			log.Debug().Str("step", "began").Str("peer", c.Addr).Float64("wait", c.Wait).Float64("read", c.Read).Float64("took", ms).
+				Str("subject", c.Subject).Str("salt", c.Salt).Int("shared", c.Shared).Int("kept", c.Kept).Int("held", c.Held).
+				Int("fit", c.Fit).Int("unfit", c.Unfit).Str("fetch", c.Fetch).Msg("answer")
 		})
 	}
 	return p
