Dispatch: copies priced by what is missed, links' waits learned, saves only where moving is faster

Each copy displaces what others ask for: memory turned over faster than subjects come again. Change: a copy costs what it displaces, by the share of shared tokens that nobody keeps; what fetches wait for is learned; nothing is saved to a store where moving between zones takes longer than reading; engines with little to do teach their speed. A decision looks the service and what is learned of it up once; no lookup for each backend.

--- a/internal/agent/orders.go
+++ b/internal/agent/orders.go
@@ -18,6 +18,7 @@
 	"nettlefold/internal/duty"
 	"nettlefold/internal/feed"
 	"nettlefold/internal/replicated"
+	"nettlefold/internal/trial"
 )
 
 const (
@@ -216,7 +217,7 @@
 			}
 		}
 		if mine {
-			r.start(ctx, behind, version, max(1, serving/atOnceShare))
+			r.start(ctx, behind, version, max(1, int(float64(serving)*trial.Scale(trial.AtOnce)/atOnceShare)))
 		}
 		select {
 		case id := <-r.finished:
--- a/internal/dispatch/backend.go
+++ b/internal/dispatch/backend.go
@@ -8,6 +8,7 @@
 
 	"nettlefold/internal/config"
 	"nettlefold/internal/kvindex"
+	"nettlefold/internal/trial"
 )
 
 // Phases of a backend that takes new weights.
@@ -70,8 +71,14 @@
 	coldShare time.Duration // between two of them; 0 if this mixer has no share
 }
 
-// idle tells whether nothing is known to be at a backend.
-func (b *Backend) idle() bool { return b.own.Running == 0 && b.others.Running == 0 }
+// quiet tells whether so little is known to be at a backend, by what a request is expected to wait there, that its answer tells how fast it is.
+// In a busy fleet an engine with nothing at all to do is met once in thirty choices, by one mixer of sixty a few times a day.
+func (b *Backend) quiet(waitMS float64) bool {
+	if trial.Off(trial.QuietLearning) {
+		return b.own.Running == 0 && b.others.Running == 0
+	}
+	return waitMS <= quietWaitMS
+}
 
 // engine tells whether requests for a service are generations.
 func engine(s *config.Service) bool { return s != nil && s.Engine != nil }
--- a/internal/dispatch/estimate.go
+++ b/internal/dispatch/estimate.go
@@ -21,11 +21,11 @@
 }
 
 // noiseMS is by how much costs are drawn apart: by what answers took beyond what was expected, as that was sent by mixers that had not told yet.
-func (t *Table) noiseMS(service string) float64 {
+func (l *learned) noiseMS() float64 {
 	if trial.Off(trial.UnseenNoise) {
 		return 0
 	}
-	return t.learnedOf(service).unseenMS
+	return l.unseenMS
 }
 
 // beginBy is when requests may begin on a version no more, 0 if they may at any time.
@@ -46,18 +46,17 @@
 	return t.beginBy(c.model, c.Version)
 }
 
-// again weighs, in tokens, that shared parts would be read here although others are to have them: those that come first in the
+// rereadTokens weighs, in tokens, that shared parts would be read here although others are to have them: those that come first in the
 // prompt's ranking, by which all mixers send what nobody keeps yet to the same backend, and those that are reading them now.
-func (t *Table) again(now time.Duration, d *decision, b *Backend, p *plan, kept int) float64 {
-	r, shared := d.request, d.request.shared()
-	if shared <= kept || slices.Contains(d.owners[:min(1, len(d.owners))], b.ID) || b.expects(now, p.prompt.keys, r) {
+func (d *decision) rereadTokens(now time.Duration, b *Backend, p *plan, kept int) float64 {
+	if d.shared <= kept || slices.Contains(d.owners[:min(1, len(d.owners))], b.ID) || b.expects(now, p.prompt.keys, d.request) {
 		return 0
 	}
 	weight := rereadWeight()
 	if slices.Contains(d.owners, b.ID) && !trial.Off(trial.SecondOwner) {
 		weight /= 2
 	}
-	return weight * float64(shared-kept)
+	return weight * float64(d.shared-kept)
 }
 
 // rereadWeight is how many times its time reading shared parts again counts.
@@ -65,7 +64,7 @@
 	if trial.Off(trial.RereadWeight) {
 		return 1
 	}
-	return againWeight
+	return againWeight * trial.Scale(trial.Reread)
 }
 
 // shared is the tokens of the parts that other requests may share: all but the last.
--- a/internal/dispatch/fetch.go
+++ b/internal/dispatch/fetch.go
@@ -11,7 +11,9 @@
 	kept  int     // tokens that are not read, once what is fetched is there
 	fetch bool    // from one of the prompt's holders
 	move  float64 // ms that the fetch takes, 0 if there is none
-	cost  float64 // ms until the first token for the fetch, and what else it costs put into ms
+	// waited is that with the moves that are known to be before it.
+	waited float64
+	cost   float64 // ms until the first token for the fetch, and what else it costs put into ms
 }
 
 // sourceFor weighs fetching what a backend lacks of a prompt against reading it there. A fetch waits for the moves to that backend that are
@@ -23,15 +25,15 @@
 	if lacks < fetchLeast {
 		return read
 	}
-	service, speed := t.service(d.request.Service), t.readSpeed(d.request.Service)
-	move := fetchMS(service, lacks, p.prompt.holderZones[b.Zone])
+	move := fetchMS(d.service, lacks, p.prompt.holderZones[b.Zone])
+	waited := movesBefore(load) + move
 	fetch := source{
-		kept: p.prompt.longest, fetch: true, move: move,
-		cost: movesBefore(load) + move + copyPrice(lacks, speed),
+		kept: p.prompt.longest, fetch: true, move: move, waited: waited,
+		cost: waited + d.learned.linkWait() + d.learned.copyPrice(lacks),
 	}
-	readsAnew := rereadWeight() * float64(min(lacks, max(0, d.request.shared()-held)))
-	longer := readMS(held, d.request.Prompt, speed) - readMS(p.prompt.longest, d.request.Prompt, speed)
-	if longer+readsAnew/speed <= fetch.cost && !trial.Off(trial.ReadInstead) {
+	readsAnew := rereadWeight() * float64(min(lacks, max(0, d.shared-held)))
+	longer := readMS(held, d.request.Prompt, d.speed) - readMS(p.prompt.longest, d.request.Prompt, d.speed)
+	if longer+readsAnew/d.speed <= fetch.cost && !trial.Off(trial.ReadInstead) {
 		return read
 	}
 	return fetch
@@ -45,14 +47,6 @@
 	return float64(load.Moving)
 }
 
-// copyPrice is what a second copy of so many tokens costs, in ms: it displaces what else would be kept in that memory.
-func copyPrice(tokens int, tokensPerMS float64) float64 {
-	if trial.Off(trial.CopyPrice) {
-		return 0
-	}
-	return duplicateShare * float64(tokens) / tokensPerMS
-}
-
 // nearestHolders gives the holders in a zone, or all where there is none: moves between zones take twice as long.
 func (p *prompt) nearestHolders(zone string) []*Backend {
 	if !p.holderZones[zone] || trial.Off(trial.NearestHolders) {
@@ -67,6 +61,15 @@
 	return nearest
 }
 
+// movesFaster tells whether so many tokens are moved between zones sooner than they are read. Where they are not, a copy in a store is worth
+// little to whoever fetches it, and the save holds up the fetches on the same link.
+func (t *Table) movesFaster(service string, tokens int) bool {
+	if trial.Off(trial.SaveByLinks) {
+		return true
+	}
+	return fetchMS(t.service(service), tokens, false) < readMS(0, tokens, t.readSpeed(service))
+}
+
 // fetchMS estimates what it takes to move tokens.
 func fetchMS(s *config.Service, tokens int, near bool) float64 {
 	if s.Engine == nil || s.Engine.LinkMbps <= 0 {
--- a/internal/dispatch/fetch_test.go
+++ b/internal/dispatch/fetch_test.go
@@ -86,3 +86,13 @@
 	s := slowLinks(t).service("llm")
 	require.InDelta(t, fetchMS(s, 13000, true)-fetchBaseMS, (fetchMS(s, 13000, false)-fetchBaseMS)/farFactor, 1e-9)
 }
+
+// TestWhatIsReadSoonerIsNotSaved: where moving a prompt takes longer than reading it, the store is sent nothing: the save would hold up fetches.
+func TestWhatIsReadSoonerIsNotSaved(t *testing.T) {
+	for mbps, saves := range map[float64]bool{69000: false, 690000: true} {
+		table := slowLinks(t, backend(1, 1))
+		table.config.Service("llm").Engine.LinkMbps = mbps
+		table.stores["s"] = &Backend{Listed: Listed{ID: "s", Addr: "10.9.0.1:80"}}
+		require.Equal(t, saves, table.Pick(0, prompted()).Save != "", mbps)
+	}
+}
--- a/internal/dispatch/learned.go
+++ b/internal/dispatch/learned.go
@@ -1,6 +1,10 @@
 package dispatch
 
-import "math"
+import (
+	"math"
+
+	"nettlefold/internal/trial"
+)
 
 // learned is what is learned of the engines of a service. Its figures come from the answers of those that had nothing else to do, as far as
 // could be told. Work that nobody here knew of only ever makes an answer later: so the time before the reading is a low quantile, and the
@@ -9,6 +13,9 @@
 	tokensPerMS float64
 	baseMS      float64 // until the first token of a prompt of which nothing is read, 0 if not known yet
 	unseenMS    float64 // that answers come later than expected, moving mean: what others sent that had not been told
+	fetchOverMS float64 // the same of answers that had a fetch before them
+	sharedMean  float64 // tokens that prompts share with others, moving mean
+	missedMean  float64 // of them those that nobody keeps
 	speeds      int     // answers that told the speed
 	bases       int     // answers that told what comes before the reading
 	meanReadMS  float64 // that prompts are read for, moving mean
@@ -43,6 +50,43 @@
 	l.unseenMS += meanWeight * (min(max(0, ms-expected-l.baseMS), unseenMost) - l.unseenMS)
 }
 
+// compareFetch takes how much an answer took beyond what was expected of it and its fetch.
+func (l *learned) compareFetch(expected, ms float64) {
+	l.fetchOverMS += meanWeight * (min(max(0, ms-expected-l.baseMS), fetchOverMost) - l.fetchOverMS)
+}
+
+// linkWait is what a fetch waits for moves that nobody told of: those of other mixers in the last moments, those from the same holder, and saves.
+// It is what answers with a fetch take beyond what is expected of them, less what others do.
+func (l *learned) linkWait() float64 {
+	if trial.Off(trial.LinkWait) {
+		return 0
+	}
+	return max(0, l.fetchOverMS-l.unseenMS)
+}
+
+// lookedFor takes how many tokens of a prompt others may share, and how many of them any fit holder keeps.
+func (l *learned) lookedFor(shared, kept int) {
+	l.sharedMean += missWeight * (float64(shared) - l.sharedMean)
+	l.missedMean += missWeight * (float64(max(0, shared-kept)) - l.missedMean)
+}
+
+// missShare is the share of shared tokens that nobody keeps, though others may have asked for them: how short the engines' memory is.
+func (l *learned) missShare() float64 {
+	if l.sharedMean <= 0 {
+		return 0
+	}
+	return l.missedMean / l.sharedMean
+}
+
+// copyPrice is what a second copy of so many tokens costs, in ms. It displaces as many that are kept, and these are read again with the
+// probability with which shared tokens are missed.
+func (l *learned) copyPrice(tokens int) float64 {
+	if trial.Off(trial.CopyPrice) {
+		return 0
+	}
+	return trial.Scale(trial.CopyCost) * l.missShare() * rereadWeight() * float64(tokens) / l.tokensPerMS
+}
+
 // stepOf is how far the n-th answer moves an estimate: the first ones further.
 func stepOf(n int) float64 { return max(learnStep, 1/float64(n)) }
 
--- a/internal/dispatch/learned_test.go
+++ b/internal/dispatch/learned_test.go
@@ -66,3 +66,30 @@
 	require.Len(t, chosen(0), 5, "those with the least there alone")
 	require.Greater(t, len(chosen(100)), 15)
 }
+
+// TestFetchesThatWaitAreLearned: what answers with a fetch take beyond what is expected, more than others do, is what fetches wait for on links.
+func TestFetchesThatWaitAreLearned(t *testing.T) {
+	l := &learned{tokensPerMS: firstTokensPerMS, baseMS: 90}
+	for range 60 {
+		l.compare(100, 230)
+		l.compareFetch(100, 590)
+	}
+	require.InDelta(t, 360, l.linkWait(), 5)
+	for range 60 {
+		l.compareFetch(100, 200)
+	}
+	require.Zero(t, l.linkWait(), "fetches that are no later than others wait for nothing")
+	l.compareFetch(100, 60_000)
+	require.LessOrEqual(t, l.linkWait(), meanWeight*fetchOverMost)
+}
+
+// TestAnEngineWithLittleToDoTeachesItsSpeed: in a busy fleet hardly any engine has nothing to do at all.
+func TestAnEngineWithLittleToDoTeachesItsSpeed(t *testing.T) {
+	for running, teaches := range map[int]bool{0: true, 4: true, 20: false} {
+		table := newTable(t, backend(1, 1))
+		table.SetLoads(map[string]Load{"b1": {Running: running}})
+		c := table.Pick(0, &Request{Service: "llm", Model: "m", Prompt: 500})
+		table.Began(100*time.Millisecond, c, "llm")
+		require.Equal(t, teaches, table.learnedOf("llm").bases == 1, running)
+	}
+}
--- a/internal/dispatch/pick.go
+++ b/internal/dispatch/pick.go
@@ -5,6 +5,7 @@
 	"strconv"
 	"time"
 
+	"nettlefold/internal/config"
 	"nettlefold/internal/kvindex"
 	"nettlefold/internal/trial"
 	"nettlefold/internal/waterfill"
@@ -46,10 +47,11 @@
 
 	model  string
 	holder *Backend
-	load   Load // that is booked for it at the backend
-	prompt int  // tokens
-	kept   int  // of them, with what is fetched
-	alone  bool // nothing else was known to be at the backend
+	load   Load    // that is booked for it at the backend
+	prompt int     // tokens
+	kept   int     // of them, with what is fetched
+	move   float64 // ms that the fetch was expected to take, with the moves before it
+	quiet  bool    // next to nothing else was known to be at the backend
 	sent   time.Duration
 	begun  bool
 	ended  bool
@@ -104,7 +106,7 @@
 		if len(may) == 0 {
 			continue
 		}
-		d := &decision{request: r, owners: t.owners(r, may), prompts: map[int64]*prompt{}}
+		d := t.newDecision(r, may)
 		best, p = may[0], t.plan(now, d, may[0])
 		for _, b := range may[1:] {
 			if other := t.plan(now, d, b); other.cost < p.cost {
@@ -138,10 +140,21 @@
 // decision is what is worked out once for a request, whichever backend serves it.
 type decision struct {
 	request *Request
+	service *config.Service // nil if it is not known
+	learned *learned        // of the service's engines
+	speed   float64         // tokens that they read in a ms
+	shared  int             // tokens of the request's shared parts
 	owners  []string
 	prompts map[int64]*prompt // by the version of the weights
 }
 
+func (t *Table) newDecision(r *Request, may []*Backend) *decision {
+	return &decision{
+		request: r, service: t.service(r.Service), learned: t.learnedOf(r.Service), speed: t.readSpeed(r.Service), shared: r.shared(),
+		owners: t.owners(r, may), prompts: map[int64]*prompt{},
+	}
+}
+
 // prompt is a request's under one salt, and who keeps how much of it.
 type prompt struct {
 	salt    string
@@ -245,13 +258,12 @@
 
 func (t *Table) plan(now time.Duration, d *decision, b *Backend) plan {
 	r := d.request
-	service := t.service(r.Service)
 	p := plan{cost: t.random.Float64()}
 	if b.Zone != t.settings.Zone {
 		p.cost += crossZoneMS + crossZoneKB*float64(r.Bytes)/1024
 	}
 	load := b.own.Plus(b.others)
-	if !engine(service) || r.Model == "" {
+	if !engine(d.service) || r.Model == "" {
 		work := b.latency
 		if work == 0 {
 			work = defaultWorkMS
@@ -259,15 +271,15 @@
 		p.cost += work * (1 + float64(load.Running)/float64(max(1, b.Slots)))
 		return p
 	}
-	p.cost += t.random.Float64() * t.noiseMS(r.Service) // or all mixers would choose the same one until they hear of each other
+	p.cost += t.random.Float64() * d.learned.noiseMS() // or all mixers would choose the same one until they hear of each other
 	p.version = b.Versions[r.Model]
 	p.prompt = t.prompt(now, d, p.version)
 	p.source = t.sourceFor(d, &p, b, load)
-	kept, speed := p.source.kept, t.readSpeed(r.Service)
+	kept := p.source.kept
 	p.cost += p.source.cost
-	p.read = readMS(kept, r.Prompt, speed)
-	p.wait = float64(load.Waiting) + runningMS*trial.Scale(trial.Running)*float64(load.Running) + crowded(service, load, r)
-	p.cost += p.read + p.wait + t.again(now, d, b, &p, kept)/speed
+	p.read = readMS(kept, r.Prompt, d.speed)
+	p.wait = float64(load.Waiting) + runningMS*trial.Scale(trial.Running)*float64(load.Running) + crowded(d.service, load, r)
+	p.cost += p.read + p.wait + d.rereadTokens(now, b, &p, kept)/d.speed
 	if t.behind(r.Model, p.version) && !trial.Off(trial.OldWeights) {
 		p.cost += oldVersionShare * p.read // what is read there is dropped soon
 	}
@@ -280,12 +292,13 @@
 		Backend: b, ID: b.ID, Addr: b.Addr, model: r.Model,
 		Version: p.version, Wait: p.wait, Read: p.read,
 		load: Load{Running: 1, Waiting: int(p.read), Tokens: r.Prompt, Moving: int(p.source.move)},
-		sent: now, prompt: r.Prompt, kept: p.source.kept, alone: b.idle(),
+		sent: now, prompt: r.Prompt, kept: p.source.kept, move: p.source.waited, quiet: b.quiet(p.wait),
 	}
 	if p.prompt != nil {
 		c.Priority = priority(p.read, t.learnedOf(r.Service).meanRead(p.read), r.Rank)
 		c.Salt = p.prompt.salt
 		c.Trace = r.trace(b, t.index, &p)
+		t.learnedOf(r.Service).lookedFor(c.Shared, c.Fit)
 		t.fetchFrom(c, r, p)
 	}
 	b.own = b.own.Plus(c.load)
@@ -342,6 +355,9 @@
 	for _, part := range shared {
 		tokens += part.Tokens
 	}
+	if !t.movesFaster(r.Service, tokens) {
+		return ""
+	}
 	for _, s := range t.stores {
 		if tokens-t.index.Held(s.ID, keys, shared) >= storeWorthTokens {
 			return s.Addr
@@ -372,10 +388,12 @@
 	ms := float64(now-c.sent) / float64(time.Millisecond)
 	if c.Version == 0 {
 		c.Backend.latency = mean(c.Backend.latency, ms)
-	} else if c.Fetch == "" {
+	} else if c.Fetch != "" {
+		t.learnedOf(service).compareFetch(c.Wait+c.Read+c.move, ms)
+	} else {
 		t.learnedOf(service).compare(c.Wait+c.Read, ms)
-		if c.alone {
-			t.learnedOf(service).take(c.kept, c.prompt, ms)
+		if c.quiet {
+			t.learnedOf(service).take(c.kept, c.prompt, ms-c.Wait)
 		}
 	}
 	if t.observe != nil {
--- a/internal/trial/trial.go
+++ b/internal/trial/trial.go
@@ -24,13 +24,16 @@
 	MemoryHeld        Mechanism = "memory-held"         // a request waits where memory is nearly full
 	OldWeights        Mechanism = "old-weights"         // what is read under old weights is dropped soon
 	Admission         Mechanism = "admission"           // a request that came too late is asked to come again
+	QuietLearning     Mechanism = "quiet-learning"      // engines with little to do teach their speed too
+	SaveByLinks       Mechanism = "save-by-links"       // parts are saved only where moving them is faster than reading
+	LinkWait          Mechanism = "link-wait"           // what fetches wait for unseen moves is learned
 	SecondOwner       Mechanism = "second-owner"        // the second of a prompt's ranking may read it too
 )
 
 // Mechanisms is all of them, in the order in which tables name them.
 var Mechanisms = []Mechanism{
 	RereadWeight, PriorityByReading, UnseenNoise, LearnedSpeed, StoreSave, ReadInstead, NewsApart, MovesUnderWay, NearestHolders, CopyPrice,
-	MemoryHeld, OldWeights, Admission, SecondOwner,
+	MemoryHeld, OldWeights, Admission, SecondOwner, QuietLearning, SaveByLinks, LinkWait,
 }
 
 // Constant is a figure of the estimate that can be multiplied.
@@ -42,7 +45,10 @@
 	Running   Constant = "running"    // ms that a running generation adds
 	Crowded   Constant = "crowded"    // ms that a full memory adds
 	FetchBase Constant = "fetch-base" // ms of any fetch
+	CopyCost  Constant = "copy-cost"  // what a second copy costs
+	AtOnce    Constant = "at-once"    // backends out of service at a time for new weights
+	Reread    Constant = "reread"     // how much reading shared parts again counts
 )
 
 // Constants is all of them, in the order in which tables name them.
-var Constants = []Constant{Attention, Running, Crowded, FetchBase}
+var Constants = []Constant{Attention, Running, Crowded, FetchBase, CopyCost, AtOnce, Reread}
