Dispatch: moves under way are no longer told and counted

What fetches wait for is learned from answers since, which has what mixers cannot tell each other: saves, and moves from the same holder. Change: Load loses a field, and news its bytes. While a fleet is upgraded, loads of programs with and without the field are not understood by each other, and run out.

--- a/internal/dispatch/backend.go
+++ b/internal/dispatch/backend.go
@@ -36,20 +36,19 @@
 	Running int
 	Waiting int // ms of reading, for requests that have not begun to answer
 	Tokens  int // that its requests hold in memory
-	Moving  int // ms of moves of kept prompts to it, for requests that have not begun to answer
 }
 
 // Minus takes a part out of a sum that may be older or newer than the part: nothing of it becomes negative.
 func (l Load) Minus(o Load) Load {
 	return Load{
 		Running: max(0, l.Running-o.Running), Waiting: max(0, l.Waiting-o.Waiting),
-		Tokens: max(0, l.Tokens-o.Tokens), Moving: max(0, l.Moving-o.Moving),
+		Tokens: max(0, l.Tokens-o.Tokens),
 	}
 }
 
 // Plus adds loads.
 func (l Load) Plus(o Load) Load {
-	return Load{Running: l.Running + o.Running, Waiting: l.Waiting + o.Waiting, Tokens: l.Tokens + o.Tokens, Moving: l.Moving + o.Moving}
+	return Load{Running: l.Running + o.Running, Waiting: l.Waiting + o.Waiting, Tokens: l.Tokens + o.Tokens}
 }
 
 // Backend is one that requests may be sent to.
--- a/internal/dispatch/fetch.go
+++ b/internal/dispatch/fetch.go
@@ -11,14 +11,12 @@
 	kept  int     // tokens that are not read, once what is fetched is there
 	fetch bool    // from one of the prompt's holders
 	move  float64 // ms that the fetch takes, 0 if there is none
-	// waited is that with the moves that are known to be before it.
-	waited float64
-	cost   float64 // ms until the first token for the fetch, and what else it costs put into ms
+	cost  float64 // ms until the first token for the fetch, and what else it costs put into ms
 }
 
-// sourceFor weighs fetching what a backend lacks of a prompt against reading it there. A fetch waits for the moves to that backend that are
-// under way, as these run one after another.
-func (t *Table) sourceFor(d *decision, p *plan, b *Backend, load Load) source {
+// sourceFor weighs fetching what a backend lacks of a prompt against reading it there. A fetch waits for other moves on the same links, which run
+// one after another: how long is learned.
+func (t *Table) sourceFor(d *decision, p *plan, b *Backend) source {
 	held := t.index.Held(b.ID, p.prompt.keys, d.request.Parts)
 	read := source{kept: held}
 	lacks := p.prompt.longest - held
@@ -26,10 +24,9 @@
 		return read
 	}
 	move := fetchMS(d.service, lacks, p.prompt.holderZones[b.Zone])
-	waited := movesBefore(load) + move
 	fetch := source{
-		kept: p.prompt.longest, fetch: true, move: move, waited: waited,
-		cost: waited + d.learned.linkWait() + d.learned.copyPrice(lacks),
+		kept: p.prompt.longest, fetch: true, move: move,
+		cost: move + d.learned.linkWait() + d.learned.copyPrice(lacks),
 	}
 	readsAnew := rereadWeight() * float64(min(lacks, max(0, d.shared-held)))
 	longer := readMS(held, d.request.Prompt, d.speed) - readMS(p.prompt.longest, d.request.Prompt, d.speed)
@@ -39,14 +36,6 @@
 	return fetch
 }
 
-// movesBefore is the ms of moves under way to a backend, for which a fetch waits.
-func movesBefore(load Load) float64 {
-	if trial.Off(trial.MovesUnderWay) {
-		return 0
-	}
-	return float64(load.Moving)
-}
-
 // nearestHolders gives the holders in a zone, or all where there is none: moves between zones take twice as long.
 func (p *prompt) nearestHolders(zone string) []*Backend {
 	if !p.holderZones[zone] || trial.Off(trial.NearestHolders) {
--- a/internal/dispatch/pick.go
+++ b/internal/dispatch/pick.go
@@ -50,7 +50,7 @@
 	load   Load    // that is booked for it at the backend
 	prompt int     // tokens
 	kept   int     // of them, with what is fetched
-	move   float64 // ms that the fetch was expected to take, with the moves before it
+	move   float64 // ms that the fetch was expected to take
 	quiet  bool    // next to nothing else was known to be at the backend
 	sent   time.Duration
 	begun  bool
@@ -274,7 +274,7 @@
 	p.cost += t.random.Float64() * d.learned.noiseMS() // or all mixers would choose the same one until they hear of each other
 	p.version = b.Versions[r.Model]
 	p.prompt = t.prompt(now, d, p.version)
-	p.source = t.sourceFor(d, &p, b, load)
+	p.source = t.sourceFor(d, &p, b)
 	kept := p.source.kept
 	p.cost += p.source.cost
 	p.read = readMS(kept, r.Prompt, d.speed)
@@ -291,8 +291,8 @@
 	c := &Choice{
 		Backend: b, ID: b.ID, Addr: b.Addr, model: r.Model,
 		Version: p.version, Wait: p.wait, Read: p.read,
-		load: Load{Running: 1, Waiting: int(p.read), Tokens: r.Prompt, Moving: int(p.source.move)},
-		sent: now, prompt: r.Prompt, kept: p.source.kept, move: p.source.waited, quiet: b.quiet(p.wait),
+		load: Load{Running: 1, Waiting: int(p.read), Tokens: r.Prompt},
+		sent: now, prompt: r.Prompt, kept: p.source.kept, move: p.source.move, quiet: b.quiet(p.wait),
 	}
 	if p.prompt != nil {
 		c.Priority = priority(p.read, t.learnedOf(r.Service).meanRead(p.read), r.Rank)
@@ -383,7 +383,7 @@
 	c.begun = true
 	c.Backend.pending--
 	c.Backend.progress = now
-	c.unbook(Load{Waiting: c.load.Waiting, Moving: c.load.Moving})
+	c.unbook(Load{Waiting: c.load.Waiting})
 	t.release(c)
 	ms := float64(now-c.sent) / float64(time.Millisecond)
 	if c.Version == 0 {
