--- a/internal/dispatch/estimate.go
+++ b/internal/dispatch/estimate.go
@@ -10,14 +10,14 @@
 	"nettlefold/internal/trial"
 )
 
-// plan is how a backend would serve a request.
-type plan struct {
-	cost    float64 // ms until the first token, and what else it costs put into ms
-	read    float64 // ms that it would read for
-	wait    float64 // ms that it would wait before that
+// candidate is a backend's estimated cost of serving a request.
+type candidate struct {
+	cost    float64 // expected ms to the first token, and all other costs as ms
+	read    float64 // expected ms of reading the prompt
+	wait    float64 // expected ms of waiting before that
 	version int64
-	prompt  *prompt
-	source  source
+	prompt  *heldPrompt
+	source  prefixSource
 }
 
 // noiseMS is by how much costs are drawn apart: by what answers took beyond what was expected, as that was sent by mixers that had not told yet.
@@ -48,7 +48,7 @@
 
 // rereadTokens weighs, in tokens, that shared parts would be read here although others are to have them: those that come first in the
 // prompt's ranking, by which all mixers send what nobody keeps yet to the same backend, and those that are reading them now.
-func (d *decision) rereadTokens(now time.Duration, b *Backend, p *plan, kept int) float64 {
+func (d *selection) rereadTokens(now time.Duration, b *Backend, p *candidate, kept int) float64 {
 	if d.shared <= kept || slices.Contains(d.owners[:min(1, len(d.owners))], b.ID) || b.expects(now, p.prompt.keys, d.request) {
 		return 0
 	}
--- a/internal/dispatch/fetch.go
+++ b/internal/dispatch/fetch.go
@@ -6,25 +6,25 @@
 	"nettlefold/internal/trial"
 )
 
-// source is where a backend would have a prompt's kept parts from.
-type source struct {
-	kept  int     // tokens that are not read, once what is fetched is there
+// prefixSource says how a backend would obtain the part of a prompt that it need not read.
+type prefixSource struct {
+	kept  int     // tokens that are not read, including those fetched
 	fetch bool    // from one of the prompt's holders
 	move  float64 // ms that the fetch takes, 0 if there is none
-	cost  float64 // ms until the first token for the fetch, and what else it costs put into ms
+	cost  float64 // delay of the first token by the fetch, and its other costs as ms
 }
 
-// sourceFor weighs fetching what a backend lacks of a prompt against reading it there. A fetch waits for other moves on the same links, which run
-// one after another: how long is learned.
-func (t *Table) sourceFor(d *decision, p *plan, b *Backend) source {
+// sourceFor decides whether a backend would fetch or read what it lacks of a prompt. Transfers over one link run one after another; how long a
+// fetch waits for others is learned from answers.
+func (t *Table) sourceFor(d *selection, p *candidate, b *Backend) prefixSource {
 	held := t.index.Held(b.ID, p.prompt.keys, d.request.Parts)
-	read := source{kept: held}
+	read := prefixSource{kept: held}
 	lacks := p.prompt.longest - held
 	if lacks < fetchLeast {
 		return read
 	}
 	move := fetchMS(d.service, lacks, p.prompt.holderZones[b.Zone])
-	fetch := source{
+	fetch := prefixSource{
 		kept: p.prompt.longest, fetch: true, move: move,
 		cost: move + d.learned.linkWait() + d.learned.copyPrice(lacks),
 	}
@@ -36,8 +36,8 @@
 	return fetch
 }
 
-// nearestHolders gives the holders in a zone, or all where there is none: moves between zones take twice as long.
-func (p *prompt) nearestHolders(zone string) []*Backend {
+// nearestHolders returns the holders in a zone, or all holders if the zone has none: transfers between zones take twice as long.
+func (p *heldPrompt) nearestHolders(zone string) []*Backend {
 	if !p.holderZones[zone] || trial.Off(trial.NearestHolders) {
 		return p.holders
 	}
@@ -50,8 +50,8 @@
 	return nearest
 }
 
-// movesFaster tells whether so many tokens are moved between zones sooner than they are read. Where they are not, a copy in a store is worth
-// little to whoever fetches it, and the save holds up the fetches on the same link.
+// movesFaster reports whether transferring tokens between zones takes less time than reading them. Otherwise a copy in a store is worth little,
+// and saving it delays the fetches on the same link.
 func (t *Table) movesFaster(service string, tokens int) bool {
 	if trial.Off(trial.SaveByLinks) {
 		return true
@@ -59,7 +59,7 @@
 	return fetchMS(t.service(service), tokens, false) < readMS(0, tokens, t.readSpeed(service))
 }
 
-// fetchMS estimates what it takes to move tokens.
+// fetchMS estimates the ms that a transfer of tokens takes.
 func fetchMS(s *config.Service, tokens int, near bool) float64 {
 	if s.Engine == nil || s.Engine.LinkMbps <= 0 {
 		return fetchBaseMS * trial.Scale(trial.FetchBase)
@@ -71,12 +71,12 @@
 	return fetchBaseMS*trial.Scale(trial.FetchBase) + move
 }
 
-// readMS estimates what it takes to read a prompt of which so many tokens are kept: each token, and its attention to those before.
+// readMS estimates the ms to read a prompt of which kept tokens are in memory: linear in the tokens read, plus attention.
 func readMS(kept, prompt int, tokensPerMS float64) float64 {
 	return float64(prompt-min(kept, prompt))/tokensPerMS + attention(kept, prompt)
 }
 
-// attention is the part of the reading, in ms, that grows with the pairs of tokens.
+// attention is the part of the reading time, in ms, that grows with the pairs of tokens.
 func attention(kept, prompt int) float64 {
 	k, n := float64(min(kept, prompt)), float64(prompt)
 	return attentionMS * trial.Scale(trial.Attention) * (n*n - k*k) / 1e6
--- a/internal/dispatch/pick.go
+++ b/internal/dispatch/pick.go
@@ -98,18 +98,18 @@
 	return b != nil && later == 0
 }
 
-// best gives the backend that should begin to answer first, nil if none may get the request, and in how many ms it should come again if it
-// is not to be taken now.
-func (t *Table) best(now time.Duration, r *Request) (best *Backend, p plan, later float64) {
+// best selects the backend with the least cost, nil if none may get the request. later is the delay in ms after which a request that is not
+// admitted now should be sent again, 0 if it is admitted.
+func (t *Table) best(now time.Duration, r *Request) (best *Backend, p candidate, later float64) {
 	for _, fallback := range []bool{false, true} {
 		may := t.mayServeAll(now, r, fallback)
 		if len(may) == 0 {
 			continue
 		}
-		d := t.newDecision(r, may)
-		best, p = may[0], t.plan(now, d, may[0])
+		d := t.newSelection(r, may)
+		best, p = may[0], t.estimate(now, d, may[0])
 		for _, b := range may[1:] {
-			if other := t.plan(now, d, b); other.cost < p.cost {
+			if other := t.estimate(now, d, b); other.cost < p.cost {
 				best, p = b, other
 			}
 		}
@@ -118,9 +118,9 @@
 	return nil, p, 0
 }
 
-// refuse tells in how many ms a request should come again that would wait here for so long that it came too late; 0 if it is taken.
-// One that came again is refused only if its client would give it up.
-func (r *Request) refuse(p *plan) float64 {
+// refuse returns the delay in ms after which a request should be sent again, because it would wait too long to meet its target; 0 if it is
+// admitted. A request that was refused before is refused again only if its client would give it up.
+func (r *Request) refuse(p *candidate) float64 {
 	expected := p.wait + p.read
 	if r.Target <= 0 || r.Left <= 0 || trial.Off(trial.Admission) {
 		return 0
@@ -137,26 +137,26 @@
 	return min(max(expected-r.Target, laterLeastMS), laterMostMS, r.Left*laterShare)
 }
 
-// decision is what is worked out once for a request, whichever backend serves it.
-type decision struct {
+// selection holds what is computed once for a request and used for each candidate backend.
+type selection struct {
 	request *Request
 	service *config.Service // nil if it is not known
 	learned *learned        // of the service's engines
 	speed   float64         // tokens that they read in a ms
 	shared  int             // tokens of the request's shared parts
 	owners  []string
-	prompts map[int64]*prompt // by the version of the weights
+	prompts map[int64]*heldPrompt // by the version of the weights
 }
 
-func (t *Table) newDecision(r *Request, may []*Backend) *decision {
-	return &decision{
+func (t *Table) newSelection(r *Request, may []*Backend) *selection {
+	return &selection{
 		request: r, service: t.service(r.Service), learned: t.learnedOf(r.Service), speed: t.readSpeed(r.Service), shared: r.shared(),
-		owners: t.owners(r, may), prompts: map[int64]*prompt{},
+		owners: t.owners(r, may), prompts: map[int64]*heldPrompt{},
 	}
 }
 
-// prompt is a request's under one salt, and who keeps how much of it.
-type prompt struct {
+// heldPrompt is a request's prompt under one cache salt, with the backends that hold its longest prefix.
+type heldPrompt struct {
 	salt    string
 	keys    []kvindex.Key
 	longest int // tokens that a fit holder keeps
@@ -166,13 +166,13 @@
 	holderZones map[string]bool
 }
 
-func (t *Table) prompt(now time.Duration, d *decision, version int64) *prompt {
+func (t *Table) promptUnder(now time.Duration, d *selection, version int64) *heldPrompt {
 	p := d.prompts[version]
 	if p != nil {
 		return p
 	}
 	r := d.request
-	p = &prompt{salt: saltOf(version, r.Wall)}
+	p = &heldPrompt{salt: saltOf(version, r.Wall)}
 	p.keys = kvindex.Keys(p.salt, r.Model, r.Parts)
 	d.prompts[version] = p
 	for _, b := range t.byService[r.Service] {
@@ -188,8 +188,8 @@
 	return p
 }
 
-// considerHolder keeps the fit holders of the longest prefix.
-func (t *Table) considerHolder(now time.Duration, r *Request, p *prompt, b *Backend) {
+// considerHolder adds a backend to the holders if it may be fetched from and holds the longest prefix so far.
+func (t *Table) considerHolder(now time.Duration, r *Request, p *heldPrompt, b *Backend) {
 	kept := t.index.Held(b.ID, p.keys, r.Parts)
 	if kept == 0 || kept < p.longest {
 		return
@@ -214,8 +214,8 @@
 	return may
 }
 
-// mayServe tells whether a backend may get a request. As a fallback, when no other may, it also may if it is avoided or being
-// emptied; never if a rule bars it.
+// mayServe reports whether a backend is eligible for a request. With fallback, when no other backend is eligible, one that is avoided or being
+// emptied is too, but never one that a rule excludes.
 func (t *Table) mayServe(now time.Duration, r *Request, b *Backend, fallback bool) bool {
 	if b.Draining || t.evacuated[b.Zone] != 0 || b.phase == PhaseLoading || !t.coldAllows(now, b) {
 		return false
@@ -232,13 +232,13 @@
 	return b.phase == PhaseNone && now >= b.avoid && !b.trial && !b.silent(now)
 }
 
-// silent tells whether a backend has let requests wait for longer than what is known to be before them takes.
+// silent reports whether requests have waited at a backend for longer than the known work before them should take.
 func (b *Backend) silent(now time.Duration) bool {
 	expected := time.Duration(b.own.Waiting+b.others.Waiting) * time.Millisecond
 	return b.pending > 0 && now-b.progress > silenceLimit+silenceShare*expected
 }
 
-// Silent tells whether the backend of a choice lets all that waits there wait for too long, or a stream of it stands still.
+// Silent reports whether the backend of a choice has made no progress for too long: on what waits there, or on a stream that has begun.
 func (t *Table) Silent(now time.Duration, c *Choice) bool {
 	b := c.Backend
 	if c.begun {
@@ -247,18 +247,18 @@
 	return b.silent(now)
 }
 
-// Heard books bytes of an answer that runs.
+// Heard records that bytes of a running answer arrived.
 func (t *Table) Heard(now time.Duration, c *Choice) { c.Backend.progress = now }
 
-// tooOld tells whether requests might begin on a version for longer than they may.
+// tooOld reports whether a version of the weights was superseded so long ago that a new request might begin after its limit.
 func (t *Table) tooOld(now time.Duration, model string, version int64) bool {
 	since, superseded := t.models[model].Of(version)
 	return superseded && now-since > time.Duration(versionMargin*float64(t.settings.VersionLimit))
 }
 
-func (t *Table) plan(now time.Duration, d *decision, b *Backend) plan {
+func (t *Table) estimate(now time.Duration, d *selection, b *Backend) candidate {
 	r := d.request
-	p := plan{cost: t.random.Float64()}
+	p := candidate{cost: t.random.Float64()}
 	if b.Zone != t.settings.Zone {
 		p.cost += crossZoneMS + crossZoneKB*float64(r.Bytes)/1024
 	}
@@ -273,7 +273,7 @@
 	}
 	p.cost += t.random.Float64() * d.learned.noiseMS() // or all mixers would choose the same one until they hear of each other
 	p.version = b.Versions[r.Model]
-	p.prompt = t.prompt(now, d, p.version)
+	p.prompt = t.promptUnder(now, d, p.version)
 	p.source = t.sourceFor(d, &p, b)
 	kept := p.source.kept
 	p.cost += p.source.cost
@@ -286,8 +286,8 @@
 	return p
 }
 
-// take books a choice: the backend's load, and the holder picked by water-filling among those of the longest prefix.
-func (t *Table) take(now time.Duration, r *Request, b *Backend, p plan) *Choice {
+// take makes the choice for a candidate and adds the request to the backend's own load.
+func (t *Table) take(now time.Duration, r *Request, b *Backend, p candidate) *Choice {
 	c := &Choice{
 		Backend: b, ID: b.ID, Addr: b.Addr, model: r.Model,
 		Version: p.version, Wait: p.wait, Read: p.read,
@@ -316,8 +316,8 @@
 	return c
 }
 
-// trace tells what was known of a prompt when a backend was chosen for it.
-func (r *Request) trace(b *Backend, index *kvindex.Index, p *plan) Trace {
+// trace records what the index knew of a prompt when its backend was chosen.
+func (r *Request) trace(b *Backend, index *kvindex.Index, p *candidate) Trace {
 	shared := r.shared()
 	trace := Trace{
 		Shared: shared, Kept: min(shared, p.source.kept), Held: min(shared, index.Held(b.ID, p.prompt.keys, r.Parts)),
@@ -331,7 +331,7 @@
 
 // fetchFrom names the holder to fetch from, picked by water-filling: the least own count among those of the longest prefix that are nearest to
 // the backend, raised before the next pick. What is read anew is saved to a store.
-func (t *Table) fetchFrom(c *Choice, r *Request, p plan) {
+func (t *Table) fetchFrom(c *Choice, r *Request, p candidate) {
 	if !p.source.fetch {
 		c.Save = t.saveTo(r, p)
 		return
@@ -344,8 +344,8 @@
 	}
 }
 
-// saveTo names the store, if there is one that lacks what of the prompt others are likely to ask for again.
-func (t *Table) saveTo(r *Request, p plan) string {
+// saveTo returns the address of a store that lacks the shared parts of a prompt, "" if there is none or saving is not worth its transfer.
+func (t *Table) saveTo(r *Request, p candidate) string {
 	if len(r.Parts) < 2 || trial.Off(trial.StoreSave) {
 		return ""
 	}
@@ -366,7 +366,7 @@
 	return ""
 }
 
-// saltOf keeps memory of different versions and walled tenants apart.
+// saltOf returns the cache salt that separates versions of the weights and isolated tenants.
 func saltOf(version int64, wall string) string {
 	salt := "v" + strconv.FormatInt(version, 10)
 	if wall != "" {
@@ -375,7 +375,7 @@
 	return salt
 }
 
-// Began books that the answer began: what waited is read, and the holder is free of the fetch.
+// Began records the first byte of an answer: its prompt has been read, and the fetch from its holder is over.
 func (t *Table) Began(now time.Duration, c *Choice, service string) {
 	if c.begun || c.ended {
 		return
@@ -402,7 +402,7 @@
 	c.Backend.failures, c.Backend.avoid, c.Backend.trial = 0, 0, false
 }
 
-// unbook takes load of a choice from its backend.
+// unbook subtracts a part of a choice's load from its backend.
 func (c *Choice) unbook(l Load) {
 	c.Backend.own = c.Backend.own.Minus(l)
 	c.load = c.load.Minus(l)
@@ -415,7 +415,7 @@
 	}
 }
 
-// End books what became of a choice, whatever way it ended.
+// End records the outcome of a choice. Only the first call has an effect.
 func (t *Table) End(now time.Duration, c *Choice, outcome Outcome) {
 	if c.ended {
 		return
