--- a/internal/lab/pairs/build.go
+++ b/internal/lab/pairs/build.go
@@ -1,8 +1,10 @@
 package pairs
 
 import (
-	"bytes"
+	"crypto/sha256"
+	"encoding/hex"
 	"errors"
+	"fmt"
 	"os"
 	"os/exec"
 	"path/filepath"
@@ -22,6 +24,7 @@
 	deployFile     = "deploy/system.toml"
 	shippedFlags   = "-ldflags=-linkmode=external"
 	journalFolder  = "journal"
+	digestFile     = "sources.sha256"
 	switchVariable = "nettlefold/internal/trial.switches"
 )
 
@@ -34,10 +37,10 @@
 	return strings.Replace(deploy, shippedFlags, flags, 1), nil
 }
 
-// prepare copies the sources of the repository into a folder, with the variant's build line, and builds it by the bench.
-func (p *Plan) prepare(v Variant) error {
+// prepare writes the sources into a variant's folder, with its build line, and builds them by the bench.
+func (p *Plan) prepare(from *sources, v Variant) error {
 	folder := p.folder(v)
-	if err := copySources(folder); err != nil {
+	if err := from.write(folder); err != nil {
 		return errors.Join(errors.New("step copy of "+v.Name), err)
 	}
 	path := filepath.Join(folder, deployFile)
@@ -60,41 +63,71 @@
 	return nil
 }
 
-// copySources copies the files that git tracks or would track, but for the journal.
-func copySources(folder string) error {
+// sources are files of the repository, as they were when a trial began: all variants are built from the same.
+type sources struct {
+	files  []sourceFile
+	digest string
+}
+
+type sourceFile struct {
+	name string
+	text []byte
+	mode os.FileMode
+}
+
+// readSources reads the files that git tracks or would track, but for the journal.
+func readSources() (*sources, error) {
 	list := exec.Command("git", "ls-files", "-z", "--cached", "--others", "--exclude-standard", "--", ".", ":!"+journalFolder)
 	names, err := list.Output()
 	if err != nil {
-		return err
+		return nil, err
 	}
+	s := &sources{}
+	digest := sha256.New()
 	for _, name := range strings.Split(strings.TrimSuffix(string(names), "\x00"), "\x00") {
-		if err := copyFile(name, filepath.Join(folder, name)); err != nil {
-			return err
+		info, err := os.Stat(name)
+		if errors.Is(err, os.ErrNotExist) { // tracked, but removed in the working tree
+			continue
+		}
+		if err != nil {
+			return nil, err
 		}
+		text, err := os.ReadFile(name)
+		if err != nil {
+			return nil, err
+		}
+		s.files = append(s.files, sourceFile{name, text, info.Mode().Perm()})
+		fmt.Fprintf(digest, "%s %d\n%s", name, len(text), text)
 	}
-	start := exec.Command("git", "init", "-q", ".")
-	start.Dir = folder
-	return start.Run()
+	s.digest = hex.EncodeToString(digest.Sum(nil))
+	return s, nil
 }
 
-// copyFile copies a file with its mode; one that is unchanged is left, so that builds need not begin anew.
-func copyFile(from, to string) error {
-	info, err := os.Stat(from)
-	if errors.Is(err, os.ErrNotExist) { // tracked, but removed in the working tree
-		return nil
+// claim notes in a folder of what sources its plays are. A folder of other sources is refused: its plays would be taken for plays of these.
+func (s *sources) claim(folder string) error {
+	path := filepath.Join(folder, digestFile)
+	known, err := os.ReadFile(path)
+	if errors.Is(err, os.ErrNotExist) {
+		return os.WriteFile(path, []byte(s.digest), 0o644)
 	}
-	if err != nil {
-		return err
+	if err == nil && string(known) != s.digest {
+		return errors.New(folder + " has plays of other sources: name another folder")
 	}
-	text, err := os.ReadFile(from)
-	if err != nil {
-		return err
-	}
-	if old, err := os.ReadFile(to); err == nil && bytes.Equal(old, text) {
-		return nil
-	}
-	if err := os.MkdirAll(filepath.Dir(to), 0o755); err != nil {
-		return err
+	return err
+}
+
+// write writes the sources into a folder.
+func (s *sources) write(folder string) error {
+	for _, f := range s.files {
+		path := filepath.Join(folder, f.name)
+		if err := os.MkdirAll(filepath.Dir(path), 0o755); err != nil {
+			return err
+		}
+		if err := os.WriteFile(path, f.text, f.mode); err != nil {
+			return err
+		}
 	}
-	return os.WriteFile(to, text, info.Mode().Perm())
+	start := exec.Command("git", "init", "-q", ".")
+	start.Dir = folder
+	return start.Run()
 }
--- a/internal/lab/pairs/pairs_test.go
+++ b/internal/lab/pairs/pairs_test.go
@@ -51,6 +51,13 @@
 	require.Error(t, err)
 }
 
+func TestAFolderIsOfOneProgram(t *testing.T) {
+	folder := t.TempDir()
+	require.NoError(t, (&sources{digest: "a"}).claim(folder))
+	require.NoError(t, (&sources{digest: "a"}).claim(folder))
+	require.ErrorContains(t, (&sources{digest: "b"}).claim(folder), "other sources")
+}
+
 func play(variant, day string, seed int, worth float64) Play {
 	return Play{Variant: Variant{Name: variant}, Site: "s", Day: day, Seed: seed, Result: Result{Worth: worth}}
 }
--- a/internal/lab/pairs/play.go
+++ b/internal/lab/pairs/play.go
@@ -45,8 +45,15 @@
 // Run builds all variants and plays all days. What fails is told by the error, beside what was played.
 func (p *Plan) Run(told func(Play)) ([]Play, error) {
 	variants := append([]Variant{Baseline}, p.Variants...)
+	from, err := readSources()
+	if err != nil {
+		return nil, err
+	}
+	if err := from.claim(p.Work); err != nil {
+		return nil, err
+	}
 	for _, v := range variants {
-		if err := p.prepare(v); err != nil {
+		if err := p.prepare(from, v); err != nil {
 			return nil, err
 		}
 	}
