--- a/internal/dispatch/fetch_test.go
+++ b/internal/dispatch/fetch_test.go
@@ -96,3 +96,36 @@
 		require.Equal(t, saves, table.Pick(0, prompted()).Save != "", mbps)
 	}
 }
+
+// TestACopyCostsWhatIsMissed: while nothing is missed, memory has room and a prompt is fetched to an engine that is free. Where much is missed, a
+// copy displaces what others ask for, and the prompt goes to the engine that keeps it, though it waits there.
+func TestACopyCostsWhatIsMissed(t *testing.T) {
+	for missed, wants := range map[bool]string{false: "b1", true: "b2"} {
+		table := slowLinks(t, backend(1, 1), backend(2, 1))
+		keeps(table, "b2", "v1", 2)
+		table.SetLoads(map[string]Load{"b2": {Running: 1, Waiting: 600}})
+		l := table.learnedOf("llm")
+		for range 200 {
+			kept := 13000
+			if missed {
+				kept = 4000
+			}
+			l.lookedFor(13000, kept)
+		}
+		c := table.Pick(0, prompted())
+		require.Equal(t, wants, c.ID, "missed %v", missed)
+		require.Equal(t, !missed, c.Fetch != "")
+	}
+}
+
+func TestTheShareMissedIsByTokens(t *testing.T) {
+	l := &learned{tokensPerMS: 90}
+	require.Zero(t, l.missShare(), "nothing is known yet")
+	for range 500 {
+		l.lookedFor(12000, 12000)
+		l.lookedFor(350, 0)
+	}
+	require.InDelta(t, 350.0/12350, l.missShare(), 0.01, "small prompts that nobody keeps say little")
+	l.lookedFor(100, 5000)
+	require.GreaterOrEqual(t, l.missedMean, 0.0)
+}
