--- a/internal/agent/agent.go
+++ b/internal/agent/agent.go
@@ -88,11 +88,6 @@
 	storeAddrs []string
 }
 
-type phaseNews struct {
-	feed.Phase
-	at time.Time
-}
-
 // New makes an agent.
 func New(settings *local.Settings, log zerolog.Logger) *Agent {
 	life := fmt.Sprintf("%s/%016x%04x", settings.NodeName, time.Now().UnixNano(), rand.IntN(1<<16))
@@ -235,32 +230,6 @@
 	return nil, merry.New("no such call: " + kind)
 }
 
-// takePhases takes what holders of orders told, but for what came after something newer.
-func (a *Agent) takePhases(phases map[string]feed.Phase) {
-	changed := false
-	for id, p := range phases {
-		known, is := a.phases[id]
-		if is && p.Before(known.Phase) {
-			continue
-		}
-		changed = changed || !is || p != known.Phase
-		a.phases[id] = phaseNews{p, time.Now()}
-	}
-	if changed {
-		a.listChanged()
-	}
-}
-
-// expirePhases drops what nobody tells any more.
-func (a *Agent) expirePhases() {
-	for id, p := range a.phases {
-		if time.Since(p.at) > phasesKeep {
-			delete(a.phases, id)
-			a.listChanged()
-		}
-	}
-}
-
 // handleProxy serves the proxy beside this agent.
 func (a *Agent) handleProxy(ctx context.Context, kind string, body []byte) (any, error) {
 	if kind == feed.KindLoads {
--- /dev/null
+++ b/internal/agent/lease.go
@@ -0,0 +1,114 @@
+package agent
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/ansel1/merry/v2"
+
+	"nettlefold/internal/distribute"
+	"nettlefold/internal/duty"
+	"nettlefold/internal/replicated"
+)
+
+// lease is a duty as this agent holds it. Its owner's goroutines share it.
+type lease struct {
+	duty      string
+	inherited bool // somebody else may have held it before
+	mu        sync.Mutex
+	state     *duty.Lease
+}
+
+func (l *lease) fence() uint64 {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.state.Fence()
+}
+
+func (l *lease) mayAct(now time.Duration) bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.state.MayAct(now)
+}
+
+func (l *lease) over(now time.Duration) bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.state.Over(now)
+}
+
+// opensIn is how long it is until the lease begins.
+func (l *lease) opensIn(now time.Duration) time.Duration {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return max(0, l.state.From()-now)
+}
+
+func (l *lease) confirmed(c duty.Confirmation) bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	c.Inherited = l.inherited
+	return l.state.Confirmed(c)
+}
+
+// orderTerms are the times of the duty to give orders. Engines that refuse lower tokens need no time between two holders: what the former one
+// sent has arrived by then or is refused.
+func (a *Agent) orderTerms() duty.Terms {
+	terms := duty.Terms{Act: confirmFor, Flight: orderLimit}
+	if !a.settings.Bounds.Fenced {
+		terms.Apart = a.settings.Bounds.Lease
+	}
+	return terms
+}
+
+// acquire takes a duty over, and waits until shortly before whoever had it has stopped: its lease may begin emptyAhead later.
+func (a *Agent) acquire(ctx context.Context, name string) (*lease, error) {
+	var before replicated.Duty
+	if err := a.ask(ctx, func() { before = a.snapshot.Duties[name] }); err != nil {
+		return nil, err
+	}
+	l := &lease{duty: name, inherited: before.Holder != "" && before.Holder != a.self.ID, state: duty.New(a.orderTerms(), before.Fence)}
+	if err := a.confirm(ctx, l); err != nil {
+		return nil, err
+	}
+	for {
+		wait := l.opensIn(a.now()) - emptyAhead
+		if wait <= 0 {
+			return l, nil
+		}
+		time.Sleep(min(confirmEvery, wait))
+		if err := a.confirm(ctx, l); err != nil {
+			return nil, err
+		}
+	}
+}
+
+// confirm makes sure through the chain that the duty is this agent's; it becomes so if nobody took it since the fence that is known.
+func (a *Agent) confirm(ctx context.Context, l *lease) error {
+	asked := a.now()
+	request := &distribute.SubmitRequest{Operation: replicated.Operation{
+		Kind: replicated.KindDuty, Duty: l.duty, Holder: a.self.ID, Fence: l.fence(),
+	}}
+	var controllers []string
+	if err := a.ask(ctx, func() { controllers = a.controllers }); err != nil {
+		return err
+	}
+	err := merry.New("no controller is known")
+	for _, addr := range controllers {
+		reply := new(distribute.SubmitReply)
+		if callErr := a.pool.Call(ctx, orderLimit, addr, distribute.KindSubmit, request, reply); callErr != nil {
+			err = callErr
+			continue
+		}
+		quiet := time.Duration(reply.QuietMS) * time.Millisecond
+		if reply.Outcome == distribute.Taken && l.confirmed(duty.Confirmation{Asked: asked, Now: a.now(), Fence: reply.Fence, Quiet: quiet}) {
+			return nil
+		}
+		err = merry.New("the duty " + l.duty + " is another's: " + reply.Reason)
+		if reply.Outcome != distribute.Unclear {
+			return err
+		}
+	}
+	return err
+}
--- a/internal/agent/orders.go
+++ b/internal/agent/orders.go
@@ -8,16 +8,13 @@
 	"io"
 	"net/http"
 	"slices"
-	"sync"
 	"time"
 
 	"github.com/ansel1/merry/v2"
 
 	"nettlefold/internal/dispatch"
-	"nettlefold/internal/distribute"
 	"nettlefold/internal/duty"
 	"nettlefold/internal/feed"
-	"nettlefold/internal/replicated"
 	"nettlefold/internal/trial"
 )
 
@@ -30,6 +27,8 @@
 	emptyLeast = 250 * time.Millisecond
 	emptyMost  = 1200 * time.Millisecond
 	emptyEvery = 50 * time.Millisecond
+	// emptyAhead is how long before its lease begins a successor takes the first backends out of service, so that they are empty by then.
+	emptyAhead = 500 * time.Millisecond
 	// confirmEvery is how often the holder of a duty makes sure that it still is, and confirmFor how long it then acts.
 	confirmEvery = 400 * time.Millisecond
 	confirmFor   = 900 * time.Millisecond
@@ -76,39 +75,6 @@
 	return behind
 }
 
-// lease is a duty as this agent holds it. Its owner's goroutines share it.
-type lease struct {
-	duty      string
-	inherited bool // somebody else may have held it before
-	mu        sync.Mutex
-	state     *duty.Lease
-}
-
-func (l *lease) fence() uint64 {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	return l.state.Fence()
-}
-
-func (l *lease) mayAct(now time.Duration) bool {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	return l.state.MayAct(now)
-}
-
-func (l *lease) over(now time.Duration) bool {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	return l.state.Over(now)
-}
-
-func (l *lease) confirmed(c duty.Confirmation) bool {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	c.Inherited = l.inherited
-	return l.state.Confirmed(c)
-}
-
 // rollOut brings a model's backends to the version wanted, a few at a time, while the duty is this agent's.
 func (a *Agent) rollOut(ctx context.Context, model string) {
 	held, err := a.acquire(ctx, ordersDuty(model))
@@ -121,64 +87,6 @@
 	r.run(ctx)
 }
 
-// orderTerms are the times of the duty to give orders. Engines that refuse lower tokens need no time between two holders: what the former one
-// sent has arrived by then or is refused.
-func (a *Agent) orderTerms() duty.Terms {
-	terms := duty.Terms{Act: confirmFor, Flight: orderLimit}
-	if !a.settings.Bounds.Fenced {
-		terms.Apart = a.settings.Bounds.Lease
-	}
-	return terms
-}
-
-// acquire takes a duty over, and waits until whoever had it before has stopped.
-func (a *Agent) acquire(ctx context.Context, name string) (*lease, error) {
-	var before replicated.Duty
-	if err := a.ask(ctx, func() { before = a.snapshot.Duties[name] }); err != nil {
-		return nil, err
-	}
-	l := &lease{duty: name, inherited: before.Holder != "" && before.Holder != a.self.ID, state: duty.New(a.orderTerms(), before.Fence)}
-	if err := a.confirm(ctx, l); err != nil {
-		return nil, err
-	}
-	for a.now() < l.state.From() {
-		time.Sleep(min(confirmEvery, l.state.From()-a.now()))
-		if err := a.confirm(ctx, l); err != nil {
-			return nil, err
-		}
-	}
-	return l, nil
-}
-
-// confirm makes sure through the chain that the duty is this agent's; it becomes so if nobody took it since the fence that is known.
-func (a *Agent) confirm(ctx context.Context, l *lease) error {
-	asked := a.now()
-	request := &distribute.SubmitRequest{Operation: replicated.Operation{
-		Kind: replicated.KindDuty, Duty: l.duty, Holder: a.self.ID, Fence: l.fence(),
-	}}
-	var controllers []string
-	if err := a.ask(ctx, func() { controllers = a.controllers }); err != nil {
-		return err
-	}
-	err := merry.New("no controller is known")
-	for _, addr := range controllers {
-		reply := new(distribute.SubmitReply)
-		if callErr := a.pool.Call(ctx, orderLimit, addr, distribute.KindSubmit, request, reply); callErr != nil {
-			err = callErr
-			continue
-		}
-		quiet := time.Duration(reply.QuietMS) * time.Millisecond
-		if reply.Outcome == distribute.Taken && l.confirmed(duty.Confirmation{Asked: asked, Now: a.now(), Fence: reply.Fence, Quiet: quiet}) {
-			return nil
-		}
-		err = merry.New("the duty " + l.duty + " is another's: " + reply.Reason)
-		if reply.Outcome != distribute.Unclear {
-			return err
-		}
-	}
-	return err
-}
-
 // rollout is one model's way to a version.
 type rollout struct {
 	agent    *Agent
@@ -312,19 +220,6 @@
 	}
 }
 
-// phase tells everyone at once what a backend is at.
-func (r *rollout) phase(id string, p feed.Phase) {
-	p.Fence = r.lease.fence()
-	r.agent.enqueue(func() {
-		r.agent.phaseCount++
-		p.Number = r.agent.phaseCount
-		told := map[string]feed.Phase{id: p}
-		r.agent.takePhases(told)
-		r.agent.ownPhases[id] = ownPhase{p, time.Now(), time.Now()}
-		r.agent.news.tell(&feed.News{Phases: told})
-	})
-}
-
 // versionOrder is the body of an order for new weights.
 type versionOrder struct {
 	Operation string `json:"operation"`
@@ -340,6 +235,9 @@
 	if err != nil {
 		return err
 	}
+	if err := r.awaitLease(ctx); err != nil {
+		return err
+	}
 	ctx, cancel := context.WithTimeout(ctx, orderLimit)
 	defer cancel()
 	request, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+l.Addr+"/v1/order", bytes.NewReader(body))
@@ -363,62 +261,16 @@
 	return nil
 }
 
-// report is what a backend tells of itself.
-type report struct {
-	Busy   bool `json:"busy"`
-	Models []struct {
-		Name    string `json:"name"`
-		Version int64  `json:"version"`
-	} `json:"models"`
-}
-
-// weightsState is how far a backend is on its way to a version.
-type weightsState int
-
-const (
-	weightsOld     weightsState = iota // as far as is known
-	weightsLoading                     // an order is in progress
-	weightsThere
-)
-
-// weights asks a backend how far it is on its way to a version.
-func (r *rollout) weights(ctx context.Context, l dispatch.Listed, version int64) weightsState {
-	ctx, cancel := context.WithTimeout(ctx, reportLimit)
-	defer cancel()
-	var state report
-	header := http.Header{"X-Expected-Instance": {l.ID}}
-	if err := r.agent.getJSON(ctx, "http://"+l.Addr+"/v1/report", header, &state); err != nil {
-		return weightsOld
-	}
-	if state.Busy {
-		return weightsLoading
-	}
-	for _, m := range state.Models {
-		if m.Name == r.model && m.Version >= version {
-			return weightsThere
-		}
+// awaitLease waits until the lease begins.
+func (r *rollout) awaitLease(ctx context.Context) error {
+	wait := r.lease.opensIn(r.agent.now())
+	if wait == 0 {
+		return nil
 	}
-	return weightsOld
-}
-
-// ownPhase is a phase that this agent told, and is to tell again for a while.
-type ownPhase struct {
-	feed.Phase
-	since, told time.Time
-}
-
-// retellPhases tells phases again, for those that missed them, until a later holder has told another. They stay in force here meanwhile.
-func (a *Agent) retellPhases() {
-	for id, p := range a.ownPhases {
-		switch known := a.phases[id]; {
-		case time.Since(p.since) > phasesTold || p.Before(known.Phase):
-			delete(a.ownPhases, id)
-		case time.Since(p.told) >= retellEvery:
-			p.told = time.Now()
-			a.ownPhases[id] = p
-			told := map[string]feed.Phase{id: p.Phase}
-			a.takePhases(told)
-			a.news.tell(&feed.News{Phases: told})
-		}
+	select {
+	case <-time.After(wait):
+		return nil
+	case <-ctx.Done():
+		return ctx.Err()
 	}
 }
--- a/internal/agent/orders_test.go
+++ b/internal/agent/orders_test.go
@@ -152,3 +152,21 @@
 		require.Equal(t, want, r.weights(context.Background(), l, 2), told)
 	}
 }
+
+// TestNoOrderIsSentBeforeTheLeaseBegins: a successor empties backends while the former holder may still act, but sends nothing.
+func TestNoOrderIsSentBeforeTheLeaseBegins(t *testing.T) {
+	var orders atomic.Int64
+	backend := httptest.NewServer(http.HandlerFunc(func(http.ResponseWriter, *http.Request) { orders.Add(1) }))
+	defer backend.Close()
+	a := fleetOf(1, 1)[0]
+	l := &lease{inherited: true, state: duty.New(duty.Terms{Act: time.Hour, Flight: time.Hour}, 7)}
+	require.True(t, l.confirmed(duty.Confirmation{Now: a.now(), Fence: 8}))
+	require.Greater(t, l.opensIn(a.now()), time.Hour)
+	require.False(t, l.mayAct(a.now()))
+	r := &rollout{agent: a, model: "m", lease: l}
+	ctx, cancel := context.WithCancel(context.Background())
+	cancel()
+	require.ErrorIs(t, r.order(ctx, dispatch.Listed{ID: "b", Addr: backend.Listener.Addr().String()}, 2), context.Canceled)
+	require.Zero(t, orders.Load())
+	require.Zero(t, l.opensIn(a.now()+3*time.Hour))
+}
--- /dev/null
+++ b/internal/agent/weights.go
@@ -0,0 +1,46 @@
+package agent
+
+import (
+	"context"
+	"net/http"
+
+	"nettlefold/internal/dispatch"
+)
+
+// report is what a backend tells of itself.
+type report struct {
+	Busy   bool `json:"busy"`
+	Models []struct {
+		Name    string `json:"name"`
+		Version int64  `json:"version"`
+	} `json:"models"`
+}
+
+// weightsState is how far a backend is on its way to a version.
+type weightsState int
+
+const (
+	weightsOld     weightsState = iota // as far as is known
+	weightsLoading                     // an order is in progress
+	weightsThere
+)
+
+// weights asks a backend how far it is on its way to a version.
+func (r *rollout) weights(ctx context.Context, l dispatch.Listed, version int64) weightsState {
+	ctx, cancel := context.WithTimeout(ctx, reportLimit)
+	defer cancel()
+	var state report
+	header := http.Header{"X-Expected-Instance": {l.ID}}
+	if err := r.agent.getJSON(ctx, "http://"+l.Addr+"/v1/report", header, &state); err != nil {
+		return weightsOld
+	}
+	if state.Busy {
+		return weightsLoading
+	}
+	for _, m := range state.Models {
+		if m.Name == r.model && m.Version >= version {
+			return weightsThere
+		}
+	}
+	return weightsOld
+}
--- a/internal/dispatch/pick.go
+++ b/internal/dispatch/pick.go
@@ -1,11 +1,9 @@
 package dispatch
 
 import (
-	"slices"
 	"strconv"
 	"time"
 
-	"nettlefold/internal/config"
 	"nettlefold/internal/kvindex"
 	"nettlefold/internal/trial"
 	"nettlefold/internal/waterfill"
@@ -67,18 +65,6 @@
 	Unfit   int // by a holder that may not be fetched from
 }
 
-// Outcome is what became of a request at a backend.
-type Outcome int
-
-// The outcomes.
-const (
-	Done      Outcome = iota // it answered, whatever it said
-	Refused                  // it said that it did not run the request
-	Misplaced                // another instance or version is there
-	Failed                   // it could not be reached, or broke off
-	Cancelled                // the client or its time ended it
-)
-
 // Pick chooses the backend that should begin to answer first, by what it would have to read, what waits there and where it is, and the
 // holder that it fetches from. It gives nil if there is none that may get the request.
 func (t *Table) Pick(now time.Duration, r *Request) *Choice {
@@ -137,125 +123,6 @@
 	return min(max(expected-r.Target, laterLeastMS), laterMostMS, r.Left*laterShare)
 }
 
-// selection holds what is computed once for a request and used for each candidate backend.
-type selection struct {
-	request *Request
-	service *config.Service // nil if it is not known
-	learned *learned        // of the service's engines
-	speed   float64         // tokens that they read in a ms
-	shared  int             // tokens of the request's shared parts
-	owners  []string
-	prompts map[int64]*heldPrompt // by the version of the weights
-}
-
-func (t *Table) newSelection(r *Request, may []*Backend) *selection {
-	return &selection{
-		request: r, service: t.service(r.Service), learned: t.learnedOf(r.Service), speed: t.readSpeed(r.Service), shared: r.shared(),
-		owners: t.owners(r, may), prompts: map[int64]*heldPrompt{},
-	}
-}
-
-// heldPrompt is a request's prompt under one cache salt, with the backends that hold its longest prefix.
-type heldPrompt struct {
-	salt    string
-	keys    []kvindex.Key
-	longest int // tokens that a fit holder keeps
-	unfit   int // tokens that a holder keeps which is not fit, the most
-	holders []*Backend
-	// holderZones is the zones that the holders are in.
-	holderZones map[string]bool
-}
-
-func (t *Table) promptUnder(now time.Duration, d *selection, version int64) *heldPrompt {
-	p := d.prompts[version]
-	if p != nil {
-		return p
-	}
-	r := d.request
-	p = &heldPrompt{salt: saltOf(version, r.Wall)}
-	p.keys = kvindex.Keys(p.salt, r.Model, r.Parts)
-	d.prompts[version] = p
-	for _, b := range t.byService[r.Service] {
-		t.considerHolder(now, r, p, b)
-	}
-	for _, s := range t.stores {
-		t.considerHolder(now, r, p, s)
-	}
-	p.holderZones = make(map[string]bool, len(p.holders))
-	for _, h := range p.holders {
-		p.holderZones[h.Zone] = true
-	}
-	return p
-}
-
-// considerHolder adds a backend to the holders if it may be fetched from and holds the longest prefix so far.
-func (t *Table) considerHolder(now time.Duration, r *Request, p *heldPrompt, b *Backend) {
-	kept := t.index.Held(b.ID, p.keys, r.Parts)
-	if kept == 0 || kept < p.longest {
-		return
-	}
-	if !t.fitHolder(now, b) {
-		p.unfit = max(p.unfit, kept)
-		return
-	}
-	if kept > p.longest {
-		p.longest, p.holders = kept, p.holders[:0]
-	}
-	p.holders = append(p.holders, b)
-}
-
-func (t *Table) mayServeAll(now time.Duration, r *Request, fallback bool) []*Backend {
-	may := make([]*Backend, 0, len(t.byService[r.Service]))
-	for _, b := range t.byService[r.Service] {
-		if !slices.Contains(r.Tried, b.ID) && t.mayServe(now, r, b, fallback) {
-			may = append(may, b)
-		}
-	}
-	return may
-}
-
-// mayServe reports whether a backend is eligible for a request. With fallback, when no other backend is eligible, one that is avoided or being
-// emptied is too, but never one that a rule excludes.
-func (t *Table) mayServe(now time.Duration, r *Request, b *Backend, fallback bool) bool {
-	if b.Draining || t.evacuated[b.Zone] != 0 || b.phase == PhaseLoading || !t.coldAllows(now, b) {
-		return false
-	}
-	if r.Model != "" {
-		version, serves := b.Versions[r.Model]
-		if !serves || t.tooOld(now, r.Model, version) {
-			return false
-		}
-	}
-	if fallback {
-		return true
-	}
-	return b.phase == PhaseNone && now >= b.avoid && !b.trial && !b.silent(now)
-}
-
-// silent reports whether requests have waited at a backend for longer than the known work before them should take.
-func (b *Backend) silent(now time.Duration) bool {
-	expected := time.Duration(b.own.Waiting+b.others.Waiting) * time.Millisecond
-	return b.pending > 0 && now-b.progress > silenceLimit+silenceShare*expected
-}
-
-// Silent reports whether the backend of a choice has made no progress for too long: on what waits there, or on a stream that has begun.
-func (t *Table) Silent(now time.Duration, c *Choice) bool {
-	b := c.Backend
-	if c.begun {
-		return now-b.progress > silenceLimit
-	}
-	return b.silent(now)
-}
-
-// Heard records that bytes of a running answer arrived.
-func (t *Table) Heard(now time.Duration, c *Choice) { c.Backend.progress = now }
-
-// tooOld reports whether a version of the weights was superseded so long ago that a new request might begin after its limit.
-func (t *Table) tooOld(now time.Duration, model string, version int64) bool {
-	since, superseded := t.models[model].Of(version)
-	return superseded && now-since > time.Duration(versionMargin*float64(t.settings.VersionLimit))
-}
-
 func (t *Table) estimate(now time.Duration, d *selection, b *Backend) candidate {
 	r := d.request
 	p := candidate{cost: t.random.Float64()}
@@ -374,68 +241,3 @@
 	}
 	return salt
 }
-
-// Began records the first byte of an answer: its prompt has been read, and the fetch from its holder is over.
-func (t *Table) Began(now time.Duration, c *Choice, service string) {
-	if c.begun || c.ended {
-		return
-	}
-	c.begun = true
-	c.Backend.pending--
-	c.Backend.progress = now
-	c.unbook(Load{Waiting: c.load.Waiting})
-	t.release(c)
-	ms := float64(now-c.sent) / float64(time.Millisecond)
-	if c.Version == 0 {
-		c.Backend.latency = mean(c.Backend.latency, ms)
-	} else if c.Fetch != "" {
-		t.learnedOf(service).compareFetch(c.Wait+c.Read+c.move, ms)
-	} else {
-		t.learnedOf(service).compare(c.Wait+c.Read, ms)
-		if c.quiet {
-			t.learnedOf(service).take(c.kept, c.prompt, ms-c.Wait)
-		}
-	}
-	if t.observe != nil {
-		t.observe(c, ms)
-	}
-	c.Backend.failures, c.Backend.avoid, c.Backend.trial = 0, 0, false
-}
-
-// unbook subtracts a part of a choice's load from its backend.
-func (c *Choice) unbook(l Load) {
-	c.Backend.own = c.Backend.own.Minus(l)
-	c.load = c.load.Minus(l)
-}
-
-func (t *Table) release(c *Choice) {
-	if c.holder != nil {
-		c.holder.fetching--
-		c.holder = nil
-	}
-}
-
-// End records the outcome of a choice. Only the first call has an effect.
-func (t *Table) End(now time.Duration, c *Choice, outcome Outcome) {
-	if c.ended {
-		return
-	}
-	c.ended = true
-	b := c.Backend
-	t.release(c)
-	if !c.begun {
-		b.pending--
-	}
-	c.unbook(c.load)
-	switch outcome {
-	case Failed:
-		b.failures++
-		b.avoid, b.trial = now+avoidance(b.failures), false
-	case Misplaced:
-		b.avoid, b.trial = now+t.settings.CloudLag, false
-	case Refused:
-		b.avoid, b.trial = max(b.avoid, now+100*time.Millisecond), false
-	case Cancelled:
-		b.trial = false
-	}
-}
