Dispatch: a copy is priced by what was displaced, not by first uses; a busy engine's answer is not made faster

Change: the index remembers the 8,192 parts that engines dropped last; what is asked for after it was displaced sets the price. No wait is taken off what teaches the speed.

--- a/internal/dispatch/learned.go
+++ b/internal/dispatch/learned.go
@@ -10,15 +10,15 @@
 // could be told. Work that nobody here knew of only ever makes an answer later: so the time before the reading is a low quantile, and the
 // tokens a ms are a high one.
 type learned struct {
-	tokensPerMS float64
-	baseMS      float64 // until the first token of a prompt of which nothing is read, 0 if not known yet
-	unseenMS    float64 // that answers come later than expected, moving mean: what others sent that had not been told
-	fetchOverMS float64 // the same of answers that had a fetch before them
-	sharedMean  float64 // tokens that prompts share with others, moving mean
-	missedMean  float64 // of them those that nobody keeps
-	speeds      int     // answers that told the speed
-	bases       int     // answers that told what comes before the reading
-	meanReadMS  float64 // that prompts are read for, moving mean
+	tokensPerMS   float64
+	baseMS        float64 // until the first token of a prompt of which nothing is read, 0 if not known yet
+	unseenMS      float64 // that answers come later than expected, moving mean: what others sent that had not been told
+	fetchOverMS   float64 // the same of answers that had a fetch before them
+	sharedMean    float64 // tokens that prompts share with others, moving mean
+	displacedMean float64 // of them those that nobody keeps any more
+	speeds        int     // answers that told the speed
+	bases         int     // answers that told what comes before the reading
+	meanReadMS    float64 // that prompts are read for, moving mean
 }
 
 // take takes how long a prompt took of which so many tokens were kept.
@@ -64,27 +64,27 @@
 	return max(0, l.fetchOverMS-l.unseenMS)
 }
 
-// lookedFor takes how many tokens of a prompt others may share, and how many of them any fit holder keeps.
-func (l *learned) lookedFor(shared, kept int) {
+// lookedFor takes how many tokens of a prompt others may share, and how many of them nobody keeps any more, as they were displaced.
+func (l *learned) lookedFor(shared, displaced int) {
 	l.sharedMean += missWeight * (float64(shared) - l.sharedMean)
-	l.missedMean += missWeight * (float64(max(0, shared-kept)) - l.missedMean)
+	l.displacedMean += missWeight * (float64(displaced) - l.displacedMean)
 }
 
-// missShare is the share of shared tokens that nobody keeps, though others may have asked for them: how short the engines' memory is.
-func (l *learned) missShare() float64 {
+// displacedShare is the share of shared tokens that are asked for after they were displaced: how short the engines' memory is.
+func (l *learned) displacedShare() float64 {
 	if l.sharedMean <= 0 {
 		return 0
 	}
-	return l.missedMean / l.sharedMean
+	return l.displacedMean / l.sharedMean
 }
 
-// copyPrice is what a second copy of so many tokens costs, in ms. It displaces as many that are kept, and these are read again with the
-// probability with which shared tokens are missed.
+// copyPrice is what a second copy of so many tokens costs, in ms: it displaces others, which are read again as far as they are asked for.
 func (l *learned) copyPrice(tokens int) float64 {
 	if trial.Off(trial.CopyPrice) {
 		return 0
 	}
-	return trial.Scale(trial.CopyCost) * l.missShare() * rereadWeight() * float64(tokens) / l.tokensPerMS
+	read := rereadWeight() * float64(tokens) / l.tokensPerMS
+	return trial.Scale(trial.CopyCost) * min(1, displacedFactor*l.displacedShare()) * read
 }
 
 // stepOf is how far the n-th answer moves an estimate: the first ones further.
--- a/internal/dispatch/outcome.go
+++ b/internal/dispatch/outcome.go
@@ -32,7 +32,7 @@
 	} else {
 		t.learnedOf(service).compare(c.Wait+c.Read, ms)
 		if c.quiet {
-			t.learnedOf(service).take(c.kept, c.prompt, ms-c.Wait)
+			t.learnedOf(service).take(c.kept, c.prompt, ms)
 		}
 	}
 	if t.observe != nil {
--- a/internal/dispatch/pick.go
+++ b/internal/dispatch/pick.go
@@ -165,7 +165,7 @@
 		c.Priority = priority(p.read, t.learnedOf(r.Service).meanRead(p.read), r.Rank)
 		c.Salt = p.prompt.salt
 		c.Trace = r.trace(b, t.index, &p)
-		t.learnedOf(r.Service).lookedFor(c.Shared, c.Fit)
+		t.learnedOf(r.Service).lookedFor(c.Shared, t.displaced(r, p.prompt))
 		t.fetchFrom(c, r, p)
 	}
 	b.own = b.own.Plus(c.load)
--- a/internal/dispatch/selection.go
+++ b/internal/dispatch/selection.go
@@ -59,6 +59,22 @@
 	return p
 }
 
+// displaced is how many tokens of a prompt's shared parts no fit holder has although a backend dropped them lately.
+func (t *Table) displaced(r *Request, p *heldPrompt) (tokens int) {
+	held := p.longest
+	for i, part := range r.Parts[:max(0, len(r.Parts)-1)] {
+		if held >= part.Tokens {
+			held -= part.Tokens
+			continue
+		}
+		if t.index.Dropped(p.keys[i]) {
+			tokens += part.Tokens - held
+		}
+		held = 0
+	}
+	return tokens
+}
+
 // considerHolder adds a backend to the holders if it may be fetched from and holds the longest prefix so far.
 func (t *Table) considerHolder(now time.Duration, r *Request, p *heldPrompt, b *Backend) {
 	kept := t.index.Held(b.ID, p.keys, r.Parts)
--- a/internal/dispatch/table.go
+++ b/internal/dispatch/table.go
@@ -26,49 +26,51 @@
 
 // Figures of the estimate. The reading speed is where what is learned begins.
 const (
-	firstTokensPerMS = 40.0
-	crossZoneMS      = 4.0  // what a hop to another zone is taken for, in ms
-	crossZoneKB      = 1.5  // and each KB of the request that goes there: it is paid for
-	runningMS        = 3.0  // what a running generation adds to the next one's start
-	fetchLeast       = 256  // tokens from which a fetch is worth its risk
-	fetchBaseMS      = 3.0  // of any fetch
-	defaultWorkMS    = 50.0 // of a request of whose service nothing is known
-	versionMargin    = 0.8  // share of the version's limit after which older ones get nothing more
-	beginShare       = 0.96 // share of it after which what has not begun there is taken back
-	attentionMS      = 0.25 // of a million pairs of tokens, as engines with nothing else to do showed on two deployments
-	againWeight      = 12.0 // by how much reading anew what others keep or read counts more than the time it takes
-	oldVersionShare  = 0.3  // what is added to the time to read at a backend whose memory is dropped soon
-	memoryShare      = 0.85 // of an engine's memory, from which requests wait for others to end
-	crowdedMS        = 4000.0
-	ownersOfPrompt   = 2
-	expectedFor      = 3 * time.Second
-	expectedMost     = 4096
-	silenceLimit     = 1200 * time.Millisecond // beyond what is expected, until a backend is taken for silent
-	silenceShare     = 2
-	farFactor        = 2    // by how much a move between zones takes longer
-	learnBaseBelow   = 1500 // tokens read, below which an answer tells what comes before the reading
-	learnSpeedAbove  = 2500 // and from which it tells the speed
-	learnQuantile    = 0.8
-	learnStep        = 0.05
-	quietWaitMS      = 15.0 // that a request waits at the most where its answer tells the speed: five running generations
-	learnLeastMS     = 1.0
-	learnMostFactor  = 2      // times the speed that is believed, for which one answer counts at the most
-	unseenMost       = 500.0  // of what an answer takes beyond what was expected: more is a failure's
-	fetchOverMost    = 1500.0 // likewise of an answer with a fetch: many moves may stand before it
-	admitShare       = 1.3    // of its target by which a request must be expected to begin, to be taken when others wait
-	waitLeast        = 0.4    // of its target that a request waits before any is refused
-	againLimit       = 0.8    // of the time left, likewise for one that came again
-	laterLeastMS     = 200.0
-	laterMostMS      = 1500.0
-	laterShare       = 0.25 // of the time left
-	againLaterMS     = 300.0
-	meanWeight       = 0.1   // of the newest figure in a moving mean
-	missWeight       = 0.02  // of the newest prompt in the share of tokens that nobody keeps
-	storeWorthTokens = 1024  // shared tokens from which a prompt is worth saving to the store
-	coldPart         = 0.6   // of the rules' allowance that is given out, as members may differ on who they are
-	budgetPart       = 0.4   // likewise of the retry budget's slack, and room for processes that start anew
-	ratioPart        = 0.7   // likewise of its ratio
-	firstColdWaitMS  = 1000. // after the start: what an earlier life of this process may have sent is over
+	firstTokensPerMS  = 40.0
+	crossZoneMS       = 4.0  // what a hop to another zone is taken for, in ms
+	crossZoneKB       = 1.5  // and each KB of the request that goes there: it is paid for
+	runningMS         = 3.0  // what a running generation adds to the next one's start
+	fetchLeast        = 256  // tokens from which a fetch is worth its risk
+	fetchBaseMS       = 3.0  // of any fetch
+	defaultWorkMS     = 50.0 // of a request of whose service nothing is known
+	versionMargin     = 0.8  // share of the version's limit after which older ones get nothing more
+	beginShare        = 0.96 // share of it after which what has not begun there is taken back
+	attentionMS       = 0.25 // of a million pairs of tokens, as engines with nothing else to do showed on two deployments
+	againWeight       = 12.0 // by how much reading anew what others keep or read counts more than the time it takes
+	oldVersionShare   = 0.3  // what is added to the time to read at a backend whose memory is dropped soon
+	memoryShare       = 0.85 // of an engine's memory, from which requests wait for others to end
+	crowdedMS         = 4000.0
+	ownersOfPrompt    = 2
+	expectedFor       = 3 * time.Second
+	expectedMost      = 4096
+	silenceLimit      = 1200 * time.Millisecond // beyond what is expected, until a backend is taken for silent
+	silenceShare      = 2
+	farFactor         = 2    // by how much a move between zones takes longer
+	learnBaseBelow    = 1500 // tokens read, below which an answer tells what comes before the reading
+	learnSpeedAbove   = 2500 // and from which it tells the speed
+	learnQuantile     = 0.8
+	learnStep         = 0.05
+	quietWaitMS       = 15.0 // that a request waits at the most where its answer tells the speed: five running generations
+	learnLeastMS      = 1.0
+	learnMostFactor   = 2      // times the speed that is believed, for which one answer counts at the most
+	unseenMost        = 500.0  // of what an answer takes beyond what was expected: more is a failure's
+	fetchOverMost     = 1500.0 // likewise of an answer with a fetch: many moves may stand before it
+	admitShare        = 1.3    // of its target by which a request must be expected to begin, to be taken when others wait
+	waitLeast         = 0.4    // of its target that a request waits before any is refused
+	againLimit        = 0.8    // of the time left, likewise for one that came again
+	laterLeastMS      = 200.0
+	laterMostMS       = 1500.0
+	laterShare        = 0.25 // of the time left
+	againLaterMS      = 300.0
+	meanWeight        = 0.1   // of the newest figure in a moving mean
+	missWeight        = 0.02  // of the newest prompt in the share of tokens that were displaced
+	displacedFactor   = 6.0   // by how much a copy costs more than what it displaces itself: what is read or fetched again displaces in turn
+	droppedRemembered = 8192  // parts that engines dropped last, by which a miss is known for one of displacement
+	storeWorthTokens  = 1024  // shared tokens from which a prompt is worth saving to the store
+	coldPart          = 0.6   // of the rules' allowance that is given out, as members may differ on who they are
+	budgetPart        = 0.4   // likewise of the retry budget's slack, and room for processes that start anew
+	ratioPart         = 0.7   // likewise of its ratio
+	firstColdWaitMS   = 1000. // after the start: what an earlier life of this process may have sent is over
 )
 
 // Table is what a mixer knows.
@@ -107,7 +109,7 @@
 		byService: map[string][]*Backend{},
 		byAddr:    map[string]*Backend{},
 		stores:    map[string]*Backend{},
-		index:     kvindex.New(),
+		index:     newIndex(),
 		budgets:   map[string]*budget{},
 		learned:   map[string]*learned{},
 		models:    map[string]superseded.Times{},
@@ -116,6 +118,12 @@
 	}
 }
 
+func newIndex() *kvindex.Index {
+	index := kvindex.New()
+	index.RememberDropped(droppedRemembered)
+	return index
+}
+
 // Index is the index of kept prompts, for feeding it.
 func (t *Table) Index() *kvindex.Index { return t.index }
 
--- a/internal/kvindex/index.go
+++ b/internal/kvindex/index.go
@@ -57,6 +57,7 @@
 // Index has what every backend keeps.
 type Index struct {
 	backends map[string]*holdings
+	dropped  *dropped // nil unless it is to be remembered
 }
 
 type holdings struct {
@@ -66,7 +67,7 @@
 }
 
 // New makes an empty index.
-func New() *Index { return &Index{map[string]*holdings{}} }
+func New() *Index { return &Index{backends: map[string]*holdings{}} }
 
 // Apply takes a batch. It tells false when the batch does not follow what is known: then the whole is needed.
 func (x *Index) Apply(b *Batch) bool {
@@ -80,6 +81,9 @@
 		return h.cursor == b.To // it is known already
 	}
 	for _, c := range b.Changes {
+		if x.dropped != nil && c.Tokens <= 0 && h.parts[c.Key] > 0 {
+			x.dropped.add(c.Key)
+		}
 		h.set(c)
 	}
 	h.cursor = b.To
