--- a/internal/kvindex/dropped.go
+++ b/internal/kvindex/dropped.go
@@ -1,19 +1,18 @@
 package kvindex
 
-// dropped remembers the keys of the parts that backends dropped last, a fixed number of them.
+// dropped remembers the keys of the parts that backends dropped last, up to a number of them. It takes memory as it fills.
 type dropped struct {
-	keys []Key // a ring
+	keys []Key // a ring, once it is full
+	most int
 	next int
 	in   map[Key]int // how often a key is in the ring
 }
 
-func newDropped(size int) *dropped {
-	return &dropped{keys: make([]Key, 0, size), in: make(map[Key]int, size)}
-}
+func newDropped(most int) *dropped { return &dropped{most: most, in: map[Key]int{}} }
 
 // add notes a key, in place of the oldest one when the ring is full.
 func (d *dropped) add(k Key) {
-	if len(d.keys) < cap(d.keys) {
+	if len(d.keys) < d.most {
 		d.keys = append(d.keys, k)
 	} else {
 		d.forget(d.keys[d.next])
