--- a/internal/dispatch/backend.go
+++ b/internal/dispatch/backend.go
@@ -70,8 +70,8 @@
 	coldShare time.Duration // between two of them; 0 if this mixer has no share
 }
 
-// quiet tells whether so little is known to be at a backend, by what a request is expected to wait there, that its answer tells how fast it is.
-// In a busy fleet an engine with nothing at all to do is met once in thirty choices, by one mixer of sixty a few times a day.
+// quiet reports whether a request is expected to wait so little at a backend that its answer tells how fast the backend is. In a busy fleet a
+// mixer hardly ever meets a backend with nothing at all to do.
 func (b *Backend) quiet(waitMS float64) bool {
 	if trial.Off(trial.QuietLearning) {
 		return b.own.Running == 0 && b.others.Running == 0
