Proxy: the log line of a cut answer has the times and configurations that applied

It now has how long the request was open, its route's time, its client's deadline, what was left, the configuration that it was taken under and the one in force, the takeovers tried and how late this process's timers were.

--- a/internal/proxy/attempts.go
+++ b/internal/proxy/attempts.go
@@ -122,7 +122,8 @@
 	defer ticker.Stop()
 	for {
 		select {
-		case <-ticker.C:
+		case due := <-ticker.C:
+			p.timers.fired(due, time.Now())
 		case <-ctx.Done():
 			return
 		}
--- a/internal/proxy/endings.go
+++ b/internal/proxy/endings.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"sync/atomic"
+	"time"
 
 	"github.com/rs/zerolog"
 )
@@ -63,22 +64,38 @@
 func (c endingCounts) of(e ending) uint64 { return c.counts[e].Load() }
 
 // cutOff notes that the answer to a request ends unfinished. What clients do themselves is told at the debug level alone.
-func (p *Proxy) cutOff(q *request, a *attempt, why ending) {
+func (p *Proxy) cutOff(q *request, a *attempt, move *takeover, why ending) {
 	p.counters.cut.Add(1)
 	p.endings.add(why)
 	level := zerolog.InfoLevel
 	if why == endingClientLeft {
 		level = zerolog.DebugLevel
 	}
-	p.log.WithLevel(level).Str("step", "relay").Str("request", q.id).Str("peer", a.choice.Addr).Str("backend", a.choice.ID).
-		Str("ending", string(why)).Bool("stopping", p.stopping.Load() != nil).Msg("answer cut")
+	event := p.log.WithLevel(level).Str("step", "relay").Str("peer", a.choice.Addr).Str("backend", a.choice.ID).
+		Int("sent", a.sent).Int("takeovers_tried", move.tried())
+	p.logCut(event, q, why)
 }
 
 // graceEnded notes the requests that are still open when the program's grace is over.
 func (p *Proxy) graceEnded(plan *stopping) {
 	for q, began := range p.running.unfinished() {
 		p.endings.add(endingGraceOver)
-		p.log.Info().Str("step", "stop").Str("request", q.id).Str("ending", string(endingGraceOver)).
-			Dur("begun_after_signal", began.Sub(plan.at)).Msg("answer cut")
+		event := p.log.Info().Str("step", "stop").Dur("begun_after_signal", began.Sub(plan.at))
+		p.logCut(event, q, endingGraceOver)
 	}
 }
+
+// logCut completes the log line of an answer that was cut with the times that applied to its request: all in ms, left_ms is negative by how
+// late the request was ended.
+func (p *Proxy) logCut(event *zerolog.Event, q *request, why ending) {
+	now := time.Now()
+	var inForce int64
+	if table := p.config.Load(); table != nil {
+		inForce = table.Version
+	}
+	event.Str("request", q.id).Str("ending", string(why)).Bool("stopping", p.stopping.Load() != nil).
+		Int64("open_ms", now.Sub(q.taken).Milliseconds()).Float64("timeout_ms", q.route.TimeoutMS).
+		Str("deadline_ms", q.Header.Get(headerDeadline)).Int64("left_ms", q.limit.Sub(now).Milliseconds()).
+		Int64("config_taken", q.configVersion).Int64("config_now", inForce).
+		Int64("timers_late_ms", p.timers.worst(now).Milliseconds()).Msg("answer cut")
+}
--- /dev/null
+++ b/internal/proxy/endings_test.go
@@ -0,0 +1,75 @@
+package proxy
+
+import (
+	"bytes"
+	"encoding/json"
+	"net/http"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/rs/zerolog"
+	"github.com/stretchr/testify/require"
+)
+
+// logLines keeps what a logger writes.
+type logLines struct {
+	mu   sync.Mutex
+	text bytes.Buffer
+}
+
+func (l *logLines) Write(line []byte) (int, error) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.text.Write(line)
+}
+
+// find gives the first line with a message.
+func (l *logLines) find(t *testing.T, message string) map[string]any {
+	t.Helper()
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	for line := range bytes.Lines(l.text.Bytes()) {
+		fields := map[string]any{}
+		require.NoError(t, json.Unmarshal(line, &fields))
+		if fields["message"] == message {
+			return fields
+		}
+	}
+	require.Fail(t, "no such line", message)
+	return nil
+}
+
+// TestACutAnswerIsExplained: the log line of an answer that ended unfinished has all times that applied to its request.
+func TestACutAnswerIsExplained(t *testing.T) {
+	r := newRig(t, func(w http.ResponseWriter, _ *http.Request) {
+		events(w, 1, 1, "", func() { panic(http.ErrAbortHandler) })
+	})
+	lines := &logLines{}
+	r.proxy.log = zerolog.New(lines)
+	now := time.Now()
+	r.proxy.timers.fired(now.Add(-time.Minute), now)
+	_, _, err := r.ask("/cut/x", "k1", "", headerDeadline, "2000")
+	require.Error(t, err)
+	cut := lines.find(t, "answer cut")
+	require.Equal(t, string(endingBackendBroke), cut["ending"])
+	require.Equal(t, "2000", cut["deadline_ms"])
+	require.EqualValues(t, 3000, cut["timeout_ms"])
+	require.EqualValues(t, 1, cut["config_taken"])
+	require.EqualValues(t, 1, cut["config_now"])
+	require.EqualValues(t, 1, cut["sent"])
+	require.EqualValues(t, 0, cut["takeovers_tried"])
+	require.EqualValues(t, time.Minute.Milliseconds(), cut["timers_late_ms"])
+	require.InDelta(t, 2000, cut["open_ms"].(float64)+cut["left_ms"].(float64), 1)
+}
+
+func TestTimerLateness(t *testing.T) {
+	l, at := timerLateness{}, time.Unix(1000, 0)
+	l.fired(at, at.Add(3*time.Millisecond))
+	l.fired(at, at.Add(2*time.Millisecond))
+	require.Equal(t, 3*time.Millisecond, l.worst(at.Add(time.Second)), "the worst of the window")
+	require.Zero(t, l.worst(at.Add(time.Minute)), "an old one counts no more")
+	later := at.Add(time.Minute)
+	l.fired(later, later.Add(time.Millisecond))
+	require.Equal(t, time.Millisecond, l.worst(later.Add(time.Second)))
+}
--- a/internal/proxy/proxy.go
+++ b/internal/proxy/proxy.go
@@ -67,6 +67,7 @@
 	splits   *splits
 	attempts *attempts
 	running  *openRequests
+	timers   timerLateness
 
 	poolsMu sync.Mutex
 	pools   map[string]*upstream.Pool // by the backend's identity
--- a/internal/proxy/relay.go
+++ b/internal/proxy/relay.go
@@ -46,7 +46,7 @@
 			next = p.resume(ctx, q, a, events.last)
 		}
 		if next == nil {
-			p.cutOff(q, a, why)
+			p.cutOff(q, a, move, why)
 			panic(http.ErrAbortHandler)
 		}
 		events.cut()
--- a/internal/proxy/serve.go
+++ b/internal/proxy/serve.go
@@ -57,12 +57,15 @@
 	body     []byte
 	deadline time.Time // when its client gives it up
 	limit    time.Time // when it is given up here
-	again    bool      // it has less time than its route gives: its client was refused before, or is in a hurry
-	prompt   int
-	parts    []kvindex.Part
-	model    string
-	rank     int         // of route and tenant, 0 is the most urgent
-	header   http.Header // as it goes to a backend, but for what differs with the backend
+	taken    time.Time // when its head was read
+	// configVersion is that of the configuration it is served by.
+	configVersion int64
+	again         bool // it has less time than its route gives: its client was refused before, or is in a hurry
+	prompt        int
+	parts         []kvindex.Part
+	model         string
+	rank          int         // of route and tenant, 0 is the most urgent
+	header        http.Header // as it goes to a backend, but for what differs with the backend
 }
 
 // serve takes one request of a client.
@@ -107,6 +110,7 @@
 // place finds the route and the tenant, or refuses.
 func (q *request) place(table *config.Table, splits *splits) bool {
 	now := time.Now()
+	q.taken, q.configVersion = now, table.Version
 	q.route = table.Route(q.Host, q.URL.Path)
 	if q.route == nil {
 		refuse(q.writer, http.StatusNotFound, 0, "no route for this host and path")
--- a/internal/proxy/takeover.go
+++ b/internal/proxy/takeover.go
@@ -22,6 +22,7 @@
 	cancel  context.CancelFunc
 
 	mu        sync.Mutex
+	tries     int           // how often another backend was looked for
 	running   chan struct{} // closed when the try that runs is over; nil while none does
 	over      bool          // no other try may begin
 	successor *attempt
@@ -67,6 +68,7 @@
 	}
 	done := make(chan struct{})
 	t.running = done
+	t.tries++
 	last := t.events.last
 	go func() {
 		t.try(last, why)
@@ -94,6 +96,13 @@
 	a.cancel(why)
 }
 
+// tried tells how often another backend was looked for.
+func (t *takeover) tried() int {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.tries
+}
+
 // finish ends the takeover with the copying of its attempt, and gives the attempt that goes on, if there is one. Where the answer came whole a
 // try that still runs is ended; else it is waited for, as it may yet save the answer.
 func (t *takeover) finish(whole bool) *attempt {
