Proxy: an answer that begins as its attempt is taken back is not cut

Callers saw a stream closed just behind its first event while its backend was at work. Cause: the watch over attempts, and the limit by which old weights may begin, decided that an answer had not begun and ended the attempt later, though its first bytes had come between. Class: a decision carried out after what it rests on has changed. Which of both comes first is now settled in one step, and the other gives way.

--- a/internal/proxy/attempts.go
+++ b/internal/proxy/attempts.go
@@ -70,6 +70,26 @@
 	return overdue
 }
 
+// answerState is who decides on an attempt whose answer is awaited: it is settled once, by whoever comes first.
+type answerState = int32
+
+// The states.
+const (
+	answerAwaited   answerState = iota
+	answerBegun                 // it is passed on; nobody may take the attempt back
+	answerTakenBack             // the attempt is ended, and its answer must not be passed on
+)
+
+// begin settles that the answer is passed on; false if the attempt was taken back before.
+func (a *attempt) begin() bool { return a.answer.CompareAndSwap(answerAwaited, answerBegun) }
+
+// takeBack ends an attempt whose answer has not begun; one that has goes on.
+func (a *attempt) takeBack(why ending) {
+	if a.answer.CompareAndSwap(answerAwaited, answerTakenBack) {
+		a.cancel(why)
+	}
+}
+
 // beginLimit ends an attempt that has not begun by a time.
 type beginLimit struct {
 	mu    sync.Mutex
@@ -103,7 +123,7 @@
 // limitBegin has an attempt end when its weights are too old to begin on. Call it at the owner.
 func (p *Proxy) limitBegin(now time.Duration, a *attempt) {
 	if by := p.table.BeginBy(a.choice); by != 0 {
-		a.limit.set(by-now, p.afterFunc, func() { a.cancel(endingBeginLimit) })
+		a.limit.set(by-now, p.afterFunc, func() { a.takeBack(endingBeginLimit) })
 	}
 }
 
@@ -131,27 +151,40 @@
 	}
 }
 
+// doubtful are the attempts that wait in vain, and why each is in doubt.
+type doubtful struct {
+	back   map[*attempt]ending // their answer has not begun: to be taken back
+	beside map[*attempt]ending // their answer has begun: to be taken up elsewhere beside it
+}
+
 // endOverdue does something about the attempts that wait in vain at a time. An answer that has begun is never ended for its backend's
 // silence: an engine without memory stops streams for seconds and goes on with them. Where it may be taken up elsewhere, that is tried
 // beside it. A request whose answer has not begun is taken back if its backend is gone, or if another one would take it.
-func (p *Proxy) endOverdue(now time.Duration) {
-	var back, beside map[*attempt]ending
+func (p *Proxy) endOverdue(now time.Duration) { p.endDoubtful(p.findDoubtful(now)) }
+
+// findDoubtful finds the attempts that wait in vain at a time.
+func (p *Proxy) findDoubtful(now time.Duration) (found doubtful) {
 	p.do(func() {
-		back, beside = map[*attempt]ending{}, map[*attempt]ending{}
+		found = doubtful{back: map[*attempt]ending{}, beside: map[*attempt]ending{}}
 		for a, why := range p.attempts.overdue(now, func(a *attempt) bool { return p.table.Silent(now, a.choice) }) {
 			switch {
 			case a.takeover.Load() != nil:
-				beside[a] = why
+				found.beside[a] = why
 			case why == endingBackendLeft || p.fitsElsewhere(now, a):
-				back[a] = why
+				found.back[a] = why
 			}
 		}
 	})
-	for a, why := range back {
+	return found
+}
+
+// endDoubtful does something about them.
+func (p *Proxy) endDoubtful(found doubtful) {
+	for a, why := range found.back {
 		p.log.Debug().Str("step", "overdue").Str("peer", a.choice.Addr).Str("ending", string(why)).Msg("attempt ended")
-		a.cancel(why)
+		a.takeBack(why)
 	}
-	for a, why := range beside {
+	for a, why := range found.beside {
 		a.takeover.Load().start(why)
 	}
 }
--- a/internal/proxy/forward.go
+++ b/internal/proxy/forward.go
@@ -27,6 +27,7 @@
 	tried    []string     // backends that the request was sent to, this one too
 	sent     int          // how many of them may have run it, this one counted
 	mayMove  bool         // it may be sent to another backend
+	answer   atomic.Int32 // an answerState
 	heard    atomic.Int64 // when the last bytes came, by the proxy's clock
 	first    []byte       // the first bytes of the answer, until they are passed on
 	firstErr error        // what came with them
@@ -159,7 +160,7 @@
 }
 
 // readFirst waits for the first bytes of the answer's body. Until they are there nothing of the answer has been passed on, and the request may
-// still go elsewhere, or be told how it stands.
+// still go elsewhere, or be told how it stands; from then on the attempt is not taken back.
 func (a *attempt) readFirst() {
 	if a.err != nil || a.notRun() {
 		return
@@ -171,6 +172,11 @@
 		a.err = &upstream.Error{Stage: upstream.Sent, Step: "read", Peer: a.choice.Addr, Err: err}
 		return
 	}
+	if !a.begin() {
+		a.response.Body.Close()
+		a.err = &upstream.Error{Stage: upstream.Sent, Step: "read", Peer: a.choice.Addr, Err: errTakenBack}
+		return
+	}
 	a.first, a.firstErr = buffer[:n], err
 }
 
@@ -184,6 +190,9 @@
 	return n, err
 }
 
+// errTakenBack is an answer that began after its attempt had been taken back.
+var errTakenBack = errors.New("the attempt was taken back")
+
 // errUnsealed is a success that is not a backend's: it lacks its seal.
 var errUnsealed = errors.New("the answer has no seal")
 
--- a/internal/proxy/silence_test.go
+++ b/internal/proxy/silence_test.go
@@ -240,3 +240,32 @@
 	close(client.released)
 	require.NoError(t, <-passed)
 }
+
+// TestAnAnswerThatBeginsAsItsAttemptIsTakenBackIsNotCut: the first event comes between the watch's finding and its deed.
+func TestAnAnswerThatBeginsAsItsAttemptIsTakenBackIsNotCut(t *testing.T) {
+	for _, path := range []string{"/cut/x", "/stream/x"} {
+		arrived, backend := make(chan struct{}), &stage{1, make(chan string, 8)}
+		r := newRig(t, func(w http.ResponseWriter, request *http.Request) {
+			close(arrived)
+			backend.serve(w, request)
+		})
+		answers := make(chan *bufio.Reader, 1)
+		firsts := make(chan string, 1)
+		go func() {
+			rest, first := r.open(path)
+			answers <- rest
+			firsts <- first
+		}()
+		<-arrived
+		r.proxy.attempts.left("i-0")
+		found := r.proxy.findDoubtful(r.proxy.now() + 10*time.Second)
+		require.Len(t, found.back, 1)
+		backend.steps <- "event"
+		rest, first := <-answers, <-firsts
+		r.proxy.endDoubtful(found)
+		backend.steps <- "whole"
+		more, err := io.ReadAll(rest)
+		require.NoError(t, err, path)
+		require.Equal(t, eventTexts(1, 4), first+string(more), path)
+	}
+}
