Proxy: a request whose body does not come gets its final answer at its route's time

A client that stalls in its body held its request for as long as it liked: the time began to count for attempts only. The connection's reading now ends at the request's limit and the answer is 408, which promises that nothing has run. TestTheRoutesTimeIsKeptWhileABodyIsRead failed before in all three shapes (no answer 0.6 s after the begin of a 0.1 s route). Two more tests hold what already held: a head without a body, and the next request on the same connection.

--- a/internal/proxy/limits_test.go
+++ b/internal/proxy/limits_test.go
@@ -1,7 +1,11 @@
 package proxy
 
 import (
+	"bufio"
 	"context"
+	"fmt"
+	"io"
+	"net"
 	"net/http"
 	"net/http/httptest"
 	"strconv"
@@ -15,6 +19,9 @@
 	"nettlefold/internal/settings/local"
 )
 
+// finalAnswerLimit is when a request on the route /short/ must have its final answer at the latest.
+const finalAnswerLimit = shortRoute + 500*time.Millisecond
+
 // TestWorkOfAClientThatHasGoneIsDropped: when a client closes its connection the backend's is closed too, and nobody else gets the request.
 func TestWorkOfAClientThatHasGoneIsDropped(t *testing.T) {
 	for _, path := range []string{"/stream/", "/open/", "/once/"} {
@@ -73,3 +80,75 @@
 	require.Equal(t, http.StatusServiceUnavailable, answer.StatusCode)
 	require.NotEmpty(t, answer.Header.Get(headerRetry))
 }
+
+// dialFront opens a client's connection.
+func (r *rig) dialFront() net.Conn {
+	r.t.Helper()
+	conn, err := net.Dial("tcp", r.front.Listener.Addr().String())
+	require.NoError(r.t, err)
+	r.t.Cleanup(func() { conn.Close() })
+	return conn
+}
+
+// TestTheRoutesTimeIsKeptWhileABodyIsRead: a client that sends its body too slowly, with a length or in chunks, gets its final answer at its
+// route's time: that the request has not run.
+func TestTheRoutesTimeIsKeptWhileABodyIsRead(t *testing.T) {
+	for name, text := range map[string]string{
+		"with a length": "Content-Length: 100\r\n\r\nhalf",
+		"in chunks":     "Transfer-Encoding: chunked\r\n\r\n4\r\nhalf\r\n",
+		"not begun":     "Content-Length: 100\r\n\r\n",
+	} {
+		t.Run(name, func(t *testing.T) {
+			r := newRig(t, ok)
+			conn := r.dialFront()
+			began := time.Now()
+			fmt.Fprintf(conn, "POST /short/ HTTP/1.1\r\nHost: h\r\nX-Request-Id: id-1\r\nApi-Key: k1\r\n%s", text)
+			require.NoError(t, conn.SetReadDeadline(began.Add(finalAnswerLimit)))
+			answer, err := http.ReadResponse(bufio.NewReader(conn), nil)
+			require.NoError(t, err)
+			require.Equal(t, http.StatusRequestTimeout, answer.StatusCode)
+			require.GreaterOrEqual(t, time.Since(began), shortRoute)
+			require.True(t, answer.Close, "what is left of the body is no request")
+			require.Empty(t, r.requests())
+		})
+	}
+}
+
+// TestTheRoutesTimeIsKeptBehindAHead: a backend sends the head of its answer in time and no byte of its body.
+func TestTheRoutesTimeIsKeptBehindAHead(t *testing.T) {
+	r := newRig(t, func(w http.ResponseWriter, q *http.Request) {
+		w.Header().Set(headerSeal, "seal")
+		w.WriteHeader(http.StatusOK)
+		http.NewResponseController(w).Flush()
+		<-q.Context().Done()
+	})
+	began := time.Now()
+	answer, _, err := r.ask("/short/", "k1", "")
+	require.NoError(t, err)
+	require.Equal(t, http.StatusGatewayTimeout, answer.StatusCode)
+	require.Less(t, time.Since(began), finalAnswerLimit)
+}
+
+// TestAConnectionServesOnBehindABody: the time for reading one request's body does not end the connection's next request.
+func TestAConnectionServesOnBehindABody(t *testing.T) {
+	release := make(chan struct{})
+	r := newRig(t, func(w http.ResponseWriter, q *http.Request) {
+		if q.URL.Path == "/once/slow" {
+			<-release
+		}
+		ok(w, q)
+	})
+	conn := r.dialFront()
+	reader := bufio.NewReader(conn)
+	ask := func(path string) *http.Response {
+		fmt.Fprintf(conn, "POST %s HTTP/1.1\r\nHost: h\r\nX-Request-Id: id-1\r\nApi-Key: k1\r\nContent-Length: 4\r\n\r\nbody", path)
+		answer, err := http.ReadResponse(reader, nil)
+		require.NoError(t, err)
+		_, err = io.Copy(io.Discard, answer.Body)
+		require.NoError(t, err)
+		return answer
+	}
+	require.Equal(t, http.StatusOK, ask("/short/").StatusCode)
+	time.AfterFunc(2*shortRoute, func() { close(release) }) // the first one's time is over then
+	require.Equal(t, http.StatusOK, ask("/once/slow").StatusCode)
+}
--- a/internal/proxy/serve.go
+++ b/internal/proxy/serve.go
@@ -4,6 +4,7 @@
 	"errors"
 	"io"
 	"net/http"
+	"os"
 	"strconv"
 	"strings"
 	"time"
@@ -139,8 +140,10 @@
 	return true
 }
 
-// read takes the body whole and what the headers say of the prompt, or refuses.
+// read takes the body whole and what the headers say of the prompt, or refuses: at the request's limit if the body has not come by then.
 func (q *request) read(table *config.Table) bool {
+	connection := http.NewResponseController(q.writer)
+	connection.SetReadDeadline(q.limit)
 	most := table.Limits.MaxBodyBytes
 	if most <= 0 {
 		most = defaultBodyBytes
@@ -156,9 +159,15 @@
 			refuse(q.writer, http.StatusRequestEntityTooLarge, 0, "the body is too large")
 			return false
 		}
+		if errors.Is(err, os.ErrDeadlineExceeded) {
+			q.writer.Header().Set("Connection", "close")
+			refuse(q.writer, http.StatusRequestTimeout, 0, "the body did not come in time")
+			return false
+		}
 		refuse(q.writer, http.StatusBadRequest, 0, "the body cannot be read")
 		return false
 	}
+	connection.SetReadDeadline(time.Time{})
 	q.body = body
 	q.model = q.Header.Get(headerModel)
 	q.parts = parseParts(q.Header.Get(headerPrefix))
