Tallies: a grow-only set of adds by id, merged between controllers

Counters per machine fail an id seen at two machines, ids through the agreed state fail on the cut-off side. internal/tally is the pure replica (dots, version vectors, deltas, acknowledgement on f other disks), internal/tallylog its file, internal/controller the owner goroutine and the two routes. Without the contract nothing of it runs.

--- a/internal/controller/api.go
+++ b/internal/controller/api.go
@@ -35,6 +35,10 @@
 	e.POST("/v1/version-put", c.putVersion)
 	e.GET("/v1/status", c.getStatus)
 	e.GET("/v1/readiness", func(ctx echo.Context) error { return ctx.NoContent(http.StatusOK) })
+	if c.tallies != nil {
+		e.POST("/v1/tallies/:tally", c.tallies.postAdd)
+		e.GET("/v1/tallies/:tally", c.tallies.getTotal)
+	}
 	listener, err := c.network.Listen(c.settings.ControlAddr)
 	if err != nil {
 		return nil, merry.Prepend(err, "controller: listen to the operator")
--- a/internal/controller/controller.go
+++ b/internal/controller/controller.go
@@ -20,6 +20,7 @@
 	"nettlefold/internal/rpc"
 	"nettlefold/internal/settings/local"
 	"nettlefold/internal/superseded"
+	"nettlefold/internal/tally"
 )
 
 const (
@@ -40,6 +41,7 @@
 	commands chan func()
 	start    time.Time
 	public   atomic.Pointer[public]
+	tallies  *tallies // nil: none are kept
 	done     chan struct{}
 
 	// What follows is the owner's.
@@ -72,6 +74,7 @@
 	opened      uint64
 	current     bool
 	controllers []string
+	seeds       []string
 	members     *distribute.MemberSet
 	named       map[string]superseded.Times // since when models' versions are known to be wanted
 	changed     chan struct{}
@@ -97,6 +100,12 @@
 		elsewhere: map[string]*remoteTable{},
 		inTouch:   superseded.Always,
 	}
+	if settings.HasContract(contractTallies) {
+		// Before the control state: where that is on disk without tallies, none were kept there before.
+		if err := c.openTallies(); err != nil {
+			return nil, err
+		}
+	}
 	if err := c.open(); err != nil {
 		return nil, err
 	}
@@ -123,6 +132,7 @@
 	c.enqueue(func() {
 		c.settings.Seeds = settings.Seeds
 		c.replica.SetSeeds(c.seedAddrs())
+		c.publish(true)
 	})
 }
 
@@ -228,6 +238,7 @@
 		opened:  c.opened,
 		current: current,
 		members: members,
+		seeds:   c.seedAddrs(),
 		changed: make(chan struct{}),
 	}
 	if !c.broken.IsZero() && old != nil {
@@ -263,6 +274,16 @@
 		}
 		c.enqueue(func() { c.takeTable(table) })
 		return nil, nil
+	case distribute.KindTally:
+		if c.tallies == nil {
+			return nil, merry.New("no tallies are kept here")
+		}
+		m := new(tally.Message)
+		if err := cbor.Unmarshal(body, m); err != nil {
+			return nil, err
+		}
+		c.tallies.receive(m)
+		return nil, nil
 	case distribute.KindWatch:
 		request := new(distribute.WatchRequest)
 		if err := cbor.Unmarshal(body, request); err != nil {
--- a/internal/controller/run.go
+++ b/internal/controller/run.go
@@ -16,6 +16,9 @@
 	if err != nil {
 		return merry.Prepend(err, "controller: listen to machines")
 	}
+	if c.tallies != nil {
+		go c.tallies.run()
+	}
 	go rpc.Serve(listener, c.handle)
 	api, err := c.serveAPI()
 	if err != nil {
@@ -31,6 +34,9 @@
 	}()
 	c.own(closed, nil)
 	close(c.done)
+	if c.tallies != nil {
+		c.tallies.stop()
+	}
 	return nil
 }
 
@@ -58,10 +64,18 @@
 	c.leaving = time.Now()
 	limit := c.settings.Bounds.Grace - leaveMargin
 	c.perform(c.replica.Leave(c.now()))
-	if limit > 0 && !c.replica.MayEnd(c.now()) {
-		c.own(nil, func() bool { return c.replica.MayEnd(c.now()) || time.Since(c.leaving) > limit })
+	if c.tallies != nil {
+		c.tallies.leave()
+	}
+	if limit > 0 && !c.mayEnd() {
+		c.own(nil, func() bool { return c.mayEnd() || time.Since(c.leaving) > limit })
 	}
-	c.log.Info().Str("step", "leave").Bool("handed_over", c.replica.MayEnd(c.now())).Dur("took", time.Since(c.leaving)).Msg("ending")
+	c.log.Info().Str("step", "leave").Bool("handed_over", c.mayEnd()).Dur("took", time.Since(c.leaving)).Msg("ending")
+}
+
+// mayEnd tells whether the others have all that this machine is to hand over.
+func (c *Controller) mayEnd() bool {
+	return c.replica.MayEnd(c.now()) && (c.tallies == nil || c.tallies.flushed.Load())
 }
 
 // closeAPI lets the operator's calls that run come to their end.
--- a/internal/controller/world_test.go
+++ b/internal/controller/world_test.go
@@ -27,9 +27,10 @@
 const worldPort = 7340
 
 type world struct {
-	t        *testing.T
-	dir      string
-	machines map[string]*worldMachine
+	t         *testing.T
+	dir       string
+	contracts []string
+	machines  map[string]*worldMachine
 
 	network *simtest.Network
 	mu      sync.Mutex // of calls
@@ -46,8 +47,11 @@
 	ended      chan struct{}
 }
 
-func newWorld(t *testing.T, n int) *world {
-	w := &world{t: t, dir: t.TempDir(), machines: map[string]*worldMachine{}, network: simtest.NewNetwork(), start: time.Now()}
+func newWorld(t *testing.T, n int) *world { return newWorldOf(t, n) }
+
+// newWorldOf is a world under more parts of the rules.
+func newWorldOf(t *testing.T, n int, contracts ...string) *world {
+	w := &world{t: t, dir: t.TempDir(), contracts: contracts, machines: map[string]*worldMachine{}, network: simtest.NewNetwork(), start: time.Now()}
 	for i := range n {
 		w.add(i+1, true)
 	}
@@ -61,7 +65,7 @@
 	ip := ipOf(i)
 	settings := &local.Settings{
 		NodeName: "core-" + ip, IP: ip, Zone: "zone-" + ip, Zones: map[string]string{"x": "r", "y": "r"}, ControlAddr: ip + ":8783",
-		FirstStart: first, FirstPort: worldPort, LastPort: worldPort + 10, LostMachines: 1, DataDirectory: filepath.Join(w.dir, fmt.Sprint(i, "-", len(w.calls), "-", time.Now().UnixNano())),
+		FirstStart: first, Contracts: w.contracts, MemoryMB: 256, FirstPort: worldPort, LastPort: worldPort + 10, LostMachines: 1, DataDirectory: filepath.Join(w.dir, fmt.Sprint(i, "-", len(w.calls), "-", time.Now().UnixNano())),
 	}
 	for seed := 1; seed <= 3; seed++ {
 		settings.Seeds = append(settings.Seeds, ipOf(seed)+":8783")
--- a/internal/distribute/messages.go
+++ b/internal/distribute/messages.go
@@ -11,6 +11,7 @@
 const (
 	KindCore   = "core"   // one-way, between controllers: chain.Message
 	KindAgents = "agents" // one-way, between controllers: AgentTable
+	KindTally  = "tally"  // one-way, between controllers: tally.Message
 	KindWatch  = "watch"  // agent to controller: WatchRequest, WatchReply
 	KindSubmit = "submit" // agent or controller to the head: SubmitRequest, SubmitReply
 	KindRead   = "read"   // controller to the tail: ReadRequest, ReadReply
--- a/internal/durable/store.go
+++ b/internal/durable/store.go
@@ -69,6 +69,12 @@
 	return create(dir, number, nil)
 }
 
+// Present tells whether a directory holds a store, whole or not.
+func Present(dir string) bool {
+	numbers, err := list(dir)
+	return err == nil && len(numbers) > 0
+}
+
 // list gives the numbers of the files there are, lowest first.
 func list(dir string) (numbers []int, err error) {
 	files, err := os.ReadDir(dir)
--- a/internal/settings/local/local.go
+++ b/internal/settings/local/local.go
@@ -5,6 +5,7 @@
 import (
 	"fmt"
 	"os"
+	"slices"
 	"strconv"
 	"strings"
 	"time"
@@ -31,7 +32,9 @@
 	FirstStart      bool
 	CountsForQuorum bool
 	DataDirectory   string
+	Contracts       []string // parts of the rules that are in force
 	MemoryMB        int
+	DiskMB          int // 0 if it is not stated
 	FileDescriptors int
 	LinkMbps        float64 // of the machine's link, 0 if it is not stated
 	CloudAddr       string
@@ -107,7 +110,9 @@
 		FirstStart:      p.truth("first_start"),
 		CountsForQuorum: p.truth("counts_for_quorum"),
 		DataDirectory:   p.text("data_directory"),
+		Contracts:       p.list("contracts"),
 		MemoryMB:        int(p.number("limits.memory_mb", 256)),
+		DiskMB:          int(p.number("limits.disk_mb", 0)),
 		FileDescriptors: int(p.number("limits.file_descriptors", 1024)),
 		LinkMbps:        p.number("limits.link_mbps", 0),
 		CloudAddr:       p.text("cloud.address"),
@@ -140,6 +145,9 @@
 	return s, p.err
 }
 
+// HasContract tells whether a part of the rules is in force.
+func (s *Settings) HasContract(name string) bool { return slices.Contains(s.Contracts, name) }
+
 // InternalAddr is where a machine's first internal port is, for the machine whose control or other address is given.
 func (s *Settings) InternalAddr(ipOrAddr string) string {
 	ip, _, found := strings.Cut(ipOrAddr, ":")
--- /dev/null
+++ b/internal/tally/acknowledge.go
@@ -0,0 +1,92 @@
+package tally
+
+import (
+	"cmp"
+	"slices"
+	"time"
+)
+
+// settle answers the calls whose adds are on enough disks.
+func (r *Replica) settle(now time.Duration, out *Output) {
+	for _, dot := range r.waitingDots() {
+		if r.set.Holds(dot) && r.enough(now, dot) {
+			r.giveUp(out, dot, Acknowledged, "")
+		}
+	}
+}
+
+// enough tells whether an add that is on this disk is on as many others as it should be, or on all that can be reached. While this
+// machine cannot know who is in reach, it waits.
+func (r *Replica) enough(now time.Duration, dot Dot) bool {
+	copies, reachable, copiesInReach := 0, 0, 0
+	for _, p := range r.peers {
+		has := p.has(dot)
+		if has {
+			copies++
+		}
+		if r.inReach(now, p) && !p.failed {
+			reachable++
+			if has {
+				copiesInReach++
+			}
+		}
+	}
+	if copies >= r.options.Copies {
+		return true
+	}
+	return now >= r.blind && reachable < r.options.Copies && copiesInReach == reachable
+}
+
+// expire answers the calls that have waited for too long, and those whose adds a failing disk holds up.
+func (r *Replica) expire(now time.Duration, out *Output) {
+	fails := r.diskFails(now)
+	for _, dot := range r.waitingDots() {
+		if fails && !r.set.Holds(dot) {
+			r.giveUp(out, dot, Unclear, "the disk takes no writes")
+			continue
+		}
+		r.waiting[dot] = slices.DeleteFunc(r.waiting[dot], func(w waiter) bool {
+			late := now-w.since >= r.options.Timing.Answer
+			if late {
+				r.answer(out, w.token, Unclear, "not on enough disks in time")
+			}
+			return late
+		})
+		if len(r.waiting[dot]) == 0 {
+			delete(r.waiting, dot)
+		}
+	}
+	if fails {
+		r.refuseQueue(out, "the disk takes no writes")
+	}
+}
+
+// refuseQueue refuses the adds that no write was begun for.
+func (r *Replica) refuseQueue(out *Output, reason string) {
+	for _, q := range r.queue {
+		for _, w := range q.tokens {
+			r.answer(out, w.token, Refused, reason)
+		}
+	}
+	r.queue = nil
+}
+
+// giveUp answers all calls that wait for an add.
+func (r *Replica) giveUp(out *Output, dot Dot, outcome Outcome, reason string) {
+	for _, w := range r.waiting[dot] {
+		r.answer(out, w.token, outcome, reason)
+	}
+	delete(r.waiting, dot)
+}
+
+// waitingDots gives the adds that calls wait for, in an order.
+func (r *Replica) waitingDots() []Dot {
+	dots := make([]Dot, 0, len(r.waiting))
+	for dot := range r.waiting {
+		dots = append(dots, dot)
+	}
+	slices.SortFunc(dots, func(a, b Dot) int {
+		return cmp.Or(cmp.Compare(a.Origin, b.Origin), cmp.Compare(a.Number, b.Number))
+	})
+	return dots
+}
--- /dev/null
+++ b/internal/tallylog/log.go
@@ -0,0 +1,173 @@
+// Package tallylog keeps the tallies' adds on disk: one file that only grows, of checksummed frames. A frame is one batch, there as a whole
+// or not at all. What was being written when the power went is cut off at the next open; damage to what was synced is told from that, and
+// the file is set aside.
+package tallylog
+
+import (
+	"errors"
+	"io/fs"
+	"os"
+	"path/filepath"
+
+	"github.com/ansel1/merry/v2"
+	"github.com/fxamacker/cbor/v2"
+
+	"nettlefold/internal/tally"
+)
+
+const (
+	fileName  = "tallies.log"
+	asideName = "damaged-tallies.log"
+)
+
+// fsync makes a file's contents lasting; tests have it fail.
+var fsync = (*os.File).Sync
+
+// Log is the open file of one directory.
+type Log struct {
+	file   *os.File
+	size   int64 // of what was synced
+	failed bool  // a write failed since the last recovery
+}
+
+// Options say what a new file begins with.
+type Options struct {
+	// Complete says that an empty disk misses nothing: the whole system starts for the first time, or has kept no tallies before.
+	Complete  bool
+	NewOrigin func() tally.Origin
+}
+
+// Open opens a directory's file, makes one where there is none, and gives what it holds, which lasts. A damaged file is set aside for
+// whoever wants to look at it: then the error is a *DamageError beside a log that starts anew and misses what the other held.
+func Open(dir string, options Options) (*Log, tally.Saved, error) {
+	if err := os.MkdirAll(dir, 0o755); err != nil {
+		return nil, tally.Saved{}, merry.Prepend(err, "tally log: make directory")
+	}
+	path := filepath.Join(dir, fileName)
+	l, saved, err := openFile(path)
+	var damage *DamageError
+	switch {
+	case errors.As(err, &damage):
+		if err := os.Rename(path, filepath.Join(dir, asideName)); err != nil {
+			return nil, tally.Saved{}, merry.Prepend(err, "tally log: set aside")
+		}
+		options.Complete = false
+		l, saved, err = create(path, options)
+	case errors.Is(err, fs.ErrNotExist) || err == nil && len(saved.Origins) == 0:
+		if l != nil {
+			l.Close()
+		}
+		l, saved, err = create(path, options)
+	}
+	if err != nil {
+		return nil, tally.Saved{}, err
+	}
+	if damage != nil {
+		return l, saved, damage
+	}
+	return l, saved, nil
+}
+
+// openFile opens a file as it was left. What a killed process may have written without a sync is written once more before the sync: after
+// one that failed, the kernel may take it for written.
+func openFile(path string) (*Log, tally.Saved, error) {
+	file, err := os.OpenFile(path, os.O_RDWR, 0o644)
+	if err != nil {
+		return nil, tally.Saved{}, merry.Prepend(err, "tally log: open")
+	}
+	found, err := scan(file)
+	if err == nil {
+		err = lasting(file, found)
+	}
+	if err != nil {
+		file.Close()
+		return nil, tally.Saved{}, err
+	}
+	found.saved.Renew = found.torn
+	return &Log{file: file, size: found.whole}, found.saved, nil
+}
+
+// lasting cuts off what is torn and makes the rest last.
+func lasting(file *os.File, found *scanned) error {
+	if found.torn {
+		if err := file.Truncate(found.whole); err != nil {
+			return merry.Prepend(err, "tally log: cut off")
+		}
+	}
+	rest := make([]byte, found.whole-found.synced)
+	if _, err := file.ReadAt(rest, found.synced); err != nil {
+		return merry.Prepend(err, "tally log: read the end")
+	}
+	if _, err := file.WriteAt(rest, found.synced); err != nil {
+		return merry.Prepend(err, "tally log: write the end")
+	}
+	return merry.Prepend(fsync(file), "tally log: sync")
+}
+
+// create makes a file whose first frame names the disk's origin; it lasts when create returns.
+func create(path string, options Options) (*Log, tally.Saved, error) {
+	file, err := os.OpenFile(path, os.O_RDWR|os.O_CREATE|os.O_TRUNC, 0o644)
+	if err != nil {
+		return nil, tally.Saved{}, merry.Prepend(err, "tally log: create")
+	}
+	l := &Log{file: file}
+	first := tally.Batch{NewOrigin: options.NewOrigin(), Complete: options.Complete}
+	if err := l.Append(&first); err != nil {
+		file.Close()
+		return nil, tally.Saved{}, err
+	}
+	if err := syncDirectory(filepath.Dir(path)); err != nil {
+		file.Close()
+		return nil, tally.Saved{}, err
+	}
+	return l, tally.Saved{Set: tally.NewSet(), Origins: []tally.Origin{first.NewOrigin}, Complete: first.Complete}, nil
+}
+
+func syncDirectory(dir string) error {
+	d, err := os.Open(dir)
+	if err != nil {
+		return merry.Prepend(err, "tally log: sync directory")
+	}
+	defer d.Close()
+	return merry.Prepend(fsync(d), "tally log: sync directory")
+}
+
+// Append makes a batch last. After an error the batch may be there or not, and nothing more is taken until Recover.
+func (l *Log) Append(batch *tally.Batch) error {
+	if l.failed {
+		return merry.New("tally log: an earlier write failed")
+	}
+	payload, err := cbor.Marshal(batch)
+	if err != nil {
+		return merry.Prepend(err, "tally log: encode")
+	}
+	frame := encodeFrame(l.size, payload)
+	if _, err := l.file.WriteAt(frame, l.size); err != nil {
+		l.failed = true
+		return merry.Prepend(err, "tally log: write")
+	}
+	if err := fsync(l.file); err != nil {
+		l.failed = true
+		return merry.Prepend(err, "tally log: sync")
+	}
+	l.size += int64(len(frame))
+	return nil
+}
+
+// Recover takes back what a failed write may have left. Without an error the log holds what was synced before, and can be written again.
+func (l *Log) Recover() error {
+	if err := l.file.Truncate(l.size); err != nil {
+		return merry.Prepend(err, "tally log: recover")
+	}
+	if err := fsync(l.file); err != nil {
+		return merry.Prepend(err, "tally log: recover")
+	}
+	l.failed = false
+	return nil
+}
+
+// Size is how many bytes the file holds.
+func (l *Log) Size() int64 { return l.size }
+
+// Close closes the file; nothing is lost by not doing so.
+func (l *Log) Close() { l.file.Close() }
