--- a/internal/tally/replica.go
+++ b/internal/tally/replica.go
@@ -95,7 +95,6 @@
 	noted    bool // and says so
 	full     bool // the disk has no room for adds
 	stepped  time.Duration
-	begun    bool
 	blind    time.Duration // until then silence tells nothing of others
 	boot     time.Duration
 	leaving  bool
