Agents: who misses the platform's list asks an agent; the platform is read by few, at a share

Cause: every agent that had heard no list for 1.5 s read the platform's for itself, every 0.7 s. All at once they ask for about twice the calls that the platform answers, so readings of seven pages are refused, the owner's among them, and a moment without an owner feeds itself: a metastable fallback. The same at a start, where nobody has a list.

Now: the owner reads; its successors follow one after the other from 1.5 s on, a zone's hub from 2.3 s on, and all others from 2.7 s on at a pace at which all together make a quarter of the platform's calls. Who hears nothing for 1.2 s, or is told of changes to a list it lacks, asks an agent: who told it, the hub of its zone, the hubs of others. Whoever read tells the others. The list goes out as changes, with a digest that changes keep up to date; it is not told whole any more every 3 s. Readings are numbered, so that news that waited at an agent which stood still does not undo newer news. agent_list_arrival_seconds has how old the list is as it arrives.

Ruled out: a larger limit (the rate is shared by all), a longer pause alone (a lost hub's zone would wait for it).

--- a/internal/agent/agent.go
+++ b/internal/agent/agent.go
@@ -6,7 +6,6 @@
 	"context"
 	"fmt"
 	"math/rand/v2"
-	"net"
 	"net/http"
 	"time"
 
@@ -39,6 +38,7 @@
 type Agent struct {
 	settings *local.Settings
 	log      zerolog.Logger
+	network  rpc.Network
 	pool     *rpc.Pool
 	web      *http.Client
 	self     distribute.Agent
@@ -58,15 +58,13 @@
 	applied     uint64
 	proxyAt     time.Time
 
-	list       []dispatch.Listed
-	listSum    uint64 // its digest
-	listAt     time.Time
+	list       []dispatch.Listed // nil if it is not known
+	lists      lists
 	listNumber uint64
-	reading    bool
-	spreadSum  uint64
-	spreadAt   time.Time
 	phases     map[string]phaseNews
 
+	listArrivals arrivals // of the list, from its reading to its arrival here
+
 	index      *kvindex.Index
 	batches    []*kvindex.Batch // the newest, the last of which has number batchCount
 	batchCount uint64
@@ -88,14 +86,20 @@
 	storeAddrs []string
 }
 
-// New makes an agent.
+// New makes an agent on the machine's own network.
 func New(settings *local.Settings, log zerolog.Logger) *Agent {
+	return newOn(rpc.TCP{}, newWeb(), settings, log)
+}
+
+// newOn makes an agent that meets other machines on a network, and backends and the platform through a client.
+func newOn(network rpc.Network, web *http.Client, settings *local.Settings, log zerolog.Logger) *Agent {
 	life := fmt.Sprintf("%s/%016x%04x", settings.NodeName, time.Now().UnixNano(), rand.IntN(1<<16))
 	a := &Agent{
 		settings: settings,
 		log:      log,
-		pool:     rpc.NewPool(),
-		web:      newWeb(),
+		network:  network,
+		pool:     rpc.NewPoolOn(network),
+		web:      web,
 		self:     distribute.Agent{ID: life, Addr: settings.InternalAddr(settings.IP), Zone: settings.Zone},
 		start:    time.Now(),
 		commands: make(chan func(), commandQueue),
@@ -115,17 +119,18 @@
 		ownPhases:   map[string]ownPhase{},
 	}
 	a.news = newExchange(a)
+	a.lists.heardAt, a.lists.toldAt = a.start, a.start
 	return a
 }
 
 // Run works until ctx ends.
 func (a *Agent) Run(ctx context.Context) error {
-	outside, err := net.Listen("tcp", a.self.Addr)
+	outside, err := a.network.Listen(a.self.Addr)
 	if err != nil {
 		return merry.Prepend(err, "agent: listen to machines")
 	}
 	defer outside.Close()
-	inside, err := net.Listen("tcp", a.settings.LoopbackAddr())
+	inside, err := a.network.Listen(a.settings.LoopbackAddr())
 	if err != nil {
 		return merry.Prepend(err, "agent: listen to the proxy")
 	}
@@ -224,6 +229,12 @@
 			err = merry.New("nothing is known of " + request.Backend)
 		}
 		return whole, err
+	case feed.KindList:
+		request := new(feed.ListRequest)
+		if err := cbor.Unmarshal(body, request); err != nil {
+			return nil, err
+		}
+		return a.answerList(ctx, request)
 	case feed.KindPing:
 		return struct{}{}, nil
 	}
--- a/internal/agent/events.go
+++ b/internal/agent/events.go
@@ -103,7 +103,7 @@
 	if a.snapshot == nil || a.list == nil {
 		return
 	}
-	from := sourcesOf{a.listSum, a.snapshot.ConfigSeq, a.members.Digest}
+	from := sourcesOf{a.lists.sum, a.snapshot.ConfigSeq, a.members.Digest}
 	if from == a.readersOf && time.Since(a.readersAt) < sourcesEvery {
 		return
 	}
--- a/internal/agent/list.go
+++ b/internal/agent/list.go
@@ -7,12 +7,9 @@
 	"math/rand/v2"
 	"net/http"
 	"net/url"
-	"reflect"
 	"time"
 
 	"github.com/ansel1/merry/v2"
-	"github.com/cespare/xxhash/v2"
-	"github.com/fxamacker/cbor/v2"
 
 	"nettlefold/internal/dispatch"
 	"nettlefold/internal/feed"
@@ -20,21 +17,14 @@
 
 const (
 	listDuty  = "list"
-	listEvery = 600 * time.Millisecond
 	listLimit = 900 * time.Millisecond
-	listStale = 1500 * time.Millisecond // from which on an agent that is not the owner reads for itself
-	listRetry = 700 * time.Millisecond  // mean pause between its own tries
 	listPages = 400
-	// wholeListEvery is how often the list is told though it did not change, for those that missed it.
-	wholeListEvery = 3 * time.Second
-	listBytes      = 4 << 20
-	draining       = "draining"
-	freshAfter     = 2 * listLimit // of its beginning a read is no news any more, as its reader may have stood still
+	listBytes = 4 << 20
+	draining  = "draining"
+	// freshAfter is how long after its beginning a reading is no news any more, as its reader may have stood still.
+	freshAfter = 2 * listLimit
 )
 
-// sorted encodes maps in one order.
-var sorted, _ = cbor.CoreDetEncOptions().EncMode()
-
 // instance is an entry of the platform's list.
 type instance struct {
 	ID      string  `json:"id"`
@@ -55,85 +45,50 @@
 	Next      *string    `json:"next_page_token"`
 }
 
-// dutyList reads the platform's list when that falls to this agent: as its owner, or as one whose feed is silent.
+// dutyList reads the platform's list when that falls to this agent, and asks another agent for it when it heard nothing for a while.
 func (a *Agent) dutyList(ctx context.Context) {
-	age := time.Since(a.listAt)
-	due := a.owns(listDuty) && age >= listEvery
-	if !due && age >= listStale {
-		due = rand.Float64() < float64(tickEvery)/float64(listRetry) // spread over those that miss it
-	}
-	if !due || a.reading {
+	a.askForList(ctx)
+	now := time.Now()
+	if a.lists.reading || !a.lists.plan(a, now).due(rand.Float64()) {
 		return
 	}
-	a.reading = true
+	a.lists.reading, a.lists.triedAt = true, now
 	go func() {
-		started := time.Now()
-		list, err := a.readList(ctx)
+		list, pages, err := a.readList(ctx)
 		a.enqueue(func() {
-			a.reading = false
+			a.lists.reading = false
+			a.lists.pages = max(a.lists.pages, pages)
 			if err != nil {
 				a.log.Warn().Err(err).Str("step", "list").Msg("the platform's list was not read")
 				return
 			}
-			if time.Since(started) > freshAfter {
-				return
-			}
-			a.takeList(list)
-			if a.owns(listDuty) {
-				a.spreadList()
+			if time.Since(now) <= freshAfter {
+				a.spreadList(now, list)
 			}
 		})
 	}()
 }
 
-// spreadList tells the others that the list was read; the list itself goes along when it changed, and now and then.
-func (a *Agent) spreadList() {
-	read := &feed.ReadList{Sum: a.listSum}
-	if read.Sum != a.spreadSum || time.Since(a.spreadAt) >= wholeListEvery {
-		read.Backends, a.spreadSum, a.spreadAt = a.list, read.Sum, time.Now()
-	}
-	a.news.tell(&feed.News{List: read})
-}
-
-// hearList takes the list that its owner read. One that is said to be the same is fresh again; another is missing until it is told.
-func (a *Agent) hearList(read *feed.ReadList) {
-	switch {
-	case read == nil:
-	case read.Backends != nil:
-		a.takeList(read.Backends)
-	case a.list != nil && a.listSum == read.Sum:
-		a.listAt = time.Now()
-	}
-}
-
-// listSum digests a list.
-func listSum(list []dispatch.Listed) uint64 {
-	encoded, err := sorted.Marshal(list)
-	if err != nil {
-		return 0
-	}
-	return xxhash.Sum64(encoded) | 1
-}
-
-// readList reads all pages.
-func (a *Agent) readList(ctx context.Context) ([]dispatch.Listed, error) {
+// readList reads all pages, and tells how many it asked for.
+func (a *Agent) readList(ctx context.Context) (list []dispatch.Listed, pages int, err error) {
 	ctx, cancel := context.WithTimeout(ctx, listLimit)
 	defer cancel()
 	list, token := []dispatch.Listed{}, ""
-	for range listPages {
+	for pages < listPages {
+		pages++
 		page, err := a.readPage(ctx, token)
 		if err != nil {
-			return nil, err
+			return nil, pages, err
 		}
 		for _, i := range page.Instances {
 			list = append(list, listedOf(&i))
 		}
 		if page.Next == nil || *page.Next == "" {
-			return list, nil
+			return list, pages, nil
 		}
 		token = *page.Next
 	}
-	return nil, merry.New("the list has too many pages")
+	return nil, pages, merry.New("the list has too many pages")
 }
 
 func (a *Agent) readPage(ctx context.Context, token string) (*instancePage, error) {
@@ -180,15 +135,6 @@
 	return l
 }
 
-// takeList takes the newest list, read here or told by its owner.
-func (a *Agent) takeList(list []dispatch.Listed) {
-	a.listAt = time.Now()
-	if !reflect.DeepEqual(a.list, list) {
-		a.list, a.listSum = list, listSum(list)
-		a.listChanged()
-	}
-}
-
 // listFor is the list with what the owners of orders know beyond it.
 func (a *Agent) listFor() *feed.List {
 	out := &feed.List{Number: a.listNumber, Backends: make([]dispatch.Listed, 0, len(a.list)), Phases: map[string]string{}}
--- a/internal/agent/metrics.go
+++ b/internal/agent/metrics.go
@@ -38,7 +38,10 @@
 	if a.inTouch != superseded.Always {
 		set.Add("agent_in_touch_age_seconds", (a.now() - a.inTouch).Seconds())
 	}
-	addAge(set, "agent_list_age_seconds", a.listAt)
+	if a.list != nil {
+		addAge(set, "agent_list_age_seconds", a.lists.readAt)
+	}
+	a.listArrivals.addTo(set, "agent_list_arrival_seconds")
 	addAge(set, "agent_proxy_age_seconds", a.proxyAt)
 }
 
--- a/internal/agent/news.go
+++ b/internal/agent/news.go
@@ -35,7 +35,7 @@
 // exchange spreads news: from each agent to the hub of its zone, between hubs, and from a hub to the agents of its zone. So an agent
 // sends and hears once per interval, whatever their number, and each piece crosses to another zone once. A hub is an agent like others,
 // picked by rendezvous hashing; one that is gone is replaced as soon as the members are told, and what was lost meanwhile is noticed:
-// loads run out and are told whole each second, a batch leaves a gap, the list is read by those that miss it.
+// loads run out and are told whole each second, a batch leaves a gap, the list is asked for by those that miss it.
 type exchange struct {
 	agent  *Agent
 	send   func(to []string, n *feed.News) (bytes int)
@@ -61,13 +61,15 @@
 // outgoing is what comes together until it is sent.
 type outgoing struct {
 	list    *feed.ReadList
+	read    time.Time // when the list's reading began
 	batches []*kvindex.Batch
 	phases  map[string]feed.Phase
 }
 
 func (o *outgoing) add(n *feed.News) {
 	if n.List != nil {
-		o.list = n.List
+		o.list = o.list.Then(n.List)
+		o.read = time.Now().Add(-time.Duration(n.List.AgeMS) * time.Millisecond)
 	}
 	o.batches = append(o.batches, n.Batches...)
 	for id, p := range n.Phases {
@@ -78,6 +80,16 @@
 	}
 }
 
+// listNow is the list as it is to be sent now, nil if there is none.
+func (o *outgoing) listNow() *feed.ReadList {
+	if o.list == nil {
+		return nil
+	}
+	list := *o.list
+	list.AgeMS = time.Since(o.read).Milliseconds()
+	return &list
+}
+
 // urgent tells whether there is something that does not wait for its share of the link.
 func (o *outgoing) urgent() bool { return o.list != nil || len(o.phases) > 0 }
 
@@ -162,9 +174,9 @@
 	x.own.loads = keyed(a.ownLoads)
 	mine := x.said.next(x.own.loads)
 	if hub == a.self.Addr {
-		x.take(&feed.News{From: a.self.Addr, Hop: feed.ToHub, Loads: mine, List: x.up.list, Batches: x.up.batches, Phases: x.up.phases})
+		x.take(&feed.News{From: a.self.Addr, Hop: feed.ToHub, Loads: mine, List: x.up.listNow(), Batches: x.up.batches, Phases: x.up.phases})
 	} else if mine != nil || !x.up.empty() {
-		x.send([]string{hub}, &feed.News{From: a.self.Addr, Hop: feed.ToHub, Loads: mine, List: x.up.list, Batches: x.up.batches, Phases: x.up.phases})
+		x.send([]string{hub}, &feed.News{From: a.self.Addr, Hop: feed.ToHub, Loads: mine, List: x.up.listNow(), Batches: x.up.batches, Phases: x.up.phases})
 	}
 	x.up = outgoing{}
 	x.flushHub(hub == a.self.Addr)
@@ -178,13 +190,13 @@
 	a := x.agent
 	zone := total(x.zone)
 	if loads := x.across.next(zone); loads != nil || x.cross.urgent() {
-		news := &feed.News{From: a.self.Addr, Hop: feed.HubToHub, Loads: loads, List: x.cross.list, Phases: x.cross.phases}
+		news := &feed.News{From: a.self.Addr, Hop: feed.HubToHub, Loads: loads, List: x.cross.listNow(), Phases: x.cross.phases}
 		x.cross.withBulk(news)
 		x.send(slices.Collect(maps.Keys(x.otherZones())), news)
 	}
 	all := plus(zone, total(x.zones))
 	if loads := x.below.next(all); loads != nil || x.down.urgent() {
-		news := &feed.News{From: a.self.Addr, Hop: feed.FromHub, Loads: loads, List: x.down.list, Phases: x.down.phases}
+		news := &feed.News{From: a.self.Addr, Hop: feed.FromHub, Loads: loads, List: x.down.listNow(), Phases: x.down.phases}
 		x.down.withBulk(news)
 		x.told = x.send(x.fellows(), news)
 		if loads != nil {
@@ -273,7 +285,7 @@
 func (x *exchange) take(n *feed.News) {
 	a := x.agent
 	if n.From != a.self.Addr { // its own is in force already
-		a.hearList(n.List)
+		a.toldList(n.List, n.From)
 		for _, b := range n.Batches {
 			a.takeBatch(b, n.From)
 		}
--- a/internal/agent/news_test.go
+++ b/internal/agent/news_test.go
@@ -62,8 +62,7 @@
 	batch := &kvindex.Batch{Backend: "b", To: kvindex.Cursor{Epoch: 1, Next: 5}, Changes: []kvindex.Change{{Key: 7, Tokens: 100}}}
 	first.ownBatch(batch)
 	first.news.tell(&feed.News{Phases: map[string]feed.Phase{"b": {Name: dispatch.PhaseLoading}}})
-	first.list = []dispatch.Listed{{ID: "b", Service: "s", Versions: map[string]int64{"m": 1}}}
-	first.spreadList()
+	first.spreadList(time.Now(), []dispatch.Listed{{ID: "b", Service: "s", Versions: map[string]int64{"m": 1}}})
 	for i, a := range agents {
 		a.ownLoads = map[string]dispatch.Load{"b": {Running: i + 1}}
 	}
--- a/internal/dispatch/backend.go
+++ b/internal/dispatch/backend.go
@@ -4,6 +4,7 @@
 package dispatch
 
 import (
+	"maps"
 	"time"
 
 	"nettlefold/internal/config"
@@ -30,6 +31,12 @@
 	Versions map[string]int64 `cbor:"8,keyasint,omitempty"` // of models' weights
 }
 
+// Same tells whether two entries say the same.
+func (l *Listed) Same(o *Listed) bool {
+	return l.ID == o.ID && l.Service == o.Service && l.Addr == o.Addr && l.Zone == o.Zone && l.Slots == o.Slots &&
+		l.Draining == o.Draining && l.ColdMS == o.ColdMS && maps.Equal(l.Versions, o.Versions)
+}
+
 // Load is what a mixer has at a backend.
 type Load struct {
 	_       struct{} `cbor:",toarray"`
--- a/internal/feed/messages.go
+++ b/internal/feed/messages.go
@@ -18,6 +18,7 @@
 	KindNews  = "news"  // one-way, agent to agent: News
 	KindWhole = "whole" // agent to agent: WholeRequest, kvindex.Batch
 	KindPing  = "ping"  // agent to agent
+	KindList  = "list"  // agent to agent: ListRequest, ReadList
 )
 
 // MostChanges bounds the changes of one reply, but for one batch that has more by itself.
@@ -92,12 +93,6 @@
 	All     bool                         `cbor:"2,keyasint,omitempty"`
 }
 
-// ReadList is the platform's list as it was just read.
-type ReadList struct {
-	Sum      uint64            `cbor:"1,keyasint"`           // its digest
-	Backends []dispatch.Listed `cbor:"2,keyasint,omitempty"` // left out where receivers should have it
-}
-
 // Phase is what the owner of orders tells of a backend.
 type Phase struct {
 	Name    string `cbor:"1,keyasint"` // dispatch.Phase...
--- a/internal/lab/fleetcost/curves.go
+++ b/internal/lab/fleetcost/curves.go
@@ -148,7 +148,7 @@
 }
 
 func playNews(size int) ([]float64, error) {
-	all, list := &feed.Loads{All: true, Changed: map[feed.BackendKey]dispatch.Load{}}, &feed.ReadList{Sum: 1 << 60}
+	all, list := &feed.Loads{All: true, Changed: map[feed.BackendKey]dispatch.Load{}}, &feed.ReadList{Sum: 1 << 60, Whole: true}
 	for i := range size {
 		list.Backends = append(list.Backends, listed(i))
 		all.Changed[feed.KeyOf(listed(i).ID)] = dispatch.Load{Running: 1 + i%3, Waiting: i * 37 % 900, Tokens: i * 1009 % 40000}
