Dispatch: news of the list ranks no members

Each list that a proxy took, and each change of the members, ranked all members for every backend to tell who may send to it while it is cold: 326 x 295 weights on the goroutine that all requests of the machine wait for. The share is found when a cold backend is looked at, once for each set of members or configuration.

--- a/internal/dispatch/backend.go
+++ b/internal/dispatch/backend.go
@@ -74,7 +74,8 @@
 	pending   int           // requests of ours that have not begun to answer
 	progress  time.Duration // when it was last heard from, or the first of those sent
 	coldNext  time.Duration // when the next request may be sent to it while it is cold
-	coldShare time.Duration // between two of them; 0 if this mixer has no share
+	coldShare time.Duration // between two of them, 0 if this mixer has no share; as of sharedIn
+	sharedIn  uint64        // number of the shares that coldShare is of
 }
 
 // quiet reports whether a request is expected to wait so little at a backend that its answer tells how fast the backend is. In a busy fleet a
--- a/internal/dispatch/dispatch_test.go
+++ b/internal/dispatch/dispatch_test.go
@@ -28,7 +28,7 @@
 	return Listed{ID: fmt.Sprint("b", n), Service: "llm", Addr: fmt.Sprintf("10.0.0.%d:80", n), Zone: "a", Slots: 64, Versions: map[string]int64{"m": version}}
 }
 
-func newTable(t *testing.T, list ...Listed) *Table {
+func newTable(t testing.TB, list ...Listed) *Table {
 	t.Helper()
 	doc, err := config.Parse([]byte(document))
 	require.NoError(t, err)
--- a/internal/dispatch/pick.go
+++ b/internal/dispatch/pick.go
@@ -177,7 +177,7 @@
 		b.expect(now, p.prompt.keys[:len(p.prompt.keys)-1])
 	}
 	if now < b.coldUntil {
-		b.coldNext = now + b.coldShare
+		b.coldNext = now + t.coldShareOf(b)
 	}
 	b.trial = b.failures >= dead
 	return c
--- a/internal/dispatch/shares.go
+++ b/internal/dispatch/shares.go
@@ -11,25 +11,32 @@
 // The retry budget and what a cold backend bears are sums over all mixers, also over lives of a process that ended. Each mixer keeps
 // to a share that it can tell without asking, and what is given out in all stays below the sum by the parts named in table.go.
 
-// shareCold tells how often this mixer may send to a cold backend: the allowance of a second is divided among so many mixers, picked
-// by rendezvous hashing, that each may send one.
-func (t *Table) shareCold(b *Backend) {
-	b.coldShare = 0
+// coldShareOf tells how often this mixer may send to a cold backend, 0 if it may not. It is found when it is asked for, which it is of a
+// few: it takes a weight for each mixer.
+func (t *Table) coldShareOf(b *Backend) time.Duration {
+	if b.sharedIn != t.sharesNumber {
+		b.coldShare, b.sharedIn = t.coldShare(b), t.sharesNumber
+	}
+	return b.coldShare
+}
+
+// coldShare divides the allowance of a second among so many mixers, picked by rendezvous hashing, that each may send one.
+func (t *Table) coldShare(b *Backend) time.Duration {
 	service := t.service(b.Service)
 	if service == nil || len(t.members.All) == 0 {
-		return
+		return 0
 	}
 	allowed := service.ColdPerS*t.settings.ColdOvershoot + t.settings.ColdSlack
 	users := int(math.Floor(allowed * coldPart))
 	if users < 1 {
-		return
+		return 0
 	}
 	if users < len(t.members.All) && !slices.Contains(rendezvous.Top("cold/"+b.ID, t.members.All, users), t.members.Self) {
-		return
+		return 0
 	}
 	// Beyond one a second each, the steady rate is kept too: all users together send no more than the backend handles.
 	each := float64(min(users, len(t.members.All))) / max(service.ColdPerS, 0.1)
-	b.coldShare = max(time.Second, time.Duration(each*float64(time.Second)))
+	return max(time.Second, time.Duration(each*float64(time.Second)))
 }
 
 // coldAllows tells whether a cold backend may get a request now.
@@ -37,7 +44,7 @@
 	if now >= b.coldUntil {
 		return true
 	}
-	return b.coldShare > 0 && now >= b.coldNext && now-t.started >= firstColdWaitMS*time.Millisecond
+	return now >= b.coldNext && now-t.started >= firstColdWaitMS*time.Millisecond && t.coldShareOf(b) > 0
 }
 
 // budget counts a service's requests and repeats in the running window, by its tenths.
--- /dev/null
+++ b/internal/dispatch/shares_test.go
@@ -0,0 +1,64 @@
+package dispatch
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+)
+
+const largeMembers, largeBackends = 295, 326
+
+// largeTable is a mixer's among many, and a list of many backends.
+func largeTable(t testing.TB) (table *Table, members Members, list []Listed) {
+	t.Helper()
+	table = newTable(t)
+	members.Self = "mixer0"
+	for i := range largeMembers {
+		members.All = append(members.All, fmt.Sprint("mixer", i))
+	}
+	for i := range largeBackends {
+		list = append(list, backend(i, 1))
+	}
+	table.SetMembers(members)
+	table.SetBackends(0, list, nil)
+	return table, members, list
+}
+
+// TestNewsOfTheListRanksNoMembers: each list, and each change of the members, had every mixer rank all members for each backend.
+func TestNewsOfTheListRanksNoMembers(t *testing.T) {
+	table, members, list := largeTable(t)
+	allocations := testing.AllocsPerRun(5, func() {
+		table.SetBackends(0, list, nil)
+		table.SetMembers(members)
+	})
+	require.Less(t, allocations, float64(largeBackends)/2, "a ranking makes two")
+}
+
+// TestSharesFollowTheMembers: a cold backend's share is the newest members', though it was asked for before.
+func TestSharesFollowTheMembers(t *testing.T) {
+	table, members, list := largeTable(t)
+	share := func() (mine int) {
+		for _, l := range list {
+			if table.coldShareOf(table.Backend(l.ID)) > 0 {
+				mine++
+			}
+		}
+		return mine
+	}
+	few := share()
+	require.Less(t, few, largeBackends/4)
+	table.SetMembers(Members{Self: members.Self, All: members.All[:2]})
+	require.Equal(t, largeBackends, share())
+	table.SetMembers(members)
+	require.Equal(t, few, share())
+}
+
+// BenchmarkSetBackends is one list taken, as at each change.
+func BenchmarkSetBackends(b *testing.B) {
+	table, _, list := largeTable(b)
+	for b.Loop() {
+		table.SetBackends(time.Second, list, nil)
+	}
+}
--- a/internal/dispatch/table.go
+++ b/internal/dispatch/table.go
@@ -89,7 +89,9 @@
 	learned   map[string]*learned // of a service's engines
 	random    *rand.Rand
 	started   time.Duration
-	observe   func(c *Choice, ms float64) // sees what was expected and what came, if set
+	// sharesNumber counts what the shares of cold backends follow from: members and configurations.
+	sharesNumber uint64
+	observe      func(c *Choice, ms float64) // sees what was expected and what came, if set
 }
 
 // Observe has f see each choice as its answer begins, and the ms that it took.
@@ -130,6 +132,7 @@
 // SetConfig takes the configuration in force.
 func (t *Table) SetConfig(c *config.Table) {
 	t.config = c
+	t.sharesNumber++
 	stores := map[string]*Backend{}
 	for s := range c.Services {
 		if s.KVStoreAddress == "" {
@@ -183,9 +186,7 @@
 // SetMembers takes who shares the sums.
 func (t *Table) SetMembers(m Members) {
 	t.members = m
-	for _, b := range t.backends {
-		t.shareCold(b)
-	}
+	t.sharesNumber++
 }
 
 // SetBackends takes the platform's list and the phases that the owners of orders tell. It gives the identities that are gone.
@@ -206,7 +207,6 @@
 			b.coldUntil = max(b.coldUntil, now+time.Duration(l.ColdMS*float64(time.Millisecond)))
 		}
 		b.Listed, b.phase = l, phases[l.ID]
-		t.shareCold(b)
 	}
 	for id := range t.backends {
 		if !listed[id] {
