--- a/internal/dispatch/backend.go
+++ b/internal/dispatch/backend.go
@@ -4,6 +4,7 @@
 package dispatch
 
 import (
+	"maps"
 	"time"
 
 	"nettlefold/internal/config"
@@ -30,6 +31,12 @@
 	Versions map[string]int64 `cbor:"8,keyasint,omitempty"` // of models' weights
 }
 
+// Same tells whether two entries say the same.
+func (l *Listed) Same(o *Listed) bool {
+	return l.ID == o.ID && l.Service == o.Service && l.Addr == o.Addr && l.Zone == o.Zone && l.Slots == o.Slots &&
+		l.Draining == o.Draining && l.ColdMS == o.ColdMS && maps.Equal(l.Versions, o.Versions)
+}
+
 // Load is what a mixer has at a backend.
 type Load struct {
 	_       struct{} `cbor:",toarray"`
@@ -67,7 +74,8 @@
 	pending   int           // requests of ours that have not begun to answer
 	progress  time.Duration // when it was last heard from, or the first of those sent
 	coldNext  time.Duration // when the next request may be sent to it while it is cold
-	coldShare time.Duration // between two of them; 0 if this mixer has no share
+	coldShare time.Duration // between two of them, 0 if this mixer has no share; as of sharedIn
+	sharedIn  uint64        // number of the shares that coldShare is of
 }
 
 // quiet reports whether a request is expected to wait so little at a backend that its answer tells how fast the backend is. In a busy fleet a
