Controller, chain: say why a view is proposed, and how late the owner is

At 300 machines the view changes without a disruption, and the log told that a view came, not why. A replica reports the proposals that it begins (reasons, silence of members removed and added) and gives up (how far each came); the controller logs them with the length of its queue. Commands are counted by kind, with the time that they took and waited: in metrics, and in a line a second where any waited for 150 ms. No change of behaviour.

--- a/internal/chain/propose.go
+++ b/internal/chain/propose.go
@@ -32,6 +32,7 @@
 func (r *Replica) propel(now time.Duration) {
 	if p := r.proposal; p != nil {
 		if now-p.started > r.options.Timing.Round {
+			r.out.GivenUp = p.givenUp(r.meta.View.Epoch)
 			r.proposal = nil
 			want, _ := r.want(now)
 			r.retryAt = now + r.delay(now, want)
@@ -65,6 +66,7 @@
 		accepted: map[NodeID]bool{},
 	}
 	r.proposal = p
+	r.out.Attempt = r.attempt(now, p)
 	p.asked = slices.Clone(r.meta.View.Acceptors)
 	for _, id := range want.chain {
 		if _, acceptor := r.meta.View.Acceptor(id); !acceptor {
--- a/internal/chain/types.go
+++ b/internal/chain/types.go
@@ -158,6 +158,8 @@
 	Committed bool     // the committed state changed
 	Confirmed []uint64 // reads that may be answered from the committed state
 	ViewNew   bool     // another view is in force
+	Attempt   *Attempt // a proposal for the next view that was begun
+	GivenUp   *GivenUp // a proposal that did not end in time
 }
 
 // Options are a replica's settings.
--- a/internal/controller/answers_test.go
+++ b/internal/controller/answers_test.go
@@ -28,7 +28,7 @@
 // failDisk has the next write of a machine fail; its controller opens the disk anew some time after.
 func (w *world) failDisk(ip string) {
 	c := w.machines[ip].controller
-	c.enqueue(func() { c.store.Close() })
+	c.enqueue(commandOther, func() { c.store.Close() })
 }
 
 // TestAWriteThatTheDiskRefused: the head takes an order, its disk refuses it, and half a second later works again, in the same epoch. Meanwhile
@@ -42,7 +42,7 @@
 			require.True(t, ok)
 			c := w.machines[head].controller
 			var before chain.View
-			c.enqueue(func() { before = c.replica.View() })
+			c.enqueue(commandOther, func() { before = c.replica.View() })
 			w.failDisk(head)
 			first := make(chan simtest.Outcome)
 			go func() { first <- w.put(head, version, version+1, "refused by the disk") }()
--- a/internal/controller/controller.go
+++ b/internal/controller/controller.go
@@ -37,7 +37,7 @@
 	log      zerolog.Logger
 	network  rpc.Network
 	pool     *rpc.Pool
-	commands chan func()
+	commands chan command
 	start    time.Time
 	public   atomic.Pointer[public]
 	done     chan struct{}
@@ -55,6 +55,8 @@
 	inTouch   time.Duration // when it last had the newest state for sure
 	leaving   time.Time     // when it was told to end, zero before
 	duties    duty.Register // who asked for confirmations here
+	work      ownerWork     // of the last second at most
+	worked    ownerWork     // before
 }
 
 // service is what a call's answer is bound to: the epoch, and which of this program's replicas was asked. Numbers that a replica gave out
@@ -89,13 +91,14 @@
 		settings:  settings,
 		log:       log,
 		pool:      rpc.NewPoolOn(network),
-		commands:  make(chan func(), commandQueue),
+		commands:  make(chan command, commandQueue),
 		start:     time.Now(),
 		done:      make(chan struct{}),
 		readers:   map[uint64]chan struct{}{},
 		sessions:  map[string]*session{},
 		elsewhere: map[string]*remoteTable{},
 		inTouch:   superseded.Always,
+		work:      ownerWork{since: time.Now()},
 	}
 	if err := c.open(); err != nil {
 		return nil, err
@@ -120,36 +123,12 @@
 
 // Reload takes settings that changed: the seeds.
 func (c *Controller) Reload(settings *local.Settings) {
-	c.enqueue(func() {
+	c.enqueue(commandOther, func() {
 		c.settings.Seeds = settings.Seeds
 		c.replica.SetSeeds(c.seedAddrs())
 	})
 }
 
-// enqueue hands the owner a command.
-func (c *Controller) enqueue(command func()) {
-	select {
-	case c.commands <- command:
-	case <-c.done:
-	}
-}
-
-// ask runs a command at the owner and waits for it.
-func (c *Controller) ask(ctx context.Context, command func()) error {
-	finished := make(chan struct{})
-	select {
-	case c.commands <- func() { command(); close(finished) }:
-	case <-ctx.Done():
-		return ctx.Err()
-	}
-	select {
-	case <-finished:
-		return nil
-	case <-ctx.Done():
-		return ctx.Err()
-	}
-}
-
 func (c *Controller) tick() {
 	if !c.broken.IsZero() {
 		c.tryReopen()
@@ -179,6 +158,7 @@
 		c.publish(true)
 		return
 	}
+	c.logProposals(&out)
 	for i := range out.Messages {
 		e := &out.Messages[i]
 		c.pool.Post(e.To.Addr, distribute.KindCore, &e.Message)
@@ -254,14 +234,14 @@
 		if err := cbor.Unmarshal(body, m); err != nil {
 			return nil, err
 		}
-		c.enqueue(func() { c.receive(m) })
+		c.enqueue(commandChain, func() { c.receive(m) })
 		return nil, nil
 	case distribute.KindAgents:
 		table := new(distribute.AgentTable)
 		if err := cbor.Unmarshal(body, table); err != nil {
 			return nil, err
 		}
-		c.enqueue(func() { c.takeTable(table) })
+		c.enqueue(commandTable, func() { c.takeTable(table) })
 		return nil, nil
 	case distribute.KindWatch:
 		request := new(distribute.WatchRequest)
--- a/internal/controller/lives_test.go
+++ b/internal/controller/lives_test.go
@@ -123,7 +123,7 @@
 		}
 		come := func(i int) {
 			request := &distribute.WatchRequest{Agent: distribute.Agent{ID: fmt.Sprint("f/", i), Addr: fmt.Sprint("10.1.0.", i, ":1"), Zone: "x"}}
-			c.enqueue(func() { c.touch(request) })
+			c.enqueue(commandSession, func() { c.touch(request) })
 		}
 		come(0)
 		time.Sleep(tickEvery)
--- a/internal/controller/metrics.go
+++ b/internal/controller/metrics.go
@@ -10,7 +10,12 @@
 // Metrics gives where this controller stands.
 func (c *Controller) Metrics(ctx context.Context) (*metrics.Set, error) {
 	var status Status
-	if err := c.ask(ctx, func() { status = c.status() }); err != nil {
+	var worked ownerWork
+	if err := c.ask(ctx, func() {
+		status = c.status()
+		worked = c.worked
+		worked.add(&c.work)
+	}); err != nil {
 		return nil, err
 	}
 	set := metrics.NewSet()
@@ -29,9 +34,22 @@
 	behind, silent := status.sessionsBehind()
 	set.Add("controller_sessions_behind", float64(behind))
 	set.Add("controller_session_silence_seconds_max", silent.Seconds())
+	addWork(set, &worked)
 	return set, nil
 }
 
+// addWork adds what the owner has done since the start, by kind of command.
+func addWork(set *metrics.Set, worked *ownerWork) {
+	set.Add("controller_queue_length_max", float64(worked.queue))
+	set.Add("controller_tick_late_seconds_max", worked.tickLate.Seconds())
+	for kind, name := range commandNames {
+		work, label := &worked.kinds[kind], `{kind="`+name+`"}`
+		set.Add("controller_commands_total"+label, float64(work.count))
+		set.Add("controller_commands_seconds_total"+label, work.busy.Seconds())
+		set.Add("controller_commands_wait_seconds_max"+label, work.longest.Seconds())
+	}
+}
+
 // sessionsBehind counts the sessions whose proxies have not applied the newest operation, and gives the longest silence of any.
 func (s *Status) sessionsBehind() (behind int, silent time.Duration) {
 	for i := range s.Sessions {
--- a/internal/controller/run.go
+++ b/internal/controller/run.go
@@ -41,9 +41,9 @@
 	for {
 		select {
 		case command := <-c.commands:
-			command()
+			c.execute(command)
 		case <-ticker.C:
-			c.tick()
+			c.executeTick()
 			if enough != nil && enough() {
 				return
 			}
--- a/internal/controller/sessions.go
+++ b/internal/controller/sessions.go
@@ -44,7 +44,7 @@
 
 // watch answers an agent when there is something newer than it has, or after a while.
 func (c *Controller) watch(ctx context.Context, request *distribute.WatchRequest) (*distribute.WatchReply, error) {
-	c.enqueue(func() { c.touch(request) })
+	c.enqueue(commandSession, func() { c.touch(request) })
 	began := c.now()
 	held := time.NewTimer(watchHold)
 	defer held.Stop()
--- a/internal/controller/submit.go
+++ b/internal/controller/submit.go
@@ -202,7 +202,7 @@
 	if stale {
 		return nil, merry.New("confirm the view: another is in force, or the disk failed")
 	}
-	defer c.enqueue(func() { delete(c.readers, nonce) })
+	defer c.enqueue(commandOther, func() { delete(c.readers, nonce) })
 	select {
 	case <-confirmed:
 		now := c.public.Load()
--- a/internal/controller/world_test.go
+++ b/internal/controller/world_test.go
@@ -91,7 +91,7 @@
 	m := w.machines[ip]
 	if !grace {
 		w.separate(true, ip)
-		m.controller.enqueue(func() { m.controller.settings.Bounds.Grace = 0 })
+		m.controller.enqueue(commandOther, func() { m.controller.settings.Bounds.Grace = 0 })
 	}
 	m.stop()
 	<-m.ended
