Control relay: a version is proven also when its report comes after the next version

A mixer's report of the good version that arrived after the bad one was given changed nothing, the relay had dropped the document, and a newcomer never got it. Ruled out: silent sessions, time-outs of the long line, pacing (the session stayed open and told all it had).

Change: the relay keeps up to eight versions that were its newest until that one or a later one is proven, and proves by report any that it keeps. The search gets reports that arrive late, worlds where a bad version follows at once, and the planted design "proven only while newest"; its check now counts every version that was the newest at the relay, not only the one that still is.

--- a/internal/fleet/control/give.go
+++ b/internal/fleet/control/give.go
@@ -90,7 +90,7 @@
 	if !ok || !strings.HasPrefix(string(row.Body), "{") {
 		return Row{}, ErrDocument
 	}
-	r.table.Merge([]Row{row})
+	r.merge([]Row{row})
 	r.given = s
 	return row, nil
 }
--- a/internal/fleet/control/members.go
+++ b/internal/fleet/control/members.go
@@ -98,16 +98,6 @@
 	}
 }
 
-// prove keeps the newest version beside those to come, once a mixer has it in force.
-func (r *Relay) prove(s Stamp) {
-	row, ok := r.table.Get(KindSettings, SettingsName)
-	if good, _ := r.table.Get(KindSettings, ProvenName); !ok || row.Stamp != s || good.Stamp == s || r.flaw.forgetsGood {
-		return
-	}
-	row.Name = ProvenName
-	r.table.Merge([]Row{row})
-}
-
 // Said takes what a mixer tells of itself. ErrUnknown: it has had no session here for Away. What breaks a bound is refused.
 func (r *Relay) Said(now int64, s Self) error {
 	m := r.members[s.Name]
--- a/internal/fleet/control/relay.go
+++ b/internal/fleet/control/relay.go
@@ -79,6 +79,8 @@
 	members  map[string]*member
 	swept    int64
 
+	displaced displacedVersions
+
 	told       Stamp // the greatest that a mixer told
 	given      Stamp // the last given here
 	rowNumber  uint64
@@ -165,7 +167,7 @@
 			r.anew(row) // who tells this had forgotten that it is gone, and so may others
 		}
 	}
-	news, refused := r.table.Merge(own)
+	news, refused := r.merge(own)
 	r.notAllowed += refused
 	for _, row := range news {
 		if row.Kind == KindEcho && row.Author == r.o.Name { // of a life before; tellEcho says it anew
--- a/internal/fleet/control/search_test.go
+++ b/internal/fleet/control/search_test.go
@@ -68,12 +68,23 @@
 		}
 		w.run(w.random.IntN(3))
 		w.give(r, false, false)
+	case 13: // a bad version follows while the reports of the last one are on their way, and a mixer starts anew
+		w.give(r, false, false)
+		w.run(w.random.IntN(mostLag))
+		w.give(r, true, false)
+		w.run(w.random.IntN(2 * mostLag))
+		newcomer := any(relays, nodes-relays)
+		w.note("%s starts anew with nothing", w.nodes[newcomer].name)
+		w.start(newcomer, nil)
 	}
 }
 
 const (
-	events   = 12
-	sleepers = 1 << 32 // worlds from here on have one event more
+	events      = 12
+	sleepers    = 1 << 32 // worlds from here on have one event more
+	lateReports = 2 << 32 // worlds from here on have mixers' reports take a while, and versions given in a row
+
+	mostLag = 8 // ticks that a late report takes, at most
 )
 
 func (w *world) run(ticks int) {
@@ -164,7 +175,7 @@
 	return ""
 }
 
-// good is the greatest version that a mixer told a relay, in this life of that, to have in force while it was the newest there.
+// good is the greatest version that a mixer told a relay, in this life of that, to have in force, of those that were the newest there.
 func (w *world) good() (good Stamp) {
 	for _, n := range w.nodes[:relays] {
 		if n.good.Compare(good) > 0 {
@@ -192,9 +203,12 @@
 // play gives the world of a number: some events, then the heal.
 func play(seed uint64, flaw faults) *world {
 	w := newWorld(seed, flaw)
+	if seed >= lateReports {
+		w.lag = mostLag
+	}
 	w.run(40)
 	for range 3 + w.random.IntN(14) {
-		w.event(w.random.IntN(events + truth(seed >= sleepers)))
+		w.event(w.random.IntN(events + truth(seed >= sleepers) + truth(seed >= lateReports)))
 		w.run(w.random.IntN(24))
 	}
 	w.heal()
@@ -206,8 +220,8 @@
 
 func TestNoInterleavingBreaksWhatHolds(t *testing.T) {
 	const worlds = 150
-	parts := [][]uint64{slices.Clone(failed), {}, {}}
-	for part, from := range []uint64{0, worlds, sleepers} {
+	parts := [][]uint64{slices.Clone(failed), {}, {}, {}}
+	for part, from := range []uint64{0, worlds, sleepers, lateReports} {
 		for i := range uint64(worlds) {
 			parts[part] = append(parts[part], from+i)
 		}
@@ -250,6 +264,7 @@
 	for name, flaw := range map[string]faults{
 		"an index that counts for another life of the relay":    {anyLife: true},
 		"relays that hold the newest version alone":             {forgetsGood: true},
+		"a version that is proven only while it is the newest":  {forgetsDisplaced: true},
 		"a snapshot that drops the settings row":                {dropsSettings: true},
 		"stamps compared by number alone":                       {numberOnly: true},
 		"a tie without the author":                              {noAuthor: true},
@@ -273,7 +288,7 @@
 			t.Parallel()
 			seeds := slices.Clone(failed)
 			for seed := range uint64(300) {
-				seeds = append(seeds, seed, sleepers+seed)
+				seeds = append(seeds, seed, sleepers+seed, lateReports+seed)
 			}
 			for _, seed := range seeds {
 				if w := play(seed, flaw); w.wrong != "" {
--- a/internal/fleet/control/world_give_test.go
+++ b/internal/fleet/control/world_give_test.go
@@ -97,4 +97,5 @@
 		w.fail("%s gives %v, and a majority held %v when it asked", n.name, s, q.most)
 	}
 	n.has = s
+	n.newest[s] = true
 }
--- a/internal/fleet/control/world_test.go
+++ b/internal/fleet/control/world_test.go
@@ -41,12 +41,14 @@
 	force     Stamp // a mixer's, as it was applied
 	held      Stamp // the greatest in a mixer's table in this life
 	tried     map[Stamp]bool
-	told      Stamp        // the greatest that a mixer told this relay in this life
-	good      Stamp        // the greatest that a mixer told this relay to have in force while it was the newest
-	has       Stamp        // the greatest that this relay was told or gave in this life
-	exchanged map[int]bool // relays that told this one all in this life
-	heard     [relays]int  // ticks since a relay was reached by good lines
-	joins     []int        // ticks of new sessions
+	told      Stamp          // the greatest that a mixer told this relay in this life
+	good      Stamp          // the greatest that a mixer told this relay to have in force, of those that were the newest here
+	newest    map[Stamp]bool // that were the newest at this relay in this life
+	has       Stamp          // the greatest that this relay was told or gave in this life
+	exchanged map[int]bool   // relays that told this one all in this life
+	heard     [relays]int    // ticks since a relay was reached by good lines
+	joins     []int          // ticks of new sessions
+	report    *report        // that is on its way, of a mixer; nil: none
 }
 
 type world struct {
@@ -64,6 +66,7 @@
 	lives  uint64
 	ended  []*wire // whose relay has not noticed yet
 	lost   Stamp   // the greatest that all relays had lost with the one that held it
+	lag    int     // ticks for which a mixer's report is on its way, at most
 }
 
 var seats = []Seat{{"r-0", "east", ""}, {"r-1", "east", ""}, {"r-2", "west", ""}}
@@ -97,7 +100,7 @@
 		w.end(old, k)
 	}
 	n := &node{name: fmt.Sprintf("r-%d", i), lives: old.lives + 1, old: old.old, tried: map[Stamp]bool{}, exchanged: map[int]bool{},
-		joins: old.joins}
+		newest: map[Stamp]bool{}, joins: old.joins}
 	var err error
 	if i < relays {
 		n.relay, err = NewRelay(w.now(), RelayOptions{Name: n.name, Seats: seats, Life: fmt.Sprintf("%x", 100-w.lives), Sessions: 3,
@@ -105,6 +108,7 @@
 		n.relay.flaw, n.relay.table.flaw = w.flaw, w.flaw
 		n.relay.take(rows)
 		n.has = n.relay.table.Settings()
+		n.newest[n.has] = true
 		n.follows = n.relay.Followers()
 	} else {
 		n.name = fmt.Sprintf("m-%d", i)
@@ -229,6 +233,9 @@
 		}
 	}
 	apply, _, _ := f.Take(w.now(), p)
+	if n.relay != nil {
+		n.newest[n.relay.table.Settings()] = true
+	}
 	if n.relay != nil && !p.More {
 		n.exchanged[c.to] = true
 	}
@@ -265,25 +272,7 @@
 	if wait <= 0 {
 		w.fail("%s is to ask again at once", n.name)
 	}
-	if act.Tell {
-		self, mark := f.Self(now)
-		c := n.wires[k]
-		ok := c != nil && w.reach(i, c.to) && w.nodes[c.to].lives == c.lives[1]
-		if ok {
-			r := w.nodes[c.to]
-			if ok = r.relay.Said(now, self) == nil; ok {
-				if self.InForce == r.relay.table.Settings() && self.InForce.Compare(r.good) > 0 {
-					r.good = self.InForce
-				}
-				for _, s := range []Stamp{self.InForce, self.Rejected} {
-					if s.Compare(r.told) > 0 {
-						r.told = s
-					}
-				}
-			}
-		}
-		f.Told(now, mark, ok)
-	}
+	w.report(i, n, f, act.Tell)
 	if act.Dial == nil {
 		return
 	}
