Tallies: searches of all orders, random walks, planted faults; slow disks turn callers away

A machine whose last write took over 60 ms turns callers to others in reach whose disks work; peers whose disks fail are sent nothing.

--- a/internal/tally/peer.go
+++ b/internal/tally/peer.go
@@ -26,7 +26,8 @@
 	latest    int64         // Sent of its newest message
 	first     Vector        // what it held when it was first heard of; nil: not known
 	ready     bool
-	failed    bool
+	failed    bool // its disk takes no more adds
+	slow      bool // its last write took long
 	links     map[Origin]*link
 	owed      map[Origin]bool // origins of which it sent adds that were not acknowledged yet
 	next      time.Duration   // when it is to be sent the whole vector
@@ -162,7 +163,7 @@
 func (r *Replica) hear(now time.Duration, p *peer, m *Message) {
 	p.heard = now
 	p.latest = max(p.latest, m.Sent)
-	p.ready, p.failed = m.Ready, m.Failed
+	p.ready, p.failed, p.slow = m.Ready, m.Failed, m.Slow
 	if sent := time.Duration(m.Echo - r.options.ClockBase); m.Echo != 0 && sent >= 0 && sent <= now {
 		p.roundTrip = max(p.roundTrip, sent)
 	}
@@ -197,7 +198,7 @@
 // message begins a message to a peer.
 func (r *Replica) message(now time.Duration, p *peer) *Message {
 	return &Message{
-		From: r.options.Self, Life: r.options.Life, Sent: r.options.ClockBase + int64(now), Echo: p.latest, Ready: r.ready, Failed: r.diskFails(now),
+		From: r.options.Self, Life: r.options.Life, Sent: r.options.ClockBase + int64(now), Echo: p.latest, Ready: r.ready, Failed: r.diskFails(now) || r.noRoom(), Slow: r.slow,
 	}
 }
 
@@ -271,7 +272,7 @@
 	reached := r.inReach(now, p)
 	for _, origin := range r.set.origins() {
 		held, l := r.set.Held(origin), p.link(origin)
-		if !reached || l.known >= held {
+		if !reached || p.failed || l.known >= held {
 			l.lacking, l.relaying = never, false
 			continue
 		}
--- a/internal/tally/readiness.go
+++ b/internal/tally/readiness.go
@@ -2,16 +2,22 @@
 
 import "time"
 
+// lostPatience is how much longer a machine whose disk was lost waits for others.
+const lostPatience = 2
+
 // unready tells why reads are not to be answered yet, "" if they are: since its start this machine is to hold what each peer in reach held
 // when it was first heard, and one whose disk was lost is to have learned from a machine that answers reads.
 func (r *Replica) unready(now time.Duration) string {
-	learned := false
+	learned, patience := false, r.options.Timing.FirstWait
+	if !r.complete {
+		patience *= lostPatience
+	}
 	for _, p := range r.peers {
 		if p.first != nil && r.holdsAll(p.first) {
 			learned = learned || p.ready
 			continue
 		}
-		if now < r.blind || now-max(p.heard, p.added, r.boot) < r.options.Timing.FirstWait {
+		if now < r.blind || now-max(p.heard, p.added, r.boot) < patience {
 			return "not yet in step with " + p.addr
 		}
 	}
--- a/internal/tally/replica.go
+++ b/internal/tally/replica.go
@@ -17,6 +17,7 @@
 	Relay     time.Duration // what a peer lacks of another machine's adds for so long is passed on
 	Answer    time.Duration // an add that is not on enough disks by then is unclear
 	Stall     time.Duration // a write that takes longer counts as a failing disk
+	Slow      time.Duration // after a write that took longer, callers are turned to other machines' disks
 	Pause     time.Duration // without a step for so long, this machine itself stood still
 	FirstWait time.Duration // for peers that did not answer since the start
 }
@@ -33,6 +34,7 @@
 		Relay:     500 * time.Millisecond,
 		Answer:    850 * time.Millisecond,
 		Stall:     250 * time.Millisecond,
+		Slow:      60 * time.Millisecond,
 		Pause:     200 * time.Millisecond,
 		FirstWait: time.Second,
 	}
@@ -94,6 +96,7 @@
 	complete bool // the disk misses nothing that was lost with an earlier one
 	noted    bool // and says so
 	full     bool // the disk has no room for adds
+	slow     bool // the last write took long
 	stepped  time.Duration
 	blind    time.Duration // until then silence tells nothing of others
 	boot     time.Duration
@@ -200,10 +203,25 @@
 		return "the disk takes no writes"
 	case r.full || r.set.Size()+len(r.queue) >= r.options.MostAdds*fullShare/100:
 		return "no room is left for adds"
+	case r.slow && r.otherDiskWorks(now):
+		return "the disk is slow, and others are in reach"
 	}
 	return ""
 }
 
+// otherDiskWorks tells whether a caller that is turned away finds a better disk at a machine in reach.
+func (r *Replica) otherDiskWorks(now time.Duration) bool {
+	for _, p := range r.peers {
+		if r.inReach(now, p) && !p.failed && !p.slow {
+			return true
+		}
+	}
+	return false
+}
+
+// noRoom tells whether no more adds of any machine can be held.
+func (r *Replica) noRoom() bool { return r.set.Size() >= r.options.MostAdds }
+
 // diskFails tells whether the last write failed, or one takes too long.
 func (r *Replica) diskFails(now time.Duration) bool {
 	return r.failed || r.writing != nil && now-r.started > r.options.Timing.Stall
@@ -248,6 +266,7 @@
 	batch := r.writing
 	r.writing, r.written = nil, map[string]Dot{}
 	r.noted = r.noted || batch.Complete
+	r.slow = now-r.started > r.options.Timing.Slow
 	for i := range batch.Runs {
 		run := &batch.Runs[i]
 		r.set.Insert(run)
@@ -314,7 +333,8 @@
 // step notes that this machine works at a time, and looks whether reads may be answered. After a pause of its own, the others' silence
 // says nothing for a while.
 func (r *Replica) step(now time.Duration) {
-	if now-r.stepped > r.options.Timing.Pause {
+	if pause := now - r.stepped; pause > r.options.Timing.Pause {
+		r.started += pause // nor is it the disk's
 		r.blind = max(r.blind, now+r.options.Timing.Silence)
 	}
 	r.stepped = now
--- a/internal/tally/types.go
+++ b/internal/tally/types.go
@@ -64,7 +64,8 @@
 	Runs   []Run             `cbor:"7,keyasint,omitempty"`
 	Peers  []string          `cbor:"8,keyasint,omitempty"`  // whom the sender heard lately
 	Ready  bool              `cbor:"9,keyasint,omitempty"`  // the sender answers reads
-	Failed bool              `cbor:"10,keyasint,omitempty"` // the sender's disk takes no writes
+	Failed bool              `cbor:"10,keyasint,omitempty"` // the sender's disk takes no more adds
+	Slow   bool              `cbor:"11,keyasint,omitempty"` // the sender's last write took long
 }
 
 // Envelope is a message to an address.
--- /dev/null
+++ b/internal/tally/walk_test.go
@@ -0,0 +1,195 @@
+package tally
+
+import (
+	"flag"
+	"fmt"
+	"math/rand/v2"
+	"testing"
+
+	"github.com/stretchr/testify/require"
+	"pgregory.net/rapid"
+)
+
+// More walks than CI has time for: go test ./internal/tally -run RandomWalks -timeout 0 -walks 20000 -first 1000.
+var (
+	walksFlag = flag.Uint64("walks", 150, "random walks to go")
+	firstFlag = flag.Uint64("first", 1, "the first one's seed")
+)
+
+const (
+	walkRounds   = 3  // of trouble, each followed by a time in which all goes well
+	walkEvents   = 60 // of a round
+	healUnits    = 24 // in which all merges
+	walkIDs      = 12
+	conflictsOne = 20 // one add in so many has another amount
+)
+
+// walk is a random history of a core.
+type walk struct {
+	*core
+	random    *rand.Rand
+	lostDisks int // since all last went well
+	trail     []string
+}
+
+func newWalk(seed uint64, planted fault) *walk {
+	random := rand.New(rand.NewPCG(seed, seed))
+	copies := 1 + random.IntN(2)
+	machines := 2*copies + 1
+	return &walk{core: newCore(machines, copies, planted, limits{}).settled(), random: random}
+}
+
+func (w *walk) machine() int { return w.random.IntN(len(w.nodes)) }
+
+func (w *walk) note(format string, args ...any) {
+	w.trail = append(w.trail, fmt.Sprintf(format, args...))
+}
+
+// step lets something happen.
+func (w *walk) step() {
+	i, j := w.machine(), w.machine()
+	switch n := w.random.IntN(100); {
+	case n < 15:
+		w.add(i)
+	case n < 45:
+		w.deliver(i, j)
+	case n < 65:
+		if len(w.nodes[i].disk.pending) > 0 {
+			w.note("sync %d", i)
+			w.synced(i)
+		}
+	case n < 85:
+		w.note("tick")
+		w.cuts = true // whatever waits for longer is as good as cut off
+		w.tick()
+	case n < 88:
+		w.note("cut %d %d", i, j)
+		w.cuts, w.cut[[2]int{i, j}], w.cut[[2]int{j, i}] = true, true, true
+	case n < 90:
+		w.note("all links are well")
+		w.cut = map[[2]int]bool{}
+	case n < 94:
+		w.note("settle")
+		w.settleDown()
+	case n < 97:
+		written := w.random.IntN(2) == 0 && len(w.nodes[i].disk.pending) > 0
+		w.note("power %d, written: %v", i, written)
+		w.powerCut(i, written)
+	case n < 98:
+		w.diskFails(i)
+	case w.lostDisks < w.copies:
+		w.lostDisks++
+		w.note("disk %d", i)
+		w.loseDisk(i)
+	}
+}
+
+func (w *walk) add(i int) {
+	add := Add{ID: fmt.Sprint("id", w.random.IntN(walkIDs)), Tally: "t", By: 1}
+	if w.random.IntN(conflictsOne) == 0 {
+		add.By = 2
+	}
+	w.note("add %v at %d", add, i)
+	w.send(call{i, add})
+}
+
+func (w *walk) deliver(i, j int) {
+	link := [2]int{i, j}
+	if len(w.links[link]) == 0 || w.cut[link] {
+		return
+	}
+	w.note("deliver %d %d", i, j)
+	m := w.links[link][0]
+	w.links[link] = w.links[link][1:]
+	w.receive(j, m)
+}
+
+// diskFails has a machine's write fail; the disk works again at once, without what was to be written.
+func (w *walk) diskFails(i int) {
+	n := w.nodes[i]
+	if len(n.disk.pending) == 0 {
+		return
+	}
+	w.note("the disk of %d fails", i)
+	n.disk.pending = nil
+	w.perform(i, n.replica.Failed(w.now))
+	w.perform(i, n.replica.Recovered(w.now))
+}
+
+// run goes the whole walk, and gives the rule that is broken, if one is.
+func (w *walk) run() error {
+	for range walkRounds {
+		for range walkEvents {
+			w.step()
+			if err := w.check(); err != nil {
+				return err
+			}
+		}
+		if err := w.heal(healUnits); err != nil {
+			return err
+		}
+		w.lostDisks = 0
+		w.note("healed")
+	}
+	return nil
+}
+
+// TestRandomWalks: adds, some repeated at other machines and some in conflict, while links are cut, power and disks are lost, and writes
+// fail; in between all goes well for a while, and all machines come to the same totals.
+func TestRandomWalks(t *testing.T) {
+	for seed := *firstFlag; seed < *firstFlag+*walksFlag; seed++ {
+		w := newWalk(seed, noFault)
+		require.NoError(t, w.run(), "seed %d: %v", seed, w.trail)
+	}
+}
+
+func TestRandomWalksFindPlantedFaults(t *testing.T) {
+	for name, planted := range map[string]fault{
+		"acknowledged before the sync": acknowledgedUnsynced, "merged by sum": mergedBySum, "a dot used again": dotUsedAgain,
+	} {
+		found := false
+		for seed := uint64(1); seed <= *walksFlag && !found; seed++ {
+			found = newWalk(seed, planted).run() != nil
+		}
+		require.True(t, found, name)
+	}
+}
+
+// TestMergesInAnyOrderComeToTheSame: sets that took the same runs in other orders, some of them twice, hold and count the same.
+func TestMergesInAnyOrderComeToTheSame(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		add := rapid.Custom(func(t *rapid.T) Add {
+			return Add{
+				ID:    rapid.SampledFrom([]string{"a", "b", "c", "d"}).Draw(t, "id"),
+				Tally: rapid.SampledFrom([]string{"t", "u"}).Draw(t, "tally"),
+				By:    rapid.Int64Range(-3, 3).Draw(t, "by"),
+			}
+		})
+		var runs []Run
+		for origin := range rapid.IntRange(1, 4).Draw(t, "origins") {
+			runs = append(runs, Run{Origin: Origin(origin + 1), First: 1, Adds: rapid.SliceOfN(add, 1, 5).Draw(t, "adds")})
+		}
+		sets := []*Set{NewSet(), NewSet()}
+		for _, set := range sets {
+			order := rapid.Permutation(append(runs, runs...)).Draw(t, "order")
+			for i := range order {
+				if !set.Insert(&order[i]) {
+					t.Fatal("a gap")
+				}
+			}
+		}
+		for _, tally := range []string{"t", "u"} {
+			if sets[0].Total(tally) != sets[1].Total(tally) {
+				t.Fatalf("%s: %d and %d", tally, sets[0].Total(tally), sets[1].Total(tally))
+			}
+		}
+		if fmt.Sprint(sets[0].adds) != fmt.Sprint(sets[1].adds) {
+			t.Fatalf("%v and %v", sets[0].adds, sets[1].adds)
+		}
+		for id, counted := range sets[0].byID {
+			if sets[1].byID[id].add != counted.add {
+				t.Fatalf("%s: %v and %v", id, counted, sets[1].byID[id])
+			}
+		}
+	})
+}
--- /dev/null
+++ b/internal/tally/world_test.go
@@ -0,0 +1,559 @@
+package tally
+
+import (
+	"errors"
+	"fmt"
+	"slices"
+	"strings"
+	"time"
+)
+
+// A simulated core plays real replicas against disks and links of its own. Time is a number of units, and each event is chosen by the test:
+// messages wait on their links until they are delivered or lost, writes until their sync ends or the power goes.
+
+const unit = time.Millisecond
+
+// modelTiming is of few units, so that short histories meet each limit.
+func modelTiming() Timing {
+	return Timing{
+		Gossip: unit, Probe: unit, Reach: 3 * unit, Silence: 2 * unit, Forget: time.Hour, Resend: 2 * unit, Relay: 2 * unit,
+		Answer: 4 * unit, Stall: 3 * unit, Slow: time.Hour, Pause: 2 * unit, FirstWait: 2 * unit,
+	}
+}
+
+// fault is planted to show that the checks find it.
+type fault int
+
+const (
+	noFault              fault = iota
+	acknowledgedUnsynced       // a write is reported before it lasts
+	mergedBySum                // an id counts again where it comes from another machine
+	readWhileEmpty             // an empty disk is taken for one that misses nothing
+	dotUsedAgain               // what was sent is lost with the power, and its number given to another add
+)
+
+// call is an add that a caller may send: to a machine, once.
+type call struct {
+	machine int
+	add     Add
+}
+
+// limits bound what happens in a history.
+type limits struct {
+	ticks, powerCuts, lostDisks, lostMessages, twice, adds int
+}
+
+// disk is what lasts, and the write that is under way.
+type disk struct {
+	lasting []Batch
+	pending []*Batch // more than one only where a write is reported too early
+}
+
+type node struct {
+	addr    string
+	disk    disk
+	replica *Replica
+	life    uint64
+	started time.Duration
+	wiped   map[string]bool // acknowledged on enough disks when this disk was lost
+	acked   map[string]bool // acknowledged here in this life
+}
+
+// acknowledged is an add that a caller was told of.
+type acknowledged struct {
+	add    Add
+	by     int
+	disks  int  // that had it then
+	excuse bool // its machine lost its disk since
+}
+
+// core is the simulated machines and all that is on its way.
+type core struct {
+	fault   fault
+	copies  int
+	now     time.Duration
+	nodes   []*node
+	links   map[[2]int][]*Message
+	calls   []call
+	left    limits
+	issued  []Add
+	acked   []acknowledged
+	tokens  map[uint64]call
+	token   uint64
+	origins uint64
+	broken  error
+	cut     map[[2]int]bool // links that lose all that is sent
+	cuts    bool            // there was such a link since all last went well
+}
+
+func newCore(machines, copies int, planted fault, allowed limits, calls ...call) *core {
+	c := &core{fault: planted, copies: copies, links: map[[2]int][]*Message{}, calls: calls, left: allowed, tokens: map[uint64]call{}, cut: map[[2]int]bool{}}
+	for i := range machines {
+		c.nodes = append(c.nodes, &node{addr: fmt.Sprint("m", i)})
+	}
+	for i := range machines {
+		c.nodes[i].disk.lasting = []Batch{{NewOrigin: c.newOrigin(), Complete: true}}
+		c.boot(i)
+	}
+	return c
+}
+
+func (c *core) newOrigin() Origin {
+	c.origins++
+	return Origin(c.origins)
+}
+
+// settled is a core in which all have met, and some calls have been answered.
+func (c *core) settled(before ...call) *core {
+	for range 4 {
+		c.tick()
+		for range 4 {
+			c.settleDown()
+		}
+	}
+	for _, sent := range before {
+		c.send(sent)
+		for range 4 {
+			c.settleDown()
+		}
+	}
+	return c
+}
+
+// load reads a disk as the log does.
+func (c *core) load(d *disk) Saved {
+	saved := Saved{Set: NewSet()}
+	for i := range d.lasting {
+		b := &d.lasting[i]
+		for j := range b.Runs {
+			if !saved.Set.Insert(&b.Runs[j]) {
+				c.broken = errors.New("a gap in an origin's numbers on disk")
+			}
+		}
+		if b.NewOrigin != 0 {
+			saved.Origins = append(saved.Origins, b.NewOrigin)
+		}
+		saved.Complete = saved.Complete || b.Complete
+	}
+	return saved
+}
+
+// boot starts a machine on what is on its disk.
+func (c *core) boot(i int) {
+	n := c.nodes[i]
+	if len(n.disk.lasting) == 0 {
+		n.disk.lasting = []Batch{{NewOrigin: c.newOrigin(), Complete: c.fault == readWhileEmpty}}
+	}
+	n.life++
+	n.started, n.acked = c.now, map[string]bool{}
+	n.replica = New(c.now, Options{
+		Self: n.addr, Life: n.life, ClockBase: int64(n.life) * int64(time.Hour), Copies: c.copies, MostAdds: 1 << 20,
+		NewOrigin: c.newOrigin, Timing: modelTiming(),
+	}, c.load(&n.disk))
+	var addrs []string
+	for _, other := range c.nodes {
+		addrs = append(addrs, other.addr)
+	}
+	n.replica.SetPeers(c.now, addrs)
+	c.perform(i, n.replica.Tick(c.now))
+}
+
+func (c *core) indexOf(addr string) int {
+	return slices.IndexFunc(c.nodes, func(n *node) bool { return n.addr == addr })
+}
+
+func (c *core) perform(i int, out Output) {
+	n := c.nodes[i]
+	if out.Write != nil {
+		n.disk.pending = append(n.disk.pending, out.Write)
+	}
+	for _, e := range out.Messages {
+		link := [2]int{i, c.indexOf(e.To)}
+		if c.cut[link] {
+			continue
+		}
+		c.links[link] = append(c.links[link], c.spoil(i, e.Message))
+	}
+	for _, a := range out.Answers {
+		c.answered(i, a)
+	}
+	if out.Write != nil && (c.fault == acknowledgedUnsynced || c.fault == dotUsedAgain) {
+		c.perform(i, n.replica.Synced(c.now))
+	}
+}
+
+// spoil plants the faults of messages.
+func (c *core) spoil(i int, m *Message) *Message {
+	if c.fault != mergedBySum {
+		return m
+	}
+	spoilt := *m
+	spoilt.Runs = nil
+	for _, run := range m.Runs {
+		adds := slices.Clone(run.Adds)
+		for j := range adds {
+			adds[j].ID = fmt.Sprint(adds[j].ID, "@", run.Origin)
+		}
+		spoilt.Runs = append(spoilt.Runs, Run{Origin: run.Origin, First: run.First, Adds: adds})
+	}
+	return &spoilt
+}
+
+func (c *core) answered(i int, a Answer) {
+	sent := c.tokens[a.Token]
+	switch a.Outcome {
+	case Acknowledged:
+		c.nodes[i].acked[sent.add.ID] = true
+		c.acked = append(c.acked, acknowledged{add: sent.add, by: i, disks: c.disksWith(sent.add)})
+		c.checkCopies(i, sent.add)
+	case Refused:
+		c.checkNothingDone(i, sent.add)
+	}
+}
+
+// disksWith counts the disks that an add lasts on.
+func (c *core) disksWith(add Add) (count int) {
+	for _, n := range c.nodes {
+		if onDisk(&n.disk, add) {
+			count++
+		}
+	}
+	return count
+}
+
+func onDisk(d *disk, add Add) bool {
+	for i := range d.lasting {
+		for j := range d.lasting[i].Runs {
+			if slices.Contains(d.lasting[i].Runs[j].Adds, add) {
+				return true
+			}
+		}
+	}
+	return false
+}
+
+// checkCopies holds an acknowledgement against the machine's own disk.
+func (c *core) checkCopies(i int, add Add) {
+	if c.fault != dotUsedAgain && !onDisk(&c.nodes[i].disk, add) {
+		c.broken = fmt.Errorf("%s acknowledged %v, which is not on its disk", c.nodes[i].addr, add)
+	}
+}
+
+// checkNothingDone holds a refusal against the disk: unless another call brought the add, it is not there.
+func (c *core) checkNothingDone(i int, add Add) {
+	sent := 0
+	for _, other := range c.issued {
+		if other == add {
+			sent++
+		}
+	}
+	if sent == 1 && c.disksWith(add) > 0 {
+		c.broken = fmt.Errorf("%s refused %v, which is on a disk", c.nodes[i].addr, add)
+	}
+}
+
+// event is one thing that may happen.
+type event struct {
+	kind string
+	a, b int
+}
+
+func (e event) String() string { return fmt.Sprintf("%s %d %d", e.kind, e.a, e.b) }
+
+// events gives all that may happen next.
+func (c *core) events() (all []event) {
+	for i := range c.calls {
+		if c.left.adds&(1<<i) != 0 {
+			all = append(all, event{"add", i, 0})
+		}
+	}
+	for i := range c.nodes {
+		for j := range c.nodes {
+			if len(c.links[[2]int{i, j}]) == 0 {
+				continue
+			}
+			all = append(all, event{"deliver", i, j})
+			if c.left.lostMessages > 0 {
+				all = append(all, event{"lose", i, j})
+			}
+			if c.left.twice > 0 {
+				all = append(all, event{"twice", i, j})
+			}
+		}
+		if len(c.nodes[i].disk.pending) > 0 {
+			all = append(all, event{"sync", i, 0})
+		}
+		if c.left.powerCuts > 0 {
+			all = append(all, event{"power", i, 0})
+			if len(c.nodes[i].disk.pending) > 0 {
+				all = append(all, event{"power, written", i, 0})
+			}
+		}
+		if c.left.lostDisks > 0 {
+			all = append(all, event{"disk", i, 0})
+		}
+	}
+	if c.left.ticks > 0 {
+		all = append(all, event{"tick", 0, 0})
+	}
+	return all
+}
+
+// apply lets an event happen.
+func (c *core) apply(e event) {
+	link := [2]int{e.a, e.b}
+	switch e.kind {
+	case "add":
+		c.left.adds &^= 1 << e.a
+		c.send(c.calls[e.a])
+	case "deliver":
+		m := c.links[link][0]
+		c.links[link] = c.links[link][1:]
+		c.receive(e.b, m)
+	case "twice":
+		c.left.twice--
+		c.receive(e.b, c.links[link][0])
+	case "lose":
+		c.left.lostMessages--
+		c.links[link] = nil // a connection's end takes all that waits on it
+	case "sync":
+		c.synced(e.a)
+	case "power":
+		c.left.powerCuts--
+		c.powerCut(e.a, false)
+	case "power, written":
+		c.left.powerCuts--
+		c.powerCut(e.a, true)
+	case "disk":
+		c.left.lostDisks--
+		c.loseDisk(e.a)
+	case "tick":
+		c.left.ticks--
+		c.tick()
+	}
+}
+
+func (c *core) send(sent call) {
+	c.token++
+	c.tokens[c.token] = sent
+	c.issued = append(c.issued, sent.add)
+	c.perform(sent.machine, c.nodes[sent.machine].replica.Add(c.now, c.token, sent.add))
+}
+
+func (c *core) receive(to int, m *Message) {
+	c.perform(to, c.nodes[to].replica.Receive(c.now, m))
+}
+
+func (c *core) synced(i int) {
+	n := c.nodes[i]
+	n.disk.lasting = append(n.disk.lasting, *n.disk.pending[0])
+	n.disk.pending = n.disk.pending[1:]
+	if c.fault != acknowledgedUnsynced && c.fault != dotUsedAgain {
+		c.perform(i, n.replica.Synced(c.now))
+	}
+}
+
+// powerCut ends a machine's process and starts it again; what was not synced may be there all the same.
+func (c *core) powerCut(i int, written bool) {
+	n := c.nodes[i]
+	if written {
+		n.disk.lasting = append(n.disk.lasting, *n.disk.pending[0])
+	}
+	n.disk.pending = nil
+	for j := range c.nodes {
+		c.links[[2]int{i, j}], c.links[[2]int{j, i}] = nil, nil
+	}
+	c.boot(i)
+}
+
+// loseDisk starts a machine anew on an empty disk.
+func (c *core) loseDisk(i int) {
+	n := c.nodes[i]
+	n.disk = disk{}
+	n.wiped = map[string]bool{}
+	for k := range c.acked {
+		a := &c.acked[k]
+		if a.by == i {
+			a.excuse = true
+		}
+		if a.disks > c.copies {
+			n.wiped[a.add.ID] = true
+		}
+	}
+	c.powerCut(i, false)
+}
+
+func (c *core) tick() {
+	c.now += unit
+	for i, n := range c.nodes {
+		c.perform(i, n.replica.Tick(c.now))
+	}
+}
+
+// check gives the rule that is broken, if one is.
+func (c *core) check() error {
+	if c.broken != nil {
+		return c.broken
+	}
+	if err := c.checkLasting(); err != nil && c.fault != dotUsedAgain {
+		return err
+	}
+	if err := c.checkDots(); err != nil && c.fault != mergedBySum {
+		return err
+	}
+	for _, n := range c.nodes {
+		if err := c.checkReads(n); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// checkLasting: what was acknowledged is on a disk, unless it was on too few when its machine lost its own.
+func (c *core) checkLasting() error {
+	for _, a := range c.acked {
+		if c.disksWith(a.add) == 0 && !(a.excuse && a.disks <= c.copies) {
+			return fmt.Errorf("%v was acknowledged by m%d on %d disks and is lost", a.add, a.by, a.disks)
+		}
+	}
+	return nil
+}
+
+// checkDots: no two machines know different adds under one dot.
+func (c *core) checkDots() error {
+	seen := map[Dot]Add{}
+	for _, n := range c.nodes {
+		for origin, adds := range n.replica.set.adds {
+			for i, add := range adds {
+				dot := Dot{origin, uint64(i + 1)}
+				if other, there := seen[dot]; there && other != add {
+					return fmt.Errorf("%v names %v and %v", dot, other, add)
+				}
+				seen[dot] = add
+			}
+		}
+	}
+	return nil
+}
+
+// checkReads: a read shows no more than what was sent, all that the machine acknowledged in this life and, once its disk was lost, what had
+// been acknowledged on enough disks before.
+func (c *core) checkReads(n *node) error {
+	r := n.replica
+	if !r.ready {
+		return nil
+	}
+	for tally, total := range r.set.totals {
+		if most := c.mostOf(tally); total > most {
+			return fmt.Errorf("%s reads %d of %s, at most %d were added", n.addr, total, tally, most)
+		}
+	}
+	for _, add := range c.issued {
+		if (n.acked[add.ID] || n.wiped[add.ID] && !c.cuts) && !r.counts(add.ID) {
+			return fmt.Errorf("%s reads without %v", n.addr, add)
+		}
+	}
+	return nil
+}
+
+// counts tells whether an id is part of the totals.
+func (r *Replica) counts(id string) bool {
+	_, there := r.set.byID[id]
+	return there
+}
+
+// mostOf is what a tally can come to: each id once, with the most that a call named for it.
+func (c *core) mostOf(tally string) (most int64) {
+	byID := map[string]int64{}
+	for _, add := range c.issued {
+		if add.Tally == tally {
+			byID[add.ID] = max(byID[add.ID], add.By)
+		}
+	}
+	for _, by := range byID {
+		most += by
+	}
+	return most
+}
+
+// heal lets all go well for so many units, and gives the rule that is broken then: all machines answer alike, with all that is owed.
+func (c *core) heal(units int) error {
+	c.cut = map[[2]int]bool{}
+	defer func() { c.cuts = false }()
+	for range units {
+		c.tick()
+		for range 6 {
+			c.settleDown()
+		}
+		if err := c.check(); err != nil {
+			return err
+		}
+	}
+	owed := map[string]bool{}
+	for _, a := range c.acked {
+		if !a.excuse || a.disks > c.copies {
+			owed[a.add.ID] = true
+		}
+	}
+	for _, n := range c.nodes {
+		if !n.replica.ready {
+			return fmt.Errorf("%s does not answer reads: %s", n.addr, n.replica.unready(c.now))
+		}
+		for id := range owed {
+			if !n.replica.counts(id) {
+				return fmt.Errorf("%s lacks %s after all healed", n.addr, id)
+			}
+		}
+		if a, b := fmt.Sprint(n.replica.set.totals), fmt.Sprint(c.nodes[0].replica.set.totals); a != b {
+			return fmt.Errorf("%s reads %s, m0 %s", n.addr, a, b)
+		}
+	}
+	return nil
+}
+
+// settleDown ends all writes and delivers all messages that are on their way.
+func (c *core) settleDown() {
+	for i := range c.nodes {
+		if len(c.nodes[i].disk.pending) > 0 {
+			c.synced(i)
+		}
+		for j := range c.nodes {
+			waiting := c.links[[2]int{i, j}]
+			c.links[[2]int{i, j}] = nil
+			for _, m := range waiting {
+				c.receive(j, m)
+			}
+		}
+	}
+}
+
+// fingerprint tells cores apart; times are told by how long ago they were.
+func (c *core) fingerprint() string {
+	var b strings.Builder
+	fmt.Fprint(&b, c.left, c.acked, c.issued, c.origins)
+	for i, n := range c.nodes {
+		r := n.replica
+		fmt.Fprint(&b, "|", n.life, c.now-n.started, n.acked, n.wiped, n.disk.lasting, len(n.disk.pending))
+		fmt.Fprint(&b, r.set.adds, r.origin, r.fresh, r.queue, r.staged, r.reserved, r.ready, r.complete, r.failed, c.now-r.stepped, max(0, r.blind-c.now))
+		for _, dot := range r.waitingDots() {
+			fmt.Fprint(&b, dot)
+			for _, w := range r.waiting[dot] {
+				fmt.Fprint(&b, w.token, c.now-w.since)
+			}
+		}
+		for _, p := range r.sortedPeers() {
+			fmt.Fprint(&b, p.addr, p.life, p.heard == never, c.now-p.heard, c.now-p.roundTrip, p.first, p.ready, p.failed, p.owed, max(0, p.next-c.now), p.gossips%namePeers)
+			for _, origin := range r.set.origins() {
+				if l := p.links[origin]; l != nil {
+					fmt.Fprint(&b, origin, l.known, l.sent, c.now-l.moved, l.lacking == never, c.now-l.lacking, l.relaying)
+				}
+			}
+		}
+		for j := range c.nodes {
+			for _, m := range c.links[[2]int{i, j}] {
+				fmt.Fprint(&b, m.Life, m.Held, m.Whole, m.Runs, m.Ready, c.now-time.Duration(m.Sent%int64(time.Hour)), m.Echo)
+			}
+		}
+	}
+	return b.String()
+}
--- a/internal/tallylog/log.go
+++ b/internal/tallylog/log.go
@@ -154,8 +154,14 @@
 	return nil
 }
 
+// probeBytes are written to see whether the disk takes writes again.
+const probeBytes = 64 << 10
+
 // Recover takes back what a failed write may have left. Without an error the log holds what was synced before, and can be written again.
 func (l *Log) Recover() error {
+	if _, err := l.file.WriteAt(make([]byte, probeBytes), l.size); err != nil {
+		return merry.Prepend(err, "tally log: recover")
+	}
 	if err := l.file.Truncate(l.size); err != nil {
 		return merry.Prepend(err, "tally log: recover")
 	}
