Agents: what a zone missed of kept prompts is fetched from the readers of events, not all from its hub

A change that an agent missed had it fetch all that is known of the backend from whoever told of it, the hub of its zone, for each backend at once and without a limit. Who reads a backend's events has it all and reads those of few backends, so the load is spread; four are fetched at a time; changes that are older than what was fetched are no gap any more and do not have it fetched again. Who told of the change is still asked if the reader does not answer. Metrics: agent_index_wholes_wanted, agent_index_wholes_served_total.

--- a/internal/agent/agent.go
+++ b/internal/agent/agent.go
@@ -71,7 +71,7 @@
 	readers    map[string]context.CancelFunc
 	readersOf  sourcesOf // what readers were last held to
 	readersAt  time.Time
-	fetching   map[string]bool // backends of which the whole is being fetched
+	wholes     wholes
 
 	eventOwners *rendezvous.Owners // of the backends' events
 
@@ -114,7 +114,7 @@
 		readers:  map[string]context.CancelFunc{},
 
 		eventOwners: rendezvous.NewOwners(),
-		fetching:    map[string]bool{},
+		wholes:      wholes{wanted: map[string]bool{}},
 		rollouts:    map[string]bool{},
 		ownPhases:   map[string]ownPhase{},
 	}
@@ -224,7 +224,10 @@
 			return nil, err
 		}
 		var whole *kvindex.Batch
-		err := a.ask(ctx, func() { whole = a.index.Whole(request.Backend) })
+		err := a.ask(ctx, func() {
+			whole = a.index.Whole(request.Backend)
+			a.wholes.served++
+		})
 		if err == nil && whole == nil {
 			err = merry.New("nothing is known of " + request.Backend)
 		}
--- a/internal/agent/events.go
+++ b/internal/agent/events.go
@@ -19,7 +19,6 @@
 	eventsEvery = 700 * time.Millisecond // between two pages of one backend
 	eventsWait  = 400 * time.Millisecond // that a page without events is held
 	eventsLimit = 1500 * time.Millisecond
-	wholeLimit  = 800 * time.Millisecond
 	repairEvery = 6 * time.Second // between two lists of one backend: each holds its work up
 	// sourcesEvery is how often the readers are held to the backends and members there are though neither seems to have changed.
 	sourcesEvery = time.Second
@@ -245,26 +244,13 @@
 	a.news.tell(&feed.News{Batches: []*kvindex.Batch{b}})
 }
 
-// takeBatch takes one that was read elsewhere; after a gap the whole is fetched from who told it.
+// takeBatch takes one that was read elsewhere; after a gap the whole is fetched.
 func (a *Agent) takeBatch(b *kvindex.Batch, from string) {
 	if a.index.Apply(b) {
 		a.keepBatch(b)
 		return
 	}
-	if a.fetching[b.Backend] {
-		return
-	}
-	a.fetching[b.Backend] = true
-	go func() {
-		whole := new(kvindex.Batch)
-		err := a.pool.Call(context.Background(), wholeLimit, from, feed.KindWhole, &feed.WholeRequest{Backend: b.Backend}, whole)
-		a.enqueue(func() {
-			delete(a.fetching, b.Backend)
-			if err == nil && a.index.Apply(whole) {
-				a.keepBatch(whole)
-			}
-		})
-	}()
+	a.fetchWhole(b.Backend, from)
 }
 
 // keepBatch holds a batch ready for the proxy.
--- a/internal/agent/fleet_test.go
+++ b/internal/agent/fleet_test.go
@@ -30,6 +30,7 @@
 	platformPages     = (platformInstances + platformPage - 1) / platformPage
 	// platformLatency is how long a call to the platform takes.
 	platformLatency = 2 * time.Millisecond
+	platformHost    = "platform"
 	fleetController = "10.9.9.9"
 	fleetPort       = 7340
 	// membersToldAfter is how long after an agent's end the controllers tell the others that it is gone.
@@ -38,8 +39,9 @@
 
 // platform serves a list whose first entry states the time at which it was read, and refuses calls above its rate.
 type platform struct {
-	limit *rate.Limiter
-	start time.Time
+	limit   *rate.Limiter
+	start   time.Time
+	engines bool // its backends keep prompts
 
 	mu      sync.Mutex
 	down    bool
@@ -56,9 +58,26 @@
 	}
 }
 
-// RoundTrip answers GET /instances.
+// backendParts is how many parts of prompts a backend keeps from the first.
+const backendParts = 20
+
+// events is a backend's page of kept prompts: one more with each call.
+func events(since string) (*http.Response, error) {
+	next, _ := strconv.Atoi(since)
+	news := []any{[]any{next, "+", "v1", fmt.Sprint("part-", next), 100, "m"}}
+	for i := 1; next == 0 && i < backendParts; i++ {
+		news = append(news, []any{i, "+", "v1", fmt.Sprint("part-", i), 100, "m"})
+	}
+	body, err := json.Marshal(map[string]any{"epoch": 1, "next_page_token": next + len(news), "events": news})
+	return answer(http.StatusOK, body), err
+}
+
+// RoundTrip answers GET /instances, and a backend's GET /v1/kv-events.
 func (p *platform) RoundTrip(request *http.Request) (*http.Response, error) {
 	time.Sleep(platformLatency)
+	if request.URL.Host != platformHost {
+		return events(request.URL.Query().Get("since"))
+	}
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	second := int64(time.Since(p.start) / time.Second)
@@ -74,6 +93,9 @@
 	page := instancePage{}
 	for i := first; i < min(first+platformPage, platformInstances); i++ {
 		entry := instance{ID: fmt.Sprintf("i-%04d", i), Service: "s", Address: fmt.Sprintf("10.7.%d.%d:80", i/200, i%200), Zone: "z0"}
+		if p.engines {
+			entry.Models = append(entry.Models, modelVersion{"m", 1})
+		}
 		if i == 0 {
 			entry.Slots = int(time.Since(p.start).Milliseconds())
 		}
@@ -155,7 +177,7 @@
 func (f *fleet) add(zone, ip string) *Agent {
 	settings := &local.Settings{
 		NodeName: "f-" + ip, IP: ip, Zone: zone, FirstPort: fleetPort, Seeds: []string{fleetController + ":8783"},
-		LinkMbps: 10, CloudAddr: "platform", CloudRate: float64(f.platform.limit.Limit()),
+		LinkMbps: 10, CloudAddr: platformHost, CloudRate: float64(f.platform.limit.Limit()),
 	}
 	a := newOn(f.network.Host(ip), &http.Client{Transport: f.platform}, settings, zerolog.Nop())
 	f.agents = append(f.agents, a)
--- a/internal/agent/list.go
+++ b/internal/agent/list.go
@@ -27,17 +27,20 @@
 
 // instance is an entry of the platform's list.
 type instance struct {
-	ID      string  `json:"id"`
-	Service string  `json:"service"`
-	Address string  `json:"address"`
-	Zone    string  `json:"zone"`
-	Slots   int     `json:"slots"`
-	State   string  `json:"state"`
-	ColdMS  float64 `json:"cold_remaining_ms"`
-	Models  []struct {
-		Name    string `json:"name"`
-		Version int64  `json:"version"`
-	} `json:"models"`
+	ID      string         `json:"id"`
+	Service string         `json:"service"`
+	Address string         `json:"address"`
+	Zone    string         `json:"zone"`
+	Slots   int            `json:"slots"`
+	State   string         `json:"state"`
+	ColdMS  float64        `json:"cold_remaining_ms"`
+	Models  []modelVersion `json:"models"`
+}
+
+// modelVersion is a model's weights as an instance has them.
+type modelVersion struct {
+	Name    string `json:"name"`
+	Version int64  `json:"version"`
 }
 
 type instancePage struct {
--- a/internal/agent/metrics.go
+++ b/internal/agent/metrics.go
@@ -32,6 +32,8 @@
 	set.Add("agent_backends", float64(len(a.list)))
 	set.Add("agent_index_backends", float64(len(a.index.Backends())))
 	set.Add("agent_index_batches_total", float64(a.batchCount))
+	set.Add("agent_index_wholes_wanted", float64(len(a.wholes.wanted)))
+	set.Add("agent_index_wholes_served_total", float64(a.wholes.served))
 	set.Add("agent_event_readers", float64(len(a.readers)))
 	set.Add("agent_rollouts", float64(len(a.rollouts)))
 	set.Add("agent_news_interval_seconds", a.news.interval().Seconds())
--- a/internal/agent/news_test.go
+++ b/internal/agent/news_test.go
@@ -108,7 +108,7 @@
 	agents := fleetOf(1, 2)
 	a := agents[1]
 	a.takeBatch(&kvindex.Batch{Backend: "b", From: kvindex.Cursor{Epoch: 1, Next: 9}, To: kvindex.Cursor{Epoch: 1, Next: 12}}, "10.0.0.99:1")
-	require.True(t, a.fetching["b"], "the whole is fetched from who told it")
+	require.True(t, a.wholes.wanted["b"], "the whole is fetched")
 }
 
 // TestNewsComesLessOftenInALargeZone: a hub's messages a second stay bounded as its zone grows; other zones cost it nothing.
--- a/internal/kvindex/index.go
+++ b/internal/kvindex/index.go
@@ -78,7 +78,7 @@
 	} else if h == nil {
 		return false
 	} else if h.cursor != b.From {
-		return h.cursor == b.To // it is known already
+		return h.cursor.Epoch == b.To.Epoch && h.cursor.Next >= b.To.Next // it is known already
 	}
 	for _, c := range b.Changes {
 		if x.dropped != nil && c.Tokens <= 0 && h.parts[c.Key] > 0 {
--- a/internal/kvindex/index_test.go
+++ b/internal/kvindex/index_test.go
@@ -42,3 +42,14 @@
 	x.Apply(&Batch{Backend: "1", From: Cursor{1, 3}, To: Cursor{1, 4}, Changes: []Change{{Key: key("a"), Tokens: 0}, {Key: key("b"), Tokens: 0}}})
 	require.Zero(t, x.Sum("1"))
 }
+
+// TestWhatIsOlderThanKnownIsNoGap: changes that were on their way while the whole was fetched had it fetched again.
+func TestWhatIsOlderThanKnownIsNoGap(t *testing.T) {
+	x := New()
+	require.True(t, x.Apply(&Batch{Backend: "b", From: Cursor{1, 9}, To: Cursor{1, 9}, Whole: true, Changes: []Change{{Key: 1, Tokens: 5}}}))
+	require.True(t, x.Apply(&Batch{Backend: "b", From: Cursor{1, 4}, To: Cursor{1, 7}, Changes: []Change{{Key: 1, Tokens: 0}}}))
+	require.True(t, x.Apply(&Batch{Backend: "b", From: Cursor{1, 7}, To: Cursor{1, 9}, Changes: []Change{{Key: 1, Tokens: 3}}}))
+	require.Equal(t, 1, x.Len())
+	require.False(t, x.Apply(&Batch{Backend: "b", From: Cursor{1, 10}, To: Cursor{1, 12}}), "a gap")
+	require.False(t, x.Apply(&Batch{Backend: "b", From: Cursor{2, 4}, To: Cursor{2, 5}}), "another memory")
+}
