Agents, proxies: changes of the list go to the proxy as changes; how long it takes them is measured

Each change of one backend, as at every order for new weights, of one that is cold, drains or is replaced, had the agent encode the whole list and the proxy decode it, put each of 326 entries in force, and take the cold time that the list had stated when it was read for cold again. Entries are numbered by their newest change; a proxy is told what changed after the number it has, and the whole where that is not known.

--- a/internal/agent/agent.go
+++ b/internal/agent/agent.go
@@ -58,12 +58,14 @@
 	applied     uint64
 	proxyAt     time.Time
 
-	list       []dispatch.Listed // nil if it is not known
-	lists      lists
-	listNumber uint64
-	phases     map[string]phaseNews
+	list     []dispatch.Listed // nil if it is not known
+	lists    lists
+	listFeed listFeed
+	phases   map[string]phaseNews
 
-	listArrivals arrivals // of the list, from its reading to its arrival here
+	listArrivals    arrivals // of the list, from its reading to its arrival here
+	listApplied     applied
+	snapshotApplied applied
 
 	index      *kvindex.Index
 	batches    []*kvindex.Batch // the newest, the last of which has number batchCount
@@ -115,6 +117,7 @@
 
 		eventOwners: rendezvous.NewOwners(),
 		wholes:      wholes{wanted: map[string]bool{}},
+		listFeed:    listFeed{changedIn: map[string]uint64{}},
 		rollouts:    map[string]bool{},
 		ownPhases:   map[string]ownPhase{},
 	}
@@ -203,11 +206,6 @@
 	a.changed = make(chan struct{})
 }
 
-func (a *Agent) listChanged() {
-	a.listNumber++
-	a.notify()
-}
-
 // handlePeer serves other machines.
 func (a *Agent) handlePeer(ctx context.Context, kind string, body []byte) (any, error) {
 	switch kind {
@@ -301,8 +299,13 @@
 		reply.Snapshot, reply.Ages, fresh = &snapshot, a.currentAges(), true
 		reply.HeldMS = (a.now() - began).Milliseconds()
 	}
-	if a.list != nil && (!same || request.List != a.listNumber) {
+	a.noteApplied(same, request)
+	switch {
+	case a.list == nil:
+	case !same:
 		reply.List, fresh = a.listFor(), true
+	case request.List != a.listFeed.number:
+		reply.List, fresh = a.listAfter(request.List), true
 	}
 	if !same || request.Members != a.members.Digest {
 		reply.Members, fresh = a.members, true
--- a/internal/agent/arrivals.go
+++ b/internal/agent/arrivals.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"time"
 
+	"nettlefold/internal/feed"
 	"nettlefold/internal/metrics"
 )
 
@@ -36,3 +37,37 @@
 	set.Add(name+"_sum", a.sum.Seconds())
 	set.Add(name+"_count", float64(a.total))
 }
+
+// applied measures how long the proxy takes to have in force what its agent has. Pieces of news are numbered upwards.
+type applied struct {
+	waiting uint64 // the first number that the proxy is not known to have, 0 if there is none
+	since   time.Time
+	took    arrivals
+}
+
+// changed notes that there is news of a number.
+func (p *applied) changed(number uint64, now time.Time) {
+	if p.waiting == 0 {
+		p.waiting, p.since = number, now
+	}
+}
+
+// has notes that the proxy has the news up to a number.
+func (p *applied) has(number uint64, now time.Time) {
+	if p.waiting != 0 && number >= p.waiting {
+		p.waiting = 0
+		p.took.add(now.Sub(p.since))
+	}
+}
+
+// noteApplied notes what a proxy's call tells that it has in force; same tells whether its numbers are of this agent's life.
+func (a *Agent) noteApplied(same bool, request *feed.Request) {
+	now := time.Now()
+	if a.snapshot != nil && a.snapshot.Seq > request.Applied {
+		a.snapshotApplied.changed(a.snapshot.Seq, now)
+	}
+	a.snapshotApplied.has(request.Applied, now)
+	if same {
+		a.listApplied.has(request.List, now)
+	}
+}
--- a/internal/agent/feed_test.go
+++ b/internal/agent/feed_test.go
@@ -75,7 +75,7 @@
 	a.list = []dispatch.Listed{{ID: "i-0"}}
 	request := &feed.Request{Agent: a.self.ID}
 	for number := uint64(1); number <= 5; number++ {
-		a.listNumber = number
+		a.listFeed.number = number
 		a.members = &distribute.MemberSet{Digest: number}
 		a.change("i-1", int(number))
 		reply, fresh := a.feedReply(0, request)
--- a/internal/agent/list.go
+++ b/internal/agent/list.go
@@ -138,21 +138,6 @@
 	return l
 }
 
-// listFor is the list with what the owners of orders know beyond it.
-func (a *Agent) listFor() *feed.List {
-	out := &feed.List{Number: a.listNumber, Backends: make([]dispatch.Listed, 0, len(a.list)), Phases: map[string]string{}}
-	for _, l := range a.list {
-		if p, ok := a.phases[l.ID]; ok {
-			if p.Name != dispatch.PhaseNone {
-				out.Phases[l.ID] = p.Name
-			}
-			l.Versions = withVersion(l.Versions, p.Phase)
-		}
-		out.Backends = append(out.Backends, l)
-	}
-	return out
-}
-
 // withVersion overlays a version that is newer than the list's.
 func withVersion(versions map[string]int64, p feed.Phase) map[string]int64 {
 	if p.Version <= versions[p.Model] {
--- /dev/null
+++ b/internal/agent/listfeed_test.go
@@ -0,0 +1,121 @@
+package agent
+
+import (
+	"fmt"
+	"maps"
+	"math/rand/v2"
+	"slices"
+	"testing"
+	"time"
+
+	"github.com/fxamacker/cbor/v2"
+	"github.com/stretchr/testify/require"
+
+	"nettlefold/internal/dispatch"
+	"nettlefold/internal/feed"
+)
+
+// proxyList is what a proxy makes of the lists it is told.
+type proxyList struct {
+	number   uint64
+	backends map[string]dispatch.Listed
+	phases   map[string]string
+}
+
+// take applies a list as the proxy does.
+func (p *proxyList) take(t *testing.T, list *feed.List) {
+	if list.Since == 0 {
+		p.backends, p.phases = map[string]dispatch.Listed{}, map[string]string{}
+	} else {
+		require.Equal(t, p.number, list.Since)
+	}
+	for _, l := range list.Backends {
+		p.backends[l.ID] = l
+		delete(p.phases, l.ID)
+		if phase := list.Phases[l.ID]; phase != "" {
+			p.phases[l.ID] = phase
+		}
+	}
+	for _, id := range list.Gone {
+		delete(p.backends, id)
+		delete(p.phases, id)
+	}
+	p.number = list.Number
+}
+
+// randomChange changes the agent's list or phases in some way.
+func randomChange(a *Agent, random *rand.Rand, round int) {
+	id := func() string { return fmt.Sprint("i-", random.IntN(40)) }
+	switch random.IntN(5) {
+	case 0:
+		a.takePhases(map[string]feed.Phase{id(): {Name: dispatch.PhaseLoading, Number: uint64(round)}})
+	case 1:
+		a.takePhases(map[string]feed.Phase{id(): {Model: "m", Version: int64(round), Number: uint64(round)}})
+	case 2:
+		for known, p := range a.phases {
+			p.at = time.Now().Add(-time.Minute)
+			a.phases[known] = p
+			break
+		}
+		a.expirePhases()
+	default:
+		list := slices.Clone(a.list)
+		for range 1 + random.IntN(4) {
+			entry := dispatch.Listed{ID: id(), Draining: random.IntN(2) == 0, Versions: map[string]int64{"m": int64(random.IntN(3))}}
+			at := slices.IndexFunc(list, func(l dispatch.Listed) bool { return l.ID == entry.ID })
+			switch {
+			case at < 0:
+				list = append(list, entry)
+			case random.IntN(2) == 0:
+				list[at] = entry
+			default:
+				list = slices.Delete(list, at, at+1)
+			}
+		}
+		a.spreadList(time.Now(), list)
+	}
+}
+
+// TestAProxyComesToHaveTheListByItsChanges: whatever changed, and whichever replies were lost.
+func TestAProxyComesToHaveTheListByItsChanges(t *testing.T) {
+	for seed := range uint64(60) {
+		random := rand.New(rand.NewPCG(seed, 2))
+		a := fleetOf(1, 1)[0]
+		proxy := &proxyList{}
+		for round := 1; round < 120; round++ {
+			randomChange(a, random, round)
+			if a.list == nil || random.IntN(3) == 0 {
+				continue
+			}
+			proxy.take(t, a.listAfter(proxy.number))
+			whole := a.listFor()
+			require.Len(t, proxy.backends, len(whole.Backends))
+			for _, l := range whole.Backends {
+				require.True(t, l.Same(new(proxy.backends[l.ID])), "seed %d, round %d", seed, round)
+			}
+			require.True(t, maps.Equal(whole.Phases, proxy.phases), "seed %d, round %d: %v, want %v", seed, round, proxy.phases, whole.Phases)
+		}
+	}
+}
+
+// TestOneChangeIsToldAsOne: each change of one backend, as at each order for new weights, had the proxy read the whole list.
+func TestOneChangeIsToldAsOne(t *testing.T) {
+	a := fleetOf(1, 1)[0]
+	var list []dispatch.Listed
+	for i := range platformInstances {
+		list = append(list, dispatch.Listed{ID: fmt.Sprint("i-", i), Service: "s", Addr: fmt.Sprint("10.0.0.1:", i), Versions: map[string]int64{"m": 1}})
+	}
+	a.spreadList(time.Now(), list)
+	request := &feed.Request{Agent: a.self.ID, List: a.listFor().Number}
+	a.takePhases(map[string]feed.Phase{"i-7": {Name: dispatch.PhaseLoading}})
+	reply, fresh := a.feedReply(0, request)
+	require.True(t, fresh)
+	require.Len(t, reply.List.Backends, 1)
+	require.Equal(t, dispatch.PhaseLoading, reply.List.Phases["i-7"])
+	whole, err := cbor.Marshal(a.listFor())
+	require.NoError(t, err)
+	told, err := cbor.Marshal(reply.List)
+	require.NoError(t, err)
+	t.Logf("%d bytes whole, %d told", len(whole), len(told))
+	require.Less(t, len(told), len(whole)/50)
+}
--- a/internal/agent/lists.go
+++ b/internal/agent/lists.go
@@ -92,16 +92,21 @@
 		return
 	}
 	a.list, a.lists.sum = list, news.Sum
+	a.log.Debug().Str("step", "list").Dur("age", time.Since(a.lists.readAt)).Int("changed", len(news.Changed)).Int("gone", len(news.Gone)).Msg("the list changed")
 	if news.Whole {
 		a.lists.history = nil
-	} else {
-		a.lists.history = append(a.lists.history, news)
+		a.listReplaced()
+		return
 	}
+	a.lists.history = append(a.lists.history, news)
 	if over := len(a.lists.history) - listHistory; over > 0 {
 		a.lists.history = slices.Delete(a.lists.history, 0, over)
 	}
-	a.log.Debug().Str("step", "list").Dur("age", time.Since(a.lists.readAt)).Int("changed", len(news.Changed)).Int("gone", len(news.Gone)).Msg("the list changed")
-	a.listChanged()
+	changed := slices.Clone(news.Gone)
+	for i := range news.Changed {
+		changed = append(changed, news.Changed[i].ID)
+	}
+	a.listChanged(changed...)
 }
 
 // listSince is what leads from a list that another agent has to the one in hand, nil if there is none.
--- a/internal/agent/phases.go
+++ b/internal/agent/phases.go
@@ -27,17 +27,19 @@
 
 // takePhases takes what holders of orders told, but for what came after something newer.
 func (a *Agent) takePhases(phases map[string]feed.Phase) {
-	changed := false
+	var changed []string
 	for id, p := range phases {
 		known, is := a.phases[id]
 		if is && p.Before(known.Phase) {
 			continue
 		}
-		changed = changed || !is || p != known.Phase
+		if !is || p != known.Phase {
+			changed = append(changed, id)
+		}
 		a.phases[id] = phaseNews{p, time.Now()}
 	}
-	if changed {
-		a.listChanged()
+	if len(changed) > 0 {
+		a.listChanged(changed...)
 	}
 }
 
@@ -46,7 +48,7 @@
 	for id, p := range a.phases {
 		if time.Since(p.at) > phasesKeep {
 			delete(a.phases, id)
-			a.listChanged()
+			a.listChanged(id)
 		}
 	}
 }
--- a/internal/dispatch/shares_test.go
+++ b/internal/dispatch/shares_test.go
@@ -62,3 +62,22 @@
 		table.SetBackends(time.Second, list, nil)
 	}
 }
+
+// TestChangesOfTheListLeaveTheRest: what is known of a backend outlives changes of others, and what is gone gets nothing.
+func TestChangesOfTheListLeaveTheRest(t *testing.T) {
+	table := newTable(t, backend(1, 1), backend(2, 1), backend(3, 1))
+	kept := table.Backend("b1")
+	moved := backend(2, 1)
+	moved.Service, moved.Draining = "other", true
+	table.ChangeBackends(time.Second, []Listed{moved, backend(4, 1)}, map[string]string{"b4": PhaseLoading}, []string{"b3", "never"})
+	require.Same(t, kept, table.Backend("b1"))
+	require.Nil(t, table.Backend("b3"))
+	require.Equal(t, 3, table.Size())
+	for range 20 {
+		c := table.Pick(time.Second, prompted())
+		require.Equal(t, "b1", c.ID)
+		table.End(time.Second, c, Done)
+	}
+	table.ChangeBackends(2*time.Second, []Listed{backend(4, 1)}, nil, []string{"b1"})
+	require.Equal(t, "b4", table.Pick(2*time.Second, prompted()).ID)
+}
--- a/internal/dispatch/table.go
+++ b/internal/dispatch/table.go
@@ -3,6 +3,7 @@
 import (
 	"math"
 	"math/rand/v2"
+	"slices"
 	"time"
 
 	"nettlefold/internal/config"
@@ -80,6 +81,7 @@
 	evacuated map[string]uint64
 	models    map[string]superseded.Times // since when versions are wanted
 	backends  map[string]*Backend
+	order     []string // identities, as the list has them
 	byService map[string][]*Backend
 	byAddr    map[string]*Backend
 	stores    map[string]*Backend // stores of kept prompts, by address; they serve nothing
@@ -191,37 +193,63 @@
 
 // SetBackends takes the platform's list and the phases that the owners of orders tell. It gives the identities that are gone.
 func (t *Table) SetBackends(now time.Duration, list []Listed, phases map[string]string) (gone []string) {
-	first := len(t.backends) == 0
 	listed := make(map[string]bool, len(list))
-	for _, l := range list {
-		listed[l.ID] = true
-		b := t.backends[l.ID]
-		if b == nil {
-			b = &Backend{}
-			t.backends[l.ID] = b
-			if !first { // it started during traffic
-				b.coldUntil = now + time.Duration(l.ColdMS*float64(time.Millisecond))
-			}
-		}
-		if l.ColdMS > 0 {
-			b.coldUntil = max(b.coldUntil, now+time.Duration(l.ColdMS*float64(time.Millisecond)))
-		}
-		b.Listed, b.phase = l, phases[l.ID]
+	order := make([]string, 0, len(list))
+	for i := range list {
+		listed[list[i].ID] = true
+		order = append(order, list[i].ID)
 	}
 	for id := range t.backends {
 		if !listed[id] {
-			delete(t.backends, id)
 			gone = append(gone, id)
 		}
 	}
+	t.ChangeBackends(now, list, phases, gone)
+	t.order = order
+	t.arrange()
+	return gone
+}
+
+// ChangeBackends takes the entries of the list that changed or are new, with their phases, and drops those that are gone.
+func (t *Table) ChangeBackends(now time.Duration, changed []Listed, phases map[string]string, gone []string) {
+	first := len(t.backends) == 0
+	for _, l := range changed {
+		t.setBackend(now, l, phases[l.ID], first)
+	}
+	for _, id := range gone {
+		delete(t.backends, id)
+	}
+	t.arrange()
+}
+
+// setBackend takes an entry of the list; first tells that the list is the first one, of backends that were there before this mixer.
+func (t *Table) setBackend(now time.Duration, l Listed, phase string, first bool) {
+	cold := now + time.Duration(l.ColdMS*float64(time.Millisecond))
+	b := t.backends[l.ID]
+	if b == nil {
+		b = &Backend{}
+		t.backends[l.ID] = b
+		t.order = append(t.order, l.ID)
+		if !first { // it started during traffic
+			b.coldUntil = cold
+		}
+	}
+	if l.ColdMS > 0 {
+		b.coldUntil = max(b.coldUntil, cold)
+	}
+	b.Listed, b.phase = l, phase
+}
+
+// arrange sorts the backends by service and address, in the list's order.
+func (t *Table) arrange() {
 	clear(t.byService)
 	clear(t.byAddr)
-	for _, l := range list { // in the list's order
-		b := t.backends[l.ID]
+	t.order = slices.DeleteFunc(t.order, func(id string) bool { return t.backends[id] == nil })
+	for _, id := range t.order {
+		b := t.backends[id]
 		t.byService[b.Service] = append(t.byService[b.Service], b)
 		t.byAddr[b.Addr] = b
 	}
-	return gone
 }
 
 // SetLoads takes what the other mixers have at backends.
--- /dev/null
+++ b/internal/proxy/list_test.go
@@ -0,0 +1,32 @@
+package proxy
+
+import (
+	"net/http"
+	"testing"
+
+	"github.com/stretchr/testify/require"
+
+	"nettlefold/internal/dispatch"
+	"nettlefold/internal/feed"
+)
+
+// TestChangesToAnotherListAreNotTaken: the whole list is asked for instead.
+func TestChangesToAnotherListAreNotTaken(t *testing.T) {
+	r := newRig(t, func(http.ResponseWriter, *http.Request) {})
+	take := func(list *feed.List) (have uint64, size int) {
+		r.proxy.do(func() {
+			r.proxy.take(r.proxy.now(), &feed.Reply{Agent: "a1", List: list})
+			have, size = r.proxy.have.List, r.proxy.table.Size()
+		})
+		return have, size
+	}
+	have, size := take(&feed.List{Number: 5, Since: 1, Backends: []dispatch.Listed{{ID: "i-new"}}})
+	require.Equal(t, uint64(5), have)
+	require.Equal(t, 2, size)
+	have, size = take(&feed.List{Number: 9, Since: 7, Gone: []string{"i-new"}})
+	require.Zero(t, have)
+	require.Equal(t, 2, size)
+	have, size = take(&feed.List{Number: 9, Backends: []dispatch.Listed{{ID: "i-0"}}})
+	require.Equal(t, uint64(9), have)
+	require.Equal(t, 1, size)
+}
--- a/internal/proxy/proxy.go
+++ b/internal/proxy/proxy.go
@@ -221,12 +221,7 @@
 		p.takeMembers(reply.Members)
 	}
 	if reply.List != nil {
-		p.have.List = reply.List.Number
-		for _, id := range p.table.SetBackends(now, reply.List.Backends, reply.List.Phases) {
-			p.have.ForgetBackend(p.table.Index(), id)
-			p.dropPool(id)
-			p.attempts.left(id)
-		}
+		p.takeList(now, reply.List)
 	}
 	p.have.TakeIndex(p.table.Index(), reply)
 	if reply.Loads != nil || reply.LoadsAt != p.have.Loads {
@@ -235,6 +230,26 @@
 	p.have.Loads = reply.LoadsAt
 }
 
+// takeList puts the list, or changes to the one in force, in force.
+func (p *Proxy) takeList(now time.Duration, list *feed.List) {
+	gone := list.Gone
+	switch list.Since {
+	case 0:
+		gone = p.table.SetBackends(now, list.Backends, list.Phases)
+	case p.have.List:
+		p.table.ChangeBackends(now, list.Backends, list.Phases, gone)
+	default: // changes to another list: the whole is asked for
+		p.have.List = 0
+		return
+	}
+	p.have.List = list.Number
+	for _, id := range gone {
+		p.have.ForgetBackend(p.table.Index(), id)
+		p.dropPool(id)
+		p.attempts.left(id)
+	}
+}
+
 // tellLoads tells the agent what is at backends from here, when it changes.
 func (p *Proxy) tellLoads(ctx context.Context) {
 	var told map[string]dispatch.Load
