Agents: in a large zone a hub's news is passed on by some of its agents

A hub sent each piece of news to every agent of its zone. With 55 agents and backends that each read some eight parts anew between two pages of their events, the changes of kept prompts alone fill its link of 10 Mbit/s; the bound of 600 ms on their interval overrides the share of 15% that they have. In zones of over 13 agents the hub now tells the first of each of some sqrt(n) groups, which passes it on as it is; each agent still hears it once, from one other, in order. Metric: agent_news_sent_bytes_total.

Ruled out: rarer news (loads are of no use later), a second hub (halves it), telling kept prompts on demand (each choice looks at all backends).

--- a/internal/agent/agent.go
+++ b/internal/agent/agent.go
@@ -78,6 +78,7 @@
 	eventOwners *rendezvous.Owners // of the backends' events
 
 	news      *exchange
+	newsBytes uint64 // of news that was sent
 	ownLoads  map[string]dispatch.Load
 	rollouts  map[string]bool
 	ownPhases map[string]ownPhase
--- a/internal/agent/fleet_test.go
+++ b/internal/agent/fleet_test.go
@@ -42,6 +42,7 @@
 	limit   *rate.Limiter
 	start   time.Time
 	engines bool // its backends keep prompts
+	perPage int  // parts that each of them reads anew between two pages of its events
 
 	mu      sync.Mutex
 	down    bool
@@ -61,12 +62,13 @@
 // backendParts is how many parts of prompts a backend keeps from the first.
 const backendParts = 20
 
-// events is a backend's page of kept prompts: one more with each call.
-func events(since string) (*http.Response, error) {
+// events is a backend's page of kept prompts: some more with each call, under names that repeat.
+func events(backend, since string, each int) (*http.Response, error) {
 	next, _ := strconv.Atoi(since)
-	news := []any{[]any{next, "+", "v1", fmt.Sprint("part-", next), 100, "m"}}
-	for i := 1; next == 0 && i < backendParts; i++ {
-		news = append(news, []any{i, "+", "v1", fmt.Sprint("part-", i), 100, "m"})
+	news := []any{}
+	for i := next; i < next+max(1, each) || i < backendParts; i++ {
+		part := i % (10 * backendParts)
+		news = append(news, []any{i, "+", "v1", fmt.Sprint(backend, "/", part), 1 + i*7919%3000, "m"})
 	}
 	body, err := json.Marshal(map[string]any{"epoch": 1, "next_page_token": next + len(news), "events": news})
 	return answer(http.StatusOK, body), err
@@ -76,7 +78,7 @@
 func (p *platform) RoundTrip(request *http.Request) (*http.Response, error) {
 	time.Sleep(platformLatency)
 	if request.URL.Host != platformHost {
-		return events(request.URL.Query().Get("since"))
+		return events(request.URL.Host, request.URL.Query().Get("since"), p.perPage)
 	}
 	p.mu.Lock()
 	defer p.mu.Unlock()
--- a/internal/agent/metrics.go
+++ b/internal/agent/metrics.go
@@ -36,6 +36,7 @@
 	set.Add("agent_index_wholes_served_total", float64(a.wholes.served))
 	set.Add("agent_event_readers", float64(len(a.readers)))
 	set.Add("agent_rollouts", float64(len(a.rollouts)))
+	set.Add("agent_news_sent_bytes_total", float64(a.newsBytes))
 	set.Add("agent_news_interval_seconds", a.news.interval().Seconds())
 	if a.inTouch != superseded.Always {
 		set.Add("agent_in_touch_age_seconds", (a.now() - a.inTouch).Seconds())
--- a/internal/agent/news.go
+++ b/internal/agent/news.go
@@ -32,8 +32,8 @@
 	retellEvery = time.Second
 )
 
-// exchange spreads news: from each agent to the hub of its zone, between hubs, and from a hub to the agents of its zone. So an agent
-// sends and hears once per interval, whatever their number, and each piece crosses to another zone once. A hub is an agent like others,
+// exchange spreads news: from each agent to the hub of its zone, between hubs, and from a hub to the agents of its zone, in a large zone by
+// way of some of them. So an agent sends and hears once per interval, whatever their number, and each piece crosses to another zone once. A hub is an agent like others,
 // picked by rendezvous hashing; one that is gone is replaced as soon as the members are told, and what was lost meanwhile is noticed:
 // loads run out and are told whole each second, a batch leaves a gap, the list is asked for by those that miss it.
 type exchange struct {
@@ -198,7 +198,7 @@
 	if loads := x.below.next(all); loads != nil || x.down.urgent() {
 		news := &feed.News{From: a.self.Addr, Hop: feed.FromHub, Loads: loads, List: x.down.listNow(), Phases: x.down.phases}
 		x.down.withBulk(news)
-		x.told = x.send(x.fellows(), news)
+		x.told = x.tellZone(news)
 		if loads != nil {
 			x.takeAll(loads)
 		}
@@ -224,7 +224,7 @@
 		x.send(slices.Collect(maps.Keys(x.otherZones())), &feed.News{From: from, Hop: feed.HubToHub, Batches: x.cross.batches})
 	}
 	if len(x.down.batches) > 0 {
-		x.bulk = x.send(x.fellows(), &feed.News{From: from, Hop: feed.FromHub, Batches: x.down.batches})
+		x.bulk = x.tellZone(&feed.News{From: from, Hop: feed.FromHub, Batches: x.down.batches})
 	}
 	x.cross.batches, x.down.batches = nil, nil
 }
@@ -256,6 +256,7 @@
 	for _, addr := range to {
 		a.pool.PostEncoded(addr, encoded)
 	}
+	a.newsBytes += uint64(len(encoded) * len(to))
 	return len(encoded) * len(to)
 }
 
@@ -308,6 +309,7 @@
 		}
 		x.down.add(n)
 	case feed.FromHub:
+		x.passOn(n)
 		if n.Loads != nil {
 			x.takeAll(n.Loads)
 		}
--- /dev/null
+++ b/internal/agent/relay.go
@@ -0,0 +1,43 @@
+package agent
+
+import (
+	"math"
+	"slices"
+
+	"nettlefold/internal/feed"
+)
+
+// directMost is the agents that a hub tells by itself. In a larger zone it tells the first of each group, which passes the news on: a hub's
+// link and processor are its proxy's, and news that is urgent waits behind what they carry.
+const directMost = 12
+
+// tellZone sends news to the agents of this hub's zone, and gives the bytes that this machine sent.
+func (x *exchange) tellZone(n *feed.News) (bytes int) {
+	fellows := x.fellows()
+	if len(fellows) <= directMost {
+		return x.send(fellows, n)
+	}
+	for _, group := range relayGroups(fellows) {
+		relayed := *n
+		relayed.Relay = group[1:]
+		bytes += x.send(group[:1], &relayed)
+	}
+	return bytes
+}
+
+// relayGroups divides agents into about as many groups as each has members.
+func relayGroups(addrs []string) (groups [][]string) {
+	sorted := slices.Sorted(slices.Values(addrs))
+	size := int(math.Ceil(math.Sqrt(float64(len(sorted)))))
+	return slices.Collect(slices.Chunk(sorted, size))
+}
+
+// passOn sends news of a hub on to the group that it named.
+func (x *exchange) passOn(n *feed.News) {
+	if len(n.Relay) == 0 {
+		return
+	}
+	passed := *n
+	passed.Relay = nil
+	x.send(n.Relay, &passed)
+}
--- a/internal/agent/wholes_test.go
+++ b/internal/agent/wholes_test.go
@@ -28,8 +28,8 @@
 	return most
 }
 
-// behind counts the agents that lack what another knows of backends, by the number of parts.
-func (f *fleet) behind() (n int) {
+// behind counts the agents that lack what another knows of backends, by the number of parts; perPage are read between two pages of events.
+func (f *fleet) behind(perPage int) (n int) {
 	parts := map[*Agent]int{}
 	most := 0
 	for _, a := range f.agents {
@@ -39,7 +39,7 @@
 		}
 	}
 	for _, known := range parts {
-		if known < most-2*platformInstances { // two events of each backend may be on their way
+		if known < most-2*perPage*platformInstances { // two pages of each backend may be on their way
 			n++
 		}
 	}
@@ -54,9 +54,9 @@
 		time.Sleep(startBound)
 		f.lose(f.hub("z1"))
 		time.Sleep(8 * time.Second)
-		t.Logf("most served by one agent %d, %d agents behind", f.mostServed(), f.behind())
+		t.Logf("most served by one agent %d, %d agents behind", f.mostServed(), f.behind(1))
 		require.Less(t, f.mostServed(), uint64(mostOfAll))
-		require.Zero(t, f.behind())
+		require.Zero(t, f.behind(1))
 	})
 }
 
@@ -70,8 +70,8 @@
 			f.run(f.add("z1", fmt.Sprint("127.1.0.", 100+i)))
 		}
 		time.Sleep(6 * time.Second)
-		t.Logf("most served by one agent %d before and %d after, %d agents behind", before, f.mostServed(), f.behind())
+		t.Logf("most served by one agent %d before and %d after, %d agents behind", before, f.mostServed(), f.behind(1))
 		require.Less(t, f.mostServed()-before, uint64(mostOfJoining))
-		require.Zero(t, f.behind())
+		require.Zero(t, f.behind(1))
 	})
 }
--- a/internal/feed/messages.go
+++ b/internal/feed/messages.go
@@ -74,6 +74,7 @@
 	List    *ReadList        `cbor:"4,keyasint,omitempty"`
 	Batches []*kvindex.Batch `cbor:"5,keyasint,omitempty"`
 	Phases  map[string]Phase `cbor:"6,keyasint,omitempty"`
+	Relay   []string         `cbor:"7,keyasint,omitempty"` // addresses that the receiver passes it on to
 }
 
 // Hops of news.
