--- a/internal/feed/messages.go
+++ b/internal/feed/messages.go
@@ -55,10 +55,13 @@
 	LoadsAt uint64                      `cbor:"10,keyasint"`          // their number
 }
 
-// List is the backends as the platform's list has them, and what owners of orders add.
+// List is the backends as the platform's list has them, and what owners of orders add: all of them, or what changed since the list of a
+// number. Phases has those of Backends.
 type List struct {
 	Number   uint64            `cbor:"1,keyasint"`
+	Since    uint64            `cbor:"4,keyasint,omitempty"` // 0 for all
 	Backends []dispatch.Listed `cbor:"2,keyasint"`
+	Gone     []string          `cbor:"5,keyasint,omitempty"` // identities
 	Phases   map[string]string `cbor:"3,keyasint,omitempty"`
 }
 
@@ -71,6 +74,7 @@
 	List    *ReadList        `cbor:"4,keyasint,omitempty"`
 	Batches []*kvindex.Batch `cbor:"5,keyasint,omitempty"`
 	Phases  map[string]Phase `cbor:"6,keyasint,omitempty"`
+	Relay   []string         `cbor:"7,keyasint,omitempty"` // addresses that the receiver passes it on to
 }
 
 // Hops of news.
