--- a/internal/controller/tallies_api.go
+++ b/internal/controller/tallies_api.go
@@ -6,7 +6,7 @@
 	"errors"
 	"io"
 	"net/http"
-	"strconv"
+	"unicode/utf8"
 
 	"github.com/labstack/echo/v4"
 
@@ -21,8 +21,8 @@
 
 // addRequest is the body of an add.
 type addRequest struct {
-	ID string      `json:"id"`
-	By json.Number `json:"by"`
+	ID string `json:"id"`
+	By *int64 `json:"by"`
 }
 
 // totalReply is the body of a read.
@@ -31,8 +31,8 @@
 }
 
 var (
-	errBadName   = errors.New("want a tally's name of 1 to 128 bytes")
-	errBadID     = errors.New("want an id of 1 to 128 bytes")
+	errBadName   = errors.New("want a tally's name of 1 to 128 bytes of UTF-8")
+	errBadID     = errors.New("want an id of 1 to 128 bytes of UTF-8")
 	errBadAmount = errors.New("by: want a whole number of at most 2^53, either way")
 )
 
@@ -42,16 +42,20 @@
 	if err := json.Unmarshal(body, &request); err != nil {
 		return tally.Add{}, err
 	}
-	by, err := strconv.ParseInt(request.By.String(), 10, 64)
 	switch {
-	case name == "" || len(name) > maxNameBytes:
+	case !validName(name):
 		return tally.Add{}, errBadName
-	case request.ID == "" || len(request.ID) > maxNameBytes:
+	case !validName(request.ID):
 		return tally.Add{}, errBadID
-	case err != nil || by > maxAmount || by < -maxAmount:
+	case request.By == nil || *request.By > maxAmount || *request.By < -maxAmount:
 		return tally.Add{}, errBadAmount
 	}
-	return tally.Add{ID: request.ID, Tally: name, By: by}, nil
+	return tally.Add{ID: request.ID, Tally: name, By: *request.By}, nil
+}
+
+// validName tells whether a name or an id can be kept: machines tell each other text, and text that is no UTF-8 is refused on the way.
+func validName(name string) bool {
+	return name != "" && len(name) <= maxNameBytes && utf8.ValidString(name)
 }
 
 // statusOf has the answer's status for each outcome: 503 promises that nothing was done.
@@ -106,7 +110,11 @@
 func (t *tallies) getTotal(ctx echo.Context) error {
 	limited, cancel := context.WithTimeout(ctx.Request().Context(), callLimit)
 	defer cancel()
-	total, err := t.total(limited, ctx.Param("tally"))
+	name := ctx.Param("tally")
+	if !validName(name) {
+		return ctx.JSON(http.StatusBadRequest, problem{errBadName.Error()})
+	}
+	total, err := t.total(limited, name)
 	if err != nil {
 		return ctx.JSON(http.StatusServiceUnavailable, problem{err.Error()})
 	}
--- /dev/null
+++ b/internal/controller/tallies_api_test.go
@@ -0,0 +1,47 @@
+package controller
+
+import (
+	"strings"
+	"testing"
+
+	"github.com/fxamacker/cbor/v2"
+	"github.com/stretchr/testify/require"
+
+	"nettlefold/internal/tally"
+)
+
+func TestBodiesOfAdds(t *testing.T) {
+	add, err := parseAdd("t3", []byte(`{"id":"5c0e7a21d94b36f8","by":4,"more":[]}`))
+	require.NoError(t, err)
+	require.Equal(t, tally.Add{ID: "5c0e7a21d94b36f8", Tally: "t3", By: 4}, add)
+	for _, body := range []string{
+		``, `[]`, `{}`, `{"id":"a"}`, `{"by":1}`, `{"id":"","by":1}`, `{"id":"a","by":1.5}`, `{"id":"a","by":"4"}`, `{"id":1,"by":1}`,
+		`{"id":"a","by":9007199254740993}`, `{"id":"a","by":99999999999999999999}`, `{"id":"` + strings.Repeat("a", 129) + `","by":1}`,
+	} {
+		_, err := parseAdd("t3", []byte(body))
+		require.Error(t, err, body)
+	}
+	_, err = parseAdd("\xff", []byte(`{"id":"a","by":1}`)) // it could not be told to other machines
+	require.ErrorIs(t, err, errBadName)
+	_, err = parseAdd(strings.Repeat("t", 129), []byte(`{"id":"a","by":1}`))
+	require.ErrorIs(t, err, errBadName)
+}
+
+func FuzzBodiesOfAdds(f *testing.F) {
+	for _, seed := range []string{`{"id":"a","by":4}`, `{"id":"a","by":-4}`, `{"by":1e3,"id":"\u0000"}`, `{"id":"a","by":4}x`, `null`} {
+		f.Add("t", seed)
+	}
+	f.Fuzz(func(t *testing.T, name, body string) {
+		add, err := parseAdd(name, []byte(body))
+		if err != nil {
+			return
+		}
+		encoded, err := cbor.Marshal(add)
+		if err != nil || cbor.Unmarshal(encoded, &tally.Add{}) != nil {
+			t.Fatalf("%q was taken as %v, which cannot be told", body, add)
+		}
+		if !validName(add.ID) || add.By > maxAmount || add.By < -maxAmount {
+			t.Fatalf("%q was taken as %v", body, add)
+		}
+	})
+}
--- /dev/null
+++ b/internal/tallylog/log_test.go
@@ -0,0 +1,162 @@
+package tallylog
+
+import (
+	"errors"
+	"fmt"
+	"os"
+	"path/filepath"
+	"testing"
+
+	"github.com/stretchr/testify/require"
+
+	"nettlefold/internal/tally"
+)
+
+const firstOrigin = tally.Origin(7)
+
+func options() Options {
+	return Options{Complete: true, NewOrigin: func() tally.Origin { return firstOrigin }}
+}
+
+// batch has one add of this disk's own.
+func batch(number uint64) *tally.Batch {
+	return &tally.Batch{Runs: []tally.Run{{Origin: firstOrigin, First: number, Adds: []tally.Add{{ID: fmt.Sprint("id", number), Tally: "t", By: 1}}}}}
+}
+
+func open(t *testing.T, dir string) (*Log, tally.Saved) {
+	t.Helper()
+	l, saved, err := Open(dir, options())
+	require.NoError(t, err)
+	t.Cleanup(l.Close)
+	return l, saved
+}
+
+// written gives the file of a log of so many adds, and the size that it had after each.
+func written(t *testing.T, adds int) (text []byte, sizes []int64) {
+	t.Helper()
+	dir := t.TempDir()
+	l, _ := open(t, dir)
+	sizes = append(sizes, l.Size())
+	for n := range adds {
+		require.NoError(t, l.Append(batch(uint64(n+1))))
+		sizes = append(sizes, l.Size())
+	}
+	text, err := os.ReadFile(filepath.Join(dir, fileName))
+	require.NoError(t, err)
+	return text, sizes
+}
+
+// reopened opens a directory whose log has a text.
+func reopened(t *testing.T, text []byte) (tally.Saved, error) {
+	t.Helper()
+	dir := t.TempDir()
+	require.NoError(t, os.WriteFile(filepath.Join(dir, fileName), text, 0o644))
+	l, saved, err := Open(dir, options())
+	require.NotNil(t, l)
+	l.Close()
+	return saved, err
+}
+
+func TestWhatWasAppendedIsReadAgain(t *testing.T) {
+	text, _ := written(t, 3)
+	saved, err := reopened(t, text)
+	require.NoError(t, err)
+	require.Equal(t, int64(3), saved.Set.Total("t"))
+	require.Equal(t, []tally.Origin{firstOrigin}, saved.Origins)
+	require.True(t, saved.Complete)
+	require.False(t, saved.Renew)
+}
+
+// TestPowerLostAtEveryByteOfAnAppend: whatever is left of the last write, all before it is read, and the numbers of a torn one are not
+// gone on with.
+func TestPowerLostAtEveryByteOfAnAppend(t *testing.T) {
+	text, sizes := written(t, 3)
+	for end := sizes[2]; end < sizes[3]; end++ {
+		for _, hole := range []bool{false, true} {
+			left := text[:end]
+			if hole {
+				left = append(append([]byte{}, text[:sizes[2]]...), make([]byte, end-sizes[2])...)
+			}
+			saved, err := reopened(t, left)
+			require.NoError(t, err, "%d bytes", end)
+			require.Equal(t, int64(2), saved.Set.Total("t"))
+			require.Equal(t, end > sizes[2], saved.Renew)
+		}
+	}
+}
+
+// TestDamageIsToldFromATornEnd: each bit of what was synced before the last write, flipped, is damage; the log starts anew and knows that
+// it misses what there was.
+func TestDamageIsToldFromATornEnd(t *testing.T) {
+	text, sizes := written(t, 3)
+	for at := range sizes[2] {
+		for bit := range 8 {
+			damaged := append([]byte{}, text...)
+			damaged[at] ^= 1 << bit
+			saved, err := reopened(t, damaged)
+			var damage *DamageError
+			require.ErrorAs(t, err, &damage, "bit %d of byte %d", bit, at)
+			require.Zero(t, saved.Set.Size())
+			require.False(t, saved.Complete)
+		}
+	}
+}
+
+// TestDamageOfTheLastWriteIsCutOff: nothing tells it from a torn end, but its numbers are not used again.
+func TestDamageOfTheLastWriteIsCutOff(t *testing.T) {
+	text, sizes := written(t, 3)
+	for at := sizes[2]; at < sizes[3]; at++ {
+		damaged := append([]byte{}, text...)
+		damaged[at] ^= 1
+		saved, err := reopened(t, damaged)
+		require.NoError(t, err)
+		require.Equal(t, int64(2), saved.Set.Total("t"))
+		require.True(t, saved.Renew)
+	}
+}
+
+// TestAFailedSyncIsTakenBack: nothing is appended behind a write that failed, and what it left is gone once the log has recovered.
+func TestAFailedSyncIsTakenBack(t *testing.T) {
+	dir := t.TempDir()
+	l, _ := open(t, dir)
+	require.NoError(t, l.Append(batch(1)))
+	fails := errors.New("no")
+	fsync = func(*os.File) error { return fails }
+	t.Cleanup(func() { fsync = (*os.File).Sync })
+	require.ErrorIs(t, l.Append(batch(2)), fails)
+	require.ErrorIs(t, l.Recover(), fails)
+	require.Error(t, l.Append(batch(2)))
+	fsync = (*os.File).Sync
+	require.NoError(t, l.Recover())
+	require.NoError(t, l.Append(batch(2)))
+	_, saved := open(t, dir)
+	require.Equal(t, int64(2), saved.Set.Total("t"))
+	require.False(t, saved.Renew)
+}
+
+// TestWhatAKilledProcessLeftIsSyncedBeforeItIsRead: the end, of which no later write says that it was synced, is written and synced once more.
+func TestWhatAKilledProcessLeftIsSyncedBeforeItIsRead(t *testing.T) {
+	text, _ := written(t, 2)
+	dir := t.TempDir()
+	require.NoError(t, os.WriteFile(filepath.Join(dir, fileName), text, 0o644))
+	fails := errors.New("no")
+	fsync = func(*os.File) error { return fails }
+	t.Cleanup(func() { fsync = (*os.File).Sync })
+	_, _, err := Open(dir, options())
+	require.ErrorIs(t, err, fails)
+}
+
+func TestAnEmptyDiskThatMissesSomethingSaysSo(t *testing.T) {
+	dir := t.TempDir()
+	missing := options()
+	missing.Complete = false
+	l, saved, err := Open(dir, missing)
+	require.NoError(t, err)
+	require.False(t, saved.Complete)
+	l.Close()
+	l, saved = open(t, dir)
+	require.False(t, saved.Complete, "also after another start")
+	require.NoError(t, l.Append(&tally.Batch{Complete: true}))
+	_, saved = open(t, dir)
+	require.True(t, saved.Complete)
+}
