--- a/internal/controller/metrics.go
+++ b/internal/controller/metrics.go
@@ -29,6 +29,13 @@
 	behind, silent := status.sessionsBehind()
 	set.Add("controller_sessions_behind", float64(behind))
 	set.Add("controller_session_silence_seconds_max", silent.Seconds())
+	if c.tallies != nil {
+		tallies, err := c.tallies.status(ctx)
+		if err != nil {
+			return nil, err
+		}
+		tallies.addTo(set)
+	}
 	return set, nil
 }
 
--- a/internal/controller/status.go
+++ b/internal/controller/status.go
@@ -25,6 +25,7 @@
 	Duties     map[string]replicated.Duty  `json:"duties"`
 	Mixers     int                         `json:"mixers"` // with a session anywhere
 	Sessions   []SessionStatus             `json:"sessions"`
+	Tallies    *TallyStatus                `json:"tallies,omitempty"` // where they are kept
 }
 
 // SessionStatus is an agent that has its session here.
@@ -42,6 +43,12 @@
 	if err := c.ask(ctx.Request().Context(), func() { status = c.status() }); err != nil {
 		return ctx.JSON(http.StatusServiceUnavailable, problem{err.Error()})
 	}
+	if c.tallies != nil {
+		var err error
+		if status.Tallies, err = c.tallies.status(ctx.Request().Context()); err != nil {
+			return ctx.JSON(http.StatusServiceUnavailable, problem{err.Error()})
+		}
+	}
 	return ctx.JSONPretty(http.StatusOK, status, "  ")
 }
 
--- a/internal/controller/tallies.go
+++ b/internal/controller/tallies.go
@@ -41,6 +41,7 @@
 	batches  chan *tally.Batch
 	done     chan struct{}
 	flushed  atomic.Bool // the others in reach have all that was taken here
+	logBytes atomic.Int64
 	peers    func() []string
 
 	// What follows is the owner's.
@@ -75,11 +76,15 @@
 		NewOrigin: newOrigin,
 		Timing:    tally.DefaultTiming(),
 	}, saved)
+	t.logBytes.Store(file.Size())
 	c.tallies = t
 	c.log.Info().Str("step", "open tallies").Int("adds", saved.Set.Size()).Bool("complete", saved.Complete).Msg("tallies read")
 	return nil
 }
 
+// errEnding is for calls that a controller's end cuts off.
+var errEnding = errors.New("this machine ends")
+
 func newOrigin() tally.Origin {
 	var random [8]byte
 	rand.Read(random[:])
@@ -178,6 +183,7 @@
 				t.enqueue(func() { t.perform(t.replica.Recovered(t.now())) })
 				continue
 			}
+			t.logBytes.Store(t.file.Size())
 			full := t.diskRoom > 0 && t.file.Size() >= t.diskRoom
 			t.enqueue(func() {
 				t.replica.SetFull(full)
--- a/internal/controller/tallies_api.go
+++ b/internal/controller/tallies_api.go
@@ -103,7 +103,7 @@
 	case <-ctx.Done():
 		return tally.Answer{Outcome: tally.Unclear, Reason: "no answer in time"}
 	case <-t.done:
-		return tally.Answer{Outcome: tally.Unclear, Reason: "this machine ends"}
+		return tally.Answer{Outcome: tally.Unclear, Reason: errEnding.Error()}
 	}
 }
 
@@ -140,6 +140,6 @@
 	case <-ctx.Done():
 		return 0, ctx.Err()
 	case <-t.done:
-		return 0, errors.New("this machine ends")
+		return 0, errEnding
 	}
 }
--- a/internal/controller/tallies_test.go
+++ b/internal/controller/tallies_test.go
@@ -2,7 +2,9 @@
 
 import (
 	"fmt"
+	"math/rand/v2"
 	"net/http"
+	"path/filepath"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -74,6 +76,35 @@
 	})
 }
 
+// TestFiguresOfTallies: during a cut each side tells how many others it reaches and what they lack.
+func TestFiguresOfTallies(t *testing.T) {
+	inTallyWorld(t, func(w *world) {
+		require.Equal(t, 2.0, w.figure(ipOf(1), "tally_peers_in_reach"))
+		w.separateCore(true, ipOf(1))
+		time.Sleep(2 * time.Second)
+		require.Zero(t, w.figure(ipOf(1), "tally_peers_in_reach"))
+		require.Equal(t, 1.0, w.figure(ipOf(2), "tally_peers_in_reach"))
+		require.Equal(t, http.StatusOK, w.addTo(ipOf(1), "t", "a", 1))
+		status, err := w.machines[ipOf(1)].controller.tallies.status(w.t.Context())
+		require.NoError(t, err)
+		require.Equal(t, uint64(1), status.Peers[0].Behind)
+		w.separateCore(false, ipOf(1))
+		time.Sleep(3 * time.Second)
+		require.Equal(t, 1.0, w.figure(ipOf(2), "tally_merged_total"))
+		require.Zero(t, w.figure(ipOf(2), "tally_behind"))
+	})
+}
+
+// TestWithoutTheContractThereAreNoTallies: no route, no file.
+func TestWithoutTheContractThereAreNoTallies(t *testing.T) {
+	inWorld(t, 1, func(w *world, _ *rand.Rand) {
+		require.Equal(t, http.StatusNotFound, w.addTo(ipOf(1), "t", "a", 1))
+		files, err := filepath.Glob(filepath.Join(w.machines[ipOf(1)].settings.DataDirectory, "*tallies*"))
+		require.NoError(t, err)
+		require.Empty(t, files)
+	})
+}
+
 // TestAnAddNeedsNoSlowAnswer: with all machines there, an add takes some round trips and no timer.
 func TestAnAddNeedsNoSlowAnswer(t *testing.T) {
 	inTallyWorld(t, func(w *world) {
