--- a/internal/controller/controller.go
+++ b/internal/controller/controller.go
@@ -102,7 +102,7 @@
 	}
 	if settings.HasContract(contractTallies) {
 		// Before the control state: where that is on disk without tallies, none were kept there before.
-		if err := c.openTallies(); err != nil {
+		if err := c.newTallies(); err != nil {
 			return nil, err
 		}
 	}
--- a/internal/controller/tallies.go
+++ b/internal/controller/tallies.go
@@ -22,7 +22,7 @@
 	contractTallies = "apart"
 	// memoryShare is the part of a machine's memory, in percent, that adds may take, and bytesPerAdd what one takes.
 	memoryShare = 35
-	bytesPerAdd = 200
+	bytesPerAdd = 80
 	// diskShare is the part of a machine's disk, in percent, from which no more adds are taken: the control state needs the rest.
 	diskShare = 40
 	// peersEvery is how often the members of the view are looked at.
@@ -32,17 +32,21 @@
 // tallies keeps this machine's part of the tallies: one goroutine owns the replica and works through a queue of commands, another writes
 // the log. Their connections are their own, so that neither they nor the control state wait behind the other.
 type tallies struct {
-	log      zerolog.Logger
-	start    time.Time
-	pool     *rpc.Pool
-	file     *tallylog.Log
-	diskRoom int64 // bytes of the log from which no more adds are taken, 0: no limit
-	commands chan func()
-	batches  chan *tally.Batch
-	done     chan struct{}
-	flushed  atomic.Bool // the others in reach have all that was taken here
-	logBytes atomic.Int64
-	peers    func() []string
+	log       zerolog.Logger
+	start     time.Time
+	pool      *rpc.Pool
+	directory string
+	file      tallylog.Options
+	options   tally.Options
+	diskRoom  int64 // bytes of the log from which no more adds are taken, 0: no limit
+	commands  chan func()
+	batches   chan *tally.Batch
+	done      chan struct{}
+	opened    atomic.Bool // the file is read: before, no command is taken
+	flushed   atomic.Bool // the others in reach have all that was taken here
+	logBytes  atomic.Int64
+	peers     func() []string
+	disk      *tallylog.Log // the writer's
 
 	// What follows is the owner's.
 	replica  *tally.Replica
@@ -51,37 +55,63 @@
 	lookedAt time.Duration // when the peers were last looked at
 }
 
-// openTallies opens this machine's tallies.
-func (c *Controller) openTallies() error {
-	complete := c.settings.FirstStart || durable.Present(c.settings.DataDirectory)
-	file, saved, err := tallylog.Open(c.settings.DataDirectory, tallylog.Options{Complete: complete, NewOrigin: newOrigin})
-	var damage *tallylog.DamageError
-	if errors.As(err, &damage) {
-		c.log.Error().Err(err).Str("step", "open tallies").Msg("the tallies on disk are damaged: they are set aside and learned anew")
-	} else if err != nil {
-		return err
-	}
+// newTallies makes this machine's tallies. A file for them is there when it returns; it is read when they run, as a long one takes seconds
+// and the control state does not wait for it.
+func (c *Controller) newTallies() error {
 	t := &tallies{
-		log: c.log, start: time.Now(), pool: rpc.NewPoolOn(c.network), file: file,
-		diskRoom: int64(c.settings.DiskMB) << 20 * diskShare / 100,
-		commands: make(chan func(), commandQueue), batches: make(chan *tally.Batch, 1), done: make(chan struct{}),
+		log: c.log, start: time.Now(), pool: rpc.NewPoolOn(c.network),
+		directory: c.settings.DataDirectory,
+		diskRoom:  int64(c.settings.DiskMB) << 20 * diskShare / 100,
+		commands:  make(chan func(), commandQueue), batches: make(chan *tally.Batch, 1), done: make(chan struct{}),
 		peers: c.tallyPeers, calls: map[uint64]chan tally.Answer{},
+		options: tally.Options{
+			Self:      c.settings.InternalAddr(c.settings.IP),
+			Life:      randomNonce(),
+			ClockBase: int64(randomNonce() >> 1),
+			Copies:    c.settings.LostMachines,
+			MostAdds:  c.settings.MemoryMB << 20 / 100 * memoryShare / bytesPerAdd,
+			NewOrigin: newOrigin,
+			Timing:    tally.DefaultTiming(),
+		},
 	}
-	t.replica = tally.New(0, tally.Options{
-		Self:      c.settings.InternalAddr(c.settings.IP),
-		Life:      randomNonce(),
-		ClockBase: int64(randomNonce() >> 1),
-		Copies:    c.settings.LostMachines,
-		MostAdds:  c.settings.MemoryMB << 20 / 100 * memoryShare / bytesPerAdd,
+	t.flushed.Store(true)
+	t.file = tallylog.Options{
+		Complete:  c.settings.FirstStart || durable.Present(c.settings.DataDirectory),
 		NewOrigin: newOrigin,
-		Timing:    tally.DefaultTiming(),
-	}, saved)
-	t.logBytes.Store(file.Size())
+	}
 	c.tallies = t
-	c.log.Info().Str("step", "open tallies").Int("adds", saved.Set.Size()).Bool("complete", saved.Complete).Msg("tallies read")
-	return nil
+	return tallylog.Prepare(t.directory, t.file)
 }
 
+// open reads the tallies' file and makes a replica of it; false after stop.
+func (t *tallies) open() bool {
+	for {
+		file, saved, err := tallylog.Open(t.directory, t.file)
+		var damage *tallylog.DamageError
+		if errors.As(err, &damage) {
+			t.log.Error().Err(err).Str("step", "open tallies").Msg("the tallies on disk are damaged: they are set aside and learned anew")
+			err = nil
+		}
+		if err == nil {
+			t.disk = file
+			t.logBytes.Store(file.Size())
+			t.replica = tally.New(t.now(), t.options, saved)
+			t.opened.Store(true)
+			t.log.Info().Str("step", "open tallies").Int("adds", saved.Set.Size()).Bool("complete", saved.Complete).Msg("tallies read")
+			return true
+		}
+		t.log.Error().Err(err).Str("step", "open tallies").Msg("disk fails")
+		select {
+		case <-time.After(reopenAfter):
+		case <-t.done:
+			return false
+		}
+	}
+}
+
+// errReading is for calls that come before the file is read.
+var errReading = errors.New("the tallies are being read from disk")
+
 // errEnding is for calls that a controller's end cuts off.
 var errEnding = errors.New("this machine ends")
 
@@ -101,6 +131,9 @@
 
 // run owns the replica until stop.
 func (t *tallies) run() {
+	if !t.open() {
+		return
+	}
 	go t.write()
 	ticker := time.NewTicker(tickEvery)
 	defer ticker.Stop()
@@ -142,12 +175,18 @@
 
 // leave says that this machine is about to end.
 func (t *tallies) leave() {
+	if !t.opened.Load() {
+		return
+	}
 	t.flushed.Store(false)
-	t.enqueue(t.replica.Leave)
+	t.enqueue(func() { t.replica.Leave() })
 }
 
 // receive takes another machine's message.
 func (t *tallies) receive(m *tally.Message) {
+	if !t.opened.Load() {
+		return
+	}
 	t.enqueue(func() { t.perform(t.replica.Receive(t.now(), m)) })
 }
 
@@ -170,11 +209,11 @@
 // write makes batches last, one after the other, until stop. After a failure it tries again and again to take back what the disk may have
 // of the batch.
 func (t *tallies) write() {
-	defer t.file.Close()
+	defer t.disk.Close()
 	for {
 		select {
 		case batch := <-t.batches:
-			if err := t.file.Append(batch); err != nil {
+			if err := t.disk.Append(batch); err != nil {
 				t.log.Error().Err(err).Str("step", "write tallies").Msg("disk failed")
 				t.enqueue(func() { t.perform(t.replica.Failed(t.now())) })
 				if !t.recover() {
@@ -183,8 +222,8 @@
 				t.enqueue(func() { t.perform(t.replica.Recovered(t.now())) })
 				continue
 			}
-			t.logBytes.Store(t.file.Size())
-			full := t.diskRoom > 0 && t.file.Size() >= t.diskRoom
+			t.logBytes.Store(t.disk.Size())
+			full := t.diskRoom > 0 && t.disk.Size() >= t.diskRoom
 			t.enqueue(func() {
 				t.replica.SetFull(full)
 				t.perform(t.replica.Synced(t.now()))
@@ -203,7 +242,7 @@
 		case <-t.done:
 			return false
 		}
-		err := t.file.Recover()
+		err := t.disk.Recover()
 		if err == nil {
 			return true
 		}
--- a/internal/controller/tallies_api.go
+++ b/internal/controller/tallies_api.go
@@ -91,6 +91,9 @@
 
 // add hands an add to the owner and waits for its outcome.
 func (t *tallies) add(ctx context.Context, add tally.Add) tally.Answer {
+	if !t.opened.Load() {
+		return tally.Answer{Outcome: tally.Refused, Reason: errReading.Error()}
+	}
 	answers := make(chan tally.Answer, 1)
 	t.enqueue(func() {
 		t.token++
@@ -129,6 +132,9 @@
 
 // total reads a tally at the owner.
 func (t *tallies) total(ctx context.Context, name string) (int64, error) {
+	if !t.opened.Load() {
+		return 0, errReading
+	}
 	readings := make(chan reading, 1)
 	t.enqueue(func() {
 		total, err := t.replica.Read(t.now(), name)
--- a/internal/controller/tallies_status.go
+++ b/internal/controller/tallies_status.go
@@ -39,6 +39,9 @@
 
 // status asks the owner where the tallies stand.
 func (t *tallies) status(ctx context.Context) (*TallyStatus, error) {
+	if !t.opened.Load() {
+		return &TallyStatus{NotReady: errReading.Error()}, nil
+	}
 	statuses := make(chan tally.Status, 1)
 	t.enqueue(func() { statuses <- t.replica.Status(t.now()) })
 	select {
--- a/internal/tally/replica.go
+++ b/internal/tally/replica.go
@@ -137,12 +137,12 @@
 	r.step(now)
 	r.counters.Adds++
 	w := waiter{token, now}
-	if held, seen := r.set.byID[add.ID]; seen {
-		if held.add != add {
+	if counted, dot, seen := r.set.Counted(add.ID); seen {
+		if counted != add {
 			r.answer(&out, token, Conflicting, "the id was counted with another tally or amount")
 			return out
 		}
-		r.waiting[held.dot] = append(r.waiting[held.dot], w)
+		r.waiting[dot] = append(r.waiting[dot], w)
 		r.settle(now, &out)
 		return out
 	}
--- a/internal/tally/walk_test.go
+++ b/internal/tally/walk_test.go
@@ -157,10 +157,11 @@
 
 // TestMergesInAnyOrderComeToTheSame: sets that took the same runs in other orders, some of them twice, hold and count the same.
 func TestMergesInAnyOrderComeToTheSame(t *testing.T) {
+	ids := []string{"a", "0000000000000001", "5c0e7a21d94b36f8", "5C0E7A21D94B36F8", "000000000000000g"}
 	rapid.Check(t, func(t *rapid.T) {
 		add := rapid.Custom(func(t *rapid.T) Add {
 			return Add{
-				ID:    rapid.SampledFrom([]string{"a", "b", "c", "d"}).Draw(t, "id"),
+				ID:    rapid.SampledFrom(ids).Draw(t, "id"),
 				Tally: rapid.SampledFrom([]string{"t", "u"}).Draw(t, "tally"),
 				By:    rapid.Int64Range(-3, 3).Draw(t, "by"),
 			}
@@ -183,12 +184,14 @@
 				t.Fatalf("%s: %d and %d", tally, sets[0].Total(tally), sets[1].Total(tally))
 			}
 		}
-		if fmt.Sprint(sets[0].adds) != fmt.Sprint(sets[1].adds) {
-			t.Fatalf("%v and %v", sets[0].adds, sets[1].adds)
+		if fmt.Sprint(sets[0].all()) != fmt.Sprint(sets[1].all()) {
+			t.Fatalf("%v and %v", sets[0].all(), sets[1].all())
 		}
-		for id, counted := range sets[0].byID {
-			if sets[1].byID[id].add != counted.add {
-				t.Fatalf("%s: %v and %v", id, counted, sets[1].byID[id])
+		for _, id := range ids {
+			one, _, _ := sets[0].Counted(id)
+			other, _, _ := sets[1].Counted(id)
+			if one != other {
+				t.Fatalf("%s: %v and %v", id, one, other)
 			}
 		}
 	})
--- a/internal/tally/world_test.go
+++ b/internal/tally/world_test.go
@@ -423,7 +423,7 @@
 func (c *core) checkDots() error {
 	seen := map[Dot]Add{}
 	for _, n := range c.nodes {
-		for origin, adds := range n.replica.set.adds {
+		for origin, adds := range n.replica.set.all() {
 			for i, add := range adds {
 				dot := Dot{origin, uint64(i + 1)}
 				if other, there := seen[dot]; there && other != add {
@@ -443,7 +443,7 @@
 	if !r.ready {
 		return nil
 	}
-	for tally, total := range r.set.totals {
+	for tally, total := range r.set.byName() {
 		if most := c.mostOf(tally); total > most {
 			return fmt.Errorf("%s reads %d of %s, at most %d were added", n.addr, total, tally, most)
 		}
@@ -458,7 +458,7 @@
 
 // counts tells whether an id is part of the totals.
 func (r *Replica) counts(id string) bool {
-	_, there := r.set.byID[id]
+	_, _, there := r.set.Counted(id)
 	return there
 }
 
@@ -504,7 +504,7 @@
 				return fmt.Errorf("%s lacks %s after all healed", n.addr, id)
 			}
 		}
-		if a, b := fmt.Sprint(n.replica.set.totals), fmt.Sprint(c.nodes[0].replica.set.totals); a != b {
+		if a, b := fmt.Sprint(n.replica.set.byName()), fmt.Sprint(c.nodes[0].replica.set.byName()); a != b {
 			return fmt.Errorf("%s reads %s, m0 %s", n.addr, a, b)
 		}
 	}
@@ -534,7 +534,7 @@
 	for i, n := range c.nodes {
 		r := n.replica
 		fmt.Fprint(&b, "|", n.life, c.now-n.started, n.acked, n.wiped, n.disk.lasting, len(n.disk.pending))
-		fmt.Fprint(&b, r.set.adds, r.origin, r.fresh, r.queue, r.staged, r.reserved, r.ready, r.complete, r.failed, c.now-r.stepped, max(0, r.blind-c.now))
+		fmt.Fprint(&b, r.set.all(), r.origin, r.fresh, r.queue, r.staged, r.reserved, r.ready, r.complete, r.failed, c.now-r.stepped, max(0, r.blind-c.now))
 		for _, dot := range r.waitingDots() {
 			fmt.Fprint(&b, dot)
 			for _, w := range r.waiting[dot] {
@@ -543,7 +543,7 @@
 		}
 		for _, p := range r.sortedPeers() {
 			fmt.Fprint(&b, p.addr, p.life, p.heard == never, c.now-p.heard, c.now-p.roundTrip, p.first, p.ready, p.failed, p.owed, max(0, p.next-c.now), p.gossips%namePeers)
-			for _, origin := range r.set.origins() {
+			for _, origin := range r.set.sorted() {
 				if l := p.links[origin]; l != nil {
 					fmt.Fprint(&b, origin, l.known, l.sent, c.now-l.moved, l.lacking == never, c.now-l.lacking, l.relaying)
 				}
@@ -557,3 +557,21 @@
 	}
 	return b.String()
 }
+
+// all gives the adds of each origin.
+func (s *Set) all() map[Origin][]Add {
+	all := map[Origin][]Add{}
+	for _, origin := range s.sorted() {
+		all[origin] = s.slice(origin, 0, s.size).Adds
+	}
+	return all
+}
+
+// byName gives the totals by the tallies' names.
+func (s *Set) byName() map[string]int64 {
+	totals := map[string]int64{}
+	for index, total := range s.totals {
+		totals[s.names.list[index]] = total
+	}
+	return totals
+}
--- a/internal/tallylog/log.go
+++ b/internal/tallylog/log.go
@@ -37,6 +37,19 @@
 	NewOrigin func() tally.Origin
 }
 
+// Prepare makes a directory's file if there is none.
+func Prepare(dir string, options Options) error {
+	if _, err := os.Stat(filepath.Join(dir, fileName)); err == nil {
+		return nil
+	}
+	l, _, err := Open(dir, options)
+	if err != nil {
+		return err
+	}
+	l.Close()
+	return nil
+}
+
 // Open opens a directory's file, makes one where there is none, and gives what it holds, which lasts. A damaged file is set aside for
 // whoever wants to look at it: then the error is a *DamageError beside a log that starts anew and misses what the other held.
 func Open(dir string, options Options) (*Log, tally.Saved, error) {
