--- a/internal/agent/arrivals.go
+++ b/internal/agent/arrivals.go
@@ -11,6 +11,9 @@
 // arrivalBounds are the upper bounds of the histograms of how long news takes, in seconds.
 var arrivalBounds = [...]float64{0.1, 0.25, 0.5, 1, 1.5, 2, 3, 4, 6}
 
+// lateAfter is how long a stage may take until the log tells that it was late.
+const lateAfter = 1500 * time.Millisecond
+
 // arrivals counts how long pieces of news took.
 type arrivals struct {
 	counts [len(arrivalBounds)]uint64 // at most so long as each bound
@@ -52,12 +55,14 @@
 	}
 }
 
-// has notes that the proxy has the news up to a number.
-func (p *applied) has(number uint64, now time.Time) {
+// has notes that the proxy has the news up to a number, and gives how long it took, 0 if it had it before.
+func (p *applied) has(number uint64, now time.Time) (took time.Duration) {
 	if p.waiting != 0 && number >= p.waiting {
 		p.waiting = 0
-		p.took.add(now.Sub(p.since))
+		took = now.Sub(p.since)
+		p.took.add(took)
 	}
+	return took
 }
 
 // noteApplied notes what a proxy's call tells that it has in force; same tells whether its numbers are of this agent's life.
@@ -66,8 +71,15 @@
 	if a.snapshot != nil && a.snapshot.Seq > request.Applied {
 		a.snapshotApplied.changed(a.snapshot.Seq, now)
 	}
-	a.snapshotApplied.has(request.Applied, now)
+	a.tellLate("snapshot applied", a.snapshotApplied.has(request.Applied, now))
 	if same {
-		a.listApplied.has(request.List, now)
+		a.tellLate("list applied", a.listApplied.has(request.List, now))
+	}
+}
+
+// tellLate tells in the log that a stage of the news took long.
+func (a *Agent) tellLate(stage string, took time.Duration) {
+	if took > lateAfter {
+		a.log.Info().Str("step", "late").Str("stage", stage).Dur("took", took).Msg("news came late")
 	}
 }
--- a/internal/agent/lists.go
+++ b/internal/agent/lists.go
@@ -77,6 +77,7 @@
 	}
 	age := time.Duration(news.AgeMS) * time.Millisecond
 	a.listArrivals.add(age)
+	a.tellLate("list heard from "+from, age)
 	a.lists.number, a.lists.missing = news.Number, ""
 	a.lists.heardAt = time.Now()
 	a.lists.readAt = a.lists.heardAt.Add(-age)
