--- a/internal/agent/agent.go
+++ b/internal/agent/agent.go
@@ -31,7 +31,9 @@
 	phasesTold   = loadLimit + 2*time.Second
 	feedHold     = 200 * time.Millisecond
 	proxySilence = time.Second
-	keptBatches  = 2048
+	// keptBatches is how many changes of kept prompts are held for the proxy at least; the oldest go droppedAtOnce at a time, as all others move.
+	keptBatches   = 2048
+	droppedAtOnce = 512
 )
 
 // Agent is one mixer's agent.
--- a/internal/agent/events.go
+++ b/internal/agent/events.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"math/rand/v2"
 	"net/http"
+	"slices"
 	"strconv"
 	"strings"
 	"time"
@@ -258,8 +259,8 @@
 // keepBatch holds a batch ready for the proxy.
 func (a *Agent) keepBatch(b *kvindex.Batch) {
 	a.batches = append(a.batches, b)
-	if over := len(a.batches) - keptBatches; over > 0 {
-		a.batches = append(a.batches[:0], a.batches[over:]...)
+	if len(a.batches) >= keptBatches+droppedAtOnce {
+		a.batches = slices.Delete(a.batches, 0, droppedAtOnce)
 	}
 	a.batchCount++
 	a.notify()
--- a/internal/agent/feed_test.go
+++ b/internal/agent/feed_test.go
@@ -115,3 +115,25 @@
 		}
 	}
 }
+
+// TestTheNewestBatchesAreKept: as many as a proxy may lag, and not many more.
+func TestTheNewestBatchesAreKept(t *testing.T) {
+	a := indexed(1, 0)
+	for i := range 3 * keptBatches {
+		a.keepBatch(&kvindex.Batch{Backend: "i-0", To: kvindex.Cursor{Next: int64(i)}})
+		require.LessOrEqual(t, len(a.batches), keptBatches+droppedAtOnce)
+		require.GreaterOrEqual(t, len(a.batches), min(i+1, keptBatches))
+		require.Equal(t, int64(i), a.batches[len(a.batches)-1].To.Next)
+	}
+	reply, _ := a.feedReply(0, &feed.Request{Agent: a.self.ID, Index: a.batchCount - keptBatches})
+	require.False(t, reply.Reset)
+}
+
+// BenchmarkKeepBatch is one batch kept, as for each page of events of each backend.
+func BenchmarkKeepBatch(b *testing.B) {
+	a := indexed(1, 0)
+	batch := &kvindex.Batch{Backend: "i-0"}
+	for b.Loop() {
+		a.keepBatch(batch)
+	}
+}
