--- a/internal/agent/listplan.go
+++ b/internal/agent/listplan.go
@@ -18,7 +18,7 @@
 	// others do, at a pace at which all of them together make memberShare of the calls that the platform answers.
 	hubStale    = 2300 * time.Millisecond
 	memberStale = 2700 * time.Millisecond
-	memberShare = 0.25
+	memberShare = 0.1
 )
 
 // listPlan is what decides whether an agent reads the platform's list now.
