Soak: cuts between machines, evacuations and drains; the judge holds EVAC and DRAIN

The soak played no cuts, no evacuations and no draining engines (docs/soak.md, Not in it yet).

Cuts: the soak builds the program with another internal/rpc/network.go (an overlay, internal/lab/fleetdemo/relayed, compiled and vetted by itself), by which machines dial each other through the soak's relay. It holds up what goes over a cut link, new connections too, and ends a sender whose bytes are held for 0.9 s, as the kernel does by TCP_USER_TIMEOUT. The wires of internal/lab/several lie at addresses of their own, one for each pair; here machines learn each other's addresses from the shared state, so the dialler has to say who it is. Only links between machines are cut, not those to engines. Cut are a front from all, a front from one controller, a controller from all, two controllers from each other, one zone from the other.

Judge: an arrival is noted with its time, before the wait for a slot (LOST counts such a request too now). EVAC and DRAIN bind fronts that were in touch for bounds.contact_ms: no trouble, no cut to or between controllers; cuts between fronts don't excuse. CONFIG is not held where the front was cut off, VERSION counts from the contact time after the last cut. Each rule has its planted faults in judge_test.go and what looks like them beside it.

--- a/cmd/nettlelab/soak.go
+++ b/cmd/nettlelab/soak.go
@@ -2,13 +2,14 @@
 
 import (
 	"os"
+	"path/filepath"
 	"time"
 
 	"nettlefold/internal/lab/fleetdemo"
 )
 
 type soakCommand struct {
-	Program     string        `type:"existingfile" placeholder:"PROGRAM" help:"A build of nettlefold; the one beside this program if none is named."`
+	Program     string        `type:"existingfile" placeholder:"PROGRAM" help:"A build of nettlefold, whose machines cannot be cut off from each other; built with cuts from the sources here if none is named."`
 	Seed        uint64        `default:"1" help:"The plan is drawn from it."`
 	Seeds       int           `default:"1" help:"How many seeds are played, one after the other."`
 	Length      time.Duration `default:"30s" help:"Of each, in traffic."`
@@ -20,13 +21,20 @@
 
 // Run plays the seeds, and fails with the first that finds something.
 func (a *soakCommand) Run() error {
-	program, err := programOr(a.Program)
-	if err != nil {
-		return err
+	if a.Program == "" {
+		folder, err := os.MkdirTemp("", "soak")
+		if err != nil {
+			return err
+		}
+		defer os.RemoveAll(folder)
+		a.Program = filepath.Join(folder, "nettlefold")
+		if err := fleetdemo.Build(a.Program); err != nil {
+			return err
+		}
 	}
 	var failed error
 	for i := range a.Seeds {
-		err := fleetdemo.Soak(program, fleetdemo.SoakOptions{
+		err := fleetdemo.Soak(a.Program, fleetdemo.SoakOptions{
 			Seed: a.Seed + uint64(i), Length: a.Length, Controllers: a.Controllers, Fronts: a.Fronts, Engine: a.Engines, Keep: a.Keep,
 		}, os.Stdout)
 		if failed == nil {
--- a/internal/lab/fleetdemo/engine.go
+++ b/internal/lab/fleetdemo/engine.go
@@ -33,19 +33,20 @@
 	fleet *engines
 	slots chan struct{} // held by requests that run; nil for as many as come
 
-	mu      sync.Mutex
-	id      string // of this life
-	lives   int
-	server  *http.Server
-	resumed chan struct{} // closed when the engine goes on; nil while it runs
-	slow    int           // by how many times it is slowed, 0 if it is not
-	version int64
-	loading bool
-	kept    map[string]int // tokens by salt and part
-	events  [][]any
-	read    int // tokens read so far
-	reused  int // tokens found kept or fetched
-	fences  uint64
+	mu       sync.Mutex
+	id       string // of this life
+	lives    int
+	server   *http.Server
+	resumed  chan struct{} // closed when the engine goes on; nil while it runs
+	slow     int           // by how many times it is slowed, 0 if it is not
+	version  int64
+	loading  bool
+	draining bool           // as the platform's list shows it
+	kept     map[string]int // tokens by salt and part
+	events   [][]any
+	read     int // tokens read so far
+	reused   int // tokens found kept or fetched
+	fences   uint64
 }
 
 // engines is all of them, and what ran where.
@@ -130,6 +131,9 @@
 	if e.refused(w, r) {
 		return
 	}
+	id := r.Header.Get("X-Request-Id")
+	life := r.Header.Get("X-Expected-Instance")
+	e.fleet.log.reached(id, life)
 	if e.slots != nil {
 		select {
 		case e.slots <- struct{}{}:
@@ -138,9 +142,6 @@
 			return
 		}
 	}
-	id := r.Header.Get("X-Request-Id")
-	life := r.Header.Get("X-Expected-Instance")
-	e.fleet.log.reached(id, life)
 	if !e.work(r, e.prefill(r)) || e.refused(w, r) { // an order came while it was read, or its caller has gone
 		return
 	}
@@ -302,11 +303,19 @@
 	life = e.id
 	e.lives++
 	e.id = fmt.Sprint(strings.Split(life, "/")[0], "/", e.lives)
-	e.loading, e.fences = false, 0
+	e.loading, e.draining, e.fences = false, false, 0
 	e.kept, e.events = map[string]int{}, nil
 	return life
 }
 
+// drain has the platform's list show the engine as draining, and gives the identity that it has.
+func (e *engine) drain() (life string) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.draining = true
+	return e.id
+}
+
 // pause has the engine stand still until resume is called.
 func (e *engine) pause() (resume func()) {
 	resumed := make(chan struct{})
--- a/internal/lab/fleetdemo/runlog.go
+++ b/internal/lab/fleetdemo/runlog.go
@@ -12,16 +12,22 @@
 	At              time.Time
 }
 
+// arrival is a request that reached an engine which did not refuse it.
+type arrival struct {
+	Engine string // life
+	At     time.Time
+}
+
 // runLog is what engines did: it is what the judge of a soak goes by, apart from the programs. A nil one notes nothing.
 type runLog struct {
 	mu       sync.Mutex
 	runs     []run
-	arrivals map[string][]string // engines that a request reached
+	arrivals map[string][]arrival // by request
 	crashes  map[string]time.Time
 }
 
 func newRunLog() *runLog {
-	return &runLog{arrivals: map[string][]string{}, crashes: map[string]time.Time{}}
+	return &runLog{arrivals: map[string][]arrival{}, crashes: map[string]time.Time{}}
 }
 
 // reached notes that a request is at an engine.
@@ -31,7 +37,7 @@
 	}
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	l.arrivals[request] = append(l.arrivals[request], engine)
+	l.arrivals[request] = append(l.arrivals[request], arrival{engine, time.Now()})
 }
 
 // began notes that an engine begins a request.
--- a/internal/lab/fleetdemo/soakplan.go
+++ b/internal/lab/fleetdemo/soakplan.go
@@ -20,11 +20,23 @@
 	actCrash      = "crash engine" // it comes back with another identity and the weights it had
 	actSilence    = "silence engine"
 	actSlow       = "slow engine"
+	actDrain      = "drain engine"  // the platform's list shows it as draining; later it ends, and another life of it is ready
+	actEvacuate   = "evacuate zone" // the operator has a zone emptied, and takes that back
+	actCutFront   = "cut front"     // a front is cut off from all other machines
+	actCutLink    = "cut link"      // a front is cut off from one controller
+	actCutCore    = "cut controller"
+	actCutBridge  = "cut bridge" // a controller is cut off from the next one alone
+	actCutZone    = "cut zones"  // all machines of one zone are cut off from those of the other
 	mostSilence   = 3 * time.Second
 	leastGap      = 300 * time.Millisecond
 	meanGap       = 700 * time.Millisecond
 	firstAct      = time.Second
 	heavyInterval = 3 * time.Second // between two losses of controllers: more at once are not borne
+	leastCut      = 300 * time.Millisecond
+	mostCut       = 4 * time.Second
+	evacuateLeast = soakEvacuationLimit + 500*time.Millisecond
+	drainLeast    = soakDrainLimit + 500*time.Millisecond
+	lingers       = 2 * time.Second // that a zone is evacuated, or a draining engine serves, beyond the least
 )
 
 // act is one event of a plan.
@@ -46,6 +58,8 @@
 }{
 	{actConfigure, 8}, {actName, 3}, {actTermFront, 3}, {actKillFront, 1}, {actFreeze, 1}, {actHangUp, 2}, {actTermCore, 1}, {actKillCore, 1},
 	{actCrash, 3}, {actSilence, 4}, {actSlow, 2},
+	{actDrain, 3}, {actEvacuate, 2},
+	{actCutFront, 1}, {actCutLink, 2}, {actCutCore, 1}, {actCutBridge, 1}, {actCutZone, 1},
 }
 
 // makePlan draws the events of a soak. A seed gives the same plan each time.
@@ -56,7 +70,7 @@
 		total += w.weight
 	}
 	var plan []act
-	coreBusy, named := time.Duration(0), time.Duration(0)
+	var coreBusy, evacuated, named time.Duration
 	for at := firstAct; at < length; at += leastGap + time.Duration(random.ExpFloat64()*float64(meanGap-leastGap)) {
 		a := act{At: at, Kind: drawKind(random, total)}
 		switch a.Kind {
@@ -66,6 +80,22 @@
 				continue
 			}
 			coreBusy = at + a.For + heavyInterval
+		case actCutCore, actCutBridge, actCutZone:
+			a.Target, a.For = random.IntN(of.controllers), drawTime(random, leastCut, mostCut)
+			if at < coreBusy {
+				continue
+			}
+			coreBusy = at + a.For + heavyInterval
+		case actCutFront, actCutLink:
+			a.Target, a.For = random.IntN(of.fronts), drawTime(random, leastCut, mostCut)
+		case actEvacuate:
+			a.Target, a.For = random.IntN(zones), drawTime(random, evacuateLeast, evacuateLeast+lingers)
+			if at < evacuated { // of both zones at once nothing is left
+				continue
+			}
+			evacuated = at + a.For + time.Second
+		case actDrain:
+			a.Target, a.For = random.IntN(of.engines), drawTime(random, drainLeast, drainLeast+lingers)
 		case actTermFront, actKillFront, actFreeze, actHangUp:
 			a.Target, a.For = random.IntN(of.fronts), time.Duration(200+random.IntN(1300))*time.Millisecond
 		case actCrash, actSilence, actSlow:
@@ -82,6 +112,10 @@
 	return plan
 }
 
+func drawTime(random *rand.Rand, least, most time.Duration) time.Duration {
+	return least + time.Duration(random.Int64N(int64(most-least)))
+}
+
 func drawKind(random *rand.Rand, total int) string {
 	n := random.IntN(total)
 	for _, w := range actWeights {
--- /dev/null
+++ b/internal/lab/fleetdemo/soaktrouble.go
@@ -0,0 +1,166 @@
+package fleetdemo
+
+import (
+	"fmt"
+	"net/http"
+	"os"
+	"sync"
+	"syscall"
+	"time"
+)
+
+// endProcesses ends processes, with their grace or at once.
+func (s *soak) endProcesses(grace bool, names ...string) {
+	var all sync.WaitGroup
+	for _, name := range names {
+		command := s.world.take(name)
+		if command == nil {
+			continue
+		}
+		all.Go(func() {
+			if grace {
+				command.Process.Signal(syscall.SIGTERM)
+				kill := time.AfterFunc(soakGrace, func() { command.Process.Kill() })
+				defer kill.Stop()
+			} else {
+				command.Process.Kill()
+			}
+			command.Wait()
+		})
+	}
+	all.Wait()
+}
+
+func (s *soak) restartFront(a act) {
+	from := time.Now()
+	s.trouble(a, from, from.Add(time.Hour))
+	name := fmt.Sprint("front-", a.Target+1)
+	s.endProcesses(a.Kind == actTermFront, name+"-agent", name+"-proxy")
+	time.Sleep(a.For)
+	s.world.startFront(a.Target)
+	s.trouble(a, from, time.Now())
+}
+
+func (s *soak) freeze(a act) {
+	from := time.Now()
+	s.trouble(a, from, from.Add(time.Hour))
+	s.signalFront(a.Target, syscall.SIGSTOP)
+	time.Sleep(a.For)
+	s.signalFront(a.Target, syscall.SIGCONT)
+	s.trouble(a, from, time.Now())
+}
+
+func (s *soak) signalFront(front int, signal os.Signal) {
+	s.world.mu.Lock()
+	defer s.world.mu.Unlock()
+	for _, program := range []string{"agent", "proxy"} {
+		if command := s.world.running[fmt.Sprintf("front-%d-%s", front+1, program)]; command != nil {
+			command.Process.Signal(signal)
+		}
+	}
+}
+
+// trouble notes what is done to a front, and again when it is over.
+func (s *soak) trouble(a act, from, to time.Time) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for i := range s.record.Fronts {
+		if t := &s.record.Fronts[i]; t.Front == a.Target && t.From.Equal(from) {
+			t.To = to
+			return
+		}
+	}
+	s.record.Fronts = append(s.record.Fronts, frontTrouble{span{from, to}, a.Target, a.Kind})
+}
+
+func (s *soak) troubleEngine(a act) {
+	e := s.world.list[a.Target]
+	switch a.Kind {
+	case actCrash:
+		s.world.engines.log.crashed(e.crash())
+		time.Sleep(a.For)
+		e.serve()
+	case actSilence:
+		resume := e.pause()
+		time.Sleep(a.For)
+		resume()
+	case actSlow:
+		e.setSlow(slowedBy)
+		time.Sleep(a.For)
+		e.setSlow(0)
+	}
+}
+
+// drain has the platform's list show an engine as draining. Later the engine ends, and another life of it is ready.
+func (s *soak) drain(a act) {
+	e := s.world.list[a.Target]
+	life := e.drain()
+	s.mu.Lock()
+	s.record.Drains[life] = time.Now()
+	s.mu.Unlock()
+	time.Sleep(a.For)
+	s.world.engines.log.crashed(e.crash())
+	e.serve()
+}
+
+// evacuate has a zone emptied and takes that back.
+func (s *soak) evacuate(a act) {
+	path := "/v1/evacuations/" + zoneOf(a.Target)
+	if s.world.order(http.MethodPost, path, "", "") != nil {
+		return
+	}
+	s.mu.Lock()
+	number := len(s.record.Evacuations)
+	s.record.Evacuations = append(s.record.Evacuations, evacuation{Zone: zoneOf(a.Target), Acked: time.Now()})
+	s.mu.Unlock()
+	time.Sleep(a.For)
+	s.mu.Lock()
+	s.record.Evacuations[number].Back = time.Now()
+	s.mu.Unlock()
+	s.world.order(http.MethodDelete, path, "", "")
+}
+
+// cut cuts machines off from each other for a time.
+func (s *soak) cut(a act) {
+	links := cutLinks(a, s.world.size)
+	s.mu.Lock()
+	number := len(s.record.Cuts)
+	now := time.Now()
+	s.record.Cuts = append(s.record.Cuts, cutTrouble{span{now, now.Add(time.Hour)}, links})
+	s.mu.Unlock()
+	heal := s.world.net.cut(links)
+	time.Sleep(a.For)
+	heal()
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.record.Cuts[number].To = time.Now()
+}
+
+// cutLinks gives the links that an event cuts.
+func cutLinks(a act, of size) []link {
+	var controllers, all, zone []string
+	for i := range of.controllers {
+		controllers = append(controllers, controllerIP(i))
+	}
+	all = append(all, controllers...)
+	for i := range of.fronts {
+		all = append(all, frontIP(i))
+	}
+	for i, machine := range all {
+		if i < of.controllers && i%zones == 0 || i >= of.controllers && (i-of.controllers)%zones == 0 {
+			zone = append(zone, machine)
+		}
+	}
+	switch a.Kind {
+	case actCutFront:
+		return between([]string{frontIP(a.Target)}, all)
+	case actCutLink:
+		return between([]string{frontIP(a.Target)}, controllers[a.Target%of.controllers:][:1])
+	case actCutCore:
+		return between([]string{controllerIP(a.Target)}, all)
+	case actCutBridge:
+		return between([]string{controllerIP(a.Target)}, []string{controllerIP((a.Target + 1) % of.controllers)})
+	default:
+		return between(zone, without(all, zone))
+	}
+}
