Soak: adds to tallies and reads of them; the judge holds LOST, TWICE and STALE of tallies

Three callers add to four tallies and read them at any controller, turn to the next one after a failure or a second without an answer, and send an add again with the same id. When all is over they wait for merge_ms with the judge's slack and read each tally at each controller. Settings: contracts=apart.

Judge: TWICE above the sum of what may count (503, 429 and 4xx promise that an attempt didn't), STALE below what the same life of the controller acknowledged, or any did after merge_ms without a controller's end or start or a cut between controllers, LOST at the end.

--- a/internal/lab/fleetdemo/judge.go
+++ b/internal/lab/fleetdemo/judge.go
@@ -9,14 +9,15 @@
 
 // Rules that the judge of a soak holds the fleet to, by the names of the operators' pages.
 const (
-	ruleLost    = "LOST"    // a request that was passed on has neither an answer nor a refusal
+	ruleLost    = "LOST"    // a request that was passed on has neither an answer nor a refusal, or a tally lacks an acknowledged add at the end
 	ruleVersion = "VERSION" // a request began on weights that were superseded for too long
-	ruleTwice   = "TWICE"   // a request that may not be repeated ran more than once
+	ruleTwice   = "TWICE"   // a request that may not be repeated ran more than once, or a tally is above the sum of what may count
 	ruleRefused = "REFUSED" // a request that was told that it did not run, ran
 	ruleMixed   = "MIXED"   // an answer looked whole and was not, or was another request's
 	ruleConfig  = "CONFIG"  // a request was handled as only an older configuration allows
 	ruleEvac    = "EVAC"    // a request reached an engine of a zone that was evacuated long enough ago
 	ruleDrain   = "DRAIN"   // a request reached an engine that was draining for too long
+	ruleStale   = "STALE"   // a tally was read without an add that it owed
 )
 
 // Outcomes of a request, as its client saw them.
@@ -46,10 +47,10 @@
 
 func (s span) meets(from, to time.Time) bool { return s.From.Before(to) && from.Before(s.To) }
 
-// frontTrouble is what was done to a front.
+// frontTrouble is what was done to a front, or to a controller.
 type frontTrouble struct {
 	span
-	Front int
+	Front int // its number
 	Kind  string
 }
 
@@ -62,6 +63,7 @@
 // limits are the times that the judge goes by. Slack is for what the machine itself was late by, measured in the run.
 type limits struct {
 	Version, Apply, Grace, Evacuation, Drain time.Duration
+	Merge                                    time.Duration // in which controllers tell each other of adds
 	Contact                                  time.Duration // for so long a front must have been without trouble to be in touch
 	Slack                                    time.Duration
 }
@@ -80,6 +82,11 @@
 
 	Evacuations []evacuation
 	Drains      map[string]time.Time // when the platform's list began to show an engine's life as draining
+
+	Tallies     []tallyCall
+	Cores       []frontTrouble // of controllers
+	Controllers int
+	Quiet       time.Time // from when on the last reads of tallies were made; zero: none were
 }
 
 // finding is a rule that was broken.
@@ -106,6 +113,7 @@
 	for _, one := range r.Runs {
 		findings = append(findings, r.judgeVersion(one)...)
 	}
+	findings = append(findings, r.judgeTallies()...)
 	slices.SortFunc(findings, func(x, y finding) int { return x.At.Compare(y.At) })
 	return findings
 }
--- a/internal/lab/fleetdemo/soak.go
+++ b/internal/lab/fleetdemo/soak.go
@@ -20,6 +20,7 @@
 
 	soakEvacuationLimit = 3 * time.Second
 	soakDrainLimit      = 3 * time.Second
+	soakMergeLimit      = 3 * time.Second
 
 	engineSlots    = 8
 	slowedBy       = 8
@@ -61,6 +62,7 @@
 		fmt.Sprint("bounds.version_ms=", soakVersionLimit.Milliseconds()), fmt.Sprint("bounds.grace_s=", soakGrace.Seconds()), "bounds.lease_ms=1000",
 		fmt.Sprint("bounds.evacuation_ms=", soakEvacuationLimit.Milliseconds()), fmt.Sprint("bounds.drain_ms=", soakDrainLimit.Milliseconds()),
 		fmt.Sprint("bounds.contact_ms=", soakContact.Milliseconds()), fmt.Sprint("bounds.config_apply_ms=", soakApplyLimit.Milliseconds()),
+		fmt.Sprint("bounds.merge_ms=", soakMergeLimit.Milliseconds()), tallyContract,
 	})
 	if err != nil {
 		return err
@@ -72,7 +74,7 @@
 		return err
 	}
 	w.closing = append(w.closing, w.net.close)
-	s.record.Drains = map[string]time.Time{}
+	s.record.Drains, s.record.Controllers = map[string]time.Time{}, of.controllers
 	w.engines.log = newRunLog()
 	for _, e := range w.list {
 		e.slots = make(chan struct{}, engineSlots)
@@ -148,6 +150,9 @@
 	done := make(chan struct{})
 	var clients, acts sync.WaitGroup
 	clients.Go(func() { s.measureLag(done) })
+	for c := range tallyCallers {
+		clients.Go(func() { newTallyCaller(s, c).run(done) })
+	}
 	for front := range s.world.size.fronts {
 		for c := range clientsOfFront {
 			clients.Go(func() { newSoakClient(s, front, c).run(done) })
@@ -161,6 +166,7 @@
 	time.Sleep(max(time.Until(s.start.Add(length)), settleFor))
 	close(done)
 	clients.Wait()
+	s.endTallies()
 }
 
 // measureLag notes by how much the machine wakes this program late: by that the judge's times are eased, and by nothing else.
@@ -179,6 +185,9 @@
 	}
 }
 
+// slack is by how much the judge's times are eased. The lock is held.
+func (s *soak) slack() time.Duration { return max(slackLeast, slackShare*s.lag) }
+
 // seen is the whole record.
 func (s *soak) seen() *record {
 	log := s.world.engines.log
@@ -189,7 +198,7 @@
 	s.record.Runs, s.record.Arrivals, s.record.Crashes = log.runs, log.arrivals, log.crashes
 	s.record.Limits = limits{
 		Version: soakVersionLimit, Apply: soakApplyLimit, Grace: soakGrace, Evacuation: soakEvacuationLimit, Drain: soakDrainLimit,
-		Contact: soakContact, Slack: max(slackLeast, slackShare*s.lag),
+		Contact: soakContact, Merge: soakMergeLimit, Slack: s.slack(),
 	}
 	return &s.record
 }
@@ -223,9 +232,7 @@
 	case actHangUp:
 		s.signalFront(a.Target, syscall.SIGHUP)
 	case actTermCore, actKillCore:
-		s.endProcesses(a.Kind == actTermCore, fmt.Sprintf("core-%d-controller", a.Target+1))
-		time.Sleep(a.For)
-		s.world.startController(a.Target, false)
+		s.restartController(a)
 	case actDrain:
 		s.drain(a)
 	case actEvacuate:
--- a/internal/lab/fleetdemo/soakreport.go
+++ b/internal/lab/fleetdemo/soakreport.go
@@ -47,7 +47,7 @@
 	for _, outcome := range slices.Sorted(maps.Keys(outcomes)) {
 		fmt.Fprintf(out, " %s %d;", outcome, outcomes[outcome])
 	}
-	fmt.Fprintf(out, " %d cuts, %d evacuations, %d drains\n", len(r.Cuts), len(r.Evacuations), len(r.Drains))
+	fmt.Fprintf(out, " %d cuts, %d evacuations, %d drains; tallies %s\n", len(r.Cuts), len(r.Evacuations), len(r.Drains), r.tallySummary())
 	for _, f := range findings {
 		fmt.Fprintf(out, "%7.2f s  %s  request %s: %s\n", f.At.Sub(s.start).Seconds(), f.Rule, f.Request, f.Text)
 	}
--- a/internal/lab/fleetdemo/soaktrouble.go
+++ b/internal/lab/fleetdemo/soaktrouble.go
@@ -41,6 +41,20 @@
 	s.trouble(a, from, time.Now())
 }
 
+func (s *soak) restartController(a act) {
+	s.mu.Lock()
+	number := len(s.record.Cores)
+	now := time.Now()
+	s.record.Cores = append(s.record.Cores, frontTrouble{span{now, now.Add(time.Hour)}, a.Target, a.Kind})
+	s.mu.Unlock()
+	s.endProcesses(a.Kind == actTermCore, fmt.Sprintf("core-%d-controller", a.Target+1))
+	time.Sleep(a.For)
+	s.world.startController(a.Target, false)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.record.Cores[number].To = time.Now()
+}
+
 func (s *soak) freeze(a act) {
 	from := time.Now()
 	s.trouble(a, from, from.Add(time.Hour))
