Tests of the store and of the soak's judge: loading, and holding a record to a rule, are written once

The checks are the same. Left: the needs drawn in internal/fleet/siteloss's test and in internal/lab/sites, which can't share without an import cycle.

--- a/internal/durable/store_test.go
+++ b/internal/durable/store_test.go
@@ -31,6 +31,13 @@
 	return s
 }
 
+func load(t *testing.T, s *Store) chain.Saved {
+	t.Helper()
+	saved, err := s.Load()
+	require.NoError(t, err)
+	return saved
+}
+
 func onlyFile(t *testing.T, dir string) string {
 	t.Helper()
 	files, err := filepath.Glob(filepath.Join(dir, "*"))
@@ -46,8 +53,7 @@
 	s.Close()
 	s = open(t, dir)
 	defer s.Close()
-	saved, err := s.Load()
-	require.NoError(t, err)
+	saved := load(t, s)
 	require.Equal(t, uint64(3), saved.Meta.Promised.Round)
 	require.Len(t, saved.Entries, 2)
 	require.Equal(t, uint64(2), saved.Entries[1].Seq)
@@ -110,8 +116,7 @@
 	s.Close()
 	s = open(t, dir)
 	defer s.Close()
-	saved, err := s.Load()
-	require.NoError(t, err)
+	saved := load(t, s)
 	require.Len(t, saved.Entries, 2)
 }
 
@@ -136,8 +141,7 @@
 		require.NoError(t, os.WriteFile(pathOf(after, 1), old, 0o644))
 		require.NoError(t, os.WriteFile(pathOf(after, 2), made[:at], 0o644))
 		s := open(t, after)
-		saved, err := s.Load()
-		require.NoError(t, err)
+		saved := load(t, s)
 		require.Equal(t, uint64(7), saved.Meta.Promised.Round)
 		require.NotNil(t, saved.State)
 		require.Contains(t, saved.State.Evacuated, "z")
@@ -231,8 +235,7 @@
 		require.NoError(t, SetAside(dir))
 		require.Equal(t, filepath.Join(dir, "damaged-state-000001.db"), onlyFile(t, dir))
 		s = open(t, dir)
-		saved, err := s.Load()
-		require.NoError(t, err)
+		saved := load(t, s)
 		require.Empty(t, saved.Meta.Identity)
 		s.Close()
 		require.NoError(t, os.Remove(pathOf(dir, 1)))
@@ -295,8 +298,7 @@
 	s = open(t, dir)
 	defer s.Close()
 	require.Equal(t, 1, synced, "before anything is read")
-	saved, err := s.Load()
-	require.NoError(t, err)
+	saved := load(t, s)
 	require.Len(t, saved.Entries, 2)
 }
 
@@ -310,8 +312,7 @@
 	s.Close()
 	s = open(t, dir)
 	defer s.Close()
-	saved, err := s.Load()
-	require.NoError(t, err)
+	saved := load(t, s)
 	require.Equal(t, uint64(3), saved.Meta.Promised.Round)
 	require.Len(t, saved.Entries, 2)
 }
--- a/internal/lab/fleetdemo/judge_tallies_test.go
+++ b/internal/lab/fleetdemo/judge_tallies_test.go
@@ -3,8 +3,6 @@
 import (
 	"testing"
 	"time"
-
-	"github.com/stretchr/testify/require"
 )
 
 func TestPlantedFaultsOfTalliesAreFound(t *testing.T) {
@@ -60,13 +58,7 @@
 	} {
 		t.Run(name, func(t *testing.T) {
 			c.record.Limits = limits
-			findings := judge(&c.record)
-			if c.rule == "" {
-				require.Empty(t, findings)
-				return
-			}
-			require.Len(t, findings, 1)
-			require.Equal(t, c.rule, findings[0].Rule)
+			requireRule(t, c.rule, &c.record)
 		})
 	}
 }
--- a/internal/lab/fleetdemo/judge_test.go
+++ b/internal/lab/fleetdemo/judge_test.go
@@ -81,13 +81,19 @@
 	} {
 		t.Run(name, func(t *testing.T) {
 			c.record.Limits = limits
-			findings := judge(&c.record)
-			if c.rule == "" {
-				require.Empty(t, findings)
-				return
-			}
-			require.Len(t, findings, 1)
-			require.Equal(t, c.rule, findings[0].Rule)
+			requireRule(t, c.rule, &c.record)
 		})
 	}
 }
+
+// requireRule holds that a record breaks one rule once and no other, or none for "".
+func requireRule(t *testing.T, rule string, r *record) {
+	t.Helper()
+	findings := judge(r)
+	if rule == "" {
+		require.Empty(t, findings)
+		return
+	}
+	require.Len(t, findings, 1)
+	require.Equal(t, rule, findings[0].Rule)
+}
