--- a/internal/agent/metrics.go
+++ b/internal/agent/metrics.go
@@ -32,8 +32,11 @@
 	set.Add("agent_backends", float64(len(a.list)))
 	set.Add("agent_index_backends", float64(len(a.index.Backends())))
 	set.Add("agent_index_batches_total", float64(a.batchCount))
+	set.Add("agent_index_wholes_wanted", float64(len(a.wholes.wanted)))
+	set.Add("agent_index_wholes_served_total", float64(a.wholes.served))
 	set.Add("agent_event_readers", float64(len(a.readers)))
 	set.Add("agent_rollouts", float64(len(a.rollouts)))
+	set.Add("agent_news_sent_bytes_total", float64(a.newsBytes))
 	set.Add("agent_news_interval_seconds", a.news.interval().Seconds())
 	if a.inTouch != superseded.Always {
 		set.Add("agent_in_touch_age_seconds", (a.now() - a.inTouch).Seconds())
@@ -42,6 +45,8 @@
 		addAge(set, "agent_list_age_seconds", a.lists.readAt)
 	}
 	a.listArrivals.addTo(set, "agent_list_arrival_seconds")
+	a.listApplied.took.addTo(set, "agent_list_applied_seconds")
+	a.snapshotApplied.took.addTo(set, "agent_snapshot_applied_seconds")
 	addAge(set, "agent_proxy_age_seconds", a.proxyAt)
 }
 
