Agent: sessions that find no controller in touch search at a bounded rate

Callers saw a configuration unacknowledged after 6 s, at 300 machines. The log of the cores (trial, the start at full size) shows why the start does not settle: in the first second the three seeds, of 0.24 processor each, have 291 sessions each, answer 2,589 calls, 1,984 of them as out of touch; agents go from one controller to the next every 30 ms while none is in touch, which keeps the controllers from coming into touch. Once each known controller has failed lately the pause now doubles up to 320 ms, spread over its length; while one is left that has not failed the pace is as before, so a failover takes no longer.

--- a/internal/agent/session.go
+++ b/internal/agent/session.go
@@ -3,6 +3,7 @@
 import (
 	"cmp"
 	"context"
+	"math/rand/v2"
 	"slices"
 	"time"
 
@@ -18,8 +19,10 @@
 	// a row, up to avoidMost: each try costs up to watchLimit, in which nothing new is heard.
 	avoidFor  = 700 * time.Millisecond
 	avoidMost = 8 * avoidFor
-	// sessionPause keeps a loop of failures from spinning.
-	sessionPause = 30 * time.Millisecond
+	// sessionPause is the pause after a call that failed. While no controller is left that has not failed lately it doubles with each
+	// further one, up to sessionPauseMost: agents that all search at once would keep the controllers from coming into touch.
+	sessionPause     = 30 * time.Millisecond
+	sessionPauseMost = 320 * time.Millisecond
 
 	watchedPeers = 3
 	pingEvery    = 400 * time.Millisecond
@@ -30,16 +33,17 @@
 // runSession keeps one session: with the controller that rendezvous hashing gives, and with the next one as soon as that is silent or
 // says that it is out of touch.
 func (a *Agent) runSession(ctx context.Context) {
-	avoid, failed := map[string]time.Time{}, map[string]time.Duration{}
+	failures := newFailures()
 	for ctx.Err() == nil {
 		var request distribute.WatchRequest
 		var addr string
 		if a.ask(ctx, func() {
 			request = a.watchRequest()
-			addr = a.controller(avoid)
+			addr = a.controller(failures.avoid)
 		}) != nil {
 			return
 		}
+		pause := failures.pauseBefore(addr, time.Now())
 		reply := new(distribute.WatchReply)
 		asked := a.now()
 		err := a.pool.Call(ctx, watchLimit, addr, distribute.KindWatch, &request, reply)
@@ -48,16 +52,53 @@
 				a.log.Debug().Err(err).Str("step", "watch").Str("peer", addr).Msg("controller does not answer")
 			}
 			a.ask(ctx, func() { a.takeLate(asked, reply) })
-			failed[addr] = min(max(2*failed[addr], avoidFor), avoidMost)
-			avoid[addr] = time.Now().Add(failed[addr])
-			time.Sleep(sessionPause)
+			failures.add(addr, time.Now())
+			time.Sleep(jittered(pause))
 			continue
 		}
-		delete(failed, addr)
+		failures.answered(addr)
 		a.ask(ctx, func() { a.takeReply(asked, reply) })
 	}
 }
 
+// failures are the controllers that did not answer or were out of touch lately.
+type failures struct {
+	avoid map[string]time.Time     // until when each is passed over
+	last  map[string]time.Duration // for how long, the last time
+	pause time.Duration            // after the next failed call
+}
+
+func newFailures() *failures {
+	return &failures{avoid: map[string]time.Time{}, last: map[string]time.Duration{}, pause: sessionPause}
+}
+
+// pauseBefore gives the pause if the call that is made now should fail.
+func (f *failures) pauseBefore(addr string, now time.Time) time.Duration {
+	if now.After(f.avoid[addr]) { // one was left to be asked
+		f.pause = sessionPause
+		return f.pause
+	}
+	f.pause = min(2*f.pause, sessionPauseMost)
+	return f.pause
+}
+
+// add has a controller passed over.
+func (f *failures) add(addr string, now time.Time) {
+	f.last[addr] = min(max(2*f.last[addr], avoidFor), avoidMost)
+	f.avoid[addr] = now.Add(f.last[addr])
+}
+
+// answered forgets that a controller failed.
+func (f *failures) answered(addr string) {
+	delete(f.last, addr)
+	f.pause = sessionPause
+}
+
+// jittered spreads a pause over its second half and the half behind, so that those who failed together do not come back together.
+func jittered(pause time.Duration) time.Duration {
+	return pause/2 + rand.N(pause)
+}
+
 func (a *Agent) watchRequest() distribute.WatchRequest {
 	request := distribute.WatchRequest{Agent: a.self, Seq: a.applied, Members: a.members.Digest, Epoch: a.epoch}
 	if a.snapshot != nil {
--- a/internal/agent/session_test.go
+++ b/internal/agent/session_test.go
@@ -25,6 +25,13 @@
 	known   map[string]uint64
 	inTouch map[string]bool
 	changed chan struct{}
+	calls   int
+}
+
+func (c *core) countCalls() int {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.calls
 }
 
 func controllerIP(i int) string { return fmt.Sprintf("10.0.0.%d", i) }
@@ -59,6 +66,9 @@
 	if err := cbor.Unmarshal(body, request); err != nil {
 		return nil, err
 	}
+	c.mu.Lock()
+	c.calls++
+	c.mu.Unlock()
 	held := time.NewTimer(350 * time.Millisecond)
 	defer held.Stop()
 	for over := false; ; {
@@ -190,3 +200,19 @@
 }
 
 func TestMain(m *testing.M) { simtest.Main(m) }
+
+// TestAgentsThatSearchTogether: while no controller is in touch an agent calls at a bounded rate, and soon after one is again it has its news.
+func TestAgentsThatSearchTogether(t *testing.T) {
+	session(t, func(c *core, has func() uint64) {
+		all := []string{controllerIP(1), controllerIP(2), controllerIP(3)}
+		c.set(4, false, all...)
+		time.Sleep(time.Second)
+		before := c.countCalls()
+		const span = 10 * time.Second
+		time.Sleep(span)
+		require.LessOrEqual(t, c.countCalls()-before, 3*int(span/sessionPauseMost))
+		c.set(5, true, all...)
+		time.Sleep(3 * sessionPauseMost / 2)
+		require.Equal(t, uint64(5), has())
+	})
+}
