Controller: tell the others at once that a view is new

Nobody is in touch under a view before a majority has told that it has it, and they told so with their next heartbeat, up to 150 ms later: all agents of all controllers turned elsewhere meanwhile, in vain. The test fails without the change.

--- a/internal/controller/controller.go
+++ b/internal/controller/controller.go
@@ -183,6 +183,7 @@
 	if out.ViewNew {
 		view := c.replica.View()
 		c.log.Info().Str("step", "view").Uint64("epoch", view.Epoch).Interface("chain", view.Chain).Int("acceptors", len(view.Acceptors)).Msg("view in force")
+		c.perform(c.replica.Beat(c.now())) // nobody is in touch under a view before others have told that they have it
 	}
 }
 
--- a/internal/controller/owner_test.go
+++ b/internal/controller/owner_test.go
@@ -5,11 +5,13 @@
 	"fmt"
 	"math/rand/v2"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"github.com/rs/zerolog"
 	"github.com/stretchr/testify/require"
 
+	"nettlefold/internal/chain"
 	"nettlefold/internal/distribute"
 )
 
@@ -69,3 +71,18 @@
 		time.Sleep(2 * time.Second)
 	})
 }
+
+// TestInTouchAsSoonAsAViewIsNew: controllers do not wait for the next heartbeat's time before they tell each other that they have a view.
+func TestInTouchAsSoonAsAViewIsNew(t *testing.T) {
+	inWorld(t, 1, func(w *world, _ *rand.Rand) {
+		w.add(4, false)
+		tail := w.machines[ipOf(2)].controller
+		epoch := tail.public.Load().view.Epoch
+		for tail.public.Load().view.Epoch == epoch {
+			time.Sleep(time.Millisecond)
+		}
+		time.Sleep(chain.DefaultTiming().Heartbeat / 3)
+		synctest.Wait()
+		require.True(t, tail.public.Load().current)
+	})
+}
