--- a/internal/tally/peer.go
+++ b/internal/tally/peer.go
@@ -198,7 +198,7 @@
 // message begins a message to a peer.
 func (r *Replica) message(now time.Duration, p *peer) *Message {
 	return &Message{
-		From: r.options.Self, Life: r.options.Life, Sent: r.options.ClockBase + int64(now), Echo: p.latest, Ready: r.ready, Failed: r.diskFails(now) || r.noRoom(), Slow: r.slow,
+		From: r.options.Self, Life: r.options.Life, Sent: r.options.ClockBase + int64(now), Echo: p.latest, Ready: r.ready, Failed: r.diskFails(now) || r.noRoom(), Slow: now < r.slow,
 	}
 }
 
--- a/internal/tally/replica.go
+++ b/internal/tally/replica.go
@@ -18,6 +18,7 @@
 	Answer    time.Duration // an add that is not on enough disks by then is unclear
 	Stall     time.Duration // a write that takes longer counts as a failing disk
 	Slow      time.Duration // after a write that took longer, callers are turned to other machines' disks
+	SlowFor   time.Duration // until the next add tries the disk
 	Pause     time.Duration // without a step for so long, this machine itself stood still
 	FirstWait time.Duration // for peers that did not answer since the start
 }
@@ -35,6 +36,7 @@
 		Answer:    850 * time.Millisecond,
 		Stall:     250 * time.Millisecond,
 		Slow:      60 * time.Millisecond,
+		SlowFor:   500 * time.Millisecond,
 		Pause:     200 * time.Millisecond,
 		FirstWait: time.Second,
 	}
@@ -92,11 +94,11 @@
 
 	waiting  map[Dot][]waiter
 	peers    map[string]*peer
-	ready    bool // reads are answered
-	complete bool // the disk misses nothing that was lost with an earlier one
-	noted    bool // and says so
-	full     bool // the disk has no room for adds
-	slow     bool // the last write took long
+	ready    bool          // reads are answered
+	complete bool          // the disk misses nothing that was lost with an earlier one
+	noted    bool          // and says so
+	full     bool          // the disk has no room for adds
+	slow     time.Duration // until then the disk counts as slow: a write took long
 	stepped  time.Duration
 	blind    time.Duration // until then silence tells nothing of others
 	boot     time.Duration
@@ -203,7 +205,7 @@
 		return "the disk takes no writes"
 	case r.full || r.set.Size()+len(r.queue) >= r.options.MostAdds*fullShare/100:
 		return "no room is left for adds"
-	case r.slow && r.otherDiskWorks(now):
+	case now < r.slow && r.otherDiskWorks(now):
 		return "the disk is slow, and others are in reach"
 	}
 	return ""
@@ -266,7 +268,9 @@
 	batch := r.writing
 	r.writing, r.written = nil, map[string]Dot{}
 	r.noted = r.noted || batch.Complete
-	r.slow = now-r.started > r.options.Timing.Slow
+	if now-r.started > r.options.Timing.Slow {
+		r.slow = now + r.options.Timing.SlowFor
+	}
 	for i := range batch.Runs {
 		run := &batch.Runs[i]
 		r.set.Insert(run)
--- a/internal/tally/status.go
+++ b/internal/tally/status.go
@@ -31,7 +31,7 @@
 // Status tells where the replica stands.
 func (r *Replica) Status(now time.Duration) Status {
 	s := Status{
-		Ready: r.ready, DiskFails: r.diskFails(now), DiskSlow: r.slow, Adds: r.set.Size(), Origins: len(r.set.sequences),
+		Ready: r.ready, DiskFails: r.diskFails(now), DiskSlow: now < r.slow, Adds: r.set.Size(), Origins: len(r.set.sequences),
 		Duplicates: r.set.duplicates, Conflicts: r.set.conflicts, Counters: r.counters,
 	}
 	if !r.ready {
--- a/internal/tally/world_test.go
+++ b/internal/tally/world_test.go
@@ -17,7 +17,7 @@
 func modelTiming() Timing {
 	return Timing{
 		Gossip: unit, Probe: unit, Reach: 3 * unit, Silence: 2 * unit, Forget: time.Hour, Resend: 2 * unit, Relay: 2 * unit,
-		Answer: 4 * unit, Stall: 3 * unit, Slow: time.Hour, Pause: 2 * unit, FirstWait: 2 * unit,
+		Answer: 4 * unit, Stall: 3 * unit, Slow: 2 * unit, SlowFor: 2 * unit, Pause: 2 * unit, FirstWait: 2 * unit,
 	}
 }
 
@@ -534,7 +534,7 @@
 	for i, n := range c.nodes {
 		r := n.replica
 		fmt.Fprint(&b, "|", n.life, c.now-n.started, n.acked, n.wiped, n.disk.lasting, len(n.disk.pending))
-		fmt.Fprint(&b, r.set.all(), r.origin, r.fresh, r.queue, r.staged, r.reserved, r.ready, r.complete, r.failed, c.now-r.stepped, max(0, r.blind-c.now))
+		fmt.Fprint(&b, r.set.all(), r.origin, r.fresh, r.queue, r.staged, r.reserved, r.ready, r.complete, r.failed, max(0, r.slow-c.now), c.now-r.stepped, max(0, r.blind-c.now))
 		for _, dot := range r.waitingDots() {
 			fmt.Fprint(&b, dot)
 			for _, w := range r.waiting[dot] {
