--- a/internal/tallylog/log.go
+++ b/internal/tallylog/log.go
@@ -70,6 +70,9 @@
 		if l != nil {
 			l.Close()
 		}
+		if _, err := os.Stat(filepath.Join(dir, asideName)); err == nil {
+			options.Complete = false // the power went between setting it aside and beginning anew
+		}
 		l, saved, err = create(path, options)
 	}
 	if err != nil {
--- a/internal/tallylog/log_test.go
+++ b/internal/tallylog/log_test.go
@@ -160,3 +160,11 @@
 	_, saved = open(t, dir)
 	require.True(t, saved.Complete)
 }
+
+// TestSetAsideAndNotBegunAnew: a start after the power went in between still knows that something is missing.
+func TestSetAsideAndNotBegunAnew(t *testing.T) {
+	dir := t.TempDir()
+	require.NoError(t, os.WriteFile(filepath.Join(dir, asideName), []byte("damaged"), 0o644))
+	_, saved := open(t, dir)
+	require.False(t, saved.Complete)
+}
