--- a/internal/controller/tallies_api.go
+++ b/internal/controller/tallies_api.go
@@ -6,6 +6,7 @@
 	"errors"
 	"io"
 	"net/http"
+	"time"
 	"unicode/utf8"
 
 	"github.com/labstack/echo/v4"
@@ -80,9 +81,10 @@
 	}
 	limited, cancel := context.WithTimeout(ctx.Request().Context(), callLimit)
 	defer cancel()
+	began := time.Now()
 	answer := t.add(limited, add)
 	t.log.Debug().Str("step", "add").Str("tally", add.Tally).Str("id", add.ID).Int64("by", add.By).Int("outcome", int(answer.Outcome)).
-		Str("reason", answer.Reason).Msg("add")
+		Str("reason", answer.Reason).Dur("took", time.Since(began)).Msg("add")
 	if answer.Outcome != tally.Acknowledged {
 		return ctx.JSON(statusOf[answer.Outcome], problem{answer.Reason})
 	}
@@ -119,6 +121,7 @@
 	}
 	total, err := t.total(limited, name)
 	if err != nil {
+		t.log.Debug().Err(err).Str("step", "total").Str("tally", name).Msg("not answered")
 		return ctx.JSON(http.StatusServiceUnavailable, problem{err.Error()})
 	}
 	return ctx.JSON(http.StatusOK, totalReply{total})
