Controller: measure how long committed numbers take to reach the last agent

A histogram in metrics at each controller: from the commit known there until the last agent with a session there has the number, and until it is in force at the last proxy. A line a second names agents that lack a number for 2 s or more, by stage. No change of behaviour.

--- a/internal/controller/controller.go
+++ b/internal/controller/controller.go
@@ -60,6 +60,7 @@
 	inTouch       time.Duration // when it last had the newest state for sure
 	leaving       time.Time     // when it was told to end, zero before
 	duties        duty.Register // who asked for confirmations here
+	spread        spread        // of committed numbers among the agents
 	work          ownerWork     // of the last second at most
 	worked        ownerWork     // before
 }
@@ -172,6 +173,7 @@
 		c.pool.Post(e.To.Addr, distribute.KindCore, &e.Message)
 	}
 	if out.Committed || out.ViewNew {
+		c.spread.committed(c.now(), c.replica.State().Seq)
 		c.publish(true)
 	}
 	for _, nonce := range out.Confirmed {
--- a/internal/controller/metrics.go
+++ b/internal/controller/metrics.go
@@ -11,10 +11,12 @@
 func (c *Controller) Metrics(ctx context.Context) (*metrics.Set, error) {
 	var status Status
 	var worked ownerWork
+	var spread spread
 	if err := c.ask(ctx, func() {
 		status = c.status()
 		worked = c.worked
 		worked.add(&c.work)
+		spread = c.spread
 	}); err != nil {
 		return nil, err
 	}
@@ -35,6 +37,8 @@
 	set.Add("controller_sessions_behind", float64(behind))
 	set.Add("controller_session_silence_seconds_max", silent.Seconds())
 	addWork(set, &worked)
+	spread.had.add(set, "controller_spread_received_seconds")
+	spread.applied.add(set, "controller_spread_applied_seconds")
 	set.Add("controller_replies_total", float64(c.replied.replies.Load()))
 	set.Add("controller_replies_out_of_touch_total", float64(c.replied.outOfTouch.Load()))
 	set.Add("controller_replies_members_total", float64(c.replied.members.Load()))
--- a/internal/controller/owner.go
+++ b/internal/controller/owner.go
@@ -104,6 +104,7 @@
 	work.busy += time.Since(began)
 	if began.Sub(c.work.since) >= time.Second {
 		c.logWork(began)
+		c.logSlowSpread()
 		c.worked.add(&c.work)
 		c.work = ownerWork{since: began, lastTick: began}
 	}
--- a/internal/controller/sessions.go
+++ b/internal/controller/sessions.go
@@ -21,6 +21,7 @@
 // session is an agent that calls here.
 type session struct {
 	agent    distribute.Agent
+	has      uint64 // in hand, applied or not
 	applied  uint64
 	heard    time.Time
 	suspects []string
@@ -82,7 +83,7 @@
 		s = &session{agent: request.Agent}
 		c.sessions[request.Agent.Addr] = s
 	}
-	s.applied, s.heard, s.suspects = request.Seq, time.Now(), request.Suspects
+	s.has, s.applied, s.heard, s.suspects = request.Have, request.Seq, time.Now(), request.Suspects
 	if added {
 		c.tableChanged()
 		c.publish(false)
@@ -92,10 +93,11 @@
 
 // takeApplied tells the core at once when all agents here have applied something newer.
 func (c *Controller) takeApplied() {
-	least := uint64(chain.NoSessions)
+	least, leastHas := uint64(chain.NoSessions), uint64(chain.NoSessions)
 	for _, s := range c.sessions {
-		least = min(least, s.applied)
+		least, leastHas = min(least, s.applied), min(leastHas, s.has)
 	}
+	c.spread.reported(c.now(), leastHas, least)
 	if c.replica.SetApplied(least) && c.broken.IsZero() {
 		c.perform(c.replica.Beat(c.now()))
 	}
