Chain: newcomers meet each other, and a proposer that comes late leaves nobody out

Newcomers did not know of each other. Heartbeats go to members, to newcomers that were heard, and to seeds; a chain takes in who is linked with all the rest, and two newcomers were linked only once one was a member. So each cost a view: seven for a core of nine. Heartbeats now name the newcomers that the sender hears, and those who are told of are sent heartbeats too.

The time for promises that lack was looked at with each promise. Now only a tick judges who is late, and machines that are heard are waited for up to 450 ms, and up to 600 ms while they catch up; silent ones as before, 150 ms.

--- a/internal/chain/messages.go
+++ b/internal/chain/messages.go
@@ -36,6 +36,7 @@
 	Leaving   bool     `cbor:"9,keyasint,omitempty"`  // it was told to end, and waits for a view without it
 	Near      uint64   `cbor:"10,keyasint,omitempty"` // who has committed so much can be brought the rest at once
 	Fresh     bool     `cbor:"11,keyasint,omitempty"` // it has just started, and may not have heard yet whom it can hear
+	Newcomers []Member `cbor:"12,keyasint,omitempty"` // machines that it hears and that are no members of its view: they are to meet each other
 }
 
 // Hears tells whether its sender hears a member of a view.
--- a/internal/chain/propose.go
+++ b/internal/chain/propose.go
@@ -106,29 +106,46 @@
 	}})
 }
 
-func (r *Replica) onPromise(now time.Duration, m *Message) {
+func (r *Replica) onPromise(m *Message) {
 	p := r.proposal
 	if p == nil || p.view != nil || p.source != "" || m.Promise.Epoch != r.meta.View.Epoch || m.Promise.Ballot != p.ballot {
 		return
 	}
 	p.promises[m.From.ID] = m.Promise
-	r.advance(now)
+	r.advance(r.lastTick) // a tick judges who is late: more answers may wait behind this one
 }
 
 // advance goes on to the next step of a proposal when enough answered: all that were asked, or a majority and some time for the rest.
 func (r *Replica) advance(now time.Duration) {
-	p, patience := r.proposal, r.options.Timing.Heartbeat
+	p := r.proposal
+	waited := now - p.started
 	switch {
 	case p.view != nil:
 	case p.source == "":
-		if r.promised() >= r.meta.View.Majority() && (len(p.promises) == len(p.asked) || now-p.started >= patience) {
+		if r.promised() >= r.meta.View.Majority() && r.enoughPromised(now, waited) {
 			r.chooseSource()
 		}
-	case len(p.caught) == len(p.targets)+1 || now-p.started >= 3*patience && len(p.caught) >= r.options.Copies:
+	case r.enoughCaughtUp(waited):
 		r.vote(now)
 	}
 }
 
+// enoughPromised tells whether it is time to go on without the promises that lack: soon without those of machines that are not heard, later
+// without any, as each that is left out costs another view.
+func (r *Replica) enoughPromised(now, waited time.Duration) bool {
+	p, patience := r.proposal, r.options.Timing.Heartbeat
+	if len(p.promises) == len(p.asked) || waited >= 3*patience {
+		return true
+	}
+	return waited >= patience && !slices.ContainsFunc(p.want.chain, func(id NodeID) bool { return p.promises[id] == nil && r.hears(now, id) })
+}
+
+// enoughCaughtUp tells whether it is time to vote: all that promised hold the log, or enough do and the others had their time.
+func (r *Replica) enoughCaughtUp(waited time.Duration) bool {
+	p, patience := r.proposal, r.options.Timing.Heartbeat
+	return len(p.caught) == len(p.targets)+1 || waited >= 4*patience && len(p.caught) >= r.options.Copies
+}
+
 // promised counts the acceptors that promised.
 func (r *Replica) promised() (n int) {
 	for id := range r.proposal.promises {
--- a/internal/chain/replica.go
+++ b/internal/chain/replica.go
@@ -47,6 +47,7 @@
 
 	peers     map[NodeID]*peer
 	seeds     []string
+	told      map[string]toldOf // newcomers that members of the view told of, by address
 	lastTick  time.Duration
 	started   time.Duration
 	lastBeat  time.Duration
@@ -77,6 +78,12 @@
 	passedOver time.Duration
 }
 
+// toldOf is a machine that another told of.
+type toldOf struct {
+	member Member
+	at     time.Duration
+}
+
 // read waits until a majority has confirmed the epoch.
 type read struct {
 	epoch uint64
@@ -90,6 +97,7 @@
 		meta:    saved.Meta,
 		state:   saved.State,
 		peers:   map[NodeID]*peer{},
+		told:    map[string]toldOf{},
 		reads:   map[uint64]*read{},
 		applied: NoSessions,
 		nonce:   options.FirstNonce,
@@ -159,7 +167,7 @@
 	case m.Prepare != nil:
 		r.onPrepare(m)
 	case m.Promise != nil:
-		r.onPromise(now, m)
+		r.onPromise(m)
 	case m.Rejected != nil:
 		r.round = max(r.round, m.Rejected.Round)
 	case m.Transfer != nil:
--- a/internal/chain/watch.go
+++ b/internal/chain/watch.go
@@ -1,6 +1,7 @@
 package chain
 
 import (
+	"maps"
 	"slices"
 	"time"
 )
@@ -9,6 +10,7 @@
 func (r *Replica) Tick(now time.Duration) Output {
 	return r.step(now, func() {
 		r.forgive(now)
+		r.forgetTold(now)
 		if now-r.lastBeat >= r.options.Timing.Heartbeat {
 			r.heartbeat(now)
 		}
@@ -58,6 +60,9 @@
 	if r.hearsMembersOnly(beat.Heard) {
 		beat.Heard, beat.HeardAll = nil, true
 	}
+	for _, id := range r.newcomers(now) {
+		beat.Newcomers = append(beat.Newcomers, r.peers[id].member)
+	}
 	for _, to := range r.everyone(now) {
 		r.send(to, Message{Heartbeat: &beat})
 	}
@@ -83,7 +88,7 @@
 // SetSeeds names addresses at which other core machines may be, for one that does not know the view in force.
 func (r *Replica) SetSeeds(addrs []string) { r.seeds = addrs }
 
-// everyone is all other machines of the core: those of the view, newcomers that were heard, and whoever is at the seeds.
+// everyone is all other machines of the core: those of the view, newcomers that were heard or told of, and whoever is at the seeds.
 func (r *Replica) everyone(now time.Duration) []Member {
 	var all []Member
 	for _, m := range r.meta.View.Members() {
@@ -94,14 +99,32 @@
 	for _, id := range r.newcomers(now) {
 		all = append(all, r.peers[id].member)
 	}
-	for _, addr := range r.seeds {
-		if addr != r.options.Self.Addr && !slices.ContainsFunc(all, func(m Member) bool { return m.Addr == addr }) {
-			all = append(all, Member{Addr: addr})
+	add := func(m Member) {
+		if m.Addr != r.options.Self.Addr && !slices.ContainsFunc(all, func(other Member) bool { return other.Addr == m.Addr }) {
+			all = append(all, m)
 		}
 	}
+	for _, addr := range slices.Sorted(maps.Keys(r.told)) {
+		add(r.told[addr].member)
+	}
+	for _, addr := range r.seeds {
+		add(Member{Addr: addr})
+	}
 	return all
 }
 
+// meet notes the newcomers that another machine told of. They hear from this one until nobody tells of them any more.
+func (r *Replica) meet(now time.Duration, newcomers []Member) {
+	for _, m := range newcomers {
+		r.told[m.Addr] = toldOf{m, now}
+	}
+}
+
+// forgetTold forgets newcomers that were not told of again.
+func (r *Replica) forgetTold(now time.Duration) {
+	maps.DeleteFunc(r.told, func(_ string, t toldOf) bool { return now-t.at >= r.options.Timing.Suspect })
+}
+
 // newcomers are machines that are heard and are no members of the view.
 func (r *Replica) newcomers(now time.Duration) []NodeID {
 	var ids []NodeID
@@ -145,6 +168,7 @@
 		r.peers[m.From.ID] = p
 	}
 	p.member, p.heard, p.beat = m.From, now, *beat
+	r.meet(now, beat.Newcomers)
 	for id, other := range r.peers { // a machine that lost its disk is another member at the same address
 		if id != m.From.ID && other.member.Addr == m.From.Addr && other.heard < now {
 			delete(r.peers, id)
