Controller: who knows members is told what changed of them

A controller keeps the last eight sets that it showed, and tells an agent that has one of them the difference, which is made once for all. A difference that does not fit has the agent ask for the whole.

--- a/internal/agent/session.go
+++ b/internal/agent/session.go
@@ -140,11 +140,22 @@
 	if len(reply.Controllers) > 0 {
 		a.controllers, a.epoch = reply.Controllers, reply.Epoch
 	}
-	if reply.Members != nil {
-		a.members = reply.Members
+	a.takeMembers(reply)
+	a.takeSnapshot(asked, reply)
+}
+
+// takeMembers takes the members whole, or what changed of them. A change that does not fit has the next call ask for the whole.
+func (a *Agent) takeMembers(reply *distribute.WatchReply) {
+	members := reply.Members
+	if members == nil && reply.Change != nil {
+		if members = a.members.Apply(reply.Change); members == nil {
+			a.members = &distribute.MemberSet{Agents: a.members.Agents}
+		}
+	}
+	if members != nil {
+		a.members = members
 		a.notify()
 	}
-	a.takeSnapshot(asked, reply)
 }
 
 // takeLate takes what is newer from a controller that is out of touch. It is committed, but not enough to begin with: only one in touch
--- a/internal/agent/session_test.go
+++ b/internal/agent/session_test.go
@@ -216,3 +216,18 @@
 		require.Equal(t, uint64(5), has())
 	})
 }
+
+// TestAChangeOfOtherMembers: an agent that cannot apply a change keeps the members that it knows and asks for the whole.
+func TestAChangeOfOtherMembers(t *testing.T) {
+	a := New(&local.Settings{NodeName: "f", IP: frontIP, FirstPort: 7340}, zerolog.Nop())
+	one := distribute.NewMemberSet([]distribute.Agent{{ID: "f/1"}})
+	two := distribute.NewMemberSet([]distribute.Agent{{ID: "f/1"}, {ID: "g/1"}})
+	other := distribute.NewMemberSet([]distribute.Agent{{ID: "h/1"}})
+	a.takeMembers(&distribute.WatchReply{Members: one})
+	a.takeMembers(&distribute.WatchReply{Change: one.Delta(two)})
+	require.Equal(t, two, a.members)
+	a.takeMembers(&distribute.WatchReply{Change: other.Delta(one)})
+	require.Equal(t, two.Agents, a.members.Agents)
+	request := a.watchRequest()
+	require.Zero(t, request.Members)
+}
--- a/internal/controller/controller.go
+++ b/internal/controller/controller.go
@@ -57,12 +57,13 @@
 	showedAt  time.Time // when other members were last shown
 	// rosterChanged tells that sessions or tables changed since members were last made of them.
 	rosterChanged bool
-	inTouch       time.Duration // when it last had the newest state for sure
-	leaving       time.Time     // when it was told to end, zero before
-	duties        duty.Register // who asked for confirmations here
-	spread        spread        // of committed numbers among the agents
-	work          ownerWork     // of the last second at most
-	worked        ownerWork     // before
+	shown         []*distribute.MemberSet // before those shown now, the newest last
+	inTouch       time.Duration           // when it last had the newest state for sure
+	leaving       time.Time               // when it was told to end, zero before
+	duties        duty.Register           // who asked for confirmations here
+	spread        spread                  // of committed numbers among the agents
+	work          ownerWork               // of the last second at most
+	worked        ownerWork               // before
 }
 
 // service is what a call's answer is bound to: the epoch, and which of this program's replicas was asked. Numbers that a replica gave out
@@ -81,6 +82,7 @@
 	current     bool
 	controllers []string
 	members     *distribute.MemberSet
+	deltas      memberDeltas
 	named       map[string]superseded.Times // since when models' versions are known to be wanted
 	changed     chan struct{}
 }
@@ -221,6 +223,12 @@
 		members: members,
 		changed: make(chan struct{}),
 	}
+	if old != nil {
+		next.deltas = old.deltas
+		if old.members.Digest != members.Digest {
+			next.deltas = c.showMembers(old.members, members)
+		}
+	}
 	if !c.broken.IsZero() && old != nil {
 		next.state, next.view, next.self, next.opened = old.state, old.view, old.self, old.opened
 	}
--- a/internal/controller/metrics.go
+++ b/internal/controller/metrics.go
@@ -42,6 +42,7 @@
 	set.Add("controller_replies_total", float64(c.replied.replies.Load()))
 	set.Add("controller_replies_out_of_touch_total", float64(c.replied.outOfTouch.Load()))
 	set.Add("controller_replies_members_total", float64(c.replied.members.Load()))
+	set.Add("controller_replies_changes_total", float64(c.replied.changes.Load()))
 	set.Add("controller_replies_snapshot_total", float64(c.replied.snapshots.Load()))
 	return set, nil
 }
--- a/internal/controller/owner.go
+++ b/internal/controller/owner.go
@@ -55,7 +55,8 @@
 type replyCounts struct {
 	replies    atomic.Int64
 	outOfTouch atomic.Int64 // of them, while this controller was out of touch with the core's majority
-	members    atomic.Int64 // that brought members
+	members    atomic.Int64 // that brought all members
+	changes    atomic.Int64 // that brought what changed of them
 	snapshots  atomic.Int64 // that brought a snapshot
 }
 
@@ -68,6 +69,9 @@
 	if reply.Members != nil {
 		r.members.Add(1)
 	}
+	if reply.Change != nil {
+		r.changes.Add(1)
+	}
 	if reply.Snapshot != nil {
 		r.snapshots.Add(1)
 	}
@@ -139,7 +143,7 @@
 	line := c.log.WithLevel(level).Str("step", "owner").Dur("over", now.Sub(c.work.since)).Int("sessions", len(c.sessions)).
 		Int("queue", c.work.queue).Dur("tick_late", c.work.tickLate).
 		Int64("replies", c.replied.replies.Load()).Int64("out_of_touch", c.replied.outOfTouch.Load()).
-		Int64("with_members", c.replied.members.Load()).Int64("with_snapshot", c.replied.snapshots.Load())
+		Int64("with_members", c.replied.members.Load()).Int64("with_changes", c.replied.changes.Load()).Int64("with_snapshot", c.replied.snapshots.Load())
 	for kind, name := range commandNames {
 		work := &c.work.kinds[kind]
 		line = line.Dict(name, zerolog.Dict().Int("count", work.count).Dur("busy", work.busy).Dur("longest_wait", work.longest))
--- a/internal/controller/owner_test.go
+++ b/internal/controller/owner_test.go
@@ -72,6 +72,35 @@
 	})
 }
 
+// TestOneAgentComesToManyMembers: who has the members shown before is told of the one that came, and who has others of all.
+func TestOneAgentComesToManyMembers(t *testing.T) {
+	inWorld(t, 1, func(w *world, _ *rand.Rand) {
+		const agents = 100
+		agentOf := func(i int) distribute.Agent {
+			return distribute.Agent{ID: fmt.Sprint("f/", i), Addr: fmt.Sprint("10.1.0.", i, ":1"), Zone: "x"}
+		}
+		for i := range agents {
+			go w.call(ipOf(1), life{agentOf(i), 0})
+		}
+		time.Sleep(agents*membersPace + 2*tickEvery)
+		c := w.machines[ipOf(1)].controller
+		before := c.public.Load().members
+		require.Len(t, before.Agents, agents)
+		go w.call(ipOf(1), life{agentOf(agents), 0})
+		time.Sleep(agents*membersPace + 2*tickEvery)
+		now := c.public.Load().members
+		require.Len(t, now.Agents, agents+1)
+		reply := c.replyTo(c.now(), c.public.Load(), &distribute.WatchRequest{Members: before.Digest})
+		require.Nil(t, reply.Members)
+		require.Len(t, reply.Change.Added, 1)
+		require.Equal(t, now, before.Apply(reply.Change))
+		reply = c.replyTo(c.now(), c.public.Load(), &distribute.WatchRequest{Members: 1})
+		require.Nil(t, reply.Change)
+		require.Equal(t, now, reply.Members)
+		time.Sleep(time.Second)
+	})
+}
+
 // TestInTouchAsSoonAsAViewIsNew: controllers do not wait for the next heartbeat's time before they tell each other that they have a view.
 func TestInTouchAsSoonAsAViewIsNew(t *testing.T) {
 	inWorld(t, 1, func(w *world, _ *rand.Rand) {
--- a/internal/controller/roster.go
+++ b/internal/controller/roster.go
@@ -5,8 +5,6 @@
 	"slices"
 	"time"
 
-	"github.com/cespare/xxhash/v2"
-
 	"nettlefold/internal/distribute"
 	"nettlefold/internal/rpc"
 )
@@ -19,6 +17,8 @@
 	tablePace = 100 * time.Millisecond
 	// membersPace is the least time, for each member, between two sets of members that are shown: each set goes to everybody.
 	membersPace = time.Millisecond
+	// deltasKept is how many earlier sets of members a receiver may have that is told the difference only.
+	deltasKept = 8
 )
 
 // remoteTable is the agents with sessions elsewhere.
@@ -29,6 +29,25 @@
 
 func compareIDs(a, b distribute.Agent) int { return cmp.Compare(a.ID, b.ID) }
 
+// memberDeltas has, by the digest of a set that was shown before, what leads from it to the set that is shown now.
+type memberDeltas map[uint64]*distribute.MemberDelta
+
+// showMembers keeps the set that was shown until now, and makes the differences from those kept to the next one.
+func (c *Controller) showMembers(old, next *distribute.MemberSet) memberDeltas {
+	c.shown = append(c.shown, old)
+	if len(c.shown) > deltasKept {
+		c.shown = c.shown[1:]
+	}
+	deltas := memberDeltas{}
+	for _, set := range c.shown {
+		if delta := set.Delta(next); len(delta.Added)+len(delta.Removed) < len(next.Agents) {
+			deltas[set.Digest] = delta
+		}
+	}
+	delete(deltas, next.Digest)
+	return deltas
+}
+
 // tellTable tells the other controllers which agents have a session here.
 func (c *Controller) tellTable() {
 	c.told, c.tableDue = time.Now(), false
@@ -125,16 +144,9 @@
 	for _, s := range c.sessions {
 		byAddr[s.agent.Addr] = s.agent
 	}
-	set := &distribute.MemberSet{Agents: make([]distribute.Agent, 0, len(byAddr))}
+	agents := make([]distribute.Agent, 0, len(byAddr))
 	for _, a := range byAddr {
-		set.Agents = append(set.Agents, a)
-	}
-	slices.SortFunc(set.Agents, compareIDs)
-	var digest xxhash.Digest
-	digest.Reset()
-	for _, a := range set.Agents {
-		digest.WriteString(a.ID + "\n")
+		agents = append(agents, a)
 	}
-	set.Digest = digest.Sum64()
-	return set
+	return distribute.NewMemberSet(agents)
 }
--- a/internal/controller/sessions.go
+++ b/internal/controller/sessions.go
@@ -61,7 +61,10 @@
 		reply.Ages = ages(now.named, written)
 	}
 	if now.current && now.members.Digest != request.Members { // else the caller turns elsewhere and takes none
-		reply.Members = now.members
+		reply.Change = now.deltas[request.Members]
+		if reply.Change == nil {
+			reply.Members = now.members
+		}
 	}
 	c.replied.count(reply)
 	return reply
@@ -115,6 +118,8 @@
 	for addr, s := range c.sessions {
 		silence := time.Since(s.heard)
 		if silence > sessionSilence || silence > suspectedSilence && suspected[s.agent.ID] {
+			c.log.Info().Str("step", "session").Str("agent", s.agent.ID).Dur("silence", silence).Bool("suspected", suspected[s.agent.ID]).
+				Uint64("applied", s.applied).Msg("a session ends")
 			delete(c.sessions, addr)
 			gone = true
 		}
--- a/internal/distribute/messages.go
+++ b/internal/distribute/messages.go
@@ -47,18 +47,14 @@
 	Epoch       uint64     `cbor:"6,keyasint"`           // of the core's view
 	Controllers []string   `cbor:"3,keyasint,omitempty"` // if the receiver knows those of another epoch
 	Members     *MemberSet `cbor:"4,keyasint,omitempty"`
+	// Change is sent in place of Members to a receiver whose set is known here.
+	Change *MemberDelta `cbor:"10,keyasint,omitempty"`
 	// Ages has, for each model, how long ago its versions were named, as the reply was written.
 	Ages map[string][]superseded.Age `cbor:"8,keyasint,omitempty"`
 	// HeldMS is for how long the call was held at least before the reply was written, in milliseconds: by it the ages are dated.
 	HeldMS int64 `cbor:"9,keyasint,omitempty"`
 }
 
-// MemberSet is the live agents.
-type MemberSet struct {
-	Digest uint64  `cbor:"1,keyasint"`
-	Agents []Agent `cbor:"2,keyasint"`
-}
-
 // Snapshot is the committed state as the data plane needs it. Config is absent where the receiver has that of ConfigSeq.
 type Snapshot struct {
 	Seq       uint64                      `cbor:"1,keyasint"`
