Proxy: a request that crosses its connection's close is not passed on

LOST: at its end the program closes idle connections; a request that was read from one at that moment was still passed on to a backend, though its answer could not be written. Cause: keep-alives are ended, and idle connections closed by it, before the server refuses what it reads, and the connection's state changes only after the read. The proxy now begins nothing once it closes connections: such a request has not run.

--- a/internal/proxy/proxy.go
+++ b/internal/proxy/proxy.go
@@ -153,12 +153,7 @@
 	readiness.GET("/v1/readiness", p.readiness)
 	readyServer := &http.Server{Handler: readiness, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout}
 	go readyServer.Serve(ready)
-	server := &http.Server{
-		Handler:           http.HandlerFunc(p.serve),
-		ReadHeaderTimeout: headerTimeout,
-		IdleTimeout:       idleTimeout,
-		MaxHeaderBytes:    maxHeaderBytes,
-	}
+	server := p.newServer()
 	go server.Serve(front)
 	<-ctx.Done()
 	p.stop(server)
@@ -167,6 +162,16 @@
 	return nil
 }
 
+// newServer makes the server that clients connect to.
+func (p *Proxy) newServer() *http.Server {
+	return &http.Server{
+		Handler:           http.HandlerFunc(p.serve),
+		ReadHeaderTimeout: headerTimeout,
+		IdleTimeout:       idleTimeout,
+		MaxHeaderBytes:    maxHeaderBytes,
+	}
+}
+
 // stop ends the server: not ready at once, connections closed after the answers that run, nothing begun that may not end in time, and no
 // request cut while there is time.
 func (p *Proxy) stop(server *http.Server) {
@@ -174,6 +179,13 @@
 	plan := newStopping(time.Now(), p.settings.Bounds.Grace)
 	p.stopping.Store(plan)
 	time.Sleep(min(acceptAfterTerm, time.Until(plan.end)))
+	p.closeConnections(server, plan)
+}
+
+// closeConnections closes clients' connections, each after the answer that runs on it. What was read from one that is closed as idle could not
+// be answered, so nothing is begun from then on.
+func (p *Proxy) closeConnections(server *http.Server, plan *stopping) {
+	p.stopping.Store(plan.close())
 	ctx, cancel := context.WithDeadline(context.Background(), plan.end)
 	defer cancel()
 	server.SetKeepAlivesEnabled(false)
--- a/internal/proxy/stopping.go
+++ b/internal/proxy/stopping.go
@@ -12,8 +12,9 @@
 
 // stopping is when the program was told to end, and when the last answer must have ended.
 type stopping struct {
-	at  time.Time
-	end time.Time
+	at      time.Time
+	end     time.Time
+	closing bool // clients' connections are being closed, maybe as a request is read from them
 }
 
 // newStopping plans the end of a program with a grace.
@@ -23,7 +24,10 @@
 
 // mayBegin tells whether a request is sure to end before the program does, as its own time is over before. How long such requests lasted
 // lately says nothing sure: one that was begun by that was cut when the engines had more to do than before.
-func (s *stopping) mayBegin(limit time.Time) bool { return !limit.After(s.end) }
+func (s *stopping) mayBegin(limit time.Time) bool { return !s.closing && !limit.After(s.end) }
+
+// close gives the plan once connections are being closed.
+func (s *stopping) close() *stopping { return &stopping{at: s.at, end: s.end, closing: true} }
 
 // refuseStopping answers a request that is not begun any more: it has not run, and may be sent elsewhere at once.
 func (q *request) refuseStopping() {
--- a/internal/proxy/stopping_test.go
+++ b/internal/proxy/stopping_test.go
@@ -1,8 +1,11 @@
 package proxy
 
 import (
+	"bufio"
 	"io"
+	"net"
 	"net/http"
+	"sync"
 	"testing"
 	"time"
 
@@ -77,3 +80,101 @@
 	close(goOn)
 	require.Equal(t, "id: 1\n\nid: 2\n\n", <-got)
 }
+
+// crossingListener accepts connections on which one request crosses their close.
+type crossingListener struct {
+	net.Listener
+	armed   chan struct{} // closed before that request is sent
+	close   func()        // has the connection closed
+	crossed chan struct{} // closed when that request has been served
+}
+
+func (l *crossingListener) Accept() (net.Conn, error) {
+	conn, err := l.Listener.Accept()
+	if err != nil {
+		return nil, err
+	}
+	return &crossingConn{Conn: conn, listener: l, closed: make(chan struct{})}, nil
+}
+
+// crossingConn hands on the first bytes that come after it was armed when it has been closed.
+type crossingConn struct {
+	net.Conn
+	listener *crossingListener
+	once     sync.Once
+	closed   chan struct{}
+}
+
+func (c *crossingConn) Read(into []byte) (int, error) {
+	select {
+	case <-c.closed:
+		<-c.listener.crossed // its end is seen late
+		return 0, net.ErrClosed
+	default:
+	}
+	n, err := c.Conn.Read(into)
+	select {
+	case <-c.listener.armed:
+		if n > 0 {
+			c.listener.close()
+			<-c.closed
+		}
+	default:
+	}
+	return n, err
+}
+
+func (c *crossingConn) Close() error {
+	c.once.Do(func() {
+		close(c.closed)
+		<-c.listener.crossed
+	})
+	return c.Conn.Close()
+}
+
+// TestARequestThatCrossesItsConnectionsCloseIsNotPassedOn: it is read as the connection is closed for the program's end.
+func TestARequestThatCrossesItsConnectionsCloseIsNotPassedOn(t *testing.T) {
+	r := newRig(t, ok)
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	server, plan := r.proxy.newServer(), newStopping(time.Now(), time.Minute)
+	stopped := make(chan struct{})
+	crossing := &crossingListener{Listener: listener, armed: make(chan struct{}), crossed: make(chan struct{})}
+	crossing.close = sync.OnceFunc(func() {
+		r.proxy.stopping.Store(plan)
+		go func() {
+			r.proxy.closeConnections(server, plan)
+			close(stopped)
+		}()
+	})
+	server.Handler = http.HandlerFunc(func(w http.ResponseWriter, q *http.Request) {
+		defer func() {
+			if r.proxy.stopping.Load() != nil {
+				close(crossing.crossed)
+			}
+		}()
+		r.proxy.serve(w, q)
+	})
+	idle := make(chan struct{}, 2)
+	server.ConnState = func(_ net.Conn, state http.ConnState) {
+		if state == http.StateIdle {
+			idle <- struct{}{}
+		}
+	}
+	go server.Serve(crossing)
+	client, err := net.Dial("tcp", listener.Addr().String())
+	require.NoError(t, err)
+	defer client.Close()
+	const request = "GET /open/ HTTP/1.1\r\nHost: h\r\nX-Request-Id: id-1\r\n\r\n"
+	io.WriteString(client, request)
+	answer, err := http.ReadResponse(bufio.NewReader(client), nil)
+	require.NoError(t, err)
+	_, err = io.Copy(io.Discard, answer.Body)
+	require.NoError(t, err)
+	require.Len(t, r.requests(), 1)
+	<-idle
+	close(crossing.armed)
+	io.WriteString(client, request)
+	<-stopped
+	require.Len(t, r.requests(), 1, "it has no answer, and may have none")
+}
