Proxy: an answer whose client takes no bytes ends at its route's time

The connection's writing now ends 50 ms after the request's limit (so that the ending is told as time_up). Two more tests hold what already held: an answer without a length that is reset, and a client that leaves while its body is read.

--- a/internal/proxy/endings.go
+++ b/internal/proxy/endings.go
@@ -36,6 +36,8 @@
 func endingOf(ctx context.Context, q *request, a *attempt, err error) ending {
 	var cause ending
 	switch {
+	case errors.Is(err, context.DeadlineExceeded): // its client took no bytes
+		return endingTimeUp
 	case errors.Is(err, errClientGone) || q.Context().Err() != nil:
 		return endingClientLeft
 	case ctx.Err() != nil:
--- a/internal/proxy/limits_test.go
+++ b/internal/proxy/limits_test.go
@@ -152,3 +152,39 @@
 	time.AfterFunc(2*shortRoute, func() { close(release) }) // the first one's time is over then
 	require.Equal(t, http.StatusOK, ask("/once/slow").StatusCode)
 }
+
+// goneLimit is within what time work for a client that has left must end.
+const goneLimit = 500 * time.Millisecond
+
+// TestAClientLeavesWhileItsBodyIsRead: nothing is sent on for it.
+func TestAClientLeavesWhileItsBodyIsRead(t *testing.T) {
+	r := newRig(t, ok)
+	conn := r.dialFront()
+	fmt.Fprintf(conn, "POST /stream/ HTTP/1.1\r\nHost: h\r\nX-Request-Id: id-1\r\nApi-Key: k1\r\nContent-Length: 100\r\n\r\nhalf")
+	require.Eventually(t, func() bool { return r.proxy.counters.running.Load() == 1 }, time.Second, time.Millisecond)
+	conn.Close()
+	require.Eventually(t, func() bool { return r.proxy.counters.running.Load() == 0 }, goneLimit, time.Millisecond)
+	require.Empty(t, r.requests())
+}
+
+// TestTheRoutesTimeIsKeptForAClientThatTakesNoBytes: its answer ends at the route's time, and so does the backend's work.
+func TestTheRoutesTimeIsKeptForAClientThatTakesNoBytes(t *testing.T) {
+	dropped := make(chan struct{})
+	r := newRig(t, func(w http.ResponseWriter, q *http.Request) {
+		defer close(dropped)
+		w.Header().Set(headerSeal, "seal")
+		for piece := make([]byte, 1<<20); ; {
+			if _, err := w.Write(piece); err != nil {
+				return
+			}
+		}
+	})
+	conn := r.dialFront()
+	fmt.Fprintf(conn, "POST /short/ HTTP/1.1\r\nHost: h\r\nX-Request-Id: id-1\r\nApi-Key: k1\r\nContent-Length: 0\r\n\r\n")
+	select {
+	case <-dropped:
+	case <-time.After(finalAnswerLimit):
+		require.Fail(t, "the backend is still at work")
+	}
+	require.Eventually(t, func() bool { return r.proxy.endings.of(endingTimeUp) == 1 }, time.Second, time.Millisecond)
+}
--- a/internal/proxy/pipeline_test.go
+++ b/internal/proxy/pipeline_test.go
@@ -76,3 +76,37 @@
 		})
 	}
 }
+
+// TestAnAnswerWithoutALengthThatIsResetIsIncomplete: before its first bytes it is a failure of ours, behind them the client's connection ends.
+func TestAnAnswerWithoutALengthThatIsResetIsIncomplete(t *testing.T) {
+	for name, body := range map[string]string{"no byte of it": "", "some of it": "half"} {
+		t.Run(name, func(t *testing.T) {
+			passedOn := make(chan struct{})
+			r := newRig(t, func(w http.ResponseWriter, q *http.Request) {
+				conn, _, err := http.NewResponseController(w).Hijack()
+				require.NoError(t, err)
+				fmt.Fprintf(conn, "HTTP/1.1 200 OK\r\nX-Response-Seal: s\r\nX-Request-Id: %s\r\nConnection: close\r\n\r\n%s", q.Header.Get(headerRequestID), body)
+				if body != "" {
+					<-passedOn
+				}
+				require.NoError(t, conn.(*net.TCPConn).SetLinger(0)) // its close is a reset
+				conn.Close()
+			})
+			client := r.dialFront()
+			fmt.Fprintf(client, "POST /once/ HTTP/1.1\r\nHost: h\r\nX-Request-Id: id-1\r\nApi-Key: k1\r\nContent-Length: 0\r\n\r\n")
+			answer, err := http.ReadResponse(bufio.NewReader(client), nil)
+			require.NoError(t, err)
+			if body == "" {
+				require.Equal(t, http.StatusBadGateway, answer.StatusCode)
+				return
+			}
+			require.Equal(t, http.StatusOK, answer.StatusCode)
+			got := make([]byte, len(body))
+			_, err = io.ReadFull(answer.Body, got)
+			require.NoError(t, err)
+			close(passedOn)
+			_, err = io.ReadAll(answer.Body)
+			require.ErrorIs(t, err, io.ErrUnexpectedEOF)
+		})
+	}
+}
--- a/internal/proxy/relay.go
+++ b/internal/proxy/relay.go
@@ -5,7 +5,9 @@
 	"errors"
 	"io"
 	"net/http"
+	"os"
 	"slices"
+	"time"
 
 	"nettlefold/internal/config"
 	"nettlefold/internal/dispatch"
@@ -17,12 +19,17 @@
 // firstBuffer is how much of it is read before anything is passed on.
 const firstBuffer = 4 << 10
 
+// writeMargin is how long after a request's limit the writing of its answer is ended, so that its time is known to be up then.
+const writeMargin = 50 * time.Millisecond
+
 // errClientGone is a client that takes no more bytes.
 var errClientGone = errors.New("the client is gone")
 
 // relay passes an answer on to the client. One that is cut off is taken up at another backend where its route allows that, inside the
 // same answer; one that cannot be finished ends with its connection, so that it does not look whole.
 func (p *Proxy) relay(ctx context.Context, q *request, a *attempt) {
+	client := http.NewResponseController(q.writer)
+	client.SetWriteDeadline(q.limit.Add(writeMargin))
 	q.writeHead(a, p.stopping.Load() != nil)
 	var events *eventReader
 	if q.route.Kind == config.Streaming && q.route.Resumable && a.response.StatusCode == http.StatusOK {
@@ -34,6 +41,7 @@
 		next := move.finish(err == nil)
 		if err == nil {
 			p.finish(a, dispatch.Done)
+			client.SetWriteDeadline(time.Time{})
 			return
 		}
 		outcome := dispatch.Failed
@@ -113,10 +121,19 @@
 	if a.response.ContentLength < 0 && len(a.response.TransferEncoding) == 0 {
 		return io.ErrUnexpectedEOF
 	}
-	if _, err := q.writer.Write(events.partial); err != nil {
-		return errClientGone
+	_, err := q.writer.Write(events.partial)
+	return writeError(err)
+}
+
+// writeError tells a client that is gone from one that took no bytes until its time was up.
+func writeError(err error) error {
+	switch {
+	case err == nil:
+		return nil
+	case errors.Is(err, os.ErrDeadlineExceeded):
+		return context.DeadlineExceeded
 	}
-	return nil
+	return errClientGone
 }
 
 // resume takes a stream up at another backend behind the last event that was passed on; nil if it may not or cannot be. former is the attempt
--- a/internal/proxy/takeover.go
+++ b/internal/proxy/takeover.go
@@ -50,7 +50,7 @@
 		return nil
 	}
 	if _, err := client.Write(bytes); err != nil {
-		return errClientGone
+		return writeError(err)
 	}
 	flush.Flush()
 	return nil
