--- a/internal/lab/fleetdemo/judge.go
+++ b/internal/lab/fleetdemo/judge.go
@@ -47,11 +47,11 @@
 
 func (s span) meets(from, to time.Time) bool { return s.From.Before(to) && from.Before(s.To) }
 
-// frontTrouble is what was done to a front, or to a controller.
-type frontTrouble struct {
+// machineTrouble is what was done to a front, or to a controller.
+type machineTrouble struct {
 	span
-	Front int // its number
-	Kind  string
+	Number int // of the front or controller
+	Kind   string
 }
 
 // ordered is what the operator sent: a configuration or weights, by their number.
@@ -74,7 +74,7 @@
 	Runs     []run
 	Arrivals map[string][]arrival // by request
 	Crashes  map[string]time.Time // of engines' lives
-	Fronts   []frontTrouble
+	Fronts   []machineTrouble
 	Cuts     []cutTrouble
 	Configs  []ordered
 	Weights  []ordered
@@ -84,7 +84,7 @@
 	Drains      map[string]time.Time // when the platform's list began to show an engine's life as draining
 
 	Tallies     []tallyCall
-	Cores       []frontTrouble // of controllers
+	Cores       []machineTrouble // of controllers
 	Controllers int
 	Quiet       time.Time // from when on the last reads of tallies were made; zero: none were
 }
@@ -153,7 +153,7 @@
 		}
 	}
 	for _, t := range r.Fronts {
-		if t.Front != a.Front || !t.meets(a.Sent, a.End.Add(r.Limits.Slack)) {
+		if t.Number != a.Front || !t.meets(a.Sent, a.End.Add(r.Limits.Slack)) {
 			continue
 		}
 		switch t.Kind {
@@ -193,7 +193,7 @@
 			continue
 		}
 		for _, t := range r.Fronts {
-			if t.Front == r.Asks[i].Front && t.Kind == actFreeze && t.meets(one.At.Add(-time.Second), one.At) {
+			if t.Number == r.Asks[i].Front && t.Kind == actFreeze && t.meets(one.At.Add(-time.Second), one.At) {
 				return true
 			}
 		}
@@ -207,7 +207,7 @@
 		return nil
 	}
 	for _, t := range r.Fronts {
-		if t.Front == a.Front && t.meets(a.Sent.Add(-r.Limits.Apply-time.Second), a.End) {
+		if t.Number == a.Front && t.meets(a.Sent.Add(-r.Limits.Apply-time.Second), a.End) {
 			return nil // it was not in touch
 		}
 	}
--- a/internal/lab/fleetdemo/judge_planned.go
+++ b/internal/lab/fleetdemo/judge_planned.go
@@ -62,7 +62,7 @@
 func (r *record) inTouch(front int, at time.Time) bool {
 	from := at.Add(-r.Limits.Contact)
 	for _, t := range r.Fronts {
-		if t.Front == front && t.meets(from, at) {
+		if t.Number == front && t.meets(from, at) {
 			return false
 		}
 	}
--- a/internal/lab/fleetdemo/judge_tallies.go
+++ b/internal/lab/fleetdemo/judge_tallies.go
@@ -107,7 +107,7 @@
 
 // coreTroubled tells whether a controller was ended or started within a time.
 func (r *record) coreTroubled(controller int, from, to time.Time) bool {
-	return slices.ContainsFunc(r.Cores, func(t frontTrouble) bool { return t.Front == controller && t.meets(from, to) })
+	return slices.ContainsFunc(r.Cores, func(t machineTrouble) bool { return t.Number == controller && t.meets(from, to) })
 }
 
 // disrupted tells whether a controller was ended or started, or links between controllers were cut or healed, within a time.
@@ -115,5 +115,5 @@
 	cut := slices.ContainsFunc(r.Cuts, func(c cutTrouble) bool {
 		return c.meets(from, to) && slices.ContainsFunc(c.Links, func(l link) bool { return isController(l.a) && isController(l.b) })
 	})
-	return cut || slices.ContainsFunc(r.Cores, func(t frontTrouble) bool { return t.meets(from, to) })
+	return cut || slices.ContainsFunc(r.Cores, func(t machineTrouble) bool { return t.meets(from, to) })
 }
--- a/internal/lab/fleetdemo/judge_tallies_test.go
+++ b/internal/lab/fleetdemo/judge_tallies_test.go
@@ -15,8 +15,8 @@
 	read := func(total int64, controller int, sent float64, status int) tallyCall {
 		return tallyCall{Read: true, Tally: "t", Total: total, Controller: controller, Sent: at(sent), End: at(sent + 0.1), Status: status}
 	}
-	restarted := func(controller int, from, to float64) []frontTrouble {
-		return []frontTrouble{{span{at(from), at(to)}, controller, actKillCore}}
+	restarted := func(controller int, from, to float64) []machineTrouble {
+		return []machineTrouble{{span{at(from), at(to)}, controller, actKillCore}}
 	}
 	inCore := func(from, to float64) []cutTrouble {
 		return []cutTrouble{{span{at(from), at(to)}, between([]string{controllerIP(0)}, []string{controllerIP(1)})}}
--- a/internal/lab/fleetdemo/soakreport.go
+++ b/internal/lab/fleetdemo/soakreport.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"io"
 	"maps"
+	"net/http"
 	"os"
 	"path/filepath"
 	"slices"
@@ -70,6 +71,7 @@
 	for _, w := range r.Weights {
 		fmt.Fprintf(out, "  version %d acknowledged at %.3f s\n", w.Number, w.Acked.Sub(s.start).Seconds())
 	}
+	s.traceTally(out, r, f)
 	for _, a := range s.plan {
 		if at := s.start.Add(a.At); at.After(f.At.Add(-tracedBefore)) && at.Before(f.At) {
 			fmt.Fprintln(out, " ", a)
@@ -78,6 +80,28 @@
 	s.logLines(out, f.Request)
 }
 
+// traceTally writes what is known of a finding of a tally: what each controller said of it last, and what was done to controllers until then.
+func (s *soak) traceTally(out io.Writer, r *record, f finding) {
+	last := map[int]tallyCall{}
+	for _, call := range r.Tallies {
+		if call.Read && call.Tally == f.Request && call.Status == http.StatusOK && !call.End.After(f.At) {
+			last[call.Controller] = call
+		}
+	}
+	if len(last) == 0 {
+		return
+	}
+	for _, controller := range slices.Sorted(maps.Keys(last)) {
+		fmt.Fprintf(out, "  controller %d said %d at %.3f s\n", controller+1, last[controller].Total, last[controller].End.Sub(s.start).Seconds())
+	}
+	for _, t := range r.Cores {
+		fmt.Fprintf(out, "  controller %d: %s from %.3f to %.3f s\n", t.Number+1, t.Kind, t.From.Sub(s.start).Seconds(), t.To.Sub(s.start).Seconds())
+	}
+	for _, c := range r.Cuts {
+		fmt.Fprintf(out, "  cut from %.3f to %.3f s: %v\n", c.From.Sub(s.start).Seconds(), c.To.Sub(s.start).Seconds(), c.Links)
+	}
+}
+
 // logLines writes what programs logged of a request.
 func (s *soak) logLines(out io.Writer, request string) {
 	files, _ := filepath.Glob(filepath.Join(s.world.dir, "*.log"))
--- a/internal/lab/fleetdemo/soaktrouble.go
+++ b/internal/lab/fleetdemo/soaktrouble.go
@@ -45,7 +45,7 @@
 	s.mu.Lock()
 	number := len(s.record.Cores)
 	now := time.Now()
-	s.record.Cores = append(s.record.Cores, frontTrouble{span{now, now.Add(time.Hour)}, a.Target, a.Kind})
+	s.record.Cores = append(s.record.Cores, machineTrouble{span{now, now.Add(time.Hour)}, a.Target, a.Kind})
 	s.mu.Unlock()
 	s.endProcesses(a.Kind == actTermCore, fmt.Sprintf("core-%d-controller", a.Target+1))
 	time.Sleep(a.For)
@@ -79,12 +79,12 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	for i := range s.record.Fronts {
-		if t := &s.record.Fronts[i]; t.Front == a.Target && t.From.Equal(from) {
+		if t := &s.record.Fronts[i]; t.Number == a.Target && t.From.Equal(from) {
 			t.To = to
 			return
 		}
 	}
-	s.record.Fronts = append(s.record.Fronts, frontTrouble{span{from, to}, a.Target, a.Kind})
+	s.record.Fronts = append(s.record.Fronts, machineTrouble{span{from, to}, a.Target, a.Kind})
 }
 
 func (s *soak) troubleEngine(a act) {
