--- a/cmd/nettlelab/soak.go
+++ b/cmd/nettlelab/soak.go
@@ -1,6 +1,7 @@
 package main
 
 import (
+	"fmt"
 	"os"
 	"path/filepath"
 	"time"
@@ -16,11 +17,15 @@
 	Controllers int           `default:"3" help:"How many there are."`
 	Fronts      int           `default:"3" help:"How many there are, each of an agent and a proxy."`
 	Engines     int           `default:"5" help:"Stand-ins of model engines."`
+	LongestCut  time.Duration `default:"4s" help:"Of the cuts between machines, which take 0.3 s and more."`
 	Keep        bool          `help:"Keep the programs' logs where something is found."`
 }
 
 // Run plays the seeds, and fails with the first that finds something.
 func (a *soakCommand) Run() error {
+	if a.LongestCut <= fleetdemo.LeastCut {
+		return fmt.Errorf("--longest-cut %v, want more than %v", a.LongestCut, fleetdemo.LeastCut)
+	}
 	if a.Program == "" {
 		folder, err := os.MkdirTemp("", "soak")
 		if err != nil {
@@ -35,7 +40,7 @@
 	var failed error
 	for i := range a.Seeds {
 		err := fleetdemo.Soak(a.Program, fleetdemo.SoakOptions{
-			Seed: a.Seed + uint64(i), Length: a.Length, Controllers: a.Controllers, Fronts: a.Fronts, Engine: a.Engines, Keep: a.Keep,
+			Seed: a.Seed + uint64(i), Length: a.Length, Controllers: a.Controllers, Fronts: a.Fronts, Engine: a.Engines, LongestCut: a.LongestCut, Keep: a.Keep,
 		}, os.Stdout)
 		if failed == nil {
 			failed = err
--- a/internal/lab/fleetdemo/judge_test.go
+++ b/internal/lab/fleetdemo/judge_test.go
@@ -9,10 +9,10 @@
 
 // TestAPlanIsItsSeeds: the same seed plans the same, another one something else.
 func TestAPlanIsItsSeeds(t *testing.T) {
-	require.Equal(t, makePlan(3, time.Minute, demoSize), makePlan(3, time.Minute, demoSize))
-	require.NotEqual(t, makePlan(3, time.Minute, demoSize), makePlan(4, time.Minute, demoSize))
+	require.Equal(t, makePlan(3, time.Minute, demoSize, UsualCut), makePlan(3, time.Minute, demoSize, UsualCut))
+	require.NotEqual(t, makePlan(3, time.Minute, demoSize, UsualCut), makePlan(4, time.Minute, demoSize, UsualCut))
 	kinds := map[string]bool{}
-	for _, a := range makePlan(5, 10*time.Minute, demoSize) {
+	for _, a := range makePlan(5, 10*time.Minute, demoSize, UsualCut) {
 		kinds[a.Kind] = true
 	}
 	require.Len(t, kinds, len(actWeights), "each kind comes")
--- a/internal/lab/fleetdemo/play_test.go
+++ b/internal/lab/fleetdemo/play_test.go
@@ -34,7 +34,7 @@
 	require.NoError(t, Build(program))
 	for _, seed := range []uint64{2, 7} {
 		var out bytes.Buffer
-		err := Soak(program, SoakOptions{Seed: seed, Length: 20 * time.Second, Controllers: 3, Fronts: 3, Engine: 5}, &out)
+		err := Soak(program, SoakOptions{Seed: seed, Length: 20 * time.Second, Controllers: 3, Fronts: 3, Engine: 5, LongestCut: UsualCut}, &out)
 		t.Log(out.String())
 		require.NoError(t, err)
 	}
--- a/internal/lab/fleetdemo/soak.go
+++ b/internal/lab/fleetdemo/soak.go
@@ -36,7 +36,8 @@
 	Seed                        uint64
 	Length                      time.Duration
 	Controllers, Fronts, Engine int
-	Keep                        bool // the logs, where something was found
+	LongestCut                  time.Duration // over LeastCut
+	Keep                        bool          // the logs, where something was found
 }
 
 // soak is one that runs.
@@ -69,7 +70,7 @@
 	}
 	keep := false
 	defer func() { w.closeKeeping(keep) }()
-	s := &soak{world: w, seed: o.Seed, plan: makePlan(o.Seed, o.Length, of), busy: map[string]*sync.Mutex{}}
+	s := &soak{world: w, seed: o.Seed, plan: makePlan(o.Seed, o.Length, of, o.LongestCut), busy: map[string]*sync.Mutex{}}
 	if w.net, err = newCutNetwork(relayAddr); err != nil {
 		return err
 	}
--- a/internal/lab/fleetdemo/soakplan.go
+++ b/internal/lab/fleetdemo/soakplan.go
@@ -32,8 +32,6 @@
 	meanGap       = 700 * time.Millisecond
 	firstAct      = time.Second
 	heavyInterval = 3 * time.Second // between two losses of controllers: more at once are not borne
-	leastCut      = 300 * time.Millisecond
-	mostCut       = 4 * time.Second
 	evacuateLeast = soakEvacuationLimit + 500*time.Millisecond
 	drainLeast    = soakDrainLimit + 500*time.Millisecond
 	lingers       = 2 * time.Second // that a zone is evacuated, or a draining engine serves, beyond the least
@@ -62,8 +60,14 @@
 	{actCutFront, 1}, {actCutLink, 2}, {actCutCore, 1}, {actCutBridge, 1}, {actCutZone, 1},
 }
 
+// The shortest cut of a soak, and the longest one where nothing else is wanted.
+const (
+	LeastCut = 300 * time.Millisecond
+	UsualCut = 4 * time.Second
+)
+
 // makePlan draws the events of a soak. A seed gives the same plan each time.
-func makePlan(seed uint64, length time.Duration, of size) []act {
+func makePlan(seed uint64, length time.Duration, of size, longestCut time.Duration) []act {
 	random := rand.New(rand.NewPCG(seed, 0))
 	total := 0
 	for _, w := range actWeights {
@@ -81,13 +85,13 @@
 			}
 			coreBusy = at + a.For + heavyInterval
 		case actCutCore, actCutBridge, actCutZone:
-			a.Target, a.For = random.IntN(of.controllers), drawTime(random, leastCut, mostCut)
+			a.Target, a.For = random.IntN(of.controllers), drawTime(random, LeastCut, longestCut)
 			if at < coreBusy {
 				continue
 			}
 			coreBusy = at + a.For + heavyInterval
 		case actCutFront, actCutLink:
-			a.Target, a.For = random.IntN(of.fronts), drawTime(random, leastCut, mostCut)
+			a.Target, a.For = random.IntN(of.fronts), drawTime(random, LeastCut, longestCut)
 		case actEvacuate:
 			a.Target, a.For = random.IntN(zones), drawTime(random, evacuateLeast, evacuateLeast+lingers)
 			if at < evacuated { // of both zones at once nothing is left
