--- a/internal/lab/fleetdemo/judge_test.go
+++ b/internal/lab/fleetdemo/judge_test.go
@@ -9,10 +9,10 @@
 
 // TestAPlanIsItsSeeds: the same seed plans the same, another one something else.
 func TestAPlanIsItsSeeds(t *testing.T) {
-	require.Equal(t, makePlan(3, time.Minute, demoSize), makePlan(3, time.Minute, demoSize))
-	require.NotEqual(t, makePlan(3, time.Minute, demoSize), makePlan(4, time.Minute, demoSize))
+	require.Equal(t, makePlan(3, time.Minute, demoSize, UsualCut), makePlan(3, time.Minute, demoSize, UsualCut))
+	require.NotEqual(t, makePlan(3, time.Minute, demoSize, UsualCut), makePlan(4, time.Minute, demoSize, UsualCut))
 	kinds := map[string]bool{}
-	for _, a := range makePlan(5, 10*time.Minute, demoSize) {
+	for _, a := range makePlan(5, 10*time.Minute, demoSize, UsualCut) {
 		kinds[a.Kind] = true
 	}
 	require.Len(t, kinds, len(actWeights), "each kind comes")
@@ -39,11 +39,11 @@
 		"cut by a crash":               {record{Asks: []ask{cut}, Arrivals: passedOn, Crashes: map[string]time.Time{"e1": at(11)}}, ""},
 		"cut, another engine crashed":  {record{Asks: []ask{cut}, Arrivals: passedOn, Crashes: map[string]time.Time{"e2": at(11)}}, ruleLost},
 		"cut, crashed long before":     {record{Asks: []ask{cut}, Arrivals: passedOn, Crashes: map[string]time.Time{"e1": at(5)}}, ruleLost},
-		"cut with its front":           {record{Asks: []ask{cut}, Arrivals: passedOn, Fronts: []frontTrouble{{span{at(11), at(12)}, 0, actKillFront}}}, ""},
-		"cut, another front killed":    {record{Asks: []ask{cut}, Arrivals: passedOn, Fronts: []frontTrouble{{span{at(11), at(12)}, 1, actKillFront}}}, ruleLost},
-		"cut soon after SIGTERM":       {record{Asks: []ask{cut}, Arrivals: passedOn, Fronts: []frontTrouble{{span{at(10.5), at(15)}, 0, actTermFront}}}, ruleLost},
-		"cut at the end of the grace":  {record{Asks: []ask{cut}, Arrivals: passedOn, Fronts: []frontTrouble{{span{at(6.9), at(12)}, 0, actTermFront}}}, ruleLost},
-		"begun before, grace over":     {record{Asks: []ask{{ID: "a", Sent: at(7), End: at(11), Deadline: 8 * time.Second, Outcome: outcomeCut}}, Arrivals: passedOn, Fronts: []frontTrouble{{span{at(7.2), at(12)}, 0, actTermFront}}}, ""},
+		"cut with its front":           {record{Asks: []ask{cut}, Arrivals: passedOn, Fronts: []machineTrouble{{span{at(11), at(12)}, 0, actKillFront}}}, ""},
+		"cut, another front killed":    {record{Asks: []ask{cut}, Arrivals: passedOn, Fronts: []machineTrouble{{span{at(11), at(12)}, 1, actKillFront}}}, ruleLost},
+		"cut soon after SIGTERM":       {record{Asks: []ask{cut}, Arrivals: passedOn, Fronts: []machineTrouble{{span{at(10.5), at(15)}, 0, actTermFront}}}, ruleLost},
+		"cut at the end of the grace":  {record{Asks: []ask{cut}, Arrivals: passedOn, Fronts: []machineTrouble{{span{at(6.9), at(12)}, 0, actTermFront}}}, ruleLost},
+		"begun before, grace over":     {record{Asks: []ask{{ID: "a", Sent: at(7), End: at(11), Deadline: 8 * time.Second, Outcome: outcomeCut}}, Arrivals: passedOn, Fronts: []machineTrouble{{span{at(7.2), at(12)}, 0, actTermFront}}}, ""},
 		"its time was up":              {record{Asks: []ask{{ID: "a", Sent: at(3), End: at(11), Deadline: 8 * time.Second, Outcome: outcomeCut}}, Arrivals: passedOn}, ""},
 		"ran twice":                    {record{Asks: []ask{{ID: "a", Outcome: outcomeAnswer, Status: 502}}, Runs: []run{{"a", "e1", 1, at(1)}, {"a", "e2", 1, at(2)}}}, ruleTwice},
 		"ran twice and may":            {record{Asks: []ask{{ID: "a", Outcome: outcomeAnswer, Status: 502, Repeats: true}}, Runs: []run{{"a", "e1", 1, at(1)}, {"a", "e2", 1, at(2)}}}, ""},
@@ -53,7 +53,7 @@
 		"old weights in time":          {record{Runs: []run{{"a", "e1", 1, at(4.9)}}, Weights: []ordered{{2, at(1), at(2)}}}, ""},
 		"superseded twice":             {record{Runs: []run{{"a", "e1", 1, at(5.1)}}, Weights: []ordered{{2, at(1), at(2)}, {3, at(4), at(4.5)}}}, ruleVersion},
 		"the second is young":          {record{Runs: []run{{"a", "e1", 2, at(5.1)}}, Weights: []ordered{{2, at(1), at(2)}, {3, at(4), at(4.5)}}}, ""},
-		"old weights, frozen":          {record{Asks: []ask{{ID: "a"}}, Runs: []run{{"a", "e1", 1, at(5.1)}}, Weights: []ordered{{2, at(1), at(2)}}, Fronts: []frontTrouble{{span{at(3), at(5)}, 0, actFreeze}}}, ""},
+		"old weights, frozen":          {record{Asks: []ask{{ID: "a"}}, Runs: []run{{"a", "e1", 1, at(5.1)}}, Weights: []ordered{{2, at(1), at(2)}}, Fronts: []machineTrouble{{span{at(3), at(5)}, 0, actFreeze}}}, ""},
 		"a dropped route serves":       {record{Asks: []ask{{ID: "a", Extra: 3, Sent: at(10), End: at(10.1), Outcome: outcomeServed, Status: 200, Whole: true}}, Configs: []ordered{{3, at(1), at(2)}, {4, at(7), at(7.5)}}}, ruleConfig},
 		"a dropped route, not yet":     {record{Asks: []ask{{ID: "a", Extra: 3, Sent: at(9), End: at(9.1), Outcome: outcomeServed, Status: 200, Whole: true}}, Configs: []ordered{{3, at(1), at(2)}, {4, at(7), at(7.5)}}}, ""},
 		"a new route unknown":          {record{Asks: []ask{{ID: "a", Extra: 3, Sent: at(5), End: at(5.1), Outcome: outcomeAnswer, Status: 404}}, Configs: []ordered{{3, at(1), at(2)}}}, ruleConfig},
@@ -75,9 +75,9 @@
 		"draining":                     {record{Asks: []ask{{ID: "a"}}, Arrivals: toZone1, Drains: map[string]time.Time{"i-2/1": at(6.9)}}, ruleDrain},
 		"draining, in time":            {record{Asks: []ask{{ID: "a"}}, Arrivals: toZone1, Drains: map[string]time.Time{"i-2/1": at(7.2)}}, ""},
 		"another life was draining":    {record{Asks: []ask{{ID: "a"}}, Arrivals: toZone1, Drains: map[string]time.Time{"i-2": at(2)}}, ""},
-		"draining, its front thawed":   {record{Asks: []ask{{ID: "a"}}, Arrivals: toZone1, Drains: map[string]time.Time{"i-2/1": at(2)}, Fronts: []frontTrouble{{span{at(6), at(8)}, 0, actFreeze}}}, ""},
-		"draining, another thawed":     {record{Asks: []ask{{ID: "a"}}, Arrivals: toZone1, Drains: map[string]time.Time{"i-2/1": at(2)}, Fronts: []frontTrouble{{span{at(6), at(8)}, 1, actFreeze}}}, ruleDrain},
-		"a new route at a fresh front": {record{Asks: []ask{{ID: "a", Extra: 3, Sent: at(5), End: at(5.1), Outcome: outcomeAnswer, Status: 404}}, Configs: []ordered{{3, at(1), at(2)}}, Fronts: []frontTrouble{{span{at(2), at(4)}, 0, actKillFront}}}, ""},
+		"draining, its front thawed":   {record{Asks: []ask{{ID: "a"}}, Arrivals: toZone1, Drains: map[string]time.Time{"i-2/1": at(2)}, Fronts: []machineTrouble{{span{at(6), at(8)}, 0, actFreeze}}}, ""},
+		"draining, another thawed":     {record{Asks: []ask{{ID: "a"}}, Arrivals: toZone1, Drains: map[string]time.Time{"i-2/1": at(2)}, Fronts: []machineTrouble{{span{at(6), at(8)}, 1, actFreeze}}}, ruleDrain},
+		"a new route at a fresh front": {record{Asks: []ask{{ID: "a", Extra: 3, Sent: at(5), End: at(5.1), Outcome: outcomeAnswer, Status: 404}}, Configs: []ordered{{3, at(1), at(2)}}, Fronts: []machineTrouble{{span{at(2), at(4)}, 0, actKillFront}}}, ""},
 	} {
 		t.Run(name, func(t *testing.T) {
 			c.record.Limits = limits
