Tallies: a peer's new life is echoed by its own clock

Clock bases are drawn at each start, so in half of the restarts that is ahead of all that the new life sends: it is echoed for ever, the new life takes it for no round trip and finds everybody out of reach.

The newest Sent begins anew with a life.

--- a/internal/tally/peer.go
+++ b/internal/tally/peer.go
@@ -85,6 +85,7 @@
 		p.retired = append(p.retired, p.life)
 	}
 	p.life, p.first, p.next = life, nil, 0
+	p.latest = 0 // by the earlier life's clock, which may be ahead of this one's
 	p.links, p.owed = map[Origin]*link{}, map[Origin]bool{}
 	return true
 }
--- a/internal/tally/world_test.go
+++ b/internal/tally/world_test.go
@@ -147,7 +147,7 @@
 	n.life++
 	n.started, n.acked = c.now, map[string]bool{}
 	n.replica = New(c.now, Options{
-		Self: n.addr, Life: n.life, ClockBase: int64(n.life) * int64(time.Hour), Copies: c.copies, MostAdds: 1 << 20,
+		Self: n.addr, Life: n.life, ClockBase: clockBase(n.life), Copies: c.copies, MostAdds: 1 << 20,
 		NewOrigin: c.newOrigin, Timing: modelTiming(),
 	}, c.load(&n.disk))
 	var addrs []string
@@ -557,3 +557,12 @@
 	}
 	return b.String()
 }
+
+// clockBase is where a life's clock begins, before or behind those of the lives before: it is drawn in the program.
+func clockBase(life uint64) int64 {
+	const lives = 1 << 20
+	if life%2 == 0 {
+		return int64(lives-life) * int64(time.Hour)
+	}
+	return int64(lives+life) * int64(time.Hour)
+}
