--- a/internal/tally/world_test.go
+++ b/internal/tally/world_test.go
@@ -138,8 +138,6 @@
 	return saved
 }
 
-// clockBase is drawn at each start in a program; here later lives have lower ones, which is what may go wrong.
-func clockBase(life uint64) int64 { return int64(10_000-life) * int64(time.Hour) }
 
 // boot starts a machine on what is on its disk.
 func (c *core) boot(i int) {
@@ -578,3 +576,12 @@
 	}
 	return totals
 }
+
+// clockBase is where a life's clock begins, before or behind those of the lives before: it is drawn in the program.
+func clockBase(life uint64) int64 {
+	const lives = 1 << 20
+	if life%2 == 0 {
+		return int64(lives-life) * int64(time.Hour)
+	}
+	return int64(lives+life) * int64(time.Hour)
+}
