--- a/internal/tally/world_test.go
+++ b/internal/tally/world_test.go
@@ -138,7 +138,6 @@
 	return saved
 }
 
-
 // boot starts a machine on what is on its disk.
 func (c *core) boot(i int) {
 	n := c.nodes[i]
