Metrics: one histogram of durations for agents and controllers

Two of them stood in agent and controller with different buckets. The controller's test read the buckets' fields; it now holds the figures that are served to the same counts and sums, and to the bucket of what takes longer than all bounds.

--- a/internal/agent/agent.go
+++ b/internal/agent/agent.go
@@ -17,6 +17,7 @@
 	"nettlefold/internal/distribute"
 	"nettlefold/internal/feed"
 	"nettlefold/internal/kvindex"
+	"nettlefold/internal/metrics"
 	"nettlefold/internal/rendezvous"
 	"nettlefold/internal/rpc"
 	"nettlefold/internal/settings/local"
@@ -65,7 +66,7 @@
 	listFeed listFeed
 	phases   map[string]phaseNews
 
-	listArrivals    arrivals // of the list, from its reading to its arrival here
+	listArrivals    metrics.Histogram // of the list, from its reading to its arrival here
 	listApplied     applied
 	snapshotApplied applied
 
--- a/internal/agent/lists.go
+++ b/internal/agent/lists.go
@@ -76,7 +76,7 @@
 		return
 	}
 	age := time.Duration(news.AgeMS) * time.Millisecond
-	a.listArrivals.add(age)
+	a.listArrivals.Observe(age)
 	a.tellLate("list heard from "+from, age)
 	a.lists.number, a.lists.missing = news.Number, ""
 	a.lists.heardAt = time.Now()
--- a/internal/agent/metrics.go
+++ b/internal/agent/metrics.go
@@ -44,9 +44,9 @@
 	if a.list != nil {
 		addAge(set, "agent_list_age_seconds", a.lists.readAt)
 	}
-	a.listArrivals.addTo(set, "agent_list_arrival_seconds")
-	a.listApplied.took.addTo(set, "agent_list_applied_seconds")
-	a.snapshotApplied.took.addTo(set, "agent_snapshot_applied_seconds")
+	a.listArrivals.AddTo(set, "agent_list_arrival_seconds")
+	a.listApplied.took.AddTo(set, "agent_list_applied_seconds")
+	a.snapshotApplied.took.AddTo(set, "agent_snapshot_applied_seconds")
 	addAge(set, "agent_proxy_age_seconds", a.proxyAt)
 }
 
--- a/internal/controller/metrics.go
+++ b/internal/controller/metrics.go
@@ -44,8 +44,8 @@
 		}
 		tallies.addTo(set)
 	}
-	spread.had.add(set, "controller_spread_received_seconds")
-	spread.applied.add(set, "controller_spread_applied_seconds")
+	spread.had.AddTo(set, "controller_spread_received_seconds")
+	spread.applied.AddTo(set, "controller_spread_applied_seconds")
 	set.Add("controller_replies_total", float64(c.replied.replies.Load()))
 	set.Add("controller_replies_out_of_touch_total", float64(c.replied.outOfTouch.Load()))
 	set.Add("controller_replies_members_total", float64(c.replied.members.Load()))
--- a/internal/controller/spread.go
+++ b/internal/controller/spread.go
@@ -1,53 +1,17 @@
 package controller
 
 import (
-	"strconv"
 	"time"
 
 	"nettlefold/internal/metrics"
 )
 
-// spreadBounds are the upper bounds of the buckets in which times are counted; what took longer is in one more.
-var spreadBounds = [...]time.Duration{
-	100 * time.Millisecond, 250 * time.Millisecond, 500 * time.Millisecond, time.Second, 2 * time.Second, 3 * time.Second, 5 * time.Second,
-}
-
 // slowSpread is the time from which a number that is not in force everywhere is worth a line in the log.
 const slowSpread = 2 * time.Second
 
 // mostSpreading bounds the numbers that are followed at once.
 const mostSpreading = 64
 
-// histogram counts times by bucket.
-type histogram struct {
-	counts [len(spreadBounds) + 1]int
-	sum    time.Duration
-}
-
-func (h *histogram) observe(d time.Duration) {
-	at := 0
-	for at < len(spreadBounds) && d > spreadBounds[at] {
-		at++
-	}
-	h.counts[at]++
-	h.sum += d
-}
-
-// add adds the histogram to a set, as cumulative buckets.
-func (h *histogram) add(set *metrics.Set, name string) {
-	count := 0
-	for at, n := range h.counts {
-		count += n
-		bound := "+Inf"
-		if at < len(spreadBounds) {
-			bound = strconv.FormatFloat(spreadBounds[at].Seconds(), 'g', -1, 64)
-		}
-		set.Add(name+`_bucket{le="`+bound+`"}`, float64(count))
-	}
-	set.Add(name+"_count", float64(count))
-	set.Add(name+"_sum", h.sum.Seconds())
-}
-
 // spreading is a committed number that not all agents with sessions here have yet.
 type spreading struct {
 	seq   uint64
@@ -59,8 +23,8 @@
 type spread struct {
 	newest  uint64
 	pending []spreading
-	had     histogram
-	applied histogram
+	had     metrics.Histogram
+	applied metrics.Histogram
 }
 
 // committed takes a number that is committed here since now.
@@ -81,10 +45,10 @@
 	for _, p := range s.pending {
 		if !p.had && has >= p.seq {
 			p.had = true
-			s.had.observe(now - p.since)
+			s.had.Observe(now - p.since)
 		}
 		if applied >= p.seq {
-			s.applied.observe(now - p.since)
+			s.applied.Observe(now - p.since)
 			continue
 		}
 		rest = append(rest, p)
--- a/internal/controller/spread_test.go
+++ b/internal/controller/spread_test.go
@@ -21,20 +21,24 @@
 	require.Equal(t, uint64(1), seq)
 	require.Equal(t, 2*time.Second, took)
 	s.reported(2200*time.Millisecond, 2, 1)
-	require.Equal(t, 2, s.had.counts[2]+s.had.counts[4]+s.had.counts[1])
-	require.Equal(t, 1400*time.Millisecond, s.had.sum)
-	require.Equal(t, 1200*time.Millisecond, s.applied.sum)
+	requireFigures(t, &s.had, map[string]float64{`bucket{le="1.5"}`: 2, `bucket{le="+Inf"}`: 2, "count": 2, "sum": 1.4})
+	requireFigures(t, &s.applied, map[string]float64{"count": 1, "sum": 1.2})
 	s.reported(12*time.Second, chain.NoSessions, chain.NoSessions)
 	s.reported(13*time.Second, chain.NoSessions, chain.NoSessions)
-	require.Equal(t, 1, s.applied.counts[len(spreadBounds)], "longer than all bounds")
 	_, took = s.oldest(13 * time.Second)
 	require.Zero(t, took)
 
+	requireFigures(t, &s.applied, map[string]float64{`bucket{le="1"}`: 0, `bucket{le="2"}`: 1, `bucket{le="6"}`: 1, `bucket{le="+Inf"}`: 2, "count": 2, "sum": 11.2})
+}
+
+// requireFigures holds a histogram to some of its figures.
+func requireFigures(t *testing.T, h *metrics.Histogram, want map[string]float64) {
+	t.Helper()
 	set := metrics.NewSet()
-	s.applied.add(set, "x_seconds")
-	for name, want := range map[string]float64{`x_seconds_bucket{le="1"}`: 0, `x_seconds_bucket{le="2"}`: 1, `x_seconds_bucket{le="+Inf"}`: 2, "x_seconds_count": 2, "x_seconds_sum": 11.2} {
-		value, there := set.Value(name)
+	h.AddTo(set, "x")
+	for name, figure := range want {
+		value, there := set.Value("x_" + name)
 		require.True(t, there, name)
-		require.InDelta(t, want, value, 1e-9, name)
+		require.InDelta(t, figure, value, 1e-9, name)
 	}
 }
