--- a/internal/controller/tallies_test.go
+++ b/internal/controller/tallies_test.go
@@ -114,3 +114,67 @@
 		require.Less(t, time.Since(before), 50*time.Millisecond)
 	})
 }
+
+// TestARestartedMachineStillTellsTheOthers: whatever its clock began at before, its adds come to the others soon.
+func TestARestartedMachineStillTellsTheOthers(t *testing.T) {
+	inTallyWorld(t, func(w *world) {
+		for n := range 8 {
+			w.end(ipOf(1), false)
+			w.boot(ipOf(1))
+			time.Sleep(3 * time.Second)
+			require.Equal(t, http.StatusOK, w.addTo(ipOf(1), "t", fmt.Sprint(n), 1))
+			time.Sleep(50 * time.Millisecond)
+			require.Equal(t, n+1, w.totalAt(ipOf(2), "t"))
+		}
+	})
+}
+
+// TestALostDiskLearnsBeforeItIsRead: cut off from the others an empty disk answers no read; once it reaches them it reads what they hold.
+func TestALostDiskLearnsBeforeItIsRead(t *testing.T) {
+	inTallyWorld(t, func(w *world) {
+		for n := range 5 {
+			require.Equal(t, http.StatusOK, w.addTo(ipOf(1), "t", fmt.Sprint(n), 1))
+		}
+		w.end(ipOf(1), false)
+		w.machines[ipOf(1)].settings.DataDirectory = t.TempDir()
+		w.machines[ipOf(1)].settings.FirstStart = false
+		w.separateCore(true, ipOf(1))
+		w.boot(ipOf(1))
+		for range 5 {
+			time.Sleep(time.Second)
+			require.Equal(t, -1, w.totalAt(ipOf(1), "t"))
+		}
+		require.Equal(t, http.StatusOK, w.addTo(ipOf(1), "t", "apart", 1), "it takes adds all the same")
+		w.end(ipOf(1), false)
+		w.separateCore(true, ipOf(1))
+		w.boot(ipOf(1))
+		time.Sleep(4 * time.Second)
+		require.Equal(t, -1, w.totalAt(ipOf(1), "t"), "also after another start")
+		w.separateCore(false, ipOf(1))
+		time.Sleep(3 * time.Second)
+		for i := 1; i <= 3; i++ {
+			require.Equal(t, 6, w.totalAt(ipOf(i), "t"))
+		}
+	})
+}
+
+// TestAllLosePowerAndOneItsDisk: what was acknowledged is read at all machines soon after.
+func TestAllLosePowerAndOneItsDisk(t *testing.T) {
+	inTallyWorld(t, func(w *world) {
+		for n := range 5 {
+			require.Equal(t, http.StatusOK, w.addTo(ipOf(1), "t", fmt.Sprint(n), 1))
+		}
+		for i := 1; i <= 3; i++ {
+			w.end(ipOf(i), false)
+			w.machines[ipOf(i)].settings.FirstStart = false
+		}
+		w.machines[ipOf(1)].settings.DataDirectory = t.TempDir()
+		for i := 1; i <= 3; i++ {
+			w.boot(ipOf(i))
+		}
+		time.Sleep(3 * time.Second)
+		for i := 1; i <= 3; i++ {
+			require.Equal(t, 5, w.totalAt(ipOf(i), "t"))
+		}
+	})
+}
