Tallies: who is heard again after a silence is answered at once; peers out of reach are tried every 300 ms

Over real sockets beside load a cut with 10 adds on each side once took 3.6 s to merge (bound 3 s); of that up to half a second was the wait for the next message to a peer that counted as out of reach.

--- a/internal/tally/peer.go
+++ b/internal/tally/peer.go
@@ -161,6 +161,9 @@
 
 // hear notes what a message tells of its sender.
 func (r *Replica) hear(now time.Duration, p *peer, m *Message) {
+	if !p.heardWithin(now, r.options.Timing.Silence) {
+		p.next = now // it is told at once that it is heard again
+	}
 	p.heard = now
 	p.latest = max(p.latest, m.Sent)
 	p.ready, p.failed, p.slow = m.Ready, m.Failed, m.Slow
--- a/internal/tally/replica.go
+++ b/internal/tally/replica.go
@@ -27,7 +27,7 @@
 func DefaultTiming() Timing {
 	return Timing{
 		Gossip:    200 * time.Millisecond,
-		Probe:     500 * time.Millisecond,
+		Probe:     300 * time.Millisecond,
 		Reach:     800 * time.Millisecond,
 		Silence:   450 * time.Millisecond,
 		Forget:    10 * time.Minute,
