--- a/internal/agent/session.go
+++ b/internal/agent/session.go
@@ -37,6 +37,7 @@
 	for ctx.Err() == nil {
 		var request distribute.WatchRequest
 		var addr string
+		began := a.now()
 		if a.ask(ctx, func() {
 			request = a.watchRequest()
 			addr = a.controller(failures.avoid)
@@ -47,6 +48,7 @@
 		reply := new(distribute.WatchReply)
 		asked := a.now()
 		err := a.pool.Call(ctx, watchLimit, addr, distribute.KindWatch, &request, reply)
+		a.logSlowWatch(asked-began, a.now()-asked, addr, err)
 		if err != nil || !reply.Current {
 			if err != nil {
 				a.log.Debug().Err(err).Str("step", "watch").Str("peer", addr).Msg("controller does not answer")
@@ -61,6 +63,17 @@
 	}
 }
 
+// slowWatch is the time from which a call of the session, or the wait for the owner before it, is worth a line in the log: a controller takes
+// an agent for lost that is silent for not much longer.
+const slowWatch = 600 * time.Millisecond
+
+func (a *Agent) logSlowWatch(owner, call time.Duration, addr string, err error) {
+	if owner+call < slowWatch {
+		return
+	}
+	a.log.Info().Err(err).Str("step", "watch").Str("peer", addr).Dur("owner", owner).Dur("call", call).Int("queue", len(a.commands)).Msg("session is slow")
+}
+
 // failures are the controllers that did not answer or were out of touch lately.
 type failures struct {
 	avoid map[string]time.Time     // until when each is passed over
