--- a/internal/agent/fleet_test.go
+++ b/internal/agent/fleet_test.go
@@ -19,6 +19,7 @@
 	"golang.org/x/time/rate"
 
 	"nettlefold/internal/distribute"
+	"nettlefold/internal/rendezvous"
 	"nettlefold/internal/rpc"
 	"nettlefold/internal/settings/local"
 	"nettlefold/internal/simtest"
@@ -176,12 +177,36 @@
 	f.running.Wait()
 }
 
-func (f *fleet) add(zone, ip string) *Agent {
+// add makes an agent that does not run yet, and has the controller tell of it.
+func (f *fleet) add(zone, ip string) *Agent { return f.member(f.make(zone, ip)) }
+
+// addOwner makes one to whom the list's duty falls: which life's that is is drawn by lot.
+func (f *fleet) addOwner(zone, ip string) *Agent {
+	const lives = 10_000
+	f.mu.Lock()
+	var others []string
+	for _, m := range f.members.Agents {
+		others = append(others, m.ID)
+	}
+	f.mu.Unlock()
+	for range lives {
+		if a := f.make(zone, ip); rendezvous.Owner(listDuty, append(others, a.self.ID)) == a.self.ID {
+			return f.member(a)
+		}
+	}
+	require.FailNow(f.t, "no life is the owner's")
+	return nil
+}
+
+func (f *fleet) make(zone, ip string) *Agent {
 	settings := &local.Settings{
 		NodeName: "f-" + ip, IP: ip, Zone: zone, FirstPort: fleetPort, Seeds: []string{fleetController + ":8783"},
 		LinkMbps: 10, CloudAddr: platformHost, CloudRate: float64(f.platform.limit.Limit()),
 	}
-	a := newOn(f.network.Host(ip), &http.Client{Transport: f.platform}, settings, zerolog.Nop())
+	return newOn(f.network.Host(ip), &http.Client{Transport: f.platform}, settings, zerolog.Nop())
+}
+
+func (f *fleet) member(a *Agent) *Agent {
 	f.agents = append(f.agents, a)
 	f.mu.Lock()
 	defer f.mu.Unlock()
--- a/internal/agent/list_fleet_test.go
+++ b/internal/agent/list_fleet_test.go
@@ -13,6 +13,9 @@
 	// startBound is when every agent of a fleet that has just started has a list.
 	startBound = 6 * time.Second
 
+	// joinBound is when an agent that joins a running fleet has a list.
+	joinBound = 500 * time.Millisecond
+
 	largeZones, largeEach = 6, 25
 	// largeRate leaves every agent two readings of the list in ten seconds, as the deployments have it for theirs.
 	largeRate = 760
@@ -71,3 +74,15 @@
 		require.Less(t, f.platform.busiest(startBound), largeRate/2)
 	})
 }
+
+// TestAnAgentThatJoinsBecomesTheOwner: its readings must not be numbered below those that all others know.
+func TestAnAgentThatJoinsBecomesTheOwner(t *testing.T) {
+	playFleet(t, 3, 12, largeRate, func(f *fleet) {
+		time.Sleep(startBound)
+		f.run(f.addOwner("z1", "127.1.0.100"))
+		time.Sleep(joinBound)
+		oldest := f.watchAges(3 * time.Second)
+		t.Logf("oldest list %v", oldest)
+		require.Less(t, oldest, listStale)
+	})
+}
--- a/internal/agent/lists.go
+++ b/internal/agent/lists.go
@@ -59,7 +59,7 @@
 
 // toldList takes what another agent tells of the list without being asked.
 func (a *Agent) toldList(news *feed.ReadList, from string) {
-	if news != nil {
+	if news != nil && news.Number >= a.lists.number {
 		a.lists.toldAt, a.lists.hubLost = time.Now(), false
 		a.hearList(news, from)
 	}
