Proxy: a client's leaving is seen behind bytes of its next request

GONE: a client that sent bytes of a further request while one ran, and then closed its connection, was not noticed; the backend worked on for the request's whole time. Cause: net/http looks for the end of a connection by reading one byte, and looks no further once it has one.

--- a/internal/proxy/proxy.go
+++ b/internal/proxy/proxy.go
@@ -154,7 +154,7 @@
 	readyServer := &http.Server{Handler: readiness, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout}
 	go readyServer.Serve(ready)
 	server := p.newServer()
-	go server.Serve(front)
+	go server.Serve(clientListener{front})
 	<-ctx.Done()
 	p.stop(server)
 	readyServer.Close()
@@ -169,6 +169,7 @@
 		ReadHeaderTimeout: headerTimeout,
 		IdleTimeout:       idleTimeout,
 		MaxHeaderBytes:    maxHeaderBytes,
+		ConnContext:       withClientConn,
 	}
 }
 
--- a/internal/proxy/proxy_test.go
+++ b/internal/proxy/proxy_test.go
@@ -77,7 +77,9 @@
 			Members: &distribute.MemberSet{Digest: 1, Agents: []distribute.Agent{{ID: "a1", Addr: "10.0.0.1:7340"}}},
 		})
 	})
-	r.front = httptest.NewServer(http.HandlerFunc(r.proxy.serve))
+	r.front = httptest.NewUnstartedServer(nil)
+	r.front.Config, r.front.Listener = r.proxy.newServer(), clientListener{r.front.Listener}
+	r.front.Start()
 	t.Cleanup(r.front.Close)
 	return r
 }
--- a/internal/proxy/serve.go
+++ b/internal/proxy/serve.go
@@ -83,7 +83,9 @@
 	p.counters.requests.Add(1)
 	p.counters.running.Add(1)
 	defer p.counters.running.Add(-1)
-	q := &request{Request: r, writer: w, id: r.Header.Get(headerRequestID)}
+	ctx, end := untilClientLeaves(r.Context())
+	defer end()
+	q := &request{Request: r.WithContext(ctx), writer: w, id: r.Header.Get(headerRequestID)}
 	if !q.place(table, p.splits) {
 		return
 	}
