--- a/internal/proxy/limits_test.go
+++ b/internal/proxy/limits_test.go
@@ -188,3 +188,23 @@
 	}
 	require.Eventually(t, func() bool { return r.proxy.endings.of(endingTimeUp) == 1 }, time.Second, time.Millisecond)
 }
+
+// TestARepeatEndsNoLaterThanTheFirst: each backend that a request is sent to is handed what is left of one and the same time.
+func TestARepeatEndsNoLaterThanTheFirst(t *testing.T) {
+	const works, slack = 100 * time.Millisecond, 20 * time.Millisecond
+	ends := make(chan time.Time, 2)
+	breaksOffLate := func(_ http.ResponseWriter, q *http.Request) {
+		ms, _ := strconv.Atoi(q.Header.Get(headerDeadline))
+		ends <- time.Now().Add(time.Duration(ms) * time.Millisecond)
+		time.Sleep(works)
+		panic(http.ErrAbortHandler)
+	}
+	r := newRig(t, breaksOffLate, breaksOffLate)
+	asked := time.Now()
+	_, _, err := r.ask("/stream/", "k1", "", headerDeadline, "1000")
+	require.NoError(t, err)
+	require.Len(t, ends, 2)
+	for range 2 {
+		require.WithinRange(t, <-ends, asked.Add(time.Second-slack), asked.Add(time.Second+slack))
+	}
+}
