--- a/internal/proxy/endings_test.go
+++ b/internal/proxy/endings_test.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"encoding/json"
+	"io"
 	"net/http"
 	"sync"
 	"testing"
@@ -10,6 +11,9 @@
 
 	"github.com/rs/zerolog"
 	"github.com/stretchr/testify/require"
+
+	"nettlefold/internal/distribute"
+	"nettlefold/internal/feed"
 )
 
 // logLines keeps what a logger writes.
@@ -73,3 +77,48 @@
 	l.fired(later, later.Add(time.Millisecond))
 	require.Equal(t, time.Millisecond, l.worst(later.Add(time.Second)))
 }
+
+// TestAStreamThatRunsIsNotCutFor plays what happens around a stream whose backend is at work: it goes on to its end.
+func TestAStreamThatRunsIsNotCutFor(t *testing.T) {
+	const bare = `{"version":2,"routes":[],"services":[],"limits":{"idle_timeout_ms":1,"header_timeout_ms":1,"max_body_bytes":1},"tenants":[]}`
+	for name, happens := range map[string]func(p *Proxy){
+		"a configuration without its route, tenant and service": func(p *Proxy) {
+			p.do(func() {
+				p.take(p.now(), &feed.Reply{Agent: "a1", Snapshot: &distribute.Snapshot{Seq: 2, ConfigSeq: 2, Config: []byte(bare)}})
+			})
+		},
+		"a list without its backend": func(p *Proxy) {
+			p.do(func() { p.take(p.now(), &feed.Reply{Agent: "a1", List: &feed.List{Number: 2}}) })
+		},
+		"an agent that starts anew": func(p *Proxy) {
+			p.do(func() { p.take(p.now(), &feed.Reply{Agent: "a2"}) })
+		},
+		"its backend's silence": func(p *Proxy) { p.endOverdue(p.now() + 10*time.Second) },
+		"an evacuation of its zone": func(p *Proxy) {
+			p.do(func() { p.table.SetState(p.now(), map[string]uint64{"a": 1}, nil, nil, nil) })
+		},
+		"a limit of its weights that is over": func(p *Proxy) {
+			p.attempts.mu.Lock()
+			defer p.attempts.mu.Unlock()
+			for a := range p.attempts.open {
+				a.takeBack(endingBeginLimit)
+			}
+		},
+		"a signal to end": func(p *Proxy) { p.stopping.Store(newStopping(time.Now(), 0)) },
+	} {
+		for _, path := range []string{"/cut/x", "/stream/x"} {
+			t.Run(name+path, func(t *testing.T) {
+				backend := newPausing()
+				r := newRig(t, backend.serve)
+				t.Cleanup(backend.release)
+				rest, first := r.open(path)
+				happens(r.proxy)
+				r.proxy.endOverdue(r.proxy.now() + 10*time.Second)
+				backend.release()
+				more, err := io.ReadAll(rest)
+				require.NoError(t, err)
+				require.Equal(t, eventTexts(1, 2), first+string(more))
+			})
+		}
+	}
+}
