--- a/internal/controller/controller.go
+++ b/internal/controller/controller.go
@@ -39,9 +39,11 @@
 	network  rpc.Network
 	pool     *rpc.Pool
 	commands chan command
+	urgent   chan command // messages of other replicas, worked through first
 	start    time.Time
 	public   atomic.Pointer[public]
 	tallies  *tallies // nil: none are kept
+	replied  replyCounts
 	done     chan struct{}
 
 	// What follows is the owner's.
@@ -52,13 +54,18 @@
 	readers   map[uint64]chan struct{}
 	sessions  map[string]*session
 	elsewhere map[string]*remoteTable
-	told      time.Time     // when the table of agents was last sent
-	showedAt  time.Time     // when other members were last shown
-	inTouch   time.Duration // when it last had the newest state for sure
-	leaving   time.Time     // when it was told to end, zero before
-	duties    duty.Register // who asked for confirmations here
-	work      ownerWork     // of the last second at most
-	worked    ownerWork     // before
+	told      time.Time // when the table of agents was last sent
+	tableDue  bool      // another one is to be sent
+	showedAt  time.Time // when other members were last shown
+	// rosterChanged tells that sessions or tables changed since members were last made of them.
+	rosterChanged bool
+	shown         []*distribute.MemberSet // before those shown now, the newest last
+	inTouch       time.Duration           // when it last had the newest state for sure
+	leaving       time.Time               // when it was told to end, zero before
+	duties        duty.Register           // who asked for confirmations here
+	spread        spread                  // of committed numbers among the agents
+	work          ownerWork               // of the last second at most
+	worked        ownerWork               // before
 }
 
 // service is what a call's answer is bound to: the epoch, and which of this program's replicas was asked. Numbers that a replica gave out
@@ -78,6 +85,7 @@
 	controllers []string
 	seeds       []string
 	members     *distribute.MemberSet
+	deltas      memberDeltas
 	named       map[string]superseded.Times // since when models' versions are known to be wanted
 	changed     chan struct{}
 }
@@ -95,6 +103,7 @@
 		log:       log,
 		pool:      rpc.NewPoolOn(network),
 		commands:  make(chan command, commandQueue),
+		urgent:    make(chan command, commandQueue),
 		start:     time.Now(),
 		done:      make(chan struct{}),
 		readers:   map[uint64]chan struct{}{},
@@ -105,7 +114,7 @@
 	}
 	if settings.HasContract(contractTallies) {
 		// Before the control state: where that is on disk without tallies, none were kept there before.
-		if err := c.openTallies(); err != nil {
+		if err := c.newTallies(); err != nil {
 			return nil, err
 		}
 	}
@@ -145,6 +154,8 @@
 		return
 	}
 	c.expireSessions()
+	c.expireTables()
+	c.tellDueTable()
 	c.perform(c.replica.Tick(c.now()))
 	if c.broken.IsZero() {
 		c.store.Mark() // a disk that fails shows at the next write
@@ -174,6 +185,7 @@
 		c.pool.Post(e.To.Addr, distribute.KindCore, &e.Message)
 	}
 	if out.Committed || out.ViewNew {
+		c.spread.committed(c.now(), c.replica.State().Seq)
 		c.publish(true)
 	}
 	for _, nonce := range out.Confirmed {
@@ -185,6 +197,7 @@
 	if out.ViewNew {
 		view := c.replica.View()
 		c.log.Info().Str("step", "view").Uint64("epoch", view.Epoch).Interface("chain", view.Chain).Int("acceptors", len(view.Acceptors)).Msg("view in force")
+		c.perform(c.replica.Beat(c.now())) // nobody is in touch under a view before others have told that they have it
 	}
 }
 
@@ -221,6 +234,12 @@
 		seeds:   c.seedAddrs(),
 		changed: make(chan struct{}),
 	}
+	if old != nil {
+		next.deltas = old.deltas
+		if old.members.Digest != members.Digest {
+			next.deltas = c.showMembers(old.members, members)
+		}
+	}
 	if !c.broken.IsZero() && old != nil {
 		next.state, next.view, next.self, next.opened = old.state, old.view, old.self, old.opened
 	}
--- a/internal/controller/tallies_api.go
+++ b/internal/controller/tallies_api.go
@@ -6,7 +6,8 @@
 	"errors"
 	"io"
 	"net/http"
-	"strconv"
+	"time"
+	"unicode/utf8"
 
 	"github.com/labstack/echo/v4"
 
@@ -21,8 +22,8 @@
 
 // addRequest is the body of an add.
 type addRequest struct {
-	ID string      `json:"id"`
-	By json.Number `json:"by"`
+	ID string `json:"id"`
+	By *int64 `json:"by"`
 }
 
 // totalReply is the body of a read.
@@ -31,8 +32,8 @@
 }
 
 var (
-	errBadName   = errors.New("want a tally's name of 1 to 128 bytes")
-	errBadID     = errors.New("want an id of 1 to 128 bytes")
+	errBadName   = errors.New("want a tally's name of 1 to 128 bytes of UTF-8")
+	errBadID     = errors.New("want an id of 1 to 128 bytes of UTF-8")
 	errBadAmount = errors.New("by: want a whole number of at most 2^53, either way")
 )
 
@@ -42,16 +43,20 @@
 	if err := json.Unmarshal(body, &request); err != nil {
 		return tally.Add{}, err
 	}
-	by, err := strconv.ParseInt(request.By.String(), 10, 64)
 	switch {
-	case name == "" || len(name) > maxNameBytes:
+	case !validName(name):
 		return tally.Add{}, errBadName
-	case request.ID == "" || len(request.ID) > maxNameBytes:
+	case !validName(request.ID):
 		return tally.Add{}, errBadID
-	case err != nil || by > maxAmount || by < -maxAmount:
+	case request.By == nil || *request.By > maxAmount || *request.By < -maxAmount:
 		return tally.Add{}, errBadAmount
 	}
-	return tally.Add{ID: request.ID, Tally: name, By: by}, nil
+	return tally.Add{ID: request.ID, Tally: name, By: *request.By}, nil
+}
+
+// validName tells whether a name or an id can be kept: machines tell each other text, and text that is no UTF-8 is refused on the way.
+func validName(name string) bool {
+	return name != "" && len(name) <= maxNameBytes && utf8.ValidString(name)
 }
 
 // statusOf has the answer's status for each outcome: 503 promises that nothing was done.
@@ -76,9 +81,10 @@
 	}
 	limited, cancel := context.WithTimeout(ctx.Request().Context(), callLimit)
 	defer cancel()
+	began := time.Now()
 	answer := t.add(limited, add)
 	t.log.Debug().Str("step", "add").Str("tally", add.Tally).Str("id", add.ID).Int64("by", add.By).Int("outcome", int(answer.Outcome)).
-		Str("reason", answer.Reason).Msg("add")
+		Str("reason", answer.Reason).Dur("took", time.Since(began)).Msg("add")
 	if answer.Outcome != tally.Acknowledged {
 		return ctx.JSON(statusOf[answer.Outcome], problem{answer.Reason})
 	}
@@ -87,6 +93,9 @@
 
 // add hands an add to the owner and waits for its outcome.
 func (t *tallies) add(ctx context.Context, add tally.Add) tally.Answer {
+	if !t.opened.Load() {
+		return tally.Answer{Outcome: tally.Refused, Reason: errReading.Error()}
+	}
 	answers := make(chan tally.Answer, 1)
 	t.enqueue(func() {
 		t.token++
@@ -99,15 +108,20 @@
 	case <-ctx.Done():
 		return tally.Answer{Outcome: tally.Unclear, Reason: "no answer in time"}
 	case <-t.done:
-		return tally.Answer{Outcome: tally.Unclear, Reason: "this machine ends"}
+		return tally.Answer{Outcome: tally.Unclear, Reason: errEnding.Error()}
 	}
 }
 
 func (t *tallies) getTotal(ctx echo.Context) error {
 	limited, cancel := context.WithTimeout(ctx.Request().Context(), callLimit)
 	defer cancel()
-	total, err := t.total(limited, ctx.Param("tally"))
+	name := ctx.Param("tally")
+	if !validName(name) {
+		return ctx.JSON(http.StatusBadRequest, problem{errBadName.Error()})
+	}
+	total, err := t.total(limited, name)
 	if err != nil {
+		t.log.Debug().Err(err).Str("step", "total").Str("tally", name).Msg("not answered")
 		return ctx.JSON(http.StatusServiceUnavailable, problem{err.Error()})
 	}
 	return ctx.JSON(http.StatusOK, totalReply{total})
@@ -121,6 +135,9 @@
 
 // total reads a tally at the owner.
 func (t *tallies) total(ctx context.Context, name string) (int64, error) {
+	if !t.opened.Load() {
+		return 0, errReading
+	}
 	readings := make(chan reading, 1)
 	t.enqueue(func() {
 		total, err := t.replica.Read(t.now(), name)
@@ -132,6 +149,6 @@
 	case <-ctx.Done():
 		return 0, ctx.Err()
 	case <-t.done:
-		return 0, errors.New("this machine ends")
+		return 0, errEnding
 	}
 }
--- a/internal/tallylog/log.go
+++ b/internal/tallylog/log.go
@@ -37,6 +37,19 @@
 	NewOrigin func() tally.Origin
 }
 
+// Prepare makes a directory's file if there is none.
+func Prepare(dir string, options Options) error {
+	if _, err := os.Stat(filepath.Join(dir, fileName)); err == nil {
+		return nil
+	}
+	l, _, err := Open(dir, options)
+	if err != nil {
+		return err
+	}
+	l.Close()
+	return nil
+}
+
 // Open opens a directory's file, makes one where there is none, and gives what it holds, which lasts. A damaged file is set aside for
 // whoever wants to look at it: then the error is a *DamageError beside a log that starts anew and misses what the other held.
 func Open(dir string, options Options) (*Log, tally.Saved, error) {
@@ -57,6 +70,9 @@
 		if l != nil {
 			l.Close()
 		}
+		if _, err := os.Stat(filepath.Join(dir, asideName)); err == nil {
+			options.Complete = false // the power went between setting it aside and beginning anew
+		}
 		l, saved, err = create(path, options)
 	}
 	if err != nil {
