Tally log: a read that fails is no torn end

Found by review. A read error of the disk while the file is scanned counted as a torn end: the newest synced frame was cut off, or the whole file set aside, though nothing on it was damaged (LOST of tallies at a machine that is cut off).

--- a/internal/tallylog/scan.go
+++ b/internal/tallylog/scan.go
@@ -4,9 +4,11 @@
 	"bufio"
 	"bytes"
 	"encoding/binary"
+	"errors"
 	"fmt"
 	"hash/crc32"
 	"io"
+	"io/fs"
 	"os"
 
 	"github.com/ansel1/merry/v2"
@@ -69,6 +71,10 @@
 		if err == nil {
 			err = found.take(payload)
 		}
+		var unread *fs.PathError
+		if errors.As(err, &unread) { // of the disk, not of what is on it
+			return nil, merry.Prepend(err, "tally log: read")
+		}
 		if err != nil {
 			found.torn = true
 			return found, found.checkTorn(file)
@@ -90,7 +96,7 @@
 	}
 	var body bytes.Buffer
 	if n, err := io.CopyN(&body, reader, int64(length)); err != nil {
-		return 0, nil, merry.Errorf("%d of %d bytes", n, length)
+		return 0, nil, merry.Prependf(err, "%d of %d bytes", n, length)
 	}
 	if checksum(header[:], body.Bytes()) != binary.BigEndian.Uint32(header[16:]) {
 		return 0, nil, merry.New("the checksum does not hold")
