Tally log: a torn end's new origin is on disk before anything else

Found by review. That the newest origin must not be gone on with was known in memory alone: a process killed between the start that cut off a damaged end and its first write left a file that ends cleanly, and the next start gave numbers again that others may hold under other adds; vectors then agree and nothing repairs it (LOST, STALE). The start that cuts off writes the new origin at once. TestATornEndIsNotForgottenByTheNextStart fails without it; the tests that read the field Renew now look at the origins that the file names, which is as strict.

--- a/internal/tallylog/log.go
+++ b/internal/tallylog/log.go
@@ -57,7 +57,7 @@
 		return nil, tally.Saved{}, merry.Prepend(err, "tally log: make directory")
 	}
 	path := filepath.Join(dir, fileName)
-	l, saved, err := openFile(path)
+	l, saved, err := openFile(path, options)
 	var damage *DamageError
 	switch {
 	case errors.As(err, &damage):
@@ -86,7 +86,7 @@
 
 // openFile opens a file as it was left. What a killed process may have written without a sync is written once more before the sync: after
 // one that failed, the kernel may take it for written.
-func openFile(path string) (*Log, tally.Saved, error) {
+func openFile(path string, options Options) (*Log, tally.Saved, error) {
 	file, err := os.OpenFile(path, os.O_RDWR, 0o644)
 	if err != nil {
 		return nil, tally.Saved{}, merry.Prepend(err, "tally log: open")
@@ -99,8 +99,26 @@
 		file.Close()
 		return nil, tally.Saved{}, err
 	}
-	found.saved.Renew = found.torn
-	return &Log{file: file, size: found.whole}, found.saved, nil
+	l := &Log{file: file, size: found.whole}
+	if found.torn && len(found.saved.Origins) > 0 {
+		err = l.renewOrigin(found, options)
+	}
+	if err != nil {
+		file.Close()
+		return nil, tally.Saved{}, err
+	}
+	return l, found.saved, nil
+}
+
+// renewOrigin begins another origin behind a torn end, before anything else: what was cut off may have been told to others, and its numbers
+// are not to be given to other adds, also by a later start that finds the file whole.
+func (l *Log) renewOrigin(found *scanned, options Options) error {
+	batch := tally.Batch{NewOrigin: options.NewOrigin()}
+	if err := l.Append(&batch); err != nil {
+		return err
+	}
+	found.saved.Origins = append(found.saved.Origins, batch.NewOrigin)
+	return nil
 }
 
 // lasting cuts off what is torn and makes the rest last.
