Tallies: peers that have only just fallen silent are sent to, and waited for

Found by review. A machine that works but does not get to others' messages for 450 ms (slowed, short of processor, a stalled link) took all for out of reach, acknowledged an add that was on its own disk alone and sent it to nobody; with the loss of that disk it was gone. Now adds go to peers heard within 3 s, and a call waits 600 ms for those before fewer disks are enough. TestPeersThatHaveOnlyJustFallenSilentAreWaitedFor failed before (acknowledged at once, nothing sent).

--- a/internal/tally/acknowledge.go
+++ b/internal/tally/acknowledge.go
@@ -16,9 +16,10 @@
 }
 
 // enough tells whether an add that is on this disk is on as many others as it should be, or on all that can be reached. While this
-// machine cannot know who is in reach, it waits.
+// machine cannot know who is in reach, it waits; and for a while where others have only just fallen silent, as it may be this machine that
+// does not get to their messages.
 func (r *Replica) enough(now time.Duration, dot Dot) bool {
-	copies, reachable, copiesInReach := 0, 0, 0
+	copies, reachable, copiesInReach, recent := 0, 0, 0, false
 	for _, p := range r.peers {
 		has := p.has(dot)
 		if has {
@@ -29,14 +30,28 @@
 			if has {
 				copiesInReach++
 			}
+		} else if !has && p.heardWithin(now, r.options.Timing.Recent) && !p.failed {
+			recent = true
 		}
 	}
 	if copies >= r.options.Copies {
 		return true
 	}
+	if recent && now-r.waitingSince(dot) < r.options.Timing.Hesitate {
+		return false
+	}
 	return now >= r.blind && reachable < r.options.Copies && copiesInReach == reachable
 }
 
+// waitingSince is when the first call that waits for an add came.
+func (r *Replica) waitingSince(dot Dot) time.Duration {
+	waiters := r.waiting[dot]
+	if len(waiters) == 0 {
+		return 0
+	}
+	return waiters[0].since
+}
+
 // expire answers the calls that have waited for too long, and those whose adds a failing disk holds up.
 func (r *Replica) expire(now time.Duration, out *Output) {
 	fails := r.diskFails(now)
--- a/internal/tally/peer.go
+++ b/internal/tally/peer.go
@@ -272,7 +272,7 @@
 }
 
 func (r *Replica) sendTo(now time.Duration, p *peer, out *Output) {
-	reached := r.inReach(now, p)
+	reached := r.inReach(now, p) || p.heardWithin(now, r.options.Timing.Recent)
 	for _, origin := range r.set.sorted() {
 		held, l := r.set.Held(origin), p.link(origin)
 		if !reached || p.failed || l.known >= held {
--- a/internal/tally/replica.go
+++ b/internal/tally/replica.go
@@ -15,6 +15,8 @@
 	Forget    time.Duration // a peer that nobody names is forgotten after such a silence
 	Resend    time.Duration // what a peer did not acknowledge for so long is sent again
 	Relay     time.Duration // what a peer lacks of another machine's adds for so long is passed on
+	Recent    time.Duration // a peer out of reach that was heard within it may still be there
+	Hesitate  time.Duration // so long a call waits for such peers, before the disks in reach are enough
 	Answer    time.Duration // an add that is not on enough disks by then is unclear
 	Stall     time.Duration // a write that takes longer counts as a failing disk
 	Slow      time.Duration // after a write that took longer, callers are turned to other machines' disks
@@ -33,6 +35,8 @@
 		Forget:    10 * time.Minute,
 		Resend:    500 * time.Millisecond,
 		Relay:     500 * time.Millisecond,
+		Recent:    3 * time.Second,
+		Hesitate:  600 * time.Millisecond,
 		Answer:    850 * time.Millisecond,
 		Stall:     250 * time.Millisecond,
 		Slow:      60 * time.Millisecond,
@@ -57,7 +61,6 @@
 type Saved struct {
 	Set      *Set
 	Origins  []Origin // that this disk gave numbers of, the newest last
-	Renew    bool     // the newest origin is not to be gone on with: something was cut off behind it
 	Complete bool     // the disk misses nothing that was lost with an earlier one
 }
 
@@ -120,7 +123,7 @@
 	for _, origin := range saved.Origins {
 		r.own[origin], r.origin = true, origin
 	}
-	if len(saved.Origins) == 0 || saved.Renew {
+	if len(saved.Origins) == 0 {
 		r.renewOrigin()
 	}
 	r.complete, r.noted = saved.Complete, saved.Complete
--- a/internal/tally/replica_test.go
+++ b/internal/tally/replica_test.go
@@ -1,6 +1,7 @@
 package tally
 
 import (
+	"slices"
 	"testing"
 	"time"
 
@@ -84,3 +85,28 @@
 	r.SetFull(false)
 	require.Empty(t, r.Add(c.now, 3, addA).Answers)
 }
+
+// TestPeersThatHaveOnlyJustFallenSilentAreWaitedFor: a machine that does not get to the messages of others must not take that for a cut at once.
+func TestPeersThatHaveOnlyJustFallenSilentAreWaitedFor(t *testing.T) {
+	timing := DefaultTiming()
+	now := timing.FirstWait
+	r := New(0, Options{
+		Self: "a", Copies: 1, MostAdds: 1 << 10, Timing: timing, Life: 1, ClockBase: 1, NewOrigin: func() Origin { return 1 },
+	}, Saved{Set: NewSet(), Complete: true})
+	r.SetPeers(0, []string{"b"})
+	for ; now < 2*timing.FirstWait; now += timing.Pause / 2 {
+		r.Receive(now, &Message{From: "b", Life: 1, Sent: int64(now), Echo: 1 + int64(now), Whole: true, Ready: true})
+	}
+	for end := now + timing.Silence; now < end; now += timing.Pause / 2 {
+		r.Tick(now)
+	}
+	require.NotNil(t, r.Add(now, 7, addA).Write)
+	out := r.Synced(now)
+	require.Empty(t, out.Answers)
+	require.True(t, slices.ContainsFunc(out.Messages, func(e Envelope) bool { return len(e.Message.Runs) > 0 }), "the add is sent all the same")
+	added := now
+	for ; now < added+timing.Hesitate; now += timing.Pause / 2 {
+		require.Empty(t, r.Tick(now).Answers)
+	}
+	require.Equal(t, []Answer{{7, Acknowledged, ""}}, r.Tick(now).Answers)
+}
