Controller: what waited while it stood still is heard before a tick judges who is silent

Found by review, the class of the heartbeats that waited behind sessions' work: after a pause of its own a controller ended sessions and tables of which calls lay in its queue, and showed members that lacked most agents (shares of budgets, duties). A tick now comes after what waits, and a pause of its own is taken out of others' silence. TestSessionsThatWaitedWhileAControllerStoodStill fails without either.

--- a/internal/controller/owner.go
+++ b/internal/controller/owner.go
@@ -95,11 +95,24 @@
 	}
 }
 
+// executeWaiting runs all that waits now: what came while this machine stood still shows who is there before a tick judges who is silent.
+func (c *Controller) executeWaiting() {
+	for range len(c.commands) {
+		c.executeUrgent()
+		c.execute(<-c.commands)
+	}
+	c.executeUrgent()
+}
+
 // executeTick runs the regular work. It logs the last second's work where that was slow.
 func (c *Controller) executeTick() {
 	began := time.Now()
 	if !c.work.lastTick.IsZero() {
-		c.work.tickLate = max(c.work.tickLate, began.Sub(c.work.lastTick)-tickEvery)
+		late := began.Sub(c.work.lastTick) - tickEvery
+		c.work.tickLate = max(c.work.tickLate, late)
+		if late > forgiveAbove {
+			c.forgive(late)
+		}
 	}
 	c.work.lastTick = began
 	c.tick()
--- a/internal/controller/owner_test.go
+++ b/internal/controller/owner_test.go
@@ -115,3 +115,27 @@
 		require.True(t, tail.public.Load().current)
 	})
 }
+
+// TestSessionsThatWaitedWhileAControllerStoodStill: calls that came meanwhile are worked through before the tick judges who is silent, and
+// those without a call get the time that was lost.
+func TestSessionsThatWaitedWhileAControllerStoodStill(t *testing.T) {
+	c, err := New(alone(t), zerolog.Nop())
+	require.NoError(t, err)
+	defer c.store.Close()
+	calls, waits := distribute.Agent{ID: "f/1", Addr: "10.0.1.1:1"}, distribute.Agent{ID: "f/2", Addr: "10.0.1.2:1"}
+	c.touch(&distribute.WatchRequest{Agent: calls})
+	c.touch(&distribute.WatchRequest{Agent: waits})
+	stoodStill := 2 * sessionSilence
+	for _, s := range c.sessions {
+		s.heard = s.heard.Add(-stoodStill)
+	}
+	c.work.lastTick = time.Now().Add(-stoodStill - tickEvery)
+	c.enqueue(commandSession, func() { c.touch(&distribute.WatchRequest{Agent: calls}) })
+	c.executeWaiting()
+	c.executeTick()
+	require.Len(t, c.sessions, 2)
+	require.False(t, c.sessions[calls.Addr].heard.After(time.Now()))
+	c.sessions[waits.Addr].heard = time.Now().Add(-stoodStill)
+	c.executeTick()
+	require.Len(t, c.sessions, 1)
+}
--- a/internal/controller/run.go
+++ b/internal/controller/run.go
@@ -52,7 +52,7 @@
 		case command := <-c.commands:
 			c.execute(command)
 		case <-ticker.C:
-			c.executeUrgent()
+			c.executeWaiting()
 			c.executeTick()
 			if enough != nil && enough() {
 				return
--- a/internal/controller/sessions.go
+++ b/internal/controller/sessions.go
@@ -106,6 +106,28 @@
 	}
 }
 
+// forgiveAbove is how late a tick is that takes its delay out of others' silence.
+const forgiveAbove = suspectedSilence / 2
+
+// forgive takes a time for which this machine stood still out of the silence of agents and of other controllers' tables.
+func (c *Controller) forgive(stoodStill time.Duration) {
+	now := time.Now()
+	for _, s := range c.sessions {
+		s.heard = earlier(s.heard.Add(stoodStill), now)
+	}
+	for _, t := range c.elsewhere {
+		t.heard = earlier(t.heard.Add(stoodStill), now)
+	}
+}
+
+// earlier is the earlier of two times.
+func earlier(a, b time.Time) time.Time {
+	if a.Before(b) {
+		return a
+	}
+	return b
+}
+
 // expireSessions forgets agents that call no more, sooner where those that watch them miss them too.
 func (c *Controller) expireSessions() {
 	suspected := map[string]bool{}
