Proxy: a client that takes no bytes in time is not booked on its backend

Found by review, by reading: where the connection's deadline is seen before the request's, a sound backend was booked as failing and another attempt begun.

--- a/internal/proxy/relay.go
+++ b/internal/proxy/relay.go
@@ -45,7 +45,7 @@
 			return
 		}
 		outcome := dispatch.Failed
-		if ctx.Err() != nil || errors.Is(err, errClientGone) {
+		if ctx.Err() != nil || errors.Is(err, errClientGone) || errors.Is(err, context.DeadlineExceeded) {
 			outcome = dispatch.Cancelled
 		}
 		why := endingOf(ctx, q, a, err)
