--- a/internal/agent/session.go
+++ b/internal/agent/session.go
@@ -167,6 +167,7 @@
 	}
 	if members != nil {
 		a.members = members
+		a.fetchNext() // what was wanted while no members were known
 		a.notify()
 	}
 }
