--- a/internal/controller/owner_test.go
+++ b/internal/controller/owner_test.go
@@ -129,6 +129,7 @@
 	for _, s := range c.sessions {
 		s.heard = s.heard.Add(-stoodStill)
 	}
+	c.sessions[calls.Addr].heard = time.Now().Add(-2 * stoodStill) // its silence is longer than the time that was lost
 	c.work.lastTick = time.Now().Add(-stoodStill - tickEvery)
 	c.enqueue(commandSession, func() { c.touch(&distribute.WatchRequest{Agent: calls}) })
 	c.executeWaiting()
