--- a/review/tools/fleet.go
+++ b/review/tools/fleet.go
@@ -107,17 +107,22 @@
 
 var zones = []string{"zone-a", "zone-b", "zone-c"}
 
-func controllerIP(i int) string { return fmt.Sprintf("127.0.41.%d", i+1) }
-func frontIP(i int) string      { return fmt.Sprintf("127.0.42.%d", i+1) }
+// network is the first half of all addresses of this process's fleet. It differs between processes, so
+// that two cases that are played at once do not meet.
+var network = fmt.Sprintf("127.%d.%d", 32+os.Getpid()/32%192, 8*(os.Getpid()%32))
 
-const listIP = "127.0.44.1"
+func address(class, i int) string { return fmt.Sprintf("%s.%d", network, 16*class+i+1) }
+func controllerIP(i int) string   { return address(0, i) }
+func frontIP(i int) string        { return address(1, i) }
+func searcherIP(i int) string     { return address(2, i) }
+func listIP() string              { return address(3, 0) }
 
 func (f *fleet) controlAddr(i int) string {
 	return fmt.Sprintf("%s:%d", controllerIP(i), f.ports.control)
 }
 func (f *fleet) frontAddr(i int) string { return fmt.Sprintf("%s:%d", frontIP(i), f.ports.front) }
 func (f *fleet) readyAddr(i int) string { return fmt.Sprintf("%s:%d", frontIP(i), f.ports.ready) }
-func (f *fleet) listAddr() string       { return fmt.Sprintf("%s:%d", listIP, f.ports.list) }
+func (f *fleet) listAddr() string       { return fmt.Sprintf("%s:%d", listIP(), f.ports.list) }
 
 // settings writes a machine's settings file. The bounds are those of the small deployments' sheets.
 func (f *fleet) settings(name, class, ip, zone string, firstStart bool, more ...string) (string, error) {
--- a/review/tools/holder.go
+++ b/review/tools/holder.go
@@ -25,7 +25,7 @@
 		return exitNotRun
 	}
 	defer f.close()
-	s, stop, err := newSearcher("i-1", fmt.Sprintf("127.0.43.1:%d", f.ports.engine), zones[0], r)
+	s, stop, err := newSearcher("i-1", fmt.Sprintf("%s:%d", searcherIP(0), f.ports.engine), zones[0], r)
 	if err != nil {
 		r.printf("cannot run: %v", err)
 		return exitNotRun
--- a/review/tools/wall.go
+++ b/review/tools/wall.go
@@ -38,7 +38,7 @@
 	defer f.close()
 	var all []*searcher
 	for i := range wallSearchers {
-		s, stop, err := newSearcher(fmt.Sprint("i-", i+1), fmt.Sprintf("127.0.43.%d:%d", i+1, f.ports.engine), zones[i], r)
+		s, stop, err := newSearcher(fmt.Sprint("i-", i+1), fmt.Sprintf("%s:%d", searcherIP(i), f.ports.engine), zones[i], r)
 		if err != nil {
 			r.printf("cannot run: %v", err)
 			return exitNotRun
