--- a/review/tools/engine.go
+++ b/review/tools/engine.go
@@ -61,6 +61,9 @@
 // salt, tells what it keeps, answers reports and takes orders for new weights.
 type searcher struct {
 	id, addr, zone string
+	service        string
+	events         int           // of a stream
+	pause          time.Duration // between two of them
 	record         *record
 
 	mu      sync.Mutex
@@ -68,12 +71,12 @@
 	orders  []order
 	ordered chan order
 	kept    map[string]keptPart // by salt, model and all parts up to this one
-	events  [][]any
+	kvLog   [][]any             // what was kept and dropped, as the searcher tells it
 	uses    []use
 }
 
 func newSearcher(id, addr, zone string, r *record) (*searcher, func(), error) {
-	s := &searcher{id: id, addr: addr, zone: zone, record: r, ordered: make(chan order, 256), kept: map[string]keptPart{}}
+	s := &searcher{id: id, addr: addr, zone: zone, service: serviceName, events: streamEvents, pause: eventPause, record: r, ordered: make(chan order, 256), kept: map[string]keptPart{}}
 	s.states = []searcherState{{since: time.Now().Add(-time.Hour), version: 1}}
 	mux := http.NewServeMux()
 	mux.HandleFunc("GET /v1/report", s.report)
@@ -81,6 +84,7 @@
 	mux.HandleFunc("GET /v1/kv-events", s.kvEvents)
 	mux.HandleFunc("GET /v1/kv-list", s.kvList)
 	mux.HandleFunc("POST /", s.generate)
+	mux.HandleFunc("GET /two/", s.lookUp)
 	mux.HandleFunc("GET /health", func(w http.ResponseWriter, _ *http.Request) { w.Header().Set("X-Instance-Id", s.id) })
 	stop, err := serve(addr, mux)
 	return s, stop, err
@@ -152,8 +156,8 @@
 	for until := time.Now().Add(waitTime(r)); ; time.Sleep(20 * time.Millisecond) {
 		s.mu.Lock()
 		events := [][]any{}
-		events = append(events, s.events[min(max(since, 0), len(s.events)):]...)
-		next := len(s.events)
+		events = append(events, s.kvLog[min(max(since, 0), len(s.kvLog)):]...)
+		next := len(s.kvLog)
 		s.mu.Unlock()
 		if len(events) > 0 || !time.Now().Before(until) || r.Context().Err() != nil {
 			writeJSON(w, http.StatusOK, map[string]any{"epoch": 1, "next_page_token": next, "lost": false, "events": events})
@@ -169,7 +173,7 @@
 		names := strings.Split(key, "\x00")
 		held = append(held, []any{names[0], names[len(names)-1], part.tokens, names[1]})
 	}
-	next := len(s.events)
+	next := len(s.kvLog)
 	s.mu.Unlock()
 	writeJSON(w, http.StatusOK, map[string]any{"epoch": 1, "next_page_token": next, "held": held})
 }
@@ -199,13 +203,25 @@
 	w.Header().Set("X-Response-Seal", s.id+"/"+id)
 	w.Header().Set("Versions", fmt.Sprint(state.version))
 	w.Header().Set("Content-Type", "text/event-stream")
-	for i := range streamEvents {
+	for i := range s.events {
 		fmt.Fprintf(w, "id: %d\ndata: token %d of %s\n\n", i+1, i+1, id)
 		http.NewResponseController(w).Flush()
-		time.Sleep(eventPause)
+		time.Sleep(s.pause)
 	}
 }
 
+// lookUp runs a request of the service that has no models, and answers it whole at once.
+func (s *searcher) lookUp(w http.ResponseWriter, r *http.Request) {
+	if s.otherInstance(w, r) {
+		return
+	}
+	id := r.Header.Get("X-Request-Id")
+	s.record.printf("%s runs %s", s.id, id)
+	w.Header().Set("X-Request-Id", id)
+	w.Header().Set("X-Response-Seal", s.id+"/"+id)
+	fmt.Fprintf(w, "one in stock, asked by %s", id)
+}
+
 // prefill books what a request uses of the kept parts, keeps the others, and returns the tokens that are
 // read anew. A part is found only behind all parts before it.
 func (s *searcher) prefill(r *http.Request, id string, version int64) (read int) {
@@ -226,7 +242,7 @@
 		}
 		read += tokens
 		s.kept[key] = keptPart{tokens, tenant, version, id}
-		s.events = append(s.events, []any{len(s.events) + 1, "+", salt, part, tokens, r.Header.Get("X-Model")})
+		s.kvLog = append(s.kvLog, []any{len(s.kvLog) + 1, "+", salt, part, tokens, r.Header.Get("X-Model")})
 	}
 	return read
 }
@@ -264,9 +280,9 @@
 		time.AfterFunc(weightsTime, func() {
 			s.mu.Lock()
 			s.change(searcherState{version: body.Version, sequence: s.states[len(s.states)-1].sequence})
-			for _, event := range s.events {
+			for _, event := range s.kvLog {
 				if event[1] == "+" {
-					s.events = append(s.events, []any{len(s.events) + 1, "-", event[2], event[3], 0, event[5]})
+					s.kvLog = append(s.kvLog, []any{len(s.kvLog) + 1, "-", event[2], event[3], 0, event[5]})
 				}
 			}
 			s.kept = map[string]keptPart{}
@@ -312,10 +328,14 @@
 			s.mu.Lock()
 			state := s.stateAt(time.Now().Add(-listLag))
 			s.mu.Unlock()
-			instances = append(instances, map[string]any{
-				"id": s.id, "service": serviceName, "address": s.addr, "zone": s.zone, "version": "v1", "slots": 64, "state": "ready",
-				"cold_remaining_ms": 0, "stage": "both", "models": models(state.version),
-			})
+			entry := map[string]any{
+				"id": s.id, "service": s.service, "address": s.addr, "zone": s.zone, "version": "v1", "slots": 64, "state": "ready",
+				"cold_remaining_ms": 0,
+			}
+			if s.service == serviceName {
+				entry["stage"], entry["models"] = "both", models(state.version)
+			}
+			instances = append(instances, entry)
 		}
 		writeJSON(w, http.StatusOK, map[string]any{"instances": instances, "next_page_token": nil})
 	}))
--- a/review/tools/main.go
+++ b/review/tools/main.go
@@ -10,6 +10,7 @@
 	"tally":  tallyCase,
 	"holder": holderCase,
 	"wall":   wallCase,
+	"term":   termCase,
 }
 
 func main() {
