--- a/internal/chain/replica.go
+++ b/internal/chain/replica.go
@@ -258,7 +258,11 @@
 	case replicated.Conflict, replicated.Invalid, replicated.Outdated:
 		return 0, &RefusedError{verdict, err}
 	}
-	r.appendEntry(Entry{Seq: r.lastSeq() + 1, Epoch: view.Epoch, Operation: o.Encode()})
+	prepared, err := r.state.Prepare(o)
+	if err != nil {
+		return 0, err
+	}
+	r.appendEntry(Entry{Seq: r.lastSeq() + 1, Epoch: view.Epoch, Operation: prepared.Encode()})
 	r.forwardNewest()
 	return r.lastSeq(), nil
 }
--- a/internal/config/table.go
+++ b/internal/config/table.go
@@ -14,6 +14,7 @@
 	services       map[string]*Service // by name
 	routesByHost   map[string][]*Route // longest path prefix first
 	tenantsByKey   map[string]*Tenant
+	tenants        tenantSharing
 	requiresAPIKey bool
 }
 
@@ -26,6 +27,7 @@
 		services:       make(map[string]*Service, len(doc.Services)),
 		routesByHost:   map[string][]*Route{},
 		tenantsByKey:   map[string]*Tenant{},
+		tenants:        newTenantSharing(doc),
 		requiresAPIKey: len(doc.Tenants) > 0,
 	}
 	for i := range doc.Services {
--- a/internal/dispatch/estimate.go
+++ b/internal/dispatch/estimate.go
@@ -91,7 +91,7 @@
 	for i, b := range eligible {
 		ids[i] = b.ID
 	}
-	return rendezvous.Top(r.IsolatedTenant+"/"+r.Parts[len(r.Parts)-2].ID, ids, preferredPerPrompt)
+	return rendezvous.Top(t.promptOwner(r.Tenant)+"/"+r.Parts[len(r.Parts)-2].ID, ids, preferredPerPrompt)
 }
 
 // isPrefilling reports whether the backend is assumed to prefill all shared parts of a request for another
@@ -136,8 +136,8 @@
 	return version < t.versionTimes[model].Newest()
 }
 
-// mayFetchFrom reports whether a holder may be fetched from. It need not check versions and isolated tenants,
-// because these have separate cache salts.
+// mayFetchFrom reports whether a holder may be fetched from. It need not check versions and tenants,
+// because the cache salt separates what they may not share.
 func (t *Table) mayFetchFrom(now time.Duration, b *Backend) bool {
 	return !b.Draining && t.evacuatedZones[b.Zone] == 0 && now >= b.avoidUntil && now >= b.coldUntil &&
 		b.phase != PhaseLoading
--- a/internal/dispatch/pick.go
+++ b/internal/dispatch/pick.go
@@ -1,7 +1,6 @@
 package dispatch
 
 import (
-	"strconv"
 	"time"
 
 	"nettlefold/internal/kvindex"
@@ -11,17 +10,17 @@
 
 // Request is what the choice of a backend depends on.
 type Request struct {
-	Service        string
-	Model          string
-	Parts          []kvindex.Part // of the prompt; other requests may share all but the last
-	PromptTokens   int
-	BodyBytes      int
-	TargetMS       float64  // target for the time to the first token, 0 if none is set
-	RemainingMS    float64  // time until the client gives up
-	Retried        bool     // an earlier attempt is known: the request was refused, or sent to a backend
-	PolicyRank     int      // rank by the configured priorities of its route and tenant, 0 is the most urgent
-	IsolatedTenant string   // name of the tenant if it shares cached prompts with no other, else ""
-	TriedBackends  []string // IDs of backends that must not be chosen again
+	Service       string
+	Model         string
+	Parts         []kvindex.Part // of the prompt; other requests may share all but the last
+	PromptTokens  int
+	BodyBytes     int
+	TargetMS      float64  // target for the time to the first token, 0 if none is set
+	RemainingMS   float64  // time until the client gives up
+	Retried       bool     // an earlier attempt is known: the request was refused, or sent to a backend
+	PolicyRank    int      // rank by the configured priorities of its route and tenant, 0 is the most urgent
+	Tenant        string   // name of the tenant, "" for none
+	TriedBackends []string // IDs of backends that must not be chosen again
 }
 
 // Choice is the chosen backend for a request. The caller must pass it to Table.End once, unless RetryAfterMS
@@ -32,7 +31,7 @@
 	Addr      string
 	FetchAddr string  // address of the holder to fetch from, "" for none
 	SaveAddr  string  // address of the store to save to, "" for none
-	Salt      string  // cache salt
+	Salt      string  // cache salt, "" if the request has no prompt
 	Version   int64   // expected version of the weights, 0 if the request names no model
 	WaitMS    float64 // expected time in the backend's queue
 	PrefillMS float64 // expected time to prefill the prompt
@@ -137,6 +136,7 @@
 		p.costMS += crossZoneMS + crossZoneMSPerKB*float64(r.BodyBytes)/1024
 	}
 	load := b.ownLoad.Add(b.otherLoad)
+	p.version = b.Versions[r.Model]
 	if !hasEngine(s.service) || r.Model == "" {
 		latencyMS := b.latencyMS
 		if latencyMS == 0 {
@@ -147,7 +147,6 @@
 	}
 	// Jitter keeps all mixers from choosing the same backend before they learn of each other's requests.
 	p.costMS += t.random.Float64() * s.estimates.costJitterMS()
-	p.version = b.Versions[r.Model]
 	p.prompt = t.promptFor(now, s, p.version)
 	p.source = t.choosePrefixSource(s, &p, b)
 	prefixTokens := p.source.prefixTokens
@@ -169,11 +168,14 @@
 		Version: p.version, WaitMS: p.waitMS, PrefillMS: p.prefillMS,
 		load:   Load{Running: 1, QueuedPrefillMS: int(p.prefillMS), Tokens: r.PromptTokens},
 		sentAt: now, promptTokens: r.PromptTokens, prefixTokens: p.source.prefixTokens,
-		transferMS: p.source.transferMS, nearlyIdle: b.nearlyIdle(p.waitMS),
+		transferMS: p.source.transferMS, nearlyIdle: b.nearlyIdle(p.waitMS), EnginePriority: unratedPriority,
+	}
+	if r.Model != "" || len(r.Parts) > 0 {
+		// Also where the configuration names no engine: without a salt, engines share prompts with everyone.
+		c.Salt = t.cacheSalt(p.version, t.promptOwner(r.Tenant))
 	}
 	if p.prompt != nil {
 		c.EnginePriority = enginePriority(p.prefillMS, t.estimatesOf(r.Service).observePrefill(p.prefillMS), r.PolicyRank)
-		c.Salt = p.prompt.salt
 		c.CacheTrace = r.cacheTrace(b, t.index, &p)
 		t.estimatesOf(r.Service).observeEvictions(c.SharedTokens, t.evictedTokens(r, p.prompt))
 		t.setTransfer(c, r, p)
@@ -245,12 +247,3 @@
 	}
 	return ""
 }
-
-// cacheSalt returns the cache salt that separates versions of the weights and isolated tenants.
-func cacheSalt(version int64, isolatedTenant string) string {
-	salt := "v" + strconv.FormatInt(version, 10)
-	if isolatedTenant != "" {
-		salt += "/" + isolatedTenant
-	}
-	return salt
-}
--- a/internal/dispatch/priority.go
+++ b/internal/dispatch/priority.go
@@ -9,6 +9,8 @@
 const (
 	// lowestPriority is the least urgent priority at an engine; 0 is the most urgent.
 	lowestPriority = 9
+	// unratedPriority is the priority that an engine assumes for requests without one.
+	unratedPriority = 5
 	// middlePriority is the priority of a prompt of policy rank 0 with the mean prefill time. Twice the prefill time
 	// makes a prompt less urgent by 1.
 	middlePriority = 4.5
--- a/internal/dispatch/selection.go
+++ b/internal/dispatch/selection.go
@@ -45,7 +45,7 @@
 		return p
 	}
 	r := s.request
-	p = &cachedPrompt{salt: cacheSalt(version, r.IsolatedTenant)}
+	p = &cachedPrompt{salt: t.cacheSalt(version, t.promptOwner(r.Tenant))}
 	p.keys = kvindex.Keys(p.salt, r.Model, r.Parts)
 	s.prompts[version] = p
 	for _, b := range t.byService[r.Service] {
--- a/internal/dispatch/table.go
+++ b/internal/dispatch/table.go
@@ -96,6 +96,7 @@
 type Table struct {
 	settings       Settings
 	config         *config.Table
+	sharingSince   *int64                        // see SetSharingSince
 	evacuatedZones map[string]uint64             // by name; 0 means not evacuated, no other value has a meaning here
 	versionTimes   map[string]superseded.History // by model: when versions of the weights were superseded
 	backends       map[string]*Backend           // by ID
--- a/internal/distribute/messages.go
+++ b/internal/distribute/messages.go
@@ -69,6 +69,9 @@
 	Restored  map[string]uint64                  `cbor:"5,keyasint,omitempty"`
 	Models    map[string]replicated.ModelVersion `cbor:"6,keyasint,omitempty"`
 	Leases    map[string]replicated.LeaseRecord  `cbor:"7,keyasint,omitempty"`
+	// SharingSince is Since of the state's PromptSharing. It is nil if a controller or an agent of a build that
+	// doesn't know it passed the snapshot on.
+	SharingSince *int64 `cbor:"8,keyasint,omitempty"`
 }
 
 // NewSnapshot returns the snapshot for a receiver that has the configuration of configSeq.
@@ -76,6 +79,7 @@
 	snapshot := &Snapshot{
 		Seq: s.Seq, ConfigSeq: s.ConfigSeq,
 		Evacuated: s.Evacuated, Restored: s.Restored, Models: s.Models, Leases: s.Leases,
+		SharingSince: &s.PromptSharing.Since,
 	}
 	if s.ConfigSeq != configSeq {
 		snapshot.Config = s.Config
--- a/internal/lab/fleetdemo/play_test.go
+++ b/internal/lab/fleetdemo/play_test.go
@@ -27,6 +27,15 @@
 	require.NoError(t, err)
 }
 
+// TestIsolationWithProcesses guards against WALL with processes: what a tenant's requests left at the engines before it was isolated served
+// others afterwards.
+func TestIsolationWithProcesses(t *testing.T) {
+	var out bytes.Buffer
+	err := PlayIsolation(buildProgram(t), &out)
+	t.Log(out.String())
+	require.NoError(t, err)
+}
+
 // TestASeededSoak plays two short soaks. The judge eases its times by what the machine was late by in the run, so that a busy one gives the
 // same verdict.
 func TestASeededSoak(t *testing.T) {
--- a/internal/lab/fleetdemo/runlog.go
+++ b/internal/lab/fleetdemo/runlog.go
@@ -18,12 +18,23 @@
 	At     time.Time
 }
 
+// promptMaker is the request that made a part of a prompt at an engine, or that uses it, and its tenant.
+type promptMaker struct{ Request, Tenant string }
+
+// promptUse is the use of a part that an engine keeps or fetches.
+type promptUse struct {
+	User, Maker promptMaker
+	Part        string
+	At          time.Time // when the request that uses it came to the engine
+}
+
 // runLog is what engines did: it is what the judge of a soak goes by, apart from the programs. A nil one notes nothing.
 type runLog struct {
 	mu       sync.Mutex
 	runs     []run
 	arrivals map[string][]arrival // by request
 	crashes  map[string]time.Time
+	uses     []promptUse // by other tenants than the part's maker
 }
 
 func newRunLog() *runLog {
@@ -56,3 +67,22 @@
 	defer l.mu.Unlock()
 	l.crashes[engine] = time.Now()
 }
+
+// takeUses gives the uses noted since the last call.
+func (l *runLog) takeUses() []promptUse {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	uses := l.uses
+	l.uses = nil
+	return uses
+}
+
+// used notes that a request uses a part that another tenant's request made.
+func (l *runLog) used(use promptUse) {
+	if l == nil || use.User.Tenant == use.Maker.Tenant {
+		return
+	}
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.uses = append(l.uses, use)
+}
--- a/internal/proxy/forward.go
+++ b/internal/proxy/forward.go
@@ -108,7 +108,7 @@
 	return &dispatch.Request{
 		TargetMS: q.route.TargetLatencyMS, PolicyRank: q.rank, RemainingMS: float64(time.Until(q.clientDeadline).Milliseconds()),
 		Retried: q.likelyRetry || len(tried) > 0, Service: q.service, Model: q.model, Parts: q.promptParts,
-		PromptTokens: q.promptTokens, BodyBytes: len(q.body), IsolatedTenant: q.isolatedTenant(), TriedBackends: tried,
+		PromptTokens: q.promptTokens, BodyBytes: len(q.body), Tenant: q.tenantName(), TriedBackends: tried,
 	}
 }
 
@@ -130,9 +130,11 @@
 	header.Set(headerExpectedInstance, c.ID)
 	if c.Version != 0 {
 		header.Set(headerExpectedVersion, strconv.FormatInt(c.Version, 10))
-		header.Set(headerCacheSalt, c.Salt)
 		header.Set(headerPriority, strconv.Itoa(c.EnginePriority))
 	}
+	if c.Salt != "" {
+		header.Set(headerCacheSalt, c.Salt)
+	}
 	if c.FetchAddr != "" {
 		header.Set(headerKVFetch, c.FetchAddr)
 	}
--- a/internal/proxy/proxy.go
+++ b/internal/proxy/proxy.go
@@ -352,6 +352,7 @@
 		p.dispatchTable.SetConfig(table)
 		p.applied.ConfigSeq = s.ConfigSeq
 	}
+	p.dispatchTable.SetSharingSince(s.SharingSince)
 	p.logModelVersions(now, s, versions)
 	p.dispatchTable.SetState(now, s.Evacuated, s.Restored, s.Models, versions)
 	p.armFirstByteTimers(now)
--- a/internal/proxy/serve.go
+++ b/internal/proxy/serve.go
@@ -239,17 +239,16 @@
 	}
 	rank := q.route.Priority
 	if q.tenant != nil {
-		h.Set(headerTenantName, q.tenant.Name)
+		h.Set(headerTenantName, q.tenantName())
 		rank = q.tenant.Priority*routeRanksPerTenant + min(q.route.Priority, routeRanksPerTenant-1)
 	}
 	q.backendHeader, q.rank = h, rank
 }
 
-// isolatedTenant returns the name of a tenant whose prompts must not share a prefix cache with
-// others, "" if the request has no such tenant.
-func (q *request) isolatedTenant() string {
-	if q.tenant != nil && q.tenant.Isolated {
-		return q.tenant.Name
+// tenantName returns the name of the request's tenant, "" if it has none.
+func (q *request) tenantName() string {
+	if q.tenant == nil {
+		return ""
 	}
-	return ""
+	return q.tenant.Name
 }
--- a/internal/replicated/state.go
+++ b/internal/replicated/state.go
@@ -43,6 +43,9 @@
 	// evacuate the zone, or to end the evacuation, was received. With it a delayed operation can't undo a
 	// newer one.
 	BaseZoneSeq uint64 `cbor:"10,keyasint,omitempty"`
+	// SharingSince is PromptSharing.Since once the configuration is in force, as the head of the chain decided.
+	// It is nil for other operations, and from the head of a build that doesn't know it.
+	SharingSince *int64 `cbor:"11,keyasint,omitempty"`
 }
 
 // ConfigDigest identifies a configuration by its text and the version that it is based on.
@@ -74,20 +77,27 @@
 	// ZoneSeqs has, by zone, the sequence number of its newest operation, an evacuation or its end, including
 	// those that changed nothing.
 	ZoneSeqs map[string]uint64 `cbor:"10,keyasint"`
+	// PromptSharing is never nil. It is replaced, never modified.
+	PromptSharing *PromptSharing `cbor:"11,keyasint"`
 }
 
 // New returns the state before the first operation.
 func New() *State {
 	return &State{
 		Evacuated: map[string]uint64{}, Models: map[string]ModelVersion{}, Leases: map[string]LeaseRecord{},
-		Restored: map[string]uint64{}, ZoneSeqs: map[string]uint64{},
+		Restored: map[string]uint64{}, ZoneSeqs: map[string]uint64{}, PromptSharing: &PromptSharing{Complete: true},
 	}
 }
 
-// Decode decodes a state that Encode encoded.
+// Decode decodes a state that Encode encoded, also one of an earlier build.
 func Decode(encoded []byte) (*State, error) {
 	s := New()
-	if err := cbor.Unmarshal(encoded, s); err != nil {
+	s.PromptSharing = nil
+	err := cbor.Unmarshal(encoded, s)
+	if err == nil && s.PromptSharing == nil {
+		s.PromptSharing, err = unrecordedSharing(s)
+	}
+	if err != nil {
 		return nil, fmt.Errorf("replicated: decode state: %w", err)
 	}
 	return s, nil
@@ -96,7 +106,8 @@
 // Size returns the approximate size of the encoded state in bytes.
 func (s *State) Size() int {
 	const bytesPerEntry = 64
-	return len(s.Config) + len(s.AcceptedConfigs)*len(ConfigDigest{}) + bytesPerEntry*(len(s.Evacuated)+len(s.Restored)+len(s.Models)+len(s.Leases))
+	return len(s.Config) + len(s.AcceptedConfigs)*len(ConfigDigest{}) + nameBytes(s.PromptSharing.Tenants) +
+		bytesPerEntry*(len(s.Evacuated)+len(s.Restored)+len(s.Models)+len(s.Leases))
 }
 
 // Encode encodes the state.
@@ -229,6 +240,7 @@
 			return // Check rejects it, so no replica applies it
 		}
 		s.Config, s.ConfigVersion, s.ConfigSeq = o.Body, doc.Version, seq
+		s.PromptSharing = s.PromptSharing.after(doc).startingAt(o.SharingSince)
 		s.AcceptedConfigs = append(s.AcceptedConfigs, o.configDigest())
 		if excess := len(s.AcceptedConfigs) - maxAcceptedConfigs; excess > 0 {
 			s.AcceptedConfigs = slices.Delete(s.AcceptedConfigs, 0, excess)
@@ -252,7 +264,7 @@
 	}
 }
 
-// Clone returns a copy of the state. The copies share byte slices, which are never modified.
+// Clone returns a copy of the state. The copies share byte slices and the prompt sharing, which are never modified.
 func (s *State) Clone() *State {
 	c := *s
 	c.AcceptedConfigs = slices.Clone(s.AcceptedConfigs)
