Soak: two tenants, one isolated by some configurations, and a judge of WALL

Each second pair of configurations isolates t2; half of the clients ask as t2. The judge holds each use by another tenant to all configurations that may have been in force when the request reached its engine. Seven planted records.

--- a/internal/lab/fleetdemo/judge.go
+++ b/internal/lab/fleetdemo/judge.go
@@ -17,6 +17,7 @@
 	ruleConfig  = "CONFIG"  // a request was handled as only an older configuration allows
 	ruleEvac    = "EVAC"    // a request reached an engine of a zone that was evacuated long enough ago
 	ruleDrain   = "DRAIN"   // a request reached an engine that was draining for too long
+	ruleWall    = "WALL"    // a request used what a request of another tenant made, and one of the two is isolated
 	ruleStale   = "STALE"   // a tally was read without an add that it owed
 )
 
@@ -78,6 +79,7 @@
 	Cuts     []cutTrouble
 	Configs  []ordered
 	Weights  []ordered
+	Uses     []promptUse // of what another tenant's request made
 	Limits   limits
 
 	Evacuations []evacuation
@@ -113,6 +115,7 @@
 	for _, one := range r.Runs {
 		findings = append(findings, r.judgeVersion(one)...)
 	}
+	findings = append(findings, r.judgeUses()...)
 	findings = append(findings, r.judgeTallies()...)
 	slices.SortFunc(findings, func(x, y finding) int { return x.At.Compare(y.At) })
 	return findings
--- a/internal/lab/fleetdemo/judge_test.go
+++ b/internal/lab/fleetdemo/judge_test.go
@@ -29,6 +29,8 @@
 	fromCore := between([]string{frontIP(0)}, []string{controllerIP(1)})
 	otherFront := between([]string{frontIP(1)}, []string{controllerIP(1)})
 	betweenFronts := between([]string{frontIP(0)}, []string{frontIP(1)})
+	useByT1 := promptUse{User: promptMaker{"a", "t1"}, Maker: promptMaker{"b", isolatedTenant}, Part: "sys", At: at(10.1)}
+	useByT3 := promptUse{User: promptMaker{"a", "t1"}, Maker: promptMaker{"b", "t3"}, Part: "sys", At: at(10.1)}
 	inCore := between([]string{controllerIP(0)}, []string{controllerIP(1)})
 	for name, c := range map[string]struct {
 		record record
@@ -72,6 +74,13 @@
 		"evacuated, in touch again":    {record{Asks: []ask{{ID: "a"}}, Arrivals: toZone1, Evacuations: []evacuation{{"zone-1", at(2), time.Time{}}}, Cuts: []cutTrouble{{span{at(6), at(7)}, fromCore}}}, ruleEvac},
 		"evacuated, front cut off":     {record{Asks: []ask{{ID: "a"}}, Arrivals: toZone1, Evacuations: []evacuation{{"zone-1", at(2), time.Time{}}}, Cuts: []cutTrouble{{span{at(6), at(11)}, betweenFronts}}}, ruleEvac},
 		"evacuated, core cut":          {record{Asks: []ask{{ID: "a"}}, Arrivals: toZone1, Evacuations: []evacuation{{"zone-1", at(2), time.Time{}}}, Cuts: []cutTrouble{{span{at(9), at(11)}, inCore}}}, ""},
+		"isolated":                     {record{Asks: []ask{{ID: "a"}}, Uses: []promptUse{useByT1}, Configs: []ordered{{1, at(1), at(2)}, {2, at(7), at(8)}}}, ruleWall},
+		"isolated, in time":            {record{Asks: []ask{{ID: "a"}}, Uses: []promptUse{useByT1}, Configs: []ordered{{1, at(1), at(2)}, {2, at(7), at(8.1)}}}, ""},
+		"isolated, not acknowledged":   {record{Asks: []ask{{ID: "a"}}, Uses: []promptUse{useByT1}, Configs: []ordered{{1, at(1), at(2)}, {2, at(7), time.Time{}}}}, ""},
+		"isolated, opened since":       {record{Asks: []ask{{ID: "a"}}, Uses: []promptUse{useByT1}, Configs: []ordered{{2, at(1), at(2)}, {3, at(3), at(4)}, {4, at(10), time.Time{}}}}, ""},
+		"isolated twice":               {record{Asks: []ask{{ID: "a"}}, Uses: []promptUse{useByT1}, Configs: []ordered{{2, at(1), at(2)}, {3, at(9), at(9.5)}}}, ruleWall},
+		"isolated, others shared":      {record{Asks: []ask{{ID: "a"}}, Uses: []promptUse{useByT3}, Configs: []ordered{{2, at(1), at(2)}}}, ""},
+		"isolated, its front thawed":   {record{Asks: []ask{{ID: "a"}}, Uses: []promptUse{useByT1}, Configs: []ordered{{2, at(1), at(2)}}, Fronts: []machineTrouble{{span{at(6), at(8)}, 0, actFreeze}}}, ""},
 		"draining":                     {record{Asks: []ask{{ID: "a"}}, Arrivals: toZone1, Drains: map[string]time.Time{"i-2/1": at(6.9)}}, ruleDrain},
 		"draining, in time":            {record{Asks: []ask{{ID: "a"}}, Arrivals: toZone1, Drains: map[string]time.Time{"i-2/1": at(7.2)}}, ""},
 		"another life was draining":    {record{Asks: []ask{{ID: "a"}}, Arrivals: toZone1, Drains: map[string]time.Time{"i-2": at(2)}}, ""},
--- a/internal/lab/fleetdemo/soak.go
+++ b/internal/lab/fleetdemo/soak.go
@@ -116,10 +116,19 @@
 	return fmt.Sprintf(`{"version":%d,"routes":[%s,%s,%s],
  "services":[{"name":"llm","connection_limit":200,"cold_start_s":1,"cold_per_s":20,"engine":{"slots":%d,"kv_capacity_tokens":500000,
  "kv_token_bytes":35136,"link_mbps":740000,"max_concurrency":12,"models":[{"name":%q}]}}],
- "tenants":[{"name":"t1","api_keys":["key-1"],"priority":1}]}`,
-		number, route("/once/", false), route("/again/", true), route(extraPath(number), true), engineSlots, model)
+ "tenants":[{"name":"t1","api_keys":["key-1"],"priority":1},{"name":"t2","api_keys":["key-2"],"priority":1,"isolated":%v}]}`,
+		number, route("/once/", false), route("/again/", true), route(extraPath(number), true), engineSlots, model, soakIsolates(int64(number)))
 }
 
+// soakTenants is how many tenants ask. Each has a key of its own.
+const soakTenants = 2
+
+// isolatedTenant is the tenant that some configurations of a soak isolate.
+const isolatedTenant = "t2"
+
+// soakIsolates tells whether a configuration isolates isolatedTenant: two in a row do, and two don't.
+func soakIsolates(number int64) bool { return number/2%2 == 1 }
+
 func extraPath(number int) string { return fmt.Sprintf("/extra-%d/", number) }
 
 // soakDeadline is the time of a configuration's routes: it changes with each.
@@ -196,7 +205,7 @@
 	defer log.mu.Unlock()
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.record.Runs, s.record.Arrivals, s.record.Crashes = log.runs, log.arrivals, log.crashes
+	s.record.Runs, s.record.Arrivals, s.record.Crashes, s.record.Uses = log.runs, log.arrivals, log.crashes, log.uses
 	s.record.Limits = limits{
 		Version: soakVersionLimit, Apply: soakApplyLimit, Grace: soakGrace, Evacuation: soakEvacuationLimit, Drain: soakDrainLimit,
 		Contact: soakContact, Merge: soakMergeLimit, Slack: s.slack(),
--- a/internal/lab/fleetdemo/soakclient.go
+++ b/internal/lab/fleetdemo/soakclient.go
@@ -94,7 +94,7 @@
 	request.ContentLength = int64(len("a question"))
 	request.Host = "demo.example"
 	for name, value := range map[string]string{
-		"X-Request-Id": a.ID, "X-Model": model, "Api-Key": "key-1", "X-Request-Deadline-Ms": fmt.Sprint(shortestDeadline.Milliseconds()),
+		"X-Request-Id": a.ID, "X-Model": model, "Api-Key": fmt.Sprint("key-", 1+c.number%soakTenants), "X-Request-Deadline-Ms": fmt.Sprint(shortestDeadline.Milliseconds()),
 		"X-Token-Usage": "1500,8", "X-Prompt-Prefix": fmt.Sprintf("sys:500,doc%d:800,%s:200", c.random.IntN(prompts), a.ID),
 	} {
 		request.Header.Set(name, value)
