--- a/cmd/nettlefold/tools.go
+++ b/cmd/nettlefold/tools.go
@@ -67,8 +67,8 @@
 	fmt.Fprintf(out, "identity %s\nepoch %d, log of epoch %d, length at its start %d\nchain %v\n",
 		r.Meta.Identity, r.Meta.View.Epoch, r.Meta.LogEpoch, r.Meta.View.LogLength, r.Meta.View.Chain)
 	if r.State != nil {
-		fmt.Fprintf(out, "snapshot at %d: configuration %d, evacuated %v, models %v, duties %v\n",
-			r.State.Seq, r.State.ConfigVersion, r.State.Evacuated, r.State.Models, r.State.Leases)
+		fmt.Fprintf(out, "snapshot at %d: configuration %d, prompts shared since %d, evacuated %v, models %v, duties %v\n",
+			r.State.Seq, r.State.ConfigVersion, r.State.PromptSharing.Since, r.State.Evacuated, r.State.Models, r.State.Leases)
 	}
 	for _, e := range r.Entries {
 		fmt.Fprintf(out, "entry %d of epoch %d, %d bytes\n", e.Seq, e.Epoch, len(e.Operation))
--- a/internal/controller/status.go
+++ b/internal/controller/status.go
@@ -18,9 +18,10 @@
 	Epoch         uint64                             `json:"epoch"`
 	Chain         []string                           `json:"chain"` // head first
 	Acceptors     []string                           `json:"acceptors"`
-	Learners      []string                           `json:"learners,omitempty"` // chain members without a vote
-	Seq           uint64                             `json:"seq"`                // of the newest committed operation known here
-	ConfigVersion int64                              `json:"config_version"`     // of the configuration in force
+	Learners      []string                           `json:"learners,omitempty"`   // chain members without a vote
+	Seq           uint64                             `json:"seq"`                  // of the newest committed operation known here
+	ConfigVersion int64                              `json:"config_version"`       // of the configuration in force
+	SharingSince  int64                              `json:"prompts_shared_since"` // see replicated.PromptSharing
 	Evacuated     []string                           `json:"evacuated"`
 	Models        map[string]replicated.ModelVersion `json:"models"`
 	Leases        map[string]replicated.LeaseRecord  `json:"duties"` // "duties" is the name of the leases in the API
@@ -59,7 +60,7 @@
 	now := c.published.Load()
 	s := Status{
 		Controller: string(now.self), Current: now.current, DiskFails: !c.diskFailedAt.IsZero(),
-		Epoch: now.view.Epoch, Seq: now.state.Seq, ConfigVersion: now.state.ConfigVersion,
+		Epoch: now.view.Epoch, Seq: now.state.Seq, ConfigVersion: now.state.ConfigVersion, SharingSince: now.state.PromptSharing.Since,
 		Models: now.state.Models, Leases: now.state.Leases, Mixers: len(now.members.Agents),
 	}
 	for _, id := range now.view.Chain {
--- a/internal/dispatch/salt.go
+++ b/internal/dispatch/salt.go
@@ -6,8 +6,16 @@
 )
 
 // SetSharingSince sets the start of the common salt of the tenants that share cached prompts, which belongs
-// to the current configuration (replicated.PromptSharing). nil means that it is unknown.
-func (t *Table) SetSharingSince(since *int64) { t.sharingSince = since }
+// to the current configuration (replicated.PromptSharing). nil means that it is unknown. It reports whether the
+// start differs from the one before.
+func (t *Table) SetSharingSince(since *int64) (changed bool) {
+	before := t.sharingSince
+	t.sharingSince = since
+	if before == nil || since == nil {
+		return before != since
+	}
+	return *before != *since
+}
 
 // promptOwner returns the tenant whose cached prompts no other may use, "" if the request shares its prompt.
 // A tenant that is not in the current configuration may be an isolated one that was removed while its request
--- a/internal/proxy/proxy.go
+++ b/internal/proxy/proxy.go
@@ -352,13 +352,20 @@
 		p.dispatchTable.SetConfig(table)
 		p.applied.ConfigSeq = s.ConfigSeq
 	}
-	p.dispatchTable.SetSharingSince(s.SharingSince)
+	p.applySharing(s)
 	p.logModelVersions(now, s, versions)
 	p.dispatchTable.SetState(now, s.Evacuated, s.Restored, s.Models, versions)
 	p.armFirstByteTimers(now)
 	p.applied.SnapshotSeq = s.Seq
 }
 
+// applySharing applies when the sharing of cached prompts started, and logs a change of it.
+func (p *Proxy) applySharing(s *distribute.Snapshot) {
+	if p.dispatchTable.SetSharingSince(s.SharingSince) {
+		p.log.Info().Str("step", "sharing").Interface("since", s.SharingSince).Uint64("seq", s.Seq).Msg("cached prompts from before this configuration are not shared any more")
+	}
+}
+
 // logModelVersions logs the requested model versions that changed, with the known ages of versions.
 func (p *Proxy) logModelVersions(now time.Duration, s *distribute.Snapshot, versions map[string]superseded.History) {
 	for model, wanted := range s.Models {
