Dispatch, proxy, upstream: drop fields and parameters that nothing reads

Table.byAddr, Table.SetState's restored zones, proxy's reservedFiles, conn.used and Response.complete were written or passed and never read. No behaviour changes; the packages' tests pass.

--- a/internal/dispatch/dispatch_test.go
+++ b/internal/dispatch/dispatch_test.go
@@ -114,7 +114,7 @@
 
 func TestPickSkipsUnusableHolders(t *testing.T) {
 	for name, makeUnusable := range map[string]func(table *Table){
-		"evacuated": func(table *Table) { table.SetState(0, map[string]uint64{"z": 1}, nil, nil, nil) },
+		"evacuated": func(table *Table) { table.SetState(0, map[string]uint64{"z": 1}, nil, nil) },
 		"draining": func(table *Table) {
 			l := backendInfo(2, 1)
 			l.Zone, l.Draining = "z", true
@@ -153,7 +153,7 @@
 // its limit: requests are not sent near the limit, and those without a first byte are withdrawn before it.
 func TestPickStopsSupersededVersionBeforeLimit(t *testing.T) {
 	table := newTable(t, backendInfo(1, 1), backendInfo(2, 2))
-	table.SetState(time.Second, nil, nil, map[string]replicated.ModelVersion{"m": {Version: 2}}, map[string]superseded.History{"m": superseded.History{}.With(2, time.Second)})
+	table.SetState(time.Second, nil, map[string]replicated.ModelVersion{"m": {Version: 2}}, map[string]superseded.History{"m": superseded.History{}.With(2, time.Second)})
 	onlyOld := &Request{Service: "llm", Model: "m", TriedBackends: []string{"b2"}}
 	c := table.Pick(2*time.Second, onlyOld)
 	require.NotNil(t, c)
@@ -161,7 +161,7 @@
 	require.Less(t, table.FirstByteDeadline(c), 11*time.Second, "a request without a first byte is withdrawn before the limit")
 	require.Nil(t, table.Pick(10*time.Second, onlyOld))
 	restarted := newTable(t, backendInfo(1, 1), backendInfo(2, 2))
-	restarted.SetState(0, nil, nil, map[string]replicated.ModelVersion{"m": {Version: 2}}, nil)
+	restarted.SetState(0, nil, map[string]replicated.ModelVersion{"m": {Version: 2}}, nil)
 	require.Nil(t, restarted.Pick(0, onlyOld), "a version is expired if the time of its successor is not known")
 }
 
@@ -246,9 +246,9 @@
 func TestRestoredZoneIsCold(t *testing.T) {
 	table := newTable(t, backendInfo(1, 1))
 	table.SetMembers(Members{Self: "me", All: []string{"me"}})
-	table.SetState(2*time.Second, map[string]uint64{"a": 3}, nil, nil, nil)
+	table.SetState(2*time.Second, map[string]uint64{"a": 3}, nil, nil)
 	require.Nil(t, table.Pick(2*time.Second, promptRequest()))
-	table.SetState(4*time.Second, nil, map[string]uint64{"a": 4}, nil, nil)
+	table.SetState(4*time.Second, nil, nil, nil)
 	require.NotNil(t, table.Pick(4*time.Second, promptRequest()))
 	require.Nil(t, table.Pick(4*time.Second+100*time.Millisecond, promptRequest()), "a cold backend gets one request per second")
 	require.NotNil(t, table.Pick(9*time.Second, promptRequest()))
--- a/internal/dispatch/table.go
+++ b/internal/dispatch/table.go
@@ -102,7 +102,6 @@
 	backends       map[string]*Backend           // by ID
 	backendOrder   []string                      // IDs in the order of the platform's list
 	byService      map[string][]*Backend
-	byAddr         map[string]*Backend
 	stores         map[string]*Backend // KV stores by address; they serve no requests
 	index          *kvindex.Index
 	members        Members
@@ -132,7 +131,6 @@
 		settings:     settings,
 		backends:     map[string]*Backend{},
 		byService:    map[string][]*Backend{},
-		byAddr:       map[string]*Backend{},
 		stores:       map[string]*Backend{},
 		index:        newIndex(),
 		retryBudgets: map[string]*retryBudget{},
@@ -172,9 +170,9 @@
 
 // SetState sets the operator's evacuations and the ordered versions of the models. versions holds, by model, the
 // earliest times, by this table's clock, at which versions may have been ordered; ordering a version supersedes
-// the earlier ones. A newest version that is missing there counts as ordered long ago. A zone that is no longer evacuated is assumed to be cold; the zones
-// that the operator restored are not needed for that.
-func (t *Table) SetState(now time.Duration, evacuated, _ map[string]uint64, models map[string]replicated.ModelVersion,
+// the earlier ones. A newest version that is missing there counts as ordered long ago. A zone that is no longer evacuated is
+// assumed to be cold.
+func (t *Table) SetState(now time.Duration, evacuated map[string]uint64, models map[string]replicated.ModelVersion,
 	versions map[string]superseded.History) {
 	for zone := range t.evacuatedZones {
 		if _, ok := evacuated[zone]; !ok {
@@ -270,15 +268,13 @@
 	b.BackendInfo, b.phase = l, phase
 }
 
-// rebuildLookups rebuilds byService and byAddr in the order of the list.
+// rebuildLookups rebuilds byService in the order of the list.
 func (t *Table) rebuildLookups() {
 	clear(t.byService)
-	clear(t.byAddr)
 	t.backendOrder = slices.DeleteFunc(t.backendOrder, func(id string) bool { return t.backends[id] == nil })
 	for _, id := range t.backendOrder {
 		b := t.backends[id]
 		t.byService[b.Service] = append(t.byService[b.Service], b)
-		t.byAddr[b.Addr] = b
 	}
 }
 
--- a/internal/dispatch/versions_test.go
+++ b/internal/dispatch/versions_test.go
@@ -17,7 +17,7 @@
 	var times superseded.History
 	order := func(now time.Duration, version int64) {
 		times = times.With(version, now)
-		table.SetState(now, nil, nil, map[string]replicated.ModelVersion{"m": {Version: version}}, map[string]superseded.History{"m": times})
+		table.SetState(now, nil, map[string]replicated.ModelVersion{"m": {Version: version}}, map[string]superseded.History{"m": times})
 	}
 	order(0, 2)
 	order(7*time.Second, 3)
--- a/internal/proxy/end_reason_test.go
+++ b/internal/proxy/end_reason_test.go
@@ -99,7 +99,7 @@
 		},
 		"a stalled backend": func(p *Proxy) { p.handleOverdue(p.now() + 10*time.Second) },
 		"an evacuated zone": func(p *Proxy) {
-			p.execute(func() { p.dispatchTable.SetState(p.now(), map[string]uint64{"a": 1}, nil, nil, nil) })
+			p.execute(func() { p.dispatchTable.SetState(p.now(), map[string]uint64{"a": 1}, nil, nil) })
 		},
 		"an expired first-byte deadline": func(p *Proxy) {
 			p.attempts.mu.Lock()
--- a/internal/proxy/proxy.go
+++ b/internal/proxy/proxy.go
@@ -43,7 +43,6 @@
 	idleTimeout         = 75 * time.Second
 	maxHeaderBytes      = 64 << 10
 	commandQueueLength  = 256
-	reservedFiles       = 300
 	defaultMaxBodyBytes = 4 << 20
 )
 
@@ -354,7 +353,7 @@
 	}
 	p.applySharing(s)
 	p.logModelVersions(now, s, versions)
-	p.dispatchTable.SetState(now, s.Evacuated, s.Restored, s.Models, versions)
+	p.dispatchTable.SetState(now, s.Evacuated, s.Models, versions)
 	p.armFirstByteTimers(now)
 	p.applied.SnapshotSeq = s.Seq
 }
--- a/internal/proxy/proxy_test.go
+++ b/internal/proxy/proxy_test.go
@@ -345,7 +345,7 @@
 	require.True(t, q.readBody(table))
 	f.proxy.execute(func() {
 		versions := map[string]superseded.History{"m": superseded.History{}.With(2, f.proxy.now())}
-		f.proxy.dispatchTable.SetState(f.proxy.now(), nil, nil, map[string]replicated.ModelVersion{"m": {Version: 2}}, versions)
+		f.proxy.dispatchTable.SetState(f.proxy.now(), nil, map[string]replicated.ModelVersion{"m": {Version: 2}}, versions)
 	})
 	choice := f.proxy.pickBackend(q, nil)
 	a := f.proxy.sendAttempt(t.Context(), q, choice, []string{choice.ID}, 1, "")
--- a/internal/upstream/upstream.go
+++ b/internal/upstream/upstream.go
@@ -87,7 +87,6 @@
 type conn struct {
 	net.Conn
 	reader    *bufio.Reader
-	used      bool      // it has served a request
 	expiresAt time.Time // when an idle connection is too old to be reused
 	// upload is the write of the newest request, which may not have finished yet.
 	upload *upload
@@ -196,7 +195,7 @@
 		p.closeConn(c)
 		return
 	}
-	c.expiresAt, c.used = time.Now().Add(idleTimeout), true
+	c.expiresAt = time.Now().Add(idleTimeout)
 	p.mu.Lock()
 	if p.closed {
 		p.mu.Unlock()
@@ -245,9 +244,8 @@
 // Response is a backend's response. Its body must be read to the end or closed.
 type Response struct {
 	*http.Response
-	pool     *Pool
-	conn     *conn
-	complete bool // the body was read to its end
+	pool *Pool
+	conn *conn
 }
 
 // Do sends a request and reads the header of its response. A failure is an *Error. The request is
@@ -386,7 +384,6 @@
 	}
 	b.finished = true
 	r := b.response
-	r.complete = complete
 	if stopped := b.unwatchContext(); stopped && complete && !r.Close && r.conn.reusable() {
 		r.pool.putIdle(r.conn, r.Header)
 		return
