--- a/internal/lab/fleetdemo/isolation.go
+++ b/internal/lab/fleetdemo/isolation.go
@@ -5,12 +5,8 @@
 	"io"
 	"net/http"
 	"strings"
-	"time"
 )
 
-// isolationApplyLimit is within how long a configuration is in force everywhere.
-const isolationApplyLimit = 2 * time.Second
-
 // askingTenants is how many tenants ask: t1, t2 and t3.
 const askingTenants = 3
 
@@ -43,14 +39,18 @@
 	if step.newcomer {
 		tenants = append(tenants, `{"name":"new","api_keys":["key-9"],"priority":1,"isolated":true}`)
 	}
-	text := configuration(version, "/ask/")
+	text := configuration(version, isolationPath(version))
 	return text[:strings.Index(text, `"tenants"`)] + `"tenants":[` + strings.Join(tenants, ",") + "]}"
 }
 
+// isolationPath is the path of the only route of a configuration. A front serves requests on it only while it has that configuration in
+// force, so that no time has to be waited for.
+func isolationPath(version int) string { return fmt.Sprintf("/ask-%d/", version) }
+
 // PlayIsolation isolates tenants of a small fleet by new configurations, and writes how many tokens of shared parts the engines read after
 // each. It fails if a request used what another tenant's request had made although one of the two was isolated.
 func PlayIsolation(program string, out io.Writer) error {
-	w, err := newWorld(program, demoSize, append([]string{fmt.Sprint("bounds.config_apply_ms=", isolationApplyLimit.Milliseconds())}, demoBounds...))
+	w, err := newWorld(program, demoSize, demoBounds)
 	if err != nil {
 		return err
 	}
@@ -60,10 +60,11 @@
 		return err
 	}
 	for i, step := range isolationSteps {
-		if err := w.isolate(i, step); err != nil {
+		version := i + 1
+		if err := w.isolate(version, step); err != nil {
 			return err
 		}
-		read, served, err := w.askAll(i)
+		read, served, err := w.askAll(version)
 		if err != nil {
 			return fmt.Errorf("%s: %w", step.what, err)
 		}
@@ -75,23 +76,14 @@
 	return nil
 }
 
-// isolate brings a step's configuration into force at all fronts.
-func (w *world) isolate(number int, step isolationStep) error {
+// isolate has the controllers take a step's configuration.
+func (w *world) isolate(version int, step isolationStep) error {
 	if step.restart {
 		if err := w.restartAll(); err != nil {
 			return err
 		}
 	}
-	if err := w.order(http.MethodPut, "/v1/configuration", fmt.Sprint(number), isolationConfiguration(number+1, step)); err != nil {
-		return err
-	}
-	for i := range w.size.fronts {
-		if err := await("front ready", func() bool { return ready(i) }); err != nil {
-			return err
-		}
-	}
-	time.Sleep(isolationApplyLimit)
-	return nil
+	return w.order(http.MethodPut, "/v1/configuration", fmt.Sprint(version-1), isolationConfiguration(version, step))
 }
 
 // restartAll kills all processes at once and starts them again.
@@ -112,15 +104,16 @@
 	return nil
 }
 
-// askAll has each tenant ask about each prompt, one request after the other, the first in turn, and gives the tokens of shared parts that were read.
-func (w *world) askAll(step int) (read, served int, err error) {
+// askAll has each tenant ask about each prompt, one request after the other, the first in turn, under a configuration, and gives the tokens
+// of shared parts that were read.
+func (w *world) askAll(version int) (read, served int, err error) {
 	before := w.tokensRead()
 	for prompt := range prompts {
 		for turn := range askingTenants {
 			tenant := 1 + (prompt+turn)%askingTenants // so that each makes parts that the others find
-			id := fmt.Sprintf("%d-%d-%d", step, prompt, tenant)
+			id := fmt.Sprintf("%d-%d-%d", version, prompt, tenant)
 			if err := await("request "+id, func() bool {
-				return w.askAs(fmt.Sprint("key-", tenant), (prompt+tenant)%w.size.fronts, "/ask/", id, prompt).outcome == "served"
+				return w.askAs(fmt.Sprint("key-", tenant), (prompt+tenant)%w.size.fronts, isolationPath(version), id, prompt).outcome == "served"
 			}); err != nil {
 				return 0, 0, err
 			}
