--- a/internal/controller/run.go
+++ b/internal/controller/run.go
@@ -77,6 +77,9 @@
 	if limit > 0 && !c.handOffComplete() {
 		c.runLoop(nil, func() bool { return c.handOffComplete() || time.Since(c.leaveStartedAt) > limit })
 	}
+	if c.tallies != nil {
+		c.tallies.logHandOff()
+	}
 	c.log.Info().Str("step", "leave").Bool("handed_over", c.handOffComplete()).Dur("took", time.Since(c.leaveStartedAt)).Msg("shutting down")
 }
 
--- a/internal/controller/tallies.go
+++ b/internal/controller/tallies.go
@@ -4,7 +4,6 @@
 	"crypto/rand"
 	"encoding/binary"
 	"errors"
-	"slices"
 	"sync/atomic"
 	"time"
 
@@ -38,6 +37,7 @@
 	log            zerolog.Logger
 	startTime      time.Time
 	pool           *rpc.Pool
+	network        rpc.Network
 	directory      string
 	logOptions     tallylog.Options
 	replicaOptions tally.Options
@@ -45,28 +45,37 @@
 	commands       chan func()
 	batches        chan *tally.Batch
 	done           chan struct{}
-	loaded         atomic.Bool // the log is loaded; before that no command is accepted
-	flushed        atomic.Bool // the reachable peers have all adds accepted here; true until the log is loaded
+	loaded         atomic.Bool   // the log is loaded; before that no command is accepted
+	flushed        atomic.Bool   // this machine may be removed for good; see tally.Replica.Flushed
+	unreplicated   atomic.Uint64 // adds that too few other machines have; set while this machine shuts down
 	logBytes       atomic.Int64
-	peerAddrs      func() []string
+	peers          func() tallyPeers
 	tallyLog       *tallylog.Log // belongs to the writer goroutine
 
 	// The fields below belong to the tally loop.
 	replica          *tally.Replica
+	leaving          bool
 	pendingAdds      map[uint64]chan tally.Result
 	lastToken        uint64
-	peersRefreshedAt time.Duration // since the start, 0 before the first refresh
+	peersRefreshedAt time.Duration             // since the start, 0 before the first refresh
+	peerPresence     map[string]tally.Presence // by address, as last logged
+}
+
+// tallyPeers holds the addresses of the machines to merge with.
+type tallyPeers struct {
+	seeds   []string
+	members []string // of the view in force
 }
 
 // newTallies creates the tally service. The log file exists when it returns. The file is read only
 // when the service runs, as a long one takes seconds and must not delay the control state.
 func (c *Controller) newTallies() error {
 	t := &tallyService{
-		log: c.log, startTime: time.Now(), pool: rpc.NewPoolWithNetwork(c.network),
+		log: c.log, startTime: time.Now(), pool: rpc.NewPoolWithNetwork(c.network), network: c.network,
 		directory:   c.settings.DataDirectory,
 		maxLogBytes: int64(c.settings.DiskMB) << 20 * logDiskPercent / 100,
 		commands:    make(chan func(), commandQueueCapacity), batches: make(chan *tally.Batch, 1), done: make(chan struct{}),
-		peerAddrs: c.tallyPeerAddrs, pendingAdds: map[uint64]chan tally.Result{},
+		peers: c.tallyPeers, pendingAdds: map[uint64]chan tally.Result{}, peerPresence: map[string]tally.Presence{},
 		replicaOptions: tally.Options{
 			Self:        c.settings.InternalAddr(c.settings.IP),
 			Incarnation: randomNonce(), // identifies this start of the process
@@ -79,7 +88,6 @@
 			Timing:       tally.DefaultTiming(),
 		},
 	}
-	t.flushed.Store(true)
 	t.logOptions = tallylog.Options{
 		// Without a log, no tallies were lost if the system starts for the first time or if this
 		// disk stored the control state before it stored tallies.
@@ -130,10 +138,10 @@
 	return tally.Origin(binary.LittleEndian.Uint64(random[:]) | 1)
 }
 
-// tallyPeerAddrs returns the addresses of the seeds and of the members of the view in force.
-func (c *Controller) tallyPeerAddrs() []string {
+// tallyPeers returns the addresses of the seeds and of the members of the view in force.
+func (c *Controller) tallyPeers() tallyPeers {
 	now := c.published.Load()
-	return slices.Concat(now.seedAddrs, now.controllerAddrs)
+	return tallyPeers{seeds: now.seedAddrs, members: now.controllerAddrs}
 }
 
 // sinceStart returns the monotonic time since the service was created.
@@ -179,19 +187,25 @@
 	now := t.sinceStart()
 	if t.peersRefreshedAt == 0 || now-t.peersRefreshedAt >= peerRefreshInterval {
 		t.peersRefreshedAt = now
-		t.replica.SetPeers(now, t.peerAddrs())
+		peers := t.peers()
+		t.replica.SetPeers(now, peers.seeds, peers.members)
 	}
 	t.applyOutput(t.replica.Tick(now))
-	t.flushed.Store(t.replica.Flushed(now))
+	t.logPresence(now)
+	if t.leaving {
+		t.flushed.Store(t.replica.Flushed(now))
+		t.unreplicated.Store(t.replica.Unreplicated())
+	}
 }
 
-// leave announces that this machine is about to shut down.
+// leave announces that this machine is about to shut down. A log that is still being read is first loaded
+// and then handed over too.
 func (t *tallyService) leave() {
-	if !t.loaded.Load() {
-		return
-	}
 	t.flushed.Store(false)
-	t.enqueue(func() { t.replica.Drain() })
+	t.enqueue(func() {
+		t.leaving = true
+		t.replica.Drain()
+	})
 }
 
 // receive passes a message of another machine to the replica.
@@ -210,6 +224,9 @@
 	for _, envelope := range out.Messages {
 		t.pool.Post(envelope.To, distribute.KindTally, envelope.Message)
 	}
+	for _, addr := range out.Attempts {
+		go t.attemptConnection(addr, t.sinceStart())
+	}
 	for _, answer := range out.Results {
 		if call := t.pendingAdds[answer.Token]; call != nil {
 			call <- answer
--- a/internal/controller/tallies_status.go
+++ b/internal/controller/tallies_status.go
@@ -16,8 +16,9 @@
 	Adds           int               `json:"adds"`    // adds stored here, including those of other machines
 	Origins        int               `json:"origins"` // sequences of adds known here, one for each disk that numbered adds
 	LogBytes       int64             `json:"log_bytes"`
-	Behind         uint64            `json:"behind"` // adds that a peer has and this machine lacks
-	Calls          uint64            `json:"calls"`  // adds that callers sent since the start
+	Behind         uint64            `json:"behind"`       // adds that a peer has and this machine lacks
+	Unreplicated   uint64            `json:"unreplicated"` // adds here that are known to be on too few other disks
+	Calls          uint64            `json:"calls"`        // adds that callers sent since the start
 	Acknowledged   uint64            `json:"acknowledged"`
 	Refused        uint64            `json:"refused"`
 	Unclear        uint64            `json:"unclear"`
@@ -31,6 +32,7 @@
 type TallyPeerStatus struct {
 	Addr      string `json:"addr"`
 	Reachable bool   `json:"in_reach"`
+	Presence  string `json:"presence"`
 	SilentMS  int64  `json:"silent_ms"`
 	DiskFails bool   `json:"disk_fails,omitempty"`
 	Behind    uint64 `json:"behind"` // adds that this machine has and the peer lacks
@@ -58,13 +60,13 @@
 func (t *tallyService) newTallyStatus(s *tally.Status) *TallyStatus {
 	out := &TallyStatus{
 		Ready: s.Ready, NotReadyReason: s.NotReadyReason, DiskFails: s.DiskUnavailable, DiskSlow: s.DiskSlow,
-		Adds: s.Adds, Origins: s.Origins, LogBytes: t.logBytes.Load(), Behind: s.Behind,
+		Adds: s.Adds, Origins: s.Origins, LogBytes: t.logBytes.Load(), Behind: s.Behind, Unreplicated: s.Unreplicated,
 		Calls: s.Counters.Adds, Acknowledged: s.Counters.Acknowledged, Refused: s.Counters.Refused, Unclear: s.Counters.Unclear,
 		Merged: s.Counters.Merged, Duplicates: s.Duplicates, Conflicts: s.Conflicts,
 	}
 	for _, p := range s.Peers {
 		out.Peers = append(out.Peers, TallyPeerStatus{
-			Addr: p.Addr, Reachable: p.Reachable, SilentMS: p.Silent.Milliseconds(), DiskFails: p.DiskFailed, Behind: p.Behind, Ahead: p.Ahead,
+			Addr: p.Addr, Reachable: p.Presence == tally.Reachable, Presence: p.Presence.String(), SilentMS: p.Silent.Milliseconds(), DiskFails: p.DiskFailed, Behind: p.Behind, Ahead: p.Ahead,
 		})
 	}
 	return out
@@ -78,6 +80,7 @@
 	set.Add("tally_origins", float64(s.Origins))
 	set.Add("tally_log_bytes", float64(s.LogBytes))
 	set.Add("tally_behind", float64(s.Behind))
+	set.Add("tally_unreplicated", float64(s.Unreplicated))
 	set.Add("tally_calls_total", float64(s.Calls))
 	set.Add("tally_acknowledged_total", float64(s.Acknowledged))
 	set.Add("tally_refused_total", float64(s.Refused))
--- a/internal/simtest/network.go
+++ b/internal/simtest/network.go
@@ -2,10 +2,11 @@
 
 import (
 	"context"
-	"errors"
+	"fmt"
 	"net"
 	"strings"
 	"sync"
+	"syscall"
 	"time"
 )
 
@@ -109,7 +110,7 @@
 	}
 }
 
-var errRefused = errors.New("connection refused")
+var errRefused = fmt.Errorf("dial: %w", syscall.ECONNREFUSED)
 
 // Listen takes connections at IP:port.
 func (h *Host) Listen(addr string) (net.Listener, error) {
--- a/internal/tally/acknowledge.go
+++ b/internal/tally/acknowledge.go
@@ -15,42 +15,36 @@
 	}
 }
 
-// sufficientlyReplicated reports whether an add that is on the local disk is also on RemoteCopies
-// other disks or, if fewer peers are reachable, on the disk of every reachable peer. It returns false
-// while reachability is unknown, and for up to SuspectWait while peers that lack the add have only
-// recently become unreachable, because the local process may be late in reading their messages.
+// sufficientlyReplicated reports whether an add that is on the local disk is also on RemoteCopies other
+// disks or, if fewer peers are expected, on the disk of every expected peer. A peer that is merely down,
+// paused or without a working disk stays expected, however long it is silent: only a partition excuses it.
 func (r *Replica) sufficientlyReplicated(now time.Duration, dot Dot) bool {
-	copies, reachable, reachableCopies, suspected := 0, 0, 0, false
+	copies, missing := 0, 0
 	for _, p := range r.peers {
-		stored := p.contains(dot)
-		if stored {
+		switch {
+		case p.contains(dot):
 			copies++
+		case r.expected(now, p):
+			missing++
 		}
-		if r.reachable(now, p) && !p.diskFailed {
-			reachable++
-			if stored {
-				reachableCopies++
-			}
-		} else if !stored && p.heardWithin(now, r.options.Timing.SuspectWindow) && !p.diskFailed {
-			suspected = true
-		}
-	}
-	if copies >= r.options.RemoteCopies {
-		return true
 	}
-	if suspected && now-r.waitingSince(dot) < r.options.Timing.SuspectWait {
-		return false
-	}
-	return now >= r.ignoreSilenceUntil && reachable < r.options.RemoteCopies && reachableCopies == reachable
+	return copies >= r.options.RemoteCopies || missing == 0
 }
 
-// waitingSince returns the arrival time of the oldest call that waits for an add, or 0 if there is none.
-func (r *Replica) waitingSince(dot Dot) time.Duration {
-	waiters := r.waiters[dot]
-	if len(waiters) == 0 {
-		return 0
+// tooFewDisks reports whether adds can't be acknowledged at present, because expected peers are known to
+// be unavailable and the others aren't enough.
+func (r *Replica) tooFewDisks(now time.Duration) bool {
+	usable, unavailable := 0, 0
+	for _, p := range r.peers {
+		switch {
+		case !r.expected(now, p):
+		case r.unavailable(now, p):
+			unavailable++
+		default:
+			usable++
+		}
 	}
-	return waiters[0].since
+	return unavailable > 0 && usable < r.options.RemoteCopies
 }
 
 // expireCalls answers Unclear to the calls that have waited for AddTimeout and, while the disk is
--- a/internal/tally/checks_test.go
+++ b/internal/tally/checks_test.go
@@ -19,6 +19,9 @@
 		return err
 	}
 	for _, n := range c.nodes {
+		if n.down {
+			continue
+		}
 		if err := c.checkReads(n); err != nil {
 			return err
 		}
@@ -26,11 +29,11 @@
 	return nil
 }
 
-// checkDurability checks that each acknowledged add is on a disk, unless it was on too few disks when the
-// node that acknowledged it lost its own.
+// checkDurability checks that each acknowledged add is on a disk, unless it was on too few disks, as the
+// node that acknowledged it was cut off, when that node lost its own.
 func (c *cluster) checkDurability() error {
 	for _, a := range c.acked {
-		if c.countDisksWith(a.add) == 0 && !(a.diskLost && a.disks <= c.remoteCopies) {
+		if c.countDisksWith(a.add) == 0 && !(a.diskLost && a.cutOff && a.disks <= c.remoteCopies) {
 			return fmt.Errorf("%v, acknowledged by m%d on %d disks: got no copies now, want at least one", a.add, a.node, a.disks)
 		}
 	}
@@ -41,6 +44,9 @@
 func (c *cluster) checkDotsUnique() error {
 	seen := map[Dot]Add{}
 	for _, n := range c.nodes {
+		if n.down {
+			continue
+		}
 		for origin, adds := range n.replica.set.allAdds() {
 			for i, add := range adds {
 				dot := Dot{origin, uint64(i + 1)}
@@ -99,7 +105,13 @@
 // heal runs the cluster without faults for a number of ticks. It returns an error unless all nodes then
 // answer reads with the same totals, which include all adds acknowledged on enough disks.
 func (c *cluster) heal(ticks int) error {
-	c.cutLinks = map[[2]int]bool{}
+	c.restoreLinks()
+	for i, n := range c.nodes {
+		if n.down {
+			c.startNode(i)
+		}
+		n.paused = false
+	}
 	defer func() { c.disrupted = false }()
 	for range ticks {
 		c.tick()
@@ -135,10 +147,13 @@
 // settle completes one pending write of each node and delivers all messages in flight.
 func (c *cluster) settle() {
 	for i := range c.nodes {
-		if len(c.nodes[i].disk.pending) > 0 {
+		if len(c.nodes[i].disk.pending) > 0 && c.nodes[i].running() {
 			c.completeSync(i)
 		}
 		for j := range c.nodes {
+			if !c.nodes[j].running() {
+				continue
+			}
 			waiting := c.links[[2]int{i, j}]
 			c.links[[2]int{i, j}] = nil
 			for _, m := range waiting {
@@ -152,9 +167,12 @@
 func (c *cluster) fingerprint() string {
 	var b strings.Builder
 	fmt.Fprint(&b, c.remaining, c.acked, c.issued, c.lastOrigin)
+	for _, a := range c.attempts {
+		fmt.Fprint(&b, a.from, a.incarnation, a.to, c.now-a.startedAt)
+	}
 	for i, n := range c.nodes {
 		r := n.replica
-		fmt.Fprint(&b, "|", n.incarnation, c.now-n.startedAt, n.acked, n.ackedBeforeDiskLoss,
+		fmt.Fprint(&b, "|", n.incarnation, n.down, c.now-n.startedAt, n.acked, n.ackedBeforeDiskLoss,
 			n.disk.synced, len(n.disk.pending))
 		fmt.Fprint(&b, r.set.allAdds(), r.origin, r.originUnsaved, r.queue, r.staged, r.reservedSequences,
 			r.ready, r.complete, r.diskFailed, max(0, r.slowUntil-c.now),
@@ -168,7 +186,10 @@
 		for _, p := range r.sortedPeers() {
 			fmt.Fprint(&b, p.addr, p.incarnation, p.lastHeard == never, c.now-p.lastHeard,
 				c.now-p.lastEchoedSend, p.initialVector, p.ready, p.diskFailed, p.acksPending,
-				max(0, p.nextGossip-c.now), p.gossipCount%gossipsPerPeerList)
+				max(0, p.nextGossip-c.now), p.gossipCount%gossipsPerPeerList, p.incomplete, c.now-r.resumedAt)
+			a := p.attempts
+			fmt.Fprint(&b, max(0, a.next-c.now), a.lastAnswered == never, c.now-a.lastAnswered, a.answeredSince == never,
+				c.now-a.answeredSince, a.refused, a.unanswered, c.now-a.unansweredSince, c.now-a.lastUnanswered)
 			for _, origin := range r.set.sortedOrigins() {
 				if l := p.progress[origin]; l != nil {
 					fmt.Fprint(&b, origin, l.durable, l.sent, c.now-l.lastProgress,
--- a/internal/tally/explore_test.go
+++ b/internal/tally/explore_test.go
@@ -116,6 +116,18 @@
 			nodes: 3, before: completed, calls: sameAddAtTwoNodes[:1],
 			allowed: limits{callMask: 1, diskLosses: 1},
 		},
+		"two nodes, kills": {
+			nodes: 2, calls: twoAdds[:1],
+			allowed: limits{callMask: 1, kills: 2, ticks: 2},
+		},
+		"two nodes, kill, disk loss": {
+			nodes: 2, before: completed, calls: sameAddAtTwoNodes[:1],
+			allowed: limits{callMask: 1, kills: 1, diskLosses: 1, ticks: 2},
+		},
+		"three nodes, kills": {
+			nodes: 3, calls: sameAddAtTwoNodes[:1],
+			allowed: limits{callMask: 1, kills: 2, ticks: 2},
+		},
 		"three nodes, disk loss, power loss, connection loss": {
 			nodes: 3, before: completed,
 			allowed: limits{diskLosses: 1, powerLosses: 1, connectionLosses: 1, ticks: 3},
@@ -143,6 +155,10 @@
 			nodes: 2, fault: readyWithEmptyDisk, before: twoAdds,
 			allowed: limits{ticks: 2, diskLosses: 1},
 		},
+		"machine that is down treated as partitioned": {
+			nodes: 2, fault: downIsPartitioned, calls: twoAdds[:1],
+			allowed: limits{callMask: 1, ticks: 6, kills: 1},
+		},
 		"dot reused": {
 			nodes: 2, fault: reuseDots, calls: twoAdds,
 			allowed: limits{callMask: bothCalls, powerLosses: 1},
--- a/internal/tally/peer.go
+++ b/internal/tally/peer.go
@@ -18,6 +18,7 @@
 type peer struct {
 	addr             string
 	permanent        bool // a seed or a member of the current view; never expires
+	member           bool // a member of the current view or, while that is unknown, a seed
 	addedAt          time.Duration
 	incarnation      uint64
 	pastIncarnations []uint64      // whose delayed messages are ignored
@@ -26,8 +27,10 @@
 	latestSentAt     int64         // SentAt of its newest message, by its own clock
 	initialVector    VersionVector // the first full vector of this incarnation; nil: none received
 	ready            bool
+	incomplete       bool // its disk has lost adds and hasn't caught up yet
 	diskFailed       bool // its disk accepts no more adds
 	diskSlow         bool // its disk is slow
+	attempts         attempts
 	progress         map[Origin]*originProgress
 	acksPending      map[Origin]bool // origins of which it sent adds that aren't acknowledged yet
 	nextGossip       time.Duration   // when the next full vector is due
@@ -53,12 +56,17 @@
 	return l
 }
 
-// contains reports whether the peer's disk is known to have an add.
-func (p *peer) contains(dot Dot) bool {
-	l := p.progress[dot.Origin]
-	return l != nil && l.durable >= dot.Sequence
+// durableOf returns the highest sequence number of an origin that the peer's disk is known to have.
+func (p *peer) durableOf(origin Origin) uint64 {
+	if l := p.progress[origin]; l != nil {
+		return l.durable
+	}
+	return 0
 }
 
+// contains reports whether the peer's disk is known to have an add.
+func (p *peer) contains(dot Dot) bool { return p.durableOf(dot.Origin) >= dot.Sequence }
+
 // recordDurable records that the peer's disk has an origin's adds up to a sequence number.
 func (p *peer) recordDurable(now time.Duration, origin Origin, sequence uint64) {
 	l := p.progressOf(origin)
@@ -93,16 +101,25 @@
 	return true
 }
 
-// SetPeers sets the peers that never expire: the seeds and the members of the view.
-func (r *Replica) SetPeers(now time.Duration, addrs []string) {
+// SetPeers sets the peers that never expire: the seeds and the members of the view. While no view is
+// known, the seeds count as its members. A seed may name a machine that has been replaced since.
+func (r *Replica) SetPeers(now time.Duration, seeds, members []string) {
+	if len(members) == 0 {
+		members = seeds
+	}
 	for _, p := range r.peers {
-		p.permanent = false
+		p.permanent, p.member = false, false
 	}
-	for _, addr := range addrs {
+	for _, addr := range seeds {
 		if p := r.ensurePeer(now, addr); p != nil {
 			p.permanent = true
 		}
 	}
+	for _, addr := range members {
+		if p := r.ensurePeer(now, addr); p != nil {
+			p.permanent, p.member = true, true
+		}
+	}
 }
 
 // ensurePeer returns the peer at an address and creates it if needed. It returns nil for this machine's
@@ -114,7 +131,7 @@
 	p := r.peers[addr]
 	if p == nil {
 		p = &peer{
-			addr: addr, addedAt: now, lastHeard: never, lastEchoedSend: never,
+			addr: addr, addedAt: now, lastHeard: never, lastEchoedSend: never, attempts: newAttempts(),
 			progress: map[Origin]*originProgress{}, acksPending: map[Origin]bool{},
 		}
 		r.peers[addr] = p
@@ -139,8 +156,12 @@
 // reachable reports whether a peer was heard recently and messages to it have recently been echoed.
 func (r *Replica) reachable(now time.Duration, p *peer) bool {
 	timing := &r.options.Timing
-	return p.heardWithin(now, timing.SilenceTimeout) &&
-		p.lastEchoedSend != never && now-p.lastEchoedSend < timing.RoundTripTimeout
+	return p.heardWithin(now, timing.SilenceTimeout) && p.echoedWithin(now, timing.RoundTripTimeout)
+}
+
+// echoedWithin reports whether the peer has echoed a message that was sent to it less than limit ago.
+func (p *peer) echoedWithin(now, limit time.Duration) bool {
+	return p.lastEchoedSend != never && now-p.lastEchoedSend < limit
 }
 
 // Receive processes a message of a peer. Messages of its earlier incarnations are ignored.
@@ -175,7 +196,7 @@
 	}
 	p.lastHeard = now
 	p.latestSentAt = max(p.latestSentAt, m.SentAt)
-	p.ready, p.diskFailed, p.diskSlow = m.Ready, m.DiskFailed, m.DiskSlow
+	p.ready, p.incomplete, p.diskFailed, p.diskSlow = m.Ready, m.Incomplete, m.DiskFailed, m.DiskSlow
 	if sent := time.Duration(m.Echo - r.options.ClockBase); m.Echo != 0 && sent >= 0 && sent <= now {
 		p.lastEchoedSend = max(p.lastEchoedSend, sent)
 	}
@@ -214,6 +235,7 @@
 		From: r.options.Self, Incarnation: r.options.Incarnation,
 		SentAt: r.options.ClockBase + int64(now), Echo: p.latestSentAt, Ready: r.ready,
 		DiskFailed: r.diskUnavailable(now) || r.atCapacity(), DiskSlow: now < r.slowUntil,
+		Incomplete: !r.complete,
 	}
 }
 
@@ -286,9 +308,9 @@
 	}
 }
 
-// sendTo sends a peer the adds that it lacks, if the peer is reachable or suspected and its disk works.
+// sendTo sends a peer the adds that it lacks, if the peer is reachable or was recently heard and its disk works.
 func (r *Replica) sendTo(now time.Duration, p *peer, out *Output) {
-	eligible := r.reachable(now, p) || p.heardWithin(now, r.options.Timing.SuspectWindow)
+	eligible := r.reachable(now, p) || p.heardWithin(now, r.options.Timing.RecentlyHeard)
 	for _, origin := range r.set.sortedOrigins() {
 		last, l := r.set.LastSequence(origin), p.progressOf(origin)
 		if !eligible || p.diskFailed || l.durable >= last {
--- a/internal/tally/replica.go
+++ b/internal/tally/replica.go
@@ -15,8 +15,13 @@
 	PeerExpiry        time.Duration // silence after which a peer that isn't permanent is removed
 	RetransmitTimeout time.Duration // adds are sent again after this time without an acknowledgement
 	RelayDelay        time.Duration // adds of another origin that a peer lacks for this long are relayed
-	SuspectWindow     time.Duration // an unreachable peer that was heard within this time is suspected
-	SuspectWait       time.Duration // how long a call waits for suspected peers before reachable ones suffice
+	RecentlyHeard     time.Duration // adds are sent to an unreachable peer that was heard within this time
+	AttemptAfter      time.Duration // silence after which connection attempts show where a peer is
+	AttemptTimeout    time.Duration // an attempt without an answer for this long is unanswered; longer than any round trip
+	AttemptRetry      time.Duration // between attempts until they show why the peer is silent
+	AttemptInterval   time.Duration // between attempts from then on
+	PartitionWait     time.Duration // attempts must go unanswered for this long to show a partition
+	SilentProcessWait time.Duration // a silent process whose machine answers for this long is unavailable
 	AddTimeout        time.Duration // a call whose add isn't on enough disks after this time is answered Unclear
 	WriteTimeout      time.Duration // a write that takes longer counts as a disk failure
 	SlowWrite         time.Duration // after a write that took longer, adds are refused if a peer's disk is healthy
@@ -36,8 +41,13 @@
 		PeerExpiry:        10 * time.Minute,
 		RetransmitTimeout: 500 * time.Millisecond,
 		RelayDelay:        500 * time.Millisecond,
-		SuspectWindow:     3 * time.Second,
-		SuspectWait:       600 * time.Millisecond,
+		RecentlyHeard:     3 * time.Second,
+		AttemptAfter:      300 * time.Millisecond,
+		AttemptTimeout:    200 * time.Millisecond,
+		AttemptRetry:      50 * time.Millisecond,
+		AttemptInterval:   250 * time.Millisecond,
+		PartitionWait:     350 * time.Millisecond,
+		SilentProcessWait: 600 * time.Millisecond,
 		AddTimeout:        850 * time.Millisecond,
 		WriteTimeout:      250 * time.Millisecond,
 		SlowWrite:         60 * time.Millisecond,
@@ -106,7 +116,8 @@
 	diskFull           bool          // the disk has no room for callers' adds
 	slowUntil          time.Duration // end of the period in which the disk counts as slow
 	lastStep           time.Duration // time of the latest event
-	ignoreSilenceUntil time.Duration // until then the silence of peers is no evidence of a partition
+	resumedAt          time.Duration // end of the last pause of this process
+	ignoreSilenceUntil time.Duration // until then the silence of peers is no reason to leave them out of reads
 	startedAt          time.Duration // time at which New was called
 	draining           bool
 	counters           Counters
@@ -214,6 +225,8 @@
 		return "the disk takes no writes"
 	case r.diskFull || r.set.Len()+len(r.queue) >= r.options.MaxAdds*ownAddsLimitPercent/100:
 		return "no room is left for adds"
+	case r.tooFewDisks(now):
+		return "too few machines can store it at present"
 	case now < r.slowUntil && r.hasHealthyPeer(now):
 		return "the disk is slow, and others are in reach"
 	}
@@ -340,6 +353,7 @@
 	r.expirePeers(now)
 	r.gossipToAll(now, &out)
 	r.sendToAll(now, &out)
+	r.attemptConnections(now, &out)
 	r.acknowledgeReplicated(now, &out)
 	r.expireCalls(now, &out)
 	r.startWrite(now, &out)
@@ -347,11 +361,16 @@
 }
 
 // advance records the time of an event and updates readiness. If this process was paused, the silence of
-// peers is ignored for SilenceTimeout, as their messages may be waiting to be read.
+// peers is ignored for SilenceTimeout and the evidence of partitions starts anew, as their messages may be
+// waiting to be read.
 func (r *Replica) advance(now time.Duration) {
 	if pause := now - r.lastStep; pause > r.options.Timing.PauseThreshold {
 		r.writeStarted += pause // the pause doesn't count as write time
 		r.ignoreSilenceUntil = max(r.ignoreSilenceUntil, now+r.options.Timing.SilenceTimeout)
+		r.resumedAt = now
+		for _, p := range r.peers {
+			p.attempts = newAttempts()
+		}
 	}
 	r.lastStep = now
 	if !r.ready && r.notReadyReason(now) == "" {
--- a/internal/tally/replica_test.go
+++ b/internal/tally/replica_test.go
@@ -64,18 +64,24 @@
 	require.Equal(t, Refused, r.Add(stalled+tickInterval, 2, addB).Results[0].Outcome)
 }
 
-// TestProcessPause checks that a replica whose process was paused waits for SilenceTimeout before it
-// considers its peers unreachable.
+// TestProcessPause checks that a replica whose process was paused needs new evidence of a partition: the
+// answers to connection attempts that began before or during the pause may be waiting to be read.
 func TestProcessPause(t *testing.T) {
 	c := newCluster(3, 1, noFault, limits{}).converge()
-	c.now += time.Second // only node 0 gets events
 	r := c.nodes[0].replica
-	r.Add(c.now, 1, addA)
-	require.Empty(t, r.WriteSucceeded(c.now).Results, "add answered before a peer is known to be unreachable")
-	later := c.now + testTiming().SilenceTimeout
-	r.Tick(later - tickInterval)
-	require.Equal(t, []Result{{1, Acknowledged, ""}}, r.Tick(later).Results,
-		"add after SilenceTimeout: want it acknowledged without the silent peers")
+	c.isolate(0)
+	c.run(outageTicks)
+	require.Equal(t, Partitioned, r.presence(c.now, r.peers["m1"]))
+	began := c.now
+	c.now += time.Second // only node 0 gets events
+	r.Tick(c.now)
+	require.Equal(t, Unknown, r.presence(c.now, r.peers["m1"]))
+	for range partitionAttempts {
+		r.AttemptFinished(c.now, "m1", began, Unanswered)
+	}
+	require.Equal(t, Unknown, r.presence(c.now, r.peers["m1"]), "after attempts from before the pause")
+	c.run(outageTicks)
+	require.Equal(t, Partitioned, r.presence(c.now, r.peers["m1"]))
 }
 
 // TestCapacityLimits checks that callers' adds are refused near MaxAdds, so that those of
@@ -92,16 +98,15 @@
 	require.Empty(t, r.Add(c.now, 3, addA).Results)
 }
 
-// TestSuspectedPeerWait checks that a call waits SuspectWait for a peer that has only just fallen silent:
-// the local process may be late in reading the peer's messages, which isn't a partition.
-func TestSuspectedPeerWait(t *testing.T) {
+// silentPeerReplica returns a replica with one peer, which has been silent for SilenceTimeout, and the time.
+func silentPeerReplica() (*Replica, time.Duration) {
 	timing := DefaultTiming()
 	now := timing.StartupWait
 	r := New(0, Options{
 		Self: "a", RemoteCopies: 1, MaxAdds: 1 << 10, Timing: timing,
 		Incarnation: 1, ClockBase: 1, NewOrigin: func() Origin { return 1 },
 	}, SavedState{Set: NewSet(), Complete: true})
-	r.SetPeers(0, []string{"b"})
+	r.SetPeers(0, []string{"b"}, nil)
 	for ; now < 2*timing.StartupWait; now += timing.PauseThreshold / 2 {
 		r.Receive(now, &Message{
 			From: "b", Incarnation: 1, SentAt: int64(now), Echo: 1 + int64(now), FullVector: true, Ready: true,
@@ -110,14 +115,50 @@
 	for end := now + timing.SilenceTimeout; now < end; now += timing.PauseThreshold / 2 {
 		r.Tick(now)
 	}
+	return r, now
+}
+
+// TestSilenceIsNoPartition checks that a call whose add only a silent peer lacks isn't acknowledged while no
+// connection attempt has shown why that peer is silent, and that the add is still sent to the peer.
+func TestSilenceIsNoPartition(t *testing.T) {
+	timing := DefaultTiming()
+	r, now := silentPeerReplica()
 	require.NotNil(t, r.Add(now, 7, addA).Write)
 	out := r.WriteSucceeded(now)
 	require.Empty(t, out.Results)
 	require.True(t, slices.ContainsFunc(out.Messages, func(e Envelope) bool { return len(e.Message.Runs) > 0 }),
-		"messages to the suspected peer: want one with the add")
+		"messages to the silent peer: want one with the add")
 	added := now
-	for ; now < added+timing.SuspectWait; now += timing.PauseThreshold / 2 {
+	for ; now < added+timing.AddTimeout; now += timing.PauseThreshold / 4 {
+		out := r.Tick(now)
+		require.Empty(t, out.Results)
+		for _, addr := range out.Attempts {
+			require.Empty(t, r.AttemptFinished(now, addr, now, Inconclusive).Results)
+		}
+	}
+	require.Equal(t, []Result{{7, Unclear, "not on enough disks in time"}}, r.Tick(now).Results)
+}
+
+// TestPartitionEvidence checks how many unanswered attempts show a partition, and that an answer to any
+// later one ends it.
+func TestPartitionEvidence(t *testing.T) {
+	timing := DefaultTiming()
+	r, now := silentPeerReplica()
+	require.NotNil(t, r.Add(now, 7, addA).Write)
+	require.Empty(t, r.WriteSucceeded(now).Results)
+	first := now
+	for i := range partitionAttempts - 1 {
+		require.Empty(t, r.AttemptFinished(now, "b", first+time.Duration(i), Unanswered).Results)
+	}
+	for ; now < first+timing.PartitionWait; now += timing.PauseThreshold / 2 {
 		require.Empty(t, r.Tick(now).Results)
 	}
-	require.Equal(t, []Result{{7, Acknowledged, ""}}, r.Tick(now).Results)
+	require.Equal(t, []Result{{7, Acknowledged, ""}}, r.AttemptFinished(now, "b", now-1, Unanswered).Results)
+	require.Equal(t, Partitioned, r.presence(now, r.peers["b"]))
+	r.AttemptFinished(now, "b", now, RefusedConnection)
+	require.Equal(t, ProcessDown, r.presence(now, r.peers["b"]))
+	for range partitionAttempts {
+		r.AttemptFinished(now, "b", now-1, Unanswered)
+	}
+	require.Equal(t, ProcessDown, r.presence(now, r.peers["b"]), "after late results of earlier attempts")
 }
--- a/internal/tally/restart_test.go
+++ b/internal/tally/restart_test.go
@@ -23,7 +23,7 @@
 		replicas := map[string]*Replica{"a": a, "b": b}
 		for now := from; now <= until; now += tickInterval {
 			for addr, r := range replicas {
-				r.SetPeers(now, []string{"a", "b"})
+				r.SetPeers(now, []string{"a", "b"}, nil)
 				for _, e := range r.Tick(now).Messages {
 					other := replicas[e.To]
 					require.NotNil(t, other, "%s sends to %s", addr, e.To)
--- a/internal/tally/status.go
+++ b/internal/tally/status.go
@@ -11,6 +11,7 @@
 	Adds            int // on disk, repeated ids included
 	Origins         int
 	Behind          uint64 // most adds that a single peer has and this replica lacks
+	Unreplicated    uint64 // adds that are known to be on fewer than RemoteCopies other disks
 	Duplicates      uint64 // adds whose id was already stored under another dot
 	Conflicts       uint64 // duplicates with another tally or amount
 	Counters        Counters
@@ -20,7 +21,7 @@
 // PeerStatus describes a peer as a replica sees it.
 type PeerStatus struct {
 	Addr       string
-	Reachable  bool
+	Presence   Presence
 	Heard      bool          // since this replica started
 	Silent     time.Duration // since its last message or, if there was none, since its address became known
 	DiskFailed bool
@@ -34,6 +35,7 @@
 		Ready: r.ready, DiskUnavailable: r.diskUnavailable(now), DiskSlow: now < r.slowUntil,
 		Adds: r.set.Len(), Origins: len(r.set.byOrigin),
 		Duplicates: r.set.duplicates, Conflicts: r.set.conflicts, Counters: r.counters,
+		Unreplicated: r.Unreplicated(),
 	}
 	if !r.ready {
 		s.NotReadyReason = r.notReadyReason(now)
@@ -46,10 +48,24 @@
 	return s
 }
 
+// PeerPresence is the presence of the peer at an address.
+type PeerPresence struct {
+	Addr     string
+	Presence Presence
+}
+
+// Presences returns the presence of all peers, ordered by address.
+func (r *Replica) Presences(now time.Duration) (all []PeerPresence) {
+	for _, p := range r.sortedPeers() {
+		all = append(all, PeerPresence{p.addr, r.presence(now, p)})
+	}
+	return all
+}
+
 // peerStatus returns the state of a peer.
 func (r *Replica) peerStatus(now time.Duration, p *peer) PeerStatus {
 	s := PeerStatus{
-		Addr: p.addr, Reachable: r.reachable(now, p),
+		Addr: p.addr, Presence: r.presence(now, p),
 		Heard: p.lastHeard != never, Silent: now - max(p.lastHeard, p.addedAt), DiskFailed: p.diskFailed,
 	}
 	for origin, l := range p.progress {
--- a/internal/tally/types.go
+++ b/internal/tally/types.go
@@ -70,6 +70,7 @@
 	Ready       bool              `cbor:"9,keyasint,omitempty"`  // the sender answers reads
 	DiskFailed  bool              `cbor:"10,keyasint,omitempty"` // the sender's disk accepts no more adds
 	DiskSlow    bool              `cbor:"11,keyasint,omitempty"` // the sender's disk is slow
+	Incomplete  bool              `cbor:"12,keyasint,omitempty"` // the sender's disk has lost adds and hasn't caught up yet
 }
 
 // Envelope is a message with its destination address.
@@ -103,12 +104,13 @@
 	Reason  string
 }
 
-// Output is what the caller must do after an event: start the write first, then send the messages and
-// deliver the results in any order.
+// Output is what the caller must do after an event: start the write first, then send the messages,
+// deliver the results and start the connection attempts in any order.
 type Output struct {
 	Write    *Batch // completed by WriteSucceeded or WriteFailed; one at a time, nil: none
 	Messages []Envelope
 	Results  []Result
+	Attempts []string // addresses to connect to; each is completed by AttemptFinished
 }
 
 // NotReadyError is returned for reads before the replica has caught up with its reachable peers.
--- a/internal/tally/walk_test.go
+++ b/internal/tally/walk_test.go
@@ -56,7 +56,7 @@
 	case n < 45:
 		w.deliver(i, j)
 	case n < 65:
-		if len(w.nodes[i].disk.pending) > 0 {
+		if len(w.nodes[i].disk.pending) > 0 && w.nodes[i].running() {
 			w.record("sync %d", i)
 			w.completeSync(i)
 		}
@@ -65,14 +65,15 @@
 		w.disrupted = true // messages in flight over a tick are as late as if cut off
 		w.tick()
 	case n < 88:
-		w.record("cut %d %d", i, j)
-		w.disrupted, w.cutLinks[[2]int{i, j}], w.cutLinks[[2]int{j, i}] = true, true, true
+		w.cutRandom(i, j)
 	case n < 90:
 		w.record("restore all links")
-		w.cutLinks = map[[2]int]bool{}
-	case n < 94:
+		w.restoreLinks()
+	case n < 92:
 		w.record("settle")
 		w.settle()
+	case n < 95:
+		w.changeProcess(i)
 	case n < 97:
 		writeKept := w.random.IntN(2) == 0 && len(w.nodes[i].disk.pending) > 0
 		w.record("power loss %d, write kept: %v", i, writeKept)
@@ -86,6 +87,42 @@
 	}
 }
 
+// cutRandom cuts the links between two nodes or all links of one.
+func (w *walk) cutRandom(i, j int) {
+	switch n := w.random.IntN(4); {
+	case n == 0:
+		w.record("isolate %d", i)
+		w.isolate(i)
+	case n == 1 && i != j:
+		w.record("cut %d to %d", i, j)
+		w.cut([2]int{i, j})
+	case i != j:
+		w.record("cut %d and %d", i, j)
+		w.cut([2]int{i, j}, [2]int{j, i})
+	}
+}
+
+// changeProcess kills, starts, pauses or wakes a node's process.
+func (w *walk) changeProcess(i int) {
+	n := w.nodes[i]
+	w.disrupted = true
+	switch {
+	case n.down:
+		w.record("start %d", i)
+		w.startNode(i)
+	case n.paused:
+		w.record("wake %d", i)
+		w.wake(i)
+	case w.random.IntN(3) == 0:
+		w.record("pause %d", i)
+		n.paused = true
+	default:
+		writeKept := w.random.IntN(2) == 0 && len(n.disk.pending) > 0
+		w.record("kill %d, write kept: %v", i, writeKept)
+		w.kill(i, writeKept)
+	}
+}
+
 // addRandom submits an add with a random id to a node.
 func (w *walk) addRandom(i int) {
 	add := Add{ID: fmt.Sprint("id", w.random.IntN(distinctIDs)), Tally: "t", Amount: 1}
@@ -99,7 +136,7 @@
 // deliver delivers the oldest message from node i to node j, unless the link is cut.
 func (w *walk) deliver(i, j int) {
 	link := [2]int{i, j}
-	if len(w.links[link]) == 0 || w.cutLinks[link] {
+	if len(w.links[link]) == 0 || w.cutLinks[link] || !w.nodes[j].running() {
 		return
 	}
 	w.record("deliver %d %d", i, j)
@@ -111,7 +148,7 @@
 // failWrite makes a node's pending write fail. The disk recovers immediately, without that batch.
 func (w *walk) failWrite(i int) {
 	n := w.nodes[i]
-	if len(n.disk.pending) == 0 {
+	if len(n.disk.pending) == 0 || !n.running() {
 		return
 	}
 	w.record("write failure %d", i)
@@ -174,6 +211,7 @@
 func TestRandomWalksDetectInjectedFaults(t *testing.T) {
 	for name, injected := range map[string]fault{
 		"acknowledgement before sync": ackBeforeSync, "id counted per origin": countPerOrigin, "dot reused": reuseDots,
+		"machine that is down treated as partitioned": downIsPartitioned,
 	} {
 		found := false
 		for seed := uint64(1); seed <= *walkCount && !found; seed++ {
--- a/internal/tally/world_test.go
+++ b/internal/tally/world_test.go
@@ -19,8 +19,10 @@
 	return Timing{
 		GossipInterval: tickInterval, ProbeInterval: tickInterval,
 		RoundTripTimeout: 3 * tickInterval, SilenceTimeout: 2 * tickInterval, PeerExpiry: time.Hour,
-		RetransmitTimeout: 2 * tickInterval, RelayDelay: 2 * tickInterval,
-		AddTimeout: 4 * tickInterval, WriteTimeout: 3 * tickInterval, SlowWrite: 2 * tickInterval,
+		RetransmitTimeout: 2 * tickInterval, RelayDelay: 2 * tickInterval, RecentlyHeard: 3 * tickInterval,
+		AttemptAfter: 2 * tickInterval, AttemptTimeout: tickInterval, AttemptRetry: tickInterval, AttemptInterval: tickInterval,
+		PartitionWait: 2 * tickInterval, SilentProcessWait: 2 * tickInterval,
+		AddTimeout: 8 * tickInterval, WriteTimeout: 3 * tickInterval, SlowWrite: 2 * tickInterval,
 		SlowDiskBackoff: 2 * tickInterval, PauseThreshold: 2 * tickInterval, StartupWait: 2 * tickInterval,
 	}
 }
@@ -34,6 +36,7 @@
 	countPerOrigin           // an id counts once per origin
 	readyWithEmptyDisk       // an empty disk is treated as complete
 	reuseDots                // adds are sent before their sync, and their dots are reused after a power loss
+	downIsPartitioned        // connections that are refused count as unanswered
 )
 
 // call is an add that a caller may send once, to a node given by index.
@@ -45,6 +48,7 @@
 // limits holds the numbers of events that may still happen. Bit i of callMask allows call i.
 type limits struct {
 	ticks, powerLosses, diskLosses, connectionLosses, duplicates, callMask int
+	kills                                                                  int // of processes that may be started again
 }
 
 // disk is a simulated disk.
@@ -58,6 +62,8 @@
 	addr                string
 	disk                disk
 	replica             *Replica
+	down                bool // its process was killed and hasn't been started since
+	paused              bool // its process stands still, while its machine keeps what arrives
 	incarnation         uint64
 	startedAt           time.Duration
 	ackedBeforeDiskLoss map[string]bool // ids of adds acknowledged on enough disks when this disk was lost
@@ -70,6 +76,15 @@
 	node     int
 	disks    int  // number of disks that had the add at that time
 	diskLost bool // the node has lost its disk since
+	cutOff   bool // the node was cut off from nodes without the add
+}
+
+// attempt is a connection attempt that a node has under way.
+type attempt struct {
+	from        int
+	incarnation uint64 // of the node from which it comes
+	to          int
+	startedAt   time.Duration
 }
 
 // cluster is the state of the simulation: the nodes and the messages in flight.
@@ -87,14 +102,18 @@
 	lastToken    uint64
 	lastOrigin   uint64
 	violation    error
-	cutLinks     map[[2]int]bool // directed links that lose all messages
-	disrupted    bool            // messages were cut off or late since the last heal
+	attempts     []attempt
+	stored       map[Add]map[int]bool     // nodes whose disk has or had an add
+	cutLinks     map[[2]int]bool          // directed links that lose all messages
+	lastCut      map[[2]int]time.Duration // when a directed link was last cut
+	disrupted    bool                     // messages were cut off or late since the last heal
 }
 
 func newCluster(nodes, remoteCopies int, injected fault, allowed limits, calls ...call) *cluster {
 	c := &cluster{
 		fault: injected, remoteCopies: remoteCopies, links: map[[2]int][]*Message{}, calls: calls, remaining: allowed,
 		callsByToken: map[uint64]call{}, cutLinks: map[[2]int]bool{},
+		stored: map[Add]map[int]bool{}, lastCut: map[[2]int]time.Duration{},
 	}
 	for i := range nodes {
 		c.nodes = append(c.nodes, &node{addr: fmt.Sprint("m", i)})
@@ -154,6 +173,7 @@
 		n.disk.synced = []Batch{{NewOrigin: c.newOrigin(), Complete: c.fault == readyWithEmptyDisk}}
 	}
 	n.incarnation++
+	n.down, n.paused = false, false
 	n.startedAt, n.acked = c.now, map[string]bool{}
 	n.replica = New(c.now, Options{
 		Self: n.addr, Incarnation: n.incarnation, ClockBase: clockBase(n.incarnation), RemoteCopies: c.remoteCopies, MaxAdds: 1 << 20,
@@ -163,7 +183,7 @@
 	for _, other := range c.nodes {
 		addrs = append(addrs, other.addr)
 	}
-	n.replica.SetPeers(c.now, addrs)
+	n.replica.SetPeers(c.now, addrs, addrs)
 	c.execute(i, n.replica.Tick(c.now))
 }
 
@@ -184,6 +204,9 @@
 		}
 		c.links[link] = append(c.links[link], c.injectMessageFault(i, e.Message))
 	}
+	for _, addr := range out.Attempts {
+		c.attempts = append(c.attempts, attempt{i, n.incarnation, c.nodeIndex(addr), c.now})
+	}
 	for _, a := range out.Results {
 		c.recordResult(i, a)
 	}
@@ -215,7 +238,9 @@
 	switch a.Outcome {
 	case Acknowledged:
 		c.nodes[i].acked[sent.add.ID] = true
-		c.acked = append(c.acked, acknowledgement{add: sent.add, node: i, disks: c.countDisksWith(sent.add)})
+		c.acked = append(c.acked, acknowledgement{
+			add: sent.add, node: i, disks: c.countDisksWith(sent.add), cutOff: c.cutOffWithout(i, sent.add),
+		})
 		c.checkAcknowledgement(i, sent.add)
 	case Refused:
 		c.checkRefusal(i, sent.add)
@@ -244,11 +269,117 @@
 	return false
 }
 
-// checkAcknowledgement checks that an acknowledged add is on the node's own disk.
+// checkAcknowledgement checks that an acknowledged add is on the node's own disk and that enough disks
+// have stored it. Fewer are enough only for a node that is cut off from all nodes that haven't.
 func (c *cluster) checkAcknowledgement(i int, add Add) {
-	if c.fault != reuseDots && !diskContains(&c.nodes[i].disk, add) {
+	if c.fault == reuseDots || c.fault == ackBeforeSync || c.fault == countPerOrigin {
+		return
+	}
+	if !diskContains(&c.nodes[i].disk, add) {
 		c.violation = fmt.Errorf("%s acknowledged %v: got no copy on its disk, want one", c.nodes[i].addr, add)
 	}
+	if len(c.stored[add]) > c.remoteCopies {
+		return
+	}
+	for j, n := range c.nodes {
+		if !c.stored[add][j] && !c.recentlyCut(i, j) {
+			c.violation = fmt.Errorf("%s acknowledged %v on %d disks, without %s, from which it isn't cut off: want %d disks",
+				c.nodes[i].addr, add, len(c.stored[add]), n.addr, c.remoteCopies+1)
+		}
+	}
+}
+
+// healNoticeTicks is the number of ticks in which a node may still take a healed link for cut.
+const healNoticeTicks = 3
+
+// recentlyCut reports whether the link between two nodes is cut in either direction, or was until recently.
+func (c *cluster) recentlyCut(i, j int) bool {
+	for _, link := range [][2]int{{i, j}, {j, i}} {
+		last, wasCut := c.lastCut[link]
+		if c.cutLinks[link] || wasCut && c.now-last <= healNoticeTicks*tickInterval {
+			return true
+		}
+	}
+	return false
+}
+
+// cutOffWithout reports whether a node is cut off from a node that has not stored an add.
+func (c *cluster) cutOffWithout(i int, add Add) bool {
+	for j := range c.nodes {
+		if j != i && !c.stored[add][j] && c.recentlyCut(i, j) {
+			return true
+		}
+	}
+	return false
+}
+
+// cut cuts the links between two nodes in the given directions.
+func (c *cluster) cut(links ...[2]int) {
+	for _, link := range links {
+		c.cutLinks[link] = true
+	}
+	c.disrupted = true
+}
+
+// isolate cuts all links of a node.
+func (c *cluster) isolate(i int) {
+	for j := range c.nodes {
+		if j != i {
+			c.cut([2]int{i, j}, [2]int{j, i})
+		}
+	}
+}
+
+// restoreLinks heals all cuts.
+func (c *cluster) restoreLinks() {
+	for link := range c.cutLinks {
+		c.lastCut[link] = c.now
+	}
+	c.cutLinks = map[[2]int]bool{}
+}
+
+// kill ends a node's process. Its disk stays as it is: the pending write may be on it or not.
+func (c *cluster) kill(i int, writeKept bool) {
+	n := c.nodes[i]
+	c.dropPending(i, writeKept)
+	n.down, n.paused, n.acked = true, false, map[string]bool{}
+}
+
+// wake lets a paused node continue.
+func (c *cluster) wake(i int) { c.nodes[i].paused = false }
+
+// running reports whether a node's process runs.
+func (n *node) running() bool { return !n.down && !n.paused }
+
+// finishAttempts reports the results of the connection attempts that earlier ticks began.
+func (c *cluster) finishAttempts() {
+	var later []attempt
+	attempts := c.attempts
+	c.attempts = nil
+	for _, a := range attempts {
+		n := c.nodes[a.from]
+		switch {
+		case n.down || n.incarnation != a.incarnation:
+		case n.paused:
+			later = append(later, a)
+		default:
+			c.execute(a.from, n.replica.AttemptFinished(c.now, c.nodes[a.to].addr, a.startedAt, c.attemptResult(a)))
+		}
+	}
+	c.attempts = append(c.attempts, later...)
+}
+
+// attemptResult returns how the destination of an attempt answers.
+func (c *cluster) attemptResult(a attempt) AttemptResult {
+	switch {
+	case c.cutLinks[[2]int{a.from, a.to}] || c.cutLinks[[2]int{a.to, a.from}]:
+		return Unanswered
+	case c.nodes[a.to].down && c.fault == downIsPartitioned:
+		return Unanswered
+	case c.nodes[a.to].down:
+		return RefusedConnection
+	}
+	return Connected
 }
 
 // checkRefusal checks that a refused add is on no disk, unless another call sent the same add.
@@ -281,7 +412,7 @@
 	}
 	for i := range c.nodes {
 		for j := range c.nodes {
-			if len(c.links[[2]int{i, j}]) == 0 {
+			if len(c.links[[2]int{i, j}]) == 0 || !c.nodes[j].running() {
 				continue
 			}
 			all = append(all, event{"deliver", i, j})
@@ -301,6 +432,13 @@
 				all = append(all, event{"power loss, write kept", i, 0})
 			}
 		}
+		if c.nodes[i].down {
+			all = append(all, event{"start", i, 0})
+			continue
+		}
+		if c.remaining.kills > 0 {
+			all = append(all, event{"kill", i, 0})
+		}
 		if c.remaining.diskLosses > 0 {
 			all = append(all, event{"disk loss", i, 0})
 		}
@@ -330,6 +468,11 @@
 		c.links[link] = nil // a closed connection loses all its messages
 	case "sync":
 		c.completeSync(e.a)
+	case "kill":
+		c.remaining.kills--
+		c.kill(e.a, false)
+	case "start":
+		c.startNode(e.a)
 	case "power loss":
 		c.remaining.powerLosses--
 		c.losePower(e.a, false)
@@ -349,19 +492,25 @@
 func (c *cluster) submit(sent call) {
 	c.lastToken++
 	c.callsByToken[c.lastToken] = sent
+	if !c.nodes[sent.node].running() {
+		return
+	}
 	c.issued = append(c.issued, sent.add)
 	c.execute(sent.node, c.nodes[sent.node].replica.Add(c.now, c.lastToken, sent.add))
 }
 
 // receive delivers a message to a node.
 func (c *cluster) receive(to int, m *Message) {
+	if c.nodes[to].down {
+		return
+	}
 	c.execute(to, c.nodes[to].replica.Receive(c.now, m))
 }
 
 // completeSync completes a node's oldest pending write.
 func (c *cluster) completeSync(i int) {
 	n := c.nodes[i]
-	n.disk.synced = append(n.disk.synced, *n.disk.pending[0])
+	c.store(i, n.disk.pending[0])
 	n.disk.pending = n.disk.pending[1:]
 	if c.fault != ackBeforeSync && c.fault != reuseDots {
 		c.execute(i, n.replica.WriteSucceeded(c.now))
@@ -370,15 +519,33 @@
 
 // losePower restarts a node. Its pending writes are lost, except that the oldest one may be on disk.
 func (c *cluster) losePower(i int, writeKept bool) {
+	c.dropPending(i, writeKept)
+	c.startNode(i)
+}
+
+// dropPending drops a node's connections and pending writes, except that the oldest write may be on disk.
+func (c *cluster) dropPending(i int, writeKept bool) {
 	n := c.nodes[i]
 	if writeKept {
-		n.disk.synced = append(n.disk.synced, *n.disk.pending[0])
+		c.store(i, n.disk.pending[0])
 	}
 	n.disk.pending = nil
 	for j := range c.nodes {
 		c.links[[2]int{i, j}], c.links[[2]int{j, i}] = nil, nil
 	}
-	c.startNode(i)
+}
+
+// store puts a batch on a node's disk.
+func (c *cluster) store(i int, batch *Batch) {
+	c.nodes[i].disk.synced = append(c.nodes[i].disk.synced, *batch)
+	for _, run := range batch.Runs {
+		for _, add := range run.Adds {
+			if c.stored[add] == nil {
+				c.stored[add] = map[int]bool{}
+			}
+			c.stored[add][i] = true
+		}
+	}
 }
 
 // loseDisk restarts a node with an empty disk.
@@ -401,8 +568,11 @@
 // tick advances the time by one tick on all nodes.
 func (c *cluster) tick() {
 	c.now += tickInterval
+	c.finishAttempts()
 	for i, n := range c.nodes {
-		c.execute(i, n.replica.Tick(c.now))
+		if n.running() {
+			c.execute(i, n.replica.Tick(c.now))
+		}
 	}
 }
 
