Agent: the wait of a successor in giving orders survives failed renewals

Cause: acquireLease decided by the record's holder alone whether there was a predecessor. The record says who has the lease, not since when its predecessor is silent.

Ruled out: a lower fence after a higher one (tokens were right throughout); the head's record of renewals (it answers with the predecessor's idle time also to a holder that asks again).

Change: an agent remembers the lease that it claimed; while the record names it under the same fencing token it goes on with that lease, which doesn't become valid earlier than it would have. An acquisition whose reply was lost leaves no such lease and counts as one with a predecessor.

--- a/internal/agent/agent.go
+++ b/internal/agent/agent.go
@@ -89,6 +89,7 @@
 	gossipBytesSent uint64
 	localLoads      map[string]dispatch.Load
 	rollouts        map[string]bool
+	ownLeases       map[string]*lease // by name: the last lease of that name that this agent claimed
 	announcedPhases map[string]announcedPhase
 	// phaseSeq numbers the phases that this agent announces.
 	phaseSeq uint64
@@ -129,6 +130,7 @@
 		resync:          indexResync{pending: map[string]bool{}},
 		listRevisions:   listRevisions{changedAt: map[string]uint64{}},
 		rollouts:        map[string]bool{},
+		ownLeases:       map[string]*lease{},
 		announcedPhases: map[string]announcedPhase{},
 	}
 	a.gossip = newGossiper(a)
--- a/internal/agent/lease.go
+++ b/internal/agent/lease.go
@@ -16,7 +16,7 @@
 // of a rollout.
 type lease struct {
 	name           string
-	hadPredecessor bool // another agent, the predecessor, may have held the lease before
+	hadPredecessor bool // another agent, the predecessor, may have held the lease before this one acquired it
 	mu             sync.Mutex
 	state          *leases.Lease
 }
@@ -39,6 +39,13 @@
 	return l.state.Expired(now)
 }
 
+// heldUnder reports whether the lease was acquired under a fencing token.
+func (l *lease) heldUnder(fencingToken uint64) bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.state.Held() && l.state.FencingToken() == fencingToken
+}
+
 // timeUntilValid returns the time until the lease becomes valid, 0 if it has.
 func (l *lease) timeUntilValid(now time.Duration) time.Duration {
 	l.mu.Lock()
@@ -68,11 +75,10 @@
 // acquireLease acquires a lease and returns at most emptyingLead before it becomes valid, which is
 // after the former holder has stopped.
 func (a *Agent) acquireLease(ctx context.Context, name string) (*lease, error) {
-	var record replicated.LeaseRecord
-	if err := a.runInLoop(ctx, func() { record = a.snapshot.Leases[name] }); err != nil {
+	var l *lease
+	if err := a.runInLoop(ctx, func() { l = a.claimLease(name) }); err != nil {
 		return nil, err
 	}
-	l := &lease{name: name, hadPredecessor: record.Holder != "" && record.Holder != a.self.ID, state: leases.New(a.rolloutLeaseTiming(), record.FencingToken)}
 	if err := a.renewLease(ctx, l); err != nil {
 		return nil, err
 	}
@@ -88,6 +94,19 @@
 	}
 }
 
+// claimLease returns the lease to acquire. If this agent has acquired it before and nobody else has since,
+// that is the same lease, which doesn't become valid earlier than it would have. An acquisition whose reply
+// was lost leaves only its record, which says nothing about when the predecessor stopped.
+func (a *Agent) claimLease(name string) *lease {
+	record := a.snapshot.Leases[name]
+	if own := a.ownLeases[name]; own != nil && record.Holder == a.self.ID && own.heldUnder(record.FencingToken) {
+		return own
+	}
+	l := &lease{name: name, hadPredecessor: record.Holder != "", state: leases.New(a.rolloutLeaseTiming(), record.FencingToken)}
+	a.ownLeases[name] = l
+	return l
+}
+
 // renewLease renews a lease through the head of the chain. An agent that doesn't hold the lease
 // acquires it if nobody has acquired it since the known fencing token.
 func (a *Agent) renewLease(ctx context.Context, l *lease) error {
--- a/internal/leases/lease.go
+++ b/internal/leases/lease.go
@@ -84,6 +84,9 @@
 	return true
 }
 
+// Held reports whether a renewal has been applied.
+func (l *Lease) Held() bool { return l.held }
+
 // Valid reports whether the holder may act under the lease now.
 func (l *Lease) Valid(now time.Duration) bool {
 	return l.held && now >= l.validFrom && now < l.expiresAt
