Soak: an outage of all controllers but one, which loses its disk

The soak killed one controller at a time and lost no disk, so it could not show LOST. New event: all controllers but one are killed and back within a second; the one that serves meanwhile is killed and its disk emptied when they are about to be back. Eight seconds lie between it and a cut or another such event, in which what is on one disk alone is replicated.

The relayed network of the soak's build tells a refused connection from one that a cut holds up, as the kernel does; before it was one error for both.

--- a/internal/lab/fleetdemo/fleet.go
+++ b/internal/lab/fleetdemo/fleet.go
@@ -149,15 +149,24 @@
 }
 
 func (w *world) startController(i int, first bool) error {
-	name := fmt.Sprint("core-", i+1)
+	name := controllerName(i)
 	settings, err := w.settings(name, controllerIP(i), zoneOf(i), first,
-		"listen_addresses.control="+controlAddr(i), "counts_for_quorum=true", "data_directory="+filepath.Join(w.dir, name))
+		"listen_addresses.control="+controlAddr(i), "counts_for_quorum=true", "data_directory="+w.controllerDisk(i))
 	if err != nil {
 		return err
 	}
 	return w.start("controller", name, controllerIP(i), settings)
 }
 
+// controllerName returns the name of a controller's machine.
+func controllerName(i int) string { return fmt.Sprint("core-", i+1) }
+
+// controllerDisk returns the data directory of a controller.
+func (w *world) controllerDisk(i int) string { return filepath.Join(w.dir, controllerName(i)) }
+
+// loseDisk removes what a controller, which has ended, has on its disk.
+func (w *world) loseDisk(i int) error { return os.RemoveAll(w.controllerDisk(i)) }
+
 func (w *world) startFront(i int) error {
 	name := fmt.Sprint("front-", i+1)
 	settings, err := w.settings(name, frontIP(i), zoneOf(i), true,
--- a/internal/lab/fleetdemo/play_test.go
+++ b/internal/lab/fleetdemo/play_test.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"os/exec"
 	"path/filepath"
+	"slices"
 	"testing"
 	"time"
 
@@ -39,12 +40,41 @@
 // TestASeededSoak plays two short soaks. The judge eases its times by what the machine was late by in the run, so that a busy one gives the
 // same verdict.
 func TestASeededSoak(t *testing.T) {
-	program := filepath.Join(t.TempDir(), "nettlefold")
-	require.NoError(t, Build(program))
+	program := buildForSoak(t)
 	for _, seed := range []uint64{2, 7} {
-		var out bytes.Buffer
-		err := Soak(program, SoakOptions{Seed: seed, Length: 20 * time.Second, Controllers: 3, Fronts: 3, Engine: 5, LongestCut: UsualCut}, &out)
-		t.Log(out.String())
-		require.NoError(t, err)
+		playSoak(t, program, seed, 20*time.Second)
 	}
 }
+
+// TestASoakWithAnOutage guards against the loss of acknowledged adds to tallies (LOST): controllers are killed and soon back, and the one
+// that serves meanwhile loses its disk.
+func TestASoakWithAnOutage(t *testing.T) {
+	const (
+		seed   = 814
+		length = 15 * time.Second
+	)
+	require.True(t, slices.ContainsFunc(makePlan(seed, length, soakSize, UsualCut), func(a act) bool { return a.Kind == actOutage }))
+	playSoak(t, buildForSoak(t), seed, length)
+}
+
+// buildForSoak builds the program that a soak plays.
+func buildForSoak(t *testing.T) string {
+	t.Helper()
+	program := filepath.Join(t.TempDir(), "nettlefold")
+	require.NoError(t, Build(program))
+	return program
+}
+
+// soakSize is the size of the soaks in CI.
+var soakSize = size{controllers: 3, fronts: 3, engines: 5}
+
+// playSoak plays a soak and requires that its judge finds nothing.
+func playSoak(t *testing.T, program string, seed uint64, length time.Duration) {
+	t.Helper()
+	var out bytes.Buffer
+	err := Soak(program, SoakOptions{
+		Seed: seed, Length: length, Controllers: soakSize.controllers, Fronts: soakSize.fronts, Engine: soakSize.engines, LongestCut: UsualCut,
+	}, &out)
+	t.Log(out.String())
+	require.NoError(t, err)
+}
--- a/internal/lab/fleetdemo/relayed/network.go
+++ b/internal/lab/fleetdemo/relayed/network.go
@@ -9,6 +9,7 @@
 	"net"
 	"os"
 	"strings"
+	"syscall"
 )
 
 // Variables of the environment by which a process finds the relay.
@@ -48,10 +49,18 @@
 	}
 	if err != nil {
 		conn.Close()
-		return nil, fmt.Errorf("dial %s by the relay: %w", addr, err)
+		return nil, fmt.Errorf("dial %s by the relay: %w", addr, dialError(ctx))
 	}
 	return conn, nil
 }
 
+// dialError returns the error that a dial without the relay would have had: the relay ends a connection only if the machine refused it.
+func dialError(ctx context.Context) error {
+	if err := ctx.Err(); err != nil {
+		return err
+	}
+	return syscall.ECONNREFUSED
+}
+
 // Listen listens on TCP.
 func (TCP) Listen(addr string) (net.Listener, error) { return net.Listen("tcp", addr) }
--- a/internal/lab/fleetdemo/soak.go
+++ b/internal/lab/fleetdemo/soak.go
@@ -243,6 +243,8 @@
 		s.signalFront(a.Target, syscall.SIGHUP)
 	case actTermCore, actKillCore:
 		s.restartController(a)
+	case actOutage:
+		s.loseDiskInOutage(a)
 	case actDrain:
 		s.drain(a)
 	case actEvacuate:
--- a/internal/lab/fleetdemo/soakplan.go
+++ b/internal/lab/fleetdemo/soakplan.go
@@ -17,7 +17,8 @@
 	actHangUp     = "hup front"       // SIGHUP
 	actTermCore   = "term controller" // as with fronts
 	actKillCore   = "kill controller"
-	actCrash      = "crash engine" // it comes back with another identity and the weights it had
+	actOutage     = "outage controllers" // all but one are killed and soon back; that one, which serves meanwhile, loses its disk
+	actCrash      = "crash engine"       // it comes back with another identity and the weights it had
 	actSilence    = "silence engine"
 	actSlow       = "slow engine"
 	actDrain      = "drain engine"  // the platform's list shows it as draining; later it ends, and another life of it is ready
@@ -32,6 +33,8 @@
 	meanGap       = 700 * time.Millisecond
 	firstAct      = time.Second
 	heavyInterval = 3 * time.Second // between two losses of controllers: more at once are not borne
+	mostOutage    = time.Second     // that all controllers but one are down
+	diskInterval  = 8 * time.Second // before and after the loss of a disk, in which its contents are replicated
 	evacuateLeast = soakEvacuationLimit + 500*time.Millisecond
 	drainLeast    = soakDrainLimit + 500*time.Millisecond
 	lingers       = 2 * time.Second // that a zone is evacuated, or a draining engine serves, beyond the least
@@ -54,7 +57,7 @@
 	kind   string
 	weight int
 }{
-	{actConfigure, 8}, {actName, 3}, {actTermFront, 3}, {actKillFront, 1}, {actFreeze, 1}, {actHangUp, 2}, {actTermCore, 1}, {actKillCore, 1},
+	{actConfigure, 8}, {actName, 3}, {actTermFront, 3}, {actKillFront, 1}, {actFreeze, 1}, {actHangUp, 2}, {actTermCore, 1}, {actKillCore, 1}, {actOutage, 2},
 	{actCrash, 3}, {actSilence, 4}, {actSlow, 2},
 	{actDrain, 3}, {actEvacuate, 2},
 	{actCutFront, 1}, {actCutLink, 2}, {actCutCore, 1}, {actCutBridge, 1}, {actCutZone, 1},
@@ -74,7 +77,7 @@
 		total += w.weight
 	}
 	var plan []act
-	var coreBusy, evacuated, named time.Duration
+	var coreBusy, diskBusy, evacuated, named time.Duration
 	for at := firstAct; at < length; at += leastGap + time.Duration(random.ExpFloat64()*float64(meanGap-leastGap)) {
 		a := act{At: at, Kind: drawKind(random, total)}
 		switch a.Kind {
@@ -84,12 +87,19 @@
 				continue
 			}
 			coreBusy = at + a.For + heavyInterval
+		case actOutage:
+			a.Target, a.For = random.IntN(of.controllers), drawTime(random, LeastCut, mostOutage)
+			if at < coreBusy || at < diskBusy {
+				continue
+			}
+			coreBusy = at + a.For + diskInterval
 		case actCutCore, actCutBridge, actCutZone:
 			a.Target, a.For = random.IntN(of.controllers), drawTime(random, LeastCut, longestCut)
 			if at < coreBusy {
 				continue
 			}
 			coreBusy = at + a.For + heavyInterval
+			diskBusy = at + a.For + diskInterval
 		case actCutFront, actCutLink:
 			a.Target, a.For = random.IntN(of.fronts), drawTime(random, LeastCut, longestCut)
 		case actEvacuate:
--- a/internal/lab/fleetdemo/soaktrouble.go
+++ b/internal/lab/fleetdemo/soaktrouble.go
@@ -42,17 +42,47 @@
 }
 
 func (s *soak) restartController(a act) {
-	s.mu.Lock()
-	number := len(s.record.Cores)
-	now := time.Now()
-	s.record.Cores = append(s.record.Cores, machineTrouble{span{now, now.Add(time.Hour)}, a.Target, a.Kind})
-	s.mu.Unlock()
-	s.endProcesses(a.Kind == actTermCore, fmt.Sprintf("core-%d-controller", a.Target+1))
+	over := s.troubleController(a.Target, a.Kind)
+	defer over()
+	s.endProcesses(a.Kind == actTermCore, controllerProcess(a.Target))
 	time.Sleep(a.For)
 	s.world.startController(a.Target, false)
+}
+
+// loseDiskInOutage kills all controllers but one. That one loses its disk when they are about to be back.
+func (s *soak) loseDiskInOutage(a act) {
+	var others []string
+	for i := range s.world.size.controllers {
+		over := s.troubleController(i, a.Kind)
+		defer over()
+		if i != a.Target {
+			others = append(others, controllerProcess(i))
+		}
+	}
+	s.endProcesses(false, others...)
+	time.Sleep(a.For)
+	s.endProcesses(false, controllerProcess(a.Target))
+	s.world.loseDisk(a.Target)
+	for i := range s.world.size.controllers {
+		s.world.startController(i, false)
+	}
+}
+
+// controllerProcess returns the name of a controller's process.
+func controllerProcess(i int) string { return controllerName(i) + "-controller" }
+
+// troubleController records that a controller is in trouble until the returned function is called.
+func (s *soak) troubleController(i int, kind string) (over func()) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.record.Cores[number].To = time.Now()
+	number := len(s.record.Cores)
+	now := time.Now()
+	s.record.Cores = append(s.record.Cores, machineTrouble{span{now, now.Add(time.Hour)}, i, kind})
+	return func() {
+		s.mu.Lock()
+		defer s.mu.Unlock()
+		s.record.Cores[number].To = time.Now()
+	}
 }
 
 func (s *soak) freeze(a act) {
