Tallies: a partition that refuses connections shows in machines near the peer

Change: when a peer refuses, up to five agents of its zone, as they were when it was last reachable, are its witnesses. While one of them accepts connections, the peer is down. If neither the peer nor any witness has accepted one for 2 s, and there are at least two witnesses, it is a partition. Without witnesses a refusal never is.

Tests: TestRefusingPartitions, TestRefusalsBeforeRestart, TestWitnessesOfReachablePeers (pure machine), TestAgentsByZone.

--- a/internal/controller/tallies.go
+++ b/internal/controller/tallies.go
@@ -28,6 +28,8 @@
 	logDiskPercent = 40
 	// peerRefreshInterval is how often the peers are updated from the seeds and the view.
 	peerRefreshInterval = 500 * time.Millisecond
+	// maxWitnesses is how many agents of a zone show whether it is partitioned from this machine.
+	maxWitnesses = 5
 )
 
 // tallyService is this machine's replica of the tallies. One goroutine, the tally loop, owns the
@@ -65,6 +67,8 @@
 type tallyPeers struct {
 	seeds   []string
 	members []string // of the view in force
+	// witnesses are agents in the zone of each member, by the member's address.
+	witnesses map[string][]string
 }
 
 // newTallies creates the tally service. The log file exists when it returns. The file is read only
@@ -141,7 +145,23 @@
 // tallyPeers returns the addresses of the seeds and of the members of the view in force.
 func (c *Controller) tallyPeers() tallyPeers {
 	now := c.published.Load()
-	return tallyPeers{seeds: now.seedAddrs, members: now.controllerAddrs}
+	peers := tallyPeers{seeds: now.seedAddrs, members: now.controllerAddrs, witnesses: map[string][]string{}}
+	agents := agentsByZone(now.members.Agents)
+	for _, m := range now.view.Members() {
+		peers.witnesses[m.Addr] = agents[m.Zone]
+	}
+	return peers
+}
+
+// agentsByZone returns the addresses of up to maxWitnesses agents of each zone.
+func agentsByZone(agents []distribute.Agent) map[string][]string {
+	byZone := map[string][]string{}
+	for _, a := range agents {
+		if len(byZone[a.Zone]) < maxWitnesses {
+			byZone[a.Zone] = append(byZone[a.Zone], a.Addr)
+		}
+	}
+	return byZone
 }
 
 // sinceStart returns the monotonic time since the service was created.
@@ -189,6 +209,9 @@
 		t.peersRefreshedAt = now
 		peers := t.peers()
 		t.replica.SetPeers(now, peers.seeds, peers.members)
+		for addr, witnesses := range peers.witnesses {
+			t.replica.SetWitnesses(now, addr, witnesses)
+		}
 	}
 	t.applyOutput(t.replica.Tick(now))
 	t.logPresence(now)
--- a/internal/controller/tallies_peers_test.go
+++ b/internal/controller/tallies_peers_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"net"
 	"os"
 	"syscall"
@@ -10,6 +11,7 @@
 
 	"github.com/stretchr/testify/require"
 
+	"nettlefold/internal/distribute"
 	"nettlefold/internal/rpc"
 	"nettlefold/internal/tally"
 )
@@ -52,3 +54,16 @@
 	_, err = rpc.TCP{}.Dial(t.Context(), addr)
 	require.Equal(t, tally.RefusedConnection, attemptResult(err))
 }
+
+// TestAgentsByZone checks that the witnesses of a zone are its own agents, and at most maxWitnesses.
+func TestAgentsByZone(t *testing.T) {
+	var agents []distribute.Agent
+	for i := range maxWitnesses + 1 {
+		agents = append(agents, distribute.Agent{Addr: fmt.Sprint("a", i), Zone: "a"})
+	}
+	agents = append(agents, distribute.Agent{Addr: "b0", Zone: "b"})
+	byZone := agentsByZone(agents)
+	require.Len(t, byZone["a"], maxWitnesses)
+	require.Equal(t, []string{"b0"}, byZone["b"])
+	require.Empty(t, byZone["c"])
+}
--- a/internal/tally/checks_test.go
+++ b/internal/tally/checks_test.go
@@ -189,7 +189,8 @@
 				max(0, p.nextGossip-c.now), p.gossipCount%gossipsPerPeerList, p.incomplete, c.now-r.resumedAt)
 			a := p.attempts
 			fmt.Fprint(&b, max(0, a.next-c.now), a.lastAnswered == never, c.now-a.lastAnswered, a.answeredSince == never,
-				c.now-a.answeredSince, a.refused, a.unanswered, c.now-a.unansweredSince, c.now-a.lastUnanswered)
+				c.now-a.answeredSince, a.refused, a.unanswered, c.now-a.unansweredSince, c.now-a.lastUnanswered,
+				a.failingSince == never, c.now-a.failingSince, c.now-a.lastFailure)
 			for _, origin := range r.set.sortedOrigins() {
 				if l := p.progress[origin]; l != nil {
 					fmt.Fprint(&b, origin, l.durable, l.sent, c.now-l.lastProgress,
--- a/internal/tally/outage_test.go
+++ b/internal/tally/outage_test.go
@@ -1,6 +1,7 @@
 package tally
 
 import (
+	"fmt"
 	"testing"
 	"time"
 
@@ -230,6 +231,75 @@
 	require.True(t, c.addDuring("a", int(testTiming().AddTimeout/tickInterval)-1))
 }
 
+// setWitnesses names two witnesses near each peer of node 0, and how they answer connection attempts.
+func (c *cluster) setWitnesses(results ...AttemptResult) {
+	c.witnesses = map[string]AttemptResult{}
+	var addrs []string
+	for i, result := range results {
+		addr := fmt.Sprint("w", i)
+		c.witnesses[addr] = result
+		addrs = append(addrs, addr)
+	}
+	for _, n := range c.nodes[1:] {
+		c.nodes[0].replica.SetWitnesses(c.now, n.addr, addrs)
+	}
+}
+
+// TestRefusingPartitions checks that a partition in which connections are refused shows in the witnesses
+// near the peers, and that processes that are down aren't taken for one as long as any witness answers.
+func TestRefusingPartitions(t *testing.T) {
+	isolate := func(c *cluster) { c.cutsRefuse = true; c.isolate(0) }
+	for name, test := range map[string]struct {
+		outage    func(c *cluster)
+		witnesses []AttemptResult
+		want      bool
+	}{
+		"partition, witnesses refuse":          {isolate, []AttemptResult{RefusedConnection, RefusedConnection}, true},
+		"partition, witnesses silent":          {isolate, []AttemptResult{Unanswered, RefusedConnection}, true},
+		"down, witnesses answer":               {(*cluster).killOthers, []AttemptResult{Connected, Connected}, false},
+		"down, one witness answers":            {(*cluster).killOthers, []AttemptResult{RefusedConnection, Connected}, false},
+		"down, attempts at witnesses fail":     {(*cluster).killOthers, []AttemptResult{Inconclusive, Inconclusive}, false},
+		"down, a single witness, which is too": {(*cluster).killOthers, []AttemptResult{RefusedConnection}, false},
+		"down, no witnesses":                   {(*cluster).killOthers, nil, false},
+	} {
+		t.Run(name, func(t *testing.T) {
+			c := newCluster(3, 1, noFault, limits{}).converge()
+			c.setWitnesses(test.witnesses...)
+			test.outage(c)
+			require.False(t, c.addDuring("early", 3))
+			c.run(2 * outageTicks)
+			require.Equal(t, test.want, c.addDuring("late", 4))
+			require.NoError(t, c.check())
+			require.NoError(t, c.heal(healTicks))
+		})
+	}
+}
+
+// TestRefusalsBeforeRestart checks that refusals before and after a short life of a peer's process, in which
+// it accepts connections, don't add up to a partition, even while its witnesses are down all the time.
+func TestRefusalsBeforeRestart(t *testing.T) {
+	c := newCluster(3, 1, noFault, limits{}).converge()
+	c.setWitnesses(RefusedConnection, RefusedConnection)
+	wait := int(testTiming().RefusedPartitionWait / tickInterval)
+	for range 4 {
+		c.killOthers()
+		require.False(t, c.addDuring("a", wait-2))
+		c.startOthers()
+		c.pauseOthers(true)
+		c.run(2)
+	}
+}
+
+// TestWitnessesOfReachablePeers checks that witnesses are those of the time when the peer was last reachable.
+func TestWitnessesOfReachablePeers(t *testing.T) {
+	c := newCluster(3, 1, noFault, limits{}).converge()
+	c.setWitnesses(Connected, Connected)
+	c.killOthers()
+	c.run(outageTicks)
+	c.nodes[0].replica.SetWitnesses(c.now, "m1", []string{"other"})
+	require.Equal(t, []string{"w0", "w1"}, c.nodes[0].replica.peers["m1"].witnesses)
+}
+
 // TestRemovedPeersAreNotExpected checks that adds don't wait for machines that have left the view, nor for
 // ever for members that are silent.
 func TestRemovedPeersAreNotExpected(t *testing.T) {
--- a/internal/tally/peer.go
+++ b/internal/tally/peer.go
@@ -31,6 +31,7 @@
 	diskFailed       bool // its disk accepts no more adds
 	diskSlow         bool // its disk is slow
 	attempts         attempts
+	witnesses        []string // addresses of machines near it, when it was last reachable
 	progress         map[Origin]*originProgress
 	acksPending      map[Origin]bool // origins of which it sent adds that aren't acknowledged yet
 	nextGossip       time.Duration   // when the next full vector is due
--- a/internal/tally/presence.go
+++ b/internal/tally/presence.go
@@ -1,6 +1,10 @@
 package tally
 
-import "time"
+import (
+	"maps"
+	"slices"
+	"time"
+)
 
 // Presence is what a replica knows about where a peer is. Only a peer that is Partitioned may be left out
 // of an acknowledgement: in all other cases its disk is expected back on this side of any partition.
@@ -12,12 +16,12 @@
 	Unknown Presence = iota
 	// Reachable: messages have recently gone both ways.
 	Reachable
-	// ProcessDown: the peer's machine answers, but refuses connections.
+	// ProcessDown: the peer's machine refuses connections, and no partition shows in those of its witnesses.
 	ProcessDown
 	// ProcessSilent: the peer's machine accepts connections, but its process sends nothing.
 	ProcessSilent
-	// Partitioned: neither messages nor connection attempts are answered. A machine without power
-	// looks the same.
+	// Partitioned: neither messages nor connection attempts are answered, or its machine refuses
+	// connections and so do all of its witnesses. A machine without power looks the same as the former.
 	Partitioned
 )
 
@@ -50,7 +54,10 @@
 // one may be due to a lost packet.
 const partitionAttempts = 4
 
-// attempts is the state of the connection attempts to a peer.
+// partitionWitnesses is the least number of witnesses that can show a partition whose connections are refused.
+const partitionWitnesses = 2
+
+// attempts is the state of the connection attempts to a peer or a witness.
 type attempts struct {
 	next            time.Duration // when the next one is due
 	lastAnswered    time.Duration // start of the newest one that was answered, or never
@@ -59,10 +66,17 @@
 	unanswered      int           // consecutive unanswered ones
 	unansweredSince time.Duration // start of the first of them
 	lastUnanswered  time.Duration // when the newest of them ended
+	failingSince    time.Duration // start of the first one since the last accepted connection, or never
+	lastFailure     time.Duration // when the newest refused or unanswered one ended
 }
 
 // newAttempts returns the state before the first attempt.
-func newAttempts() attempts { return attempts{lastAnswered: never, answeredSince: never} }
+func newAttempts() attempts {
+	return attempts{lastAnswered: never, answeredSince: never, failingSince: never}
+}
+
+// refusing reports whether the newest answers were refusals, and no attempt has gone unanswered since.
+func (a *attempts) refusing() bool { return a.refused && a.unanswered == 0 && a.failingSince != never }
 
 // presence returns where a peer is, as far as is known.
 func (r *Replica) presence(now time.Duration, p *peer) Presence {
@@ -79,13 +93,50 @@
 	return ProcessSilent
 }
 
-// partitioned reports whether the newest attempts to connect to an unreachable peer all went unanswered,
-// for PartitionWait at least.
+// partitioned reports whether the newest attempts to connect to an unreachable peer show a partition. Most
+// partitions leave attempts unanswered. Some have connections refused, as a process that is down does:
+// these show in the peer's witnesses, which are other machines near it.
 func (r *Replica) partitioned(now time.Duration, p *peer) bool {
-	timing, a := &r.options.Timing, &p.attempts
-	upToDate := now-a.lastUnanswered < timing.AttemptTimeout+2*timing.AttemptInterval
-	return a.unanswered >= partitionAttempts && upToDate && now-a.unansweredSince >= timing.PartitionWait &&
-		!r.reachable(now, p)
+	return !r.reachable(now, p) && (r.allUnanswered(now, p) || r.allFailing(now, p))
+}
+
+// allUnanswered reports whether the newest attempts to connect to a peer all went unanswered, for
+// PartitionWait at least.
+func (r *Replica) allUnanswered(now time.Duration, p *peer) bool {
+	a := &p.attempts
+	return a.unanswered >= partitionAttempts && now-a.unansweredSince >= r.options.Timing.PartitionWait &&
+		now-a.lastUnanswered < r.attemptValidity()
+}
+
+// allFailing reports whether neither a peer nor any of its witnesses has accepted a connection for
+// RefusedPartitionWait.
+func (r *Replica) allFailing(now time.Duration, p *peer) bool {
+	if len(p.witnesses) < partitionWitnesses || !r.failing(now, &p.attempts) {
+		return false
+	}
+	return !slices.ContainsFunc(p.witnesses, func(addr string) bool {
+		a := r.witnesses[addr]
+		return a == nil || !r.failing(now, a)
+	})
+}
+
+// failing reports whether all attempts to connect to a machine have failed for RefusedPartitionWait.
+func (r *Replica) failing(now time.Duration, a *attempts) bool {
+	return a.failingSince != never && now-a.failingSince >= r.options.Timing.RefusedPartitionWait &&
+		now-a.lastFailure < r.attemptValidity()
+}
+
+// attemptValidity returns how long the result of an attempt is evidence. Attempts follow each other faster.
+func (r *Replica) attemptValidity() time.Duration {
+	return r.options.Timing.AttemptTimeout + 2*r.options.Timing.AttemptInterval
+}
+
+// SetWitnesses names machines that a partition between this machine and a peer also cuts off, such as
+// others in the peer's zone. They are kept as they were when the peer was last reachable.
+func (r *Replica) SetWitnesses(now time.Duration, addr string, witnesses []string) {
+	if p := r.peers[addr]; p != nil && r.reachable(now, p) && len(witnesses) > 0 {
+		p.witnesses = witnesses
+	}
 }
 
 // expected reports whether a peer's disk counts for acknowledgements and reads: the peer is a member, or
@@ -116,19 +167,46 @@
 }
 
 // attemptConnections requests connection attempts to the peers whose messages, or whose echoes of
-// messages to them, have not arrived for AttemptAfter.
+// messages to them, have not arrived for AttemptAfter, and to the witnesses of those that refuse them.
 func (r *Replica) attemptConnections(now time.Duration, out *Output) {
 	timing := &r.options.Timing
+	needed := map[string]bool{} // witnesses
 	for _, p := range r.sortedPeers() {
 		if p.heardWithin(now, timing.AttemptAfter) && p.echoedWithin(now, 2*timing.AttemptAfter) {
 			p.attempts = newAttempts()
 			continue
 		}
-		if now < p.attempts.next {
-			continue
+		if p.attempts.refusing() {
+			for _, addr := range p.witnesses {
+				needed[addr] = true
+			}
+		}
+		if now >= p.attempts.next {
+			p.attempts.next = now + r.attemptInterval(now, p)
+			out.Attempts = append(out.Attempts, p.addr)
+		}
+	}
+	r.attemptWitnesses(now, needed, out)
+}
+
+// attemptWitnesses requests the attempts to witnesses that are due, and forgets those not needed any more.
+func (r *Replica) attemptWitnesses(now time.Duration, needed map[string]bool, out *Output) {
+	for addr := range r.witnesses {
+		if !needed[addr] {
+			delete(r.witnesses, addr)
+		}
+	}
+	for _, addr := range slices.Sorted(maps.Keys(needed)) {
+		a := r.witnesses[addr]
+		if a == nil {
+			a = new(attempts)
+			*a = newAttempts()
+			r.witnesses[addr] = a
+		}
+		if now >= a.next {
+			a.next = now + r.options.Timing.AttemptInterval
+			out.Attempts = append(out.Attempts, addr)
 		}
-		p.attempts.next = now + r.attemptInterval(now, p)
-		out.Attempts = append(out.Attempts, p.addr)
 	}
 }
 
@@ -147,33 +225,55 @@
 	out := Output{}
 	r.advance(now)
 	if p := r.peers[addr]; p != nil {
-		r.recordAttempt(now, p, startedAt, result)
+		r.recordAttempt(now, &p.attempts, startedAt, result)
+	}
+	if a := r.witnesses[addr]; a != nil {
+		r.recordAttempt(now, a, startedAt, result)
 	}
 	r.acknowledgeReplicated(now, &out)
 	return out
 }
 
-// recordAttempt updates the state of a peer's attempts. An unanswered one says nothing if a later one was
-// answered, or if this process was paused since it began: the answer may be waiting to be read.
-func (r *Replica) recordAttempt(now time.Duration, p *peer, startedAt time.Duration, result AttemptResult) {
-	a := &p.attempts
+// recordAttempt updates the state of the attempts to a machine. An unanswered one says nothing if a later
+// one was answered, or if this process was paused since it began: the answer may be waiting to be read.
+func (r *Replica) recordAttempt(now time.Duration, a *attempts, startedAt time.Duration, result AttemptResult) {
+	if result == Unanswered && (startedAt <= a.lastAnswered || startedAt < r.resumedAt) {
+		return
+	}
 	switch result {
-	case Connected, RefusedConnection:
-		if a.answeredSince == never {
-			a.answeredSince = startedAt
-		}
-		a.lastAnswered, a.refused, a.unanswered = max(a.lastAnswered, startedAt), result == RefusedConnection, 0
+	case Connected:
+		a.recordAnswer(startedAt, false)
+		a.failingSince = never
+	case RefusedConnection:
+		a.recordAnswer(startedAt, true)
+		a.recordFailure(now, startedAt)
 	case Unanswered:
-		if startedAt <= a.lastAnswered || startedAt < r.resumedAt {
-			return
-		}
-		if a.unanswered == 0 {
-			a.unansweredSince = startedAt
-		}
-		a.unanswered++
-		a.lastUnanswered = now
-		if a.unanswered >= partitionAttempts {
-			a.answeredSince = never
-		}
+		a.recordUnanswered(now, startedAt)
+		a.recordFailure(now, startedAt)
+	}
+}
+
+func (a *attempts) recordAnswer(startedAt time.Duration, refused bool) {
+	if a.answeredSince == never {
+		a.answeredSince = startedAt
+	}
+	a.lastAnswered, a.refused, a.unanswered = max(a.lastAnswered, startedAt), refused, 0
+}
+
+func (a *attempts) recordUnanswered(now, startedAt time.Duration) {
+	if a.unanswered == 0 {
+		a.unansweredSince = startedAt
+	}
+	a.unanswered++
+	a.lastUnanswered = now
+	if a.unanswered >= partitionAttempts {
+		a.answeredSince = never
+	}
+}
+
+func (a *attempts) recordFailure(now, startedAt time.Duration) {
+	if a.failingSince == never {
+		a.failingSince = startedAt
 	}
+	a.lastFailure = now
 }
--- a/internal/tally/replica.go
+++ b/internal/tally/replica.go
@@ -21,39 +21,43 @@
 	AttemptRetry      time.Duration // between attempts until they show why the peer is silent
 	AttemptInterval   time.Duration // between attempts from then on
 	PartitionWait     time.Duration // attempts must go unanswered for this long to show a partition
-	SilentProcessWait time.Duration // a silent process whose machine answers for this long is unavailable
-	AddTimeout        time.Duration // a call whose add isn't on enough disks after this time is answered Unclear
-	WriteTimeout      time.Duration // a write that takes longer counts as a disk failure
-	SlowWrite         time.Duration // after a write that took longer, adds are refused if a peer's disk is healthy
-	SlowDiskBackoff   time.Duration // how long adds are refused after a slow write
-	PauseThreshold    time.Duration // a longer gap between events means that this process was paused
-	StartupWait       time.Duration // how long reads after a start wait for a silent peer
+	// RefusedPartitionWait is how long a peer and all of its witnesses must refuse connections to show a
+	// partition; longer than processes that are killed together take to be back.
+	RefusedPartitionWait time.Duration
+	SilentProcessWait    time.Duration // a silent process whose machine answers for this long is unavailable
+	AddTimeout           time.Duration // a call whose add isn't on enough disks after this time is answered Unclear
+	WriteTimeout         time.Duration // a write that takes longer counts as a disk failure
+	SlowWrite            time.Duration // after a write that took longer, adds are refused if a peer's disk is healthy
+	SlowDiskBackoff      time.Duration // how long adds are refused after a slow write
+	PauseThreshold       time.Duration // a longer gap between events means that this process was paused
+	StartupWait          time.Duration // how long reads after a start wait for a silent peer
 }
 
 // DefaultTiming returns values for callers that try another machine after one second; replicas merge
 // within three seconds.
 func DefaultTiming() Timing {
 	return Timing{
-		GossipInterval:    200 * time.Millisecond,
-		ProbeInterval:     300 * time.Millisecond,
-		RoundTripTimeout:  800 * time.Millisecond,
-		SilenceTimeout:    450 * time.Millisecond,
-		PeerExpiry:        10 * time.Minute,
-		RetransmitTimeout: 500 * time.Millisecond,
-		RelayDelay:        500 * time.Millisecond,
-		RecentlyHeard:     3 * time.Second,
-		AttemptAfter:      300 * time.Millisecond,
-		AttemptTimeout:    200 * time.Millisecond,
-		AttemptRetry:      50 * time.Millisecond,
-		AttemptInterval:   250 * time.Millisecond,
-		PartitionWait:     350 * time.Millisecond,
-		SilentProcessWait: 600 * time.Millisecond,
-		AddTimeout:        850 * time.Millisecond,
-		WriteTimeout:      250 * time.Millisecond,
-		SlowWrite:         60 * time.Millisecond,
-		SlowDiskBackoff:   500 * time.Millisecond,
-		PauseThreshold:    200 * time.Millisecond,
-		StartupWait:       time.Second,
+		GossipInterval:       200 * time.Millisecond,
+		ProbeInterval:        300 * time.Millisecond,
+		RoundTripTimeout:     800 * time.Millisecond,
+		SilenceTimeout:       450 * time.Millisecond,
+		PeerExpiry:           10 * time.Minute,
+		RetransmitTimeout:    500 * time.Millisecond,
+		RelayDelay:           500 * time.Millisecond,
+		RecentlyHeard:        3 * time.Second,
+		AttemptAfter:         300 * time.Millisecond,
+		AttemptTimeout:       200 * time.Millisecond,
+		AttemptRetry:         50 * time.Millisecond,
+		AttemptInterval:      250 * time.Millisecond,
+		PartitionWait:        350 * time.Millisecond,
+		RefusedPartitionWait: 2 * time.Second,
+		SilentProcessWait:    600 * time.Millisecond,
+		AddTimeout:           850 * time.Millisecond,
+		WriteTimeout:         250 * time.Millisecond,
+		SlowWrite:            60 * time.Millisecond,
+		SlowDiskBackoff:      500 * time.Millisecond,
+		PauseThreshold:       200 * time.Millisecond,
+		StartupWait:          time.Second,
 	}
 }
 
@@ -110,15 +114,16 @@
 
 	waiters            map[Dot][]waiter
 	peers              map[string]*peer
-	ready              bool          // reads are answered
-	complete           bool          // the disk has lost no adds, or has caught up with the peers since
-	completeSaved      bool          // a batch with Complete set is on disk
-	diskFull           bool          // the disk has no room for callers' adds
-	slowUntil          time.Duration // end of the period in which the disk counts as slow
-	lastStep           time.Duration // time of the latest event
-	resumedAt          time.Duration // end of the last pause of this process
-	ignoreSilenceUntil time.Duration // until then the silence of peers is no reason to leave them out of reads
-	startedAt          time.Duration // time at which New was called
+	witnesses          map[string]*attempts // by address, of the peers that refuse connections
+	ready              bool                 // reads are answered
+	complete           bool                 // the disk has lost no adds, or has caught up with the peers since
+	completeSaved      bool                 // a batch with Complete set is on disk
+	diskFull           bool                 // the disk has no room for callers' adds
+	slowUntil          time.Duration        // end of the period in which the disk counts as slow
+	lastStep           time.Duration        // time of the latest event
+	resumedAt          time.Duration        // end of the last pause of this process
+	ignoreSilenceUntil time.Duration        // until then the silence of peers is no reason to leave them out of reads
+	startedAt          time.Duration        // time at which New was called
 	draining           bool
 	counters           Counters
 }
@@ -133,7 +138,7 @@
 	r := &Replica{
 		options: options, set: saved.Set, ownOrigins: map[Origin]bool{}, reservedSequences: VersionVector{},
 		waiters:      map[Dot][]waiter{},
-		inFlightDots: map[string]Dot{}, peers: map[string]*peer{},
+		inFlightDots: map[string]Dot{}, peers: map[string]*peer{}, witnesses: map[string]*attempts{},
 		startedAt: now, lastStep: now, ignoreSilenceUntil: now + options.Timing.StartupWait,
 	}
 	for _, origin := range saved.Origins {
@@ -281,6 +286,7 @@
 		for _, p := range r.peers {
 			p.attempts = newAttempts()
 		}
+		clear(r.witnesses)
 	}
 	r.lastStep = now
 	if !r.ready && r.notReadyReason(now) == "" {
--- a/internal/tally/world_test.go
+++ b/internal/tally/world_test.go
@@ -21,7 +21,7 @@
 		RoundTripTimeout: 3 * tickInterval, SilenceTimeout: 2 * tickInterval, PeerExpiry: time.Hour,
 		RetransmitTimeout: 2 * tickInterval, RelayDelay: 2 * tickInterval, RecentlyHeard: 3 * tickInterval,
 		AttemptAfter: 2 * tickInterval, AttemptTimeout: tickInterval, AttemptRetry: tickInterval, AttemptInterval: tickInterval,
-		PartitionWait: 2 * tickInterval, SilentProcessWait: 2 * tickInterval,
+		PartitionWait: 2 * tickInterval, RefusedPartitionWait: 6 * tickInterval, SilentProcessWait: 2 * tickInterval,
 		AddTimeout: 8 * tickInterval, WriteTimeout: 3 * tickInterval, SlowWrite: 2 * tickInterval,
 		SlowDiskBackoff: 2 * tickInterval, PauseThreshold: 2 * tickInterval, StartupWait: 2 * tickInterval,
 	}
@@ -83,7 +83,7 @@
 type attempt struct {
 	from        int
 	incarnation uint64 // of the node from which it comes
-	to          int
+	to          string
 	startedAt   time.Duration
 }
 
@@ -103,6 +103,8 @@
 	lastOrigin   uint64
 	violation    error
 	attempts     []attempt
+	cutsRefuse   bool                     // connections over cut links are refused instead of unanswered
+	witnesses    map[string]AttemptResult // results of attempts to machines that aren't nodes
 	stored       map[Add]map[int]bool     // nodes whose disk has or had an add
 	cutLinks     map[[2]int]bool          // directed links that lose all messages
 	lastCut      map[[2]int]time.Duration // when a directed link was last cut
@@ -205,7 +207,7 @@
 		c.links[link] = append(c.links[link], c.injectMessageFault(i, e.Message))
 	}
 	for _, addr := range out.Attempts {
-		c.attempts = append(c.attempts, attempt{i, n.incarnation, c.nodeIndex(addr), c.now})
+		c.attempts = append(c.attempts, attempt{i, n.incarnation, addr, c.now})
 	}
 	for _, a := range out.Results {
 		c.recordResult(i, a)
@@ -363,7 +365,7 @@
 		case n.paused:
 			later = append(later, a)
 		default:
-			c.execute(a.from, n.replica.AttemptFinished(c.now, c.nodes[a.to].addr, a.startedAt, c.attemptResult(a)))
+			c.execute(a.from, n.replica.AttemptFinished(c.now, a.to, a.startedAt, c.attemptResult(a)))
 		}
 	}
 	c.attempts = append(c.attempts, later...)
@@ -371,12 +373,19 @@
 
 // attemptResult returns how the destination of an attempt answers.
 func (c *cluster) attemptResult(a attempt) AttemptResult {
+	if result, found := c.witnesses[a.to]; found {
+		return result
+	}
+	to := c.nodeIndex(a.to)
 	switch {
-	case c.cutLinks[[2]int{a.from, a.to}] || c.cutLinks[[2]int{a.to, a.from}]:
+	case c.cutLinks[[2]int{a.from, to}] || c.cutLinks[[2]int{to, a.from}]:
+		if c.cutsRefuse {
+			return RefusedConnection
+		}
 		return Unanswered
-	case c.nodes[a.to].down && c.fault == downIsPartitioned:
+	case c.nodes[to].down && c.fault == downIsPartitioned:
 		return Unanswered
-	case c.nodes[a.to].down:
+	case c.nodes[to].down:
 		return RefusedConnection
 	}
 	return Connected
