Tallies: a machine that ends doesn't wait for what others are just replicating

Change: a peer that sends adds has them on its disk, which now counts at once; of others' adds one known copy elsewhere is enough, as their own machine replicates them. Own adds need fault_tolerance.machines copies as before.

Test: TestAddsOfOthersDontDelayFlush.

--- a/internal/tally/outage_test.go
+++ b/internal/tally/outage_test.go
@@ -406,6 +406,21 @@
 	}
 }
 
+// TestAddsOfOthersDontDelayFlush checks that adds which another machine has just sent count as on that
+// machine's disk, so that a machine may be removed while others take adds; and as on the local one alone once
+// the other machine has lost its disk.
+func TestAddsOfOthersDontDelayFlush(t *testing.T) {
+	c := newCluster(5, 2, noFault, limits{}).converge()
+	r := c.nodes[0].replica
+	out := r.Receive(c.now, &Message{From: "m1", Incarnation: c.nodes[1].incarnation, Runs: []Run{{Origin: 99, First: 1, Adds: []Add{addA}}}})
+	require.NotNil(t, out.Write)
+	r.WriteSucceeded(c.now)
+	require.True(t, r.Flushed(c.now))
+	r.Receive(c.now, &Message{From: "m1", Incarnation: c.nodes[1].incarnation + 1, FullVector: true})
+	require.Equal(t, uint64(1), r.Unreplicated())
+	require.False(t, r.Flushed(c.now))
+}
+
 // TestLateAddCountsAgain checks that an add that a caller was not told to be safe is acknowledged when it
 // is sent again after the outage.
 func TestLateAddCountsAgain(t *testing.T) {
--- a/internal/tally/peer.go
+++ b/internal/tally/peer.go
@@ -178,8 +178,10 @@
 		r.ensurePeer(now, addr)
 	}
 	for i := range m.Runs {
-		p.acksPending[m.Runs[i].Origin] = true
-		r.stage(&m.Runs[i])
+		run := &m.Runs[i]
+		p.acksPending[run.Origin] = true
+		p.recordDurable(now, run.Origin, run.last()) // adds are sent only from disk
+		r.stage(run)
 	}
 	r.advance(now)
 	r.gossipTo(now, p, &out)
--- a/internal/tally/readiness.go
+++ b/internal/tally/readiness.go
@@ -61,7 +61,7 @@
 }
 
 // Flushed reports whether this machine may be removed for good: no write is pending, each reachable peer
-// has all adds that this machine accepted, and enough disks have the adds of all machines.
+// has all adds that this machine accepted, and no adds are Unreplicated.
 func (r *Replica) Flushed(now time.Duration) bool {
 	for _, p := range r.peers {
 		for origin := range r.ownOrigins {
@@ -73,26 +73,35 @@
 	return r.inFlight == nil && len(r.queue) == 0 && r.Unreplicated() == 0
 }
 
-// Unreplicated returns the number of adds on the local disk that are known to be on fewer than
-// RemoteCopies other disks, or on fewer than all others if there are fewer members.
+// Unreplicated returns the number of adds on the local disk that are known to be on too few other disks:
+// for those accepted here fewer than RemoteCopies, or than all others if there are fewer members. The adds
+// of another machine are replicated by that one, so here they are counted only if no other disk has them.
 func (r *Replica) Unreplicated() (adds uint64) {
-	copies := min(r.options.RemoteCopies, r.otherMembers())
-	if copies == 0 {
-		return 0
-	}
 	for _, origin := range r.set.sortedOrigins() {
-		var durable []uint64
-		for _, p := range r.peers {
-			durable = append(durable, p.durableOf(origin))
+		copies := min(1, r.otherMembers())
+		if r.ownOrigins[origin] {
+			copies = min(r.options.RemoteCopies, r.otherMembers())
 		}
-		slices.Sort(durable)
-		// The element at this index is the highest sequence number that enough peers have.
-		replicated := durable[len(durable)-copies]
-		adds += r.set.LastSequence(origin) - min(replicated, r.set.LastSequence(origin))
+		last := r.set.LastSequence(origin)
+		adds += last - min(last, r.replicatedSequence(origin, copies))
 	}
 	return adds
 }
 
+// replicatedSequence returns the highest sequence number of an origin that a number of peers are known to
+// have on disk. It is the origin's last one for no peers.
+func (r *Replica) replicatedSequence(origin Origin, copies int) uint64 {
+	if copies == 0 {
+		return r.set.LastSequence(origin)
+	}
+	var durable []uint64
+	for _, p := range r.peers {
+		durable = append(durable, p.durableOf(origin))
+	}
+	slices.Sort(durable)
+	return durable[len(durable)-copies]
+}
+
 // otherMembers returns the number of members besides this machine.
 func (r *Replica) otherMembers() (count int) {
 	for _, p := range r.peers {
--- a/internal/tally/status.go
+++ b/internal/tally/status.go
@@ -11,7 +11,7 @@
 	Adds            int // on disk, repeated ids included
 	Origins         int
 	Behind          uint64 // most adds that a single peer has and this replica lacks
-	Unreplicated    uint64 // adds that are known to be on fewer than RemoteCopies other disks
+	Unreplicated    uint64 // see Replica.Unreplicated
 	Duplicates      uint64 // adds whose id was already stored under another dot
 	Conflicts       uint64 // duplicates with another tally or amount
 	Counters        Counters
