--- a/internal/agent/agent.go
+++ b/internal/agent/agent.go
@@ -57,6 +57,7 @@
 
 	// The fields below are owned by the command loop.
 	snapshot          *distribute.Snapshot
+	configDigest      string                        // config.TextDigest of the snapshot's configuration, "" if there is none
 	versionHistories  map[string]superseded.History // by model: when its wanted versions were set at the earliest
 	lastQuorumContact time.Duration                 // start of the last call that a controller with a quorum answered
 	controllers       []string
--- a/internal/agent/events.go
+++ b/internal/agent/events.go
@@ -167,10 +167,7 @@
 func (a *Agent) kvStores() []string {
 	if a.kvStoresConfigSeq != a.snapshot.ConfigSeq {
 		a.kvStoresConfigSeq, a.kvStoreAddrs = a.snapshot.ConfigSeq, nil
-		var doc struct {
-			Services []config.Service `json:"services"`
-		}
-		if json.Unmarshal(a.snapshot.Config, &doc) == nil {
+		if doc, err := config.Decode(a.snapshot.Config); err == nil {
 			for _, store := range doc.Services {
 				if store.KVStoreAddress != "" {
 					a.kvStoreAddrs = append(a.kvStoreAddrs, store.KVStoreAddress)
--- a/internal/agent/metrics.go
+++ b/internal/agent/metrics.go
@@ -27,6 +27,9 @@
 		seq = a.snapshot.Seq
 	}
 	set.Add("agent_snapshot_seq", float64(seq))
+	if a.configDigest != "" {
+		set.AddFlag(`agent_config_info{digest="`+a.configDigest+`"}`, true)
+	}
 	set.Add("agent_applied_seq", float64(a.appliedSeq))
 	set.Add("agent_epoch", float64(a.epoch))
 	set.Add("agent_members", float64(len(a.members.Agents)))
--- a/internal/agent/session.go
+++ b/internal/agent/session.go
@@ -7,6 +7,7 @@
 	"slices"
 	"time"
 
+	"nettlefold/internal/config"
 	"nettlefold/internal/distribute"
 	"nettlefold/internal/feed"
 	"nettlefold/internal/rendezvous"
@@ -200,6 +201,11 @@
 		snapshot.Config = a.snapshot.Config
 	}
 	a.mergeVersionAges(requestedAt, snapshot, reply)
+	if snapshot.ConfigSeq != 0 && (a.snapshot == nil || a.snapshot.ConfigSeq != snapshot.ConfigSeq) {
+		a.configDigest = config.TextDigest(snapshot.Config)
+		a.log.Info().Str("step", "configuration").Uint64("seq", snapshot.ConfigSeq).Str("digest", a.configDigest).
+			Dur("asked", a.now()-requestedAt).Msg("configuration received from a controller")
+	}
 	a.snapshot = snapshot
 	a.notifyProxy()
 }
--- a/internal/config/check.go
+++ b/internal/config/check.go
@@ -54,9 +54,9 @@
 	if err := schema.Validate(value); err != nil {
 		return nil, schemaError(err)
 	}
-	doc := new(Document)
-	if err := json.Unmarshal(text, doc); err != nil {
-		return nil, &InvalidError{"", err.Error()}
+	doc, err := Decode(text)
+	if err != nil {
+		return nil, err
 	}
 	return doc, checkDocument(doc)
 }
@@ -68,6 +68,7 @@
 	if err := json.Unmarshal(text, doc); err != nil {
 		return nil, &InvalidError{"", err.Error()}
 	}
+	doc.Digest = TextDigest(text)
 	return doc, nil
 }
 
--- a/internal/config/document.go
+++ b/internal/config/document.go
@@ -17,6 +17,8 @@
 	Services []Service `json:"services"`
 	Tenants  []Tenant  `json:"tenants"`
 	Limits   Limits    `json:"limits"`
+	// Digest is the TextDigest of the JSON text.
+	Digest string `json:"-"`
 }
 
 // Route maps requests with a host and path prefix to services, and says how they are handled. Times
--- a/internal/config/table.go
+++ b/internal/config/table.go
@@ -10,6 +10,8 @@
 // concurrent use.
 type Table struct {
 	Version        int64
+	Digest         string // TextDigest of the configuration
+	RouteCount     int
 	Limits         Limits
 	services       map[string]*Service // by name
 	routesByHost   map[string][]*Route // longest path prefix first
@@ -23,6 +25,8 @@
 func Compile(doc *Document) *Table {
 	t := &Table{
 		Version:        doc.Version,
+		Digest:         doc.Digest,
+		RouteCount:     len(doc.Routes),
 		Limits:         doc.Limits,
 		services:       make(map[string]*Service, len(doc.Services)),
 		routesByHost:   map[string][]*Route{},
--- a/internal/controller/api.go
+++ b/internal/controller/api.go
@@ -12,6 +12,7 @@
 	"github.com/ansel1/merry/v2"
 	"github.com/labstack/echo/v4"
 
+	"nettlefold/internal/config"
 	"nettlefold/internal/distribute"
 	"nettlefold/internal/replicated"
 )
@@ -64,7 +65,13 @@
 			return ctx.JSON(http.StatusBadRequest, errorResponse{"If-Match is no version: " + match})
 		}
 	}
-	return c.submitAndRespond(ctx, ctx.Request().Context(), replicated.Operation{Kind: replicated.KindConfig, Body: body, BaseVersion: base})
+	digest := config.TextDigest(body)
+	c.log.Info().Str("step", "configuration").Str("digest", digest).Int64("base", base).Int("bytes", len(body)).Msg("configuration received")
+	receivedAt := time.Now()
+	err = c.submitAndRespond(ctx, ctx.Request().Context(), replicated.Operation{Kind: replicated.KindConfig, Body: body, BaseVersion: base})
+	c.log.Info().Str("step", "configuration").Str("digest", digest).Int64("base", base).Int("status", ctx.Response().Status).
+		Dur("took", time.Since(receivedAt)).Msg("configuration answered")
+	return err
 }
 
 // submitAndRespond submits an operation and writes its outcome as the HTTP response.
--- a/internal/controller/controller.go
+++ b/internal/controller/controller.go
@@ -15,6 +15,7 @@
 	"github.com/rs/zerolog"
 
 	"nettlefold/internal/chain"
+	"nettlefold/internal/config"
 	"nettlefold/internal/distribute"
 	"nettlefold/internal/durable"
 	"nettlefold/internal/leases"
@@ -95,6 +96,7 @@
 	members          *distribute.MemberSet
 	deltas           memberDeltas
 	versionHistories map[string]superseded.History // by model: when each wanted version came into force at the earliest
+	configDigest     string                        // config.TextDigest of the configuration in state
 	changed          chan struct{}
 }
 
@@ -268,6 +270,12 @@
 		next.controllerAddrs = append(next.controllerAddrs, m.Addr)
 	}
 	next.versionHistories = updateVersionHistories(old, next.state, c.lastCurrentAt)
+	if old != nil && old.state.ConfigSeq == next.state.ConfigSeq {
+		next.configDigest = old.configDigest
+	} else {
+		next.configDigest = config.TextDigest(next.state.Config)
+		c.logConfiguration(next)
+	}
 	c.published.Store(next)
 	if old != nil {
 		close(old.changed)
--- a/internal/controller/metrics.go
+++ b/internal/controller/metrics.go
@@ -27,6 +27,9 @@
 	set.Add("controller_epoch", float64(status.Epoch))
 	set.Add("controller_committed_seq", float64(status.Seq))
 	set.Add("controller_config_version", float64(status.ConfigVersion))
+	if status.ConfigDigest != "" {
+		set.AddFlag(`controller_config_info{digest="`+status.ConfigDigest+`"}`, true)
+	}
 	set.Add("controller_chain_members", float64(len(status.Chain)))
 	set.Add("controller_acceptors", float64(len(status.Acceptors)))
 	set.Add("controller_learners", float64(len(status.Learners)))
--- a/internal/controller/status.go
+++ b/internal/controller/status.go
@@ -21,6 +21,7 @@
 	Learners      []string                           `json:"learners,omitempty"`   // chain members without a vote
 	Seq           uint64                             `json:"seq"`                  // of the newest committed operation known here
 	ConfigVersion int64                              `json:"config_version"`       // of the configuration in force
+	ConfigDigest  string                             `json:"config_digest"`        // config.TextDigest of the configuration in force
 	SharingSince  int64                              `json:"prompts_shared_since"` // see replicated.PromptSharing
 	Evacuated     []string                           `json:"evacuated"`
 	Models        map[string]replicated.ModelVersion `json:"models"`
@@ -60,7 +61,7 @@
 	now := c.published.Load()
 	s := Status{
 		Controller: string(now.self), Current: now.current, DiskFails: !c.diskFailedAt.IsZero(),
-		Epoch: now.view.Epoch, Seq: now.state.Seq, ConfigVersion: now.state.ConfigVersion, SharingSince: now.state.PromptSharing.Since,
+		Epoch: now.view.Epoch, Seq: now.state.Seq, ConfigVersion: now.state.ConfigVersion, ConfigDigest: now.configDigest, SharingSince: now.state.PromptSharing.Since,
 		Models: now.state.Models, Leases: now.state.Leases, Mixers: len(now.members.Agents),
 	}
 	for _, id := range now.view.Chain {
--- a/internal/proxy/metrics.go
+++ b/internal/proxy/metrics.go
@@ -34,6 +34,8 @@
 	set.AddFlag("proxy_stopping", p.shutdownPlan.Load() != nil)
 	if table := p.config.Load(); table != nil {
 		set.Add("proxy_config_version", float64(table.Version))
+		set.AddFlag(`proxy_config_info{digest="`+table.Digest+`"}`, true)
+		set.Add("proxy_config_routes", float64(table.RouteCount))
 	}
 	p.execute(func() {
 		// proxy_index_wanted counts the backends that need a full prefix cache snapshot.
--- a/internal/proxy/proxy.go
+++ b/internal/proxy/proxy.go
@@ -53,6 +53,7 @@
 	start        time.Time
 	agent        *rpc.Client
 	config       atomic.Pointer[config.Table]
+	serving      atomic.Pointer[config.Table] // the newest configuration by which a request was routed
 	shutdownPlan atomic.Pointer[shutdownPlan] // nil until shutdown begins
 	mixerCount   atomic.Int64                 // mixers that share the backends' connection limits
 	commands     chan func()                  // run by commandLoop
@@ -349,6 +350,8 @@
 		}
 		p.config.Store(table)
 		p.dispatchTable.SetConfig(table)
+		p.log.Info().Str("step", "configuration").Int64("version", table.Version).Uint64("seq", s.ConfigSeq).Str("digest", table.Digest).
+			Int("routes", table.RouteCount).Msg("configuration applied")
 		p.applied.ConfigSeq = s.ConfigSeq
 	}
 	p.applySharing(s)
--- a/internal/proxy/serve.go
+++ b/internal/proxy/serve.go
@@ -96,6 +96,7 @@
 	if !q.resolveRoute(table, p.trafficSplitter) {
 		return
 	}
+	p.logFirstRequest(table, q)
 	if !q.readBody(table) {
 		return
 	}
@@ -108,6 +109,17 @@
 	p.forward(q)
 }
 
+// logFirstRequest logs the first request that is routed by a configuration, unless one was routed by a newer
+// configuration before.
+func (p *Proxy) logFirstRequest(table *config.Table, q *request) {
+	newest := p.serving.Load()
+	if newest != nil && newest.Version >= table.Version || !p.serving.CompareAndSwap(newest, table) {
+		return
+	}
+	p.log.Info().Str("step", "configuration").Int64("version", table.Version).Str("digest", table.Digest).Str("request", q.id).
+		Str("route", q.route.Name).Msg("first request routed by a configuration")
+}
+
 // refuse answers a request on behalf of the proxy. retryAfter is in seconds, 0 for none; it is set
 // only with status 503, which means that the request was not executed.
 func refuse(w http.ResponseWriter, status int, retryAfter float64, reason string) {
