--- a/internal/config/document.go
+++ b/internal/config/document.go
@@ -2,6 +2,8 @@
 // that requests are routed by.
 package config
 
+import "time"
+
 // The values of Route.Kind.
 const (
 	Idempotent    = "idempotent"
@@ -91,6 +93,11 @@
 	IdleTimeoutMS   float64 `json:"idle_timeout_ms"`
 }
 
+// Timeout returns how long a request of this route may take, 0 if the route sets no limit.
+func (r *Route) Timeout() time.Duration {
+	return time.Duration(r.TimeoutMS * float64(time.Millisecond))
+}
+
 // Repeatable reports whether a request of this route may run more than once.
 func (r *Route) Repeatable() bool {
 	return r.Kind == Idempotent || r.Kind == Streaming && r.Resumable
--- a/internal/config/table.go
+++ b/internal/config/table.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"net/http"
 	"slices"
 	"strings"
 )
@@ -65,6 +66,9 @@
 	return nil
 }
 
+// RouteOf returns the route of a request, or nil if there is none.
+func (t *Table) RouteOf(r *http.Request) *Route { return t.Route(r.Host, r.URL.Path) }
+
 // Tenant returns the tenant that owns an API key, or nil if there is none.
 func (t *Table) Tenant(key string) *Tenant { return t.tenantsByKey[key] }
 
--- a/internal/proxy/serve.go
+++ b/internal/proxy/serve.go
@@ -136,7 +136,7 @@
 func (q *request) resolveRoute(table *config.Table, splitter *trafficSplitter) bool {
 	now := time.Now()
 	q.receivedAt, q.configVersion = now, table.Version
-	q.route = table.Route(q.Host, q.URL.Path)
+	q.route = table.RouteOf(q.Request)
 	if q.route == nil {
 		refuse(q.writer, http.StatusNotFound, 0, "no route for this host and path")
 		return false
@@ -149,9 +149,9 @@
 		}
 	}
 	q.service = q.route.PickService(splitter.draw(q.route))
-	timeout := defaultTimeout
-	if q.route.TimeoutMS > 0 {
-		timeout = time.Duration(q.route.TimeoutMS * float64(time.Millisecond))
+	timeout := q.route.Timeout()
+	if timeout <= 0 {
+		timeout = defaultTimeout
 	}
 	q.effectiveDeadline, q.clientDeadline = now.Add(timeout), now.Add(timeout)
 	if ms, err := strconv.ParseFloat(q.Header.Get(headerDeadline), 64); err == nil && ms > 0 {
--- a/internal/replicated/state_test.go
+++ b/internal/replicated/state_test.go
@@ -128,3 +128,20 @@
 	s.Apply(11, operation(KindEvacuate, 10))
 	require.Equal(t, uint64(10), s.Evacuated["z"], "a repeated evacuation keeps the first sequence number")
 }
+
+// TestCommittedConfigurationOfAnotherBuildIsApplied guards against CONFIG by replicas that end in different states
+// during a rolling upgrade: what the head of a build with another check has committed is in force everywhere.
+func TestCommittedConfigurationOfAnotherBuildIsApplied(t *testing.T) {
+	const body = `{"version":3,"routes":[{"host":"a.example","path_prefix":"/","timeout_ms":1,"service":"unknown"}],"services":[]}`
+	o := &Operation{Kind: KindConfig, Body: []byte(body)}
+	s := New()
+	verdict, _ := s.Check(o)
+	require.Equal(t, Invalid, verdict, "this build doesn't accept it itself")
+	s.Apply(1, o)
+	require.EqualValues(t, 3, s.ConfigVersion)
+	require.Equal(t, body, string(s.Config))
+	verdict, err := s.Check(o)
+	require.Equal(t, AlreadyApplied, verdict, "acknowledged again: %v", err)
+	verdict, err = s.Check(&Operation{Kind: KindConfig, Body: []byte(`{"version":4,"routes":[],"services":[]}`), BaseVersion: 3})
+	require.Equal(t, Accept, verdict, "a change on top of it: %v", err)
+}
