--- a/internal/config/check.go
+++ b/internal/config/check.go
@@ -4,13 +4,17 @@
 	"bytes"
 	_ "embed"
 	"encoding/json"
+	"errors"
 	"fmt"
+	"reflect"
 	"strings"
 
 	"github.com/santhosh-tekuri/jsonschema/v6"
 	"github.com/santhosh-tekuri/jsonschema/v6/kind"
 	"golang.org/x/text/language"
 	"golang.org/x/text/message"
+
+	"nettlefold/internal/strictjson"
 )
 
 //go:embed schema.json
@@ -19,6 +23,8 @@
 var (
 	schema  = compileSchema()
 	printer = message.NewPrinter(language.English)
+
+	documentShape = strictjson.ShapeOf(reflect.TypeFor[Document]())
 )
 
 // InvalidError is an error in a configuration. Its text is reported to operators, whose tools match the
@@ -47,6 +53,9 @@
 // Parse decodes a configuration, validates it against the schema and checks what the schema can't
 // express. It fails with an *InvalidError.
 func Parse(text []byte) (*Document, error) {
+	if err := checkText(text); err != nil {
+		return nil, err
+	}
 	value, err := jsonschema.UnmarshalJSON(bytes.NewReader(text))
 	if err != nil {
 		return nil, &InvalidError{"", "it cannot be read: " + err.Error()}
@@ -61,8 +70,19 @@
 	return doc, checkDocument(doc)
 }
 
-// Decode decodes a configuration that Parse has accepted before. It doesn't validate it again, as
-// validation against the schema takes five times as long as decoding.
+// checkText checks that all readers of a configuration get the same document: Decode, the schema's reader,
+// which takes names exactly, the operator's tools and proxies of other builds.
+func checkText(text []byte) error {
+	err := documentShape.Check(text)
+	var ambiguous *strictjson.AmbiguousError
+	if errors.As(err, &ambiguous) {
+		return &InvalidError{ambiguous.Path, ambiguous.Reason}
+	}
+	return err
+}
+
+// Decode decodes a configuration that was accepted before, also by another build whose check differs. It
+// doesn't validate it again: what is committed is in force, and validation takes several times as long.
 func Decode(text []byte) (*Document, error) {
 	doc := new(Document)
 	if err := json.Unmarshal(text, doc); err != nil {
