--- a/internal/config/check.go
+++ b/internal/config/check.go
@@ -125,6 +125,9 @@
 			return invalidAt("/routes/%d", i)("host %q and prefix %q are another route's", r.Host, r.PathPrefix)
 		}
 		matches[match] = true
+		if r.Timeout() <= 0 {
+			return invalidAt("/routes/%d/timeout_ms", i)("it is less than a nanosecond")
+		}
 		if err := checkTargets(i, &r, services); err != nil {
 			return err
 		}
--- a/internal/config/config_test.go
+++ b/internal/config/config_test.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"strings"
 	"testing"
+	"time"
 
 	"github.com/stretchr/testify/require"
 )
@@ -104,3 +105,26 @@
 		})
 	}
 }
+
+// TestSplitSharesOfExtremeWeights checks that a traffic split keeps its shares where the weights' sum is too large
+// for a float, or the weights are its smallest numbers.
+func TestSplitSharesOfExtremeWeights(t *testing.T) {
+	const draws = 1000
+	for _, weight := range []float64{1e308, 1, 5e-324} {
+		route := Route{Split: []ServiceWeight{{"a", weight}, {"b", 0}, {"c", weight}, {"d", weight}, {"e", weight}}}
+		picked := map[string]int{}
+		for i := range draws {
+			picked[route.PickService(float64(i)/draws)]++
+		}
+		require.Equal(t, map[string]int{"a": draws / 4, "c": draws / 4, "d": draws / 4, "e": draws / 4}, picked, "weight %v", weight)
+	}
+}
+
+// TestMilliseconds checks that no timeout becomes negative, which depends on the processor.
+func TestMilliseconds(t *testing.T) {
+	for _, ms := range []float64{1e13, 1e300, 9.3e12} {
+		require.Equal(t, maxDuration, Milliseconds(ms))
+	}
+	require.Equal(t, 1500*time.Microsecond, Milliseconds(1.5))
+	require.Zero(t, Milliseconds(0))
+}
--- a/internal/config/document.go
+++ b/internal/config/document.go
@@ -94,8 +94,18 @@
 }
 
 // Timeout returns how long a request of this route may take, 0 if the route sets no limit.
-func (r *Route) Timeout() time.Duration {
-	return time.Duration(r.TimeoutMS * float64(time.Millisecond))
+func (r *Route) Timeout() time.Duration { return Milliseconds(r.TimeoutMS) }
+
+// maxDuration is the longest duration that Milliseconds returns.
+const maxDuration = 365 * 24 * time.Hour
+
+// Milliseconds converts a number of milliseconds to a duration, at most maxDuration: processors differ on the
+// conversion of numbers that a duration can't hold.
+func Milliseconds(ms float64) time.Duration {
+	if ms >= float64(maxDuration/time.Millisecond) {
+		return maxDuration
+	}
+	return time.Duration(ms * float64(time.Millisecond))
 }
 
 // Repeatable reports whether a request of this route may run more than once.
--- a/internal/config/table.go
+++ b/internal/config/table.go
@@ -93,9 +93,12 @@
 	if len(r.Split) == 0 {
 		return r.Service
 	}
-	sum := 0.0
+	sum, largest := 0.0, 0.0
 	for _, w := range r.Split {
-		sum += w.Weight
+		largest = max(largest, w.Weight)
+	}
+	for _, w := range r.Split {
+		sum += w.Weight / largest // so that no sum of weights is too large for a float
 	}
 	remaining := draw * sum
 	last := "" // picked if rounding errors leave a remainder after all weights
@@ -104,10 +107,10 @@
 			continue
 		}
 		last = w.Service
-		if remaining < w.Weight {
+		if remaining < w.Weight/largest {
 			return w.Service
 		}
-		remaining -= w.Weight
+		remaining -= w.Weight / largest
 	}
 	return last
 }
--- a/internal/proxy/serve.go
+++ b/internal/proxy/serve.go
@@ -155,7 +155,7 @@
 	}
 	q.effectiveDeadline, q.clientDeadline = now.Add(timeout), now.Add(timeout)
 	if ms, err := strconv.ParseFloat(q.Header.Get(headerDeadline), 64); err == nil && ms > 0 {
-		q.clientDeadline = now.Add(time.Duration(ms * float64(time.Millisecond)))
+		q.clientDeadline = now.Add(config.Milliseconds(ms))
 		if q.clientDeadline.Before(q.effectiveDeadline) {
 			q.effectiveDeadline = q.clientDeadline
 		}
