--- a/internal/config/check.go
+++ b/internal/config/check.go
@@ -119,22 +119,38 @@
 		services[s.Name] = true
 	}
 	matches := map[[2]string]bool{}
-	for i, r := range doc.Routes {
-		match := [2]string{r.Host, r.PathPrefix}
+	for i := range doc.Routes {
+		r := &doc.Routes[i]
+		match := [2]string{canonicalHost(r.Host), canonicalPath(r.PathPrefix)}
 		if matches[match] {
 			return invalidAt("/routes/%d", i)("host %q and prefix %q are another route's", r.Host, r.PathPrefix)
 		}
 		matches[match] = true
-		if r.Timeout() <= 0 {
-			return invalidAt("/routes/%d/timeout_ms", i)("it is less than a nanosecond")
+		if err := checkRoute(i, r); err != nil {
+			return err
 		}
-		if err := checkTargets(i, &r, services); err != nil {
+		if err := checkTargets(i, r, services); err != nil {
 			return err
 		}
 	}
 	return checkTenants(doc.Tenants)
 }
 
+// checkRoute checks that requests can have the host and path prefix of the i-th route, and that its timeout isn't
+// rounded to 0.
+func checkRoute(i int, r *Route) error {
+	if err := checkHost(r.Host); err != nil {
+		return invalidAt("/routes/%d/host", i)("%v", err)
+	}
+	if err := checkPathPrefix(r.PathPrefix); err != nil {
+		return invalidAt("/routes/%d/path_prefix", i)("%v", err)
+	}
+	if r.Timeout() <= 0 {
+		return invalidAt("/routes/%d/timeout_ms", i)("it is less than a nanosecond")
+	}
+	return nil
+}
+
 // checkTargets checks the service or the traffic split of the i-th route.
 func checkTargets(i int, r *Route, services map[string]bool) error {
 	if len(r.Split) == 0 {
--- a/internal/config/table.go
+++ b/internal/config/table.go
@@ -14,13 +14,19 @@
 	Digest         string // TextDigest of the configuration
 	RouteCount     int
 	Limits         Limits
-	services       map[string]*Service // by name
-	routesByHost   map[string][]*Route // longest path prefix first
+	services       map[string]*Service     // by name
+	routesByHost   map[string][]tableRoute // by canonical host, longest path prefix first
 	tenantsByKey   map[string]*Tenant
 	tenants        tenantSharing
 	requiresAPIKey bool
 }
 
+// tableRoute is a route with its canonical path prefix.
+type tableRoute struct {
+	prefix string
+	route  *Route
+}
+
 // Compile returns the table of a valid document. The table refers to the document, which must not be
 // changed afterwards.
 func Compile(doc *Document) *Table {
@@ -30,7 +36,7 @@
 		RouteCount:     len(doc.Routes),
 		Limits:         doc.Limits,
 		services:       make(map[string]*Service, len(doc.Services)),
-		routesByHost:   map[string][]*Route{},
+		routesByHost:   map[string][]tableRoute{},
 		tenantsByKey:   map[string]*Tenant{},
 		tenants:        newTenantSharing(doc),
 		requiresAPIKey: len(doc.Tenants) > 0,
@@ -40,11 +46,12 @@
 	}
 	for i := range doc.Routes {
 		r := &doc.Routes[i]
-		host := strings.ToLower(r.Host)
-		t.routesByHost[host] = append(t.routesByHost[host], r)
+		host := canonicalHost(r.Host)
+		t.routesByHost[host] = append(t.routesByHost[host], tableRoute{canonicalPath(r.PathPrefix), r})
 	}
 	for _, routes := range t.routesByHost {
-		slices.SortFunc(routes, func(a, b *Route) int { return cmp.Compare(len(b.PathPrefix), len(a.PathPrefix)) })
+		// Stable: of two equal routes, which a build with another check may have accepted, all mixers use the first.
+		slices.SortStableFunc(routes, func(a, b tableRoute) int { return cmp.Compare(len(b.prefix), len(a.prefix)) })
 	}
 	for i := range doc.Tenants {
 		for _, key := range doc.Tenants[i].APIKeys {
@@ -54,20 +61,21 @@
 	return t
 }
 
-// Route returns the route with the longest path prefix that matches a host and path, or nil if there
-// is none. It ignores the case and the port of the host.
+// Route returns the route with the longest path prefix that matches a host and a path as it stands in a request
+// line, or nil if there is none. It ignores the case and the port of the host and how the path is escaped, except
+// for escaped slashes.
 func (t *Table) Route(host, path string) *Route {
-	host, _, _ = strings.Cut(strings.ToLower(host), ":")
-	for _, r := range t.routesByHost[host] {
-		if strings.HasPrefix(path, r.PathPrefix) {
-			return r
+	path = canonicalPath(path)
+	for _, r := range t.routesByHost[canonicalHost(host)] {
+		if strings.HasPrefix(path, r.prefix) {
+			return r.route
 		}
 	}
 	return nil
 }
 
 // RouteOf returns the route of a request, or nil if there is none.
-func (t *Table) RouteOf(r *http.Request) *Route { return t.Route(r.Host, r.URL.Path) }
+func (t *Table) RouteOf(r *http.Request) *Route { return t.Route(r.Host, r.URL.EscapedPath()) }
 
 // Tenant returns the tenant that owns an API key, or nil if there is none.
 func (t *Table) Tenant(key string) *Tenant { return t.tenantsByKey[key] }
