--- a/internal/config/check.go
+++ b/internal/config/check.go
@@ -111,12 +111,13 @@
 // checkDocument checks what the schema can't express: unique names and routes, API keys that
 // belong to one tenant each, and references to services that exist.
 func checkDocument(doc *Document) error {
-	services := map[string]bool{}
-	for i, s := range doc.Services {
-		if services[s.Name] {
+	services := map[string]*Service{}
+	for i := range doc.Services {
+		s := &doc.Services[i]
+		if services[s.Name] != nil {
 			return invalidAt("/services/%d/name", i)("%q is named twice", s.Name)
 		}
-		services[s.Name] = true
+		services[s.Name] = s
 	}
 	matches := map[[2]string]bool{}
 	for i := range doc.Routes {
@@ -151,18 +152,21 @@
 	return nil
 }
 
-// checkTargets checks the service or the traffic split of the i-th route.
-func checkTargets(i int, r *Route, services map[string]bool) error {
-	if len(r.Split) == 0 {
-		if !services[r.Service] {
-			return invalidAt("/routes/%d/service", i)("no service is named %q", r.Service)
+// checkTargets checks the service and the traffic split of the i-th route: whichever of them is used, both name
+// services that requests can be sent to.
+func checkTargets(i int, r *Route, services map[string]*Service) error {
+	if len(r.Split) == 0 || r.Service != "" {
+		if reason := checkTarget(services, r.Service); reason != "" {
+			return invalidAt("/routes/%d/service", i)("%s", reason)
 		}
+	}
+	if len(r.Split) == 0 {
 		return nil
 	}
 	sum := 0.0
 	for j, w := range r.Split {
-		if !services[w.Service] {
-			return invalidAt("/routes/%d/traffic_split/%d/service", i, j)("no service is named %q", w.Service)
+		if reason := checkTarget(services, w.Service); reason != "" {
+			return invalidAt("/routes/%d/traffic_split/%d/service", i, j)("%s", reason)
 		}
 		sum += w.Weight
 	}
@@ -172,6 +176,17 @@
 	return nil
 }
 
+// checkTarget returns why requests can't be sent to the service with the given name, "" if they can.
+func checkTarget(services map[string]*Service, name string) (reason string) {
+	switch s := services[name]; {
+	case s == nil:
+		return fmt.Sprintf("no service is named %q", name)
+	case s.KVStoreAddress != "":
+		return fmt.Sprintf("%q is a KV cache store, which serves no requests", name)
+	}
+	return ""
+}
+
 // checkTenants checks that tenant names are unique and that no two tenants share an API key.
 func checkTenants(tenants []Tenant) error {
 	owners, names := map[string]string{}, map[string]bool{}
