--- a/internal/config/canonical.go
+++ b/internal/config/canonical.go
@@ -2,6 +2,7 @@
 
 import (
 	"encoding/hex"
+	"errors"
 	"fmt"
 	"strings"
 
@@ -72,6 +73,17 @@
 	return nil
 }
 
+// checkHeaderValue returns why a text doesn't arrive unchanged as the value of a header, nil if it does.
+func checkHeaderValue(value string) error {
+	switch {
+	case !httpguts.ValidHeaderFieldValue(value):
+		return errors.New("a header can't contain it: it has control characters")
+	case strings.Trim(value, " \t") != value:
+		return errors.New("a header can't contain it: it begins or ends with a blank")
+	}
+	return nil
+}
+
 // checkPathPrefix returns why no request can have a path with a prefix, nil if one can.
 func checkPathPrefix(prefix string) error {
 	for i := range len(prefix) {
--- a/internal/config/check.go
+++ b/internal/config/check.go
@@ -6,6 +6,7 @@
 	"encoding/json"
 	"errors"
 	"fmt"
+	"net"
 	"reflect"
 	"strings"
 
@@ -118,6 +119,9 @@
 			return invalidAt("/services/%d/name", i)("%q is named twice", s.Name)
 		}
 		services[s.Name] = s
+		if err := checkStore(s); err != nil {
+			return invalidAt("/services/%d/kv_store_address", i)("%v", err)
+		}
 	}
 	matches := map[[2]string]bool{}
 	for i := range doc.Routes {
@@ -187,7 +191,19 @@
 	return ""
 }
 
-// checkTenants checks that tenant names are unique and that no two tenants share an API key.
+// checkStore checks the address of a KV cache store, which is sent to backends in a header.
+func checkStore(s *Service) error {
+	if s.KVStoreAddress == "" {
+		return nil
+	}
+	if _, _, err := net.SplitHostPort(s.KVStoreAddress); err != nil {
+		return err
+	}
+	return checkHeaderValue(s.KVStoreAddress)
+}
+
+// checkTenants checks that tenant names are unique, that no two tenants share an API key, and that headers can
+// carry both.
 func checkTenants(tenants []Tenant) error {
 	owners, names := map[string]string{}, map[string]bool{}
 	for i, t := range tenants {
@@ -195,7 +211,13 @@
 			return invalidAt("/tenants/%d/name", i)("%q is named twice", t.Name)
 		}
 		names[t.Name] = true
+		if err := checkHeaderValue(t.Name); err != nil {
+			return invalidAt("/tenants/%d/name", i)("%v", err)
+		}
 		for j, key := range t.APIKeys {
+			if err := checkHeaderValue(key); err != nil {
+				return invalidAt("/tenants/%d/api_keys/%d", i, j)("%v", err)
+			}
 			if owner, exists := owners[key]; exists && owner != t.Name {
 				return invalidAt("/tenants/%d/api_keys/%d", i, j)("the key is also %q's", owner)
 			}
--- a/internal/config/readers_test.go
+++ b/internal/config/readers_test.go
@@ -139,6 +139,19 @@
 	require.Less(t, accepted, documents*19/20)
 }
 
+func FuzzReadersAgree(f *testing.F) {
+	f.Add([]byte(readersDocument))
+	random := rand.New(rand.NewPCG(92, 2))
+	for range 50 {
+		f.Add(mutate(random, readersDocument))
+	}
+	f.Fuzz(func(t *testing.T, text []byte) {
+		if err := disagreement(text); err != nil {
+			t.Error(err)
+		}
+	})
+}
+
 // mutate returns a document that differs from text in one to three places.
 func mutate(random *rand.Rand, text string) []byte {
 	for range 1 + random.IntN(3) {
