--- a/internal/replicated/state.go
+++ b/internal/replicated/state.go
@@ -230,14 +230,15 @@
 	return Accept, nil
 }
 
-// Apply applies a committed operation with sequence number seq. Check must have accepted it.
+// Apply applies a committed operation with sequence number seq. Check of some build has accepted it.
 func (s *State) Apply(seq uint64, o *Operation) {
 	s.Seq = seq
 	switch o.Kind {
 	case KindConfig:
-		doc, err := config.Parse(o.Body)
+		// Not checked again: the head may be of a build with another check, and all replicas must end in one state.
+		doc, err := config.Decode(o.Body)
 		if err != nil {
-			return // Check rejects it, so no replica applies it
+			return // it is no configuration for any build
 		}
 		s.Config, s.ConfigVersion, s.ConfigSeq = o.Body, doc.Version, seq
 		s.PromptSharing = s.PromptSharing.after(doc).startingAt(o.SharingSince)
