--- a/cmd/nettlefold/tools.go
+++ b/cmd/nettlefold/tools.go
@@ -70,6 +70,11 @@
 		fmt.Fprintf(out, "snapshot at %d: configuration %d, prompts shared since %d, evacuated %v, models %v, duties %v\n",
 			r.State.Seq, r.State.ConfigVersion, r.State.PromptSharing.Since, r.State.Evacuated, r.State.Models, r.State.Leases)
 	}
+	if r.State != nil && r.State.ConfigVersion != 0 {
+		if _, err := config.Parse(r.State.Config); err != nil {
+			fmt.Fprintf(out, "accepted by another build, would be refused by this one: %v\n", err)
+		}
+	}
 	for _, e := range r.Entries {
 		fmt.Fprintf(out, "entry %d of epoch %d, %d bytes\n", e.Seq, e.Epoch, len(e.Operation))
 	}
--- a/internal/controller/controller.go
+++ b/internal/controller/controller.go
@@ -70,6 +70,7 @@
 	lastCurrentAt      time.Duration           // when this replica was last known to have the newest state
 	leaveStartedAt     time.Time               // when the shutdown began, zero before
 	leaseRenewals      leases.RenewalTracker   // renewals that holders sent to this controller
+	configFault        error                   // why this build would refuse the configuration in force, nil if it wouldn't
 	propagation        propagationTracker      // of committed sequence numbers to the agents
 	recentStats        loopStats               // since the last log interval, about a second
 	totalStats         loopStats               // before recentStats
@@ -275,6 +276,7 @@
 	} else {
 		next.configDigest = config.TextDigest(next.state.Config)
 		c.logConfiguration(next)
+		c.checkConfiguration(next.state)
 	}
 	c.published.Store(next)
 	if old != nil {
--- a/internal/controller/metrics.go
+++ b/internal/controller/metrics.go
@@ -27,6 +27,7 @@
 	set.Add("controller_epoch", float64(status.Epoch))
 	set.Add("controller_committed_seq", float64(status.Seq))
 	set.Add("controller_config_version", float64(status.ConfigVersion))
+	set.AddFlag("controller_config_fault", status.ConfigFault != "")
 	if status.ConfigDigest != "" {
 		set.AddFlag(`controller_config_info{digest="`+status.ConfigDigest+`"}`, true)
 	}
--- a/internal/controller/propagation.go
+++ b/internal/controller/propagation.go
@@ -69,15 +69,6 @@
 	return t.pending[0].seq, now - t.pending[0].committedAt
 }
 
-// logConfiguration logs that a configuration is committed here, or was found on disk.
-func (c *Controller) logConfiguration(now *publishedState) {
-	if now.state.ConfigSeq == 0 {
-		return
-	}
-	c.log.Info().Str("step", "configuration").Int64("version", now.state.ConfigVersion).Uint64("seq", now.state.ConfigSeq).
-		Str("digest", now.configDigest).Msg("configuration committed")
-}
-
 // logSlowPropagation names some agents that lack an operation committed some time ago. It is called
 // once a second.
 func (c *Controller) logSlowPropagation() {
--- a/internal/controller/status.go
+++ b/internal/controller/status.go
@@ -18,11 +18,12 @@
 	Epoch         uint64                             `json:"epoch"`
 	Chain         []string                           `json:"chain"` // head first
 	Acceptors     []string                           `json:"acceptors"`
-	Learners      []string                           `json:"learners,omitempty"`   // chain members without a vote
-	Seq           uint64                             `json:"seq"`                  // of the newest committed operation known here
-	ConfigVersion int64                              `json:"config_version"`       // of the configuration in force
-	ConfigDigest  string                             `json:"config_digest"`        // config.TextDigest of the configuration in force
-	SharingSince  int64                              `json:"prompts_shared_since"` // see replicated.PromptSharing
+	Learners      []string                           `json:"learners,omitempty"`     // chain members without a vote
+	Seq           uint64                             `json:"seq"`                    // of the newest committed operation known here
+	ConfigVersion int64                              `json:"config_version"`         // of the configuration in force
+	ConfigDigest  string                             `json:"config_digest"`          // config.TextDigest of the configuration in force
+	ConfigFault   string                             `json:"config_fault,omitempty"` // why this build would refuse the configuration in force
+	SharingSince  int64                              `json:"prompts_shared_since"`   // see replicated.PromptSharing
 	Evacuated     []string                           `json:"evacuated"`
 	Models        map[string]replicated.ModelVersion `json:"models"`
 	Leases        map[string]replicated.LeaseRecord  `json:"duties"` // "duties" is the name of the leases in the API
@@ -64,6 +65,9 @@
 		Epoch: now.view.Epoch, Seq: now.state.Seq, ConfigVersion: now.state.ConfigVersion, ConfigDigest: now.configDigest, SharingSince: now.state.PromptSharing.Since,
 		Models: now.state.Models, Leases: now.state.Leases, Mixers: len(now.members.Agents),
 	}
+	if c.configFault != nil {
+		s.ConfigFault = c.configFault.Error()
+	}
 	for _, id := range now.view.Chain {
 		s.Chain = append(s.Chain, string(id))
 	}
