--- a/internal/controller/api.go
+++ b/internal/controller/api.go
@@ -5,6 +5,7 @@
 	"encoding/json"
 	"io"
 	"net/http"
+	"reflect"
 	"strconv"
 	"strings"
 	"time"
@@ -15,6 +16,7 @@
 	"nettlefold/internal/config"
 	"nettlefold/internal/distribute"
 	"nettlefold/internal/replicated"
+	"nettlefold/internal/strictjson"
 )
 
 // maxRequestBodyBytes limits the body of a request to the API.
@@ -118,14 +120,25 @@
 	return c.submitAndRespond(ctx, callCtx, replicated.Operation{Kind: kind, Zone: zone, BaseZoneSeq: newest.ZoneSeq})
 }
 
+// versionRequest is the body of POST /v1/version-put.
+type versionRequest struct {
+	Model   string `json:"model"`
+	Version int64  `json:"version"`
+}
+
+var versionRequestShape = strictjson.ShapeOf(reflect.TypeFor[versionRequest]())
+
 // putVersion handles POST /v1/version-put.
 func (c *Controller) putVersion(ctx echo.Context) error {
-	var request struct {
-		Model   string `json:"model"`
-		Version int64  `json:"version"`
+	body, err := io.ReadAll(io.LimitReader(ctx.Request().Body, maxRequestBodyBytes))
+	if err != nil {
+		return ctx.JSON(http.StatusBadRequest, errorResponse{"the body cannot be read: " + err.Error()})
+	}
+	if err := versionRequestShape.Check(body); err != nil {
+		return ctx.JSON(http.StatusBadRequest, errorResponse{err.Error()})
 	}
-	decoder := json.NewDecoder(io.LimitReader(ctx.Request().Body, maxRequestBodyBytes))
-	if err := decoder.Decode(&request); err != nil || request.Model == "" || request.Version < 1 {
+	var request versionRequest
+	if err := json.Unmarshal(body, &request); err != nil || request.Model == "" || request.Version < 1 {
 		return ctx.JSON(http.StatusBadRequest, errorResponse{"want a model and a version of at least 1"})
 	}
 	return c.submitAndRespond(ctx, ctx.Request().Context(), replicated.Operation{
--- a/internal/controller/controller_test.go
+++ b/internal/controller/controller_test.go
@@ -120,6 +120,9 @@
 		{http.MethodPost, "/v1/version-put", `{"model":"m","version":1}`, 200},
 		{http.MethodPost, "/v1/version-put", `{"model":"m"}`, 400},
 		{http.MethodPost, "/v1/version-put", `{`, 400},
+		{http.MethodPost, "/v1/version-put", `{"model":"m","version":3,"Version":4}`, 400},
+		{http.MethodPost, "/v1/version-put", `{"model":"m","model":"n","version":3}`, 400},
+		{http.MethodPost, "/v1/version-put", `{"model":"m","version":3}{}`, 400},
 	} {
 		status, _ := sendRequest(t, settings, c.method, c.path, "", c.body)
 		require.Equal(t, c.status, status, "%s %s %s", c.method, c.path, c.body)
--- a/internal/controller/tallies_api.go
+++ b/internal/controller/tallies_api.go
@@ -6,11 +6,13 @@
 	"errors"
 	"io"
 	"net/http"
+	"reflect"
 	"time"
 	"unicode/utf8"
 
 	"github.com/labstack/echo/v4"
 
+	"nettlefold/internal/strictjson"
 	"nettlefold/internal/tally"
 )
 
@@ -37,8 +39,13 @@
 	errInvalidAmount = errors.New("by: want a whole number of at most 2^53, either way")
 )
 
+var addRequestShape = strictjson.ShapeOf(reflect.TypeFor[addRequest]())
+
 // parseAdd parses and validates the body of an add request.
 func parseAdd(name string, body []byte) (tally.Add, error) {
+	if err := addRequestShape.Check(body); err != nil {
+		return tally.Add{}, err
+	}
 	var request addRequest
 	if err := json.Unmarshal(body, &request); err != nil {
 		return tally.Add{}, err
--- a/internal/controller/tallies_api_test.go
+++ b/internal/controller/tallies_api_test.go
@@ -18,6 +18,7 @@
 	for _, body := range []string{
 		``, `[]`, `{}`, `{"id":"a"}`, `{"by":1}`, `{"id":"","by":1}`, `{"id":"a","by":1.5}`, `{"id":"a","by":"4"}`, `{"id":1,"by":1}`,
 		`{"id":"a","by":9007199254740993}`, `{"id":"a","by":99999999999999999999}`, `{"id":"` + strings.Repeat("a", 129) + `","by":1}`,
+		`{"id":"a","by":1,"By":2}`, `{"id":"a","id":"b","by":1}`, "{\"id\":\"a\xff\",\"by\":1}", `{"id":"\ud800","by":1}`,
 	} {
 		_, err := parseAdd("t3", []byte(body))
 		require.Error(t, err, body)
