Controller tests: a machine that is killed has no grace from before its end

TestAddsWhileMachinesAreDown panicked twice (close of a closed channel) beside other work. The harness set the grace of a machine that it kills to 0 by a queued command and ended the machine at once; the event loop takes either first, and with the end first it handed over for the whole grace of 8 s, into the test's own end. The harness waits for the command now.

Nothing is loosened.

--- a/internal/controller/world_test.go
+++ b/internal/controller/world_test.go
@@ -105,7 +105,8 @@
 	m := w.machines[ip]
 	if !graceful {
 		w.setIsolated(true, ip)
-		m.controller.enqueue(commandOther, func() { m.controller.settings.Bounds.Grace = 0 })
+		// Before the stop: otherwise the event loop may begin to hand off with the whole grace period.
+		require.NoError(w.t, m.controller.runInLoop(context.Background(), func() { m.controller.settings.Bounds.Grace = 0 }))
 	}
 	m.stop()
 	<-m.done
