--- a/internal/chain/outage_test.go
+++ b/internal/chain/outage_test.go
@@ -124,3 +124,50 @@
 		}
 	}
 }
+
+// TestQuorumMeansNewestStateAfterOutage guards against agents that start with an old configuration (CONFIG): all nodes
+// lose power after writes, and the tail, which alone knows that they are committed, loses its disk or stays away. A
+// node that reports a quorum must have every acknowledged write.
+func TestQuorumMeansNewestStateAfterOutage(t *testing.T) {
+	for _, tailReturns := range []bool{false, true} {
+		for seed := uint64(1); seed <= 10; seed++ {
+			s := threeNodes(seed)
+			s.run(3 * time.Second)
+			var newest int64
+			for version := int64(1); version <= 5; version++ {
+				c := s.submit(s.addrs[s.random.IntN(3)], &replicated.Operation{Kind: replicated.KindVersion, Model: "kept", Version: version})
+				s.run(300 * time.Millisecond)
+				if c.outcome == outcomeCommitted {
+					newest = version
+				}
+			}
+			require.EqualValues(t, 5, newest)
+			view := s.head().replica.View()
+			tail := s.nodes[s.addrs[slices.IndexFunc(s.addrs, func(addr string) bool { return s.nodes[addr].replica.Self().ID == view.Tail() })]].addr
+			for _, addr := range s.addrs {
+				s.powerOff(addr)
+			}
+			for _, addr := range s.addrs {
+				if addr != tail {
+					s.restart(addr)
+				}
+			}
+			if tailReturns {
+				s.join(tail, s.nodes[tail].zone)
+			}
+			reported := false
+			for range 4000 {
+				s.run(time.Millisecond)
+				for _, addr := range s.addrs {
+					n := s.nodes[addr]
+					if !n.up || n.halted || !n.replica.HasQuorum(s.now) {
+						continue
+					}
+					reported = true
+					require.Equal(t, newest, n.replica.State().Models["kept"].Version, "node %s at %v, seed %d, tail returns %v", addr, s.now, seed, tailReturns)
+				}
+			}
+			require.True(t, reported, "seed %d: no node had a quorum within 4 s", seed)
+		}
+	}
+}
