--- a/internal/chain/heartbeat.go
+++ b/internal/chain/heartbeat.go
@@ -206,10 +206,10 @@
 }
 
 // HasQuorum reports whether this replica serves in a view that is the newest one for a majority of
-// the acceptors, each alive and receiving heartbeats from this replica. The result may be outdated
-// at once; a linearizable read needs ConfirmEpoch.
+// the acceptors, each alive and receiving heartbeats from this replica, and knows what was committed
+// before its start. The result may be outdated at once; a linearizable read needs ConfirmEpoch.
 func (r *Replica) HasQuorum(now time.Duration) bool {
-	if !r.holdsChainLog() {
+	if !r.holdsChainLog() || !r.knowsCommitted() {
 		return false
 	}
 	n := 0
--- a/internal/chain/replica.go
+++ b/internal/chain/replica.go
@@ -51,6 +51,10 @@
 		bytes   int
 	}
 
+	// recoveredSeq is the sequence number of the last entry found on disk, recoveredEpoch the epoch of the view then.
+	// Until that view is replaced, or the entry is known to be committed, this replica doesn't know which entries are.
+	recoveredSeq      uint64
+	recoveredEpoch    uint64
 	peers             map[NodeID]*peer
 	seeds             []string
 	announced         map[string]announcement // joining nodes announced by view members, by address
@@ -125,9 +129,16 @@
 	if r.holdsChainLog() {
 		r.commitTo(min(r.lastSeq(), r.meta.View.LogLength))
 	}
+	r.recoveredSeq, r.recoveredEpoch = r.lastSeq(), r.meta.View.Epoch
 	return r
 }
 
+// knowsCommitted reports whether everything that was acknowledged before this replica started is in its committed
+// state. An entry found on disk may have been acknowledged; a new view commits or truncates all entries.
+func (r *Replica) knowsCommitted() bool {
+	return r.state.Seq >= r.recoveredSeq || r.meta.View.Epoch != r.recoveredEpoch
+}
+
 // isCurrentEntry reports whether an entry found on disk belongs to the log. If the log is that of the
 // current view, an entry after the sequence number that the view starts from must have the epoch of
 // the view; others were truncated when the view started. A log of another chain is kept whole.
