--- a/internal/lab/fleetdemo/fleet.go
+++ b/internal/lab/fleetdemo/fleet.go
@@ -46,7 +46,10 @@
 	mu      sync.Mutex // of running
 	running map[string]*exec.Cmd
 	net     *cutNetwork // nil: machines meet without a relay
-	closing []func()
+	// pickProgram chooses the build for each start of a process; nil: program is the only one.
+	pickProgram func() string
+	backends    func() []any // further entries of the platform's list; nil: there are none
+	closing     []func()
 }
 
 func controlAddr(i int) string { return fmt.Sprint(controllerIP(i), ":", controlPort) }
@@ -102,6 +105,9 @@
 				"models": []any{map[string]any{"name": model, "version": version}},
 			})
 		}
+		if w.backends != nil {
+			instances = append(instances, w.backends()...)
+		}
 		writeJSON(answer, map[string]any{"instances": instances, "next_page_token": nil})
 	})}
 	go server.Serve(listener)
@@ -133,7 +139,11 @@
 		return err
 	}
 	defer log.Close()
-	command := exec.Command(w.program, program)
+	executable := w.program
+	if w.pickProgram != nil {
+		executable = w.pickProgram()
+	}
+	command := exec.Command(executable, program)
 	command.Env = append(os.Environ(), "NETTLEFOLD_SETTINGS="+settings)
 	if w.net != nil {
 		command.Env = append(command.Env, relayVariable+"="+relayAddr, machineVariable+"="+ip)
