--- a/internal/lab/fleetdemo/configprobe.go
+++ b/internal/lab/fleetdemo/configprobe.go
@@ -14,7 +14,8 @@
 const (
 	probeKeys       = 6
 	probeTimeout    = 2 * time.Second
-	probeGap        = 40 * time.Millisecond // at most, between two writes
+	probeGap        = 40 * time.Millisecond // at most, between two writes to one of fullRateFronts fronts
+	fullRateFronts  = 3                     // with more of them, each is asked less often
 	pipelinedAtMost = 4                     // requests that are written before the first answer is read
 	reconnectAfter  = 50 * time.Millisecond
 )
@@ -54,7 +55,7 @@
 		select {
 		case <-done:
 			return
-		case <-time.After(rand.N(probeGap)):
+		case <-time.After(rand.N(probeGap * time.Duration(max(1, c.play.options.Fronts/fullRateFronts)))):
 		}
 		conn.SetDeadline(time.Now().Add(probeTimeout))
 		probes, err := c.write(conn)
