--- a/internal/lab/fleetdemo/configplay.go
+++ b/internal/lab/fleetdemo/configplay.go
@@ -223,6 +223,7 @@
 		fmt.Fprintf(out, "%7.2f s  %s  %s\n", f.At.Sub(p.start).Seconds(), f.Rule, f.Text)
 	}
 	if len(findings) > 0 {
+		fmt.Fprintf(out, "  the last finding at %.2f s: %s\n", findings[len(findings)-1].At.Sub(p.start).Seconds(), findings[len(findings)-1].Text)
 		p.reportEvents(out)
 	}
 }
