--- a/internal/lab/fleetdemo/configoperator.go
+++ b/internal/lab/fleetdemo/configoperator.go
@@ -56,9 +56,8 @@
 	case 2:
 		o.sendSlowly(number)
 	case 3:
-		if o.race(number) {
-			return
-		}
+		o.race(number)
+		return
 	}
 	o.settle(number, o.sendUntilClear(number))
 }
@@ -118,9 +117,9 @@
 	}
 }
 
-// race sends another configuration on the same base at the same time. It reports whether one of the two is in force
-// and settled.
-func (o *configOperator) race(number int) bool {
+// race sends a configuration and another one on the same base at the same time, and takes over the one that is in
+// force.
+func (o *configOperator) race(number int) {
 	rival := o.play.addConfig(nextConfig(o.random, &o.current, o.play.options.Plain), o.current.Version)
 	other := &configOperator{play: o.play, random: rand.New(rand.NewPCG(o.random.Uint64(), 0)), current: o.current}
 	var outcomes [2]callOutcome
@@ -133,11 +132,10 @@
 		if outcomes[i] == outcomeAcknowledged && outcomes[1-i] == outcomeRefused {
 			o.play.lose(numbers[1-i])
 			o.current = o.play.config(numbers[i]).Config
-			return true
+			return
 		}
 	}
 	o.current = o.readCurrent()
-	return true
 }
 
 // sendInvalid sends an invalid configuration, which must not be acknowledged.
@@ -165,51 +163,40 @@
 
 // sendAndHangUp sends a configuration and closes the connection before the answer comes.
 func (o *configOperator) sendAndHangUp(number int) {
-	sent := o.play.config(number)
-	conn := o.play.startUpload(o.random.IntN(o.play.options.Controllers), &sent)
-	if conn == nil {
-		return
-	}
-	defer conn.Close()
-	io.WriteString(conn, sent.Text)
-	time.Sleep(time.Duration(o.random.Int64N(int64(mostLostAckDelay))))
+	o.upload(number, func(conn net.Conn, text string) {
+		io.WriteString(conn, text)
+		time.Sleep(time.Duration(o.random.Int64N(int64(mostLostAckDelay))))
+	})
 }
 
 // sendHalf sends half of a configuration and closes the connection.
 func (o *configOperator) sendHalf(number int) {
-	sent := o.play.config(number)
-	conn := o.play.startUpload(o.random.IntN(o.play.options.Controllers), &sent)
-	if conn == nil {
-		return
-	}
-	defer conn.Close()
-	io.WriteString(conn, sent.Text[:len(sent.Text)/2])
+	o.upload(number, func(conn net.Conn, text string) { io.WriteString(conn, text[:len(text)/2]) })
 }
 
 // sendSlowly sends a configuration in pieces with pauses, and hangs up after the last.
 func (o *configOperator) sendSlowly(number int) {
-	sent := o.play.config(number)
-	conn := o.play.startUpload(o.random.IntN(o.play.options.Controllers), &sent)
-	if conn == nil {
-		return
-	}
-	defer conn.Close()
-	for i := range slowChunks {
-		io.WriteString(conn, sent.Text[len(sent.Text)*i/slowChunks:len(sent.Text)*(i+1)/slowChunks])
-		time.Sleep(slowChunkGap)
-	}
+	o.upload(number, func(conn net.Conn, text string) {
+		for i := range slowChunks {
+			io.WriteString(conn, text[len(text)*i/slowChunks:len(text)*(i+1)/slowChunks])
+			time.Sleep(slowChunkGap)
+		}
+	})
 }
 
-// startUpload opens a connection to a controller and sends the head of a PUT. It returns nil if that fails.
-func (p *configPlay) startUpload(controller int, sent *sentConfig) net.Conn {
-	addr := controlAddr(controller % p.options.Controllers)
+// upload sends the head of a PUT to a controller, has write send of the text what it wants, and closes the connection
+// without reading an answer. It does nothing where the controller can't be reached.
+func (o *configOperator) upload(number int, write func(conn net.Conn, text string)) {
+	sent := o.play.config(number)
+	addr := controlAddr(o.random.IntN(o.play.options.Controllers))
 	conn, err := net.DialTimeout("tcp", addr, operatorTimeout)
 	if err != nil {
-		return nil
+		return
 	}
+	defer conn.Close()
 	conn.SetDeadline(time.Now().Add(operatorTimeout))
 	fmt.Fprintf(conn, "PUT /v1/configuration HTTP/1.1\r\nHost: %s\r\nIf-Match: %d\r\nContent-Type: application/json\r\nContent-Length: %d\r\n\r\n", addr, sent.Base, len(sent.Text))
-	return conn
+	write(conn, sent.Text)
 }
 
 // put sends a configuration to a controller and returns the status, 0 if no answer came.
