--- a/cmd/nettlelab/main.go
+++ b/cmd/nettlelab/main.go
@@ -17,6 +17,7 @@
 	Fleet          fleetCommand          `cmd:"" help:"A small router fleet of real processes on the loopback: a controller is killed, the configuration changes, new weights come."`
 	Configurations configurationsCommand `cmd:"" help:"A fleet of real processes whose operator changes the configuration in every way, beside seeded troubles; a judge of CONFIG."`
 	Soak           soakCommand           `cmd:"" help:"A seeded soak of a router fleet of real processes on the loopback: signals, restarts, configurations, weights and engines in trouble, overlapping; a judge of its own."`
+	Starts         startsCommand         `cmd:"" help:"Starts of each of the fleet's programs while something hinders them: signals, held addresses, an unread log, no descriptors, settings being written."`
 	Pairs          pairsCommand          `cmd:"" help:"What each mechanism of the fleet is worth: the same days with and without it, by the operators' bench."`
 	Several        severalCommand        `cmd:"" help:"Nine mixers in three sites through failures of sites and wires, and which rules held."`
 	Measure        measureCommand        `cmd:"" help:"Play what the project claims, print the table, and fail if a claim does."`
