--- a/cmd/nettlefold/main.go
+++ b/cmd/nettlefold/main.go
@@ -18,6 +18,7 @@
 
 	"github.com/alecthomas/kong"
 
+	"nettlefold/internal/hangup"
 	"nettlefold/internal/protocol"
 	"nettlefold/internal/settings"
 )
@@ -44,7 +45,7 @@
 }
 
 // Run serves.
-func (a *serveCommand) Run(hup chan os.Signal) error {
+func (a *serveCommand) Run(hup <-chan os.Signal) error {
 	own, err := settings.Load(a.Settings)
 	if err != nil {
 		return err
@@ -173,8 +174,7 @@
 }
 
 func main() {
-	hup := make(chan os.Signal, 1) // before all else: unheard, it ends the program
-	signal.Notify(hup, syscall.SIGHUP)
+	hup := hangup.Notify()
 	if len(os.Args) > 1 && systemCommands[os.Args[1]] {
 		if err := systemCommand(hup).Execute(); err != nil {
 			fmt.Fprintln(os.Stderr, "nettlefold:", err)
--- a/cmd/nettlefold/system.go
+++ b/cmd/nettlefold/system.go
@@ -38,7 +38,7 @@
 }
 
 // systemCommand makes the command line of the router fleet.
-func systemCommand(hup chan os.Signal) *cobra.Command {
+func systemCommand(hup <-chan os.Signal) *cobra.Command {
 	root := &cobra.Command{
 		Use:           "nettlefold",
 		Short:         "A router fleet with an index of kept prompts",
@@ -74,7 +74,7 @@
 const collectAt = 40
 
 // runProgram runs a program of the fleet until it is told to stop.
-func runProgram(name, level, figures string, hup chan os.Signal, make func(*local.Settings, zerolog.Logger) (program, error)) error {
+func runProgram(name, level, figures string, hup <-chan os.Signal, make func(*local.Settings, zerolog.Logger) (program, error)) error {
 	debug.SetGCPercent(collectAt)
 	settings, err := local.Load()
 	if err != nil {
@@ -117,7 +117,7 @@
 }
 
 // watchSettings reads the settings anew on SIGHUP and when their file changes. A file with a fault changes nothing.
-func watchSettings(ctx context.Context, hup chan os.Signal, p program, log zerolog.Logger) {
+func watchSettings(ctx context.Context, hup <-chan os.Signal, p program, log zerolog.Logger) {
 	last := settingsStamp()
 	ticker := time.NewTicker(settingsPoll)
 	defer ticker.Stop()
--- a/internal/lab/fleetdemo/startplay.go
+++ b/internal/lab/fleetdemo/startplay.go
@@ -214,7 +214,9 @@
 			s.command.Process.Signal(syscall.SIGHUP)
 			time.Sleep(startPoll / 4)
 		}
-		if err := s.listensAndStops(); err != nil {
+		err = s.awaitListening()
+		s.kill()
+		if err != nil {
 			return err
 		}
 	}
