--- a/cmd/nettlefold/relay.go
+++ b/cmd/nettlefold/relay.go
@@ -44,14 +44,21 @@
 	}
 	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
 	defer stop()
-	sessions, err := net.Listen("tcp", cmp.Or(a.Listen, seat.Address))
+	sessions, err := awaitListener(ctx, cmp.Or(a.Listen, seat.Address), log)
+	if ctx.Err() != nil {
+		return nil
+	}
 	if err != nil {
 		return err
 	}
 	defer sessions.Close()
 	var admin net.Listener
 	if at := cmp.Or(a.Admin, own.Admin); at != "" {
-		if admin, err = net.Listen("tcp", at); err != nil {
+		admin, err = awaitListener(ctx, at, log)
+		if ctx.Err() != nil {
+			return nil
+		}
+		if err != nil {
 			return err
 		}
 		defer admin.Close()
--- a/cmd/nettlefold/serve.go
+++ b/cmd/nettlefold/serve.go
@@ -14,6 +14,7 @@
 
 	"nettlefold/internal/admin"
 	"nettlefold/internal/learnt"
+	"nettlefold/internal/listen"
 	"nettlefold/internal/protocol"
 	"nettlefold/internal/routing"
 	"nettlefold/internal/settings"
@@ -149,6 +150,13 @@
 	return true
 }
 
+// awaitListener listens at an address once that is free.
+func awaitListener(ctx context.Context, addr string, log *slog.Logger) (net.Listener, error) {
+	return listen.Await(ctx, listen.TCP(addr), func(err error) {
+		log.Warn("no connections are accepted, will retry", "address", addr, "error", err)
+	})
+}
+
 // run serves until the context ends and what was taken has been answered.
 func run(ctx context.Context, hup <-chan os.Signal, at paths, own settings.Settings, log *slog.Logger) error {
 	start, path := time.Now(), at.config
@@ -163,7 +171,10 @@
 	if err != nil {
 		return fmt.Errorf("%s: %w", path, err)
 	}
-	listener, err := net.Listen("tcp", c.Listen)
+	listener, err := awaitListener(ctx, c.Listen, log)
+	if ctx.Err() != nil {
+		return nil
+	}
 	if err != nil {
 		return err
 	}
@@ -233,7 +244,11 @@
 		sites.run(work, &wg)
 	}
 	if own.Admin != "" {
-		l, err := net.Listen("tcp", own.Admin)
+		l, err := awaitListener(ctx, own.Admin, log)
+		if ctx.Err() != nil {
+			listener.Close()
+			return nil
+		}
 		if err != nil {
 			listener.Close()
 			return fmt.Errorf("%s: listeners/admin: %w", at.settings, err)
--- a/cmd/nettlefold/system.go
+++ b/cmd/nettlefold/system.go
@@ -107,11 +107,14 @@
 
 // serveMetrics serves a program's figures until ctx ends. The program goes on without them where their port is not to be had.
 func serveMetrics(ctx context.Context, ip string, at metrics.Endpoint, p program, log zerolog.Logger) {
-	listener, err := metrics.Listen(ip, at)
+	report := func(err error) {
+		log.Warn().Err(err).Str("step", "metrics").Msg("no figures are served; will retry")
+	}
+	listener, err := metrics.Listen(ctx, ip, at, report)
 	if err == nil {
 		err = metrics.Serve(ctx, listener, at, p)
 	}
-	if err != nil {
+	if err != nil && ctx.Err() == nil {
 		log.Warn().Err(err).Str("step", "metrics").Msg("no figures are served")
 	}
 }
--- a/internal/agent/agent.go
+++ b/internal/agent/agent.go
@@ -8,6 +8,7 @@
 	"context"
 	"fmt"
 	"math/rand/v2"
+	"net"
 	"net/http"
 	"time"
 
@@ -19,6 +20,7 @@
 	"nettlefold/internal/distribute"
 	"nettlefold/internal/feed"
 	"nettlefold/internal/kvindex"
+	"nettlefold/internal/listen"
 	"nettlefold/internal/metrics"
 	"nettlefold/internal/rendezvous"
 	"nettlefold/internal/rpc"
@@ -139,15 +141,21 @@
 	return a
 }
 
-// Run serves peers and the proxy and runs the command loop until ctx is done. It returns an error
-// if it cannot listen.
+// Run serves peers and the proxy and runs the command loop until ctx is done. It waits for addresses
+// that are in use, and returns an error if it can never listen.
 func (a *Agent) Run(ctx context.Context) error {
-	peerListener, err := a.network.Listen(a.self.Addr)
+	peerListener, err := a.listen(ctx, a.self.Addr)
+	if ctx.Err() != nil {
+		return nil
+	}
 	if err != nil {
 		return merry.Prepend(err, "agent: listen for peers")
 	}
 	defer peerListener.Close()
-	proxyListener, err := a.network.Listen(a.settings.LoopbackAddr())
+	proxyListener, err := a.listen(ctx, a.settings.LoopbackAddr())
+	if ctx.Err() != nil {
+		return nil
+	}
 	if err != nil {
 		return merry.Prepend(err, "agent: listen for the proxy")
 	}
@@ -177,6 +185,11 @@
 	}
 }
 
+// listen listens at an address once that is possible.
+func (a *Agent) listen(ctx context.Context, addr string) (net.Listener, error) {
+	return listen.Await(ctx, func() (net.Listener, error) { return a.network.Listen(addr) }, listen.LogTo(a.log, addr))
+}
+
 // Reload applies changed settings. Only the seeds can change at run time.
 func (a *Agent) Reload(settings *local.Settings) {
 	a.enqueue(func() { a.settings.Seeds = settings.Seeds })
--- a/internal/controller/api.go
+++ b/internal/controller/api.go
@@ -4,13 +4,13 @@
 	"context"
 	"encoding/json"
 	"io"
+	"net"
 	"net/http"
 	"reflect"
 	"strconv"
 	"strings"
 	"time"
 
-	"github.com/ansel1/merry/v2"
 	"github.com/labstack/echo/v4"
 
 	"nettlefold/internal/config"
@@ -27,8 +27,8 @@
 	Error string `json:"error"`
 }
 
-// serveAPI starts the HTTP server of the operator's API.
-func (c *Controller) serveAPI() (*http.Server, error) {
+// serveAPI starts the HTTP server of the operator's API on a listener.
+func (c *Controller) serveAPI(listener net.Listener) *http.Server {
 	e := echo.New()
 	e.HideBanner, e.HidePort = true, true
 	e.PUT("/v1/configuration", c.putConfiguration)
@@ -42,13 +42,9 @@
 		e.POST("/v1/tallies/:tally", c.tallies.postAdd)
 		e.GET("/v1/tallies/:tally", c.tallies.getTotal)
 	}
-	listener, err := c.network.Listen(c.settings.ControlAddr)
-	if err != nil {
-		return nil, merry.Prepend(err, "controller: listen for the operator's API")
-	}
 	server := &http.Server{Handler: e, ReadHeaderTimeout: 10 * time.Second, IdleTimeout: time.Minute}
 	go server.Serve(listener)
-	return server, nil
+	return server
 }
 
 // putConfiguration handles PUT /v1/configuration; If-Match names the version that the change is
--- a/internal/controller/run.go
+++ b/internal/controller/run.go
@@ -2,30 +2,39 @@
 
 import (
 	"context"
+	"net"
 	"net/http"
 	"time"
 
 	"github.com/ansel1/merry/v2"
 
+	"nettlefold/internal/listen"
 	"nettlefold/internal/rpc"
 )
 
-// Run serves until ctx ends. Then it hands off its role and goes on serving until the other
+// Run serves until ctx ends, as soon as its addresses are free. Then it hands off its role and goes on serving until the other
 // machines have a view without it or the shutdown grace is nearly used up.
 func (c *Controller) Run(ctx context.Context) error {
-	listener, err := c.network.Listen(c.settings.InternalAddr(c.settings.IP))
+	listener, err := c.listen(ctx, c.settings.InternalAddr(c.settings.IP))
+	if ctx.Err() != nil {
+		return nil
+	}
 	if err != nil {
 		return merry.Prepend(err, "controller: listen for machines")
 	}
+	defer listener.Close()
+	apiListener, err := c.listen(ctx, c.settings.ControlAddr)
+	if ctx.Err() != nil {
+		return nil
+	}
+	if err != nil {
+		return merry.Prepend(err, "controller: listen for the operator's API")
+	}
 	if c.tallies != nil {
 		go c.tallies.run()
 	}
 	go rpc.Serve(listener, c.handleRPC)
-	api, err := c.serveAPI()
-	if err != nil {
-		return err
-	}
-	defer listener.Close()
+	api := c.serveAPI(apiListener)
 	c.runLoop(ctx.Done(), nil)
 	c.handOff()
 	closed := make(chan struct{})
@@ -41,6 +50,11 @@
 	return nil
 }
 
+// listen listens at an address once that is possible.
+func (c *Controller) listen(ctx context.Context, addr string) (net.Listener, error) {
+	return listen.Await(ctx, func() (net.Listener, error) { return c.network.Listen(addr) }, listen.LogTo(c.log, addr))
+}
+
 // runLoop executes commands and ticks until end is closed, or until finished returns true after a
 // tick.
 func (c *Controller) runLoop(end <-chan struct{}, finished func() bool) {
--- a/internal/metrics/metrics.go
+++ b/internal/metrics/metrics.go
@@ -13,6 +13,8 @@
 	"github.com/VictoriaMetrics/metrics"
 	"github.com/ansel1/merry/v2"
 	"github.com/labstack/echo/v4"
+
+	"nettlefold/internal/listen"
 )
 
 const (
@@ -73,11 +75,12 @@
 	Metrics(ctx context.Context) (*Set, error)
 }
 
-// Listen listens on the endpoint's port at the given IP address.
-func Listen(ip string, endpoint Endpoint) (net.Listener, error) {
-	listener, err := net.Listen("tcp", net.JoinHostPort(ip, strconv.Itoa(endpoint.Port)))
+// Listen listens on the endpoint's port at the given IP address once that is free, and reports what it waits for.
+func Listen(ctx context.Context, ip string, endpoint Endpoint, report func(err error)) (net.Listener, error) {
+	addr := net.JoinHostPort(ip, strconv.Itoa(endpoint.Port))
+	listener, err := listen.Await(ctx, listen.TCP(addr), report)
 	if err != nil {
-		return nil, merry.Prepend(err, "metrics: listen on "+net.JoinHostPort(ip, strconv.Itoa(endpoint.Port)))
+		return nil, merry.Prepend(err, "metrics: listen on "+addr)
 	}
 	return listener, nil
 }
--- a/internal/metrics/metrics_test.go
+++ b/internal/metrics/metrics_test.go
@@ -57,7 +57,7 @@
 // TestServe checks that metrics are served over TCP, and that Serve returns nil when its context is
 // canceled.
 func TestServe(t *testing.T) {
-	listener, err := Listen("127.0.0.1", Endpoint{Port: 0, Path: "/metrics"})
+	listener, err := Listen(t.Context(), "127.0.0.1", Endpoint{Port: 0, Path: "/metrics"}, func(error) {})
 	require.NoError(t, err)
 	ctx, cancel := context.WithCancel(t.Context())
 	serveErrors := make(chan error, 1)
--- a/internal/proxy/proxy.go
+++ b/internal/proxy/proxy.go
@@ -8,7 +8,6 @@
 	"context"
 	"maps"
 	"math/rand/v2"
-	"net"
 	"net/http"
 	"sync"
 	"sync/atomic"
@@ -22,6 +21,7 @@
 	"nettlefold/internal/dispatch"
 	"nettlefold/internal/distribute"
 	"nettlefold/internal/feed"
+	"nettlefold/internal/listen"
 	"nettlefold/internal/rpc"
 	"nettlefold/internal/settings/local"
 	"nettlefold/internal/superseded"
@@ -148,13 +148,20 @@
 	}
 }
 
-// Run serves clients until ctx is cancelled, then finishes the accepted requests and returns.
+// Run serves clients as soon as its addresses are free and until ctx is cancelled, then finishes the accepted requests and returns.
 func (p *Proxy) Run(ctx context.Context) error {
-	readyListener, err := net.Listen("tcp", p.settings.ReadyAddr)
+	readyListener, err := listen.Await(ctx, listen.TCP(p.settings.ReadyAddr), listen.LogTo(p.log, p.settings.ReadyAddr))
+	if ctx.Err() != nil {
+		return nil
+	}
 	if err != nil {
 		return merry.Prepend(err, "proxy: listen on readiness address")
 	}
-	frontListener, err := net.Listen("tcp", p.settings.FrontAddr)
+	defer readyListener.Close()
+	frontListener, err := listen.Await(ctx, listen.TCP(p.settings.FrontAddr), listen.LogTo(p.log, p.settings.FrontAddr))
+	if ctx.Err() != nil {
+		return nil
+	}
 	if err != nil {
 		return merry.Prepend(err, "proxy: listen on front address")
 	}
--- a/internal/rpc/server.go
+++ b/internal/rpc/server.go
@@ -14,8 +14,8 @@
 // ends. The result and error for a one-way message are ignored.
 type Handler func(ctx context.Context, kind string, body []byte) (any, error)
 
-// Serve accepts connections and serves their messages with handle until the listener is closed.
-// It returns the error of the failed Accept. Errors of a connection are not reported: the connection is
+// Serve accepts connections and serves their messages with handle until an Accept fails, and returns
+// its error. A listener of package listen fails only when it is closed. Errors of a connection are not reported: the connection is
 // closed, and the peer sees that.
 func Serve(listener net.Listener, handle Handler) error {
 	for {
