--- a/cmd/nettlefold/main.go
+++ b/cmd/nettlefold/main.go
@@ -15,9 +15,11 @@
 	"runtime"
 	"runtime/debug"
 	"syscall"
+	"time"
 
 	"github.com/alecthomas/kong"
 
+	"nettlefold/internal/asynclog"
 	"nettlefold/internal/hangup"
 	"nettlefold/internal/protocol"
 	"nettlefold/internal/settings"
@@ -50,29 +52,36 @@
 	if err != nil {
 		return err
 	}
-	log, err := logger(own, a.Log)
+	log, flush, err := logger(own, a.Log)
 	if err != nil {
 		return err
 	}
+	defer flush()
 	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
 	defer stop()
 	return run(ctx, hup, paths{a.Config, a.Settings}, own, log)
 }
 
-// logger makes the log that the settings ask for. A level of the command line goes before theirs.
-func logger(own settings.Settings, above string) (*slog.Logger, error) {
+// logger makes the log that the settings ask for. A level of the command line goes before theirs. flush writes what is left of it.
+func logger(own settings.Settings, above string) (log *slog.Logger, flush func(), err error) {
 	level := new(slog.LevelVar)
 	level.Set(own.Logging.Level)
 	if above != "" {
 		if err := level.UnmarshalText([]byte(above)); err != nil {
-			return nil, fmt.Errorf("NETTLEFOLD_LOG: %w", err)
+			return nil, nil, fmt.Errorf("NETTLEFOLD_LOG: %w", err)
 		}
 	}
-	options := &slog.HandlerOptions{Level: level}
-	if own.Logging.JSON {
-		return slog.New(slog.NewJSONHandler(os.Stderr, options)), nil
+	to := func(out io.Writer) *slog.Logger {
+		options := &slog.HandlerOptions{Level: level}
+		if own.Logging.JSON {
+			return slog.New(slog.NewJSONHandler(out, options))
+		}
+		return slog.New(slog.NewTextHandler(out, options))
 	}
-	return slog.New(slog.NewTextHandler(os.Stderr, options)), nil
+	out := asynclog.New(os.Stderr, func(out io.Writer, dropped uint64) {
+		to(out).Warn("lines of the log were dropped, as it was not read", "lines", dropped)
+	})
+	return to(out), func() { out.Close(logFlushLimit) }, nil
 }
 
 type checkCommand struct {
@@ -175,10 +184,10 @@
 
 func main() {
 	hup := hangup.Notify()
+	signal.Ignore(syscall.SIGPIPE) // of a log whose reader is gone
 	if len(os.Args) > 1 && systemCommands[os.Args[1]] {
 		if err := systemCommand(hup).Execute(); err != nil {
-			fmt.Fprintln(os.Stderr, "nettlefold:", err)
-			os.Exit(1)
+			fail(err)
 		}
 		return
 	}
@@ -186,7 +195,23 @@
 	command := kong.Parse(&a, kong.Name("nettlefold"), kong.Description("One mixer: one lookup served from many searchers."),
 		kong.UsageOnError(), kong.Bind(hup))
 	if err := command.Run(); err != nil {
+		fail(err)
+	}
+}
+
+// logFlushLimit is how long the end of a program waits for whoever reads its log.
+const logFlushLimit = 300 * time.Millisecond
+
+// fail ends the program with an error, whether or not anybody reads it.
+func fail(err error) {
+	written := make(chan struct{})
+	go func() {
+		defer close(written)
 		fmt.Fprintln(os.Stderr, "nettlefold:", err)
-		os.Exit(1)
+	}()
+	select {
+	case <-written:
+	case <-time.After(logFlushLimit):
 	}
+	os.Exit(1)
 }
--- a/cmd/nettlefold/relay.go
+++ b/cmd/nettlefold/relay.go
@@ -38,10 +38,11 @@
 	if err != nil {
 		return fmt.Errorf("%s: %w", a.Settings, err)
 	}
-	log, err := logger(own, a.Log)
+	log, flush, err := logger(own, a.Log)
 	if err != nil {
 		return err
 	}
+	defer flush()
 	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
 	defer stop()
 	sessions, err := awaitListener(ctx, cmp.Or(a.Listen, seat.Address), log)
--- a/cmd/nettlefold/system.go
+++ b/cmd/nettlefold/system.go
@@ -2,6 +2,9 @@
 
 import (
 	"context"
+	"errors"
+	"io"
+	stdlog "log"
 	"os"
 	"os/signal"
 	"runtime/debug"
@@ -12,6 +15,7 @@
 	"github.com/spf13/cobra"
 
 	"nettlefold/internal/agent"
+	"nettlefold/internal/asynclog"
 	"nettlefold/internal/controller"
 	"nettlefold/internal/metrics"
 	"nettlefold/internal/proxy"
@@ -91,28 +95,70 @@
 		}
 	}
 	zerolog.TimeFieldFormat = zerolog.TimeFormatUnixMs
-	log := zerolog.New(os.Stderr).Level(least).With().Timestamp().Str("node", settings.NodeName).Str("program", name).Logger()
 	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
 	defer stop()
+	log, lines := programLog(settings.NodeName, name, least)
+	defer lines.Close(logFlushLimit)
+	context.AfterFunc(ctx, func() { exitAfter(settings.Bounds.Grace) })
 	p, err := make(settings, log)
 	if err != nil {
 		return err
 	}
 	go watchSettings(ctx, hup, p, log)
 	if figures != "" {
-		go serveMetrics(ctx, settings.IP, endpoint, p, log)
+		go serveMetrics(ctx, settings.IP, endpoint, figuresWithLog{p, lines}, log)
 	}
 	return p.Run(ctx)
 }
 
+// programLog returns the log of a program of the fleet, to which the standard library logs too, and the writer of its
+// lines.
+func programLog(node, program string, least zerolog.Level) (zerolog.Logger, *asynclog.Writer) {
+	to := func(out io.Writer) zerolog.Logger {
+		return zerolog.New(out).Level(least).With().Timestamp().Str("node", node).Str("program", program).Logger()
+	}
+	out := asynclog.New(os.Stderr, func(out io.Writer, dropped uint64) {
+		log := to(out)
+		log.Warn().Str("step", "log").Uint64("lines", dropped).Msg("lines of the log were dropped, as it was not read")
+	})
+	log := to(out)
+	stdlog.SetFlags(0)
+	stdlog.SetOutput(log)
+	return log, out
+}
+
+// figuresWithLog are a program's figures and those of its log.
+type figuresWithLog struct {
+	metrics.Source
+	lines *asynclog.Writer
+}
+
+// Metrics adds the number of dropped lines to the program's figures.
+func (f figuresWithLog) Metrics(ctx context.Context) (*metrics.Set, error) {
+	set, err := f.Source.Metrics(ctx)
+	if err == nil {
+		set.Add("log_lines_dropped_total", float64(f.lines.Dropped()))
+	}
+	return set, err
+}
+
+// exitAfter ends the program once its grace to end is over, whatever still holds it up.
+func exitAfter(grace time.Duration) {
+	time.Sleep(grace)
+	fail(errGraceOver)
+}
+
+// errGraceOver means that a program could not end by itself within its grace.
+var errGraceOver = errors.New("told to end, and not done within the grace")
+
 // serveMetrics serves a program's figures until ctx ends. The program goes on without them where their port is not to be had.
-func serveMetrics(ctx context.Context, ip string, at metrics.Endpoint, p program, log zerolog.Logger) {
+func serveMetrics(ctx context.Context, ip string, at metrics.Endpoint, source metrics.Source, log zerolog.Logger) {
 	report := func(err error) {
 		log.Warn().Err(err).Str("step", "metrics").Msg("no figures are served; will retry")
 	}
 	listener, err := metrics.Listen(ctx, ip, at, report)
 	if err == nil {
-		err = metrics.Serve(ctx, listener, at, p)
+		err = metrics.Serve(ctx, listener, at, source)
 	}
 	if err != nil && ctx.Err() == nil {
 		log.Warn().Err(err).Str("step", "metrics").Msg("no figures are served")
--- a/internal/controller/api.go
+++ b/internal/controller/api.go
@@ -4,6 +4,7 @@
 	"context"
 	"encoding/json"
 	"io"
+	stdlog "log"
 	"net"
 	"net/http"
 	"reflect"
@@ -31,6 +32,7 @@
 func (c *Controller) serveAPI(listener net.Listener) *http.Server {
 	e := echo.New()
 	e.HideBanner, e.HidePort = true, true
+	e.Logger.SetOutput(stdlog.Writer())
 	e.PUT("/v1/configuration", c.putConfiguration)
 	e.GET("/v1/configuration", c.getConfiguration)
 	e.POST("/v1/evacuations/:zone", func(ctx echo.Context) error { return c.changeEvacuation(ctx, replicated.KindEvacuate) })
--- a/internal/metrics/metrics.go
+++ b/internal/metrics/metrics.go
@@ -4,6 +4,7 @@
 
 import (
 	"context"
+	"log"
 	"net"
 	"net/http"
 	"strconv"
@@ -100,6 +101,7 @@
 // responds with status 503 if they can't be collected.
 func newHandler(endpoint Endpoint, source Source) http.Handler {
 	e := echo.New()
+	e.Logger.SetOutput(log.Writer())
 	e.GET(endpoint.Path, func(c echo.Context) error {
 		ctx, cancel := context.WithTimeout(c.Request().Context(), responseTimeout)
 		defer cancel()
--- a/internal/proxy/proxy.go
+++ b/internal/proxy/proxy.go
@@ -6,6 +6,7 @@
 
 import (
 	"context"
+	stdlog "log"
 	"maps"
 	"math/rand/v2"
 	"net/http"
@@ -171,6 +172,7 @@
 	go p.monitorAttempts(context.WithoutCancel(ctx))
 	readiness := echo.New()
 	readiness.HideBanner, readiness.HidePort = true, true
+	readiness.Logger.SetOutput(stdlog.Writer())
 	readiness.GET("/v1/readiness", p.handleReadiness)
 	readyServer := &http.Server{Handler: readiness, ReadHeaderTimeout: readHeaderTimeout, IdleTimeout: idleTimeout}
 	go readyServer.Serve(readyListener)
