--- a/cmd/nettlefold/system.go
+++ b/cmd/nettlefold/system.go
@@ -36,6 +36,9 @@
 	Run(ctx context.Context) error
 }
 
+// programMaker makes a program of the fleet. It may wait for what the program needs until ctx is done.
+type programMaker func(ctx context.Context, settings *local.Settings, log zerolog.Logger) (program, error)
+
 // reloader takes settings that changed.
 type reloader interface {
 	Reload(settings *local.Settings)
@@ -51,7 +54,7 @@
 	}
 	figures := root.PersistentFlags().String("metrics", "", "PORT/PATH on the machine's own address where a program serves its figures; none if empty")
 	level := root.PersistentFlags().String("log-level", "info", "least level that is logged: debug, info, warn, error")
-	add := func(use, short string, make func(*local.Settings, zerolog.Logger) (program, error)) {
+	add := func(use, short string, make programMaker) {
 		root.AddCommand(&cobra.Command{
 			Use:   use,
 			Short: short,
@@ -60,14 +63,14 @@
 			RunE:  func(*cobra.Command, []string) error { return runProgram(use, *level, *figures, hup, make) },
 		})
 	}
-	add("proxy", "Serve clients on a front machine", func(s *local.Settings, log zerolog.Logger) (program, error) {
+	add("proxy", "Serve clients on a front machine", func(_ context.Context, s *local.Settings, log zerolog.Logger) (program, error) {
 		return proxy.New(s, log), nil
 	})
-	add("agent", "Keep a front machine's link to the control plane", func(s *local.Settings, log zerolog.Logger) (program, error) {
+	add("agent", "Keep a front machine's link to the control plane", func(_ context.Context, s *local.Settings, log zerolog.Logger) (program, error) {
 		return agent.New(s, log), nil
 	})
-	add("controller", "Keep the control state on a core machine and serve the operator", func(s *local.Settings, log zerolog.Logger) (program, error) {
-		return controller.New(s, log)
+	add("controller", "Keep the control state on a core machine and serve the operator", func(ctx context.Context, s *local.Settings, log zerolog.Logger) (program, error) {
+		return controller.Open(ctx, s, log)
 	})
 	root.AddCommand(toolCommands()...)
 	return root
@@ -78,7 +81,7 @@
 const collectAt = 40
 
 // runProgram runs a program of the fleet until it is told to stop.
-func runProgram(name, level, figures string, hup <-chan os.Signal, make func(*local.Settings, zerolog.Logger) (program, error)) error {
+func runProgram(name, level, figures string, hup <-chan os.Signal, make programMaker) error {
 	debug.SetGCPercent(collectAt)
 	settings, err := local.Load()
 	if err != nil {
@@ -100,7 +103,10 @@
 	log, lines := programLog(settings.NodeName, name, least)
 	defer lines.Close(logFlushLimit)
 	context.AfterFunc(ctx, func() { exitAfter(settings.Bounds.Grace) })
-	p, err := make(settings, log)
+	p, err := make(ctx, settings, log)
+	if ctx.Err() != nil {
+		return nil
+	}
 	if err != nil {
 		return err
 	}
--- a/internal/controller/controller.go
+++ b/internal/controller/controller.go
@@ -16,6 +16,7 @@
 
 	"nettlefold/internal/chain"
 	"nettlefold/internal/config"
+	"nettlefold/internal/dirlock"
 	"nettlefold/internal/distribute"
 	"nettlefold/internal/durable"
 	"nettlefold/internal/leases"
@@ -51,6 +52,7 @@
 	tallies        *tallyService // nil if tallies are disabled
 	replies        replyCounters
 	done           chan struct{}
+	directoryLock  *dirlock.Lock // held until the process ends; nil in tests
 
 	// The fields below belong to the event loop.
 	store               *durable.Store
@@ -101,13 +103,8 @@
 	changed          chan struct{}
 }
 
-// New opens the state on disk and returns a controller for it.
-func New(settings *local.Settings, log zerolog.Logger) (*Controller, error) {
-	return newWithNetwork(rpc.TCP{}, settings, log)
-}
-
-// newWithNetwork returns a controller that communicates with the others and with the operator over
-// network.
+// newWithNetwork opens the state on disk and returns a controller for it, which communicates with the
+// others and with the operator over network.
 func newWithNetwork(network rpc.Network, settings *local.Settings, log zerolog.Logger) (*Controller, error) {
 	c := &Controller{
 		network:             network,
--- a/internal/controller/controller_test.go
+++ b/internal/controller/controller_test.go
@@ -18,6 +18,7 @@
 	"nettlefold/internal/chain"
 	"nettlefold/internal/distribute"
 	"nettlefold/internal/replicated"
+	"nettlefold/internal/rpc"
 	"nettlefold/internal/settings/local"
 )
 
@@ -42,7 +43,7 @@
 // startController starts a controller and returns a function that stops it.
 func startController(t *testing.T, settings *local.Settings) (stop func()) {
 	t.Helper()
-	c, err := New(settings, zerolog.Nop())
+	c, err := newWithNetwork(rpc.TCP{}, settings, zerolog.Nop())
 	require.NoError(t, err)
 	ctx, cancel := context.WithCancel(context.Background())
 	ended, listening := make(chan error, 1), make(chan struct{})
@@ -143,7 +144,7 @@
 // empty disk gets a new identity and belongs to no view.
 func TestReplicaIdentity(t *testing.T) {
 	seed := singleNodeSettings(t)
-	c, err := New(seed, zerolog.Nop())
+	c, err := newWithNetwork(rpc.TCP{}, seed, zerolog.Nop())
 	require.NoError(t, err)
 	require.Equal(t, chain.NodeID(seed.ControlAddr+seedIdentitySuffix), c.replica.Self().ID)
 	require.Equal(t, uint64(1), c.replica.View().Epoch)
@@ -151,14 +152,14 @@
 
 	again := *seed
 	again.FirstStart = false
-	c, err = New(&again, zerolog.Nop())
+	c, err = newWithNetwork(rpc.TCP{}, &again, zerolog.Nop())
 	require.NoError(t, err)
 	require.Equal(t, chain.NodeID(seed.ControlAddr+seedIdentitySuffix), c.replica.Self().ID, "identity is stored on disk")
 	c.store.Close()
 
 	lost := again
 	lost.DataDirectory = t.TempDir()
-	c, err = New(&lost, zerolog.Nop())
+	c, err = newWithNetwork(rpc.TCP{}, &lost, zerolog.Nop())
 	require.NoError(t, err)
 	require.NotEqual(t, chain.NodeID(seed.ControlAddr+seedIdentitySuffix), c.replica.Self().ID)
 	require.Zero(t, c.replica.View().Epoch)
@@ -167,7 +168,7 @@
 
 	elsewhere := *seed
 	elsewhere.ControlAddr, elsewhere.DataDirectory = "127.0.0.1:1", t.TempDir()
-	c, err = New(&elsewhere, zerolog.Nop())
+	c, err = newWithNetwork(rpc.TCP{}, &elsewhere, zerolog.Nop())
 	require.NoError(t, err)
 	require.Zero(t, c.replica.View().Epoch, "epoch of a machine that is not a seed")
 	c.store.Close()
@@ -177,7 +178,7 @@
 // with a new identity, even if the settings still say that this is the first start.
 func TestDamagedStoreGetsNewIdentity(t *testing.T) {
 	settings := singleNodeSettings(t)
-	c, err := New(settings, zerolog.Nop())
+	c, err := newWithNetwork(rpc.TCP{}, settings, zerolog.Nop())
 	require.NoError(t, err)
 	c.tick()
 	c.store.Close()
@@ -187,7 +188,7 @@
 	require.NoError(t, err)
 	text[len(text)/2] ^= 0x40
 	require.NoError(t, os.WriteFile(files[0], text, 0o644))
-	c, err = New(settings, zerolog.Nop())
+	c, err = newWithNetwork(rpc.TCP{}, settings, zerolog.Nop())
 	require.NoError(t, err)
 	require.NotEqual(t, chain.NodeID(settings.ControlAddr+seedIdentitySuffix), c.replica.Self().ID)
 	require.Zero(t, c.replica.View().Epoch)
@@ -201,7 +202,7 @@
 // read, and the controller is no longer current until the store is reopened.
 func TestFailedWriteSendsNoConfirmation(t *testing.T) {
 	settings := singleNodeSettings(t)
-	c, err := New(settings, zerolog.Nop())
+	c, err := newWithNetwork(rpc.TCP{}, settings, zerolog.Nop())
 	require.NoError(t, err)
 	c.tick()
 	require.True(t, c.published.Load().current)
@@ -226,7 +227,7 @@
 // TestSessionsAndMembers: the member set contains the newest instance of each machine with a
 // session here or elsewhere, and the applied sequence number is the lowest of all sessions.
 func TestSessionsAndMembers(t *testing.T) {
-	c, err := New(singleNodeSettings(t), zerolog.Nop())
+	c, err := newWithNetwork(rpc.TCP{}, singleNodeSettings(t), zerolog.Nop())
 	require.NoError(t, err)
 	defer c.store.Close()
 	agent := func(id, addr string) distribute.Agent { return distribute.Agent{ID: id, Addr: addr, Zone: "a"} }
@@ -249,7 +250,7 @@
 // written publishes no new state to agents and readers, also not when agents call while the disk
 // fails.
 func TestFailedWriteIsNotPublished(t *testing.T) {
-	c, err := New(singleNodeSettings(t), zerolog.Nop())
+	c, err := newWithNetwork(rpc.TCP{}, singleNodeSettings(t), zerolog.Nop())
 	require.NoError(t, err)
 	c.tick()
 	before := c.published.Load()
--- a/internal/controller/fleet_load_test.go
+++ b/internal/controller/fleet_load_test.go
@@ -46,7 +46,7 @@
 			NodeName: "core-" + ip, IP: ip, Zone: fmt.Sprint("z", i%6), Zones: map[string]string{"z0": "r"}, ControlAddr: ip + ":21783",
 			FirstStart: true, FirstPort: benchmarkPort, LastPort: benchmarkPort + 10, MachineFaultTolerance: 2, DataDirectory: b.TempDir(), Seeds: seeds,
 		}
-		c, err := New(settings, zerolog.Nop())
+		c, err := newWithNetwork(rpc.TCP{}, settings, zerolog.Nop())
 		require.NoError(b, err)
 		f.controllers = append(f.controllers, c)
 		go c.Run(ctx)
--- a/internal/controller/loop_test.go
+++ b/internal/controller/loop_test.go
@@ -13,12 +13,13 @@
 
 	"nettlefold/internal/chain"
 	"nettlefold/internal/distribute"
+	"nettlefold/internal/rpc"
 )
 
 // TestChainMessagesPrecedeSessionCalls: a message of another replica must not wait for agents'
 // calls that were queued before it, or heartbeats are late.
 func TestChainMessagesPrecedeSessionCalls(t *testing.T) {
-	c, err := New(singleNodeSettings(t), zerolog.Nop())
+	c, err := newWithNetwork(rpc.TCP{}, singleNodeSettings(t), zerolog.Nop())
 	require.NoError(t, err)
 	defer c.store.Close()
 	var order []commandKind
@@ -127,7 +128,7 @@
 // executed before the tick checks for expired sessions, and the timeouts of the other sessions are
 // extended by the stall.
 func TestSessionsSurviveControllerStall(t *testing.T) {
-	c, err := New(singleNodeSettings(t), zerolog.Nop())
+	c, err := newWithNetwork(rpc.TCP{}, singleNodeSettings(t), zerolog.Nop())
 	require.NoError(t, err)
 	defer c.store.Close()
 	calling, waiting := distribute.Agent{ID: "f/1", Addr: "10.0.1.1:1"}, distribute.Agent{ID: "f/2", Addr: "10.0.1.2:1"}
--- a/internal/lab/fleetdemo/startplay.go
+++ b/internal/lab/fleetdemo/startplay.go
@@ -94,7 +94,11 @@
 		defer file.Close()
 		log = file
 	}
-	command := exec.Command(p.world.program, role.program)
+	return p.run(role, settings, log, exec.Command(p.world.program, role.program))
+}
+
+// run starts a role by a command.
+func (p *startPlay) run(role startRole, settings string, log *os.File, command *exec.Cmd) (*startedProcess, error) {
 	command.Env = append(os.Environ(), "NETTLEFOLD_SETTINGS="+settings)
 	command.Stderr = log
 	if err := command.Start(); err != nil {
