--- a/internal/lab/fleetdemo/startplay.go
+++ b/internal/lab/fleetdemo/startplay.go
@@ -357,6 +357,34 @@
 	return next.listensAndStops()
 }
 
+// startOnFullDisk starts a controller whose files may not grow, for a while.
+func (p *startPlay) startOnFullDisk(role startRole) error {
+	if role.program != "controller" {
+		return nil
+	}
+	settings, err := role.settings(p.world)
+	if err != nil {
+		return err
+	}
+	nowhere, err := os.OpenFile(os.DevNull, os.O_WRONLY, 0)
+	if err != nil {
+		return err
+	}
+	defer nowhere.Close()
+	s, err := p.run(role, settings, nowhere, exec.Command("sh", "-c", `ulimit -S -f 0; exec "$0" "$1"`, p.world.program, role.program))
+	if err != nil {
+		return err
+	}
+	if s.endsWithin(hindranceTime) {
+		return fmt.Errorf("%s ended by itself: %v", role.program, s.command.ProcessState)
+	}
+	unlimited := unix.Rlimit{Cur: unix.RLIM_INFINITY, Max: unix.RLIM_INFINITY}
+	if err := unix.Prlimit(s.command.Process.Pid, unix.RLIMIT_FSIZE, &unlimited, nil); err != nil {
+		return err
+	}
+	return s.listensAndStops()
+}
+
 // openFileIn returns a file in a directory that a process has open, "" if there is none.
 func openFileIn(pid int, directory string) string {
 	entries, _ := filepath.Glob(fmt.Sprintf("/proc/%d/fd/*", pid))
@@ -561,6 +589,7 @@
 	{"addresses held by connections", (*startPlay).startBehindConnections},
 	{"told to end while it waits for addresses", (*startPlay).stopBehindListeners},
 	{"data directory of another process", (*startPlay).startBesideFormerLife},
+	{"disk that takes no bytes", (*startPlay).startOnFullDisk},
 	{"log whose reader is gone", (*startPlay).startWithoutLogReader},
 	{"log that nobody reads", (*startPlay).startWithFullLog},
 	{"no descriptors left", (*startPlay).runOutOfDescriptors},
--- a/internal/lab/fleetdemo/startplay_test.go
+++ b/internal/lab/fleetdemo/startplay_test.go
@@ -33,6 +33,9 @@
 	playStartCase(t, (*startPlay).startBesideFormerLife)
 }
 
+// TestDiskThatRefusesIsAwaited guards against FAULT: a controller ended as its disk took no bytes when it started.
+func TestDiskThatRefusesIsAwaited(t *testing.T) { playStartCase(t, (*startPlay).startOnFullDisk) }
+
 // TestUnreadLogBlocksNoProgram guards against FAULT: a program ended by SIGPIPE, or neither started nor ended, as nobody read its log.
 func TestUnreadLogBlocksNoProgram(t *testing.T) {
 	t.Run("gone", func(t *testing.T) { playStartCase(t, (*startPlay).startWithoutLogReader) })
