--- a/internal/lab/fleetdemo/startplay_test.go
+++ b/internal/lab/fleetdemo/startplay_test.go
@@ -46,3 +46,13 @@
 func TestProgramsOutliveLackOfDescriptors(t *testing.T) {
 	playStartCase(t, (*startPlay).runOutOfDescriptors)
 }
+
+// TestUnknownSettingsAreIgnored guards against FAULT: a field that no program knows kept it from starting.
+func TestUnknownSettingsAreIgnored(t *testing.T) {
+	playStartCase(t, (*startPlay).startWithUnknownFields)
+}
+
+// TestSettingsBeingWrittenAreAwaited guards against FAULT: a program ended as its settings file was being replaced.
+func TestSettingsBeingWrittenAreAwaited(t *testing.T) {
+	playStartCase(t, (*startPlay).startWhileSettingsAreWritten)
+}
