--- a/internal/settings/local/local.go
+++ b/internal/settings/local/local.go
@@ -1,17 +1,16 @@
 // Package local reads the settings file that the platform provides to each process of a fleet. The file
 // has lines of the form a.b=value; the items of a list are separated by commas. Unknown fields are
-// ignored, so that newer platforms can add some.
+// ignored, whatever their values are, so that newer platforms can add some.
 package local
 
 import (
 	"fmt"
+	"math"
 	"os"
 	"slices"
 	"strconv"
 	"strings"
 	"time"
-
-	"github.com/magiconair/properties"
 )
 
 // PathVariable is the environment variable that holds the path of the settings file.
@@ -94,12 +93,7 @@
 // Parse parses the text of a settings file. It reports the first invalid value that it finds as a
 // *FieldError, and returns the settings even then.
 func Parse(text string) (*Settings, error) {
-	loader := properties.Loader{Encoding: properties.UTF8, DisableExpansion: true}
-	values, err := loader.LoadBytes([]byte(text))
-	if err != nil {
-		return nil, fmt.Errorf("settings: parse: %w", err)
-	}
-	p := &parser{values: values}
+	p := &parser{fields: parseFields(text)}
 	s := &Settings{
 		NodeName:              p.text("node_name"),
 		IP:                    p.text("ip"),
@@ -172,9 +166,21 @@
 	return ip + ":" + strconv.Itoa(s.FirstPort+1)
 }
 
+// parseFields returns the values of a settings file by field. Nothing but the line ends and the first equals sign of a line has a
+// meaning. Lines without one are ignored; of a field that comes twice the last value counts.
+func parseFields(text string) map[string]string {
+	fields := map[string]string{}
+	for line := range strings.Lines(text) {
+		if field, value, found := strings.Cut(line, "="); found {
+			fields[strings.TrimSpace(field)] = strings.TrimSpace(value)
+		}
+	}
+	return fields
+}
+
 // parser reads fields and collects the first error.
 type parser struct {
-	values *properties.Properties
+	fields map[string]string
 	err    error
 }
 
@@ -184,7 +190,7 @@
 	}
 }
 
-func (p *parser) text(field string) string { return strings.TrimSpace(p.values.GetString(field, "")) }
+func (p *parser) text(field string) string { return p.fields[field] }
 
 // list splits a field at commas. Empty items are dropped.
 func (p *parser) list(field string) []string {
@@ -217,8 +223,9 @@
 		return defaultValue
 	}
 	n, err := strconv.ParseFloat(value, 64)
-	if err != nil || n < 0 || n != n {
+	if err != nil || !(n >= 0 && n <= math.MaxInt64/float64(time.Second)) {
 		p.fail(field, value, "a number of at least 0")
+		return defaultValue
 	}
 	return n
 }
@@ -234,9 +241,9 @@
 // withPrefix returns the fields whose names have a prefix, by the rest of the name.
 func (p *parser) withPrefix(prefix string) map[string]string {
 	fields := map[string]string{}
-	for _, key := range p.values.Keys() {
-		if name, ok := strings.CutPrefix(key, prefix); ok {
-			fields[name] = p.text(key)
+	for field, value := range p.fields {
+		if name, ok := strings.CutPrefix(field, prefix); ok {
+			fields[name] = value
 		}
 	}
 	return fields
--- a/internal/settings/local/local_test.go
+++ b/internal/settings/local/local_test.go
@@ -50,6 +50,9 @@
 		{"first_start=true", "first_start=maybe", "first_start"},
 		{"bounds.ack_ms=4000", "bounds.ack_ms=soon", "bounds.ack_ms"},
 		{"bounds.ack_ms=4000", "bounds.ack_ms=-1", "bounds.ack_ms"},
+		{"bounds.ack_ms=4000", "bounds.ack_ms=inf", "bounds.ack_ms"},
+		{"bounds.ack_ms=4000", "bounds.ack_ms=nan", "bounds.ack_ms"},
+		{"bounds.grace_s=8", "bounds.grace_s=1e300", "bounds.grace_s"},
 		{"=7340,7355", "=7340", "internal_port_range"},
 		{"=7340,7355", "=7355,7340", "internal_port_range"},
 		{"ip=10.1.0.23", "ip=", "ip"},
@@ -60,3 +63,20 @@
 		require.Equal(t, c.field, fieldError.Field, "field of the error for %s", c.new)
 	}
 }
+
+// TestUnknownFieldsOfAllKinds guards against programs that didn't start: a value of an unknown field was taken for an escape, a
+// continued line or a reference.
+func TestUnknownFieldsOfAllKinds(t *testing.T) {
+	want, err := Parse(validSettings)
+	require.NoError(t, err)
+	for _, unknown := range []string{
+		`a=C:\users`, `a=\uZZZZ`, `a=b\`, "a=${ip}", "a=${a}", "=b", "a", "a=\xff\xfe", "a:b", "a b=c", "#", "!", "a==", "ip:=1", `ip\=1`, "\r", "zone =",
+	} {
+		settings, err := Parse(unknown + "\n" + validSettings)
+		require.NoError(t, err, "settings that begin with %q", unknown)
+		require.Equal(t, want, settings, "settings that begin with %q", unknown)
+	}
+	settings, err := Parse(strings.ReplaceAll(validSettings, "\n", "\r\n"))
+	require.NoError(t, err)
+	require.Equal(t, want, settings, "lines that end with CRLF")
+}
