--- a/cmd/nettlefold/system.go
+++ b/cmd/nettlefold/system.go
@@ -83,7 +83,12 @@
 // runProgram runs a program of the fleet until it is told to stop.
 func runProgram(name, level, figures string, hup <-chan os.Signal, make programMaker) error {
 	debug.SetGCPercent(collectAt)
-	settings, err := local.Load()
+	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
+	defer stop()
+	settings, err := local.Await(ctx, name)
+	if ctx.Err() != nil {
+		return nil
+	}
 	if err != nil {
 		return err
 	}
@@ -98,8 +103,6 @@
 		}
 	}
 	zerolog.TimeFieldFormat = zerolog.TimeFormatUnixMs
-	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
-	defer stop()
 	log, lines := programLog(settings.NodeName, name, least)
 	defer lines.Close(logFlushLimit)
 	context.AfterFunc(ctx, func() { exitAfter(settings.Bounds.Grace) })
@@ -110,7 +113,7 @@
 	if err != nil {
 		return err
 	}
-	go watchSettings(ctx, hup, p, log)
+	go watchSettings(ctx, name, hup, p, log)
 	if figures != "" {
 		go serveMetrics(ctx, settings.IP, endpoint, figuresWithLog{p, lines}, log)
 	}
@@ -172,7 +175,7 @@
 }
 
 // watchSettings reads the settings anew on SIGHUP and when their file changes. A file with a fault changes nothing.
-func watchSettings(ctx context.Context, hup <-chan os.Signal, p program, log zerolog.Logger) {
+func watchSettings(ctx context.Context, name string, hup <-chan os.Signal, p program, log zerolog.Logger) {
 	last := settingsStamp()
 	ticker := time.NewTicker(settingsPoll)
 	defer ticker.Stop()
@@ -187,7 +190,10 @@
 			return
 		}
 		last = settingsStamp()
-		settings, err := local.Load()
+		settings, err := local.Await(ctx, name)
+		if ctx.Err() != nil {
+			return
+		}
 		if err != nil {
 			log.Warn().Err(err).Str("step", "reload").Msg("the settings were not taken")
 			continue
--- a/internal/settings/local/local.go
+++ b/internal/settings/local/local.go
@@ -72,15 +72,6 @@
 	return fmt.Sprintf("settings: %s is %q, want %s", e.Field, e.Value, e.Want)
 }
 
-// Load reads the settings file that the environment variable PathVariable names.
-func Load() (*Settings, error) {
-	path := os.Getenv(PathVariable)
-	if path == "" {
-		return nil, fmt.Errorf("settings: environment variable %s is not set", PathVariable)
-	}
-	return Read(path)
-}
-
 // Read reads a settings file.
 func Read(path string) (*Settings, error) {
 	text, err := os.ReadFile(path)
