--- a/cmd/nettlelab/main.go
+++ b/cmd/nettlelab/main.go
@@ -18,6 +18,7 @@
 	Configurations configurationsCommand `cmd:"" help:"A fleet of real processes whose operator changes the configuration in every way, beside seeded troubles; a judge of CONFIG."`
 	Soak           soakCommand           `cmd:"" help:"A seeded soak of a router fleet of real processes on the loopback: signals, restarts, configurations, weights and engines in trouble, overlapping; a judge of its own."`
 	Starts         startsCommand         `cmd:"" help:"Starts of each of the fleet's programs while something hinders them: signals, held addresses, an unread log, no descriptors, settings being written."`
+	Streams        streamsCommand        `cmd:"" help:"A fleet of real processes whose engines end their streams in all ways, read by clients of HTTP/1.1 and 1.0; a judge of ORDER."`
 	Pairs          pairsCommand          `cmd:"" help:"What each mechanism of the fleet is worth: the same days with and without it, by the operators' bench."`
 	Several        severalCommand        `cmd:"" help:"Nine mixers in three sites through failures of sites and wires, and which rules held."`
 	Measure        measureCommand        `cmd:"" help:"Play what the project claims, print the table, and fail if a claim does."`
--- /dev/null
+++ b/internal/lab/fleetdemo/enginestream.go
@@ -0,0 +1,132 @@
+package fleetdemo
+
+import (
+	"fmt"
+	"io"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"slices"
+	"strconv"
+	"strings"
+	"time"
+)
+
+const (
+	// silenceLimit is how long an engine that has fallen silent keeps a connection that its proxy doesn't close.
+	silenceLimit = 3 * time.Second
+	// maxPieces is how many pieces an answer is written in, at most.
+	maxPieces = 60
+)
+
+// answer streams the events of a request that begins to run.
+func (e *engine) answer(w http.ResponseWriter, r *http.Request, id, life string, run int) {
+	form, ending := plainForm, streamEnding{framing: framingChunked, end: endWhole}
+	if e.fleet.streams != nil {
+		form, ending = e.fleet.streams(id, run)
+	}
+	last, _ := strconv.Atoi(r.Header.Get("Last-Event-Id"))
+	head := http.Header{"X-Request-Id": {id}, "X-Response-Seal": {life + "/" + id}, "Content-Type": {"text/event-stream"}}
+	if ending.regular() {
+		e.answerRegularly(w, r, head, form, id, last)
+		return
+	}
+	if ending.end != endWhole {
+		e.fleet.log.brokeOff(id, ending)
+	}
+	conn, _, err := http.NewResponseController(w).Hijack()
+	if err != nil {
+		return
+	}
+	defer conn.Close()
+	e.answerByHand(conn, head, form, ending, id, last)
+}
+
+// answerRegularly streams all events in chunks, one at a time.
+func (e *engine) answerRegularly(w http.ResponseWriter, r *http.Request, head http.Header, form streamForm, id string, last int) {
+	for name, values := range head {
+		w.Header()[name] = values
+	}
+	for number := last + 1; number <= form.events; number++ {
+		io.WriteString(w, form.event(id, number))
+		http.NewResponseController(w).Flush()
+		if !e.work(r, eventGap) {
+			return
+		}
+	}
+}
+
+// answerByHand writes an answer to a connection as its ending says.
+func (e *engine) answerByHand(conn net.Conn, head http.Header, form streamForm, ending streamEnding, id string, last int) {
+	switch ending.framing {
+	case framingChunked:
+		head.Set("Transfer-Encoding", "chunked")
+	case framingLength:
+		head.Set("Content-Length", strconv.Itoa(len(form.text(id, last))))
+	default:
+		head.Set("Connection", "close")
+	}
+	var lines strings.Builder
+	lines.WriteString("HTTP/1.1 200 OK\r\n")
+	head.Write(&lines)
+	if _, err := io.WriteString(conn, lines.String()+"\r\n"); err != nil {
+		return
+	}
+	for _, piece := range splitStream(ending.sent(form, id, last), id, ending.pieces) {
+		e.standStill()
+		if ending.framing == framingChunked {
+			piece = fmt.Sprintf("%x\r\n%s\r\n", len(piece), piece)
+		}
+		if _, err := io.WriteString(conn, piece); err != nil {
+			return
+		}
+		time.Sleep(eventGap / 2)
+	}
+	switch ending.end {
+	case endWhole:
+		if ending.framing == framingChunked {
+			io.WriteString(conn, "0\r\n\r\n")
+		}
+	case endReset:
+		reset(conn.(*net.TCPConn))
+	case endSilence:
+		conn.SetReadDeadline(time.Now().Add(silenceLimit))
+		conn.Read(make([]byte, 1))
+	}
+}
+
+// splitStream splits the events of an answer into what is written at once: blocks that end with a blank line, or pieces of any length.
+func splitStream(text, id string, anywhere bool) (pieces []string) {
+	if !anywhere {
+		blankLine := "\n\n"
+		if strings.Contains(text, "\r\n") {
+			blankLine = "\r\n\r\n"
+		}
+		pieces = strings.SplitAfter(text, blankLine)
+		return slices.DeleteFunc(pieces, func(piece string) bool { return piece == "" })
+	}
+	random := streamRandom(0, "pieces of "+id)
+	for len(text) > 0 {
+		size := pieceSize(random, len(text), maxPieces-len(pieces))
+		pieces, text = append(pieces, text[:size]), text[size:]
+	}
+	return pieces
+}
+
+// pieceSize draws the size of the next of so many pieces of a text.
+func pieceSize(random *rand.Rand, length, pieces int) int {
+	if pieces <= 1 {
+		return length
+	}
+	return min(length, 1+random.IntN(2*length/pieces+1))
+}
+
+// standStill waits while the engine is paused.
+func (e *engine) standStill() {
+	e.mu.Lock()
+	resumed := e.resumed
+	e.mu.Unlock()
+	if resumed != nil {
+		<-resumed
+	}
+}
--- a/internal/lab/fleetdemo/runlog.go
+++ b/internal/lab/fleetdemo/runlog.go
@@ -34,11 +34,12 @@
 	runs     []run
 	arrivals map[string][]arrival // by request
 	crashes  map[string]time.Time
-	uses     []promptUse // by other tenants than the part's maker
+	uses     []promptUse               // by other tenants than the part's maker
+	endings  map[string][]streamEnding // of runs that an engine broke off, by request
 }
 
 func newRunLog() *runLog {
-	return &runLog{arrivals: map[string][]arrival{}, crashes: map[string]time.Time{}}
+	return &runLog{arrivals: map[string][]arrival{}, crashes: map[string]time.Time{}, endings: map[string][]streamEnding{}}
 }
 
 // reached notes that a request is at an engine.
@@ -68,6 +69,16 @@
 	l.crashes[engine] = time.Now()
 }
 
+// brokeOff notes that an engine breaks off its answer to a request.
+func (l *runLog) brokeOff(request string, ending streamEnding) {
+	if l == nil {
+		return
+	}
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.endings[request] = append(l.endings[request], ending)
+}
+
 // takeUses gives the uses noted since the last call.
 func (l *runLog) takeUses() []promptUse {
 	l.mu.Lock()
