--- a/internal/proxy/relay.go
+++ b/internal/proxy/relay.go
@@ -35,7 +35,7 @@
 	client.SetWriteDeadline(q.effectiveDeadline.Add(writeDeadlineMargin))
 	q.writeHeader(a, p.shutdownPlan.Load() != nil)
 	var events *eventFilter
-	if q.route.Kind == config.Streaming && q.route.Resumable && a.response.StatusCode == http.StatusOK {
+	if q.isStream(a) && q.route.Resumable {
 		events = &eventFilter{lastID: q.Header.Get(headerLastEvent)}
 	}
 	for {
@@ -107,7 +107,10 @@
 		}
 		if err == io.EOF {
 			p.recordProgress(q, a)
-			return p.flushLastEvent(q, a, events)
+			if takeover.cutOff() {
+				return io.ErrUnexpectedEOF
+			}
+			return q.forwardRest(events)
 		}
 		if err != nil {
 			return err
@@ -115,19 +118,30 @@
 	}
 }
 
-// flushLastEvent relays the bytes after the last complete event of a response that ended. If only
-// the close of the connection delimits the response, an incomplete event means that it was cut off.
-func (p *Proxy) flushLastEvent(q *request, a *attempt, events *eventFilter) error {
-	if events == nil || len(events.partial) == 0 {
+// forwardRest relays the bytes after the last complete event of a response that is complete.
+func (q *request) forwardRest(events *eventFilter) error {
+	if events == nil {
 		return nil
 	}
-	if a.response.ContentLength < 0 && len(a.response.TransferEncoding) == 0 {
-		return io.ErrUnexpectedEOF
+	rest := events.partial
+	if len(rest) == 0 {
+		return nil
 	}
-	_, err := q.writer.Write(events.partial)
+	_, err := q.writer.Write(rest)
 	return classifyWriteError(err)
 }
 
+// isStream reports whether the response of an attempt is a stream of events.
+func (q *request) isStream(a *attempt) bool {
+	return q.route.Kind == config.Streaming && a.response.StatusCode == http.StatusOK
+}
+
+// endsWithConnection reports whether only the close of the connection tells the end of a response. It
+// then looks the same as when the backend broke off.
+func (a *attempt) endsWithConnection() bool {
+	return a.response.ContentLength < 0 && len(a.response.TransferEncoding) == 0
+}
+
 // classifyWriteError distinguishes a client that read nothing until the deadline from one that has
 // disconnected.
 func classifyWriteError(err error) error {
--- a/internal/proxy/takeover.go
+++ b/internal/proxy/takeover.go
@@ -18,7 +18,8 @@
 type streamTakeover struct {
 	proxy   *Proxy
 	attempt *attempt
-	events  *eventFilter // nil if the stream is not resumable
+	events  *eventFilter  // nil if the stream is not resumable
+	scanner *eventScanner // of a stream that is not resumable and ends with the connection; nil for others
 	ctx     context.Context
 	cancel  context.CancelFunc
 
@@ -32,6 +33,9 @@
 // newStreamTakeover prepares the takeover of an attempt whose response starts to be relayed.
 func newStreamTakeover(ctx context.Context, p *Proxy, a *attempt, events *eventFilter) *streamTakeover {
 	t := &streamTakeover{proxy: p, attempt: a, events: events}
+	if events == nil && a.request.isStream(a) && a.endsWithConnection() {
+		t.scanner = new(eventScanner)
+	}
 	t.ctx, t.cancel = context.WithCancel(ctx)
 	a.takeover.Store(t)
 	return t
@@ -45,19 +49,35 @@
 	if t.successor != nil {
 		return errTakenOver
 	}
+	t.scan(bytes)
 	if t.events != nil {
 		bytes = t.events.filter(bytes)
 	}
-	if len(bytes) == 0 {
-		return nil
-	}
-	if _, err := client.Write(bytes); err != nil {
-		return classifyWriteError(err)
+	if len(bytes) > 0 {
+		if _, err := client.Write(bytes); err != nil {
+			return classifyWriteError(err)
+		}
+		flusher.Flush()
 	}
-	flusher.Flush()
 	return nil
 }
 
+// scan follows the events of a stream that is not resumable and ends with the connection.
+func (t *streamTakeover) scan(bytes []byte) {
+	for t.scanner != nil && len(bytes) > 0 {
+		length, _ := t.scanner.next(bytes)
+		bytes = bytes[length:]
+	}
+}
+
+// cutOff reports whether the end of the connection has cut a stream off in the middle of an event.
+func (t *streamTakeover) cutOff() bool {
+	if t.events != nil {
+		return t.attempt.endsWithConnection() && len(t.events.partial) > 0
+	}
+	return t.scanner != nil && !t.scanner.betweenEvents()
+}
+
 // start tries to resume the stream elsewhere in the background, unless a try is running or the stream
 // may not be resumed. It never blocks: if the lock is taken, forwardBytes may be waiting for a slow
 // client, and then the backend is not the cause of the stall.
