--- a/internal/proxy/events.go
+++ b/internal/proxy/events.go
@@ -1,52 +1,112 @@
 package proxy
 
 import (
-	"bytes"
+	"errors"
 	"strconv"
-	"strings"
 )
 
 // maxBufferedEventBytes bounds the buffer for an incomplete event; a longer event is forwarded in
 // pieces.
 const maxBufferedEventBytes = 64 << 10
 
-// eventFilter splits a stream of server-sent events into complete events and drops those that were
-// forwarded before. A stream may break off in the middle of an event; the backend that resumes it
-// sends that event again.
+// errRepeatedLongEvent means that a run that resumes a stream sent a long event of which a part had to be
+// forwarded, or was forwarded, before its ID told whether it is new.
+var errRepeatedLongEvent = errors.New("long event of a resumed stream may have been forwarded before")
+
+// eventFilter splits a resumable stream of server-sent events into complete events. A stream may break
+// off in the middle of an event; the run that resumes it sends that event again, and may repeat events
+// from before it, which the filter drops. The events of a single run are forwarded unchanged, whatever
+// their IDs are.
 type eventFilter struct {
-	lastID  string // ID of the last forwarded event
-	partial []byte // incomplete event at the end of the input
+	scanner eventScanner
+	partial []byte // buffered part of the incomplete event at the end of the input
+	lastID  string // ID of the last forwarded event that has one
+
+	resumed   bool // this run resumes a stream and hasn't come past the event lastID yet
+	repeating bool // this run has sent events that were forwarded before
+	// joined is set if this run follows another one in the same answer. Its events without an ID are then
+	// held until the next ID tells whether they were forwarded before.
+	joined bool
+	held   []byte
+	// withoutID is set while events without an ID were forwarded after lastID. A run that resumes the
+	// stream would repeat them, and nothing would tell.
+	withoutID bool
+
+	forwardedPart bool // a part of the incomplete event was forwarded
+	dropping      bool // the incomplete event was forwarded before
 }
 
-// filter adds input and returns the events that are complete now and were not forwarded before.
-func (e *eventFilter) filter(input []byte) []byte {
-	e.partial = append(e.partial, input...)
-	var out []byte
-	for {
-		end := eventEnd(e.partial)
-		if end < 0 {
-			if len(e.partial) > maxBufferedEventBytes {
-				out, e.partial = append(out, e.partial...), nil
-			}
-			return out
+// newEventFilter returns the filter of a stream that a client wants from the event after lastID on, ""
+// for all of it.
+func newEventFilter(lastID string) *eventFilter {
+	return &eventFilter{lastID: lastID, resumed: lastID != ""}
+}
+
+// filter adds input and returns what is to be forwarded now: events that are complete, and parts of one
+// that is too long for the buffer.
+func (e *eventFilter) filter(input []byte) (out []byte, err error) {
+	for len(input) > 0 {
+		length, event := e.scanner.next(input)
+		e.partial = append(e.partial, input[:length]...)
+		input = input[length:]
+		if event == nil {
+			part, err := e.takePart()
+			return append(out, part...), err
 		}
-		event := e.partial[:end]
-		id := eventID(event)
-		if id == "" || !e.alreadyForwarded(id) {
-			out = append(out, event...)
+		if e.forwardedPart && event.id != "" && e.isRepeated(event.id) {
+			return out, errRepeatedLongEvent
 		}
-		if id != "" && !e.alreadyForwarded(id) {
-			e.lastID = id
+		switch {
+		case !event.hasField: // a comment, which keeps a connection alive
+			out = append(out, e.partial...)
+		case e.holds(event):
+			if e.held = append(e.held, e.partial...); len(e.held) > maxBufferedEventBytes {
+				return out, errRepeatedLongEvent
+			}
+		case e.forwards(event):
+			out = append(append(out, e.held...), e.partial...)
+			e.held = nil
+		default:
+			e.held = nil
 		}
-		e.partial = append([]byte(nil), e.partial[end:]...)
+		e.partial, e.forwardedPart, e.dropping = e.partial[:0], false, false
+	}
+	if cap(e.partial) > relayBufferBytes {
+		e.partial = nil // don't keep the memory of a long event
 	}
+	return out, nil
 }
 
-// discardPartial drops the incomplete event.
-func (e *eventFilter) discardPartial() { e.partial = nil }
+// holds reports whether a complete event is held until the ID of a later one tells whether it was
+// forwarded before.
+func (e *eventFilter) holds(event *scannedEvent) bool {
+	return e.joined && e.resumed && !e.repeating && event.id == ""
+}
 
-// alreadyForwarded reports whether an event was forwarded before. IDs are increasing numbers.
-func (e *eventFilter) alreadyForwarded(id string) bool {
+// forwards reports whether a complete event is to be forwarded, and records it as forwarded.
+func (e *eventFilter) forwards(event *scannedEvent) bool {
+	if !e.forwardedPart && e.isRepeated(event.id) {
+		e.resumed = event.id != e.lastID // what follows that event is new
+		e.repeating = e.resumed
+		return false
+	}
+	if event.id == "" {
+		e.withoutID = true
+		return true
+	}
+	e.lastID, e.withoutID, e.resumed = event.id, false, false
+	return true
+}
+
+// isRepeated reports whether an event with an ID, "" for none, was forwarded before. IDs of a run that
+// resumes a stream are compared as increasing numbers where they are numbers.
+func (e *eventFilter) isRepeated(id string) bool {
+	switch {
+	case !e.resumed:
+		return false
+	case id == "":
+		return e.repeating
+	}
 	number, err1 := strconv.ParseInt(id, 10, 64)
 	last, err2 := strconv.ParseInt(e.lastID, 10, 64)
 	if err1 != nil || err2 != nil {
@@ -55,24 +115,44 @@
 	return number <= last
 }
 
-// eventEnd returns the offset after the blank line that ends the first event, or -1 if the event is
-// incomplete.
-func eventEnd(text []byte) int {
-	end := -1
-	for _, separator := range []string{"\n\n", "\r\n\r\n", "\r\r"} {
-		if at := bytes.Index(text, []byte(separator)); at >= 0 && (end < 0 || at+len(separator) < end) {
-			end = at + len(separator)
+// takePart takes the buffered part of an event that is too long for the buffer, to be forwarded.
+func (e *eventFilter) takePart() (part []byte, err error) {
+	if len(e.partial) <= maxBufferedEventBytes {
+		return nil, nil
+	}
+	if !e.forwardedPart && !e.dropping {
+		id := e.scanner.id
+		if id == "" && e.resumed && (e.joined || e.repeating) {
+			return nil, errRepeatedLongEvent
 		}
+		e.dropping = id != "" && e.isRepeated(id)
+	}
+	part, e.partial = e.partial, nil
+	if e.dropping {
+		return nil, nil
 	}
-	return end
+	e.forwardedPart = true
+	return part, nil
 }
 
-// eventID returns the ID of an event, or "" if it has none.
-func eventID(event []byte) string {
-	for _, line := range strings.FieldsFunc(string(event), func(r rune) bool { return r == '\n' || r == '\r' }) {
-		if value, ok := strings.CutPrefix(line, "id:"); ok {
-			return strings.TrimSpace(value)
-		}
+// rest returns what is to be forwarded at the end of a complete stream: held events, and an event
+// without a blank line behind it.
+func (e *eventFilter) rest() []byte {
+	if e.dropping || e.isRepeated(e.scanner.id) {
+		return nil
 	}
-	return ""
+	return append(e.held, e.partial...)
+}
+
+// betweenEvents reports whether the stream so far ends with a complete event.
+func (e *eventFilter) betweenEvents() bool { return e.scanner.betweenEvents() }
+
+// resumable reports whether another run that begins after lastID can continue what was forwarded.
+func (e *eventFilter) resumable() bool { return !e.forwardedPart && !e.withoutID }
+
+// startRun prepares for the bytes of a run that resumes the stream.
+func (e *eventFilter) startRun() {
+	e.scanner, e.partial, e.dropping = eventScanner{}, nil, false
+	e.resumed, e.repeating = e.lastID != "", false
+	e.joined, e.held = true, nil
 }
--- a/internal/proxy/relay.go
+++ b/internal/proxy/relay.go
@@ -36,7 +36,7 @@
 	q.writeHeader(a, p.shutdownPlan.Load() != nil)
 	var events *eventFilter
 	if q.isStream(a) && q.route.Resumable {
-		events = &eventFilter{lastID: q.Header.Get(headerLastEvent)}
+		events = newEventFilter(q.Header.Get(headerLastEvent))
 	}
 	for {
 		takeover := newStreamTakeover(ctx, p, a, events)
@@ -53,14 +53,14 @@
 		}
 		reason := endReasonOf(ctx, q, a, err)
 		p.finishAttempt(a, outcome)
-		if next == nil && events != nil && outcome != dispatch.Cancelled {
+		if next == nil && events != nil && events.resumable() && outcome != dispatch.Cancelled {
 			next = p.resumeStream(ctx, q, a, events.lastID)
 		}
 		if next == nil {
 			p.recordAborted(q, a, takeover, reason)
 			panic(http.ErrAbortHandler)
 		}
-		events.discardPartial()
+		events.startRun()
 		p.counters.resumed.Add(1)
 		a = next
 	}
@@ -93,7 +93,7 @@
 }
 
 // copyResponse relays the bytes of a response as they arrive, but only complete events of a
-// resumable stream. It returns nil if the response was complete.
+// resumable stream, unless one is too long. It returns nil if the response was complete.
 func (p *Proxy) copyResponse(q *request, a *attempt, events *eventFilter, takeover *streamTakeover) error {
 	flusher := http.NewResponseController(q.writer)
 	buffer := make([]byte, relayBufferBytes)
@@ -123,7 +123,7 @@
 	if events == nil {
 		return nil
 	}
-	rest := events.partial
+	rest := events.rest()
 	if len(rest) == 0 {
 		return nil
 	}
--- a/internal/proxy/takeover.go
+++ b/internal/proxy/takeover.go
@@ -50,8 +50,9 @@
 		return errTakenOver
 	}
 	t.scan(bytes)
+	var filterErr error
 	if t.events != nil {
-		bytes = t.events.filter(bytes)
+		bytes, filterErr = t.events.filter(bytes)
 	}
 	if len(bytes) > 0 {
 		if _, err := client.Write(bytes); err != nil {
@@ -59,7 +60,7 @@
 		}
 		flusher.Flush()
 	}
-	return nil
+	return filterErr
 }
 
 // scan follows the events of a stream that is not resumable and ends with the connection.
@@ -73,7 +74,7 @@
 // cutOff reports whether the end of the connection has cut a stream off in the middle of an event.
 func (t *streamTakeover) cutOff() bool {
 	if t.events != nil {
-		return t.attempt.endsWithConnection() && len(t.events.partial) > 0
+		return t.attempt.endsWithConnection() && !t.events.betweenEvents()
 	}
 	return t.scanner != nil && !t.scanner.betweenEvents()
 }
@@ -86,7 +87,7 @@
 		return
 	}
 	defer t.mu.Unlock()
-	if t.closed || t.tryDone != nil || t.events == nil || !t.attempt.retryable {
+	if t.closed || t.tryDone != nil || t.events == nil || !t.events.resumable() || !t.attempt.retryable {
 		return
 	}
 	done := make(chan struct{})
@@ -109,7 +110,7 @@
 	if next == nil {
 		return
 	}
-	if t.closed || t.events.lastID != lastEvent {
+	if t.closed || t.events.lastID != lastEvent || !t.events.resumable() {
 		p.finishAttempt(next, dispatch.Cancelled)
 		// Count next against the limits, because its backend may have executed the request.
 		a.triedBackends, a.sendCount = next.triedBackends, next.sendCount
