--- a/internal/controller/api.go
+++ b/internal/controller/api.go
@@ -99,6 +99,8 @@
 	if len(reply.Config) == 0 {
 		return ctx.JSON(http.StatusNotFound, errorResponse{"no configuration was taken yet"})
 	}
+	// Without a length a caller of HTTP/1.0 would take an answer that is cut for a whole one.
+	ctx.Response().Header().Set(echo.HeaderContentLength, strconv.Itoa(len(reply.Config)))
 	return ctx.Blob(http.StatusOK, echo.MIMEApplicationJSON, reply.Config)
 }
 
--- a/internal/controller/configuration_test.go
+++ b/internal/controller/configuration_test.go
@@ -53,3 +53,20 @@
 	require.Equal(t, http.StatusOK, code, text)
 	require.Eventually(t, func() bool { return status().ConfigFault == "" }, reportLimit, reportInterval)
 }
+
+// TestConfigurationHasALength guards against ORDER: a caller of HTTP/1.0 took a configuration that was cut for a whole one, as only the
+// connection's end told where it ended.
+func TestConfigurationHasALength(t *testing.T) {
+	const reportLimit, reportInterval = 10 * time.Second, 20 * time.Millisecond
+	settings := singleNodeSettings(t)
+	defer startController(t, settings)()
+	document := `{"version":1,"routes":[],"services":[],"kept":"` + strings.Repeat("x", 64<<10) + `"}`
+	require.Eventually(t, func() bool {
+		code, _ := sendRequest(t, settings, http.MethodPut, "/v1/configuration", "0", document)
+		return code == http.StatusOK
+	}, reportLimit, reportInterval)
+	response, err := http.Get("http://" + settings.ControlAddr + "/v1/configuration")
+	require.NoError(t, err)
+	defer response.Body.Close()
+	require.EqualValues(t, len(document), response.ContentLength)
+}
--- a/internal/proxy/clientconn.go
+++ b/internal/proxy/clientconn.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"net"
+	"net/http"
 	"os"
 	"sync"
 )
@@ -142,3 +143,16 @@
 		cancel()
 	}
 }
+
+// resetUntilComplete has the connection of a client of HTTP/1.0 end with a reset until complete is
+// called, also if the process ends: the end of the connection is what tells such a client that an
+// answer without a length is whole. Clients of HTTP/1.1 get other framing.
+func resetUntilComplete(request *http.Request) (complete func()) {
+	c, ok := request.Context().Value(clientConnKey{}).(*clientConn)
+	if !ok || request.ProtoAtLeast(1, 1) {
+		return func() {}
+	}
+	const discardUnsent, sendAll = 0, -1
+	c.SetLinger(discardUnsent)
+	return func() { c.SetLinger(sendAll) }
+}
--- a/internal/proxy/relay.go
+++ b/internal/proxy/relay.go
@@ -29,10 +29,11 @@
 
 // relay relays a response to the client. A resumable stream that breaks off is resumed at another
 // backend within the same response. For a response that cannot be completed the client connection is
-// closed, so that the response does not look complete.
+// closed, or reset for a client of HTTP/1.0, so that the response does not look complete.
 func (p *Proxy) relay(ctx context.Context, q *request, a *attempt) {
 	client := http.NewResponseController(q.writer)
 	client.SetWriteDeadline(q.effectiveDeadline.Add(writeDeadlineMargin))
+	complete := resetUntilComplete(q.Request)
 	q.writeHeader(a, p.shutdownPlan.Load() != nil)
 	var events *eventFilter
 	if q.isStream(a) && q.route.Resumable {
@@ -44,6 +45,7 @@
 		next := takeover.finish(err == nil)
 		if err == nil {
 			p.finishAttempt(a, dispatch.Completed)
+			complete()
 			client.SetWriteDeadline(time.Time{})
 			return
 		}
@@ -127,8 +129,10 @@
 	if len(rest) == 0 {
 		return nil
 	}
-	_, err := q.writer.Write(rest)
-	return classifyWriteError(err)
+	if _, err := q.writer.Write(rest); err != nil {
+		return classifyWriteError(err)
+	}
+	return classifyWriteError(http.NewResponseController(q.writer).Flush())
 }
 
 // isStream reports whether the response of an attempt is a stream of events.
