--- a/internal/proxy/events.go
+++ b/internal/proxy/events.go
@@ -9,8 +9,12 @@
 // pieces.
 const maxBufferedEventBytes = 64 << 10
 
-// errRepeatedLongEvent means that a run that resumes a stream sent a long event of which a part had to be
-// forwarded, or was forwarded, before its ID told whether it is new.
+// maxHeldBytes bounds what is held of a run that resumes a stream until an ID tells whether it was
+// forwarded before.
+const maxHeldBytes = 1 << 20
+
+// errRepeatedLongEvent means that a run that resumes a stream sent more than can be held, or a part of
+// an event that was forwarded, before an ID told that it isn't new, or might not be.
 var errRepeatedLongEvent = errors.New("long event of a resumed stream may have been forwarded before")
 
 // eventFilter splits a resumable stream of server-sent events into complete events. A stream may break
@@ -60,7 +64,7 @@
 		case !event.hasField: // a comment, which keeps a connection alive
 			out = append(out, e.partial...)
 		case e.holds(event):
-			if e.held = append(e.held, e.partial...); len(e.held) > maxBufferedEventBytes {
+			if e.held = append(e.held, e.partial...); len(e.held) > maxHeldBytes {
 				return out, errRepeatedLongEvent
 			}
 		case e.forwards(event):
@@ -123,7 +127,10 @@
 	if !e.forwardedPart && !e.dropping {
 		id := e.scanner.id
 		if id == "" && e.resumed && (e.joined || e.repeating) {
-			return nil, errRepeatedLongEvent
+			if len(e.partial) > maxHeldBytes {
+				return nil, errRepeatedLongEvent
+			}
+			return nil, nil
 		}
 		e.dropping = id != "" && e.isRepeated(id)
 	}
--- a/internal/proxy/stream_ends_test.go
+++ b/internal/proxy/stream_ends_test.go
@@ -89,6 +89,19 @@
 	require.True(t, strings.HasPrefix(whole, got), "the answer has bytes of two runs: %d bytes, %d due", len(got), len(whole))
 }
 
+// TestLongEventOfALaterRunIsHeldUntilItsID continues a stream with a long event whose ID is its last line.
+func TestLongEventOfALaterRunIsHeldUntilItsID(t *testing.T) {
+	long := fmt.Sprintf("data: %s\nid: 2\n\n", strings.Repeat("x", 3*maxBufferedEventBytes))
+	whole := eventText(1, 1) + long + eventText(3, 3)
+	for _, later := range []string{long + eventText(3, 3), whole} {
+		f := newFixture(t, secondOf(sendCut(eventText(1, 1)), sendWhole(later))...)
+		_, got, err := f.post("/stream/x", "k1", "")
+		require.NoError(t, err)
+		require.Equal(t, len(whole), len(got))
+		require.True(t, whole == got)
+	}
+}
+
 // TestAnswerCutForHTTP10IsNotComplete guards against ORDER and MIXED: a client of HTTP/1.0 took an answer that was cut for a whole one, as
 // its connection ended as it does after a whole one.
 func TestAnswerCutForHTTP10IsNotComplete(t *testing.T) {
