--- a/internal/lab/fleetdemo/judge_test.go
+++ b/internal/lab/fleetdemo/judge_test.go
@@ -31,6 +31,10 @@
 	betweenFronts := between([]string{frontIP(0)}, []string{frontIP(1)})
 	useByT1 := promptUse{User: promptMaker{"a", "t1"}, Maker: promptMaker{"b", isolatedTenant}, Part: "sys", At: at(10.1)}
 	useByT3 := promptUse{User: promptMaker{"a", "t1"}, Maker: promptMaker{"b", "t3"}, Part: "sys", At: at(10.1)}
+	cutInEvent := streamEnding{framing: framingNone, end: endFIN, inEvent: true}
+	cutBetweenEvents := streamEnding{framing: framingNone, end: endFIN}
+	resetBetweenEvents := streamEnding{framing: framingNone, end: endReset}
+	cutChunked := streamEnding{framing: framingChunked, end: endFIN}
 	inCore := between([]string{controllerIP(0)}, []string{controllerIP(1)})
 	for name, c := range map[string]struct {
 		record record
@@ -50,6 +54,15 @@
 		"ran twice":                    {record{Asks: []ask{{ID: "a", Outcome: outcomeAnswer, Status: 502}}, Runs: []run{{"a", "e1", 1, at(1)}, {"a", "e2", 1, at(2)}}}, ruleTwice},
 		"ran twice and may":            {record{Asks: []ask{{ID: "a", Outcome: outcomeAnswer, Status: 502, Repeats: true}}, Runs: []run{{"a", "e1", 1, at(1)}, {"a", "e2", 1, at(2)}}}, ""},
 		"refused and ran":              {record{Asks: []ask{{ID: "a", Outcome: outcomeAnswer, Status: 503}}, Runs: []run{{"a", "e1", 1, at(1)}}}, ruleRefused},
+		"bytes of two runs":            {record{Asks: []ask{{ID: "a", Outcome: outcomeServed, Status: 200, Mismatch: "byte 9"}}}, ruleOrder},
+		"bytes of two runs, then cut":  {record{Asks: []ask{{ID: "a", Outcome: outcomeCut, Status: 200, Mismatch: "byte 9"}}}, ruleOrder},
+		"cut in an event unseen":       {record{Asks: []ask{{ID: "a", Outcome: outcomeServed, Status: 200, OwnPart: true}}, Endings: map[string][]streamEnding{"a": {cutInEvent}}}, ruleMixed},
+		"cut between events unseen":    {record{Asks: []ask{{ID: "a", Outcome: outcomeServed, Status: 200, OwnPart: true}}, Endings: map[string][]streamEnding{"a": {cutBetweenEvents}}}, ""},
+		"reset between events":         {record{Asks: []ask{{ID: "a", Outcome: outcomeServed, Status: 200, OwnPart: true}}, Endings: map[string][]streamEnding{"a": {resetBetweenEvents}}}, ruleMixed},
+		"chunked and cut":              {record{Asks: []ask{{ID: "a", Outcome: outcomeServed, Status: 200, OwnPart: true}}, Endings: map[string][]streamEnding{"a": {cutChunked}}}, ruleMixed},
+		"cut and another's":            {record{Asks: []ask{{ID: "a", Outcome: outcomeServed, Status: 200}}, Endings: map[string][]streamEnding{"a": {cutBetweenEvents}}}, ruleMixed},
+		"another was cut":              {record{Asks: []ask{{ID: "a", Outcome: outcomeServed, Status: 200, OwnPart: true}}, Endings: map[string][]streamEnding{"b": {cutBetweenEvents}}}, ruleMixed},
+		"cut by its engine":            {record{Asks: []ask{cut}, Arrivals: passedOn, Endings: map[string][]streamEnding{"a": {cutChunked}}}, ""},
 		"not whole":                    {record{Asks: []ask{{ID: "a", Outcome: outcomeServed, Status: 200}}}, ruleMixed},
 		"old weights":                  {record{Runs: []run{{"a", "e1", 1, at(5.1)}}, Weights: []ordered{{2, at(1), at(2)}}}, ruleVersion},
 		"old weights in time":          {record{Runs: []run{{"a", "e1", 1, at(4.9)}}, Weights: []ordered{{2, at(1), at(2)}}}, ""},
--- a/internal/lab/fleetdemo/soakclient.go
+++ b/internal/lab/fleetdemo/soakclient.go
@@ -17,6 +17,7 @@
 	leaves        = 0.06 // share of requests whose client leaves midway
 	asksOnce      = 0.4  // share on the route whose requests run once
 	asksExtra     = 0.2  // share on the newest configuration's own route, or that of one before
+	http10Every   = 4    // of a front's clients, one of so many speaks HTTP/1.0
 	unreachedWait = 100 * time.Millisecond
 )
 
@@ -78,6 +79,9 @@
 // ask sends one request and reads its answer to the end.
 func (c *soakClient) ask() ask {
 	a, path := c.draw()
+	if c.number%http10Every == http10Every-1 {
+		return c.askHTTP10(a, path)
+	}
 	ctx, leave := context.WithTimeout(context.Background(), 2*shortestDeadline)
 	defer leave()
 	left := false
@@ -120,15 +124,42 @@
 		return
 	}
 	defer answer.Body.Close()
-	a.Status = answer.StatusCode
 	text, err := io.ReadAll(answer.Body)
+	c.noteBody(a, streamAnswer{answer.StatusCode, answer.Header.Get("X-Response-Seal"), string(text), err == nil, err})
+}
+
+// noteBody books an answer whose head was read.
+func (c *soakClient) noteBody(a *ask, answer streamAnswer) {
+	a.Status = answer.status
+	a.Outcome = outcomeServed
 	switch {
-	case err != nil:
+	case !answer.complete:
 		a.Outcome = outcomeCut
-	case answer.StatusCode != http.StatusOK:
+	case answer.status != http.StatusOK:
 		a.Outcome = outcomeAnswer
-	default:
-		a.Outcome = outcomeServed
-		a.Whole = string(text) == plainForm.text(a.ID, 0) && strings.HasSuffix(answer.Header.Get("X-Response-Seal"), "/"+a.ID)
 	}
+	if answer.status != http.StatusOK {
+		return
+	}
+	missing := 0
+	a.Mismatch, missing = streamMismatch(c.soak.form(a.ID).text(a.ID, 0), answer.body)
+	a.OwnPart = a.Outcome == outcomeServed && a.Mismatch == "" && strings.HasSuffix(answer.seal, "/"+a.ID)
+	a.Whole = a.OwnPart && missing == 0
+}
+
+// askHTTP10 sends one request in HTTP/1.0 and reads its answer to the end of the connection.
+func (c *soakClient) askHTTP10(a ask, path string) ask {
+	request := streamRequest{
+		id: a.ID, path: path + "x", key: fmt.Sprint("key-", 1+c.number%soakTenants), front: c.front, http10: true,
+		prompt: fmt.Sprintf("sys:500,doc%d:800,%s:200", c.random.IntN(prompts), a.ID),
+	}
+	a.Sent = time.Now()
+	answer := request.ask(shortestDeadline)
+	a.End = time.Now()
+	if answer.status == 0 {
+		c.note(&a, nil, answer.err)
+		return a
+	}
+	c.noteBody(&a, answer)
+	return a
 }
