--- a/cmd/nettlelab/main.go
+++ b/cmd/nettlelab/main.go
@@ -9,6 +9,7 @@
 
 	"github.com/alecthomas/kong"
 
+	"nettlefold/internal/lab/fleetdemo"
 	"nettlefold/internal/lab/measure"
 )
 
@@ -23,6 +24,8 @@
 	Several        severalCommand        `cmd:"" help:"Nine mixers in three sites through failures of sites and wires, and which rules held."`
 	Measure        measureCommand        `cmd:"" help:"Play what the project claims, print the table, and fail if a claim does."`
 
+	Network uint8 `help:"Second number of the loopback addresses of a fleet of processes, so that several run beside each other."`
+
 	FanoutCost fanoutCostCommand `cmd:"" hidden:""`
 }
 
@@ -65,6 +68,7 @@
 	var a arguments
 	command := kong.Parse(&a, kong.Name("nettlelab"), kong.Description("Demonstrations and measurements of nettlefold."),
 		kong.UsageOnError(), kong.Vars{"measurements": strings.Join(measure.Names(), ", ")})
+	fleetdemo.Network = a.Network
 	if err := command.Run(); err != nil {
 		fmt.Fprintln(os.Stderr, "nettlelab:", err)
 		os.Exit(1)
--- a/internal/lab/fleetdemo/configbackend.go
+++ b/internal/lab/fleetdemo/configbackend.go
@@ -27,7 +27,7 @@
 }
 
 func newPlainBackend(number int, service string) *plainBackend {
-	return &plainBackend{addr: fmt.Sprintf("127.0.25.%d:%d", number+1, enginePort), zone: zoneOf(number), service: service}
+	return &plainBackend{addr: fmt.Sprint(loopbackIP(backendNet, number+1), ":", enginePort), zone: zoneOf(number), service: service}
 }
 
 // id returns the identity of the present life. The lock is held.
--- a/internal/lab/fleetdemo/fleet.go
+++ b/internal/lab/fleetdemo/fleet.go
@@ -56,7 +56,7 @@
 func controlAddr(i int) string { return fmt.Sprint(controllerIP(i), ":", controlPort) }
 func frontAddr(i int) string   { return fmt.Sprint(frontIP(i), ":", frontPort) }
 func readyAddr(i int) string   { return fmt.Sprint(frontIP(i), ":", readyPort) }
-func engineAddr(i int) string  { return fmt.Sprintf("127.0.23.%d:%d", i+1, enginePort) }
+func engineAddr(i int) string  { return fmt.Sprint(loopbackIP(engineNet, i+1), ":", enginePort) }
 
 // The addresses at which the programs of a machine listen.
 func controllerAddrs(i int) []string {
@@ -70,14 +70,31 @@
 // internalAddr is the address of a machine's internal port with a number.
 func internalAddr(ip string, number int) string { return fmt.Sprint(ip, ":", firstPort+number) }
 
+// Network is the second number of all loopback addresses of a fleet. Fleets of different networks run beside each other. It is set before
+// the first fleet starts.
+var Network uint8
+
+// The third numbers of the addresses, by what has them.
 const (
-	listAddr  = "127.0.24.1:18784"
-	relayAddr = "127.0.24.1:18785"
+	controllerNet = 21
+	frontNet      = 22
+	engineNet     = 23
+	platformNet   = 24
+	backendNet    = 25
 )
 
-func controllerIP(i int) string   { return fmt.Sprintf("127.0.21.%d", i+1) }
-func frontIP(i int) string        { return fmt.Sprintf("127.0.22.%d", i+1) }
-func isController(ip string) bool { return strings.HasPrefix(ip, "127.0.21.") }
+// loopbackIP returns an address of the network.
+func loopbackIP(third, number int) string { return fmt.Sprintf("127.%d.%d.%d", Network, third, number) }
+
+// Addresses of the platform's list and of the relay by which machines are cut off.
+func listAddr() string  { return loopbackIP(platformNet, 1) + ":18784" }
+func relayAddr() string { return loopbackIP(platformNet, 1) + ":18785" }
+
+func controllerIP(i int) string { return loopbackIP(controllerNet, i+1) }
+func frontIP(i int) string      { return loopbackIP(frontNet, i+1) }
+func isController(ip string) bool {
+	return strings.HasPrefix(ip, fmt.Sprintf("127.%d.%d.", Network, controllerNet))
+}
 
 func zoneOf(i int) string { return fmt.Sprint("zone-", i%zones) }
 
@@ -100,7 +117,7 @@
 
 // servePlatform serves the list of backends.
 func (w *world) servePlatform() error {
-	listener, err := net.Listen("tcp", listAddr)
+	listener, err := net.Listen("tcp", listAddr())
 	if err != nil {
 		return err
 	}
@@ -137,7 +154,7 @@
 	lines := append([]string{
 		"node_name=" + name, "ip=" + ip, "zone=" + zone, "region=here", "zones.zone-0=here", "zones.zone-1=here",
 		"seeds=" + strings.Join(seeds, ","), fmt.Sprintf("internal_port_range=%d,%d", firstPort, firstPort+15), fmt.Sprint("first_start=", firstStart),
-		"fault_tolerance.machines=1", "cloud.address=" + listAddr, "cloud.rate_per_s=50", "cloud.lag_ms=100",
+		"fault_tolerance.machines=1", "cloud.address=" + listAddr(), "cloud.rate_per_s=50", "cloud.lag_ms=100",
 		"bounds.retry_budget_ratio=0.2", "bounds.retry_budget_slack=20",
 		"bounds.budget_window_s=10", "bounds.cold_overshoot=1.5", "bounds.cold_slack=5",
 	}, append(slices.Clone(w.bounds), more...)...)
@@ -159,7 +176,7 @@
 	command := exec.Command(executable, program)
 	command.Env = append(os.Environ(), "NETTLEFOLD_SETTINGS="+settings)
 	if w.net != nil {
-		command.Env = append(command.Env, relayVariable+"="+relayAddr, machineVariable+"="+ip)
+		command.Env = append(command.Env, relayVariable+"="+relayAddr(), machineVariable+"="+ip)
 	}
 	command.Stdout, command.Stderr = log, log
 	p, err := startProcess(command, program, name+"-"+program, ip, addrs)
--- a/internal/lab/fleetdemo/soak.go
+++ b/internal/lab/fleetdemo/soak.go
@@ -72,7 +72,7 @@
 	keep := false
 	defer func() { w.closeKeeping(keep) }()
 	s := &soak{world: w, seed: o.Seed, plan: makePlan(o.Seed, o.Length, of, o.LongestCut), busy: map[string]*sync.Mutex{}}
-	if w.net, err = newCutNetwork(relayAddr); err != nil {
+	if w.net, err = newCutNetwork(relayAddr()); err != nil {
 		return err
 	}
 	w.closing = append(w.closing, w.net.close)
--- a/internal/lab/fleetdemo/startplay.go
+++ b/internal/lab/fleetdemo/startplay.go
@@ -207,7 +207,7 @@
 
 // startBehindConnections starts a role while outgoing connections have its addresses as their own.
 func (p *startPlay) startBehindConnections(role startRole) error {
-	sink, err := net.Listen("tcp", listAddr)
+	sink, err := net.Listen("tcp", listAddr())
 	if err != nil {
 		return err
 	}
@@ -218,7 +218,7 @@
 		if err != nil {
 			return err
 		}
-		conn, err := (&net.Dialer{LocalAddr: local}).Dial("tcp", listAddr)
+		conn, err := (&net.Dialer{LocalAddr: local}).Dial("tcp", listAddr())
 		if err != nil {
 			return err
 		}
