--- a/cmd/nettlelab/streams.go
+++ b/cmd/nettlelab/streams.go
@@ -11,6 +11,7 @@
 	Seed    uint64 `default:"1" help:"Streams and how they end are drawn from it."`
 	Seeds   int    `default:"1" help:"How many seeds are played, one after the other."`
 	Streams int    `default:"600" help:"Of each seed."`
+	Clients int    `default:"40" help:"How many read at the same time."`
 }
 
 // Run plays the seeds, and fails with the first that finds something.
@@ -21,7 +22,7 @@
 	}
 	var failed error
 	for i := range a.Seeds {
-		err := fleetdemo.PlayStreams(program, fleetdemo.StreamOptions{Seed: a.Seed + uint64(i), Streams: a.Streams}, os.Stdout)
+		err := fleetdemo.PlayStreams(program, fleetdemo.StreamOptions{Seed: a.Seed + uint64(i), Streams: a.Streams, Clients: a.Clients}, os.Stdout)
 		if failed == nil {
 			failed = err
 		}
--- a/internal/lab/fleetdemo/play_test.go
+++ b/internal/lab/fleetdemo/play_test.go
@@ -73,6 +73,14 @@
 	require.NoError(t, err)
 }
 
+// TestStreamsEndedInAllWays guards against ORDER with processes: an answer that was cut looked complete, or had bytes of two runs.
+func TestStreamsEndedInAllWays(t *testing.T) {
+	var out bytes.Buffer
+	err := PlayStreams(buildProgram(t), StreamOptions{Seed: 3, Streams: 300, Clients: 40}, &out)
+	t.Log(out.String())
+	require.NoError(t, err)
+}
+
 // TestASeededSoak plays two short soaks. The judge eases its times by what the machine was late by in the run, so that a busy one gives the
 // same verdict.
 func TestASeededSoak(t *testing.T) {
--- a/internal/lab/fleetdemo/streamplay.go
+++ b/internal/lab/fleetdemo/streamplay.go
@@ -5,6 +5,7 @@
 	"io"
 	"maps"
 	"math/rand/v2"
+	"net/http"
 	"slices"
 	"strconv"
 	"strings"
@@ -14,14 +15,16 @@
 
 // Figures of a play of streams.
 const (
-	streamEvents      = 24
-	streamsBrokenOff  = 0.75
-	streamClients     = 40
-	streamDeadline    = 6 * time.Second
-	streamKey1        = "key-1"
-	mostContinuations = 4
-	enginePauseEvery  = 3 * time.Second
-	enginePause       = 2200 * time.Millisecond // longer than a stall that another engine takes over
+	streamEvents     = 24
+	streamsBrokenOff = 0.75
+	streamDeadline   = 6 * time.Second
+	streamKey1       = "key-1"
+	mostTries        = 12
+	enginePauseEvery = 3 * time.Second
+	enginePause      = 2200 * time.Millisecond // longer than a stall that another engine takes over
+	restartEvery     = 2500 * time.Millisecond
+	restartGrace     = 4 * time.Second
+	unreachedPause   = 100 * time.Millisecond
 )
 
 // streamPaths are the routes of a play of streams, by kind.
@@ -39,27 +42,28 @@
 type StreamOptions struct {
 	Seed    uint64
 	Streams int
+	Clients int // that read at the same time
 }
 
 // streamPlay has clients read streams that engines end in all ways.
 type streamPlay struct {
-	world *world
-	seed  uint64
+	world   *world
+	options StreamOptions
 
 	mu       sync.Mutex
 	counts   map[string]int // of tries, by what they were and how they ended
 	findings []string
 }
 
-// PlayStreams has clients read streams of a fleet of real processes, whose engines end them in all ways, and continue those that are cut
-// at another front. It fails if a client got bytes that aren't those of one run, or an answer that looks complete and is not.
+// PlayStreams has clients read streams of a fleet of real processes, whose engines end them in all ways and whose fronts are killed or told
+// to end now and then, and continue those that are cut at another front. It fails if a client got bytes that aren't those of one run, or an answer that looks complete and is not.
 func PlayStreams(program string, o StreamOptions, out io.Writer) error {
 	w, err := newWorld(program, size{controllers: 3, fronts: 2, engines: 4}, append([]string{"bounds.config_apply_ms=2000"}, demoBounds...))
 	if err != nil {
 		return err
 	}
 	defer w.close()
-	p := &streamPlay{world: w, seed: o.Seed, counts: map[string]int{}}
+	p := &streamPlay{world: w, options: o, counts: map[string]int{}}
 	w.engines.log = newRunLog()
 	w.engines.streams = func(request string, run int) (streamForm, streamEnding) {
 		return p.form(request), drawEnding(o.Seed, request, run, streamEvents, streamsBrokenOff)
@@ -75,7 +79,7 @@
 			return err
 		}
 	}
-	p.run(o.Streams)
+	p.run()
 	for _, key := range slices.Sorted(maps.Keys(p.counts)) {
 		fmt.Fprintf(out, "%5d  %s\n", p.counts[key], key)
 	}
@@ -89,28 +93,48 @@
 }
 
 // form returns the form of a request's events.
-func (p *streamPlay) form(request string) streamForm { return drawForm(p.seed, request, streamEvents) }
+func (p *streamPlay) form(request string) streamForm {
+	return drawForm(p.options.Seed, request, streamEvents)
+}
 
-// run has the clients ask, and pauses an engine now and then.
-func (p *streamPlay) run(streams int) {
+// run has the clients ask, pauses an engine now and then, and restarts a front.
+func (p *streamPlay) run() {
 	done := make(chan struct{})
-	var pauses, clients sync.WaitGroup
-	pauses.Go(func() { p.pauseEngines(done) })
+	var troubles, clients sync.WaitGroup
+	troubles.Go(func() { p.pauseEngines(done) })
+	troubles.Go(func() { p.restartFronts(done) })
 	numbers := make(chan int)
-	for range streamClients {
+	for range p.options.Clients {
 		clients.Go(func() {
 			for number := range numbers {
 				p.read(number)
 			}
 		})
 	}
-	for number := range streams {
+	for number := range p.options.Streams {
 		numbers <- number
 	}
 	close(numbers)
 	clients.Wait()
 	close(done)
-	pauses.Wait()
+	troubles.Wait()
+}
+
+// restartFronts kills one front after the other, or tells it to end, and starts it again.
+func (p *streamPlay) restartFronts(done chan struct{}) {
+	for i := 0; ; i++ {
+		select {
+		case <-done:
+			return
+		case <-time.After(restartEvery):
+		}
+		front, grace := i/2%p.world.size.fronts, time.Duration(0)
+		if i%2 == 1 {
+			grace = restartGrace
+		}
+		p.world.endProcesses(grace, frontProcess(front, "proxy"), frontProcess(front, "agent"))
+		p.world.startFront(front)
+	}
 }
 
 // pauseEngines has one engine after the other stand still for a while.
@@ -129,14 +153,19 @@
 
 // read reads one stream, and continues it elsewhere while it is cut and may be resumed.
 func (p *streamPlay) read(number int) {
-	random := rand.New(rand.NewPCG(p.seed, uint64(number)))
+	random := rand.New(rand.NewPCG(p.options.Seed, uint64(number)))
 	request := streamRequest{
 		path: streamPaths[random.IntN(len(streamPaths))] + "x", key: streamKey1, front: number % p.world.size.fronts, http10: random.IntN(3) == 0,
 	}
-	for try := 1; try <= mostContinuations; try++ {
-		request.id = fmt.Sprintf("s%d-%d.%d", p.seed, number, try)
+	for try := 1; try <= mostTries; try++ {
+		request.id = fmt.Sprintf("s%d-%d.%d", p.options.Seed, number, try)
 		answer := request.ask(streamDeadline)
 		p.judge(request, answer)
+		if answer.status == 0 || answer.status == http.StatusServiceUnavailable { // the front is away
+			time.Sleep(unreachedPause)
+			request.front = (request.front + 1) % p.world.size.fronts
+			continue
+		}
 		if answer.complete || answer.status != 200 || request.path != "/again/x" {
 			return
 		}
@@ -182,7 +211,10 @@
 	}
 	kind := fmt.Sprintf("%s HTTP/1.0: %v, %s", request.path, request.http10, how)
 	outcome := fmt.Sprint(answer.status)
-	if answer.status == 200 {
+	switch answer.status {
+	case 0:
+		outcome = "no answer"
+	case 200:
 		outcome = map[bool]string{true: "complete", false: "cut"}[answer.complete]
 	}
 	p.mu.Lock()
--- a/internal/proxy/stream_ends_test.go
+++ b/internal/proxy/stream_ends_test.go
@@ -131,6 +131,31 @@
 	return string(raw), err
 }
 
+// TestAnswersWithoutABodyOnStreamingRoutesAreComplete asks for heads, and gets answers that have no content.
+func TestAnswersWithoutABodyOnStreamingRoutesAreComplete(t *testing.T) {
+	for _, path := range []string{"/stream/x", "/cut/x"} {
+		for _, status := range []int{http.StatusOK, http.StatusNoContent} {
+			f := newFixture(t, func(w http.ResponseWriter, _ *http.Request) {
+				w.Header().Set(headerResponseSeal, "seal")
+				w.WriteHeader(status)
+			})
+			request, err := http.NewRequest(http.MethodHead, f.frontend.URL+path, nil)
+			require.NoError(t, err)
+			request.Host = "h"
+			request.Header.Set(headerRequestID, "id-1")
+			request.Header.Set(headerAPIKey, "k1")
+			response, err := http.DefaultClient.Do(request)
+			require.NoError(t, err)
+			response.Body.Close()
+			require.Equal(t, status, response.StatusCode)
+			answer, got, err := f.post(path, "k1", "")
+			require.NoError(t, err)
+			require.Equal(t, status, answer.StatusCode)
+			require.Empty(t, got)
+		}
+	}
+}
+
 // TestEventsWithoutIDAreNotRepeated guards against ORDER: a run that continued a stream sent the events again that had come without an ID
 // behind the last one with an ID.
 func TestEventsWithoutIDAreNotRepeated(t *testing.T) {
