--- a/internal/proxy/relay.go
+++ b/internal/proxy/relay.go
@@ -34,11 +34,13 @@
 	client := http.NewResponseController(q.writer)
 	client.SetWriteDeadline(q.effectiveDeadline.Add(writeDeadlineMargin))
 	complete := resetUntilComplete(q.Request)
-	q.writeHeader(a, p.shutdownPlan.Load() != nil)
 	var events *eventFilter
+	length := a.response.ContentLength
 	if q.isStream(a) && q.route.Resumable {
 		events = newEventFilter(q.Header.Get(headerLastEvent))
+		length = unknownLength // a run that resumes the stream may send other bytes than this one would have
 	}
+	q.writeHeader(a, length, p.shutdownPlan.Load() != nil)
 	for {
 		takeover := newStreamTakeover(ctx, p, a, events)
 		err := p.copyResponse(q, a, events, takeover)
@@ -68,8 +70,12 @@
 	}
 }
 
-// writeHeader relays the status and headers of a response.
-func (q *request) writeHeader(a *attempt, stopping bool) {
+// unknownLength is the length of a response that is not sent with one.
+const unknownLength = -1
+
+// writeHeader relays the status and headers of a response that is sent with a length in bytes, or
+// unknownLength.
+func (q *request) writeHeader(a *attempt, length int64, stopping bool) {
 	out := q.writer.Header()
 	for name, values := range a.response.Header {
 		out[name] = values
@@ -82,14 +88,14 @@
 	if a.response.Header["Content-Type"] == nil {
 		out["Content-Type"] = nil // keeps net/http from guessing one
 	}
-	if a.response.ContentLength < 0 {
+	if length == unknownLength {
 		out.Del("Content-Length")
 	}
 	if stopping {
 		out.Set("Connection", "close")
 	}
 	q.writer.WriteHeader(a.response.StatusCode)
-	if a.response.ContentLength < 0 {
+	if length == unknownLength {
 		http.NewResponseController(q.writer).Flush()
 	}
 }
--- a/internal/proxy/stream_ends_test.go
+++ b/internal/proxy/stream_ends_test.go
@@ -6,6 +6,7 @@
 	"io"
 	"net"
 	"net/http"
+	"strconv"
 	"strings"
 	"testing"
 
@@ -131,6 +132,24 @@
 	return string(raw), err
 }
 
+// TestResumedStreamMayHaveAnotherLength guards against LOST: a stream with a length was cut as the run that continued it sent other bytes
+// than the first one had left to send, here a comment that had been forwarded before.
+func TestResumedStreamMayHaveAnotherLength(t *testing.T) {
+	const comment = ": still there\n\n"
+	withLength := func(length int, serve http.HandlerFunc) http.HandlerFunc {
+		return func(w http.ResponseWriter, r *http.Request) {
+			w.Header().Set("Content-Length", strconv.Itoa(length))
+			serve(w, r)
+		}
+	}
+	whole := eventText(1, 1) + comment + eventText(2, 3)
+	first, rest := eventText(1, 1)+comment, comment+eventText(2, 3)
+	f := newFixture(t, secondOf(withLength(len(whole), sendCut(first)), withLength(len(rest), sendWhole(rest)))...)
+	_, got, err := f.post("/stream/x", "k1", "")
+	require.NoError(t, err)
+	require.Equal(t, strings.ReplaceAll(whole, comment, ""), strings.ReplaceAll(got, comment, ""))
+}
+
 // TestAnswersWithoutABodyOnStreamingRoutesAreComplete asks for heads, and gets answers that have no content.
 func TestAnswersWithoutABodyOnStreamingRoutesAreComplete(t *testing.T) {
 	for _, path := range []string{"/stream/x", "/cut/x"} {
