--- a/internal/lab/fleetdemo/process.go
+++ b/internal/lab/fleetdemo/process.go
@@ -171,3 +171,52 @@
 
 // hangupInterval is the time between two SIGHUP of a series.
 const hangupInterval = 500 * time.Microsecond
+
+// awaitListening waits until the process listens at all of its addresses. It fails if the process ends before.
+func (s *process) awaitListening() error {
+	deadline := time.Now().Add(startLimit)
+	for _, addr := range s.addrs {
+		for !isListening(addr) {
+			switch {
+			case s.endsWithin(startPoll):
+				return s.hasEnded()
+			case time.Now().After(deadline):
+				return fmt.Errorf("%s doesn't listen at %s within %v", s.program, addr, startLimit)
+			}
+		}
+	}
+	return nil
+}
+
+// stop sends SIGTERM, and fails if the process doesn't end by itself with status 0 within its grace.
+func (s *process) stop() error {
+	defer s.kill()
+	select {
+	case <-s.ended:
+		return s.hasEnded()
+	default:
+	}
+	s.tellToEnd()
+	if !s.endsWithin(startGrace) {
+		return fmt.Errorf("%s doesn't end within %v of SIGTERM", s.program, startGrace)
+	}
+	if !s.command.ProcessState.Success() {
+		return fmt.Errorf("%s ended on SIGTERM with %v", s.program, s.command.ProcessState)
+	}
+	return nil
+}
+
+// listens waits until a process listens, and kills it.
+func (s *process) listens() error {
+	defer s.kill()
+	return s.awaitListening()
+}
+
+// listensAndStops waits until a process listens and ends it by SIGTERM.
+func (s *process) listensAndStops() error {
+	if err := s.awaitListening(); err != nil {
+		s.kill()
+		return err
+	}
+	return s.stop()
+}
--- a/internal/lab/fleetdemo/soak.go
+++ b/internal/lab/fleetdemo/soak.go
@@ -26,7 +26,6 @@
 	slowedBy       = 8
 	clientsOfFront = 8
 	settleFor      = 2 * time.Second // of traffic after the last event
-	startWithin    = 5 * time.Second // a program listens after its start
 
 	// soakBrokenOff is the share of answers that engines break off.
 	soakBrokenOff = 0.02
@@ -197,7 +196,7 @@
 	s.record.Endings, s.record.Processes, s.record.Over = log.endings, s.world.lives(), time.Now()
 	s.record.Limits = limits{
 		Version: soakVersionLimit, Apply: soakApplyLimit, Grace: soakGrace, Evacuation: soakEvacuationLimit, Drain: soakDrainLimit,
-		Contact: soakContact, Merge: soakMergeLimit, Start: startWithin,
+		Contact: soakContact, Merge: soakMergeLimit, Start: startLimit,
 		Slack: s.lag.slack(),
 	}
 	return &s.record
