--- a/internal/proxy/stream_ends_test.go
+++ b/internal/proxy/stream_ends_test.go
@@ -2,10 +2,12 @@
 
 import (
 	"bufio"
+	"context"
 	"fmt"
 	"io"
 	"net"
 	"net/http"
+	"os"
 	"strconv"
 	"strings"
 	"testing"
@@ -150,6 +152,20 @@
 	require.Equal(t, strings.ReplaceAll(whole, comment, ""), strings.ReplaceAll(got, comment, ""))
 }
 
+// lateWriter is a client's connection whose write deadline has passed: it takes bytes into its buffer and can't send them.
+type lateWriter struct{ http.ResponseWriter }
+
+func (lateWriter) Write(bytes []byte) (int, error) { return len(bytes), nil }
+func (lateWriter) FlushError() error               { return os.ErrDeadlineExceeded }
+
+// TestAnswerThatCannotBeSentIsNotComplete guards against MIXED: the last bytes of an answer of HTTP/1.0 were in time for the client's
+// buffer and too late for its connection, which then ended as after a whole answer.
+func TestAnswerThatCannotBeSentIsNotComplete(t *testing.T) {
+	client := lateWriter{}
+	err := new(streamTakeover).forwardBytes([]byte(eventText(1, 1)), client, http.NewResponseController(client))
+	require.ErrorIs(t, err, context.DeadlineExceeded)
+}
+
 // TestAnswersWithoutABodyOnStreamingRoutesAreComplete asks for heads, and gets answers that have no content.
 func TestAnswersWithoutABodyOnStreamingRoutesAreComplete(t *testing.T) {
 	for _, path := range []string{"/stream/x", "/cut/x"} {
--- a/internal/proxy/takeover.go
+++ b/internal/proxy/takeover.go
@@ -58,7 +58,9 @@
 		if _, err := client.Write(bytes); err != nil {
 			return classifyWriteError(err)
 		}
-		flusher.Flush()
+		if err := flusher.Flush(); err != nil {
+			return classifyWriteError(err)
+		}
 	}
 	return filterErr
 }
