--- a/internal/lab/fleetdemo/judge_processes.go
+++ b/internal/lab/fleetdemo/judge_processes.go
@@ -13,7 +13,7 @@
 		found := func(at time.Time, format string, args ...any) {
 			findings = append(findings, finding{ruleFault, at, p.Name, fmt.Sprintf(format, args...)})
 		}
-		if !p.Ended.IsZero() && p.Told.IsZero() && p.Killed.IsZero() {
+		if p.endedByItself() {
 			found(p.Ended, "it ended by itself %v after its start: %s", p.Ended.Sub(p.Started).Round(time.Millisecond), p.State)
 			continue
 		}
@@ -27,6 +27,12 @@
 	return findings
 }
 
+// endedByItself reports whether the process had ended before it was told to end, or killed.
+func (p *processLife) endedByItself() bool {
+	asked := firstOf(p.Told, p.Killed)
+	return !p.Ended.IsZero() && (asked.IsZero() || p.Ended.Before(asked))
+}
+
 // startTime returns how long a process took to listen, or for how long it hasn't so far. What a front was frozen for doesn't count.
 func (r *record) startTime(p *processLife) time.Duration {
 	until := firstOf(p.Listening, p.Told, p.Killed, r.Over)
--- a/internal/lab/fleetdemo/judge_processes_test.go
+++ b/internal/lab/fleetdemo/judge_processes_test.go
@@ -19,6 +19,8 @@
 		"it runs":                           {processLife{Started: at(1), Listening: at(2)}, nil, ""},
 		"it ended by itself":                {processLife{Started: at(1), Listening: at(2), Ended: at(9)}, nil, ruleFault},
 		"it ended before it listened":       {processLife{Started: at(1), Ended: at(1.1)}, nil, ruleFault},
+		"it ended by itself, killed later":  {processLife{Started: at(1), Listening: at(2), Ended: at(5), Killed: at(8)}, nil, ruleFault},
+		"it ended by itself, told to later": {processLife{Started: at(1), Listening: at(2), Ended: at(5), Told: at(8), Killed: at(12)}, nil, ruleFault},
 		"it was killed":                     {processLife{Started: at(1), Listening: at(2), Killed: at(8), Ended: at(8.1)}, nil, ""},
 		"it doesn't listen":                 {processLife{Started: at(1)}, nil, ruleFault},
 		"it doesn't listen yet":             {processLife{Started: at(15)}, nil, ""},
