--- a/internal/lab/fleetdemo/soakclient.go
+++ b/internal/lab/fleetdemo/soakclient.go
@@ -76,6 +76,14 @@
 	return a, "/again/"
 }
 
+// request returns what is sent for an ask, about a prompt that is drawn.
+func (c *soakClient) request(a ask, path string) streamRequest {
+	return streamRequest{
+		id: a.ID, path: path + "x", key: fmt.Sprint("key-", 1+c.number%soakTenants), front: c.front,
+		prompt: fmt.Sprintf("sys:500,doc%d:800,%s:200", c.random.IntN(prompts), a.ID),
+	}
+}
+
 // ask sends one request and reads its answer to the end.
 func (c *soakClient) ask() ask {
 	a, path := c.draw()
@@ -97,12 +105,7 @@
 	}
 	request.ContentLength = int64(len("a question"))
 	request.Host = "demo.example"
-	for name, value := range map[string]string{
-		"X-Request-Id": a.ID, "X-Model": model, "Api-Key": fmt.Sprint("key-", 1+c.number%soakTenants), "X-Request-Deadline-Ms": fmt.Sprint(shortestDeadline.Milliseconds()),
-		"X-Token-Usage": "1500,8", "X-Prompt-Prefix": fmt.Sprintf("sys:500,doc%d:800,%s:200", c.random.IntN(prompts), a.ID),
-	} {
-		request.Header.Set(name, value)
-	}
+	request.Header = c.request(a, path).header(shortestDeadline)
 	a.Sent = time.Now()
 	answer, err := c.http.Do(request)
 	c.note(&a, answer, err)
@@ -149,10 +152,8 @@
 
 // askHTTP10 sends one request in HTTP/1.0 and reads its answer to the end of the connection.
 func (c *soakClient) askHTTP10(a ask, path string) ask {
-	request := streamRequest{
-		id: a.ID, path: path + "x", key: fmt.Sprint("key-", 1+c.number%soakTenants), front: c.front, http10: true,
-		prompt: fmt.Sprintf("sys:500,doc%d:800,%s:200", c.random.IntN(prompts), a.ID),
-	}
+	request := c.request(a, path)
+	request.http10 = true
 	a.Sent = time.Now()
 	answer := request.ask(shortestDeadline)
 	a.End = time.Now()
--- a/internal/lab/fleetdemo/soaktrouble.go
+++ b/internal/lab/fleetdemo/soaktrouble.go
@@ -31,27 +31,27 @@
 	random := rand.New(rand.NewPCG(s.seed, uint64(a.At)))
 	if random.Float64() < endsAgain {
 		start()
-		var signals sync.WaitGroup
-		s.hangUp(&signals, names...)
+		wait := s.hangUp(names...)
 		time.Sleep(drawTime(random, 0, endsAgainMost))
 		s.world.endProcesses(soakGrace, names...)
-		signals.Wait()
+		wait()
 	}
 	start()
 	if random.Float64() < hangsUp {
-		var signals sync.WaitGroup
-		s.hangUp(&signals, names...)
-		signals.Wait()
+		wait := s.hangUp(names...)
+		wait()
 	}
 }
 
-// hangUp has processes get SIGHUP in series from now on.
-func (s *soak) hangUp(signals *sync.WaitGroup, names ...string) {
+// hangUp has processes get SIGHUP in series from now on. wait waits until that is over.
+func (s *soak) hangUp(names ...string) (wait func()) {
+	var signals sync.WaitGroup
 	for _, name := range names {
 		if p := s.world.process(name); p != nil {
 			signals.Go(func() { p.hangUp(hangups) })
 		}
 	}
+	return signals.Wait
 }
 
 func (s *soak) restartFront(a act) {
--- a/internal/lab/fleetdemo/startdescriptors.go
+++ b/internal/lab/fleetdemo/startdescriptors.go
@@ -25,10 +25,9 @@
 		return err
 	}
 	pid := s.command.Process.Pid
-	var former unix.Rlimit
 	open, _ := filepath.Glob(fmt.Sprintf("/proc/%d/fd/*", pid))
 	limit := unix.Rlimit{Cur: uint64(len(open) + margin), Max: 1 << 12}
-	if err := unix.Prlimit(pid, unix.RLIMIT_NOFILE, &limit, &former); err != nil {
+	if err := unix.Prlimit(pid, unix.RLIMIT_NOFILE, &limit, nil); err != nil {
 		return err
 	}
 	var conns []net.Conn
--- a/internal/lab/fleetdemo/streamplay.go
+++ b/internal/lab/fleetdemo/streamplay.go
@@ -56,7 +56,8 @@
 }
 
 // PlayStreams has clients read streams of a fleet of real processes, whose engines end them in all ways and whose fronts are killed or told
-// to end now and then, and continue those that are cut at another front. It fails if a client got bytes that aren't those of one run, or an answer that looks complete and is not.
+// to end now and then, and continue those that are cut at another front. It fails if a client got bytes that aren't those of one run, or an
+// answer that looks complete and is not.
 func PlayStreams(program string, o StreamOptions, out io.Writer) error {
 	w, err := newWorld(program, size{controllers: 3, fronts: 2, engines: 4}, append([]string{"bounds.config_apply_ms=2000"}, demoBounds...))
 	if err != nil {
@@ -122,33 +123,35 @@
 
 // restartFronts kills one front after the other, or tells it to end, and starts it again.
 func (p *streamPlay) restartFronts(done chan struct{}) {
-	for i := 0; ; i++ {
-		select {
-		case <-done:
-			return
-		case <-time.After(restartEvery):
-		}
+	repeat(restartEvery, done, func(i int) {
 		front, grace := i/2%p.world.size.fronts, time.Duration(0)
 		if i%2 == 1 {
 			grace = restartGrace
 		}
 		p.world.endProcesses(grace, frontProcess(front, "proxy"), frontProcess(front, "agent"))
 		p.world.startFront(front)
-	}
+	})
 }
 
-// pauseEngines has one engine after the other stand still for a while.
-func (p *streamPlay) pauseEngines(done chan struct{}) {
+// repeat calls a function with the numbers from 0 on, an interval before each, until done is closed.
+func repeat(interval time.Duration, done chan struct{}, do func(i int)) {
 	for i := 0; ; i++ {
 		select {
 		case <-done:
 			return
-		case <-time.After(enginePauseEvery):
+		case <-time.After(interval):
 		}
+		do(i)
+	}
+}
+
+// pauseEngines has one engine after the other stand still for a while.
+func (p *streamPlay) pauseEngines(done chan struct{}) {
+	repeat(enginePauseEvery, done, func(i int) {
 		resume := p.world.list[i%len(p.world.list)].pause()
 		time.Sleep(enginePause)
 		resume()
-	}
+	})
 }
 
 // read reads one stream, and continues it elsewhere while it is cut and may be resumed.
