--- a/internal/asynclog/asynclog_test.go
+++ b/internal/asynclog/asynclog_test.go
@@ -41,9 +41,12 @@
 		const lines = 2 * maxQueuedLines
 		for i := range lines {
 			fmt.Fprintf(w, "line %d\n", i)
+			if i == 0 {
+				synctest.Wait() // until the line is at the reader; else lines may be dropped before it and told of apart
+			}
 		}
-		synctest.Wait()
 		dropped := w.Dropped()
+		require.Equal(t, uint64(lines-1-maxQueuedLines), dropped)
 		require.Greater(t, dropped, uint64(0))
 		started := time.Now()
 		w.Close(time.Second)
