--- a/cmd/nettlelab/main.go
+++ b/cmd/nettlelab/main.go
@@ -17,6 +17,7 @@
 	Demo           demoCommand           `cmd:"" help:"A toy world, a mixer and some lookups, with the answers printed."`
 	Fleet          fleetCommand          `cmd:"" help:"A small router fleet of real processes on the loopback: a controller is killed, the configuration changes, new weights come."`
 	Configurations configurationsCommand `cmd:"" help:"A fleet of real processes whose operator changes the configuration in every way, beside seeded troubles; a judge of CONFIG."`
+	Floods         floodsCommand         `cmd:"" help:"A fleet of real processes some of whose backends send bytes without end, in many forms: memory, and requests of other clients."`
 	Soak           soakCommand           `cmd:"" help:"A seeded soak of a router fleet of real processes on the loopback: signals, restarts, configurations, weights and engines in trouble, overlapping; a judge of its own."`
 	Starts         startsCommand         `cmd:"" help:"Starts of each of the fleet's programs while something hinders them: signals, held addresses, an unread log, no descriptors, settings being written."`
 	Streams        streamsCommand        `cmd:"" help:"A fleet of real processes whose engines end their streams in all ways, read by clients of HTTP/1.1 and 1.0; a judge of ORDER."`
--- a/internal/lab/fleetdemo/fleet.go
+++ b/internal/lab/fleetdemo/fleet.go
@@ -50,7 +50,10 @@
 	// pickProgram chooses the build for each start of a process; nil: program is the only one.
 	pickProgram func() string
 	backends    func() []any // further entries of the platform's list; nil: there are none
-	closing     []func()
+	memoryLimit int64        // bytes, over which a process is killed; 0: there is none
+	// coreOf returns the processor to which the processes of a machine, by its address, are bound; nil: they are not bound.
+	coreOf  func(ip string) int
+	closing []func()
 }
 
 func controlAddr(i int) string { return fmt.Sprint(controllerIP(i), ":", controlPort) }
@@ -179,11 +182,12 @@
 		command.Env = append(command.Env, relayVariable+"="+relayAddr(), machineVariable+"="+ip)
 	}
 	command.Stdout, command.Stderr = log, log
-	p, err := startProcess(command, program, name+"-"+program, ip, addrs)
+	p, err := w.startBound(command, program, name+"-"+program, ip, addrs)
 	if err != nil {
 		return err
 	}
 	go p.watchListening()
+	go p.watchMemory(w.memoryLimit)
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	w.running[p.life.Name] = p
@@ -191,6 +195,18 @@
 	return nil
 }
 
+// startBound starts a process on the processor of its machine.
+func (w *world) startBound(command *exec.Cmd, program, name, ip string, addrs []string) (p *process, err error) {
+	if w.coreOf == nil {
+		return startProcess(command, program, name, ip, addrs)
+	}
+	err = onCore(w.coreOf(ip), func() error {
+		p, err = startProcess(command, program, name, ip, addrs)
+		return err
+	})
+	return p, err
+}
+
 func (w *world) startController(i int, first bool) error {
 	name := controllerName(i)
 	settings, err := w.settings(name, controllerIP(i), zoneOf(i), first,
--- a/internal/lab/fleetdemo/process.go
+++ b/internal/lab/fleetdemo/process.go
@@ -27,6 +27,9 @@
 	Killed    time.Time // when it was killed; zero: it was not
 	Ended     time.Time // zero: it runs
 	State     string    // in which it ended
+
+	PeakBytes  int64     // the most resident memory that was seen
+	OverMemory time.Time // when it was killed as its memory was over the limit; zero: it was not
 }
 
 // process is a program of the fleet that runs, or has run.
