--- a/internal/agent/agent.go
+++ b/internal/agent/agent.go
@@ -21,6 +21,7 @@
 	"nettlefold/internal/feed"
 	"nettlefold/internal/kvindex"
 	"nettlefold/internal/listen"
+	"nettlefold/internal/memlimit"
 	"nettlefold/internal/metrics"
 	"nettlefold/internal/rendezvous"
 	"nettlefold/internal/rpc"
@@ -51,6 +52,8 @@
 	network     rpc.Network
 	pool        *rpc.Pool
 	httpClient  *http.Client
+	memory      *memlimit.Budget // for responses of backends
+	faults      responseFaults
 	self        distribute.Agent
 	startedAt   time.Time
 	commands    chan func()
@@ -116,6 +119,8 @@
 		network:           network,
 		pool:              rpc.NewPoolWithNetwork(network),
 		httpClient:        httpClient,
+		memory:            memlimit.ForPeers(settings.MemoryMB),
+		faults:            newResponseFaults(log),
 		self:              distribute.Agent{ID: id, Addr: settings.InternalAddr(settings.IP), Zone: settings.Zone},
 		startedAt:         time.Now(),
 		commands:          make(chan func(), commandQueueLength),
--- a/internal/agent/events.go
+++ b/internal/agent/events.go
@@ -20,7 +20,9 @@
 	eventsPollInterval   = 700 * time.Millisecond // between two event pages of one backend
 	eventsLongPollTime   = 400 * time.Millisecond // how long a backend holds a request while it has no events
 	eventsRequestTimeout = 1500 * time.Millisecond
-	kvListInterval       = 6 * time.Second // between two listings of a backend, which block its work
+	// maxEventsBackoffDoublings bounds how often eventsPollInterval doubles while a backend sends what is no page.
+	maxEventsBackoffDoublings = 3
+	kvListInterval            = 6 * time.Second // between two listings of a backend, which block its work
 	// readerCheckInterval is how often the event readers are checked even if neither the backends
 	// nor the members seem to have changed.
 	readerCheckInterval = time.Second
@@ -181,7 +183,7 @@
 // readEvents reads the events of one backend until ctx is done. It continues at the index's cursor,
 // which says how far the former reader's published events have been applied.
 func (a *Agent) readEvents(ctx context.Context, s eventSource) {
-	lastListed := time.Time{}
+	lastListed, faults := time.Time{}, 0
 	time.Sleep(time.Duration(rand.Int64N(int64(eventsPollInterval)))) // spread the requests over the backends
 	for ctx.Err() == nil {
 		var cursor kvindex.Cursor
@@ -193,14 +195,22 @@
 			batch := batchFromPage(s.id, cursor, page)
 			if batch.Snapshot && page.Lost && time.Since(lastListed) > kvListInterval {
 				lastListed = time.Now()
-				if listing, err := a.fetchKVList(ctx, s); err == nil {
+				listing, listErr := a.fetchKVList(ctx, s)
+				if listErr == nil {
 					batch = listing
 				}
+				err = listErr
 			}
 			a.runInLoop(ctx, func() { a.publishBatch(batch) })
 		}
+		if isResponseFault(err) {
+			faults++
+			a.faults.record(s.addr, err)
+		} else {
+			faults = 0
+		}
 		select {
-		case <-time.After(eventsPollInterval):
+		case <-time.After(eventsPollInterval << min(faults, maxEventsBackoffDoublings)):
 		case <-ctx.Done():
 		}
 	}
@@ -213,7 +223,8 @@
 	target := "http://" + source.addr + "/v1/kv-events?since=" + strconv.FormatInt(cursor.Next, 10)
 	header := http.Header{"Wait-Ms": {strconv.FormatInt(eventsLongPollTime.Milliseconds(), 10)}}
 	page := new(eventsPage)
-	return page, a.getJSON(ctx, target, header, page)
+	_, err := a.getJSON(ctx, jsonRequest{target: target, header: header, maxBytes: maxEventsBytes, memory: a.memory}, page)
+	return page, err
 }
 
 // fetchKVList fetches the listing of a backend's cache as a snapshot batch.
@@ -221,7 +232,8 @@
 	ctx, cancel := context.WithTimeout(ctx, eventsRequestTimeout)
 	defer cancel()
 	list := new(kvList)
-	if err := a.getJSON(ctx, "http://"+source.addr+"/v1/kv-list", nil, list); err != nil {
+	request := jsonRequest{target: "http://" + source.addr + "/v1/kv-list", maxBytes: maxEventsBytes, memory: a.memory}
+	if _, err := a.getJSON(ctx, request, list); err != nil {
 		return nil, err
 	}
 	cursor := kvindex.Cursor{Epoch: list.Epoch, Next: list.Next}
--- a/internal/agent/list.go
+++ b/internal/agent/list.go
@@ -2,10 +2,7 @@
 
 import (
 	"context"
-	"encoding/json"
-	"io"
 	"math/rand/v2"
-	"net/http"
 	"net/url"
 	"time"
 
@@ -17,11 +14,12 @@
 
 const (
 	// listReaderKey is the rendezvous key of the agent that reads the platform's list.
-	listReaderKey    = "list"
-	listReadTimeout  = 900 * time.Millisecond
-	maxListPages     = 400
-	maxResponseBytes = 4 << 20
-	stateDraining    = "draining"
+	listReaderKey   = "list"
+	listReadTimeout = 900 * time.Millisecond
+	maxListPages    = 400
+	// maxListBytes bounds the text of all pages together. A backend takes some 250 bytes.
+	maxListBytes  = 8 << 20
+	stateDraining = "draining"
 	// maxListReadAge is the age from which a finished list read is discarded, because its reader
 	// may have been paused.
 	maxListReadAge = 2 * listReadTimeout
@@ -66,6 +64,9 @@
 			a.listSync.reading = false
 			a.listSync.pageCount = max(a.listSync.pageCount, pages)
 			if err != nil {
+				if isResponseFault(err) {
+					a.faults.count.Add(1)
+				}
 				a.log.Warn().Err(err).Str("step", "list").Msg("reading the platform's instance list failed")
 				return
 			}
@@ -82,12 +83,13 @@
 	ctx, cancel := context.WithTimeout(ctx, listReadTimeout)
 	defer cancel()
 	list, token := []dispatch.BackendInfo{}, ""
-	for pages < maxListPages {
+	for left := int64(maxListBytes); pages < maxListPages; {
 		pages++
-		page, err := a.readListPage(ctx, token)
+		page, bytes, err := a.readListPage(ctx, token, left)
 		if err != nil {
 			return nil, pages, err
 		}
+		left -= bytes
 		for _, entry := range page.Instances {
 			list = append(list, backendInfoOf(&entry))
 		}
@@ -99,34 +101,28 @@
 	return nil, pages, merry.New("agent: read instance list: too many pages")
 }
 
-func (a *Agent) readListPage(ctx context.Context, token string) (*instancePage, error) {
+// readListPage reads a page of the platform's list, which may have so many bytes at most. It returns how many it has. A
+// response that is no list, or has an entry that names no backend, is an error: taken for a list, it would remove all
+// backends.
+func (a *Agent) readListPage(ctx context.Context, token string, maxBytes int64) (page *instancePage, bytes int64, err error) {
 	target := "http://" + a.settings.CloudAddr + "/instances"
 	if token != "" {
 		target += "?page_token=" + url.QueryEscape(token)
 	}
-	page := new(instancePage)
-	return page, a.getJSON(ctx, target, nil, page)
-}
-
-// getJSON sends a GET request and decodes its JSON response.
-func (a *Agent) getJSON(ctx context.Context, target string, header http.Header, into any) error {
-	request, err := http.NewRequestWithContext(ctx, http.MethodGet, target, nil)
-	if err != nil {
-		return err
+	page = new(instancePage)
+	// The list has no share in the memory for data of backends: the agent needs it when they take all of that.
+	if bytes, err = a.getJSON(ctx, jsonRequest{target: target, maxBytes: maxBytes}, page); err != nil {
+		return nil, 0, err
 	}
-	for name, values := range header {
-		request.Header[name] = values
+	if page.Instances == nil {
+		return nil, 0, merry.Prepend(errNotJSON, "agent: read instance list: no instances")
 	}
-	response, err := a.httpClient.Do(request)
-	if err != nil {
-		return merry.Prepend(err, "agent: GET "+target)
-	}
-	defer response.Body.Close()
-	if response.StatusCode != http.StatusOK {
-		io.Copy(io.Discard, io.LimitReader(response.Body, maxResponseBytes))
-		return merry.New("agent: GET " + target + ": " + response.Status)
+	for _, entry := range page.Instances {
+		if entry.ID == "" || entry.Address == "" {
+			return nil, 0, merry.Prepend(errNotJSON, "agent: read instance list: entry without ID or address")
+		}
 	}
-	return merry.Prepend(json.NewDecoder(io.LimitReader(response.Body, maxResponseBytes)).Decode(into), "agent: decode response of GET "+target)
+	return page, bytes, nil
 }
 
 // backendInfoOf converts an entry of the platform's list.
--- a/internal/agent/metrics.go
+++ b/internal/agent/metrics.go
@@ -43,6 +43,9 @@
 	set.Add("agent_rollouts", float64(len(a.rollouts)))
 	set.Add("agent_news_sent_bytes_total", float64(a.gossipBytesSent))
 	set.Add("agent_news_interval_seconds", a.gossip.interval().Seconds())
+	set.Add("agent_response_faults_total", float64(a.faults.count.Load()))
+	set.Add("agent_peer_memory_bytes", float64(a.memory.Used()))
+	set.Add("agent_peer_memory_exhausted_total", float64(a.memory.Exhausted()))
 	if a.lastQuorumContact != superseded.DistantPast {
 		set.Add("agent_in_touch_age_seconds", (a.now() - a.lastQuorumContact).Seconds())
 	}
--- a/internal/agent/report.go
+++ b/internal/agent/report.go
@@ -31,7 +31,8 @@
 	defer cancel()
 	var report backendReport
 	header := http.Header{"X-Expected-Instance": {backend.ID}}
-	if err := r.agent.getJSON(ctx, "http://"+backend.Addr+"/v1/report", header, &report); err != nil {
+	request := jsonRequest{target: "http://" + backend.Addr + "/v1/report", header: header, maxBytes: maxReportBytes, memory: r.agent.memory}
+	if _, err := r.agent.getJSON(ctx, request, &report); err != nil {
 		return weightsOutdated
 	}
 	if report.Busy {
--- a/internal/agent/rollout.go
+++ b/internal/agent/rollout.go
@@ -8,6 +8,7 @@
 	"io"
 	"net/http"
 	"slices"
+	"strconv"
 	"time"
 
 	"github.com/ansel1/merry/v2"
@@ -22,6 +23,8 @@
 	// loadingDivisor limits how many backends load new weights at a time: one in loadingDivisor of
 	// those that serve the model.
 	loadingDivisor = 6
+	// maxOrderTextBytes is how much of a backend's answer to a load order is told in an error.
+	maxOrderTextBytes = 256
 	// outOfServiceFactor is the maximum number of backends out of service at once, as a multiple of
 	// the loading limit: some backends finish their requests while others load.
 	outOfServiceFactor = 2
@@ -275,9 +278,9 @@
 		return merry.Prepend(err, "agent: send load order")
 	}
 	defer response.Body.Close()
-	text, _ := io.ReadAll(io.LimitReader(response.Body, 4096))
+	text, _ := io.ReadAll(io.LimitReader(response.Body, maxOrderTextBytes))
 	if response.StatusCode != http.StatusOK && response.StatusCode != http.StatusAccepted && response.StatusCode != http.StatusConflict {
-		return merry.New("agent: send load order: " + response.Status + " " + string(text))
+		return merry.New("agent: send load order: " + response.Status + " " + strconv.Quote(string(text)))
 	}
 	return nil
 }
--- a/internal/memlimit/memlimit.go
+++ b/internal/memlimit/memlimit.go
@@ -41,12 +41,16 @@
 	if b == nil {
 		return true
 	}
-	if b.used.Add(bytes) <= b.limit {
-		return true
+	for {
+		used := b.used.Load()
+		if used+bytes > b.limit {
+			b.exhausted.Add(1)
+			return false
+		}
+		if b.used.CompareAndSwap(used, used+bytes) {
+			return true
+		}
 	}
-	b.used.Add(-bytes)
-	b.exhausted.Add(1)
-	return false
 }
 
 // Return gives back bytes that were taken.
