--- a/cmd/nettlefold/system.go
+++ b/cmd/nettlefold/system.go
@@ -19,6 +19,7 @@
 	"nettlefold/internal/controller"
 	"nettlefold/internal/metrics"
 	"nettlefold/internal/proxy"
+	"nettlefold/internal/rpc"
 	"nettlefold/internal/settings/local"
 )
 
@@ -92,6 +93,7 @@
 	if err != nil {
 		return err
 	}
+	limitMemory(settings)
 	least, err := zerolog.ParseLevel(level)
 	if err != nil {
 		return err
@@ -120,6 +122,16 @@
 	return p.Run(ctx)
 }
 
+// collectedShare is the share of a machine's memory limit from which on the collector works harder, in percent. The rest is for
+// what it doesn't count: the program's text, stacks of the C library, and bytes that the kernel holds.
+const collectedShare = 75
+
+// limitMemory bounds the memory of the program by that of its sheet.
+func limitMemory(settings *local.Settings) {
+	debug.SetMemoryLimit(int64(settings.MemoryMB) << 20 / 100 * collectedShare)
+	rpc.SetFrameMemory(settings.MemoryMB)
+}
+
 // programLog returns the log of a program of the fleet, to which the standard library logs too, and the writer of its
 // lines.
 func programLog(node, program string, least zerolog.Level) (zerolog.Logger, *asynclog.Writer) {
@@ -142,11 +154,12 @@
 	lines *asynclog.Writer
 }
 
-// Metrics adds the number of dropped lines to the program's figures.
+// Metrics adds the numbers of dropped lines and of dropped frames to the program's figures.
 func (f figuresWithLog) Metrics(ctx context.Context) (*metrics.Set, error) {
 	set, err := f.Source.Metrics(ctx)
 	if err == nil {
 		set.Add("log_lines_dropped_total", float64(f.lines.Dropped()))
+		set.Add("rpc_frames_dropped_total", float64(rpc.DroppedFrames()))
 	}
 	return set, err
 }
--- a/internal/rpc/client.go
+++ b/internal/rpc/client.go
@@ -1,7 +1,6 @@
 package rpc
 
 import (
-	"bufio"
 	"context"
 	"errors"
 	"net"
@@ -182,14 +181,15 @@
 
 // readReplies delivers replies to their calls until the connection fails.
 func (c *Client) readReplies(connection *connection) {
-	reader := bufio.NewReader(connection.conn)
+	reader := newFrameReader(connection.conn)
 	for {
-		e, err := readFrame(reader)
+		e, release, err := reader.next()
 		if err != nil {
 			c.discard(connection)
 			return
 		}
 		connection.deliver(e)
+		release() // the calls that wait bound what is held of their replies
 	}
 }
 
--- a/internal/rpc/frame.go
+++ b/internal/rpc/frame.go
@@ -6,8 +6,11 @@
 import (
 	"bufio"
 	"encoding/binary"
+	"errors"
 	"fmt"
 	"io"
+	"net"
+	"time"
 
 	"github.com/fxamacker/cbor/v2"
 	"github.com/klauspost/compress/zstd"
@@ -17,6 +20,15 @@
 // room for a configuration of 4 MB and its envelope.
 const maxFrameBytes = 16 << 20
 
+const (
+	// frameTimeout bounds the time in which a frame that has begun arrives.
+	frameTimeout = 10 * time.Second
+	// frameGrowth is by how much the buffer of a frame grows at once.
+	frameGrowth = 4
+	// frameCopies is how often the text of a frame is in memory while it is handled: as it is, and as its body.
+	frameCopies = 2
+)
+
 // compressionThresholdBytes is the encoded size from which a frame is compressed. Traffic between
 // zones is charged for, and smaller frames gain nothing from compression.
 const compressionThresholdBytes = 700
@@ -79,10 +91,32 @@
 	return encodeFrame(&envelope{Kind: kind, Body: body})
 }
 
-// readFrame reads one envelope. Its body remains valid after the next read.
-func readFrame(r *bufio.Reader) (*envelope, error) {
+// frameReader reads the frames of a connection.
+type frameReader struct {
+	conn   net.Conn
+	buffer *bufio.Reader
+	memory *frameMemory
+}
+
+func newFrameReader(conn net.Conn) *frameReader {
+	return &frameReader{conn: conn, buffer: bufio.NewReader(conn), memory: frames}
+}
+
+// next reads one envelope. Its body remains valid after the next read; release is to be called once it has been handled.
+func (r *frameReader) next() (e *envelope, release func(), err error) {
+	holder := r.memory.newHolder(r.conn)
+	e, err = r.read(holder)
+	if err != nil {
+		holder.release()
+		return nil, nil, err
+	}
+	return e, holder.release, nil
+}
+
+// read reads one envelope with the memory of a holder.
+func (r *frameReader) read(holder *frameHolder) (*envelope, error) {
 	var prefix [4]byte
-	if _, err := io.ReadFull(r, prefix[:]); err != nil {
+	if _, err := io.ReadFull(r.buffer, prefix[:]); err != nil {
 		return nil, err
 	}
 	size := binary.BigEndian.Uint32(prefix[:])
@@ -91,23 +125,71 @@
 	if size > maxFrameBytes {
 		return nil, fmt.Errorf("rpc: read frame: %d bytes, want at most %d", size, maxFrameBytes)
 	}
-	encoded := make([]byte, size)
-	if _, err := io.ReadFull(r, encoded); err != nil {
+	if r.buffer.Buffered() < int(size) {
+		r.conn.SetReadDeadline(time.Now().Add(frameTimeout))
+		defer r.conn.SetReadDeadline(time.Time{})
+	}
+	encoded, err := readGrowing(r.buffer, int(size), holder)
+	if err != nil {
 		return nil, err
 	}
+	holder.setArrived()
+	decoded := encoded
 	if compressed {
-		var err error
-		if encoded, err = decompressor.DecodeAll(encoded, nil); err != nil {
-			return nil, fmt.Errorf("rpc: decompress frame: %w", err)
+		if decoded, err = decompress(encoded, holder); err != nil {
+			return nil, err
 		}
 	}
+	if !holder.grow(int64(cap(encoded) + frameCopies*len(decoded))) {
+		return nil, errNoFrameMemory
+	}
 	e := new(envelope)
-	if err := cbor.Unmarshal(encoded, e); err != nil {
+	if err := cbor.Unmarshal(decoded, e); err != nil {
 		return nil, fmt.Errorf("rpc: decode frame: %w", err)
 	}
 	return e, nil
 }
 
+// errNoFrameMemory means that there is no memory left for a frame.
+var errNoFrameMemory = errors.New("rpc: read frame: no memory left for frames")
+
+// readGrowing reads a number of bytes. It takes the memory for them as they arrive, not as they are announced.
+func readGrowing(reader io.Reader, size int, holder *frameHolder) ([]byte, error) {
+	text := make([]byte, 0, min(size, uncountedFrameBytes))
+	for {
+		n, err := io.ReadFull(reader, text[len(text):cap(text)])
+		text = text[:len(text)+n]
+		if err != nil || len(text) == size {
+			return text, err
+		}
+		larger := min(size, frameGrowth*cap(text))
+		if !holder.grow(int64(larger)) {
+			return nil, errNoFrameMemory
+		}
+		text = append(make([]byte, 0, larger), text...)
+	}
+}
+
+// decompress returns the text of a compressed frame, for which it takes memory before it is made.
+func decompress(encoded []byte, holder *frameHolder) ([]byte, error) {
+	var header zstd.Header
+	if err := header.Decode(encoded); err != nil {
+		return nil, fmt.Errorf("rpc: decompress frame: %w", err)
+	}
+	size := uint64(maxFrameBytes)
+	if header.HasFCS {
+		size = min(size, header.FrameContentSize)
+	}
+	if !holder.grow(int64(cap(encoded)) + int64(size)) {
+		return nil, errNoFrameMemory
+	}
+	decoded, err := decompressor.DecodeAll(encoded, nil)
+	if err != nil {
+		return nil, fmt.Errorf("rpc: decompress frame: %w", err)
+	}
+	return decoded, nil
+}
+
 // FrameSize returns the number of bytes that the frame of a call with the given message occupies on
 // the wire.
 func FrameSize(kind string, message any) (int, error) {
--- a/internal/rpc/fuzz_test.go
+++ b/internal/rpc/fuzz_test.go
@@ -1,7 +1,6 @@
 package rpc
 
 import (
-	"bufio"
 	"bytes"
 	"context"
 	"net"
@@ -25,7 +24,7 @@
 	f.Add([]byte{0x80, 0, 0, 4, 1, 2, 3, 4})
 	f.Add([]byte{0, 0, 0})
 	f.Fuzz(func(t *testing.T, input []byte) {
-		want, err := readFrame(bufio.NewReader(bytes.NewReader(input)))
+		want, err := readFrameText(input)
 		if err != nil {
 			return
 		}
@@ -33,13 +32,25 @@
 		if err := writeFrame(&b, want); err != nil {
 			t.Skip() // the body isn't valid CBOR, so it can't be encoded again
 		}
-		got, err := readFrame(bufio.NewReader(&b))
+		got, err := readFrameText(b.Bytes())
 		if err != nil || got.ID != want.ID || got.Kind != want.Kind || got.Reply != want.Reply || got.Error != want.Error {
 			t.Fatalf("frame written and read again: got %+v, error %v; want %+v", got, err, want)
 		}
 	})
 }
 
+// readFrameText reads the first frame of a text.
+func readFrameText(text []byte) (*envelope, error) {
+	conn, peer := net.Pipe()
+	defer conn.Close()
+	go func() {
+		defer peer.Close()
+		peer.Write(text)
+	}()
+	e, _, err := newFrameReader(conn).next()
+	return e, err
+}
+
 // TestUnmatchedReplies checks that replies are matched to calls by ID: replies with an unknown ID,
 // duplicates and late replies are ignored. A truncated frame fails the calls on its connection, and
 // the next call dials a new one.
@@ -81,9 +92,9 @@
 // duplicate with another body after it. It answers a call of kind "half" with a truncated frame.
 func serveUnmatchedReplies(conn net.Conn) {
 	defer conn.Close()
-	reader := bufio.NewReader(conn)
+	reader := newFrameReader(conn)
 	for {
-		e, err := readFrame(reader)
+		e, _, err := reader.next()
 		if err != nil {
 			return
 		}
--- a/internal/rpc/rpc_test.go
+++ b/internal/rpc/rpc_test.go
@@ -1,7 +1,6 @@
 package rpc
 
 import (
-	"bufio"
 	"bytes"
 	"context"
 	"errors"
@@ -59,7 +58,7 @@
 		if err != nil {
 			return
 		}
-		readFrame(bufio.NewReader(conn))
+		newFrameReader(conn).next()
 		conn.Close()
 	}()
 	client := NewClient(listener.Addr().String())
@@ -77,12 +76,12 @@
 	size, err := FrameSize("k", text)
 	require.NoError(t, err)
 	require.Equal(t, frame.Len(), size, "FrameSize in bytes")
-	e, err := readFrame(bufio.NewReader(&frame))
+	e, err := readFrameText(frame.Bytes())
 	require.NoError(t, err)
 	require.Equal(t, body, []byte(e.Body))
-	_, err = readFrame(bufio.NewReader(strings.NewReader("\x7f\xff\xff\xff")))
+	_, err = readFrameText([]byte("\x7f\xff\xff\xff"))
 	require.ErrorContains(t, err, "at most")
-	_, err = readFrame(bufio.NewReader(strings.NewReader("\x80\x00\x00\x04none")))
+	_, err = readFrameText([]byte("\x80\x00\x00\x04none"))
 	require.Error(t, err, "uncompressed frame with the compressed flag")
 }
 
--- a/internal/rpc/server.go
+++ b/internal/rpc/server.go
@@ -1,7 +1,6 @@
 package rpc
 
 import (
-	"bufio"
 	"context"
 	"net"
 	"time"
@@ -28,22 +27,30 @@
 	}
 }
 
+// maxRunningCalls bounds the calls of a connection that run at the same time. Further ones wait in the connection.
+const maxRunningCalls = 2048
+
 func serveConnection(conn net.Conn, handle Handler) {
 	ctx, cancel := context.WithCancel(context.Background())
 	defer cancel()
 	defer conn.Close()
 	writeMutex := newContextMutex()
-	reader := bufio.NewReader(conn)
+	reader := newFrameReader(conn)
+	running := make(chan struct{}, maxRunningCalls)
 	for {
-		request, err := readFrame(reader)
+		request, release, err := reader.next()
 		if err != nil {
 			return
 		}
 		if request.ID == 0 {
 			handle(ctx, request.Kind, request.Body)
+			release()
 			continue
 		}
+		running <- struct{}{}
 		go func() {
+			defer func() { <-running }()
+			defer release()
 			reply := handleCall(ctx, handle, request)
 			if writeMutex.lock(ctx) != nil {
 				return
