--- a/internal/agent/getjson.go
+++ b/internal/agent/getjson.go
@@ -23,21 +23,18 @@
 	// maxErrorBytes is how much of a response with another status than 200 is read, so that its connection can be used
 	// again.
 	maxErrorBytes = 16 << 10
-	// jsonReadBytes is how much of a response is read at once.
+	// jsonReadBytes is how much room is made for a response at first.
 	jsonReadBytes = 16 << 10
 	// jsonExpansion is about how much larger a decoded response is than its text, with the text.
 	jsonExpansion = 8
 )
 
-// errResponseTooLong is returned for a response that is longer than the caller allows.
-var errResponseTooLong = merry.New("response is too long")
-
 // errNotJSON is returned for a response that isn't a single JSON value of the wanted type.
 var errNotJSON = merry.New("response is not the wanted JSON")
 
 // isResponseFault reports whether a call failed because of what the peer sent, rather than of a connection or a refusal.
 func isResponseFault(err error) bool {
-	return errors.Is(err, errResponseTooLong) || errors.Is(err, errNotJSON)
+	return errors.Is(err, memlimit.ErrTooLong) || errors.Is(err, errNotJSON)
 }
 
 // responseFaults counts and logs responses of backends that can't be used. It is safe for concurrent use.
@@ -85,7 +82,7 @@
 	}
 	memory := r.memory.NewAccount()
 	defer memory.Close()
-	text, err := readBounded(response.Body, r.maxBytes, &memory)
+	text, err := memory.ReadAll(response.Body, memlimit.ReadOptions{MaxBytes: r.maxBytes, InitialBytes: jsonReadBytes, Weight: jsonExpansion})
 	if err != nil {
 		return 0, merry.Prepend(err, "agent: read response of GET "+r.target)
 	}
@@ -94,28 +91,3 @@
 	}
 	return int64(len(text)), nil
 }
-
-// readBounded reads a text to its end. It fails if the text has more bytes than given, or once memory has no room for it
-// and for what it is decoded to.
-func readBounded(reader io.Reader, maxBytes int64, memory *memlimit.Account) (text []byte, err error) {
-	for {
-		if len(text) == cap(text) {
-			larger := make([]byte, len(text), max(jsonReadBytes, 2*cap(text)))
-			copy(larger, text)
-			text = larger
-			if !memory.Resize(int64(cap(text)) * jsonExpansion) {
-				return nil, memlimit.ErrExhausted
-			}
-		}
-		n, err := reader.Read(text[len(text):cap(text)])
-		text = text[:len(text)+n]
-		switch {
-		case int64(len(text)) > maxBytes:
-			return nil, errResponseTooLong
-		case err == io.EOF:
-			return text, nil
-		case err != nil:
-			return nil, err
-		}
-	}
-}
--- a/internal/agent/getjson_test.go
+++ b/internal/agent/getjson_test.go
@@ -100,6 +100,6 @@
 	page := `{"next_page_token":"more","instances":[` + strings.TrimSuffix(strings.Repeat(entry, 1000), ",") + `]}`
 	a := newListReadingAgent(t, func(w http.ResponseWriter, _ *http.Request) { io.WriteString(w, page) })
 	_, pages, err := a.readList(context.Background())
-	require.ErrorIs(t, err, errResponseTooLong)
+	require.ErrorIs(t, err, memlimit.ErrTooLong)
 	require.Equal(t, maxListBytes/len(page)+1, pages)
 }
--- a/internal/memlimit/memlimit.go
+++ b/internal/memlimit/memlimit.go
@@ -4,6 +4,7 @@
 package memlimit
 
 import (
+	"io"
 	"sync/atomic"
 
 	"github.com/ansel1/merry/v2"
@@ -16,6 +17,9 @@
 // ErrExhausted means that the memory for data of peers is in use.
 var ErrExhausted = merry.New("memory for data of peers is exhausted")
 
+// ErrTooLong means that a text has more bytes than its reader allows.
+var ErrTooLong = merry.New("text is too long")
+
 // Budget is a number of bytes that its users take and return. It is safe for concurrent use. A nil Budget has no
 // bound.
 type Budget struct {
@@ -110,3 +114,34 @@
 
 // Close returns all that the account has taken.
 func (a *Account) Close() { a.Resize(0) }
+
+// ReadOptions say how a text is read.
+type ReadOptions struct {
+	MaxBytes     int64 // of the text
+	InitialBytes int   // that are made room for at first; the room doubles from there
+	Weight       int64 // bytes that are taken for each byte of room: what the text becomes later counts too
+}
+
+// ReadAll reads a text to its end, and takes memory for it as it grows. It fails with ErrTooLong or ErrExhausted. The
+// account keeps what it has taken.
+func (a *Account) ReadAll(reader io.Reader, o ReadOptions) (text []byte, err error) {
+	for {
+		if len(text) == cap(text) {
+			room := max(o.InitialBytes, 2*cap(text))
+			if !a.Resize(int64(room) * o.Weight) {
+				return nil, ErrExhausted
+			}
+			text = append(make([]byte, 0, room), text...)
+		}
+		n, err := reader.Read(text[len(text):cap(text)])
+		text = text[:len(text)+n]
+		switch {
+		case int64(len(text)) > o.MaxBytes:
+			return nil, ErrTooLong
+		case err == io.EOF:
+			return text, nil
+		case err != nil:
+			return nil, err
+		}
+	}
+}
--- a/internal/memlimit/memlimit_test.go
+++ b/internal/memlimit/memlimit_test.go
@@ -1,8 +1,10 @@
 package memlimit
 
 import (
+	"strings"
 	"sync"
 	"testing"
+	"testing/iotest"
 
 	"github.com/stretchr/testify/require"
 	"pgregory.net/rapid"
@@ -74,3 +76,23 @@
 	account.Close()
 	require.Zero(t, budget.Used()+budget.Limit()+int64(budget.Exhausted()))
 }
+
+// TestReadAllTakesMemoryAsItReads reads texts at the edges of both bounds.
+func TestReadAllTakesMemoryAsItReads(t *testing.T) {
+	for _, c := range []struct {
+		length int
+		limit  int64
+		want   error
+	}{{0, 64, nil}, {100, 1 << 20, nil}, {1000, 1 << 20, nil}, {1001, 1 << 20, ErrTooLong}, {1000, 2048, nil}, {1000, 2047, ErrExhausted}, {1, 31, ErrExhausted}} {
+		budget := New(c.limit)
+		account := budget.NewAccount()
+		text, err := account.ReadAll(iotest.OneByteReader(strings.NewReader(strings.Repeat("x", c.length))), ReadOptions{MaxBytes: 1000, InitialBytes: 16, Weight: 2})
+		require.ErrorIs(t, err, c.want)
+		if c.want == nil {
+			require.Len(t, text, c.length)
+			require.Equal(t, int64(2*cap(text)), budget.Used())
+		}
+		account.Close()
+		require.Zero(t, budget.Used())
+	}
+}
--- a/internal/proxy/forward.go
+++ b/internal/proxy/forward.go
@@ -32,9 +32,11 @@
 	retryable    bool         // the request may be sent to another backend
 	state        atomic.Int32 // a responseState
 	lastProgress atomic.Int64 // time of the last received bytes, a time.Duration on the clock of the proxy
-	firstBytes   []byte       // first bytes of the response body, until they are relayed
-	firstErr     error        // error of the read that returned firstBytes
-	takeover     atomic.Pointer[streamTakeover]
+	// progressRecorded is the time of the last progress that was reported to the dispatch table.
+	progressRecorded time.Duration
+	firstBytes       []byte // first bytes of the response body, until they are relayed
+	firstErr         error  // error of the read that returned firstBytes
+	takeover         atomic.Pointer[streamTakeover]
 }
 
 // notExecuted reports whether the backend is known not to have executed the request.
--- a/internal/proxy/metrics.go
+++ b/internal/proxy/metrics.go
@@ -34,6 +34,8 @@
 	for _, r := range failureReasons {
 		set.Add(`proxy_attempt_failures_total{reason="`+string(r)+`"}`, float64(p.failures[r].Load()))
 	}
+	set.Add("proxy_relays_running", float64(p.relays.active.Load()))
+	set.Add("proxy_relay_turns_awaited_total", float64(p.relays.held.Load()))
 	set.Add("proxy_peer_memory_bytes", float64(p.memory.Used()))
 	set.Add("proxy_peer_memory_limit_bytes", float64(p.memory.Limit()))
 	set.Add("proxy_peer_memory_exhausted_total", float64(p.memory.Exhausted()))
--- a/internal/proxy/proxy.go
+++ b/internal/proxy/proxy.go
@@ -81,6 +81,7 @@
 	openRequests    *requestTracker
 	timerLateness   timerLateness
 
+	relays  *relayScheduler
 	memory  *memlimit.Budget // for data of backends and clients
 	poolsMu sync.Mutex
 	pools   map[string]*upstream.Pool // by backend ID
@@ -95,6 +96,7 @@
 		agent:           rpc.NewClient(settings.LoopbackAddr()),
 		commands:        make(chan func(), commandQueueLength),
 		done:            make(chan struct{}),
+		relays:          newRelayScheduler(settings.CPUShare, settings.Cores),
 		memory:          memlimit.ForPeers(settings.MemoryMB),
 		pools:           map[string]*upstream.Pool{},
 		attempts:        newAttemptRegistry(),
--- a/internal/proxy/relay.go
+++ b/internal/proxy/relay.go
@@ -16,6 +16,9 @@
 // relayBufferBytes is the size of one read of a response body.
 const relayBufferBytes = 16 << 10
 
+// progressRecordInterval is the shortest time between two reports of an attempt's progress to the dispatch table.
+const progressRecordInterval = 20 * time.Millisecond
+
 // firstReadBytes is the size of the read that has to succeed before anything is relayed.
 const firstReadBytes = 4 << 10
 
@@ -105,7 +108,11 @@
 func (p *Proxy) copyResponse(q *request, a *attempt, events *eventFilter, takeover *streamTakeover) error {
 	flusher := http.NewResponseController(q.writer)
 	buffer := make([]byte, relayBufferBytes)
+	meter := p.relays.newMeter(q.service)
+	defer meter.close()
 	for {
+		meter.wait(a.ctx)
+		began, reads, written := time.Now(), a.response.ReadTotals(), takeover.writing
 		n, err := a.read(buffer)
 		if n > 0 {
 			p.recordProgress(q, a)
@@ -113,6 +120,7 @@
 				return err
 			}
 		}
+		meter.charge(p.relays.cost(time.Since(began), reads, a.response.ReadTotals(), takeover.writing-written))
 		if err == io.EOF {
 			p.recordProgress(q, a)
 			if takeover.cutOff() {
@@ -197,9 +205,13 @@
 
 // recordProgress reports to the dispatch table that bytes of a response have arrived.
 func (p *Proxy) recordProgress(q *request, a *attempt) {
-	a.lastProgress.Store(int64(p.now()))
+	now := p.now()
+	a.lastProgress.Store(int64(now))
 	if a.started {
-		p.execute(func() { p.dispatchTable.RecordProgress(p.now(), a.choice) })
+		if now-a.progressRecorded >= progressRecordInterval {
+			a.progressRecorded = now
+			p.execute(func() { p.dispatchTable.RecordProgress(p.now(), a.choice) })
+		}
 		return
 	}
 	a.started = true
--- a/internal/proxy/takeover.go
+++ b/internal/proxy/takeover.go
@@ -5,6 +5,7 @@
 	"errors"
 	"net/http"
 	"sync"
+	"time"
 
 	"nettlefold/internal/dispatch"
 )
@@ -22,6 +23,7 @@
 	scanner *eventScanner // of a stream that is not resumable and ends with the connection; nil for others
 	ctx     context.Context
 	cancel  context.CancelFunc
+	writing time.Duration // to the client; of the goroutine that relays the response
 
 	mu        sync.Mutex
 	tries     int           // number of started tries
@@ -55,10 +57,13 @@
 		bytes, filterErr = t.events.filter(bytes)
 	}
 	if len(bytes) > 0 {
-		if _, err := client.Write(bytes); err != nil {
-			return classifyWriteError(err)
+		began := time.Now()
+		_, err := client.Write(bytes)
+		if err == nil {
+			err = flusher.Flush()
 		}
-		if err := flusher.Flush(); err != nil {
+		t.writing += time.Since(began)
+		if err != nil {
 			return classifyWriteError(err)
 		}
 	}
--- a/internal/upstream/source.go
+++ b/internal/upstream/source.go
@@ -28,6 +28,7 @@
 type source struct {
 	conn   net.Conn
 	waited time.Duration // in reads, since the connection was opened
+	reads  int
 
 	readsHead bool // the bytes that are read count against the bounds
 	headBytes int
@@ -49,6 +50,7 @@
 	began := time.Now()
 	n, err := s.conn.Read(buffer)
 	s.waited += time.Since(began)
+	s.reads++
 	if s.readsHead {
 		s.headBytes += n
 		s.headLines += bytes.Count(buffer[:n], []byte{'\n'})
--- a/internal/upstream/upstream.go
+++ b/internal/upstream/upstream.go
@@ -298,9 +298,16 @@
 	conn *conn
 }
 
-// Waited returns how long the reads of the response have waited for the backend so far, in sum with those of earlier
-// responses on the same connection.
-func (r *Response) Waited() time.Duration { return r.conn.source.waited }
+// ReadTotals are sums over all reads of a connection.
+type ReadTotals struct {
+	Waited time.Duration // in the reads
+	Reads  int
+}
+
+// ReadTotals returns the sums of the response's connection so far. It must not be called while the body is read.
+func (r *Response) ReadTotals() ReadTotals {
+	return ReadTotals{Waited: r.conn.source.waited, Reads: r.conn.source.reads}
+}
 
 // Do sends a request and reads the header of its response. A failure is an *Error. The request is
 // canceled when ctx is done, also while the body is read.
