--- a/internal/memlimit/memlimit.go
+++ b/internal/memlimit/memlimit.go
@@ -14,6 +14,10 @@
 // The rest is for the process's own state and for the garbage that its collector hasn't freed yet.
 const peerDataDivisor = 4
 
+// UncountedBytes is how much an account may have without taking it from its budget: what is small is read whatever others
+// hold.
+const UncountedBytes = 8 << 10
+
 // ErrExhausted means that the memory for data of peers is in use.
 var ErrExhausted = merry.New("memory for data of peers is exhausted")
 
@@ -99,8 +103,11 @@
 func (b *Budget) NewAccount() Account { return Account{budget: b} }
 
 // Resize takes or returns bytes so that the account has taken as many as given, and reports whether it could. It
-// changes nothing if it couldn't.
+// changes nothing if it couldn't. Up to UncountedBytes it always can.
 func (a *Account) Resize(bytes int64) bool {
+	if bytes <= UncountedBytes {
+		bytes = 0
+	}
 	more := bytes - a.taken
 	if more > 0 && !a.budget.Take(more) {
 		return false
--- a/internal/proxy/end_reason.go
+++ b/internal/proxy/end_reason.go
@@ -7,6 +7,8 @@
 	"time"
 
 	"github.com/rs/zerolog"
+
+	"nettlefold/internal/memlimit"
 )
 
 // endReason is why an attempt, or the response that it delivers, ended before it was complete. Every
@@ -23,12 +25,13 @@
 	endReasonBackendStalled     endReason = "backend_silent"    // the backend has sent nothing to any request for too long
 	endReasonFirstByteDeadline  endReason = "begin_limit"       // no response had started when the model version became too old to start on
 	endReasonGracePeriodOver    endReason = "grace_over"        // the grace period of the shutdown is over
+	endReasonMemory             endReason = "memory"            // there was no memory to buffer the response in
 )
 
 // endReasons lists all values of endReason, for the metrics.
 var endReasons = []endReason{
 	endReasonClientDisconnected, endReasonDeadlineExceeded, endReasonBackendFailed, endReasonBackendRemoved,
-	endReasonBackendStalled, endReasonFirstByteDeadline, endReasonGracePeriodOver,
+	endReasonBackendStalled, endReasonFirstByteDeadline, endReasonGracePeriodOver, endReasonMemory,
 }
 
 // Error implements error, so that an endReason can be the cause of a cancelled context.
@@ -39,6 +42,8 @@
 func endReasonOf(ctx context.Context, q *request, a *attempt, err error) endReason {
 	var cause endReason
 	switch {
+	case errors.Is(err, memlimit.ErrExhausted):
+		return endReasonMemory
 	case errors.Is(err, context.DeadlineExceeded): // a write to a client that reads nothing
 		return endReasonDeadlineExceeded
 	case errors.Is(err, errClientDisconnected) || q.Context().Err() != nil:
--- a/internal/proxy/events.go
+++ b/internal/proxy/events.go
@@ -3,6 +3,8 @@
 import (
 	"errors"
 	"strconv"
+
+	"nettlefold/internal/memlimit"
 )
 
 // maxBufferedEventBytes bounds the buffer for an incomplete event; a longer event is forwarded in
@@ -22,6 +24,7 @@
 // from before it, which the filter drops. The events of a single run are forwarded unchanged, whatever
 // their IDs are.
 type eventFilter struct {
+	memory  memlimit.Account // for partial and held
 	scanner eventScanner
 	partial []byte // buffered part of the incomplete event at the end of the input
 	lastID  string // ID of the last forwarded event that has one
@@ -41,11 +44,20 @@
 }
 
 // newEventFilter returns the filter of a stream that a client wants from the event after lastID on, ""
-// for all of it.
-func newEventFilter(lastID string) *eventFilter {
-	return &eventFilter{lastID: lastID, resumed: lastID != ""}
+// for all of it. What it buffers takes its memory from a budget until close is called.
+func newEventFilter(lastID string, memory *memlimit.Budget) *eventFilter {
+	return &eventFilter{lastID: lastID, resumed: lastID != "", memory: memory.NewAccount()}
+}
+
+// close drops what is buffered.
+func (e *eventFilter) close() {
+	e.partial, e.held = nil, nil
+	e.memory.Close()
 }
 
+// hasMemory reports whether there is memory for what is buffered.
+func (e *eventFilter) hasMemory() bool { return e.memory.Resize(int64(cap(e.partial) + cap(e.held))) }
+
 // filter adds input and returns what is to be forwarded now: events that are complete, and parts of one
 // that is too long for the buffer.
 func (e *eventFilter) filter(input []byte) (out []byte, err error) {
@@ -67,6 +79,9 @@
 			if e.held = append(e.held, e.partial...); len(e.held) > maxHeldBytes {
 				return out, errRepeatedLongEvent
 			}
+			if !e.hasMemory() {
+				return out, memlimit.ErrExhausted
+			}
 		case e.forwards(event):
 			out = append(append(out, e.held...), e.partial...)
 			e.held = nil
@@ -77,6 +92,7 @@
 	}
 	if cap(e.partial) > relayBufferBytes {
 		e.partial = nil // don't keep the memory of a long event
+		e.hasMemory()
 	}
 	return out, nil
 }
@@ -119,22 +135,28 @@
 	return number <= last
 }
 
-// takePart takes the buffered part of an event that is too long for the buffer, to be forwarded.
+// takePart takes the buffered part of an event that is too long for the buffer, or for which there is no memory, to be
+// forwarded.
 func (e *eventFilter) takePart() (part []byte, err error) {
-	if len(e.partial) <= maxBufferedEventBytes {
+	hasMemory := e.hasMemory()
+	if len(e.partial) <= maxBufferedEventBytes && hasMemory {
 		return nil, nil
 	}
 	if !e.forwardedPart && !e.dropping {
 		id := e.scanner.id
 		if id == "" && e.resumed && (e.joined || e.repeating) {
-			if len(e.partial) > maxHeldBytes {
+			switch {
+			case len(e.partial) > maxHeldBytes:
 				return nil, errRepeatedLongEvent
+			case !hasMemory:
+				return nil, memlimit.ErrExhausted
 			}
 			return nil, nil
 		}
 		e.dropping = id != "" && e.isRepeated(id)
 	}
 	part, e.partial = e.partial, nil
+	e.hasMemory()
 	if e.dropping {
 		return nil, nil
 	}
@@ -162,4 +184,5 @@
 	e.scanner, e.partial, e.dropping = eventScanner{}, nil, false
 	e.resumed, e.repeating = e.lastID != "", false
 	e.joined, e.held = true, nil
+	e.hasMemory()
 }
--- a/internal/proxy/relay.go
+++ b/internal/proxy/relay.go
@@ -11,6 +11,7 @@
 
 	"nettlefold/internal/config"
 	"nettlefold/internal/dispatch"
+	"nettlefold/internal/memlimit"
 )
 
 // relayBufferBytes is the size of one read of a response body.
@@ -40,7 +41,8 @@
 	var events *eventFilter
 	length := a.response.ContentLength
 	if q.isStream(a) && q.route.Resumable {
-		events = newEventFilter(q.Header.Get(headerLastEvent))
+		events = newEventFilter(q.Header.Get(headerLastEvent), p.memory)
+		defer events.close()
 		length = unknownLength // a run that resumes the stream may send other bytes than this one would have
 	}
 	q.writeHeader(a, length, p.shutdownPlan.Load() != nil)
@@ -55,7 +57,7 @@
 			return
 		}
 		outcome := dispatch.Failed
-		if ctx.Err() != nil || errors.Is(err, errClientDisconnected) || errors.Is(err, context.DeadlineExceeded) {
+		if ctx.Err() != nil || errors.Is(err, errClientDisconnected) || errors.Is(err, context.DeadlineExceeded) || errors.Is(err, memlimit.ErrExhausted) {
 			outcome = dispatch.Cancelled
 		}
 		reason := endReasonOf(ctx, q, a, err)
--- a/internal/proxy/serve.go
+++ b/internal/proxy/serve.go
@@ -11,6 +11,7 @@
 
 	"nettlefold/internal/config"
 	"nettlefold/internal/kvindex"
+	"nettlefold/internal/memlimit"
 	"nettlefold/internal/upstream"
 )
 
@@ -49,6 +50,12 @@
 	// likelyRetryFraction is the fraction of the route's timeout below which a client's deadline marks
 	// its request as a likely retry.
 	likelyRetryFraction = 0.98
+	// minBodyRoom and maxBodyRoom are between which sizes, in bytes, room is made for a request body before any of it has
+	// arrived.
+	minBodyRoom = 512
+	maxBodyRoom = 32 << 10
+	// bodyCopies is how often a request body is in memory: as it was read, and as it is sent to a backend.
+	bodyCopies = 2
 	// routeRanksPerTenant is the number of route ranks within one tenant rank. For a request with a
 	// tenant, higher route priorities count as the last of them.
 	routeRanksPerTenant = 3
@@ -97,7 +104,9 @@
 		return
 	}
 	p.logFirstRequest(table, q)
-	if !q.readBody(table) {
+	memory := p.memory.NewAccount()
+	defer memory.Close()
+	if !q.readBody(table, &memory) {
 		return
 	}
 	now := time.Now()
@@ -164,9 +173,9 @@
 	return true
 }
 
-// readBody reads the whole body and the headers that describe the prompt. If the body is too large or
-// has not arrived by the deadline, it refuses the request and returns false.
-func (q *request) readBody(table *config.Table) bool {
+// readBody reads the whole body and the headers that describe the prompt. If the body is too large, has
+// not arrived by the deadline or finds no memory, it refuses the request and returns false.
+func (q *request) readBody(table *config.Table, memory *memlimit.Account) bool {
 	connection := http.NewResponseController(q.writer)
 	connection.SetReadDeadline(q.effectiveDeadline)
 	maxBytes := table.Limits.MaxBodyBytes
@@ -177,8 +186,15 @@
 		refuse(q.writer, http.StatusRequestEntityTooLarge, 0, "the body is too large")
 		return false
 	}
-	body, err := io.ReadAll(http.MaxBytesReader(q.writer, q.Body, maxBytes))
+	body, err := memory.ReadAll(http.MaxBytesReader(q.writer, q.Body, maxBytes), memlimit.ReadOptions{
+		MaxBytes: maxBytes, InitialBytes: int(min(maxBodyRoom, max(minBodyRoom, q.ContentLength+1))), Weight: bodyCopies,
+	})
 	if err != nil {
+		if errors.Is(err, memlimit.ErrExhausted) {
+			q.writer.Header().Set("Connection", "close")
+			refuse(q.writer, http.StatusServiceUnavailable, q.retryAfterSeconds(), "there is no memory for the body now")
+			return false
+		}
 		var tooLarge *http.MaxBytesError
 		if errors.As(err, &tooLarge) {
 			refuse(q.writer, http.StatusRequestEntityTooLarge, 0, "the body is too large")
