--- a/cmd/nettlefold/relay.go
+++ b/cmd/nettlefold/relay.go
@@ -100,7 +100,7 @@
 	if a.NewEpoch {
 		req.Header.Set(relay.HeaderNewEpoch, "yes")
 	}
-	client := &http.Client{Timeout: 10 * time.Second, Transport: &http.Transport{DisableKeepAlives: true}}
+	client := &http.Client{Timeout: 10 * time.Second, Transport: &http.Transport{DisableKeepAlives: true, MaxResponseHeaderBytes: mostAnswer}}
 	resp, err := client.Do(req)
 	if err != nil {
 		return err
--- a/cmd/nettlefold/tools.go
+++ b/cmd/nettlefold/tools.go
@@ -15,8 +15,12 @@
 	"nettlefold/internal/settings/local"
 )
 
-// statusLimit bounds the call of nettlefold status.
-const statusLimit = 3 * time.Second
+const (
+	// statusLimit bounds the call of nettlefold status in time, maxStatusHeaderBytes and maxStatusBytes what it reads.
+	statusLimit          = 3 * time.Second
+	maxStatusHeaderBytes = 64 << 10
+	maxStatusBytes       = 32 << 20
+)
 
 // toolCommands are the words for operators beside the programs.
 func toolCommands() []*cobra.Command {
@@ -119,7 +123,7 @@
 	return &cobra.Command{
 		Use: "status ADDR", Short: "Print what the controller at a control address knows of the fleet", Args: cobra.ExactArgs(1),
 		RunE: func(cmd *cobra.Command, args []string) error {
-			client := &http.Client{Timeout: statusLimit}
+			client := &http.Client{Timeout: statusLimit, Transport: &http.Transport{DisableKeepAlives: true, MaxResponseHeaderBytes: maxStatusHeaderBytes}}
 			answer, err := client.Get("http://" + args[0] + "/v1/status")
 			if err != nil {
 				return err
@@ -129,7 +133,7 @@
 				return fmt.Errorf("status of %s: %s", args[0], answer.Status)
 			}
 			var status any
-			if err := json.NewDecoder(answer.Body).Decode(&status); err != nil {
+			if err := json.NewDecoder(io.LimitReader(answer.Body, maxStatusBytes)).Decode(&status); err != nil {
 				return fmt.Errorf("status of %s: %w", args[0], err)
 			}
 			encoder := json.NewEncoder(cmd.OutOrStdout())
--- a/internal/controller/api.go
+++ b/internal/controller/api.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"encoding/json"
+	"errors"
 	"io"
 	stdlog "log"
 	"net"
@@ -16,12 +17,23 @@
 
 	"nettlefold/internal/config"
 	"nettlefold/internal/distribute"
+	"nettlefold/internal/memlimit"
 	"nettlefold/internal/replicated"
 	"nettlefold/internal/strictjson"
 )
 
-// maxRequestBodyBytes limits the body of a request to the API.
-const maxRequestBodyBytes = 8 << 20
+const (
+	// maxRequestBodyBytes limits the body of a request to the API, maxVersionBodyBytes that of a request for new weights.
+	maxRequestBodyBytes = 8 << 20
+	maxVersionBodyBytes = 64 << 10
+	// bodyRoom is how much room in bytes is made for a body at first.
+	bodyRoom = 4 << 10
+	// configurationExpansion is about how much memory a configuration takes while it is checked, by its text.
+	configurationExpansion = 4
+	// maxHeaderBytes limits the head of a request to the API, and readTimeout the time in which a request arrives whole.
+	maxHeaderBytes = 32 << 10
+	readTimeout    = 30 * time.Second
+)
 
 // errorResponse is the body of a response that reports an error.
 type errorResponse struct {
@@ -44,7 +56,9 @@
 		e.POST("/v1/tallies/:tally", c.tallies.postAdd)
 		e.GET("/v1/tallies/:tally", c.tallies.getTotal)
 	}
-	server := &http.Server{Handler: e, ReadHeaderTimeout: 10 * time.Second, IdleTimeout: time.Minute}
+	server := &http.Server{
+		Handler: e, ReadHeaderTimeout: 10 * time.Second, ReadTimeout: readTimeout, IdleTimeout: time.Minute, MaxHeaderBytes: maxHeaderBytes,
+	}
 	go server.Serve(listener)
 	return server
 }
@@ -52,12 +66,16 @@
 // putConfiguration handles PUT /v1/configuration; If-Match names the version that the change is
 // based on.
 func (c *Controller) putConfiguration(ctx echo.Context) error {
-	body, err := io.ReadAll(io.LimitReader(ctx.Request().Body, maxRequestBodyBytes+1))
-	if err != nil {
-		return ctx.JSON(http.StatusBadRequest, errorResponse{"the body cannot be read: " + err.Error()})
-	}
-	if len(body) > maxRequestBodyBytes {
+	memory := c.memory.NewAccount()
+	defer memory.Close()
+	body, err := memory.ReadAll(ctx.Request().Body, memlimit.ReadOptions{MaxBytes: maxRequestBodyBytes, InitialBytes: bodyRoom, Weight: configurationExpansion})
+	switch {
+	case errors.Is(err, memlimit.ErrTooLong):
 		return ctx.JSON(http.StatusRequestEntityTooLarge, errorResponse{"the body is too large"})
+	case errors.Is(err, memlimit.ErrExhausted):
+		return ctx.JSON(http.StatusServiceUnavailable, errorResponse{"there is no memory for the body now"})
+	case err != nil:
+		return ctx.JSON(http.StatusBadRequest, errorResponse{"the body cannot be read: " + err.Error()})
 	}
 	base := int64(0)
 	if match := strings.Trim(ctx.Request().Header.Get("If-Match"), `" `); match != "" {
@@ -130,7 +148,7 @@
 
 // putVersion handles POST /v1/version-put.
 func (c *Controller) putVersion(ctx echo.Context) error {
-	body, err := io.ReadAll(io.LimitReader(ctx.Request().Body, maxRequestBodyBytes))
+	body, err := io.ReadAll(io.LimitReader(ctx.Request().Body, maxVersionBodyBytes))
 	if err != nil {
 		return ctx.JSON(http.StatusBadRequest, errorResponse{"the body cannot be read: " + err.Error()})
 	}
--- a/internal/controller/controller.go
+++ b/internal/controller/controller.go
@@ -20,6 +20,7 @@
 	"nettlefold/internal/distribute"
 	"nettlefold/internal/durable"
 	"nettlefold/internal/leases"
+	"nettlefold/internal/memlimit"
 	"nettlefold/internal/replicated"
 	"nettlefold/internal/rpc"
 	"nettlefold/internal/settings/local"
@@ -42,6 +43,7 @@
 // Controller is the program of one core machine.
 type Controller struct {
 	settings       *local.Settings
+	memory         *memlimit.Budget // for requests to the API
 	log            zerolog.Logger
 	network        rpc.Network
 	pool           *rpc.Pool
@@ -109,6 +111,7 @@
 	c := &Controller{
 		network:             network,
 		settings:            settings,
+		memory:              memlimit.ForPeers(settings.MemoryMB),
 		log:                 log,
 		pool:                rpc.NewPoolWithNetwork(network),
 		commands:            make(chan command, commandQueueCapacity),
--- a/internal/controller/metrics.go
+++ b/internal/controller/metrics.go
@@ -21,6 +21,8 @@
 		return nil, err
 	}
 	set := metrics.NewSet()
+	set.Add("controller_peer_memory_bytes", float64(c.memory.Used()))
+	set.Add("controller_peer_memory_exhausted_total", float64(c.memory.Exhausted()))
 	set.AddFlag("controller_in_touch", status.Current)
 	set.AddFlag("controller_disk_fails", status.DiskFails)
 	set.AddFlag("controller_head", len(status.Chain) > 0 && status.Chain[0] == status.Controller)
--- a/internal/fleet/relay/tell.go
+++ b/internal/fleet/relay/tell.go
@@ -4,6 +4,7 @@
 	"bufio"
 	"context"
 	"fmt"
+	"io"
 	"net"
 	"net/http"
 	"sync"
@@ -111,7 +112,8 @@
 	if _, err := nc.Write(text); err != nil {
 		return err
 	}
-	resp, err := http.ReadResponse(bufio.NewReaderSize(&patient{Conn: nc}, smallBuffer), nil)
+	head := &io.LimitedReader{R: &patient{Conn: nc}, N: mostHeader}
+	resp, err := http.ReadResponse(bufio.NewReaderSize(head, smallBuffer), nil)
 	if err != nil {
 		return err
 	}
--- a/internal/metrics/metrics.go
+++ b/internal/metrics/metrics.go
@@ -86,9 +86,12 @@
 	return listener, nil
 }
 
+// maxHeaderBytes bounds the head of a request for metrics.
+const maxHeaderBytes = 16 << 10
+
 // Serve serves the metrics of source on a listener until ctx is done. It then returns nil.
 func Serve(ctx context.Context, listener net.Listener, endpoint Endpoint, source Source) error {
-	server := &http.Server{Handler: newHandler(endpoint, source), ReadTimeout: readTimeout, WriteTimeout: responseTimeout}
+	server := &http.Server{Handler: newHandler(endpoint, source), ReadTimeout: readTimeout, WriteTimeout: responseTimeout, MaxHeaderBytes: maxHeaderBytes}
 	stop := context.AfterFunc(ctx, func() { server.Close() })
 	defer stop()
 	if err := server.Serve(listener); ctx.Err() == nil {
--- a/internal/proxy/proxy.go
+++ b/internal/proxy/proxy.go
@@ -42,11 +42,13 @@
 	// checks readiness every second and routes connections here until two checks have failed.
 	acceptAfterSIGTERM = 2500 * time.Millisecond
 
-	readHeaderTimeout   = 20 * time.Second
-	idleTimeout         = 75 * time.Second
-	maxHeaderBytes      = 64 << 10
-	commandQueueLength  = 256
-	defaultMaxBodyBytes = 4 << 20
+	readHeaderTimeout = 20 * time.Second
+	idleTimeout       = 75 * time.Second
+	maxHeaderBytes    = 64 << 10
+	// maxReadinessHeaderBytes bounds the head of a readiness check.
+	maxReadinessHeaderBytes = 8 << 10
+	commandQueueLength      = 256
+	defaultMaxBodyBytes     = 4 << 20
 )
 
 // Proxy is the data plane of one front machine.
@@ -184,7 +186,7 @@
 	readiness.HideBanner, readiness.HidePort = true, true
 	readiness.Logger.SetOutput(stdlog.Writer())
 	readiness.GET("/v1/readiness", p.handleReadiness)
-	readyServer := &http.Server{Handler: readiness, ReadHeaderTimeout: readHeaderTimeout, IdleTimeout: idleTimeout}
+	readyServer := &http.Server{Handler: readiness, ReadHeaderTimeout: readHeaderTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: maxReadinessHeaderBytes}
 	go readyServer.Serve(readyListener)
 	server := p.newServer()
 	go server.Serve(clientListener{frontListener})
--- a/internal/transport/watch.go
+++ b/internal/transport/watch.go
@@ -244,10 +244,13 @@
 	}
 }
 
+// maxListHeaderBytes bounds the head of discovery's response.
+const maxListHeaderBytes = 64 << 10
+
 // get asks discovery for something. Its connection is dialled in its own context: the transport's outlives a call that is
 // given up, and dials that hang would pile up.
 func (w *Watch) get(ctx context.Context, path string) (io.ReadCloser, error) {
-	client := &http.Client{Transport: &http.Transport{DisableKeepAlives: true, Proxy: nil,
+	client := &http.Client{Transport: &http.Transport{DisableKeepAlives: true, Proxy: nil, MaxResponseHeaderBytes: maxListHeaderBytes,
 		DialContext: func(_ context.Context, network, address string) (net.Conn, error) {
 			return w.dial(ctx, network, address)
 		}}}
