--- a/internal/lab/fleetdemo/enginestream.go
+++ b/internal/lab/fleetdemo/enginestream.go
@@ -15,6 +15,8 @@
 const (
 	// silenceLimit is how long an engine that has fallen silent keeps a connection that its proxy doesn't close.
 	silenceLimit = 3 * time.Second
+	// readFloodPause is the time between two writes of a flood whose bytes reach clients, which keep them.
+	readFloodPause = 30 * time.Millisecond
 	// maxPieces is how many pieces an answer is written in, at most.
 	maxPieces = 60
 )
@@ -69,6 +71,10 @@
 	var lines strings.Builder
 	lines.WriteString("HTTP/1.1 200 OK\r\n")
 	head.Write(&lines)
+	if ending.end == endHeadFlood {
+		e.flood(conn, life, lines.String()+"X-Long: ", strings.Repeat("y", floodBlockBytes), 0)
+		return
+	}
 	if _, err := io.WriteString(conn, lines.String()+"\r\n"); err != nil {
 		return
 	}
@@ -92,12 +98,30 @@
 		}
 	case endReset:
 		reset(conn.(*net.TCPConn))
+	case endCommentFlood, endEventFlood:
+		first, again := "", strings.Repeat(comment+"\n\n", floodBlockBytes/len(comment))
+		if ending.end == endEventFlood {
+			first, again = floodedEvent, strings.Repeat(floodedByte, floodBlockBytes)
+		}
+		if ending.framing == framingChunked {
+			first, again = fmt.Sprintf("%x\r\n%s", len(first)+len(again), first+again+"\r\n"), fmt.Sprintf("%x\r\n%s\r\n", len(again), again)
+		}
+		e.flood(conn, life, first, again, readFloodPause)
 	case endSilence:
 		conn.SetReadDeadline(time.Now().Add(silenceLimit))
 		conn.Read(make([]byte, 1))
 	}
 }
 
+// flood writes a text, and another one again and again, until the proxy closes the connection or a life of the engine is over.
+func (e *engine) flood(conn net.Conn, life, first, again string, pause time.Duration) {
+	_, err := io.WriteString(conn, first)
+	for err == nil && e.standStill() == life {
+		_, err = io.WriteString(conn, again)
+		time.Sleep(pause)
+	}
+}
+
 // splitStream splits the events of an answer into what is written at once: blocks that end with a blank line, or pieces of any length.
 func splitStream(text, id string, anywhere bool) (pieces []string) {
 	if !anywhere {
--- a/internal/lab/fleetdemo/floodbackend.go
+++ b/internal/lab/fleetdemo/floodbackend.go
@@ -60,6 +60,13 @@
 	}
 }
 
+// recover has the backend answer plainly from now on.
+func (b *floodBackend) recover() {
+	b.mu.Lock()
+	b.form = floodNone
+	b.mu.Unlock()
+}
+
 // serve answers the first request of a connection without end.
 func (b *floodBackend) serve(conn net.Conn) {
 	defer func() {
@@ -78,7 +85,7 @@
 	form, status := b.form, b.status
 	b.mu.Unlock()
 	first, again := form.parts(status, request.Header.Get("X-Request-Id"), b.id)
-	if _, err := io.WriteString(conn, first); err != nil {
+	if _, err := io.WriteString(conn, first); err != nil || again == "" {
 		return
 	}
 	for block := []byte(again); ; {
--- a/internal/lab/fleetdemo/floodform.go
+++ b/internal/lab/fleetdemo/floodform.go
@@ -26,6 +26,8 @@
 	floodTrailers      floodForm = "trailers"        // trailers without end
 	floodAfterAnswer   floodForm = "after-answer"    // bytes after a whole response
 	floodExtension     floodForm = "chunk-extension" // the extension of a chunk's size never ends
+
+	floodNone floodForm = "none" // a whole answer and nothing else
 )
 
 // floodForms are all forms, in the order of a play.
@@ -78,6 +80,8 @@
 		return chunked + "7fffffffffffffff\r\nid: ", filler
 	case floodTrailers:
 		return chunked + "d\r\ndata: token\n\n\r\n0\r\n", block("X-Trailer: 1234\r\n")
+	case floodNone:
+		return stream + "Connection: close\r\nContent-Length: 13\r\n\r\ndata: token\n\n", ""
 	case floodAfterAnswer:
 		return stream + "Content-Length: 13\r\n\r\ndata: token\n\n", filler
 	}
--- a/internal/lab/fleetdemo/floodplay.go
+++ b/internal/lab/fleetdemo/floodplay.go
@@ -11,6 +11,7 @@
 	"slices"
 	"strings"
 	"sync"
+	"syscall"
 	"time"
 )
 
@@ -24,6 +25,8 @@
 	othersLate     = 500 * time.Millisecond
 	othersDeadline = 4 * time.Second
 	callersGoneIn  = time.Second
+	floodGrace     = 4 * time.Second // as demoBounds has it
+	endedFront     = 1               // is told to end beside the floods
 )
 
 // floodConfiguration has a service of flooding backends, as bodies that may be repeated and as streams that may be resumed, beside one of
@@ -56,6 +59,7 @@
 	peaks                   map[string]int64 // bytes, by process
 	floodTook               []time.Duration  // by callers of floods
 	took                    []time.Duration  // by others that were served
+	recovered               time.Duration    // until backends that no longer flood are used again
 	slack                   time.Duration    // by which the machine itself was late
 	findings                []string
 }
@@ -107,8 +111,8 @@
 	if len(r.took) > 0 {
 		slowest = slices.Max(r.took)
 	}
-	text := fmt.Sprintf("others %d, late %d, failed %d, slowest %v, slack %v; floods %d, %d MB sent, overdue %d; memory %d MB at most (%s)",
-		r.requests, r.late, r.failed, slowest.Round(time.Millisecond), r.slack.Round(time.Millisecond), r.floodRequests, r.written>>20, r.overdue, highest>>20, name)
+	text := fmt.Sprintf("others %d, late %d, failed %d, slowest %v, slack %v; floods %d, %d MB sent, overdue %d, used again after %v; memory %d MB at most (%s)",
+		r.requests, r.late, r.failed, slowest.Round(time.Millisecond), r.slack.Round(time.Millisecond), r.floodRequests, r.written>>20, r.overdue, r.recovered.Round(time.Millisecond), highest>>20, name)
 	for _, finding := range r.findings {
 		text += "\n    " + finding
 	}
@@ -200,11 +204,40 @@
 		callers.Go(func() { p.call(ctx, number) })
 	}
 	others.Go(func() { p.askOthers(done) })
-	time.Sleep(p.options.Length)
+	time.Sleep(p.options.Length / 2)
+	p.hangUpAll()
+	time.Sleep(p.options.Length / 2)
 	close(done)
 	others.Wait()
+	p.world.endProcesses(floodGrace, frontProcess(endedFront, "proxy"), frontProcess(endedFront, "agent"))
 	cancel()
 	callers.Wait()
+	p.recover()
+}
+
+// hangUpAll sends SIGHUP to all programs.
+func (p *floodPlay) hangUpAll() {
+	for _, name := range p.world.names() {
+		if process := p.world.process(name); process != nil {
+			process.command.Process.Signal(syscall.SIGHUP)
+		}
+	}
+}
+
+// recover has the backends answer plainly, and notes whether they are used again.
+func (p *floodPlay) recover() {
+	for _, backend := range p.backends {
+		backend.recover()
+	}
+	began := time.Now()
+	err := await("a request served", func() bool {
+		answer := streamRequest{id: fmt.Sprint("whole-", time.Since(began)), path: floodPaths[0], key: streamKey1, front: 0}.ask(othersDeadline)
+		return answer.status == http.StatusOK && answer.complete
+	})
+	p.result.recovered = time.Since(began)
+	if err != nil {
+		p.result.findings = append(p.result.findings, "backends that no longer flood are not used again: "+err.Error())
+	}
 }
 
 // askOthers sends requests of other clients at a steady rate, whatever becomes of those before.
@@ -284,7 +317,7 @@
 func (p *floodPlay) judge() *floodResult {
 	r := &p.result
 	found := func(format string, args ...any) { r.findings = append(r.findings, fmt.Sprintf(format, args...)) }
-	open := 0
+	var open int
 	r.slack = p.lag.slack()
 	for _, took := range r.took {
 		if took > othersLate+r.slack {
@@ -304,6 +337,8 @@
 		switch {
 		case !life.OverMemory.IsZero():
 			found("FAULT: %s was ended %v after its start with %d MB", life.Name, life.OverMemory.Sub(life.Started).Round(time.Millisecond), life.PeakBytes>>20)
+		case !life.Told.IsZero() && life.Ended.Sub(life.Told) > floodGrace+r.slack:
+			found("FAULT: %s ended %v after it was told to", life.Name, life.Ended.Sub(life.Told).Round(time.Millisecond))
 		case life.endedByItself():
 			found("FAULT: %s ended by itself: %s", life.Name, life.State)
 		}
--- a/internal/lab/fleetdemo/judge.go
+++ b/internal/lab/fleetdemo/judge.go
@@ -20,7 +20,7 @@
 	ruleWall    = "WALL"    // a request used what a request of another tenant made, and one of the two is isolated
 	ruleStale   = "STALE"   // a tally was read without an add that it owed
 	ruleOrder   = "ORDER"   // an answer's bytes are not those of one run, in their order
-	ruleFault   = "FAULT"   // a process ended by itself, didn't start, or didn't end when told to
+	ruleFault   = "FAULT"   // a process ended by itself, didn't start, didn't end when told to, or had too much memory
 )
 
 // Outcomes of a request, as its client saw them.
@@ -72,6 +72,7 @@
 	Merge                                    time.Duration // in which controllers tell each other of adds
 	Contact                                  time.Duration // for so long a front must have been without trouble to be in touch
 	Start                                    time.Duration // in which a program has to listen
+	Memory                                   int64         // bytes of one process; 0: not judged
 	Slack                                    time.Duration
 }
 
--- a/internal/lab/fleetdemo/judge_processes.go
+++ b/internal/lab/fleetdemo/judge_processes.go
@@ -5,14 +5,18 @@
 	"time"
 )
 
-// judgeProcesses holds each process to its rules: it listens soon after its start, doesn't end by itself, and ends within its grace when
-// it is told to.
+// judgeProcesses holds each process to its rules: it listens soon after its start, doesn't end by itself, ends within its grace when it is
+// told to, and keeps to the memory that its sheet gives it.
 func (r *record) judgeProcesses() (findings []finding) {
 	for i := range r.Processes {
 		p := &r.Processes[i]
 		found := func(at time.Time, format string, args ...any) {
 			findings = append(findings, finding{ruleFault, at, p.Name, fmt.Sprintf(format, args...)})
 		}
+		if r.Limits.Memory > 0 && p.PeakBytes > r.Limits.Memory {
+			found(p.Started, "it had %d MB, %d over its limit", p.PeakBytes>>20, (p.PeakBytes-r.Limits.Memory)>>20)
+			continue
+		}
 		if p.endedByItself() {
 			found(p.Ended, "it ended by itself %v after its start: %s", p.Ended.Sub(p.Started).Round(time.Millisecond), p.State)
 			continue
--- a/internal/lab/fleetdemo/judge_processes_test.go
+++ b/internal/lab/fleetdemo/judge_processes_test.go
@@ -9,7 +9,7 @@
 func TestPlantedFaultsOfProcessesAreFound(t *testing.T) {
 	start := time.Unix(1000, 0)
 	at := func(s float64) time.Time { return start.Add(time.Duration(s * float64(time.Second))) }
-	limits := limits{Grace: 3 * time.Second, Start: 5 * time.Second, Slack: 100 * time.Millisecond}
+	limits := limits{Grace: 3 * time.Second, Start: 5 * time.Second, Slack: 100 * time.Millisecond, Memory: 280 << 20}
 	frozen := []machineTrouble{{span{at(2), at(4)}, 0, actFreeze}}
 	for name, c := range map[string]struct {
 		life   processLife
@@ -17,6 +17,9 @@
 		rule   string // "" if none is broken
 	}{
 		"it runs":                           {processLife{Started: at(1), Listening: at(2)}, nil, ""},
+		"its memory is within its limit":    {processLife{Started: at(1), Listening: at(2), PeakBytes: 280 << 20}, nil, ""},
+		"its memory is over its limit":      {processLife{Started: at(1), Listening: at(2), PeakBytes: 280<<20 + 1}, nil, ruleFault},
+		"it was ended for its memory":       {processLife{Started: at(1), Listening: at(2), PeakBytes: 300 << 20, OverMemory: at(3), Ended: at(3)}, nil, ruleFault},
 		"it ended by itself":                {processLife{Started: at(1), Listening: at(2), Ended: at(9)}, nil, ruleFault},
 		"it ended before it listened":       {processLife{Started: at(1), Ended: at(1.1)}, nil, ruleFault},
 		"it ended by itself, killed later":  {processLife{Started: at(1), Listening: at(2), Ended: at(5), Killed: at(8)}, nil, ruleFault},
--- a/internal/lab/fleetdemo/processmemory.go
+++ b/internal/lab/fleetdemo/processmemory.go
@@ -11,7 +11,7 @@
 )
 
 // memoryPoll is how often the memory of a process is looked at.
-const memoryPoll = 20 * time.Millisecond
+const memoryPoll = 50 * time.Millisecond
 
 // residentBytes returns the resident memory of a process, 0 if it has ended.
 func residentBytes(pid int) int64 {
--- a/internal/lab/fleetdemo/soak.go
+++ b/internal/lab/fleetdemo/soak.go
@@ -22,6 +22,7 @@
 	soakDrainLimit      = 3 * time.Second
 	soakMergeLimit      = 3 * time.Second
 
+	soakMemoryMB   = 280 // of each process
 	engineSlots    = 8
 	slowedBy       = 8
 	clientsOfFront = 8
@@ -63,7 +64,7 @@
 		fmt.Sprint("bounds.version_ms=", soakVersionLimit.Milliseconds()), fmt.Sprint("bounds.grace_s=", soakGrace.Seconds()), "bounds.lease_ms=1000",
 		fmt.Sprint("bounds.evacuation_ms=", soakEvacuationLimit.Milliseconds()), fmt.Sprint("bounds.drain_ms=", soakDrainLimit.Milliseconds()),
 		fmt.Sprint("bounds.contact_ms=", soakContact.Milliseconds()), fmt.Sprint("bounds.config_apply_ms=", soakApplyLimit.Milliseconds()),
-		fmt.Sprint("bounds.merge_ms=", soakMergeLimit.Milliseconds()), tallyContract,
+		fmt.Sprint("bounds.merge_ms=", soakMergeLimit.Milliseconds()), tallyContract, fmt.Sprint("limits.memory_mb=", soakMemoryMB),
 	})
 	if err != nil {
 		return err
@@ -71,6 +72,7 @@
 	keep := false
 	defer func() { w.closeKeeping(keep) }()
 	s := &soak{world: w, seed: o.Seed, plan: makePlan(o.Seed, o.Length, of, o.LongestCut), busy: map[string]*sync.Mutex{}}
+	w.memoryLimit = soakMemoryMB << 20
 	if w.net, err = newCutNetwork(relayAddr()); err != nil {
 		return err
 	}
@@ -196,7 +198,7 @@
 	s.record.Endings, s.record.Processes, s.record.Over = log.endings, s.world.lives(), time.Now()
 	s.record.Limits = limits{
 		Version: soakVersionLimit, Apply: soakApplyLimit, Grace: soakGrace, Evacuation: soakEvacuationLimit, Drain: soakDrainLimit,
-		Contact: soakContact, Merge: soakMergeLimit, Start: startLimit,
+		Contact: soakContact, Merge: soakMergeLimit, Start: startLimit, Memory: soakMemoryMB << 20,
 		Slack: s.lag.slack(),
 	}
 	return &s.record
--- a/internal/lab/fleetdemo/stream.go
+++ b/internal/lab/fleetdemo/stream.go
@@ -96,8 +96,37 @@
 	endFIN     streamEnd = "FIN"
 	endReset   streamEnd = "RST"
 	endSilence streamEnd = "silence" // nothing more is sent, until the proxy closes the connection or some seconds have passed
+
+	endHeadFlood    streamEnd = "head without end"     // a header line goes on until the proxy closes the connection; nothing else is sent
+	endCommentFlood streamEnd = "comments without end" // until the proxy closes the connection
+	endEventFlood   streamEnd = "event without end"    // likewise; the event has no ID
 )
 
+// brokenEnds are the ends that leave events out, as often as they are drawn.
+var brokenEnds = []streamEnd{
+	endFIN, endFIN, endFIN, endReset, endReset, endReset, endSilence, endSilence, endSilence, endHeadFlood, endCommentFlood, endEventFlood,
+}
+
+// isFlood reports whether an engine sends bytes without end.
+func (e streamEnd) isFlood() bool {
+	return e == endHeadFlood || e == endCommentFlood || e == endEventFlood
+}
+
+// floodedEvent is what an event without end begins with; floodedByte follows again and again.
+const (
+	floodedEvent = "data: flood "
+	floodedByte  = "y"
+)
+
+// withoutFlood returns a stream without the event without end that it ends with, if any.
+func withoutFlood(text string) string {
+	start := strings.LastIndex(text, floodedEvent)
+	if start >= 0 && strings.Trim(text[start+len(floodedEvent):], floodedByte) == "" {
+		return text[:start]
+	}
+	return text
+}
+
 // streamEnding is how one run of a request sends its answer and ends it.
 type streamEnding struct {
 	framing framing
@@ -152,7 +181,13 @@
 		broken /= 2
 	}
 	if random.Float64() < broken {
-		e.end = []streamEnd{endFIN, endReset, endSilence}[random.IntN(3)]
+		e.end = brokenEnds[random.IntN(len(brokenEnds))]
+	}
+	if e.end.isFlood() {
+		e.inEvent = false
+		if e.framing == framingLength { // its length would be reached by other bytes, and nobody could know
+			e.framing = framingChunked
+		}
 	}
 	return e
 }
@@ -176,7 +211,7 @@
 // streamMismatch returns where the bytes of an answer that a client got differ from the events that were due, comments apart, "" if they
 // are a prefix of them, and how many bytes are missing then.
 func streamMismatch(due, got string) (mismatch string, missing int) {
-	due, got = withoutComments(due), withoutComments(got)
+	due, got = withoutComments(due), withoutComments(withoutFlood(got))
 	if strings.HasPrefix(due, got) {
 		return "", len(due) - len(got)
 	}
