--- a/internal/proxy/proxy.go
+++ b/internal/proxy/proxy.go
@@ -10,6 +10,7 @@
 	"maps"
 	"math/rand/v2"
 	"net/http"
+	"runtime"
 	"slices"
 	"sync"
 	"sync/atomic"
@@ -98,7 +99,7 @@
 		agent:           rpc.NewClient(settings.LoopbackAddr()),
 		commands:        make(chan func(), commandQueueLength),
 		done:            make(chan struct{}),
-		relays:          newRelayScheduler(settings.CPUShare, settings.Cores),
+		relays:          newRelayScheduler(runtime.GOMAXPROCS(0)),
 		memory:          memlimit.ForPeers(settings.MemoryMB),
 		pools:           map[string]*upstream.Pool{},
 		attempts:        newAttemptRegistry(),
--- a/internal/proxy/relayscheduler.go
+++ b/internal/proxy/relayscheduler.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"maps"
-	"runtime"
 	"slices"
 	"sync"
 	"sync/atomic"
@@ -39,7 +38,7 @@
 // within a service, in the order of arrival. A response that waits isn't read, and flow control holds up its backend. Scheduling by turns also
 // leaves the processor idle now and then, which is when the runtime looks for network events at once.
 type relayScheduler struct {
-	processors   float64 // that the machine may use; fractions too
+	processors   float64 // that the process may use at once
 	active       atomic.Int64
 	fastestWrite atomic.Int64 // a time.Duration
 	held         atomic.Uint64
@@ -64,15 +63,10 @@
 	given   bool
 }
 
-// newRelayScheduler returns the scheduler of a machine that may use so much of a core, 0 if that isn't known.
-func newRelayScheduler(cpuShare, cores float64) *relayScheduler {
-	processors := float64(runtime.GOMAXPROCS(0))
-	if cpuShare > 0 {
-		processors = min(processors, cpuShare*max(1, cores))
-	}
-	return &relayScheduler{
-		processors: processors, services: map[string]*relayService{},
-	}
+// newRelayScheduler returns the scheduler of a process that may use so many processors at once. Where it gets only a share
+// of one, its steps take longer, and that is measured.
+func newRelayScheduler(processors int) *relayScheduler {
+	return &relayScheduler{processors: float64(processors), services: map[string]*relayService{}}
 }
 
 // relayMeter measures the processor time of one response. It belongs to the goroutine that relays the response.
--- a/internal/proxy/relayscheduler_test.go
+++ b/internal/proxy/relayscheduler_test.go
@@ -42,9 +42,9 @@
 	for _, responses := range []int{1, 12, 200} {
 		synctest.Test(t, func(t *testing.T) {
 			const length, cost = 4 * time.Second, 80 * time.Microsecond
-			s := newRelayScheduler(0.5, 1)
+			s := newRelayScheduler(1)
 			taken := relayLoad(s, "flood", responses, cost, length)
-			bound := time.Duration(2*relayShare*0.5*float64(length)) + relayBurst + time.Duration(responses)*(relayAllowance+2*cost)
+			bound := time.Duration(2*relayShare*float64(length)) + relayBurst + time.Duration(responses)*(relayAllowance+2*cost)
 			require.LessOrEqual(t, taken, bound)
 			require.Greater(t, taken, bound/3, "floods are held up more than needed")
 			require.Zero(t, s.active.Load())
@@ -57,7 +57,7 @@
 func TestResponsesWithinTheirPartNeverWait(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		const floods, events, cost, pause = 50, 200, 30 * time.Microsecond, 20 * time.Millisecond
-		s := newRelayScheduler(1, 1)
+		s := newRelayScheduler(1)
 		var flood sync.WaitGroup
 		flood.Go(func() { relayLoad(s, "flood", floods, 80*time.Microsecond, events*pause) })
 		meter := s.newMeter("llm")
@@ -77,7 +77,7 @@
 func TestServicesTakeTurns(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		const length, cost = 2 * time.Second, 50 * time.Microsecond
-		s := newRelayScheduler(1, 1)
+		s := newRelayScheduler(1)
 		var flood sync.WaitGroup
 		var floods, body time.Duration
 		flood.Go(func() { floods = relayLoad(s, "flood", 100, cost, length) })
@@ -91,7 +91,7 @@
 // holds up nobody.
 func TestTurnThatIsNoLongerAwaitedIsForgotten(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		s := newRelayScheduler(1, 1)
+		s := newRelayScheduler(1)
 		s.mu.Lock()
 		s.service(time.Now(), "flood").saved = -time.Hour
 		s.mu.Unlock()
@@ -115,7 +115,7 @@
 
 // TestCostOfAStep: waiting for the backend and for the client doesn't count as processor time.
 func TestCostOfAStep(t *testing.T) {
-	s := newRelayScheduler(1, 1)
+	s := newRelayScheduler(1)
 	s.fastestWrite.Store(int64(10 * time.Microsecond))
 	before := upstream.ReadTotals{Waited: time.Second, Reads: 7}
 	after := upstream.ReadTotals{Waited: 3 * time.Second, Reads: 9}
--- a/internal/settings/local/local.go
+++ b/internal/settings/local/local.go
@@ -34,9 +34,7 @@
 	DataDirectory         string
 	Contracts             []string // names of the contracts that are in force
 	MemoryMB              int
-	CPUShare              float64 // of a core that the machine may use; 0 if not set
-	Cores                 float64 // by how many times a core is faster, or how many there are; 1 if not set
-	DiskMB                int     // 0 if not set
+	DiskMB                int // 0 if not set
 	FileDescriptors       int
 	LinkMbps              float64       // bandwidth of the machine's link; 0 if not set
 	CloudAddr             string        // of the cloud API, which lists the backends
@@ -102,8 +100,6 @@
 		DataDirectory:         p.text("data_directory"),
 		Contracts:             p.list("contracts"),
 		MemoryMB:              int(p.number("limits.memory_mb", 256)),
-		CPUShare:              p.number("limits.cpu_share", 0),
-		Cores:                 p.number("limits.cores", 1),
 		DiskMB:                int(p.number("limits.disk_mb", 0)),
 		FileDescriptors:       int(p.number("limits.file_descriptors", 1024)),
 		LinkMbps:              p.number("limits.link_mbps", 0),
