--- a/internal/memlimit/memlimit.go
+++ b/internal/memlimit/memlimit.go
@@ -44,14 +44,18 @@
 	return New(int64(memoryMB) << 20 / peerDataDivisor)
 }
 
-// Take takes bytes, and reports whether there were as many left.
+// largestTakeDivisor is the part of what is left that may be taken at once, as its divisor. So what is large finds no memory
+// first, and what is small finds some while large things hold the rest.
+const largestTakeDivisor = 2
+
+// Take takes bytes, and reports whether it could: they may be half of what is left at most.
 func (b *Budget) Take(bytes int64) bool {
 	if b == nil {
 		return true
 	}
 	for {
 		used := b.used.Load()
-		if used+bytes > b.limit {
+		if bytes > (b.limit-used)/largestTakeDivisor {
 			b.exhausted.Add(1)
 			return false
 		}
